--- /dev/null
+++ b/src/core/common/hash.cpp
@@ -0,0 +1,35 @@
+#include "core/common/hash.hpp"
+
+#include <xxhash.h>
+
+namespace fuchsia::core::common
+{
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed) noexcept
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::uint32_t partition_of(std::string_view key) noexcept
+{
+    return static_cast<std::uint32_t>(hash_of(key) % partition_count);
+}
+
+std::size_t rendezvous_winner(std::string_view key,
+                              std::span<std::string const> candidates) noexcept
+{
+    std::size_t winner = 0;
+    std::uint64_t best = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index)
+    {
+        std::uint64_t const weight = hash_of(key, hash_of(candidates[index]));
+        if (index == 0 || weight > best)
+        {
+            winner = index;
+            best = weight;
+        }
+    }
+    return winner;
+}
+
+} // namespace fuchsia::core::common
--- /dev/null
+++ b/src/core/common/json.cpp
@@ -0,0 +1,207 @@
+#include "core/common/json.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace fuchsia::core::common
+{
+
+namespace
+{
+constexpr std::size_t max_json_depth = 32;
+}
+
+json_reader::json_reader(boost::json::object const& object, std::string where)
+    : object_(object), where_(std::move(where))
+{
+}
+
+std::string json_reader::text(std::string_view key)
+{
+    auto const* value = need(key);
+    if (value == nullptr)
+    {
+        return {};
+    }
+    if (!value->is_string())
+    {
+        fail(result_code::wrong_type, key, "a string is expected");
+        return {};
+    }
+    return std::string(value->as_string());
+}
+
+std::string json_reader::text_or(std::string_view key, std::string fallback)
+{
+    return find(key) == nullptr ? std::move(fallback) : text(key);
+}
+
+std::int64_t json_reader::integer(std::string_view key,
+                                  std::int64_t least,
+                                  std::int64_t most)
+{
+    auto const* value = need(key);
+    if (value == nullptr)
+    {
+        return least;
+    }
+    boost::json::error_code error;
+    auto const number = value->to_number<std::int64_t>(error);
+    if (error || value->is_double())
+    {
+        fail(result_code::wrong_type, key, "a whole number is expected");
+        return least;
+    }
+    if (number < least || number > most)
+    {
+        fail(result_code::out_of_range,
+             key,
+             std::to_string(number) + " is not within " +
+                 std::to_string(least) + " to " + std::to_string(most));
+        return least;
+    }
+    return number;
+}
+
+std::int64_t json_reader::integer_or(std::string_view key,
+                                     std::int64_t fallback,
+                                     std::int64_t least,
+                                     std::int64_t most)
+{
+    return find(key) == nullptr ? fallback : integer(key, least, most);
+}
+
+double json_reader::number_or(std::string_view key,
+                              double fallback,
+                              double least,
+                              double most)
+{
+    auto const* value = find(key);
+    if (value == nullptr)
+    {
+        return fallback;
+    }
+    boost::json::error_code error;
+    auto const number = value->to_number<double>(error);
+    if (error)
+    {
+        fail(result_code::wrong_type, key, "a number is expected");
+        return fallback;
+    }
+    if (!std::isfinite(number) || number < least || number > most)
+    {
+        fail(result_code::out_of_range,
+             key,
+             std::to_string(number) + " is not within " +
+                 std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return number;
+}
+
+bool json_reader::flag_or(std::string_view key, bool fallback)
+{
+    auto const* value = find(key);
+    if (value == nullptr)
+    {
+        return fallback;
+    }
+    if (!value->is_bool())
+    {
+        fail(result_code::wrong_type, key, "true or false is expected");
+        return fallback;
+    }
+    return value->as_bool();
+}
+
+boost::json::object const* json_reader::object(std::string_view key)
+{
+    auto const* value = find(key);
+    if (value != nullptr && !value->is_object())
+    {
+        fail(result_code::wrong_type, key, "an object is expected");
+    }
+    return value == nullptr ? nullptr : value->if_object();
+}
+
+boost::json::array const* json_reader::array(std::string_view key)
+{
+    auto const* value = find(key);
+    if (value != nullptr && !value->is_array())
+    {
+        fail(result_code::wrong_type, key, "an array is expected");
+    }
+    return value == nullptr ? nullptr : value->if_array();
+}
+
+void json_reader::allow_only(std::initializer_list<std::string_view> known)
+{
+    for (auto const& member : object_)
+    {
+        std::string_view const key = member.key();
+        if (std::find(known.begin(), known.end(), key) == known.end())
+        {
+            fail(result_code::unknown_key, key, "nothing reads this key");
+            return;
+        }
+    }
+}
+
+void json_reader::fail(result_code code, std::string_view key, std::string why)
+{
+    if (reason_.code == result_code::ok)
+    {
+        reason_ = {code, where_ + "." + std::string(key), std::move(why)};
+    }
+}
+
+bool json_reader::ok() const noexcept
+{
+    return reason_.code == result_code::ok;
+}
+
+failure const& json_reader::reason() const noexcept
+{
+    return reason_;
+}
+
+boost::json::value const* json_reader::find(std::string_view key)
+{
+    return object_.if_contains(key);
+}
+
+boost::json::value const* json_reader::need(std::string_view key)
+{
+    auto const* value = find(key);
+    if (value == nullptr)
+    {
+        fail(result_code::missing_key, key, "the key is absent");
+    }
+    return value;
+}
+
+std::optional<boost::json::object>
+parse_json_object(std::string_view text, std::string where, failure& reason)
+{
+    boost::json::parse_options options;
+    options.max_depth = max_json_depth;
+    boost::json::error_code error;
+    auto value = boost::json::parse(text, error, {}, options);
+    if (error)
+    {
+        reason = {
+            result_code::malformed_json, std::move(where), error.message()};
+        return std::nullopt;
+    }
+    if (!value.is_object())
+    {
+        reason = {result_code::malformed_json,
+                  std::move(where),
+                  "a JSON object is expected"};
+        return std::nullopt;
+    }
+    return std::move(value.as_object());
+}
+
+} // namespace fuchsia::core::common
--- /dev/null
+++ b/src/core/common/result_code.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fuchsia::core::common
+{
+
+/// Every way in which something can end, by number. docs/ERRORS.md holds the
+/// same table for operators; a test compares the two.
+enum class result_code : std::uint16_t
+{
+    ok = 0,
+
+    malformed_http = 1001,
+    malformed_frame = 1002,
+    malformed_toml = 1003,
+    malformed_json = 1004,
+    body_too_large = 1005,
+    headers_too_large = 1006,
+    unknown_key = 1007,
+    missing_key = 1008,
+    out_of_range = 1009,
+    inconsistent = 1010,
+    malformed_contract = 1011,
+    malformed_job = 1012,
+    bad_header = 1013,
+    unknown_path = 1014,
+    bad_method = 1015,
+    file_unreadable = 1016,
+    wrong_type = 1017,
+
+    unknown_customer = 2001,
+    contract_withdrawn = 2002,
+    over_contract_in_flight = 2003,
+    over_contract_rate = 2004,
+    no_free_slot = 2005,
+    deadline_unreachable = 2006,
+    deadline_passed = 2007,
+    queue_full = 2008,
+    no_proof = 2009,
+    draining = 2010,
+    owner_unreachable = 2011,
+    data_centre_out = 2012,
+    retry_budget_spent = 2013,
+    over_contract_resources = 2014,
+    upstream_refused = 2015,
+
+    upstream_lost = 3001,
+    upstream_partial = 3002,
+    deadline_after_send = 3003,
+    key_memory_lost = 3004,
+    owner_lost = 3005,
+    answer_too_large = 3006,
+
+    store_unavailable = 4001,
+    store_unclear = 4002,
+    conflict = 4003,
+    not_found = 4004,
+    already_exists = 4005,
+    store_over_budget = 4006,
+
+    not_a_member = 5001,
+    wrong_incarnation = 5002,
+    bad_token = 5003,
+    address_not_allowed = 5004,
+
+    job_never_fits = 6001,
+    job_failed_everywhere = 6002,
+    job_cancelled = 6003,
+    worker_refused = 6004,
+    worker_unreachable = 6005,
+};
+
+/// What a caller may conclude about its request from an answer.
+enum class outcome : std::uint8_t
+{
+    ran,     ///< The whole answer of the upstream follows.
+    not_run, ///< The request reached no upstream and never will.
+    unknown, ///< It may have run, once at most.
+};
+
+struct result_code_row
+{
+    result_code code;
+    std::string_view name;
+    std::uint16_t http_status;
+    outcome says;
+    std::string_view meaning;
+};
+
+/// The table behind `row_of`, in the order of the numbers.
+extern const std::array<result_code_row, 54> result_code_table;
+
+/// The row of `code`; every code has one.
+result_code_row const& row_of(result_code code) noexcept;
+
+std::string_view name_of(result_code code) noexcept;
+std::string_view name_of(outcome says) noexcept;
+std::optional<outcome> outcome_from(std::string_view name) noexcept;
+
+/// The last reason for an error: beside each `std::optional` that came back
+/// empty, what went wrong, where (file and line, header, or path in a
+/// document) and why.
+struct failure
+{
+    result_code code = result_code::ok;
+    std::string where;
+    std::string why;
+
+    bool operator==(failure const&) const = default;
+};
+
+/// "1009 out_of_range at settings.toml:7: hold must be below bury".
+std::string to_string(failure const& reason);
+
+} // namespace fuchsia::core::common
--- /dev/null
+++ b/src/core/tasks/job.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/common/result_code.hpp"
+#include "ports/requests.hpp"
+#include "ports/workers.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fuchsia::core::tasks
+{
+
+enum class job_kind : std::uint8_t
+{
+    service, ///< Latency-critical, runs until cancelled.
+    batch,   ///< Runs until its work is done.
+};
+
+std::string_view name_of(job_kind value) noexcept;
+
+/// What a customer asks to be run, as submitted by an operator.
+struct job
+{
+    std::string id; ///< Chosen by the submitter; makes submitting idempotent.
+    std::string customer;
+    job_kind kind = job_kind::batch;
+    std::string task_class;    ///< Whose interference is learned together.
+    ports::resources declared; ///< Of each task.
+    std::uint32_t tasks = 1;
+    std::uint64_t work_ms = 0; ///< Of each batch task, at full speed.
+    bool checkpointable = false;
+    bool urgent = false; ///< Placed before everything that is not.
+    /// Only workers of this data centre; empty: any.
+    std::string data_centre;
+
+    bool operator==(job const&) const = default;
+};
+
+std::optional<job> parse_job(std::string_view json, common::failure& reason);
+std::string to_json(job const& value);
+
+} // namespace fuchsia::core::tasks
