Let a forwarded key say which claim it was sent to

An owner that took over must not trust a first sending that reached it through an entry which still meant an earlier claim: a retry may have run between the two. The frame now names the epoch. A handed-over key carries a hash of its request, so that another request under the same key gets no foreign answer, and the handover says whether the partition's slots are idle.

--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -994,7 +994,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_SPILL = 6,
-    VT_REQUEST = 8
+    VT_REQUEST = 8,
+    VT_EPOCH = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1005,12 +1006,16 @@
   const fuchsia::schema::caller_request *request() const {
     return GetPointer<const fuchsia::schema::caller_request *>(VT_REQUEST);
   }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_SPILL, 1) &&
            VerifyOffset(verifier, VT_REQUEST) &&
            verifier.VerifyTable(request()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            verifier.EndTable();
   }
 };
@@ -1028,6 +1033,9 @@
   void add_request(flatbuffers::Offset<fuchsia::schema::caller_request> request) {
     fbb_.AddOffset(forwarded_request::VT_REQUEST, request);
   }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(forwarded_request::VT_EPOCH, epoch, 0);
+  }
   explicit forwarded_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1043,8 +1051,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     bool spill = false,
-    flatbuffers::Offset<fuchsia::schema::caller_request> request = 0) {
+    flatbuffers::Offset<fuchsia::schema::caller_request> request = 0,
+    uint64_t epoch = 0) {
   forwarded_requestBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
   builder_.add_id(id);
   builder_.add_request(request);
   builder_.add_spill(spill);
@@ -1320,7 +1330,8 @@
     VT_KEY = 6,
     VT_ENDED = 8,
     VT_ANSWER = 10,
-    VT_AGE_US = 12
+    VT_AGE_US = 12,
+    VT_FINGERPRINT = 14
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -1337,6 +1348,9 @@
   uint64_t age_us() const {
     return GetField<uint64_t>(VT_AGE_US, 0);
   }
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -1347,6 +1361,7 @@
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
            VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
            verifier.EndTable();
   }
 };
@@ -1370,6 +1385,9 @@
   void add_age_us(uint64_t age_us) {
     fbb_.AddElement<uint64_t>(remembered_key::VT_AGE_US, age_us, 0);
   }
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(remembered_key::VT_FINGERPRINT, fingerprint, 0);
+  }
   explicit remembered_keyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1387,8 +1405,10 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     bool ended = false,
     flatbuffers::Offset<fuchsia::schema::caller_answer> answer = 0,
-    uint64_t age_us = 0) {
+    uint64_t age_us = 0,
+    uint64_t fingerprint = 0) {
   remembered_keyBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
   builder_.add_age_us(age_us);
   builder_.add_answer(answer);
   builder_.add_key(key);
@@ -1403,7 +1423,8 @@
     const char *key = nullptr,
     bool ended = false,
     flatbuffers::Offset<fuchsia::schema::caller_answer> answer = 0,
-    uint64_t age_us = 0) {
+    uint64_t age_us = 0,
+    uint64_t fingerprint = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return fuchsia::schema::Createremembered_key(
@@ -1412,7 +1433,8 @@
       key__,
       ended,
       answer,
-      age_us);
+      age_us,
+      fingerprint);
 }
 
 struct key_handover FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1422,7 +1444,8 @@
     VT_EPOCH = 6,
     VT_MEMORY_US = 8,
     VT_KEYS = 10,
-    VT_LAST = 12
+    VT_LAST = 12,
+    VT_SLOTS_IDLE = 14
   };
   uint32_t partition() const {
     return GetField<uint32_t>(VT_PARTITION, 0);
@@ -1439,6 +1462,9 @@
   bool last() const {
     return GetField<uint8_t>(VT_LAST, 0) != 0;
   }
+  bool slots_idle() const {
+    return GetField<uint8_t>(VT_SLOTS_IDLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PARTITION, 4) &&
@@ -1448,6 +1474,7 @@
            verifier.VerifyVector(keys()) &&
            verifier.VerifyVectorOfTables(keys()) &&
            VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SLOTS_IDLE, 1) &&
            verifier.EndTable();
   }
 };
@@ -1471,6 +1498,9 @@
   void add_last(bool last) {
     fbb_.AddElement<uint8_t>(key_handover::VT_LAST, static_cast<uint8_t>(last), 0);
   }
+  void add_slots_idle(bool slots_idle) {
+    fbb_.AddElement<uint8_t>(key_handover::VT_SLOTS_IDLE, static_cast<uint8_t>(slots_idle), 0);
+  }
   explicit key_handoverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1488,12 +1518,14 @@
     uint64_t epoch = 0,
     uint64_t memory_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsia::schema::remembered_key>>> keys = 0,
-    bool last = false) {
+    bool last = false,
+    bool slots_idle = false) {
   key_handoverBuilder builder_(_fbb);
   builder_.add_memory_us(memory_us);
   builder_.add_epoch(epoch);
   builder_.add_keys(keys);
   builder_.add_partition(partition);
+  builder_.add_slots_idle(slots_idle);
   builder_.add_last(last);
   return builder_.Finish();
 }
@@ -1504,7 +1536,8 @@
     uint64_t epoch = 0,
     uint64_t memory_us = 0,
     const std::vector<flatbuffers::Offset<fuchsia::schema::remembered_key>> *keys = nullptr,
-    bool last = false) {
+    bool last = false,
+    bool slots_idle = false) {
   auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<fuchsia::schema::remembered_key>>(*keys) : 0;
   return fuchsia::schema::Createkey_handover(
       _fbb,
@@ -1512,7 +1545,8 @@
       epoch,
       memory_us,
       keys__,
-      last);
+      last,
+      slots_idle);
 }
 
 struct key_handover_ack FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/ports/peer.hpp
+++ b/src/ports/peer.hpp
@@ -69,6 +69,10 @@
     std::uint64_t id = 0;
     bool spill = false;     ///< No key: any free slot of the receiver will do.
     caller_request request; ///< `deadline` is the time left when sent.
+    /// Epoch of the claim by which the sender knew the receiver as the owner
+    /// of the key. `request.attempt` is 1 only where the sender vouches that
+    /// the caller sent it after that claim began.
+    std::uint64_t epoch = 0;
 };
 
 struct forwarded_answer
@@ -82,7 +86,9 @@
 {
     std::uint64_t round = 0;
     std::string customer;
-    std::uint32_t in_use = 0;      ///< Requests in flight here now.
+    /// Requests that may be in flight here until the answer comes: those in
+    /// flight now, or the slice still held where that is more.
+    std::uint32_t in_use = 0;
     std::uint32_t wanted = 0;      ///< Requests in flight hoped for.
     std::uint32_t wanted_rate = 0; ///< Requests a second hoped for.
 };
@@ -106,6 +112,9 @@
     bool ended = false; ///< False: it was running when handed over.
     caller_answer answer;
     std::uint64_t age_us = 0;
+    /// Hash of method, target and body: another request under the same key
+    /// must not get this answer. 0 where it is not known.
+    std::uint64_t fingerprint = 0;
 };
 
 struct key_handover
@@ -116,6 +125,8 @@
     std::uint64_t memory_us = 0;
     std::vector<remembered_key> keys;
     bool last = true;
+    /// Nothing of the sender runs on the partition's upstreams any more.
+    bool slots_idle = false;
 };
 
 struct key_handover_ack
