--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -1445,7 +1445,8 @@
     VT_MEMORY_US = 8,
     VT_KEYS = 10,
     VT_LAST = 12,
-    VT_SLOTS_IDLE = 14
+    VT_SLOTS_IDLE = 14,
+    VT_TOTAL_KEYS = 16
   };
   uint32_t partition() const {
     return GetField<uint32_t>(VT_PARTITION, 0);
@@ -1465,6 +1466,9 @@
   bool slots_idle() const {
     return GetField<uint8_t>(VT_SLOTS_IDLE, 0) != 0;
   }
+  uint32_t total_keys() const {
+    return GetField<uint32_t>(VT_TOTAL_KEYS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PARTITION, 4) &&
@@ -1475,6 +1479,7 @@
            verifier.VerifyVectorOfTables(keys()) &&
            VerifyField<uint8_t>(verifier, VT_LAST, 1) &&
            VerifyField<uint8_t>(verifier, VT_SLOTS_IDLE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_TOTAL_KEYS, 4) &&
            verifier.EndTable();
   }
 };
@@ -1501,6 +1506,9 @@
   void add_slots_idle(bool slots_idle) {
     fbb_.AddElement<uint8_t>(key_handover::VT_SLOTS_IDLE, static_cast<uint8_t>(slots_idle), 0);
   }
+  void add_total_keys(uint32_t total_keys) {
+    fbb_.AddElement<uint32_t>(key_handover::VT_TOTAL_KEYS, total_keys, 0);
+  }
   explicit key_handoverBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1519,10 +1527,12 @@
     uint64_t memory_us = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsia::schema::remembered_key>>> keys = 0,
     bool last = false,
-    bool slots_idle = false) {
+    bool slots_idle = false,
+    uint32_t total_keys = 0) {
   key_handoverBuilder builder_(_fbb);
   builder_.add_memory_us(memory_us);
   builder_.add_epoch(epoch);
+  builder_.add_total_keys(total_keys);
   builder_.add_keys(keys);
   builder_.add_partition(partition);
   builder_.add_slots_idle(slots_idle);
@@ -1537,7 +1547,8 @@
     uint64_t memory_us = 0,
     const std::vector<flatbuffers::Offset<fuchsia::schema::remembered_key>> *keys = nullptr,
     bool last = false,
-    bool slots_idle = false) {
+    bool slots_idle = false,
+    uint32_t total_keys = 0) {
   auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<fuchsia::schema::remembered_key>>(*keys) : 0;
   return fuchsia::schema::Createkey_handover(
       _fbb,
@@ -1546,7 +1557,8 @@
       memory_us,
       keys__,
       last,
-      slots_idle);
+      slots_idle,
+      total_keys);
 }
 
 struct key_handover_ack FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/ports/peer.hpp
+++ b/src/ports/peer.hpp
@@ -127,6 +127,8 @@
     bool last = true;
     /// Nothing of the sender runs on the partition's upstreams any more.
     bool slots_idle = false;
+    /// Keys in all messages of this handover: it is whole when so many came.
+    std::uint32_t total_keys = 0;
 };
 
 struct key_handover_ack
