--- /dev/null
+++ b/src/core/requests/entry_answers.cpp
@@ -0,0 +1,197 @@
+#include "core/requests/entry_engine.hpp"
+#include "core/requests/refusal.hpp"
+
+#include <algorithm>
+
+// How requests end: each caller gets one answer, each key one end, and each
+// charge against a contract is taken back once the request runs nowhere.
+namespace fuchsia::core::requests
+{
+
+using namespace std::chrono_literals;
+
+void entry_engine::refuse(common::time_point now,
+                          open_request& one,
+                          result_code code,
+                          ports::actions& out)
+{
+    auto answer = refusal(one.request, one.fresh, code);
+    if (one.maybe_ran)
+    {
+        answer.says = common::outcome::unknown;
+    }
+    conclude(now, one.id, answer, out);
+}
+
+// "Not run" is about the caller's request, which all sendings of its key are
+// part of. An entry that has not asked the key's memory knows it only of a
+// first sending.
+ports::caller_answer entry_engine::refusal(ports::caller_request const& request,
+                                           bool fresh,
+                                           result_code code)
+{
+    common::duration wait = usual_wait(code);
+    if (code == result_code::deadline_unreachable ||
+        code == result_code::no_free_slot || code == result_code::queue_full)
+    {
+        wait = std::clamp<common::duration>(predicted(), 50ms, 5s);
+    }
+    auto answer = make_refusal(code, wait, random_);
+    bool const may_be_known = request.method == "POST" &&
+                              !request.idempotency_key.empty() &&
+                              request.attempt != 1 && !fresh;
+    if (answer.says == common::outcome::not_run && may_be_known)
+    {
+        answer.says = common::outcome::unknown;
+    }
+    return answer;
+}
+
+common::duration entry_engine::predicted() const noexcept
+{
+    return predicted_wait({queue_.size(),
+                           queue_.size(),
+                           slots_.usable_slots(),
+                           slots_.service_time()});
+}
+
+void entry_engine::conclude(common::time_point now,
+                            std::uint64_t id,
+                            ports::caller_answer const& answer,
+                            ports::actions& out)
+{
+    auto& one = requests_.at(id);
+    deliver(one, answer, out);
+    settle_key(now, one, answer, out);
+    erase(id);
+}
+
+// The outcome is unknown and it may still run: its charge stays until it can't.
+void entry_engine::conclude_linger(common::time_point now,
+                                   std::uint64_t id,
+                                   result_code code,
+                                   ports::actions& out)
+{
+    auto& one = requests_.at(id);
+    auto const answer = refusal(one.request, false, code);
+    deliver(one, answer, out);
+    settle_key(now, one, answer, out);
+    auto const until = one.sent + settings_.upstreams.max_execution;
+    if (one.charged && one.stage != request_stage::joined && until > now)
+    {
+        linger(one, until);
+    }
+    else
+    {
+        erase(id);
+    }
+}
+
+void entry_engine::deliver(open_request& one,
+                           ports::caller_answer const& answer,
+                           ports::actions& out)
+{
+    if (one.answered)
+    {
+        return;
+    }
+    one.answered = true;
+    --unanswered_;
+    if (one.is_local())
+    {
+        by_caller_.erase(one.caller);
+        out.emplace_back(ports::caller_reply{one.caller, answer});
+    }
+    else
+    {
+        answer_peer(one.from, one.forwarded_id, answer, out);
+    }
+}
+
+// A key whose run was refused before anything was sent is fresh again; any
+// other end is remembered, an unknown one too.
+void entry_engine::settle_key(common::time_point now,
+                              open_request& one,
+                              ports::caller_answer const& answer,
+                              ports::actions& out)
+{
+    if (!one.begun)
+    {
+        return;
+    }
+    one.begun = false;
+    auto const waiters = answer.says == common::outcome::not_run
+                             ? keys_.forget(one.key)
+                             : keys_.finish(now, one.key, answer);
+    for (std::uint64_t const waiter : waiters)
+    {
+        if (requests_.contains(waiter))
+        {
+            conclude(now, waiter, answer, out);
+        }
+    }
+}
+
+void entry_engine::linger(open_request& one, common::time_point until)
+{
+    by_sending_.erase(one.sending);
+    open_bytes_ -= one.request.body.size();
+    one.request.body.clear();
+    one.request.headers.clear();
+    one.stage = request_stage::lingering;
+    set_timer(one, until);
+}
+
+void entry_engine::erase(std::uint64_t id)
+{
+    auto const found = requests_.find(id);
+    auto& one = found->second;
+    if (one.stage == request_stage::queued)
+    {
+        queue_.erase(
+            {one.id, one.request.customer, one.request.kind, one.expires});
+    }
+    auto const customer = customers_.find(one.request.customer);
+    if (customer != customers_.end())
+    {
+        if (one.charged)
+        {
+            customer->second.slice.end(one.request.kind);
+        }
+        if (!customer->second.parked.empty())
+        {
+            unpark_wanted_.insert(one.request.customer);
+        }
+    }
+    set_timer(one, std::nullopt);
+    by_sending_.erase(one.sending);
+    open_bytes_ -= one.request.body.size();
+    requests_.erase(found);
+}
+
+void entry_engine::set_timer(open_request& one,
+                             std::optional<common::time_point> when)
+{
+    if (one.timer)
+    {
+        timers_.erase({*one.timer, one.id});
+    }
+    one.timer = when;
+    if (when)
+    {
+        timers_.insert({*when, one.id});
+    }
+}
+
+open_request* entry_engine::find_sending(std::uint64_t sending) noexcept
+{
+    auto const found = by_sending_.find(sending);
+    if (found == by_sending_.end())
+    {
+        return nullptr;
+    }
+    auto const one = requests_.find(found->second);
+    return one == requests_.end() ? nullptr : &one->second;
+}
+
+} // namespace fuchsia::core::requests
--- /dev/null
+++ b/src/core/requests/entry_handovers.cpp
@@ -0,0 +1,185 @@
+#include "core/requests/entry_engine.hpp"
+
+#include <algorithm>
+
+// Partitions that change hands as planned, in a stop or because a member
+// joined: what runs ends first, the successor gets the keys, then the claim is
+// given up.
+namespace fuchsia::core::requests
+{
+
+void entry_engine::start_handover(common::time_point now,
+                                  std::uint32_t partition,
+                                  claims::claim_change const& change)
+{
+    auto& one = handovers_[partition];
+    bool const sent = one.stage == handover_stage::sending;
+    if (sent && one.to != change.wished)
+    {
+        // The successor changed after the keys were sent: send them again.
+        one.stage_began = now;
+        one.last_sent = {};
+    }
+    one.to = change.wished;
+    one.epoch = change.now.epoch;
+}
+
+void entry_engine::drive_handovers(common::time_point now, ports::actions& out)
+{
+    std::size_t active = 0;
+    for (auto const& [partition, one] : handovers_)
+    {
+        active += one.stage != handover_stage::waiting ? 1 : 0;
+    }
+    std::vector<std::uint32_t> cancelled;
+    for (auto& [partition, one] : handovers_)
+    {
+        if (one.stage == handover_stage::waiting)
+        {
+            if (active >= settings_.max_handovers)
+            {
+                continue;
+            }
+            ++active;
+            enter(now, one, handover_stage::emptying_slots);
+            slots_.release(partition);
+        }
+        bool const unsent = one.stage == handover_stage::emptying_slots ||
+                            one.stage == handover_stage::emptying_keys;
+        if (unsent && one.to == members_.self().id)
+        {
+            cancelled.push_back(partition);
+            continue;
+        }
+        drive_handover(now, partition, one, out);
+    }
+    for (std::uint32_t const partition : cancelled)
+    {
+        handovers_.erase(partition);
+        slots_.acquire(now, partition, true);
+    }
+}
+
+void entry_engine::drive_handover(common::time_point now,
+                                  std::uint32_t partition,
+                                  handover& one,
+                                  ports::actions& out)
+{
+    bool const patient = now - one.stage_began < settings_.handover_patience;
+    switch (one.stage)
+    {
+    case handover_stage::waiting:
+        break;
+    case handover_stage::emptying_slots:
+        if (slots_.idle(partition) || !patient)
+        {
+            enter(now, one, handover_stage::emptying_keys);
+        }
+        break;
+    case handover_stage::emptying_keys:
+        if (keys_.running(partition) == 0 || !patient)
+        {
+            one.slots_idle = slots_.idle(partition);
+            enter(now, one, handover_stage::sending);
+            send_keys(now, partition, one, out);
+        }
+        break;
+    case handover_stage::sending:
+        if (one.to.name.empty() || !patient)
+        {
+            enter(now, one, handover_stage::releasing);
+            claims_.release(now, partition_name(partition), out);
+        }
+        else if (now - one.last_sent >= settings_.handover_retry)
+        {
+            send_keys(now, partition, one, out);
+        }
+        break;
+    case handover_stage::releasing:
+        break;
+    }
+}
+
+void entry_engine::enter(common::time_point now,
+                         handover& one,
+                         handover_stage stage)
+{
+    one.stage = stage;
+    one.stage_began = now;
+}
+
+void entry_engine::send_keys(common::time_point now,
+                             std::uint32_t partition,
+                             handover& one,
+                             ports::actions& out)
+{
+    one.last_sent = now;
+    auto messages = cut_handover(partition,
+                                 one,
+                                 keys_.reach(now, partition),
+                                 keys_.export_keys(now, partition));
+    for (auto& message : messages)
+    {
+        send_peer(one.to, std::move(message), out);
+    }
+}
+
+void entry_engine::on_key_handover(common::time_point now,
+                                   ports::member_identity const& from,
+                                   ports::key_handover const& message,
+                                   ports::actions& out)
+{
+    if (is_live(from) && imports_.on_message(now, from, message))
+    {
+        send_peer(from,
+                  ports::key_handover_ack{message.partition, message.epoch},
+                  out);
+    }
+}
+
+void entry_engine::on_handover_ack(common::time_point now,
+                                   ports::member_identity const& from,
+                                   ports::key_handover_ack const& ack,
+                                   ports::actions& out)
+{
+    auto const found = handovers_.find(ack.partition);
+    if (found == handovers_.end())
+    {
+        return;
+    }
+    auto& one = found->second;
+    if (one.stage != handover_stage::sending || one.to != from ||
+        one.epoch != ack.epoch)
+    {
+        return;
+    }
+    ++counts_.handovers;
+    enter(now, one, handover_stage::releasing);
+    claims_.release(now, partition_name(ack.partition), out);
+    log(out,
+        ports::severity::info,
+        "partition_handed_over",
+        {{"partition", partition_name(ack.partition)}, {"to", from.name}});
+}
+
+bool entry_engine::key_is_frozen(std::uint32_t partition) const noexcept
+{
+    auto const found = handovers_.find(partition);
+    return found != handovers_.end() &&
+           found->second.stage >= handover_stage::emptying_keys;
+}
+
+bool entry_engine::key_may_run(common::time_point now,
+                               open_request const& one) const noexcept
+{
+    if (!one.begun)
+    {
+        return true;
+    }
+    auto const found = handovers_.find(one.partition);
+    bool const sent = found != handovers_.end() &&
+                      found->second.stage >= handover_stage::sending;
+    return !sent && owns(now, one.partition);
+}
+
+} // namespace fuchsia::core::requests
--- /dev/null
+++ b/src/core/requests/entry_peers.cpp
@@ -0,0 +1,371 @@
+#include "core/requests/entry_engine.hpp"
+
+#include <utility>
+
+// What goes between entries: forwarded requests and their answers, free slots
+// and configuration revisions.
+namespace fuchsia::core::requests
+{
+
+namespace
+{
+
+template<class... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template<class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+} // namespace
+
+void entry_engine::on_peer(common::time_point now,
+                           ports::peer_receive const& message,
+                           ports::actions& out)
+{
+    notice_pause(now, out);
+    if (retired_)
+    {
+        return;
+    }
+    auto const& from = message.from;
+    auto const to_members = [&]
+    {
+        members_.on_peer(now, message, out);
+        after_platform(now, out);
+    };
+    auto const to_follower = [&]
+    {
+        auto const* info = members_.find(from);
+        if (info != nullptr)
+        {
+            follower_.on_peer(now, message, info->peer_address, out);
+            after_platform(now, out);
+        }
+    };
+    std::visit(
+        overloaded{
+            [&](ports::promise_request const& request)
+            {
+                note_revision(now, request.config_revision, from, out);
+                to_members();
+            },
+            [&](ports::promise_reply const& reply)
+            {
+                note_revision(now, reply.config_revision, from, out);
+                to_members();
+            },
+            [&](ports::consent_request const&)
+            {
+                to_members();
+            },
+            [&](ports::consent_reply const&)
+            {
+                to_members();
+            },
+            [&](ports::config_offer const&)
+            {
+                to_follower();
+            },
+            [&](ports::config_request const&)
+            {
+                to_follower();
+            },
+            [&](ports::load_report const& report)
+            {
+                if (is_live(from))
+                {
+                    loads_.on_report(now, from, report);
+                }
+            },
+            [&](ports::forwarded_request const& request)
+            {
+                on_forwarded(now, from, request, out);
+            },
+            [&](ports::forwarded_answer const& answer)
+            {
+                on_forwarded_answer(now, from, answer, out);
+            },
+            [&](ports::slice_request const& request)
+            {
+                auto const grant = grant_slice(now, from, request);
+                if (grant)
+                {
+                    send_peer(from, *grant, out);
+                }
+            },
+            [&](ports::slice_grant const& grant)
+            {
+                on_slice_grant(now, from, grant, out);
+            },
+            [&](ports::key_handover const& handover)
+            {
+                on_key_handover(now, from, handover, out);
+            },
+            [&](ports::key_handover_ack const& ack)
+            {
+                on_handover_ack(now, from, ack, out);
+            },
+        },
+        message.message);
+    after_event(now, out);
+}
+
+void entry_engine::forward_to_owner(common::time_point now,
+                                    open_request& one,
+                                    ports::actions& out)
+{
+    if (!may_send(now))
+    {
+        refuse(now, one, result_code::no_proof, out);
+        return;
+    }
+    if (one.expires - now <= settings_.hop_margin)
+    {
+        refuse(now, one, result_code::deadline_passed, out);
+        return;
+    }
+    auto const owner = owners_.of(one.partition).member;
+    if (!send_to_peer(now, one, owner, false, out))
+    {
+        refuse(now, one, result_code::owner_unreachable, out);
+        return;
+    }
+    ++counts_.forwarded;
+}
+
+// One hop at most: only requests of our own callers, and each only once.
+bool entry_engine::spill(common::time_point now,
+                         open_request& one,
+                         ports::actions& out)
+{
+    if (!one.is_local() || one.spilled)
+    {
+        return false;
+    }
+    auto const peer = loads_.take_most_free(now);
+    if (!peer || !send_to_peer(now, one, *peer, true, out))
+    {
+        return false;
+    }
+    one.spilled = true;
+    ++counts_.spilled;
+    return true;
+}
+
+bool entry_engine::send_to_peer(common::time_point now,
+                                open_request& one,
+                                ports::member_identity const& to,
+                                bool is_spill,
+                                ports::actions& out)
+{
+    auto const left = one.expires - now - settings_.hop_margin;
+    if (left <= common::duration::zero() || !is_live(to))
+    {
+        return false;
+    }
+    ports::forwarded_request message;
+    message.id = next_id_++;
+    message.spill = is_spill;
+    message.request = one.request;
+    message.request.deadline = left;
+    if (!is_spill)
+    {
+        message.epoch = owners_.of(one.partition).epoch;
+        if (message.request.attempt == 1 && !is_vouched(one))
+        {
+            message.request.attempt = 0;
+        }
+    }
+    one.stage = request_stage::at_peer;
+    one.sending = message.id;
+    one.peer = to;
+    one.sent = now;
+    by_sending_.emplace(message.id, one.id);
+    set_timer(one, one.expires);
+    send_peer(to, std::move(message), out);
+    return true;
+}
+
+void entry_engine::on_forwarded(common::time_point now,
+                                ports::member_identity const& from,
+                                ports::forwarded_request const& message,
+                                ports::actions& out)
+{
+    if (!is_live(from) || !replays_.is_new(from, message.id))
+    {
+        return;
+    }
+    auto const refuse_now = [&](result_code code)
+    {
+        answer_peer(
+            from, message.id, refusal(message.request, false, code), out);
+    };
+    if (!may_send(now))
+    {
+        refuse_now(result_code::no_proof);
+        return;
+    }
+    if (requests_.size() >= settings_.max_open ||
+        open_bytes_ + message.request.body.size() > settings_.max_open_bytes)
+    {
+        refuse_now(result_code::queue_full);
+        return;
+    }
+    open_request fresh;
+    fresh.from = from;
+    fresh.forwarded_id = message.id;
+    fresh.spilled_here = message.spill;
+    fresh.request = message.request;
+    fresh.received = now;
+    fresh.expires = now + message.request.deadline;
+    prepare(fresh, contract_of(message.request.customer));
+    // A spilled key was looked up by its owner, who sent it here.
+    fresh.keyed = fresh.keyed && !message.spill;
+    auto const& known = owners_.of(fresh.partition);
+    fresh.vouched = message.request.attempt == 1 &&
+                    message.epoch == known.epoch &&
+                    known.member == members_.self().id;
+    auto& one = add_request(std::move(fresh));
+    if (!message.spill)
+    {
+        // Only the owner may run it; it is never forwarded again.
+        bool const ours = one.keyed && owns(now, one.partition);
+        if (ours)
+        {
+            route(now, one, out);
+        }
+        else
+        {
+            refuse(now, one, result_code::owner_unreachable, out);
+        }
+        return;
+    }
+    bool const stopping = life_.phase() != entry_phase::serving;
+    if (stopping || queue_.size() > 0 || !send_upstream(now, one, out))
+    {
+        refuse(now, one, result_code::no_free_slot, out);
+    }
+}
+
+void entry_engine::on_forwarded_answer(common::time_point now,
+                                       ports::member_identity const& from,
+                                       ports::forwarded_answer const& message,
+                                       ports::actions& out)
+{
+    auto* one = find_sending(message.id);
+    if (one == nullptr || one->stage != request_stage::at_peer ||
+        one->peer != from)
+    {
+        return;
+    }
+    by_sending_.erase(message.id);
+    bool const not_run = message.answer.says == common::outcome::not_run;
+    if (not_run && one->spilled && !one->answered && now < one->expires)
+    {
+        one->stage = request_stage::arrived;
+        set_timer(*one, std::nullopt);
+        dispatch(now, *one, out);
+        return;
+    }
+    if (message.answer.says == common::outcome::unknown)
+    {
+        // It may run on there; the charge stays as long.
+        deliver(*one, message.answer, out);
+        settle_key(now, *one, message.answer, out);
+        linger(*one, one->sent + settings_.upstreams.max_execution);
+        return;
+    }
+    conclude(now, one->id, message.answer, out);
+}
+
+void entry_engine::answer_peer(ports::member_identity const& to,
+                               std::uint64_t id,
+                               ports::caller_answer answer,
+                               ports::actions& out) const
+{
+    send_peer(to, ports::forwarded_answer{id, std::move(answer)}, out);
+}
+
+// The peer was buried or has left: its answers will not come any more.
+void entry_engine::on_peer_lost(common::time_point now, ports::actions& out)
+{
+    std::vector<std::uint64_t> lost;
+    for (auto const& [id, one] : requests_)
+    {
+        if (one.stage == request_stage::at_peer && !is_live(one.peer))
+        {
+            lost.push_back(id);
+        }
+    }
+    for (std::uint64_t const id : lost)
+    {
+        auto const found = requests_.find(id);
+        if (found == requests_.end())
+        {
+            continue;
+        }
+        auto& one = found->second;
+        by_sending_.erase(one.sending);
+        one.maybe_ran = true;
+        if (!one.idempotent || !retry(now, one, out))
+        {
+            conclude_linger(now, id, result_code::owner_lost, out);
+        }
+    }
+}
+
+void entry_engine::note_revision(common::time_point now,
+                                 std::uint64_t revision,
+                                 ports::member_identity const& from,
+                                 ports::actions& out)
+{
+    auto const* info = members_.find(from);
+    if (info == nullptr || revision <= follower_.current().revision)
+    {
+        return;
+    }
+    if (revision > newest_revision_)
+    {
+        newest_revision_ = revision;
+    }
+    if (!behind_since_)
+    {
+        behind_since_ = now;
+    }
+    follower_.on_peer_revision(now, revision, from, info->peer_address, out);
+}
+
+void entry_engine::send_loads(common::time_point now, ports::actions& out)
+{
+    if (now < next_loads_ || !may_send(now))
+    {
+        return;
+    }
+    next_loads_ = now + settings_.load_interval;
+    bool const welcome = life_.phase() == entry_phase::serving;
+    ports::load_report const report{welcome ? slots_.free_slots() : 0,
+                                    static_cast<std::uint32_t>(queue_.size())};
+    for (auto const& info : members_.live())
+    {
+        if (info.id != members_.self().id)
+        {
+            send_peer(info.id, report, out);
+        }
+    }
+}
+
+void entry_engine::send_peer(ports::member_identity const& to,
+                             ports::peer_message message,
+                             ports::actions& out) const
+{
+    auto const* info = members_.find(to);
+    if (info != nullptr)
+    {
+        out.emplace_back(
+            ports::peer_send{to, info->peer_address, std::move(message)});
+    }
+}
+
+} // namespace fuchsia::core::requests
--- /dev/null
+++ b/src/core/requests/entry_requests.cpp
@@ -0,0 +1,582 @@
+#include "core/requests/entry_engine.hpp"
+
+#include <algorithm>
+
+// The way of one request: from the door over its key, its customer's slice and
+// the queue to an upstream.
+namespace fuchsia::core::requests
+{
+
+namespace
+{
+constexpr std::uint16_t http_unavailable = 503;
+}
+
+void entry_engine::on_caller_request(common::time_point now,
+                                     std::uint64_t caller,
+                                     ports::caller_request request,
+                                     ports::actions& out)
+{
+    notice_pause(now, out);
+    if (by_caller_.contains(caller))
+    {
+        return;
+    }
+    if (auto const code = refuse_at_door(now, request))
+    {
+        out.emplace_back(
+            ports::caller_reply{caller, refusal(request, false, *code)});
+        return;
+    }
+    auto const* limits = contract_of(request.customer);
+    open_request fresh;
+    fresh.caller = caller;
+    fresh.received = now;
+    fresh.request = std::move(request);
+    if (fresh.request.deadline <= common::duration::zero())
+    {
+        bool const batch = fresh.request.kind == ports::request_class::batch;
+        fresh.request.deadline =
+            batch ? limits->batch_latency_target : limits->latency_target;
+    }
+    fresh.expires = now + fresh.request.deadline;
+    prepare(fresh, limits);
+    auto& one = add_request(std::move(fresh));
+    by_caller_.emplace(caller, one.id);
+    admit(now, one, out);
+    after_event(now, out);
+}
+
+void entry_engine::on_caller_gone(common::time_point now,
+                                  std::uint64_t caller,
+                                  ports::actions& out)
+{
+    notice_pause(now, out);
+    auto const found = by_caller_.find(caller);
+    if (found == by_caller_.end())
+    {
+        return;
+    }
+    auto& one = requests_.at(found->second);
+    if (one.stage == request_stage::queued ||
+        one.stage == request_stage::parked)
+    {
+        refuse(now, one, result_code::deadline_passed, out);
+    }
+    after_event(now, out);
+}
+
+std::optional<common::result_code>
+entry_engine::refuse_at_door(common::time_point now,
+                             ports::caller_request const& request) const
+{
+    bool const serving = life_.phase() == entry_phase::serving ||
+                         life_.phase() == entry_phase::announced;
+    if (!serving && life_.phase() != entry_phase::joining)
+    {
+        return result_code::draining;
+    }
+    if (!may_send(now) || !serving)
+    {
+        return result_code::no_proof;
+    }
+    if (requests_.size() >= settings_.max_open ||
+        open_bytes_ + request.body.size() > settings_.max_open_bytes)
+    {
+        return result_code::queue_full;
+    }
+    if (contract_of(request.customer) == nullptr)
+    {
+        bool const withdrawn =
+            follower_.current().withdrawn.contains(request.customer);
+        return withdrawn ? result_code::contract_withdrawn
+                         : result_code::unknown_customer;
+    }
+    return std::nullopt;
+}
+
+open_request& entry_engine::add_request(open_request request)
+{
+    request.id = next_id_++;
+    open_bytes_ += request.request.body.size();
+    ++unanswered_;
+    std::uint64_t const id = request.id;
+    return requests_.emplace(id, std::move(request)).first->second;
+}
+
+void entry_engine::prepare(open_request& one,
+                           contracts::contract const* limits) const
+{
+    auto const& request = one.request;
+    one.idempotent =
+        limits == nullptr
+            ? request.method != "POST"
+            : contracts::is_idempotent(*limits, request.method, request.target);
+    one.keyed = !one.idempotent && !request.idempotency_key.empty();
+    if (one.keyed)
+    {
+        one.key = full_key(request.customer, request.idempotency_key);
+        one.partition = common::partition_of(one.key);
+        one.fingerprint = fingerprint_of(request);
+    }
+}
+
+bool entry_engine::is_vouched(open_request const& one) const noexcept
+{
+    if (!one.is_local())
+    {
+        return one.vouched;
+    }
+    auto const began = std::max(owners_.of(one.partition).learned, woke_);
+    return one.request.attempt == 1 &&
+           one.received - began >= settings_.sending_bound;
+}
+
+contracts::contract const*
+entry_engine::contract_of(std::string const& customer) const
+{
+    auto const& contracts = follower_.current().contracts;
+    auto const found = contracts.find(customer);
+    return found == contracts.end() ? nullptr : &found->second;
+}
+
+void entry_engine::admit(common::time_point now,
+                         open_request& one,
+                         ports::actions& out)
+{
+    bool const own_key = one.keyed && owns(now, one.partition);
+    if (own_key && settle_known_key(now, one, out))
+    {
+        return;
+    }
+    charge(now, one, out);
+}
+
+// True where the key's memory answers, or has the request wait for another
+// sending's answer.
+bool entry_engine::settle_known_key(common::time_point now,
+                                    open_request& one,
+                                    ports::actions& out)
+{
+    auto const found = keys_.look_up(
+        now, one.partition, one.key, one.fingerprint, is_vouched(one));
+    switch (found.verdict)
+    {
+    case key_verdict::fresh:
+        one.fresh = true;
+        return false;
+    case key_verdict::ended:
+    {
+        ++counts_.replayed_keys;
+        ports::caller_answer const answer = *found.answer;
+        conclude(now, one.id, answer, out);
+        return true;
+    }
+    case key_verdict::running:
+        if (keys_.join(one.key, one.id))
+        {
+            ++counts_.joined_keys;
+            one.stage = request_stage::joined;
+            set_timer(one, one.expires);
+            return true;
+        }
+        one.maybe_ran = true;
+        refuse(now, one, result_code::queue_full, out);
+        return true;
+    case key_verdict::mismatch:
+        refuse(now, one, result_code::bad_header, out);
+        return true;
+    case key_verdict::not_reaching:
+        refuse(now, one, result_code::key_memory_lost, out);
+        return true;
+    case key_verdict::full:
+        one.fresh = true;
+        refuse(now, one, result_code::queue_full, out);
+        return true;
+    }
+    return true;
+}
+
+void entry_engine::charge(common::time_point now,
+                          open_request& one,
+                          ports::actions& out)
+{
+    auto const* limits = contract_of(one.request.customer);
+    if (limits == nullptr)
+    {
+        refuse(now, one, result_code::contract_withdrawn, out);
+        return;
+    }
+    auto& customer = customer_of(one.request.customer);
+    auto const verdict =
+        customer.parked.empty()
+            ? customer.slice.admit(now, one.request.kind, *limits)
+            : contracts::slice_verdict::full;
+    if (verdict == contracts::slice_verdict::admitted)
+    {
+        one.charged = true;
+        route(now, one, out);
+        return;
+    }
+    customer.slice.count_unmet();
+    if (verdict == contracts::slice_verdict::over_rate)
+    {
+        refuse(now, one, result_code::over_contract_rate, out);
+        return;
+    }
+    // Waiting is of use only where the customer's owner may lend more.
+    bool const in_vain = customer.slice.is_limited(now) ||
+                         customer.parked.size() >= settings_.max_parked;
+    if (in_vain)
+    {
+        refuse(now, one, result_code::over_contract_in_flight, out);
+        return;
+    }
+    one.stage = request_stage::parked;
+    customer.parked.push_back(one.id);
+    set_timer(one, std::min(one.expires, now + settings_.slice_patience));
+    ask_for_slice(now, one.request.customer, out);
+}
+
+void entry_engine::route(common::time_point now,
+                         open_request& one,
+                         ports::actions& out)
+{
+    if (!one.keyed)
+    {
+        dispatch(now, one, out);
+        return;
+    }
+    if (owners_.of(one.partition).member != members_.self().id)
+    {
+        forward_to_owner(now, one, out);
+        return;
+    }
+    if (!owns(now, one.partition))
+    {
+        refuse(now, one, result_code::owner_unreachable, out);
+        return;
+    }
+    if (settle_known_key(now, one, out))
+    {
+        return;
+    }
+    if (key_is_frozen(one.partition))
+    {
+        refuse(now, one, result_code::owner_unreachable, out);
+        return;
+    }
+    keys_.begin(one.partition, one.key, one.fingerprint);
+    one.begun = true;
+    dispatch(now, one, out);
+}
+
+void entry_engine::dispatch(common::time_point now,
+                            open_request& one,
+                            ports::actions& out)
+{
+    if (!may_send(now))
+    {
+        refuse(now, one, result_code::no_proof, out);
+        return;
+    }
+    if (!key_may_run(now, one))
+    {
+        refuse(now, one, result_code::owner_unreachable, out);
+        return;
+    }
+    if (queue_.size() == 0 && send_upstream(now, one, out))
+    {
+        return;
+    }
+    if (one.spilled_here)
+    {
+        refuse(now, one, result_code::no_free_slot, out);
+        return;
+    }
+    if (!spill(now, one, out))
+    {
+        enqueue(now, one, out);
+    }
+}
+
+bool entry_engine::send_upstream(common::time_point now,
+                                 open_request& one,
+                                 ports::actions& out)
+{
+    std::uint64_t const exchange = next_id_++;
+    auto const place = slots_.take(now, exchange, one.avoid);
+    if (!place)
+    {
+        return false;
+    }
+    if (one.tries++ == 0)
+    {
+        count_first_try(retries_);
+    }
+    one.stage = request_stage::at_upstream;
+    one.avoid = place->index;
+    one.sending = exchange;
+    one.sent = now;
+    by_sending_.emplace(exchange, one.id);
+    set_timer(one, one.expires);
+    ++counts_.upstream_sends;
+    out.emplace_back(ports::upstream_send{exchange,
+                                          place->upstream,
+                                          place->where,
+                                          one.request,
+                                          settings_.upstreams.max_execution});
+    return true;
+}
+
+void entry_engine::enqueue(common::time_point now,
+                           open_request& one,
+                           ports::actions& out)
+{
+    queue_view const view{queue_.ahead_of(one.request.kind),
+                          queue_.size(),
+                          slots_.usable_slots(),
+                          slots_.service_time()};
+    if (auto const code =
+            requests::refuse(settings_.admission, view, one.expires - now))
+    {
+        refuse(now, one, *code, out);
+        return;
+    }
+    bool const queued = queue_.push(
+        {one.id, one.request.customer, one.request.kind, one.expires});
+    if (!queued)
+    {
+        refuse(now, one, result_code::queue_full, out);
+        return;
+    }
+    one.stage = request_stage::queued;
+    set_timer(one, one.expires);
+}
+
+void entry_engine::pump(common::time_point now, ports::actions& out)
+{
+    while (slots_.free_slots() > 0 && queue_.size() > 0 && may_send(now))
+    {
+        auto const id = queue_.pop();
+        auto const found = id ? requests_.find(*id) : requests_.end();
+        if (found == requests_.end())
+        {
+            continue;
+        }
+        auto& one = found->second;
+        one.stage = request_stage::arrived;
+        if (one.expires <= now)
+        {
+            refuse(now, one, result_code::deadline_passed, out);
+        }
+        else if (!key_may_run(now, one))
+        {
+            refuse(now, one, result_code::owner_unreachable, out);
+        }
+        else if (!send_upstream(now, one, out))
+        {
+            refuse(now, one, result_code::no_free_slot, out);
+        }
+    }
+}
+
+bool entry_engine::retry(common::time_point now,
+                         open_request& one,
+                         ports::actions& out)
+{
+    bool const in_time = !one.answered && now < one.expires && may_send(now);
+    if (!in_time || !take_retry(retries_, one.tries))
+    {
+        return false;
+    }
+    ++counts_.retries;
+    one.stage = request_stage::arrived;
+    set_timer(one, std::nullopt);
+    dispatch(now, one, out);
+    return true;
+}
+
+void entry_engine::on_upstream_end(common::time_point now,
+                                   ports::upstream_end const& end,
+                                   ports::actions& out)
+{
+    notice_pause(now, out);
+    slots_.on_end(now, end);
+    auto* one = find_sending(end.exchange);
+    if (one == nullptr)
+    {
+        after_event(now, out);
+        return;
+    }
+    using enum ports::exchange_status;
+    if (end.status == timed_out)
+    {
+        // The other end, once it is known, follows.
+        on_timer(now, *one, out);
+        after_event(now, out);
+        return;
+    }
+    by_sending_.erase(end.exchange);
+    switch (end.status)
+    {
+    case answered:
+    case drained:
+        on_whole_answer(now, *one, end, out);
+        break;
+    case not_sent:
+        if (!retry(now, *one, out))
+        {
+            refuse(now, *one, result_code::retry_budget_spent, out);
+        }
+        break;
+    case timed_out:
+    case lost:
+    case too_large:
+        on_lost(now, *one, end, out);
+        break;
+    }
+    after_event(now, out);
+}
+
+void entry_engine::on_whole_answer(common::time_point now,
+                                   open_request& one,
+                                   ports::upstream_end const& end,
+                                   ports::actions& out)
+{
+    if (end.http_status == 0)
+    {
+        // A late answer that was read to its end but not kept.
+        conclude(now,
+                 one.id,
+                 refusal(one.request, false, result_code::deadline_after_send),
+                 out);
+        return;
+    }
+    if (one.idempotent && end.http_status == http_unavailable)
+    {
+        bool const ran_before = one.maybe_ran;
+        one.maybe_ran = true;
+        if (retry(now, one, out))
+        {
+            return;
+        }
+        one.maybe_ran = ran_before;
+    }
+    ports::caller_answer answer;
+    answer.status = end.http_status;
+    answer.headers = end.headers;
+    answer.body = end.body;
+    conclude(now, one.id, answer, out);
+}
+
+void entry_engine::on_lost(common::time_point now,
+                           open_request& one,
+                           ports::upstream_end const& end,
+                           ports::actions& out)
+{
+    one.maybe_ran = true;
+    bool const large = end.status == ports::exchange_status::too_large;
+    if (!large && one.idempotent && retry(now, one, out))
+    {
+        return;
+    }
+    auto const partial = end.http_status != 0 ? result_code::upstream_partial
+                                              : result_code::upstream_lost;
+    conclude_linger(
+        now, one.id, large ? result_code::answer_too_large : partial, out);
+}
+
+void entry_engine::fire_timers(common::time_point now, ports::actions& out)
+{
+    while (!timers_.empty() && timers_.begin()->first <= now)
+    {
+        auto const [when, id] = *timers_.begin();
+        timers_.erase(timers_.begin());
+        auto const found = requests_.find(id);
+        if (found != requests_.end())
+        {
+            found->second.timer.reset();
+            on_timer(now, found->second, out);
+        }
+    }
+}
+
+void entry_engine::on_timer(common::time_point now,
+                            open_request& one,
+                            ports::actions& out)
+{
+    bool const expired = one.expires <= now;
+    switch (one.stage)
+    {
+    case request_stage::arrived:
+    case request_stage::parked:
+        refuse(now,
+               one,
+               expired ? result_code::deadline_passed
+                       : result_code::over_contract_in_flight,
+               out);
+        break;
+    case request_stage::queued:
+        refuse(now, one, result_code::deadline_passed, out);
+        break;
+    case request_stage::joined:
+        refuse(now, one, result_code::deadline_after_send, out);
+        break;
+    case request_stage::at_upstream:
+        // Its slot stays taken until its end is known. A peer that forwarded
+        // it watches the deadline itself and needs to know the end.
+        slots_.on_slow(one.sending);
+        if (one.is_local())
+        {
+            deliver(
+                one,
+                refusal(one.request, false, result_code::deadline_after_send),
+                out);
+        }
+        break;
+    case request_stage::at_peer:
+        if (one.answered)
+        {
+            erase(one.id);
+            break;
+        }
+        deliver(one,
+                refusal(one.request, false, result_code::deadline_after_send),
+                out);
+        set_timer(one,
+                  std::max(now, one.sent + settings_.upstreams.max_execution));
+        break;
+    case request_stage::lingering:
+        erase(one.id);
+        break;
+    }
+}
+
+void entry_engine::fail_waiting(common::time_point now, ports::actions& out)
+{
+    while (auto const id = queue_.pop())
+    {
+        auto const found = requests_.find(*id);
+        if (found != requests_.end())
+        {
+            found->second.stage = request_stage::arrived;
+            refuse(now, found->second, result_code::no_proof, out);
+        }
+    }
+    for (auto& [name, customer] : customers_)
+    {
+        auto const parked = std::exchange(customer.parked, {});
+        for (std::uint64_t const id : parked)
+        {
+            auto const found = requests_.find(id);
+            if (found != requests_.end() &&
+                found->second.stage == request_stage::parked)
+            {
+                refuse(now, found->second, result_code::no_proof, out);
+            }
+        }
+    }
+}
+
+} // namespace fuchsia::core::requests
--- /dev/null
+++ b/src/core/requests/entry_settings.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/config/follower.hpp"
+#include "core/contracts/slice.hpp"
+#include "core/membership/member.hpp"
+#include "core/requests/admission.hpp"
+#include "core/requests/key_memory.hpp"
+#include "core/requests/retry_budget.hpp"
+#include "core/upstreams/slot_table.hpp"
+
+namespace fuchsia::core::requests
+{
+
+/// All that the decisions of one entry depend on besides its input.
+struct entry_settings
+{
+    membership::settings membership;
+    config::follower_settings configuration;
+    upstreams::settings upstreams;
+    contracts::slice_settings slices;
+    key_memory_settings keys;
+    admission_policy admission = deadline_admission{};
+    retry_policy retries = retry_budget{};
+
+    std::size_t max_open = 20'000;           ///< Requests known at once.
+    std::size_t max_open_bytes = 64U << 20U; ///< Their bodies.
+    std::size_t max_queued = 2'000;
+    std::size_t max_parked = 64; ///< Of one customer, waiting for a slice.
+
+    /// A sending reaches an entry within this time of being sent, or never.
+    /// The promise that a key runs once across a takeover rests on it.
+    common::duration sending_bound = std::chrono::seconds(5);
+    /// How long a request waits for the first slice of its customer.
+    common::duration slice_patience = std::chrono::milliseconds(150);
+    /// A forwarded request's deadline is earlier by this, for the way back.
+    common::duration hop_margin = std::chrono::milliseconds(2);
+    /// How long a peer may tell of a newer configuration, which we can't get,
+    /// before new work stops.
+    common::duration config_grace = std::chrono::seconds(2);
+    common::duration load_interval = std::chrono::milliseconds(500);
+    /// How long a balancer may go on sending after /readyz turned to 503.
+    common::duration balancer_lag = std::chrono::seconds(5);
+    /// How long a handover waits for each of: slots, keys, acknowledgement.
+    common::duration handover_patience = std::chrono::seconds(5);
+    common::duration handover_retry = std::chrono::milliseconds(300);
+    std::size_t max_handovers = 8; ///< At once.
+    /// With nothing left to answer, a stop waits no longer than this for the
+    /// store; the others then bury what is left of this member.
+    common::duration stop_patience = std::chrono::seconds(30);
+};
+
+} // namespace fuchsia::core::requests
--- /dev/null
+++ b/src/core/requests/key_owners.cpp
@@ -0,0 +1,60 @@
+#include "core/requests/key_owners.hpp"
+
+#include <charconv>
+
+namespace fuchsia::core::requests
+{
+
+std::vector<std::string> partition_names()
+{
+    std::vector<std::string> names;
+    for (std::uint32_t at = 0; at < common::partition_count; ++at)
+    {
+        names.push_back(std::to_string(at));
+    }
+    return names;
+}
+
+std::string const& partition_name(std::uint32_t partition)
+{
+    static std::vector<std::string> const names = partition_names();
+    return names[partition];
+}
+
+std::uint32_t partition_number(std::string const& name) noexcept
+{
+    std::uint32_t number = common::partition_count;
+    auto const* end = name.data() + name.size();
+    auto const [stopped, error] = std::from_chars(name.data(), end, number);
+    bool const whole = error == std::errc() && stopped == end;
+    return whole && number < common::partition_count ? number
+                                                     : common::partition_count;
+}
+
+std::vector<std::uint32_t>
+key_owners::refresh(common::time_point now, claims::claim_table const& claims)
+{
+    std::vector<std::uint32_t> changed;
+    for (std::uint32_t at = 0; at < common::partition_count; ++at)
+    {
+        auto const* claim = claims.find(partition_name(at));
+        if (claim == nullptr)
+        {
+            continue;
+        }
+        auto& known = owners_[at];
+        if (known.member != claim->owner || known.epoch != claim->epoch)
+        {
+            known = {claim->owner, claim->epoch, now};
+            changed.push_back(at);
+        }
+    }
+    return changed;
+}
+
+key_owner const& key_owners::of(std::uint32_t partition) const noexcept
+{
+    return owners_[partition];
+}
+
+} // namespace fuchsia::core::requests
