--- /dev/null
+++ b/src/adapters/http/client.cpp
@@ -0,0 +1,419 @@
+#include "adapters/http/client.hpp"
+
+#include "adapters/runtime/timer.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace fuchsia::adapters::http
+{
+
+namespace
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using ports::exchange_status;
+using tcp = asio::ip::tcp;
+} // namespace
+
+class client::pool : public std::enable_shared_from_this<client::pool>
+{
+public:
+    pool(asio::io_context& io, client_settings settings)
+        : io_(io), settings_(settings)
+    {
+    }
+
+    void send(client_call call, handler handle);
+    void close();
+
+private:
+    class connection;
+    using connection_ptr = std::shared_ptr<connection>;
+
+    struct endpoint_pool
+    {
+        std::vector<connection_ptr> idle;
+        std::set<connection_ptr> all;
+    };
+
+    connection_ptr take_idle(ports::endpoint const& where);
+    void put_back(connection_ptr const& done);
+    void forget(connection_ptr const& gone);
+
+    asio::io_context& io_;
+    client_settings settings_;
+    std::map<ports::endpoint, endpoint_pool> endpoints_;
+};
+
+// One TCP connection. States in order: connecting, then any number of times
+// busy (one call) and idle (in the pool), then closed.
+class client::pool::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(std::shared_ptr<pool> owner, ports::endpoint where)
+        : owner_(std::move(owner)), where_(std::move(where)),
+          socket_(owner_->io_), deadline_(owner_->io_)
+    {
+    }
+
+    ports::endpoint const& where() const noexcept
+    {
+        return where_;
+    }
+
+    void begin(client_call call, handler handle)
+    {
+        call_ = std::move(call);
+        handle_ = std::move(handle);
+        ended_ = false;
+        timed_out_ = false;
+        if (socket_.is_open())
+        {
+            arm(call_.timeout);
+            write();
+            return;
+        }
+        connect();
+    }
+
+    // Watches an unused connection: whatever arrives ends it.
+    void rest()
+    {
+        arm(owner_->settings_.idle_timeout);
+        socket_.async_wait(
+            tcp::socket::wait_read,
+            [self = shared_from_this(), turn = ++turn_](beast::error_code)
+            {
+                if (self->turn_ == turn)
+                {
+                    self->close();
+                }
+            });
+    }
+
+    // Ends the watch of `rest`; false where the connection is no good.
+    bool wake()
+    {
+        ++turn_;
+        beast::error_code error;
+        socket_.cancel(error);
+        char byte = 0;
+        socket_.non_blocking(true, error);
+        socket_.receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    void close()
+    {
+        ++turn_;
+        beast::error_code ignored;
+        deadline_.cancel();
+        socket_.close(ignored);
+        owner_->forget(shared_from_this());
+    }
+
+    void fail(exchange_status status)
+    {
+        auto const keep = shared_from_this();
+        close();
+        end(status, {});
+    }
+
+    void abort()
+    {
+        fail(sent_ ? exchange_status::lost : exchange_status::not_sent);
+    }
+
+private:
+    void arm(core::common::duration after)
+    {
+        deadline_.expires_after(after);
+        deadline_.async_wait(
+            [weak = weak_from_this()](beast::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self)
+                {
+                    self->on_deadline();
+                }
+            });
+    }
+
+    void on_deadline()
+    {
+        if (ended_)
+        {
+            close();
+            return;
+        }
+        if (!sent_)
+        {
+            fail(exchange_status::not_sent);
+            return;
+        }
+        if (timed_out_)
+        {
+            fail(exchange_status::lost);
+            return;
+        }
+        timed_out_ = true;
+        if (!call_.drain)
+        {
+            fail(exchange_status::timed_out);
+            return;
+        }
+        arm(owner_->settings_.drain_timeout);
+        handle_(exchange_status::timed_out, {});
+    }
+
+    void connect()
+    {
+        sent_ = false;
+        beast::error_code error;
+        auto const address = asio::ip::make_address(where_.address, error);
+        arm(std::min(call_.timeout, owner_->settings_.connect_timeout));
+        socket_.async_connect(
+            tcp::endpoint(address, where_.port),
+            [self = shared_from_this()](beast::error_code failed)
+            {
+                if (self->ended_)
+                {
+                    return;
+                }
+                if (failed)
+                {
+                    self->fail(exchange_status::not_sent);
+                    return;
+                }
+                beast::error_code ignored;
+                self->socket_.set_option(tcp::no_delay(true), ignored);
+                self->arm(self->call_.timeout);
+                self->write();
+            });
+    }
+
+    void write()
+    {
+        sent_ = true;
+        message_ = {};
+        message_.version(11);
+        message_.method_string(call_.message.method);
+        message_.target(call_.message.target);
+        message_.set(beast::http::field::host, to_string(where_));
+        for (auto const& header : call_.message.headers)
+        {
+            message_.insert(header.name, header.value);
+        }
+        message_.keep_alive(true);
+        message_.body() = std::move(call_.message.body);
+        message_.prepare_payload();
+        beast::http::async_write(
+            socket_,
+            message_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                if (self->ended_)
+                {
+                    return;
+                }
+                if (error)
+                {
+                    self->fail(exchange_status::lost);
+                    return;
+                }
+                self->read();
+            });
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(owner_->settings_.header_bytes);
+        parser_->body_limit(owner_->settings_.body_bytes);
+        beast::http::async_read(
+            socket_,
+            buffer_,
+            *parser_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                self->on_read(error);
+            });
+    }
+
+    void on_read(beast::error_code error)
+    {
+        if (ended_)
+        {
+            return;
+        }
+        if (error)
+        {
+            bool const large = error == beast::http::error::body_limit ||
+                               error == beast::http::error::header_limit;
+            fail(large && !timed_out_ ? exchange_status::too_large
+                                      : exchange_status::lost);
+            return;
+        }
+        auto message = parser_->release();
+        auto const keep = shared_from_this();
+        if (message.keep_alive() && buffer_.size() == 0)
+        {
+            owner_->put_back(keep);
+        }
+        else
+        {
+            close();
+        }
+        end(timed_out_ ? exchange_status::drained : exchange_status::answered,
+            take_response(message));
+    }
+
+    static response
+    take_response(beast::http::response<beast::http::string_body>& message)
+    {
+        response taken;
+        taken.status = static_cast<std::uint16_t>(message.result_int());
+        for (auto const& field : message)
+        {
+            taken.headers.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+        }
+        taken.body = std::move(message.body());
+        return taken;
+    }
+
+    void end(exchange_status status, response answer)
+    {
+        if (ended_)
+        {
+            return;
+        }
+        ended_ = true;
+        auto const handle = std::move(handle_);
+        handle_ = nullptr;
+        if (handle)
+        {
+            handle(status, std::move(answer));
+        }
+    }
+
+    std::shared_ptr<pool> owner_;
+    ports::endpoint where_;
+    tcp::socket socket_;
+    runtime::timer deadline_;
+    client_call call_;
+    handler handle_;
+    beast::flat_buffer buffer_;
+    beast::http::request<beast::http::string_body> message_;
+    std::optional<beast::http::response_parser<beast::http::string_body>>
+        parser_;
+    std::uint64_t turn_ = 0; // Of idle watches; an old one does nothing.
+    bool sent_ = false;      // A byte of the present call may have gone out.
+    bool ended_ = true;
+    bool timed_out_ = false;
+};
+
+void client::pool::send(client_call call, handler handle)
+{
+    while (auto const reused = take_idle(call.where))
+    {
+        if (reused->wake())
+        {
+            reused->begin(std::move(call), std::move(handle));
+            return;
+        }
+        reused->close();
+    }
+    auto& endpoint = endpoints_[call.where];
+    if (endpoint.all.size() >= settings_.connections_per_endpoint)
+    {
+        asio::post(io_,
+                   [handle = std::move(handle)]
+                   {
+                       handle(exchange_status::not_sent, {});
+                   });
+        return;
+    }
+    auto const made =
+        std::make_shared<connection>(shared_from_this(), call.where);
+    endpoint.all.insert(made);
+    made->begin(std::move(call), std::move(handle));
+}
+
+client::pool::connection_ptr
+client::pool::take_idle(ports::endpoint const& where)
+{
+    auto const found = endpoints_.find(where);
+    if (found == endpoints_.end() || found->second.idle.empty())
+    {
+        return nullptr;
+    }
+    auto taken = found->second.idle.back();
+    found->second.idle.pop_back();
+    return taken;
+}
+
+void client::pool::put_back(connection_ptr const& done)
+{
+    endpoints_[done->where()].idle.push_back(done);
+    done->rest();
+}
+
+void client::pool::forget(connection_ptr const& gone)
+{
+    auto const found = endpoints_.find(gone->where());
+    if (found == endpoints_.end())
+    {
+        return;
+    }
+    std::erase(found->second.idle, gone);
+    found->second.all.erase(gone);
+    if (found->second.all.empty())
+    {
+        endpoints_.erase(found);
+    }
+}
+
+void client::pool::close()
+{
+    auto const endpoints = std::move(endpoints_);
+    endpoints_.clear();
+    for (auto const& [where, endpoint] : endpoints)
+    {
+        for (auto const& open : endpoint.all)
+        {
+            open->abort();
+        }
+    }
+}
+
+client::client(asio::io_context& io, client_settings settings)
+    : pool_(std::make_shared<pool>(io, settings))
+{
+}
+
+client::~client()
+{
+    pool_->close();
+}
+
+void client::send(client_call call, handler handle)
+{
+    pool_->send(std::move(call), std::move(handle));
+}
+
+void client::close()
+{
+    pool_->close();
+}
+
+} // namespace fuchsia::adapters::http
--- /dev/null
+++ b/src/adapters/http/client.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "adapters/http/message.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace fuchsia::adapters::http
+{
+
+struct client_settings
+{
+    /// Kept and busy connections to one endpoint together.
+    std::uint32_t connections_per_endpoint = 60;
+    core::common::duration connect_timeout = std::chrono::seconds(1);
+    /// A late answer is waited for this long before its connection is closed.
+    core::common::duration drain_timeout = std::chrono::seconds(30);
+    /// An unused connection is closed after this long.
+    core::common::duration idle_timeout = std::chrono::seconds(30);
+    std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+};
+
+struct client_call
+{
+    ports::endpoint where;
+    request message;
+    core::common::duration timeout = std::chrono::seconds(5);
+    /// After a time-out: keep the connection until the late answer was drained
+    /// (a second call of the handler says so), or close it at once.
+    bool drain = false;
+};
+
+/// HTTP/1.1 client with a pool of kept connections per endpoint; one request
+/// at a time on each. It sends every request at most once.
+///
+/// A kept connection that its server has closed would lose the next request
+/// without a trace of whether it ran. An idle connection is therefore watched:
+/// one on which anything arrives is dropped from the pool before it is used.
+class client
+{
+public:
+    using handler = std::function<void(ports::exchange_status, response)>;
+
+    client(boost::asio::io_context& io, client_settings settings);
+    ~client();
+
+    /// `handle` is called on the client's `io_context`: once, or twice where
+    /// the first status is `timed_out` and the call asked to drain. Never from
+    /// within `send`.
+    void send(client_call call, handler handle);
+
+    /// Closes every connection; open calls end as `lost` or `not_sent`.
+    void close();
+
+private:
+    class pool;
+    std::shared_ptr<pool> pool_;
+};
+
+} // namespace fuchsia::adapters::http
--- /dev/null
+++ b/src/adapters/http/server.cpp
@@ -0,0 +1,386 @@
+#include "adapters/http/server.hpp"
+
+#include "adapters/runtime/timer.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <list>
+#include <optional>
+#include <utility>
+
+namespace fuchsia::adapters::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using core::common::result_code;
+using tcp = asio::ip::tcp;
+
+// After a failed accept (such as: no file descriptor left) the next try waits,
+// since an immediate one would fail again and take the whole thread.
+constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
+
+core::common::failure failure_of(beast::error_code error)
+{
+    if (error == beast::http::error::body_limit)
+    {
+        return {result_code::body_too_large, "body", ""};
+    }
+    if (error == beast::http::error::header_limit)
+    {
+        return {result_code::headers_too_large, "header", ""};
+    }
+    return {result_code::malformed_http, "request", error.message()};
+}
+
+// Whether the peer sent something that is no HTTP, rather than went away.
+bool is_parse_error(beast::error_code error)
+{
+    return error.category() ==
+               beast::http::make_error_code(beast::http::error::bad_method)
+                   .category() &&
+           error != beast::http::error::end_of_stream &&
+           error != beast::http::error::partial_message;
+}
+
+} // namespace
+
+class server::listener : public std::enable_shared_from_this<server::listener>
+{
+public:
+    listener(asio::io_context& io, server_limits limits, request_handler handle)
+        : acceptor_(io), retry_(io), limits_(limits), handle_(std::move(handle))
+    {
+    }
+
+    std::optional<ports::endpoint> listen(ports::endpoint const& where,
+                                          core::common::failure& reason)
+    {
+        beast::error_code error;
+        auto const address = asio::ip::make_address(where.address, error);
+        tcp::endpoint const target(address, where.port);
+        if (!error)
+        {
+            acceptor_.open(target.protocol(), error);
+        }
+        if (!error)
+        {
+            acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+        }
+        if (!error)
+        {
+            acceptor_.bind(target, error);
+        }
+        if (!error)
+        {
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error)
+        {
+            reason = {result_code::out_of_range,
+                      to_string(where),
+                      "can't listen: " + error.message()};
+            return std::nullopt;
+        }
+        accept();
+        return ports::endpoint{where.address,
+                               acceptor_.local_endpoint().port()};
+    }
+
+    void drain();
+    void close();
+
+    std::uint32_t waiting() const noexcept
+    {
+        return waiting_;
+    }
+
+private:
+    class connection;
+
+    void accept();
+
+    tcp::acceptor acceptor_;
+    runtime::timer retry_;
+    server_limits limits_;
+    request_handler handle_;
+    std::list<std::weak_ptr<connection>> connections_;
+    std::uint32_t open_ = 0;
+    std::uint32_t waiting_ = 0;
+    bool draining_ = false;
+};
+
+class server::listener::connection
+    : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(tcp::socket socket, std::shared_ptr<listener> owner)
+        : stream_(std::move(socket)), idle_(stream_.get_executor()),
+          owner_(std::move(owner))
+    {
+        beast::error_code ignored;
+        stream_.set_option(tcp::no_delay(true), ignored);
+        auto const peer = stream_.remote_endpoint(ignored);
+        remote_address_ = peer.address().to_string();
+        ++owner_->open_;
+    }
+
+    ~connection()
+    {
+        --owner_->open_;
+    }
+
+    void read()
+    {
+        parser_.emplace();
+        parser_->header_limit(owner_->limits_.header_bytes);
+        parser_->body_limit(owner_->limits_.body_bytes);
+        arm_idle();
+        beast::http::async_read(
+            stream_,
+            buffer_,
+            *parser_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                self->on_read(error);
+            });
+    }
+
+    void drain()
+    {
+        draining_ = true;
+        if (!answering_ && buffer_.size() == 0)
+        {
+            close();
+        }
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        idle_.cancel();
+        stream_.shutdown(tcp::socket::shutdown_both, ignored);
+        stream_.close(ignored);
+    }
+
+private:
+    void arm_idle()
+    {
+        idle_.expires_after(owner_->limits_.idle);
+        idle_.async_wait(
+            [weak = weak_from_this()](beast::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self && !self->answering_)
+                {
+                    self->close();
+                }
+            });
+    }
+
+    void on_read(beast::error_code error)
+    {
+        idle_.cancel();
+        if (error)
+        {
+            if (is_parse_error(error))
+            {
+                draining_ = true;
+                answering_ = true;
+                ++owner_->waiting_;
+                write(failure_response(failure_of(error)));
+                return;
+            }
+            close();
+            return;
+        }
+        answering_ = true;
+        ++owner_->waiting_;
+        owner_->handle_(take_request(), make_responder());
+    }
+
+    request take_request()
+    {
+        auto message = parser_->release();
+        keep_alive_ = message.keep_alive();
+        request taken;
+        taken.method = std::string(message.method_string());
+        taken.target = std::string(message.target());
+        for (auto const& field : message)
+        {
+            taken.headers.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+        }
+        taken.body = std::move(message.body());
+        taken.remote_address = remote_address_;
+        return taken;
+    }
+
+    responder make_responder()
+    {
+        auto const number = ++request_number_;
+        return [self = shared_from_this(), number](response answer)
+        {
+            bool const first = self->request_number_ == number;
+            if (first && self->answering_ && !self->writing_)
+            {
+                self->write(std::move(answer));
+            }
+        };
+    }
+
+    void write(response answer)
+    {
+        writing_ = true;
+        message_ = {};
+        message_.version(11);
+        message_.result(answer.status);
+        for (auto const& header : answer.headers)
+        {
+            message_.insert(header.name, header.value);
+        }
+        message_.keep_alive(keep_alive_ && !draining_);
+        message_.body() = std::move(answer.body);
+        message_.prepare_payload();
+        beast::http::async_write(
+            stream_,
+            message_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                self->on_written(error);
+            });
+    }
+
+    void on_written(beast::error_code error)
+    {
+        --owner_->waiting_;
+        answering_ = false;
+        writing_ = false;
+        if (error || draining_ || !keep_alive_)
+        {
+            close();
+            return;
+        }
+        read();
+    }
+
+    tcp::socket stream_;
+    runtime::timer idle_;
+    std::shared_ptr<listener> owner_;
+    std::string remote_address_;
+    beast::flat_buffer buffer_;
+    std::optional<beast::http::request_parser<beast::http::string_body>>
+        parser_;
+    beast::http::response<beast::http::string_body> message_;
+    std::uint64_t request_number_ = 0;
+    bool keep_alive_ = true;
+    bool draining_ = false;
+    bool answering_ = false;
+    bool writing_ = false;
+};
+
+void server::listener::accept()
+{
+    acceptor_.async_accept(
+        [self = shared_from_this()](beast::error_code error, tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted || self->draining_)
+            {
+                return;
+            }
+            if (error)
+            {
+                self->retry_.expires_after(accept_pause);
+                self->retry_.async_wait(
+                    [self](beast::error_code stopped)
+                    {
+                        if (!stopped)
+                        {
+                            self->accept();
+                        }
+                    });
+                return;
+            }
+            if (self->open_ < self->limits_.connections)
+            {
+                auto const made =
+                    std::make_shared<connection>(std::move(socket), self);
+                self->connections_.remove_if(
+                    [](auto const& weak)
+                    {
+                        return weak.expired();
+                    });
+                self->connections_.push_back(made);
+                made->read();
+            }
+            self->accept();
+        });
+}
+
+void server::listener::drain()
+{
+    draining_ = true;
+    beast::error_code ignored;
+    acceptor_.close(ignored);
+    for (auto const& weak : connections_)
+    {
+        if (auto const open = weak.lock())
+        {
+            open->drain();
+        }
+    }
+}
+
+void server::listener::close()
+{
+    draining_ = true;
+    beast::error_code ignored;
+    acceptor_.close(ignored);
+    retry_.cancel();
+    for (auto const& weak : connections_)
+    {
+        if (auto const open = weak.lock())
+        {
+            open->close();
+        }
+    }
+}
+
+server::server(asio::io_context& io,
+               server_limits limits,
+               request_handler handle)
+    : listener_(std::make_shared<listener>(io, limits, std::move(handle)))
+{
+}
+
+server::~server()
+{
+    listener_->close();
+}
+
+std::optional<ports::endpoint> server::listen(ports::endpoint const& where,
+                                              core::common::failure& reason)
+{
+    return listener_->listen(where, reason);
+}
+
+void server::drain()
+{
+    listener_->drain();
+}
+
+std::uint32_t server::waiting() const noexcept
+{
+    return listener_->waiting();
+}
+
+void server::close()
+{
+    listener_->close();
+}
+
+} // namespace fuchsia::adapters::http
--- /dev/null
+++ b/src/adapters/logging/logger.cpp
@@ -0,0 +1,125 @@
+#include "adapters/logging/logger.hpp"
+
+#include <array>
+#include <log4cplus/configurator.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <utility>
+
+namespace fuchsia::adapters::logging
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> severity_names{
+    "debug", "info", "warning", "error"};
+constexpr std::array<log4cplus::LogLevel, 4> levels{log4cplus::DEBUG_LOG_LEVEL,
+                                                    log4cplus::INFO_LOG_LEVEL,
+                                                    log4cplus::WARN_LOG_LEVEL,
+                                                    log4cplus::ERROR_LOG_LEVEL};
+constexpr std::size_t max_value = 2048;
+
+log4cplus::Logger& program_logger()
+{
+    static log4cplus::Logger logger = log4cplus::Logger::getRoot();
+    return logger;
+}
+
+// A value with blanks or quotes is quoted; control characters become spaces,
+// so that no value can begin a line of its own.
+std::string printable(std::string_view value)
+{
+    std::string text;
+    bool quote = value.empty();
+    for (char const letter : value.substr(0, max_value))
+    {
+        bool const control = static_cast<unsigned char>(letter) < ' ';
+        quote = quote || control || letter == ' ' || letter == '"';
+        text += control || letter == '"' ? (control ? ' ' : '\'') : letter;
+    }
+    return quote ? '"' + text + '"' : text;
+}
+
+} // namespace
+
+std::optional<ports::severity> severity_from(std::string_view name) noexcept
+{
+    for (std::size_t index = 0; index < severity_names.size(); ++index)
+    {
+        if (severity_names[index] == name)
+        {
+            return static_cast<ports::severity>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+void set_up(std::string_view program, ports::severity least)
+{
+    static log4cplus::Initializer const initializer;
+    log4cplus::helpers::Properties properties;
+    properties.setProperty("rootLogger", "DEBUG, stderr");
+    properties.setProperty("appender.stderr", "log4cplus::ConsoleAppender");
+    properties.setProperty("appender.stderr.logToStdErr", "true");
+    properties.setProperty("appender.stderr.layout",
+                           "log4cplus::PatternLayout");
+    properties.setProperty("appender.stderr.layout.ConversionPattern",
+                           "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " +
+                               std::string(program) + " %m%n");
+    log4cplus::PropertyConfigurator(properties).configure();
+    program_logger().setLogLevel(levels[static_cast<std::size_t>(least)]);
+}
+
+void write(ports::log_event const& event)
+{
+    auto const level = levels[static_cast<std::size_t>(event.level)];
+    if (!program_logger().isEnabledFor(level))
+    {
+        return;
+    }
+    std::string line = event.event;
+    for (auto const& field : event.fields)
+    {
+        line += ' ' + field.name + '=' + printable(field.value);
+    }
+    program_logger().log(level, line);
+}
+
+void write(ports::severity level,
+           std::string event,
+           std::vector<ports::header> fields)
+{
+    write(ports::log_event{level, std::move(event), std::move(fields)});
+}
+
+rate_limit::rate_limit(std::uint32_t per_second) : per_second_(per_second)
+{
+}
+
+void rate_limit::write(core::common::time_point now, ports::log_event event)
+{
+    // Event names are literals of the code, so the map stays small.
+    auto& window = windows_[event.event];
+    if (now - window.began >= std::chrono::seconds(1))
+    {
+        window.began = now;
+        window.written = 0;
+    }
+    if (window.written >= per_second_)
+    {
+        ++window.suppressed;
+        return;
+    }
+    ++window.written;
+    if (window.suppressed > 0)
+    {
+        event.fields.push_back(
+            {"suppressed",
+             std::to_string(std::exchange(window.suppressed, 0))});
+    }
+    logging::write(event);
+}
+
+} // namespace fuchsia::adapters::logging
--- /dev/null
+++ b/src/adapters/peer/transport.cpp
@@ -0,0 +1,597 @@
+#include "adapters/peer/transport.hpp"
+
+#include "adapters/http/message.hpp"
+#include "adapters/runtime/timer.hpp"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/network_v4.hpp>
+#include <boost/asio/ip/network_v6.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <list>
+#include <map>
+#include <utility>
+
+namespace fuchsia::adapters::peer
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using core::common::result_code;
+using tcp = asio::ip::tcp;
+
+// After a failed connection the next try waits: a peer that is gone would
+// otherwise cost a connection attempt for each message.
+constexpr core::common::duration reconnect_pause =
+    std::chrono::milliseconds(200);
+constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
+
+bool matches(asio::ip::address const& address, std::string const& rule)
+{
+    error_code error;
+    if (rule.find('/') == std::string::npos)
+    {
+        return asio::ip::make_address(rule, error) == address && !error;
+    }
+    if (address.is_v4())
+    {
+        auto const network = asio::ip::make_network_v4(rule, error);
+        return !error && asio::ip::make_network_v4(address.to_v4(),
+                                                   network.prefix_length())
+                                 .network() == network.network();
+    }
+    auto const network = asio::ip::make_network_v6(rule, error);
+    return !error &&
+           asio::ip::make_network_v6(address.to_v6(), network.prefix_length())
+                   .network() == network.network();
+}
+
+} // namespace
+
+class transport::state : public std::enable_shared_from_this<transport::state>
+{
+public:
+    state(asio::io_context& io, transport_settings settings, handler handle)
+        : io_(io), acceptor_(io), retry_(io), settings_(std::move(settings)),
+          handle_(std::move(handle))
+    {
+    }
+
+    std::optional<ports::endpoint> listen(ports::endpoint const& where,
+                                          core::common::failure& reason);
+    void send(ports::peer_send message);
+    void reset();
+    void rename(ports::member_identity self);
+    void close();
+
+    transport_counts counts;
+
+private:
+    class inbound;
+    class outbound;
+
+    void accept();
+    void take(tcp::socket socket);
+    bool is_allowed(asio::ip::address const& address) const;
+
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    runtime::timer retry_;
+    transport_settings settings_;
+    handler handle_;
+    std::list<std::weak_ptr<inbound>> inbound_;
+    std::uint32_t open_inbound_ = 0;
+    std::map<ports::endpoint, std::shared_ptr<outbound>> outbound_;
+    bool closed_ = false;
+};
+
+// A connection that a peer opened: we only read from it.
+class transport::state::inbound : public std::enable_shared_from_this<inbound>
+{
+public:
+    inbound(tcp::socket socket, std::shared_ptr<state> owner)
+        : socket_(std::move(socket)), owner_(std::move(owner))
+    {
+        ++owner_->open_inbound_;
+    }
+
+    ~inbound()
+    {
+        --owner_->open_inbound_;
+    }
+
+    void read_length()
+    {
+        asio::async_read(
+            socket_,
+            asio::buffer(length_),
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (error || self->closed_)
+                {
+                    return;
+                }
+                self->read_body();
+            });
+    }
+
+    void close()
+    {
+        closed_ = true;
+        error_code ignored;
+        socket_.close(ignored);
+    }
+
+private:
+    void read_body()
+    {
+        std::uint32_t size = 0;
+        for (std::size_t index = 0; index < length_size; ++index)
+        {
+            size |= static_cast<std::uint32_t>(length_[index]) << (8 * index);
+        }
+        if (size == 0 || size > max_frame)
+        {
+            refuse();
+            return;
+        }
+        body_.resize(size);
+        asio::async_read(
+            socket_,
+            asio::buffer(body_),
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (error || self->closed_)
+                {
+                    return;
+                }
+                self->on_frame();
+            });
+    }
+
+    void on_frame()
+    {
+        owner_->counts.bytes_received += body_.size() + length_size;
+        core::common::failure reason;
+        auto frame = decode(body_, reason);
+        if (!frame || !accepts(*frame))
+        {
+            refuse();
+            return;
+        }
+        if (frame->message)
+        {
+            ++owner_->counts.received;
+            if (!owner_->handle_(
+                    {std::move(frame->from), std::move(*frame->message)}))
+            {
+                ++owner_->counts.dropped;
+                close();
+                return;
+            }
+        }
+        read_length();
+    }
+
+    // A frame for another incarnation of this process was meant for one that
+    // is gone: what it asked is void.
+    bool accepts(frame const& frame)
+    {
+        if (frame.to != owner_->settings_.self)
+        {
+            return false;
+        }
+        if (trusted_)
+        {
+            return frame.from == peer_;
+        }
+        trusted_ =
+            http::equal_in_constant_time(frame.token, owner_->settings_.token);
+        peer_ = frame.from;
+        return trusted_;
+    }
+
+    void refuse()
+    {
+        ++owner_->counts.refused;
+        close();
+    }
+
+    tcp::socket socket_;
+    std::shared_ptr<state> owner_;
+    std::array<std::uint8_t, length_size> length_{};
+    std::vector<std::uint8_t> body_;
+    ports::member_identity peer_;
+    bool trusted_ = false;
+    bool closed_ = false;
+};
+
+// Our connection to one peer: we only write to it. It is given up as a whole
+// when anything fails, and opened anew by the next message.
+class transport::state::outbound : public std::enable_shared_from_this<outbound>
+{
+public:
+    outbound(std::shared_ptr<state> owner,
+             ports::endpoint where,
+             ports::member_identity to)
+        : socket_(owner->io_), deadline_(owner->io_), owner_(std::move(owner)),
+          where_(std::move(where)), to_(std::move(to))
+    {
+    }
+
+    ports::member_identity const& to() const noexcept
+    {
+        return to_;
+    }
+
+    void start()
+    {
+        error_code error;
+        auto const address = asio::ip::make_address(where_.address, error);
+        if (error)
+        {
+            close();
+            return;
+        }
+        arm(owner_->settings_.connect_timeout);
+        push(encode({owner_->settings_.self,
+                     to_,
+                     owner_->settings_.token,
+                     std::nullopt}));
+        socket_.async_connect({address, where_.port},
+                              [self = shared_from_this()](error_code failed)
+                              {
+                                  if (self->closed_)
+                                  {
+                                      return;
+                                  }
+                                  if (failed)
+                                  {
+                                      self->rest();
+                                      return;
+                                  }
+                                  error_code ignored;
+                                  self->socket_.set_option(tcp::no_delay(true),
+                                                           ignored);
+                                  self->deadline_.cancel();
+                                  self->connected_ = true;
+                                  self->watch();
+                                  self->write();
+                              });
+    }
+
+    void send(ports::peer_message message)
+    {
+        auto bytes =
+            encode({owner_->settings_.self, to_, {}, std::move(message)});
+        bool const fits =
+            queued_bytes_ + bytes.size() <= owner_->settings_.queue_bytes;
+        if (resting_ || !fits || bytes.size() > max_frame + length_size)
+        {
+            ++owner_->counts.dropped;
+            return;
+        }
+        push(std::move(bytes));
+        if (connected_ && !writing_)
+        {
+            write();
+        }
+    }
+
+    void close()
+    {
+        closed_ = true;
+        error_code ignored;
+        deadline_.cancel();
+        socket_.close(ignored);
+    }
+
+private:
+    void push(std::vector<std::uint8_t> bytes)
+    {
+        queued_bytes_ += bytes.size();
+        queue_.push_back(std::move(bytes));
+    }
+
+    void arm(core::common::duration after)
+    {
+        deadline_.expires_after(after);
+        deadline_.async_wait(
+            [self = shared_from_this()](error_code error)
+            {
+                if (error || self->closed_)
+                {
+                    return;
+                }
+                if (self->resting_)
+                {
+                    self->give_up();
+                    return;
+                }
+                self->rest();
+            });
+    }
+
+    // The peer never writes here: whatever arrives is the end, which is then
+    // known before the next message is written into nothing.
+    void watch()
+    {
+        socket_.async_wait(tcp::socket::wait_read,
+                           [self = shared_from_this()](error_code)
+                           {
+                               if (!self->closed_)
+                               {
+                                   self->give_up();
+                               }
+                           });
+    }
+
+    void write()
+    {
+        writing_ = true;
+        asio::async_write(
+            socket_,
+            asio::buffer(queue_.front()),
+            [self = shared_from_this()](error_code error, std::size_t size)
+            {
+                self->on_written(error, size);
+            });
+    }
+
+    void on_written(error_code error, std::size_t size)
+    {
+        writing_ = false;
+        if (closed_)
+        {
+            return;
+        }
+        if (error)
+        {
+            give_up();
+            return;
+        }
+        ++owner_->counts.sent;
+        owner_->counts.bytes_sent += size;
+        queued_bytes_ -= queue_.front().size();
+        queue_.pop_front();
+        if (!queue_.empty())
+        {
+            write();
+        }
+    }
+
+    // Holds the place of a peer that can't be reached for a moment.
+    void rest()
+    {
+        owner_->counts.dropped += queue_.size() - 1;
+        queue_.clear();
+        queued_bytes_ = 0;
+        resting_ = true;
+        error_code ignored;
+        socket_.close(ignored);
+        arm(reconnect_pause);
+    }
+
+    void give_up()
+    {
+        owner_->counts.dropped += queue_.size();
+        auto const self = shared_from_this();
+        close();
+        auto const found = owner_->outbound_.find(where_);
+        if (found != owner_->outbound_.end() && found->second == self)
+        {
+            owner_->outbound_.erase(found);
+        }
+    }
+
+    tcp::socket socket_;
+    runtime::timer deadline_;
+    std::shared_ptr<state> owner_;
+    ports::endpoint where_;
+    ports::member_identity to_;
+    std::deque<std::vector<std::uint8_t>> queue_;
+    std::size_t queued_bytes_ = 0;
+    bool connected_ = false;
+    bool writing_ = false;
+    bool resting_ = false;
+    bool closed_ = false;
+};
+
+std::optional<ports::endpoint>
+transport::state::listen(ports::endpoint const& where,
+                         core::common::failure& reason)
+{
+    error_code error;
+    auto const address = asio::ip::make_address(where.address, error);
+    tcp::endpoint const target(address, where.port);
+    if (!error)
+    {
+        acceptor_.open(target.protocol(), error);
+    }
+    if (!error)
+    {
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error)
+    {
+        acceptor_.bind(target, error);
+    }
+    if (!error)
+    {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        reason = {result_code::out_of_range,
+                  http::to_string(where),
+                  "can't listen: " + error.message()};
+        return std::nullopt;
+    }
+    accept();
+    return ports::endpoint{where.address, acceptor_.local_endpoint().port()};
+}
+
+void transport::state::accept()
+{
+    acceptor_.async_accept(
+        [self = shared_from_this()](error_code error, tcp::socket socket)
+        {
+            if (self->closed_ || error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                self->take(std::move(socket));
+                self->accept();
+                return;
+            }
+            self->retry_.expires_after(accept_pause);
+            self->retry_.async_wait(
+                [self](error_code stopped)
+                {
+                    if (!stopped)
+                    {
+                        self->accept();
+                    }
+                });
+        });
+}
+
+void transport::state::take(tcp::socket socket)
+{
+    error_code error;
+    auto const peer = socket.remote_endpoint(error);
+    if (error || open_inbound_ >= settings_.connections ||
+        !is_allowed(peer.address()))
+    {
+        ++counts.refused;
+        return;
+    }
+    auto const made =
+        std::make_shared<inbound>(std::move(socket), shared_from_this());
+    inbound_.remove_if(
+        [](auto const& weak)
+        {
+            return weak.expired();
+        });
+    inbound_.push_back(made);
+    made->read_length();
+}
+
+bool transport::state::is_allowed(asio::ip::address const& address) const
+{
+    for (auto const& rule : settings_.allowed)
+    {
+        if (matches(address, rule))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void transport::state::send(ports::peer_send message)
+{
+    if (closed_)
+    {
+        return;
+    }
+    auto& connection = outbound_[message.where];
+    if (connection && connection->to() != message.to)
+    {
+        connection->close();
+        connection.reset();
+    }
+    if (!connection)
+    {
+        connection = std::make_shared<outbound>(
+            shared_from_this(), message.where, message.to);
+        connection->start();
+    }
+    connection->send(std::move(message.message));
+}
+
+void transport::state::reset()
+{
+    auto const outbound = std::exchange(outbound_, {});
+    for (auto const& [where, connection] : outbound)
+    {
+        connection->close();
+    }
+    for (auto const& weak : inbound_)
+    {
+        if (auto const connection = weak.lock())
+        {
+            connection->close();
+        }
+    }
+    inbound_.clear();
+}
+
+void transport::state::rename(ports::member_identity self)
+{
+    reset();
+    settings_.self = std::move(self);
+}
+
+void transport::state::close()
+{
+    closed_ = true;
+    error_code ignored;
+    acceptor_.close(ignored);
+    retry_.cancel();
+    reset();
+}
+
+transport::transport(asio::io_context& io,
+                     transport_settings settings,
+                     handler handle)
+    : state_(
+          std::make_shared<state>(io, std::move(settings), std::move(handle)))
+{
+}
+
+transport::~transport()
+{
+    state_->close();
+}
+
+std::optional<ports::endpoint> transport::listen(ports::endpoint const& where,
+                                                 core::common::failure& reason)
+{
+    return state_->listen(where, reason);
+}
+
+void transport::send(ports::peer_send message)
+{
+    state_->send(std::move(message));
+}
+
+void transport::reset()
+{
+    state_->reset();
+}
+
+void transport::rename(ports::member_identity self)
+{
+    state_->rename(std::move(self));
+}
+
+void transport::close()
+{
+    state_->close();
+}
+
+transport_counts const& transport::counts() const noexcept
+{
+    return state_->counts;
+}
+
+} // namespace fuchsia::adapters::peer
--- /dev/null
+++ b/src/adapters/platform/catalog_client.cpp
@@ -0,0 +1,209 @@
+#include "adapters/platform/catalog_client.hpp"
+
+#include <boost/json.hpp>
+#include <charconv>
+#include <utility>
+
+namespace fuchsia::adapters::platform
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr core::common::duration call_timeout = std::chrono::seconds(2);
+
+std::string text_in(json::object const& object, std::string_view key)
+{
+    auto const* const value = object.if_contains(key);
+    auto const* const text = value == nullptr ? nullptr : value->if_string();
+    return text == nullptr ? std::string() : std::string(*text);
+}
+
+// Meta values are strings, numbers among them.
+std::uint32_t count_in(json::object const& object, std::string_view key)
+{
+    auto const text = text_in(object, key);
+    std::uint32_t count = 0;
+    std::from_chars(text.data(), text.data() + text.size(), count);
+    return count;
+}
+
+std::optional<ports::upstream_instance> read_upstream(json::value const& item)
+{
+    auto const* const object = item.if_object();
+    if (object == nullptr)
+    {
+        return std::nullopt;
+    }
+    ports::upstream_instance result;
+    result.id = text_in(*object, "ServiceID");
+    result.data_centre = text_in(*object, "Datacenter");
+    result.where.address = text_in(*object, "ServiceAddress");
+    auto const* const port = object->if_contains("ServicePort");
+    json::error_code error;
+    result.where.port = port == nullptr ? std::uint16_t{0}
+                                        : port->to_number<std::uint16_t>(error);
+    auto const* const meta = object->if_contains("ServiceMeta");
+    if (meta == nullptr || !meta->is_object() || result.id.empty() ||
+        result.where.address.empty() || result.where.port == 0)
+    {
+        return std::nullopt;
+    }
+    auto const& fields = meta->as_object();
+    result.state = text_in(fields, "state") == "leaving"
+                       ? ports::instance_state::leaving
+                       : ports::instance_state::live;
+    result.slots = count_in(fields, "slots");
+    result.connections = count_in(fields, "connections");
+    result.slots_in_use = count_in(fields, "slots_in_use");
+    result.report_age =
+        std::chrono::milliseconds(count_in(fields, "report_age_ms"));
+    return result;
+}
+
+std::optional<json::array> parse_list(std::string_view body)
+{
+    json::error_code error;
+    auto value = json::parse(body, error);
+    if (error || !value.is_array())
+    {
+        return std::nullopt;
+    }
+    return std::move(value.as_array());
+}
+
+} // namespace
+
+std::optional<std::vector<ports::upstream_instance>>
+parse_upstreams(std::string_view body)
+{
+    auto const list = parse_list(body);
+    if (!list)
+    {
+        return std::nullopt;
+    }
+    std::vector<ports::upstream_instance> result;
+    for (auto const& item : *list)
+    {
+        if (auto upstream = read_upstream(item))
+        {
+            result.push_back(std::move(*upstream));
+        }
+    }
+    return result;
+}
+
+std::optional<std::vector<std::string>> parse_names(std::string_view body)
+{
+    auto const list = parse_list(body);
+    if (!list)
+    {
+        return std::nullopt;
+    }
+    std::vector<std::string> result;
+    for (auto const& item : *list)
+    {
+        if (auto const* const object = item.if_object())
+        {
+            result.push_back(text_in(*object, "ServiceID"));
+        }
+    }
+    return result;
+}
+
+catalog_client::catalog_client(boost::asio::io_context& io,
+                               ports::endpoint where,
+                               core::common::duration interval,
+                               std::string member_service,
+                               bool with_upstreams,
+                               handler handle)
+    : where_(std::move(where)), interval_(interval),
+      member_service_(std::move(member_service)),
+      with_upstreams_(with_upstreams), handle_(std::move(handle)),
+      client_(io, {}), timer_(io)
+{
+}
+
+void catalog_client::start()
+{
+    poll();
+}
+
+void catalog_client::poll()
+{
+    fetch(member_service_,
+          [this](http::response const& answer)
+          {
+              auto names = parse_names(answer.body);
+              if (!names)
+              {
+                  rest();
+                  return;
+              }
+              ports::instance_list list;
+              list.members = std::move(*names);
+              if (with_upstreams_)
+              {
+                  read_upstreams(std::move(list));
+                  return;
+              }
+              list.received = core::common::clock::now();
+              handle_(std::move(list));
+              rest();
+          });
+}
+
+void catalog_client::read_upstreams(ports::instance_list list)
+{
+    fetch("upstream",
+          [this, list = std::move(list)](http::response const& answer) mutable
+          {
+              if (auto upstreams = parse_upstreams(answer.body))
+              {
+                  list.upstreams = std::move(*upstreams);
+                  list.received = core::common::clock::now();
+                  handle_(std::move(list));
+              }
+              rest();
+          });
+}
+
+void catalog_client::rest()
+{
+    timer_.expires_after(interval_);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                poll();
+            }
+        });
+}
+
+void catalog_client::fetch(std::string const& service,
+                           std::function<void(http::response const&)> on_answer)
+{
+    http::client_call call;
+    call.where = where_;
+    call.message.method = "GET";
+    call.message.target = "/v1/catalog/service/" + service;
+    call.timeout = call_timeout;
+    client_.send(
+        std::move(call),
+        [this, on_answer = std::move(on_answer)](ports::exchange_status status,
+                                                 http::response const& answer)
+        {
+            if (status == ports::exchange_status::answered &&
+                answer.status == 200)
+            {
+                on_answer(answer);
+                return;
+            }
+            rest();
+        });
+}
+
+} // namespace fuchsia::adapters::platform
--- /dev/null
+++ b/src/adapters/platform/worker_client.cpp
@@ -0,0 +1,345 @@
+#include "adapters/platform/worker_client.hpp"
+
+#include "core/common/json.hpp"
+
+#include <array>
+#include <limits>
+#include <utility>
+
+namespace fuchsia::adapters::platform
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using core::common::json_reader;
+using ports::exchange_status;
+using ports::worker_status;
+
+constexpr core::common::duration call_timeout = std::chrono::seconds(2);
+constexpr std::int64_t any = std::numeric_limits<std::int64_t>::max();
+
+constexpr std::array<std::string_view, 5> attempt_state_names{
+    "running", "finished", "failed", "stopped", "lease_expired"};
+
+std::optional<ports::attempt_state> attempt_state_from(std::string_view name)
+{
+    for (std::size_t index = 0; index < attempt_state_names.size(); ++index)
+    {
+        if (attempt_state_names[index] == name)
+        {
+            return static_cast<ports::attempt_state>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+ports::resources read_resources(json_reader& reader)
+{
+    return {reader.integer("millicores", 0, any),
+            reader.integer("memory_mb", 0, any),
+            reader.integer_or("accelerators", 0, 0, any)};
+}
+
+ports::task_attempt read_attempt(json_reader& reader)
+{
+    return {reader.text("task"),
+            static_cast<std::uint32_t>(reader.integer(
+                "attempt", 0, std::numeric_limits<std::uint32_t>::max()))};
+}
+
+// Reads each object of a JSON array by `read`; empty where anything is wrong.
+template<class T, class Read>
+std::optional<std::vector<T>> read_all(json::array const& list, Read read)
+{
+    std::vector<T> result;
+    for (auto const& item : list)
+    {
+        auto const* const object = item.if_object();
+        if (object == nullptr)
+        {
+            return std::nullopt;
+        }
+        json_reader reader(*object, "item");
+        result.push_back(read(reader));
+        if (!reader.ok())
+        {
+            return std::nullopt;
+        }
+    }
+    return result;
+}
+
+template<class T, class Read>
+std::optional<std::vector<T>> read_body(std::string_view body, Read read)
+{
+    json::error_code error;
+    auto const value = json::parse(body, error);
+    if (error || !value.is_array())
+    {
+        return std::nullopt;
+    }
+    return read_all<T>(value.as_array(), read);
+}
+
+ports::worker_instance read_worker(json_reader& reader)
+{
+    ports::worker_instance result;
+    result.id = reader.text("id");
+    result.rack = reader.text("rack");
+    result.data_centre = reader.text("data_centre");
+    result.capacity = read_resources(reader);
+    result.state = reader.text_or("state", "live") == "leaving"
+                       ? ports::instance_state::leaving
+                       : ports::instance_state::live;
+    return result;
+}
+
+ports::attempt_report read_attempt_report(json_reader& reader)
+{
+    ports::attempt_report result;
+    result.what = read_attempt(reader);
+    auto const state = attempt_state_from(reader.text("state"));
+    if (!state)
+    {
+        reader.fail(core::common::result_code::out_of_range,
+                    "state",
+                    "no state of an attempt");
+    }
+    result.state = state.value_or(ports::attempt_state::running);
+    result.used = read_resources(reader);
+    result.latency_p99_us = static_cast<std::uint64_t>(
+        reader.integer_or("latency_p99_us", 0, 0, any));
+    result.work_done_ms = static_cast<std::uint64_t>(
+        reader.integer_or("work_done_ms", 0, 0, any));
+    result.why = reader.text_or("why", "");
+    return result;
+}
+
+ports::worker_report read_report(json_reader& reader)
+{
+    ports::worker_report result;
+    result.worker = reader.text("worker");
+    result.sequence =
+        static_cast<std::uint64_t>(reader.integer("sequence", 0, any));
+    result.clock_ms =
+        static_cast<std::uint64_t>(reader.integer("clock_ms", 0, any));
+    auto const* const attempts = reader.array("attempts");
+    if (attempts != nullptr)
+    {
+        auto list =
+            read_all<ports::attempt_report>(*attempts, read_attempt_report);
+        if (!list)
+        {
+            reader.fail(core::common::result_code::malformed_json,
+                        "attempts",
+                        "an attempt is malformed");
+        }
+        result.attempts =
+            std::move(list).value_or(std::vector<ports::attempt_report>());
+    }
+    return result;
+}
+
+json::object attempt_json(ports::task_attempt const& what)
+{
+    return {{"task", what.task}, {"attempt", what.attempt}};
+}
+
+struct call_body
+{
+    std::string path;
+    json::object body;
+};
+
+struct call_writer
+{
+    call_body operator()(ports::worker_start const& start) const
+    {
+        auto body = attempt_json(start.what);
+        body["millicores"] = start.declared.millicores;
+        body["memory_mb"] = start.declared.memory_mb;
+        body["accelerators"] = start.declared.accelerators;
+        body["class"] = start.task_class;
+        body["service"] = start.service;
+        body["work_ms"] = start.work_ms;
+        body["checkpoint"] = start.checkpoint;
+        body["start_before_ms"] = start.start_before_ms;
+        body["lease_until_ms"] = start.lease_until_ms;
+        return {"start", std::move(body)};
+    }
+    call_body operator()(ports::worker_renew const& renew) const
+    {
+        json::array attempts;
+        for (auto const& what : renew.what)
+        {
+            attempts.push_back(attempt_json(what));
+        }
+        return {"renew",
+                {{"attempts", std::move(attempts)},
+                 {"lease_until_ms", renew.lease_until_ms}}};
+    }
+    call_body operator()(ports::worker_throttle const& throttle) const
+    {
+        auto body = attempt_json(throttle.what);
+        body["permille"] = throttle.permille;
+        return {"throttle", std::move(body)};
+    }
+    call_body operator()(ports::worker_checkpoint const& checkpoint) const
+    {
+        return {"checkpoint", attempt_json(checkpoint.what)};
+    }
+    call_body operator()(ports::worker_stop const& stop) const
+    {
+        return {"stop", attempt_json(stop.what)};
+    }
+};
+
+ports::worker_reply read_reply(std::uint64_t id,
+                               exchange_status status,
+                               http::response const& answer)
+{
+    ports::worker_reply reply;
+    reply.id = id;
+    if (status != exchange_status::answered)
+    {
+        reply.status = status == exchange_status::not_sent
+                           ? worker_status::unreachable
+                           : worker_status::unclear;
+        return reply;
+    }
+    core::common::failure reason;
+    auto const object =
+        core::common::parse_json_object(answer.body, "answer", reason);
+    if (!object || (answer.status != 200 && answer.status != 409))
+    {
+        reply.status = worker_status::unclear;
+        return reply;
+    }
+    json_reader reader(*object, "answer");
+    reply.status =
+        answer.status == 200 ? worker_status::done : worker_status::refused;
+    reply.checkpoint = reader.text_or("checkpoint", "");
+    reply.why = reader.text_or("why", "");
+    if (auto const* const gone = reader.array("gone"))
+    {
+        reply.gone = read_all<ports::task_attempt>(*gone, read_attempt)
+                         .value_or(std::vector<ports::task_attempt>());
+    }
+    return reply;
+}
+
+} // namespace
+
+std::optional<std::vector<ports::worker_instance>>
+parse_workers(std::string_view body)
+{
+    return read_body<ports::worker_instance>(body, read_worker);
+}
+
+std::optional<std::vector<ports::worker_report>>
+parse_reports(std::string_view body)
+{
+    return read_body<ports::worker_report>(body, read_report);
+}
+
+worker_client::worker_client(boost::asio::io_context& io,
+                             ports::endpoint where,
+                             core::common::duration interval,
+                             worker_handlers handlers)
+    : where_(std::move(where)), interval_(interval),
+      handlers_(std::move(handlers)), client_(io, {}), timer_(io)
+{
+}
+
+void worker_client::start()
+{
+    poll();
+}
+
+void worker_client::follow(std::vector<std::string> racks)
+{
+    racks_ = std::move(racks);
+}
+
+void worker_client::send(ports::worker_call call)
+{
+    auto written = std::visit(call_writer{}, call.operation);
+    http::client_call message;
+    message.where = where_;
+    message.message.method = "POST";
+    message.message.target = "/v1/workers/" + call.worker + "/" + written.path;
+    message.message.body = json::serialize(written.body);
+    message.timeout = call_timeout;
+    client_.send(std::move(message),
+                 [this, id = call.id](exchange_status status,
+                                      http::response const& answer)
+                 {
+                     handlers_.on_reply(read_reply(id, status, answer));
+                 });
+}
+
+void worker_client::poll()
+{
+    timer_.expires_after(interval_);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                poll();
+            }
+        });
+    http::client_call call;
+    call.where = where_;
+    call.message.method = "GET";
+    call.message.target = "/v1/workers";
+    call.timeout = call_timeout;
+    client_.send(
+        std::move(call),
+        [this](exchange_status status, http::response const& answer)
+        {
+            auto workers =
+                status == exchange_status::answered
+                    ? parse_workers(answer.body)
+                    : std::optional<std::vector<ports::worker_instance>>();
+            if (workers)
+            {
+                handlers_.on_workers(
+                    {std::move(*workers), core::common::clock::now()});
+            }
+        });
+    for (auto const& rack : racks_)
+    {
+        poll_reports(rack);
+    }
+}
+
+void worker_client::poll_reports(std::string const& rack)
+{
+    http::client_call call;
+    call.where = where_;
+    call.message.method = "GET";
+    call.message.target = "/v1/reports?rack=" + rack;
+    call.timeout = call_timeout;
+    client_.send(
+        std::move(call),
+        [this](exchange_status status, http::response const& answer)
+        {
+            auto reports =
+                status == exchange_status::answered
+                    ? parse_reports(answer.body)
+                    : std::optional<std::vector<ports::worker_report>>();
+            if (!reports)
+            {
+                return;
+            }
+            for (auto& report : *reports)
+            {
+                handlers_.on_report(std::move(report));
+            }
+        });
+}
+
+} // namespace fuchsia::adapters::platform
--- /dev/null
+++ b/src/adapters/runtime/signals.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+
+namespace fuchsia::adapters::runtime
+{
+
+/// Calls `stop` once, on `io`, for the first SIGTERM or SIGINT. A second one
+/// ends the process at once, with the signal's own status.
+void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop);
+
+} // namespace fuchsia::adapters::runtime
--- /dev/null
+++ b/src/adapters/settings/daemon_settings.cpp
@@ -0,0 +1,133 @@
+#include "adapters/settings/daemon_settings.hpp"
+
+#include <utility>
+
+namespace fuchsia::adapters::settings
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using core::common::result_code;
+
+// Clocks of two instances drift apart by at most this share; `hold` and `bury`
+// are measured on different ones.
+constexpr std::int64_t max_drift_percent = 3;
+constexpr std::size_t least_token = 16;
+
+void read_self(toml_table table, daemon_settings& out)
+{
+    out.name = table.text("name");
+    out.data_centre = table.text("data_centre");
+    out.http_listen = table.endpoint("http_listen");
+    out.peer_listen = table.endpoint("peer_listen");
+    if (out.name.empty() || out.name.find('/') != std::string::npos)
+    {
+        table.fail(result_code::out_of_range,
+                   "name",
+                   "a name without a slash is expected");
+    }
+    table.refuse_unread();
+}
+
+void read_platform(toml_table table, daemon_settings& out, bool with_workers)
+{
+    out.store = table.endpoint("store");
+    if (with_workers)
+    {
+        out.workers = table.endpoint("workers");
+    }
+    out.store_reads = static_cast<std::uint32_t>(
+        table.integer_or("store_reads_per_second", 20, 4, 1000));
+    out.store_writes = static_cast<std::uint32_t>(
+        table.integer_or("store_writes_per_second", 20, 4, 1000));
+    out.store_timeout =
+        table.duration_or("store_timeout_ms", 1000ms, 50ms, 60s);
+    out.list_interval =
+        table.duration_or("list_interval_ms", 1000ms, 100ms, 60s);
+    table.refuse_unread();
+}
+
+void read_security(toml_table table, daemon_settings& out)
+{
+    auto const path = table.text("token_file");
+    out.allowed_addresses =
+        table.texts_or("allowed_addresses", {"127.0.0.0/8"});
+    if (!path.empty())
+    {
+        core::common::failure reason;
+        auto const token = read_file(path, reason);
+        if (!token)
+        {
+            table.fail(
+                reason.code, "token_file", reason.where + " " + reason.why);
+        }
+        else if (token->size() < least_token)
+        {
+            table.fail(result_code::out_of_range,
+                       "token_file",
+                       "the token has fewer than 16 characters");
+        }
+        out.token = token.value_or("");
+    }
+    table.refuse_unread();
+}
+
+void read_membership(toml_table table, daemon_settings& out)
+{
+    auto& timing = out.membership;
+    timing.beat_interval =
+        table.duration_or("beat_interval_ms", timing.beat_interval, 50ms, 10s);
+    timing.hold = table.duration_or("hold_ms", timing.hold, 200ms, 60s);
+    timing.bury = table.duration_or("bury_ms", timing.bury, 300ms, 120s);
+    timing.pause_limit =
+        table.duration_or("pause_limit_ms", timing.pause_limit, 50ms, 60s);
+    timing.witness_count = static_cast<std::uint32_t>(
+        table.integer_or("witness_count", timing.witness_count, 1, 15));
+    timing.list_stands_in =
+        table.flag_or("list_stands_in", timing.list_stands_in);
+    if (timing.beat_interval * 2 > timing.hold)
+    {
+        table.fail(result_code::inconsistent,
+                   "hold_ms",
+                   "hold must be at least two beat intervals, or one lost "
+                   "beat stops the member");
+    }
+    if (timing.hold * (100 + 2 * max_drift_percent) / 100 >= timing.bury)
+    {
+        table.fail(result_code::inconsistent,
+                   "bury_ms",
+                   "bury must exceed hold by more than 6 percent, or a "
+                   "member may act after its burial");
+    }
+    if (timing.pause_limit >= timing.hold)
+    {
+        table.fail(result_code::inconsistent,
+                   "pause_limit_ms",
+                   "the pause limit must be below hold");
+    }
+    table.refuse_unread();
+}
+
+void read_log(toml_table table, daemon_settings& out)
+{
+    out.log_level = static_cast<ports::severity>(
+        table.choice_or("level", 1, {"debug", "info", "warning", "error"}));
+    table.refuse_unread();
+}
+
+} // namespace
+
+daemon_settings read_daemon_settings(toml_table& root, bool with_workers)
+{
+    daemon_settings result;
+    read_self(root.table("self"), result);
+    read_platform(root.table("platform"), result, with_workers);
+    read_security(root.table("security"), result);
+    read_membership(root.table("membership"), result);
+    read_log(root.table("log"), result);
+    return result;
+}
+
+} // namespace fuchsia::adapters::settings
