Daemon shell: threads, rings and sockets that both daemons have

Platform, peers, HTTP and decisions are duties of their own. A full ring refuses: a caller gets queue_full, a store call comes back unavailable. After a pause the engine's tick runs before any frame or answer that waited in the rings. A planned stop ends the process when each answer has been written.

--- /dev/null
+++ b/src/adapters/daemon/shell.cpp
@@ -0,0 +1,542 @@
+#include "adapters/daemon/shell.hpp"
+
+#include "adapters/runtime/signals.hpp"
+
+#include <boost/asio/post.hpp>
+#include <random>
+#include <utility>
+
+namespace fuchsia::adapters::daemon
+{
+
+namespace
+{
+
+using core::common::clock;
+using core::common::result_code;
+using ports::severity;
+
+constexpr std::size_t store_ring = 1024;
+constexpr std::size_t peer_ring = 8192;
+constexpr std::size_t list_ring = 16;
+constexpr std::uint32_t log_lines_per_second = 10;
+constexpr core::common::duration sample_interval = std::chrono::seconds(1);
+constexpr core::common::duration finish_poll = std::chrono::milliseconds(10);
+constexpr core::common::duration queue_full_retry =
+    std::chrono::milliseconds(250);
+
+platform::store_settings
+store_settings_of(settings::daemon_settings const& settings)
+{
+    return {settings.store,
+            settings.store_timeout,
+            settings.store_reads,
+            settings.store_writes};
+}
+
+// Brings a counter to a total that another thread's adapter keeps.
+void raise(prometheus::Counter& counter, std::uint64_t total)
+{
+    counter.Increment(static_cast<double>(total) - counter.Value());
+}
+
+http::response queue_full()
+{
+    auto answer = http::failure_response(
+        {result_code::queue_full, "", "too many requests wait here"});
+    answer.headers.push_back({"Retry-After", "1"});
+    answer.headers.push_back(
+        {"Fuchsia-Retry-After-Ms",
+         std::to_string(core::common::to_milliseconds(queue_full_retry))});
+    return answer;
+}
+
+} // namespace
+
+std::uint64_t draw_incarnation()
+{
+    std::random_device source;
+    std::uint64_t const high = source();
+    // Never 0, which stands for "none".
+    return (high << 32U) | (source() | 1U);
+}
+
+shell::shell(settings::daemon_settings settings,
+             shell_options options,
+             shell_events events)
+    : settings_(std::move(settings)), options_(std::move(options)),
+      events_(std::move(events)), self_{settings_.name, draw_incarnation()},
+      log_(log_lines_per_second),
+      requests_(decisions_,
+                options_.waiting_requests,
+                [this](request_in& in)
+                {
+                    auto const now = clock::now();
+                    catch_up(now);
+                    events_.on_request(now, in.id, in.message);
+                }),
+      answers_(http_,
+               options_.waiting_requests,
+               [this](answer_out& out)
+               {
+                   auto const found = waiting_.find(out.id);
+                   if (found == waiting_.end())
+                   {
+                       return;
+                   }
+                   auto const respond = std::move(found->second);
+                   waiting_.erase(found);
+                   respond(std::move(out.message));
+               }),
+      store_calls_(platform_,
+                   store_ring,
+                   [this](store_out& out)
+                   {
+                       in_flight_[out.call.id] = out.generation;
+                       store_->send(std::move(out.call));
+                   }),
+      store_replies_(decisions_,
+                     store_ring * 2,
+                     [this](store_in& in)
+                     {
+                         if (in.generation != generation_)
+                         {
+                             return;
+                         }
+                         auto const now = clock::now();
+                         catch_up(now);
+                         events_.on_store_reply(now, in.reply);
+                     }),
+      instances_(decisions_,
+                 list_ring,
+                 [this](ports::instance_list& list)
+                 {
+                     auto const now = clock::now();
+                     catch_up(now);
+                     events_.on_instances(now, list);
+                 }),
+      peer_sends_(peers_,
+                  peer_ring,
+                  [this](peer_out& out)
+                  {
+                      if (auto* const send =
+                              std::get_if<ports::peer_send>(&out))
+                      {
+                          transport_->send(std::move(*send));
+                          return;
+                      }
+                      auto* const reset = std::get_if<peer_reset>(&out);
+                      if (reset != nullptr && reset->rename)
+                      {
+                          transport_->rename(std::move(*reset->rename));
+                      }
+                      else if (reset != nullptr)
+                      {
+                          transport_->reset();
+                      }
+                  }),
+      peer_receives_(decisions_,
+                     peer_ring,
+                     [this](ports::peer_receive& in)
+                     {
+                         auto const now = clock::now();
+                         catch_up(now);
+                         events_.on_peer(now, in);
+                     }),
+      ticker_(decisions_.io()), platform_sampler_(platform_.io()),
+      peers_sampler_(peers_.io()), finisher_(http_.io())
+{
+    store_ = std::make_unique<platform::store_client>(
+        platform_.io(),
+        store_settings_of(settings_),
+        [this](ports::store_reply reply)
+        {
+            auto const found = in_flight_.find(reply.id);
+            std::uint64_t const generation =
+                found == in_flight_.end() ? 0 : found->second;
+            in_flight_.erase(reply.id);
+            // Each call takes one place for its reply, and the ring holds
+            // more than the core keeps in flight; a full one is a fault that
+            // the core sees as an unclear call.
+            store_replies_.try_push(store_in{generation, std::move(reply)});
+        });
+    catalog_ = std::make_unique<platform::catalog_client>(
+        platform_.io(),
+        settings_.store,
+        settings_.list_interval,
+        options_.service,
+        options_.with_upstreams,
+        [this](ports::instance_list list)
+        {
+            instances_.try_push(std::move(list));
+        });
+    peer::transport_settings peer_settings;
+    peer_settings.self = self_;
+    peer_settings.token = settings_.token;
+    peer_settings.allowed = settings_.allowed_addresses;
+    transport_ = std::make_unique<peer::transport>(
+        peers_.io(),
+        std::move(peer_settings),
+        [this](ports::peer_receive message)
+        {
+            return peer_receives_.try_push(std::move(message));
+        });
+    server_ = std::make_unique<http::server>(
+        http_.io(),
+        options_.http,
+        [this](http::request request, http::responder respond)
+        {
+            handle_http(std::move(request), std::move(respond));
+        });
+}
+
+shell::~shell()
+{
+    decisions_.stop();
+    http_.stop();
+    peers_.stop();
+    platform_.stop();
+}
+
+bool shell::listen(core::common::failure& reason)
+{
+    auto const http = server_->listen(settings_.http_listen, reason);
+    auto const peer =
+        http ? transport_->listen(settings_.peer_listen, reason) : std::nullopt;
+    if (!http || !peer)
+    {
+        return false;
+    }
+    http_address_ = *http;
+    peer_address_ = *peer;
+    return true;
+}
+
+int shell::run()
+{
+    logging::write(severity::info,
+                   "started",
+                   {{"name", self_.name},
+                    {"incarnation", std::to_string(self_.incarnation)},
+                    {"data_centre", settings_.data_centre},
+                    {"http", http::to_string(http_address_)},
+                    {"peer", http::to_string(peer_address_)}});
+    runtime::on_stop_signal(main_.io(),
+                            [this]
+                            {
+                                boost::asio::post(decisions_.io(),
+                                                  [this]
+                                                  {
+                                                      events_.on_stop(
+                                                          clock::now());
+                                                  });
+                            });
+    boost::asio::post(decisions_.io(),
+                      [this]
+                      {
+                          last_tick_ = clock::now();
+                          events_.on_start(last_tick_);
+                          tick();
+                      });
+    boost::asio::post(platform_.io(),
+                      [this]
+                      {
+                          catalog_->start();
+                      });
+    boost::asio::post(platform_.io(),
+                      [this]
+                      {
+                          sample_store();
+                      });
+    boost::asio::post(peers_.io(),
+                      [this]
+                      {
+                          sample_peers();
+                      });
+    platform_.start();
+    peers_.start();
+    http_.start();
+    decisions_.start();
+    main_.io().run();
+    return status_;
+}
+
+ports::member_identity const& shell::self() const noexcept
+{
+    return self_;
+}
+
+ports::endpoint const& shell::http_address() const noexcept
+{
+    return http_address_;
+}
+
+ports::endpoint const& shell::peer_address() const noexcept
+{
+    return peer_address_;
+}
+
+runtime::duty& shell::decisions() noexcept
+{
+    return decisions_;
+}
+
+metrics::registry& shell::metrics() noexcept
+{
+    return metrics_;
+}
+
+void shell::set_ready(bool ready) noexcept
+{
+    ready_ = ready;
+}
+
+bool shell::perform(ports::action& action)
+{
+    if (auto* const call = std::get_if<ports::store_call>(&action))
+    {
+        send_store(std::move(*call));
+    }
+    else if (auto* const send = std::get_if<ports::peer_send>(&action))
+    {
+        send_peer(std::move(*send));
+    }
+    else if (auto* const event = std::get_if<ports::log_event>(&action))
+    {
+        log_.write(clock::now(), std::move(*event));
+    }
+    else if (std::holds_alternative<ports::reset_peers>(action))
+    {
+        send_peer(peer_reset{});
+    }
+    else if (auto* const over = std::get_if<ports::rejoin>(&action))
+    {
+        rejoin(over->why);
+    }
+    else if (std::holds_alternative<ports::stop_complete>(action))
+    {
+        logging::write(severity::info, "stopped", {{"name", self_.name}});
+        boost::asio::post(http_.io(),
+                          [this]
+                          {
+                              finish();
+                          });
+    }
+    else
+    {
+        return false;
+    }
+    return true;
+}
+
+void shell::answer(std::uint64_t request, http::response response)
+{
+    // Never full: each waiting request holds one place, and no more wait than
+    // the ring has places.
+    answers_.try_push(answer_out{request, std::move(response)});
+}
+
+void shell::handle_http(http::request request, http::responder respond)
+{
+    if (request.target == "/healthz")
+    {
+        respond({200, {}, "ok\n"});
+        return;
+    }
+    if (request.target == "/readyz")
+    {
+        bool const ready = ready_;
+        respond({static_cast<std::uint16_t>(ready ? 200 : 503),
+                 {},
+                 ready ? "ready\n" : "not ready\n"});
+        return;
+    }
+    if (request.target == "/metrics")
+    {
+        respond({200,
+                 {{"Content-Type", "text/plain; version=0.0.4"}},
+                 metrics_.text()});
+        return;
+    }
+    if (events_.screen)
+    {
+        if (auto final_answer = events_.screen(request))
+        {
+            respond(std::move(*final_answer));
+            return;
+        }
+    }
+    if (waiting_.size() >= options_.waiting_requests)
+    {
+        respond(queue_full());
+        return;
+    }
+    auto const id = ++next_request_;
+    request_in in{id, std::move(request)};
+    if (!requests_.try_push(in))
+    {
+        respond(queue_full());
+        return;
+    }
+    waiting_.emplace(id, std::move(respond));
+}
+
+void shell::tick()
+{
+    auto const now = clock::now();
+    last_tick_ = now;
+    events_.on_tick(now);
+    ticker_.expires_after(tick_interval);
+    ticker_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                tick();
+            }
+        });
+}
+
+// A process that was frozen wakes with frames and answers in its rings. The
+// engine must learn of the gap before it sees any of them, or it would act on
+// proofs that are over.
+void shell::catch_up(core::common::time_point now)
+{
+    if (now - last_tick_ >= 2 * tick_interval)
+    {
+        last_tick_ = now;
+        events_.on_tick(now);
+    }
+}
+
+void shell::send_store(ports::store_call call)
+{
+    auto const id = call.id;
+    if (!store_calls_.try_push(store_out{generation_, std::move(call)}))
+    {
+        refuse_store(id);
+    }
+}
+
+void shell::refuse_store(ports::call_id id)
+{
+    boost::asio::post(
+        decisions_.io(),
+        [this, id, generation = generation_]
+        {
+            if (generation == generation_)
+            {
+                events_.on_store_reply(
+                    clock::now(),
+                    {id, ports::store_status::unavailable, {}, 0});
+            }
+        });
+}
+
+void shell::send_peer(peer_out out)
+{
+    if (!peer_sends_.try_push(std::move(out)))
+    {
+        log_.write(clock::now(), {severity::warning, "peer_ring_full", {}});
+    }
+}
+
+void shell::rejoin(std::string const& why)
+{
+    self_.incarnation = draw_incarnation();
+    ++generation_;
+    logging::write(severity::warning,
+                   "rejoin",
+                   {{"name", self_.name},
+                    {"incarnation", std::to_string(self_.incarnation)},
+                    {"why", why}});
+    send_peer(peer_reset{self_});
+    // Posted, since the engine that asked for it is still performing.
+    boost::asio::post(decisions_.io(),
+                      [this, self = self_]
+                      {
+                          events_.on_rejoin(clock::now(), self);
+                      });
+}
+
+// The platform thread's counts.
+void shell::sample_store()
+{
+    constexpr std::array<char const*, 5> kinds{
+        "read", "list", "write", "erase", "watch"};
+    auto const& counts = store_->counts();
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+    {
+        raise(metrics_.counter("fuchsia_store_calls_total",
+                               "Calls made to the platform's store",
+                               {{"kind", kinds[kind]}}),
+              counts.calls[kind]);
+    }
+    raise(metrics_.counter("fuchsia_store_over_budget_total",
+                           "Store calls not made: the budget was used up"),
+          counts.over_budget);
+    platform_sampler_.expires_after(sample_interval);
+    platform_sampler_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                sample_store();
+            }
+        });
+}
+
+// The peer thread's counts.
+void shell::sample_peers()
+{
+    auto const& counts = transport_->counts();
+    raise(metrics_.counter("fuchsia_peer_sent_bytes_total",
+                           "Bytes sent to peers"),
+          counts.bytes_sent);
+    raise(metrics_.counter("fuchsia_peer_received_bytes_total",
+                           "Bytes received from peers"),
+          counts.bytes_received);
+    raise(metrics_.counter("fuchsia_peer_dropped_total",
+                           "Messages to peers dropped with their connection"),
+          counts.dropped);
+    raise(metrics_.counter("fuchsia_peer_refused_total",
+                           "Frames or connections refused: wrong token, "
+                           "address, incarnation or form"),
+          counts.refused);
+    peers_sampler_.expires_after(sample_interval);
+    peers_sampler_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                sample_peers();
+            }
+        });
+}
+
+// The engine is done, but its last answers may still be on their way out: the
+// process ends when each has been written.
+void shell::finish()
+{
+    if (!finishing_)
+    {
+        finishing_ = true;
+        server_->drain();
+    }
+    if (server_->waiting() == 0)
+    {
+        main_.io().stop();
+        return;
+    }
+    finisher_.expires_after(finish_poll);
+    finisher_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                finish();
+            }
+        });
+}
+
+} // namespace fuchsia::adapters::daemon
--- /dev/null
+++ b/src/adapters/daemon/shell.hpp
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "adapters/http/server.hpp"
+#include "adapters/logging/logger.hpp"
+#include "adapters/metrics/registry.hpp"
+#include "adapters/peer/transport.hpp"
+#include "adapters/platform/catalog_client.hpp"
+#include "adapters/platform/store_client.hpp"
+#include "adapters/runtime/duty.hpp"
+#include "adapters/runtime/ring.hpp"
+#include "adapters/runtime/timer.hpp"
+#include "adapters/settings/daemon_settings.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace fuchsia::adapters::daemon
+{
+
+/// What a daemon's engine is told; every function but `screen` runs on the
+/// decision thread.
+struct shell_events
+{
+    std::function<void(core::common::time_point)> on_start;
+    /// At least every `tick_interval`, and first of all after any pause.
+    std::function<void(core::common::time_point)> on_tick;
+    std::function<void(core::common::time_point, ports::store_reply const&)>
+        on_store_reply;
+    std::function<void(core::common::time_point, ports::peer_receive&)> on_peer;
+    std::function<void(core::common::time_point, ports::instance_list const&)>
+        on_instances;
+    /// A request of a caller or operator; answered by `shell::answer`.
+    std::function<void(core::common::time_point, std::uint64_t, http::request&)>
+        on_request;
+    /// SIGTERM: begin the planned stop, which ends in `stop_complete`.
+    std::function<void(core::common::time_point)> on_stop;
+    /// This incarnation is over; go on as the given one, with a new engine.
+    std::function<void(core::common::time_point, ports::member_identity)>
+        on_rejoin;
+    /// On the HTTP thread, before the request is handed over: an answer given
+    /// here is final. May be empty.
+    std::function<std::optional<http::response>(http::request const&)> screen;
+};
+
+struct shell_options
+{
+    std::string program; ///< "fuchsia-entry".
+    std::string service; ///< Name of our own instances in the catalog.
+    bool with_upstreams = false;
+    http::server_limits http;
+    /// Requests that wait for an answer at once; one more is refused.
+    std::uint32_t waiting_requests = 4096;
+};
+
+/// Threads, rings and sockets that both daemons have: platform, peers, HTTP
+/// and decisions, each a duty of its own. The engine lives on the decision
+/// thread; its actions go through `perform`.
+class shell
+{
+public:
+    static constexpr core::common::duration tick_interval =
+        std::chrono::milliseconds(50);
+
+    shell(settings::daemon_settings settings,
+          shell_options options,
+          shell_events events);
+    ~shell();
+
+    /// Binds the addresses; false, with the reason, where one can't be had.
+    bool listen(core::common::failure& reason);
+    /// Runs until the planned stop is complete; the process' exit status.
+    int run();
+
+    /// From here on for the decision thread.
+
+    ports::member_identity const& self() const noexcept;
+    ports::endpoint const& http_address() const noexcept;
+    ports::endpoint const& peer_address() const noexcept;
+
+    /// Performs what both daemons have in common; false where `action` is one
+    /// that only the program itself can perform.
+    bool perform(ports::action& action);
+    void answer(std::uint64_t request, http::response response);
+    void set_ready(bool ready) noexcept;
+
+    runtime::duty& decisions() noexcept;
+    metrics::registry& metrics() noexcept;
+
+private:
+    struct request_in
+    {
+        std::uint64_t id = 0;
+        http::request message;
+    };
+    struct answer_out
+    {
+        std::uint64_t id = 0;
+        http::response message;
+    };
+    // Calls of an earlier incarnation are answered to nobody.
+    struct store_out
+    {
+        std::uint64_t generation = 0;
+        ports::store_call call;
+    };
+    struct store_in
+    {
+        std::uint64_t generation = 0;
+        ports::store_reply reply;
+    };
+    struct peer_reset
+    {
+        std::optional<ports::member_identity> rename;
+    };
+    using peer_out = std::variant<std::monostate, ports::peer_send, peer_reset>;
+
+    void handle_http(http::request request, http::responder respond);
+    void tick();
+    void catch_up(core::common::time_point now);
+    void send_store(ports::store_call call);
+    void refuse_store(ports::call_id id);
+    void send_peer(peer_out out);
+    void rejoin(std::string const& why);
+    void sample_store();
+    void sample_peers();
+    void finish();
+
+    settings::daemon_settings settings_;
+    shell_options options_;
+    shell_events events_;
+    ports::member_identity self_;
+    std::uint64_t generation_ = 0;
+    core::common::time_point last_tick_{};
+    std::atomic<bool> ready_{false};
+    metrics::registry metrics_;
+    logging::rate_limit log_;
+
+    runtime::duty main_{"main"};
+    runtime::duty decisions_{"decisions"};
+    runtime::duty platform_{"platform"};
+    runtime::duty peers_{"peers"};
+    runtime::duty http_{"http"};
+
+    runtime::ring<request_in> requests_;
+    runtime::ring<answer_out> answers_;
+    runtime::ring<store_out> store_calls_;
+    runtime::ring<store_in> store_replies_;
+    runtime::ring<ports::instance_list> instances_;
+    runtime::ring<peer_out> peer_sends_;
+    runtime::ring<ports::peer_receive> peer_receives_;
+
+    std::unique_ptr<platform::store_client> store_;
+    std::unique_ptr<platform::catalog_client> catalog_;
+    std::unique_ptr<peer::transport> transport_;
+    std::unique_ptr<http::server> server_;
+    ports::endpoint http_address_;
+    ports::endpoint peer_address_;
+    runtime::timer ticker_;
+    runtime::timer platform_sampler_;
+    runtime::timer peers_sampler_;
+    runtime::timer finisher_;
+
+    // Of the HTTP thread.
+    bool finishing_ = false;
+    std::uint64_t next_request_ = 0;
+    std::unordered_map<std::uint64_t, http::responder> waiting_;
+    // Of the platform thread: the generation of each call in flight.
+    std::map<ports::call_id, std::uint64_t> in_flight_;
+    int status_ = 0;
+};
+
+/// A new incarnation number, from the machine's random source.
+std::uint64_t draw_incarnation();
+
+} // namespace fuchsia::adapters::daemon
