Follow the configuration in the store and from peers

One long poll on config/index brings a change; a plain read each 500 ms keeps the proof young. A reply proves the state at some time after its call was sent, so the proof counts from the sending; a watch that waited 10 s proves nothing about its last seconds. Weighed: chained watches of 500 ms in place of the reads cost as many calls (2 a second) and leave a proof twice as old.

A change is applied when all its documents are there, never in part, and only where its revision is higher. While the store is silent the content comes from peers; the writer of a change adopts it at once.

A document's key holds the write id beside the revision: with the revision alone two racing operators would write the same key, and the index moved by one could point to what the other wrote.

Counted in the tests: 21 calls in ten quiet seconds, 3 calls at a start with 41 contracts, 2 for a change.

--- a/src/core/config/configuration.hpp
+++ b/src/core/config/configuration.hpp
@@ -1,15 +1,31 @@
 #pragma once
 
+#include "core/common/result_code.hpp"
 #include "core/contracts/contract.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace fuchsia::core::config
 {
 
+/// Bound of the whole configuration as JSON: the store's bound of one value,
+/// and what one offer to a peer may carry.
+constexpr std::size_t max_configuration_bytes = 1U << 20U;
+/// Customers with a contract.
+constexpr std::size_t max_contracts = 2000;
+/// Withdrawn customers that are remembered; the longest withdrawn are
+/// forgotten first and count as unknown from then on.
+constexpr std::size_t max_withdrawn = 1000;
+constexpr std::size_t max_data_centres = 256;
+/// Revisions stay exact in JSON readers that keep numbers as doubles.
+constexpr std::int64_t max_revision = std::int64_t{1} << 53;
+
 /// What operators have decided, at one revision. A higher revision replaces a
 /// lower one whole; a lower one is never applied after it.
 struct configuration
@@ -19,8 +35,21 @@
     std::map<std::string, contracts::contract, std::less<>> contracts;
     std::set<std::string, std::less<>> withdrawn;
     std::set<std::string, std::less<>> data_centres_out;
+    /// Every data centre that operators or instances have named, out or in.
+    std::set<std::string, std::less<>> data_centres;
+    /// The revision at which each customer's contract was last put or
+    /// withdrawn.
+    std::map<std::string, std::uint64_t, std::less<>> changed_at;
 
     bool operator==(configuration const&) const = default;
 };
 
+/// The whole configuration as one JSON document, offered to peers.
+std::string to_json(configuration const& value);
+
+/// Reads what `to_json` wrote; refuses a document that is too large,
+/// malformed or contradicts itself.
+std::optional<configuration> parse_configuration(std::string_view json,
+                                                 common::failure& reason);
+
 } // namespace fuchsia::core::config
--- /dev/null
+++ b/src/core/config/follower.cpp
@@ -0,0 +1,505 @@
+#include "core/config/follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::config
+{
+
+namespace
+{
+
+/// With more documents missing than this, one list call reads them all; after
+/// a start that is one call in place of one for each customer.
+constexpr std::size_t max_single_reads = 3;
+/// Least time between two watches, for a store that answers them at once.
+constexpr common::duration watch_spacing = std::chrono::milliseconds(100);
+/// The same refusal is logged again after this time.
+constexpr common::duration refusal_log_interval = std::chrono::seconds(60);
+
+void append_log(ports::actions& out,
+                ports::severity level,
+                std::string event,
+                std::vector<ports::header> fields)
+{
+    out.emplace_back(
+        ports::log_event{level, std::move(event), std::move(fields)});
+}
+
+/// Text of the index in a reply of a read, a list or a watch; null where the
+/// store has none.
+ports::store_entry const* index_in(ports::store_reply const& reply) noexcept
+{
+    for (auto const& entry : reply.entries)
+    {
+        if (entry.key == index_key)
+        {
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+follower::follower(follower_settings settings) : settings_(settings)
+{
+}
+
+void follower::start(common::time_point now, ports::actions& out)
+{
+    watch_due_ = now;
+    send_confirm(now, out);
+}
+
+void follower::tick(common::time_point now, ports::actions& out)
+{
+    if (now >= confirm_due_ && !in_flight(call_kind::confirm))
+    {
+        send_confirm(now, out);
+    }
+    if (store_seen_ && now >= watch_due_ && !in_flight(call_kind::watch))
+    {
+        send_watch(now, out);
+    }
+    if (fetch_ && now >= fetch_->retry_at)
+    {
+        send_missing(now, out);
+    }
+}
+
+void follower::on_store_reply(common::time_point now,
+                              ports::store_reply const& reply,
+                              ports::actions& out)
+{
+    auto const found = calls_.find(reply.id.number);
+    if (found == calls_.end())
+    {
+        return;
+    }
+    pending_call const call = std::move(found->second);
+    calls_.erase(found);
+    bool const answered = reply.status == ports::store_status::done;
+    switch (call.kind)
+    {
+    case call_kind::confirm:
+        confirm_due_ =
+            std::max(now,
+                     call.sent + (answered ? settings_.confirm_interval
+                                           : settings_.retry_interval));
+        break;
+    case call_kind::watch:
+        watch_due_ = answered && watch_index_ > 0
+                         ? std::max(now, call.sent + watch_spacing)
+                         : now + settings_.retry_interval;
+        break;
+    case call_kind::document:
+    case call_kind::list:
+        on_documents(now, call, reply, out);
+        tick(now, out);
+        return;
+    }
+    if (answered)
+    {
+        on_index(now, call.sent, reply, out);
+    }
+    tick(now, out);
+}
+
+void follower::on_peer(common::time_point now,
+                       ports::peer_receive const& message,
+                       ports::endpoint const& from,
+                       ports::actions& out)
+{
+    if (auto const* offer = std::get_if<ports::config_offer>(&message.message))
+    {
+        on_offer(now, message, *offer, out);
+        return;
+    }
+    auto const* request = std::get_if<ports::config_request>(&message.message);
+    if (request != nullptr && request->revision < current_.revision)
+    {
+        out.emplace_back(ports::peer_send{
+            message.from,
+            from,
+            ports::config_offer{current_.revision, to_json(current_)}});
+    }
+}
+
+void follower::on_peer_revision(common::time_point now,
+                                std::uint64_t revision,
+                                ports::member_identity const& from,
+                                ports::endpoint const& where,
+                                ports::actions& out)
+{
+    if (revision <= current_.revision)
+    {
+        return;
+    }
+    // One question at a time: after a change every peer tells the new
+    // revision, and each would send the whole content.
+    if (asked_peer_at_ && now - *asked_peer_at_ < settings_.retry_interval)
+    {
+        return;
+    }
+    asked_peer_at_ = now;
+    out.emplace_back(ports::peer_send{
+        from, where, ports::config_request{current_.revision}});
+}
+
+void follower::adopt(configuration newer, ports::actions& out)
+{
+    apply(std::move(newer), "writer", out);
+}
+
+configuration const& follower::current() const noexcept
+{
+    return current_;
+}
+
+common::time_point follower::confirmed_at() const noexcept
+{
+    return confirmed_at_;
+}
+
+void follower::send(common::time_point now,
+                    pending_call call,
+                    ports::store_operation operation,
+                    ports::actions& out)
+{
+    call.sent = now;
+    auto const number = next_call_++;
+    calls_.emplace(number, std::move(call));
+    out.emplace_back(ports::store_call{
+        {ports::store_user::configuration, number}, std::move(operation)});
+}
+
+void follower::send_confirm(common::time_point now, ports::actions& out)
+{
+    send(now,
+         {call_kind::confirm, {}, {}, {}},
+         ports::store_read{std::string(index_key)},
+         out);
+}
+
+void follower::send_watch(common::time_point now, ports::actions& out)
+{
+    send(now,
+         {call_kind::watch, {}, {}, {}},
+         ports::store_watch{
+             std::string(index_key), watch_index_, settings_.watch_wait},
+         out);
+}
+
+void follower::send_missing(common::time_point now, ports::actions& out)
+{
+    auto const customers = missing();
+    if (customers.size() > max_single_reads)
+    {
+        if (!in_flight(call_kind::list))
+        {
+            send(now,
+                 {call_kind::list, {}, {}, {}},
+                 ports::store_list{std::string(contracts_prefix)},
+                 out);
+        }
+        return;
+    }
+    for (auto const& customer : customers)
+    {
+        auto const& entry = fetch_->index.contracts.at(customer);
+        std::string key = document_key(customer, entry.document);
+        if (!in_flight(key))
+        {
+            send(now,
+                 {call_kind::document, {}, customer, key},
+                 ports::store_read{key},
+                 out);
+        }
+    }
+}
+
+bool follower::in_flight(call_kind kind) const noexcept
+{
+    return std::any_of(calls_.begin(),
+                       calls_.end(),
+                       [kind](auto const& pair)
+                       {
+                           return pair.second.kind == kind;
+                       });
+}
+
+bool follower::in_flight(std::string const& key) const noexcept
+{
+    return std::any_of(calls_.begin(),
+                       calls_.end(),
+                       [&key](auto const& pair)
+                       {
+                           return pair.second.key == key;
+                       });
+}
+
+void follower::on_index(common::time_point now,
+                        common::time_point sent,
+                        ports::store_reply const& reply,
+                        ports::actions& out)
+{
+    store_seen_ = true;
+    auto const* entry = index_in(reply);
+    watch_index_ = std::max(reply.index, entry == nullptr ? 0 : entry->version);
+    if (entry == nullptr)
+    {
+        if (current_.revision == 0)
+        {
+            confirmed_at_ = std::max(confirmed_at_, sent);
+        }
+        return;
+    }
+    common::failure reason;
+    auto index = parse_index(entry->value, reason);
+    if (!index)
+    {
+        refuse(now, std::string(index_key), reason, out);
+        return;
+    }
+    if (index->revision == current_.revision)
+    {
+        confirmed_at_ = std::max(confirmed_at_, sent);
+        return;
+    }
+    // An older index is a stale answer, or one that was overtaken by a newer
+    // on the way: applied, it would bring back what operators took away.
+    if (index->revision < current_.revision)
+    {
+        return;
+    }
+    if (fetch_ && fetch_->index.revision >= index->revision)
+    {
+        if (fetch_->index.revision == index->revision)
+        {
+            fetch_->index_sent = std::max(fetch_->index_sent, sent);
+        }
+        return;
+    }
+    begin_fetch(now, sent, std::move(*index), out);
+}
+
+void follower::begin_fetch(common::time_point now,
+                           common::time_point sent,
+                           index_document index,
+                           ports::actions& out)
+{
+    fetch next;
+    next.index_sent = sent;
+    next.retry_at = now + settings_.retry_interval;
+    for (auto const& [customer, entry] : index.contracts)
+    {
+        if (entry.withdrawn)
+        {
+            continue;
+        }
+        auto const known = current_.changed_at.find(customer);
+        if (known != current_.changed_at.end() &&
+            known->second == entry.revision)
+        {
+            next.loaded.emplace(customer, current_.contracts.at(customer));
+            continue;
+        }
+        if (fetch_ && fetch_->index.contracts.count(customer) != 0 &&
+            fetch_->index.contracts.at(customer) == entry &&
+            fetch_->loaded.count(customer) != 0)
+        {
+            next.loaded.emplace(customer, fetch_->loaded.at(customer));
+        }
+    }
+    next.index = std::move(index);
+    fetch_ = std::move(next);
+    apply_if_whole(out);
+    if (fetch_)
+    {
+        send_missing(now, out);
+    }
+}
+
+void follower::on_documents(common::time_point now,
+                            pending_call const& call,
+                            ports::store_reply const& reply,
+                            ports::actions& out)
+{
+    if (!fetch_)
+    {
+        return;
+    }
+    fetch_->retry_at = now + settings_.retry_interval;
+    if (reply.status != ports::store_status::done)
+    {
+        return;
+    }
+    std::map<std::string_view, std::string const*> texts;
+    for (auto const& entry : reply.entries)
+    {
+        texts.emplace(entry.key, &entry.value);
+    }
+    for (auto const& customer : missing())
+    {
+        auto const key = document_key(
+            customer, fetch_->index.contracts.at(customer).document);
+        if (call.kind == call_kind::document && call.key != key)
+        {
+            continue;
+        }
+        auto const found = texts.find(key);
+        if (found == texts.end())
+        {
+            refuse(now,
+                   key,
+                   {common::result_code::not_found,
+                    key,
+                    "the index names a document that the store lacks"},
+                   out);
+            continue;
+        }
+        take_document(now, customer, *found->second, out);
+    }
+    apply_if_whole(out);
+}
+
+void follower::take_document(common::time_point now,
+                             std::string const& customer,
+                             std::string const& text,
+                             ports::actions& out)
+{
+    common::failure reason;
+    auto contract = contracts::parse_contract(text, reason);
+    if (contract && contract->customer != customer)
+    {
+        reason = {common::result_code::inconsistent,
+                  "contract.customer",
+                  "the contract is " + contract->customer + "'s"};
+        contract.reset();
+    }
+    if (!contract)
+    {
+        refuse(now, std::string(contracts_prefix) + customer, reason, out);
+        return;
+    }
+    fetch_->loaded.insert_or_assign(customer, std::move(*contract));
+}
+
+std::vector<std::string> follower::missing() const
+{
+    std::vector<std::string> customers;
+    for (auto const& [customer, entry] : fetch_->index.contracts)
+    {
+        if (!entry.withdrawn && fetch_->loaded.count(customer) == 0)
+        {
+            customers.push_back(customer);
+        }
+    }
+    return customers;
+}
+
+void follower::apply_if_whole(ports::actions& out)
+{
+    if (!fetch_ || !missing().empty())
+    {
+        return;
+    }
+    configuration newer;
+    newer.revision = fetch_->index.revision;
+    newer.data_centres_out = fetch_->index.data_centres_out;
+    newer.data_centres = fetch_->index.data_centres;
+    newer.contracts = std::move(fetch_->loaded);
+    for (auto const& [customer, entry] : fetch_->index.contracts)
+    {
+        newer.changed_at[customer] = entry.revision;
+        if (entry.withdrawn)
+        {
+            newer.withdrawn.insert(customer);
+        }
+    }
+    auto const sent = fetch_->index_sent;
+    fetch_.reset();
+    apply(std::move(newer), "store", out);
+    confirmed_at_ = std::max(confirmed_at_, sent);
+}
+
+void follower::apply(configuration newer,
+                     char const* source,
+                     ports::actions& out)
+{
+    if (newer.revision <= current_.revision)
+    {
+        return;
+    }
+    append_log(
+        out,
+        ports::severity::info,
+        "configuration_applied",
+        {{"revision", std::to_string(newer.revision)},
+         {"before", std::to_string(current_.revision)},
+         {"source", source},
+         {"contracts", std::to_string(newer.contracts.size())},
+         {"data_centres_out", std::to_string(newer.data_centres_out.size())}});
+    current_ = std::move(newer);
+    if (fetch_ && fetch_->index.revision <= current_.revision)
+    {
+        // The fetch of the same revision from the store came second; its
+        // index still proves that nothing newer stood there.
+        if (fetch_->index.revision == current_.revision)
+        {
+            confirmed_at_ = std::max(confirmed_at_, fetch_->index_sent);
+        }
+        fetch_.reset();
+    }
+}
+
+void follower::on_offer(common::time_point now,
+                        ports::peer_receive const& message,
+                        ports::config_offer const& offer,
+                        ports::actions& out)
+{
+    if (offer.revision <= current_.revision)
+    {
+        return;
+    }
+    common::failure reason;
+    auto offered = parse_configuration(offer.document, reason);
+    if (offered && offered->revision != offer.revision)
+    {
+        reason = {common::result_code::inconsistent,
+                  "configuration.revision",
+                  "the offer names another revision"};
+        offered.reset();
+    }
+    if (!offered)
+    {
+        refuse(now, "offer of " + message.from.name, reason, out);
+        return;
+    }
+    apply(std::move(*offered), "peer", out);
+}
+
+void follower::refuse(common::time_point now,
+                      std::string const& what,
+                      common::failure const& reason,
+                      ports::actions& out)
+{
+    std::string text = what + " " + common::to_string(reason);
+    if (text == last_refusal_ && now - last_refusal_at_ < refusal_log_interval)
+    {
+        return;
+    }
+    last_refusal_ = std::move(text);
+    last_refusal_at_ = now;
+    append_log(out,
+               ports::severity::error,
+               "configuration_refused",
+               {{"what", what},
+                {"code", std::string(common::name_of(reason.code))},
+                {"where", reason.where},
+                {"why", reason.why},
+                {"kept_revision", std::to_string(current_.revision)}});
+}
+
+} // namespace fuchsia::core::config
--- /dev/null
+++ b/src/core/config/name_set.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/common/json.hpp"
+
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace fuchsia::core::config
+{
+
+/// Customers or data centres.
+using name_set = std::set<std::string, std::less<>>;
+
+/// Whether `name` may name a customer or a data centre: 1 to 64 lower-case
+/// letters, digits and hyphens. Names become parts of the store's keys.
+bool is_plain_name(std::string_view name) noexcept;
+
+boost::json::array to_json_array(name_set const& names);
+
+/// The names in the array under `key`; empty where there is none.
+name_set read_name_set(common::json_reader& reader, std::string_view key);
+
+} // namespace fuchsia::core::config
--- /dev/null
+++ b/tests/contract/config/follower_test.cpp
@@ -0,0 +1,430 @@
+#include "core/config/follower.hpp"
+
+#include "contract/config/memory_store.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <optional>
+
+using namespace fuchsia;
+using namespace std::chrono_literals;
+using core::config::configuration;
+using core::config::follower;
+using core::config::index_document;
+using fault = fuchsia::tests::memory_store::fault;
+
+namespace
+{
+
+core::common::time_point at(core::common::duration since_start)
+{
+    return core::common::time_point(100s + since_start);
+}
+
+core::contracts::contract contract_of(std::string customer,
+                                      std::uint32_t in_flight)
+{
+    core::contracts::contract value;
+    value.customer = std::move(customer);
+    value.capacity.millicores = 1000;
+    value.requests_in_flight = in_flight;
+    value.latency_target = 250ms;
+    value.batch_latency_target = 10s;
+    return value;
+}
+
+/// One follower over the store in memory. Watches stay unanswered until
+/// `release_watches`; everything else is answered by `run` in order.
+struct follower_bench
+{
+    tests::memory_store store;
+    follower subject{core::config::follower_settings{}};
+    ports::actions out;
+    std::vector<ports::store_call> watches;
+    std::vector<ports::peer_send> sent;
+    std::vector<ports::log_event> logs;
+    core::common::duration now{};
+
+    /// Writes the index and documents as a writer would.
+    void publish(std::uint64_t revision,
+                 std::vector<core::contracts::contract> const& contracts,
+                 std::set<std::string, std::less<>> out_of_service = {})
+    {
+        index_document index;
+        index.revision = revision;
+        index.write_id = "test";
+        index.data_centres_out = std::move(out_of_service);
+        for (auto const& contract : contracts)
+        {
+            // Equal contracts keep the document of their first revision.
+            auto& first = first_seen[to_json(contract)];
+            first = first == 0 ? revision : first;
+            auto const name = core::config::document_name(first, "test");
+            index.contracts[contract.customer] = {first, false, name};
+            store.put(core::config::document_key(contract.customer, name),
+                      to_json(contract));
+        }
+        store.put(std::string(core::config::index_key), to_json(index));
+    }
+
+    void start()
+    {
+        subject.start(at(now), out);
+    }
+
+    /// Answers the calls on their way, and those that the answers bring.
+    void run(fault how = fault::none)
+    {
+        for (int round = 0; round < 50 && !out.empty(); ++round)
+        {
+            auto const batch = std::exchange(out, {});
+            for (auto const& action : batch)
+            {
+                take(action, how);
+            }
+        }
+        ASSERT_TRUE(out.empty()) << "calls without end";
+    }
+
+    void pass(core::common::duration by, fault how = fault::none)
+    {
+        now += by;
+        subject.tick(at(now), out);
+        run(how);
+    }
+
+    void release_watches(fault how = fault::none)
+    {
+        for (auto const& watch : std::exchange(watches, {}))
+        {
+            subject.on_store_reply(at(now), store.answer(watch, how), out);
+        }
+        run(how);
+    }
+
+    std::map<std::string, std::uint64_t> first_seen;
+
+private:
+    void take(ports::action const& action, fault how)
+    {
+        if (auto const* call = std::get_if<ports::store_call>(&action))
+        {
+            if (std::holds_alternative<ports::store_watch>(call->operation))
+            {
+                watches.push_back(*call);
+                return;
+            }
+            subject.on_store_reply(at(now), store.answer(*call, how), out);
+        }
+        else if (auto const* message = std::get_if<ports::peer_send>(&action))
+        {
+            sent.push_back(*message);
+        }
+        else if (auto const* event = std::get_if<ports::log_event>(&action))
+        {
+            logs.push_back(*event);
+        }
+    }
+};
+
+ports::member_identity const peer{"planner-b-1", 7};
+ports::endpoint const peer_address{"127.0.0.1", 23001};
+
+ports::peer_receive offer(configuration const& value)
+{
+    return {peer, ports::config_offer{value.revision, to_json(value)}};
+}
+
+configuration configuration_at(std::uint64_t revision, std::uint32_t in_flight)
+{
+    configuration value;
+    value.revision = revision;
+    value.contracts["mill"] = contract_of("mill", in_flight);
+    value.changed_at["mill"] = revision;
+    return value;
+}
+
+} // namespace
+
+TEST(config_follower, reads_the_whole_configuration_at_its_start)
+{
+    follower_bench bench;
+    bench.publish(4, {contract_of("mill", 9), contract_of("shop", 3)}, {"a"});
+    bench.start();
+    bench.run();
+
+    auto const& current = bench.subject.current();
+    EXPECT_EQ(current.revision, 4U);
+    EXPECT_EQ(current.contracts.at("mill").requests_in_flight, 9U);
+    EXPECT_EQ(current.contracts.at("shop").requests_in_flight, 3U);
+    EXPECT_EQ(current.data_centres_out.count("a"), 1U);
+    EXPECT_EQ(bench.subject.confirmed_at(), at(0s));
+}
+
+TEST(config_follower, an_empty_store_is_revision_0_and_confirmed)
+{
+    follower_bench bench;
+    bench.start();
+    bench.pass(500ms);
+
+    EXPECT_EQ(bench.subject.current(), configuration{});
+    EXPECT_EQ(bench.subject.confirmed_at(), at(500ms));
+}
+
+TEST(config_follower, a_start_with_many_contracts_costs_three_calls)
+{
+    follower_bench bench;
+    std::vector<core::contracts::contract> contracts;
+    for (int number = 0; number < 41; ++number)
+    {
+        contracts.push_back(contract_of("team-" + std::to_string(number), 1));
+    }
+    bench.publish(41, contracts);
+    bench.start();
+    bench.run();
+
+    EXPECT_EQ(bench.subject.current().contracts.size(), 41U);
+    EXPECT_EQ(bench.store.calls + bench.watches.size(), 3U);
+}
+
+TEST(config_follower, a_watch_brings_a_change_and_reads_only_what_changed)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9), contract_of("shop", 3)});
+    bench.start();
+    bench.run();
+    auto const before = bench.store.calls;
+
+    bench.publish(2, {contract_of("mill", 5), contract_of("shop", 3)});
+    bench.now = 200ms;
+    bench.release_watches();
+
+    EXPECT_EQ(bench.subject.current().revision, 2U);
+    EXPECT_EQ(bench.subject.current().contracts.at("mill").requests_in_flight,
+              5U);
+    EXPECT_EQ(bench.store.calls - before, 2U) << "the watch and one document";
+}
+
+TEST(config_follower, ten_quiet_seconds_cost_21_calls)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9)});
+    bench.start();
+    bench.run();
+    auto const before = bench.store.calls;
+    for (int step = 0; step < 100; ++step)
+    {
+        bench.pass(100ms);
+    }
+    bench.release_watches();
+
+    EXPECT_EQ(bench.store.calls - before, 21U);
+    EXPECT_EQ(bench.subject.confirmed_at(), at(10s));
+}
+
+// A watch ends after ten seconds without news. A change that came in its last
+// second, and whose wake-up was lost, would go unseen; a task could start in a
+// data centre that is out for more than a few seconds.
+TEST(config_follower, the_end_of_a_watch_proves_nothing_after_its_sending)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9)});
+    bench.start();
+    bench.run();
+    bench.pass(10s, fault::unavailable);
+    bench.release_watches();
+
+    EXPECT_EQ(bench.subject.confirmed_at(), at(0s));
+}
+
+struct read_fault_case
+{
+    char const* name;
+    fault how;
+    bool logged;
+};
+
+class config_follower_faults : public testing::TestWithParam<read_fault_case>
+{
+};
+
+// The store fails, lies or answers from a lagging replica just when operators
+// lower a contract. The change may come late, but never in part, and what
+// stands must not go back.
+TEST_P(config_follower_faults, keep_what_stands_until_the_store_answers_whole)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9), contract_of("shop", 3)});
+    bench.store.take_snapshot();
+    bench.publish(2, {contract_of("mill", 8), contract_of("shop", 2)});
+    bench.start();
+    bench.run();
+    auto const confirmed = bench.subject.confirmed_at();
+    auto const standing = bench.subject.current();
+
+    bench.publish(3, {contract_of("mill", 7), contract_of("shop", 1)});
+    for (int step = 0; step < 20; ++step)
+    {
+        bench.pass(100ms, GetParam().how);
+        bench.release_watches(GetParam().how);
+        EXPECT_EQ(bench.subject.current(), standing);
+    }
+    EXPECT_EQ(bench.subject.confirmed_at(), confirmed);
+    EXPECT_EQ(!bench.logs.empty() &&
+                  bench.logs.back().event == "configuration_refused",
+              GetParam().logged);
+
+    bench.pass(500ms);
+    bench.pass(500ms);
+    EXPECT_EQ(bench.subject.current().revision, 3U);
+    EXPECT_EQ(bench.subject.current().contracts.at("shop").requests_in_flight,
+              1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all,
+    config_follower_faults,
+    testing::Values(read_fault_case{"unavailable", fault::unavailable, false},
+                    read_fault_case{"lost", fault::lost_before, false},
+                    read_fault_case{"stale", fault::stale, false},
+                    read_fault_case{"malformed", fault::malformed_value, true}),
+    [](auto const& info)
+    {
+        return std::string(info.param.name);
+    });
+
+// A document that the index names is gone or damaged. Half of the change, the
+// other contract, must not come into force alone.
+TEST(config_follower, a_missing_document_holds_the_whole_change_back)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9), contract_of("shop", 3)});
+    bench.start();
+    bench.run();
+    bench.publish(2, {contract_of("mill", 8), contract_of("shop", 2)});
+    auto const key = core::config::document_key("shop", "2-test");
+    auto const text = bench.store.value(key);
+
+    bench.store.erase(key);
+    bench.pass(500ms);
+    EXPECT_EQ(bench.subject.current().revision, 1U);
+    bench.store.put(key, to_json(contract_of("mill", 1)));
+    bench.pass(500ms);
+    EXPECT_EQ(bench.subject.current().revision, 1U) << "another's contract";
+
+    bench.store.put(key, text);
+    bench.pass(500ms);
+    EXPECT_EQ(bench.subject.current().revision, 2U);
+}
+
+TEST(config_follower, a_newer_index_replaces_a_fetch_that_is_under_way)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9)});
+    bench.start();
+    bench.run();
+    bench.publish(2, {contract_of("mill", 8)});
+    bench.store.erase(core::config::document_key("mill", "2-test"));
+    bench.pass(500ms);
+    bench.publish(3, {contract_of("mill", 7)});
+    bench.pass(500ms);
+
+    EXPECT_EQ(bench.subject.current().revision, 3U);
+}
+
+// The store is silent for an hour. An instance that missed the last change
+// before the outage gets it from its peers.
+TEST(config_follower, a_peer_brings_what_the_silent_store_can_not)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9)});
+    bench.start();
+    bench.run();
+    auto const confirmed = bench.subject.confirmed_at();
+    bench.pass(1s, fault::unavailable);
+    bench.subject.on_peer_revision(at(1s), 2, peer, peer_address, bench.out);
+    bench.subject.on_peer_revision(at(1s), 2, peer, peer_address, bench.out);
+    bench.run(fault::unavailable);
+
+    ASSERT_EQ(bench.sent.size(), 1U) << "one question at a time";
+    EXPECT_EQ(bench.sent[0].to, peer);
+    EXPECT_EQ(std::get<ports::config_request>(bench.sent[0].message).revision,
+              1U);
+    bench.subject.on_peer(
+        at(1s), offer(configuration_at(2, 4)), peer_address, bench.out);
+    EXPECT_EQ(bench.subject.current(), configuration_at(2, 4));
+    EXPECT_EQ(bench.subject.confirmed_at(), confirmed);
+}
+
+struct offer_case
+{
+    char const* name;
+    std::uint64_t named; ///< Revision beside the document.
+    std::string document;
+};
+
+TEST(config_follower, bad_and_older_offers_change_nothing)
+{
+    std::string huge = to_json(configuration_at(9, 4));
+    huge.insert(1, core::config::max_configuration_bytes, ' ');
+    std::string strange = to_json(configuration_at(9, 4));
+    strange.replace(strange.find("\"mill\":9"), 8, "\"hill\":9");
+    std::vector<offer_case> const cases{
+        {"older", 4, to_json(configuration_at(4, 4))},
+        {"the same", 5, to_json(configuration_at(5, 4))},
+        {"revision differs", 9, to_json(configuration_at(8, 4))},
+        {"no json", 9, "{\"revision\":9"},
+        {"no object", 9, "[]"},
+        {"too large", 9, huge},
+        {"other customers", 9, strange},
+    };
+    follower_bench bench;
+    bench.publish(5, {contract_of("mill", 9)});
+    bench.start();
+    bench.run();
+    auto const standing = bench.subject.current();
+    for (auto const& each : cases)
+    {
+        bench.subject.on_peer(
+            at(1s),
+            {peer, ports::config_offer{each.named, each.document}},
+            peer_address,
+            bench.out);
+        EXPECT_EQ(bench.subject.current(), standing) << each.name;
+    }
+}
+
+TEST(config_follower, offers_the_whole_configuration_to_an_older_peer_only)
+{
+    follower_bench bench;
+    bench.publish(5, {contract_of("mill", 9)}, {"kochi-a"});
+    bench.start();
+    bench.run();
+    for (std::uint64_t revision : {4U, 5U, 6U})
+    {
+        bench.subject.on_peer(at(1s),
+                              {peer, ports::config_request{revision}},
+                              peer_address,
+                              bench.out);
+    }
+    bench.run();
+
+    ASSERT_EQ(bench.sent.size(), 1U);
+    auto const& sent = std::get<ports::config_offer>(bench.sent[0].message);
+    core::common::failure reason;
+    auto const read = core::config::parse_configuration(sent.document, reason);
+    ASSERT_TRUE(read) << to_string(reason);
+    EXPECT_EQ(*read, bench.subject.current());
+}
+
+TEST(config_follower, what_the_writer_knows_is_in_force_at_once)
+{
+    follower_bench bench;
+    bench.publish(1, {contract_of("mill", 9)});
+    bench.start();
+    bench.run();
+    bench.subject.adopt(configuration_at(2, 4), bench.out);
+    EXPECT_EQ(bench.subject.current().revision, 2U);
+    bench.subject.adopt(configuration_at(1, 9), bench.out);
+    EXPECT_EQ(bench.subject.current().revision, 2U);
+}
