Carry a handover's key count and fingerprints, and a forward's claim epoch

The frames had no place for the fields that the request core needs; the test that encodes, decodes and encodes again covers them. No functional change elsewhere.

--- a/src/adapters/peer/codec.cpp
+++ b/src/adapters/peer/codec.cpp
@@ -198,7 +198,7 @@
     auto operator()(ports::forwarded_request const& m) const
     {
         return schema::Createforwarded_request(
-                   out, m.id, m.spill, write(out, m.request))
+                   out, m.id, m.spill, write(out, m.request), m.epoch)
             .Union();
     }
     auto operator()(ports::forwarded_answer const& m) const
@@ -236,12 +236,23 @@
             auto const customer = out.CreateString(key.customer);
             auto const name = out.CreateString(key.key);
             auto const answer = write(out, key.answer);
-            keys.push_back(schema::Createremembered_key(
-                out, customer, name, key.ended, answer, key.age_us));
+            keys.push_back(schema::Createremembered_key(out,
+                                                        customer,
+                                                        name,
+                                                        key.ended,
+                                                        answer,
+                                                        key.age_us,
+                                                        key.fingerprint));
         }
         auto const written = out.CreateVector(keys);
-        return schema::Createkey_handover(
-                   out, m.partition, m.epoch, m.memory_us, written, m.last)
+        return schema::Createkey_handover(out,
+                                          m.partition,
+                                          m.epoch,
+                                          m.memory_us,
+                                          written,
+                                          m.last,
+                                          m.slots_idle,
+                                          m.total_keys)
             .Union();
     }
     auto operator()(ports::key_handover_ack const& m) const
@@ -265,6 +276,8 @@
     result.epoch = value.epoch();
     result.memory_us = value.memory_us();
     result.last = value.last();
+    result.slots_idle = value.slots_idle();
+    result.total_keys = value.total_keys();
     if (value.keys() == nullptr)
     {
         return result;
@@ -280,7 +293,8 @@
                                text_of(key->key()),
                                key->ended(),
                                std::move(*answer),
-                               key->age_us()});
+                               key->age_us(),
+                               key->fingerprint()});
     }
     return result;
 }
@@ -294,7 +308,7 @@
         return std::nullopt;
     }
     return ports::forwarded_request{
-        value.id(), value.spill(), std::move(*request)};
+        value.id(), value.spill(), std::move(*request), value.epoch()};
 }
 
 std::optional<ports::peer_message>
--- a/tests/contract/adapters/peer_test.cpp
+++ b/tests/contract/adapters/peer_test.cpp
@@ -62,7 +62,7 @@
             ports::config_offer{8, "{}"},
             ports::config_request{9},
             ports::load_report{10, 11},
-            ports::forwarded_request{12, true, some_request()},
+            ports::forwarded_request{12, true, some_request(), 29},
             ports::forwarded_answer{13, some_answer()},
             ports::slice_request{14, "estate-owners", 15, 16, 17},
             ports::slice_grant{18, "estate-owners", 19, 20, 21, 22},
@@ -70,8 +70,10 @@
                 23,
                 24,
                 25,
-                {{"estate-owners", "key-1", true, some_answer(), 26}},
-                false},
+                {{"estate-owners", "key-1", true, some_answer(), 26, 30}},
+                false,
+                true,
+                31},
             ports::key_handover_ack{27, 28}};
 }
 
