--- /dev/null
+++ b/src/adapters/settings/entry_options.cpp
@@ -0,0 +1,196 @@
+#include "adapters/settings/entry_options.hpp"
+
+#include <utility>
+
+namespace fuchsia::adapters::settings
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using core::common::result_code;
+namespace requests = core::requests;
+namespace upstreams = core::upstreams;
+
+constexpr std::int64_t megabyte = 1024 * 1024;
+
+void read_http(toml_table table, entry_options& out)
+{
+    out.http.header_bytes = static_cast<std::uint32_t>(table.integer_or(
+        "header_bytes", out.http.header_bytes, 1024, 256 * 1024));
+    out.http.body_bytes = static_cast<std::uint64_t>(
+        table.integer_or("body_bytes",
+                         static_cast<std::int64_t>(out.http.body_bytes),
+                         1024,
+                         2 * megabyte));
+    out.http.connections = static_cast<std::uint32_t>(
+        table.integer_or("connections", out.http.connections, 1, 65'536));
+    out.http.idle = table.duration_or("idle_ms", out.http.idle, 100ms, 1h);
+    out.waiting_requests = static_cast<std::uint32_t>(
+        table.integer_or("waiting_requests", out.waiting_requests, 1, 65'536));
+    table.refuse_unread();
+}
+
+void read_upstreams(toml_table table, entry_options& out)
+{
+    auto& engine = out.engine.upstreams;
+    engine.max_execution =
+        table.duration_or("max_execution_ms", engine.max_execution, 100ms, 1h);
+    engine.report_slack =
+        table.duration_or("report_slack_ms", engine.report_slack, 0ms, 60s);
+    engine.cold_share =
+        table.number_or("cold_share", engine.cold_share, 0.01, 1.0);
+    if (table.choice_or("choice", 0, {"weighted_two_choices", "round_robin"}) ==
+        1)
+    {
+        engine.choice = upstreams::round_robin{};
+    }
+    out.upstreams.connections_per_endpoint = static_cast<std::uint32_t>(
+        table.integer_or("connections", 60, 1, 10'000));
+    out.upstreams.connect_timeout =
+        table.duration_or("connect_timeout_ms", 1s, 10ms, 60s);
+    out.upstreams.idle_timeout =
+        table.duration_or("idle_timeout_ms", 30s, 100ms, 1h);
+    out.upstreams.body_bytes = static_cast<std::uint64_t>(
+        table.integer_or("answer_bytes", 2 * megabyte, 1024, 3 * megabyte));
+    // The slot is counted free at the latest after `max_execution`; a late
+    // answer is waited for that long too.
+    out.upstreams.drain_timeout = engine.max_execution;
+    table.refuse_unread();
+}
+
+void read_contracts(toml_table table, entry_options& out)
+{
+    auto& slices = out.engine.slices;
+    slices.valid = table.duration_or("slice_valid_ms", slices.valid, 200ms, 1h);
+    slices.renew_interval =
+        table.duration_or("slice_renew_ms", slices.renew_interval, 20ms, 10min);
+    slices.cap_permille = static_cast<std::uint32_t>(
+        table.integer_or("slice_cap_permille", slices.cap_permille, 1, 1000));
+    out.engine.slice_patience = table.duration_or(
+        "slice_patience_ms", out.engine.slice_patience, 0ms, 10s);
+    if (slices.renew_interval * 2 > slices.valid)
+    {
+        table.fail(result_code::inconsistent,
+                   "slice_renew_ms",
+                   "a slice must be valid for two renewals, or one lost "
+                   "message stops the customer");
+    }
+    table.refuse_unread();
+}
+
+void read_keys(toml_table table, entry_options& out)
+{
+    auto& keys = out.engine.keys;
+    keys.keep = table.duration_or("keep_ms", keys.keep, 1s, 24h);
+    keys.max_keys = static_cast<std::size_t>(table.integer_or(
+        "max_keys", static_cast<std::int64_t>(keys.max_keys), 1, 10'000'000));
+    keys.max_bytes = static_cast<std::size_t>(
+        table.integer_or("max_mb", 64, 1, 4096) * megabyte);
+    out.engine.sending_bound = table.duration_or(
+        "sending_bound_ms", out.engine.sending_bound, 100ms, 10min);
+    if (out.engine.sending_bound > keys.keep)
+    {
+        table.fail(result_code::inconsistent,
+                   "keep_ms",
+                   "keys must be kept for longer than sending_bound, or a "
+                   "late sending finds its key forgotten");
+    }
+    table.refuse_unread();
+}
+
+void read_queue(toml_table table, entry_options& out)
+{
+    auto& engine = out.engine;
+    auto const caution = static_cast<std::uint32_t>(
+        table.integer_or("caution_permille", 1000, 100, 10'000));
+    auto const bound =
+        static_cast<std::size_t>(table.integer_or("bound", 100, 0, 1'000'000));
+    if (table.choice_or("admission", 0, {"deadline", "fixed_bound"}) == 0)
+    {
+        engine.admission = requests::deadline_admission{caution};
+    }
+    else
+    {
+        engine.admission = requests::fixed_bound_admission{bound};
+    }
+    engine.max_queued = static_cast<std::size_t>(
+        table.integer_or("max_queued", 2'000, 1, 1'000'000));
+    engine.max_open = static_cast<std::size_t>(
+        table.integer_or("max_open", 20'000, 1, 1'000'000));
+    engine.max_open_bytes = static_cast<std::size_t>(
+        table.integer_or("max_open_mb", 64, 1, 4096) * megabyte);
+    table.refuse_unread();
+}
+
+void read_retries(toml_table table, entry_options& out)
+{
+    requests::retry_budget budget;
+    budget.share_permille = static_cast<std::uint32_t>(
+        table.integer_or("share_permille", budget.share_permille, 0, 1000));
+    budget.most_saved = static_cast<std::uint32_t>(
+        table.integer_or("most_saved", budget.most_saved, 0, 10'000));
+    requests::fixed_retries fixed;
+    fixed.most =
+        static_cast<std::uint32_t>(table.integer_or("fixed", fixed.most, 0, 3));
+    if (table.choice_or("policy", 0, {"budget", "fixed"}) == 0)
+    {
+        out.engine.retries = budget;
+    }
+    else
+    {
+        out.engine.retries = fixed;
+    }
+    table.refuse_unread();
+}
+
+void read_stop(toml_table table, entry_options& out)
+{
+    auto& engine = out.engine;
+    engine.balancer_lag =
+        table.duration_or("balancer_lag_ms", engine.balancer_lag, 0ms, 10min);
+    engine.handover_patience = table.duration_or(
+        "handover_patience_ms", engine.handover_patience, 10ms, 10min);
+    engine.stop_patience =
+        table.duration_or("stop_patience_ms", engine.stop_patience, 1s, 1h);
+    table.refuse_unread();
+}
+
+} // namespace
+
+std::optional<entry_options> read_entry_options(std::string const& path,
+                                                core::common::failure& reason)
+{
+    auto const file = toml_file::open(path, reason);
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    return parse_entry_options(*file, reason);
+}
+
+std::optional<entry_options> parse_entry_options(toml_file& file,
+                                                 core::common::failure& reason)
+{
+    auto root = file.root();
+    entry_options out;
+    out.daemon = read_daemon_settings(root, false);
+    read_http(root.table("http"), out);
+    read_upstreams(root.table("upstreams"), out);
+    read_contracts(root.table("contracts"), out);
+    read_keys(root.table("keys"), out);
+    read_queue(root.table("queue"), out);
+    read_retries(root.table("retries"), out);
+    read_stop(root.table("stop"), out);
+    root.refuse_unread();
+    if (!file.ok())
+    {
+        reason = file.reason();
+        return std::nullopt;
+    }
+    out.engine.membership = out.daemon.membership;
+    return out;
+}
+
+} // namespace fuchsia::adapters::settings
--- a/src/core/requests/entry_engine.cpp
+++ b/src/core/requests/entry_engine.cpp
@@ -152,6 +152,15 @@
     }
 }
 
+std::optional<common::time_point> entry_engine::next_timer() const noexcept
+{
+    if (timers_.empty())
+    {
+        return std::nullopt;
+    }
+    return timers_.begin()->first;
+}
+
 bool entry_engine::ready(common::time_point now) const noexcept
 {
     return life_.phase() == entry_phase::serving && may_send(now);
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -87,7 +87,7 @@
                  std::uint64_t seed);
 
     void start(common::time_point now, ports::actions& out);
-    /// To be called every few milliseconds.
+    /// To be called at least every 100 ms, and when `next_timer` is due.
     void tick(common::time_point now, ports::actions& out);
     void on_caller_request(common::time_point now,
                            std::uint64_t caller,
@@ -116,6 +116,9 @@
     /// to the engine of the next incarnation.
     void retire(common::time_point now, ports::actions& out);
 
+    /// When the next deadline or time-out of a request is due: `tick` wants to
+    /// be called then, beside its regular calls.
+    std::optional<common::time_point> next_timer() const noexcept;
     /// Whether new requests are welcome (/readyz).
     bool ready(common::time_point now) const noexcept;
     entry_status status(common::time_point now) const;
--- /dev/null
+++ b/src/programs/entry/caller_headers.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "adapters/http/message.hpp"
+#include "ports/requests.hpp"
+
+#include <optional>
+
+// Callers' HTTP messages and the requests and answers they stand for
+// (docs/API.md).
+namespace fuchsia::programs::entry
+{
+
+/// Reads and checks the headers of a caller's request; `reason` names the
+/// header that is wrong. Takes the body and headers out of `message`.
+std::optional<ports::caller_request>
+parse_caller_request(adapters::http::request& message,
+                     core::common::failure& reason);
+
+/// The first thing wrong with a request's method or headers; empty where none.
+std::optional<core::common::failure>
+find_fault(adapters::http::request const& message);
+
+adapters::http::response to_response(ports::caller_answer answer);
+
+} // namespace fuchsia::programs::entry
--- /dev/null
+++ b/src/programs/entry/entry_program.cpp
@@ -0,0 +1,308 @@
+#include "programs/entry/entry_program.hpp"
+
+#include "programs/entry/caller_headers.hpp"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace fuchsia::programs::entry
+{
+
+namespace
+{
+
+using core::common::clock;
+namespace http = adapters::http;
+
+constexpr std::size_t sends_ring = 8192;
+/// Each exchange has at most two ends, and slots bound the exchanges.
+constexpr std::size_t ends_ring = 32'768;
+constexpr core::common::duration sample_interval = std::chrono::seconds(1);
+
+adapters::daemon::shell_options
+shell_options_of(adapters::settings::entry_options const& options)
+{
+    adapters::daemon::shell_options shell;
+    shell.program = "fuchsia-entry";
+    shell.service = "fuchsia-entry";
+    shell.with_upstreams = true;
+    shell.http = options.http;
+    shell.waiting_requests = options.waiting_requests;
+    return shell;
+}
+
+} // namespace
+
+entry_program::entry_program(adapters::settings::entry_options options)
+    : options_(std::move(options)),
+      shell_(options_.daemon, shell_options_of(options_), events()),
+      metrics_(shell_.metrics()), self_(shell_.self()),
+      timer_(shell_.decisions().io()), sends_(upstreams_,
+                                              sends_ring,
+                                              [this](ports::upstream_send& send)
+                                              {
+                                                  call_upstream(send);
+                                              }),
+      ends_(shell_.decisions(),
+            ends_ring,
+            [this](ports::upstream_end& end)
+            {
+                on_upstream_end(end);
+            }),
+      client_(
+          std::make_unique<http::client>(upstreams_.io(), options_.upstreams))
+{
+}
+
+// The decision thread pushes to the upstream thread's ring and the other way
+// round, so both threads end before either ring does.
+entry_program::~entry_program()
+{
+    shell_.decisions().stop();
+    upstreams_.stop();
+}
+
+bool entry_program::listen(core::common::failure& reason)
+{
+    return shell_.listen(reason);
+}
+
+int entry_program::run()
+{
+    upstreams_.start();
+    return shell_.run();
+}
+
+adapters::daemon::shell_events entry_program::events()
+{
+    adapters::daemon::shell_events events;
+    events.on_start = [this](time_point now)
+    {
+        engine_ = make_engine();
+        engine_->start(now, actions_);
+        perform(now, false);
+    };
+    events.on_tick = [this](time_point now)
+    {
+        on_tick(now);
+    };
+    events.on_store_reply =
+        [this](time_point now, ports::store_reply const& reply)
+    {
+        engine_->on_store_reply(now, reply, actions_);
+        perform(now, false);
+    };
+    events.on_peer = [this](time_point now, ports::peer_receive& message)
+    {
+        engine_->on_peer(now, message, actions_);
+        perform(now, false);
+    };
+    events.on_instances =
+        [this](time_point now, ports::instance_list const& list)
+    {
+        engine_->on_instances(now, list, actions_);
+        perform(now, false);
+    };
+    events.on_request =
+        [this](time_point now, std::uint64_t id, http::request& message)
+    {
+        on_request(now, id, message);
+    };
+    events.on_stop = [this](time_point now)
+    {
+        engine_->begin_stop(now, actions_);
+        perform(now, false);
+    };
+    events.on_rejoin = [this](time_point now, ports::member_identity self)
+    {
+        on_rejoin(now, self);
+    };
+    events.screen =
+        [](http::request const& message) -> std::optional<http::response>
+    {
+        if (auto const fault = find_fault(message))
+        {
+            return http::failure_response(*fault);
+        }
+        return std::nullopt;
+    };
+    return events;
+}
+
+std::unique_ptr<entry_program::engine> entry_program::make_engine() const
+{
+    core::membership::member_info info;
+    info.id = self_;
+    info.role = "entry";
+    info.data_centre = options_.daemon.data_centre;
+    info.peer_address = shell_.peer_address();
+    info.http_address = shell_.http_address();
+    return std::make_unique<engine>(
+        options_.engine, std::move(info), self_.incarnation);
+}
+
+void entry_program::on_request(time_point now,
+                               std::uint64_t id,
+                               http::request& message)
+{
+    core::common::failure reason;
+    auto request = parse_caller_request(message, reason);
+    if (!request)
+    {
+        shell_.answer(id, http::failure_response(reason));
+        return;
+    }
+    waiting_.emplace(id,
+                     waiting_request{request->customer, request->kind, now});
+    engine_->on_caller_request(now, id, std::move(*request), actions_);
+    perform(now, false);
+}
+
+void entry_program::on_tick(time_point now)
+{
+    engine_->tick(now, actions_);
+    perform(now, false);
+    for (auto& old : retired_)
+    {
+        old->tick(now, actions_);
+        perform(now, true);
+    }
+    std::erase_if(retired_,
+                  [now](auto const& old)
+                  {
+                      return old->status(now).open == 0;
+                  });
+    shell_.set_ready(engine_->ready(now));
+    if (now >= next_sample_)
+    {
+        next_sample_ = now + sample_interval;
+        metrics_.sample(engine_->status(now), engine_->counts());
+    }
+}
+
+// Requests that the buried incarnation has running on upstreams still end and
+// are answered; all else belongs to the new one.
+void entry_program::on_rejoin(time_point now,
+                              ports::member_identity const& self)
+{
+    self_ = self;
+    engine_->retire(now, actions_);
+    perform(now, true);
+    retired_.push_back(std::move(engine_));
+    engine_ = make_engine();
+    engine_->start(now, actions_);
+    perform(now, false);
+}
+
+void entry_program::on_upstream_end(ports::upstream_end& end)
+{
+    auto const now = clock::now();
+    engine_->on_upstream_end(now, end, actions_);
+    perform(now, false);
+    for (auto& old : retired_)
+    {
+        old->on_upstream_end(now, end, actions_);
+        perform(now, true);
+    }
+}
+
+// A buried incarnation may answer its callers but speak to nobody else.
+void entry_program::perform(time_point now, bool retired)
+{
+    auto actions = std::exchange(actions_, {});
+    for (auto& action : actions)
+    {
+        if (auto* answer = std::get_if<ports::caller_reply>(&action))
+        {
+            reply(now, *answer);
+        }
+        else if (auto* send = std::get_if<ports::upstream_send>(&action))
+        {
+            send_upstream(now, *send);
+        }
+        else if (!retired || std::holds_alternative<ports::log_event>(action))
+        {
+            shell_.perform(action);
+        }
+    }
+    arm_timer();
+}
+
+void entry_program::reply(time_point now, ports::caller_reply& reply)
+{
+    auto const found = waiting_.find(reply.caller);
+    if (found == waiting_.end())
+    {
+        return;
+    }
+    metrics_.on_answer(found->second.customer,
+                       found->second.kind,
+                       reply.answer,
+                       now - found->second.received);
+    waiting_.erase(found);
+    shell_.answer(reply.caller, to_response(std::move(reply.answer)));
+}
+
+void entry_program::send_upstream(time_point now, ports::upstream_send& send)
+{
+    auto const exchange = send.exchange;
+    if (sends_.try_push(send))
+    {
+        return;
+    }
+    ports::upstream_end end;
+    end.exchange = exchange;
+    end.status = ports::exchange_status::not_sent;
+    engine_->on_upstream_end(now, end, actions_);
+    perform(now, false);
+}
+
+// Deadlines are finer than the shell's tick.
+void entry_program::arm_timer()
+{
+    auto const due = engine_->next_timer();
+    if (!due || (timer_due_ && *timer_due_ <= *due))
+    {
+        return;
+    }
+    timer_due_ = due;
+    timer_.expires_at(*due);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (error)
+            {
+                return;
+            }
+            timer_due_.reset();
+            auto const now = clock::now();
+            engine_->tick(now, actions_);
+            perform(now, false);
+        });
+}
+
+void entry_program::call_upstream(ports::upstream_send& send)
+{
+    http::client_call call;
+    call.where = std::move(send.where);
+    call.message.method = std::move(send.request.method);
+    call.message.target = std::move(send.request.target);
+    call.message.headers = std::move(send.request.headers);
+    call.message.body = std::move(send.request.body);
+    call.timeout = send.timeout;
+    call.drain = true;
+    client_->send(std::move(call),
+                  [this, exchange = send.exchange](
+                      ports::exchange_status status, http::response response)
+                  {
+                      ports::upstream_end end;
+                      end.exchange = exchange;
+                      end.status = status;
+                      end.http_status = response.status;
+                      end.headers = std::move(response.headers);
+                      end.body = std::move(response.body);
+                      ends_.try_push(end);
+                  });
+}
+
+} // namespace fuchsia::programs::entry
