--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "core/claims/claim_record.hpp"
 #include "core/common/time.hpp"
 #include "core/membership/member.hpp"
 #include "ports/actions.hpp"
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,8 @@
     ports::member_identity owner; ///< Empty name: nobody.
     std::uint64_t epoch = 0;      ///< Rises with every change of owner.
     std::uint64_t version = 0;    ///< The store's version of its key.
+    /// Who released it last; empty name where its owner was buried.
+    ports::member_identity released_by;
 };
 
 enum class claim_change_kind : std::uint8_t
@@ -38,17 +42,63 @@
     ports::member_identity before;
     /// Acquired by `release` of a live predecessor rather than by burial.
     bool handed_over = false;
+    /// Of `handover_asked`: who is wished; empty name where nobody is left.
+    ports::member_identity wished;
+};
+
+struct claim_settings
+{
+    /// One long poll of the partitions waits this long. An answer carries all
+    /// of them (64 are about 16 KB), so a short wait would cost bandwidth:
+    /// every 30 s it is 0.5 KB/s.
+    common::duration watch_wait = std::chrono::seconds(30);
+    /// Between two polls while claims change: one answer covers many changes.
+    common::duration watch_gap = std::chrono::milliseconds(250);
+    /// Pause before a call is tried again that the store did not answer.
+    common::duration retry_interval = std::chrono::milliseconds(500);
+    /// A member must have been live this long before claims are handed over
+    /// to it: one that comes and goes would move them each time.
+    common::duration settle = std::chrono::seconds(5);
+    /// A member claims nothing before it has been live this long, so that
+    /// members which start together share out at once.
+    common::duration claim_after = std::chrono::seconds(1);
+    /// Most claims and releases under way at once.
+    std::uint32_t max_writes = 4;
+    /// Most handovers that are asked for at once, but in a planned stop.
+    std::uint32_t max_handovers = 8;
+    /// A buried record is erased once no claim has named it for this long.
+    common::duration keep_buried = std::chrono::seconds(60);
+};
+
+/// Store calls that a claim table made since it was made.
+struct claim_counts
+{
+    std::uint64_t lists = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t erases = 0;
 };
 
 /// The partitions of one role: reads `partitions/<role>/`, claims by CAS those
 /// that nobody live owns and that rendezvous hashing gives to this member, and
 /// tells which are owned.
+///
+/// A claim names its owner's incarnation. It may be taken over only once that
+/// incarnation is buried or removed, or once the owner itself released it; so
+/// whom the table shows as owner is the only one that may act, for as long as
+/// its membership's proof stands.
 class claim_table
 {
 public:
+    /// Most partitions of a role.
+    static constexpr std::size_t max_partitions = 4096;
+
     /// `partitions` may be replaced later (`set_partitions`): a planner's
     /// cells follow the list of workers.
-    claim_table(std::string role, std::vector<std::string> partitions);
+    claim_table(std::string role,
+                std::vector<std::string> partitions,
+                claim_settings settings = {});
 
     void set_partitions(std::vector<std::string> partitions);
 
@@ -62,7 +112,8 @@
                         membership::member const& members,
                         ports::actions& out);
 
-    /// Gives up one partition by CAS, in a handover or a planned stop.
+    /// Gives up one partition by CAS, in a handover or a planned stop. It is
+    /// no longer owned from this call on; `lost` tells when the store has it.
     void release(common::time_point now,
                  std::string const& partition,
                  ports::actions& out);
@@ -77,17 +128,132 @@
     std::map<std::string, claim> const& all() const noexcept;
     /// Names of the partitions that are this member's.
     std::vector<std::string> owned(membership::member const& members) const;
+    /// How many partitions the store may still show as this member's, those
+    /// being released included. A planned stop waits until there is none.
+    std::size_t held(membership::member const& members) const noexcept;
+    /// Who should own the partition: the rendezvous winner of the live members
+    /// that don't leave. Null where there is none.
+    membership::member_info const*
+    wished(std::string const& partition,
+           membership::member const& members) const;
     /// Whether the table has been read at least once.
     bool known() const noexcept;
+    claim_counts const& counts() const noexcept;
 
-    /// Changes since the last call.
+    /// Changes since the last call. To be called after each event.
     std::vector<claim_change> take_changes();
 
 private:
+    enum class call_kind : std::uint8_t
+    {
+        list,
+        claim,
+        release,
+        read,
+        erase,
+    };
+
+    struct pending_call
+    {
+        call_kind kind = call_kind::list;
+        common::time_point sent;
+        std::string partition;
+        claim_record written;
+    };
+
+    /// What is known of one partition beyond its claim.
+    struct progress
+    {
+        common::time_point seen;  ///< When this version was first shown.
+        common::time_point retry; ///< No call about it before this.
+        bool calling = false;
+        bool read_back = false; ///< A write is unclear: read before the next.
+        bool releasing = false; ///< Given up; ours no more, whatever is shown.
+        bool asked = false;     ///< A handover was asked for.
+        ports::member_identity asked_for; ///< Whom it was asked for.
+    };
+
+    /// Names of the members that may own something, sorted.
+    struct candidates
+    {
+        std::vector<std::string> live;    ///< All that don't leave.
+        std::vector<std::string> settled; ///< Those live long enough, and we.
+    };
+
+    candidates find_candidates(common::time_point now,
+                               membership::member const& members) const;
+    void drive_list(common::time_point now, ports::actions& out);
+    void drive_free(common::time_point now,
+                    claim const& current,
+                    progress const& state,
+                    membership::member const& members,
+                    candidates const& who,
+                    ports::actions& out);
+    void drive_owned(claim const& current,
+                     progress& state,
+                     membership::member const& members,
+                     candidates const& who);
+    void drive_calls(common::time_point now,
+                     claim const& current,
+                     progress const& state,
+                     ports::actions& out);
+    void drive_buried(common::time_point now,
+                      membership::member const& members,
+                      candidates const& who,
+                      ports::actions& out);
+    bool may_claim(common::time_point now,
+                   membership::member const& members) const;
+    bool is_free(claim const& current,
+                 progress const& state,
+                 membership::member const& members) const;
+    bool names_owner(ports::member_identity const& id) const;
+    std::size_t handovers_asked() const;
+    void write_claim(common::time_point now,
+                     claim const& current,
+                     ports::actions& out);
+    void write_release(common::time_point now,
+                       claim const& current,
+                       ports::actions& out);
+    void on_list(common::time_point now,
+                 pending_call const& answered,
+                 ports::store_reply const& reply);
+    void on_read(common::time_point now,
+                 pending_call const& answered,
+                 ports::store_reply const& reply);
+    void on_write(common::time_point now,
+                  pending_call const& answered,
+                  ports::store_reply const& reply);
+    void take(common::time_point now,
+              std::string const& partition,
+              claim_record const& value,
+              std::uint64_t version);
+    void take_entry(common::time_point now, ports::store_entry const& entry);
+    void take_absent(common::time_point now, std::string const& partition);
+    void tell_change(claim const& before, claim const& after, bool releasing);
+    void call(common::time_point now,
+              pending_call what,
+              ports::store_operation operation,
+              ports::actions& out);
+
     std::string role_;
+    std::string prefix_;
     std::vector<std::string> partitions_;
+    claim_settings settings_;
     std::map<std::string, claim> claims_;
+    std::map<std::string, progress> progress_;
     std::vector<claim_change> changes_;
+    std::map<std::uint64_t, pending_call> calls_;
+    claim_counts counts_;
+    ports::member_identity self_;
+    std::mt19937_64 random_;
+    std::uint64_t last_call_ = 0;
+    std::uint64_t index_ = 0;
+    common::time_point next_list_{};
+    std::uint32_t writes_ = 0;
+    bool list_in_flight_ = false;
+    bool known_ = false;
+    bool leaving_ = false;
+    bool erasing_ = false; ///< A buried record is being erased.
 };
 
 } // namespace fuchsia::core::claims
--- /dev/null
+++ b/src/core/membership/burial.cpp
@@ -0,0 +1,238 @@
+#include "core/membership/burial.hpp"
+
+#include "core/common/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::membership
+{
+
+namespace
+{
+
+/// Each rank in the hash order waits this much longer than the one before.
+constexpr common::duration rank_step = std::chrono::milliseconds(400);
+/// Ranks beyond this wait no longer: nobody depends on many others.
+constexpr std::size_t last_rank = 6;
+
+} // namespace
+
+burial::burial(settings const& settings, safety_parts parts)
+    : settings_(settings), parts_(parts)
+{
+}
+
+burial_steps burial::next(common::time_point now,
+                          ports::member_identity const& observer,
+                          bool joined,
+                          roster const& members,
+                          platform_list const& platform,
+                          witness& own,
+                          std::mt19937_64& random)
+{
+    burial_steps steps;
+    drop_settled(members);
+    for (auto const& [name, seen] : members.records())
+    {
+        auto const& id = seen.value.info.id;
+        bool const predecessor = name == observer.name && id != observer;
+        if (id == observer || (!joined && !predecessor) ||
+            !stands_still(seen, members))
+        {
+            continue;
+        }
+        auto const wait = predecessor ? common::duration{}
+                                      : rank_delay(observer, id, members);
+        if (now - seen.version_seen < settings_.bury + wait)
+        {
+            if (parts_.unchanged_version)
+            {
+                continue;
+            }
+        }
+        if (candidates_.size() == max_candidates &&
+            candidates_.count(name) == 0)
+        {
+            continue;
+        }
+        auto& subject = candidates_[name];
+        if (subject.version != seen.version)
+        {
+            subject = {};
+            subject.subject = id;
+            subject.version = seen.version;
+        }
+        ask(now, subject, seen.value, observer, members, own, steps);
+        if (!subject.writing && now >= subject.next_write &&
+            may_bury(now, subject, seen.value, members, platform))
+        {
+            subject.writing = true;
+            steps.writes.push_back(
+                {id,
+                 {members_prefix(seen.value.info.role) + name,
+                  to_json(buried(seen.value, random())),
+                  seen.version}});
+        }
+    }
+    return steps;
+}
+
+// What is no longer as it was when pursued ends here; a write under way is
+// waited for, so that its answer finds its candidate.
+void burial::drop_settled(roster const& members)
+{
+    std::erase_if(candidates_,
+                  [&members](auto const& entry)
+                  {
+                      auto const* seen = members.find(entry.first);
+                      return !entry.second.writing &&
+                             (seen == nullptr || seen->value.buried ||
+                              seen->version != entry.second.version);
+                  });
+}
+
+// A beat that was applied before the first list was sent before it, so its
+// proof ends within `bury` of that list; one that was applied after it changed
+// the version. The first list's answer came in at `version_seen`.
+bool burial::stands_still(seen_record const& seen, roster const& members) const
+{
+    if (!seen.readable || seen.value.buried)
+    {
+        return false;
+    }
+    return !parts_.unchanged_version ||
+           members.list_sent() - seen.version_seen >= settings_.bury;
+}
+
+common::duration burial::rank_delay(ports::member_identity const& observer,
+                                    ports::member_identity const& subject,
+                                    roster const& members) const
+{
+    std::uint64_t const seed = subject.incarnation;
+    std::uint64_t const mine = common::hash_of(observer.name, seed);
+    auto const& live = members.live();
+    auto const rank =
+        std::count_if(live.begin(),
+                      live.end(),
+                      [&](member_info const& other)
+                      {
+                          return other.id != subject &&
+                                 common::hash_of(other.id.name, seed) > mine;
+                      });
+    return rank_step * std::min<std::int64_t>(rank, last_rank);
+}
+
+void burial::ask(common::time_point now,
+                 candidate& subject,
+                 record const& value,
+                 ports::member_identity const& observer,
+                 roster const& members,
+                 witness& own,
+                 burial_steps& steps) const
+{
+    if (now < subject.next_question)
+    {
+        return;
+    }
+    subject.next_question = now + settings_.beat_interval;
+    for (auto const& id : value.witnesses)
+    {
+        if (subject.consents.count(id) != 0)
+        {
+            continue;
+        }
+        if (id != observer)
+        {
+            steps.questions.push_back({id, subject.subject, subject.version});
+        }
+        else if (own.consent(now, subject.subject, subject.version, members))
+        {
+            subject.consents.insert(id);
+        }
+    }
+}
+
+bool burial::may_bury(common::time_point now,
+                      candidate const& subject,
+                      record const& value,
+                      roster const& members,
+                      platform_list const& platform) const
+{
+    if (!parts_.consent || value.witnesses.empty())
+    {
+        return true; // Without witnesses only the store gives proofs.
+    }
+    auto const agreed =
+        std::count_if(value.witnesses.begin(),
+                      value.witnesses.end(),
+                      [&](ports::member_identity const& id)
+                      {
+                          return subject.consents.count(id) != 0 ||
+                                 is_gone(now, id, members, platform);
+                      });
+    return static_cast<std::size_t>(agreed) > value.witnesses.size() / 2;
+}
+
+// A witness that is gone gave its last promise before it went, so `bury` after
+// its going was seen its promises are over. That its record stands still or is
+// buried is no proof that it is gone: it may have lost only the store, and go
+// on promising. Nor is a record that was removed: an operator may be wrong.
+bool burial::is_gone(common::time_point now,
+                     ports::member_identity const& witness,
+                     roster const& members,
+                     platform_list const& platform) const
+{
+    if (!settings_.list_stands_in)
+    {
+        return false;
+    }
+    auto const* seen = members.find(witness.name);
+    if (seen == nullptr)
+    {
+        return platform.dropped_for(
+            witness.name, common::time_point::min(), settings_.bury);
+    }
+    if (!seen->readable)
+    {
+        return false;
+    }
+    if (seen->value.info.id != witness)
+    {
+        return now - seen->incarnation_seen >= settings_.bury;
+    }
+    if (seen->value.successor != 0 &&
+        now - seen->successor_seen >= settings_.bury)
+    {
+        return true;
+    }
+    // Whoever still beats runs, whatever a list says that lags.
+    bool const beats = now - seen->version_seen < settings_.bury;
+    return !beats && platform.dropped_for(
+                         witness.name, seen->incarnation_seen, settings_.bury);
+}
+
+void burial::consented(ports::member_identity const& witness,
+                       ports::member_identity const& subject,
+                       std::uint64_t version)
+{
+    auto const place = candidates_.find(subject.name);
+    if (place != candidates_.end() && place->second.subject == subject &&
+        place->second.version == version)
+    {
+        place->second.consents.insert(witness);
+    }
+}
+
+void burial::write_ended(common::time_point now,
+                         ports::member_identity const& subject)
+{
+    auto const place = candidates_.find(subject.name);
+    if (place != candidates_.end())
+    {
+        place->second.writing = false;
+        place->second.next_write = now + settings_.list_interval;
+    }
+}
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/burial.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "core/common/time.hpp"
+#include "core/membership/platform_list.hpp"
+#include "core/membership/roster.hpp"
+#include "core/membership/safety_parts.hpp"
+#include "core/membership/settings.hpp"
+#include "core/membership/witness.hpp"
+#include "ports/identity.hpp"
+#include "ports/store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+// Finds members whose record stands still, and buries them.
+namespace fuchsia::core::membership
+{
+
+/// "Ask `witness` whether `subject` may be buried at `version`."
+struct consent_question
+{
+    ports::member_identity witness;
+    ports::member_identity subject;
+    std::uint64_t version = 0;
+};
+
+/// "Write `operation`; its answer belongs to the burial of `subject`."
+struct burial_write
+{
+    ports::member_identity subject;
+    ports::store_write operation;
+};
+
+/// What `burial::next` decided.
+struct burial_steps
+{
+    std::vector<consent_question> questions;
+    std::vector<burial_write> writes;
+};
+
+/// The observer's part of a takeover. Three conditions bury member X:
+/// 1. two lists answered by the store, the second sent at least `bury` after
+///    the first came in, show X's record at the same version v;
+/// 2. a majority of the witnesses named in v consents, or is gone: the
+///    platform's list has dropped them for `bury`, or a newer process has run
+///    under their names for `bury` (both only with `list_stands_in`);
+/// 3. a compare-and-swap of X's record from v to buried succeeds.
+///
+/// Any member may observe. So that not all ask and write at once, each waits
+/// longer by its rank in a hash order drawn for the subject.
+class burial
+{
+public:
+    /// Most burials pursued at once; the rest waits for its turn.
+    static constexpr std::size_t max_candidates = 64;
+
+    burial(settings const& settings, safety_parts parts);
+
+    /// `observer` buries any member, or, while it has not joined, only
+    /// `predecessor`, the earlier incarnation under its own name.
+    burial_steps next(common::time_point now,
+                      ports::member_identity const& observer,
+                      bool joined,
+                      roster const& members,
+                      platform_list const& platform,
+                      witness& own,
+                      std::mt19937_64& random);
+    void consented(ports::member_identity const& witness,
+                   ports::member_identity const& subject,
+                   std::uint64_t version);
+    /// The answer to a `burial_write` came.
+    void write_ended(common::time_point now,
+                     ports::member_identity const& subject);
+
+private:
+    struct candidate
+    {
+        ports::member_identity subject;
+        std::uint64_t version = 0;
+        std::set<ports::member_identity> consents;
+        common::time_point next_question{};
+        common::time_point next_write{};
+        bool writing = false;
+    };
+
+    bool stands_still(seen_record const& seen, roster const& members) const;
+    common::duration rank_delay(ports::member_identity const& observer,
+                                ports::member_identity const& subject,
+                                roster const& members) const;
+    bool is_gone(common::time_point now,
+                 ports::member_identity const& witness,
+                 roster const& members,
+                 platform_list const& platform) const;
+    bool may_bury(common::time_point now,
+                  candidate const& subject,
+                  record const& value,
+                  roster const& members,
+                  platform_list const& platform) const;
+    void ask(common::time_point now,
+             candidate& subject,
+             record const& value,
+             ports::member_identity const& observer,
+             roster const& members,
+             witness& own,
+             burial_steps& steps) const;
+    void drop_settled(roster const& members);
+
+    settings settings_;
+    safety_parts parts_;
+    std::map<std::string, candidate, std::less<>> candidates_;
+};
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/lifecycle.cpp
@@ -0,0 +1,241 @@
+#include "core/membership/lifecycle.hpp"
+
+// MSM's containers must hold more rows than Boost.MPL's default of 20.
+#define BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS
+#define BOOST_MPL_LIMIT_LIST_SIZE 30
+#define BOOST_MPL_LIMIT_VECTOR_SIZE 30
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+#include <utility>
+
+namespace fuchsia::core::membership
+{
+
+namespace
+{
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+struct record_stands
+{
+};
+struct proof_by_store
+{
+};
+struct proof_by_witnesses
+{
+};
+struct proof_over
+{
+};
+struct remove_asked
+{
+};
+struct record_erased
+{
+};
+struct record_taken
+{
+};
+
+struct joining_state : msm::front::state<>
+{
+};
+struct by_store_state : msm::front::state<>
+{
+};
+struct by_witnesses_state : msm::front::state<>
+{
+};
+struct out_of_proof_state : msm::front::state<>
+{
+};
+struct removing_state : msm::front::state<>
+{
+};
+struct gone_state : msm::front::state<>
+{
+};
+struct buried_state : msm::front::state<>
+{
+};
+
+struct member_life : msm::front::state_machine_def<member_life>
+{
+    using initial_state = joining_state;
+
+    // clang-format off
+    struct transition_table : boost::mpl::vector<
+        Row<joining_state,      record_stands,      out_of_proof_state, none>,
+        Row<joining_state,      remove_asked,       removing_state,     none>,
+        Row<joining_state,      record_taken,       buried_state,       none>,
+        Row<out_of_proof_state, proof_by_store,     by_store_state,     none>,
+        Row<out_of_proof_state, proof_by_witnesses, by_witnesses_state, none>,
+        Row<out_of_proof_state, remove_asked,       removing_state,     none>,
+        Row<out_of_proof_state, record_taken,       buried_state,       none>,
+        Row<by_store_state,     proof_by_witnesses, by_witnesses_state, none>,
+        Row<by_store_state,     proof_over,         out_of_proof_state, none>,
+        Row<by_store_state,     remove_asked,       removing_state,     none>,
+        Row<by_store_state,     record_taken,       buried_state,       none>,
+        Row<by_witnesses_state, proof_by_store,     by_store_state,     none>,
+        Row<by_witnesses_state, proof_over,         out_of_proof_state, none>,
+        Row<by_witnesses_state, remove_asked,       removing_state,     none>,
+        Row<by_witnesses_state, record_taken,       buried_state,       none>,
+        Row<removing_state,     record_erased,      gone_state,         none>
+    > {};
+    // clang-format on
+
+    // What arrives late, such as a proof while the record is being erased,
+    // changes nothing.
+    template<class Machine, class Event>
+    void no_transition(Event const&, Machine&, int)
+    {
+    }
+};
+
+using life_machine = msm::back::state_machine<member_life>;
+
+template<class State>
+constexpr int state_number =
+    msm::back::get_state_id<life_machine::stt, State>::value;
+
+struct phase_row
+{
+    phase value;
+    int state; ///< MSM's number of the state.
+    std::string_view name;
+};
+
+constexpr std::array<phase_row, 7> phase_table{{
+    {phase::joining, state_number<joining_state>, "joining"},
+    {phase::active_by_store, state_number<by_store_state>, "active_by_store"},
+    {phase::active_by_witnesses,
+     state_number<by_witnesses_state>,
+     "active_by_witnesses"},
+    {phase::out_of_proof, state_number<out_of_proof_state>, "out_of_proof"},
+    {phase::removing, state_number<removing_state>, "removing"},
+    {phase::gone, state_number<gone_state>, "gone"},
+    {phase::buried, state_number<buried_state>, "buried"},
+}};
+
+} // namespace
+
+std::string_view name_of(phase value) noexcept
+{
+    for (auto const& row : phase_table)
+    {
+        if (row.value == value)
+        {
+            return row.name;
+        }
+    }
+    return {};
+}
+
+struct lifecycle::machine
+{
+    life_machine life;
+};
+
+lifecycle::lifecycle(std::string member)
+    : machine_(std::make_unique<machine>()), member_(std::move(member))
+{
+    machine_->life.start();
+}
+
+lifecycle::~lifecycle() = default;
+lifecycle::lifecycle(lifecycle&& other) noexcept = default;
+lifecycle& lifecycle::operator=(lifecycle&& other) noexcept = default;
+
+void lifecycle::joined(ports::actions& out)
+{
+    phase const before = now();
+    machine_->life.process_event(record_stands{});
+    tell(before, "record stands", out);
+}
+
+void lifecycle::proved(proof_source source, ports::actions& out)
+{
+    phase const before = now();
+    switch (source)
+    {
+    case proof_source::store:
+        machine_->life.process_event(proof_by_store{});
+        break;
+    case proof_source::witnesses:
+        machine_->life.process_event(proof_by_witnesses{});
+        break;
+    case proof_source::none:
+        machine_->life.process_event(proof_over{});
+        break;
+    }
+    tell(before, "proof", out);
+}
+
+void lifecycle::removing(ports::actions& out)
+{
+    phase const before = now();
+    machine_->life.process_event(remove_asked{});
+    tell(before, "planned stop", out);
+}
+
+void lifecycle::removed(ports::actions& out)
+{
+    phase const before = now();
+    machine_->life.process_event(record_erased{});
+    tell(before, "planned stop", out);
+}
+
+void lifecycle::fenced(std::string const& why, ports::actions& out)
+{
+    phase const before = now();
+    machine_->life.process_event(record_taken{});
+    tell(before, why, out);
+}
+
+phase lifecycle::now() const noexcept
+{
+    int const state = machine_->life.current_state()[0];
+    for (auto const& row : phase_table)
+    {
+        if (row.state == state)
+        {
+            return row.value;
+        }
+    }
+    return phase::buried;
+}
+
+bool lifecycle::takes_part() const noexcept
+{
+    phase const here = now();
+    return here != phase::removing && here != phase::gone &&
+           here != phase::buried;
+}
+
+void lifecycle::tell(phase before,
+                     std::string const& why,
+                     ports::actions& out) const
+{
+    phase const after = now();
+    if (after == before)
+    {
+        return;
+    }
+    bool const bad = after == phase::out_of_proof || after == phase::buried;
+    out.emplace_back(
+        ports::log_event{bad ? ports::severity::warning : ports::severity::info,
+                         "member_phase",
+                         {{"member", member_},
+                          {"from", std::string(name_of(before))},
+                          {"to", std::string(name_of(after))},
+                          {"why", why}}});
+}
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/lifecycle.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "ports/actions.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace fuchsia::core::membership
+{
+
+/// What a member may do at present.
+enum class phase : std::uint8_t
+{
+    joining,             ///< Its record does not stand yet.
+    active_by_store,     ///< Its newest proof is an accepted beat.
+    active_by_witnesses, ///< The store is silent; its witnesses promised.
+    out_of_proof,        ///< Alive, but acts on nothing.
+    removing,            ///< Planned stop: the record is being erased.
+    gone,                ///< Planned stop: the store has no record any more.
+    buried,              ///< Over: the store shows another in its place.
+};
+
+std::string_view name_of(phase value) noexcept;
+
+/// Where the newest proof comes from.
+enum class proof_source : std::uint8_t
+{
+    none,
+    store,
+    witnesses,
+};
+
+/// The life of one member as a state machine (Boost.MSM, in the .cpp). It
+/// holds no rule of safety of its own; it keeps the phases in their order, so
+/// that nothing leads out of `gone` or `buried`, and logs each change.
+class lifecycle
+{
+public:
+    explicit lifecycle(std::string member);
+    ~lifecycle();
+    lifecycle(lifecycle&& other) noexcept;
+    lifecycle& operator=(lifecycle&& other) noexcept;
+    lifecycle(lifecycle const&) = delete;
+    lifecycle& operator=(lifecycle const&) = delete;
+
+    /// The record stands.
+    void joined(ports::actions& out);
+    /// The proof comes from here now.
+    void proved(proof_source source, ports::actions& out);
+    /// A planned stop erases the record.
+    void removing(ports::actions& out);
+    void removed(ports::actions& out);
+    /// Another wrote the record.
+    void fenced(std::string const& why, ports::actions& out);
+
+    phase now() const noexcept;
+    /// Whether this incarnation still takes part: not removing, gone, buried.
+    bool takes_part() const noexcept;
+
+private:
+    struct machine;
+    std::unique_ptr<machine> machine_;
+    std::string member_;
+
+    void tell(phase before, std::string const& why, ports::actions& out) const;
+};
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/member.cpp
@@ -0,0 +1,501 @@
+#include "core/membership/member.hpp"
+
+#include "core/membership/witness_choice.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace fuchsia::core::membership
+{
+
+namespace
+{
+
+constexpr common::duration no_proof_age = std::chrono::hours(24 * 365);
+
+} // namespace
+
+member::member(settings settings,
+               member_info self,
+               std::uint64_t seed,
+               safety_parts parts)
+    : settings_(settings), random_(seed), roster_(self.role), proof_(parts),
+      witness_(settings.bury), burial_(settings, parts), life_(self.id.name),
+      own_(std::move(self), settings.beat_interval)
+{
+}
+
+void member::start(common::time_point now, ports::actions& out)
+{
+    started_ = true;
+    notice(now, out);
+    drive(now, out);
+}
+
+void member::tick(common::time_point now, ports::actions& out)
+{
+    notice(now, out);
+    drive(now, out);
+}
+
+// A frozen process wakes with its old proofs and with frames in its buffers,
+// while others may have buried it and taken over. The gap since it last did
+// anything shows that, before anything is decided on what it believed.
+void member::notice(common::time_point now, ports::actions& out)
+{
+    bool const paused = last_seen_ && now - *last_seen_ > settings_.pause_limit;
+    if (paused)
+    {
+        ++counts_.pauses;
+        proof_.void_all(now);
+        witness_.after_pause(now);
+        own_.hurry(now);
+        next_round_ = now;
+        out.emplace_back(ports::reset_peers{});
+        out.emplace_back(ports::log_event{
+            ports::severity::warning,
+            "member_paused",
+            {{"member", self().id.name},
+             {"gap_ms",
+              std::to_string(common::to_milliseconds(now - *last_seen_))}}});
+        follow_proof(now, out);
+    }
+    last_seen_ = now;
+}
+
+void member::drive(common::time_point now, ports::actions& out)
+{
+    if (!started_)
+    {
+        return;
+    }
+    drive_own(now, out);
+    if (life_.takes_part())
+    {
+        drive_list(now, out);
+        drive_rounds(now, out);
+        drive_burials(now, out);
+    }
+    follow_proof(now, out);
+}
+
+void member::drive_own(common::time_point now, ports::actions& out)
+{
+    auto operation = own_.next(now, wanted_witnesses_, random_);
+    if (!operation)
+    {
+        return;
+    }
+    if (std::holds_alternative<ports::store_read>(*operation))
+    {
+        ++counts_.own_reads;
+    }
+    else
+    {
+        ++counts_.own_writes;
+    }
+    call(now, call_kind::own, std::move(*operation), out);
+}
+
+void member::drive_list(common::time_point now, ports::actions& out)
+{
+    if (list_in_flight_ || now < next_list_)
+    {
+        return;
+    }
+    list_in_flight_ = true;
+    next_list_ = now + settings_.list_interval;
+    ++counts_.lists;
+    call(now,
+         call_kind::list,
+         ports::store_list{members_prefix(self().role)},
+         out);
+}
+
+void member::drive_rounds(common::time_point now, ports::actions& out)
+{
+    if (!own_.joined() || now < next_round_ ||
+        proof_age(now) < settings_.hold / 2)
+    {
+        return;
+    }
+    next_round_ = now + settings_.hold / 3;
+    std::set<ports::member_identity> asked;
+    for (auto const& list : own_.possible_lists())
+    {
+        asked.insert(list.begin(), list.end());
+    }
+    ports::promise_request const request{
+        proof_.begin_round(now), own_.version(), self().config_revision};
+    for (auto const& id : asked)
+    {
+        ++counts_.promise_requests;
+        send(id, request, out);
+    }
+}
+
+void member::drive_burials(common::time_point now, ports::actions& out)
+{
+    auto steps = burial_.next(
+        now, self().id, own_.joined(), roster_, platform_, witness_, random_);
+    for (auto const& question : steps.questions)
+    {
+        ++counts_.consent_requests;
+        send(question.witness,
+             ports::consent_request{question.subject, question.version},
+             out);
+    }
+    for (auto& write : steps.writes)
+    {
+        ++counts_.burial_writes;
+        out.emplace_back(ports::log_event{
+            ports::severity::warning,
+            "member_burial",
+            {{"member", self().id.name},
+             {"subject", write.subject.name},
+             {"incarnation", to_hexadecimal(write.subject.incarnation)},
+             {"version", std::to_string(write.operation.expected)}}});
+        call(now,
+             call_kind::burial,
+             std::move(write.operation),
+             out,
+             write.subject);
+    }
+}
+
+void member::follow_proof(common::time_point now, ports::actions& out)
+{
+    if (proof_age(now) >= settings_.hold)
+    {
+        life_.proved(proof_source::none, out);
+    }
+    else
+    {
+        life_.proved(proof_.newest_is_from_store() ? proof_source::store
+                                                   : proof_source::witnesses,
+                     out);
+    }
+}
+
+void member::on_store_reply(common::time_point now,
+                            ports::store_reply const& reply,
+                            ports::actions& out)
+{
+    notice(now, out);
+    auto const place = calls_.find(reply.id.number);
+    if (place == calls_.end())
+    {
+        return;
+    }
+    pending_call const answered = std::move(place->second);
+    calls_.erase(place);
+    switch (answered.kind)
+    {
+    case call_kind::own:
+        on_own_reply(now, reply, out);
+        break;
+    case call_kind::list:
+        on_list_reply(now, answered.sent, reply, out);
+        break;
+    case call_kind::burial:
+        burial_.write_ended(now, answered.subject);
+        next_list_ = now; // Shows what became of it.
+        break;
+    }
+    drive(now, out);
+}
+
+void member::on_own_reply(common::time_point now,
+                          ports::store_reply const& reply,
+                          ports::actions& out)
+{
+    auto const news = own_.on_reply(now, reply);
+    if (!news.fenced.empty())
+    {
+        bool const took_part = life_.takes_part();
+        life_.fenced(news.fenced, out);
+        if (took_part)
+        {
+            out.emplace_back(ports::rejoin{news.fenced});
+        }
+        return;
+    }
+    if (news.accepted_sent)
+    {
+        life_.joined(out);
+        proof_.store_accepted(now, *news.accepted_sent);
+        roster_.note(now, own_.standing(), own_.version());
+    }
+    if (own_.removed())
+    {
+        life_.removed(out);
+    }
+}
+
+void member::on_list_reply(common::time_point now,
+                           common::time_point sent,
+                           ports::store_reply const& reply,
+                           ports::actions& out)
+{
+    list_in_flight_ = false;
+    if (reply.status != ports::store_status::done)
+    {
+        return;
+    }
+    common::failure reason;
+    bool const taken = roster_.apply(now, sent, reply, reason);
+    if (reason.code != common::result_code::ok)
+    {
+        out.emplace_back(ports::log_event{
+            ports::severity::error,
+            "member_list_unreadable",
+            {{"member", self().id.name}, {"why", common::to_string(reason)}}});
+    }
+    if (!taken)
+    {
+        return;
+    }
+    witness_.learn(now, roster_);
+    wanted_witnesses_ =
+        choose_witnesses(self().id, roster_.live(), settings_.witness_count);
+    if (own_record_changed())
+    {
+        own_.look_again();
+    }
+}
+
+// A list is no proof of anything about the own record, but a reason to look.
+bool member::own_record_changed() const noexcept
+{
+    auto const* seen = roster_.find(self().id.name);
+    if (seen == nullptr || !seen->readable)
+    {
+        return own_.joined() || own_.predecessor().has_value();
+    }
+    bool const own = seen->value.info.id == self().id;
+    if (own_.joined())
+    {
+        return !own || seen->value.buried || seen->value.successor != 0;
+    }
+    return own_.predecessor() && (own || seen->value.buried ||
+                                  seen->value.info.id != *own_.predecessor());
+}
+
+void member::on_peer(common::time_point now,
+                     ports::peer_receive const& message,
+                     ports::actions& out)
+{
+    notice(now, out);
+    auto const& from = message.from;
+    auto const& body = message.message;
+    if (auto const* asked = std::get_if<ports::promise_request>(&body))
+    {
+        handle(now, from, *asked, out);
+    }
+    else if (auto const* promise = std::get_if<ports::promise_reply>(&body))
+    {
+        handle(now, from, *promise);
+        follow_proof(now, out);
+    }
+    else if (auto const* question = std::get_if<ports::consent_request>(&body))
+    {
+        handle(now, from, *question, out);
+    }
+    else if (auto const* consent = std::get_if<ports::consent_reply>(&body))
+    {
+        if (consent->granted)
+        {
+            burial_.consented(from, consent->subject, consent->record_version);
+            drive(now, out);
+        }
+    }
+}
+
+// A witness that was paused may itself be buried by now, and a newer process
+// under its name may have been taken as a sign that it promises no more. So it
+// promises nothing until it holds a proof again.
+void member::handle(common::time_point now,
+                    ports::member_identity const& from,
+                    ports::promise_request const& request,
+                    ports::actions& out)
+{
+    bool const granted = life_.takes_part() && proof_.newest().has_value() &&
+                         witness_.promise(now, from, roster_);
+    ++(granted ? counts_.promises_given : counts_.promises_refused);
+    send(from,
+         ports::promise_reply{request.round, granted, self().config_revision},
+         out);
+}
+
+void member::handle(common::time_point now,
+                    ports::member_identity const& from,
+                    ports::promise_reply const& reply)
+{
+    if (reply.granted)
+    {
+        proof_.promised(now, from, reply.round, own_.possible_lists());
+    }
+}
+
+void member::handle(common::time_point now,
+                    ports::member_identity const& from,
+                    ports::consent_request const& request,
+                    ports::actions& out)
+{
+    bool const granted =
+        life_.takes_part() && request.subject != self().id &&
+        witness_.consent(now, request.subject, request.record_version, roster_);
+    counts_.consents_given += granted ? 1 : 0;
+    send(from,
+         ports::consent_reply{request.subject, request.record_version, granted},
+         out);
+}
+
+void member::on_instances(common::time_point now,
+                          ports::instance_list const& list,
+                          ports::actions& out)
+{
+    notice(now, out);
+    platform_.apply(list, self().id.name);
+}
+
+void member::set_config_revision(std::uint64_t revision) noexcept
+{
+    own_.set_config_revision(revision);
+}
+
+void member::begin_leaving(common::time_point now, ports::actions& out)
+{
+    notice(now, out);
+    own_.set_leaving();
+    own_.hurry(now);
+    drive(now, out);
+}
+
+void member::remove(common::time_point now, ports::actions& out)
+{
+    notice(now, out);
+    if (!life_.takes_part())
+    {
+        return;
+    }
+    life_.removing(out);
+    own_.remove();
+    if (own_.removed())
+    {
+        life_.removed(out);
+    }
+    drive(now, out);
+}
+
+bool member::gone() const noexcept
+{
+    return life_.now() == phase::gone;
+}
+
+// Asked between a wake-up and the next tick, the gap is not noticed yet.
+bool member::may_act(common::time_point now) const noexcept
+{
+    return life_.takes_part() && last_seen_ &&
+           now - *last_seen_ <= settings_.pause_limit &&
+           proof_age(now) < settings_.hold;
+}
+
+common::duration member::proof_age(common::time_point now) const noexcept
+{
+    auto const newest = proof_.newest();
+    return newest ? now - *newest : no_proof_age;
+}
+
+bool member::proved_by_store() const noexcept
+{
+    return proof_.newest_is_from_store();
+}
+
+phase member::state() const noexcept
+{
+    return life_.now();
+}
+
+member_info const& member::self() const noexcept
+{
+    return own_.info();
+}
+
+std::vector<member_info> const& member::live() const noexcept
+{
+    return roster_.live();
+}
+
+member_info const* member::find(ports::member_identity const& id) const noexcept
+{
+    auto const* info = find(std::string_view(id.name));
+    return info != nullptr && info->id == id ? info : nullptr;
+}
+
+member_info const* member::find(std::string_view name) const noexcept
+{
+    auto const& live = roster_.live();
+    auto const place =
+        std::lower_bound(live.begin(),
+                         live.end(),
+                         name,
+                         [](member_info const& info, std::string_view wanted)
+                         {
+                             return info.id.name < wanted;
+                         });
+    return place != live.end() && place->id.name == name ? &*place : nullptr;
+}
+
+bool member::is_buried(ports::member_identity const& id) const noexcept
+{
+    return roster_.is_buried(id);
+}
+
+common::time_point member::members_read_at() const noexcept
+{
+    return roster_.list_sent();
+}
+
+roster const& member::records() const noexcept
+{
+    return roster_;
+}
+
+bool member::knows_members() const noexcept
+{
+    return roster_.known();
+}
+
+member_counts const& member::counts() const noexcept
+{
+    return counts_;
+}
+
+void member::call(common::time_point now,
+                  call_kind kind,
+                  ports::store_operation operation,
+                  ports::actions& out,
+                  ports::member_identity const& subject)
+{
+    calls_.emplace(++last_call_, pending_call{kind, now, subject});
+    out.emplace_back(ports::store_call{
+        {ports::store_user::membership, last_call_}, std::move(operation)});
+}
+
+// The address is that of the record under the name; a receiver of another
+// incarnation drops the frame.
+void member::send(ports::member_identity const& to,
+                  ports::peer_message message,
+                  ports::actions& out) const
+{
+    auto const* seen = roster_.find(to.name);
+    if (seen != nullptr && seen->readable)
+    {
+        out.emplace_back(ports::peer_send{
+            to, seen->value.info.peer_address, std::move(message)});
+    }
+}
+
+} // namespace fuchsia::core::membership
--- a/src/core/membership/member.hpp
+++ b/src/core/membership/member.hpp
@@ -1,56 +1,62 @@
 #pragma once
 
 #include "core/common/time.hpp"
+#include "core/membership/burial.hpp"
+#include "core/membership/lifecycle.hpp"
+#include "core/membership/member_info.hpp"
+#include "core/membership/own_record.hpp"
+#include "core/membership/platform_list.hpp"
+#include "core/membership/proof.hpp"
+#include "core/membership/roster.hpp"
+#include "core/membership/safety_parts.hpp"
+#include "core/membership/settings.hpp"
+#include "core/membership/witness.hpp"
 #include "ports/actions.hpp"
 #include "ports/instances.hpp"
 
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsia::core::membership
 {
 
-/// Timing that the safety of every claim rests on; checked against each other
-/// by the settings: beat_interval < hold, and hold with drift < bury.
-struct settings
+/// What a member asked of the store and its peers since it was made.
+struct member_counts
 {
-    common::duration beat_interval = std::chrono::milliseconds(500);
-    /// A proof lets its member act this long, counted from when the beat or
-    /// promise request was sent.
-    common::duration hold = std::chrono::seconds(2);
-    /// A record must stand still, and promises must be silent, this long
-    /// before their member may be buried.
-    common::duration bury = std::chrono::seconds(3);
-    /// A longer gap between two ticks is a pause: it voids all proofs.
-    common::duration pause_limit = std::chrono::milliseconds(800);
-    std::uint32_t witness_count = 5;
-    /// Whether the platform's list may stand in for the consent of witnesses
-    /// that it no longer names.
-    bool list_stands_in = true;
-};
-
-/// How one member appears to the others.
-struct member_info
-{
-    ports::member_identity id;
-    std::string role; ///< "entry" or "planner".
-    std::string data_centre;
-    ports::endpoint peer_address;
-    ports::endpoint http_address;
-    bool leaving = false;
-    std::uint64_t config_revision = 0; ///< The newest it has in force.
-
-    bool operator==(member_info const&) const = default;
+    std::uint64_t own_writes = 0; ///< Beats, the first write, removal.
+    std::uint64_t own_reads = 0;  ///< Read backs, and the first look.
+    std::uint64_t lists = 0;
+    std::uint64_t burial_writes = 0;
+    std::uint64_t promise_requests = 0;
+    std::uint64_t promises_given = 0;
+    std::uint64_t promises_refused = 0;
+    std::uint64_t consent_requests = 0;
+    std::uint64_t consents_given = 0;
+    std::uint64_t pauses = 0;
 };
 
 /// One process's membership: beats its record, collects promises, gives
 /// promises and consent as a witness, buries members that are gone.
+///
+/// Promises are asked for only once the newest proof is `hold / 2` old, which
+/// is when a beat was missed. Asking always would cost each node about 2 KB/s
+/// of its 3 KB/s and gain nothing: half of `hold` is left to get them, a
+/// hundred times a round trip. While the store is silent a round goes out
+/// every `hold / 3`: 5 witnesses make 7.5 requests and as many replies a
+/// second, of about 120 bytes.
 class member
 {
 public:
-    /// `seed` draws witnesses and spreads retries.
-    member(settings settings, member_info self, std::uint64_t seed);
+    /// `seed` draws write ids. `parts` is for tests only.
+    member(settings settings,
+           member_info self,
+           std::uint64_t seed,
+           safety_parts parts = {});
 
     void start(common::time_point now, ports::actions& out);
     /// Called at least every 100 ms.
@@ -73,7 +79,7 @@
     /// Marks the record as leaving: others take no new claim for this member.
     void begin_leaving(common::time_point now, ports::actions& out);
     /// Writes the record away after the claims were handed over; `gone` tells
-    /// when the store has it.
+    /// when the store has it. The member acts on nothing from now on.
     void remove(common::time_point now, ports::actions& out);
     bool gone() const noexcept;
 
@@ -83,6 +89,8 @@
     common::duration proof_age(common::time_point now) const noexcept;
     /// Whether the newest proof came from the store rather than witnesses.
     bool proved_by_store() const noexcept;
+    /// Where this member stands in its life, for logs, metrics and status.
+    phase state() const noexcept;
 
     member_info const& self() const noexcept;
     /// Live members of this role, this one included once its record stands,
@@ -92,15 +100,87 @@
     member_info const* find(ports::member_identity const& id) const noexcept;
     member_info const* find(std::string_view name) const noexcept;
     /// Whether the store shows this incarnation as buried or removed: what it
-    /// owned may be claimed.
+    /// owned may be claimed. An incarnation that joined after the newest list
+    /// was read looks removed too: who learns of one elsewhere, such as from a
+    /// claim, asks again once `members_read_at` is later than that.
     bool is_buried(ports::member_identity const& id) const noexcept;
+    /// When the call was sent whose answer is the newest list of records.
+    common::time_point members_read_at() const noexcept;
+    /// All records of the role as the newest list showed them.
+    roster const& records() const noexcept;
     /// Whether the record list has been read at least once.
     bool knows_members() const noexcept;
+    member_counts const& counts() const noexcept;
 
 private:
+    enum class call_kind : std::uint8_t
+    {
+        own,
+        list,
+        burial,
+    };
+
+    struct pending_call
+    {
+        call_kind kind = call_kind::own;
+        common::time_point sent;
+        ports::member_identity subject; ///< Of a burial.
+    };
+
+    void notice(common::time_point now, ports::actions& out);
+    void drive(common::time_point now, ports::actions& out);
+    void drive_own(common::time_point now, ports::actions& out);
+    void drive_list(common::time_point now, ports::actions& out);
+    void drive_rounds(common::time_point now, ports::actions& out);
+    void drive_burials(common::time_point now, ports::actions& out);
+    void follow_proof(common::time_point now, ports::actions& out);
+    void on_own_reply(common::time_point now,
+                      ports::store_reply const& reply,
+                      ports::actions& out);
+    void on_list_reply(common::time_point now,
+                       common::time_point sent,
+                       ports::store_reply const& reply,
+                       ports::actions& out);
+    bool own_record_changed() const noexcept;
+    void call(common::time_point now,
+              call_kind kind,
+              ports::store_operation operation,
+              ports::actions& out,
+              ports::member_identity const& subject = {});
+    void send(ports::member_identity const& to,
+              ports::peer_message message,
+              ports::actions& out) const;
+    void handle(common::time_point now,
+                ports::member_identity const& from,
+                ports::promise_request const& request,
+                ports::actions& out);
+    void handle(common::time_point now,
+                ports::member_identity const& from,
+                ports::promise_reply const& reply);
+    void handle(common::time_point now,
+                ports::member_identity const& from,
+                ports::consent_request const& request,
+                ports::actions& out);
+
     settings settings_;
-    member_info self_;
-    std::vector<member_info> live_;
+    std::mt19937_64 random_;
+    roster roster_;
+    proof proof_;
+    witness witness_;
+    platform_list platform_;
+    burial burial_;
+    lifecycle life_;
+    own_record own_;
+    witness_list wanted_witnesses_;
+    member_counts counts_;
+    /// Bounded by what is asked: one own call, one list, the burials.
+    std::map<std::uint64_t, pending_call> calls_;
+    std::uint64_t last_call_ = 0;
+    std::optional<common::time_point> last_seen_;
+    common::time_point next_list_{};
+    common::time_point next_round_{};
+    bool started_ = false;
+    bool list_in_flight_ = false;
 };
 
 } // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/own_record.cpp
@@ -0,0 +1,403 @@
+#include "core/membership/own_record.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::membership
+{
+
+namespace
+{
+
+/// Unclear writes that are remembered; while the store loses every answer one
+/// is added each beat, and only the newest can still give a young proof.
+constexpr std::size_t max_unsettled = 16;
+
+/// Pause before a call is tried again that the store did not answer.
+constexpr common::duration retry_interval = std::chrono::milliseconds(200);
+
+} // namespace
+
+own_record::own_record(member_info self, common::duration beat_interval)
+    : self_(std::move(self)), beat_interval_(beat_interval)
+{
+}
+
+std::optional<ports::store_operation>
+own_record::next(common::time_point now,
+                 witness_list const& witnesses,
+                 std::mt19937_64& random)
+{
+    if (in_flight_ != call_kind::none || now < next_call_)
+    {
+        return std::nullopt;
+    }
+    switch (step_)
+    {
+    case step::looking:
+        in_flight_ = call_kind::read;
+        return ports::store_read{key()};
+    case step::marking:
+    {
+        in_flight_ = call_kind::mark;
+        record marked = predecessor_record_;
+        marked.successor = self_.id.incarnation;
+        marked.write_id = random();
+        return ports::store_write{key(), to_json(marked), predecessor_version_};
+    }
+    case step::beating:
+        if (now < next_write_)
+        {
+            return std::nullopt;
+        }
+        return send_write(now, witnesses, random);
+    case step::erasing:
+        in_flight_ = call_kind::erase;
+        return ports::store_erase{key(), version_};
+    case step::waiting:
+    case step::over:
+        break;
+    }
+    return std::nullopt;
+}
+
+ports::store_operation own_record::send_write(common::time_point now,
+                                              witness_list const& witnesses,
+                                              std::mt19937_64& random)
+{
+    in_flight_ = call_kind::write;
+    next_write_ = now + beat_interval_;
+    if (unsettled_.size() == max_unsettled)
+    {
+        unsettled_.erase(unsettled_.begin());
+    }
+    unsettled_.push_back({next_record(witnesses, random), now});
+    return ports::store_write{
+        key(), to_json(unsettled_.back().value), version_};
+}
+
+// While a write is unclear the next one carries the same witnesses: so the
+// store holds one of two lists, never one of many.
+record own_record::next_record(witness_list const& witnesses,
+                               std::mt19937_64& random)
+{
+    record value;
+    value.info = self_;
+    value.beat = ++beat_;
+    value.witnesses =
+        unsettled_.empty() ? witnesses : unsettled_.back().value.witnesses;
+    value.write_id = random();
+    return value;
+}
+
+own_record_news own_record::on_reply(common::time_point now,
+                                     ports::store_reply const& reply)
+{
+    own_record_news news;
+    call_kind const kind = std::exchange(in_flight_, call_kind::none);
+    if (reply.status == ports::store_status::unavailable ||
+        reply.status == ports::store_status::unclear)
+    {
+        next_call_ = now + retry_interval;
+    }
+    switch (kind)
+    {
+    case call_kind::read:
+        on_read_reply(reply, news);
+        break;
+    case call_kind::mark:
+        on_mark_reply(reply);
+        break;
+    case call_kind::write:
+        on_write_reply(reply, news);
+        break;
+    case call_kind::erase:
+        on_erase_reply(reply);
+        break;
+    case call_kind::none:
+        break;
+    }
+    go_on_removing();
+    return news;
+}
+
+void own_record::on_write_reply(ports::store_reply const& reply,
+                                own_record_news& news)
+{
+    switch (reply.status)
+    {
+    case ports::store_status::done:
+    {
+        sent_write const write = unsettled_.back();
+        accept(write, reply.index, news);
+        break;
+    }
+    case ports::store_status::unavailable:
+        unsettled_.pop_back();
+        break;
+    case ports::store_status::conflict:
+        // This write did nothing; an earlier unclear one or another writer did.
+        unsettled_.pop_back();
+        step_ = step::looking;
+        break;
+    case ports::store_status::unclear:
+        step_ = step::looking;
+        break;
+    }
+}
+
+void own_record::on_read_reply(ports::store_reply const& reply,
+                               own_record_news& news)
+{
+    if (reply.status != ports::store_status::done)
+    {
+        return;
+    }
+    if (reply.entries.empty())
+    {
+        settle_absent(news);
+        return;
+    }
+    auto const& entry = reply.entries.front();
+    common::failure reason;
+    auto value = parse_record(self_.role, self_.id.name, entry.value, reason);
+    if (!value)
+    {
+        end("the own record is unreadable: " + common::to_string(reason), news);
+        return;
+    }
+    if (value->info.id == self_.id && !value->buried && value->successor == 0)
+    {
+        settle_own(*value, entry.version, news);
+        return;
+    }
+    settle_other(std::move(*value), entry.version, news);
+}
+
+void own_record::settle_absent(own_record_news& news)
+{
+    if (removing_)
+    {
+        step_ = step::over;
+        return;
+    }
+    if (joined_)
+    {
+        end("the record was removed", news);
+        return;
+    }
+    version_ = 0;
+    predecessor_.reset();
+    step_ = step::beating;
+}
+
+void own_record::settle_own(record const& value,
+                            std::uint64_t version,
+                            own_record_news& news)
+{
+    step_ = step::beating;
+    if (version <= version_)
+    {
+        return; // None of the unclear writes took effect so far.
+    }
+    auto const write =
+        std::find_if(unsettled_.begin(),
+                     unsettled_.end(),
+                     [&value](sent_write const& candidate)
+                     {
+                         return candidate.value.write_id == value.write_id;
+                     });
+    if (write != unsettled_.end())
+    {
+        sent_write const found = *write;
+        accept(found, version, news);
+        return;
+    }
+    joined_ = true;
+    standing_ = value;
+    version_ = version;
+    unsettled_.clear();
+}
+
+void own_record::settle_other(record value,
+                              std::uint64_t version,
+                              own_record_news& news)
+{
+    if (removing_)
+    {
+        step_ = step::over;
+        return;
+    }
+    if (joined_ || value.info.id == self_.id)
+    {
+        end(value.buried ? "buried by another member"
+                         : "a newer process runs under this name",
+            news);
+        return;
+    }
+    if (value.buried)
+    {
+        version_ = version;
+        predecessor_.reset();
+        step_ = step::beating;
+        return;
+    }
+    predecessor_ = value.info.id;
+    predecessor_version_ = version;
+    step_ = value.successor == 0 ? step::marking : step::waiting;
+    predecessor_record_ = std::move(value);
+}
+
+// Any unclear mark is settled by reading: whoever's mark stands will do.
+void own_record::on_mark_reply(ports::store_reply const& reply)
+{
+    if (reply.status != ports::store_status::unavailable)
+    {
+        step_ = step::looking;
+    }
+}
+
+void own_record::on_erase_reply(ports::store_reply const& reply)
+{
+    switch (reply.status)
+    {
+    case ports::store_status::done:
+        step_ = step::over;
+        break;
+    case ports::store_status::unavailable:
+        break;
+    case ports::store_status::conflict:
+    case ports::store_status::unclear:
+        step_ = step::looking;
+        break;
+    }
+}
+
+void own_record::accept(sent_write const& write,
+                        std::uint64_t version,
+                        own_record_news& news)
+{
+    joined_ = true;
+    standing_ = write.value;
+    version_ = version;
+    news.accepted_sent = write.sent;
+    unsettled_.clear();
+}
+
+void own_record::end(std::string why, own_record_news& news)
+{
+    step_ = step::over;
+    news.fenced = std::move(why);
+}
+
+void own_record::look_again() noexcept
+{
+    if (step_ == step::beating || step_ == step::waiting)
+    {
+        // A write in flight goes on to settle it by itself.
+        if (in_flight_ == call_kind::none)
+        {
+            step_ = step::looking;
+        }
+    }
+}
+
+void own_record::hurry(common::time_point now) noexcept
+{
+    next_write_ = now;
+    next_call_ = now;
+}
+
+void own_record::set_config_revision(std::uint64_t revision) noexcept
+{
+    self_.config_revision = std::max(self_.config_revision, revision);
+}
+
+void own_record::set_leaving() noexcept
+{
+    self_.leaving = true;
+}
+
+void own_record::remove() noexcept
+{
+    removing_ = true;
+    if (in_flight_ == call_kind::none)
+    {
+        go_on_removing();
+    }
+}
+
+// A member that never joined has nothing to erase; one whose first write is
+// unclear looks first.
+void own_record::go_on_removing() noexcept
+{
+    if (!removing_ || step_ == step::over || step_ == step::erasing)
+    {
+        return;
+    }
+    if (joined_ && step_ == step::beating)
+    {
+        step_ = step::erasing;
+    }
+    else if (!joined_ && step_ != step::looking)
+    {
+        step_ = unsettled_.empty() ? step::over : step::looking;
+    }
+}
+
+bool own_record::removed() const noexcept
+{
+    return removing_ && step_ == step::over;
+}
+
+bool own_record::joined() const noexcept
+{
+    return joined_;
+}
+
+std::uint64_t own_record::version() const noexcept
+{
+    return joined_ ? version_ : 0;
+}
+
+member_info const& own_record::info() const noexcept
+{
+    return self_;
+}
+
+record const& own_record::standing() const noexcept
+{
+    return standing_;
+}
+
+std::vector<witness_list> own_record::possible_lists() const
+{
+    std::vector<witness_list> lists;
+    if (!joined_)
+    {
+        return lists;
+    }
+    lists.push_back(standing_.witnesses);
+    for (auto const& write : unsettled_)
+    {
+        auto const& list = write.value.witnesses;
+        if (std::find(lists.begin(), lists.end(), list) == lists.end())
+        {
+            lists.push_back(list);
+        }
+    }
+    return lists;
+}
+
+std::optional<ports::member_identity> const&
+own_record::predecessor() const noexcept
+{
+    return predecessor_;
+}
+
+std::string own_record::key() const
+{
+    return members_prefix(self_.role) + self_.id.name;
+}
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/proof.cpp
@@ -0,0 +1,135 @@
+#include "core/membership/proof.hpp"
+
+#include <algorithm>
+#include <functional>
+
+namespace fuchsia::core::membership
+{
+
+namespace
+{
+
+/// Rounds whose answers still count; older ones would prove nothing young.
+constexpr std::size_t max_rounds = 8;
+/// Witnesses whose promises are kept: two lists of 32.
+constexpr std::size_t max_promises = 64;
+
+} // namespace
+
+proof::proof(safety_parts parts) : parts_(parts)
+{
+}
+
+void proof::store_accepted(common::time_point now, common::time_point sent)
+{
+    if (sent < floor_)
+    {
+        return;
+    }
+    common::time_point const from = parts_.proof_from_send ? sent : now;
+    by_store_ = by_store_ ? std::max(*by_store_, from) : from;
+}
+
+std::uint64_t proof::begin_round(common::time_point now)
+{
+    if (rounds_.size() == max_rounds)
+    {
+        rounds_.pop_front();
+    }
+    rounds_.push_back({++last_round_, now});
+    return last_round_;
+}
+
+// A promise to an earlier round stays good: the witness gave it no sooner than
+// that round was sent. So the proof is the time since which majorities have
+// promised, whatever rounds their answers belong to.
+void proof::promised(common::time_point now,
+                     ports::member_identity const& witness,
+                     std::uint64_t round,
+                     std::vector<witness_list> const& lists)
+{
+    auto const sent_round = std::find_if(rounds_.begin(),
+                                         rounds_.end(),
+                                         [round](round_sent const& candidate)
+                                         {
+                                             return candidate.number == round;
+                                         });
+    if (sent_round == rounds_.end() || lists.empty())
+    {
+        return;
+    }
+    if (promises_.size() == max_promises && promises_.count(witness) == 0)
+    {
+        promises_.clear(); // Witnesses changed often; the next round refills.
+    }
+    common::time_point const from =
+        parts_.proof_from_send ? sent_round->sent : now;
+    auto const [place, added] = promises_.try_emplace(witness, from);
+    place->second = std::max(place->second, from);
+
+    std::optional<common::time_point> since;
+    for (auto const& list : lists)
+    {
+        auto const here = majority_since(list);
+        if (!here)
+        {
+            return;
+        }
+        since = since ? std::min(*since, *here) : *here;
+        if (!parts_.both_lists)
+        {
+            break;
+        }
+    }
+    if (since)
+    {
+        by_witnesses_ =
+            by_witnesses_ ? std::max(*by_witnesses_, *since) : *since;
+    }
+}
+
+std::optional<common::time_point>
+proof::majority_since(witness_list const& list) const
+{
+    std::vector<common::time_point> times;
+    for (auto const& witness : list)
+    {
+        auto const place = promises_.find(witness);
+        if (place != promises_.end())
+        {
+            times.push_back(place->second);
+        }
+    }
+    std::size_t const majority = list.size() / 2 + 1;
+    if (times.size() < majority)
+    {
+        return std::nullopt;
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[majority - 1];
+}
+
+void proof::void_all(common::time_point now) noexcept
+{
+    floor_ = now;
+    by_store_.reset();
+    by_witnesses_.reset();
+    rounds_.clear();
+    promises_.clear();
+}
+
+std::optional<common::time_point> proof::newest() const noexcept
+{
+    if (by_store_ && by_witnesses_)
+    {
+        return std::max(*by_store_, *by_witnesses_);
+    }
+    return by_store_ ? by_store_ : by_witnesses_;
+}
+
+bool proof::newest_is_from_store() const noexcept
+{
+    return by_store_ && (!by_witnesses_ || *by_store_ >= *by_witnesses_);
+}
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/settings.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+
+namespace fuchsia::core::membership
+{
+
+/// Timing that the safety of every claim rests on; checked against each other
+/// by the settings: beat_interval < hold, and hold with drift < bury.
+///
+/// Store calls a second, by role of n members: 2n beats (one write each
+/// beat_interval) and n lists (one read each list_interval). Two roles of 9:
+/// 36 writes and 18 reads. Two roles of 33 (11 data centres x 3): 132 writes
+/// and 66 reads. Both are far below several hundred writes and 2,000 reads.
+/// A test counts them.
+struct settings
+{
+    common::duration beat_interval = std::chrono::milliseconds(500);
+    /// A proof lets its member act this long, counted from when the beat or
+    /// promise request was sent.
+    common::duration hold = std::chrono::seconds(2);
+    /// A record must stand still, and promises must be silent, this long
+    /// before their member may be buried.
+    common::duration bury = std::chrono::seconds(3);
+    /// A longer gap between two ticks is a pause: it voids all proofs.
+    common::duration pause_limit = std::chrono::milliseconds(800);
+    std::uint32_t witness_count = 5;
+    /// Whether the platform may stand in for the consent of witnesses that
+    /// are gone: its list no longer names them, or it runs a newer process
+    /// under their name. Off, an operator has to remove such a member.
+    bool list_stands_in = true;
+    /// The records of the role are read this often. A member that dies is
+    /// found `bury` to `bury + 2 x list_interval` after its last beat.
+    common::duration list_interval = std::chrono::seconds(1);
+};
+
+/// A clock may run this much faster or slower than another, in thousandths.
+constexpr std::int64_t max_drift_permille = 30;
+
+/// Whether the times fit each other, as the proof of safety needs them to:
+/// `hold` must have ended on the slowest clock before `bury` ends on the
+/// fastest, and a member must get two tries at a beat within `hold`.
+constexpr bool consistent(settings const& value) noexcept
+{
+    return value.beat_interval.count() > 0 && value.list_interval.count() > 0 &&
+           value.beat_interval * 2 < value.hold &&
+           value.pause_limit < value.hold &&
+           value.hold * (1000 + max_drift_permille) <
+               value.bury * (1000 - max_drift_permille);
+}
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/src/core/membership/witness.cpp
@@ -0,0 +1,90 @@
+#include "core/membership/witness.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::core::membership
+{
+
+namespace
+{
+
+/// Whether the roster shows a record of `subject` newer than `version`.
+bool knows_newer(roster const& members,
+                 ports::member_identity const& subject,
+                 std::uint64_t version)
+{
+    auto const* seen = members.find(subject.name);
+    return seen != nullptr && seen->version > version;
+}
+
+} // namespace
+
+witness::witness(common::duration bury) : bury_(bury)
+{
+}
+
+// Nothing is promised to an incarnation that the newest list does not show as
+// running: a consent is forgotten once a newer record was read, and that newer
+// record may be the burial itself.
+bool witness::promise(common::time_point now,
+                      ports::member_identity const& subject,
+                      roster const& members)
+{
+    if (consents_.count(subject) != 0 || members.is_buried(subject))
+    {
+        return false;
+    }
+    if (promises_.size() >= max_remembered && promises_.count(subject) == 0)
+    {
+        return false;
+    }
+    promises_[subject] = now;
+    return true;
+}
+
+bool witness::consent(common::time_point now,
+                      ports::member_identity const& subject,
+                      std::uint64_t version,
+                      roster const& members)
+{
+    if (knows_newer(members, subject, version))
+    {
+        return false; // Its burial at `version` would fail.
+    }
+    auto const promised = promises_.find(subject);
+    if (promised != promises_.end() && now - promised->second < bury_)
+    {
+        return false;
+    }
+    if (consents_.size() >= max_remembered && consents_.count(subject) == 0)
+    {
+        return false;
+    }
+    auto const [place, added] = consents_.try_emplace(subject, version);
+    place->second = std::max(place->second, version);
+    return true;
+}
+
+void witness::learn(common::time_point now, roster const& members)
+{
+    std::erase_if(consents_,
+                  [&members](auto const& given)
+                  {
+                      return knows_newer(members, given.first, given.second);
+                  });
+    std::erase_if(promises_,
+                  [now, this](auto const& given)
+                  {
+                      return now - given.second > bury_ * 2;
+                  });
+}
+
+void witness::after_pause(common::time_point now) noexcept
+{
+    for (auto& [subject, given] : promises_)
+    {
+        given = now;
+    }
+}
+
+} // namespace fuchsia::core::membership
--- /dev/null
+++ b/tests/unit/walks/fake_store.hpp
@@ -0,0 +1,369 @@
+#pragma once
+
+#include "ports/store.hpp"
+#include "timeline.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+// An in-memory store for tests of the core, with faults.
+namespace fuchsia::tests::unit::walks
+{
+
+/// Keys, versions and what each operation does; no time and no fault.
+class store_contents
+{
+public:
+    ports::store_reply apply(ports::store_operation const& operation)
+    {
+        ports::store_reply reply;
+        reply.status = ports::store_status::done;
+        reply.index = index_;
+        if (auto const* read = std::get_if<ports::store_read>(&operation))
+        {
+            if (auto const* entry = find(read->key))
+            {
+                reply.entries.push_back(*entry);
+            }
+        }
+        else if (auto const* list = std::get_if<ports::store_list>(&operation))
+        {
+            reply.entries = below(list->prefix);
+        }
+        else if (auto const* watch =
+                     std::get_if<ports::store_watch>(&operation))
+        {
+            reply.entries = below(watch->prefix);
+        }
+        else if (auto const* write =
+                     std::get_if<ports::store_write>(&operation))
+        {
+            reply.status = swap(write->key, write->expected, &write->value);
+            reply.index = index_;
+        }
+        else if (auto const* erase =
+                     std::get_if<ports::store_erase>(&operation))
+        {
+            reply.status = swap(erase->key, erase->expected, nullptr);
+            reply.index = index_;
+        }
+        return reply;
+    }
+
+    ports::store_entry const* find(std::string_view key) const
+    {
+        auto const place = entries_.find(key);
+        return place == entries_.end() ? nullptr : &place->second;
+    }
+
+    /// The newest change below `prefix`, erasures included.
+    std::uint64_t changed(std::string_view prefix) const
+    {
+        std::uint64_t newest = 0;
+        for (auto const& [key, version] : changes_)
+        {
+            if (std::string_view(key).starts_with(prefix))
+            {
+                newest = std::max(newest, version);
+            }
+        }
+        return newest;
+    }
+
+private:
+    std::vector<ports::store_entry> below(std::string_view prefix) const
+    {
+        std::vector<ports::store_entry> found;
+        for (auto place = entries_.lower_bound(prefix);
+             place != entries_.end() && place->first.starts_with(prefix);
+             ++place)
+        {
+            found.push_back(place->second);
+        }
+        return found;
+    }
+
+    ports::store_status swap(std::string const& key,
+                             std::uint64_t expected,
+                             std::string const* value)
+    {
+        auto const place = entries_.find(key);
+        std::uint64_t const version =
+            place == entries_.end() ? 0 : place->second.version;
+        if (version != expected)
+        {
+            return ports::store_status::conflict;
+        }
+        changes_[key] = ++index_;
+        if (value == nullptr)
+        {
+            entries_.erase(key);
+        }
+        else
+        {
+            entries_[key] = {key, *value, index_};
+        }
+        return ports::store_status::done;
+    }
+
+    std::map<std::string, ports::store_entry, std::less<>> entries_;
+    std::map<std::string, std::uint64_t, std::less<>> changes_;
+    std::uint64_t index_ = 1;
+};
+
+/// What the way to the store and back does to a call.
+struct store_faults
+{
+    bool down = false;
+    std::set<std::string> cut; ///< Callers that can't reach it.
+    std::uint32_t lose_request_permille = 0;
+    std::uint32_t lose_reply_permille = 0;
+    std::uint32_t duplicate_permille = 0;
+    /// Each way of a call takes `delay`, or now and then up to `late_delay`.
+    duration delay = std::chrono::milliseconds(2);
+    duration late_delay = std::chrono::seconds(4);
+    std::uint32_t late_permille = 0;
+    /// The adapter says `unclear` after this long; a watch's wait is added.
+    duration time_out = std::chrono::seconds(1);
+    /// The next writes below `lose_prefix` whose answers are dropped.
+    std::uint32_t lose_next_replies = 0;
+    std::string lose_prefix;
+};
+
+/// Store calls that took effect or were read, by kind.
+struct store_counts
+{
+    std::uint64_t reads = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t erases = 0;
+    std::uint64_t watches = 0;
+};
+
+/// The store behind an unreliable way. Each call is answered exactly once.
+class fake_store
+{
+public:
+    using answer = std::function<void(ports::store_reply const&)>;
+
+    fake_store(timeline& time, std::uint64_t seed) : time_(time), random_(seed)
+    {
+    }
+
+    store_faults faults;
+    store_counts counts;
+    store_contents contents;
+
+    void
+    call(std::string const& caller, ports::store_call const& what, answer back)
+    {
+        auto const pending = std::make_shared<call_state>();
+        pending->call = what;
+        pending->caller = caller;
+        pending->back = std::move(back);
+        if (is_cut(caller) && chance(500))
+        {
+            finish_later(pending, ports::store_status::unavailable);
+            return;
+        }
+        duration wait = faults.time_out;
+        if (auto const* watch =
+                std::get_if<ports::store_watch>(&what.operation))
+        {
+            wait += watch->wait;
+        }
+        time_.after(wait,
+                    [pending]
+                    {
+                        ports::store_reply reply;
+                        reply.status = ports::store_status::unclear;
+                        finish(*pending, reply);
+                    });
+        if (chance(faults.lose_request_permille))
+        {
+            return;
+        }
+        arrive_later(pending);
+        if (chance(faults.duplicate_permille))
+        {
+            arrive_later(pending);
+        }
+    }
+
+private:
+    struct call_state
+    {
+        ports::store_call call;
+        std::string caller;
+        answer back;
+        bool finished = false;
+    };
+
+    using call_pointer = std::shared_ptr<call_state>;
+
+    bool chance(std::uint32_t permille)
+    {
+        return permille != 0 && random_() % 1000 < permille;
+    }
+
+    bool is_cut(std::string const& caller) const
+    {
+        return faults.down || faults.cut.count(caller) != 0;
+    }
+
+    duration way()
+    {
+        if (chance(faults.late_permille))
+        {
+            return duration(static_cast<std::int64_t>(
+                random_() %
+                static_cast<std::uint64_t>(faults.late_delay.count())));
+        }
+        return faults.delay;
+    }
+
+    static void finish(call_state& pending, ports::store_reply reply)
+    {
+        if (!std::exchange(pending.finished, true))
+        {
+            reply.id = pending.call.id;
+            pending.back(reply);
+        }
+    }
+
+    void finish_later(call_pointer const& pending, ports::store_status status)
+    {
+        time_.after(faults.delay,
+                    [pending, status]
+                    {
+                        ports::store_reply reply;
+                        reply.status = status;
+                        finish(*pending, reply);
+                    });
+    }
+
+    void arrive_later(call_pointer const& pending)
+    {
+        time_.after(way(),
+                    [this, pending]
+                    {
+                        arrive(pending);
+                    });
+    }
+
+    void arrive(call_pointer const& pending)
+    {
+        if (is_cut(pending->caller))
+        {
+            return;
+        }
+        auto const& operation = pending->call.operation;
+        if (auto const* watch = std::get_if<ports::store_watch>(&operation))
+        {
+            ++counts.watches;
+            if (contents.changed(watch->prefix) <= watch->index)
+            {
+                watches_.push_back(pending);
+                time_.after(watch->wait,
+                            [this, pending]
+                            {
+                                reply_to(
+                                    pending,
+                                    contents.apply(pending->call.operation));
+                            });
+                return;
+            }
+        }
+        count(operation);
+        bool const writes =
+            std::holds_alternative<ports::store_write>(operation) ||
+            std::holds_alternative<ports::store_erase>(operation);
+        auto const reply = contents.apply(operation);
+        reply_to(pending, reply);
+        if (writes && reply.status == ports::store_status::done)
+        {
+            wake_watches();
+        }
+    }
+
+    void count(ports::store_operation const& operation)
+    {
+        counts.reads +=
+            std::holds_alternative<ports::store_read>(operation) ? 1 : 0;
+        counts.lists +=
+            std::holds_alternative<ports::store_list>(operation) ? 1 : 0;
+        counts.writes +=
+            std::holds_alternative<ports::store_write>(operation) ? 1 : 0;
+        counts.erases +=
+            std::holds_alternative<ports::store_erase>(operation) ? 1 : 0;
+    }
+
+    void wake_watches()
+    {
+        auto waiting = std::exchange(watches_, {});
+        for (auto const& pending : waiting)
+        {
+            auto const& watch =
+                std::get<ports::store_watch>(pending->call.operation);
+            if (pending->finished)
+            {
+                continue;
+            }
+            if (contents.changed(watch.prefix) > watch.index)
+            {
+                reply_to(pending, contents.apply(pending->call.operation));
+            }
+            else
+            {
+                watches_.push_back(pending);
+            }
+        }
+    }
+
+    bool loses_reply(ports::store_operation const& operation)
+    {
+        if (chance(faults.lose_reply_permille))
+        {
+            return true;
+        }
+        auto const* write = std::get_if<ports::store_write>(&operation);
+        if (write == nullptr || faults.lose_next_replies == 0 ||
+            !write->key.starts_with(faults.lose_prefix))
+        {
+            return false;
+        }
+        --faults.lose_next_replies;
+        return true;
+    }
+
+    void reply_to(call_pointer const& pending, ports::store_reply const& reply)
+    {
+        if (loses_reply(pending->call.operation))
+        {
+            return;
+        }
+        time_.after(way(),
+                    [this, pending, reply]
+                    {
+                        if (!is_cut(pending->caller))
+                        {
+                            finish(*pending, reply);
+                        }
+                    });
+    }
+
+    timeline& time_;
+    std::mt19937_64 random_;
+    std::vector<call_pointer> watches_;
+};
+
+} // namespace fuchsia::tests::unit::walks
--- /dev/null
+++ b/tests/unit/walks/timeline.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+// True time of a test, and what is to happen when.
+namespace fuchsia::tests::unit::walks
+{
+
+using core::common::duration;
+using core::common::time_point;
+
+class timeline
+{
+public:
+    using event = std::function<void()>;
+
+    time_point now() const noexcept
+    {
+        return now_;
+    }
+
+    void after(duration wait, event what)
+    {
+        events_.push({now_ + wait, ++last_, std::move(what)});
+    }
+
+    /// Runs the next event, unless it lies beyond `until`; then it is `until`.
+    bool step(time_point until)
+    {
+        if (events_.empty() || events_.top().when > until)
+        {
+            now_ = until;
+            return false;
+        }
+        // The queue gives no access to move from; the copy is a test's cost.
+        auto const next = events_.top();
+        events_.pop();
+        now_ = next.when;
+        next.what();
+        return true;
+    }
+
+    void run(duration length)
+    {
+        time_point const until = now_ + length;
+        while (step(until))
+        {
+        }
+    }
+
+private:
+    struct entry
+    {
+        time_point when;
+        std::uint64_t order = 0;
+        event what;
+
+        bool operator<(entry const& other) const noexcept
+        {
+            return std::pair(other.when, other.order) < std::pair(when, order);
+        }
+    };
+
+    std::priority_queue<entry> events_;
+    time_point now_{std::chrono::hours(1)};
+    std::uint64_t last_ = 0;
+};
+
+} // namespace fuchsia::tests::unit::walks
