--- /dev/null
+++ b/standins/links/link_server.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "adapters/http/server.hpp"
+#include "standins/common/web.hpp"
+#include "standins/links/relay.hpp"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace fuchsia::standins::links
+{
+
+struct links_settings
+{
+    ports::endpoint control{"127.0.0.1", 20300};
+    std::vector<link_settings> links;
+};
+
+/// All relays and the port that delays, cuts and resets them.
+class link_server
+{
+public:
+    link_server(boost::asio::io_context& io, links_settings settings);
+
+    /// The control endpoint.
+    std::optional<ports::endpoint> listen(core::common::failure& reason);
+    /// Where each link listens, in the order of the settings.
+    std::vector<ports::endpoint> const& endpoints() const noexcept;
+    void stop();
+
+private:
+    using request = adapters::http::request;
+    using response = adapters::http::response;
+
+    response handle_control(request const& asked);
+    response set_link(std::string_view name, std::string const& body);
+    response books() const;
+
+    std::vector<std::shared_ptr<relay>> relays_;
+    std::vector<ports::endpoint> endpoints_;
+    ports::endpoint where_;
+    adapters::http::server control_;
+};
+
+} // namespace fuchsia::standins::links
--- /dev/null
+++ b/standins/links/relay.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/common/result_code.hpp"
+#include "core/common/time.hpp"
+#include "ports/identity.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsia::standins::links
+{
+
+/// Which way bytes no longer pass. `forward` is from the side that connects.
+enum class cut_state : std::uint8_t
+{
+    none,
+    both,
+    forward,
+    backward,
+};
+
+std::optional<cut_state> cut_state_from(std::string_view name) noexcept;
+
+struct link_settings
+{
+    std::string name;
+    ports::endpoint listen;
+    ports::endpoint target;
+    core::common::duration delay{}; ///< One way.
+    /// Bytes that wait in one direction of one connection; beyond them the
+    /// sender is not read.
+    std::size_t buffer_bytes = 256 * 1024;
+    std::uint32_t connections = 2'000;
+};
+
+struct link_books
+{
+    std::uint64_t connections = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t resets = 0;
+    std::uint64_t refused = 0;
+};
+
+/// Passes the bytes of TCP connections on to `target`, late or not at all.
+///
+/// A cut looks to both ends like a network that lost its path: connections
+/// stay open and bytes wait. A reset closes all connections and drops what
+/// waits in them.
+class relay : public std::enable_shared_from_this<relay>
+{
+public:
+    relay(boost::asio::io_context& io, link_settings settings);
+    ~relay();
+
+    std::optional<ports::endpoint> listen(core::common::failure& reason);
+    void set_delay(core::common::duration delay);
+    void set_cut(cut_state cut);
+    void reset();
+    void close();
+
+    std::string const& name() const noexcept;
+    link_books const& books() const noexcept;
+
+private:
+    class direction;
+    class connection;
+    struct acceptor;
+
+    void accept();
+
+    boost::asio::io_context& io_;
+    link_settings settings_;
+    cut_state cut_ = cut_state::none;
+    std::unique_ptr<acceptor> acceptor_;
+    std::vector<std::weak_ptr<connection>> connections_;
+    link_books books_;
+    std::uint32_t open_ = 0;
+    bool closed_ = false;
+};
+
+} // namespace fuchsia::standins::links
--- /dev/null
+++ b/standins/main.cpp
@@ -0,0 +1,112 @@
+#include "adapters/http/message.hpp"
+#include "adapters/logging/logger.hpp"
+#include "adapters/runtime/signals.hpp"
+#include "standins/settings.hpp"
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+
+// fuchsia-standin: small programs in the place of the platform, the upstreams,
+// the workers and the network, for tests and the demo.
+namespace
+{
+
+using namespace fuchsia;
+using adapters::settings::toml_table;
+
+constexpr int bad_settings = 2;
+
+int complain(core::common::failure const& reason)
+{
+    std::cerr << "fuchsia-standin: " << to_string(reason) << '\n';
+    return bad_settings;
+}
+
+/// Runs one stand-in until SIGTERM: reads its settings with `read`, makes a
+/// Server of them and listens.
+template<class Server, class Settings>
+int serve(std::string const& kind,
+          std::string const& path,
+          std::function<Settings(toml_table&)> const& read)
+{
+    core::common::failure reason;
+    auto const file = adapters::settings::toml_file::open(path, reason);
+    if (!file)
+    {
+        return complain(reason);
+    }
+    auto root = file->root();
+    auto const level = standins::read_log_level(root);
+    auto settings = read(root);
+    if (!file->ok())
+    {
+        return complain(file->reason());
+    }
+    adapters::logging::set_up("fuchsia-standin", level);
+    boost::asio::io_context io(1);
+    Server server(io, std::move(settings));
+    auto const where = server.listen(reason);
+    if (!where)
+    {
+        return complain(reason);
+    }
+    adapters::logging::write(
+        ports::severity::info,
+        "listening",
+        {{"kind", kind}, {"address", adapters::http::to_string(*where)}});
+    adapters::runtime::on_stop_signal(io,
+                                      [&]
+                                      {
+                                          server.stop();
+                                          io.stop();
+                                      });
+    io.run();
+    adapters::logging::write(
+        ports::severity::info, "stopped", {{"kind", kind}});
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Stand-ins for what the platform gives, for tests and the "
+                 "demo");
+    app.set_version_flag("--version", FUCHSIA_VERSION);
+    app.require_subcommand(1);
+    std::string path;
+    auto const add = [&](std::string const& name, std::string const& about)
+    {
+        auto* command = app.add_subcommand(name, about);
+        command->add_option("--settings", path, "TOML file")->required();
+        return command;
+    };
+    auto const* platform =
+        add("platform", "key-value store and list of instances");
+    auto const* upstreams = add("upstreams", "executors of callers' requests");
+    auto const* workers = add("workers", "workers that run tasks");
+    add("links", "TCP relays that delay or cut");
+    CLI11_PARSE(app, argc, argv);
+    if (platform->parsed())
+    {
+        return serve<standins::platform::platform_server,
+                     standins::platform::platform_settings>(
+            "platform", path, standins::read_platform_settings);
+    }
+    if (upstreams->parsed())
+    {
+        return serve<standins::upstreams::upstream_server,
+                     standins::upstreams::upstream_settings>(
+            "upstreams", path, standins::read_upstream_settings);
+    }
+    if (workers->parsed())
+    {
+        return serve<standins::workers::worker_server,
+                     standins::workers::worker_settings>(
+            "workers", path, standins::read_worker_settings);
+    }
+    return serve<standins::links::link_server, standins::links::links_settings>(
+        "links", path, standins::read_link_settings);
+}
--- /dev/null
+++ b/standins/platform/platform_server.cpp
@@ -0,0 +1,440 @@
+#include "standins/platform/platform_server.hpp"
+
+#include <utility>
+
+namespace fuchsia::standins::platform
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using core::common::clock;
+using core::common::json_reader;
+
+constexpr std::uint16_t bad_request = 400;
+constexpr std::uint16_t not_found = 404;
+constexpr std::uint16_t too_many = 429;
+constexpr core::common::duration tick_interval = std::chrono::milliseconds(50);
+constexpr core::common::duration probe_timeout = std::chrono::milliseconds(500);
+constexpr std::int64_t max_slow_ms = 120'000;
+constexpr std::int64_t max_port = 65'535;
+constexpr std::string_view service_path = "/v1/catalog/service/";
+constexpr std::string_view deregister_path = "/v1/agent/service/deregister/";
+
+adapters::http::server_limits limits()
+{
+    adapters::http::server_limits limits;
+    // A value of a megabyte in base64 within its transaction.
+    limits.body_bytes = 2 * 1024 * 1024;
+    limits.connections = 10'000;
+    return limits;
+}
+
+} // namespace
+
+platform_server::platform_server(asio::io_context& io,
+                                 platform_settings settings)
+    : io_(io), settings_(std::move(settings)), store_(settings_.store),
+      catalog_(settings_.instances),
+      server_(io,
+              limits(),
+              [this](request asked, responder answer)
+              {
+                  handle(std::move(asked), std::move(answer));
+              }),
+      tick_timer_(io), probe_timer_(io)
+{
+}
+
+std::optional<ports::endpoint>
+platform_server::listen(core::common::failure& reason)
+{
+    auto const where = server_.listen(settings_.listen, reason);
+    if (where)
+    {
+        tick();
+        probe_all();
+    }
+    return where;
+}
+
+void platform_server::stop()
+{
+    tick_timer_.cancel();
+    probe_timer_.cancel();
+    held_.clear();
+    server_.close();
+}
+
+void platform_server::handle(request asked, responder answer)
+{
+    auto target = parse_target(asked.target);
+    if (!target)
+    {
+        answer(refusal(bad_request, "malformed target"));
+        return;
+    }
+    if (target->path.starts_with("/control/"))
+    {
+        answer(handle_control(*target, asked));
+        return;
+    }
+    auto const& faults = store_.faults();
+    if (faults.down)
+    {
+        return; // The dropped responder closes the connection.
+    }
+    if (faults.slow_ms > 0)
+    {
+        handle_slowly(std::move(asked), std::move(*target), std::move(answer));
+        return;
+    }
+    handle_platform(*target, asked, answer);
+}
+
+// Half the delay comes before the effect and half after it: a caller that has
+// given up meanwhile can be wrong either way.
+void platform_server::handle_slowly(request asked,
+                                    web_target target,
+                                    responder answer)
+{
+    core::common::duration const half =
+        std::chrono::milliseconds(store_.faults().slow_ms) / 2;
+    auto const later = std::make_shared<adapters::runtime::timer>(io_, half);
+    auto late_answer =
+        [this, later, half, answer = std::move(answer)](response what)
+    {
+        later->expires_after(half);
+        later->async_wait(
+            [this, later, answer, what = std::move(what)](auto error)
+            {
+                if (!error && !store_.faults().down)
+                {
+                    answer(what);
+                }
+            });
+    };
+    later->async_wait(
+        [this,
+         later,
+         asked = std::move(asked),
+         target = std::move(target),
+         late_answer](auto error)
+        {
+            if (!error && !store_.faults().down)
+            {
+                handle_platform(target, asked, late_answer);
+            }
+        });
+}
+
+void platform_server::handle_platform(web_target const& target,
+                                      request const& asked,
+                                      responder const& answer)
+{
+    if (!store_service::serves(target.path))
+    {
+        answer(handle_catalog(target, asked));
+        return;
+    }
+    auto result = store_.handle(clock::now(), target, asked);
+    if (auto* later = std::get_if<answer_later>(&result))
+    {
+        held_.emplace(later->query.number, answer);
+    }
+    else if (auto* now = std::get_if<response>(&result))
+    {
+        answer(std::move(*now));
+    }
+    answer_due();
+}
+
+void platform_server::answer_due()
+{
+    for (auto const& query : store_.take_due(clock::now()))
+    {
+        auto const found = held_.find(query.number);
+        if (found != held_.end())
+        {
+            auto const answer = std::move(found->second);
+            held_.erase(found);
+            answer(store_.answer_held(query));
+        }
+    }
+}
+
+platform_server::response
+platform_server::handle_catalog(web_target const& target, request const& asked)
+{
+    if (auto const name = target.after(service_path);
+        name && asked.method == "GET")
+    {
+        return list_instances(*name);
+    }
+    if (target.path == "/v1/agent/service/register" && asked.method == "PUT")
+    {
+        return register_instance(asked.body);
+    }
+    if (auto const id = target.after(deregister_path);
+        id && asked.method == "PUT")
+    {
+        catalog_.deregister(*id);
+        return json_answer(true);
+    }
+    return refusal(not_found, "unknown path");
+}
+
+platform_server::response
+platform_server::register_instance(std::string const& body)
+{
+    ++registrations_;
+    core::common::failure reason;
+    auto const json = core::common::parse_json_object(body, "service", reason);
+    if (!json)
+    {
+        return refusal(bad_request, to_string(reason));
+    }
+    json_reader reader(*json, "service");
+    catalog_entry entry;
+    entry.id = reader.text("ID");
+    entry.name = reader.text("Name");
+    entry.address = reader.text("Address");
+    entry.port =
+        static_cast<std::uint16_t>(reader.integer("Port", 1, max_port));
+    entry.data_centre = reader.text_or("Datacenter", "");
+    if (auto const* meta = reader.object("Meta"))
+    {
+        json_reader values(*meta, "service.Meta");
+        for (auto const& each : *meta)
+        {
+            entry.meta[std::string(each.key())] = values.text(each.key());
+        }
+        if (!values.ok())
+        {
+            return refusal(bad_request, to_string(values.reason()));
+        }
+    }
+    if (!reader.ok())
+    {
+        return refusal(bad_request, to_string(reader.reason()));
+    }
+    if (!catalog_.register_entry(clock::now(), std::move(entry)))
+    {
+        return refusal(too_many, "the catalog is full");
+    }
+    return json_answer(true);
+}
+
+platform_server::response platform_server::list_instances(std::string_view name)
+{
+    ++catalog_lists_;
+    boost::json::array listed;
+    for (auto const& entry : catalog_.list(clock::now(), name))
+    {
+        boost::json::object meta;
+        for (auto const& [key, value] : entry.meta)
+        {
+            meta[key] = value;
+        }
+        listed.push_back({{"ServiceID", entry.id},
+                          {"ServiceName", entry.name},
+                          {"ServiceAddress", entry.address},
+                          {"ServicePort", entry.port},
+                          {"Datacenter", entry.data_centre},
+                          {"ServiceMeta", std::move(meta)}});
+    }
+    return json_answer(listed);
+}
+
+platform_server::response
+platform_server::handle_control(web_target const& target, request const& asked)
+{
+    if (target.path == "/control/counts" && asked.method == "GET")
+    {
+        return books();
+    }
+    if (asked.method != "POST")
+    {
+        return refusal(not_found, "unknown control path");
+    }
+    if (target.path == "/control/faults")
+    {
+        return set_faults(asked.body);
+    }
+    if (auto const id = target.after("/control/instances/"))
+    {
+        return set_instance(*id, asked.body);
+    }
+    constexpr std::string_view expire = "/expire";
+    auto session = target.after("/control/sessions/");
+    if (session && session->ends_with(expire))
+    {
+        session->remove_suffix(expire.size());
+        bool const ended = store_.expire_session(*session);
+        answer_due();
+        return ended ? json_answer(boost::json::object{{"expired", true}})
+                     : refusal(not_found, "no such session");
+    }
+    return refusal(not_found, "unknown control path");
+}
+
+platform_server::response platform_server::set_faults(std::string const& body)
+{
+    core::common::failure reason;
+    auto const json = core::common::parse_json_object(body, "faults", reason);
+    if (!json)
+    {
+        return refusal(bad_request, to_string(reason));
+    }
+    json_reader reader(*json, "faults");
+    reader.allow_only({"down",
+                       "slow_ms",
+                       "lose_answers",
+                       "lose_prefix",
+                       "list_lag_ms",
+                       "list_frozen"});
+    auto faults = store_.faults();
+    faults.down = reader.flag_or("down", faults.down);
+    faults.slow_ms = static_cast<std::uint32_t>(
+        reader.integer_or("slow_ms", faults.slow_ms, 0, max_slow_ms));
+    faults.lose_answers = reader.integer_or(
+        "lose_answers", faults.lose_answers, -1, 1'000'000'000);
+    faults.lose_prefix = reader.text_or("lose_prefix", faults.lose_prefix);
+    auto const lag = reader.integer_or(
+        "list_lag_ms", -1, 0, core::common::to_milliseconds(catalog::max_lag));
+    bool const freeze = reader.flag_or("list_frozen", false);
+    if (!reader.ok())
+    {
+        return refusal(bad_request, to_string(reader.reason()));
+    }
+    store_.faults() = faults;
+    if (lag >= 0)
+    {
+        catalog_.set_lag(std::chrono::milliseconds(lag));
+    }
+    if (json->contains("list_frozen"))
+    {
+        catalog_.set_frozen(freeze);
+    }
+    if (faults.down)
+    {
+        for (auto const& [number, answer] : held_)
+        {
+            store_.drop_held(number);
+        }
+        held_.clear();
+    }
+    return json_answer(boost::json::object{{"set", true}});
+}
+
+platform_server::response platform_server::set_instance(std::string_view id,
+                                                        std::string const& body)
+{
+    core::common::failure reason;
+    auto const json = core::common::parse_json_object(body, "instance", reason);
+    if (!json)
+    {
+        return refusal(bad_request, to_string(reason));
+    }
+    json_reader reader(*json, "instance");
+    reader.allow_only({"state"});
+    auto const state = listed_state_from(reader.text("state"));
+    if (!reader.ok() || !state)
+    {
+        return refusal(bad_request, "state is live, leaving or gone");
+    }
+    catalog_.override_state(std::string(id), *state);
+    return json_answer(boost::json::object{{"set", true}});
+}
+
+platform_server::response platform_server::books() const
+{
+    auto const& counts = store_.books();
+    return books_answer({{"reads", counts.reads},
+                         {"lists", counts.lists},
+                         {"writes", counts.writes},
+                         {"erases", counts.erases},
+                         {"watches", counts.watches},
+                         {"conflicts", counts.conflicts},
+                         {"over_bound", counts.over_bound},
+                         {"lost_answers", counts.lost_answers},
+                         {"sessions", counts.sessions},
+                         {"catalog_lists", catalog_lists_},
+                         {"registrations", registrations_}});
+}
+
+void platform_server::tick()
+{
+    catalog_.tick(clock::now());
+    answer_due();
+    tick_timer_.expires_after(tick_interval);
+    tick_timer_.async_wait(
+        [this](auto error)
+        {
+            if (!error)
+            {
+                tick();
+            }
+        });
+}
+
+void platform_server::probe_all()
+{
+    for (auto const& target : settings_.probes)
+    {
+        probe(target);
+    }
+    probe_timer_.expires_after(settings_.probe_interval);
+    probe_timer_.async_wait(
+        [this](auto error)
+        {
+            if (!error)
+            {
+                probe_all();
+            }
+        });
+}
+
+void platform_server::probe(probe_target const& target)
+{
+    struct attempt
+    {
+        asio::ip::tcp::socket socket;
+        adapters::runtime::timer limit;
+    };
+    auto const open = std::make_shared<attempt>(
+        attempt{asio::ip::tcp::socket(io_),
+                adapters::runtime::timer(io_, probe_timeout)});
+    open->limit.async_wait(
+        [open](auto error)
+        {
+            boost::system::error_code ignored;
+            if (!error)
+            {
+                open->socket.close(ignored);
+            }
+        });
+    boost::system::error_code malformed;
+    auto const address =
+        asio::ip::make_address(target.where.address, malformed);
+    open->socket.async_connect({address, target.where.port},
+                               [this, open, &target](auto error)
+                               {
+                                   open->limit.cancel();
+                                   if (!error)
+                                   {
+                                       catalog_.register_entry(
+                                           clock::now(),
+                                           {target.id,
+                                            target.name,
+                                            target.where.address,
+                                            target.where.port,
+                                            target.data_centre,
+                                            {{"state", "live"}},
+                                            {}});
+                                   }
+                               });
+}
+
+} // namespace fuchsia::standins::platform
--- /dev/null
+++ b/standins/platform/store_service.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "standins/common/web.hpp"
+#include "standins/platform/call_rate.hpp"
+#include "standins/platform/store_state.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+// The store's HTTP paths (docs/API.md, "The platform's store"), without
+// sockets: bounds on calls, faults and books included.
+namespace fuchsia::standins::platform
+{
+
+struct service_settings
+{
+    double writes_per_second = 500;
+    double reads_per_second = 2'000;
+    store_limits limits;
+};
+
+struct store_faults
+{
+    bool down = false;
+    std::uint32_t slow_ms = 0;
+    /// Answers of so many writes below `lose_prefix` are dropped after their
+    /// effect; -1: of all.
+    std::int64_t lose_answers = 0;
+    std::string lose_prefix;
+};
+
+struct store_books
+{
+    std::uint64_t reads = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t erases = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t over_bound = 0;
+    std::uint64_t lost_answers = 0;
+    std::uint64_t sessions = 0;
+};
+
+/// The effect happened, and the connection closes without an answer.
+struct no_answer
+{
+};
+
+/// The answer follows when the query is due; `answer_held` makes it.
+struct answer_later
+{
+    held_query query;
+};
+
+using store_answer =
+    std::variant<adapters::http::response, no_answer, answer_later>;
+
+class store_service
+{
+public:
+    explicit store_service(service_settings settings);
+
+    /// Whether `path` is one of the store's.
+    static bool serves(std::string_view path) noexcept;
+    store_answer handle(core::common::time_point now,
+                        web_target const& target,
+                        adapters::http::request const& request);
+    adapters::http::response answer_held(held_query const& query) const;
+    std::vector<held_query> take_due(core::common::time_point now);
+    void drop_held(std::uint64_t number);
+    bool expire_session(std::string_view id);
+
+    store_faults& faults() noexcept;
+    store_books const& books() const noexcept;
+
+private:
+    using response = adapters::http::response;
+
+    store_answer read(core::common::time_point now, web_target const& target);
+    store_answer put(core::common::time_point now,
+                     web_target const& target,
+                     std::string const& body);
+    store_answer erase(core::common::time_point now, web_target const& target);
+    store_answer transact(core::common::time_point now,
+                          std::string const& body);
+    store_answer session(core::common::time_point now,
+                         web_target const& target,
+                         std::string const& body);
+    response open_session(core::common::time_point now,
+                          std::string const& body);
+    response entries_answer(std::string_view key, bool recurse) const;
+    store_answer after_effect(std::string_view key, response answer);
+    store_answer plain_result(std::string_view key, change_result result);
+    store_answer txn_result(std::string_view key, change_result result);
+    bool admit_read(core::common::time_point now);
+    bool admit_write(core::common::time_point now);
+
+    service_settings settings_;
+    store_state state_;
+    call_rate read_rate_;
+    call_rate write_rate_;
+    store_faults faults_;
+    store_books books_;
+    std::uint64_t held_number_ = 0;
+};
+
+} // namespace fuchsia::standins::platform
--- /dev/null
+++ b/standins/settings.cpp
@@ -0,0 +1,238 @@
+#include "standins/settings.hpp"
+
+#include <utility>
+
+namespace fuchsia::standins
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using adapters::settings::toml_table;
+using core::common::result_code;
+
+constexpr std::int64_t max_rate = 1'000'000;
+constexpr std::int64_t max_keys = 10'000'000;
+constexpr std::int64_t max_instances = 5'000;
+constexpr std::int64_t max_seed = 1'000'000'000'000;
+constexpr std::int64_t max_port = 65'535;
+
+std::uint32_t natural(toml_table& table,
+                      std::string_view key,
+                      std::uint32_t fallback,
+                      std::int64_t least,
+                      std::int64_t most)
+{
+    return static_cast<std::uint32_t>(
+        table.integer_or(key, fallback, least, most));
+}
+
+std::optional<ports::endpoint> read_platform_address(toml_table& root)
+{
+    auto table = root.table("platform");
+    std::optional<ports::endpoint> where;
+    if (table.has("address"))
+    {
+        where = table.endpoint("address");
+    }
+    table.refuse_unread();
+    return where;
+}
+
+std::vector<platform::probe_target> read_probes(toml_table& root)
+{
+    std::vector<platform::probe_target> probes;
+    for (auto& table : root.tables("probe"))
+    {
+        platform::probe_target probe;
+        probe.id = table.text("id");
+        probe.name = table.text("name");
+        probe.where = table.endpoint("address");
+        probe.data_centre = table.text_or("data_centre", "");
+        table.refuse_unread();
+        probes.push_back(std::move(probe));
+    }
+    return probes;
+}
+
+upstreams::service_time read_service_time(toml_table& root,
+                                          std::string_view key,
+                                          upstreams::service_time fallback)
+{
+    constexpr double longest_ms = 600'000;
+    auto table = root.table(key);
+    auto time = fallback;
+    time.median_ms =
+        table.number_or("median_ms", time.median_ms, 0.01, longest_ms);
+    time.sigma = table.number_or("sigma", time.sigma, 0.0, 5.0);
+    time.max_ms = table.number_or("max_ms", time.max_ms, 0.01, longest_ms);
+    if (time.max_ms < time.median_ms)
+    {
+        table.fail(result_code::inconsistent,
+                   "max_ms",
+                   "the longest time is below the median");
+    }
+    table.refuse_unread();
+    return time;
+}
+
+void read_pool(toml_table table, upstreams::upstream_settings& out)
+{
+    auto& pool = out.pool;
+    out.address = table.text_or("address", out.address);
+    out.first_port = static_cast<std::uint16_t>(
+        table.integer_or("first_port", out.first_port, 0, max_port));
+    pool.count = natural(table, "count", pool.count, 1, max_instances);
+    pool.slots = natural(table, "slots", pool.slots, 1, 10'000);
+    out.executor.connections =
+        natural(table, "connections", out.executor.connections, 1, 10'000);
+    out.executor.answer_bytes =
+        natural(table, "answer_bytes", out.executor.answer_bytes, 0, 1'000'000);
+    pool.data_centres = table.texts_or("data_centres", {});
+    pool.per_machine =
+        natural(table, "per_machine", pool.per_machine, 1, 1'000);
+    pool.interference =
+        table.number_or("interference", pool.interference, 0.0, 100.0);
+    pool.seed =
+        static_cast<std::uint64_t>(table.integer_or("seed", 1, 0, max_seed));
+    pool.leaving_grace =
+        table.duration_or("leaving_grace_ms", pool.leaving_grace, 0ms, 600s);
+    pool.keys = static_cast<std::size_t>(
+        table.integer_or("keys", 1'000'000, 1, max_keys));
+    out.register_interval = table.duration_or(
+        "register_interval_ms", out.register_interval, 50ms, 60s);
+    if (out.first_port + pool.count > max_port + 1)
+    {
+        table.fail(result_code::inconsistent,
+                   "first_port",
+                   "there are not enough ports above it");
+    }
+    table.refuse_unread();
+}
+
+void read_worker_pool(toml_table table, workers::pool_settings& pool)
+{
+    pool.count = natural(table, "count", pool.count, 1, max_instances);
+    pool.per_rack = natural(table, "per_rack", pool.per_rack, 1, 1'000);
+    pool.data_centres = table.texts_or("data_centres", {});
+    pool.capacity.millicores =
+        table.integer_or("millicores", pool.capacity.millicores, 1, 10'000'000);
+    pool.capacity.memory_mb = table.integer_or(
+        "memory_mb", pool.capacity.memory_mb, 1, 1'000'000'000);
+    pool.accelerator_every =
+        natural(table, "accelerator_every", pool.accelerator_every, 0, 1'000);
+    pool.accelerators =
+        natural(table, "accelerators", pool.accelerators, 0, 1'000);
+    pool.report_interval = table.duration_or(
+        "report_interval_ms", pool.report_interval, 100ms, 60s);
+    pool.report_lag =
+        table.duration_or("report_lag_ms", pool.report_lag, 0ms, 600s);
+    pool.ended_listed =
+        table.duration_or("ended_listed_ms", pool.ended_listed, 1s, 600s);
+    pool.late_start_grace = table.duration_or(
+        "late_start_grace_ms", pool.late_start_grace, 0ms, 600s);
+    pool.clock_drift_ppm =
+        natural(table, "clock_drift_ppm", pool.clock_drift_ppm, 0, 50'000);
+    pool.service_latency_us = static_cast<std::uint64_t>(
+        table.integer_or("service_latency_us", 5'000, 1, 60'000'000));
+    pool.broken_classes = table.texts_or("broken_classes", {});
+    table.refuse_unread();
+}
+
+void read_interference(toml_table table, workers::interference_settings& out)
+{
+    out.seed =
+        static_cast<std::uint64_t>(table.integer_or("seed", 1, 0, max_seed));
+    out.strength = table.number_or("strength", out.strength, 0.0, 1'000.0);
+    out.noise = table.number_or("noise", out.noise, 0.0, 1'000.0);
+    out.wave_period =
+        table.duration_or("wave_period_ms", out.wave_period, 100ms, 3'600s);
+    out.size_error = table.number_or("size_error", out.size_error, 1.0, 100.0);
+    table.refuse_unread();
+}
+
+} // namespace
+
+ports::severity read_log_level(toml_table& root)
+{
+    auto table = root.table("log");
+    auto const level =
+        table.choice_or("level", 1, {"debug", "info", "warning", "error"});
+    table.refuse_unread();
+    return static_cast<ports::severity>(level);
+}
+
+platform::platform_settings read_platform_settings(toml_table& root)
+{
+    platform::platform_settings settings;
+    settings.listen = root.endpoint("listen");
+    settings.probe_interval = root.duration_or(
+        "probe_interval_ms", settings.probe_interval, 50ms, 60s);
+    auto store = root.table("store");
+    settings.store.writes_per_second = static_cast<double>(
+        store.integer_or("writes_per_second", 500, 1, max_rate));
+    settings.store.reads_per_second = static_cast<double>(
+        store.integer_or("reads_per_second", 2'000, 1, max_rate));
+    settings.store.limits.keys = static_cast<std::size_t>(
+        store.integer_or("keys", 500'000, 1, max_keys));
+    store.refuse_unread();
+    auto instances = root.table("instances");
+    settings.instances.lifetime = instances.duration_or(
+        "lifetime_ms", settings.instances.lifetime, 200ms, 600s);
+    instances.refuse_unread();
+    settings.probes = read_probes(root);
+    root.refuse_unread();
+    return settings;
+}
+
+upstreams::upstream_settings read_upstream_settings(toml_table& root)
+{
+    upstreams::upstream_settings settings;
+    settings.control = root.endpoint("control");
+    settings.platform = read_platform_address(root);
+    read_pool(root.table("executors"), settings);
+    settings.pool.latency_critical = read_service_time(
+        root, "latency-critical", settings.pool.latency_critical);
+    settings.pool.batch = read_service_time(root, "batch", settings.pool.batch);
+    for (auto& table : root.tables("path"))
+    {
+        auto prefix = table.text("prefix");
+        auto const factor = table.number_or("factor", 1.0, 0.001, 1'000.0);
+        settings.pool.paths.push_back({std::move(prefix), factor});
+        table.refuse_unread();
+    }
+    root.refuse_unread();
+    return settings;
+}
+
+workers::worker_settings read_worker_settings(toml_table& root)
+{
+    workers::worker_settings settings;
+    settings.listen = root.endpoint("listen");
+    settings.platform = read_platform_address(root);
+    read_worker_pool(root.table("workers"), settings.pool);
+    read_interference(root.table("interference"), settings.pool.interference);
+    root.refuse_unread();
+    return settings;
+}
+
+links::links_settings read_link_settings(toml_table& root)
+{
+    links::links_settings settings;
+    settings.control = root.endpoint("control");
+    for (auto& table : root.tables("link"))
+    {
+        links::link_settings link;
+        link.name = table.text("name");
+        link.listen = table.endpoint("listen");
+        link.target = table.endpoint("target");
+        link.delay = table.duration_or("delay_us", link.delay, 0ms, 60s);
+        table.refuse_unread();
+        settings.links.push_back(std::move(link));
+    }
+    root.refuse_unread();
+    return settings;
+}
+
+} // namespace fuchsia::standins
--- /dev/null
+++ b/standins/settings.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "adapters/settings/toml_reader.hpp"
+#include "ports/actions.hpp"
+#include "standins/links/link_server.hpp"
+#include "standins/platform/platform_server.hpp"
+#include "standins/upstreams/upstream_server.hpp"
+#include "standins/workers/worker_server.hpp"
+
+#include <string>
+
+// The stand-ins' settings files; examples/standin-*.toml document every key.
+namespace fuchsia::standins
+{
+
+/// Reads the table [log].
+ports::severity read_log_level(adapters::settings::toml_table& root);
+
+/// Each reads and checks the file's remaining tables; what is wrong stands in
+/// the file.
+platform::platform_settings
+read_platform_settings(adapters::settings::toml_table& root);
+upstreams::upstream_settings
+read_upstream_settings(adapters::settings::toml_table& root);
+workers::worker_settings
+read_worker_settings(adapters::settings::toml_table& root);
+links::links_settings read_link_settings(adapters::settings::toml_table& root);
+
+} // namespace fuchsia::standins
--- /dev/null
+++ b/standins/workers/worker_pool.cpp
@@ -0,0 +1,651 @@
+#include "standins/workers/worker_pool.hpp"
+
+#include "core/common/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::standins::workers
+{
+
+namespace
+{
+
+using ports::attempt_state;
+
+// Worker clocks start at different readings, so that a reading taken from one
+// worker is plainly wrong on another.
+constexpr std::uint64_t max_clock_offset_ms = 3'600'000;
+
+std::string worker_name(std::uint32_t number)
+{
+    return "worker-" + std::to_string(number + 1);
+}
+
+std::string rack_name(std::uint32_t number)
+{
+    return "rack-" + std::to_string(number + 1);
+}
+
+} // namespace
+
+worker_pool::worker_pool(pool_settings settings, core::common::time_point start)
+    : settings_(std::move(settings)), start_(start),
+      interference_(settings_.interference)
+{
+    auto const drift = static_cast<std::int64_t>(settings_.clock_drift_ppm);
+    for (std::uint32_t number = 0; number < settings_.count; ++number)
+    {
+        worker_record worker;
+        worker.listed.id = worker_name(number);
+        auto const rack = number / settings_.per_rack;
+        worker.listed.rack = rack_name(rack);
+        auto const& names = settings_.data_centres;
+        worker.listed.data_centre =
+            names.empty() ? "" : names[rack % names.size()];
+        worker.listed.capacity = settings_.capacity;
+        if (settings_.accelerator_every > 0 &&
+            number % settings_.accelerator_every == 0)
+        {
+            worker.listed.capacity.accelerators = settings_.accelerators;
+        }
+        auto const draw = core::common::hash_of(worker.listed.id,
+                                                settings_.interference.seed);
+        worker.clock_offset_ms =
+            static_cast<std::int64_t>(draw % max_clock_offset_ms);
+        worker.clock_drift_ppm =
+            static_cast<std::int64_t>(draw >> 32) % (2 * drift + 1) - drift;
+        worker.advanced = start;
+        worker.next_report = start + settings_.report_interval * number /
+                                         std::max(1U, settings_.count);
+        worker.report_lag = settings_.report_lag;
+        workers_.push_back(std::move(worker));
+    }
+}
+
+std::size_t worker_pool::size() const noexcept
+{
+    return workers_.size();
+}
+
+std::optional<std::size_t> worker_pool::find(std::string_view id) const
+{
+    auto const found = std::find_if(workers_.begin(),
+                                    workers_.end(),
+                                    [id](auto const& each)
+                                    {
+                                        return each.listed.id == id;
+                                    });
+    if (found == workers_.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - workers_.begin());
+}
+
+std::vector<ports::worker_instance> worker_pool::list() const
+{
+    std::vector<ports::worker_instance> listed;
+    for (auto const& worker : workers_)
+    {
+        if (!worker.gone)
+        {
+            listed.push_back(worker.listed);
+        }
+    }
+    return listed;
+}
+
+std::vector<ports::worker_report>
+worker_pool::reports(core::common::time_point now, std::string_view rack) const
+{
+    std::vector<ports::worker_report> newest;
+    for (auto const& worker : workers_)
+    {
+        if (!rack.empty() && worker.listed.rack != rack)
+        {
+            continue;
+        }
+        auto const visible =
+            std::find_if(worker.reports.rbegin(),
+                         worker.reports.rend(),
+                         [&](auto const& each)
+                         {
+                             return each.made + worker.report_lag <= now;
+                         });
+        if (visible != worker.reports.rend())
+        {
+            newest.push_back(visible->what);
+        }
+    }
+    return newest;
+}
+
+std::uint64_t worker_pool::clock_ms(std::size_t worker,
+                                    core::common::time_point now) const
+{
+    constexpr std::int64_t millionths = 1'000'000;
+    auto const& at = workers_[worker];
+    auto const gone = (now - start_).count();
+    auto const own = gone + gone * at.clock_drift_ppm / millionths;
+    return static_cast<std::uint64_t>(at.clock_offset_ms + own / 1'000);
+}
+
+call_result worker_pool::start(core::common::time_point now,
+                               std::size_t worker,
+                               ports::worker_start const& call)
+{
+    advance(worker, now);
+    auto& at = workers_[worker];
+    if (at.attempts.contains(call.what))
+    {
+        return {};
+    }
+    auto const refused = refusal_of(at, clock_ms(worker, now), call);
+    if (refused)
+    {
+        return {false, *refused, {}, {}};
+    }
+    settle(now, call.what.task);
+    note_violations(now, at, call);
+    ++books_.starts;
+    ++books_.running;
+    running_[call.what.task].push_back({worker, call.what});
+    attempt_record attempt;
+    attempt.call = call;
+    attempt.lease_until_ms = call.lease_until_ms;
+    attempt.work_done_ms = resume_from(call);
+    auto const& broken = settings_.broken_classes;
+    bool const is_broken =
+        std::find(broken.begin(), broken.end(), call.task_class) !=
+        broken.end();
+    attempt.doomed = at.fail_starts || is_broken;
+    attempt.why = at.fail_starts ? "the worker fails every start"
+                  : is_broken    ? "the task's program fails"
+                                 : "";
+    at.attempts.emplace(call.what, std::move(attempt));
+    measure(at, now);
+    return {};
+}
+
+std::optional<std::string>
+worker_pool::refusal_of(worker_record const& worker,
+                        std::uint64_t clock,
+                        ports::worker_start const& call) const
+{
+    if (worker.barred.contains(call.what))
+    {
+        return "the attempt was stopped before it came";
+    }
+    if (clock > call.start_before_ms)
+    {
+        return "the start came too late";
+    }
+    if (clock >= call.lease_until_ms)
+    {
+        return "the lease is over";
+    }
+    if (worker.attempts.size() >= settings_.attempts_per_worker)
+    {
+        return "too many attempts are listed here";
+    }
+    if (!call.checkpoint.empty() && !checkpoints_.contains(call.checkpoint))
+    {
+        return "unknown checkpoint";
+    }
+    return std::nullopt;
+}
+
+void worker_pool::note_violations(core::common::time_point now,
+                                  worker_record const& worker,
+                                  ports::worker_start const& call)
+{
+    auto const elsewhere = running_.find(call.what.task);
+    if (elsewhere != running_.end() && !elsewhere->second.empty())
+    {
+        ++books_.two_places;
+    }
+    ports::resources wanted = call.declared;
+    for (auto const& [what, attempt] : worker.attempts)
+    {
+        if (attempt.state == attempt_state::running)
+        {
+            wanted += attempt.call.declared;
+        }
+    }
+    if (!worker.listed.capacity.holds(wanted))
+    {
+        ++books_.overfilled;
+    }
+    auto const out = out_since_.find(worker.listed.data_centre);
+    if (out != out_since_.end() &&
+        now - out->second > settings_.late_start_grace)
+    {
+        ++books_.late_starts;
+    }
+}
+
+// A resume is a second one where the first resumer still runs or did the work.
+// Resuming again what a failed or expired attempt had resumed is recovery.
+double worker_pool::resume_from(ports::worker_start const& call)
+{
+    auto const found = checkpoints_.find(call.checkpoint);
+    if (call.checkpoint.empty() || found == checkpoints_.end())
+    {
+        return 0;
+    }
+    auto& kept = found->second;
+    ++books_.resumed;
+    bool const again = kept.resumed_by && *kept.resumed_by != call.what;
+    if (again && (kept.resumer_finished || is_running(*kept.resumed_by)))
+    {
+        ++books_.resumed_twice;
+    }
+    kept.resumed_by = call.what;
+    return kept.work_done_ms;
+}
+
+bool worker_pool::is_running(ports::task_attempt const& what) const
+{
+    auto const places = running_.find(what.task);
+    return places != running_.end() && std::any_of(places->second.begin(),
+                                                   places->second.end(),
+                                                   [&](place const& each)
+                                                   {
+                                                       return each.what == what;
+                                                   });
+}
+
+void worker_pool::settle(core::common::time_point now, std::string const& task)
+{
+    auto const places = running_.find(task);
+    if (places == running_.end())
+    {
+        return;
+    }
+    auto const copy = places->second;
+    for (auto const& each : copy)
+    {
+        advance(each.worker, now);
+    }
+}
+
+worker_pool::attempt_record*
+worker_pool::running_attempt(core::common::time_point now,
+                             std::size_t worker,
+                             ports::task_attempt const& what)
+{
+    advance(worker, now);
+    auto const found = workers_[worker].attempts.find(what);
+    bool const runs = found != workers_[worker].attempts.end() &&
+                      found->second.state == attempt_state::running;
+    return runs ? &found->second : nullptr;
+}
+
+call_result worker_pool::renew(core::common::time_point now,
+                               std::size_t worker,
+                               ports::worker_renew const& call)
+{
+    call_result result;
+    for (auto const& what : call.what)
+    {
+        auto* attempt = running_attempt(now, worker, what);
+        if (attempt == nullptr)
+        {
+            result.gone.push_back(what);
+            continue;
+        }
+        attempt->lease_until_ms =
+            std::max(attempt->lease_until_ms, call.lease_until_ms);
+    }
+    return result;
+}
+
+call_result worker_pool::throttle(core::common::time_point now,
+                                  std::size_t worker,
+                                  ports::worker_throttle const& call)
+{
+    auto* attempt = running_attempt(now, worker, call.what);
+    if (attempt == nullptr)
+    {
+        return {false, "it does not run here", {}, {}};
+    }
+    attempt->permille = call.permille;
+    measure(workers_[worker], now);
+    return {};
+}
+
+call_result worker_pool::checkpoint(core::common::time_point now,
+                                    std::size_t worker,
+                                    ports::worker_checkpoint const& call)
+{
+    auto* attempt = running_attempt(now, worker, call.what);
+    if (attempt == nullptr)
+    {
+        return {false, "it does not run here", {}, {}};
+    }
+    auto id = "checkpoint-" + std::to_string(++checkpoint_number_);
+    checkpoints_[id] = {call.what, attempt->work_done_ms, std::nullopt, false};
+    checkpoint_order_.push_back(id);
+    if (checkpoint_order_.size() > settings_.checkpoints)
+    {
+        checkpoints_.erase(checkpoint_order_.front());
+        checkpoint_order_.pop_front();
+    }
+    ++books_.checkpoints;
+    return {true, {}, std::move(id), {}};
+}
+
+call_result worker_pool::stop(core::common::time_point now,
+                              std::size_t worker,
+                              ports::worker_stop const& call)
+{
+    auto* attempt = running_attempt(now, worker, call.what);
+    auto& at = workers_[worker];
+    if (attempt != nullptr)
+    {
+        end_attempt(*attempt, attempt_state::stopped, now, {});
+        measure(at, now);
+    }
+    else if (!at.attempts.contains(call.what))
+    {
+        bar(at, call.what);
+    }
+    return {};
+}
+
+void worker_pool::bar(worker_record& worker, ports::task_attempt const& what)
+{
+    if (!worker.barred.insert(what).second)
+    {
+        return;
+    }
+    worker.barred_order.push_back(what);
+    if (worker.barred_order.size() > settings_.attempts_per_worker)
+    {
+        worker.barred.erase(worker.barred_order.front());
+        worker.barred_order.pop_front();
+    }
+}
+
+void worker_pool::tick(core::common::time_point now)
+{
+    for (std::size_t worker = 0; worker < workers_.size(); ++worker)
+    {
+        advance(worker, now);
+        auto& at = workers_[worker];
+        std::erase_if(at.attempts,
+                      [&](auto const& each)
+                      {
+                          auto const& attempt = each.second;
+                          return attempt.state != attempt_state::running &&
+                                 now - attempt.ended > settings_.ended_listed;
+                      });
+        if (now >= at.next_report && !at.gone && !at.frozen)
+        {
+            make_report(worker, now);
+        }
+    }
+}
+
+void worker_pool::advance(std::size_t worker, core::common::time_point now)
+{
+    auto& at = workers_[worker];
+    if (now <= at.advanced || at.gone)
+    {
+        return;
+    }
+    measure(at, now);
+    auto const clock_before = clock_ms(worker, at.advanced);
+    auto const clock_now = clock_ms(worker, now);
+    auto const elapsed = static_cast<double>(clock_now - clock_before);
+    at.advanced = now;
+    for (auto& [what, attempt] : at.attempts)
+    {
+        if (attempt.state == attempt_state::running)
+        {
+            progress(attempt, elapsed, clock_before, now);
+        }
+    }
+}
+
+void worker_pool::progress(attempt_record& attempt,
+                           double elapsed_ms,
+                           std::uint64_t clock_before,
+                           core::common::time_point now)
+{
+    if (attempt.doomed)
+    {
+        end_attempt(attempt, attempt_state::failed, now, attempt.why);
+        return;
+    }
+    double const lease_left =
+        attempt.lease_until_ms > clock_before
+            ? static_cast<double>(attempt.lease_until_ms - clock_before)
+            : 0.0;
+    double const ran = std::min(elapsed_ms, lease_left);
+    attempt.work_done_ms += ran * attempt.speed;
+    bool const done =
+        !attempt.call.service &&
+        attempt.work_done_ms >= static_cast<double>(attempt.call.work_ms);
+    if (done)
+    {
+        end_attempt(attempt, attempt_state::finished, now, {});
+    }
+    else if (lease_left <= elapsed_ms)
+    {
+        end_attempt(attempt, attempt_state::lease_expired, now, {});
+    }
+}
+
+// Sets what each running attempt uses, how fast it works and how slow its
+// answers are, beside its present neighbours.
+void worker_pool::measure(worker_record& worker, core::common::time_point now)
+{
+    constexpr double whole = 1'000.0;
+    auto const capacity = static_cast<double>(
+        std::max<std::int64_t>(1, worker.listed.capacity.millicores));
+    double cores_used = 0;
+    std::vector<attempt_record*> running;
+    for (auto& [what, attempt] : worker.attempts)
+    {
+        if (attempt.state != attempt_state::running)
+        {
+            continue;
+        }
+        double const factor =
+            interference_.size_factor(attempt.call.task_class);
+        attempt.used = attempt.call.declared;
+        auto const scaled = [&](std::int64_t declared, double by)
+        {
+            return static_cast<std::int64_t>(static_cast<double>(declared) *
+                                             by);
+        };
+        attempt.used.millicores = scaled(attempt.call.declared.millicores,
+                                         factor * attempt.permille / whole);
+        attempt.used.memory_mb =
+            scaled(attempt.call.declared.memory_mb, factor);
+        cores_used += static_cast<double>(attempt.used.millicores);
+        running.push_back(&attempt);
+    }
+    double const crowding = std::max(1.0, cores_used / capacity);
+    double const wave = interference_.wave(worker.listed.id, now, worker.noise);
+    for (auto* attempt : running)
+    {
+        double slowdown = 1.0;
+        for (auto const* other : running)
+        {
+            if (other != attempt)
+            {
+                slowdown +=
+                    wave *
+                    interference_.disturbance(
+                        attempt->call.task_class,
+                        other->call.task_class,
+                        static_cast<double>(other->used.millicores) / capacity);
+            }
+        }
+        attempt->speed = attempt->permille / whole / slowdown / crowding;
+        attempt->latency_p99_us =
+            attempt->call.service
+                ? static_cast<std::uint64_t>(
+                      static_cast<double>(settings_.service_latency_us) *
+                      slowdown * crowding * whole / attempt->permille)
+                : 0;
+    }
+}
+
+void worker_pool::end_attempt(attempt_record& attempt,
+                              ports::attempt_state state,
+                              core::common::time_point now,
+                              std::string why)
+{
+    attempt.state = state;
+    attempt.ended = now;
+    attempt.why = std::move(why);
+    attempt.used = {};
+    forget_running(attempt.call.what);
+    count_end(attempt);
+}
+
+void worker_pool::count_end(attempt_record const& attempt)
+{
+    --books_.running;
+    books_.finished += attempt.state == attempt_state::finished ? 1 : 0;
+    books_.failed += attempt.state == attempt_state::failed ? 1 : 0;
+    books_.stopped += attempt.state == attempt_state::stopped ? 1 : 0;
+    books_.expired += attempt.state == attempt_state::lease_expired ? 1 : 0;
+    auto const resumed = checkpoints_.find(attempt.call.checkpoint);
+    if (resumed != checkpoints_.end() &&
+        resumed->second.resumed_by == attempt.call.what)
+    {
+        resumed->second.resumer_finished =
+            attempt.state == attempt_state::finished;
+    }
+}
+
+void worker_pool::forget_running(ports::task_attempt const& what)
+{
+    auto const places = running_.find(what.task);
+    if (places == running_.end())
+    {
+        return;
+    }
+    // One only: the same attempt at two workers ends at each by itself.
+    auto const one = std::find_if(places->second.begin(),
+                                  places->second.end(),
+                                  [&](place const& each)
+                                  {
+                                      return each.what == what;
+                                  });
+    if (one != places->second.end())
+    {
+        places->second.erase(one);
+    }
+    if (places->second.empty())
+    {
+        running_.erase(places);
+    }
+}
+
+void worker_pool::make_report(std::size_t worker, core::common::time_point now)
+{
+    auto& at = workers_[worker];
+    ports::worker_report report;
+    report.worker = at.listed.id;
+    report.sequence = ++at.sequence;
+    report.clock_ms = clock_ms(worker, now);
+    for (auto const& [what, attempt] : at.attempts)
+    {
+        report.attempts.push_back(
+            {what,
+             attempt.state,
+             attempt.used,
+             attempt.latency_p99_us,
+             static_cast<std::uint64_t>(attempt.work_done_ms),
+             attempt.why});
+    }
+    at.reports.push_back({now, std::move(report)});
+    while (at.reports.size() > 1 && at.reports[1].made + at.report_lag <= now)
+    {
+        at.reports.pop_front();
+    }
+    at.next_report = now + settings_.report_interval;
+}
+
+void worker_pool::lose_all(worker_record& worker)
+{
+    for (auto const& [what, attempt] : worker.attempts)
+    {
+        if (attempt.state == attempt_state::running)
+        {
+            forget_running(what);
+            --books_.running;
+            ++books_.lost;
+        }
+    }
+    worker.attempts.clear();
+    worker.barred.clear();
+    worker.barred_order.clear();
+    worker.reports.clear();
+}
+
+bool worker_pool::set_faults(core::common::time_point now,
+                             std::string_view id,
+                             worker_faults const& faults)
+{
+    bool found = false;
+    for (std::size_t worker = 0; worker < workers_.size(); ++worker)
+    {
+        auto& at = workers_[worker];
+        if (id != "*" && at.listed.id != id)
+        {
+            continue;
+        }
+        found = true;
+        advance(worker, now);
+        at.fail_starts = faults.fail_starts.value_or(at.fail_starts);
+        at.frozen = faults.freeze.value_or(at.frozen);
+        at.report_lag = faults.report_lag.value_or(at.report_lag);
+        at.noise = faults.noise.value_or(at.noise);
+        if (faults.gone && *faults.gone && !at.gone)
+        {
+            lose_all(at);
+        }
+        at.gone = faults.gone.value_or(at.gone);
+        at.advanced = now;
+    }
+    return found;
+}
+
+bool worker_pool::frozen(std::size_t worker) const
+{
+    return workers_[worker].frozen;
+}
+
+bool worker_pool::gone(std::size_t worker) const
+{
+    return workers_[worker].gone;
+}
+
+void worker_pool::set_data_centre(core::common::time_point now,
+                                  std::string const& name,
+                                  bool out)
+{
+    constexpr std::size_t max_data_centres = 1'000;
+    if (!out)
+    {
+        out_since_.erase(name);
+    }
+    else if (out_since_.size() < max_data_centres)
+    {
+        out_since_.emplace(name, now);
+    }
+}
+
+worker_books const& worker_pool::books() const noexcept
+{
+    return books_;
+}
+
+} // namespace fuchsia::standins::workers
--- /dev/null
+++ b/standins/workers/worker_pool.hpp
@@ -0,0 +1,231 @@
+#pragma once
+
+#include "core/common/time.hpp"
+#include "ports/workers.hpp"
+#include "standins/workers/interference.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// The platform's workers without their sockets: attempts under leases, their
+// progress beside their neighbours, lagging reports, and the books of what
+// must never happen.
+namespace fuchsia::standins::workers
+{
+
+struct pool_settings
+{
+    std::uint32_t count = 50;
+    std::uint32_t per_rack = 8;
+    std::vector<std::string> data_centres;
+    ports::resources capacity{64'000, 250'000, 0};
+    /// Accelerators of every `accelerator_every`-th worker; 0: of none.
+    std::uint32_t accelerator_every = 0;
+    std::uint32_t accelerators = 4;
+    core::common::duration report_interval = std::chrono::seconds(1);
+    core::common::duration report_lag = std::chrono::seconds(2);
+    /// How long an attempt that ended stays in the reports.
+    core::common::duration ended_listed = std::chrono::minutes(1);
+    /// Starts later than this in a data centre that is out are counted.
+    core::common::duration late_start_grace = std::chrono::seconds(5);
+    /// Worker clocks run up to so many millionths fast or slow.
+    std::uint32_t clock_drift_ppm = 100;
+    std::uint64_t service_latency_us = 5'000;
+    /// Attempts of these classes fail wherever they start.
+    std::vector<std::string> broken_classes;
+    interference_settings interference;
+    std::size_t attempts_per_worker = 4'096;
+    std::size_t checkpoints = 200'000;
+};
+
+/// Faults of one worker, switched at run time; absent parts stay as they are.
+struct worker_faults
+{
+    std::optional<bool> fail_starts;
+    /// Answers nothing and reports nothing; its tasks and leases go on.
+    std::optional<bool> freeze;
+    /// Its tasks are lost with it; empty when it comes back.
+    std::optional<bool> gone;
+    std::optional<core::common::duration> report_lag;
+    std::optional<double> noise;
+};
+
+struct worker_books
+{
+    std::uint64_t starts = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t stopped = 0;
+    std::uint64_t checkpoints = 0;
+    std::uint64_t resumed = 0;
+    std::uint64_t expired = 0;
+    std::uint64_t lost = 0; ///< Running when their worker went.
+    std::uint64_t running = 0;
+    std::uint64_t overfilled = 0;
+    std::uint64_t two_places = 0;
+    std::uint64_t late_starts = 0;
+    std::uint64_t resumed_twice = 0;
+};
+
+/// The answer to one call: done, or refused with the reason.
+struct call_result
+{
+    bool done = true;
+    std::string why;
+    std::string checkpoint;
+    std::vector<ports::task_attempt> gone;
+};
+
+class worker_pool
+{
+public:
+    worker_pool(pool_settings settings, core::common::time_point start);
+
+    std::size_t size() const noexcept;
+    std::optional<std::size_t> find(std::string_view id) const;
+    /// Workers that are there, as the platform lists them.
+    std::vector<ports::worker_instance> list() const;
+    /// The newest visible report of each worker of `rack`; of all for "".
+    std::vector<ports::worker_report> reports(core::common::time_point now,
+                                              std::string_view rack) const;
+
+    call_result start(core::common::time_point now,
+                      std::size_t worker,
+                      ports::worker_start const& call);
+    call_result renew(core::common::time_point now,
+                      std::size_t worker,
+                      ports::worker_renew const& call);
+    call_result throttle(core::common::time_point now,
+                         std::size_t worker,
+                         ports::worker_throttle const& call);
+    call_result checkpoint(core::common::time_point now,
+                           std::size_t worker,
+                           ports::worker_checkpoint const& call);
+    call_result stop(core::common::time_point now,
+                     std::size_t worker,
+                     ports::worker_stop const& call);
+
+    /// Brings progress, leases and reports up to `now`; wanted at least every
+    /// 200 ms.
+    void tick(core::common::time_point now);
+
+    bool set_faults(core::common::time_point now,
+                    std::string_view id,
+                    worker_faults const& faults);
+    bool frozen(std::size_t worker) const;
+    bool gone(std::size_t worker) const;
+    /// What the operators decided, for the count of late starts.
+    void set_data_centre(core::common::time_point now,
+                         std::string const& name,
+                         bool out);
+
+    /// The worker's own clock, in milliseconds.
+    std::uint64_t clock_ms(std::size_t worker,
+                           core::common::time_point now) const;
+    worker_books const& books() const noexcept;
+
+private:
+    struct attempt_record
+    {
+        ports::worker_start call;
+        ports::attempt_state state = ports::attempt_state::running;
+        std::uint32_t permille = 1000;
+        double work_done_ms = 0;
+        double speed = 1.0; ///< Work done in a second, in seconds.
+        std::uint64_t latency_p99_us = 0;
+        ports::resources used;
+        std::uint64_t lease_until_ms = 0;
+        bool doomed = false; ///< Fails at the next tick.
+        std::string why;
+        core::common::time_point ended{};
+    };
+
+    struct worker_record
+    {
+        ports::worker_instance listed;
+        std::int64_t clock_offset_ms = 0;
+        std::int64_t clock_drift_ppm = 0;
+        std::map<ports::task_attempt, attempt_record> attempts;
+        /// Attempts stopped before they came; their starts are refused.
+        std::set<ports::task_attempt> barred;
+        std::deque<ports::task_attempt> barred_order;
+        struct dated_report
+        {
+            core::common::time_point made{};
+            ports::worker_report what;
+        };
+        std::deque<dated_report> reports;
+        std::uint64_t sequence = 0;
+        core::common::time_point next_report{};
+        core::common::time_point advanced{};
+        bool fail_starts = false;
+        bool frozen = false;
+        bool gone = false;
+        core::common::duration report_lag{};
+        double noise = 0;
+    };
+
+    struct checkpoint_record
+    {
+        ports::task_attempt of;
+        double work_done_ms = 0;
+        std::optional<ports::task_attempt> resumed_by;
+        bool resumer_finished = false;
+    };
+
+    struct place
+    {
+        std::size_t worker = 0;
+        ports::task_attempt what;
+    };
+
+    std::optional<std::string>
+    refusal_of(worker_record const& worker,
+               std::uint64_t clock,
+               ports::worker_start const& call) const;
+    void note_violations(core::common::time_point now,
+                         worker_record const& worker,
+                         ports::worker_start const& call);
+    double resume_from(ports::worker_start const& call);
+    bool is_running(ports::task_attempt const& what) const;
+    /// Ends what has run out by now wherever the task runs.
+    void settle(core::common::time_point now, std::string const& task);
+    attempt_record* running_attempt(core::common::time_point now,
+                                    std::size_t worker,
+                                    ports::task_attempt const& what);
+    void advance(std::size_t worker, core::common::time_point now);
+    void measure(worker_record& worker, core::common::time_point now);
+    void progress(attempt_record& attempt,
+                  double elapsed_ms,
+                  std::uint64_t clock_before,
+                  core::common::time_point now);
+    void end_attempt(attempt_record& attempt,
+                     ports::attempt_state state,
+                     core::common::time_point now,
+                     std::string why);
+    void count_end(attempt_record const& attempt);
+    void forget_running(ports::task_attempt const& what);
+    void bar(worker_record& worker, ports::task_attempt const& what);
+    void make_report(std::size_t worker, core::common::time_point now);
+    void lose_all(worker_record& worker);
+
+    pool_settings settings_;
+    core::common::time_point start_;
+    interference interference_;
+    std::vector<worker_record> workers_;
+    /// Running attempts of each task, in all places.
+    std::map<std::string, std::vector<place>, std::less<>> running_;
+    std::map<std::string, checkpoint_record, std::less<>> checkpoints_;
+    std::deque<std::string> checkpoint_order_;
+    std::uint64_t checkpoint_number_ = 0;
+    std::map<std::string, core::common::time_point, std::less<>> out_since_;
+    worker_books books_;
+};
+
+} // namespace fuchsia::standins::workers
--- /dev/null
+++ b/standins/workers/worker_server.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "adapters/http/server.hpp"
+#include "adapters/runtime/timer.hpp"
+#include "standins/common/registrar.hpp"
+#include "standins/common/web.hpp"
+#include "standins/workers/worker_pool.hpp"
+
+#include <deque>
+#include <optional>
+
+namespace fuchsia::standins::workers
+{
+
+struct worker_settings
+{
+    ports::endpoint listen{"127.0.0.1", 20200};
+    /// Where the agent registers; absent: nowhere.
+    std::optional<ports::endpoint> platform;
+    pool_settings pool;
+};
+
+/// The workers' agent, its faults and books behind one HTTP port.
+class worker_server
+{
+public:
+    worker_server(boost::asio::io_context& io, worker_settings settings);
+
+    std::optional<ports::endpoint> listen(core::common::failure& reason);
+    void stop();
+
+private:
+    using request = adapters::http::request;
+    using response = adapters::http::response;
+    using responder = adapters::http::responder;
+
+    /// One call to a frozen worker: it is handled when the worker thaws.
+    struct parked_call
+    {
+        std::size_t worker = 0;
+        std::string operation;
+        std::string body;
+        responder answer;
+    };
+
+    void handle(request const& asked, responder const& answer);
+    void handle_worker(std::string_view path,
+                       request const& asked,
+                       responder const& answer);
+    response call(std::size_t worker,
+                  std::string_view operation,
+                  std::string const& body);
+    response handle_control(web_target const& target, request const& asked);
+    response set_faults(std::string const& body);
+    response set_data_centre(std::string_view name, std::string const& body);
+    response list() const;
+    response reports(std::string_view rack) const;
+    response books() const;
+    void thaw();
+    void tick();
+
+    boost::asio::io_context& io_;
+    worker_settings settings_;
+    worker_pool pool_;
+    adapters::http::server server_;
+    adapters::runtime::timer timer_;
+    std::deque<parked_call> parked_;
+    std::optional<registrar> registrar_;
+    ports::endpoint where_;
+};
+
+} // namespace fuchsia::standins::workers
--- /dev/null
+++ b/tests/contract/standins/store_state_test.cpp
@@ -0,0 +1,249 @@
+#include "standins/platform/store_service.hpp"
+
+#include <gtest/gtest.h>
+
+namespace fuchsia::standins::platform
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using adapters::http::request;
+using adapters::http::response;
+
+constexpr core::common::time_point start(1h);
+
+std::uint16_t status_of(store_answer const& answer)
+{
+    auto const* sent = std::get_if<response>(&answer);
+    return sent == nullptr ? 0 : sent->status;
+}
+
+store_answer ask(store_service& store,
+                 std::string method,
+                 std::string target,
+                 std::string body = {},
+                 core::common::time_point now = start)
+{
+    request asked{
+        std::move(method), std::move(target), {}, std::move(body), {}};
+    auto const parsed = parse_target(asked.target);
+    return store.handle(now, *parsed, asked);
+}
+
+std::string cas(std::string const& key, std::uint64_t index)
+{
+    return R"([{"KV":{"Verb":"cas","Key":")" + key +
+           R"(","Value":"aGk=","Index":)" + std::to_string(index) + "}}]";
+}
+
+} // namespace
+
+TEST(store_state, writes_only_at_the_expected_version)
+{
+    struct row
+    {
+        std::string_view what;
+        bool exists;
+        std::optional<std::uint64_t> expected;
+        change_status wanted;
+    };
+    // Two writers race: both read the same version, and only one may win.
+    std::vector<row> const rows{
+        {"create", false, 0, change_status::done},
+        {"create what exists", true, 0, change_status::conflict},
+        {"change at its version", true, 2, change_status::done},
+        {"change at an old version", true, 1, change_status::conflict},
+        {"change what is absent", false, 2, change_status::conflict},
+        {"unconditional", true, std::nullopt, change_status::done},
+    };
+    for (auto const& row : rows)
+    {
+        store_state store;
+        if (row.exists)
+        {
+            store.write("k", "old", std::nullopt);
+        }
+        auto const before = store.index();
+        auto const result = store.write("k", "new", row.expected);
+        EXPECT_EQ(result.status, row.wanted) << row.what;
+        bool const done = row.wanted == change_status::done;
+        EXPECT_EQ(store.index(), done ? before + 1 : before) << row.what;
+    }
+}
+
+TEST(store_state, a_conflicting_erase_changes_nothing)
+{
+    store_state store;
+    auto const written = store.write("k", "v", 0);
+    EXPECT_EQ(store.erase("k", written.index + 1).status,
+              change_status::conflict);
+    ASSERT_NE(store.find("k"), nullptr);
+    EXPECT_EQ(store.erase("k", written.index).status, change_status::done);
+    EXPECT_EQ(store.find("k"), nullptr);
+}
+
+TEST(store_state, a_query_is_due_when_its_key_changes_or_its_wait_ends)
+{
+    struct row
+    {
+        std::string_view what;
+        std::string_view changed_key;
+        core::common::duration passed;
+        bool due;
+    };
+    std::vector<row> const rows{
+        {"the key below the prefix", "a/1", 1s, true},
+        {"another key", "b/1", 1s, false},
+        {"nothing, in time", "", 9s, false},
+        {"nothing, and the wait is over", "", 10s, true},
+    };
+    for (auto const& row : rows)
+    {
+        store_state store;
+        store.write("a/1", "v", 0);
+        ASSERT_TRUE(store.hold({7, "a/", true, store.index(), start + 10s}));
+        if (!row.changed_key.empty())
+        {
+            store.write(row.changed_key, "new", std::nullopt);
+        }
+        auto const due = store.take_due(start + row.passed);
+        EXPECT_EQ(due.size(), row.due ? 1U : 0U) << row.what;
+    }
+}
+
+TEST(store_state, a_query_sees_a_deletion_that_came_before_it)
+{
+    // The watcher read the list, then the last key below its prefix was
+    // deleted, then its query came. Waiting now, it would miss the deletion.
+    store_state store;
+    store.write("a/1", "v", 0);
+    auto const seen = store.index();
+    store.erase("a/1", std::nullopt);
+    EXPECT_FALSE(store.hold({1, "a/", true, seen, start + 10s}));
+    EXPECT_TRUE(store.hold({2, "a/", true, store.index(), start + 10s}));
+}
+
+TEST(store_state, a_lease_that_ran_out_frees_its_keys)
+{
+    // The holder was paused past its lease. Another takes the key, and the
+    // first can neither renew nor release.
+    store_state store;
+    auto const first = store.open_session(start, 10s);
+    auto const second = store.open_session(start, 60s);
+    ASSERT_EQ(store.acquire("lock", "1", *first).status, change_status::done);
+    EXPECT_EQ(store.acquire("lock", "2", *second).status,
+              change_status::conflict);
+    store.take_due(start + 10s);
+    EXPECT_FALSE(store.renew_session(start + 10s, *first));
+    EXPECT_EQ(store.acquire("lock", "2", *second).status, change_status::done);
+    EXPECT_EQ(store.release("lock", "1", *first).status,
+              change_status::conflict);
+    EXPECT_EQ(store.find("lock")->lock_index, 2U);
+}
+
+TEST(store_service, answers_as_the_published_format_has_it)
+{
+    struct row
+    {
+        std::string_view what;
+        std::string method;
+        std::string target;
+        std::string body;
+        std::uint16_t status;
+    };
+    std::vector<row> const rows{
+        {"read", "GET", "/v1/kv/k", "", 200},
+        {"read what is absent", "GET", "/v1/kv/none", "", 404},
+        {"list", "GET", "/v1/kv/?recurse", "", 200},
+        {"list nothing", "GET", "/v1/kv/x/?recurse", "", 404},
+        {"won race", "PUT", "/v1/txn", cas("k", 2), 200},
+        {"lost race", "PUT", "/v1/txn", cas("k", 1), 409},
+        {"no JSON", "PUT", "/v1/txn", "{", 400},
+        {"two operations", "PUT", "/v1/txn", "[{},{}]", 400},
+        {"unknown verb",
+         "PUT",
+         "/v1/txn",
+         R"([{"KV":{"Verb":"set","Key":"k","Value":""}}])",
+         400},
+        {"no base64",
+         "PUT",
+         "/v1/txn",
+         R"([{"KV":{"Verb":"cas","Key":"k","Value":"%%","Index":2}}])",
+         400},
+        {"malformed index", "GET", "/v1/kv/k?index=x", "", 400},
+        {"malformed wait", "GET", "/v1/kv/k?index=9&wait=1y", "", 400},
+        {"largest value", "PUT", "/v1/kv/k", std::string(1 << 20, 'v'), 200},
+        {"larger value",
+         "PUT",
+         "/v1/kv/k",
+         std::string((1 << 20) + 1, 'v'),
+         413},
+        {"unknown method", "PATCH", "/v1/kv/k", "", 405},
+    };
+    for (auto const& row : rows)
+    {
+        store_service store({});
+        ask(store, "PUT", "/v1/kv/k", "v");
+        auto const answer = ask(store, row.method, row.target, row.body);
+        EXPECT_EQ(status_of(answer), row.status) << row.what;
+    }
+}
+
+TEST(store_service, refuses_calls_beyond_its_bound)
+{
+    service_settings settings;
+    settings.reads_per_second = 10;
+    settings.writes_per_second = 5;
+    store_service store(settings);
+    for (int call = 0; call < 20; ++call)
+    {
+        ask(store, "GET", "/v1/kv/k");
+        ask(store, "PUT", "/v1/kv/k", "v");
+    }
+    EXPECT_EQ(store.books().over_bound, 25U);
+    EXPECT_EQ(status_of(ask(store, "PUT", "/v1/kv/k", "v")), 429);
+    EXPECT_EQ(status_of(ask(store, "PUT", "/v1/kv/k", "v", start + 1s)), 200);
+}
+
+TEST(store_service, loses_answers_after_the_effect_below_the_prefix_only)
+{
+    // The store is overloaded: it takes the change, and the connection ends
+    // before the answer. The caller can't tell, and must read back.
+    struct row
+    {
+        std::string_view what;
+        std::int64_t lose;
+        std::string key;
+        int lost_of_three;
+    };
+    std::vector<row> const rows{
+        {"none", 0, "members/a", 0},
+        {"one", 1, "members/a", 1},
+        {"all", -1, "members/a", 3},
+        {"elsewhere", -1, "tasks/a", 0},
+    };
+    for (auto const& row : rows)
+    {
+        store_service store({});
+        store.faults().lose_answers = row.lose;
+        store.faults().lose_prefix = "members/";
+        int lost = 0;
+        for (int write = 0; write < 3; ++write)
+        {
+            auto const answer =
+                ask(store, "PUT", "/v1/kv/" + row.key, std::to_string(write));
+            lost += std::holds_alternative<no_answer>(answer) ? 1 : 0;
+        }
+        EXPECT_EQ(lost, row.lost_of_three) << row.what;
+        EXPECT_EQ(store.books().lost_answers,
+                  static_cast<std::uint64_t>(row.lost_of_three))
+            << row.what;
+        auto const read = ask(store, "GET", "/v1/kv/" + row.key);
+        auto const& body = std::get<response>(read).body;
+        EXPECT_NE(body.find("\"Mg==\""), std::string::npos) << row.what;
+    }
+}
+
+} // namespace fuchsia::standins::platform
--- /dev/null
+++ b/tests/contract/standins/upstream_pool_test.cpp
@@ -0,0 +1,164 @@
+#include "standins/upstreams/upstream_pool.hpp"
+
+#include <gtest/gtest.h>
+
+namespace fuchsia::standins::upstreams
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr core::common::time_point start(1h);
+
+work_request post(std::string customer, std::string key)
+{
+    return {std::move(customer),
+            ports::request_class::latency_critical,
+            "POST",
+            "/lots/1",
+            std::move(key)};
+}
+
+pool_settings two_slots()
+{
+    pool_settings settings;
+    settings.count = 2;
+    settings.slots = 2;
+    settings.data_centres = {"kochi-a"};
+    return settings;
+}
+
+} // namespace
+
+TEST(upstream_pool, counts_what_is_begun_beyond_the_slots)
+{
+    upstream_pool pool(two_slots());
+    for (int request = 0; request < 5; ++request)
+    {
+        pool.begin(start, 0, post("c", ""));
+    }
+    pool.begin(start, 1, post("c", ""));
+    EXPECT_EQ(pool.books().overfilled, 3U);
+    pool.end(0, work_end::whole);
+    EXPECT_EQ(pool.running(0), 4U);
+    EXPECT_EQ(pool.books().answered, 1U);
+    EXPECT_EQ(pool.books().running, 5U);
+}
+
+TEST(upstream_pool, counts_second_runs_of_a_key)
+{
+    // A caller's retry reaches another upstream while the first run goes on,
+    // and a lot gets two bids.
+    struct row
+    {
+        std::string_view what;
+        work_request first;
+        work_request second;
+        std::uint64_t doubled;
+    };
+    auto put = post("c", "k");
+    put.method = "PUT";
+    std::vector<row> const rows{
+        {"the same key", post("c", "k"), post("c", "k"), 1},
+        {"another key", post("c", "k"), post("c", "l"), 0},
+        {"another customer", post("c", "k"), post("d", "k"), 0},
+        {"no key", post("c", ""), post("c", ""), 0},
+        {"idempotent method", put, put, 0},
+    };
+    for (auto const& row : rows)
+    {
+        upstream_pool pool(two_slots());
+        pool.begin(start, 0, row.first);
+        pool.begin(start, 1, row.second);
+        EXPECT_EQ(pool.books().doubled, row.doubled) << row.what;
+    }
+}
+
+TEST(upstream_pool, a_refused_request_did_not_run)
+{
+    upstream_pool pool(two_slots());
+    upstream_faults faults;
+    faults.refuse_permille = 1000;
+    ASSERT_TRUE(pool.set_faults(start, "upstream-1", faults));
+    EXPECT_EQ(pool.begin(start, 0, post("c", "k")).end, work_end::refused);
+    EXPECT_EQ(pool.running(0), 0U);
+    pool.begin(start, 1, post("c", "k"));
+    EXPECT_EQ(pool.books().doubled, 0U);
+    EXPECT_FALSE(pool.set_faults(start, "upstream-9", faults));
+}
+
+TEST(upstream_pool, faults_change_how_a_request_ends)
+{
+    struct row
+    {
+        std::string_view what;
+        std::optional<std::uint32_t> fail;
+        std::optional<std::uint32_t> partial;
+        work_end wanted;
+    };
+    std::vector<row> const rows{
+        {"none", std::nullopt, std::nullopt, work_end::whole},
+        {"fail", 1000, std::nullopt, work_end::failed},
+        {"partial", std::nullopt, 1000, work_end::partial},
+        {"both: the failure comes first", 1000, 1000, work_end::failed},
+    };
+    for (auto const& row : rows)
+    {
+        upstream_pool pool(two_slots());
+        upstream_faults faults;
+        faults.fail_permille = row.fail;
+        faults.partial_permille = row.partial;
+        pool.set_faults(start, "*", faults);
+        EXPECT_EQ(pool.begin(start, 0, post("c", "k")).end, row.wanted)
+            << row.what;
+    }
+}
+
+TEST(upstream_pool, counts_requests_begun_after_it_left)
+{
+    upstream_pool pool(two_slots());
+    upstream_faults faults;
+    faults.leaving = true;
+    pool.set_faults(start, "upstream-1", faults);
+    pool.set_faults(start + 3s, "upstream-1", faults);
+    pool.begin(start + 5s, 0, post("c", ""));
+    EXPECT_EQ(pool.books().after_leaving, 0U);
+    pool.begin(start + 5001ms, 0, post("c", ""));
+    EXPECT_EQ(pool.books().after_leaving, 1U);
+    EXPECT_TRUE(pool.leaving(0));
+    faults.leaving = false;
+    pool.set_faults(start + 6s, "upstream-1", faults);
+    pool.begin(start + 20s, 0, post("c", ""));
+    EXPECT_EQ(pool.books().after_leaving, 1U);
+}
+
+TEST(upstream_pool, neighbours_and_faults_slow_a_request_down)
+{
+    auto settings = two_slots();
+    settings.latency_critical = {10.0, 0.0, 1'000.0};
+    settings.per_machine = 2;
+    settings.interference = 1.0;
+    settings.paths = {{"/valuations", 3.0}};
+    upstream_pool pool(settings);
+    auto const near = [](work const& begun, double wanted_ms)
+    {
+        double const taken = static_cast<double>(begun.time.count()) / 1'000.0;
+        EXPECT_NEAR(taken, wanted_ms, 0.1);
+    };
+    near(pool.begin(start, 0, post("c", "")), 10.0);
+    near(pool.begin(start, 1, post("c", "")), 12.5);
+    near(pool.begin(start, 1, post("c", "")), 15.0);
+    near(pool.begin(start, 1, post("c", "")), 10.0 * 1.75 * 1.5);
+    auto slow_path = post("c", "");
+    slow_path.target = "/valuations/7";
+    near(pool.begin(start, 0, slow_path), 10.0 * 2.0 * 3.0);
+    upstream_faults faults;
+    faults.slow_factor = 4.0;
+    pool.set_faults(start, "*", faults);
+    pool.end(0, work_end::whole);
+    near(pool.begin(start, 0, post("c", "")), 10.0 * 2.0 * 4.0);
+}
+
+} // namespace fuchsia::standins::upstreams
--- /dev/null
+++ b/tests/contract/standins/worker_pool_test.cpp
@@ -0,0 +1,377 @@
+#include "standins/workers/worker_pool.hpp"
+
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace fuchsia::standins::workers
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using ports::attempt_state;
+
+constexpr core::common::time_point start(1h);
+
+pool_settings small_pool()
+{
+    pool_settings settings;
+    settings.count = 3;
+    settings.per_rack = 1;
+    settings.data_centres = {"kochi-a", "thrissur-b"};
+    settings.capacity = {4'000, 8'000, 1};
+    settings.interference.size_error = 1.0;
+    settings.clock_drift_ppm = 0;
+    settings.report_lag = 2s;
+    return settings;
+}
+
+class worker_pool_test : public testing::Test
+{
+protected:
+    ports::worker_start call(std::string task,
+                             std::uint32_t attempt,
+                             std::size_t worker = 0,
+                             core::common::time_point now = start)
+    {
+        ports::worker_start what;
+        what.what = {std::move(task), attempt};
+        what.declared = {1'000, 1'000, 0};
+        what.task_class = "valuation";
+        what.work_ms = 10'000;
+        what.start_before_ms = pool.clock_ms(worker, now) + 1'000;
+        what.lease_until_ms = pool.clock_ms(worker, now) + 5'000;
+        return what;
+    }
+
+    attempt_state state_of(std::string const& task,
+                           std::uint32_t attempt,
+                           core::common::time_point now)
+    {
+        for (auto const& report : pool.reports(now, ""))
+        {
+            for (auto const& each : report.attempts)
+            {
+                if (each.what == ports::task_attempt{task, attempt})
+                {
+                    return each.state;
+                }
+            }
+        }
+        ADD_FAILURE() << task << " is in no report";
+        return attempt_state::running;
+    }
+
+    void run_until(core::common::time_point now)
+    {
+        for (; at < now; at += 100ms)
+        {
+            pool.tick(at);
+        }
+        pool.tick(now);
+    }
+
+    worker_pool pool{small_pool(), start};
+    core::common::time_point at = start;
+};
+
+} // namespace
+
+TEST_F(worker_pool_test, a_repeated_start_changes_nothing)
+{
+    EXPECT_TRUE(pool.start(start, 0, call("t", 1)).done);
+    EXPECT_TRUE(pool.start(start, 0, call("t", 1)).done);
+    EXPECT_EQ(pool.books().starts, 1U);
+    EXPECT_EQ(pool.books().two_places, 0U);
+}
+
+TEST_F(worker_pool_test, refuses_starts_that_would_be_unsafe)
+{
+    struct row
+    {
+        std::string_view what;
+        std::function<void(worker_pool&, ports::worker_start&)> change;
+    };
+    std::vector<row> const rows{
+        {"it waited in a buffer too long",
+         [](worker_pool&, ports::worker_start& start_call)
+         {
+             start_call.start_before_ms -= 1'001;
+         }},
+        {"its lease is over",
+         [](worker_pool&, ports::worker_start& start_call)
+         {
+             start_call.lease_until_ms -= 5'000;
+         }},
+        {"its stop came first",
+         [](worker_pool& workers, ports::worker_start& start_call)
+         {
+             workers.stop(start, 0, {start_call.what});
+         }},
+        {"its checkpoint is unknown",
+         [](worker_pool&, ports::worker_start& start_call)
+         {
+             start_call.checkpoint = "none";
+         }},
+    };
+    for (auto const& row : rows)
+    {
+        worker_pool workers(small_pool(), start);
+        auto late = call("t", 1);
+        row.change(workers, late);
+        auto const result = workers.start(start, 0, late);
+        EXPECT_FALSE(result.done) << row.what;
+        EXPECT_FALSE(result.why.empty()) << row.what;
+        EXPECT_EQ(workers.books().starts, 0U) << row.what;
+    }
+}
+
+TEST_F(worker_pool_test, a_lease_runs_out_on_the_workers_own_clock)
+{
+    // The planner that held the task died. Its lease runs out, the worker
+    // stops it by itself, and a second attempt elsewhere is no violation.
+    pool.start(start, 0, call("t", 1));
+    pool.renew(start + 4s, 0, {{{"t", 1}}, pool.clock_ms(0, start) + 8'000});
+    run_until(start + 7s);
+    EXPECT_EQ(pool.books().expired, 0U);
+    auto second = call("t", 2, 1, start + 8s);
+    EXPECT_TRUE(pool.start(start + 8s, 1, second).done);
+    EXPECT_EQ(pool.books().expired, 1U);
+    EXPECT_EQ(pool.books().two_places, 0U);
+    auto const renewed = pool.renew(start + 8s, 0, {{{"t", 1}}, 1'000'000'000});
+    ASSERT_EQ(renewed.gone.size(), 1U);
+}
+
+TEST_F(worker_pool_test, counts_a_task_that_runs_in_two_places)
+{
+    struct row
+    {
+        std::string_view what;
+        std::uint32_t second_attempt;
+        std::size_t second_worker;
+        core::common::duration later;
+        bool stopped_first;
+        std::uint64_t counted;
+    };
+    std::vector<row> const rows{
+        {"another worker", 2, 1, 0s, false, 1},
+        {"the same attempt on another worker", 1, 1, 0s, false, 1},
+        {"two attempts on one worker", 2, 0, 0s, false, 1},
+        {"after a stop", 2, 1, 0s, true, 0},
+        {"just before the lease ends", 2, 1, 4999ms, false, 1},
+        {"when the lease has ended", 2, 1, 5s, false, 0},
+    };
+    for (auto const& row : rows)
+    {
+        worker_pool workers(small_pool(), start);
+        workers.start(start, 0, call("t", 1));
+        if (row.stopped_first)
+        {
+            workers.stop(start, 0, {{"t", 1}});
+        }
+        auto const now = start + row.later;
+        workers.start(now,
+                      row.second_worker,
+                      call("t", row.second_attempt, row.second_worker, now));
+        EXPECT_EQ(workers.books().two_places, row.counted) << row.what;
+    }
+}
+
+TEST_F(worker_pool_test, counts_a_checkpoint_that_is_resumed_twice)
+{
+    // A half-built report is evicted, and two planners each resume it. The
+    // customer gets it twice. Resuming again after the first resumer failed is
+    // recovery and no violation.
+    struct row
+    {
+        std::string_view what;
+        core::common::duration second_at;
+        bool first_gone;
+        std::uint64_t counted;
+    };
+    std::vector<row> const rows{
+        {"while the first runs", 1s, false, 1},
+        {"after the first finished", 12s, false, 1},
+        {"after the first was lost", 1s, true, 0},
+    };
+    for (auto const& row : rows)
+    {
+        worker_pool workers(small_pool(), start);
+        workers.start(start, 0, call("t", 1));
+        auto const kept = workers.checkpoint(start + 1s, 0, {{"t", 1}});
+        workers.stop(start + 1s, 0, {{"t", 1}});
+        auto first = call("t", 2, 1);
+        first.checkpoint = kept.checkpoint;
+        first.lease_until_ms += 60'000;
+        first.start_before_ms += 60'000;
+        EXPECT_TRUE(workers.start(start + 1s, 1, first).done);
+        if (row.first_gone)
+        {
+            worker_faults gone;
+            gone.gone = true;
+            workers.set_faults(start + 1s, "worker-2", gone);
+        }
+        auto second = call("t", 3, 2);
+        second.checkpoint = kept.checkpoint;
+        second.lease_until_ms += 60'000;
+        second.start_before_ms += 60'000;
+        workers.tick(start + 1s + row.second_at);
+        workers.start(start + 1s + row.second_at, 2, second);
+        EXPECT_EQ(workers.books().resumed_twice, row.counted) << row.what;
+        EXPECT_EQ(workers.books().resumed, 2U) << row.what;
+    }
+}
+
+TEST_F(worker_pool_test, a_resumed_task_does_only_the_work_that_is_left)
+{
+    auto first = call("t", 1);
+    first.lease_until_ms += 60'000;
+    pool.start(start, 0, first);
+    auto const kept = pool.checkpoint(start + 6s, 0, {{"t", 1}});
+    pool.stop(start + 6s, 0, {{"t", 1}});
+    auto second = call("t", 2, 1, start + 6s);
+    second.checkpoint = kept.checkpoint;
+    second.lease_until_ms += 60'000;
+    pool.start(start + 6s, 1, second);
+    at = start + 6s;
+    run_until(start + 9900ms);
+    EXPECT_EQ(pool.books().finished, 0U);
+    run_until(start + 10s);
+    EXPECT_EQ(pool.books().finished, 1U);
+}
+
+TEST_F(worker_pool_test, counts_starts_beyond_the_declared_capacity)
+{
+    for (std::uint32_t task = 0; task < 4; ++task)
+    {
+        pool.start(start, 0, call("t" + std::to_string(task), 1));
+    }
+    EXPECT_EQ(pool.books().overfilled, 0U);
+    pool.start(start, 0, call("one more", 1));
+    EXPECT_EQ(pool.books().overfilled, 1U);
+}
+
+TEST_F(worker_pool_test, counts_starts_in_a_data_centre_that_is_out)
+{
+    // Operators took kochi-a out, and a planner that was cut off goes on
+    // starting tasks there.
+    struct row
+    {
+        std::string_view what;
+        core::common::duration after_out;
+        std::size_t worker;
+        bool back_in;
+        std::uint64_t counted;
+    };
+    std::vector<row> const rows{
+        {"within the grace", 5s, 0, false, 0},
+        {"later", 5001ms, 0, false, 1},
+        {"in another data centre", 6s, 1, false, 0},
+        {"back in", 6s, 0, true, 0},
+    };
+    for (auto const& row : rows)
+    {
+        worker_pool workers(small_pool(), start);
+        auto const now = start + row.after_out;
+        workers.set_data_centre(start, "kochi-a", true);
+        workers.set_data_centre(start + 1s, "kochi-a", true);
+        if (row.back_in)
+        {
+            workers.set_data_centre(start + 2s, "kochi-a", false);
+        }
+        workers.start(now, row.worker, call("t", 1, row.worker, now));
+        EXPECT_EQ(workers.books().late_starts, row.counted) << row.what;
+    }
+}
+
+TEST_F(worker_pool_test, reports_lag_behind)
+{
+    pool.start(start, 0, call("t", 1));
+    run_until(start + 500ms);
+    pool.stop(start + 500ms, 0, {{"t", 1}});
+    run_until(start + 2100ms);
+    EXPECT_EQ(state_of("t", 1, start + 2100ms), attempt_state::running);
+    run_until(start + 3100ms);
+    EXPECT_EQ(state_of("t", 1, start + 3100ms), attempt_state::stopped);
+}
+
+TEST_F(worker_pool_test, a_failing_worker_fails_all_it_starts)
+{
+    worker_faults faults;
+    faults.fail_starts = true;
+    ASSERT_TRUE(pool.set_faults(start, "worker-1", faults));
+    pool.start(start, 0, call("t", 1));
+    pool.start(start, 1, call("u", 1, 1));
+    run_until(start + 3100ms);
+    EXPECT_EQ(pool.books().failed, 1U);
+    EXPECT_EQ(state_of("t", 1, start + 3100ms), attempt_state::failed);
+    EXPECT_EQ(state_of("u", 1, start + 3100ms), attempt_state::running);
+}
+
+TEST_F(worker_pool_test, a_worker_that_went_comes_back_empty)
+{
+    pool.start(start, 0, call("t", 1));
+    worker_faults faults;
+    faults.gone = true;
+    pool.set_faults(start + 1s, "worker-1", faults);
+    EXPECT_EQ(pool.list().size(), 2U);
+    EXPECT_EQ(pool.books().lost, 1U);
+    faults.gone = false;
+    pool.set_faults(start + 2s, "worker-1", faults);
+    EXPECT_EQ(pool.list().size(), 3U);
+    EXPECT_EQ(
+        pool.renew(start + 2s, 0, {{{"t", 1}}, 1'000'000'000}).gone.size(), 1U);
+}
+
+TEST_F(worker_pool_test, neighbours_slow_a_task_and_a_throttle_does)
+{
+    auto settings = small_pool();
+    settings.interference.strength = 1'000.0;
+    worker_pool workers(settings, start);
+    auto service = call("s", 1);
+    service.service = true;
+    service.task_class = "bidding";
+    service.lease_until_ms += 60'000;
+    auto const latency = [&](core::common::time_point now)
+    {
+        workers.tick(now);
+        workers.tick(now + 2s);
+        return workers.reports(now + 2s, "rack-1")
+            .at(0)
+            .attempts.back()
+            .latency_p99_us;
+    };
+    workers.start(start, 0, service);
+    EXPECT_EQ(latency(start + 1s), settings.service_latency_us);
+    auto batch = call("b", 1);
+    batch.work_ms = 1'000'000;
+    batch.lease_until_ms += 60'000;
+    batch.start_before_ms += 60'000;
+    ASSERT_TRUE(workers.start(start + 4s, 0, batch).done);
+    auto const disturbed = latency(start + 5s);
+    EXPECT_GT(disturbed, settings.service_latency_us);
+    workers.throttle(start + 8s, 0, {{"b", 1}, 100});
+    EXPECT_LT(latency(start + 9s), disturbed);
+}
+
+TEST(interference, true_sizes_stay_within_the_error)
+{
+    interference_settings settings;
+    interference const world(settings);
+    double least = 1.0;
+    double most = 1.0;
+    for (int number = 0; number < 200; ++number)
+    {
+        auto const factor =
+            world.size_factor("class-" + std::to_string(number));
+        least = std::min(least, factor);
+        most = std::max(most, factor);
+    }
+    EXPECT_GE(least, 0.25);
+    EXPECT_LE(most, 4.0);
+    EXPECT_LT(least, 0.5);
+    EXPECT_GT(most, 2.0);
+}
+
+} // namespace fuchsia::standins::workers
