Give log4cplus its properties by their full names

Cause: the configurator reads only properties that begin with log4cplus., so the logger had no appender and every program logged nothing but the library's own complaint. Ruled out: the library's initializer (it lives for the process) and the level. Before: "No appenders could be found for logger (root)" at the first line.

--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -60,12 +60,13 @@
 {
     static log4cplus::Initializer const initializer;
     log4cplus::helpers::Properties properties;
-    properties.setProperty("rootLogger", "DEBUG, stderr");
-    properties.setProperty("appender.stderr", "log4cplus::ConsoleAppender");
-    properties.setProperty("appender.stderr.logToStdErr", "true");
-    properties.setProperty("appender.stderr.layout",
+    properties.setProperty("log4cplus.rootLogger", "DEBUG, stderr");
+    properties.setProperty("log4cplus.appender.stderr",
+                           "log4cplus::ConsoleAppender");
+    properties.setProperty("log4cplus.appender.stderr.logToStdErr", "true");
+    properties.setProperty("log4cplus.appender.stderr.layout",
                            "log4cplus::PatternLayout");
-    properties.setProperty("appender.stderr.layout.ConversionPattern",
+    properties.setProperty("log4cplus.appender.stderr.layout.ConversionPattern",
                            "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " +
                                std::string(program) + " %m%n");
     log4cplus::PropertyConfigurator(properties).configure();
