--- /dev/null
+++ b/src/core/placement/guard.cpp
@@ -0,0 +1,101 @@
+#include "core/placement/guard.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::core::placement
+{
+
+namespace
+{
+
+// Disturbance of the services that stand worst: by what was learned of the
+// pair, or by size alone while nothing was.
+double disturbance(guarded_task const& task,
+                   std::vector<guarded_service> const& services,
+                   interference const& learned)
+{
+    constexpr double unlearned = 0.05;
+    double sum = 0;
+    for (auto const& service : services)
+    {
+        sum +=
+            (learned.weight(service.task_class, task.task_class) + unlearned) *
+            task.share;
+    }
+    return sum;
+}
+
+double worst_share(std::vector<guarded_service> const& services)
+{
+    double worst = 0;
+    for (auto const& service : services)
+    {
+        if (service.target_us != 0)
+        {
+            worst = std::max(worst,
+                             static_cast<double>(service.latency_p99_us) /
+                                 static_cast<double>(service.target_us));
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+guard::guard(guard_settings settings) : settings_(settings)
+{
+}
+
+std::optional<guard_step>
+guard::on_report(std::vector<guarded_service> const& services,
+                 std::vector<guarded_task> const& batch,
+                 interference const& learned)
+{
+    double const worst = worst_share(services);
+    troubled_ = worst > settings_.trouble_above ? troubled_ + 1 : 0;
+    well_ = worst < settings_.well_below ? well_ + 1 : 0;
+    if (!settings_.enabled || batch.empty())
+    {
+        return std::nullopt;
+    }
+    if (troubled_ >= settings_.reports_to_act)
+    {
+        troubled_ = 0;
+        auto const most = std::max_element(
+            batch.begin(),
+            batch.end(),
+            [&](guarded_task const& one, guarded_task const& other)
+            {
+                return disturbance(one, services, learned) <
+                       disturbance(other, services, learned);
+            });
+        if (most->permille <= settings_.least_permille)
+        {
+            return guard_step{guard_measure::evict, most->name, most->permille};
+        }
+        return guard_step{
+            guard_measure::throttle,
+            most->name,
+            std::max(settings_.least_permille, most->permille / 2)};
+    }
+    if (well_ >= settings_.reports_to_relax)
+    {
+        well_ = 0;
+        auto const throttled = std::min_element(
+            batch.begin(),
+            batch.end(),
+            [](guarded_task const& one, guarded_task const& other)
+            {
+                return one.permille < other.permille;
+            });
+        if (throttled->permille < 1000)
+        {
+            return guard_step{guard_measure::relax,
+                              throttled->name,
+                              std::min(1000U, throttled->permille * 2)};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace fuchsia::core::placement
--- /dev/null
+++ b/src/core/placement/interference.cpp
@@ -0,0 +1,107 @@
+#include "core/placement/interference.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::core::placement
+{
+
+namespace
+{
+
+constexpr double max_slowdown = 20;
+constexpr double max_weight = 50;
+constexpr double baseline_rise = 1.001;
+
+} // namespace
+
+interference::interference(interference_settings settings)
+    : settings_(settings),
+      weights_(settings.max_classes * settings.max_classes, settings.prior),
+      baselines_(settings.max_classes, 0)
+{
+}
+
+std::uint16_t interference::number_of(std::string_view task_class)
+{
+    auto const found = numbers_.find(task_class);
+    if (found != numbers_.end())
+    {
+        return found->second;
+    }
+    auto const last = static_cast<std::uint16_t>(settings_.max_classes - 1);
+    if (numbers_.size() >= settings_.max_classes)
+    {
+        return last;
+    }
+    auto const number = static_cast<std::uint16_t>(numbers_.size());
+    numbers_.emplace(task_class, number);
+    return number;
+}
+
+std::size_t interference::at(std::uint16_t victim,
+                             std::uint16_t aggressor) const noexcept
+{
+    return victim * settings_.max_classes + aggressor;
+}
+
+double interference::weight(std::uint16_t victim,
+                            std::uint16_t aggressor) const noexcept
+{
+    return weights_[at(victim, aggressor)];
+}
+
+double
+interference::predicted(std::uint16_t victim,
+                        std::vector<neighbour> const& beside) const noexcept
+{
+    double slowdown = 1;
+    for (auto const& other : beside)
+    {
+        slowdown += weights_[at(victim, other.task_class)] * other.share;
+    }
+    return slowdown;
+}
+
+void interference::observe(std::uint16_t victim,
+                           std::vector<neighbour> const& beside,
+                           double slowdown)
+{
+    double const error =
+        std::clamp(slowdown, 1.0, max_slowdown) - predicted(victim, beside);
+    double power = 0;
+    for (auto const& other : beside)
+    {
+        power += other.share * other.share;
+    }
+    // Without a neighbour of some size nobody is to blame.
+    if (power < 1e-4)
+    {
+        return;
+    }
+    for (auto const& other : beside)
+    {
+        auto& value = weights_[at(victim, other.task_class)];
+        value += settings_.learning_rate * error * other.share / power;
+        value -= settings_.decay * (value - settings_.prior);
+        value = std::clamp(value, 0.0, max_weight);
+    }
+}
+
+double interference::slowdown_of(std::uint16_t victim, std::uint64_t latency_us)
+{
+    auto const latency = static_cast<double>(latency_us);
+    auto& baseline = baselines_[victim];
+    if (baseline == 0 || latency < baseline)
+    {
+        baseline = latency;
+    }
+    baseline = std::min(baseline * baseline_rise, std::max(latency, 1.0));
+    return latency / std::max(baseline, 1.0);
+}
+
+std::size_t interference::classes() const noexcept
+{
+    return numbers_.size();
+}
+
+} // namespace fuchsia::core::placement
--- /dev/null
+++ b/src/core/tasks/cell_attempts.cpp
@@ -0,0 +1,567 @@
+#include "core/tasks/cell_runner.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+// One attempt's life: told to its worker, kept by renewals, checkpointed,
+// stopped, ended.
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+worker_call_tag tag_of(worker_call_kind kind,
+                       std::string const& cell,
+                       task_key const& key,
+                       attempt_run const& run)
+{
+    return {kind, cell, run.worker, key, run.attempt, 0};
+}
+
+ports::task_attempt attempt_of(task_key const& key, attempt_run const& run)
+{
+    return {task_name(key), run.attempt};
+}
+
+bool is_renewed(attempt_run const& run)
+{
+    return !run.gone && (run.phase == attempt_phase::running ||
+                         run.phase == attempt_phase::checkpointing ||
+                         run.phase == attempt_phase::committing_checkpoint);
+}
+
+// How long a lease sent now may stand, on our clock.
+common::duration longest_lease(cell_settings const& settings)
+{
+    return settings.lease * (1000 + settings.drift_permille) / 1000 +
+           settings.lease_margin;
+}
+
+} // namespace
+
+bool cell_runner::step(attempt_run& run, attempt_event event)
+{
+    auto const next = next_phase(run.phase, event);
+    if (next)
+    {
+        run.phase = *next;
+        run.tries = 0;
+        run.next_try = {};
+    }
+    return next.has_value();
+}
+
+void cell_runner::drive(cell_context& with)
+{
+    if (!with.may_act)
+    {
+        return;
+    }
+    std::vector<task_key> keys;
+    keys.reserve(runs_.size());
+    for (auto const& [key, run] : runs_)
+    {
+        keys.push_back(key);
+    }
+    for (auto const& key : keys)
+    {
+        auto const found = runs_.find(key);
+        if (found != runs_.end())
+        {
+            drive_one(with, key, found->second);
+        }
+    }
+}
+
+void cell_runner::drive_one(cell_context& with,
+                            task_key const& key,
+                            attempt_run& run)
+{
+    if (run.maybe_sent && with.now >= run.lease_over)
+    {
+        end(with, key, attempt_end::lost, "its lease ran out");
+        return;
+    }
+    auto const& part = log_.state().jobs.at(key.job);
+    if (part.stopped && run.evicted_for.empty())
+    {
+        run.evicted_for = "job_stopped";
+    }
+    if (run.call != 0 || with.now < run.next_try)
+    {
+        return;
+    }
+    bool const saves = part.what.kind == job_kind::batch &&
+                       part.what.checkpointable && !part.stopped;
+    switch (run.phase)
+    {
+    case attempt_phase::starting:
+        send_start(with, key, run);
+        break;
+    case attempt_phase::running:
+        if (!run.evicted_for.empty() && saves && !run.gone &&
+            step(run, attempt_event::evict))
+        {
+            send_checkpoint(with, key, run);
+        }
+        else if (!run.evicted_for.empty() && step(run, attempt_event::stop))
+        {
+            send_stop(with, key, run);
+        }
+        else if (run.asked_permille != run.permille)
+        {
+            ++with.counters.throttled;
+            run.call = with.worker_traffic.send(
+                tag_of(worker_call_kind::throttle, cell_, key, run),
+                ports::worker_throttle{attempt_of(key, run),
+                                       run.asked_permille},
+                with.out);
+        }
+        break;
+    case attempt_phase::checkpointing:
+        if ((!saves || run.tries >= with.settings.checkpoint_tries) &&
+            step(run, attempt_event::checkpoint_impossible))
+        {
+            send_stop(with, key, run);
+        }
+        else
+        {
+            send_checkpoint(with, key, run);
+        }
+        break;
+    case attempt_phase::stopping:
+        send_stop(with, key, run);
+        break;
+    case attempt_phase::settling:
+        if (run.settle_until && with.now >= *run.settle_until)
+        {
+            end(with, key, attempt_end::stopped, run.evicted_for);
+        }
+        break;
+    case attempt_phase::committing_start:
+    case attempt_phase::committing_checkpoint:
+    case attempt_phase::over:
+        break;
+    }
+}
+
+// Asked again right before the worker is told: between the decision and its
+// commit the data centre may have gone out, the contract may have been
+// withdrawn, and the proof may have run out.
+bool cell_runner::start_allowed(cell_context& with,
+                                task_key const& key,
+                                attempt_run const& run)
+{
+    auto const* view = with.workers.find(run.worker);
+    auto const& part = log_.state().jobs.at(key.job);
+    return with.may_act && with.may_start && !held_ && !part.stopped &&
+           run.evicted_for.empty() && !data_centre_out(with) &&
+           with.config.contracts.count(part.what.customer) != 0 &&
+           view != nullptr && view->listed &&
+           view->info.state == ports::instance_state::live &&
+           with.workers.clock_at_least(with.now, *view) < run.start_before_ms;
+}
+
+void cell_runner::send_start(cell_context& with,
+                             task_key const& key,
+                             attempt_run& run)
+{
+    if (!start_allowed(with, key, run))
+    {
+        if (!run.maybe_sent)
+        {
+            end(with, key, attempt_end::unsent, "no longer allowed to start");
+        }
+        else if (step(run, attempt_event::stop))
+        {
+            send_stop(with, key, run);
+        }
+        return;
+    }
+    auto const& part = log_.state().jobs.at(key.job);
+    auto const& task = part.tasks.at(key.index);
+    auto const clock =
+        with.workers.clock_at_least(with.now, *with.workers.find(run.worker));
+    auto const in = [clock](common::duration length)
+    {
+        return clock +
+               static_cast<std::uint64_t>(common::to_milliseconds(length));
+    };
+    ports::worker_start start;
+    start.what = attempt_of(key, run);
+    start.declared = part.what.declared;
+    start.task_class = part.what.task_class;
+    start.service = part.what.kind == job_kind::service;
+    start.work_ms = part.what.work_ms;
+    start.checkpoint = task.checkpoint;
+    start.start_before_ms =
+        std::min(run.start_before_ms, in(with.settings.send_window));
+    start.lease_until_ms = in(with.settings.lease);
+    run.lease_until_ms = std::max(run.lease_until_ms, start.lease_until_ms);
+    run.lease_over = with.now + longest_lease(with.settings);
+    ++run.tries;
+    run.call = with.worker_traffic.send(
+        tag_of(worker_call_kind::start, cell_, key, run),
+        std::move(start),
+        with.out);
+    // From here on the start may arrive, whatever the answer says.
+    run.maybe_sent = true;
+}
+
+void cell_runner::send_stop(cell_context& with,
+                            task_key const& key,
+                            attempt_run& run)
+{
+    if (!with.may_act || run.call != 0)
+    {
+        return;
+    }
+    ++run.tries;
+    run.call = with.worker_traffic.send(
+        tag_of(worker_call_kind::stop, cell_, key, run),
+        ports::worker_stop{attempt_of(key, run)},
+        with.out);
+}
+
+void cell_runner::send_checkpoint(cell_context& with,
+                                  task_key const& key,
+                                  attempt_run& run)
+{
+    ++run.tries;
+    run.call = with.worker_traffic.send(
+        tag_of(worker_call_kind::checkpoint, cell_, key, run),
+        ports::worker_checkpoint{attempt_of(key, run)},
+        with.out);
+}
+
+// One call per worker renews all its leases. A lease is made longer only
+// after the last renewal was acknowledged: on a worker that can't be reached
+// the leases must run out, or its services would never start elsewhere.
+void cell_runner::renew(cell_context& with)
+{
+    if (!with.may_act)
+    {
+        return;
+    }
+    std::map<std::string, std::vector<task_key>> by_worker;
+    for (auto const& [key, run] : runs_)
+    {
+        if (is_renewed(run))
+        {
+            by_worker[run.worker].push_back(key);
+        }
+    }
+    std::erase_if(renewals_,
+                  [&by_worker](auto const& item)
+                  {
+                      return item.second.call == 0 &&
+                             by_worker.count(item.first) == 0;
+                  });
+    for (auto const& [worker, keys] : by_worker)
+    {
+        auto& renewal = renewals_[worker];
+        auto const* view = with.workers.find(worker);
+        if (renewal.call != 0 || with.now < renewal.next || view == nullptr ||
+            view->clock_ms == 0)
+        {
+            continue;
+        }
+        bool const longer = renewal.acknowledged;
+        if (longer)
+        {
+            renewal.until_ms =
+                with.workers.clock_at_least(with.now, *view) +
+                static_cast<std::uint64_t>(
+                    common::to_milliseconds(with.settings.lease));
+        }
+        ports::worker_renew call;
+        call.lease_until_ms = renewal.until_ms;
+        for (auto const& key : keys)
+        {
+            auto& run = runs_.at(key);
+            if (!longer && run.lease_until_ms > renewal.until_ms)
+            {
+                continue; // Never shorten a lease.
+            }
+            call.what.push_back(attempt_of(key, run));
+            if (longer)
+            {
+                run.lease_until_ms =
+                    std::max(run.lease_until_ms, renewal.until_ms);
+                run.lease_over = with.now + longest_lease(with.settings);
+            }
+        }
+        if (call.what.empty())
+        {
+            continue;
+        }
+        renewal.acknowledged = false;
+        renewal.next = with.now + with.settings.renew_interval;
+        renewal.call = with.worker_traffic.send(
+            {worker_call_kind::renew, cell_, worker, {}, 0, 0},
+            std::move(call),
+            with.out);
+    }
+}
+
+void cell_runner::on_worker_reply(cell_context& with,
+                                  worker_call_tag const& tag,
+                                  ports::worker_reply const& reply)
+{
+    if (tag.kind == worker_call_kind::renew)
+    {
+        on_renewed(with, tag, reply);
+        return;
+    }
+    auto const found = runs_.find(tag.task);
+    if (tag.kind == worker_call_kind::stray_stop || found == runs_.end() ||
+        found->second.call != tag.number)
+    {
+        return;
+    }
+    auto& run = found->second;
+    run.call = 0;
+    run.next_try = with.now + with.settings.retry_interval;
+    switch (tag.kind)
+    {
+    case worker_call_kind::start:
+        on_start_reply(with, tag.task, run, reply);
+        break;
+    case worker_call_kind::stop:
+        on_stop_reply(with, tag.task, run, reply);
+        break;
+    case worker_call_kind::checkpoint:
+        on_checkpoint_reply(with, tag.task, run, reply);
+        break;
+    case worker_call_kind::throttle:
+        if (reply.status == ports::worker_status::done)
+        {
+            run.permille = run.asked_permille;
+        }
+        else if (reply.status == ports::worker_status::refused)
+        {
+            run.asked_permille = run.permille;
+        }
+        break;
+    case worker_call_kind::renew:
+    case worker_call_kind::stray_stop:
+        break;
+    }
+}
+
+void cell_runner::on_start_reply(cell_context& with,
+                                 task_key const& key,
+                                 attempt_run& run,
+                                 ports::worker_reply const& reply)
+{
+    if (run.phase != attempt_phase::starting)
+    {
+        return; // A report was faster.
+    }
+    switch (reply.status)
+    {
+    case ports::worker_status::done:
+        step(run, attempt_event::seen_running);
+        if (!log_.state().find(key)->checkpoint.empty())
+        {
+            ++with.counters.resumed;
+        }
+        break;
+    case ports::worker_status::refused:
+        // A refusal of a repeated start says nothing of the first: it may
+        // have come after the window, or the attempt may have ended.
+        if (run.tries > 1)
+        {
+            step(run, attempt_event::stop);
+            send_stop(with, key, run);
+            return;
+        }
+        with.workers.note_failure(with.now, run.worker, key.job);
+        end(with, key, attempt_end::refused, reply.why);
+        break;
+    case ports::worker_status::unreachable:
+        if (run.tries == 1)
+        {
+            run.maybe_sent = false;
+            run.tries = 0;
+        }
+        break;
+    case ports::worker_status::unclear:
+        break;
+    }
+}
+
+void cell_runner::on_stop_reply(cell_context& with,
+                                task_key const& key,
+                                attempt_run& run,
+                                ports::worker_reply const& reply)
+{
+    bool const over = reply.status == ports::worker_status::done ||
+                      reply.status == ports::worker_status::refused;
+    if (run.phase != attempt_phase::stopping || !over)
+    {
+        return;
+    }
+    auto const& part = log_.state().jobs.at(key.job);
+    if (part.what.kind == job_kind::service || part.stopped)
+    {
+        end(with, key, attempt_end::stopped, run.evicted_for);
+        return;
+    }
+    // It may have finished before the stop came in; running it again would
+    // do the work twice. A report of the worker tells.
+    if (step(run, attempt_event::stop_confirmed))
+    {
+        run.settle_until = with.now + with.settings.settle_limit;
+    }
+}
+
+void cell_runner::on_checkpoint_reply(cell_context& with,
+                                      task_key const& key,
+                                      attempt_run& run,
+                                      ports::worker_reply const& reply)
+{
+    if (run.phase != attempt_phase::checkpointing)
+    {
+        return;
+    }
+    if (reply.status == ports::worker_status::done && !reply.checkpoint.empty())
+    {
+        if (step(run, attempt_event::checkpoint_made))
+        {
+            commit(with,
+                   checkpoint_taken{key, run.attempt, reply.checkpoint},
+                   true);
+        }
+    }
+    else if (reply.status == ports::worker_status::done ||
+             reply.status == ports::worker_status::refused)
+    {
+        if (step(run, attempt_event::checkpoint_impossible))
+        {
+            send_stop(with, key, run);
+        }
+    }
+}
+
+void cell_runner::on_renewed(cell_context& with,
+                             worker_call_tag const& tag,
+                             ports::worker_reply const& reply)
+{
+    auto const found = renewals_.find(tag.worker);
+    if (found == renewals_.end() || found->second.call != tag.number)
+    {
+        return;
+    }
+    found->second.call = 0;
+    if (reply.status != ports::worker_status::done)
+    {
+        found->second.next = with.now + with.settings.retry_interval;
+        return;
+    }
+    found->second.acknowledged = true;
+    for (auto const& gone : reply.gone)
+    {
+        auto const key = parse_task_name(gone.task);
+        auto const run = key ? runs_.find(*key) : runs_.end();
+        if (run != runs_.end() && run->second.attempt == gone.attempt)
+        {
+            // A report says how it ended; without one its lease runs out.
+            run->second.gone = true;
+        }
+    }
+}
+
+void cell_runner::evict(cell_context& with,
+                        task_key const& key,
+                        std::string why)
+{
+    auto& run = runs_.at(key);
+    if (!run.evicted_for.empty())
+    {
+        return;
+    }
+    run.evicted_for = std::move(why);
+    with.out.push_back(event_of(ports::severity::info,
+                                "eviction",
+                                {{"cell", cell_},
+                                 {"task", task_name(key)},
+                                 {"attempt", std::to_string(run.attempt)},
+                                 {"worker", run.worker},
+                                 {"why", run.evicted_for}}));
+}
+
+// `key` is a copy wherever the caller still needs it: the run is erased.
+void cell_runner::end(cell_context& with,
+                      task_key const& key,
+                      attempt_end how,
+                      std::string why)
+{
+    auto const found = runs_.find(key);
+    task_key const task = key;
+    auto const run = found->second;
+    runs_.erase(found);
+    commit(with,
+           attempt_ended{task, run.attempt, how, std::move(why)},
+           how != attempt_end::finished);
+    auto& counters = with.counters;
+    switch (how)
+    {
+    case attempt_end::finished:
+        ++counters.finished;
+        with.workers.note_success(run.worker);
+        break;
+    case attempt_end::failed:
+        ++counters.failed;
+        with.workers.note_failure(with.now, run.worker, task.job);
+        after_failure(with, task);
+        break;
+    case attempt_end::refused:
+        ++counters.refused;
+        break;
+    case attempt_end::stopped:
+        ++counters.stopped;
+        break;
+    case attempt_end::lost:
+        ++counters.lost;
+        break;
+    case attempt_end::unsent:
+        ++counters.unsent;
+        break;
+    }
+}
+
+// A job whose tasks fail on several workers, none of which is known to fail
+// whatever it starts, is at fault itself.
+void cell_runner::after_failure(cell_context& with, task_key const& key)
+{
+    auto const& part = log_.state().jobs.at(key.job);
+    std::set<std::string> workers;
+    for (auto const& [index, task] : part.tasks)
+    {
+        workers.insert(task.failed_on.begin(), task.failed_on.end());
+    }
+    auto const at_fault =
+        std::count_if(workers.begin(),
+                      workers.end(),
+                      [&with](std::string const& worker)
+                      {
+                          return !with.workers.suspect(with.now, worker);
+                      });
+    if (part.stopped || at_fault < static_cast<std::ptrdiff_t>(
+                                       with.settings.failed_workers_to_stop))
+    {
+        return;
+    }
+    job_stopped const stop{
+        key.job,
+        common::result_code::job_failed_everywhere,
+        "failed on " + std::to_string(workers.size()) +
+            " workers, last: " + part.tasks.at(key.index).why};
+    stop_job(with, stop.job, stop.code, stop.why);
+    faulty_.push_back(stop);
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/cell_log.cpp
@@ -0,0 +1,495 @@
+#include "core/tasks/cell_log.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+std::optional<std::size_t> slot_of(std::string const& cell,
+                                   std::string_view key)
+{
+    std::string const prefix = cell_prefix(cell) + "log/";
+    if (!key.starts_with(prefix))
+    {
+        return std::nullopt;
+    }
+    key.remove_prefix(prefix.size());
+    std::size_t slot = 0;
+    auto const* const end = key.data() + key.size();
+    auto const parsed = std::from_chars(key.data(), end, slot);
+    bool const whole = parsed.ec == std::errc{} && parsed.ptr == end;
+    return whole && slot < log_slots ? std::optional(slot) : std::nullopt;
+}
+
+} // namespace
+
+std::string cell_prefix(std::string const& cell)
+{
+    return "tasks/" + cell + "/";
+}
+
+std::string record_key(std::string const& cell, std::uint64_t number)
+{
+    return cell_prefix(cell) + "log/" + std::to_string(number % log_slots);
+}
+
+std::string snapshot_key(std::string const& cell)
+{
+    return cell_prefix(cell) + "snapshot";
+}
+
+std::optional<stored_cell>
+replay(std::string const& cell,
+       std::vector<ports::store_entry> const& entries,
+       common::failure& reason)
+{
+    stored_cell out;
+    std::map<std::uint64_t, log_record> records;
+    for (auto const& entry : entries)
+    {
+        if (entry.key == snapshot_key(cell))
+        {
+            auto state = parse_cell_state(entry.value, reason);
+            if (!state)
+            {
+                return std::nullopt;
+            }
+            out.state = std::move(*state);
+            out.snapshot_version = entry.version;
+            out.snapshot_record = out.state.last_record;
+        }
+        else if (auto const slot = slot_of(cell, entry.key))
+        {
+            auto record = parse_log_record(entry.value, reason);
+            if (!record)
+            {
+                return std::nullopt;
+            }
+            out.versions[*slot] = entry.version;
+            records.emplace(record->number, std::move(*record));
+        }
+    }
+    for (auto const& [number, record] : records)
+    {
+        if (number <= out.state.last_record)
+        {
+            continue;
+        }
+        if (number != out.state.last_record + 1)
+        {
+            reason = {common::result_code::inconsistent,
+                      record_key(cell, number),
+                      "a record before it is missing"};
+            return std::nullopt;
+        }
+        for (auto const& item : record.changes)
+        {
+            apply_change(out.state, item);
+        }
+        out.state.last_record = number;
+        out.state.epoch = record.epoch;
+    }
+    return out;
+}
+
+cell_log::cell_log(std::string cell,
+                   std::uint64_t incarnation,
+                   std::uint64_t epoch,
+                   cell_log_settings settings)
+    : cell_(std::move(cell)),
+      writer_(std::to_string(incarnation) + ":" + std::to_string(epoch) + ":"),
+      epoch_(epoch), settings_(settings)
+{
+}
+
+void cell_log::start(store_calls& calls, ports::actions& out)
+{
+    read(calls, out);
+}
+
+void cell_log::read(store_calls& calls, ports::actions& out)
+{
+    step_ = step::reading;
+    taken_over_ = false;
+    call_ = calls.send(
+        call_owner::log, cell_, ports::store_list{cell_prefix(cell_)}, out);
+}
+
+bool cell_log::commit_due(common::time_point now) const noexcept
+{
+    if (waiting_.empty() || !waiting_since_)
+    {
+        return false;
+    }
+    return urgent_ || waiting_.size() >= settings_.max_changes ||
+           now - *waiting_since_ >= settings_.commit_interval;
+}
+
+void cell_log::tick(common::time_point now,
+                    store_calls& calls,
+                    ports::actions& out)
+{
+    if (retry_at_ && now >= *retry_at_ && call_ == 0)
+    {
+        retry_at_.reset();
+        if (step_ == step::reading)
+        {
+            read(calls, out);
+        }
+        else if (step_ == step::appending)
+        {
+            send_append(calls, out);
+        }
+        else if (step_ == step::checking)
+        {
+            call_ =
+                calls.send(call_owner::log,
+                           cell_,
+                           ports::store_read{record_key(cell_, record_.number)},
+                           out);
+        }
+    }
+    bool const room =
+        stored_.state.last_record + 1 < stored_.snapshot_record + log_slots;
+    if (step_ == step::ready && room && commit_due(now) && calls.may_write(now))
+    {
+        begin_append(calls, out);
+    }
+    bool const snapshot_ready =
+        !next_snapshot_.empty() &&
+        stored_.state.last_record >= next_snapshot_record_ &&
+        snapshot_call_ == 0;
+    bool const may_snapshot = active() || step_ == step::making_room;
+    if (may_snapshot && snapshot_ready &&
+        (!snapshot_retry_at_ || now >= *snapshot_retry_at_) &&
+        calls.may_write(now))
+    {
+        send_snapshot(calls, out);
+    }
+}
+
+void cell_log::begin_append(store_calls& calls, ports::actions& out)
+{
+    record_ = {};
+    record_.number = stored_.state.last_record + 1;
+    record_.epoch = epoch_;
+    record_.writer = writer_ + std::to_string(++writes_);
+    auto const count = std::min(waiting_.size(), settings_.max_changes);
+    auto const last = waiting_.begin() + static_cast<std::ptrdiff_t>(count);
+    record_.changes.assign(waiting_.begin(), last);
+    waiting_.erase(waiting_.begin(), last);
+    value_ = to_json(record_);
+    if (waiting_.empty())
+    {
+        waiting_since_.reset();
+        urgent_ = false;
+        // Only now does the state hold the changes up to this record and no
+        // others, so a snapshot of it is one of exactly this record.
+        bool const due = record_.number >=
+                         stored_.snapshot_record + settings_.snapshot_every;
+        if (due && next_snapshot_.empty())
+        {
+            auto whole = stored_.state;
+            whole.last_record = record_.number;
+            whole.epoch = epoch_;
+            next_snapshot_ = to_json(whole);
+            next_snapshot_record_ = record_.number;
+        }
+    }
+    send_append(calls, out);
+}
+
+void cell_log::send_append(store_calls& calls, ports::actions& out)
+{
+    step_ = step::appending;
+    call_ = calls.send(
+        call_owner::log,
+        cell_,
+        ports::store_write{record_key(cell_, record_.number),
+                           value_,
+                           stored_.versions[record_.number % log_slots]},
+        out);
+}
+
+void cell_log::on_store_reply(common::time_point now,
+                              call_tag const& tag,
+                              ports::store_reply const& reply,
+                              store_calls& calls,
+                              ports::actions& out)
+{
+    if (tag.number == snapshot_call_)
+    {
+        snapshot_call_ = 0;
+        on_snapshot(now, reply, calls, out);
+        return;
+    }
+    if (tag.number != call_)
+    {
+        return;
+    }
+    call_ = 0;
+    switch (step_)
+    {
+    case step::reading:
+        on_listed(now, reply, calls, out);
+        break;
+    case step::appending:
+        on_appended(now, reply, calls, out);
+        break;
+    case step::checking:
+        on_checked(now, reply, calls, out);
+        break;
+    case step::making_room:
+    case step::ready:
+    case step::lost:
+        break;
+    }
+}
+
+void cell_log::on_listed(common::time_point now,
+                         ports::store_reply const& reply,
+                         store_calls& calls,
+                         ports::actions& out)
+{
+    if (reply.status != ports::store_status::done)
+    {
+        retry_at_ = now + settings_.retry_interval;
+        return;
+    }
+    auto stored = replay(cell_, reply.entries, failure_);
+    if (!stored)
+    {
+        // Damage: acting on half a log could run tasks twice.
+        retry_at_ = now + settings_.retry_interval * 10;
+        return;
+    }
+    if (stored->state.epoch > epoch_)
+    {
+        step_ = step::lost;
+        return;
+    }
+    stored_ = std::move(*stored);
+    waiting_.clear();
+    waiting_since_.reset();
+    next_snapshot_.clear();
+    snapshot_checking_ = false;
+    if (stored_.state.last_record + 1 >= stored_.snapshot_record + log_slots)
+    {
+        // The takeover's record would overwrite one that no snapshot holds:
+        // owners that die before their first snapshot bring this about.
+        step_ = step::making_room;
+        stored_.state.epoch = epoch_;
+        next_snapshot_ = to_json(stored_.state);
+        next_snapshot_record_ = stored_.state.last_record;
+        return;
+    }
+    begin_append(calls, out);
+}
+
+void cell_log::on_appended(common::time_point now,
+                           ports::store_reply const& reply,
+                           store_calls& calls,
+                           ports::actions& out)
+{
+    switch (reply.status)
+    {
+    case ports::store_status::done:
+        settle(reply.index);
+        break;
+    case ports::store_status::conflict:
+        // Either another owner took the slot, or an earlier send of this very
+        // record took effect and its answer was lost.
+        step_ = step::checking;
+        call_ = calls.send(call_owner::log,
+                           cell_,
+                           ports::store_read{record_key(cell_, record_.number)},
+                           out);
+        break;
+    case ports::store_status::unavailable:
+    case ports::store_status::unclear:
+        // The same bytes at the same version: at most one send takes effect.
+        retry_at_ = now + settings_.retry_interval;
+        break;
+    }
+}
+
+void cell_log::on_checked(common::time_point now,
+                          ports::store_reply const& reply,
+                          store_calls& calls,
+                          ports::actions& out)
+{
+    if (reply.status != ports::store_status::done)
+    {
+        retry_at_ = now + settings_.retry_interval;
+        return;
+    }
+    if (!reply.entries.empty())
+    {
+        auto const& entry = reply.entries.front();
+        common::failure reason;
+        auto const stored = parse_log_record(entry.value, reason);
+        if (stored && stored->writer == record_.writer)
+        {
+            settle(entry.version);
+            return;
+        }
+        if (entry.version == stored_.versions[record_.number % log_slots])
+        {
+            // A read older than the conflict: ask again.
+            retry_at_ = now + settings_.retry_interval;
+            return;
+        }
+    }
+    fail_over(calls, out);
+}
+
+// The slot holds another's record. While taking over that may be the last
+// append of the old owner: read again. Afterwards it is a newer owner's.
+void cell_log::fail_over(store_calls& calls, ports::actions& out)
+{
+    if (taken_over_)
+    {
+        step_ = step::lost;
+        return;
+    }
+    read(calls, out);
+}
+
+void cell_log::settle(std::uint64_t version)
+{
+    stored_.versions[record_.number % log_slots] = version;
+    stored_.state.last_record = record_.number;
+    stored_.state.epoch = epoch_;
+    std::move(record_.changes.begin(),
+              record_.changes.end(),
+              std::back_inserter(committed_));
+    record_.changes.clear();
+    taken_over_ = true;
+    step_ = step::ready;
+}
+
+void cell_log::send_snapshot(store_calls& calls, ports::actions& out)
+{
+    ports::store_operation const write = ports::store_write{
+        snapshot_key(cell_), next_snapshot_, stored_.snapshot_version};
+    ports::store_operation const read = ports::store_read{snapshot_key(cell_)};
+    snapshot_call_ = calls.send(
+        call_owner::snapshot, cell_, snapshot_checking_ ? read : write, out);
+}
+
+void cell_log::on_snapshot(common::time_point now,
+                           ports::store_reply const& reply,
+                           store_calls& calls,
+                           ports::actions& out)
+{
+    snapshot_retry_at_ = now + settings_.retry_interval;
+    if (reply.status == ports::store_status::conflict)
+    {
+        // An earlier send took effect unseen, or another owner wrote one.
+        snapshot_checking_ = true;
+        snapshot_retry_at_ = now;
+        return;
+    }
+    if (reply.status != ports::store_status::done)
+    {
+        return;
+    }
+    if (!snapshot_checking_)
+    {
+        snapshot_stands(reply.index, calls, out);
+        return;
+    }
+    snapshot_checking_ = false;
+    common::failure reason;
+    auto const stored =
+        reply.entries.empty()
+            ? std::nullopt
+            : parse_cell_state(reply.entries.front().value, reason);
+    if (!stored)
+    {
+        return;
+    }
+    if (stored->epoch > epoch_)
+    {
+        step_ = step::lost;
+        return;
+    }
+    stored_.snapshot_version = reply.entries.front().version;
+    if (stored->epoch == epoch_ && stored->last_record == next_snapshot_record_)
+    {
+        snapshot_stands(stored_.snapshot_version, calls, out);
+    }
+}
+
+void cell_log::snapshot_stands(std::uint64_t version,
+                               store_calls& calls,
+                               ports::actions& out)
+{
+    stored_.snapshot_version = version;
+    stored_.snapshot_record = next_snapshot_record_;
+    next_snapshot_.clear();
+    if (step_ == step::making_room)
+    {
+        begin_append(calls, out);
+    }
+}
+
+bool cell_log::change(common::time_point now, tasks::change what, bool urgent)
+{
+    if (!active() || !apply_change(stored_.state, what))
+    {
+        return false;
+    }
+    waiting_.push_back(std::move(what));
+    urgent_ = urgent_ || urgent;
+    if (!waiting_since_)
+    {
+        waiting_since_ = now;
+    }
+    return true;
+}
+
+std::vector<tasks::change> cell_log::take_committed()
+{
+    return std::exchange(committed_, {});
+}
+
+bool cell_log::active() const noexcept
+{
+    return taken_over_ && step_ != step::lost;
+}
+
+bool cell_log::lost() const noexcept
+{
+    return step_ == step::lost;
+}
+
+bool cell_log::idle() const noexcept
+{
+    return waiting_.empty() && step_ != step::appending &&
+           step_ != step::checking && step_ != step::reading &&
+           snapshot_call_ == 0;
+}
+
+std::size_t cell_log::waiting() const noexcept
+{
+    return waiting_.size();
+}
+
+cell_state const& cell_log::state() const noexcept
+{
+    return stored_.state;
+}
+
+common::failure const& cell_log::last_failure() const noexcept
+{
+    return failure_;
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/cell_placement.cpp
@@ -0,0 +1,528 @@
+#include "core/tasks/cell_runner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// From the queue to a worker, or on to another cell; and back from a worker
+// where a contract or a data centre no longer allows the task.
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+constexpr std::size_t max_waiting_changes = 2000;
+constexpr std::size_t max_misses = 64; ///< Tasks in a row without room.
+constexpr common::duration move_interval = std::chrono::milliseconds(100);
+constexpr std::size_t max_parcels_a_round = 8;
+
+void add(allowance& sum, job const& what)
+{
+    sum.all += what.declared;
+    if (what.kind == job_kind::batch)
+    {
+        sum.batch += what.declared;
+    }
+}
+
+void take_off(allowance& sum, job const& what)
+{
+    sum.all -= what.declared;
+    if (what.kind == job_kind::batch)
+    {
+        sum.batch -= what.declared;
+    }
+}
+
+bool within(allowance const& use, allowance const& limit)
+{
+    return limit.all.holds(use.all) && limit.batch.holds(use.batch);
+}
+
+double share_of(attempt_run const& run,
+                ports::resources const& declared,
+                ports::resources const& capacity)
+{
+    auto const cores =
+        run.reports == 0 ? declared.millicores : run.used.millicores;
+    return capacity.millicores == 0
+               ? 0
+               : static_cast<double>(cores) /
+                     static_cast<double>(capacity.millicores);
+}
+
+std::uint32_t rank_of(job const& what) noexcept
+{
+    if (what.urgent)
+    {
+        return 0;
+    }
+    return what.kind == job_kind::service ? 1 : 2;
+}
+
+} // namespace
+
+// Urgent first, then services, then batch; within each the oldest first.
+void cell_runner::rebuild_queue(cell_context& with)
+{
+    if (!std::exchange(queue_dirty_, false))
+    {
+        return;
+    }
+    queue_.clear();
+    std::map<task_key, common::time_point> since;
+    for (auto const& [id, part] : log_.state().jobs)
+    {
+        for (auto const& [index, task] : part.tasks)
+        {
+            if (task.status != task_status::queued)
+            {
+                continue;
+            }
+            task_key key{id, index};
+            auto const before = queued_since_.find(key);
+            auto const at =
+                before == queued_since_.end() ? with.now : before->second;
+            since.emplace(key, at);
+            queue_.push_back({std::move(key), rank_of(part.what), at});
+        }
+    }
+    queued_since_ = std::move(since);
+    std::sort(queue_.begin(),
+              queue_.end(),
+              [](queued_task const& one, queued_task const& other)
+              {
+                  return std::tie(one.rank, one.since, one.key) <
+                         std::tie(other.rank, other.since, other.key);
+              });
+}
+
+// Tells the quota book what each customer uses and could use here: no more
+// than the cell has room for, so that no grant is held for work that waits.
+void cell_runner::count_use(cell_context& with)
+{
+    for (auto& [customer, use] : use_)
+    {
+        use = {};
+    }
+    ports::resources free;
+    for (auto const& id : with.workers.in_rack(cell_))
+    {
+        free += with.workers.find(id)->info.capacity;
+    }
+    for (auto const& [key, run] : runs_)
+    {
+        auto const& what = log_.state().jobs.at(key.job).what;
+        auto& use = use_[what.customer];
+        add(use.in_use, what);
+        if (run.evicted_for.empty())
+        {
+            add(use.staying, what);
+        }
+        free -= what.declared;
+    }
+    bool const open = with.may_start && !held_ && !data_centre_out(with);
+    for (auto const& task : queue_)
+    {
+        auto const& what = log_.state().jobs.at(task.key.job).what;
+        if (!open || !free.holds(what.declared))
+        {
+            continue;
+        }
+        free -= what.declared;
+        auto& use = use_[what.customer];
+        add(use.queued, what);
+        if (!std::exchange(use.has_queued, true))
+        {
+            add(use.unit, what);
+        }
+    }
+    for (auto const& [customer, use] : use_)
+    {
+        cell_need need{epoch_, use.in_use, use.in_use, use.unit};
+        need.wanted.all += use.queued.all;
+        need.wanted.batch += use.queued.batch;
+        with.quotas.set_need(customer, cell_, need);
+    }
+}
+
+std::vector<placement::candidate>
+cell_runner::candidates(cell_context& with) const
+{
+    std::vector<placement::candidate> out;
+    std::map<std::string_view, std::size_t> places;
+    for (auto const& id : with.workers.in_rack(cell_))
+    {
+        auto const* view = with.workers.find(id);
+        if (with.workers.may_start(with.now, *view))
+        {
+            placement::candidate next;
+            next.worker = &view->info.id;
+            next.capacity = view->info.capacity;
+            next.memory_over_declared = view->memory_over_declared;
+            places.emplace(view->info.id, out.size());
+            out.push_back(std::move(next));
+        }
+    }
+    for (auto const& [key, run] : runs_)
+    {
+        auto const place = places.find(run.worker);
+        if (place == places.end())
+        {
+            continue;
+        }
+        auto& on = out[place->second];
+        auto const& what = log_.state().jobs.at(key.job).what;
+        bool const service = what.kind == job_kind::service;
+        on.committed += what.declared;
+        on.batch_millicores += service ? 0 : what.declared.millicores;
+        on.residents.push_back({with.learned.number_of(what.task_class),
+                                service,
+                                what.declared,
+                                share_of(run, what.declared, on.capacity)});
+    }
+    std::erase_if(out,
+                  [&with](placement::candidate const& one)
+                  {
+                      return with.workers.find(*one.worker)->probing &&
+                             !one.residents.empty();
+                  });
+    return out;
+}
+
+bool cell_runner::quota_allows(cell_context& with, job const& what)
+{
+    auto const contract = with.config.contracts.find(what.customer);
+    if (contract == with.config.contracts.end())
+    {
+        return false;
+    }
+    auto next = use_[what.customer].in_use;
+    add(next, what);
+    return within(next,
+                  with.quotas.allowed(what.customer, cell_, contract->second));
+}
+
+// After a data centre came back everybody would start there at once; a slow
+// rise lets the grants, reports and neighbours follow.
+bool cell_runner::ramp_allows(cell_context& with) const
+{
+    if (!back_since_ || with.now - *back_since_ >= with.settings.ramp_time)
+    {
+        return true;
+    }
+    double const seconds =
+        std::chrono::duration<double>(with.now - *back_since_).count();
+    double const allowed =
+        with.settings.ramp_starts_per_second * seconds * (1 + seconds);
+    return static_cast<double>(starts_since_back_) < allowed;
+}
+
+void cell_runner::place(cell_context& with)
+{
+    short_of_room_.clear();
+    if (!with.may_start || data_centre_out(with) || queue_.empty())
+    {
+        return;
+    }
+    auto workers = candidates(with);
+    std::uint32_t starts = 0;
+    std::size_t misses = 0;
+    for (auto const& task : queue_)
+    {
+        if (starts >= with.settings.max_starts_per_tick ||
+            misses >= max_misses || log_.waiting() >= max_waiting_changes ||
+            !ramp_allows(with))
+        {
+            return;
+        }
+        auto const& what = log_.state().jobs.at(task.key.job).what;
+        if (!what.data_centre.empty() &&
+            what.data_centre != with.workers.data_centre_of(cell_))
+        {
+            continue;
+        }
+        if (!quota_allows(with, what))
+        {
+            continue;
+        }
+        if (place_one(with, task.key, workers))
+        {
+            ++starts;
+            ++starts_since_back_;
+        }
+        else
+        {
+            short_of_room_.insert(task.key);
+            ++misses;
+        }
+    }
+}
+
+bool cell_runner::place_one(cell_context& with,
+                            task_key const& key,
+                            std::vector<placement::candidate>& workers)
+{
+    auto const& part = log_.state().jobs.at(key.job);
+    auto const& task = part.tasks.at(key.index);
+    placement::placement_task const wanted{
+        with.learned.number_of(part.what.task_class),
+        part.what.kind == job_kind::service,
+        part.what.declared};
+    for (auto& worker : workers)
+    {
+        worker.avoid = std::find(task.failed_on.begin(),
+                                 task.failed_on.end(),
+                                 *worker.worker) != task.failed_on.end();
+    }
+    auto const chosen = placement::choose(with.settings.policy,
+                                          workers,
+                                          wanted,
+                                          with.learned,
+                                          with.settings.limits);
+    if (!chosen)
+    {
+        return false;
+    }
+    auto& on = workers[*chosen];
+    auto const* view = with.workers.find(*on.worker);
+    auto const clock = with.workers.clock_at_least(with.now, *view);
+    auto const in = [clock](common::duration length)
+    {
+        return clock +
+               static_cast<std::uint64_t>(common::to_milliseconds(length));
+    };
+    attempt_run run;
+    run.attempt = task.attempt + 1;
+    run.worker = *on.worker;
+    run.start_before_ms = in(with.settings.start_window);
+    run.lease_until_ms = in(with.settings.lease);
+    bool const urgent = part.what.urgent || wanted.service;
+    if (!commit(with,
+                attempt_started{key,
+                                run.attempt,
+                                run.worker,
+                                run.start_before_ms,
+                                run.lease_until_ms},
+                urgent))
+    {
+        return false;
+    }
+    on.committed += wanted.declared;
+    on.batch_millicores += wanted.service ? 0 : wanted.declared.millicores;
+    on.residents.push_back({wanted.task_class,
+                            wanted.service,
+                            wanted.declared,
+                            share_of(run, wanted.declared, on.capacity)});
+    add(use_[part.what.customer].in_use, part.what);
+    runs_[key] = std::move(run);
+    if (view->probing)
+    {
+        workers.erase(workers.begin() + static_cast<std::ptrdiff_t>(*chosen));
+    }
+    return true;
+}
+
+bool cell_runner::should_move(cell_context& with,
+                              job_part const& part,
+                              queued_task const& task) const
+{
+    auto const& workers = with.workers.in_rack(cell_);
+    bool const never_here =
+        std::none_of(workers.begin(),
+                     workers.end(),
+                     [&](std::string const& id)
+                     {
+                         return with.workers.find(id)->info.capacity.holds(
+                             part.what.declared);
+                     });
+    bool const elsewhere =
+        !part.what.data_centre.empty() &&
+        part.what.data_centre != with.workers.data_centre_of(cell_);
+    if (data_centre_out(with) || never_here || elsewhere)
+    {
+        return true;
+    }
+    auto const doublings = std::min<std::uint32_t>(part.moves, 10);
+    auto const patience = std::min(with.settings.move_after * (1 << doublings),
+                                   with.settings.move_after_most);
+    return short_of_room_.count(task.key) != 0 &&
+           with.now - task.since >= patience;
+}
+
+void cell_runner::move_on(cell_context& with)
+{
+    if (with.now < next_move_ || with.workers.all().empty() ||
+        log_.waiting() >= max_waiting_changes)
+    {
+        return;
+    }
+    next_move_ = with.now + move_interval;
+    bool const must = data_centre_out(with);
+    std::map<std::string, std::vector<std::uint32_t>> leaving;
+    for (auto const& task : queue_)
+    {
+        auto const& part = log_.state().jobs.at(task.key.job);
+        auto const* record = log_.state().find(task.key);
+        bool const full = leaving.size() >= max_parcels_a_round &&
+                          leaving.count(task.key.job) == 0;
+        if (full || record->status != task_status::queued ||
+            !should_move(with, part, task))
+        {
+            continue;
+        }
+        auto& tasks = leaving[task.key.job];
+        if (tasks.size() < with.settings.max_parcel_tasks)
+        {
+            tasks.push_back(task.key.index);
+        }
+    }
+    for (auto const& [id, tasks] : leaving)
+    {
+        auto const& part = log_.state().jobs.at(id);
+        auto const to =
+            with.loads.choose({part.what.declared,
+                               part.what.data_centre,
+                               cell_,
+                               !must && !with.workers.in_rack(cell_).empty(),
+                               with.config.data_centres_out},
+                              with.workers);
+        if (!to)
+        {
+            continue;
+        }
+        auto const name = id + "~" + cell_ + "~" +
+                          std::to_string(log_.state().parcels_sent + 1);
+        for (std::size_t count = 0; count < tasks.size(); ++count)
+        {
+            with.loads.reserve(*to, part.what.declared);
+        }
+        if (commit(with,
+                   parcel_left{name, *to, id, tasks, part.moves + 1},
+                   part.what.urgent || must))
+        {
+            with.counters.moved += tasks.size();
+        }
+    }
+}
+
+void cell_runner::enforce_contracts(cell_context& with)
+{
+    if (with.config.revision == 0)
+    {
+        return;
+    }
+    for (auto const& [customer, use] : use_)
+    {
+        if (with.config.withdrawn.count(customer) != 0)
+        {
+            for (auto const& [id, part] : log_.state().jobs)
+            {
+                if (part.what.customer == customer && !part.stopped)
+                {
+                    stop_job(with,
+                             id,
+                             common::result_code::contract_withdrawn,
+                             "the contract was withdrawn");
+                }
+            }
+            continue;
+        }
+        auto const contract = with.config.contracts.find(customer);
+        if (contract != with.config.contracts.end() &&
+            with.quotas.known(customer, cell_))
+        {
+            evict_overage(
+                with,
+                customer,
+                with.quotas.allowed(customer, cell_, contract->second));
+        }
+    }
+}
+
+// Batch first, and of batch the attempts with least work behind them.
+void cell_runner::evict_overage(cell_context& with,
+                                std::string const& customer,
+                                allowance const& allowed)
+{
+    auto staying = use_[customer].staying;
+    if (within(staying, allowed))
+    {
+        return;
+    }
+    std::vector<std::pair<task_key, job const*>> own;
+    for (auto const& [key, run] : runs_)
+    {
+        auto const& what = log_.state().jobs.at(key.job).what;
+        if (what.customer == customer && run.evicted_for.empty())
+        {
+            own.emplace_back(key, &what);
+        }
+    }
+    std::sort(own.begin(),
+              own.end(),
+              [this](auto const& one, auto const& other)
+              {
+                  auto const order = [this](auto const& item)
+                  {
+                      bool const service =
+                          item.second->kind == job_kind::service;
+                      return std::tuple(service,
+                                        runs_.at(item.first).work_done_ms,
+                                        item.first);
+                  };
+                  return order(one) < order(other);
+              });
+    for (auto const& [key, what] : own)
+    {
+        if (within(staying, allowed))
+        {
+            return;
+        }
+        bool const helps =
+            !allowed.all.holds(staying.all) || what->kind == job_kind::batch;
+        if (helps)
+        {
+            take_off(staying, *what);
+            ++with.counters.evicted_contract;
+            evict(with, key, "over_contract");
+        }
+    }
+}
+
+void cell_runner::drain(cell_context& with)
+{
+    bool const out = data_centre_out(with);
+    if (was_out_ && !out)
+    {
+        back_since_ = with.now;
+        starts_since_back_ = 0;
+    }
+    was_out_ = out;
+    if (!out)
+    {
+        return;
+    }
+    auto under_way = static_cast<std::uint32_t>(
+        std::count_if(runs_.begin(),
+                      runs_.end(),
+                      [](auto const& item)
+                      {
+                          return !item.second.evicted_for.empty();
+                      }));
+    for (auto const& [key, run] : runs_)
+    {
+        if (under_way >= with.settings.max_draining)
+        {
+            return;
+        }
+        if (run.evicted_for.empty())
+        {
+            ++under_way;
+            ++with.counters.evicted_data_centre;
+            evict(with, key, "data_centre_out");
+        }
+    }
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/cell_reports.cpp
@@ -0,0 +1,266 @@
+#include "core/tasks/cell_runner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// What a worker's report tells: ends of attempts, usage, interference.
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+/// Reports of a running attempt before its worker counts as able to run.
+constexpr std::uint32_t reports_to_prove = 3;
+/// Memory in use on a worker beyond which the largest overdraft is evicted.
+constexpr std::int64_t memory_limit_permille = 980;
+
+double share(ports::resources const& used, ports::resources const& capacity)
+{
+    return capacity.millicores == 0
+               ? 0
+               : static_cast<double>(used.millicores) /
+                     static_cast<double>(capacity.millicores);
+}
+
+} // namespace
+
+void cell_runner::on_report(cell_context& with,
+                            ports::worker_report const& report)
+{
+    if (!adopted_ || log_.lost())
+    {
+        return;
+    }
+    for (auto const& said : report.attempts)
+    {
+        on_attempt_report(with, report, said);
+    }
+    end_absent(with, report);
+    watch_memory(with, report);
+    learn(with, report);
+    guard_services(with, report);
+    last_reports_[report.worker] = report;
+}
+
+void cell_runner::on_attempt_report(cell_context& with,
+                                    ports::worker_report const& report,
+                                    ports::attempt_report const& said)
+{
+    auto const key = parse_task_name(said.what.task);
+    if (!key)
+    {
+        return;
+    }
+    auto const found = runs_.find(*key);
+    bool const running = said.state == ports::attempt_state::running;
+    if (found == runs_.end() || found->second.attempt != said.what.attempt ||
+        found->second.worker != report.worker)
+    {
+        auto const* task = log_.state().find(*key);
+        // Over by the log, and running by a report: an attempt whose lease
+        // counted as run out on a worker that could not be reached.
+        bool const over = task == nullptr || said.what.attempt <= task->attempt;
+        if (running && over && with.may_act)
+        {
+            with.worker_traffic.send({worker_call_kind::stray_stop,
+                                      cell_,
+                                      report.worker,
+                                      *key,
+                                      said.what.attempt,
+                                      0},
+                                     ports::worker_stop{said.what},
+                                     with.out);
+        }
+        return;
+    }
+    auto& run = found->second;
+    if (run.phase == attempt_phase::committing_start)
+    {
+        return;
+    }
+    switch (said.state)
+    {
+    case ports::attempt_state::running:
+        step(run, attempt_event::seen_running);
+        run.used = said.used;
+        run.latency_p99_us = said.latency_p99_us;
+        if (++run.reports == reports_to_prove)
+        {
+            with.workers.note_success(run.worker);
+        }
+        break;
+    case ports::attempt_state::finished:
+        end(with, *key, attempt_end::finished, said.why);
+        break;
+    case ports::attempt_state::failed:
+        end(with, *key, attempt_end::failed, said.why);
+        break;
+    case ports::attempt_state::stopped:
+        end(with, *key, attempt_end::stopped, run.evicted_for);
+        break;
+    case ports::attempt_state::lease_expired:
+        end(with, *key, attempt_end::lost, "its lease ran out");
+        break;
+    }
+}
+
+// A report made after the last moment at which the start could be taken, and
+// that does not list the attempt, shows that it neither runs nor will.
+void cell_runner::end_absent(cell_context& with,
+                             ports::worker_report const& report)
+{
+    std::vector<std::pair<task_key, attempt_phase>> absent;
+    for (auto const& [key, run] : runs_)
+    {
+        if (run.worker != report.worker ||
+            run.phase == attempt_phase::committing_start ||
+            report.clock_ms < run.start_before_ms)
+        {
+            continue;
+        }
+        auto const name = task_name(key);
+        bool const listed =
+            std::any_of(report.attempts.begin(),
+                        report.attempts.end(),
+                        [&](ports::attempt_report const& said)
+                        {
+                            return said.what.task == name &&
+                                   said.what.attempt == run.attempt;
+                        });
+        if (!listed)
+        {
+            absent.emplace_back(key, run.phase);
+        }
+    }
+    for (auto const& [key, phase] : absent)
+    {
+        bool const stopped = phase == attempt_phase::settling ||
+                             phase == attempt_phase::stopping;
+        end(with,
+            key,
+            stopped ? attempt_end::stopped : attempt_end::lost,
+            "not on its worker");
+    }
+}
+
+void cell_runner::watch_memory(cell_context& with,
+                               ports::worker_report const& report)
+{
+    std::int64_t used = 0;
+    std::int64_t over = 0;
+    std::int64_t most = 0;
+    task_key worst;
+    for (auto const& [key, run] : runs_)
+    {
+        if (run.worker != report.worker || run.reports == 0)
+        {
+            continue;
+        }
+        auto const& what = log_.state().jobs.at(key.job).what;
+        auto const excess = run.used.memory_mb - what.declared.memory_mb;
+        used += run.used.memory_mb;
+        over += std::max<std::int64_t>(0, excess);
+        if (what.kind == job_kind::batch && excess > most &&
+            run.evicted_for.empty())
+        {
+            most = excess;
+            worst = key;
+        }
+    }
+    with.workers.set_memory_over_declared(report.worker, over);
+    auto const* view = with.workers.find(report.worker);
+    if (most > 0 &&
+        used * 1000 > view->info.capacity.memory_mb * memory_limit_permille)
+    {
+        ++with.counters.evicted_memory;
+        evict(with, worst, "memory_pressure");
+    }
+}
+
+void cell_runner::learn(cell_context& with, ports::worker_report const& report)
+{
+    auto const* view = with.workers.find(report.worker);
+    std::vector<std::pair<task_key, placement::neighbour>> present;
+    for (auto const& [key, run] : runs_)
+    {
+        if (run.worker == report.worker && run.reports != 0)
+        {
+            auto const& what = log_.state().jobs.at(key.job).what;
+            present.push_back({key,
+                               {with.learned.number_of(what.task_class),
+                                share(run.used, view->info.capacity)}});
+        }
+    }
+    for (auto const& [key, self] : present)
+    {
+        auto const& what = log_.state().jobs.at(key.job).what;
+        auto const latency = runs_.at(key).latency_p99_us;
+        if (what.kind != job_kind::service || latency == 0)
+        {
+            continue;
+        }
+        std::vector<placement::neighbour> beside;
+        for (auto const& [other, neighbour] : present)
+        {
+            if (other != key)
+            {
+                beside.push_back(neighbour);
+            }
+        }
+        with.learned.observe(
+            self.task_class,
+            beside,
+            with.learned.slowdown_of(self.task_class, latency));
+    }
+}
+
+void cell_runner::guard_services(cell_context& with,
+                                 ports::worker_report const& report)
+{
+    auto const* view = with.workers.find(report.worker);
+    std::vector<placement::guarded_service> services;
+    std::vector<placement::guarded_task> batch;
+    for (auto const& [key, run] : runs_)
+    {
+        auto const& what = log_.state().jobs.at(key.job).what;
+        auto const contract = with.config.contracts.find(what.customer);
+        if (run.worker != report.worker || run.reports == 0 ||
+            run.phase != attempt_phase::running || !run.evicted_for.empty())
+        {
+            continue;
+        }
+        auto const number = with.learned.number_of(what.task_class);
+        if (what.kind == job_kind::batch)
+        {
+            batch.push_back({task_name(key),
+                             number,
+                             share(run.used, view->info.capacity),
+                             run.permille});
+        }
+        else if (contract != with.config.contracts.end())
+        {
+            services.push_back({number,
+                                run.latency_p99_us,
+                                static_cast<std::uint64_t>(
+                                    contract->second.latency_target.count())});
+        }
+    }
+    auto& guard =
+        guards_.try_emplace(report.worker, with.settings.guard).first->second;
+    auto const wanted = guard.on_report(services, batch, with.learned);
+    auto const key = wanted ? parse_task_name(wanted->task) : std::nullopt;
+    if (!key)
+    {
+        return;
+    }
+    if (wanted->measure == placement::guard_measure::evict)
+    {
+        ++with.counters.evicted_guard;
+        evict(with, *key, "guard");
+        return;
+    }
+    runs_.at(*key).asked_permille = wanted->permille;
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/cell_runner.cpp
@@ -0,0 +1,408 @@
+#include "core/tasks/cell_runner.hpp"
+
+#include "core/tasks/inbox.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+constexpr common::duration forget_interval = std::chrono::seconds(5);
+
+} // namespace
+
+ports::log_event event_of(ports::severity level,
+                          std::string name,
+                          std::vector<ports::header> fields)
+{
+    return {level, std::move(name), std::move(fields)};
+}
+
+cell_runner::cell_runner(std::string cell,
+                         std::uint64_t incarnation,
+                         std::uint64_t epoch,
+                         cell_log_settings settings)
+    : cell_(std::move(cell)), epoch_(epoch),
+      log_(cell_, incarnation, epoch, settings)
+{
+}
+
+void cell_runner::start(cell_context& with)
+{
+    log_.start(with.calls, with.out);
+}
+
+bool cell_runner::commit(cell_context& with, change what, bool urgent)
+{
+    bool const fits = log_.change(with.now, std::move(what), urgent);
+    queue_dirty_ = queue_dirty_ || fits;
+    return fits;
+}
+
+void cell_runner::tick(cell_context& with)
+{
+    if (log_.active() && !adopted_)
+    {
+        adopt(with);
+    }
+    if (adopted_ && !log_.lost())
+    {
+        take_commits(with);
+        drive(with);
+        renew(with);
+        rebuild_queue(with);
+        count_use(with);
+        enforce_contracts(with);
+        drain(with);
+        if (!held_)
+        {
+            place(with);
+            move_on(with);
+        }
+        send_parcels(with);
+        erase_inbox(with);
+        forget_jobs(with);
+        publish_load(with);
+    }
+    log_.tick(with.now, with.calls, with.out);
+}
+
+// Every committed attempt is taken for running. Its lease was sent before the
+// predecessor's proof ended, so before now, and for no longer than a lease
+// from then. Whether it runs is told by the renewal that follows, by a report,
+// or by the end of that time.
+void cell_runner::adopt(cell_context& with)
+{
+    adopted_ = true;
+    ++with.counters.takeovers;
+    auto const lease =
+        with.settings.lease * (1000 + with.settings.drift_permille) / 1000;
+    for (auto const& [id, part] : log_.state().jobs)
+    {
+        for (auto const& [index, task] : part.tasks)
+        {
+            if (task.status != task_status::started)
+            {
+                continue;
+            }
+            auto& run = runs_[{id, index}];
+            run.attempt = task.attempt;
+            run.worker = task.worker;
+            run.phase = attempt_phase::running;
+            run.start_before_ms = task.start_before_ms;
+            run.lease_until_ms = task.lease_until_ms;
+            run.lease_over = with.now + lease + with.settings.lease_margin;
+            run.maybe_sent = true;
+            // It may be throttled; relaxing it again is the guard's business.
+            run.permille = with.settings.guard.least_permille;
+        }
+    }
+    for (auto const& [name, leaving] : log_.state().leaving)
+    {
+        sendable_.insert(name);
+    }
+    queue_dirty_ = true;
+    with.out.push_back(
+        event_of(ports::severity::info,
+                 "cell_taken_over",
+                 {{"cell", cell_},
+                  {"epoch", std::to_string(epoch_)},
+                  {"jobs", std::to_string(log_.state().jobs.size())},
+                  {"attempts", std::to_string(runs_.size())}}));
+}
+
+void cell_runner::take_commits(cell_context& with)
+{
+    for (auto const& item : log_.take_committed())
+    {
+        if (auto const* taken = std::get_if<parcel_taken>(&item))
+        {
+            taking_.erase(taken->what.name);
+        }
+        else if (auto const* left = std::get_if<parcel_left>(&item))
+        {
+            sendable_.insert(left->parcel);
+        }
+        else if (auto const* started = std::get_if<attempt_started>(&item))
+        {
+            auto const found = runs_.find(started->task);
+            if (found != runs_.end() &&
+                found->second.attempt == started->attempt &&
+                step(found->second, attempt_event::start_committed))
+            {
+                send_start(with, started->task, found->second);
+            }
+        }
+        else if (auto const* made = std::get_if<checkpoint_taken>(&item))
+        {
+            auto const found = runs_.find(made->task);
+            if (found != runs_.end() &&
+                found->second.attempt == made->attempt &&
+                step(found->second, attempt_event::checkpoint_committed))
+            {
+                send_stop(with, made->task, found->second);
+            }
+        }
+    }
+}
+
+void cell_runner::on_inbox(cell_context& with, std::vector<inbox_item> items)
+{
+    inbox_.clear();
+    for (auto& item : items)
+    {
+        auto name = item.what.name;
+        inbox_.emplace(std::move(name), std::move(item));
+    }
+    if (!adopted_ || log_.lost())
+    {
+        return;
+    }
+    for (auto const& [name, item] : inbox_)
+    {
+        auto const part = log_.state().jobs.find(item.what.what.id);
+        bool const known = part != log_.state().jobs.end() &&
+                           part->second.parcels.count(name) != 0;
+        if (known || log_.state().jobs.size() >= with.settings.max_jobs)
+        {
+            continue;
+        }
+        bool const urgent =
+            item.what.what.urgent || item.what.what.kind == job_kind::service;
+        if (commit(with, parcel_taken{item.what}, urgent))
+        {
+            taking_.insert(name);
+            auto const& what = item.what.what;
+            if (!with.workers.all().empty() &&
+                !with.workers.ever_fits(what.declared, what.data_centre))
+            {
+                stop_job(with,
+                         what.id,
+                         common::result_code::job_never_fits,
+                         "larger than any worker");
+            }
+        }
+    }
+}
+
+// A parcel stays in the inbox until its record is in the log: were it erased
+// before, a planner that died between the two would lose the job.
+void cell_runner::erase_inbox(cell_context& with)
+{
+    for (auto const& [name, item] : inbox_)
+    {
+        auto const part = log_.state().jobs.find(item.what.what.id);
+        bool const known = part != log_.state().jobs.end() &&
+                           part->second.parcels.count(name) != 0;
+        if (!known || taking_.count(name) != 0 || erasing_.count(name) != 0)
+        {
+            continue;
+        }
+        if (!with.calls.may_write(with.now))
+        {
+            return;
+        }
+        erasing_[name] =
+            with.calls.send(call_owner::erase,
+                            cell_,
+                            ports::store_erase{item.key, item.version},
+                            with.out);
+    }
+}
+
+void cell_runner::send_parcels(cell_context& with)
+{
+    for (auto const& name : sendable_)
+    {
+        auto const found = log_.state().leaving.find(name);
+        if (found == log_.state().leaving.end() || sending_.count(name) != 0)
+        {
+            continue;
+        }
+        if (!with.calls.may_write(with.now))
+        {
+            return;
+        }
+        sending_[name] = with.calls.send(
+            call_owner::parcel,
+            cell_,
+            ports::store_write{inbox_key(found->second.to, name),
+                               to_json(found->second.what),
+                               0},
+            with.out);
+    }
+}
+
+void cell_runner::on_store_reply(cell_context& with,
+                                 call_tag const& tag,
+                                 ports::store_reply const& reply)
+{
+    if (tag.owner == call_owner::log || tag.owner == call_owner::snapshot)
+    {
+        log_.on_store_reply(with.now, tag, reply, with.calls, with.out);
+        return;
+    }
+    auto& calls = tag.owner == call_owner::erase ? erasing_ : sending_;
+    auto const found = std::find_if(calls.begin(),
+                                    calls.end(),
+                                    [&tag](auto const& item)
+                                    {
+                                        return item.second == tag.number;
+                                    });
+    if (found == calls.end())
+    {
+        return;
+    }
+    auto const name = found->first;
+    calls.erase(found);
+    if (reply.status != ports::store_status::done &&
+        reply.status != ports::store_status::conflict)
+    {
+        return;
+    }
+    if (tag.owner == call_owner::erase)
+    {
+        inbox_.erase(name);
+        return;
+    }
+    // A conflict: it is there already, since an answer was lost. The name is
+    // this parcel's alone.
+    sendable_.erase(name);
+    commit(with, parcel_arrived{name}, false);
+}
+
+void cell_runner::stop_job(cell_context& with,
+                           std::string const& job,
+                           common::result_code code,
+                           std::string const& why)
+{
+    if (!adopted_ || log_.lost())
+    {
+        return;
+    }
+    auto const part = log_.state().jobs.find(job);
+    if (part != log_.state().jobs.end() && !part->second.ended() &&
+        commit(with, job_stopped{job, code, why}, false))
+    {
+        with.out.push_back(event_of(
+            ports::severity::info,
+            "job_stopped",
+            {{"cell", cell_},
+             {"job", job},
+             {"code", std::to_string(static_cast<std::uint16_t>(code))},
+             {"why", why}}));
+    }
+}
+
+void cell_runner::forget_jobs(cell_context& with)
+{
+    if (with.now < next_forget_)
+    {
+        return;
+    }
+    next_forget_ = with.now + forget_interval;
+    std::vector<std::string> due;
+    bool const crowded =
+        log_.state().jobs.size() >= with.settings.max_jobs * 9 / 10;
+    for (auto const& [id, part] : log_.state().jobs)
+    {
+        if (!part.ended())
+        {
+            ended_at_.erase(id);
+            continue;
+        }
+        auto const since = ended_at_.try_emplace(id, with.now).first->second;
+        auto const kept =
+            crowded ? with.settings.retention / 10 : with.settings.retention;
+        if (with.now - since >= kept)
+        {
+            due.push_back(id);
+        }
+    }
+    for (auto const& id : due)
+    {
+        ended_at_.erase(id);
+        commit(with, job_forgotten{id}, false);
+    }
+}
+
+bool cell_runner::data_centre_out(cell_context const& with) const
+{
+    auto const name = with.workers.data_centre_of(cell_);
+    return with.config.data_centres_out.count(name) != 0;
+}
+
+void cell_runner::hold() noexcept
+{
+    held_ = true;
+}
+
+bool cell_runner::held() const noexcept
+{
+    return held_;
+}
+
+bool cell_runner::idle() const noexcept
+{
+    bool const starting = std::any_of(
+        runs_.begin(),
+        runs_.end(),
+        [](auto const& item)
+        {
+            return item.second.phase == attempt_phase::committing_start ||
+                   (item.second.phase == attempt_phase::starting &&
+                    item.second.call != 0);
+        });
+    return log_.idle() && !starting && sending_.empty() && erasing_.empty();
+}
+
+bool cell_runner::active() const noexcept
+{
+    return adopted_ && !log_.lost();
+}
+
+bool cell_runner::lost() const noexcept
+{
+    return log_.lost();
+}
+
+std::uint64_t cell_runner::epoch() const noexcept
+{
+    return epoch_;
+}
+
+std::string const& cell_runner::name() const noexcept
+{
+    return cell_;
+}
+
+cell_state const& cell_runner::state() const noexcept
+{
+    return log_.state();
+}
+
+std::map<task_key, attempt_run> const& cell_runner::runs() const noexcept
+{
+    return runs_;
+}
+
+cell_counts cell_runner::counts() const
+{
+    cell_counts out;
+    out.queued = queue_.size();
+    out.running = runs_.size();
+    out.jobs = log_.state().jobs.size();
+    out.ended = ended_at_.size();
+    return out;
+}
+
+std::vector<job_stopped> cell_runner::take_faulty()
+{
+    return std::exchange(faulty_, {});
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/cell_runner.hpp
@@ -0,0 +1,237 @@
+#pragma once
+
+#include "core/tasks/cell_context.hpp"
+#include "core/tasks/cell_log.hpp"
+#include "core/tasks/life_cycle.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fuchsia::core::tasks
+{
+
+/// One attempt from its decision to the commit of its end.
+struct attempt_run
+{
+    std::uint32_t attempt = 0;
+    std::string worker;
+    attempt_phase phase = attempt_phase::committing_start;
+    std::uint64_t start_before_ms = 0;
+    std::uint64_t lease_until_ms = 0; ///< The longest that was sent.
+    /// On our clock: no lease that was sent can stand any longer.
+    common::time_point lease_over{};
+    bool maybe_sent = false; ///< A start of it may have reached the worker.
+    bool gone = false;       ///< The worker does not know it any more.
+    std::uint64_t call = 0;  ///< In flight; 0: none.
+    common::time_point next_try{};
+    std::uint32_t tries = 0;
+    std::optional<common::time_point> settle_until;
+    std::uint32_t permille = 1000;
+    std::uint32_t asked_permille = 1000;
+    std::string evicted_for; ///< Why it is being ended; empty: it is not.
+
+    // From the newest report.
+    std::uint32_t reports = 0;
+    ports::resources used;
+    std::uint64_t latency_p99_us = 0;
+    std::uint64_t work_done_ms = 0;
+    std::uint64_t work_seen_at_ms = 0;
+};
+
+/// A parcel as it lies in this cell's inbox.
+struct inbox_item
+{
+    std::string key;
+    std::uint64_t version = 0;
+    parcel what;
+};
+
+/// Attempts and queued tasks, for the metrics and the status page.
+struct cell_counts
+{
+    std::size_t queued = 0;
+    std::size_t running = 0;
+    std::size_t ended = 0;
+    std::size_t jobs = 0;
+};
+
+/// One cell that this planner owns: takes parcels in, places and starts
+/// tasks, keeps their leases, evicts, moves and ends them. Every decision is
+/// a change in the log before the world hears of it.
+class cell_runner
+{
+public:
+    cell_runner(std::string cell,
+                std::uint64_t incarnation,
+                std::uint64_t epoch,
+                cell_log_settings settings);
+
+    void start(cell_context& with);
+    void tick(cell_context& with);
+    void on_store_reply(cell_context& with,
+                        call_tag const& tag,
+                        ports::store_reply const& reply);
+    void on_worker_reply(cell_context& with,
+                         worker_call_tag const& tag,
+                         ports::worker_reply const& reply);
+    /// Only reports that the worker book took for new.
+    void on_report(cell_context& with, ports::worker_report const& report);
+    /// What now lies in this cell's inbox.
+    void on_inbox(cell_context& with, std::vector<inbox_item> items);
+    void stop_job(cell_context& with,
+                  std::string const& job,
+                  common::result_code code,
+                  std::string const& why);
+
+    /// From now on starts and moves nothing: the cell is to be handed over.
+    void hold() noexcept;
+    bool held() const noexcept;
+    /// Nothing is in commit and no call of a start is under way.
+    bool idle() const noexcept;
+
+    bool active() const noexcept;
+    bool lost() const noexcept;
+    std::uint64_t epoch() const noexcept;
+    std::string const& name() const noexcept;
+    cell_state const& state() const noexcept;
+    std::map<task_key, attempt_run> const& runs() const noexcept;
+    cell_counts counts() const;
+
+    /// Jobs that this cell found to be at fault; other cells must stop them.
+    std::vector<job_stopped> take_faulty();
+
+private:
+    struct renewal
+    {
+        std::uint64_t call = 0;
+        std::uint64_t until_ms = 0;
+        bool acknowledged = true;
+        common::time_point next{};
+    };
+    struct queued_task
+    {
+        task_key key;
+        std::uint32_t rank = 0;
+        common::time_point since{};
+    };
+    struct customer_use
+    {
+        allowance in_use;
+        allowance staying; ///< Without those that are being ended.
+        allowance queued;
+        allowance unit;
+        bool has_queued = false;
+    };
+
+    // cell_runner.cpp: the cell as a whole.
+    void adopt(cell_context& with);
+    void take_commits(cell_context& with);
+    void erase_inbox(cell_context& with);
+    void send_parcels(cell_context& with);
+    void forget_jobs(cell_context& with);
+    void publish_load(cell_context& with);
+    bool data_centre_out(cell_context const& with) const;
+    bool commit(cell_context& with, change what, bool urgent);
+
+    // cell_placement.cpp: from the queue to a worker, or to another cell.
+    void rebuild_queue(cell_context& with);
+    void count_use(cell_context& with);
+    void place(cell_context& with);
+    bool place_one(cell_context& with,
+                   task_key const& key,
+                   std::vector<placement::candidate>& workers);
+    bool quota_allows(cell_context& with, job const& what);
+    std::vector<placement::candidate> candidates(cell_context& with) const;
+    bool ramp_allows(cell_context& with) const;
+    void move_on(cell_context& with);
+    bool should_move(cell_context& with,
+                     job_part const& part,
+                     queued_task const& task) const;
+    void evict_overage(cell_context& with,
+                       std::string const& customer,
+                       allowance const& allowed);
+    void enforce_contracts(cell_context& with);
+    void drain(cell_context& with);
+
+    // cell_attempts.cpp: one attempt's life.
+    void drive(cell_context& with);
+    void drive_one(cell_context& with, task_key const& key, attempt_run& run);
+    void send_start(cell_context& with, task_key const& key, attempt_run& run);
+    bool
+    start_allowed(cell_context& with, task_key const& key, attempt_run const&);
+    void send_stop(cell_context& with, task_key const& key, attempt_run& run);
+    void
+    send_checkpoint(cell_context& with, task_key const& key, attempt_run& run);
+    void renew(cell_context& with);
+    void evict(cell_context& with, task_key const& key, std::string why);
+    void end(cell_context& with,
+             task_key const& key,
+             attempt_end how,
+             std::string why);
+    void after_failure(cell_context& with, task_key const& key);
+    void on_start_reply(cell_context& with,
+                        task_key const& key,
+                        attempt_run& run,
+                        ports::worker_reply const& reply);
+    void on_stop_reply(cell_context& with,
+                       task_key const& key,
+                       attempt_run& run,
+                       ports::worker_reply const& reply);
+    void on_checkpoint_reply(cell_context& with,
+                             task_key const& key,
+                             attempt_run& run,
+                             ports::worker_reply const& reply);
+    void on_renewed(cell_context& with,
+                    worker_call_tag const& tag,
+                    ports::worker_reply const& reply);
+    static bool step(attempt_run& run, attempt_event event);
+
+    // cell_reports.cpp: what reports tell.
+    void on_attempt_report(cell_context& with,
+                           ports::worker_report const& report,
+                           ports::attempt_report const& said);
+    void end_absent(cell_context& with, ports::worker_report const& report);
+    void learn(cell_context& with, ports::worker_report const& report);
+    void guard_services(cell_context& with, ports::worker_report const& report);
+    void watch_memory(cell_context& with, ports::worker_report const& report);
+
+    std::string cell_;
+    std::uint64_t epoch_;
+    cell_log log_;
+    bool adopted_ = false;
+    bool held_ = false;
+    std::map<task_key, attempt_run> runs_;
+    std::map<std::string, renewal> renewals_;
+    std::map<std::string, placement::guard> guards_;
+    std::map<std::string, ports::worker_report> last_reports_;
+
+    std::vector<queued_task> queue_;
+    bool queue_dirty_ = true;
+    std::map<task_key, common::time_point> queued_since_;
+    std::map<std::string, customer_use> use_;
+    std::set<task_key> short_of_room_; ///< Waits for room, not for quota.
+
+    std::map<std::string, inbox_item> inbox_;      ///< By parcel name.
+    std::set<std::string> taking_;                 ///< In commit.
+    std::map<std::string, std::uint64_t> erasing_; ///< Parcel to call.
+    std::set<std::string> sendable_; ///< Parcels whose leaving is committed.
+    std::map<std::string, std::uint64_t> sending_;
+    std::map<std::string, common::time_point> ended_at_;
+    common::time_point next_forget_{};
+    common::time_point next_move_{};
+    std::vector<job_stopped> faulty_;
+
+    bool was_out_ = false;
+    std::optional<common::time_point> back_since_;
+    std::uint64_t starts_since_back_ = 0;
+};
+
+ports::log_event event_of(ports::severity level,
+                          std::string name,
+                          std::vector<ports::header> fields);
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/cell_state.cpp
@@ -0,0 +1,442 @@
+#include "core/tasks/cell_state.hpp"
+
+#include "core/common/json.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, 7> status_names{
+    "queued", "started", "moving", "moved", "finished", "failed", "cancelled"};
+
+task_record* find(cell_state& state, task_key const& key)
+{
+    return const_cast<task_record*>(std::as_const(state).find(key));
+}
+
+// Where a task goes that has no running attempt and no more to do here.
+task_status at_rest(job_part const& part) noexcept
+{
+    if (!part.stopped)
+    {
+        return task_status::queued;
+    }
+    return part.stop_code == common::result_code::job_cancelled
+               ? task_status::cancelled
+               : task_status::failed;
+}
+
+task_record*
+started(cell_state& state, task_key const& key, std::uint32_t attempt)
+{
+    auto* task = find(state, key);
+    bool const fits = task != nullptr && task->status == task_status::started &&
+                      task->attempt == attempt;
+    return fits ? task : nullptr;
+}
+
+bool take(cell_state& state, parcel_taken const& what)
+{
+    auto& part = state.jobs[what.what.what.id];
+    if (!part.parcels.insert(what.what.name).second)
+    {
+        return false;
+    }
+    part.what = what.what.what;
+    part.moves = std::max(part.moves, what.what.moves);
+    for (auto const& carried : what.what.tasks)
+    {
+        auto& task = part.tasks[carried.index];
+        task = {};
+        task.status = at_rest(part);
+        task.attempt = carried.attempt;
+        task.checkpoint = carried.checkpoint;
+        task.failed_on = carried.failed_on;
+    }
+    return true;
+}
+
+bool start(cell_state& state, attempt_started const& what)
+{
+    auto* task = find(state, what.task);
+    if (task == nullptr || task->status != task_status::queued ||
+        what.attempt != task->attempt + 1)
+    {
+        return false;
+    }
+    task->status = task_status::started;
+    task->attempt = what.attempt;
+    task->worker = what.worker;
+    task->start_before_ms = what.start_before_ms;
+    task->lease_until_ms = what.lease_until_ms;
+    return true;
+}
+
+bool end(cell_state& state, attempt_ended const& what)
+{
+    auto* task = started(state, what.task, what.attempt);
+    if (task == nullptr)
+    {
+        return false;
+    }
+    task->why = what.why;
+    bool const known = std::find(task->failed_on.begin(),
+                                 task->failed_on.end(),
+                                 task->worker) != task->failed_on.end();
+    if (what.how == attempt_end::failed && !known)
+    {
+        task->failed_on.push_back(task->worker);
+    }
+    task->status = what.how == attempt_end::finished
+                       ? task_status::finished
+                       : at_rest(state.jobs.at(what.task.job));
+    return true;
+}
+
+bool checkpoint(cell_state& state, checkpoint_taken const& what)
+{
+    auto* task = started(state, what.task, what.attempt);
+    if (task != nullptr)
+    {
+        task->checkpoint = what.checkpoint;
+    }
+    return task != nullptr;
+}
+
+bool stop(cell_state& state, job_stopped const& what)
+{
+    auto const found = state.jobs.find(what.job);
+    if (found == state.jobs.end() || found->second.stopped)
+    {
+        return false;
+    }
+    auto& part = found->second;
+    part.stopped = true;
+    part.stop_code = what.code;
+    part.stop_why = what.why;
+    for (auto& [index, task] : part.tasks)
+    {
+        if (task.status == task_status::queued)
+        {
+            task.status = at_rest(part);
+        }
+    }
+    return true;
+}
+
+bool leave(cell_state& state, parcel_left const& what)
+{
+    auto const found = state.jobs.find(what.job);
+    if (found == state.jobs.end() || state.leaving.count(what.parcel) != 0)
+    {
+        return false;
+    }
+    leaving_parcel leaving;
+    leaving.to = what.to;
+    leaving.what.name = what.parcel;
+    leaving.what.what = found->second.what;
+    leaving.what.moves = what.moves;
+    for (auto const index : what.tasks)
+    {
+        auto const task = found->second.tasks.find(index);
+        if (task == found->second.tasks.end() ||
+            task->second.status != task_status::queued)
+        {
+            return false;
+        }
+        leaving.what.tasks.push_back({index,
+                                      task->second.attempt,
+                                      task->second.checkpoint,
+                                      task->second.failed_on});
+    }
+    for (auto const index : what.tasks)
+    {
+        found->second.tasks[index].status = task_status::moving;
+    }
+    ++state.parcels_sent;
+    state.leaving.emplace(what.parcel, std::move(leaving));
+    return true;
+}
+
+bool arrive(cell_state& state, parcel_arrived const& what)
+{
+    auto const found = state.leaving.find(what.parcel);
+    if (found == state.leaving.end())
+    {
+        return false;
+    }
+    for (auto const& carried : found->second.what.tasks)
+    {
+        auto* task = find(state, {found->second.what.what.id, carried.index});
+        if (task != nullptr && task->status == task_status::moving)
+        {
+            task->status = task_status::moved;
+        }
+    }
+    state.leaving.erase(found);
+    return true;
+}
+
+bool forget(cell_state& state, job_forgotten const& what)
+{
+    auto const found = state.jobs.find(what.job);
+    if (found == state.jobs.end() || !found->second.ended())
+    {
+        return false;
+    }
+    state.jobs.erase(found);
+    return true;
+}
+
+json::object encoded(task_record const& task)
+{
+    json::array failed_on;
+    for (auto const& worker : task.failed_on)
+    {
+        failed_on.emplace_back(worker);
+    }
+    return {{"s", static_cast<int>(task.status)},
+            {"a", task.attempt},
+            {"w", task.worker},
+            {"b", task.start_before_ms},
+            {"l", task.lease_until_ms},
+            {"c", task.checkpoint},
+            {"f", std::move(failed_on)},
+            {"y", task.why}};
+}
+
+json::object encoded(job_part const& part)
+{
+    json::object tasks;
+    for (auto const& [index, task] : part.tasks)
+    {
+        tasks.emplace(std::to_string(index), encoded(task));
+    }
+    json::array parcels;
+    for (auto const& name : part.parcels)
+    {
+        parcels.emplace_back(name);
+    }
+    return {{"job", json::parse(to_json(part.what))},
+            {"moves", part.moves},
+            {"tasks", std::move(tasks)},
+            {"parcels", std::move(parcels)},
+            {"stopped", part.stopped},
+            {"code", static_cast<std::uint16_t>(part.stop_code)},
+            {"why", part.stop_why}};
+}
+
+task_record read_task(json::object const& object)
+{
+    task_record task;
+    auto const status = object.at("s").to_number<std::size_t>();
+    task.status =
+        static_cast<task_status>(std::min(status, status_names.size() - 1));
+    task.attempt = object.at("a").to_number<std::uint32_t>();
+    task.worker = object.at("w").as_string();
+    task.start_before_ms = object.at("b").to_number<std::uint64_t>();
+    task.lease_until_ms = object.at("l").to_number<std::uint64_t>();
+    task.checkpoint = object.at("c").as_string();
+    for (auto const& worker : object.at("f").as_array())
+    {
+        task.failed_on.emplace_back(worker.as_string());
+    }
+    task.why = object.at("y").as_string();
+    return task;
+}
+
+common::result_code code_from(std::int64_t number) noexcept
+{
+    for (auto const& row : common::result_code_table)
+    {
+        if (static_cast<std::int64_t>(row.code) == number)
+        {
+            return row.code;
+        }
+    }
+    return common::result_code::ok;
+}
+
+std::optional<job_part> read_part(json::object const& object,
+                                  common::failure& reason)
+{
+    job_part part;
+    auto what = parse_job(json::serialize(object.at("job")), reason);
+    if (!what)
+    {
+        return std::nullopt;
+    }
+    part.what = std::move(*what);
+    part.moves = object.at("moves").to_number<std::uint32_t>();
+    for (auto const& item : object.at("tasks").as_object())
+    {
+        auto const index =
+            static_cast<std::uint32_t>(std::stoul(std::string(item.key())));
+        part.tasks.emplace(index, read_task(item.value().as_object()));
+    }
+    for (auto const& name : object.at("parcels").as_array())
+    {
+        part.parcels.emplace(name.as_string());
+    }
+    part.stopped = object.at("stopped").as_bool();
+    part.stop_code = code_from(object.at("code").to_number<std::int64_t>());
+    part.stop_why = object.at("why").as_string();
+    return part;
+}
+
+std::optional<cell_state> read_state(json::object const& object,
+                                     common::failure& reason)
+{
+    cell_state state;
+    state.last_record = object.at("n").to_number<std::uint64_t>();
+    state.epoch = object.at("e").to_number<std::uint64_t>();
+    state.parcels_sent = object.at("sent").to_number<std::uint64_t>();
+    for (auto const& item : object.at("jobs").as_object())
+    {
+        auto part = read_part(item.value().as_object(), reason);
+        if (!part)
+        {
+            return std::nullopt;
+        }
+        state.jobs.emplace(std::string(item.key()), std::move(*part));
+    }
+    for (auto const& item : object.at("leaving").as_object())
+    {
+        auto const& inner = item.value().as_object();
+        auto what = parse_parcel(json::serialize(inner.at("p")), reason);
+        if (!what)
+        {
+            return std::nullopt;
+        }
+        state.leaving.emplace(
+            std::string(item.key()),
+            leaving_parcel{std::string(inner.at("to").as_string()),
+                           std::move(*what)});
+    }
+    return state;
+}
+
+} // namespace
+
+std::string_view name_of(task_status value) noexcept
+{
+    return status_names[static_cast<std::size_t>(value)];
+}
+
+bool job_part::ended() const noexcept
+{
+    return std::all_of(tasks.begin(),
+                       tasks.end(),
+                       [](auto const& item)
+                       {
+                           auto const status = item.second.status;
+                           return status != task_status::queued &&
+                                  status != task_status::started &&
+                                  status != task_status::moving;
+                       });
+}
+
+task_record const* cell_state::find(task_key const& key) const noexcept
+{
+    auto const part = jobs.find(key.job);
+    if (part == jobs.end())
+    {
+        return nullptr;
+    }
+    auto const task = part->second.tasks.find(key.index);
+    return task == part->second.tasks.end() ? nullptr : &task->second;
+}
+
+bool apply_change(cell_state& state, change const& what)
+{
+    struct visitor
+    {
+        cell_state& state;
+        bool operator()(parcel_taken const& item) const
+        {
+            return take(state, item);
+        }
+        bool operator()(attempt_started const& item) const
+        {
+            return start(state, item);
+        }
+        bool operator()(attempt_ended const& item) const
+        {
+            return end(state, item);
+        }
+        bool operator()(checkpoint_taken const& item) const
+        {
+            return checkpoint(state, item);
+        }
+        bool operator()(job_stopped const& item) const
+        {
+            return stop(state, item);
+        }
+        bool operator()(parcel_left const& item) const
+        {
+            return leave(state, item);
+        }
+        bool operator()(parcel_arrived const& item) const
+        {
+            return arrive(state, item);
+        }
+        bool operator()(job_forgotten const& item) const
+        {
+            return forget(state, item);
+        }
+    };
+    return std::visit(visitor{state}, what);
+}
+
+std::string to_json(cell_state const& state)
+{
+    json::object jobs;
+    for (auto const& [id, part] : state.jobs)
+    {
+        jobs.emplace(id, encoded(part));
+    }
+    json::object leaving;
+    for (auto const& [name, item] : state.leaving)
+    {
+        leaving.emplace(name,
+                        json::object{{"to", item.to},
+                                     {"p", json::parse(to_json(item.what))}});
+    }
+    return json::serialize(json::object{{"n", state.last_record},
+                                        {"e", state.epoch},
+                                        {"sent", state.parcels_sent},
+                                        {"jobs", std::move(jobs)},
+                                        {"leaving", std::move(leaving)}});
+}
+
+std::optional<cell_state> parse_cell_state(std::string_view json,
+                                           common::failure& reason)
+{
+    auto const object = common::parse_json_object(json, "snapshot", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    // Snapshots are written by this file alone, so a value of another shape
+    // is damage, not input: one message for all of it is enough.
+    try
+    {
+        return read_state(*object, reason);
+    }
+    catch (std::exception const& error)
+    {
+        reason = {
+            common::result_code::malformed_json, "snapshot", error.what()};
+        return std::nullopt;
+    }
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/change.cpp
@@ -0,0 +1,430 @@
+#include "core/tasks/change.hpp"
+
+#include "core/common/json.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, 6> end_names{
+    "finished", "failed", "refused", "stopped", "lost", "unsent"};
+constexpr std::int64_t max_number = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t max_count = std::numeric_limits<std::int32_t>::max();
+
+json::array strings(std::vector<std::string> const& from)
+{
+    json::array out;
+    for (auto const& item : from)
+    {
+        out.emplace_back(item);
+    }
+    return out;
+}
+
+json::object encoded(parcel const& value)
+{
+    json::array tasks;
+    for (auto const& task : value.tasks)
+    {
+        tasks.emplace_back(json::object{{"i", task.index},
+                                        {"a", task.attempt},
+                                        {"c", task.checkpoint},
+                                        {"f", strings(task.failed_on)}});
+    }
+    return {{"name", value.name},
+            {"job", json::parse(to_json(value.what))},
+            {"moves", value.moves},
+            {"tasks", std::move(tasks)}};
+}
+
+json::object encoded(parcel_taken const& value)
+{
+    return {{"k", "taken"}, {"p", encoded(value.what)}};
+}
+
+json::object encoded(attempt_started const& value)
+{
+    return {{"k", "started"},
+            {"t", task_name(value.task)},
+            {"a", value.attempt},
+            {"w", value.worker},
+            {"s", value.start_before_ms},
+            {"l", value.lease_until_ms}};
+}
+
+json::object encoded(attempt_ended const& value)
+{
+    return {{"k", "ended"},
+            {"t", task_name(value.task)},
+            {"a", value.attempt},
+            {"h", name_of(value.how)},
+            {"y", value.why}};
+}
+
+json::object encoded(checkpoint_taken const& value)
+{
+    return {{"k", "checkpoint"},
+            {"t", task_name(value.task)},
+            {"a", value.attempt},
+            {"c", value.checkpoint}};
+}
+
+json::object encoded(job_stopped const& value)
+{
+    return {{"k", "stopped"},
+            {"j", value.job},
+            {"n", static_cast<std::uint16_t>(value.code)},
+            {"y", value.why}};
+}
+
+json::object encoded(parcel_left const& value)
+{
+    return {{"k", "left"},
+            {"p", value.parcel},
+            {"to", value.to},
+            {"j", value.job},
+            {"m", value.moves},
+            {"t", json::value_from(value.tasks)}};
+}
+
+json::object encoded(parcel_arrived const& value)
+{
+    return {{"k", "arrived"}, {"p", value.parcel}};
+}
+
+json::object encoded(job_forgotten const& value)
+{
+    return {{"k", "forgotten"}, {"j", value.job}};
+}
+
+std::vector<std::string> read_strings(common::json_reader& reader,
+                                      std::string_view key)
+{
+    std::vector<std::string> out;
+    auto const* array = reader.array(key);
+    if (array == nullptr)
+    {
+        return out;
+    }
+    for (auto const& item : *array)
+    {
+        if (!item.is_string())
+        {
+            reader.fail(common::result_code::wrong_type, key, "not a string");
+            return out;
+        }
+        out.emplace_back(item.as_string());
+    }
+    return out;
+}
+
+std::uint64_t read_number(common::json_reader& reader, std::string_view key)
+{
+    return static_cast<std::uint64_t>(reader.integer(key, 0, max_number));
+}
+
+std::uint32_t read_count(common::json_reader& reader, std::string_view key)
+{
+    return static_cast<std::uint32_t>(reader.integer(key, 0, max_count));
+}
+
+std::optional<carried_task> read_task(json::value const& item,
+                                      common::failure& reason)
+{
+    if (!item.is_object())
+    {
+        reason = {common::result_code::wrong_type, "parcel.tasks", "object"};
+        return std::nullopt;
+    }
+    common::json_reader reader(item.as_object(), "parcel.tasks");
+    carried_task task;
+    task.index = read_count(reader, "i");
+    task.attempt = read_count(reader, "a");
+    task.checkpoint = reader.text("c");
+    task.failed_on = read_strings(reader, "f");
+    if (!reader.ok())
+    {
+        reason = reader.reason();
+        return std::nullopt;
+    }
+    return task;
+}
+
+std::optional<parcel> read_parcel(json::object const& object,
+                                  common::failure& reason)
+{
+    common::json_reader reader(object, "parcel");
+    parcel value;
+    value.name = reader.text("name");
+    value.moves = read_count(reader, "moves");
+    auto const* job_object = reader.object("job");
+    auto const* tasks = reader.array("tasks");
+    if (!reader.ok() || job_object == nullptr || tasks == nullptr)
+    {
+        reason = reader.ok() ? common::failure{common::result_code::missing_key,
+                                               "parcel",
+                                               "job or tasks absent"}
+                             : reader.reason();
+        return std::nullopt;
+    }
+    auto what = parse_job(json::serialize(*job_object), reason);
+    if (!what)
+    {
+        return std::nullopt;
+    }
+    value.what = std::move(*what);
+    for (auto const& item : *tasks)
+    {
+        auto task = read_task(item, reason);
+        if (!task)
+        {
+            return std::nullopt;
+        }
+        value.tasks.push_back(std::move(*task));
+    }
+    return value;
+}
+
+task_key read_key(common::json_reader& reader)
+{
+    auto key = parse_task_name(reader.text("t"));
+    if (!key)
+    {
+        reader.fail(common::result_code::malformed_job, "t", "no task name");
+        return {};
+    }
+    return *key;
+}
+
+attempt_end read_end(common::json_reader& reader)
+{
+    std::string const name = reader.text("h");
+    auto const* const found =
+        std::find(end_names.begin(), end_names.end(), name);
+    if (found == end_names.end())
+    {
+        reader.fail(common::result_code::out_of_range, "h", "unknown end");
+        return attempt_end::lost;
+    }
+    return static_cast<attempt_end>(found - end_names.begin());
+}
+
+common::result_code read_code(common::json_reader& reader)
+{
+    auto const number = reader.integer("n", 0, 65535);
+    for (auto const& row : common::result_code_table)
+    {
+        if (static_cast<std::int64_t>(row.code) == number)
+        {
+            return row.code;
+        }
+    }
+    reader.fail(common::result_code::out_of_range, "n", "unknown result code");
+    return common::result_code::job_cancelled;
+}
+
+std::vector<std::uint32_t> read_indexes(common::json_reader& reader)
+{
+    std::vector<std::uint32_t> out;
+    auto const* array = reader.array("t");
+    if (array == nullptr)
+    {
+        return out;
+    }
+    for (auto const& item : *array)
+    {
+        boost::json::error_code error;
+        out.push_back(item.to_number<std::uint32_t>(error));
+        if (error)
+        {
+            reader.fail(common::result_code::wrong_type, "t", "not a number");
+        }
+    }
+    return out;
+}
+
+std::optional<change> read_change(json::object const& object,
+                                  common::failure& reason)
+{
+    common::json_reader reader(object, "change");
+    std::string const kind = reader.text("k");
+    std::optional<change> out;
+    if (kind == "taken")
+    {
+        auto const* inner = reader.object("p");
+        auto taken =
+            inner == nullptr ? std::nullopt : read_parcel(*inner, reason);
+        if (!taken)
+        {
+            return std::nullopt;
+        }
+        out = parcel_taken{std::move(*taken)};
+    }
+    else if (kind == "started")
+    {
+        out = attempt_started{read_key(reader),
+                              read_count(reader, "a"),
+                              reader.text("w"),
+                              read_number(reader, "s"),
+                              read_number(reader, "l")};
+    }
+    else if (kind == "ended")
+    {
+        out = attempt_ended{read_key(reader),
+                            read_count(reader, "a"),
+                            read_end(reader),
+                            reader.text("y")};
+    }
+    else if (kind == "checkpoint")
+    {
+        out = checkpoint_taken{
+            read_key(reader), read_count(reader, "a"), reader.text("c")};
+    }
+    else if (kind == "stopped")
+    {
+        out =
+            job_stopped{reader.text("j"), read_code(reader), reader.text("y")};
+    }
+    else if (kind == "left")
+    {
+        out = parcel_left{reader.text("p"),
+                          reader.text("to"),
+                          reader.text("j"),
+                          read_indexes(reader),
+                          read_count(reader, "m")};
+    }
+    else if (kind == "arrived")
+    {
+        out = parcel_arrived{reader.text("p")};
+    }
+    else if (kind == "forgotten")
+    {
+        out = job_forgotten{reader.text("j")};
+    }
+    else
+    {
+        reader.fail(common::result_code::out_of_range, "k", "unknown change");
+    }
+    if (!reader.ok())
+    {
+        reason = reader.reason();
+        return std::nullopt;
+    }
+    return out;
+}
+
+} // namespace
+
+std::string task_name(task_key const& key)
+{
+    return key.job + "/" + std::to_string(key.index);
+}
+
+std::optional<task_key> parse_task_name(std::string_view name)
+{
+    auto const slash = name.rfind('/');
+    if (slash == std::string_view::npos || slash == 0)
+    {
+        return std::nullopt;
+    }
+    task_key key{std::string(name.substr(0, slash)), 0};
+    auto const digits = name.substr(slash + 1);
+    auto const* const end = digits.data() + digits.size();
+    auto const parsed = std::from_chars(digits.data(), end, key.index);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || digits.empty())
+    {
+        return std::nullopt;
+    }
+    return key;
+}
+
+std::string_view name_of(attempt_end value) noexcept
+{
+    return end_names[static_cast<std::size_t>(value)];
+}
+
+std::string to_json(parcel const& value)
+{
+    return json::serialize(encoded(value));
+}
+
+std::optional<parcel> parse_parcel(std::string_view json,
+                                   common::failure& reason)
+{
+    auto const object = common::parse_json_object(json, "parcel", reason);
+    return object ? read_parcel(*object, reason) : std::nullopt;
+}
+
+parcel submission_of(job const& what)
+{
+    parcel out;
+    out.name = what.id;
+    out.what = what;
+    for (std::uint32_t index = 0; index < what.tasks; ++index)
+    {
+        out.tasks.push_back({index, 0, {}, {}});
+    }
+    return out;
+}
+
+std::string to_json(log_record const& value)
+{
+    json::array changes;
+    for (auto const& item : value.changes)
+    {
+        std::visit(
+            [&changes](auto const& kind)
+            {
+                changes.emplace_back(encoded(kind));
+            },
+            item);
+    }
+    return json::serialize(json::object{{"n", value.number},
+                                        {"e", value.epoch},
+                                        {"w", value.writer},
+                                        {"c", std::move(changes)}});
+}
+
+std::optional<log_record> parse_log_record(std::string_view json,
+                                           common::failure& reason)
+{
+    auto const object = common::parse_json_object(json, "record", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    common::json_reader reader(*object, "record");
+    log_record value;
+    value.number = read_number(reader, "n");
+    value.epoch = read_number(reader, "e");
+    value.writer = reader.text("w");
+    auto const* changes = reader.array("c");
+    if (!reader.ok() || changes == nullptr)
+    {
+        reason = reader.reason();
+        return std::nullopt;
+    }
+    for (auto const& item : *changes)
+    {
+        auto one = item.is_object() ? read_change(item.as_object(), reason)
+                                    : std::nullopt;
+        if (!one)
+        {
+            return std::nullopt;
+        }
+        value.changes.push_back(std::move(*one));
+    }
+    return value;
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/inbox.cpp
@@ -0,0 +1,178 @@
+#include "core/tasks/inbox.hpp"
+
+#include "core/common/json.hpp"
+
+#include <string_view>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+constexpr std::string_view prefix = "inbox/";
+constexpr std::string_view jobs_prefix = "inbox/jobs/";
+constexpr std::string_view stop_prefix = "inbox/stop/";
+
+common::result_code code_from(std::int64_t number)
+{
+    for (auto const& row : common::result_code_table)
+    {
+        if (static_cast<std::int64_t>(row.code) == number)
+        {
+            return row.code;
+        }
+    }
+    return common::result_code::job_cancelled;
+}
+
+std::optional<stop_notice> read_notice(ports::store_entry const& entry)
+{
+    common::failure reason;
+    auto const object = common::parse_json_object(entry.value, "stop", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    common::json_reader reader(*object, "stop");
+    stop_notice out;
+    out.key = entry.key;
+    out.version = entry.version;
+    out.job = entry.key.substr(stop_prefix.size());
+    out.code = code_from(reader.integer("code", 0, 65535));
+    out.why = reader.text_or("why", "");
+    return reader.ok() ? std::optional(out) : std::nullopt;
+}
+
+} // namespace
+
+std::string inbox_key(std::string const& cell, std::string const& parcel)
+{
+    return std::string(jobs_prefix) + cell + "/" + parcel;
+}
+
+std::string stop_key(std::string const& job)
+{
+    return std::string(stop_prefix) + job;
+}
+
+std::string to_json(stop_notice const& value)
+{
+    return boost::json::serialize(boost::json::object{
+        {"code", static_cast<std::uint16_t>(value.code)}, {"why", value.why}});
+}
+
+void sort_inbox(std::vector<ports::store_entry> const& entries,
+                std::map<std::string, std::vector<inbox_item>>& items,
+                std::vector<stop_notice>& notices)
+{
+    for (auto const& entry : entries)
+    {
+        if (entry.key.starts_with(stop_prefix))
+        {
+            if (auto notice = read_notice(entry))
+            {
+                notices.push_back(std::move(*notice));
+            }
+            continue;
+        }
+        if (!entry.key.starts_with(jobs_prefix))
+        {
+            continue;
+        }
+        auto const rest = entry.key.substr(jobs_prefix.size());
+        auto const slash = rest.find('/');
+        common::failure reason;
+        auto what = parse_parcel(entry.value, reason);
+        if (slash != std::string::npos && what)
+        {
+            items[rest.substr(0, slash)].push_back(
+                {entry.key, entry.version, std::move(*what)});
+        }
+    }
+}
+
+inbox::inbox(inbox_settings settings) : settings_(settings)
+{
+}
+
+void inbox::tick(common::time_point now,
+                 store_calls& calls,
+                 ports::actions& out)
+{
+    if (call_ != 0 || now < next_try_)
+    {
+        return;
+    }
+    ports::store_operation const list = ports::store_list{std::string(prefix)};
+    ports::store_operation const watch =
+        ports::store_watch{std::string(prefix), index_, settings_.watch_wait};
+    call_ = calls.send(call_owner::inbox, "", known_ ? watch : list, out);
+}
+
+bool inbox::on_store_reply(common::time_point now,
+                           call_tag const& tag,
+                           ports::store_reply const& reply)
+{
+    if (tag.number != call_)
+    {
+        return false;
+    }
+    call_ = 0;
+    if (reply.status != ports::store_status::done)
+    {
+        next_try_ = now + settings_.retry_interval;
+        return false;
+    }
+    // An index that went back: the store was replaced; begin again.
+    index_ = reply.index >= index_ ? reply.index : 0;
+    known_ = true;
+    items_.clear();
+    notices_.clear();
+    size_ = reply.entries.size();
+    sort_inbox(reply.entries, items_, notices_);
+    std::map<std::string, common::time_point> seen;
+    for (auto const& notice : notices_)
+    {
+        auto const before = notice_seen_.find(notice.key);
+        seen[notice.key] = before == notice_seen_.end() ? now : before->second;
+    }
+    notice_seen_ = std::move(seen);
+    return true;
+}
+
+std::vector<inbox_item> inbox::items_of(std::string const& cell) const
+{
+    auto const found = items_.find(cell);
+    return found == items_.end() ? std::vector<inbox_item>{} : found->second;
+}
+
+std::vector<stop_notice> const& inbox::notices() const noexcept
+{
+    return notices_;
+}
+
+std::size_t inbox::size() const noexcept
+{
+    return size_;
+}
+
+bool inbox::known() const noexcept
+{
+    return known_;
+}
+
+std::optional<stop_notice> inbox::overdue(common::time_point now) const
+{
+    for (auto const& notice : notices_)
+    {
+        if (now - notice_seen_.at(notice.key) >= settings_.notice_time)
+        {
+            return notice;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/load_board.cpp
@@ -0,0 +1,245 @@
+#include "core/tasks/load_board.hpp"
+
+#include "core/common/json.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+namespace json = boost::json;
+constexpr std::string_view load_prefix = "load/";
+
+json::array encoded(cell_load const& load)
+{
+    return {load.free.millicores,
+            load.free.memory_mb,
+            load.free.accelerators,
+            load.largest.millicores,
+            load.largest.memory_mb,
+            load.largest.accelerators,
+            load.queued_millicores};
+}
+
+std::string to_json(std::map<std::string, cell_load> const& cells)
+{
+    json::object out;
+    for (auto const& [cell, load] : cells)
+    {
+        out.emplace(cell, encoded(load));
+    }
+    return json::serialize(out);
+}
+
+std::optional<cell_load> read_load(json::value const& value)
+{
+    if (!value.is_array() || value.as_array().size() != 7)
+    {
+        return std::nullopt;
+    }
+    std::array<std::int64_t, 7> numbers{};
+    for (std::size_t index = 0; index < numbers.size(); ++index)
+    {
+        json::error_code error;
+        numbers[index] = value.as_array()[index].to_number<std::int64_t>(error);
+        if (error)
+        {
+            return std::nullopt;
+        }
+    }
+    return cell_load{{numbers[0], numbers[1], numbers[2]},
+                     {numbers[3], numbers[4], numbers[5]},
+                     numbers[6]};
+}
+
+// The load of a cell that nobody has published: all of it is free.
+cell_load empty_cell(std::string const& cell, worker_book const& workers)
+{
+    cell_load load;
+    for (auto const& id : workers.in_rack(cell))
+    {
+        auto const& capacity = workers.find(id)->info.capacity;
+        load.free += capacity;
+        if (capacity.millicores > load.largest.millicores)
+        {
+            load.largest = capacity;
+        }
+    }
+    return load;
+}
+
+bool could_hold(std::string const& cell,
+                ports::resources const& declared,
+                worker_book const& workers)
+{
+    auto const& ids = workers.in_rack(cell);
+    return std::any_of(ids.begin(),
+                       ids.end(),
+                       [&](std::string const& id)
+                       {
+                           auto const* view = workers.find(id);
+                           return view->info.capacity.holds(declared);
+                       });
+}
+
+} // namespace
+
+load_board::load_board(std::string member,
+                       std::uint64_t seed,
+                       load_board_settings settings)
+    : member_(std::move(member)), random_(seed), settings_(settings)
+{
+}
+
+void load_board::set_own(std::string const& cell, cell_load const& load)
+{
+    own_[cell] = load;
+    cells_[cell] = {load, member_};
+}
+
+void load_board::drop_own(std::string const& cell)
+{
+    own_.erase(cell);
+}
+
+void load_board::tick(common::time_point now,
+                      store_calls& calls,
+                      ports::actions& out)
+{
+    if (read_call_ == 0 && now >= next_read_)
+    {
+        next_read_ = now + settings_.read_interval;
+        read_call_ = calls.send(call_owner::load,
+                                member_,
+                                ports::store_list{std::string(load_prefix)},
+                                out);
+    }
+    if (write_call_ != 0 || now < next_write_)
+    {
+        return;
+    }
+    auto value = to_json(own_);
+    if (value != written_ && calls.may_write(now))
+    {
+        next_write_ = now + settings_.publish_interval;
+        in_flight_ = std::move(value);
+        write_call_ = calls.send(
+            call_owner::load,
+            member_,
+            ports::store_write{
+                std::string(load_prefix) + member_, in_flight_, version_},
+            out);
+    }
+}
+
+void load_board::on_store_reply(common::time_point now,
+                                call_tag const& tag,
+                                ports::store_reply const& reply)
+{
+    bool const done = reply.status == ports::store_status::done;
+    if (tag.number == write_call_)
+    {
+        write_call_ = 0;
+        if (done)
+        {
+            written_ = std::move(in_flight_);
+            version_ = reply.index;
+        }
+        else if (reply.status == ports::store_status::conflict)
+        {
+            // The next list tells the version.
+            next_read_ = now;
+        }
+        return;
+    }
+    if (tag.number != read_call_)
+    {
+        return;
+    }
+    read_call_ = 0;
+    if (!done)
+    {
+        return;
+    }
+    std::map<std::string, shown> cells;
+    for (auto const& entry : reply.entries)
+    {
+        auto const by = entry.key.substr(load_prefix.size());
+        if (by == member_)
+        {
+            version_ = std::max(version_, entry.version);
+            continue;
+        }
+        common::failure reason;
+        auto const object =
+            common::parse_json_object(entry.value, "load", reason);
+        for (auto const& item : object ? *object : json::object{})
+        {
+            if (auto const load = read_load(item.value()))
+            {
+                cells[std::string(item.key())] = {*load, by};
+            }
+        }
+    }
+    for (auto const& [cell, load] : own_)
+    {
+        cells[cell] = {load, member_};
+    }
+    cells_ = std::move(cells);
+}
+
+std::optional<std::string> load_board::choose(wish const& want,
+                                              worker_book const& workers)
+{
+    std::vector<std::pair<std::string, cell_load>> roomy;
+    std::vector<std::pair<std::string, cell_load>> rest;
+    for (auto const& cell : workers.racks())
+    {
+        auto const data_centre = workers.data_centre_of(cell);
+        bool const wished =
+            want.data_centre.empty() || want.data_centre == data_centre;
+        if (cell == want.not_cell || !wished ||
+            want.out.count(data_centre) != 0 ||
+            !could_hold(cell, want.declared, workers))
+        {
+            continue;
+        }
+        auto const found = cells_.find(cell);
+        auto const load = found == cells_.end() ? empty_cell(cell, workers)
+                                                : found->second.load;
+        auto& list = load.largest.holds(want.declared) ? roomy : rest;
+        list.emplace_back(cell, load);
+    }
+    auto const& list = roomy.empty() ? rest : roomy;
+    if (list.empty() || (roomy.empty() && want.only_with_room))
+    {
+        return std::nullopt;
+    }
+    auto const better = [](cell_load const& one, cell_load const& other)
+    {
+        return one.free.millicores - one.queued_millicores >=
+               other.free.millicores - other.queued_millicores;
+    };
+    // Two random ones: if all planners chose the emptiest, they would fill it
+    // together before it could say so.
+    auto const& one = list[random_() % list.size()];
+    auto const& other = list[random_() % list.size()];
+    return better(one.second, other.second) ? one.first : other.first;
+}
+
+void load_board::reserve(std::string const& cell, ports::resources const& sent)
+{
+    auto const found = cells_.find(cell);
+    if (found != cells_.end())
+    {
+        found->second.load.free -= sent;
+        found->second.load.largest -= sent;
+    }
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/worker_book.cpp
@@ -0,0 +1,199 @@
+#include "core/tasks/worker_book.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+const std::vector<std::string> no_workers;
+
+} // namespace
+
+worker_book::worker_book(worker_book_settings settings) : settings_(settings)
+{
+}
+
+void worker_book::on_list(ports::worker_list const& list)
+{
+    for (auto& [id, view] : workers_)
+    {
+        view.listed = false;
+    }
+    for (auto const& info : list.workers)
+    {
+        auto& view = workers_[info.id];
+        view.info = info;
+        view.listed = true;
+    }
+    racks_.clear();
+    std::erase_if(workers_,
+                  [](auto const& item)
+                  {
+                      return !item.second.listed;
+                  });
+    for (auto const& [id, view] : workers_)
+    {
+        racks_[view.info.rack].push_back(id);
+    }
+}
+
+bool worker_book::on_report(common::time_point now,
+                            ports::worker_report const& report)
+{
+    auto const found = workers_.find(report.worker);
+    if (found == workers_.end())
+    {
+        return false;
+    }
+    auto& view = found->second;
+    if (report.sequence <= view.sequence && view.clock_ms != 0)
+    {
+        bool const repeated = report.sequence == view.sequence;
+        view.stale = repeated ? 0 : view.stale + 1;
+        if (view.stale < settings_.stale_reports)
+        {
+            return false;
+        }
+    }
+    view.stale = 0;
+    view.sequence = report.sequence;
+    view.clock_ms = report.clock_ms;
+    view.reported = now;
+    return true;
+}
+
+worker_view const* worker_book::find(std::string const& worker) const noexcept
+{
+    auto const found = workers_.find(worker);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+std::map<std::string, worker_view> const& worker_book::all() const noexcept
+{
+    return workers_;
+}
+
+std::vector<std::string> worker_book::racks() const
+{
+    std::vector<std::string> out;
+    out.reserve(racks_.size());
+    for (auto const& [rack, workers] : racks_)
+    {
+        out.push_back(rack);
+    }
+    return out;
+}
+
+std::vector<std::string> const&
+worker_book::in_rack(std::string const& rack) const
+{
+    auto const found = racks_.find(rack);
+    return found == racks_.end() ? no_workers : found->second;
+}
+
+std::string worker_book::data_centre_of(std::string const& rack) const
+{
+    auto const& workers = in_rack(rack);
+    return workers.empty() ? std::string()
+                           : workers_.at(workers.front()).info.data_centre;
+}
+
+std::uint64_t worker_book::clock_at_least(common::time_point now,
+                                          worker_view const& of) const noexcept
+{
+    auto const passed = common::to_milliseconds(now - of.reported);
+    auto const sure =
+        std::max<std::int64_t>(0, passed) *
+        (1000 - static_cast<std::int64_t>(settings_.drift_permille)) / 1000;
+    return of.clock_ms + static_cast<std::uint64_t>(sure);
+}
+
+bool worker_book::may_start(common::time_point now,
+                            worker_view const& of) const noexcept
+{
+    return of.listed && of.info.state == ports::instance_state::live &&
+           of.clock_ms != 0 && now - of.reported < settings_.report_age_limit &&
+           (!of.quarantined_until || now >= *of.quarantined_until);
+}
+
+bool worker_book::ever_fits(ports::resources const& declared,
+                            std::string const& data_centre) const noexcept
+{
+    return std::any_of(workers_.begin(),
+                       workers_.end(),
+                       [&](auto const& item)
+                       {
+                           auto const& info = item.second.info;
+                           return info.capacity.holds(declared) &&
+                                  (data_centre.empty() ||
+                                   data_centre == info.data_centre);
+                       });
+}
+
+void worker_book::note_success(std::string const& worker)
+{
+    auto const found = workers_.find(worker);
+    if (found != workers_.end())
+    {
+        auto& view = found->second;
+        view.failures = 0;
+        view.last_failed_job.clear();
+        view.proven = true;
+        view.quarantines = 0;
+        view.probing = false;
+        view.quarantined_until.reset();
+    }
+}
+
+void worker_book::note_failure(common::time_point now,
+                               std::string const& worker,
+                               std::string const& job)
+{
+    auto const found = workers_.find(worker);
+    if (found == workers_.end() || found->second.last_failed_job == job)
+    {
+        return;
+    }
+    auto& view = found->second;
+    view.last_failed_job = job;
+    ++view.failures;
+    if (view.failures < settings_.failures_to_quarantine && !view.probing)
+    {
+        return;
+    }
+    auto const doublings = std::min<std::uint32_t>(view.quarantines, 10);
+    auto const length = std::min(settings_.quarantine * (1 << doublings),
+                                 settings_.quarantine_most);
+    view.quarantined_until = now + length;
+    view.probing = true;
+    view.proven = false;
+    ++view.quarantines;
+}
+
+bool worker_book::suspect(common::time_point now,
+                          std::string const& worker) const
+{
+    auto const* view = find(worker);
+    if (view == nullptr)
+    {
+        return false;
+    }
+    bool const quarantined =
+        view->quarantined_until && now < *view->quarantined_until;
+    return quarantined || (view->failures >= 2 && !view->proven);
+}
+
+void worker_book::set_memory_over_declared(std::string const& worker,
+                                           std::int64_t mb)
+{
+    auto const found = workers_.find(worker);
+    if (found != workers_.end())
+    {
+        found->second.memory_over_declared = mb;
+    }
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/worker_calls.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/tasks/change.hpp"
+#include "ports/actions.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace fuchsia::core::tasks
+{
+
+enum class worker_call_kind : std::uint8_t
+{
+    start,
+    renew,
+    throttle,
+    checkpoint,
+    stop,
+    stray_stop, ///< Of an attempt that should not be there.
+};
+
+/// What a worker call was about; the task is empty for a renewal.
+struct worker_call_tag
+{
+    worker_call_kind kind = worker_call_kind::start;
+    std::string cell;
+    std::string worker;
+    task_key task;
+    std::uint32_t attempt = 0;
+    std::uint64_t number = 0;
+};
+
+/// Numbers the calls to workers and remembers what each was about. Bounded by
+/// the attempts: each has at most one call in flight, each worker one renewal.
+class worker_calls
+{
+public:
+    std::uint64_t send(worker_call_tag tag,
+                       ports::worker_operation operation,
+                       ports::actions& out);
+    std::optional<worker_call_tag> take(std::uint64_t number);
+
+private:
+    std::uint64_t last_number_ = 0;
+    std::unordered_map<std::uint64_t, worker_call_tag> waiting_;
+};
+
+} // namespace fuchsia::core::tasks
