--- a/src/core/tasks/cell_attempts.cpp
+++ b/src/core/tasks/cell_attempts.cpp
@@ -364,6 +364,7 @@
     {
     case ports::worker_status::done:
         step(run, attempt_event::seen_running);
+        ++with.counters.started;
         if (!log_.state().find(key)->checkpoint.empty())
         {
             ++with.counters.resumed;
--- a/src/core/tasks/cell_runner.cpp
+++ b/src/core/tasks/cell_runner.cpp
@@ -97,8 +97,12 @@
             run.lease_until_ms = task.lease_until_ms;
             run.lease_over = with.now + lease + with.settings.lease_margin;
             run.maybe_sent = true;
-            // It may be throttled; relaxing it again is the guard's business.
-            run.permille = with.settings.guard.least_permille;
+            if (part.what.kind == job_kind::batch)
+            {
+                // It may be throttled; relaxing it is the guard's business.
+                run.permille = with.settings.guard.least_permille;
+                run.asked_permille = run.permille;
+            }
         }
     }
     for (auto const& [name, leaving] : log_.state().leaving)
@@ -330,6 +334,42 @@
     }
 }
 
+void cell_runner::publish_load(cell_context& with)
+{
+    cell_load load;
+    std::map<std::string_view, ports::resources> free;
+    for (auto const& id : with.workers.in_rack(cell_))
+    {
+        auto const* view = with.workers.find(id);
+        if (with.workers.may_start(with.now, *view))
+        {
+            free.emplace(view->info.id, view->info.capacity);
+        }
+    }
+    for (auto const& [key, run] : runs_)
+    {
+        auto const found = free.find(run.worker);
+        if (found != free.end())
+        {
+            found->second -= log_.state().jobs.at(key.job).what.declared;
+        }
+    }
+    for (auto const& [worker, room] : free)
+    {
+        load.free += room;
+        if (room.millicores > load.largest.millicores)
+        {
+            load.largest = room;
+        }
+    }
+    for (auto const& task : queue_)
+    {
+        load.queued_millicores +=
+            log_.state().jobs.at(task.key.job).what.declared.millicores;
+    }
+    with.loads.set_own(cell_, load);
+}
+
 bool cell_runner::data_centre_out(cell_context const& with) const
 {
     auto const name = with.workers.data_centre_of(cell_);
--- /dev/null
+++ b/src/core/tasks/job_desk.cpp
@@ -0,0 +1,511 @@
+#include "core/tasks/job_desk.hpp"
+
+#include "core/common/json.hpp"
+
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using common::result_code;
+
+constexpr std::string_view jobs_path = "/v1/jobs";
+
+std::string registry_key(std::string const& job)
+{
+    return "jobs/" + job;
+}
+
+/// The value of `jobs/<id>`.
+struct registration
+{
+    std::string writer;
+    std::string cell;
+    job what;
+};
+
+std::string to_json(registration const& value)
+{
+    return json::serialize(
+        json::object{{"w", value.writer},
+                     {"cell", value.cell},
+                     {"job", json::parse(to_json(value.what))}});
+}
+
+std::optional<registration> parse_registration(std::string_view text,
+                                               common::failure& reason)
+{
+    auto const object = common::parse_json_object(text, "jobs", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    common::json_reader reader(*object, "jobs");
+    registration out;
+    out.writer = reader.text("w");
+    out.cell = reader.text("cell");
+    auto const* inner = reader.object("job");
+    auto what = inner == nullptr ? std::nullopt
+                                 : parse_job(json::serialize(*inner), reason);
+    if (!reader.ok() || !what)
+    {
+        return std::nullopt;
+    }
+    out.what = std::move(*what);
+    return out;
+}
+
+std::string cancelled_body(std::string const& id)
+{
+    return json::serialize(json::object{{"job", id}, {"cancelled", true}});
+}
+
+std::string accepted_body(std::string const& id)
+{
+    return json::serialize(json::object{{"job", id}, {"accepted", true}});
+}
+
+std::string state_filter(std::string_view query)
+{
+    constexpr std::string_view key = "state=";
+    return query.starts_with(key) ? std::string(query.substr(key.size()))
+                                  : std::string();
+}
+
+} // namespace
+
+ports::caller_reply refuse(std::uint64_t caller, common::failure reason)
+{
+    auto const& row = common::row_of(reason.code);
+    ports::caller_reply out;
+    out.caller = caller;
+    out.answer.status = row.http_status;
+    out.answer.code = reason.code;
+    out.answer.says = common::outcome::not_run;
+    out.answer.headers.push_back({"Content-Type", "application/json"});
+    out.answer.body = json::serialize(
+        json::object{{"code", static_cast<std::uint16_t>(reason.code)},
+                     {"name", row.name},
+                     {"where", reason.where},
+                     {"why", reason.why}});
+    return out;
+}
+
+job_desk::job_desk(std::uint64_t incarnation, job_desk_settings settings)
+    : writer_(std::to_string(incarnation) + ":"), settings_(settings)
+{
+}
+
+void job_desk::answer(desk_context& with,
+                      errand const& of,
+                      std::uint16_t status,
+                      std::string body)
+{
+    if (of.what == purpose::stop)
+    {
+        return;
+    }
+    ports::caller_reply out;
+    out.caller = of.caller;
+    out.answer.status = status;
+    out.answer.headers.push_back({"Content-Type", "application/json"});
+    out.answer.body = std::move(body);
+    with.out.emplace_back(std::move(out));
+}
+
+void job_desk::on_request(desk_context& with, job_request request)
+{
+    std::string_view target = request.target;
+    auto const mark = target.find('?');
+    std::string_view const query =
+        mark == std::string_view::npos ? "" : target.substr(mark + 1);
+    target = target.substr(0, mark);
+    bool const all = target == jobs_path;
+    std::string_view id =
+        all ? "" : target.substr(std::min(target.size(), jobs_path.size() + 1));
+    if (!all && (id.empty() || id.find('/') != std::string_view::npos))
+    {
+        with.out.emplace_back(refuse(
+            request.caller,
+            {result_code::unknown_path, request.target, "no such path"}));
+        return;
+    }
+    errand next;
+    next.caller = request.caller;
+    next.id = id;
+    if (all && request.method == "POST")
+    {
+        submit(with, request);
+        return;
+    }
+    if (request.method == "GET")
+    {
+        next.what = all ? purpose::list : purpose::show;
+        next.at = step::listing_inbox;
+        next.state = state_filter(query);
+    }
+    else if (!all && request.method == "DELETE")
+    {
+        next.what = purpose::cancel;
+        next.at = step::reading_job;
+        next.notice = {"", 0, next.id, result_code::job_cancelled, ""};
+    }
+    else
+    {
+        with.out.emplace_back(
+            refuse(request.caller,
+                   {result_code::bad_method, request.target, request.method}));
+        return;
+    }
+    begin(with, std::move(next));
+}
+
+void job_desk::on_totals_asked(desk_context& with, std::uint64_t caller)
+{
+    errand next;
+    next.caller = caller;
+    next.what = purpose::totals;
+    next.at = step::listing_inbox;
+    begin(with, std::move(next));
+}
+
+void job_desk::post_stop(desk_context& with, job_stopped const& what)
+{
+    errand next;
+    next.what = purpose::stop;
+    next.at = step::posting;
+    next.id = what.job;
+    next.notice = {"", 0, what.job, what.code, what.why};
+    begin(with, std::move(next));
+}
+
+std::optional<common::failure> job_desk::refusal(desk_context& with,
+                                                 job const& wanted) const
+{
+    if (!with.taking)
+    {
+        return common::failure{
+            result_code::draining, "", "this planner is stopping"};
+    }
+    if (with.inbox_size >= settings_.max_inbox)
+    {
+        return common::failure{
+            result_code::queue_full, "inbox", "too many jobs wait"};
+    }
+    if (with.config.withdrawn.count(wanted.customer) != 0)
+    {
+        return common::failure{
+            result_code::contract_withdrawn, "job.customer", wanted.customer};
+    }
+    auto const contract = with.config.contracts.find(wanted.customer);
+    if (contract == with.config.contracts.end())
+    {
+        return common::failure{
+            result_code::unknown_customer, "job.customer", wanted.customer};
+    }
+    if (!contract->second.capacity.holds(wanted.declared))
+    {
+        return common::failure{result_code::over_contract_resources,
+                               "job",
+                               "one task exceeds the contract"};
+    }
+    if (!with.workers.all().empty() &&
+        !with.workers.ever_fits(wanted.declared, wanted.data_centre))
+    {
+        return common::failure{
+            result_code::job_never_fits, "job", "larger than any worker"};
+    }
+    return std::nullopt;
+}
+
+void job_desk::submit(desk_context& with, job_request const& request)
+{
+    common::failure reason;
+    auto wanted = parse_job(request.body, reason);
+    if (!wanted)
+    {
+        with.out.emplace_back(refuse(request.caller, reason));
+        return;
+    }
+    if (auto const why = refusal(with, *wanted))
+    {
+        with.out.emplace_back(refuse(request.caller, *why));
+        return;
+    }
+    auto cell = with.loads.choose({wanted->declared,
+                                   wanted->data_centre,
+                                   "",
+                                   false,
+                                   with.config.data_centres_out},
+                                  with.workers);
+    if (!cell)
+    {
+        // Its data centre is out: it waits there until that comes back.
+        cell = with.loads.choose(
+            {wanted->declared, wanted->data_centre, "", false, {}},
+            with.workers);
+    }
+    if (!cell)
+    {
+        with.out.emplace_back(refuse(
+            request.caller,
+            {result_code::worker_unreachable, "", "no worker is known yet"}));
+        return;
+    }
+    auto const sent = std::min<std::uint32_t>(wanted->tasks, 64);
+    for (std::uint32_t count = 0; count < sent; ++count)
+    {
+        with.loads.reserve(*cell, wanted->declared);
+    }
+    errand next;
+    next.caller = request.caller;
+    next.what = purpose::submit;
+    next.at = step::registering;
+    next.id = wanted->id;
+    next.submitted = std::move(*wanted);
+    next.cell = *cell;
+    begin(with, std::move(next));
+}
+
+void job_desk::begin(desk_context& with, errand next)
+{
+    if (errands_.size() >= settings_.max_requests && next.what != purpose::stop)
+    {
+        with.out.emplace_back(
+            refuse(next.caller,
+                   {result_code::queue_full, "", "too many requests wait"}));
+        return;
+    }
+    next.began = with.now;
+    next.writer = writer_ + std::to_string(++last_errand_);
+    auto& stored = errands_[last_errand_];
+    stored = std::move(next);
+    send(with, stored);
+}
+
+void job_desk::send(desk_context& with, errand& of)
+{
+    bool const writes = of.at == step::registering ||
+                        of.at == step::delivering || of.at == step::posting;
+    if (writes && !with.calls.may_write(with.now))
+    {
+        of.next_try = with.now;
+        return;
+    }
+    ports::store_operation operation;
+    switch (of.at)
+    {
+    case step::registering:
+        operation = ports::store_write{
+            registry_key(of.id),
+            to_json(registration{of.writer, of.cell, of.submitted}),
+            0};
+        break;
+    case step::reading_job:
+        operation = ports::store_read{registry_key(of.id)};
+        break;
+    case step::listing_inbox:
+        operation = ports::store_list{"inbox/"};
+        break;
+    case step::listing_tasks:
+        operation = ports::store_list{"tasks/"};
+        break;
+    case step::delivering:
+        operation = ports::store_write{
+            inbox_key(of.cell, of.id), to_json(submission_of(of.submitted)), 0};
+        break;
+    case step::posting:
+        operation = ports::store_write{stop_key(of.id), to_json(of.notice), 0};
+        break;
+    }
+    of.call = with.calls.send(
+        call_owner::desk, of.id, std::move(operation), with.out);
+}
+
+void job_desk::tick(desk_context& with)
+{
+    for (auto item = errands_.begin(); item != errands_.end();)
+    {
+        auto& of = item->second;
+        if (of.call == 0 && with.now - of.began >= settings_.give_up_after &&
+            of.what != purpose::stop)
+        {
+            auto const code = of.wrote ? result_code::store_unclear
+                                       : result_code::store_unavailable;
+            with.out.emplace_back(
+                refuse(of.caller, {code, of.id, "the store does not answer"}));
+            item = errands_.erase(item);
+            continue;
+        }
+        if (of.call == 0 && with.now >= of.next_try)
+        {
+            send(with, of);
+        }
+        ++item;
+    }
+}
+
+void job_desk::on_store_reply(desk_context& with,
+                              call_tag const& tag,
+                              ports::store_reply const& reply)
+{
+    auto item = errands_.begin();
+    while (item != errands_.end() && item->second.call != tag.number)
+    {
+        ++item;
+    }
+    if (item == errands_.end())
+    {
+        return;
+    }
+    auto& of = item->second;
+    of.call = 0;
+    of.next_try = with.now;
+    if (reply.status == ports::store_status::unavailable ||
+        reply.status == ports::store_status::unclear)
+    {
+        // A write is sent again as it was: where the first took effect the
+        // second conflicts, and reading back shows whose the key is.
+        of.wrote = of.wrote || reply.status == ports::store_status::unclear;
+        of.next_try = with.now + settings_.retry_interval;
+        return;
+    }
+    bool goes_on = false;
+    switch (of.at)
+    {
+    case step::registering:
+        goes_on = on_registered(of, reply);
+        break;
+    case step::reading_job:
+        goes_on = on_job_read(with, of, reply);
+        break;
+    case step::listing_inbox:
+    case step::listing_tasks:
+        goes_on = on_listed(with, of, reply);
+        break;
+    case step::delivering:
+        goes_on = on_delivered(with, of, reply);
+        break;
+    case step::posting:
+        goes_on = on_posted(with, of, reply);
+        break;
+    }
+    if (!goes_on)
+    {
+        errands_.erase(item);
+        return;
+    }
+    send(with, of);
+}
+
+bool job_desk::on_registered(errand& of, ports::store_reply const& reply)
+{
+    bool const done = reply.status == ports::store_status::done;
+    of.wrote = of.wrote || done;
+    of.at = done ? step::delivering : step::reading_job;
+    return true;
+}
+
+bool job_desk::on_job_read(desk_context& with,
+                           errand& of,
+                           ports::store_reply const& reply)
+{
+    if (reply.entries.empty())
+    {
+        if (of.what == purpose::submit)
+        {
+            of.at = step::registering;
+            return true;
+        }
+        with.out.emplace_back(
+            refuse(of.caller, {result_code::not_found, of.id, "no such job"}));
+        return false;
+    }
+    if (of.what == purpose::cancel)
+    {
+        of.at = step::posting;
+        return true;
+    }
+    common::failure reason;
+    auto const found = parse_registration(reply.entries.front().value, reason);
+    if (!found || found->what != of.submitted)
+    {
+        with.out.emplace_back(refuse(of.caller,
+                                     {result_code::already_exists,
+                                      of.id,
+                                      "a job with this id and other content"}));
+        return false;
+    }
+    of.cell = found->cell;
+    // Our own registration, or a repeated submission: is it delivered?
+    of.at = found->writer == of.writer ? step::delivering : step::listing_inbox;
+    return true;
+}
+
+bool job_desk::on_listed(desk_context& with,
+                         errand& of,
+                         ports::store_reply const& reply)
+{
+    if (of.at == step::listing_inbox)
+    {
+        of.inboxes = reply.entries;
+        of.at = step::listing_tasks;
+        return true;
+    }
+    auto const jobs = view_of(of.inboxes, reply.entries, with.config);
+    auto const found = jobs.find(of.id);
+    switch (of.what)
+    {
+    case purpose::submit:
+        if (found == jobs.end())
+        {
+            // Whoever registered it died before it was delivered.
+            of.at = step::delivering;
+            return true;
+        }
+        answer(with, of, 200, accepted_body(of.id));
+        return false;
+    case purpose::show:
+        if (found == jobs.end())
+        {
+            with.out.emplace_back(refuse(
+                of.caller, {result_code::not_found, of.id, "no such job"}));
+            return false;
+        }
+        answer(with, of, 200, to_json(found->second, true));
+        return false;
+    case purpose::list:
+        answer(with, of, 200, to_json(jobs, of.state));
+        return false;
+    case purpose::totals:
+        answer(with, of, 200, to_json(totals_of(jobs)));
+        return false;
+    case purpose::cancel:
+    case purpose::stop:
+        return false;
+    }
+    return false;
+}
+
+bool job_desk::on_delivered(desk_context& with,
+                            errand& of,
+                            ports::store_reply const&)
+{
+    // Done, or a conflict: it lies there already.
+    answer(with, of, 200, accepted_body(of.id));
+    return false;
+}
+
+bool job_desk::on_posted(desk_context& with,
+                         errand& of,
+                         ports::store_reply const&)
+{
+    answer(with, of, 200, cancelled_body(of.id));
+    return false;
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/job_desk.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "core/config/configuration.hpp"
+#include "core/tasks/job_view.hpp"
+#include "core/tasks/load_board.hpp"
+#include "core/tasks/store_calls.hpp"
+#include "core/tasks/worker_book.hpp"
+#include "ports/actions.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsia::core::tasks
+{
+
+struct job_desk_settings
+{
+    common::duration retry_interval = std::chrono::milliseconds(150);
+    /// A request that the store kept from ending is answered after this.
+    common::duration give_up_after = std::chrono::seconds(5);
+    /// Requests under way; one more is refused.
+    std::size_t max_requests = 512;
+    /// Parcels that lie in inboxes; beyond it new jobs are refused.
+    std::size_t max_inbox = 4000;
+};
+
+/// An operator's request on a path below `/v1/jobs`, as the HTTP side got it.
+struct job_request
+{
+    std::uint64_t caller = 0;
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/// What the desk looks at while it handles a request.
+struct desk_context
+{
+    common::time_point now;
+    config::configuration const& config;
+    worker_book const& workers;
+    load_board& loads;
+    store_calls& calls;
+    std::size_t inbox_size = 0;
+    bool taking = true; ///< False while the planner stops.
+    ports::actions& out;
+};
+
+/// Takes jobs and cancellations in and lists jobs, for any cell. A job is
+/// accepted when the store has it: first `jobs/<id>`, which makes its id
+/// unique, then the inbox of the cell that was chosen for it.
+class job_desk
+{
+public:
+    job_desk(std::uint64_t incarnation, job_desk_settings settings);
+
+    /// Answers by a `caller_reply`, now or later.
+    void on_request(desk_context& with, job_request request);
+    /// The totals of all tasks as JSON, for the status page.
+    void on_totals_asked(desk_context& with, std::uint64_t caller);
+    /// Has all cells stop a job that was found to be at fault.
+    void post_stop(desk_context& with, job_stopped const& what);
+
+    void tick(desk_context& with);
+    void on_store_reply(desk_context& with,
+                        call_tag const& tag,
+                        ports::store_reply const& reply);
+
+private:
+    enum class step : std::uint8_t
+    {
+        registering,   ///< Writes `jobs/<id>`.
+        reading_job,   ///< Reads it back, or finds out whose it is.
+        listing_inbox, ///< Is a job with this id known anywhere?
+        listing_tasks,
+        delivering, ///< Writes the parcel into the cell's inbox.
+        posting,    ///< Writes the stop notice.
+    };
+    enum class purpose : std::uint8_t
+    {
+        submit,
+        cancel,
+        list,
+        show,
+        totals,
+        stop, ///< Of the planner itself; answers nobody.
+    };
+    struct errand
+    {
+        purpose what = purpose::submit;
+        step at = step::registering;
+        std::uint64_t caller = 0;
+        std::string id;
+        std::string state; ///< Filter of a list.
+        job submitted;
+        std::string cell;
+        std::string writer;
+        stop_notice notice;
+        std::vector<ports::store_entry> inboxes;
+        common::time_point began{};
+        common::time_point next_try{};
+        std::uint64_t call = 0;
+        bool wrote = false; ///< A write of this errand may have taken effect.
+    };
+
+    void submit(desk_context& with, job_request const& request);
+    void begin(desk_context& with, errand next);
+    void send(desk_context& with, errand& of);
+    std::optional<common::failure> refusal(desk_context& with,
+                                           job const& wanted) const;
+    /// Each gives false where the errand is over.
+    bool on_registered(errand& of, ports::store_reply const& reply);
+    bool on_job_read(desk_context& with,
+                     errand& of,
+                     ports::store_reply const& reply);
+    bool
+    on_listed(desk_context& with, errand& of, ports::store_reply const& reply);
+    bool on_delivered(desk_context& with,
+                      errand& of,
+                      ports::store_reply const& reply);
+    bool
+    on_posted(desk_context& with, errand& of, ports::store_reply const& reply);
+    static void answer(desk_context& with,
+                       errand const& of,
+                       std::uint16_t status,
+                       std::string body);
+
+    std::string writer_;
+    job_desk_settings settings_;
+    std::uint64_t last_errand_ = 0;
+    std::map<std::uint64_t, errand> errands_;
+};
+
+/// An answer that refuses, with the code's number, name and HTTP status.
+ports::caller_reply refuse(std::uint64_t caller, common::failure reason);
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/job_view.cpp
@@ -0,0 +1,308 @@
+#include "core/tasks/job_view.hpp"
+
+#include "core/common/json.hpp"
+#include "core/tasks/cell_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::string_view shown_state(task_status status) noexcept
+{
+    switch (status)
+    {
+    case task_status::started:
+        return "running";
+    case task_status::moving:
+    case task_status::moved:
+        return "moving";
+    default:
+        return name_of(status);
+    }
+}
+
+// A cell that moved a task away shows it as moving until the next cell's own
+// record of it replaces that.
+void add_task(std::map<std::uint32_t, task_view>& tasks, task_view next)
+{
+    auto const found = tasks.find(next.index);
+    if (found == tasks.end())
+    {
+        tasks.emplace(next.index, std::move(next));
+        return;
+    }
+    auto& known = found->second;
+    bool const better =
+        known.state == "moving"
+            ? next.state != "moving" || next.attempt >= known.attempt
+            : next.state != "moving" && next.attempt > known.attempt;
+    if (better)
+    {
+        known = std::move(next);
+    }
+}
+
+struct gathered
+{
+    job what;
+    std::string stop_why;
+    std::map<std::uint32_t, task_view> tasks;
+};
+
+void gather_parcel(std::map<std::string, gathered>& jobs,
+                   std::string const& cell,
+                   parcel const& what)
+{
+    auto& job = jobs[what.what.id];
+    job.what = what.what;
+    for (auto const& task : what.tasks)
+    {
+        add_task(job.tasks,
+                 {task.index,
+                  task.attempt,
+                  cell,
+                  "",
+                  "queued",
+                  task.checkpoint,
+                  ""});
+    }
+}
+
+void gather_cell(std::map<std::string, gathered>& jobs,
+                 std::string const& cell,
+                 cell_state const& state)
+{
+    for (auto const& [id, part] : state.jobs)
+    {
+        auto& job = jobs[id];
+        job.what = part.what;
+        if (part.stopped)
+        {
+            job.stop_why =
+                std::to_string(static_cast<std::uint16_t>(part.stop_code)) +
+                " " + std::string(common::name_of(part.stop_code)) +
+                (part.stop_why.empty() ? "" : ": " + part.stop_why);
+        }
+        for (auto const& [index, task] : part.tasks)
+        {
+            add_task(job.tasks,
+                     {index,
+                      task.attempt,
+                      cell,
+                      task.worker,
+                      std::string(shown_state(task.status)),
+                      task.checkpoint,
+                      task.why});
+        }
+    }
+}
+
+// What a job that has waiting tasks waits for, as far as the whole picture
+// tells.
+std::string waits_for(job_view const& view,
+                      std::map<std::string, ports::resources> const& in_use,
+                      config::configuration const& config)
+{
+    auto const contract = config.contracts.find(view.what.customer);
+    if (contract == config.contracts.end())
+    {
+        return "the customer has no contract";
+    }
+    auto const use = in_use.find(view.what.customer);
+    auto next = use == in_use.end() ? ports::resources{} : use->second;
+    next += view.what.declared;
+    if (!contract->second.capacity.holds(next))
+    {
+        return "the contract is used up";
+    }
+    if (config.data_centres_out.count(view.what.data_centre) != 0)
+    {
+        return "its data centre is out";
+    }
+    return "waits for room on a worker";
+}
+
+void count(job_view& view)
+{
+    for (auto const& task : view.tasks)
+    {
+        bool const waits = task.state == "queued" || task.state == "moving";
+        view.queued += waits ? 1 : 0;
+        view.running += task.state == "running" ? 1 : 0;
+        view.finished += task.state == "finished" ? 1 : 0;
+        view.failed += task.state == "failed" ? 1 : 0;
+        view.cancelled += task.state == "cancelled" ? 1 : 0;
+    }
+    if (view.running != 0)
+    {
+        view.state = "running";
+    }
+    else if (view.queued != 0)
+    {
+        view.state = "queued";
+    }
+    else if (view.failed != 0)
+    {
+        view.state = "failed";
+    }
+    else
+    {
+        view.state = view.cancelled != 0 ? "cancelled" : "finished";
+    }
+}
+
+json::object encoded(job_view const& value)
+{
+    return {{"id", value.what.id},
+            {"customer", value.what.customer},
+            {"kind", name_of(value.what.kind)},
+            {"class", value.what.task_class},
+            {"state", value.state},
+            {"tasks", value.what.tasks},
+            {"queued", value.queued},
+            {"running", value.running},
+            {"finished", value.finished},
+            {"failed", value.failed},
+            {"cancelled", value.cancelled},
+            {"why", value.why}};
+}
+
+} // namespace
+
+std::map<std::string, job_view>
+view_of(std::vector<ports::store_entry> const& inboxes,
+        std::vector<ports::store_entry> const& cells,
+        config::configuration const& config)
+{
+    std::map<std::string, gathered> jobs;
+    std::map<std::string, std::vector<inbox_item>> items;
+    std::vector<stop_notice> notices;
+    sort_inbox(inboxes, items, notices);
+    for (auto const& [cell, list] : items)
+    {
+        for (auto const& item : list)
+        {
+            gather_parcel(jobs, cell, item.what);
+        }
+    }
+    std::map<std::string, std::vector<ports::store_entry>> by_cell;
+    for (auto const& entry : cells)
+    {
+        constexpr std::string_view prefix = "tasks/";
+        auto const slash = entry.key.find('/', prefix.size());
+        if (entry.key.starts_with(prefix) && slash != std::string::npos)
+        {
+            by_cell[entry.key.substr(prefix.size(), slash - prefix.size())]
+                .push_back(entry);
+        }
+    }
+    for (auto const& [cell, entries] : by_cell)
+    {
+        common::failure reason;
+        if (auto const stored = replay(cell, entries, reason))
+        {
+            gather_cell(jobs, cell, stored->state);
+        }
+    }
+    std::map<std::string, job_view> out;
+    std::map<std::string, ports::resources> in_use;
+    for (auto& [id, job] : jobs)
+    {
+        auto& view = out[id];
+        view.what = job.what;
+        view.why = job.stop_why;
+        for (auto& [index, task] : job.tasks)
+        {
+            if (task.state == "running")
+            {
+                in_use[view.what.customer] += view.what.declared;
+            }
+            view.tasks.push_back(std::move(task));
+        }
+        count(view);
+    }
+    for (auto& [id, view] : out)
+    {
+        if (view.queued != 0 && view.why.empty())
+        {
+            view.why = waits_for(view, in_use, config);
+        }
+    }
+    return out;
+}
+
+task_totals totals_of(std::map<std::string, job_view> const& jobs)
+{
+    task_totals out;
+    out.jobs = jobs.size();
+    for (auto const& [id, view] : jobs)
+    {
+        out.queued += view.queued;
+        out.running += view.running;
+        out.finished += view.finished;
+        out.failed += view.failed;
+        out.cancelled += view.cancelled;
+    }
+    return out;
+}
+
+std::string to_json(job_view const& value, bool with_tasks)
+{
+    auto out = encoded(value);
+    if (with_tasks)
+    {
+        json::array tasks;
+        for (auto const& task : value.tasks)
+        {
+            tasks.emplace_back(json::object{{"index", task.index},
+                                            {"attempt", task.attempt},
+                                            {"cell", task.cell},
+                                            {"worker", task.worker},
+                                            {"state", task.state},
+                                            {"checkpoint", task.checkpoint},
+                                            {"why", task.why}});
+        }
+        out["task_list"] = std::move(tasks);
+        out["declared"] =
+            json::object{{"millicores", value.what.declared.millicores},
+                         {"memory_mb", value.what.declared.memory_mb},
+                         {"accelerators", value.what.declared.accelerators}};
+        out["urgent"] = value.what.urgent;
+        out["checkpointable"] = value.what.checkpointable;
+        out["data_centre"] = value.what.data_centre;
+    }
+    return json::serialize(out);
+}
+
+std::string to_json(std::map<std::string, job_view> const& jobs,
+                    std::string const& only_state)
+{
+    json::array list;
+    for (auto const& [id, view] : jobs)
+    {
+        if (only_state.empty() || view.state == only_state)
+        {
+            list.emplace_back(encoded(view));
+        }
+    }
+    return json::serialize(json::object{{"jobs", std::move(list)}});
+}
+
+std::string to_json(task_totals const& value)
+{
+    return json::serialize(json::object{{"jobs", value.jobs},
+                                        {"queued", value.queued},
+                                        {"running", value.running},
+                                        {"finished", value.finished},
+                                        {"failed", value.failed},
+                                        {"cancelled", value.cancelled}});
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/job_view.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/config/configuration.hpp"
+#include "core/tasks/cell_state.hpp"
+#include "core/tasks/inbox.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+// Jobs as operators see them: the parts that lie in several cells, and what
+// still waits in inboxes, put together.
+namespace fuchsia::core::tasks
+{
+
+struct task_view
+{
+    std::uint32_t index = 0;
+    std::uint32_t attempt = 0;
+    std::string cell;
+    std::string worker;
+    std::string state;
+    std::string checkpoint;
+    std::string why;
+};
+
+struct job_view
+{
+    job what;
+    std::string state; ///< queued, running, finished, failed or cancelled.
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint32_t finished = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t cancelled = 0;
+    std::string why; ///< Why it waits or why it ended; empty while it runs.
+    std::vector<task_view> tasks;
+};
+
+/// Tasks by state over all jobs.
+struct task_totals
+{
+    std::uint64_t jobs = 0;
+    std::uint64_t queued = 0;
+    std::uint64_t running = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t cancelled = 0;
+};
+
+/// The jobs in the entries below `inbox/` and then `tasks/`, in this order of
+/// reading: a job that was taken in between is then seen twice rather than
+/// not at all.
+std::map<std::string, job_view>
+view_of(std::vector<ports::store_entry> const& inboxes,
+        std::vector<ports::store_entry> const& cells,
+        config::configuration const& config);
+
+task_totals totals_of(std::map<std::string, job_view> const& jobs);
+
+std::string to_json(job_view const& value, bool with_tasks);
+std::string to_json(std::map<std::string, job_view> const& jobs,
+                    std::string const& only_state);
+std::string to_json(task_totals const& value);
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/src/core/tasks/planner_engine.hpp
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "core/claims/claim_table.hpp"
+#include "core/config/follower.hpp"
+#include "core/membership/member.hpp"
+#include "core/tasks/cell_runner.hpp"
+#include "core/tasks/inbox.hpp"
+#include "core/tasks/job_desk.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fuchsia::core::tasks
+{
+
+struct planner_settings
+{
+    membership::settings membership;
+    config::follower_settings follower;
+    store_call_settings store;
+    worker_book_settings workers;
+    quota_settings quotas;
+    load_board_settings loads;
+    inbox_settings inboxes;
+    job_desk_settings desk;
+    cell_settings cell;
+    placement::interference_settings interference;
+    /// A planned stop that the store keeps from ending is given up after
+    /// this; the others then bury this member.
+    common::duration stop_limit = std::chrono::seconds(20);
+};
+
+/// A planner without its protocols: membership, claims on cells, the
+/// configuration and the tasks of the cells it owns. Events come in with the
+/// time, actions go out; there is no thread, socket, file or clock in it.
+class planner_engine
+{
+public:
+    planner_engine(planner_settings settings,
+                   membership::member_info self,
+                   std::uint64_t seed);
+
+    void start(common::time_point now, ports::actions& out);
+    /// Called at least every 100 ms.
+    void tick(common::time_point now, ports::actions& out);
+    /// False for replies of users that are not part of the engine.
+    bool on_store_reply(common::time_point now,
+                        ports::store_reply const& reply,
+                        ports::actions& out);
+    void on_peer(common::time_point now,
+                 ports::peer_receive const& message,
+                 ports::actions& out);
+    void on_instances(common::time_point now,
+                      ports::instance_list const& list,
+                      ports::actions& out);
+    void on_workers(common::time_point now,
+                    ports::worker_list const& list,
+                    ports::actions& out);
+    void on_worker_report(common::time_point now,
+                          ports::worker_report const& report,
+                          ports::actions& out);
+    void on_worker_reply(common::time_point now,
+                         ports::worker_reply const& reply,
+                         ports::actions& out);
+    /// Jobs; answered by a `caller_reply` with the request's caller.
+    void on_job_request(common::time_point now,
+                        job_request request,
+                        ports::actions& out);
+    /// Totals of tasks by state, as JSON in a `caller_reply`.
+    void on_totals_asked(common::time_point now,
+                         std::uint64_t caller,
+                         ports::actions& out);
+    /// A planned stop: nothing new is started, what is in commit ends, the
+    /// cells are handed over, the record is removed; running tasks go on.
+    /// Ends in `stop_complete`.
+    void begin_stop(common::time_point now, ports::actions& out);
+
+    /// Members and configuration are known: requests can be answered.
+    bool ready(common::time_point now) const noexcept;
+    bool stopping() const noexcept;
+    membership::member& members() noexcept;
+    membership::member const& members() const noexcept;
+    config::follower& follower() noexcept;
+    claims::claim_table const& claims() const noexcept;
+    worker_book const& workers() const noexcept;
+    task_counters const& counters() const noexcept;
+    store_calls const& calls() const noexcept;
+    std::map<std::string, std::unique_ptr<cell_runner>> const&
+    cells() const noexcept;
+    /// Racks whose reports this planner needs.
+    std::vector<std::string> racks() const;
+
+private:
+    cell_context context(common::time_point now,
+                         std::string const& cell,
+                         ports::actions& out);
+    desk_context desk(common::time_point now, ports::actions& out);
+    bool config_fresh(common::time_point now) const noexcept;
+    void pump(common::time_point now, ports::actions& out);
+    void take_claims(common::time_point now, ports::actions& out);
+    void add_cell(common::time_point now,
+                  claims::claim const& claim,
+                  ports::actions& out);
+    void drop_cell(std::string const& cell);
+    void hand_over(common::time_point now, ports::actions& out);
+    void follow_stop(common::time_point now, ports::actions& out);
+    void follow_config(ports::actions& out);
+    void
+    deliver_inbox(common::time_point now, cell_runner& to, ports::actions& out);
+    void erase_notices(common::time_point now, ports::actions& out);
+    void post_faulty(common::time_point now, ports::actions& out);
+    void set_partitions();
+
+    planner_settings settings_;
+    membership::member member_;
+    claims::claim_table claims_;
+    config::follower follower_;
+    store_calls calls_;
+    worker_calls worker_calls_;
+    worker_book workers_;
+    quota_book quotas_;
+    load_board loads_;
+    inbox inbox_;
+    job_desk desk_;
+    placement::interference learned_;
+    task_counters counters_;
+    std::map<std::string, std::unique_ptr<cell_runner>> cells_;
+    std::set<std::string> releasing_; ///< Asked to hand over, not yet idle.
+    std::uint64_t known_revision_ = 0;
+    std::uint64_t notice_call_ = 0;
+    bool workers_known_ = false;
+    std::optional<common::time_point> stop_since_;
+    bool removing_ = false;
+    bool stop_told_ = false;
+};
+
+} // namespace fuchsia::core::tasks
