--- a/src/core/contracts/slice.hpp
+++ b/src/core/contracts/slice.hpp
@@ -67,6 +67,8 @@
     /// Whether the owner gave less than was wanted just now, so that waiting
     /// for more is in vain.
     bool is_limited(common::time_point now) const noexcept;
+    /// The same for requests a second.
+    bool is_rate_limited(common::time_point now) const noexcept;
     std::uint32_t in_flight() const noexcept;
     /// Most that may be in flight here until the next grant.
     std::uint32_t bound(common::time_point now) const noexcept;
@@ -89,7 +91,9 @@
     bool at_rest_ = true;  ///< Nothing held and nothing wanted.
     std::optional<common::time_point> asked_;
     std::uint32_t wanted_ = 0;
+    std::uint32_t wanted_rate_ = 0;
     common::time_point limited_until_{};
+    common::time_point rate_limited_until_{};
 
     std::uint32_t peak_ = 0; ///< Demand since the last request for a slice.
     std::uint32_t unmet_ = 0;
--- a/src/core/contracts/slice_holder.cpp
+++ b/src/core/contracts/slice_holder.cpp
@@ -12,12 +12,13 @@
 /// Asked for beyond the demand seen, so that a rise finds a slice ready.
 constexpr double headroom = 1.5;
 constexpr double spare_slots = 2.0;
-constexpr double spare_rate = 5.0;
+constexpr double spare_rate = 20.0;
 /// Demand seen earlier counts less with each request for a slice.
 constexpr double decay = 0.8;
 constexpr double least_demand = 0.1;
 /// A slice's rate may be used in bursts of this part of a second.
 constexpr double burst_seconds = 0.1;
+constexpr common::duration bucket_rest = std::chrono::seconds(1);
 constexpr std::uint32_t permille = 1000;
 
 constexpr std::size_t index_of(ports::request_class kind) noexcept
@@ -112,6 +113,7 @@
     }
     request.in_use = bound(now);
     wanted_ = request.wanted;
+    wanted_rate_ = request.wanted_rate;
     waiting_ = true;
     asked_ = now;
     peak_ = in_flight();
@@ -139,15 +141,25 @@
     waiting_ = false;
     auto const length = std::min<std::uint64_t>(
         grant.valid_us, static_cast<std::uint64_t>(settings_.valid.count()));
+    // A bucket that was not used for a while is full.
+    bool const rested = now - refilled_ >= bucket_rest;
     refill(now);
     slots_ = grant.in_flight;
     rate_ = grant.rate;
+    if (rested)
+    {
+        tokens_ = std::max(1.0, rate_ * burst_seconds);
+    }
     valid_until_ =
         *asked_ + common::duration(static_cast<std::int64_t>(length));
     if (grant.in_flight < wanted_)
     {
         limited_until_ = now + settings_.renew_interval;
     }
+    if (grant.rate < wanted_rate_)
+    {
+        rate_limited_until_ = now + settings_.renew_interval;
+    }
     at_rest_ = wanted_ == 0 && in_flight() == 0 && unmet_ == 0;
 }
 
@@ -156,6 +168,11 @@
     return now < limited_until_;
 }
 
+bool slice_holder::is_rate_limited(common::time_point now) const noexcept
+{
+    return now < rate_limited_until_;
+}
+
 std::uint32_t slice_holder::in_flight() const noexcept
 {
     return in_flight_[0] + in_flight_[1];
@@ -189,7 +206,7 @@
     bool const more = unmet_ > 0 || in_flight() >= slots_;
     return since >= settings_.renew_interval ||
            ((more || !is_valid(now)) && since >= settings_.ask_interval &&
-            !is_limited(now));
+            !is_limited(now) && !is_rate_limited(now));
 }
 
 void slice_holder::refill(common::time_point now) noexcept
--- a/src/core/requests/entry_contracts.cpp
+++ b/src/core/requests/entry_contracts.cpp
@@ -19,6 +19,25 @@
         .first->second;
 }
 
+// Why a request that its customer's slice does not admit need not wait for a
+// larger one; empty where it may.
+std::optional<common::result_code>
+entry_engine::waits_in_vain(common::time_point now,
+                            customer_state const& customer,
+                            contracts::slice_verdict verdict) const
+{
+    if (verdict == contracts::slice_verdict::over_rate)
+    {
+        return customer.slice.is_rate_limited(now)
+                   ? std::optional(result_code::over_contract_rate)
+                   : std::nullopt;
+    }
+    bool const in_vain = customer.slice.is_limited(now) ||
+                         customer.parked.size() >= settings_.max_parked;
+    return in_vain ? std::optional(result_code::over_contract_in_flight)
+                   : std::nullopt;
+}
+
 contracts::slice_ledger& entry_engine::ledger_of(common::time_point now,
                                                  std::string const& name)
 {
@@ -56,6 +75,10 @@
         else if (!gone)
         {
             ask_for_slice(now, at->first, out);
+            if (!at->second.parked.empty())
+            {
+                unpark_wanted_.insert(at->first);
+            }
         }
         at = next;
     }
@@ -176,17 +199,13 @@
             route(now, one, out);
             continue;
         }
-        bool const over_rate = verdict == contracts::slice_verdict::over_rate;
-        if (!over_rate && !customer.slice.is_limited(now))
+        auto const code = waits_in_vain(now, customer, verdict);
+        if (!code)
         {
             return;
         }
         customer.parked.pop_front();
-        refuse(now,
-               one,
-               over_rate ? result_code::over_contract_rate
-                         : result_code::over_contract_in_flight,
-               out);
+        refuse(now, one, *code, out);
     }
 }
 
--- a/src/core/requests/entry_engine.cpp
+++ b/src/core/requests/entry_engine.cpp
@@ -247,7 +247,7 @@
 
 void entry_engine::after_platform(common::time_point now, ports::actions& out)
 {
-    sync_configuration(out);
+    sync_configuration(now, out);
     sync_members(now, out);
     sync_claims(now, out);
 }
@@ -304,9 +304,17 @@
     }
 }
 
-void entry_engine::sync_configuration(ports::actions& out)
+void entry_engine::sync_configuration(common::time_point now,
+                                      ports::actions& out)
 {
     auto const& current = follower_.current();
+    configuration_seen_ =
+        std::max(configuration_seen_, follower_.confirmed_at());
+    // While the store is silent the witnesses' promises tell their revisions.
+    if (!members_.proved_by_store() && members_.may_act(now))
+    {
+        configuration_seen_ = now;
+    }
     newest_revision_ = std::max(newest_revision_, current.revision);
     if (current.revision >= newest_revision_)
     {
@@ -438,7 +446,7 @@
     switch (life_.phase())
     {
     case entry_phase::joining:
-        if (members_.may_act(now) && claims_.known())
+        if (may_send(now) && claims_.known())
         {
             life_.on(entry_event::joined);
             log(out, ports::severity::info, "serving", {});
@@ -483,7 +491,8 @@
 {
     bool const behind =
         behind_since_ && now - *behind_since_ > settings_.config_grace;
-    return !retired_ && !behind && members_.may_act(now);
+    bool const seen = now - configuration_seen_ <= settings_.config_limit;
+    return !retired_ && !behind && seen && members_.may_act(now);
 }
 
 bool entry_engine::owns(common::time_point now,
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -156,7 +156,7 @@
     void after_platform(common::time_point now, ports::actions& out);
     void sync_members(common::time_point now, ports::actions& out);
     void sync_claims(common::time_point now, ports::actions& out);
-    void sync_configuration(ports::actions& out);
+    void sync_configuration(common::time_point now, ports::actions& out);
     void on_claim_change(common::time_point now,
                          claims::claim_change const& change,
                          ports::actions& out);
@@ -274,6 +274,10 @@
 
     // entry_contracts.cpp: slices of contracts.
     customer_state& customer_of(std::string const& name);
+    std::optional<result_code>
+    waits_in_vain(common::time_point now,
+                  customer_state const& customer,
+                  contracts::slice_verdict verdict) const;
     contracts::slice_ledger& ledger_of(common::time_point now,
                                        std::string const& name);
     void ask_for_slice(common::time_point now,
@@ -359,6 +363,8 @@
     std::uint64_t applied_revision_ = 0;
     std::uint64_t newest_revision_ = 0; ///< That anybody told of.
     std::optional<common::time_point> behind_since_;
+    /// When the configuration was last known to be the newest.
+    common::time_point configuration_seen_{};
     bool may_act_ = false;
     bool retired_ = false;
     entry_counts counts_;
--- a/src/core/requests/entry_requests.cpp
+++ b/src/core/requests/entry_requests.cpp
@@ -127,9 +127,11 @@
     {
         return one.vouched;
     }
+    // A pause shorter than the limit is not noticed, so it counts as delay.
     auto const began = std::max(owners_.of(one.partition).learned, woke_);
-    return one.request.attempt == 1 &&
-           one.received - began >= settings_.sending_bound;
+    auto const late =
+        settings_.sending_bound + settings_.membership.pause_limit;
+    return one.request.attempt == 1 && one.received - began >= late;
 }
 
 contracts::contract const*
@@ -211,7 +213,7 @@
     auto const verdict =
         customer.parked.empty()
             ? customer.slice.admit(now, one.request.kind, *limits)
-            : contracts::slice_verdict::full;
+            : contracts::slice_verdict::no_slice;
     if (verdict == contracts::slice_verdict::admitted)
     {
         one.charged = true;
@@ -219,17 +221,10 @@
         return;
     }
     customer.slice.count_unmet();
-    if (verdict == contracts::slice_verdict::over_rate)
-    {
-        refuse(now, one, result_code::over_contract_rate, out);
-        return;
-    }
     // Waiting is of use only where the customer's owner may lend more.
-    bool const in_vain = customer.slice.is_limited(now) ||
-                         customer.parked.size() >= settings_.max_parked;
-    if (in_vain)
+    if (auto const code = waits_in_vain(now, customer, verdict))
     {
-        refuse(now, one, result_code::over_contract_in_flight, out);
+        refuse(now, one, *code, out);
         return;
     }
     one.stage = request_stage::parked;
--- a/src/core/requests/entry_settings.hpp
+++ b/src/core/requests/entry_settings.hpp
@@ -37,6 +37,9 @@
     /// How long a peer may tell of a newer configuration, which we can't get,
     /// before new work stops.
     common::duration config_grace = std::chrono::seconds(2);
+    /// How long ago the store, or witnesses in its place, must have shown that
+    /// our configuration is the newest.
+    common::duration config_limit = std::chrono::seconds(5);
     common::duration load_interval = std::chrono::milliseconds(500);
     /// How long a balancer may go on sending after /readyz turned to 503.
     common::duration balancer_lag = std::chrono::seconds(5);
--- a/src/programs/entry/entry_program.cpp
+++ b/src/programs/entry/entry_program.cpp
@@ -298,7 +298,10 @@
                       ports::upstream_end end;
                       end.exchange = exchange;
                       end.status = status;
-                      end.http_status = response.status;
+                      bool const whole =
+                          status == ports::exchange_status::answered ||
+                          status == ports::exchange_status::drained;
+                      end.http_status = whole ? response.status : 0;
                       end.headers = std::move(response.headers);
                       end.body = std::move(response.body);
                       ends_.try_push(end);
