--- a/src/adapters/platform/catalog_client.cpp
+++ b/src/adapters/platform/catalog_client.cpp
@@ -131,10 +131,13 @@
     poll();
 }
 
+// A list counts from when it was asked for: the platform made it no earlier, so
+// nothing in it looks younger than it is, however long the answer waited here.
 void catalog_client::poll()
 {
+    auto const asked = core::common::clock::now();
     fetch(member_service_,
-          [this](http::response const& answer)
+          [this, asked](http::response const& answer)
           {
               auto names = parse_names(answer.body);
               if (!names)
@@ -149,7 +152,7 @@
                   read_upstreams(std::move(list));
                   return;
               }
-              list.received = core::common::clock::now();
+              list.received = asked;
               handle_(std::move(list));
               rest();
           });
@@ -157,13 +160,15 @@
 
 void catalog_client::read_upstreams(ports::instance_list list)
 {
+    auto const asked = core::common::clock::now();
     fetch("upstream",
-          [this, list = std::move(list)](http::response const& answer) mutable
+          [this, asked, list = std::move(list)](
+              http::response const& answer) mutable
           {
               if (auto upstreams = parse_upstreams(answer.body))
               {
                   list.upstreams = std::move(*upstreams);
-                  list.received = core::common::clock::now();
+                  list.received = asked;
                   handle_(std::move(list));
               }
               rest();
--- a/src/core/requests/entry_answers.cpp
+++ b/src/core/requests/entry_answers.cpp
@@ -15,20 +15,42 @@
                           result_code code,
                           ports::actions& out)
 {
-    auto answer = refusal(one.request, one.fresh, code);
-    if (one.maybe_ran)
+    conclude(now, one.id, refusal(code, is_unheard(now, one)), out);
+}
+
+// "Not run" is about the caller's request, which all sendings of its key are
+// part of. True where no other sending of the key can have run: the owner asks
+// its memory at the moment it refuses, since another sending may have run
+// while this one waited; any other entry knows it only of a first sending.
+bool entry_engine::is_unheard(common::time_point now,
+                              open_request const& one) const
+{
+    if (!one.keyed || one.begun)
     {
-        answer.says = common::outcome::unknown;
+        return true;
+    }
+    if (!owns(now, one.partition))
+    {
+        return one.request.attempt == 1;
     }
-    conclude(now, one.id, answer, out);
+    auto const verdict =
+        keys_
+            .look_up(
+                now, one.partition, one.key, one.fingerprint, is_vouched(one))
+            .verdict;
+    return verdict == key_verdict::fresh || verdict == key_verdict::full ||
+           verdict == key_verdict::mismatch;
 }
 
-// "Not run" is about the caller's request, which all sendings of its key are
-// part of. An entry that has not asked the key's memory knows it only of a
-// first sending.
-ports::caller_answer entry_engine::refusal(ports::caller_request const& request,
-                                           bool fresh,
-                                           result_code code)
+// The same for a request that is refused unseen.
+bool entry_engine::is_first_heard(ports::caller_request const& request) noexcept
+{
+    bool const keyed =
+        request.method == "POST" && !request.idempotency_key.empty();
+    return !keyed || request.attempt == 1;
+}
+
+ports::caller_answer entry_engine::refusal(result_code code, bool unheard)
 {
     common::duration wait = usual_wait(code);
     if (code == result_code::deadline_unreachable ||
@@ -37,10 +59,7 @@
         wait = std::clamp<common::duration>(predicted(), 50ms, 5s);
     }
     auto answer = make_refusal(code, wait, random_);
-    bool const may_be_known = request.method == "POST" &&
-                              !request.idempotency_key.empty() &&
-                              request.attempt != 1 && !fresh;
-    if (answer.says == common::outcome::not_run && may_be_known)
+    if (answer.says == common::outcome::not_run && !unheard)
     {
         answer.says = common::outcome::unknown;
     }
@@ -73,7 +92,7 @@
                                    ports::actions& out)
 {
     auto& one = requests_.at(id);
-    auto const answer = refusal(one.request, false, code);
+    auto const answer = refusal(code, true);
     deliver(one, answer, out);
     settle_key(now, one, answer, out);
     auto const until = one.sent + settings_.upstreams.max_execution;
@@ -87,8 +106,10 @@
     }
 }
 
+// A later try that was refused, here or by a peer, does not undo an earlier one
+// whose answer was lost.
 void entry_engine::deliver(open_request& one,
-                           ports::caller_answer const& answer,
+                           ports::caller_answer answer,
                            ports::actions& out)
 {
     if (one.answered)
@@ -97,14 +118,18 @@
     }
     one.answered = true;
     --unanswered_;
+    if (one.maybe_ran && answer.says == common::outcome::not_run)
+    {
+        answer.says = common::outcome::unknown;
+    }
     if (one.is_local())
     {
         by_caller_.erase(one.caller);
-        out.emplace_back(ports::caller_reply{one.caller, answer});
+        out.emplace_back(ports::caller_reply{one.caller, std::move(answer)});
     }
     else
     {
-        answer_peer(one.from, one.forwarded_id, answer, out);
+        answer_peer(one.from, one.forwarded_id, std::move(answer), out);
     }
 }
 
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -218,8 +218,9 @@
                 open_request& one,
                 result_code code,
                 ports::actions& out);
-    ports::caller_answer
-    refusal(ports::caller_request const& request, bool fresh, result_code code);
+    ports::caller_answer refusal(result_code code, bool unheard);
+    static bool is_first_heard(ports::caller_request const& request) noexcept;
+    bool is_unheard(common::time_point now, open_request const& one) const;
     void conclude(common::time_point now,
                   std::uint64_t id,
                   ports::caller_answer const& answer,
@@ -229,7 +230,7 @@
                          result_code code,
                          ports::actions& out);
     void deliver(open_request& one,
-                 ports::caller_answer const& answer,
+                 ports::caller_answer answer,
                  ports::actions& out);
     void settle_key(common::time_point now,
                     open_request& one,
--- a/src/core/requests/entry_peers.cpp
+++ b/src/core/requests/entry_peers.cpp
@@ -199,8 +199,10 @@
     }
     auto const refuse_now = [&](result_code code)
     {
-        answer_peer(
-            from, message.id, refusal(message.request, false, code), out);
+        answer_peer(from,
+                    message.id,
+                    refusal(code, is_first_heard(message.request)),
+                    out);
     };
     if (!may_send(now))
     {
--- a/src/core/requests/entry_requests.cpp
+++ b/src/core/requests/entry_requests.cpp
@@ -24,8 +24,8 @@
     }
     if (auto const code = refuse_at_door(now, request))
     {
-        out.emplace_back(
-            ports::caller_reply{caller, refusal(request, false, *code)});
+        out.emplace_back(ports::caller_reply{
+            caller, refusal(*code, is_first_heard(request))});
         return;
     }
     auto const* limits = contract_of(request.customer);
@@ -165,7 +165,6 @@
     switch (found.verdict)
     {
     case key_verdict::fresh:
-        one.fresh = true;
         return false;
     case key_verdict::ended:
     {
@@ -182,7 +181,6 @@
             set_timer(one, one.expires);
             return true;
         }
-        one.maybe_ran = true;
         refuse(now, one, result_code::queue_full, out);
         return true;
     case key_verdict::mismatch:
@@ -192,7 +190,6 @@
         refuse(now, one, result_code::key_memory_lost, out);
         return true;
     case key_verdict::full:
-        one.fresh = true;
         refuse(now, one, result_code::queue_full, out);
         return true;
     }
@@ -442,10 +439,8 @@
     if (end.http_status == 0)
     {
         // A late answer that was read to its end but not kept.
-        conclude(now,
-                 one.id,
-                 refusal(one.request, false, result_code::deadline_after_send),
-                 out);
+        conclude(
+            now, one.id, refusal(result_code::deadline_after_send, true), out);
         return;
     }
     if (one.idempotent && end.http_status == http_unavailable)
@@ -524,10 +519,7 @@
         slots_.on_slow(one.sending);
         if (one.is_local())
         {
-            deliver(
-                one,
-                refusal(one.request, false, result_code::deadline_after_send),
-                out);
+            deliver(one, refusal(result_code::deadline_after_send, true), out);
         }
         break;
     case request_stage::at_peer:
@@ -536,9 +528,7 @@
             erase(one.id);
             break;
         }
-        deliver(one,
-                refusal(one.request, false, result_code::deadline_after_send),
-                out);
+        deliver(one, refusal(result_code::deadline_after_send, true), out);
         set_timer(one,
                   std::max(now, one.sent + settings_.upstreams.max_execution));
         break;
--- a/src/core/requests/open_request.hpp
+++ b/src/core/requests/open_request.hpp
@@ -46,7 +46,6 @@
     std::uint32_t partition = 0;
     std::uint64_t fingerprint = 0;
     bool vouched = false; ///< See `key_memory`.
-    bool fresh = false;   ///< The owner's memory holds no earlier sending.
     bool begun = false;   ///< The key is remembered as running by this one.
 
     bool charged = false;   ///< Counts against the customer's slice.
--- /dev/null
+++ b/tests/unit/requests/entry_world.cpp
@@ -0,0 +1,685 @@
+#include "entry_world.hpp"
+
+#include "core/config/index.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::tests::unit::requests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using core::common::outcome;
+
+constexpr duration tick_interval = 50ms;
+constexpr duration list_interval = 500ms;
+/// An answer may be late by a tick and the check's own grain.
+constexpr duration answer_grace = 150ms;
+/// A lowered contract holds everywhere after this.
+constexpr duration contract_grace = 4s;
+constexpr char const* customer = "estate-owners";
+constexpr char const* sending_header = "X-Sending";
+
+std::string sending_of(ports::caller_request const& request)
+{
+    for (auto const& one : request.headers)
+    {
+        if (one.name == sending_header)
+        {
+            return one.value;
+        }
+    }
+    return "";
+}
+
+ports::caller_request make(std::string method, std::string const& body)
+{
+    ports::caller_request request;
+    request.customer = customer;
+    request.method = std::move(method);
+    request.target = "/bids";
+    request.body = body;
+    request.deadline = 2s;
+    return request;
+}
+
+} // namespace
+
+entry_settings short_settings()
+{
+    entry_settings settings;
+    settings.upstreams.max_execution = 3s;
+    settings.upstreams.report_slack = 0ms;
+    settings.keys.keep = 30s;
+    settings.sending_bound = 2s;
+    settings.balancer_lag = 500ms;
+    settings.handover_patience = 4s;
+    return settings;
+}
+
+ports::caller_request bid(std::string const& key, std::uint32_t attempt)
+{
+    auto request = make("POST", "body of " + key);
+    request.idempotency_key = key;
+    request.attempt = attempt;
+    return request;
+}
+
+ports::caller_request unkeyed(std::string const& body)
+{
+    return make("POST", body);
+}
+
+ports::caller_request query(std::string const& body)
+{
+    return make("GET", body);
+}
+
+entry_world::entry_world(world_options options)
+    : store(time, options.seed * 2 + 1),
+      link(time,
+           options.seed * 3 + 1,
+           [this](std::string const& address,
+                  ports::member_identity const& to,
+                  ports::peer_receive const& message)
+           {
+               for (auto const& who : nodes_)
+               {
+                   if (who && who->address == address && who->id == to)
+                   {
+                       hand(who,
+                            [message](entry_engine& engine,
+                                      time_point now,
+                                      ports::actions& out)
+                            {
+                                engine.on_peer(now, message, out);
+                            });
+                   }
+               }
+           }),
+      options_(std::move(options)), random_(options_.seed),
+      nodes_(options_.entries)
+{
+    for (std::size_t at = 0; at < options_.upstreams; ++at)
+    {
+        upstreams_["upstream-" + std::to_string(at)];
+    }
+    put_contract(options_.in_flight);
+    publish_list();
+}
+
+void entry_world::start(std::size_t entry)
+{
+    kill(entry);
+    begin(entry);
+}
+
+void entry_world::begin(std::size_t entry)
+{
+    auto const who = std::make_shared<node>();
+    who->id = {"entry-" + std::to_string(entry), random_() | 1U};
+    who->address = "10.0.0." + std::to_string(entry);
+    core::membership::member_info info;
+    info.id = who->id;
+    info.role = "entry";
+    info.data_centre = "dc-" + std::to_string(entry % 3);
+    info.peer_address = {who->address, 7000};
+    info.http_address = {who->address, 8000};
+    who->engine =
+        std::make_unique<entry_engine>(options_.settings, info, random_());
+    nodes_[entry] = who;
+    run_in(who,
+           [](entry_engine& engine, time_point now, ports::actions& out)
+           {
+               engine.start(now, out);
+           });
+    tick(who);
+}
+
+void entry_world::start_all()
+{
+    for (std::size_t entry = 0; entry < options_.entries; ++entry)
+    {
+        start(entry);
+    }
+}
+
+void entry_world::kill(std::size_t entry)
+{
+    if (!nodes_[entry])
+    {
+        return;
+    }
+    nodes_[entry]->ended = true;
+    for (auto const& old : retired_)
+    {
+        old->ended = old->ended || old->id.name == nodes_[entry]->id.name;
+    }
+}
+
+void entry_world::freeze(std::size_t entry)
+{
+    if (nodes_[entry])
+    {
+        nodes_[entry]->frozen = true;
+    }
+}
+
+void entry_world::wake(std::size_t entry)
+{
+    auto const who = nodes_[entry];
+    if (!who || !std::exchange(who->frozen, false))
+    {
+        return;
+    }
+    auto waiting = std::exchange(who->inbox, {});
+    for (auto const& what : waiting)
+    {
+        what();
+    }
+    // The engine must hold its promises though the tick comes last here; a
+    // daemon ticks first of all.
+    hand(who,
+         [](entry_engine& engine, time_point now, ports::actions& out)
+         {
+             engine.tick(now, out);
+         });
+}
+
+void entry_world::stop(std::size_t entry)
+{
+    hand(nodes_[entry],
+         [](entry_engine& engine, time_point now, ports::actions& out)
+         {
+             engine.begin_stop(now, out);
+         });
+}
+
+bool entry_world::is_running(std::size_t entry) const
+{
+    auto const& who = nodes_[entry];
+    return who && !who->ended && !who->frozen;
+}
+
+bool entry_world::has_stopped(std::size_t entry) const
+{
+    return nodes_[entry] && nodes_[entry]->stopped;
+}
+
+entry_engine& entry_world::engine(std::size_t entry)
+{
+    return *nodes_[entry]->engine;
+}
+
+void entry_world::run(duration length)
+{
+    time.run(length);
+}
+
+bool entry_world::run_until(std::function<bool()> const& wanted, duration limit)
+{
+    time_point const until = time.now() + limit;
+    while (!wanted())
+    {
+        if (!time.step(until))
+        {
+            return wanted();
+        }
+    }
+    return true;
+}
+
+bool entry_world::settle()
+{
+    bool const served = run_until(
+        [this]
+        {
+            std::size_t owned = 0;
+            for (std::size_t at = 0; at < options_.entries; ++at)
+            {
+                if (!is_running(at) || !engine(at).ready(time.now()))
+                {
+                    return false;
+                }
+                owned += engine(at).status(time.now()).owned_partitions;
+            }
+            return owned == core::common::partition_count;
+        },
+        30s);
+    // Slices, usage reports and the window for first sendings.
+    run(10s);
+    return served;
+}
+
+std::uint64_t entry_world::send(std::size_t entry,
+                                ports::caller_request request,
+                                duration delay)
+{
+    std::uint64_t const id = ++last_sending_;
+    request.headers.push_back({sending_header, std::to_string(id)});
+    sendings_[id] = {id, nullptr, std::move(request), 0, {}};
+    time.after(delay,
+               [this, id, entry]
+               {
+                   read(id, nodes_[entry]);
+               });
+    return id;
+}
+
+void entry_world::read(std::uint64_t id, node_pointer const& who)
+{
+    hand(who,
+         [this, id, who](
+             entry_engine& engine, time_point now, ports::actions& out)
+         {
+             auto& one = sendings_.at(id);
+             one.reader = who;
+             engine.on_caller_request(now, id, one.request, out);
+             time.after(one.request.deadline + answer_grace,
+                        [this, id, who]
+                        {
+                            bool const there = !who->ended && !who->frozen;
+                            if (there && !answered(id))
+                            {
+                                fail("sending " + std::to_string(id) +
+                                     " was not answered in time");
+                            }
+                        });
+         });
+}
+
+sending const& entry_world::at(std::uint64_t id) const
+{
+    return sendings_.at(id);
+}
+
+bool entry_world::answered(std::uint64_t id) const
+{
+    return sendings_.at(id).answers > 0;
+}
+
+std::uint32_t entry_world::runs(std::string const& body) const
+{
+    auto const found = runs_.find(body);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+std::uint32_t entry_world::running() const
+{
+    std::uint32_t sum = 0;
+    for (auto const& [id, one] : upstreams_)
+    {
+        sum += one.running;
+    }
+    return sum;
+}
+
+std::size_t entry_world::owner_of(std::string const& key) const
+{
+    auto const partition =
+        core::common::partition_of(core::requests::full_key(customer, key));
+    for (std::size_t at = 0; at < nodes_.size(); ++at)
+    {
+        auto const& who = nodes_[at];
+        if (who && !who->ended && !who->frozen &&
+            who->engine->claims().owns(
+                time.now(),
+                core::requests::partition_name(partition),
+                who->engine->members()))
+        {
+            return at;
+        }
+    }
+    return nodes_.size();
+}
+
+std::size_t entry_world::other_than(std::size_t entry) const
+{
+    return entry == 0 ? 1 : 0;
+}
+
+void entry_world::put_contract(std::uint32_t in_flight)
+{
+    ++revision_;
+    core::contracts::contract limits;
+    limits.customer = customer;
+    limits.requests_in_flight = in_flight;
+    limits.requests_per_second = 100'000;
+    limits.latency_target = 2s;
+    limits.batch_latency_target = 10s;
+    auto const document = core::config::document_name(revision_, "w");
+    core::config::index_document index;
+    index.revision = revision_;
+    index.write_id = "w" + std::to_string(revision_);
+    index.contracts[customer] = {revision_, false, document};
+    store.contents.apply(
+        ports::store_write{core::config::document_key(customer, document),
+                           core::contracts::to_json(limits),
+                           0});
+    std::string const key(core::config::index_key);
+    auto const* known = store.contents.find(key);
+    store.contents.apply(ports::store_write{
+        key, core::config::to_json(index), known ? known->version : 0});
+    limit_ = in_flight;
+    limit_since_ = time.now();
+}
+
+void entry_world::cut(std::size_t from, std::size_t to, bool is_cut)
+{
+    auto const way = std::pair("10.0.0." + std::to_string(from),
+                               "10.0.0." + std::to_string(to));
+    if (is_cut)
+    {
+        link.faults.cut.insert(way);
+    }
+    else
+    {
+        link.faults.cut.erase(way);
+    }
+}
+
+std::uint32_t entry_world::in_flight() const
+{
+    std::uint32_t sum = 0;
+    for (auto const& who : nodes_)
+    {
+        sum += who && !who->ended ? who->engine->in_flight(customer) : 0;
+    }
+    return sum;
+}
+
+void entry_world::tick(node_pointer const& who)
+{
+    if (who->ended)
+    {
+        return;
+    }
+    if (!who->frozen)
+    {
+        run_in(who,
+               [](entry_engine& engine, time_point now, ports::actions& out)
+               {
+                   engine.tick(now, out);
+               });
+    }
+    time.after(tick_interval + duration(random_() % 5000),
+               [this, who]
+               {
+                   tick(who);
+               });
+}
+
+void entry_world::hand(node_pointer const& who, event const& what)
+{
+    if (!who || who->ended)
+    {
+        return;
+    }
+    if (who->frozen)
+    {
+        who->inbox.push_back(
+            [this, who, what]
+            {
+                run_in(who, what);
+            });
+        return;
+    }
+    run_in(who, what);
+}
+
+void entry_world::run_in(node_pointer const& who, event const& what)
+{
+    if (who->ended)
+    {
+        return;
+    }
+    ports::actions out;
+    what(*who->engine, time.now(), out);
+    perform(who, out);
+    check_contract();
+}
+
+void entry_world::perform(node_pointer const& who,
+                          ports::actions const& actions)
+{
+    for (auto const& action : actions)
+    {
+        if (auto const* call = std::get_if<ports::store_call>(&action))
+        {
+            store.call(who->address,
+                       *call,
+                       [this, who](ports::store_reply const& reply)
+                       {
+                           hand(who,
+                                [reply](entry_engine& engine,
+                                        time_point now,
+                                        ports::actions& out)
+                                {
+                                    engine.on_store_reply(now, reply, out);
+                                });
+                       });
+        }
+        else if (auto const* message = std::get_if<ports::peer_send>(&action))
+        {
+            link.send(who->address, who->id, *message);
+        }
+        else if (auto const* request =
+                     std::get_if<ports::upstream_send>(&action))
+        {
+            run_on_upstream(who, *request);
+        }
+        else if (auto const* reply = std::get_if<ports::caller_reply>(&action))
+        {
+            on_reply(*reply);
+        }
+        else if (std::holds_alternative<ports::stop_complete>(action))
+        {
+            who->stopped = true;
+            who->ended = true;
+        }
+        else if (std::holds_alternative<ports::rejoin>(action))
+        {
+            // Its callers are answered before it goes on as a new incarnation.
+            auto const slot = static_cast<std::size_t>(
+                std::find(nodes_.begin(), nodes_.end(), who) - nodes_.begin());
+            time.after(0ms,
+                       [this, who, slot]
+                       {
+                           ports::actions last;
+                           who->engine->retire(time.now(), last);
+                           perform(who, last);
+                           if (slot < nodes_.size() && !who->ended)
+                           {
+                               retired_.push_back(who);
+                               begin(slot);
+                           }
+                       });
+        }
+    }
+}
+
+void entry_world::run_on_upstream(node_pointer const& who,
+                                  ports::upstream_send const& what)
+{
+    using enum ports::exchange_status;
+    if (chance(faults.not_sent_permille))
+    {
+        end_later(who, what.exchange, not_sent, what.request, 1ms);
+        return;
+    }
+    duration const way = 1ms;
+    duration const spread = faults.slowest - faults.fastest;
+    duration const service =
+        faults.fastest +
+        duration(static_cast<std::int64_t>(
+            random_() % static_cast<std::uint64_t>(spread.count() + 1)));
+    bool const loses = chance(faults.lost_permille);
+    time.after(way,
+               [this, what]
+               {
+                   begin_on_upstream(what);
+               });
+    time.after(way + service,
+               [this, id = what.upstream]
+               {
+                   --upstreams_.at(id).running;
+               });
+    end_later(who,
+              what.exchange,
+              loses ? lost : answered,
+              what.request,
+              loses ? 2 * way : 2 * way + service);
+}
+
+void entry_world::begin_on_upstream(ports::upstream_send const& what)
+{
+    auto& one = upstreams_.at(what.upstream);
+    if (++one.running > options_.slots)
+    {
+        fail(what.upstream + " got more work than it holds");
+    }
+    auto const& request = what.request;
+    ran_sendings_.insert(sending_of(request));
+    std::uint32_t const runs = ++runs_[request.body];
+    if (request.method == "POST" && runs > 1)
+    {
+        fail(request.body + " ran twice");
+    }
+    std::uint64_t const id = std::stoull(sending_of(request));
+    auto const& from = sendings_.at(id);
+    if (from.answers > 0 && from.answer.says == outcome::not_run)
+    {
+        fail("sending " + std::to_string(id) + " ran after it was refused");
+    }
+}
+
+void entry_world::end_later(node_pointer const& who,
+                            std::uint64_t exchange,
+                            ports::exchange_status status,
+                            ports::caller_request const& request,
+                            duration wait)
+{
+    ports::upstream_end end;
+    end.exchange = exchange;
+    end.status = status;
+    if (status == ports::exchange_status::answered)
+    {
+        end.http_status = 200;
+        end.body = request.body;
+    }
+    time.after(wait,
+               [this, who, end]
+               {
+                   hand(who,
+                        [end](entry_engine& engine,
+                              time_point now,
+                              ports::actions& out)
+                        {
+                            engine.on_upstream_end(now, end, out);
+                        });
+               });
+}
+
+void entry_world::on_reply(ports::caller_reply const& reply)
+{
+    auto& one = sendings_.at(reply.caller);
+    std::string const name = "sending " + std::to_string(one.id);
+    if (++one.answers > 1)
+    {
+        fail(name + " was answered twice");
+    }
+    one.answer = reply.answer;
+    bool const ran = ran_sendings_.contains(std::to_string(one.id));
+    if (reply.answer.says == outcome::ran &&
+        reply.answer.body != one.request.body)
+    {
+        fail(name + " got another's answer");
+    }
+    if (reply.answer.says == outcome::not_run && ran)
+    {
+        fail(name + " was told it did not run, but it did");
+    }
+    bool const later = one.request.attempt > 1 && runs(one.request.body) > 0;
+    if (reply.answer.says == outcome::not_run && later)
+    {
+        fail(name + " was told its key did not run, but it did");
+    }
+}
+
+void entry_world::publish_list()
+{
+    ports::instance_list list;
+    for (auto const& [id, one] : upstreams_)
+    {
+        ports::upstream_instance listed;
+        listed.id = id;
+        listed.where = {"10.1.0.1", 80};
+        listed.data_centre = "dc-0";
+        listed.slots = options_.slots;
+        listed.connections = 60;
+        listed.slots_in_use = one.running;
+        list.upstreams.push_back(std::move(listed));
+    }
+    for (auto const& who : nodes_)
+    {
+        if (who && !who->ended)
+        {
+            list.members.push_back(who->id.name);
+        }
+    }
+    static constexpr duration lag = 400ms;
+    time.after(lag,
+               [this, list]() mutable
+               {
+                   list.received = time.now();
+                   for (auto& one : list.upstreams)
+                   {
+                       one.report_age = lag;
+                   }
+                   for (auto const& who : nodes_)
+                   {
+                       hand(who,
+                            [list](entry_engine& engine,
+                                   time_point now,
+                                   ports::actions& out)
+                            {
+                                engine.on_instances(now, list, out);
+                            });
+                   }
+               });
+    time.after(list_interval,
+               [this]
+               {
+                   publish_list();
+               });
+}
+
+void entry_world::check_contract()
+{
+    bool const in_force = time.now() - limit_since_ > contract_grace;
+    if (in_force && in_flight() > limit_)
+    {
+        fail("more requests in flight than the contract allows");
+    }
+}
+
+void entry_world::fail(std::string what)
+{
+    if (violation.empty())
+    {
+        violation = std::move(what) + " at " +
+                    std::to_string(core::common::to_milliseconds(
+                        time.now().time_since_epoch())) +
+                    " ms";
+    }
+}
+
+bool entry_world::chance(std::uint32_t permille)
+{
+    return permille != 0 && random_() % 1000 < permille;
+}
+
+} // namespace fuchsia::tests::unit::requests
