--- /dev/null
+++ b/tools/load/bench_world.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/common/time.hpp"
+#include "ports/store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace fuchsia::tools::load
+{
+
+/// Virtual time for the bench: events in the order of their times, and of
+/// their making where these are equal.
+class bench_world
+{
+public:
+    using time_point = core::common::time_point;
+    using duration = core::common::duration;
+
+    explicit bench_world(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    time_point now() const noexcept
+    {
+        return now_;
+    }
+
+    void after(duration delay, std::function<void()> run)
+    {
+        events_.emplace(now_ + delay, std::move(run));
+    }
+
+    void run_until(time_point end)
+    {
+        while (!events_.empty() && events_.begin()->first <= end)
+        {
+            auto node = events_.extract(events_.begin());
+            now_ = node.key();
+            node.mapped()();
+        }
+        now_ = end;
+    }
+
+    /// Uniform below `bound`; the same on every machine.
+    std::uint64_t below(std::uint64_t bound)
+    {
+        return random_() % bound;
+    }
+
+private:
+    time_point now_{std::chrono::hours(1)};
+    std::multimap<time_point, std::function<void()>> events_;
+    std::mt19937_64 random_;
+};
+
+/// A store without faults for the bench: versions and compare-and-swap.
+class bench_store
+{
+public:
+    ports::store_reply apply(ports::store_call const& call);
+    void put(std::string const& key, std::string value);
+
+private:
+    ports::store_status
+    swap(std::string const& key, std::uint64_t expected, std::string const* to);
+    void list(std::string const& prefix, ports::store_reply& reply) const;
+
+    std::map<std::string, ports::store_entry> entries_;
+    std::uint64_t index_ = 0;
+};
+
+/// Folds the outcome of each decision into one number: a change of any
+/// decision changes it.
+class signature
+{
+public:
+    void add(std::string_view text) noexcept;
+    std::uint64_t value() const noexcept;
+    std::uint64_t count() const noexcept;
+
+private:
+    std::uint64_t value_ = 0;
+    std::uint64_t count_ = 0;
+};
+
+} // namespace fuchsia::tools::load
