--- a/src/core/tasks/cell_runner.cpp
+++ b/src/core/tasks/cell_runner.cpp
@@ -367,6 +367,11 @@
         load.queued_millicores +=
             log_.state().jobs.at(task.key.job).what.declared.millicores;
     }
+    load.queued_tasks = static_cast<std::int64_t>(queue_.size());
+    load.running_tasks = static_cast<std::int64_t>(runs_.size());
+    load.ended_jobs = static_cast<std::int64_t>(ended_at_.size());
+    load.live_jobs =
+        static_cast<std::int64_t>(log_.state().jobs.size()) - load.ended_jobs;
     with.loads.set_own(cell_, load);
 }
 
--- a/src/core/tasks/job_desk.cpp
+++ b/src/core/tasks/job_desk.cpp
@@ -164,15 +164,6 @@
     begin(with, std::move(next));
 }
 
-void job_desk::on_totals_asked(desk_context& with, std::uint64_t caller)
-{
-    errand next;
-    next.caller = caller;
-    next.what = purpose::totals;
-    next.at = step::listing_inbox;
-    begin(with, std::move(next));
-}
-
 void job_desk::post_stop(desk_context& with, job_stopped const& what)
 {
     errand next;
@@ -481,9 +472,6 @@
     case purpose::list:
         answer(with, of, 200, to_json(jobs, of.state));
         return false;
-    case purpose::totals:
-        answer(with, of, 200, to_json(totals_of(jobs)));
-        return false;
     case purpose::cancel:
     case purpose::stop:
         return false;
--- a/src/core/tasks/job_desk.hpp
+++ b/src/core/tasks/job_desk.hpp
@@ -60,8 +60,6 @@
 
     /// Answers by a `caller_reply`, now or later.
     void on_request(desk_context& with, job_request request);
-    /// The totals of all tasks as JSON, for the status page.
-    void on_totals_asked(desk_context& with, std::uint64_t caller);
     /// Has all cells stop a job that was found to be at fault.
     void post_stop(desk_context& with, job_stopped const& what);
 
@@ -86,7 +84,6 @@
         cancel,
         list,
         show,
-        totals,
         stop, ///< Of the planner itself; answers nobody.
     };
     struct errand
--- a/src/core/tasks/job_view.cpp
+++ b/src/core/tasks/job_view.cpp
@@ -238,21 +238,6 @@
     return out;
 }
 
-task_totals totals_of(std::map<std::string, job_view> const& jobs)
-{
-    task_totals out;
-    out.jobs = jobs.size();
-    for (auto const& [id, view] : jobs)
-    {
-        out.queued += view.queued;
-        out.running += view.running;
-        out.finished += view.finished;
-        out.failed += view.failed;
-        out.cancelled += view.cancelled;
-    }
-    return out;
-}
-
 std::string to_json(job_view const& value, bool with_tasks)
 {
     auto out = encoded(value);
@@ -295,14 +280,4 @@
     return json::serialize(json::object{{"jobs", std::move(list)}});
 }
 
-std::string to_json(task_totals const& value)
-{
-    return json::serialize(json::object{{"jobs", value.jobs},
-                                        {"queued", value.queued},
-                                        {"running", value.running},
-                                        {"finished", value.finished},
-                                        {"failed", value.failed},
-                                        {"cancelled", value.cancelled}});
-}
-
 } // namespace fuchsia::core::tasks
--- a/src/core/tasks/job_view.hpp
+++ b/src/core/tasks/job_view.hpp
@@ -38,17 +38,6 @@
     std::vector<task_view> tasks;
 };
 
-/// Tasks by state over all jobs.
-struct task_totals
-{
-    std::uint64_t jobs = 0;
-    std::uint64_t queued = 0;
-    std::uint64_t running = 0;
-    std::uint64_t finished = 0;
-    std::uint64_t failed = 0;
-    std::uint64_t cancelled = 0;
-};
-
 /// The jobs in the entries below `inbox/` and then `tasks/`, in this order of
 /// reading: a job that was taken in between is then seen twice rather than
 /// not at all.
@@ -57,11 +46,8 @@
         std::vector<ports::store_entry> const& cells,
         config::configuration const& config);
 
-task_totals totals_of(std::map<std::string, job_view> const& jobs);
-
 std::string to_json(job_view const& value, bool with_tasks);
 std::string to_json(std::map<std::string, job_view> const& jobs,
                     std::string const& only_state);
-std::string to_json(task_totals const& value);
 
 } // namespace fuchsia::core::tasks
--- a/src/core/tasks/load_board.cpp
+++ b/src/core/tasks/load_board.cpp
@@ -3,6 +3,7 @@
 #include "core/common/json.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <vector>
 
@@ -23,7 +24,11 @@
             load.largest.millicores,
             load.largest.memory_mb,
             load.largest.accelerators,
-            load.queued_millicores};
+            load.queued_millicores,
+            load.queued_tasks,
+            load.running_tasks,
+            load.ended_jobs,
+            load.live_jobs};
 }
 
 std::string to_json(std::map<std::string, cell_load> const& cells)
@@ -38,11 +43,11 @@
 
 std::optional<cell_load> read_load(json::value const& value)
 {
-    if (!value.is_array() || value.as_array().size() != 7)
+    if (!value.is_array() || value.as_array().size() != 11)
     {
         return std::nullopt;
     }
-    std::array<std::int64_t, 7> numbers{};
+    std::array<std::int64_t, 11> numbers{};
     for (std::size_t index = 0; index < numbers.size(); ++index)
     {
         json::error_code error;
@@ -54,7 +59,11 @@
     }
     return cell_load{{numbers[0], numbers[1], numbers[2]},
                      {numbers[3], numbers[4], numbers[5]},
-                     numbers[6]};
+                     numbers[6],
+                     numbers[7],
+                     numbers[8],
+                     numbers[9],
+                     numbers[10]};
 }
 
 // The load of a cell that nobody has published: all of it is free.
@@ -232,6 +241,21 @@
     return better(one.second, other.second) ? one.first : other.first;
 }
 
+cell_load load_board::totals() const noexcept
+{
+    cell_load out;
+    for (auto const& [cell, each] : cells_)
+    {
+        out.free += each.load.free;
+        out.queued_millicores += each.load.queued_millicores;
+        out.queued_tasks += each.load.queued_tasks;
+        out.running_tasks += each.load.running_tasks;
+        out.ended_jobs += each.load.ended_jobs;
+        out.live_jobs += each.load.live_jobs;
+    }
+    return out;
+}
+
 void load_board::reserve(std::string const& cell, ports::resources const& sent)
 {
     auto const found = cells_.find(cell);
--- a/src/core/tasks/load_board.hpp
+++ b/src/core/tasks/load_board.hpp
@@ -21,6 +21,10 @@
     ports::resources free;    ///< Summed over its workers.
     ports::resources largest; ///< Free on the worker with most free cores.
     std::int64_t queued_millicores = 0;
+    std::int64_t queued_tasks = 0;
+    std::int64_t running_tasks = 0;
+    std::int64_t ended_jobs = 0; ///< Of those still listed.
+    std::int64_t live_jobs = 0;
 
     bool operator==(cell_load const&) const = default;
 };
@@ -59,6 +63,8 @@
     /// empty where none fits the wish.
     std::optional<std::string> choose(wish const& want,
                                       worker_book const& workers);
+    /// Sums over all cells, as last published; for the status page.
+    cell_load totals() const noexcept;
     /// Counts work sent there as used until its owner publishes again.
     void reserve(std::string const& cell, ports::resources const& sent);
 
--- a/src/core/tasks/planner_engine.cpp
+++ b/src/core/tasks/planner_engine.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr auto* role = "planner";
+/// Between two looks at a cell that no event concerned.
+constexpr common::duration round_interval = std::chrono::milliseconds(100);
 
 // Tells the follower which revision a promise carries.
 std::optional<std::uint64_t> revision_in(ports::peer_message const& message)
@@ -92,9 +94,22 @@
     member_.tick(now, out);
     follower_.tick(now, out);
     claims_.tick(now, member_, out);
+    if (now >= next_round_)
+    {
+        next_round_ = now + round_interval;
+        touch_all();
+    }
     pump(now, out);
 }
 
+void planner_engine::touch_all()
+{
+    for (auto const& [name, cell] : cells_)
+    {
+        touched_.insert(name);
+    }
+}
+
 // All that follows from what is known now. Called after every event, so that
 // a job that came in is committed and started without waiting for a tick.
 void planner_engine::pump(common::time_point now, ports::actions& out)
@@ -108,16 +123,7 @@
     }
     auto to_desk = desk(now, out);
     desk_.tick(to_desk);
-    for (auto& [name, cell] : cells_)
-    {
-        bool const was_active = cell->active();
-        auto with = context(now, name, out);
-        cell->tick(with);
-        if (cell->active() && !was_active)
-        {
-            deliver_inbox(now, *cell, out);
-        }
-    }
+    tick_cells(now, out);
     quotas_.tick(now, follower_.current().contracts, calls_, out);
     post_faulty(now, out);
     erase_notices(now, out);
@@ -125,6 +131,36 @@
     follow_stop(now, out);
 }
 
+// Each round begins with another cell: when the budget of store writes is
+// short, the same cells would else go without each time.
+void planner_engine::tick_cells(common::time_point now, ports::actions& out)
+{
+    auto const touched = std::exchange(touched_, {});
+    std::vector<std::string> order(touched.begin(), touched.end());
+    if (order.empty())
+    {
+        return;
+    }
+    auto const first = static_cast<std::ptrdiff_t>(++rounds_ % order.size());
+    std::rotate(order.begin(), order.begin() + first, order.end());
+    for (auto const& name : order)
+    {
+        auto const found = cells_.find(name);
+        if (found == cells_.end())
+        {
+            continue;
+        }
+        auto& cell = *found->second;
+        bool const was_active = cell.active();
+        auto with = context(now, name, out);
+        cell.tick(with);
+        if (cell.active() && !was_active)
+        {
+            deliver_inbox(now, cell, out);
+        }
+    }
+}
+
 void planner_engine::follow_config(ports::actions&)
 {
     auto const revision = follower_.current().revision;
@@ -135,6 +171,7 @@
     known_revision_ = revision;
     member_.set_config_revision(revision);
     quotas_.refresh();
+    touch_all();
 }
 
 void planner_engine::take_claims(common::time_point now, ports::actions& out)
@@ -185,6 +222,7 @@
 // it is released: the next owner reads a log that nobody adds to.
 void planner_engine::hand_over(common::time_point now, ports::actions& out)
 {
+    std::vector<std::string> released;
     for (auto const& name : releasing_)
     {
         auto const found = cells_.find(name);
@@ -200,8 +238,13 @@
         if (cell.idle() || cell.lost())
         {
             claims_.release(now, name, out);
+            released.push_back(name);
         }
     }
+    for (auto const& name : released)
+    {
+        drop_cell(name);
+    }
 }
 
 void planner_engine::deliver_inbox(common::time_point now,
@@ -294,6 +337,7 @@
         {
             auto with = context(now, tag->name, out);
             cell->second->on_store_reply(with, *tag, reply);
+            touched_.insert(tag->name);
         }
         break;
     case call_owner::inbox:
@@ -303,6 +347,7 @@
             {
                 deliver_inbox(now, *each, out);
             }
+            touch_all();
         }
         break;
     case call_owner::desk:
@@ -310,6 +355,7 @@
         break;
     case call_owner::quota:
         quotas_.on_store_reply(now, *tag, reply);
+        touch_all();
         break;
     case call_owner::load:
         loads_.on_store_reply(now, *tag, reply);
@@ -417,14 +463,6 @@
     desk_.on_request(to_desk, std::move(request));
 }
 
-void planner_engine::on_totals_asked(common::time_point now,
-                                     std::uint64_t caller,
-                                     ports::actions& out)
-{
-    auto to_desk = desk(now, out);
-    desk_.on_totals_asked(to_desk, caller);
-}
-
 void planner_engine::begin_stop(common::time_point now, ports::actions& out)
 {
     if (stop_since_)
@@ -523,4 +561,9 @@
     return out;
 }
 
+cell_load planner_engine::totals() const noexcept
+{
+    return loads_.totals();
+}
+
 } // namespace fuchsia::core::tasks
--- a/src/core/tasks/planner_engine.hpp
+++ b/src/core/tasks/planner_engine.hpp
@@ -71,10 +71,6 @@
     void on_job_request(common::time_point now,
                         job_request request,
                         ports::actions& out);
-    /// Totals of tasks by state, as JSON in a `caller_reply`.
-    void on_totals_asked(common::time_point now,
-                         std::uint64_t caller,
-                         ports::actions& out);
     /// A planned stop: nothing new is started, what is in commit ends, the
     /// cells are handed over, the record is removed; running tasks go on.
     /// Ends in `stop_complete`.
@@ -94,6 +90,8 @@
     cells() const noexcept;
     /// Racks whose reports this planner needs.
     std::vector<std::string> racks() const;
+    /// Tasks, jobs and free resources over all cells, some seconds old.
+    cell_load totals() const noexcept;
 
 private:
     cell_context context(common::time_point now,
@@ -102,6 +100,8 @@
     desk_context desk(common::time_point now, ports::actions& out);
     bool config_fresh(common::time_point now) const noexcept;
     void pump(common::time_point now, ports::actions& out);
+    void tick_cells(common::time_point now, ports::actions& out);
+    void touch_all();
     void take_claims(common::time_point now, ports::actions& out);
     void add_cell(common::time_point now,
                   claims::claim const& claim,
@@ -131,6 +131,10 @@
     task_counters counters_;
     std::map<std::string, std::unique_ptr<cell_runner>> cells_;
     std::set<std::string> releasing_; ///< Asked to hand over, not yet idle.
+    /// Cells that an event concerned; the others wait for the next round.
+    std::set<std::string> touched_;
+    common::time_point next_round_{};
+    std::uint64_t rounds_ = 0;
     std::uint64_t known_revision_ = 0;
     std::uint64_t notice_call_ = 0;
     bool workers_known_ = false;
--- /dev/null
+++ b/src/programs/planner/planner_program.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "adapters/daemon/shell.hpp"
+#include "adapters/platform/worker_client.hpp"
+#include "adapters/settings/planner_settings.hpp"
+#include "core/tasks/planner_engine.hpp"
+#include "programs/planner/administration.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fuchsia::programs::planner
+{
+
+/// `fuchsia-planner`: the engine on the decision thread, the shell that both
+/// daemons have, and a thread for the workers.
+class planner_program
+{
+public:
+    explicit planner_program(adapters::settings::planner_file settings);
+    ~planner_program();
+
+    /// The process' exit status; empty, with the reason, where it can't start.
+    std::optional<int> run(core::common::failure& reason);
+
+private:
+    // An engine of an earlier incarnation gets no answer to its calls.
+    struct call_out
+    {
+        std::uint64_t generation = 0;
+        ports::worker_call call;
+    };
+    struct reply_in
+    {
+        std::uint64_t generation = 0;
+        ports::worker_reply reply;
+    };
+
+    adapters::daemon::shell_events events();
+    void begin(core::common::time_point now);
+    void make_engine();
+    void tick(core::common::time_point now);
+    void catch_up(core::common::time_point now);
+    void on_request(core::common::time_point now,
+                    std::uint64_t id,
+                    adapters::http::request& request);
+    void on_store_reply(core::common::time_point now,
+                        ports::store_reply const& reply);
+    administration_view view();
+    boost::json::object status() const;
+    /// Performs what the engine and the administration asked for.
+    void perform();
+    void send_to_worker(ports::worker_call call);
+    void follow_racks();
+    void sample(core::common::time_point now);
+    std::optional<adapters::http::response>
+    screen(adapters::http::request const& request) const;
+
+    adapters::settings::planner_file settings_;
+    adapters::daemon::shell shell_;
+    adapters::runtime::duty workers_duty_{"workers"};
+    adapters::runtime::ring<call_out> calls_;
+    adapters::runtime::ring<reply_in> replies_;
+    adapters::runtime::ring<ports::worker_report> reports_;
+    adapters::runtime::ring<ports::worker_list> lists_;
+    adapters::runtime::ring<std::vector<std::string>> follows_;
+    std::unique_ptr<adapters::platform::worker_client> client_;
+
+    // Of the decision thread.
+    std::unique_ptr<core::tasks::planner_engine> engine_;
+    std::unique_ptr<administration> administration_;
+    ports::actions actions_;
+    administration_answers answers_;
+    std::uint64_t generation_ = 0;
+    std::uint32_t in_flight_ = 0;
+    std::vector<std::string> followed_;
+    core::common::time_point last_tick_{};
+    core::common::time_point next_sample_{};
+    // Of the workers' thread: the generation of each call in flight.
+    std::map<std::uint64_t, std::uint64_t> generations_;
+};
+
+} // namespace fuchsia::programs::planner
