Change the configuration by one compare-and-swap

Read the index, check that nobody else changed the same contract or data centre, write the contract's document under a key of its own, move the index. A lost answer of the swap is settled by reading back: the index names the writers of its 64 newest revisions.

--- a/src/core/config/configuration.cpp
+++ b/src/core/config/configuration.cpp
@@ -34,25 +34,50 @@
     }
 }
 
-void read_changed_at(common::json_reader& reader, configuration& value)
+std::map<std::string, std::uint64_t, std::less<>> read_revisions(
+    common::json_reader& reader, std::string_view key, std::int64_t least)
 {
-    auto const* object = reader.object("changed_at");
+    std::map<std::string, std::uint64_t, std::less<>> revisions;
+    auto const* object = reader.object(key);
     if (object == nullptr)
     {
-        return;
+        return revisions;
     }
-    common::json_reader revisions(*object, "configuration.changed_at");
+    common::json_reader inner(*object, "configuration." + std::string(key));
     for (auto const& member : *object)
     {
         std::string const name = member.key();
-        value.changed_at[name] = static_cast<std::uint64_t>(
-            revisions.integer(name, 1, max_revision));
+        if (!is_plain_name(name))
+        {
+            inner.fail(common::result_code::out_of_range, name, "a bad name");
+        }
+        revisions[name] = static_cast<std::uint64_t>(
+            inner.integer(name, least, max_revision));
+    }
+    if (!inner.ok())
+    {
+        reader.fail(inner.reason().code, key, inner.reason().why);
     }
-    if (!revisions.ok())
+    return revisions;
+}
+
+boost::json::object to_json_object(
+    std::map<std::string, std::uint64_t, std::less<>> const& revisions)
+{
+    boost::json::object object;
+    for (auto const& [name, revision] : revisions)
     {
-        reader.fail(
-            revisions.reason().code, "changed_at", revisions.reason().why);
+        object[name] = revision;
     }
+    return object;
+}
+
+std::uint64_t
+find_revision(std::map<std::string, std::uint64_t, std::less<>> const& in,
+              std::string_view name) noexcept
+{
+    auto const found = in.find(name);
+    return found == in.end() ? 0 : found->second;
 }
 
 /// Every contract and every withdrawal has the revision that brought it, none
@@ -85,6 +110,18 @@
 
 } // namespace
 
+std::uint64_t contract_changed_at(configuration const& value,
+                                  std::string_view customer) noexcept
+{
+    return find_revision(value.changed_at, customer);
+}
+
+std::uint64_t data_centre_changed_at(configuration const& value,
+                                     std::string_view data_centre) noexcept
+{
+    return find_revision(value.data_centres, data_centre);
+}
+
 std::string to_json(configuration const& value)
 {
     boost::json::array contracts;
@@ -92,18 +129,13 @@
     {
         contracts.push_back(boost::json::parse(contracts::to_json(contract)));
     }
-    boost::json::object changed_at;
-    for (auto const& [customer, revision] : value.changed_at)
-    {
-        changed_at[customer] = revision;
-    }
     boost::json::object const object{
         {"revision", value.revision},
         {"contracts", std::move(contracts)},
         {"withdrawn", to_json_array(value.withdrawn)},
         {"data_centres_out", to_json_array(value.data_centres_out)},
-        {"data_centres", to_json_array(value.data_centres)},
-        {"changed_at", std::move(changed_at)},
+        {"data_centres", to_json_object(value.data_centres)},
+        {"changed_at", to_json_object(value.changed_at)},
     };
     return boost::json::serialize(object);
 }
@@ -129,10 +161,10 @@
     value.revision =
         static_cast<std::uint64_t>(reader.integer("revision", 1, max_revision));
     read_contracts(reader, value);
-    read_changed_at(reader, value);
+    value.changed_at = read_revisions(reader, "changed_at", 1);
     value.withdrawn = read_name_set(reader, "withdrawn");
     value.data_centres_out = read_name_set(reader, "data_centres_out");
-    value.data_centres = read_name_set(reader, "data_centres");
+    value.data_centres = read_revisions(reader, "data_centres", 0);
     if (reader.ok() && !agrees(value))
     {
         reader.fail(common::result_code::inconsistent,
--- a/src/core/config/follower.cpp
+++ b/src/core/config/follower.cpp
@@ -407,8 +407,14 @@
     }
     configuration newer;
     newer.revision = fetch_->index.revision;
-    newer.data_centres_out = fetch_->index.data_centres_out;
-    newer.data_centres = fetch_->index.data_centres;
+    for (auto const& [name, entry] : fetch_->index.data_centres)
+    {
+        newer.data_centres[name] = entry.revision;
+        if (entry.out)
+        {
+            newer.data_centres_out.insert(name);
+        }
+    }
     newer.contracts = std::move(fetch_->loaded);
     for (auto const& [customer, entry] : fetch_->index.contracts)
     {
--- a/src/core/config/index.cpp
+++ b/src/core/config/index.cpp
@@ -44,6 +44,83 @@
     return entry;
 }
 
+bool read_contracts(boost::json::object const& contracts,
+                    index_document& value,
+                    common::failure& reason)
+{
+    for (auto const& member : contracts)
+    {
+        std::string customer = member.key();
+        auto entry =
+            read_entry(member.value(), customer, value.revision, reason);
+        if (!entry)
+        {
+            return false;
+        }
+        value.contracts.emplace(std::move(customer), std::move(*entry));
+    }
+    return true;
+}
+
+bool read_data_centres(boost::json::object const& data_centres,
+                       index_document& value,
+                       common::failure& reason)
+{
+    for (auto const& member : data_centres)
+    {
+        std::string name = member.key();
+        std::string const where = "index.data_centres." + name;
+        if (!member.value().is_object() || !is_plain_name(name))
+        {
+            reason = {common::result_code::wrong_type,
+                      where,
+                      "an object under a plain name is expected"};
+            return false;
+        }
+        common::json_reader reader(member.value().get_object(), where);
+        data_centre_entry entry;
+        entry.revision = static_cast<std::uint64_t>(reader.integer(
+            "revision", 0, static_cast<std::int64_t>(value.revision)));
+        entry.out = reader.flag_or("out", false);
+        if (!reader.ok())
+        {
+            reason = reader.reason();
+            return false;
+        }
+        value.data_centres.emplace(std::move(name), entry);
+    }
+    return true;
+}
+
+void read_recent_writes(common::json_reader& reader, index_document& value)
+{
+    auto const* array = reader.array("recent_writes");
+    if (array == nullptr)
+    {
+        return;
+    }
+    for (auto const& item : *array)
+    {
+        if (!item.is_object())
+        {
+            reader.fail(common::result_code::wrong_type,
+                        "recent_writes",
+                        "objects are expected");
+            return;
+        }
+        common::json_reader inner(item.get_object(), "index.recent_writes");
+        auto const revision = static_cast<std::uint64_t>(inner.integer(
+            "revision", 1, static_cast<std::int64_t>(value.revision)));
+        value.recent_writes[revision] = inner.text("write_id");
+        if (!inner.ok())
+        {
+            reader.fail(
+                inner.reason().code, "recent_writes", inner.reason().why);
+            return;
+        }
+    }
+}
+
 } // namespace
 
 std::string to_json(index_document const& value)
@@ -62,12 +139,22 @@
         }
         contracts[customer] = std::move(item);
     }
+    boost::json::object data_centres;
+    for (auto const& [name, entry] : value.data_centres)
+    {
+        data_centres[name] = {{"revision", entry.revision}, {"out", entry.out}};
+    }
+    boost::json::array recent_writes;
+    for (auto const& [revision, write_id] : value.recent_writes)
+    {
+        recent_writes.push_back(boost::json::object{{"revision", revision},
+                                                    {"write_id", write_id}});
+    }
     boost::json::object const object{
         {"revision", value.revision},
         {"contracts", std::move(contracts)},
-        {"data_centres_out", to_json_array(value.data_centres_out)},
-        {"data_centres", to_json_array(value.data_centres)},
-        {"write_id", value.write_id},
+        {"data_centres", std::move(data_centres)},
+        {"recent_writes", std::move(recent_writes)},
     };
     return boost::json::serialize(object);
 }
@@ -84,29 +171,22 @@
     index_document value;
     value.revision =
         static_cast<std::uint64_t>(reader.integer("revision", 1, max_revision));
-    value.write_id = reader.text("write_id");
-    value.data_centres_out = read_name_set(reader, "data_centres_out");
-    value.data_centres = read_name_set(reader, "data_centres");
+    read_recent_writes(reader, value);
     auto const* contracts = reader.object("contracts");
+    auto const* data_centres = reader.object("data_centres");
     if (!reader.ok())
     {
         reason = reader.reason();
         return std::nullopt;
     }
-    if (contracts == nullptr)
+    if (contracts != nullptr && !read_contracts(*contracts, value, reason))
     {
-        return value;
+        return std::nullopt;
     }
-    for (auto const& member : *contracts)
+    if (data_centres != nullptr &&
+        !read_data_centres(*data_centres, value, reason))
     {
-        std::string customer = member.key();
-        auto entry =
-            read_entry(member.value(), customer, value.revision, reason);
-        if (!entry)
-        {
-            return std::nullopt;
-        }
-        value.contracts.emplace(std::move(customer), std::move(*entry));
+        return std::nullopt;
     }
     return value;
 }
--- a/src/core/config/index.hpp
+++ b/src/core/config/index.hpp
@@ -3,10 +3,10 @@
 #include "core/common/result_code.hpp"
 #include "core/config/configuration.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -31,16 +31,29 @@
     bool operator==(index_entry const&) const = default;
 };
 
+/// One data centre in the index.
+struct data_centre_entry
+{
+    /// At which it was last taken out or in; 0: only seen so far.
+    std::uint64_t revision = 0;
+    bool out = false;
+
+    bool operator==(data_centre_entry const&) const = default;
+};
+
+/// Revisions whose writers the index remembers. A writer whose answer was lost
+/// can tell its fate unless this many changes came in between.
+constexpr std::size_t max_recent_writes = 64;
+
 /// The value of `config/index`.
 struct index_document
 {
     std::uint64_t revision = 0;
     std::map<std::string, index_entry, std::less<>> contracts;
-    std::set<std::string, std::less<>> data_centres_out;
-    std::set<std::string, std::less<>> data_centres; ///< All known ones.
-    /// Names the write that brought this revision, so that a writer whose
-    /// answer was lost can tell whether the revision is its own.
-    std::string write_id;
+    std::map<std::string, data_centre_entry, std::less<>> data_centres;
+    /// Write ids of the newest revisions, so that a writer whose answer was
+    /// lost can tell whether a revision is its own.
+    std::map<std::uint64_t, std::string> recent_writes;
 
     bool operator==(index_document const&) const = default;
 };
--- a/tests/contract/config/follower_test.cpp
+++ b/tests/contract/config/follower_test.cpp
@@ -48,12 +48,14 @@
     /// Writes the index and documents as a writer would.
     void publish(std::uint64_t revision,
                  std::vector<core::contracts::contract> const& contracts,
-                 std::set<std::string, std::less<>> out_of_service = {})
+                 std::vector<std::string> const& out_of_service = {})
     {
         index_document index;
         index.revision = revision;
-        index.write_id = "test";
-        index.data_centres_out = std::move(out_of_service);
+        for (auto const& name : out_of_service)
+        {
+            index.data_centres[name] = {revision, true};
+        }
         for (auto const& contract : contracts)
         {
             // Equal contracts keep the document of their first revision.
@@ -175,6 +177,7 @@
 {
     follower_bench bench;
     std::vector<core::contracts::contract> contracts;
+    contracts.reserve(41);
     for (int number = 0; number < 41; ++number)
     {
         contracts.push_back(contract_of("team-" + std::to_string(number), 1));
