Answer the administration API but for its jobs

Contracts, data centres, revisions, members and status as a pure part of the planner: requests and store replies in, store calls and answers out.

A revision is in force when every member whose record stands, of both roles, tells it or a later one. A crashed member counts until it is buried, since it may be frozen and wake up.

Removing a member takes the place of its witnesses' consent and of nothing else: the record must stand still for the burial time and the burial is a compare-and-swap on that version.

--- /dev/null
+++ b/src/programs/planner/administration_message.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "adapters/http/message.hpp"
+#include "core/common/result_code.hpp"
+#include "core/common/time.hpp"
+#include "core/config/follower.hpp"
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Reading of administration requests and writing of their answers.
+namespace fuchsia::programs::planner
+{
+
+struct parsed_target
+{
+    std::vector<std::string> path; ///< Without the leading "v1".
+    std::map<std::string, std::string, std::less<>> query;
+};
+
+/// Empty where the path is not below /v1/.
+std::optional<parsed_target> parse_target(std::string_view target);
+
+std::optional<std::uint64_t> parse_number(std::string_view text) noexcept;
+
+/// Reads `{"state":"out"}` or `{"state":"in"}`; whether it is out.
+std::optional<bool> parse_data_centre_state(std::string_view body,
+                                            core::common::failure& reason);
+
+adapters::http::response json_answer(boost::json::object const& body);
+
+/// A refusal that tells the newest revision beside its reason.
+adapters::http::response conflict_answer(core::common::failure const& reason,
+                                         std::uint64_t revision);
+
+/// Milliseconds since the store last confirmed the configuration; null where
+/// it never did.
+boost::json::value confirmed_ms_ago(core::common::time_point now,
+                                    core::config::follower const& follower);
+
+} // namespace fuchsia::programs::planner
--- /dev/null
+++ b/src/programs/planner/administration_removal.cpp
@@ -0,0 +1,178 @@
+#include "programs/planner/administration_removal.hpp"
+
+#include <utility>
+
+namespace fuchsia::programs::planner
+{
+
+namespace
+{
+
+using core::common::result_code;
+
+constexpr core::common::duration retry_interval =
+    std::chrono::milliseconds(200);
+/// Beyond the time that the record must stand still.
+constexpr core::common::duration give_up_after = std::chrono::seconds(5);
+
+} // namespace
+
+member_removal::member_removal(core::common::duration bury,
+                               std::string role,
+                               std::string name,
+                               std::uint64_t write_id)
+    : bury_(bury), role_(std::move(role)), name_(std::move(name)),
+      key_(core::membership::members_prefix(role_) + name_), write_id_(write_id)
+{
+}
+
+void member_removal::start(core::common::time_point now,
+                           std::uint64_t& next_call,
+                           ports::actions& out)
+{
+    give_up_at_ = now + bury_ + give_up_after;
+    due_ = now;
+    tick(now, next_call, out);
+}
+
+void member_removal::tick(core::common::time_point now,
+                          std::uint64_t& next_call,
+                          ports::actions& out)
+{
+    if (result_ || waiting_for_ || now < due_)
+    {
+        return;
+    }
+    if (now >= give_up_at_)
+    {
+        finish(result_code::store_unavailable,
+               "the store did not answer in time; nothing was changed");
+        return;
+    }
+    ports::store_operation operation = ports::store_read{key_};
+    if (!reading_)
+    {
+        auto buried = *seen_;
+        buried.buried = true;
+        buried.write_id = write_id_;
+        operation = ports::store_write{key_, to_json(buried), version_};
+    }
+    waiting_for_ = next_call++;
+    out.emplace_back(
+        ports::store_call{{ports::store_user::administration, *waiting_for_},
+                          std::move(operation)});
+}
+
+bool member_removal::on_store_reply(core::common::time_point now,
+                                    ports::store_reply const& reply,
+                                    std::uint64_t& next_call,
+                                    ports::actions& out)
+{
+    if (!waiting_for_ || reply.id.number != *waiting_for_)
+    {
+        return false;
+    }
+    waiting_for_.reset();
+    if (reading_)
+    {
+        on_record(now, reply);
+    }
+    else
+    {
+        on_write(now, reply.status);
+    }
+    tick(now, next_call, out);
+    return true;
+}
+
+std::string const& member_removal::key() const noexcept
+{
+    return key_;
+}
+
+std::optional<core::common::failure> const&
+member_removal::result() const noexcept
+{
+    return result_;
+}
+
+void member_removal::on_record(core::common::time_point now,
+                               ports::store_reply const& reply)
+{
+    if (reply.status != ports::store_status::done)
+    {
+        pause(now, retry_interval);
+        return;
+    }
+    if (reply.entries.empty())
+    {
+        // After the first read: removed by itself or by another.
+        finish(seen_ ? result_code::ok : result_code::not_found,
+               "the store has no record of it");
+        return;
+    }
+    auto const& entry = reply.entries.front();
+    core::common::failure reason;
+    auto record =
+        core::membership::parse_record(role_, name_, entry.value, reason);
+    if (!record)
+    {
+        finish(reason.code, reason.why);
+        return;
+    }
+    if (record->buried)
+    {
+        finish(result_code::ok, {});
+        return;
+    }
+    if (seen_ && entry.version != version_)
+    {
+        unclear_ = false;
+        finish(result_code::conflict, "it beat meanwhile: it is running");
+        return;
+    }
+    // Unchanged after a write whose answer was lost: the same write again.
+    pause(now, seen_ ? retry_interval : bury_);
+    seen_ = std::move(record);
+    version_ = entry.version;
+    reading_ = false;
+}
+
+void member_removal::on_write(core::common::time_point now,
+                              ports::store_status status)
+{
+    switch (status)
+    {
+    case ports::store_status::done:
+        finish(result_code::ok, {});
+        return;
+    case ports::store_status::unavailable:
+        pause(now, retry_interval);
+        return;
+    case ports::store_status::unclear:
+        unclear_ = true;
+        [[fallthrough]];
+    case ports::store_status::conflict:
+        reading_ = true;
+        due_ = now;
+        return;
+    }
+}
+
+void member_removal::pause(core::common::time_point now,
+                           core::common::duration length)
+{
+    due_ = now + length;
+}
+
+void member_removal::finish(result_code code, std::string why)
+{
+    if (code != result_code::ok && unclear_)
+    {
+        code = result_code::store_unclear;
+        why = "the answer was lost and reading back did not settle it";
+    }
+    result_ = core::common::failure{code, key_, std::move(why)};
+}
+
+} // namespace fuchsia::programs::planner
