--- a/tools/load/bench_requests.cpp
+++ b/tools/load/bench_requests.cpp
@@ -72,7 +72,6 @@
     {
         core::config::index_document index;
         index.revision = 1;
-        index.write_id = "bench";
         for (auto const* const customer : customers)
         {
             core::contracts::contract contract;
