--- a/src/programs/entry/caller_headers.cpp
+++ b/src/adapters/callers/caller_headers.cpp
@@ -1,4 +1,4 @@
-#include "programs/entry/caller_headers.hpp"
+#include "adapters/callers/caller_headers.hpp"
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-namespace fuchsia::programs::entry
+namespace fuchsia::adapters::callers
 {
 
 namespace
@@ -212,4 +212,4 @@
     return response;
 }
 
-} // namespace fuchsia::programs::entry
+} // namespace fuchsia::adapters::callers
--- a/src/programs/entry/caller_headers.hpp
+++ b/src/adapters/callers/caller_headers.hpp
@@ -7,19 +7,17 @@
 
 // Callers' HTTP messages and the requests and answers they stand for
 // (docs/API.md).
-namespace fuchsia::programs::entry
+namespace fuchsia::adapters::callers
 {
 
 /// Reads and checks the headers of a caller's request; `reason` names the
 /// header that is wrong. Takes the body and headers out of `message`.
 std::optional<ports::caller_request>
-parse_caller_request(adapters::http::request& message,
-                     core::common::failure& reason);
+parse_caller_request(http::request& message, core::common::failure& reason);
 
 /// The first thing wrong with a request's method or headers; empty where none.
-std::optional<core::common::failure>
-find_fault(adapters::http::request const& message);
+std::optional<core::common::failure> find_fault(http::request const& message);
 
-adapters::http::response to_response(ports::caller_answer answer);
+http::response to_response(ports::caller_answer answer);
 
-} // namespace fuchsia::programs::entry
+} // namespace fuchsia::adapters::callers
--- a/src/programs/entry/entry_program.cpp
+++ b/src/programs/entry/entry_program.cpp
@@ -1,6 +1,6 @@
 #include "programs/entry/entry_program.hpp"
 
-#include "programs/entry/caller_headers.hpp"
+#include "adapters/callers/caller_headers.hpp"
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -12,6 +12,7 @@
 {
 
 using core::common::clock;
+namespace callers = adapters::callers;
 namespace http = adapters::http;
 
 constexpr std::size_t sends_ring = 8192;
@@ -120,7 +121,7 @@
     events.screen =
         [](http::request const& message) -> std::optional<http::response>
     {
-        if (auto const fault = find_fault(message))
+        if (auto const fault = callers::find_fault(message))
         {
             return http::failure_response(*fault);
         }
@@ -146,7 +147,7 @@
                                http::request& message)
 {
     core::common::failure reason;
-    auto request = parse_caller_request(message, reason);
+    auto request = callers::parse_caller_request(message, reason);
     if (!request)
     {
         shell_.answer(id, http::failure_response(reason));
@@ -240,7 +241,7 @@
                        reply.answer,
                        now - found->second.received);
     waiting_.erase(found);
-    shell_.answer(reply.caller, to_response(std::move(reply.answer)));
+    shell_.answer(reply.caller, callers::to_response(std::move(reply.answer)));
 }
 
 void entry_program::send_upstream(time_point now, ports::upstream_send& send)
--- a/tests/unit/requests/entry_world.cpp
+++ b/tests/unit/requests/entry_world.cpp
@@ -353,7 +353,7 @@
     auto const document = core::config::document_name(revision_, "w");
     core::config::index_document index;
     index.revision = revision_;
-    index.write_id = "w" + std::to_string(revision_);
+    index.recent_writes[revision_] = "w";
     index.contracts[customer] = {revision_, false, document};
     store.contents.apply(
         ports::store_write{core::config::document_key(customer, document),
