--- a/src/core/requests/entry_engine.cpp
+++ b/src/core/requests/entry_engine.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-entry_engine::entry_engine(entry_settings settings,
-                           membership::member_info self,
+entry_engine::entry_engine(entry_settings const& settings,
+                           membership::member_info const& self,
                            std::uint64_t seed)
-    : settings_(consistent(std::move(settings))), random_(seed),
+    : settings_(consistent(settings)), random_(seed),
       members_(settings_.membership, self, seed ^ 1U),
       claims_("entry", partition_names()), follower_(settings_.configuration),
       slots_(settings_.upstreams, seed ^ 2U), keys_(settings_.keys),
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -82,8 +82,8 @@
 class entry_engine
 {
 public:
-    entry_engine(entry_settings settings,
-                 membership::member_info self,
+    entry_engine(entry_settings const& settings,
+                 membership::member_info const& self,
                  std::uint64_t seed);
 
     void start(common::time_point now, ports::actions& out);
--- a/src/core/requests/key_memory.cpp
+++ b/src/core/requests/key_memory.cpp
@@ -47,8 +47,8 @@
     return hash == 0 ? 1 : hash;
 }
 
-key_memory::key_memory(key_memory_settings settings)
-    : settings_(std::move(settings))
+key_memory::key_memory(key_memory_settings const& settings)
+    : settings_(settings)
 {
 }
 
--- a/src/core/requests/key_memory.hpp
+++ b/src/core/requests/key_memory.hpp
@@ -75,7 +75,7 @@
 class key_memory
 {
 public:
-    explicit key_memory(key_memory_settings settings);
+    explicit key_memory(key_memory_settings const& settings);
 
     /// The partition is ours; its memory holds all runs since `reaches_from`.
     /// Empty: all that ever were.
--- a/src/core/upstreams/slot_table.cpp
+++ b/src/core/upstreams/slot_table.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-slot_table::slot_table(settings settings, std::uint64_t seed)
-    : settings_(std::move(settings)), random_(seed), next_unseen_(first_unseen)
+slot_table::slot_table(settings const& chosen, std::uint64_t seed)
+    : settings_(chosen), random_(seed), next_unseen_(first_unseen)
 {
 }
 
--- a/src/core/upstreams/slot_table.hpp
+++ b/src/core/upstreams/slot_table.hpp
@@ -55,7 +55,7 @@
 class slot_table
 {
 public:
-    slot_table(settings settings, std::uint64_t seed);
+    slot_table(settings const& chosen, std::uint64_t seed);
 
     /// The partition is ours from now on. Unless `idle` its predecessor may
     /// have filled every slot just before.
--- a/src/programs/entry/entry_program.cpp
+++ b/src/programs/entry/entry_program.cpp
@@ -114,7 +114,8 @@
         engine_->begin_stop(now, actions_);
         perform(now, false);
     };
-    events.on_rejoin = [this](time_point now, ports::member_identity self)
+    events.on_rejoin =
+        [this](time_point now, ports::member_identity const& self)
     {
         on_rejoin(now, self);
     };
@@ -138,8 +139,7 @@
     info.data_centre = options_.daemon.data_centre;
     info.peer_address = shell_.peer_address();
     info.http_address = shell_.http_address();
-    return std::make_unique<engine>(
-        options_.engine, std::move(info), self_.incarnation);
+    return std::make_unique<engine>(options_.engine, info, self_.incarnation);
 }
 
 void entry_program::on_request(time_point now,
--- a/tests/unit/requests/entry_cases_test.cpp
+++ b/tests/unit/requests/entry_cases_test.cpp
@@ -17,7 +17,7 @@
     void begin(world_options options = {})
     {
         options.settings = short_settings();
-        world_ = std::make_unique<entry_world>(std::move(options));
+        world_ = std::make_unique<entry_world>(options);
         world_->start_all();
         ASSERT_TRUE(world_->settle());
     }
@@ -263,7 +263,6 @@
     options.upstreams = 6;
     options.slots = 1;
     options.in_flight = 1000;
-    options.settings.upstreams.max_execution = 30s;
     begin(options);
     world().faults.fastest = world().faults.slowest = 2900ms;
     for (int at = 0; at < 12; ++at)
@@ -363,8 +362,10 @@
     {
         wait_for(world().send(0, unkeyed("warm " + std::to_string(at))));
     }
+    constexpr std::size_t offered = 60;
     std::vector<std::uint64_t> sent;
-    for (int at = 0; at < 60; ++at)
+    sent.reserve(offered);
+    for (std::size_t at = 0; at < offered; ++at)
     {
         sent.push_back(world().send(0, unkeyed("load " + std::to_string(at))));
     }
--- a/tests/unit/requests/entry_world.cpp
+++ b/tests/unit/requests/entry_world.cpp
@@ -79,7 +79,7 @@
     return make("GET", body);
 }
 
-entry_world::entry_world(world_options options)
+entry_world::entry_world(world_options const& options)
     : store(time, options.seed * 2 + 1),
       link(time,
            options.seed * 3 + 1,
@@ -101,8 +101,7 @@
                    }
                }
            }),
-      options_(std::move(options)), random_(options_.seed),
-      nodes_(options_.entries)
+      options_(options), random_(options_.seed), nodes_(options_.entries)
 {
     for (std::size_t at = 0; at < options_.upstreams; ++at)
     {
--- a/tests/unit/requests/entry_world.hpp
+++ b/tests/unit/requests/entry_world.hpp
@@ -74,7 +74,7 @@
 class entry_world
 {
 public:
-    explicit entry_world(world_options options);
+    explicit entry_world(world_options const& options);
 
     walks::timeline time;
     walks::fake_store store;
