End a daemon's clients before what their handlers use

A planned stop ended in an abort (double free): the store client's destructor ends its open calls, and their handler used a table of the shell that was already destroyed.

--- a/src/adapters/daemon/shell.cpp
+++ b/src/adapters/daemon/shell.cpp
@@ -190,12 +190,20 @@
         });
 }
 
+// What still waits for an answer is ended by the clients' and servers'
+// destructors, whose handlers use the rings and tables of this object. Left to
+// the members' own order they would run after those are gone, and the process
+// would abort in the last step of a planned stop.
 shell::~shell()
 {
     decisions_.stop();
     http_.stop();
     peers_.stop();
     platform_.stop();
+    store_.reset();
+    catalog_.reset();
+    transport_.reset();
+    server_.reset();
 }
 
 bool shell::listen(core::common::failure& reason)
--- a/tests/unit/requests/entry_world.hpp
+++ b/tests/unit/requests/entry_world.hpp
@@ -66,6 +66,7 @@
 {
     std::uint64_t id = 0;
     node_pointer reader; ///< Who read it from the caller.
+    time_point read_at;
     ports::caller_request request;
     std::uint32_t answers = 0;
     ports::caller_answer answer;
@@ -140,6 +141,7 @@
     void on_reply(ports::caller_reply const& reply);
     void publish_list();
     void check_contract();
+    void check_not_run(sending const& one);
     void fail(std::string what);
     bool chance(std::uint32_t permille);
 
@@ -150,7 +152,8 @@
     std::vector<node_pointer> retired_;
     std::map<std::string, upstream> upstreams_;
     std::map<std::uint64_t, sending> sendings_;
-    std::map<std::string, std::uint32_t> runs_; ///< By body.
+    std::map<std::string, std::uint32_t> runs_;    ///< By body.
+    std::map<std::string, time_point> first_runs_; ///< By body.
     std::set<std::string> ran_sendings_;
     std::uint64_t last_sending_ = 0;
     std::uint64_t revision_ = 0;
