Wait a moment for a key's next owner; leave only when nobody asks any more

In a planned stop under load, callers of other entries were told unknown or not run for keys on their way between owners. A request now waits up to a second for the claim to move, an entry that leaves goes on refusing what is still forwarded to it until others have learned, and a peer that has gone silent gets no key forwarded, so that its callers hear "not run" at once.

--- a/src/core/requests/entry_engine.cpp
+++ b/src/core/requests/entry_engine.cpp
@@ -258,6 +258,7 @@
     for (auto const& info : members_.live())
     {
         known_members_[info.id].reset();
+        heard_.emplace(info.id, now);
     }
     for (auto at = known_members_.begin(); at != known_members_.end();)
     {
@@ -281,6 +282,11 @@
         {
             return is_live(id);
         };
+        std::erase_if(heard_,
+                      [&live](auto const& heard)
+                      {
+                          return !live(heard.first);
+                      });
         replays_.keep_only(live);
         loads_.keep_only(live);
         on_peer_lost(now, out);
@@ -301,6 +307,7 @@
     for (std::uint32_t const partition : owners_.refresh(now, claims_))
     {
         report_to_new_owner(partition);
+        route_seeking(now, partition, out);
     }
 }
 
@@ -461,7 +468,12 @@
         }
         break;
     case entry_phase::finishing:
-        if (unanswered_ == 0 && (claims_.held(members_) == 0 || waited_long))
+        if (unanswered_ > 0 || claims_.held(members_) > 0)
+        {
+            busy_at_ = now;
+        }
+        if (unanswered_ == 0 &&
+            (now - busy_at_ >= settings_.leave_lag || waited_long))
         {
             life_.on(entry_event::finished);
             members_.remove(now, out);
@@ -485,6 +497,14 @@
     return members_.find(id) != nullptr;
 }
 
+bool entry_engine::is_silent(common::time_point now,
+                             ports::member_identity const& id) const noexcept
+{
+    auto const found = heard_.find(id);
+    return found == heard_.end() ||
+           now - found->second > settings_.silence_limit;
+}
+
 // A member whose proof stands but whose configuration is known to be old could
 // give work to an upstream that operators took out of service.
 bool entry_engine::may_send(common::time_point now) const noexcept
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -169,6 +169,8 @@
                         ports::actions& out);
     void drive_life(common::time_point now, ports::actions& out);
     bool is_live(ports::member_identity const& id) const noexcept;
+    bool is_silent(common::time_point now,
+                   ports::member_identity const& id) const noexcept;
     bool may_send(common::time_point now) const noexcept;
     bool owns(common::time_point now, std::uint32_t partition) const noexcept;
     void log(ports::actions& out,
@@ -192,6 +194,11 @@
     void charge(common::time_point now, open_request& one, ports::actions& out);
     void route(common::time_point now, open_request& one, ports::actions& out);
     void
+    seek_owner(common::time_point now, open_request& one, ports::actions& out);
+    void route_seeking(common::time_point now,
+                       std::uint32_t partition,
+                       ports::actions& out);
+    void
     dispatch(common::time_point now, open_request& one, ports::actions& out);
     bool send_upstream(common::time_point now,
                        open_request& one,
@@ -211,6 +218,9 @@
     void fire_timers(common::time_point now, ports::actions& out);
     void
     on_timer(common::time_point now, open_request& one, ports::actions& out);
+    void refuse_if_waiting(common::time_point now,
+                           std::uint64_t id,
+                           ports::actions& out);
     void fail_waiting(common::time_point now, ports::actions& out);
 
     // entry_answers.cpp: how requests end.
@@ -349,6 +359,11 @@
     std::map<std::string, contracts::slice_ledger> ledgers_;
     std::array<std::optional<takeover>, common::partition_count> takeovers_;
     std::map<std::uint32_t, handover> handovers_;
+    /// Requests that wait for another owner, by their key's partition.
+    std::map<std::uint32_t, std::vector<std::uint64_t>> seeking_;
+    /// When each live member was last heard from.
+    std::map<ports::member_identity, common::time_point> heard_;
+    common::time_point busy_at_{}; ///< Of a stop: last sign of work.
     /// Live members, and since when those that are not any more are gone.
     std::map<ports::member_identity, std::optional<common::time_point>>
         known_members_;
--- a/src/core/requests/entry_peers.cpp
+++ b/src/core/requests/entry_peers.cpp
@@ -30,6 +30,10 @@
         return;
     }
     auto const& from = message.from;
+    if (is_live(from))
+    {
+        heard_[from] = now;
+    }
     auto const to_members = [&]
     {
         members_.on_peer(now, message, out);
@@ -127,7 +131,15 @@
         return;
     }
     auto const owner = owners_.of(one.partition).member;
-    if (!send_to_peer(now, one, owner, false, out))
+    if (!is_live(owner))
+    {
+        seek_owner(now, one, out);
+        return;
+    }
+    // A dead owner is buried some seconds after its death. What is forwarded
+    // to it until then ends as unknown at the deadline; not sent, it ends as
+    // not run at once.
+    if (is_silent(now, owner) || !send_to_peer(now, one, owner, false, out))
     {
         refuse(now, one, result_code::owner_unreachable, out);
         return;
@@ -172,11 +184,7 @@
     message.request.deadline = left;
     if (!is_spill)
     {
-        message.epoch = owners_.of(one.partition).epoch;
-        if (message.request.attempt == 1 && !is_vouched(one))
-        {
-            message.request.attempt = 0;
-        }
+        message.epoch = is_vouched(one) ? owners_.of(one.partition).epoch : 0;
     }
     one.stage = request_stage::at_peer;
     one.sending = message.id;
@@ -197,6 +205,7 @@
     {
         return;
     }
+    busy_at_ = now;
     auto const refuse_now = [&](result_code code)
     {
         answer_peer(from,
@@ -264,6 +273,15 @@
     }
     by_sending_.erase(message.id);
     bool const not_run = message.answer.says == common::outcome::not_run;
+    bool const handed_over =
+        message.answer.code == result_code::owner_unreachable;
+    if (not_run && handed_over && one->keyed && !one->spilled &&
+        !one->answered && now < one->expires)
+    {
+        one->stage = request_stage::arrived;
+        seek_owner(now, *one, out);
+        return;
+    }
     if (not_run && one->spilled && !one->answered && now < one->expires)
     {
         one->stage = request_stage::arrived;
--- a/src/core/requests/entry_requests.cpp
+++ b/src/core/requests/entry_requests.cpp
@@ -1,6 +1,7 @@
 #include "core/requests/entry_engine.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // The way of one request: from the door over its key, its customer's slice and
 // the queue to an upstream.
@@ -59,7 +60,8 @@
     }
     auto& one = requests_.at(found->second);
     if (one.stage == request_stage::queued ||
-        one.stage == request_stage::parked)
+        one.stage == request_stage::parked ||
+        one.stage == request_stage::seeking)
     {
         refuse(now, one, result_code::deadline_passed, out);
     }
@@ -246,7 +248,7 @@
     }
     if (!owns(now, one.partition))
     {
-        refuse(now, one, result_code::owner_unreachable, out);
+        seek_owner(now, one, out);
         return;
     }
     if (settle_known_key(now, one, out))
@@ -255,7 +257,7 @@
     }
     if (key_is_frozen(one.partition))
     {
-        refuse(now, one, result_code::owner_unreachable, out);
+        seek_owner(now, one, out);
         return;
     }
     keys_.begin(one.partition, one.key, one.fingerprint);
@@ -263,6 +265,47 @@
     dispatch(now, one, out);
 }
 
+// The key's partition is on its way to another owner: waits a moment for that.
+// A request that was forwarded here goes back to where it came from instead.
+void entry_engine::seek_owner(common::time_point now,
+                              open_request& one,
+                              ports::actions& out)
+{
+    if (!one.seek_until)
+    {
+        one.seek_until = std::min(one.expires, now + settings_.seek_patience);
+    }
+    auto& waiting = seeking_[one.partition];
+    bool const in_vain = !one.is_local() || now >= *one.seek_until ||
+                         waiting.size() >= settings_.max_seeking;
+    if (in_vain)
+    {
+        refuse(now, one, result_code::owner_unreachable, out);
+        return;
+    }
+    one.stage = request_stage::seeking;
+    waiting.push_back(one.id);
+    set_timer(one, one.seek_until);
+}
+
+void entry_engine::route_seeking(common::time_point now,
+                                 std::uint32_t partition,
+                                 ports::actions& out)
+{
+    auto const waiting = std::exchange(seeking_[partition], {});
+    for (std::uint64_t const id : waiting)
+    {
+        auto const found = requests_.find(id);
+        if (found != requests_.end() &&
+            found->second.stage == request_stage::seeking)
+        {
+            found->second.stage = request_stage::arrived;
+            set_timer(found->second, std::nullopt);
+            route(now, found->second, out);
+        }
+    }
+}
+
 void entry_engine::dispatch(common::time_point now,
                             open_request& one,
                             ports::actions& out)
@@ -507,6 +550,13 @@
                        : result_code::over_contract_in_flight,
                out);
         break;
+    case request_stage::seeking:
+        refuse(now,
+               one,
+               expired ? result_code::deadline_passed
+                       : result_code::owner_unreachable,
+               out);
+        break;
     case request_stage::queued:
         refuse(now, one, result_code::deadline_passed, out);
         break;
@@ -538,6 +588,23 @@
     }
 }
 
+void entry_engine::refuse_if_waiting(common::time_point now,
+                                     std::uint64_t id,
+                                     ports::actions& out)
+{
+    auto const found = requests_.find(id);
+    if (found == requests_.end())
+    {
+        return;
+    }
+    auto& one = found->second;
+    if (one.stage == request_stage::parked ||
+        one.stage == request_stage::seeking)
+    {
+        refuse(now, one, result_code::no_proof, out);
+    }
+}
+
 void entry_engine::fail_waiting(common::time_point now, ports::actions& out)
 {
     while (auto const id = queue_.pop())
@@ -551,15 +618,16 @@
     }
     for (auto& [name, customer] : customers_)
     {
-        auto const parked = std::exchange(customer.parked, {});
-        for (std::uint64_t const id : parked)
+        for (std::uint64_t const id : std::exchange(customer.parked, {}))
+        {
+            refuse_if_waiting(now, id, out);
+        }
+    }
+    for (auto const& [partition, waiting] : std::exchange(seeking_, {}))
+    {
+        for (std::uint64_t const id : waiting)
         {
-            auto const found = requests_.find(id);
-            if (found != requests_.end() &&
-                found->second.stage == request_stage::parked)
-            {
-                refuse(now, found->second, result_code::no_proof, out);
-            }
+            refuse_if_waiting(now, id, out);
         }
     }
 }
--- a/src/core/requests/entry_settings.hpp
+++ b/src/core/requests/entry_settings.hpp
@@ -32,6 +32,12 @@
     common::duration sending_bound = std::chrono::seconds(5);
     /// How long a request waits for the first slice of its customer.
     common::duration slice_patience = std::chrono::milliseconds(150);
+    /// How long a request waits for its key's partition to change hands, and
+    /// how many may.
+    common::duration seek_patience = std::chrono::seconds(1);
+    std::size_t max_seeking = 1'000;
+    /// A peer that was not heard from for this long gets no forwarded key.
+    common::duration silence_limit = std::chrono::milliseconds(1500);
     /// A forwarded request's deadline is earlier by this, for the way back.
     common::duration hop_margin = std::chrono::milliseconds(2);
     /// How long a peer may tell of a newer configuration, which we can't get,
@@ -47,6 +53,9 @@
     common::duration handover_patience = std::chrono::seconds(5);
     common::duration handover_retry = std::chrono::milliseconds(300);
     std::size_t max_handovers = 8; ///< At once.
+    /// Others learn within this time that a partition was given up. A member
+    /// that leaves goes on refusing what they still forward to it.
+    common::duration leave_lag = std::chrono::seconds(1);
     /// With nothing left to answer, a stop waits no longer than this for the
     /// store; the others then bury what is left of this member.
     common::duration stop_patience = std::chrono::seconds(30);
--- a/src/core/requests/open_request.hpp
+++ b/src/core/requests/open_request.hpp
@@ -15,6 +15,7 @@
 {
     arrived,     ///< Being decided on.
     parked,      ///< Waits for a slice of its customer's contract.
+    seeking,     ///< Waits for its key's partition to change its owner.
     queued,      ///< Waits for a slot.
     joined,      ///< Waits for another sending of its key.
     at_upstream, ///< Sent to an upstream.
@@ -46,7 +47,9 @@
     std::uint32_t partition = 0;
     std::uint64_t fingerprint = 0;
     bool vouched = false; ///< See `key_memory`.
-    bool begun = false;   ///< The key is remembered as running by this one.
+    /// Until when it may wait for another owner.
+    std::optional<common::time_point> seek_until;
+    bool begun = false; ///< The key is remembered as running by this one.
 
     bool charged = false;   ///< Counts against the customer's slice.
     bool answered = false;  ///< The caller has its answer.
--- a/src/ports/peer.hpp
+++ b/src/ports/peer.hpp
@@ -69,9 +69,8 @@
     std::uint64_t id = 0;
     bool spill = false;     ///< No key: any free slot of the receiver will do.
     caller_request request; ///< `deadline` is the time left when sent.
-    /// Epoch of the claim by which the sender knew the receiver as the owner
-    /// of the key. `request.attempt` is 1 only where the sender vouches that
-    /// the caller sent it after that claim began.
+    /// Where the sender vouches that the caller sent this after the receiver's
+    /// claim of the key's partition began: the claim's epoch. Else 0.
     std::uint64_t epoch = 0;
 };
 
--- /dev/null
+++ b/tests/process/entry_deployment.cpp
@@ -0,0 +1,320 @@
+#include "process/entry_deployment.hpp"
+
+#include "core/common/hash.hpp"
+#include "core/common/json.hpp"
+#include "core/config/index.hpp"
+#include "core/contracts/contract.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <fstream>
+#include <thread>
+
+namespace fuchsia::tests::process
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+constexpr auto call_limit = 30s;
+constexpr auto wait_limit = 60s;
+constexpr auto poll_interval = 20ms;
+constexpr std::int64_t partitions = core::common::partition_count;
+constexpr char const* customer = "estate-owners";
+
+std::uint16_t free_port()
+{
+    boost::asio::io_context io;
+    tcp::acceptor const acceptor(io,
+                                 {boost::asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+std::string address(std::uint16_t port)
+{
+    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+}
+
+} // namespace
+
+std::optional<adapters::http::response>
+call(std::uint16_t port,
+     std::string const& method,
+     std::string const& target,
+     std::vector<ports::header> const& headers,
+     std::string const& body)
+{
+    boost::asio::io_context io;
+    beast::tcp_stream stream(io);
+    beast::flat_buffer buffer;
+    beast::http::request<beast::http::string_body> request;
+    request.method_string(method);
+    request.target(target);
+    request.set("Host", "127.0.0.1");
+    for (auto const& one : headers)
+    {
+        request.set(one.name, one.value);
+    }
+    request.body() = body;
+    request.prepare_payload();
+    beast::http::response<beast::http::string_body> answer;
+    bool whole = false;
+    stream.expires_after(call_limit);
+    stream.async_connect(
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), port),
+        [&](beast::error_code error)
+        {
+            if (error)
+            {
+                return;
+            }
+            beast::http::async_write(
+                stream,
+                request,
+                [&](beast::error_code failed, std::size_t)
+                {
+                    if (failed)
+                    {
+                        return;
+                    }
+                    beast::http::async_read(
+                        stream,
+                        buffer,
+                        answer,
+                        [&](beast::error_code broken, std::size_t)
+                        {
+                            whole = !broken;
+                        });
+                });
+        });
+    io.run();
+    if (!whole)
+    {
+        return std::nullopt;
+    }
+    adapters::http::response result;
+    result.status = static_cast<std::uint16_t>(answer.result_int());
+    for (auto const& one : answer)
+    {
+        result.headers.push_back(
+            {std::string(one.name_string()), std::string(one.value())});
+    }
+    result.body = answer.body();
+    return result;
+}
+
+bool wait_until(std::function<bool()> const& wanted)
+{
+    auto const until = std::chrono::steady_clock::now() + wait_limit;
+    while (!wanted())
+    {
+        if (std::chrono::steady_clock::now() > until)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
+std::string header_of(std::optional<adapters::http::response> const& answer,
+                      std::string_view name)
+{
+    return answer ? std::string(answer->header(name).value_or("")) : "";
+}
+
+bool is_own(std::optional<adapters::http::response> const& answer,
+            std::string const& token)
+{
+    return answer && answer->body.starts_with(token + "\n") &&
+           answer->body.ends_with("\n" + token);
+}
+
+entry_deployment::entry_deployment(std::string const& name)
+    : folder_(std::filesystem::temp_directory_path() /
+              ("fuchsia-" + name + "-" + std::to_string(getpid()))),
+      platform_port_(free_port()), upstreams_port_(free_port()),
+      running_(entries)
+{
+    for (std::size_t number = 0; number < entries; ++number)
+    {
+        entry_ports_.push_back(free_port());
+        peer_ports_.push_back(free_port());
+    }
+    std::filesystem::create_directories(folder_);
+    write_settings();
+    for (std::string const part : {"platform", "upstreams"})
+    {
+        standins_.emplace_back(
+            "fuchsia-standin",
+            std::vector<std::string>{
+                part, "--settings", folder_ / (part + ".toml")},
+            folder_ / (part + ".log"));
+    }
+    bool const up = wait_until(
+        [this]
+        {
+            return call(platform_port_, "GET", "/control/counts") &&
+                   call(upstreams_port_, "GET", "/control/counts");
+        });
+    write_contract();
+    for (std::size_t number = 0; number < entries; ++number)
+    {
+        start_entry(number);
+    }
+    is_ready = up && wait_until(
+                         [this]
+                         {
+                             bool const all = ready(0) && ready(1) && ready(2);
+                             auto const served = bid(0, "probe", 1, "T");
+                             return all && owned() == partitions &&
+                                    is_own(served, "T");
+                         });
+}
+
+std::int64_t entry_deployment::owned() const
+{
+    std::int64_t sum = 0;
+    for (auto const port : entry_ports_)
+    {
+        auto const metrics = call(port, "GET", "/metrics");
+        std::string const name = "\nfuchsia_claims_owned ";
+        auto const found =
+            metrics ? metrics->body.find(name) : std::string::npos;
+        if (found != std::string::npos)
+        {
+            sum += std::stoll(metrics->body.substr(found + name.size()));
+        }
+    }
+    return sum;
+}
+
+entry_deployment::~entry_deployment()
+{
+    running_.clear();
+    standins_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+void entry_deployment::start_entry(std::size_t number)
+{
+    auto const name = "entry-" + std::to_string(number);
+    running_[number].reset();
+    running_[number].emplace(
+        "fuchsia-entry",
+        std::vector<std::string>{"--settings", folder_ / (name + ".toml")},
+        folder_ / (name + ".log"));
+}
+
+child& entry_deployment::entry(std::size_t number)
+{
+    return *running_[number];
+}
+
+bool entry_deployment::ready(std::size_t number) const
+{
+    auto const answer = call(entry_ports_[number], "GET", "/readyz");
+    return answer && answer->status == 200;
+}
+
+std::optional<adapters::http::response>
+entry_deployment::bid(std::size_t entry,
+                      std::string const& key,
+                      std::uint32_t attempt,
+                      std::string const& token) const
+{
+    return call(entry_ports_[entry],
+                "POST",
+                "/bids",
+                {{"Fuchsia-Customer", customer},
+                 {"Fuchsia-Deadline-Ms", "3000"},
+                 {"Idempotency-Key", key},
+                 {"Fuchsia-Attempt", std::to_string(attempt)},
+                 {"Fuchsia-Load-Token", token}},
+                "bid " + key);
+}
+
+std::int64_t entry_deployment::upstream_count(std::string const& name) const
+{
+    auto const answer = call(upstreams_port_, "GET", "/control/counts");
+    core::common::failure reason;
+    auto const books = core::common::parse_json_object(
+        answer ? answer->body : "", "counts", reason);
+    return books && books->contains(name) ? books->at(name).to_number<int64_t>()
+                                          : -1;
+}
+
+void entry_deployment::platform_faults(std::string const& json) const
+{
+    call(platform_port_, "POST", "/control/faults", {}, json);
+}
+
+void entry_deployment::write_settings()
+{
+    std::ofstream(folder_ / "token") << "0123456789abcdef0123";
+    std::ofstream platform(folder_ / "platform.toml");
+    platform << "listen = " << address(platform_port_)
+             << "\nprobe_interval_ms = 500\n";
+    for (std::size_t number = 0; number < entries; ++number)
+    {
+        auto const name = "entry-" + std::to_string(number);
+        platform << "[[probe]]\nid = \"" << name
+                 << "\"\nname = \"fuchsia-entry\"\naddress = "
+                 << address(entry_ports_[number])
+                 << "\ndata_centre = \"kochi-a\"\n";
+        std::ofstream(folder_ / (name + ".toml"))
+            << "[self]\nname = \"" << name
+            << "\"\ndata_centre = \"kochi-a\"\nhttp_listen = "
+            << address(entry_ports_[number])
+            << "\npeer_listen = " << address(peer_ports_[number])
+            << "\n[platform]\nstore = " << address(platform_port_)
+            << "\n[security]\ntoken_file = " << folder_ / "token"
+            << "\n[keys]\nsending_bound_ms = 1000\n"
+            << "[stop]\nbalancer_lag_ms = 500\n"
+            << "[upstreams]\nmax_execution_ms = 5000\n";
+    }
+    std::ofstream(folder_ / "upstreams.toml")
+        << "control = " << address(upstreams_port_)
+        << "\n[platform]\naddress = " << address(platform_port_)
+        << "\n[executors]\naddress = \"127.0.0.1\"\nfirst_port = 0\n"
+        << "count = 12\nslots = 4\nconnections = 60\nanswer_bytes = 64\n"
+        << "data_centres = [\"kochi-a\"]\nper_machine = 4\nseed = 1\n"
+        << "[latency-critical]\nmedian_ms = 10.0\nsigma = 0.3\nmax_ms = "
+           "500.0\n";
+}
+
+void entry_deployment::write_contract() const
+{
+    core::contracts::contract limits;
+    limits.customer = customer;
+    limits.requests_in_flight = 100;
+    limits.requests_per_second = 10'000;
+    limits.latency_target = 3s;
+    limits.batch_latency_target = 10s;
+    auto const document = core::config::document_name(1, "w");
+    core::config::index_document index;
+    index.revision = 1;
+    index.contracts[customer] = {1, false, document};
+    index.recent_writes[1] = "w";
+    call(platform_port_,
+         "PUT",
+         "/v1/kv/" + core::config::document_key(customer, document),
+         {},
+         core::contracts::to_json(limits));
+    call(platform_port_,
+         "PUT",
+         "/v1/kv/" + std::string(core::config::index_key),
+         {},
+         core::config::to_json(index));
+}
+
+} // namespace fuchsia::tests::process
