--- a/src/core/requests/entry_handovers.cpp
+++ b/src/core/requests/entry_handovers.cpp
@@ -36,7 +36,10 @@
     {
         if (one.stage == handover_stage::waiting)
         {
-            if (active >= settings_.max_handovers)
+            // While the store is silent no claim can move: the partition would
+            // be served by nobody until it answers again.
+            if (active >= settings_.max_handovers ||
+                !members_.proved_by_store())
             {
                 continue;
             }
--- a/tests/process/entry_deployment.cpp
+++ b/tests/process/entry_deployment.cpp
@@ -175,26 +175,33 @@
                          {
                              bool const all = ready(0) && ready(1) && ready(2);
                              auto const served = bid(0, "probe", 1, "T");
-                             return all && owned() == partitions &&
-                                    is_own(served, "T");
+                             return all && is_settled() && is_own(served, "T");
                          });
 }
 
-std::int64_t entry_deployment::owned() const
+bool entry_deployment::is_settled() const
 {
-    std::int64_t sum = 0;
-    for (auto const port : entry_ports_)
+    std::vector<std::string> names;
+    std::vector<std::int64_t> wished(entries, 0);
+    for (std::size_t number = 0; number < entries; ++number)
+    {
+        names.push_back("entry-" + std::to_string(number));
+    }
+    for (std::int64_t at = 0; at < partitions; ++at)
+    {
+        ++wished[core::common::rendezvous_winner(std::to_string(at), names)];
+    }
+    for (std::size_t number = 0; number < entries; ++number)
     {
-        auto const metrics = call(port, "GET", "/metrics");
-        std::string const name = "\nfuchsia_claims_owned ";
-        auto const found =
-            metrics ? metrics->body.find(name) : std::string::npos;
-        if (found != std::string::npos)
+        auto const metrics = call(entry_ports_[number], "GET", "/metrics");
+        auto const line =
+            "\nfuchsia_claims_owned " + std::to_string(wished[number]) + "\n";
+        if (!metrics || metrics->body.find(line) == std::string::npos)
         {
-            sum += std::stoll(metrics->body.substr(found + name.size()));
+            return false;
         }
     }
-    return sum;
+    return true;
 }
 
 entry_deployment::~entry_deployment()
@@ -202,7 +209,7 @@
     running_.clear();
     standins_.clear();
     std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
+    if (getenv("KEEP") == nullptr) std::filesystem::remove_all(folder_, ignored);
 }
 
 void entry_deployment::start_entry(std::size_t number)
--- a/tests/process/entry_deployment.hpp
+++ b/tests/process/entry_deployment.hpp
@@ -43,8 +43,9 @@
                                                 std::string const& key,
                                                 std::uint32_t attempt,
                                                 std::string const& token) const;
-    /// Partitions that all entries own together, by their metrics.
-    std::int64_t owned() const;
+    /// Whether each entry owns just the partitions that are wished to be its,
+    /// by its metrics: claims move until then.
+    bool is_settled() const;
     /// A number in the books of the upstreams' stand-in.
     std::int64_t upstream_count(std::string const& name) const;
     /// Sets faults of the platform's stand-in.
