--- a/tests/unit/walks/fake_store.hpp
+++ b/tests/unit/walks/fake_store.hpp
@@ -124,7 +124,10 @@
 struct store_faults
 {
     bool down = false;
-    std::set<std::string> cut; ///< Callers that can't reach it.
+    std::set<std::string> cut;  ///< Callers that can't reach it.
+    std::set<std::string> deaf; ///< Callers whose calls lose their answers.
+    std::set<std::string> mute; ///< Callers whose calls don't arrive.
+    std::set<std::string> slow; ///< Callers whose answers are all late.
     std::uint32_t lose_request_permille = 0;
     std::uint32_t lose_reply_permille = 0;
     std::uint32_t duplicate_permille = 0;
@@ -220,9 +223,9 @@
         return faults.down || faults.cut.count(caller) != 0;
     }
 
-    duration way()
+    duration way(bool slow = false)
     {
-        if (chance(faults.late_permille))
+        if (slow || chance(faults.late_permille))
         {
             return duration(static_cast<std::int64_t>(
                 random_() %
@@ -262,7 +265,7 @@
 
     void arrive(call_pointer const& pending)
     {
-        if (is_cut(pending->caller))
+        if (is_cut(pending->caller) || faults.mute.count(pending->caller) != 0)
         {
             return;
         }
@@ -351,10 +354,11 @@
         {
             return;
         }
-        time_.after(way(),
+        time_.after(way(faults.slow.count(pending->caller) != 0),
                     [this, pending, reply]
                     {
-                        if (!is_cut(pending->caller))
+                        if (!is_cut(pending->caller) &&
+                            faults.deaf.count(pending->caller) == 0)
                         {
                             finish(*pending, reply);
                         }
--- a/tests/unit/walks/small_system.cpp
+++ b/tests/unit/walks/small_system.cpp
@@ -180,6 +180,18 @@
     }
 }
 
+void small_system::wake_all()
+{
+    auto const all = everyone_;
+    for (auto const& who : all)
+    {
+        if (std::exchange(who->frozen, false))
+        {
+            drain(who);
+        }
+    }
+}
+
 // What waited is handled before the next tick as often as after it.
 void small_system::drain(process_pointer const& who)
 {
@@ -404,6 +416,11 @@
         {
             link.send(who->address, who->id, *send);
         }
+        else if (auto const* log = std::get_if<ports::log_event>(&action))
+        {
+            burial_writes += log->event == "member_burial" ? 1 : 0;
+            pauses += log->event == "member_paused" ? 1 : 0;
+        }
         else if (std::holds_alternative<ports::rejoin>(action))
         {
             rejoin(who);
--- a/tests/unit/walks/small_system.hpp
+++ b/tests/unit/walks/small_system.hpp
@@ -80,6 +80,8 @@
     void end(std::size_t slot);
     void freeze(std::size_t slot);
     void wake(std::size_t slot);
+    /// Wakes every frozen process, zombies included.
+    void wake_all();
     void begin_leaving(std::size_t slot);
     process& at(std::size_t slot);
     /// Runs on until `wanted` holds, at most `limit`; whether it does.
@@ -101,6 +103,8 @@
     std::string violation;
     std::uint64_t acted_by_witnesses = 0; ///< Checks that found one.
     std::uint64_t rejoins = 0;
+    std::uint64_t burial_writes = 0;
+    std::uint64_t pauses = 0;
 
 private:
     using process_pointer = std::shared_ptr<process>;
