--- a/src/core/claims/claim_table.cpp
+++ b/src/core/claims/claim_table.cpp
@@ -1,6 +1,5 @@
 #include "core/claims/claim_table.hpp"
 
-#include "core/common/hash.hpp"
 #include "core/membership/record.hpp"
 
 #include <algorithm>
@@ -10,21 +9,6 @@
 namespace fuchsia::core::claims
 {
 
-namespace
-{
-
-std::string const* winner(std::string const& partition,
-                          std::vector<std::string> const& names)
-{
-    if (names.empty())
-    {
-        return nullptr;
-    }
-    return &names[common::rendezvous_winner(partition, names)];
-}
-
-} // namespace
-
 claim_table::claim_table(std::string role,
                          std::vector<std::string> partitions,
                          claim_settings settings)
@@ -63,7 +47,7 @@
     {
         return;
     }
-    auto const who = find_candidates(now, members);
+    auto const who = find_candidates(now, members, leaving_, settings_.settle);
     for (auto const& [partition, current] : view_.all())
     {
         auto& state = progress_[partition];
@@ -95,29 +79,6 @@
     }
 }
 
-claim_table::candidates
-claim_table::find_candidates(common::time_point now,
-                             membership::member const& members) const
-{
-    candidates who;
-    for (auto const& info : members.live())
-    {
-        bool const self = info.id == self_;
-        if (info.leaving || (self && leaving_))
-        {
-            continue;
-        }
-        who.live.push_back(info.id.name);
-        auto const* seen = members.records().find(info.id.name);
-        if (self || (seen != nullptr &&
-                     now - seen->incarnation_seen >= settings_.settle))
-        {
-            who.settled.push_back(info.id.name);
-        }
-    }
-    return who;
-}
-
 void claim_table::drive_list(common::time_point now, ports::actions& out)
 {
     if (list_in_flight_ || now < next_list_)
@@ -497,15 +458,7 @@
 claim_table::wished(std::string const& partition,
                     membership::member const& members) const
 {
-    std::vector<std::string> names;
-    for (auto const& info : members.live())
-    {
-        if (!info.leaving)
-        {
-            names.push_back(info.id.name);
-        }
-    }
-    auto const* wanted = winner(partition, names);
+    auto const* wanted = winner(partition, names_not_leaving(members));
     return wanted == nullptr ? nullptr : members.find(*wanted);
 }
 
--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -2,6 +2,7 @@
 
 #include "core/claims/claim_record.hpp"
 #include "core/claims/claim_view.hpp"
+#include "core/claims/wish.hpp"
 #include "core/common/time.hpp"
 #include "core/membership/member.hpp"
 #include "ports/actions.hpp"
@@ -137,16 +138,7 @@
         ports::member_identity asked_for; ///< Whom it was asked for.
     };
 
-    /// Names of the members that may own something, sorted.
-    struct candidates
-    {
-        std::vector<std::string> live;    ///< All that don't leave.
-        std::vector<std::string> settled; ///< Those live long enough, and we.
-    };
-
     void know_self(ports::member_identity const& self);
-    candidates find_candidates(common::time_point now,
-                               membership::member const& members) const;
     void drive_list(common::time_point now, ports::actions& out);
     void drive_owned(claim const& current,
                      progress& state,
--- /dev/null
+++ b/src/core/claims/claim_view.cpp
@@ -0,0 +1,205 @@
+#include "core/claims/claim_view.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::claims
+{
+
+claim_view::claim_view(std::string prefix) : prefix_(std::move(prefix))
+{
+}
+
+void claim_view::set_self(ports::member_identity const& self)
+{
+    self_ = self;
+}
+
+void claim_view::add(std::string const& partition)
+{
+    if (claims_.size() < max_partitions)
+    {
+        claims_.try_emplace(partition).first->second.partition = partition;
+    }
+}
+
+void claim_view::apply_list(common::time_point now,
+                            common::time_point sent,
+                            ports::store_reply const& reply)
+{
+    if (reply.index < index_)
+    {
+        return; // An older state than was shown before.
+    }
+    index_ = reply.index;
+    known_ = true;
+    std::set<std::string> shown;
+    for (auto const& entry : reply.entries)
+    {
+        if (entry.key.starts_with(prefix_))
+        {
+            shown.insert(entry.key.substr(prefix_.size()));
+            take_entry(now, entry);
+        }
+    }
+    std::vector<std::string> absent;
+    for (auto const& [partition, current] : claims_)
+    {
+        if (current.version != 0 && current.version <= reply.index &&
+            shown.count(partition) == 0 && seen(partition) < sent)
+        {
+            absent.push_back(partition);
+        }
+    }
+    for (auto const& partition : absent)
+    {
+        take_absent(now, partition);
+    }
+}
+
+void claim_view::apply_read(common::time_point now,
+                            std::string const& partition,
+                            ports::store_reply const& reply)
+{
+    if (reply.entries.empty())
+    {
+        take_absent(now, partition);
+        return;
+    }
+    take_entry(now, reply.entries.front());
+}
+
+// An unreadable claim stays as it was last shown: nobody takes it over, and a
+// write from its old version fails.
+void claim_view::take_entry(common::time_point now,
+                            ports::store_entry const& entry)
+{
+    common::failure reason;
+    auto const value = parse_claim_record(entry.value, reason);
+    if (value)
+    {
+        take(now, entry.key.substr(prefix_.size()), *value, entry.version);
+    }
+}
+
+void claim_view::take(common::time_point now,
+                      std::string const& partition,
+                      claim_record const& value,
+                      std::uint64_t version)
+{
+    add(partition);
+    auto const place = claims_.find(partition);
+    if (place == claims_.end() || version <= place->second.version)
+    {
+        return;
+    }
+    claim const before = std::exchange(
+        place->second,
+        {partition, value.owner, value.epoch, version, value.released_by});
+    seen_[partition] = now;
+    tell_owner(before, place->second);
+    if (value.owner != self_)
+    {
+        releasing_.erase(partition);
+    }
+}
+
+void claim_view::take_absent(common::time_point now,
+                             std::string const& partition)
+{
+    auto const place = claims_.find(partition);
+    if (place == claims_.end() || place->second.version == 0)
+    {
+        return;
+    }
+    claim const before = std::exchange(place->second, {});
+    place->second.partition = partition;
+    seen_[partition] = now;
+    tell_owner(before, place->second);
+    releasing_.erase(partition);
+}
+
+void claim_view::tell_owner(claim const& before, claim const& after)
+{
+    if (before.owner == after.owner)
+    {
+        return;
+    }
+    claim_change change;
+    change.now = after;
+    change.before =
+        before.owner.name.empty() ? after.released_by : before.owner;
+    if (after.owner == self_)
+    {
+        if (is_releasing(after.partition))
+        {
+            return; // It is given up before it was used.
+        }
+        change.kind = claim_change_kind::acquired;
+        change.handed_over = !after.released_by.name.empty();
+    }
+    else if (before.owner == self_)
+    {
+        change.kind = claim_change_kind::lost;
+    }
+    changes_.push_back(std::move(change));
+}
+
+void claim_view::begin_release(std::string const& partition)
+{
+    releasing_.insert(partition);
+}
+
+bool claim_view::is_releasing(std::string const& partition) const noexcept
+{
+    return releasing_.count(partition) != 0;
+}
+
+void claim_view::tell(claim_change change)
+{
+    changes_.push_back(std::move(change));
+}
+
+std::vector<claim_change> claim_view::take_changes()
+{
+    return std::exchange(changes_, {});
+}
+
+std::map<std::string, claim> const& claim_view::all() const noexcept
+{
+    return claims_;
+}
+
+claim const* claim_view::find(std::string const& partition) const noexcept
+{
+    auto const place = claims_.find(partition);
+    return place == claims_.end() ? nullptr : &place->second;
+}
+
+common::time_point claim_view::seen(std::string const& partition) const noexcept
+{
+    auto const place = seen_.find(partition);
+    return place == seen_.end() ? common::time_point{} : place->second;
+}
+
+bool claim_view::names_owner(ports::member_identity const& id) const noexcept
+{
+    return std::any_of(claims_.begin(),
+                       claims_.end(),
+                       [&id](auto const& entry)
+                       {
+                           return entry.second.owner == id;
+                       });
+}
+
+bool claim_view::known() const noexcept
+{
+    return known_;
+}
+
+std::uint64_t claim_view::index() const noexcept
+{
+    return index_;
+}
+
+} // namespace fuchsia::core::claims
--- a/src/core/membership/burial.cpp
+++ b/src/core/membership/burial.cpp
@@ -16,6 +16,11 @@
 /// Ranks beyond this wait no longer: nobody depends on many others.
 constexpr std::size_t last_rank = 6;
 
+/// A record that has stood still for `bury` is read this often for this long,
+/// so that all learn of its burial at once; then at the regular interval.
+constexpr common::duration watch_interval = std::chrono::milliseconds(500);
+constexpr common::duration watch_length = std::chrono::seconds(10);
+
 } // namespace
 
 burial::burial(settings const& settings, safety_parts parts)
@@ -224,6 +229,33 @@
     }
 }
 
+// A record that did not change since an earlier list is read again just when
+// it will have stood still for `bury`: lists may then be rare in calm times.
+common::time_point burial::next_look(common::time_point now,
+                                     ports::member_identity const& observer,
+                                     roster const& members) const
+{
+    auto next = common::time_point::max();
+    for (auto const& [name, seen] : members.records())
+    {
+        if (!seen.readable || seen.value.buried ||
+            seen.value.info.id == observer)
+        {
+            continue;
+        }
+        auto const due = seen.version_seen + settings_.bury;
+        if (due > members.list_sent())
+        {
+            next = std::min(next, due);
+        }
+        else if (now < due + watch_length)
+        {
+            next = std::min(next, now + watch_interval);
+        }
+    }
+    return next;
+}
+
 void burial::write_ended(common::time_point now,
                          ports::member_identity const& subject)
 {
--- a/src/core/membership/burial.hpp
+++ b/src/core/membership/burial.hpp
@@ -73,6 +73,11 @@
     void consented(ports::member_identity const& witness,
                    ports::member_identity const& subject,
                    std::uint64_t version);
+    /// When the records should be read again to find or follow a burial, were
+    /// it sooner than the next regular list.
+    common::time_point next_look(common::time_point now,
+                                 ports::member_identity const& observer,
+                                 roster const& members) const;
     /// The answer to a `burial_write` came.
     void write_ended(common::time_point now,
                      ports::member_identity const& subject);
--- a/src/core/membership/member.cpp
+++ b/src/core/membership/member.cpp
@@ -256,6 +256,8 @@
     {
         return;
     }
+    next_list_ =
+        std::min(next_list_, burial_.next_look(now, self().id, roster_));
     witness_.learn(now, roster_);
     wanted_witnesses_ =
         choose_witnesses(self().id, roster_.live(), settings_.witness_count);
--- a/src/core/membership/settings.hpp
+++ b/src/core/membership/settings.hpp
@@ -11,9 +11,9 @@
 /// by the settings: beat_interval < hold, and hold with drift < bury.
 ///
 /// Store calls a second, by role of n members: 2n beats (one write each
-/// beat_interval) and n lists (one read each list_interval). Two roles of 9:
-/// 36 writes and 18 reads. Two roles of 33 (11 data centres x 3): 132 writes
-/// and 66 reads. Both are far below several hundred writes and 2,000 reads.
+/// beat_interval) and n/2 lists (one read each list_interval). Two roles of 9:
+/// 36 writes and 9 reads. Two roles of 33 (11 data centres x 3): 132 writes
+/// and 33 reads. Both are far below several hundred writes and 2,000 reads.
 /// A test counts them.
 struct settings
 {
@@ -31,9 +31,10 @@
     /// are gone: its list no longer names them, or it runs a newer process
     /// under their name. Off, an operator has to remove such a member.
     bool list_stands_in = true;
-    /// The records of the role are read this often. A member that dies is
-    /// found `bury` to `bury + 2 x list_interval` after its last beat.
-    common::duration list_interval = std::chrono::seconds(1);
+    /// The records of the role are read this often, and more often while one
+    /// of them stands still. A member that dies is buried about `bury` to
+    /// `bury + list_interval` after its last beat.
+    common::duration list_interval = std::chrono::seconds(2);
 };
 
 /// A clock may run this much faster or slower than another, in thousandths.
--- a/tests/unit/walks/small_system.cpp
+++ b/tests/unit/walks/small_system.cpp
@@ -521,27 +521,43 @@
 // Whoever may act must have its record in the store, and not as buried.
 void small_system::check_buried(process& who)
 {
-    auto const* entry = store.contents.find(
-        core::membership::members_prefix(role) + who.id.name);
-    if (entry == nullptr)
+    auto const& shown = stored(who.id.name);
+    if (shown.version == 0)
     {
         violation = who.id.name + " acts though its record was removed";
-        return;
     }
-    auto& known = shown_[who.id.name];
-    if (known.version != entry->version)
+    else if (shown.buried || shown.incarnation != who.id.incarnation)
+    {
+        violation = who.id.name + " acts though it is buried";
+    }
+}
+
+core::membership::witness_list const&
+small_system::stored_witnesses(std::size_t slot)
+{
+    return stored(slot_name(slot)).witnesses;
+}
+
+small_system::shown_record const& small_system::stored(std::string const& name)
+{
+    auto const* entry =
+        store.contents.find(core::membership::members_prefix(role) + name);
+    auto& known = shown_[name];
+    if (entry == nullptr)
+    {
+        known = {};
+    }
+    else if (known.version != entry->version)
     {
         core::common::failure reason;
-        auto const value = core::membership::parse_record(
-            role, who.id.name, entry->value, reason);
+        auto const value =
+            core::membership::parse_record(role, name, entry->value, reason);
         known = {entry->version,
                  value ? value->info.id.incarnation : 0,
-                 value && value->buried};
-    }
-    if (known.buried || known.incarnation != who.id.incarnation)
-    {
-        violation = who.id.name + " acts though it is buried";
+                 value && value->buried,
+                 value ? value->witnesses : core::membership::witness_list{}};
     }
+    return known;
 }
 
 } // namespace fuchsia::tests::unit::walks
--- a/tests/unit/walks/small_system.hpp
+++ b/tests/unit/walks/small_system.hpp
@@ -97,6 +97,9 @@
     void cut(std::size_t from, std::size_t to, bool is_cut);
     void cut_store(std::size_t slot, bool is_cut);
 
+    /// The witnesses in the record that the store holds under a slot's name.
+    core::membership::witness_list const& stored_witnesses(std::size_t slot);
+
     /// The platform's list: `lag` behind the truth.
     duration list_lag = std::chrono::seconds(2);
     /// Empty while everything that must hold does.
@@ -128,8 +131,11 @@
         std::uint64_t version = 0;
         std::uint64_t incarnation = 0;
         bool buried = false;
+        core::membership::witness_list witnesses;
     };
 
+    shown_record const& stored(std::string const& name);
+
     system_options options_;
     std::mt19937_64 random_;
     std::vector<std::string> partitions_;
