--- a/src/core/claims/claim_table.cpp
+++ b/src/core/claims/claim_table.cpp
@@ -59,7 +59,7 @@
         }
         if (state.read_back || (current.owner == self_ && !is_ours(partition)))
         {
-            drive_unsettled(now, current, state, out);
+            drive_unsettled(current, state, out);
         }
         else
         {
@@ -90,31 +90,28 @@
     if (view_.known())
     {
         ++counts_.watches;
-        call(now,
-             {call_kind::list, now, {}, {}},
+        call({call_kind::list, {}, {}},
              ports::store_watch{prefix_, view_.index(), settings_.watch_wait},
              out);
         return;
     }
     ++counts_.lists;
-    call(now, {call_kind::list, now, {}, {}}, ports::store_list{prefix_}, out);
+    call({call_kind::list, {}, {}}, ports::store_list{prefix_}, out);
 }
 
-void claim_table::drive_unsettled(common::time_point now,
-                                  claim const& current,
+void claim_table::drive_unsettled(claim const& current,
                                   progress const& state,
                                   ports::actions& out)
 {
     if (state.read_back)
     {
         ++counts_.reads;
-        call(now,
-             {call_kind::read, now, current.partition, {}},
+        call({call_kind::read, current.partition, {}},
              ports::store_read{prefix_ + current.partition},
              out);
         return;
     }
-    write_release(now, current, out);
+    write_release(current, out);
 }
 
 void claim_table::drive_free(common::time_point now,
@@ -132,7 +129,7 @@
         std::binary_search(
             partitions_.begin(), partitions_.end(), current.partition))
     {
-        write_claim(now, current, out);
+        write_claim(current, out);
     }
 }
 
@@ -145,9 +142,11 @@
            now - own->incarnation_seen >= settings_.claim_after;
 }
 
-// An owner that joined after the members were last read looks removed. So the
-// members must have been read after this claim was seen: its owner had joined
-// before it claimed, and if it is not among them now, it is gone for good.
+// An owner that joined after the members were last read looks removed, and a
+// store that answers from a lagging replica may show such an older state at
+// any time. So the members must have been read at an index that covers the
+// claim: its owner had joined before it claimed, and if it is not among them
+// then, it is gone for good.
 bool claim_table::is_free(claim const& current,
                           membership::member const& members) const
 {
@@ -156,7 +155,7 @@
         return true;
     }
     return current.owner != self_ && members.is_buried(current.owner) &&
-           members.members_read_at() > view_.seen(current.partition);
+           members.records().index() >= current.version;
 }
 
 void claim_table::drive_owned(claim const& current,
@@ -241,8 +240,7 @@
         {
             erasing_ = true;
             ++counts_.erases;
-            call(now,
-                 {call_kind::erase, now, {}, {}},
+            call({call_kind::erase, {}, {}},
                  ports::store_erase{membership::members_prefix(role_) + name,
                                     seen.version},
                  out);
@@ -251,9 +249,7 @@
     }
 }
 
-void claim_table::write_claim(common::time_point now,
-                              claim const& current,
-                              ports::actions& out)
+void claim_table::write_claim(claim const& current, ports::actions& out)
 {
     claim_record value;
     value.owner = self_;
@@ -264,24 +260,20 @@
     value.epoch = current.epoch + 1;
     value.write_id = random_();
     ++counts_.writes;
-    call(now,
-         {call_kind::claim, now, current.partition, value},
+    call({call_kind::claim, current.partition, value},
          ports::store_write{
              prefix_ + current.partition, to_json(value), current.version},
          out);
 }
 
-void claim_table::write_release(common::time_point now,
-                                claim const& current,
-                                ports::actions& out)
+void claim_table::write_release(claim const& current, ports::actions& out)
 {
     claim_record value;
     value.released_by = self_;
     value.epoch = current.epoch;
     value.write_id = random_();
     ++counts_.writes;
-    call(now,
-         {call_kind::release, now, current.partition, value},
+    call({call_kind::release, current.partition, value},
          ports::store_write{
              prefix_ + current.partition, to_json(value), current.version},
          out);
@@ -303,7 +295,7 @@
     switch (answered.kind)
     {
     case call_kind::list:
-        on_list(now, answered, reply);
+        on_list(now, reply);
         break;
     case call_kind::read:
         on_read(now, answered, reply);
@@ -320,7 +312,6 @@
 }
 
 void claim_table::on_list(common::time_point now,
-                          pending_call const& answered,
                           ports::store_reply const& reply)
 {
     list_in_flight_ = false;
@@ -329,7 +320,7 @@
         next_list_ = now + settings_.retry_interval;
         return;
     }
-    view_.apply_list(now, answered.sent, reply);
+    view_.apply_list(reply);
 }
 
 void claim_table::on_read(common::time_point now,
@@ -345,7 +336,7 @@
         return;
     }
     state.read_back = false;
-    view_.apply_read(now, answered.partition, reply);
+    view_.apply_read(answered.partition, reply);
 }
 
 // After a lost answer the write may have taken effect, or may yet. A claim
@@ -363,7 +354,7 @@
     switch (reply.status)
     {
     case ports::store_status::done:
-        view_.take(now, answered.partition, answered.written, reply.index);
+        view_.take(answered.partition, answered.written, reply.index);
         break;
     case ports::store_status::unavailable:
         state.retry = now + settings_.retry_interval;
@@ -392,7 +383,7 @@
     if (!state.calling && !state.read_back && now >= state.retry &&
         writes_ < settings_.max_writes)
     {
-        write_release(now, *current, out);
+        write_release(*current, out);
     }
 }
 
@@ -477,12 +468,10 @@
     return view_.take_changes();
 }
 
-void claim_table::call(common::time_point now,
-                       pending_call what,
+void claim_table::call(pending_call what,
                        ports::store_operation operation,
                        ports::actions& out)
 {
-    what.sent = now;
     if (what.kind != call_kind::list && what.kind != call_kind::erase)
     {
         progress_[what.partition].calling = true;
--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -123,7 +123,6 @@
     struct pending_call
     {
         call_kind kind = call_kind::list;
-        common::time_point sent;
         std::string partition;
         claim_record written;
     };
@@ -144,8 +143,7 @@
                      progress& state,
                      membership::member const& members,
                      candidates const& who);
-    void drive_unsettled(common::time_point now,
-                         claim const& current,
+    void drive_unsettled(claim const& current,
                          progress const& state,
                          ports::actions& out);
     void drive_free(common::time_point now,
@@ -162,23 +160,16 @@
     bool is_free(claim const& current, membership::member const& members) const;
     bool is_ours(std::string const& partition) const;
     std::size_t handovers_asked() const;
-    void write_claim(common::time_point now,
-                     claim const& current,
-                     ports::actions& out);
-    void write_release(common::time_point now,
-                       claim const& current,
-                       ports::actions& out);
-    void on_list(common::time_point now,
-                 pending_call const& answered,
-                 ports::store_reply const& reply);
+    void write_claim(claim const& current, ports::actions& out);
+    void write_release(claim const& current, ports::actions& out);
+    void on_list(common::time_point now, ports::store_reply const& reply);
     void on_read(common::time_point now,
                  pending_call const& answered,
                  ports::store_reply const& reply);
     void on_write(common::time_point now,
                   pending_call const& answered,
                   ports::store_reply const& reply);
-    void call(common::time_point now,
-              pending_call what,
+    void call(pending_call what,
               ports::store_operation operation,
               ports::actions& out);
 
--- a/src/core/claims/claim_view.cpp
+++ b/src/core/claims/claim_view.cpp
@@ -23,9 +23,7 @@
     }
 }
 
-void claim_view::apply_list(common::time_point now,
-                            common::time_point sent,
-                            ports::store_reply const& reply)
+void claim_view::apply_list(ports::store_reply const& reply)
 {
     if (reply.index < index_)
     {
@@ -39,51 +37,47 @@
         if (entry.key.starts_with(prefix_))
         {
             shown.insert(entry.key.substr(prefix_.size()));
-            take_entry(now, entry);
+            take_entry(entry);
         }
     }
     std::vector<std::string> absent;
     for (auto const& [partition, current] : claims_)
     {
-        if (current.version != 0 && current.version <= reply.index &&
-            shown.count(partition) == 0 && seen(partition) < sent)
+        if (shown.count(partition) == 0)
         {
             absent.push_back(partition);
         }
     }
     for (auto const& partition : absent)
     {
-        take_absent(now, partition);
+        take_absent(partition, reply.index);
     }
 }
 
-void claim_view::apply_read(common::time_point now,
-                            std::string const& partition,
+void claim_view::apply_read(std::string const& partition,
                             ports::store_reply const& reply)
 {
     if (reply.entries.empty())
     {
-        take_absent(now, partition);
+        take_absent(partition, reply.index);
         return;
     }
-    take_entry(now, reply.entries.front());
+    take_entry(reply.entries.front());
 }
 
 // An unreadable claim stays as it was last shown: nobody takes it over, and a
 // write from its old version fails.
-void claim_view::take_entry(common::time_point now,
-                            ports::store_entry const& entry)
+void claim_view::take_entry(ports::store_entry const& entry)
 {
     common::failure reason;
     auto const value = parse_claim_record(entry.value, reason);
     if (value)
     {
-        take(now, entry.key.substr(prefix_.size()), *value, entry.version);
+        take(entry.key.substr(prefix_.size()), *value, entry.version);
     }
 }
 
-void claim_view::take(common::time_point now,
-                      std::string const& partition,
+void claim_view::take(std::string const& partition,
                       claim_record const& value,
                       std::uint64_t version)
 {
@@ -96,7 +90,6 @@
     claim const before = std::exchange(
         place->second,
         {partition, value.owner, value.epoch, version, value.released_by});
-    seen_[partition] = now;
     tell_owner(before, place->second);
     if (value.owner != self_)
     {
@@ -104,17 +97,17 @@
     }
 }
 
-void claim_view::take_absent(common::time_point now,
-                             std::string const& partition)
+// An answer read before the key was written shows it as absent, too.
+void claim_view::take_absent(std::string const& partition, std::uint64_t index)
 {
     auto const place = claims_.find(partition);
-    if (place == claims_.end() || place->second.version == 0)
+    if (place == claims_.end() || place->second.version == 0 ||
+        place->second.version > index)
     {
         return;
     }
     claim const before = std::exchange(place->second, {});
     place->second.partition = partition;
-    seen_[partition] = now;
     tell_owner(before, place->second);
     releasing_.erase(partition);
 }
@@ -176,12 +169,6 @@
     return place == claims_.end() ? nullptr : &place->second;
 }
 
-common::time_point claim_view::seen(std::string const& partition) const noexcept
-{
-    auto const place = seen_.find(partition);
-    return place == seen_.end() ? common::time_point{} : place->second;
-}
-
 bool claim_view::names_owner(ports::member_identity const& id) const noexcept
 {
     return std::any_of(claims_.begin(),
--- a/src/core/claims/claim_view.hpp
+++ b/src/core/claims/claim_view.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/claims/claim_record.hpp"
-#include "core/common/time.hpp"
 #include "ports/store.hpp"
 
 #include <cstdint>
@@ -61,17 +60,13 @@
     /// Makes room for a partition that nobody may have claimed yet.
     void add(std::string const& partition);
 
-    /// Takes the answer to a list or watch sent at `sent`.
-    void apply_list(common::time_point now,
-                    common::time_point sent,
-                    ports::store_reply const& reply);
+    /// Takes the answer to a list or watch.
+    void apply_list(ports::store_reply const& reply);
     /// Takes the answer to a read of one partition.
-    void apply_read(common::time_point now,
-                    std::string const& partition,
+    void apply_read(std::string const& partition,
                     ports::store_reply const& reply);
     /// Takes what is known to stand, such as after a write.
-    void take(common::time_point now,
-              std::string const& partition,
+    void take(std::string const& partition,
               claim_record const& value,
               std::uint64_t version);
 
@@ -85,8 +80,6 @@
 
     std::map<std::string, claim> const& all() const noexcept;
     claim const* find(std::string const& partition) const noexcept;
-    /// When the partition's newest version was first shown.
-    common::time_point seen(std::string const& partition) const noexcept;
     bool names_owner(ports::member_identity const& id) const noexcept;
     /// Whether a list has been taken.
     bool known() const noexcept;
@@ -94,14 +87,13 @@
     std::uint64_t index() const noexcept;
 
 private:
-    void take_entry(common::time_point now, ports::store_entry const& entry);
-    void take_absent(common::time_point now, std::string const& partition);
+    void take_entry(ports::store_entry const& entry);
+    void take_absent(std::string const& partition, std::uint64_t index);
     void tell_owner(claim const& before, claim const& after);
 
     std::string prefix_;
     ports::member_identity self_;
     std::map<std::string, claim> claims_;
-    std::map<std::string, common::time_point> seen_;
     std::set<std::string> releasing_;
     std::vector<claim_change> changes_;
     std::uint64_t index_ = 0;
--- a/src/core/membership/burial.cpp
+++ b/src/core/membership/burial.cpp
@@ -16,6 +16,15 @@
 /// Ranks beyond this wait no longer: nobody depends on many others.
 constexpr std::size_t last_rank = 6;
 
+/// Consent is asked for again after the first of these, and ever more rarely
+/// up to the last: a member that lost only the store goes on for long by the
+/// promises of those that are asked.
+constexpr common::duration first_question = std::chrono::milliseconds(500);
+constexpr common::duration last_question = std::chrono::seconds(4);
+
+/// A burial whose write failed or was unclear is tried again after this.
+constexpr common::duration write_retry = std::chrono::milliseconds(500);
+
 /// A record that has stood still for `bury` is read this often for this long,
 /// so that all learn of its burial at once; then at the regular interval.
 constexpr common::duration watch_interval = std::chrono::milliseconds(500);
@@ -140,7 +149,9 @@
     {
         return;
     }
-    subject.next_question = now + settings_.beat_interval;
+    subject.question_interval = std::clamp(
+        subject.question_interval * 2, first_question, last_question);
+    subject.next_question = now + subject.question_interval;
     for (auto const& id : value.witnesses)
     {
         if (subject.consents.count(id) != 0)
@@ -263,7 +274,7 @@
     if (place != candidates_.end())
     {
         place->second.writing = false;
-        place->second.next_write = now + settings_.list_interval;
+        place->second.next_write = now + write_retry;
     }
 }
 
--- a/src/core/membership/burial.hpp
+++ b/src/core/membership/burial.hpp
@@ -89,6 +89,7 @@
         std::uint64_t version = 0;
         std::set<ports::member_identity> consents;
         common::time_point next_question{};
+        common::duration question_interval{};
         common::time_point next_write{};
         bool writing = false;
     };
--- a/src/core/membership/member.cpp
+++ b/src/core/membership/member.cpp
@@ -455,11 +455,6 @@
     return roster_.is_buried(id);
 }
 
-common::time_point member::members_read_at() const noexcept
-{
-    return roster_.list_sent();
-}
-
 roster const& member::records() const noexcept
 {
     return roster_;
--- a/src/core/membership/member.hpp
+++ b/src/core/membership/member.hpp
@@ -101,11 +101,9 @@
     member_info const* find(std::string_view name) const noexcept;
     /// Whether the store shows this incarnation as buried or removed: what it
     /// owned may be claimed. An incarnation that joined after the newest list
-    /// was read looks removed too: who learns of one elsewhere, such as from a
-    /// claim, asks again once `members_read_at` is later than that.
+    /// was read looks removed too: who learns of one elsewhere, as from a claim
+    /// at some version, may only ask once `records().index()` has reached that.
     bool is_buried(ports::member_identity const& id) const noexcept;
-    /// When the call was sent whose answer is the newest list of records.
-    common::time_point members_read_at() const noexcept;
     /// All records of the role as the newest list showed them.
     roster const& records() const noexcept;
     /// Whether the record list has been read at least once.
--- a/src/core/membership/own_record.cpp
+++ b/src/core/membership/own_record.cpp
@@ -153,6 +153,13 @@
     {
         return;
     }
+    std::uint64_t const shown =
+        reply.entries.empty() ? reply.index : reply.entries.front().version;
+    if (joined_ && shown < version_)
+    {
+        step_ = step::beating; // A lagging replica's older state.
+        return;
+    }
     if (reply.entries.empty())
     {
         settle_absent(news);
--- a/src/core/membership/roster.cpp
+++ b/src/core/membership/roster.cpp
@@ -125,6 +125,11 @@
     return list_sent_;
 }
 
+std::uint64_t roster::index() const noexcept
+{
+    return list_index_;
+}
+
 roster::records_by_name const& roster::records() const noexcept
 {
     return records_;
--- a/src/core/membership/roster.hpp
+++ b/src/core/membership/roster.hpp
@@ -59,6 +59,9 @@
     bool known() const noexcept;
     /// When the newest list call was sent.
     common::time_point list_sent() const noexcept;
+    /// The store's index at which the newest list was read: it shows every
+    /// change up to that.
+    std::uint64_t index() const noexcept;
     records_by_name const& records() const noexcept;
     seen_record const* find(std::string_view name) const noexcept;
     std::vector<member_info> const& live() const noexcept;
--- a/tests/unit/walks/fake_store.hpp
+++ b/tests/unit/walks/fake_store.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -131,6 +132,8 @@
     std::uint32_t lose_request_permille = 0;
     std::uint32_t lose_reply_permille = 0;
     std::uint32_t duplicate_permille = 0;
+    /// Reads and lists answered from a state of up to some seconds ago.
+    std::uint32_t stale_permille = 0;
     /// Each way of a call takes `delay`, or now and then up to `late_delay`.
     duration delay = std::chrono::milliseconds(2);
     duration late_delay = std::chrono::seconds(4);
@@ -290,14 +293,35 @@
         bool const writes =
             std::holds_alternative<ports::store_write>(operation) ||
             std::holds_alternative<ports::store_erase>(operation);
-        auto const reply = contents.apply(operation);
+        bool const stale =
+            !writes && !older_.empty() && chance(faults.stale_permille);
+        auto const reply =
+            stale ? older_[random_() % older_.size()].apply(operation)
+                  : contents.apply(operation);
         reply_to(pending, reply);
+        remember();
         if (writes && reply.status == ports::store_status::done)
         {
             wake_watches();
         }
     }
 
+    /// Keeps states of the last seconds for stale answers.
+    void remember()
+    {
+        if (faults.stale_permille == 0 ||
+            time_.now() < remembered_ + std::chrono::milliseconds(400))
+        {
+            return;
+        }
+        remembered_ = time_.now();
+        older_.push_back(contents);
+        if (older_.size() > 8)
+        {
+            older_.pop_front();
+        }
+    }
+
     void count(ports::store_operation const& operation)
     {
         counts.reads +=
@@ -368,6 +392,8 @@
     timeline& time_;
     std::mt19937_64 random_;
     std::vector<call_pointer> watches_;
+    std::deque<store_contents> older_;
+    time_point remembered_{};
 };
 
 } // namespace fuchsia::tests::unit::walks
--- a/tests/unit/walks/walk.cpp
+++ b/tests/unit/walks/walk.cpp
@@ -91,6 +91,7 @@
         auto& store = system_.store.faults;
         store.lose_request_permille = any_of({0, 0, 20, 100});
         store.lose_reply_permille = any_of({0, 20, 100, 300});
+        store.stale_permille = any_of({0, 0, 100, 500});
         store.duplicate_permille = any_of({0, 50});
         store.late_permille = any_of({0, 20, 200});
         store.time_out = std::chrono::milliseconds(any_of({500, 1000, 5000}));
--- a/tests/unit/walks/walk.hpp
+++ b/tests/unit/walks/walk.hpp
@@ -30,11 +30,12 @@
 };
 
 /// One walk: five members (three witnesses each), delays to 4 s, loss,
-/// duplicates, one-way cuts, store outages, lost answers, freezes, restarts,
-/// planned stops, clocks that drift by 3%. After every event no partition may
-/// have two members that act on it, and no buried member may act. In every
-/// second walk the platform's word counts for nothing (`list_stands_in` off),
-/// and it may run a second process under the name of one that is frozen.
+/// duplicates, one-way cuts, store outages, lost answers, stale reads, freezes,
+/// restarts, planned stops, clocks that drift by 3%. After every event no
+/// partition may have two members that act on it, and no buried member may act.
+/// In every second walk the platform's word counts for nothing
+/// (`list_stands_in` off), and it may run a second process under the name of
+/// one that is frozen.
 walk_result run_walk(walk_options const& options);
 
 } // namespace fuchsia::tests::unit::walks
