Claims: released ones go to whom they were handed, and stay for a while

A planned stop handed each partition to its successor, which had not yet read that the predecessor leaves and handed it straight back. The release now names whom it is for, and an owner keeps a claim for 'settle' before it hands it on.

--- a/src/core/claims/claim_record.cpp
+++ b/src/core/claims/claim_record.cpp
@@ -26,6 +26,25 @@
     return *number;
 }
 
+ports::member_identity read_identity_or_none(common::json_reader& reader,
+                                             std::string_view key)
+{
+    std::string const text = reader.text_or(key, "");
+    if (text.empty())
+    {
+        return {};
+    }
+    auto const id = membership::identity_from(text);
+    if (!id)
+    {
+        reader.fail(common::result_code::wrong_type,
+                    key,
+                    "name#incarnation is expected");
+        return {};
+    }
+    return *id;
+}
+
 } // namespace
 
 std::optional<claim_record> parse_claim_record(std::string_view json,
@@ -41,11 +60,8 @@
     value.owner.name = reader.text("owner");
     value.owner.incarnation =
         read_number(reader, "incarnation", reader.text("incarnation"));
-    value.released_by.name = reader.text_or("released_by", "");
-    value.released_by.incarnation =
-        read_number(reader,
-                    "released_incarnation",
-                    reader.text_or("released_incarnation", "0"));
+    value.released_by = read_identity_or_none(reader, "released_by");
+    value.handed_to = read_identity_or_none(reader, "handed_to");
     value.epoch = static_cast<std::uint64_t>(
         reader.integer("epoch", 0, std::numeric_limits<std::int64_t>::max()));
     value.write_id = read_number(reader, "write_id", reader.text("write_id"));
@@ -67,9 +83,11 @@
     };
     if (!value.released_by.name.empty())
     {
-        object["released_by"] = value.released_by.name;
-        object["released_incarnation"] =
-            membership::to_hexadecimal(value.released_by.incarnation);
+        object["released_by"] = membership::to_text(value.released_by);
+    }
+    if (!value.handed_to.name.empty())
+    {
+        object["handed_to"] = membership::to_text(value.handed_to);
     }
     return boost::json::serialize(object);
 }
--- a/src/core/claims/claim_record.hpp
+++ b/src/core/claims/claim_record.hpp
@@ -18,6 +18,9 @@
     /// Who gave it up last, where nobody owns it or its owner took it over
     /// from a live predecessor; else an empty name.
     ports::member_identity released_by;
+    /// Whom it was released for, and who alone may claim it while live; empty
+    /// name where there is none.
+    ports::member_identity handed_to;
     std::uint64_t epoch = 0;    ///< Rises with every change of owner.
     std::uint64_t write_id = 0; ///< Drawn for each write.
 
--- a/src/core/claims/claim_table.cpp
+++ b/src/core/claims/claim_table.cpp
@@ -51,7 +51,7 @@
     for (auto const& [partition, current] : view_.all())
     {
         auto& state = progress_[partition];
-        drive_owned(current, state, members, who);
+        drive_owned(now, current, state, members, who);
         if (state.calling || now < state.retry ||
             writes_ >= settings_.max_writes)
         {
@@ -124,15 +124,35 @@
     {
         return;
     }
+    if (is_kept_for_another(current, members))
+    {
+        return;
+    }
     auto const* wanted = winner(current.partition, who.live);
-    if (wanted != nullptr && *wanted == self_.name &&
-        std::binary_search(
-            partitions_.begin(), partitions_.end(), current.partition))
+    bool const ours = current.handed_to == self_ ||
+                      (wanted != nullptr && *wanted == self_.name);
+    if (ours && std::binary_search(
+                    partitions_.begin(), partitions_.end(), current.partition))
     {
         write_claim(current, out);
     }
 }
 
+// A predecessor hands its remembered keys to the member it releases for. One
+// that joined meanwhile and wins the hash would take the partition without
+// them, and a retry of a request that had run would run again.
+bool claim_table::is_kept_for_another(claim const& current,
+                                      membership::member const& members) const
+{
+    auto const& id = current.handed_to;
+    if (!current.owner.name.empty() || id.name.empty() || id == self_)
+    {
+        return false;
+    }
+    auto const* info = members.find(id);
+    return info != nullptr && !info->leaving;
+}
+
 bool claim_table::may_claim(common::time_point now,
                             membership::member const& members) const
 {
@@ -158,14 +178,31 @@
            members.records().index() >= current.version;
 }
 
-void claim_table::drive_owned(claim const& current,
+// A claim is kept for a while, whatever the hash says: its last owner may have
+// released it since it is leaving, which the next list of members will tell.
+// Handing it back at once would leave its keys' callers without an owner.
+void claim_table::drive_owned(common::time_point now,
+                              claim const& current,
                               progress& state,
                               membership::member const& members,
                               candidates const& who)
 {
-    if (!is_ours(current.partition))
+    if (current.owner != self_)
     {
         state.asked = false;
+        state.asked_for = {};
+    }
+    if (!is_ours(current.partition))
+    {
+        return;
+    }
+    if (state.epoch != current.epoch)
+    {
+        state.epoch = current.epoch;
+        state.owned_since = now;
+    }
+    if (!leaving_ && now - state.owned_since < settings_.settle)
+    {
         return;
     }
     auto const* wanted = winner(current.partition, who.settled);
@@ -270,6 +307,7 @@
 {
     claim_record value;
     value.released_by = self_;
+    value.handed_to = progress_[current.partition].asked_for;
     value.epoch = current.epoch;
     value.write_id = random_();
     ++counts_.writes;
--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -27,7 +27,8 @@
     /// Pause before a call is tried again that the store did not answer.
     common::duration retry_interval = std::chrono::milliseconds(500);
     /// A member must have been live this long before claims are handed over
-    /// to it: one that comes and goes would move them each time.
+    /// to it, and must have owned a claim this long before it hands it on:
+    /// one that comes and goes would move them each time.
     common::duration settle = std::chrono::seconds(5);
     /// A member claims nothing before it has been live this long, so that
     /// members which start together share out at once.
@@ -135,11 +136,14 @@
         bool read_back = false; ///< A write is unclear: read before the next.
         bool asked = false;     ///< A handover was asked for.
         ports::member_identity asked_for; ///< Whom it was asked for.
+        std::uint64_t epoch = 0;          ///< Of the claim that is ours since:
+        common::time_point owned_since;
     };
 
     void know_self(ports::member_identity const& self);
     void drive_list(common::time_point now, ports::actions& out);
-    void drive_owned(claim const& current,
+    void drive_owned(common::time_point now,
+                     claim const& current,
                      progress& state,
                      membership::member const& members,
                      candidates const& who);
@@ -155,6 +159,8 @@
                       membership::member const& members,
                       candidates const& who,
                       ports::actions& out);
+    bool is_kept_for_another(claim const& current,
+                             membership::member const& members) const;
     bool may_claim(common::time_point now,
                    membership::member const& members) const;
     bool is_free(claim const& current, membership::member const& members) const;
--- a/src/core/claims/claim_view.cpp
+++ b/src/core/claims/claim_view.cpp
@@ -87,9 +87,13 @@
     {
         return;
     }
-    claim const before = std::exchange(
-        place->second,
-        {partition, value.owner, value.epoch, version, value.released_by});
+    claim const before = std::exchange(place->second,
+                                       {partition,
+                                        value.owner,
+                                        value.epoch,
+                                        version,
+                                        value.released_by,
+                                        value.handed_to});
     tell_owner(before, place->second);
     if (value.owner != self_)
     {
--- a/src/core/claims/claim_view.hpp
+++ b/src/core/claims/claim_view.hpp
@@ -22,6 +22,8 @@
     std::uint64_t version = 0;    ///< The store's version of its key.
     /// Who released it last; empty name where its owner was buried.
     ports::member_identity released_by;
+    /// Whom it was released for; empty name where that does not matter.
+    ports::member_identity handed_to;
 };
 
 enum class claim_change_kind : std::uint8_t
--- a/src/core/membership/record.cpp
+++ b/src/core/membership/record.cpp
@@ -50,24 +50,6 @@
     return where;
 }
 
-/// Reads "entry-kochi-a-1#9f0c". One string takes half the bytes of an object,
-/// and every member reads all records every other second.
-std::optional<ports::member_identity> parse_identity(std::string_view text)
-{
-    auto const mark = text.rfind('#');
-    if (mark == std::string_view::npos || mark == 0)
-    {
-        return std::nullopt;
-    }
-    auto const incarnation = from_hexadecimal(text.substr(mark + 1));
-    if (!incarnation)
-    {
-        return std::nullopt;
-    }
-    return ports::member_identity{std::string(text.substr(0, mark)),
-                                  *incarnation};
-}
-
 std::vector<ports::member_identity> read_witnesses(common::json_reader& reader)
 {
     std::vector<ports::member_identity> witnesses;
@@ -86,7 +68,7 @@
     for (auto const& item : *array)
     {
         auto const witness =
-            item.is_string() ? parse_identity(item.as_string()) : std::nullopt;
+            item.is_string() ? identity_from(item.as_string()) : std::nullopt;
         if (!witness)
         {
             reader.fail(common::result_code::wrong_type,
@@ -126,6 +108,27 @@
     return number;
 }
 
+std::string to_text(ports::member_identity const& id)
+{
+    return id.name + '#' + to_hexadecimal(id.incarnation);
+}
+
+std::optional<ports::member_identity> identity_from(std::string_view text)
+{
+    auto const mark = text.rfind('#');
+    if (mark == std::string_view::npos || mark == 0)
+    {
+        return std::nullopt;
+    }
+    auto const incarnation = from_hexadecimal(text.substr(mark + 1));
+    if (!incarnation)
+    {
+        return std::nullopt;
+    }
+    return ports::member_identity{std::string(text.substr(0, mark)),
+                                  *incarnation};
+}
+
 std::string members_prefix(std::string_view role)
 {
     return "members/" + std::string(role) + "/";
@@ -178,8 +181,7 @@
     boost::json::array witnesses;
     for (auto const& witness : value.witnesses)
     {
-        witnesses.emplace_back(witness.name + '#' +
-                               to_hexadecimal(witness.incarnation));
+        witnesses.emplace_back(to_text(witness));
     }
     boost::json::object object{
         {"incarnation", to_hexadecimal(value.info.id.incarnation)},
