--- a/src/core/membership/record.cpp
+++ b/src/core/membership/record.cpp
@@ -67,22 +67,16 @@
     }
     for (auto const& item : *array)
     {
-        if (!item.is_object())
+        auto const witness =
+            item.is_string() ? identity_from(item.as_string()) : std::nullopt;
+        if (!witness)
         {
             reader.fail(common::result_code::wrong_type,
                         "witnesses",
-                        "each witness is an object");
+                        "each witness is a string, name#incarnation");
             return witnesses;
         }
-        common::json_reader inner(item.as_object(), "witness");
-        ports::member_identity witness;
-        witness.name = inner.text("name");
-        witness.incarnation = read_hexadecimal(inner, "incarnation", "");
-        if (!inner.ok())
-        {
-            reader.fail(inner.reason().code, "witnesses", inner.reason().why);
-        }
-        witnesses.push_back(std::move(witness));
+        witnesses.push_back(*witness);
     }
     return witnesses;
 }
@@ -114,6 +108,27 @@
     return number;
 }
 
+std::string to_text(ports::member_identity const& id)
+{
+    return id.name + '#' + to_hexadecimal(id.incarnation);
+}
+
+std::optional<ports::member_identity> identity_from(std::string_view text)
+{
+    auto const mark = text.rfind('#');
+    if (mark == std::string_view::npos || mark == 0)
+    {
+        return std::nullopt;
+    }
+    auto const incarnation = from_hexadecimal(text.substr(mark + 1));
+    if (!incarnation)
+    {
+        return std::nullopt;
+    }
+    return ports::member_identity{std::string(text.substr(0, mark)),
+                                  *incarnation};
+}
+
 std::string members_prefix(std::string_view role)
 {
     return "members/" + std::string(role) + "/";
@@ -166,9 +181,7 @@
     boost::json::array witnesses;
     for (auto const& witness : value.witnesses)
     {
-        witnesses.push_back(boost::json::object{
-            {"name", witness.name},
-            {"incarnation", to_hexadecimal(witness.incarnation)}});
+        witnesses.emplace_back(to_text(witness));
     }
     boost::json::object object{
         {"incarnation", to_hexadecimal(value.info.id.incarnation)},
