Add fuchsia-load: open-loop load, experiments and the books of a run

fuchsia-load run EXPERIMENT.toml drives requests and jobs at fixed seeded times whatever the answers do, counts latency from when a request was due, and enters each end once: answered, refused, unknown, lost or mixed. It switches faults at given times, and writes a table, a JSON summary, a CSV and an SVG. fuchsia-load books joins summaries with the stand-ins' books and ends with status 1 where a promise was broken.

--- a/standins/links/link_server.hpp
+++ b/standins/links/link_server.hpp
@@ -21,7 +21,7 @@
 class link_server
 {
 public:
-    link_server(boost::asio::io_context& io, links_settings settings);
+    link_server(boost::asio::io_context& io, links_settings const& settings);
 
     /// The control endpoint.
     std::optional<ports::endpoint> listen(core::common::failure& reason);
--- a/standins/links/relay.cpp
+++ b/standins/links/relay.cpp
@@ -199,7 +199,7 @@
 class relay::connection : public std::enable_shared_from_this<connection>
 {
 public:
-    connection(tcp::socket near, std::shared_ptr<relay> owner)
+    connection(tcp::socket near, std::shared_ptr<relay> const& owner)
         : owner_(owner), near_(std::move(near)), far_(owner->io_),
           retry_(owner->io_), forward_(owner, cut_state::forward, near_, far_),
           backward_(owner, cut_state::backward, far_, near_)
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -50,7 +50,7 @@
 std::optional<ports::endpoint>
 platform_server::listen(core::common::failure& reason)
 {
-    auto const where = server_.listen(settings_.listen, reason);
+    auto where = server_.listen(settings_.listen, reason);
     if (where)
     {
         tick();
--- a/standins/upstreams/executor.cpp
+++ b/standins/upstreams/executor.cpp
@@ -137,7 +137,7 @@
             message_.set("Upstream-Outcome", "not-run");
         }
         message_.keep_alive(keep_alive_);
-        message_.body() = how == work_end::whole ? body : std::string();
+        message_.body() = how == work_end::refused ? std::string() : body;
         message_.prepare_payload();
         http::async_write(
             stream_,
@@ -301,7 +301,8 @@
 
 // The work goes on to its end even where the caller has hung up, as a real
 // upstream's would.
-void executor::run(work_request const& what, std::function<void(work_end)> done)
+void executor::run(work_request const& what,
+                   std::function<void(work_end)> const& done)
 {
     auto const begun = pool_.begin(core::common::clock::now(), number_, what);
     if (begun.end == work_end::refused)
--- a/standins/upstreams/executor.hpp
+++ b/standins/upstreams/executor.hpp
@@ -49,7 +49,8 @@
     /// Runs `step` now, or when the executor is thawed. Each connection and
     /// each running request parks one step at most.
     void when_thawed(std::function<void()> step);
-    void run(work_request const& what, std::function<void(work_end)> done);
+    void run(work_request const& what,
+             std::function<void(work_end)> const& done);
 
     boost::asio::io_context& io_;
     upstream_pool& pool_;
--- a/standins/upstreams/upstream_server.cpp
+++ b/standins/upstreams/upstream_server.cpp
@@ -54,7 +54,7 @@
     {
         return std::nullopt;
     }
-    auto const where = control_.listen(settings_.control, reason);
+    auto where = control_.listen(settings_.control, reason);
     if (where && settings_.platform)
     {
         registrar_.emplace(io_,
--- /dev/null
+++ b/tools/load/caller.cpp
@@ -0,0 +1,264 @@
+#include "tools/load/caller.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace fuchsia::tools::load
+{
+
+namespace
+{
+
+using core::common::clock;
+using core::common::duration;
+using core::common::time_point;
+using ports::exchange_status;
+
+constexpr duration least_deadline = std::chrono::milliseconds(1);
+// Where a refusal doesn't say when to come back.
+constexpr duration default_pause = std::chrono::milliseconds(100);
+
+adapters::http::client_settings connection_settings(experiment const& what)
+{
+    adapters::http::client_settings settings;
+    settings.connections_per_endpoint = what.max_in_flight;
+    settings.connect_timeout = std::chrono::seconds(2);
+    return settings;
+}
+
+std::optional<std::int64_t> number_in(adapters::http::response const& answer,
+                                      std::string_view header)
+{
+    auto const text = answer.header(header);
+    std::int64_t value = 0;
+    if (!text ||
+        std::from_chars(text->data(), text->data() + text->size(), value).ec !=
+            std::errc())
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+duration pause_after(adapters::http::response const& answer)
+{
+    if (auto const exact = number_in(answer, "Fuchsia-Retry-After-Ms"))
+    {
+        return std::chrono::milliseconds(*exact);
+    }
+    if (auto const whole = number_in(answer, "Retry-After"))
+    {
+        return std::chrono::seconds(*whole);
+    }
+    return default_pause;
+}
+
+std::string path_of(traffic const& stream, std::uint64_t number)
+{
+    constexpr std::string_view mark = "{n}";
+    auto path = stream.path;
+    auto const at = path.find(mark);
+    if (at != std::string::npos)
+    {
+        path.replace(at, mark.size(), std::to_string(number));
+    }
+    return path;
+}
+
+} // namespace
+
+struct caller::pending
+{
+    explicit pending(traffic const& what) : stream(what)
+    {
+    }
+    traffic const& stream;
+    std::uint64_t number = 0;
+    time_point due{};
+    std::uint32_t attempts = 0;
+    std::size_t refused_connections = 0;
+    std::optional<std::size_t> target;
+    std::string token;
+};
+
+caller::caller(boost::asio::io_context& io,
+               experiment const& what,
+               balancer& entries,
+               book& into,
+               std::string run)
+    : io_(io), what_(what), entries_(entries), book_(into),
+      run_(std::move(run)), client_(io, connection_settings(what))
+{
+}
+
+void caller::set_direct_targets(std::vector<ports::endpoint> targets)
+{
+    direct_ = std::move(targets);
+}
+
+void caller::begin(time_point start)
+{
+    start_ = start;
+}
+
+void caller::send(std::size_t stream, time_point due)
+{
+    if (in_flight_ >= what_.max_in_flight)
+    {
+        book_.record_unsent();
+        return;
+    }
+    auto const request = std::make_shared<pending>(what_.streams[stream]);
+    request->number = ++sent_;
+    request->due = due;
+    request->token = "T" + run_ + "-" + std::to_string(request->number);
+    ++in_flight_;
+    attempt(request);
+}
+
+ports::endpoint const& caller::choose(pending& request)
+{
+    if (request.stream.direct && !direct_.empty())
+    {
+        direct_turn_ = (direct_turn_ + 1) % direct_.size();
+        return direct_[direct_turn_];
+    }
+    request.target = entries_.pick(request.target);
+    return entries_.at(*request.target);
+}
+
+void caller::attempt(pending_ptr const& request)
+{
+    ++request->attempts;
+    auto const left = std::max(
+        least_deadline, request->due + request->stream.deadline - clock::now());
+    adapters::http::client_call call;
+    call.where = choose(*request);
+    call.message = message_of(*request, left);
+    call.timeout = left + what_.answer_bound;
+    client_.send(std::move(call),
+                 [this, request](exchange_status status,
+                                 adapters::http::response const& answer)
+                 {
+                     on_end(request, status, answer);
+                 });
+}
+
+adapters::http::request caller::message_of(pending const& request,
+                                           duration left) const
+{
+    auto const& stream = request.stream;
+    adapters::http::request message;
+    message.method = stream.method;
+    message.target = path_of(stream, request.number);
+    message.headers = {
+        {"Fuchsia-Customer", stream.customer},
+        {"Fuchsia-Class", std::string(ports::name_of(stream.kind))},
+        {"Fuchsia-Deadline-Ms",
+         std::to_string(
+             std::max<std::int64_t>(1, core::common::to_milliseconds(left)))},
+        {"Fuchsia-Load-Token", request.token}};
+    if (stream.key && stream.method == "POST")
+    {
+        message.headers.push_back(
+            {"Idempotency-Key", run_ + "-" + std::to_string(request.number)});
+        message.headers.push_back(
+            {"Fuchsia-Attempt", std::to_string(request.attempts)});
+    }
+    bool const has_body = stream.method == "POST" || stream.method == "PUT";
+    message.body = std::string(has_body ? stream.body_bytes : 0, 'b');
+    return message;
+}
+
+void caller::on_end(pending_ptr const& request,
+                    exchange_status status,
+                    adapters::http::response const& answer)
+{
+    // A connection that was refused carried nothing: any balancer goes on to
+    // the next target.
+    if (status == exchange_status::not_sent &&
+        ++request->refused_connections < entries_.size())
+    {
+        --request->attempts;
+        attempt(request);
+        return;
+    }
+    auto const how = status == exchange_status::answered
+                         ? judge(answer, request->token, request->stream.direct)
+                         : result::lost;
+    if (auto const code = answer.header("Fuchsia-Code"))
+    {
+        book_.note_code(*code);
+    }
+    if (!try_again(request, how, answer))
+    {
+        finish(*request, how, answer.status);
+    }
+}
+
+bool caller::try_again(pending_ptr const& request,
+                       result how,
+                       adapters::http::response const& answer)
+{
+    auto const& retries = what_.retries;
+    auto const& stream = request->stream;
+    bool const repeatable = stream.method != "POST" || stream.key;
+    bool const wanted =
+        how == result::refused ||
+        (repeatable && ((how == result::unknown && retries.unknown) ||
+                        (how == result::lost && retries.lost)));
+    auto const pause =
+        retries.honour_retry_after ? pause_after(answer) : duration{};
+    if (!wanted || request->attempts >= retries.tries ||
+        clock::now() + pause >= request->due + stream.deadline)
+    {
+        return false;
+    }
+    auto const later = std::make_shared<adapters::runtime::timer>(io_, pause);
+    later->async_wait(
+        [this, later, request](auto error)
+        {
+            if (!error)
+            {
+                attempt(request);
+            }
+        });
+    return true;
+}
+
+void caller::finish(pending const& request, result how, std::uint16_t status)
+{
+    --in_flight_;
+    auto const now = clock::now();
+    ended_request ended;
+    ended.label = request.stream.label;
+    ended.kind = request.stream.kind;
+    ended.how = how;
+    ended.status = status;
+    ended.attempts = request.attempts;
+    ended.took = now - request.due;
+    ended.late = ended.took > request.stream.deadline;
+    auto const second =
+        std::chrono::duration_cast<std::chrono::seconds>(now - start_).count();
+    book_.record(static_cast<std::size_t>(std::max<std::int64_t>(0, second)),
+                 ended);
+}
+
+std::size_t caller::in_flight() const noexcept
+{
+    return in_flight_;
+}
+
+std::uint64_t caller::sent() const noexcept
+{
+    return sent_;
+}
+
+void caller::close()
+{
+    client_.close();
+}
+
+} // namespace fuchsia::tools::load
--- /dev/null
+++ b/tools/load/caller.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "adapters/http/client.hpp"
+#include "tools/load/balancer.hpp"
+#include "tools/load/book.hpp"
+#include "tools/load/experiment.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fuchsia::tools::load
+{
+
+/// Sends the requests of an experiment, tries again as its clients would, and
+/// enters every end in the book.
+class caller
+{
+public:
+    /// `run` makes keys and tokens differ from those of every other run. All
+    /// references outlive the caller.
+    caller(boost::asio::io_context& io,
+           experiment const& what,
+           balancer& entries,
+           book& into,
+           std::string run);
+
+    /// Where requests of `direct` streams go.
+    void set_direct_targets(std::vector<ports::endpoint> targets);
+    void begin(core::common::time_point start);
+    /// Sends one request of `stream` that was due at `due`.
+    void send(std::size_t stream, core::common::time_point due);
+
+    std::size_t in_flight() const noexcept;
+    std::uint64_t sent() const noexcept;
+    void close();
+
+private:
+    struct pending;
+    using pending_ptr = std::shared_ptr<pending>;
+
+    void attempt(pending_ptr const& request);
+    ports::endpoint const& choose(pending& request);
+    adapters::http::request message_of(pending const& request,
+                                       core::common::duration left) const;
+    void on_end(pending_ptr const& request,
+                ports::exchange_status status,
+                adapters::http::response const& answer);
+    bool try_again(pending_ptr const& request,
+                   result how,
+                   adapters::http::response const& answer);
+    void finish(pending const& request, result how, std::uint16_t status);
+
+    boost::asio::io_context& io_;
+    experiment const& what_;
+    balancer& entries_;
+    book& book_;
+    std::string run_;
+    adapters::http::client client_;
+    std::vector<ports::endpoint> direct_;
+    std::size_t direct_turn_ = 0;
+    core::common::time_point start_{};
+    std::uint64_t sent_ = 0;
+    std::size_t in_flight_ = 0;
+};
+
+} // namespace fuchsia::tools::load
--- /dev/null
+++ b/tools/load/main.cpp
@@ -0,0 +1,59 @@
+#include "tools/load/commands.hpp"
+
+#include <CLI/CLI.hpp>
+
+// fuchsia-load: open-loop load, experiments, and the books of a run.
+namespace
+{
+
+using namespace fuchsia::tools::load;
+
+CLI::App* add_run(CLI::App& app, run_options& options)
+{
+    auto* command = app.add_subcommand("run", "runs an experiment");
+    auto* file = command->add_option(
+        "experiment,--settings", options.experiment, "TOML file");
+    file->required();
+    command->add_option(
+        "--targets", options.targets, "TOML file with the table [targets]");
+    command->add_option(
+        "--summary", options.summary, "write a JSON summary here");
+    command->add_option("--csv", options.csv, "write one line a second here");
+    command->add_option("--svg", options.svg, "write a plot here");
+    command->add_option(
+        "--seconds", options.seconds, "stretch the run to this length");
+    command->add_option(
+        "--rate-factor", options.rate_factor, "multiplies every rate");
+    command->add_option("--seed", options.seed, "instead of the file's");
+    command->add_flag(
+        "--direct", options.direct, "past the entries, to the upstreams");
+    return command;
+}
+
+CLI::App* add_books(CLI::App& app, books_options& options)
+{
+    auto* command = app.add_subcommand(
+        "books", "checks what must always hold, from all books together");
+    command->add_option(
+        "--summary", options.summaries, "summaries of runs, any number");
+    command->add_option(
+        "--upstreams", options.upstreams, "IP:port of the stand-in's control");
+    command->add_option(
+        "--workers", options.workers, "IP:port of the stand-in's control");
+    return command;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Open-loop load and experiments");
+    app.set_version_flag("--version", FUCHSIA_VERSION);
+    app.require_subcommand(1);
+    run_options run;
+    books_options books;
+    auto const* const run_command = add_run(app, run);
+    add_books(app, books);
+    CLI11_PARSE(app, argc, argv);
+    return run_command->parsed() ? run_experiment(run) : print_books(books);
+}
--- /dev/null
+++ b/tools/load/report.cpp
@@ -0,0 +1,299 @@
+#include "tools/load/report.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <ostream>
+
+namespace fuchsia::tools::load
+{
+
+namespace
+{
+
+constexpr double millisecond_us = 1'000.0;
+
+double milliseconds(std::int64_t microseconds)
+{
+    return static_cast<double>(microseconds) / millisecond_us;
+}
+
+template<class... Values>
+std::string formatted(char const* format, Values... values)
+{
+    std::array<char, 512> text{};
+    std::snprintf(text.data(), text.size(), format, values...);
+    return text.data();
+}
+
+unsigned long long wide(std::uint64_t value)
+{
+    return value;
+}
+
+void print_head(std::ostream& out, char const* first)
+{
+    out << formatted("%-30s %9s %9s %9s %9s %9s %9s %8s %6s %6s %6s %6s\n",
+                     first,
+                     "count",
+                     "good",
+                     "p50 ms",
+                     "p99 ms",
+                     "p99.9 ms",
+                     "refused",
+                     "unknown",
+                     "lost",
+                     "mixed",
+                     "late",
+                     "failed");
+}
+
+void print_row(std::ostream& out, std::string const& name, tally const& row)
+{
+    out << formatted("%-30s %9llu %9llu %9.2f %9.2f %9.2f %9llu %8llu %6llu "
+                     "%6llu %6llu %6llu\n",
+                     name.c_str(),
+                     wide(row.requests),
+                     wide(row.good()),
+                     milliseconds(row.latency.quantile(0.5)),
+                     milliseconds(row.latency.quantile(0.99)),
+                     milliseconds(row.latency.quantile(0.999)),
+                     wide(row.of(result::refused)),
+                     wide(row.of(result::unknown)),
+                     wide(row.of(result::lost)),
+                     wide(row.of(result::mixed)),
+                     wide(row.late),
+                     wide(row.failed));
+}
+
+void print_tasks(std::ostream& out, run_report const& report)
+{
+    auto const& books = report.workers;
+    out << "jobs: submitted=" << report.jobs.submitted
+        << " accepted=" << report.jobs.accepted
+        << " refused=" << report.jobs.refused
+        << " gave_up=" << report.jobs.gave_up << '\n';
+    if (report.jobs.refused + report.jobs.gave_up > 0)
+    {
+        out << "last refusal of a job: " << report.job_reason << '\n';
+    }
+    out << "tasks: started=" << count_of(books, "starts")
+        << " finished=" << count_of(books, "finished")
+        << " evicted=" << count_of(books, "stopped")
+        << " checkpoints=" << count_of(books, "checkpoints")
+        << " resumed=" << count_of(books, "resumed")
+        << " failed=" << count_of(books, "failed")
+        << " expired=" << count_of(books, "expired")
+        << " lost=" << count_of(books, "lost") << '\n';
+}
+
+void print_upstreams(std::ostream& out, run_report const& report)
+{
+    auto const& books = report.upstreams;
+    auto const requests = report.requests.total().requests;
+    double const per_request =
+        requests == 0 ? 0.0
+                      : static_cast<double>(count_of(books, "received")) /
+                            static_cast<double>(requests);
+    out << "upstreams: received=" << count_of(books, "received")
+        << formatted(" per_request=%.3f", per_request)
+        << " refused=" << count_of(books, "refused")
+        << " failed=" << count_of(books, "failed")
+        << " overfilled=" << count_of(books, "overfilled")
+        << " doubled=" << count_of(books, "doubled")
+        << " after_leaving=" << count_of(books, "after_leaving") << '\n';
+}
+
+void print_store(std::ostream& out, run_report const& report)
+{
+    double const seconds = std::max(report.seconds, 0.001);
+    out << "store calls a second:";
+    for (auto const* const name :
+         {"reads", "lists", "watches", "writes", "erases"})
+    {
+        double const rate =
+            static_cast<double>(count_of(report.platform, name)) / seconds;
+        out << formatted(" %s=%.1f", name, rate);
+    }
+    out << " conflicts=" << count_of(report.platform, "conflicts")
+        << " over_bound=" << count_of(report.platform, "over_bound") << '\n';
+}
+
+boost::json::object json_of(tally const& row)
+{
+    return {{"requests", row.requests},
+            {"attempts", row.attempts},
+            {"answered", row.of(result::answered)},
+            {"refused", row.of(result::refused)},
+            {"unknown", row.of(result::unknown)},
+            {"lost", row.of(result::lost)},
+            {"mixed", row.of(result::mixed)},
+            {"good", row.good()},
+            {"late", row.late},
+            {"failed", row.failed},
+            {"p50_us", row.latency.quantile(0.5)},
+            {"p99_us", row.latency.quantile(0.99)},
+            {"p999_us", row.latency.quantile(0.999)},
+            {"largest_us", row.latency.largest()},
+            {"refusal_p99_us", row.refusal_latency.quantile(0.99)}};
+}
+
+template<class Map>
+boost::json::object json_of_rows(Map const& rows)
+{
+    boost::json::object json;
+    for (auto const& [name, row] : rows)
+    {
+        json[name] = json_of(row);
+    }
+    return json;
+}
+
+boost::json::object json_of_counts(counts const& books)
+{
+    boost::json::object json;
+    for (auto const& [name, count] : books)
+    {
+        json[name] = count;
+    }
+    return json;
+}
+
+} // namespace
+
+void print_tables(std::ostream& out, run_report const& report)
+{
+    auto const& requests = report.requests;
+    out << "experiment " << report.name << " seed=" << report.seed
+        << formatted(" seconds=%.1f", report.seconds) << '\n';
+    print_head(out, "class");
+    for (auto const& [name, row] : requests.by_class())
+    {
+        print_row(out, name, row);
+    }
+    print_row(out, "all", requests.total());
+    out << '\n';
+    print_head(out, "stream");
+    for (auto const& [name, row] : requests.by_label())
+    {
+        print_row(out, name, row);
+    }
+    out << '\n';
+    for (auto const& [code, count] : requests.codes())
+    {
+        out << "answers with code " << code << ": " << count << '\n';
+    }
+    if (requests.unsent() > 0)
+    {
+        out << "not sent by this tool, too many in flight: "
+            << requests.unsent() << '\n';
+    }
+    print_upstreams(out, report);
+    print_tasks(out, report);
+    print_store(out, report);
+}
+
+std::string to_json(run_report const& report)
+{
+    auto json = json_of(report.requests.total());
+    json["experiment"] = report.name;
+    json["seed"] = report.seed;
+    json["seconds"] = report.seconds;
+    json["unsent"] = report.requests.unsent();
+    json["classes"] = json_of_rows(report.requests.by_class());
+    json["streams"] = json_of_rows(report.requests.by_label());
+    json["codes"] = json_of_counts(report.requests.codes());
+    json["jobs"] = boost::json::object{{"submitted", report.jobs.submitted},
+                                       {"accepted", report.jobs.accepted},
+                                       {"refused", report.jobs.refused},
+                                       {"gave_up", report.jobs.gave_up}};
+    json["platform"] = json_of_counts(report.platform);
+    json["upstreams"] = json_of_counts(report.upstreams);
+    json["workers"] = json_of_counts(report.workers);
+    return boost::json::serialize(json);
+}
+
+std::string to_csv(run_report const& report)
+{
+    std::string csv = "second,ended,answered,good,refused,unknown,lost,mixed,"
+                      "p50_us,p99_us\n";
+    std::size_t second = 0;
+    for (auto const& row : report.requests.by_second())
+    {
+        csv += formatted("%llu,%llu,%llu,%llu,%llu,%llu,%llu,%llu,%lld,%lld\n",
+                         wide(second),
+                         wide(row.requests),
+                         wide(row.of(result::answered)),
+                         wide(row.good()),
+                         wide(row.of(result::refused)),
+                         wide(row.of(result::unknown)),
+                         wide(row.of(result::lost)),
+                         wide(row.of(result::mixed)),
+                         static_cast<long long>(row.latency.quantile(0.5)),
+                         static_cast<long long>(row.latency.quantile(0.99)));
+        ++second;
+    }
+    return csv;
+}
+
+bool verdict::add_summary(std::string_view json)
+{
+    boost::json::error_code error;
+    auto const parsed = boost::json::parse(json, error);
+    auto const* const object = error ? nullptr : parsed.if_object();
+    if (object == nullptr)
+    {
+        return false;
+    }
+    auto const add = [&](std::string_view key, std::uint64_t& to)
+    {
+        auto const* const value = object->if_contains(key);
+        auto const count =
+            value == nullptr ? 0 : value->to_number<std::uint64_t>(error);
+        to += count;
+        return value != nullptr && !error;
+    };
+    return add("requests", requests) && add("answered", answered) &&
+           add("refused", refused) && add("unknown", unknown) &&
+           add("lost", lost) && add("mixed", mixed);
+}
+
+void verdict::add_upstreams(counts const& books)
+{
+    doubled += count_of(books, "doubled");
+    overfilled += count_of(books, "overfilled");
+}
+
+// A checkpoint that two attempts resumed is one task's work run twice.
+void verdict::add_workers(counts const& books)
+{
+    overfilled += count_of(books, "overfilled");
+    two_places +=
+        count_of(books, "two_places") + count_of(books, "resumed_twice");
+    late_starts += count_of(books, "late_starts");
+}
+
+bool verdict::holds() const noexcept
+{
+    return lost + doubled + mixed + overfilled + two_places + late_starts == 0;
+}
+
+std::string to_line(verdict const& what)
+{
+    return formatted("requests=%llu answered=%llu refused=%llu unknown=%llu "
+                     "lost=%llu doubled=%llu mixed=%llu overfilled=%llu "
+                     "two_places=%llu late_starts=%llu",
+                     wide(what.requests),
+                     wide(what.answered),
+                     wide(what.refused),
+                     wide(what.unknown),
+                     wide(what.lost),
+                     wide(what.doubled),
+                     wide(what.mixed),
+                     wide(what.overfilled),
+                     wide(what.two_places),
+                     wide(what.late_starts));
+}
+
+} // namespace fuchsia::tools::load
--- /dev/null
+++ b/tools/load/run.cpp
@@ -0,0 +1,376 @@
+#include "tools/load/run.hpp"
+
+#include "adapters/platform/catalog_client.hpp"
+#include "adapters/runtime/signals.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <utility>
+
+namespace fuchsia::tools::load
+{
+
+namespace
+{
+
+using core::common::clock;
+using core::common::duration;
+using core::common::result_code;
+
+constexpr duration longest_check = std::chrono::seconds(10);
+constexpr duration progress_interval = std::chrono::seconds(1);
+constexpr duration idle_check = std::chrono::milliseconds(50);
+// Arrivals sent before other handlers get their turn.
+constexpr std::size_t arrival_batch = 128;
+constexpr std::uint64_t stream_seed_step = 1'000'003;
+
+// Different for every run, so that its keys and job ids are new ones.
+std::string run_name()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    auto const count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    constexpr std::string_view digits = "0123456789abcdefghijklmnopqrstuvwxyz";
+    std::string name;
+    for (auto left = count; left > 0;
+         left /= static_cast<std::int64_t>(digits.size()))
+    {
+        name += digits[static_cast<std::size_t>(left) % digits.size()];
+    }
+    return name;
+}
+
+counts counts_now(std::optional<ports::endpoint> const& where)
+{
+    return where ? fetch_counts(*where).value_or(counts()) : counts();
+}
+
+std::optional<adapters::http::response> get(ports::endpoint const& where,
+                                            std::string target)
+{
+    boost::asio::io_context io(1);
+    adapters::http::client client(io, {});
+    std::optional<adapters::http::response> got;
+    adapters::http::client_call call;
+    call.where = where;
+    call.message.method = "GET";
+    call.message.target = std::move(target);
+    bool ended = false;
+    client.send(
+        std::move(call),
+        [&](ports::exchange_status status, adapters::http::response answer)
+        {
+            ended = true;
+            if (status == ports::exchange_status::answered)
+            {
+                got = std::move(answer);
+            }
+        });
+    while (!ended && io.run_one() > 0)
+    {
+    }
+    return got;
+}
+
+} // namespace
+
+load_run::load_run(experiment what)
+    : what_(std::move(what)), run_(run_name()), io_(1),
+      entries_(io_,
+               what_.targets.entries,
+               what_.targets.check_interval,
+               what_.targets.check_lag),
+      caller_(io_, what_, entries_, book_, run_), submitter_(io_, what_, run_),
+      events_(io_, {}), arrival_timer_(io_), progress_timer_(io_),
+      end_timer_(io_)
+{
+}
+
+std::optional<run_report> load_run::run(core::common::failure& reason)
+{
+    if (!prepare(reason))
+    {
+        return std::nullopt;
+    }
+    start_ = clock::now();
+    caller_.begin(start_);
+    make_arrivals();
+    start_events();
+    adapters::runtime::on_stop_signal(io_,
+                                      [this]
+                                      {
+                                          arrivals_ = {};
+                                      });
+    serve_arrivals();
+    show_progress();
+    end_when_idle();
+    io_.run();
+    return make_report();
+}
+
+bool load_run::prepare(core::common::failure& reason)
+{
+    auto const is_direct = [](traffic const& each)
+    {
+        return each.direct;
+    };
+    auto const& streams = what_.streams;
+    bool const needs_entries =
+        !std::all_of(streams.begin(), streams.end(), is_direct);
+    if (needs_entries && what_.targets.entries.empty())
+    {
+        reason = {result_code::missing_key, "targets.entries", "none is given"};
+        return false;
+    }
+    if (!what_.jobs.empty() && what_.targets.planners.empty())
+    {
+        reason = {
+            result_code::missing_key, "targets.planners", "none is given"};
+        return false;
+    }
+    if (std::any_of(streams.begin(), streams.end(), is_direct) &&
+        !find_direct_targets(reason))
+    {
+        return false;
+    }
+    platform_before_ = counts_now(what_.targets.platform);
+    upstreams_before_ = counts_now(what_.targets.upstreams);
+    workers_before_ = counts_now(what_.targets.workers);
+    entries_.start();
+    auto const give_up = clock::now() + longest_check;
+    while (!entries_.checked_all() && clock::now() < give_up)
+    {
+        io_.run_one_for(idle_check);
+    }
+    return true;
+}
+
+bool load_run::find_direct_targets(core::common::failure& reason)
+{
+    if (!what_.targets.platform)
+    {
+        reason = {result_code::missing_key,
+                  "targets.platform",
+                  "direct traffic needs the list of upstreams"};
+        return false;
+    }
+    auto const answer =
+        get(*what_.targets.platform, "/v1/catalog/service/upstream");
+    auto const listed = adapters::platform::parse_upstreams(
+        answer ? answer->body : std::string());
+    std::vector<ports::endpoint> targets;
+    for (auto const& each : listed.value_or(decltype(listed)::value_type()))
+    {
+        targets.push_back(each.where);
+    }
+    if (targets.empty())
+    {
+        reason = {
+            result_code::not_found, "targets.platform", "it lists no upstream"};
+        return false;
+    }
+    caller_.set_direct_targets(std::move(targets));
+    return true;
+}
+
+void load_run::make_arrivals()
+{
+    std::uint64_t seed = what_.seed;
+    for (auto const& each : what_.streams)
+    {
+        seed += stream_seed_step;
+        streams_.emplace_back(arrival_stream::shape{each.rate,
+                                                    each.poisson,
+                                                    each.from,
+                                                    each.until,
+                                                    each.burst_size,
+                                                    each.burst_every},
+                              what_.phases,
+                              seed);
+    }
+    constexpr double minute = 60.0;
+    for (auto const& each : what_.jobs)
+    {
+        seed += stream_seed_step;
+        arrival_stream::shape shape;
+        shape.rate = each.per_minute / minute;
+        shape.from = each.from;
+        shape.until = each.until;
+        streams_.emplace_back(shape, what_.phases, seed);
+    }
+    for (std::size_t stream = 0; stream < streams_.size(); ++stream)
+    {
+        push_next(stream);
+    }
+}
+
+void load_run::push_next(std::size_t stream)
+{
+    if (auto const due = streams_[stream].next())
+    {
+        arrivals_.push({*due, stream});
+    }
+}
+
+void load_run::serve_arrivals()
+{
+    std::size_t served = 0;
+    while (!arrivals_.empty() && served < arrival_batch &&
+           start_ + arrivals_.top().due <= clock::now())
+    {
+        auto const next = arrivals_.top();
+        arrivals_.pop();
+        push_next(next.stream);
+        if (next.stream < what_.streams.size())
+        {
+            caller_.send(next.stream, start_ + next.due);
+        }
+        else
+        {
+            submitter_.submit(next.stream - what_.streams.size());
+        }
+        ++served;
+    }
+    if (arrivals_.empty())
+    {
+        return;
+    }
+    arrival_timer_.expires_at(start_ + arrivals_.top().due);
+    arrival_timer_.async_wait(
+        [this](auto error)
+        {
+            if (!error)
+            {
+                serve_arrivals();
+            }
+        });
+}
+
+void load_run::start_events()
+{
+    for (auto const& event : what_.events)
+    {
+        auto const timer =
+            std::make_shared<adapters::runtime::timer>(io_, event.at);
+        timer->async_wait(
+            [this, timer, &event](auto error)
+            {
+                if (!error && !stopping_)
+                {
+                    send_event(event);
+                }
+            });
+    }
+}
+
+void load_run::send_event(timed_event const& event)
+{
+    adapters::http::client_call call;
+    call.where = event.where;
+    call.message.method = event.method;
+    call.message.target = event.path;
+    call.message.body = event.body;
+    if (event.with_token)
+    {
+        call.message.headers = {
+            {"Authorization", "Bearer " + what_.targets.token}};
+    }
+    events_.send(std::move(call),
+                 [&event](ports::exchange_status status,
+                          adapters::http::response const& answer)
+                 {
+                     bool const answered =
+                         status == ports::exchange_status::answered;
+                     std::cout << "event " << event.method << ' ' << event.path
+                               << ' ' << event.body << ": "
+                               << (answered ? std::to_string(answer.status)
+                                            : std::string("no answer"))
+                               << std::endl;
+                 });
+}
+
+void load_run::show_progress()
+{
+    progress_timer_.expires_after(progress_interval);
+    progress_timer_.async_wait(
+        [this](auto error)
+        {
+            if (error)
+            {
+                return;
+            }
+            auto const& all = book_.total();
+            auto const& last = book_.by_second();
+            auto const second =
+                std::chrono::duration_cast<std::chrono::seconds>(clock::now() -
+                                                                 start_)
+                    .count();
+            auto const index = static_cast<std::size_t>(second - 1);
+            std::cout << "t=" << second << " sent=" << caller_.sent()
+                      << " answered=" << all.of(result::answered)
+                      << " refused=" << all.of(result::refused)
+                      << " unknown=" << all.of(result::unknown)
+                      << " lost=" << all.of(result::lost)
+                      << " in_flight=" << caller_.in_flight()
+                      << " ready=" << entries_.ready();
+            if (index < last.size())
+            {
+                std::cout << " p50_us=" << last[index].latency.quantile(0.5)
+                          << " p99_us=" << last[index].latency.quantile(0.99);
+            }
+            std::cout << " jobs=" << submitter_.counts().accepted << std::endl;
+            show_progress();
+        });
+}
+
+// Each request ends by its deadline and the answer bound, each job after its
+// last try, so this comes to an end.
+void load_run::end_when_idle()
+{
+    bool const idle = arrivals_.empty() && caller_.in_flight() == 0 &&
+                      submitter_.open() == 0 &&
+                      clock::now() >= start_ + what_.length();
+    end_timer_.expires_after(idle ? what_.settle : idle_check);
+    end_timer_.async_wait(
+        [this, idle](auto error)
+        {
+            if (error)
+            {
+                return;
+            }
+            if (idle)
+            {
+                stop();
+                return;
+            }
+            end_when_idle();
+        });
+}
+
+void load_run::stop()
+{
+    stopping_ = true;
+    io_.stop();
+}
+
+run_report load_run::make_report()
+{
+    run_report report;
+    report.name = what_.name;
+    report.seed = what_.seed;
+    report.seconds =
+        std::chrono::duration<double>(clock::now() - start_).count();
+    report.requests = std::move(book_);
+    report.jobs = submitter_.counts();
+    report.job_reason = submitter_.last_reason();
+    report.platform =
+        difference(platform_before_, counts_now(what_.targets.platform));
+    report.upstreams =
+        difference(upstreams_before_, counts_now(what_.targets.upstreams));
+    report.workers =
+        difference(workers_before_, counts_now(what_.targets.workers));
+    return report;
+}
+
+} // namespace fuchsia::tools::load
--- /dev/null
+++ b/tools/load/run.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "adapters/runtime/timer.hpp"
+#include "tools/load/balancer.hpp"
+#include "tools/load/caller.hpp"
+#include "tools/load/experiment.hpp"
+#include "tools/load/report.hpp"
+#include "tools/load/schedule.hpp"
+#include "tools/load/submitter.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+namespace fuchsia::tools::load
+{
+
+/// One run of an experiment, on one thread: arrivals in an open loop, jobs,
+/// timed events, and a progress line every second.
+class load_run
+{
+public:
+    explicit load_run(experiment what);
+
+    /// Runs to the end, or until SIGTERM; empty, with the reason, where it
+    /// can't begin.
+    std::optional<run_report> run(core::common::failure& reason);
+
+private:
+    struct arrival
+    {
+        core::common::duration due{};
+        std::size_t stream = 0; ///< Of requests, then of jobs.
+
+        bool operator>(arrival const& other) const noexcept
+        {
+            return due > other.due;
+        }
+    };
+    using arrival_queue = std::
+        priority_queue<arrival, std::vector<arrival>, std::greater<arrival>>;
+
+    bool prepare(core::common::failure& reason);
+    bool find_direct_targets(core::common::failure& reason);
+    void make_arrivals();
+    void push_next(std::size_t stream);
+    void serve_arrivals();
+    void start_events();
+    void send_event(timed_event const& event);
+    void show_progress();
+    void end_when_idle();
+    void stop();
+    run_report make_report();
+
+    experiment what_;
+    std::string run_;
+    boost::asio::io_context io_;
+    book book_;
+    balancer entries_;
+    caller caller_;
+    submitter submitter_;
+    adapters::http::client events_;
+    std::vector<arrival_stream> streams_;
+    arrival_queue arrivals_;
+    adapters::runtime::timer arrival_timer_;
+    adapters::runtime::timer progress_timer_;
+    adapters::runtime::timer end_timer_;
+    core::common::time_point start_{};
+    tally shown_;
+    bool stopping_ = false;
+    counts platform_before_;
+    counts upstreams_before_;
+    counts workers_before_;
+};
+
+} // namespace fuchsia::tools::load
--- /dev/null
+++ b/tools/load/standin_books.cpp
@@ -0,0 +1,81 @@
+#include "tools/load/standin_books.hpp"
+
+#include "adapters/http/client.hpp"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace fuchsia::tools::load
+{
+
+namespace
+{
+constexpr std::uint16_t ok = 200;
+} // namespace
+
+std::optional<counts> parse_counts(std::string_view body)
+{
+    boost::json::error_code error;
+    auto const json = boost::json::parse(body, error);
+    if (error || !json.is_object())
+    {
+        return std::nullopt;
+    }
+    counts read;
+    for (auto const& member : json.as_object())
+    {
+        auto const count = member.value().to_number<std::uint64_t>(error);
+        if (error)
+        {
+            return std::nullopt;
+        }
+        read[std::string(member.key())] = count;
+    }
+    return read;
+}
+
+std::optional<counts> fetch_counts(ports::endpoint const& where)
+{
+    boost::asio::io_context io(1);
+    adapters::http::client client(io, {});
+    std::optional<counts> read;
+    bool ended = false;
+    adapters::http::client_call call;
+    call.where = where;
+    call.message.method = "GET";
+    call.message.target = "/control/counts";
+    client.send(std::move(call),
+                [&](ports::exchange_status status,
+                    adapters::http::response const& answer)
+                {
+                    ended = true;
+                    if (status == ports::exchange_status::answered &&
+                        answer.status == ok)
+                    {
+                        read = parse_counts(answer.body);
+                    }
+                });
+    while (!ended && io.run_one() > 0)
+    {
+    }
+    return read;
+}
+
+counts difference(counts const& before, counts const& after)
+{
+    counts added;
+    for (auto const& [name, count] : after)
+    {
+        auto const earlier = count_of(before, name);
+        added[name] = count > earlier ? count - earlier : 0;
+    }
+    return added;
+}
+
+std::uint64_t count_of(counts const& books, std::string_view name)
+{
+    auto const found = books.find(name);
+    return found == books.end() ? 0 : found->second;
+}
+
+} // namespace fuchsia::tools::load
--- /dev/null
+++ b/tools/load/submitter.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "adapters/http/client.hpp"
+#include "tools/load/experiment.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace fuchsia::tools::load
+{
+
+struct job_counts
+{
+    std::uint64_t submitted = 0;
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t gave_up = 0; ///< No planner answered in all tries.
+};
+
+/// Submits the jobs of an experiment. A planner that doesn't answer is
+/// followed by the next one, with the same id, which makes that safe.
+class submitter
+{
+public:
+    submitter(boost::asio::io_context& io,
+              experiment const& what,
+              std::string run);
+
+    void submit(std::size_t stream);
+    job_counts const& counts() const noexcept;
+    std::size_t open() const noexcept;
+    /// Why a planner refused a job last.
+    std::string const& last_reason() const noexcept;
+    void close();
+
+private:
+    struct pending
+    {
+        std::string body;
+        std::uint32_t tries = 0;
+    };
+
+    void attempt(std::shared_ptr<pending> const& job);
+    void on_end(std::shared_ptr<pending> const& job,
+                ports::exchange_status status,
+                adapters::http::response const& answer);
+
+    boost::asio::io_context& io_;
+    experiment const& what_;
+    std::string run_;
+    adapters::http::client client_;
+    std::size_t turn_ = 0;
+    std::size_t open_ = 0;
+    job_counts counts_;
+    std::string last_reason_;
+};
+
+} // namespace fuchsia::tools::load
