--- a/standins/workers/worker_pool.cpp
+++ b/standins/workers/worker_pool.cpp
@@ -144,6 +144,7 @@
     auto const refused = refusal_of(at, clock_ms(worker, now), call);
     if (refused)
     {
+        ++books_.refused;
         return {false, *refused, {}, {}};
     }
     settle(now, call.what.task);
--- a/standins/workers/worker_pool.hpp
+++ b/standins/workers/worker_pool.hpp
@@ -59,6 +59,7 @@
 struct worker_books
 {
     std::uint64_t starts = 0;
+    std::uint64_t refused = 0; ///< Starts that were not begun.
     std::uint64_t finished = 0;
     std::uint64_t failed = 0;
     std::uint64_t stopped = 0;
--- a/standins/workers/worker_server.cpp
+++ b/standins/workers/worker_server.cpp
@@ -311,6 +311,7 @@
 {
     auto const& counts = pool_.books();
     return books_answer({{"starts", counts.starts},
+                         {"refused", counts.refused},
                          {"finished", counts.finished},
                          {"failed", counts.failed},
                          {"stopped", counts.stopped},
--- a/tests/contract/load/load_parts_test.cpp
+++ b/tests/contract/load/load_parts_test.cpp
@@ -5,7 +5,10 @@
 #include "tools/load/report.hpp"
 #include "tools/load/schedule.hpp"
 
+#include <algorithm>
+#include <filesystem>
 #include <gtest/gtest.h>
+#include <limits>
 
 namespace fuchsia::tools::load
 {
@@ -89,7 +92,7 @@
 {
     arrival_stream::shape shape;
     shape.rate = 100;
-    std::vector<phase> const phases{{10s, 1.0, 1.0}};
+    std::vector<phase> const phases{{"", 10s, 1.0, 1.0}};
     auto const first = all_of(arrival_stream(shape, phases, 7));
     EXPECT_EQ(first, all_of(arrival_stream(shape, phases, 7)));
     EXPECT_NE(first, all_of(arrival_stream(shape, phases, 8)));
@@ -126,7 +129,7 @@
         {"bursts at 0, 4 and 8 seconds", burst, 0s, 12s, 150, 150},
     };
     std::vector<phase> const phases{
-        {5s, 1.0, 1.0}, {5s, 2.0, 2.0}, {2s, 2.0, 0.0}};
+        {"", 5s, 1.0, 1.0}, {"", 5s, 2.0, 2.0}, {"", 2s, 2.0, 0.0}};
     for (auto const& row : rows)
     {
         auto const times = all_of(arrival_stream(row.shape, phases, 1));
@@ -303,6 +306,33 @@
     }
 }
 
+TEST(experiment, the_files_that_are_shipped_are_read)
+{
+    namespace files = std::filesystem;
+    files::path const source = FUCHSIA_SOURCE_DIR;
+    core::common::failure reason;
+    auto const targets_file = adapters::settings::toml_file::open(
+        source / "examples" / "load-targets.toml", reason);
+    ASSERT_TRUE(targets_file) << to_string(reason);
+    auto targets_root = targets_file->root();
+    auto const targets = read_targets(targets_root, {});
+    EXPECT_TRUE(targets_file->ok()) << to_string(targets_file->reason());
+    std::vector<files::path> paths{source / "examples" /
+                                   "load-experiment.toml"};
+    for (auto const& entry : files::directory_iterator(source / "experiments"))
+    {
+        paths.push_back(entry.path());
+    }
+    for (auto const& path : paths)
+    {
+        auto const file = adapters::settings::toml_file::open(path, reason);
+        ASSERT_TRUE(file) << to_string(reason);
+        auto root = file->root();
+        read_experiment(root, targets);
+        EXPECT_TRUE(file->ok()) << to_string(file->reason());
+    }
+}
+
 TEST(experiment, stretches_all_times_alike)
 {
     core::common::failure reason;
--- a/tools/load/book.cpp
+++ b/tools/load/book.cpp
@@ -103,6 +103,10 @@
     enter(total_, request);
     enter(by_class_[std::string(ports::name_of(request.kind))], request);
     enter(by_label_[request.label], request);
+    if (!request.phase.empty())
+    {
+        enter(by_phase_[request.phase + " " + request.label], request);
+    }
     if (second >= max_seconds)
     {
         return;
@@ -152,6 +156,11 @@
     return by_label_;
 }
 
+std::map<std::string, tally, std::less<>> const& book::by_phase() const
+{
+    return by_phase_;
+}
+
 std::map<std::string, std::uint64_t, std::less<>> const& book::codes() const
 {
     return codes_;
--- a/tools/load/book.hpp
+++ b/tools/load/book.hpp
@@ -54,6 +54,7 @@
 struct ended_request
 {
     std::string label;
+    std::string phase; ///< In which it was due; empty: there is but one.
     ports::request_class kind = ports::request_class::latency_critical;
     result how = result::lost;
     std::uint16_t status = 0;
@@ -74,6 +75,8 @@
     std::uint64_t unsent() const noexcept;
     std::map<std::string, tally, std::less<>> const& by_class() const;
     std::map<std::string, tally, std::less<>> const& by_label() const;
+    /// By "phase label"; empty where the run has one phase.
+    std::map<std::string, tally, std::less<>> const& by_phase() const;
     std::map<std::string, std::uint64_t, std::less<>> const& codes() const;
     /// By the second in which the request ended.
     std::vector<tally> const& by_second() const noexcept;
@@ -83,6 +86,7 @@
     std::uint64_t unsent_ = 0;
     std::map<std::string, tally, std::less<>> by_class_;
     std::map<std::string, tally, std::less<>> by_label_;
+    std::map<std::string, tally, std::less<>> by_phase_;
     std::map<std::string, std::uint64_t, std::less<>> codes_;
     std::vector<tally> by_second_;
 };
--- a/tools/load/caller.cpp
+++ b/tools/load/caller.cpp
@@ -234,6 +234,10 @@
     auto const now = clock::now();
     ended_request ended;
     ended.label = request.stream.label;
+    if (what_.phases.size() > 1)
+    {
+        ended.phase = what_.phases[what_.phase_at(request.due - start_)].name;
+    }
     ended.kind = request.stream.kind;
     ended.how = how;
     ended.status = status;
--- a/tools/load/experiment.cpp
+++ b/tools/load/experiment.cpp
@@ -57,12 +57,17 @@
     for (auto& table : root.tables("phase"))
     {
         phase read;
+        read.name = table.text_or("name", "");
         read.length = table.duration_or("length_ms", 10s, 1ms, longest);
         read.factor = table.number_or("factor", 1.0, 0.0, max_rate);
         read.factor_to =
             table.number_or("factor_to", read.factor, 0.0, max_rate);
         table.refuse_unread();
-        phases.push_back(read);
+        if (read.name.empty())
+        {
+            read.name = std::to_string(phases.size() + 1);
+        }
+        phases.push_back(std::move(read));
     }
     if (phases.empty())
     {
@@ -198,6 +203,17 @@
     return sum;
 }
 
+std::size_t experiment::phase_at(duration at) const noexcept
+{
+    std::size_t number = 0;
+    while (number + 1 < phases.size() && at >= phases[number].length)
+    {
+        at -= phases[number].length;
+        ++number;
+    }
+    return number;
+}
+
 void experiment::scale_to(duration wanted)
 {
     double const factor = std::chrono::duration<double>(wanted) /
--- a/tools/load/experiment.hpp
+++ b/tools/load/experiment.hpp
@@ -32,6 +32,7 @@
 /// Part of the run; `factor` multiplies every rate, going to `factor_to`.
 struct phase
 {
+    std::string name; ///< In the report; empty: its number and factor.
     core::common::duration length{};
     double factor = 1.0;
     double factor_to = 1.0;
@@ -106,6 +107,8 @@
     core::common::duration settle = std::chrono::seconds(1);
 
     core::common::duration length() const noexcept;
+    /// The phase that holds for a request due at `at`, from the beginning.
+    std::size_t phase_at(core::common::duration at) const noexcept;
     /// Stretches phases, windows and events to `wanted`.
     void scale_to(core::common::duration wanted);
 };
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -34,7 +34,7 @@
 
 void print_head(std::ostream& out, char const* first)
 {
-    out << formatted("%-30s %9s %9s %9s %9s %9s %9s %8s %6s %6s %6s %6s\n",
+    out << formatted("%-38s %9s %9s %9s %9s %9s %9s %8s %6s %6s %6s %6s\n",
                      first,
                      "count",
                      "good",
@@ -51,7 +51,7 @@
 
 void print_row(std::ostream& out, std::string const& name, tally const& row)
 {
-    out << formatted("%-30s %9llu %9llu %9.2f %9.2f %9.2f %9llu %8llu %6llu "
+    out << formatted("%-38s %9llu %9llu %9.2f %9.2f %9.2f %9llu %8llu %6llu "
                      "%6llu %6llu %6llu\n",
                      name.c_str(),
                      wide(row.requests),
@@ -180,6 +180,15 @@
         print_row(out, name, row);
     }
     out << '\n';
+    if (!requests.by_phase().empty())
+    {
+        print_head(out, "phase, stream");
+        for (auto const& [name, row] : requests.by_phase())
+        {
+            print_row(out, name, row);
+        }
+        out << '\n';
+    }
     for (auto const& [code, count] : requests.codes())
     {
         out << "answers with code " << code << ": " << count << '\n';
@@ -203,6 +212,7 @@
     json["unsent"] = report.requests.unsent();
     json["classes"] = json_of_rows(report.requests.by_class());
     json["streams"] = json_of_rows(report.requests.by_label());
+    json["phases"] = json_of_rows(report.requests.by_phase());
     json["codes"] = json_of_counts(report.requests.codes());
     json["jobs"] = boost::json::object{{"submitted", report.jobs.submitted},
                                        {"accepted", report.jobs.accepted},
--- a/tools/load/schedule.cpp
+++ b/tools/load/schedule.cpp
@@ -10,6 +10,7 @@
 {
 using core::common::duration;
 constexpr double second_us = 1'000'000.0;
+constexpr double whole_request = 0.999'999; // Sums of shares are not exact.
 } // namespace
 
 arrival_stream::arrival_stream(shape what,
@@ -80,17 +81,17 @@
     std::exponential_distribution<double> gap(rate / second_us);
     std::uniform_real_distribution<double> share(0.0, 1.0);
     double const even_gap = second_us / rate;
-    double kept = 0;
     while (steady_at_us_ < static_cast<double>(end_.count()))
     {
         steady_at_us_ += shape_.poisson ? gap(random_) : even_gap;
         duration const at(static_cast<std::int64_t>(steady_at_us_));
         double const wanted = factor_at(at) / highest;
-        kept += wanted;
+        owed_ += wanted;
         bool const take =
-            shape_.poisson ? share(random_) < wanted : kept >= 0.999999;
+            shape_.poisson ? share(random_) < wanted : owed_ >= whole_request;
         if (take && at < end_)
         {
+            owed_ -= 1.0;
             return at;
         }
     }
--- a/tools/load/schedule.hpp
+++ b/tools/load/schedule.hpp
@@ -40,6 +40,7 @@
     std::mt19937_64 random_;
     core::common::duration end_{};
     double steady_at_us_ = 0;
+    double owed_ = 0; ///< Even streams: the part of a request that is due.
     std::optional<core::common::duration> steady_;
     std::optional<core::common::duration> burst_;
     std::uint32_t burst_left_ = 0;
