Ask the workers only after the planner's engine is there

Cause: the workers' thread started before the engine was made, and a list of workers that came first was handed to a null engine. Ruled out: settings and ports, the same in all nine. No functional change otherwise.

--- a/src/programs/planner/planner_program.cpp
+++ b/src/programs/planner/planner_program.cpp
@@ -132,9 +132,17 @@
 adapters::daemon::shell_events planner_program::events()
 {
     adapters::daemon::shell_events out;
+    // The workers are asked only from here on. Asked earlier, the first list
+    // could arrive before there is an engine to take it, and the process died
+    // at its start, now and then, without a line in the log.
     out.on_start = [this](time_point now)
     {
         begin(now);
+        boost::asio::post(workers_duty_.io(),
+                          [this]
+                          {
+                              client_->start();
+                          });
     };
     out.on_tick = [this](time_point now)
     {
@@ -182,11 +190,6 @@
     {
         return std::nullopt;
     }
-    boost::asio::post(workers_duty_.io(),
-                      [this]
-                      {
-                          client_->start();
-                      });
     workers_duty_.start();
     return shell_.run();
 }
