Let operators change and see everything from the command line

fuchsiactl: contracts, data centres, jobs, status, members and settings. Exit status 0 done, 1 refused, 2 usage, 3 unknown, 4 not in force in time.

The next planner is tried where one can't be reached or says that it did nothing and can't now. A change whose answer was lost is not sent again: it could undo what another operator did in between, or conflict with itself; reads, job submissions and cancellations are.

--- /dev/null
+++ b/src/programs/ctl/command_line.cpp
@@ -0,0 +1,339 @@
+#include "programs/ctl/command_line.hpp"
+
+#include "core/config/configuration.hpp"
+#include "core/config/name_set.hpp"
+
+#include <algorithm>
+#include <CLI/CLI.hpp>
+#include <utility>
+
+namespace fuchsia::programs::ctl
+{
+
+namespace
+{
+
+constexpr auto* footer = R"(
+Exit status: 0 done; 1 refused, nothing was changed; 2 usage or settings;
+3 unknown: it may have been made; 4 accepted, but not in force in time.
+
+Examples:
+  fuchsiactl --settings ctl.toml contract put estate-owners.json --wait
+  fuchsiactl --settings ctl.toml contract show estate-owners > estate-owners.json
+  fuchsiactl --settings ctl.toml data-centre out kochi-a --wait --timeout 30
+  fuchsiactl --settings ctl.toml job list --state running --json
+  fuchsiactl settings check fuchsia-entry entry.toml
+
+FUCHSIACTL_SETTINGS may name the settings file in place of --settings.
+Error numbers: docs/ERRORS.md.)";
+
+constexpr std::int64_t most_wait_seconds = 3600;
+
+/// Builds the commands; each fills `line.what` when it was named.
+class grammar
+{
+public:
+    grammar()
+    {
+        app_.footer(footer);
+        app_.set_version_flag("--version", FUCHSIA_VERSION);
+        app_.require_subcommand(1);
+        app_.fallthrough();
+        app_.add_option("--settings", line_.settings, "Settings file (TOML)")
+            ->envname("FUCHSIACTL_SETTINGS");
+        app_.add_flag(
+            "--json", line_.json, "Print the planner's JSON for scripts");
+        add_contracts();
+        add_data_centres();
+        add_jobs();
+        add_rest();
+    }
+
+    CLI::App& app() noexcept
+    {
+        return app_;
+    }
+
+    command_line line()
+    {
+        line_.timeout = std::chrono::seconds(wait_seconds_);
+        if (*if_revision_set_)
+        {
+            line_.if_revision = static_cast<std::uint64_t>(if_revision_);
+        }
+        return std::move(line_);
+    }
+
+private:
+    static CLI::App& add_group(CLI::App& parent,
+                               std::string const& name,
+                               std::string const& about)
+    {
+        auto& group = *parent.add_subcommand(name, about);
+        group.require_subcommand(1);
+        group.fallthrough();
+        return group;
+    }
+
+    /// A command that sets `line_.what` to a `Command` made by `make`.
+    template<class Make>
+    CLI::App& add_command(CLI::App& group,
+                          std::string const& name,
+                          std::string const& about,
+                          Make make)
+    {
+        auto& added = *group.add_subcommand(name, about);
+        added.fallthrough();
+        added.callback(
+            [this, make]
+            {
+                line_.what = make();
+            });
+        return added;
+    }
+
+    void add_name(CLI::App& to, std::string const& label)
+    {
+        to.add_option(label, name_)
+            ->required()
+            ->check(
+                [](std::string const& text)
+                {
+                    return core::config::is_plain_name(text)
+                               ? std::string{}
+                               : "a name has 1 to 64 lower-case letters, "
+                                 "digits and hyphens";
+                });
+    }
+
+    void add_change_options(CLI::App& to)
+    {
+        to.add_flag(
+            "--wait",
+            line_.wait,
+            "Return when the change is in force everywhere, or tell who has "
+            "not reported it");
+        to.add_option("--timeout", wait_seconds_, "Seconds to wait")
+            ->check(CLI::Range(std::int64_t{1}, most_wait_seconds))
+            ->capture_default_str();
+        if_revision_set_.add(
+            to.add_option("--if-revision",
+                          if_revision_,
+                          "Refuse the change where somebody changed the same "
+                          "thing after "
+                          "this revision")
+                ->check(
+                    CLI::Range(std::int64_t{0}, core::config::max_revision)));
+    }
+
+    void add_contracts()
+    {
+        auto& group = add_group(
+            app_, "contract", "Contracts: all limits on a customer's work");
+        auto& put = add_command(group,
+                                "put",
+                                "Create or replace a contract",
+                                [this]
+                                {
+                                    return contract_put{file_};
+                                });
+        put.add_option("FILE", file_, "Contract (JSON)")->required();
+        add_change_options(put);
+        auto& show = add_command(group,
+                                 "show",
+                                 "Print a contract as JSON, ready to edit",
+                                 [this]
+                                 {
+                                     return contract_show{name_};
+                                 });
+        add_name(show, "NAME");
+        add_command(group,
+                    "list",
+                    "List all contracts",
+                    []
+                    {
+                        return contract_list{};
+                    });
+        auto& withdraw =
+            add_command(group,
+                        "withdraw",
+                        "Stop a customer's new work; what runs may end",
+                        [this]
+                        {
+                            return contract_withdraw{name_};
+                        });
+        add_name(withdraw, "NAME");
+        add_change_options(withdraw);
+    }
+
+    void add_data_centres()
+    {
+        auto& group = add_group(
+            app_, "data-centre", "Data centres in and out of service");
+        for (bool const out : {true, false})
+        {
+            auto& set = add_command(
+                group,
+                out ? "out" : "in",
+                out ? "Start nothing there any more and evict what runs there"
+                    : "Take it back into service",
+                [this, out]
+                {
+                    return data_centre_set{name_, out, is_new_};
+                });
+            add_name(set, "NAME");
+            set.add_flag(
+                "--new", is_new_, "The name is new: neither listed nor used");
+            add_change_options(set);
+        }
+        add_command(group,
+                    "list",
+                    "List the data centres that are known",
+                    []
+                    {
+                        return data_centre_list{};
+                    });
+    }
+
+    void add_jobs()
+    {
+        auto& group = add_group(app_, "job", "Jobs: tasks on workers");
+        auto& submit =
+            add_command(group,
+                        "submit",
+                        "Submit a job; the same again changes nothing",
+                        [this]
+                        {
+                            return job_submit{file_};
+                        });
+        submit.add_option("FILE", file_, "Job (JSON)")->required();
+        auto& show = add_command(group,
+                                 "show",
+                                 "Show a job and its tasks",
+                                 [this]
+                                 {
+                                     return job_show{name_};
+                                 });
+        show.add_option("ID", name_)->required();
+        auto& list = add_command(group,
+                                 "list",
+                                 "List jobs",
+                                 [this]
+                                 {
+                                     return job_list{state_};
+                                 });
+        list.add_option("--state", state_, "Only jobs in this state");
+        auto& cancel = add_command(group,
+                                   "cancel",
+                                   "Cancel a job",
+                                   [this]
+                                   {
+                                       return job_cancel{name_};
+                                   });
+        cancel.add_option("ID", name_)->required();
+    }
+
+    void add_rest()
+    {
+        add_command(app_,
+                    "status",
+                    "Members, claims, workers and tasks",
+                    []
+                    {
+                        return show_status{};
+                    });
+        auto& members = add_group(app_, "member", "The system's own processes");
+        auto& remove = add_command(
+            members,
+            "remove",
+            "Bury a member that is gone together with its witnesses",
+            [this]
+            {
+                return member_remove{role_, name_};
+            });
+        remove.add_option("ROLE", role_)
+            ->required()
+            ->check(CLI::IsMember({"entry", "planner"}));
+        remove.add_option("NAME", name_)->required();
+        remove
+            .add_flag("--gone",
+                      gone_,
+                      "You made sure that its process has ended. One that "
+                      "still runs, cut off from the store, could go on "
+                      "beside its successor")
+            ->required();
+        auto& settings = add_group(app_, "settings", "Settings files");
+        auto& check = add_command(settings,
+                                  "check",
+                                  "Check a settings file without running it",
+                                  [this]
+                                  {
+                                      return settings_check{binary_, file_};
+                                  });
+        check
+            .add_option(
+                "BINARY", binary_, "fuchsia-entry, fuchsia-planner, fuchsiactl")
+            ->required();
+        check.add_option("FILE", file_)->required();
+    }
+
+    /// The same option of several commands.
+    struct option_group
+    {
+        std::vector<CLI::Option*> options;
+
+        void add(CLI::Option* option)
+        {
+            options.push_back(option);
+        }
+
+        bool operator*() const
+        {
+            return std::any_of(options.begin(),
+                               options.end(),
+                               [](CLI::Option const* option)
+                               {
+                                   return option->count() != 0;
+                               });
+        }
+    };
+
+    CLI::App app_{"Contracts, data centres, jobs and status of fuchsialanding.",
+                  "fuchsiactl"};
+    command_line line_;
+    std::string file_;
+    std::string name_;
+    std::string state_;
+    std::string role_;
+    std::string binary_;
+    bool is_new_ = false;
+    bool gone_ = false;
+    std::int64_t wait_seconds_ = 14;
+    std::int64_t if_revision_ = 0;
+    option_group if_revision_set_;
+};
+
+} // namespace
+
+std::optional<command_line> parse_command_line(int count,
+                                               char const* const* arguments,
+                                               std::ostream& out,
+                                               std::ostream& error,
+                                               exit_status& status)
+{
+    grammar rules;
+    try
+    {
+        rules.app().parse(count, arguments);
+    }
+    catch (CLI::ParseError const& problem)
+    {
+        status = rules.app().exit(problem, out, error) == 0
+                     ? exit_status::done
+                     : exit_status::usage;
+        return std::nullopt;
+    }
+    return rules.line();
+}
+
+} // namespace fuchsia::programs::ctl
--- /dev/null
+++ b/src/programs/ctl/ctl_settings.cpp
@@ -0,0 +1,87 @@
+#include "programs/ctl/ctl_settings.hpp"
+
+#include "adapters/http/message.hpp"
+#include "adapters/settings/toml_reader.hpp"
+
+namespace fuchsia::programs::ctl
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using core::common::result_code;
+
+// A change is given up after 6 s by its planner, a removal after 9 s. With
+// less patience than that the outcome would be unknown without need.
+constexpr core::common::duration least_timeout = 10s;
+constexpr core::common::duration most_timeout = 10min;
+constexpr std::size_t max_planners = 64;
+
+void read_planners(adapters::settings::toml_table& root, ctl_settings& out)
+{
+    for (auto const& text : root.texts_or("planners", {}))
+    {
+        auto const where = adapters::http::parse_endpoint(text);
+        if (!where)
+        {
+            root.fail(result_code::out_of_range,
+                      "planners",
+                      text + " is no IP number and port");
+            return;
+        }
+        out.planners.push_back(*where);
+    }
+    if (out.planners.empty() || out.planners.size() > max_planners)
+    {
+        root.fail(result_code::out_of_range,
+                  "planners",
+                  "1 to 64 addresses of planners are expected");
+    }
+}
+
+void read_token(adapters::settings::toml_table& root, ctl_settings& out)
+{
+    auto const path = root.text("token_file");
+    if (path.empty())
+    {
+        return;
+    }
+    core::common::failure reason;
+    auto token = adapters::settings::read_file(path, reason);
+    if (!token || token->empty())
+    {
+        root.fail(token ? result_code::out_of_range : reason.code,
+                  "token_file",
+                  token ? path + " is empty" : reason.where + " " + reason.why);
+        return;
+    }
+    out.token = std::move(*token);
+}
+
+} // namespace
+
+std::optional<ctl_settings> read_ctl_settings(std::string const& path,
+                                              core::common::failure& reason)
+{
+    auto const file = adapters::settings::toml_file::open(path, reason);
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    auto root = file->root();
+    ctl_settings settings;
+    read_planners(root, settings);
+    read_token(root, settings);
+    settings.timeout = root.duration_or(
+        "timeout_ms", settings.timeout, least_timeout, most_timeout);
+    root.refuse_unread();
+    if (!file->ok())
+    {
+        reason = file->reason();
+        return std::nullopt;
+    }
+    return settings;
+}
+
+} // namespace fuchsia::programs::ctl
--- /dev/null
+++ b/src/programs/ctl/ctl_settings.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/common/result_code.hpp"
+#include "core/common/time.hpp"
+#include "ports/identity.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fuchsia::programs::ctl
+{
+
+/// What `fuchsiactl` reads from its settings file; examples/ctl.toml documents
+/// each key.
+struct ctl_settings
+{
+    std::vector<ports::endpoint> planners; ///< Tried in this order.
+    std::string token;                     ///< Read from the file named there.
+    core::common::duration timeout = std::chrono::seconds(15);
+};
+
+/// Reads and checks the settings; `reason` names file and line.
+std::optional<ctl_settings> read_ctl_settings(std::string const& path,
+                                              core::common::failure& reason);
+
+} // namespace fuchsia::programs::ctl
--- /dev/null
+++ b/src/programs/ctl/planner_client.cpp
@@ -0,0 +1,166 @@
+#include "programs/ctl/planner_client.hpp"
+
+#include "core/common/json.hpp"
+
+#include <utility>
+
+namespace fuchsia::programs::ctl
+{
+
+namespace
+{
+
+using core::common::failure;
+using core::common::result_code;
+using ports::exchange_status;
+
+constexpr std::uint16_t service_unavailable = 503;
+constexpr std::uint64_t max_answer_bytes = std::uint64_t{64} << 20U;
+
+bool is_success(std::uint16_t status) noexcept
+{
+    return status >= 200 && status < 300;
+}
+
+/// Turns a planner's answer into a result.
+call_result read_answer(adapters::http::response const& response)
+{
+    call_result result;
+    failure malformed;
+    auto body =
+        core::common::parse_json_object(response.body, "answer", malformed);
+    if (is_success(response.status))
+    {
+        result.end = body ? call_end::done : call_end::unknown;
+        result.reason = body ? failure{} : malformed;
+        result.body = std::move(body).value_or(boost::json::object{});
+        return result;
+    }
+    auto const outcome = core::common::outcome_from(
+        response.header("Fuchsia-Outcome").value_or("unknown"));
+    result.end = outcome == core::common::outcome::not_run ? call_end::refused
+                                                           : call_end::unknown;
+    if (!body)
+    {
+        result.reason = {malformed.code,
+                         "answer",
+                         "HTTP status " + std::to_string(response.status)};
+        return result;
+    }
+    core::common::json_reader reader(*body, "answer");
+    result.reason.code =
+        static_cast<result_code>(reader.integer_or("code", 0, 0, 65535));
+    result.reason.where = reader.text_or("where", "");
+    result.reason.why = reader.text_or("why", "");
+    result.newest_revision = static_cast<std::uint64_t>(
+        reader.integer_or("revision", 0, 0, INT64_MAX));
+    result.body = std::move(*body);
+    return result;
+}
+
+call_result unreachable(std::string const& tried)
+{
+    return {call_end::refused,
+            {},
+            {result_code::owner_unreachable,
+             tried,
+             "no planner can be reached; nothing was changed"},
+            0};
+}
+
+} // namespace
+
+planner_client::planner_client(ctl_settings settings)
+    : settings_(std::move(settings)),
+      client_(io_,
+              []
+              {
+                  adapters::http::client_settings bounds;
+                  bounds.body_bytes = max_answer_bytes;
+                  return bounds;
+              }())
+{
+}
+
+call_result planner_client::call(std::string const& method,
+                                 std::string const& target,
+                                 std::string const& body,
+                                 repeat again)
+{
+    auto const count = settings_.planners.size();
+    call_result last = unreachable({});
+    bool may_be_done = false;
+    for (std::size_t tried = 0; tried < count; ++tried)
+    {
+        auto const at = (first_ + tried) % count;
+        auto const& where = settings_.planners[at];
+        auto const [status, response] = send(where, method, target, body);
+        if (status == exchange_status::not_sent)
+        {
+            last.reason.where = adapters::http::to_string(where);
+            continue;
+        }
+        if (status == exchange_status::answered)
+        {
+            last = read_answer(response);
+            if (last.end == call_end::refused &&
+                response.status == service_unavailable)
+            {
+                continue;
+            }
+            first_ = at;
+            break;
+        }
+        last.end =
+            again == repeat::read ? call_end::refused : call_end::unknown;
+        last.body = {};
+        last.reason = {result_code::owner_lost,
+                       adapters::http::to_string(where),
+                       "the planner's answer was lost"};
+        may_be_done = again != repeat::read;
+        if (again == repeat::never)
+        {
+            break;
+        }
+    }
+    // A later planner's refusal says nothing about what an earlier one did.
+    if (may_be_done && last.end == call_end::refused)
+    {
+        last.end = call_end::unknown;
+    }
+    return last;
+}
+
+planner_client::attempt planner_client::send(ports::endpoint const& where,
+                                             std::string const& method,
+                                             std::string const& target,
+                                             std::string const& body)
+{
+    adapters::http::client_call call;
+    call.where = where;
+    call.timeout = settings_.timeout;
+    call.message.method = method;
+    call.message.target = target;
+    call.message.body = body;
+    call.message.headers.push_back(
+        {"Authorization", "Bearer " + settings_.token});
+    if (!body.empty())
+    {
+        call.message.headers.push_back({"Content-Type", "application/json"});
+    }
+    attempt ended;
+    bool done = false;
+    client_.send(std::move(call),
+                 [&](exchange_status status, adapters::http::response response)
+                 {
+                     ended = {status, std::move(response)};
+                     done = true;
+                 });
+    io_.restart();
+    while (!done && io_.run_one() != 0)
+    {
+    }
+    return ended;
+}
+
+} // namespace fuchsia::programs::ctl
--- /dev/null
+++ b/src/programs/ctl/runner.cpp
@@ -0,0 +1,536 @@
+#include "programs/ctl/runner.hpp"
+
+#include "adapters/settings/toml_reader.hpp"
+#include "core/common/json.hpp"
+#include "core/contracts/contract.hpp"
+#include "core/tasks/job.hpp"
+#include "programs/ctl/planner_client.hpp"
+#include "programs/ctl/settings_checks.hpp"
+#include "programs/ctl/table.hpp"
+
+#include <algorithm>
+#include <boost/json/serialize.hpp>
+#include <ostream>
+#include <thread>
+#include <utility>
+
+namespace fuchsia::programs::ctl
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using boost::json::array;
+using boost::json::object;
+using core::common::clock;
+using core::common::failure;
+using core::common::result_code;
+
+constexpr auto poll_interval = 300ms;
+
+array const& array_of(object const& body, std::string_view key)
+{
+    static array const empty;
+    auto const* value = body.if_contains(key);
+    return value != nullptr && value->is_array() ? value->get_array() : empty;
+}
+
+std::string text_of(object const& body, std::string_view key)
+{
+    auto const* value = body.if_contains(key);
+    return value == nullptr ? "-" : plain_text(*value);
+}
+
+std::uint64_t revision_of(object const& body)
+{
+    core::common::json_reader reader(body, "answer");
+    return static_cast<std::uint64_t>(
+        reader.integer_or("revision", 0, 0, INT64_MAX));
+}
+
+/// `text` as one part of a path, percent-encoded.
+std::string escaped(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (char const letter : text)
+    {
+        auto const byte = static_cast<unsigned char>(letter);
+        bool const plain = std::isalnum(byte) != 0 || letter == '-' ||
+                           letter == '_' || letter == '.';
+        if (plain)
+        {
+            result += letter;
+            continue;
+        }
+        result += '%';
+        result += digits[byte / 16];
+        result += digits[byte % 16];
+    }
+    return result;
+}
+
+/// Carries out the commands that ask a planner.
+class asking
+{
+public:
+    asking(command_line const& line,
+           ctl_settings settings,
+           std::ostream& out,
+           std::ostream& error)
+        : line_(line), client_(std::move(settings)), out_(out), error_(error)
+    {
+    }
+
+    exit_status operator()(contract_put const& what)
+    {
+        failure reason;
+        auto const text = adapters::settings::read_file(what.file, reason);
+        auto const contract =
+            text ? core::contracts::parse_contract(*text, reason)
+                 : std::nullopt;
+        if (!contract)
+        {
+            return refuse(what.file, reason);
+        }
+        return change("PUT",
+                      "/v1/contracts/" + escaped(contract->customer),
+                      *text,
+                      "contract " + contract->customer);
+    }
+
+    exit_status operator()(contract_show const& what)
+    {
+        return ask("/v1/contracts/" + escaped(what.customer),
+                   [this](object const& body)
+                   {
+                       out_ << body.at("contract") << '\n';
+                       error_ << "changed at revision "
+                              << text_of(body, "changed_at")
+                              << "; newest revision "
+                              << text_of(body, "revision") << '\n';
+                   });
+    }
+
+    exit_status operator()(contract_list const&)
+    {
+        return ask("/v1/contracts",
+                   [this](object const& body)
+                   {
+                       print_contracts(body);
+                   });
+    }
+
+    exit_status operator()(contract_withdraw const& what)
+    {
+        return change("DELETE",
+                      "/v1/contracts/" + escaped(what.customer),
+                      "",
+                      "withdrawal of " + what.customer);
+    }
+
+    exit_status operator()(data_centre_set const& what)
+    {
+        std::string const state = what.out ? "out" : "in";
+        return change("PUT",
+                      "/v1/data-centres/" + escaped(what.name) +
+                          (what.is_new ? "?new=true" : ""),
+                      boost::json::serialize(object{{"state", state}}),
+                      "data centre " + what.name + " " + state);
+    }
+
+    exit_status operator()(data_centre_list const&)
+    {
+        return ask("/v1/data-centres",
+                   [this](object const& body)
+                   {
+                       print_table(out_,
+                                   {{"NAME", "name"},
+                                    {"STATE", "state"},
+                                    {"CHANGED AT", "changed_at"}},
+                                   array_of(body, "data_centres"));
+                       print_revision(body);
+                   });
+    }
+
+    exit_status operator()(job_submit const& what)
+    {
+        failure reason;
+        auto const text = adapters::settings::read_file(what.file, reason);
+        auto const job =
+            text ? core::tasks::parse_job(*text, reason) : std::nullopt;
+        if (!job)
+        {
+            return refuse(what.file, reason);
+        }
+        return finish(client_.call("POST", "/v1/jobs", *text, repeat::change),
+                      [this](object const& body)
+                      {
+                          out_ << "job " << text_of(body, "job")
+                               << ": accepted\n";
+                      });
+    }
+
+    exit_status operator()(job_show const& what)
+    {
+        return ask("/v1/jobs/" + escaped(what.id),
+                   [this](object const& body)
+                   {
+                       print_members(out_, body);
+                       out_ << '\n';
+                       print_table(out_,
+                                   {{"TASK", "index"},
+                                    {"STATE", "state"},
+                                    {"ATTEMPT", "attempt"},
+                                    {"WORKER", "worker"},
+                                    {"CHECKPOINT", "checkpoint"},
+                                    {"WHY", "why"}},
+                                   array_of(body, "task_list"));
+                   });
+    }
+
+    exit_status operator()(job_list const& what)
+    {
+        return ask(what.state.empty() ? "/v1/jobs"
+                                      : "/v1/jobs?state=" + escaped(what.state),
+                   [this](object const& body)
+                   {
+                       print_table(out_,
+                                   {{"JOB", "id"},
+                                    {"CUSTOMER", "customer"},
+                                    {"KIND", "kind"},
+                                    {"STATE", "state"},
+                                    {"TASKS", "tasks"},
+                                    {"RUNNING", "running"},
+                                    {"FINISHED", "finished"},
+                                    {"WHY", "why"}},
+                                   array_of(body, "jobs"));
+                   });
+    }
+
+    exit_status operator()(job_cancel const& what)
+    {
+        return finish(
+            client_.call(
+                "DELETE", "/v1/jobs/" + escaped(what.id), "", repeat::change),
+            [this](object const& body)
+            {
+                out_ << "job " << text_of(body, "job") << ": cancelled\n";
+            });
+    }
+
+    exit_status operator()(show_status const&)
+    {
+        return ask("/v1/status",
+                   [this](object const& body)
+                   {
+                       print_status(body);
+                   });
+    }
+
+    exit_status operator()(member_remove const& what)
+    {
+        return finish(
+            client_.call("DELETE",
+                         "/v1/members/" + what.role + "/" + escaped(what.name),
+                         "",
+                         repeat::change),
+            [this, &what](object const&)
+            {
+                out_ << what.role << " " << what.name << ": removed\n";
+            });
+    }
+
+    exit_status operator()(settings_check const&)
+    {
+        return exit_status::usage; // Asks no planner; never comes here.
+    }
+
+private:
+    exit_status refuse(std::string const& where, failure const& reason)
+    {
+        error_ << "fuchsiactl: " << where << ": " << to_string(reason) << '\n';
+        return exit_status::refused;
+    }
+
+    template<class Print>
+    exit_status ask(std::string const& target, Print print)
+    {
+        return finish(client_.call("GET", target, "", repeat::read), print);
+    }
+
+    /// Prints a result, or why there is none.
+    template<class Print>
+    exit_status finish(call_result const& result, Print print)
+    {
+        if (result.end != call_end::done)
+        {
+            return complain(result);
+        }
+        if (line_.json)
+        {
+            out_ << boost::json::serialize(result.body) << '\n';
+        }
+        else
+        {
+            print(result.body);
+        }
+        return exit_status::done;
+    }
+
+    exit_status complain(call_result const& result)
+    {
+        if (line_.json && !result.body.empty())
+        {
+            out_ << boost::json::serialize(result.body) << '\n';
+        }
+        error_ << "fuchsiactl: " << to_string(result.reason);
+        if (result.newest_revision != 0)
+        {
+            error_ << " (newest revision: " << result.newest_revision << ')';
+        }
+        bool const unknown = result.end == call_end::unknown;
+        error_ << (unknown ? "\nfuchsiactl: outcome unknown: it may have been "
+                             "done; look before you repeat it\n"
+                           : "\n");
+        return unknown ? exit_status::unknown : exit_status::refused;
+    }
+
+    /// Makes one change of the configuration and waits where that was asked.
+    exit_status change(std::string const& method,
+                       std::string target,
+                       std::string const& body,
+                       std::string const& what)
+    {
+        if (line_.if_revision)
+        {
+            target += target.find('?') == std::string::npos ? '?' : '&';
+            target += "if-revision=" + std::to_string(*line_.if_revision);
+        }
+        // Sent again after a lost answer it could undo what another operator
+        // changed in between, or conflict with its own first sending.
+        auto const result = client_.call(method, target, body, repeat::never);
+        if (result.end != call_end::done)
+        {
+            return complain(result);
+        }
+        auto const revision = revision_of(result.body);
+        if (!line_.json)
+        {
+            out_ << what << ": accepted as revision " << revision << '\n'
+                 << std::flush;
+        }
+        if (line_.wait)
+        {
+            return wait_for(revision);
+        }
+        if (line_.json)
+        {
+            out_ << boost::json::serialize(result.body) << '\n';
+        }
+        return exit_status::done;
+    }
+
+    /// Polls until nobody acts on an older revision, or the time is over.
+    exit_status wait_for(std::uint64_t revision)
+    {
+        auto const begun = clock::now();
+        auto const until = begun + line_.timeout;
+        call_result last;
+        bool in_force = false;
+        for (;;)
+        {
+            last = client_.call("GET",
+                                "/v1/revisions/" + std::to_string(revision),
+                                "",
+                                repeat::read);
+            in_force = text_of(last.body, "in_force") == "yes";
+            if (in_force || clock::now() + poll_interval >= until)
+            {
+                break;
+            }
+            std::this_thread::sleep_for(poll_interval);
+        }
+        if (line_.json)
+        {
+            out_ << boost::json::serialize(object{
+                        {"revision", revision},
+                        {"in_force", in_force},
+                        {"waiting_for", array_of(last.body, "waiting_for")}})
+                 << '\n';
+        }
+        else if (in_force)
+        {
+            out_ << "revision " << revision << ": in force everywhere after "
+                 << core::common::to_milliseconds(clock::now() - begun)
+                 << " ms\n";
+        }
+        if (in_force)
+        {
+            return exit_status::done;
+        }
+        error_ << "fuchsiactl: revision " << revision
+               << " is accepted, but not in force everywhere";
+        if (last.end != call_end::done)
+        {
+            error_ << ": " << to_string(last.reason) << '\n';
+            return exit_status::timeout;
+        }
+        error_ << "; not reported by:\n";
+        print_table(error_,
+                    {{"ROLE", "role"},
+                     {"MEMBER", "name"},
+                     {"DATA CENTRE", "data_centre"},
+                     {"REVISION", "revision"}},
+                    array_of(last.body, "waiting_for"));
+        return exit_status::timeout;
+    }
+
+    void print_revision(object const& body)
+    {
+        out_ << "\nrevision " << text_of(body, "revision")
+             << ", confirmed by the store " << text_of(body, "confirmed_ms_ago")
+             << " ms ago\n";
+    }
+
+    void print_contracts(object const& body)
+    {
+        auto rows = array_of(body, "contracts");
+        auto const* changed_at = body.if_contains("changed_at");
+        for (auto& row : rows)
+        {
+            auto const customer = text_of(row.as_object(), "customer");
+            if (changed_at != nullptr && changed_at->is_object())
+            {
+                row.as_object()["changed_at"] =
+                    text_of(changed_at->get_object(), customer);
+            }
+        }
+        print_table(out_,
+                    {{"CUSTOMER", "customer"},
+                     {"MILLICORES", "millicores"},
+                     {"MEMORY MB", "memory_mb"},
+                     {"ACCELERATORS", "accelerators"},
+                     {"IN FLIGHT", "requests_in_flight"},
+                     {"PER SECOND", "requests_per_second"},
+                     {"BATCH PERMILLE", "batch_permille"},
+                     {"TARGET MS", "latency_target_ms"},
+                     {"CHANGED AT", "changed_at"}},
+                    rows);
+        for (auto const& name : array_of(body, "withdrawn"))
+        {
+            out_ << "withdrawn: " << plain_text(name) << '\n';
+        }
+        print_revision(body);
+    }
+
+    void print_status(object const& body)
+    {
+        object rest = body;
+        rest.erase("members");
+        auto const claims = rest["claims"];
+        rest.erase("claims");
+        print_members(out_, rest);
+        out_ << '\n';
+        print_table(out_,
+                    {{"ROLE", "role"},
+                     {"MEMBER", "name"},
+                     {"DATA CENTRE", "data_centre"},
+                     {"HTTP", "http"},
+                     {"REVISION", "revision"},
+                     {"LEAVING", "leaving"},
+                     {"BURIED", "buried"}},
+                    array_of(body, "members"));
+        out_ << '\n';
+        array rows;
+        if (claims.is_object())
+        {
+            for (auto const& role : claims.get_object())
+            {
+                for (auto const& owner : role.value().as_object())
+                {
+                    rows.push_back(object{{"role", role.key()},
+                                          {"owner", owner.key()},
+                                          {"count", owner.value()}});
+                }
+            }
+        }
+        print_table(
+            out_,
+            {{"ROLE", "role"}, {"OWNER", "owner"}, {"PARTITIONS", "count"}},
+            rows);
+    }
+
+    command_line const& line_;
+    planner_client client_;
+    std::ostream& out_;
+    std::ostream& error_;
+};
+
+exit_status check(command_line const& line,
+                  settings_check const& what,
+                  std::ostream& out,
+                  std::ostream& error)
+{
+    auto const reason = check_settings(what.binary, what.file);
+    if (!reason)
+    {
+        error << "fuchsiactl: no settings of " << what.binary
+              << " are known; known:";
+        for (auto const name : checked_binaries())
+        {
+            error << ' ' << name;
+        }
+        error << '\n';
+        return exit_status::usage;
+    }
+    bool const valid = reason->code == result_code::ok;
+    if (line.json)
+    {
+        out << boost::json::serialize(
+                   object{{"valid", valid},
+                          {"code", static_cast<unsigned>(reason->code)},
+                          {"name", core::common::name_of(reason->code)},
+                          {"where", reason->where},
+                          {"why", reason->why}})
+            << '\n';
+    }
+    else if (valid)
+    {
+        out << what.file << ": valid settings of " << what.binary << '\n';
+    }
+    if (!valid)
+    {
+        error << "fuchsiactl: " << to_string(*reason) << '\n';
+    }
+    return valid ? exit_status::done : exit_status::refused;
+}
+
+} // namespace
+
+exit_status
+run(command_line const& line, std::ostream& out, std::ostream& error)
+{
+    if (auto const* what = std::get_if<settings_check>(&line.what))
+    {
+        return check(line, *what, out, error);
+    }
+    if (line.settings.empty())
+    {
+        error << "fuchsiactl: --settings or FUCHSIACTL_SETTINGS must name the "
+                 "settings file\n";
+        return exit_status::usage;
+    }
+    failure reason;
+    auto settings = read_ctl_settings(line.settings, reason);
+    if (!settings)
+    {
+        error << "fuchsiactl: " << to_string(reason) << '\n';
+        return exit_status::usage;
+    }
+    return std::visit(asking(line, std::move(*settings), out, error),
+                      line.what);
+}
+
+} // namespace fuchsia::programs::ctl
--- /dev/null
+++ b/src/programs/ctl/runner.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "programs/ctl/command_line.hpp"
+
+#include <iosfwd>
+
+namespace fuchsia::programs::ctl
+{
+
+/// Runs one command: results to `out`, mistakes and warnings to `error`.
+exit_status
+run(command_line const& line, std::ostream& out, std::ostream& error);
+
+} // namespace fuchsia::programs::ctl
--- a/src/programs/planner/administration_message.cpp
+++ b/src/programs/planner/administration_message.cpp
@@ -28,6 +28,23 @@
     return parts;
 }
 
+/// Undoes percent-encoding; what is no valid escape stays as it is.
+std::string decoded(std::string_view text)
+{
+    std::string result;
+    while (!text.empty())
+    {
+        unsigned byte = 0;
+        auto const* const first = text.data() + 1;
+        bool const escape =
+            text.front() == '%' && text.size() >= 3 &&
+            std::from_chars(first, first + 2, byte, 16).ptr == first + 2;
+        result += escape ? static_cast<char>(byte) : text.front();
+        text.remove_prefix(escape ? 3 : 1);
+    }
+    return result;
+}
+
 } // namespace
 
 std::optional<parsed_target> parse_target(std::string_view target)
@@ -39,7 +56,10 @@
         return std::nullopt;
     }
     parsed_target parsed;
-    parsed.path = split(path.substr(4), '/');
+    for (auto const& part : split(path.substr(4), '/'))
+    {
+        parsed.path.push_back(decoded(part));
+    }
     if (question != std::string_view::npos)
     {
         for (auto const& item : split(target.substr(question + 1), '&'))
--- a/tests/contract/ctl/administration_test.cpp
+++ b/tests/contract/ctl/administration_test.cpp
@@ -438,6 +438,16 @@
     EXPECT_EQ(status.body.at("members").as_array().size(), 1U);
 }
 
+TEST(administration, names_in_a_path_may_be_percent_encoded)
+{
+    tests::memory_store store;
+    administration_bench bench(store);
+    bench.put_member("entry", "entry a:1", 0);
+    EXPECT_EQ(bench.request("DELETE", "/v1/members/entry/entry%20a%3A1").status,
+              200);
+    EXPECT_EQ(bench.request("DELETE", "/v1/members/entry/%2").status, 404);
+}
+
 TEST(administration, a_member_that_stands_still_can_be_removed)
 {
     tests::memory_store store;
