--- a/src/core/requests/entry_requests.cpp
+++ b/src/core/requests/entry_requests.cpp
@@ -24,8 +24,8 @@
     }
     if (auto const code = refuse_at_door(now, request))
     {
-        out.emplace_back(
-            ports::caller_reply{caller, refusal(request, false, *code)});
+        out.emplace_back(ports::caller_reply{
+            caller, refusal(*code, is_first_heard(request))});
         return;
     }
     auto const* limits = contract_of(request.customer);
@@ -127,9 +127,11 @@
     {
         return one.vouched;
     }
+    // A pause shorter than the limit is not noticed, so it counts as delay.
     auto const began = std::max(owners_.of(one.partition).learned, woke_);
-    return one.request.attempt == 1 &&
-           one.received - began >= settings_.sending_bound;
+    auto const late =
+        settings_.sending_bound + settings_.membership.pause_limit;
+    return one.request.attempt == 1 && one.received - began >= late;
 }
 
 contracts::contract const*
@@ -163,7 +165,6 @@
     switch (found.verdict)
     {
     case key_verdict::fresh:
-        one.fresh = true;
         return false;
     case key_verdict::ended:
     {
@@ -180,7 +181,6 @@
             set_timer(one, one.expires);
             return true;
         }
-        one.maybe_ran = true;
         refuse(now, one, result_code::queue_full, out);
         return true;
     case key_verdict::mismatch:
@@ -190,7 +190,6 @@
         refuse(now, one, result_code::key_memory_lost, out);
         return true;
     case key_verdict::full:
-        one.fresh = true;
         refuse(now, one, result_code::queue_full, out);
         return true;
     }
@@ -211,7 +210,7 @@
     auto const verdict =
         customer.parked.empty()
             ? customer.slice.admit(now, one.request.kind, *limits)
-            : contracts::slice_verdict::full;
+            : contracts::slice_verdict::no_slice;
     if (verdict == contracts::slice_verdict::admitted)
     {
         one.charged = true;
@@ -219,17 +218,10 @@
         return;
     }
     customer.slice.count_unmet();
-    if (verdict == contracts::slice_verdict::over_rate)
-    {
-        refuse(now, one, result_code::over_contract_rate, out);
-        return;
-    }
     // Waiting is of use only where the customer's owner may lend more.
-    bool const in_vain = customer.slice.is_limited(now) ||
-                         customer.parked.size() >= settings_.max_parked;
-    if (in_vain)
+    if (auto const code = waits_in_vain(now, customer, verdict))
     {
-        refuse(now, one, result_code::over_contract_in_flight, out);
+        refuse(now, one, *code, out);
         return;
     }
     one.stage = request_stage::parked;
@@ -447,10 +439,8 @@
     if (end.http_status == 0)
     {
         // A late answer that was read to its end but not kept.
-        conclude(now,
-                 one.id,
-                 refusal(one.request, false, result_code::deadline_after_send),
-                 out);
+        conclude(
+            now, one.id, refusal(result_code::deadline_after_send, true), out);
         return;
     }
     if (one.idempotent && end.http_status == http_unavailable)
@@ -529,10 +519,7 @@
         slots_.on_slow(one.sending);
         if (one.is_local())
         {
-            deliver(
-                one,
-                refusal(one.request, false, result_code::deadline_after_send),
-                out);
+            deliver(one, refusal(result_code::deadline_after_send, true), out);
         }
         break;
     case request_stage::at_peer:
@@ -541,9 +528,7 @@
             erase(one.id);
             break;
         }
-        deliver(one,
-                refusal(one.request, false, result_code::deadline_after_send),
-                out);
+        deliver(one, refusal(result_code::deadline_after_send, true), out);
         set_timer(one,
                   std::max(now, one.sent + settings_.upstreams.max_execution));
         break;
