Planner: allow for the lag of reports when a start is sent; tests with several planners

A start is void after a time on the worker's clock, which is known only from reports. With reports 1.5 s old and a window of 1 s every start came too late and was tried ten times a second (127 attempts in 12 s in the first test).

--- a/src/adapters/settings/planner_settings.cpp
+++ b/src/adapters/settings/planner_settings.cpp
@@ -44,6 +44,8 @@
     out.planner.workers.drift_permille = static_cast<std::uint32_t>(
         table.integer_or("clock_drift_permille", cell.drift_permille, 0, 200));
     cell.drift_permille = out.planner.workers.drift_permille;
+    out.planner.workers.report_lag = table.duration_or(
+        "report_lag_ms", out.planner.workers.report_lag, 0s, 10s);
     out.planner.workers.quarantine = table.duration_or(
         "quarantine_ms", out.planner.workers.quarantine, 1s, 1h);
     if (cell.renew_interval * 2 > cell.lease)
--- a/src/core/tasks/cell_attempts.cpp
+++ b/src/core/tasks/cell_attempts.cpp
@@ -197,7 +197,9 @@
     start.work_ms = part.what.work_ms;
     start.checkpoint = task.checkpoint;
     start.start_before_ms =
-        std::min(run.start_before_ms, in(with.settings.send_window));
+        std::min(run.start_before_ms,
+                 in(with.settings.send_window +
+                    with.workers.find(run.worker)->report_lag));
     start.lease_until_ms = in(with.settings.lease);
     run.lease_until_ms = std::max(run.lease_until_ms, start.lease_until_ms);
     run.lease_over = with.now + longest_lease(with.settings);
@@ -364,6 +366,7 @@
     {
     case ports::worker_status::done:
         step(run, attempt_event::seen_running);
+        with.workers.note_accepted(run.worker);
         ++with.counters.started;
         if (!log_.state().find(key)->checkpoint.empty())
         {
@@ -379,7 +382,7 @@
             send_stop(with, key, run);
             return;
         }
-        with.workers.note_failure(with.now, run.worker, key.job);
+        with.workers.note_refusal(with.now, run.worker);
         end(with, key, attempt_end::refused, reply.why);
         break;
     case ports::worker_status::unreachable:
--- a/src/core/tasks/cell_context.hpp
+++ b/src/core/tasks/cell_context.hpp
@@ -27,7 +27,8 @@
     /// Added to a lease before it counts as run out.
     common::duration lease_margin = std::chrono::milliseconds(500);
     std::uint32_t drift_permille = 30;
-    /// From the decision to the last moment at which the worker takes it.
+    /// From the decision to the last moment at which the worker takes it; the
+    /// lag of its reports comes on top.
     common::duration start_window = std::chrono::seconds(4);
     /// The same from when the start is sent; bounds how late a delayed start
     /// can come into a data centre that went out meanwhile.
--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -295,7 +295,7 @@
     attempt_run run;
     run.attempt = task.attempt + 1;
     run.worker = *on.worker;
-    run.start_before_ms = in(with.settings.start_window);
+    run.start_before_ms = in(with.settings.start_window + view->report_lag);
     run.lease_until_ms = in(with.settings.lease);
     bool const urgent = part.what.urgent || wanted.service;
     if (!commit(with,
--- a/src/core/tasks/planner_engine.cpp
+++ b/src/core/tasks/planner_engine.cpp
@@ -485,7 +485,7 @@
     {
         return;
     }
-    if (!removing_ && cells_.empty() && claims_.owned(member_).empty())
+    if (!removing_ && cells_.empty() && claims_.held(member_) == 0)
     {
         removing_ = true;
         member_.remove(now, out);
--- a/src/core/tasks/worker_book.cpp
+++ b/src/core/tasks/worker_book.cpp
@@ -27,6 +27,7 @@
         auto& view = workers_[info.id];
         view.info = info;
         view.listed = true;
+        view.report_lag = std::max(view.report_lag, settings_.report_lag);
     }
     racks_.clear();
     std::erase_if(workers_,
@@ -133,6 +134,36 @@
                        });
 }
 
+void worker_book::note_refusal(common::time_point now,
+                               std::string const& worker)
+{
+    auto const found = workers_.find(worker);
+    if (found == workers_.end())
+    {
+        return;
+    }
+    auto& view = found->second;
+    auto const doublings = std::min<std::uint32_t>(view.refusals, 10);
+    ++view.refusals;
+    view.closed_until =
+        now + std::min(settings_.refusal_pause * (1 << doublings),
+                       settings_.refusal_pause_most);
+    view.report_lag =
+        std::min(view.report_lag * 3 / 2, settings_.report_lag_most);
+}
+
+void worker_book::note_accepted(std::string const& worker)
+{
+    auto const found = workers_.find(worker);
+    if (found != workers_.end())
+    {
+        auto& view = found->second;
+        view.refusals = 0;
+        view.report_lag =
+            std::max(view.report_lag * 99 / 100, settings_.report_lag);
+    }
+}
+
 void worker_book::note_success(std::string const& worker)
 {
     auto const found = workers_.find(worker);
--- a/src/core/tasks/worker_book.hpp
+++ b/src/core/tasks/worker_book.hpp
@@ -23,6 +23,15 @@
     std::uint32_t failures_to_quarantine = 4;
     common::duration quarantine = std::chrono::seconds(20);
     common::duration quarantine_most = std::chrono::minutes(10);
+    /// A report is taken to be at least this old when it comes in: what a
+    /// worker's clock certainly passed lies that far behind its true reading.
+    /// Grows for a worker that refuses starts, since they may come too late.
+    common::duration report_lag = std::chrono::seconds(3);
+    common::duration report_lag_most = std::chrono::seconds(10);
+    /// A worker that refused a start gets none for this long, doubled with
+    /// each refusal in a row.
+    common::duration refusal_pause = std::chrono::milliseconds(500);
+    common::duration refusal_pause_most = std::chrono::seconds(30);
     /// After this many reports with a lower number the worker is taken to
     /// have restarted its count.
     std::uint32_t stale_reports = 10;
@@ -40,6 +49,10 @@
     /// Memory its attempts were seen to use beyond what they declared.
     std::int64_t memory_over_declared = 0;
 
+    common::duration report_lag{}; ///< Allowed for when a start is sent.
+    std::uint32_t refusals = 0;    ///< In a row.
+    common::time_point closed_until{};
+
     // Its own failure rate.
     std::uint32_t failures = 0; ///< In a row, of different jobs.
     std::string last_failed_job;
@@ -77,6 +90,10 @@
     bool ever_fits(ports::resources const& declared,
                    std::string const& data_centre) const noexcept;
 
+    void note_refusal(common::time_point now, std::string const& worker);
+    /// It took a start.
+    void note_accepted(std::string const& worker);
+    /// It ran something well.
     void note_success(std::string const& worker);
     /// A job that fails again and again counts once: it may be its own fault.
     void note_failure(common::time_point now,
--- /dev/null
+++ b/tests/unit/tasks/planner_system.cpp
@@ -0,0 +1,572 @@
+#include "planner_system.hpp"
+
+#include "core/common/json.hpp"
+#include "core/config/index.hpp"
+
+#include <utility>
+
+namespace fuchsia::tests::unit::tasks
+{
+
+namespace
+{
+
+using core::tasks::planner_engine;
+
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+constexpr duration poll_interval = std::chrono::milliseconds(500);
+/// Until the whole fleet is within a lowered contract.
+constexpr duration contract_grace = std::chrono::seconds(25);
+
+std::string name_of_slot(std::size_t slot)
+{
+    return "planner-" + std::to_string(slot);
+}
+
+std::string address_of_slot(std::size_t slot)
+{
+    return "10.0.0." + std::to_string(slot);
+}
+
+std::string data_centre_of(std::size_t rack)
+{
+    return "dc-" + std::to_string(rack % 3);
+}
+
+} // namespace
+
+std::string job_json(std::string const& id,
+                     std::string const& customer,
+                     std::string const& kind,
+                     std::int64_t millicores,
+                     std::uint32_t tasks,
+                     std::uint64_t work_ms,
+                     std::string const& extra)
+{
+    return "{\"id\":\"" + id + "\",\"customer\":\"" + customer +
+           "\",\"kind\":\"" + kind + "\",\"class\":\"" + kind +
+           "-class\",\"millicores\":" + std::to_string(millicores) +
+           ",\"memory_mb\":1000,\"tasks\":" + std::to_string(tasks) +
+           ",\"work_ms\":" + std::to_string(work_ms) +
+           ",\"checkpointable\":true" + extra + "}";
+}
+
+planner_system::planner_system(system_options options)
+    : store(time, options.seed * 2 + 1), workers(time, options.seed * 5 + 1),
+      link(time,
+           options.seed * 3 + 1,
+           [this](std::string const& address,
+                  ports::member_identity const& to,
+                  ports::peer_receive const& message)
+           {
+               for (auto const& who : slots_)
+               {
+                   if (who && address_of_slot(who->slot) == address &&
+                       who->id == to)
+                   {
+                       run_in(who,
+                              [this, who, message](ports::actions& out)
+                              {
+                                  who->engine->on_peer(
+                                      time.now(), message, out);
+                              });
+                   }
+               }
+           }),
+      options_(std::move(options)), random_(options_.seed),
+      slots_(options_.planners)
+{
+    for (std::size_t rack = 0; rack < options_.racks; ++rack)
+    {
+        for (std::size_t number = 0; number < options_.workers_per_rack;
+             ++number)
+        {
+            ports::worker_instance info;
+            info.id =
+                "w-" + std::to_string(rack) + "-" + std::to_string(number);
+            info.rack = "rack-" + std::to_string(rack);
+            info.data_centre = data_centre_of(rack);
+            info.capacity = options_.capacity;
+            workers.add(info);
+        }
+    }
+    tick_world();
+}
+
+void planner_system::tick_world()
+{
+    workers.tick();
+    check_contracts();
+    time.after(std::chrono::milliseconds(100),
+               [this]
+               {
+                   tick_world();
+               });
+}
+
+void planner_system::check_contracts()
+{
+    if (violation.empty())
+    {
+        violation = workers.violation;
+    }
+    auto const use = workers.in_use(
+        [this](std::string const& task)
+        {
+            auto const key = core::tasks::parse_task_name(task);
+            return customer_of[key->job];
+        });
+    for (auto const& [customer, sum] : use)
+    {
+        bool const settled = time.now() - changed_[customer] > contract_grace;
+        if (settled && !contracts_[customer].capacity.holds(sum) &&
+            violation.empty())
+        {
+            violation = customer + " over its contract";
+        }
+    }
+}
+
+void planner_system::make_engine(process& who)
+{
+    who.id = {name_of_slot(who.slot), random_() | 1};
+    core::membership::member_info self;
+    self.id = who.id;
+    self.role = "planner";
+    self.data_centre = data_centre_of(who.slot);
+    self.peer_address = {address_of_slot(who.slot), 7000};
+    self.http_address = {address_of_slot(who.slot), 8000};
+    who.engine = std::make_unique<planner_engine>(
+        options_.settings, self, who.id.incarnation);
+}
+
+void planner_system::start(std::size_t planner)
+{
+    kill(planner);
+    auto const who = std::make_shared<process>();
+    who->slot = planner;
+    slots_[planner] = who;
+    make_engine(*who);
+    run_in(who,
+           [this, who](ports::actions& out)
+           {
+               who->engine->start(time.now(), out);
+           });
+    tick(who);
+    poll(who);
+}
+
+void planner_system::kill(std::size_t planner)
+{
+    if (slots_[planner])
+    {
+        slots_[planner]->ended = true;
+    }
+}
+
+void planner_system::freeze(std::size_t planner)
+{
+    slots_[planner]->frozen = true;
+}
+
+void planner_system::wake(std::size_t planner)
+{
+    auto const who = slots_[planner];
+    who->frozen = false;
+    // The shell ticks first after a pause; what waited comes after it.
+    run_in(who,
+           [this, who](ports::actions& out)
+           {
+               who->engine->tick(time.now(), out);
+           });
+    for (auto const& what : std::exchange(who->waiting, {}))
+    {
+        what();
+    }
+}
+
+void planner_system::begin_stop(std::size_t planner)
+{
+    auto const who = slots_[planner];
+    run_in(who,
+           [this, who](ports::actions& out)
+           {
+               who->engine->begin_stop(time.now(), out);
+           });
+}
+
+void planner_system::cut_store(std::size_t planner, bool is_cut)
+{
+    if (is_cut)
+    {
+        store.faults.cut.insert(name_of_slot(planner));
+    }
+    else
+    {
+        store.faults.cut.erase(name_of_slot(planner));
+    }
+}
+
+bool planner_system::alive(std::size_t planner) const
+{
+    auto const& who = slots_[planner];
+    return who && !who->ended && !who->frozen;
+}
+
+bool planner_system::stopped(std::size_t planner) const
+{
+    return slots_[planner] && slots_[planner]->stopped;
+}
+
+planner_engine& planner_system::engine(std::size_t planner)
+{
+    return *slots_[planner]->engine;
+}
+
+std::optional<std::size_t> planner_system::owner_of(std::string const& cell)
+{
+    for (std::size_t slot = 0; slot < slots_.size(); ++slot)
+    {
+        if (!alive(slot))
+        {
+            continue;
+        }
+        auto const& engine = *slots_[slot]->engine;
+        auto const found = engine.cells().find(cell);
+        if (found != engine.cells().end() && found->second->active() &&
+            engine.claims().owns(time.now(), cell, engine.members()))
+        {
+            return slot;
+        }
+    }
+    return std::nullopt;
+}
+
+void planner_system::run(duration length)
+{
+    auto const until = time.now() + length;
+    while (time.step(until))
+    {
+    }
+}
+
+bool planner_system::run_until(std::function<bool()> const& wanted,
+                               duration limit)
+{
+    auto const until = time.now() + limit;
+    while (time.now() < until)
+    {
+        if (wanted())
+        {
+            return true;
+        }
+        run(std::chrono::milliseconds(20));
+    }
+    return wanted();
+}
+
+bool planner_system::settled()
+{
+    for (std::size_t rack = 0; rack < options_.racks; ++rack)
+    {
+        if (!owner_of("rack-" + std::to_string(rack)))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void planner_system::run_in(process_pointer const& who,
+                            std::function<void(ports::actions&)> const& what)
+{
+    if (who->ended)
+    {
+        return;
+    }
+    if (who->frozen)
+    {
+        who->waiting.push_back(
+            [this, who, what]
+            {
+                run_in(who, what);
+            });
+        return;
+    }
+    ports::actions out;
+    what(out);
+    perform(who, out);
+}
+
+void planner_system::tick(process_pointer const& who)
+{
+    if (who->ended)
+    {
+        return;
+    }
+    if (!who->frozen)
+    {
+        run_in(who,
+               [this, who](ports::actions& out)
+               {
+                   who->engine->tick(time.now(), out);
+               });
+    }
+    time.after(tick_interval,
+               [this, who]
+               {
+                   tick(who);
+               });
+}
+
+void planner_system::poll(process_pointer const& who)
+{
+    if (who->ended)
+    {
+        return;
+    }
+    if (!who->frozen)
+    {
+        run_in(who,
+               [this, who](ports::actions& out)
+               {
+                   auto list = workers.list();
+                   list.received = time.now();
+                   who->engine->on_workers(time.now(), list, out);
+                   who->engine->on_instances(time.now(), instances(), out);
+                   for (auto const& rack : who->engine->racks())
+                   {
+                       for (auto const& report : workers.reports(rack))
+                       {
+                           who->engine->on_worker_report(
+                               time.now(), report, out);
+                       }
+                   }
+               });
+    }
+    time.after(poll_interval,
+               [this, who]
+               {
+                   poll(who);
+               });
+}
+
+ports::instance_list planner_system::instances() const
+{
+    ports::instance_list out;
+    out.received = time.now();
+    for (auto const& who : slots_)
+    {
+        if (who && !who->ended)
+        {
+            out.members.push_back(who->id.name);
+        }
+    }
+    return out;
+}
+
+void planner_system::perform(process_pointer const& who,
+                             ports::actions const& actions)
+{
+    auto const generation = who->id.incarnation;
+    auto const same = [who, generation]
+    {
+        return who->id.incarnation == generation;
+    };
+    for (auto const& action : actions)
+    {
+        if (auto const* call = std::get_if<ports::store_call>(&action))
+        {
+            store.call(who->id.name,
+                       *call,
+                       [this, who, same](ports::store_reply const& reply)
+                       {
+                           run_in(who,
+                                  [this, who, same, reply](ports::actions& out)
+                                  {
+                                      if (same())
+                                      {
+                                          who->engine->on_store_reply(
+                                              time.now(), reply, out);
+                                      }
+                                  });
+                       });
+        }
+        else if (auto const* send = std::get_if<ports::peer_send>(&action))
+        {
+            link.send(address_of_slot(who->slot), who->id, *send);
+        }
+        else if (auto const* work = std::get_if<ports::worker_call>(&action))
+        {
+            if (filter && !filter(who->slot, *work))
+            {
+                continue;
+            }
+            workers.call(*work,
+                         [this, who, same](ports::worker_reply const& reply)
+                         {
+                             run_in(
+                                 who,
+                                 [this, who, same, reply](ports::actions& out)
+                                 {
+                                     if (same())
+                                     {
+                                         who->engine->on_worker_reply(
+                                             time.now(), reply, out);
+                                     }
+                                 });
+                         });
+        }
+        else if (auto const* reply = std::get_if<ports::caller_reply>(&action))
+        {
+            answers[reply->caller] = reply->answer;
+        }
+        else if (auto const* event = std::get_if<ports::log_event>(&action))
+        {
+            logs.push_back(*event);
+        }
+        else if (std::holds_alternative<ports::rejoin>(action))
+        {
+            make_engine(*who);
+            ports::actions out;
+            who->engine->start(time.now(), out);
+            perform(who, out);
+            return;
+        }
+        else if (std::holds_alternative<ports::stop_complete>(action))
+        {
+            who->ended = true;
+            who->stopped = true;
+        }
+    }
+}
+
+void planner_system::publish()
+{
+    core::config::index_document index;
+    index.revision = ++revision_;
+    index.write_id = "test";
+    index.data_centres_out = out_;
+    auto const put = [this](std::string const& key, std::string value)
+    {
+        auto const* present = store.contents.find(key);
+        ports::store_write const write{
+            key, std::move(value), present == nullptr ? 0 : present->version};
+        store.contents.apply(write);
+    };
+    for (auto const& [customer, contract] : contracts_)
+    {
+        auto& first = contract_revisions_[customer];
+        first = first == 0 ? revision_ : first;
+        auto const name = core::config::document_name(first, "test");
+        bool const withdrawn = contract.customer.empty();
+        index.contracts[customer] = {first, withdrawn, withdrawn ? "" : name};
+        if (!withdrawn)
+        {
+            put(core::config::document_key(customer, name), to_json(contract));
+        }
+    }
+    put(std::string(core::config::index_key), to_json(index));
+}
+
+void planner_system::put_contract(std::string const& customer,
+                                  ports::resources capacity,
+                                  std::uint32_t batch_permille)
+{
+    core::contracts::contract value;
+    value.customer = customer;
+    value.capacity = capacity;
+    value.requests_in_flight = 100;
+    value.requests_per_second = 100;
+    value.batch_permille = batch_permille;
+    value.latency_target = std::chrono::milliseconds(250);
+    value.batch_latency_target = std::chrono::seconds(10);
+    contracts_[customer] = value;
+    contract_revisions_[customer] = 0;
+    changed_[customer] = time.now();
+    publish();
+}
+
+void planner_system::withdraw(std::string const& customer)
+{
+    contracts_[customer] = {};
+    contract_revisions_[customer] = 0;
+    changed_[customer] = time.now();
+    publish();
+}
+
+void planner_system::set_out(std::string const& data_centre, bool out)
+{
+    if (out)
+    {
+        out_.insert(data_centre);
+        workers.out_since.emplace(data_centre, time.now());
+    }
+    else
+    {
+        out_.erase(data_centre);
+        workers.out_since.erase(data_centre);
+    }
+    publish();
+}
+
+std::uint64_t planner_system::request(std::size_t planner,
+                                      std::string method,
+                                      std::string target,
+                                      std::string body)
+{
+    auto const caller = ++last_request_;
+    core::common::failure reason;
+    if (auto const job = core::tasks::parse_job(body, reason))
+    {
+        customer_of[job->id] = job->customer;
+    }
+    auto const who = slots_[planner];
+    run_in(
+        who,
+        [&](ports::actions& out)
+        {
+            who->engine->on_job_request(
+                time.now(),
+                {caller, std::move(method), std::move(target), std::move(body)},
+                out);
+        });
+    return caller;
+}
+
+ports::caller_answer planner_system::ask(std::size_t planner,
+                                         std::string method,
+                                         std::string target,
+                                         std::string body)
+{
+    auto const caller =
+        request(planner, std::move(method), std::move(target), std::move(body));
+    run_until(
+        [this, caller]
+        {
+            return answers.count(caller) != 0;
+        },
+        std::chrono::seconds(8));
+    return answers[caller];
+}
+
+std::string planner_system::state_of(std::string const& job)
+{
+    for (std::size_t slot = 0; slot < slots_.size(); ++slot)
+    {
+        if (!alive(slot))
+        {
+            continue;
+        }
+        auto const answer = ask(slot, "GET", "/v1/jobs/" + job);
+        core::common::failure reason;
+        auto const object =
+            core::common::parse_json_object(answer.body, "job", reason);
+        return object && object->contains("state")
+                   ? std::string(object->at("state").as_string())
+                   : "status " + std::to_string(answer.status);
+    }
+    return "no planner";
+}
+
+} // namespace fuchsia::tests::unit::tasks
--- /dev/null
+++ b/tests/unit/tasks/planner_system.hpp
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "core/tasks/planner_engine.hpp"
+#include "fake_workers.hpp"
+#include "unit/walks/fake_link.hpp"
+#include "unit/walks/fake_store.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+// A few planners over one store, joined by fake links, and their workers.
+namespace fuchsia::tests::unit::tasks
+{
+
+struct system_options
+{
+    std::size_t planners = 3;
+    std::size_t racks = 3; ///< Rack n is in data centre n modulo 3.
+    std::size_t workers_per_rack = 2;
+    ports::resources capacity{8000, 32000, 0};
+    std::uint64_t seed = 1;
+    core::tasks::planner_settings settings;
+};
+
+class planner_system
+{
+public:
+    explicit planner_system(system_options options);
+
+    timeline time;
+    walks::fake_store store;
+    fake_workers workers;
+    walks::fake_link link;
+
+    void start(std::size_t planner);
+    void kill(std::size_t planner);
+    void freeze(std::size_t planner);
+    void wake(std::size_t planner);
+    void begin_stop(std::size_t planner);
+    /// Cuts a planner from the store, or mends that.
+    void cut_store(std::size_t planner, bool is_cut);
+    bool alive(std::size_t planner) const;
+    bool stopped(std::size_t planner) const;
+    core::tasks::planner_engine& engine(std::size_t planner);
+    /// Number of the planner that owns the cell and may act on it.
+    std::optional<std::size_t> owner_of(std::string const& cell);
+
+    void run(duration length);
+    bool run_until(std::function<bool()> const& wanted, duration limit);
+    /// All planners are joined, all cells owned and taken over.
+    bool settled();
+
+    // What operators do. The configuration is written into the store.
+    void put_contract(std::string const& customer,
+                      ports::resources capacity,
+                      std::uint32_t batch_permille = 1000);
+    void withdraw(std::string const& customer);
+    void set_out(std::string const& data_centre, bool out);
+    /// Sends a request to a planner; the answer's status comes to `answers`.
+    std::uint64_t request(std::size_t planner,
+                          std::string method,
+                          std::string target,
+                          std::string body = {});
+    /// Sends and waits; status 0 where no answer came.
+    ports::caller_answer ask(std::size_t planner,
+                             std::string method,
+                             std::string target,
+                             std::string body = {});
+    /// State of a job by the list of the first planner that lives.
+    std::string state_of(std::string const& job);
+
+    std::map<std::uint64_t, ports::caller_answer> answers;
+    std::vector<ports::log_event> logs;
+    /// Worker calls are looked at before they are sent; false drops them.
+    std::function<bool(std::size_t planner, ports::worker_call const&)> filter;
+    std::string violation;
+    std::map<std::string, std::string> customer_of; ///< By job.
+
+private:
+    struct process
+    {
+        std::size_t slot = 0;
+        ports::member_identity id;
+        std::unique_ptr<core::tasks::planner_engine> engine;
+        bool frozen = false;
+        bool ended = false;
+        bool stopped = false;
+        std::deque<std::function<void()>> waiting;
+    };
+    using process_pointer = std::shared_ptr<process>;
+
+    void tick(process_pointer const& who);
+    void poll(process_pointer const& who);
+    void run_in(process_pointer const& who,
+                std::function<void(ports::actions&)> const& what);
+    void perform(process_pointer const& who, ports::actions const& actions);
+    void make_engine(process& who);
+    void publish();
+    void tick_world();
+    void check_contracts();
+    ports::instance_list instances() const;
+
+    system_options options_;
+    std::mt19937_64 random_;
+    std::vector<process_pointer> slots_;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t revision_ = 0;
+    std::map<std::string, core::contracts::contract> contracts_;
+    std::map<std::string, std::uint64_t> contract_revisions_;
+    std::map<std::string, time_point> changed_;
+    std::set<std::string, std::less<>> out_;
+};
+
+/// A job's JSON with the defaults of the tests.
+std::string job_json(std::string const& id,
+                     std::string const& customer,
+                     std::string const& kind = "batch",
+                     std::int64_t millicores = 1000,
+                     std::uint32_t tasks = 1,
+                     std::uint64_t work_ms = 5000,
+                     std::string const& extra = "");
+
+} // namespace fuchsia::tests::unit::tasks
