Tasks: fault tables for planners' deaths, lost answers, data centres, contracts

A job that fails wherever it starts never met a third worker in a rack of two (60 starts in 60 s, no end): tasks now leave a rack whose workers they failed on before they are tried there again.

--- a/src/core/tasks/cell_context.hpp
+++ b/src/core/tasks/cell_context.hpp
@@ -43,6 +43,9 @@
     common::duration move_after = std::chrono::milliseconds(400);
     common::duration move_after_most = std::chrono::seconds(30);
     std::uint32_t max_parcel_tasks = 64;
+    /// A task that failed on all workers with room waits this long for another
+    /// cell before it is tried on one of them again.
+    common::duration avoid_time = std::chrono::seconds(5);
     /// An ended job stays in the list this long.
     common::duration retention = std::chrono::hours(1);
     std::size_t max_jobs = 4000;
--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -280,7 +280,10 @@
                                           wanted,
                                           with.learned,
                                           with.settings.limits);
-    if (!chosen)
+    bool const tired = chosen && workers[*chosen].avoid &&
+                       with.now - queued_since_.at(key) <
+                           with.settings.avoid_time;
+    if (!chosen || tired)
     {
         return false;
     }
--- a/tests/unit/tasks/planner_system.cpp
+++ b/tests/unit/tasks/planner_system.cpp
@@ -1,7 +1,6 @@
 #include "planner_system.hpp"
 
 #include "core/common/json.hpp"
-#include "core/config/index.hpp"
 
 #include <utility>
 
@@ -441,32 +440,28 @@
     }
 }
 
-void planner_system::publish()
+// An operator's change, as the administration makes it, without its delays.
+void planner_system::change(core::config::change what)
 {
-    core::config::index_document index;
-    index.revision = ++revision_;
-    index.write_id = "test";
-    index.data_centres_out = out_;
-    auto const put = [this](std::string const& key, std::string value)
-    {
-        auto const* present = store.contents.find(key);
-        ports::store_write const write{
-            key, std::move(value), present == nullptr ? 0 : present->version};
-        store.contents.apply(write);
-    };
-    for (auto const& [customer, contract] : contracts_)
+    core::config::change_request request;
+    request.what = std::move(what);
+    request.write_id = "test." + std::to_string(++changes_);
+    core::config::writer writer({}, std::move(request));
+    std::uint64_t number = 0;
+    ports::actions out;
+    writer.start(time.now(), number, out);
+    while (!out.empty())
     {
-        auto& first = contract_revisions_[customer];
-        first = first == 0 ? revision_ : first;
-        auto const name = core::config::document_name(first, "test");
-        bool const withdrawn = contract.customer.empty();
-        index.contracts[customer] = {first, withdrawn, withdrawn ? "" : name};
-        if (!withdrawn)
+        for (auto const& action : std::exchange(out, {}))
         {
-            put(core::config::document_key(customer, name), to_json(contract));
+            if (auto const* call = std::get_if<ports::store_call>(&action))
+            {
+                auto reply = store.contents.apply(call->operation);
+                reply.id = call->id;
+                writer.on_store_reply(time.now(), reply, number, out);
+            }
         }
     }
-    put(std::string(core::config::index_key), to_json(index));
 }
 
 void planner_system::put_contract(std::string const& customer,
@@ -482,32 +477,28 @@
     value.latency_target = std::chrono::milliseconds(250);
     value.batch_latency_target = std::chrono::seconds(10);
     contracts_[customer] = value;
-    contract_revisions_[customer] = 0;
     changed_[customer] = time.now();
-    publish();
+    change(core::config::put_contract{value});
 }
 
 void planner_system::withdraw(std::string const& customer)
 {
     contracts_[customer] = {};
-    contract_revisions_[customer] = 0;
     changed_[customer] = time.now();
-    publish();
+    change(core::config::withdraw_contract{customer});
 }
 
 void planner_system::set_out(std::string const& data_centre, bool out)
 {
     if (out)
     {
-        out_.insert(data_centre);
         workers.out_since.emplace(data_centre, time.now());
     }
     else
     {
-        out_.erase(data_centre);
         workers.out_since.erase(data_centre);
     }
-    publish();
+    change(core::config::set_data_centre{data_centre, out});
 }
 
 std::uint64_t planner_system::request(std::size_t planner,
--- a/tests/unit/tasks/planner_system.hpp
+++ b/tests/unit/tasks/planner_system.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/config/writer.hpp"
 #include "core/tasks/planner_engine.hpp"
 #include "fake_workers.hpp"
 #include "unit/walks/fake_link.hpp"
@@ -98,7 +99,7 @@
                 std::function<void(ports::actions&)> const& what);
     void perform(process_pointer const& who, ports::actions const& actions);
     void make_engine(process& who);
-    void publish();
+    void change(core::config::change what);
     void tick_world();
     void check_contracts();
     ports::instance_list instances() const;
@@ -107,11 +108,9 @@
     std::mt19937_64 random_;
     std::vector<process_pointer> slots_;
     std::uint64_t last_request_ = 0;
-    std::uint64_t revision_ = 0;
+    std::uint64_t changes_ = 0;
     std::map<std::string, core::contracts::contract> contracts_;
-    std::map<std::string, std::uint64_t> contract_revisions_;
     std::map<std::string, time_point> changed_;
-    std::set<std::string, std::less<>> out_;
 };
 
 /// A job's JSON with the defaults of the tests.
--- a/tests/unit/tasks/planner_test.cpp
+++ b/tests/unit/tasks/planner_test.cpp
@@ -77,3 +77,362 @@
         },
         1400ms));
 }
+
+// Two submissions of one job, as by an operator who got no answer to the
+// first, perhaps through another planner. Run twice, a packing run would pack
+// every box twice.
+TEST_F(planners, take_a_repeated_submission_for_the_same_job)
+{
+    auto const body = job_json("twice", "estate", "batch", 1000, 1, 2000);
+    system.request(0, "POST", "/v1/jobs", body);
+    submit(body, 1);
+    submit(body, 2);
+    EXPECT_TRUE(reaches("twice", "finished", 30s));
+    submit(body, 1);
+    system.run(10s);
+    EXPECT_EQ(system.workers.starts, 1U);
+    auto const other = job_json("twice", "estate", "batch", 2000, 1, 2000);
+    EXPECT_EQ(system.ask(2, "POST", "/v1/jobs", other).status, 409);
+}
+
+TEST_F(planners, refuse_what_can_never_run)
+{
+    auto const status = [this](std::string const& body)
+    {
+        return system.ask(0, "POST", "/v1/jobs", body).code;
+    };
+    using core::common::result_code;
+    EXPECT_EQ(status(job_json("a", "estate", "batch", 9000)),
+              result_code::job_never_fits);
+    EXPECT_EQ(status(job_json("b", "nobody")), result_code::unknown_customer);
+    EXPECT_EQ(status(job_json("c", "estate", "batch", 65000)),
+              result_code::over_contract_resources);
+    EXPECT_EQ(status("{\"id\":"), result_code::malformed_json);
+}
+
+TEST_F(planners, stop_a_job_that_fails_wherever_it_starts)
+{
+    system.workers.broken_classes.insert("batch-class");
+    submit(job_json("broken", "estate", "batch", 1000, 2));
+    EXPECT_TRUE(reaches("broken", "failed", 60s));
+    EXPECT_LE(system.workers.starts, 8U);
+    auto const shown = system.ask(1, "GET", "/v1/jobs/broken").body;
+    EXPECT_NE(shown.find("job_failed_everywhere"), std::string::npos) << shown;
+}
+
+// Some workers fail all that they start, and being empty they look best. Jobs
+// must end elsewhere, and none may be blamed for its worker.
+TEST_F(planners, keep_away_from_workers_that_fail_everything)
+{
+    system.workers.all.at("w-0-0").faults.fail_starts = true;
+    system.workers.all.at("w-1-0").faults.fail_starts = true;
+    for (int number = 0; number < 12; ++number)
+    {
+        submit(job_json(
+            "j" + std::to_string(number), "estate", "batch", 1000, 2, 2000));
+    }
+    for (int number = 0; number < 12; ++number)
+    {
+        EXPECT_TRUE(reaches("j" + std::to_string(number), "finished", 60s));
+    }
+    EXPECT_LE(system.workers.starts, 24U + 16U);
+}
+
+TEST_F(planners, cancel_in_a_wave)
+{
+    for (int number = 0; number < 20; ++number)
+    {
+        submit(job_json(
+            "s" + std::to_string(number), "estate", "service", 500, 1, 0));
+    }
+    system.run(5s);
+    for (int number = 0; number < 20; ++number)
+    {
+        system.request(
+            number % 3, "DELETE", "/v1/jobs/s" + std::to_string(number));
+    }
+    system.run(10s);
+    for (int number = 0; number < 20; ++number)
+    {
+        auto const job = "s" + std::to_string(number);
+        EXPECT_EQ(system.state_of(job), "cancelled");
+        EXPECT_TRUE(system.workers.places_of(job + "/0").empty());
+    }
+}
+
+// A planner is killed while attempts run. Their workers keep them by their
+// leases; the next owner must renew these in time, and neither start the
+// tasks a second time nor let them end.
+TEST_F(planners, keep_tasks_running_over_the_death_of_their_planner)
+{
+    submit(job_json("bids", "estate", "service", 1000, 6, 0));
+    system.run(5s);
+    ASSERT_EQ(system.workers.starts, 6U);
+    for (std::size_t slot = 0; slot < 2; ++slot)
+    {
+        system.kill(slot);
+        system.run(40s);
+        system.start(slot);
+        system.run(10s);
+    }
+    EXPECT_EQ(system.workers.starts, 6U);
+    for (int task = 0; task < 6; ++task)
+    {
+        EXPECT_EQ(
+            system.workers.places_of("bids/" + std::to_string(task)).size(),
+            1U);
+    }
+}
+
+TEST_F(planners, hand_over_in_a_planned_stop_without_ending_a_task)
+{
+    submit(job_json("bids", "estate", "service", 1000, 6, 0));
+    system.run(5s);
+    for (std::size_t slot = 0; slot < 3; ++slot)
+    {
+        system.begin_stop(slot);
+        EXPECT_TRUE(system.run_until(
+            [&]
+            {
+                return system.stopped(slot);
+            },
+            20s));
+        system.start(slot);
+        system.run(15s);
+    }
+    EXPECT_EQ(system.workers.starts, 6U);
+}
+
+namespace
+{
+
+/// At which call to a worker the planner that makes it is killed.
+struct death
+{
+    std::string name;
+    std::size_t call = 0;   ///< Index of `ports::worker_operation`.
+    bool delivered = false; ///< The worker gets the call all the same.
+};
+
+struct deaths : planners, testing::WithParamInterface<death>
+{
+};
+
+} // namespace
+
+// A planner dies between commit and start, between a start and its answer, or
+// between a checkpoint and its resume. The next owner knows from the log only
+// that the attempt was decided. Users would notice a report computed twice or
+// never.
+TEST_P(deaths, leave_the_task_in_one_place_and_resume_it_once)
+{
+    bool killed = false;
+    system.filter =
+        [this, &killed](std::size_t planner, ports::worker_call const& call)
+    {
+        if (killed || call.operation.index() != GetParam().call)
+        {
+            return true;
+        }
+        killed = true;
+        system.time.after(0s,
+                          [this, planner]
+                          {
+                              system.kill(planner);
+                          });
+        return GetParam().delivered;
+    };
+    submit(job_json("report", "estate", "batch", 1000, 2, 20000), 2);
+    system.run(8s);
+    auto const where = system.workers.places_of("report/0");
+    auto const rack =
+        where.empty() ? std::string("dc-0")
+                      : system.workers.all.at(where.front()).info.data_centre;
+    system.set_out(rack, true);
+    system.run(60s);
+    EXPECT_TRUE(killed);
+    EXPECT_TRUE(reaches("report", "finished", 120s));
+    EXPECT_EQ(system.workers.finished["report/0"], 1);
+    EXPECT_EQ(system.workers.finished["report/1"], 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(at_each_step,
+                         deaths,
+                         testing::Values(death{"before_the_start", 0, false},
+                                         death{"after_the_start", 0, true},
+                                         death{
+                                             "before_the_checkpoint", 3, false},
+                                         death{"after_the_checkpoint", 3, true},
+                                         death{"before_the_stop", 4, false},
+                                         death{"after_the_stop", 4, true}),
+                         [](auto const& info)
+                         {
+                             return info.param.name;
+                         });
+
+// A data centre is taken out while starts are on their way and the planner of
+// its racks is cut off from the store, so that it can't learn of it there.
+// Nothing may start there a few seconds later, however late a call comes in.
+TEST_F(planners, start_nothing_in_a_data_centre_that_is_out)
+{
+    system.workers.faults.late_permille = 300;
+    auto const owner = system.owner_of("rack-0");
+    ASSERT_TRUE(owner);
+    for (int number = 0; number < 10; ++number)
+    {
+        system.request(number % 3,
+                       "POST",
+                       "/v1/jobs",
+                       job_json("j" + std::to_string(number),
+                                "estate",
+                                "batch",
+                                1000,
+                                3,
+                                4000,
+                                ",\"data_centre\":\"dc-0\""));
+    }
+    system.run(60ms);
+    system.cut_store(*owner, true);
+    system.set_out("dc-0", true);
+    system.run(30s);
+    system.cut_store(*owner, false);
+    system.run(10s);
+    auto const before = system.workers.starts;
+    system.run(20s);
+    EXPECT_EQ(system.workers.starts, before);
+    system.set_out("dc-0", false);
+    for (int number = 0; number < 10; ++number)
+    {
+        auto const job = "j" + std::to_string(number);
+        auto const state = system.state_of(job);
+        EXPECT_TRUE(reaches(job, "finished", 90s)) << job << " " << state;
+    }
+}
+
+// Work of a data centre that goes out goes on in others: batch from its
+// checkpoint, once; services anew. Back in, it is filled slowly.
+TEST_F(planners, carry_work_out_of_a_data_centre_and_back)
+{
+    submit(job_json("bids", "estate", "service", 1000, 6, 0));
+    submit(job_json("report", "estate", "batch", 1000, 6, 50000));
+    system.run(6s);
+    for (auto const* name : {"dc-0", "dc-1", "dc-2"})
+    {
+        system.set_out(name, true);
+        system.run(20s);
+        for (auto const& [id, worker] : system.workers.all)
+        {
+            for (auto const& [what, attempt] : worker.attempts)
+            {
+                EXPECT_FALSE(worker.info.data_centre == name &&
+                             attempt.state == ports::attempt_state::running)
+                    << what.task << " still in " << name;
+            }
+        }
+        system.set_out(name, false);
+        system.run(10s);
+    }
+    EXPECT_TRUE(reaches("report", "finished", 120s));
+    for (int task = 0; task < 6; ++task)
+    {
+        EXPECT_EQ(
+            system.workers.places_of("bids/" + std::to_string(task)).size(),
+            1U);
+        EXPECT_EQ(system.workers.finished["report/" + std::to_string(task)], 1);
+    }
+    EXPECT_GT(system.workers.resumed, 0U);
+}
+
+// An operator lowers a contract while its tasks run in all cells. Each cell
+// sees only its own; together they must come under the new limit, batch first.
+TEST_F(planners, evict_what_a_lowered_contract_no_longer_allows)
+{
+    submit(job_json("bids", "estate", "service", 1000, 4, 0));
+    submit(job_json("report", "estate", "batch", 1000, 24, 60000));
+    system.run(8s);
+    ASSERT_GE(system.workers.starts, 20U);
+    system.put_contract("estate", {10000, 256000, 0});
+    system.run(30s);
+    auto const use = system.workers.in_use(
+        [](std::string const&)
+        {
+            return "estate";
+        });
+    EXPECT_LE(use.at("estate").millicores, 10000);
+    EXPECT_GE(use.at("estate").millicores, 6000);
+    for (int task = 0; task < 4; ++task)
+    {
+        EXPECT_EQ(
+            system.workers.places_of("bids/" + std::to_string(task)).size(),
+            1U);
+    }
+    system.put_contract("estate", {64000, 256000, 0});
+    EXPECT_TRUE(reaches("report", "finished", 240s));
+    system.withdraw("estate");
+    system.run(20s);
+    EXPECT_EQ(system.state_of("bids"), "failed");
+}
+
+namespace
+{
+
+struct lost_answer
+{
+    std::string name;
+    std::string prefix;
+};
+
+struct lost_answers : planners, testing::WithParamInterface<lost_answer>
+{
+};
+
+} // namespace
+
+// The store applies a write and its answer is lost on the way. Whoever wrote
+// must find out by reading back; taking the write for failed would run a task
+// twice, taking it for done would lose it.
+TEST_P(lost_answers, change_nothing)
+{
+    system.store.faults.lose_prefix = GetParam().prefix;
+    system.store.faults.lose_next_replies = 3;
+    submit(job_json("report", "estate", "batch", 1000, 4, 6000));
+    submit(job_json("bids", "estate", "service", 1000, 2, 0), 1);
+    EXPECT_TRUE(reaches("report", "finished", 60s));
+    EXPECT_EQ(system.ask(2, "DELETE", "/v1/jobs/bids").status, 200);
+    EXPECT_TRUE(reaches("bids", "cancelled", 30s));
+    EXPECT_EQ(system.workers.starts, 6U);
+}
+
+INSTANTIATE_TEST_SUITE_P(of_each_write,
+                         lost_answers,
+                         testing::Values(lost_answer{"log", "tasks/"},
+                                         lost_answer{"registry", "jobs/"},
+                                         lost_answer{"inbox", "inbox/"},
+                                         lost_answer{"quota", "quota/"}),
+                         [](auto const& info)
+                         {
+                             return info.param.name;
+                         });
+
+// The store is down for a minute. Running tasks must run on, since the
+// planners' proofs come from their witnesses; nothing new starts, and all goes
+// on when the store is back.
+TEST_F(planners, keep_tasks_running_while_the_store_is_down)
+{
+    submit(job_json("bids", "estate", "service", 1000, 6, 0));
+    submit(job_json("report", "estate", "batch", 1000, 3, 20000));
+    system.run(5s);
+    auto const before = system.workers.starts;
+    system.store.faults.down = true;
+    system.run(60s);
+    EXPECT_EQ(system.workers.starts, before);
+    for (int task = 0; task < 6; ++task)
+    {
+        EXPECT_EQ(
+            system.workers.places_of("bids/" + std::to_string(task)).size(),
+            1U);
+    }
+    system.store.faults.down = false;
+    EXPECT_TRUE(reaches("report", "finished", 60s));
+    EXPECT_EQ(system.workers.starts, before);
+}
