--- a/tests/unit/tasks/planner_system.cpp
+++ b/tests/unit/tasks/planner_system.cpp
@@ -512,16 +512,14 @@
     {
         customer_of[job->id] = job->customer;
     }
+    core::tasks::job_request const asked{
+        caller, std::move(method), std::move(target), std::move(body)};
     auto const who = slots_[planner];
-    run_in(
-        who,
-        [&](ports::actions& out)
-        {
-            who->engine->on_job_request(
-                time.now(),
-                {caller, std::move(method), std::move(target), std::move(body)},
-                out);
-        });
+    run_in(who,
+           [this, who, asked](ports::actions& out)
+           {
+               who->engine->on_job_request(time.now(), asked, out);
+           });
     return caller;
 }
 
