--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -51,6 +51,21 @@
                      static_cast<double>(capacity.millicores);
 }
 
+bool has_room(cell_context& with,
+              job const& what,
+              std::vector<placement::candidate> const& workers)
+{
+    placement::placement_task const task{
+        0, what.kind == job_kind::service, what.declared};
+    return std::any_of(workers.begin(),
+                       workers.end(),
+                       [&](placement::candidate const& worker)
+                       {
+                           return placement::fits(
+                               worker, task, with.settings.limits);
+                       });
+}
+
 std::uint32_t rank_of(job const& what) noexcept
 {
     if (what.urgent)
@@ -242,11 +257,14 @@
         {
             continue;
         }
-        if (!quota_allows(with, what))
+        // Room before quota: no grant is asked for work that has no room here,
+        // and it must move on all the same.
+        bool const room = has_room(with, what, workers);
+        if (room && !quota_allows(with, what))
         {
             continue;
         }
-        if (place_one(with, task.key, workers))
+        if (room && place_one(with, task.key, workers))
         {
             ++starts;
             ++starts_since_back_;
@@ -280,9 +298,9 @@
                                           wanted,
                                           with.learned,
                                           with.settings.limits);
-    bool const tired = chosen && workers[*chosen].avoid &&
-                       with.now - queued_since_.at(key) <
-                           with.settings.avoid_time;
+    bool const tired =
+        chosen && workers[*chosen].avoid &&
+        with.now - queued_since_.at(key) < with.settings.avoid_time;
     if (!chosen || tired)
     {
         return false;
