--- a/src/core/tasks/cell_attempts.cpp
+++ b/src/core/tasks/cell_attempts.cpp
@@ -270,7 +270,16 @@
         {
             continue;
         }
-        bool const longer = renewal.acknowledged;
+        // The attempts whose renewal was not acknowledged may all have ended;
+        // waiting for it would then leave newer ones without renewals.
+        bool const owed = std::any_of(keys.begin(),
+                                      keys.end(),
+                                      [&](task_key const& key)
+                                      {
+                                          return runs_.at(key).lease_until_ms <=
+                                                 renewal.until_ms;
+                                      });
+        bool const longer = renewal.acknowledged || !owed;
         if (longer)
         {
             renewal.until_ms =
@@ -295,10 +304,6 @@
                 run.lease_over = with.now + longest_lease(with.settings);
             }
         }
-        if (call.what.empty())
-        {
-            continue;
-        }
         renewal.acknowledged = false;
         renewal.next = with.now + with.settings.renew_interval;
         renewal.call = with.worker_traffic.send(
--- a/src/core/tasks/cell_reports.cpp
+++ b/src/core/tasks/cell_reports.cpp
@@ -40,7 +40,6 @@
     watch_memory(with, report);
     learn(with, report);
     guard_services(with, report);
-    last_reports_[report.worker] = report;
 }
 
 void cell_runner::on_attempt_report(cell_context& with,
--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -207,7 +207,6 @@
     std::map<task_key, attempt_run> runs_;
     std::map<std::string, renewal> renewals_;
     std::map<std::string, placement::guard> guards_;
-    std::map<std::string, ports::worker_report> last_reports_;
 
     std::vector<queued_task> queue_;
     bool queue_dirty_ = true;
