--- /dev/null
+++ b/src/core/placement/bench.cpp
@@ -0,0 +1,150 @@
+#include "core/placement/bench.hpp"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fuchsia::core::placement
+{
+
+namespace
+{
+
+constexpr std::int64_t worker_millicores = 64000;
+constexpr std::int64_t worker_memory_mb = 250000;
+constexpr std::uint32_t tries = 4; ///< Racks that a task is offered to.
+
+/// Racks of workers, filled and emptied at random.
+class fleet
+{
+public:
+    explicit fleet(bench_settings const& settings)
+        : settings_(settings), random_(settings.seed), learned_({})
+    {
+        for (std::uint32_t number = 0; number < settings.classes; ++number)
+        {
+            learned_.number_of("class-" + std::to_string(number));
+        }
+        auto const racks = (settings.workers + settings.workers_per_rack - 1) /
+                           settings.workers_per_rack;
+        racks_.resize(racks);
+        for (std::uint32_t number = 0; number < settings.workers; ++number)
+        {
+            candidate worker;
+            worker.capacity = {worker_millicores, worker_memory_mb, 0};
+            racks_[number / settings.workers_per_rack].push_back(worker);
+        }
+    }
+
+    bool add(bool service)
+    {
+        auto const task = draw(service);
+        for (std::uint32_t number = 0; number < tries; ++number)
+        {
+            auto& rack = racks_[random_() % racks_.size()];
+            auto const chosen = choose(settings_.by, rack, task, learned_, {});
+            note(chosen.value_or(rack.size()));
+            if (chosen)
+            {
+                put(rack[*chosen], task);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void remove_one()
+    {
+        auto& rack = racks_[random_() % racks_.size()];
+        auto& worker = rack[random_() % rack.size()];
+        if (worker.residents.empty())
+        {
+            return;
+        }
+        learn(worker);
+        auto const last = worker.residents.back();
+        worker.residents.pop_back();
+        worker.committed -= last.declared;
+        worker.batch_millicores -= last.service ? 0 : last.declared.millicores;
+    }
+
+    std::uint64_t signature() const noexcept
+    {
+        return signature_;
+    }
+
+private:
+    placement_task draw(bool service)
+    {
+        placement_task task;
+        task.task_class =
+            static_cast<std::uint16_t>(random_() % settings_.classes);
+        task.service = service;
+        task.declared.millicores =
+            500 + static_cast<std::int64_t>(random_() % 4000);
+        task.declared.memory_mb =
+            500 + static_cast<std::int64_t>(random_() % 8000);
+        return task;
+    }
+
+    static void put(candidate& worker, placement_task const& task)
+    {
+        worker.committed += task.declared;
+        worker.batch_millicores += task.service ? 0 : task.declared.millicores;
+        worker.residents.push_back(
+            {task.task_class,
+             task.service,
+             task.declared,
+             static_cast<double>(task.declared.millicores) /
+                 static_cast<double>(worker.capacity.millicores)});
+    }
+
+    void learn(candidate const& worker)
+    {
+        std::vector<neighbour> beside;
+        for (auto const& other : worker.residents)
+        {
+            beside.push_back({other.task_class, other.share});
+        }
+        auto const victim = worker.residents.front().task_class;
+        learned_.observe(
+            victim, beside, 1 + static_cast<double>(random_() % 100) / 100);
+    }
+
+    void note(std::uint64_t value) noexcept
+    {
+        signature_ = (signature_ ^ value) * 1099511628211ULL;
+    }
+
+    bench_settings const& settings_;
+    std::mt19937_64 random_;
+    interference learned_;
+    std::vector<std::vector<candidate>> racks_;
+    std::uint64_t signature_ = 1469598103934665603ULL;
+};
+
+} // namespace
+
+bench_result run_bench(bench_settings const& settings)
+{
+    fleet all(settings);
+    bench_result out;
+    for (std::uint32_t number = 0; number < settings.services; ++number)
+    {
+        out.resident += all.add(true) ? 1 : 0;
+    }
+    for (std::uint32_t number = 0; number < settings.batch; ++number)
+    {
+        out.resident += all.add(false) ? 1 : 0;
+    }
+    for (std::uint32_t number = 0; number < settings.decisions; ++number)
+    {
+        all.remove_one();
+        out.placed += all.add(number % 2 == 0) ? 1 : 0;
+        ++out.decisions;
+    }
+    out.signature = all.signature();
+    return out;
+}
+
+} // namespace fuchsia::core::placement
--- a/src/core/tasks/cell_log.cpp
+++ b/src/core/tasks/cell_log.cpp
@@ -191,8 +191,9 @@
         urgent_ = false;
         // Only now does the state hold the changes up to this record and no
         // others, so a snapshot of it is one of exactly this record.
-        bool const due = record_.number >=
-                         stored_.snapshot_record + settings_.snapshot_every;
+        auto const every =
+            std::min<std::uint64_t>(settings_.snapshot_every, log_slots / 2);
+        bool const due = record_.number >= stored_.snapshot_record + every;
         if (due && next_snapshot_.empty())
         {
             auto whole = stored_.state;
--- a/src/core/tasks/cell_reports.cpp
+++ b/src/core/tasks/cell_reports.cpp
@@ -118,14 +118,13 @@
         {
             continue;
         }
-        auto const name = task_name(key);
+        ports::task_attempt const what{task_name(key), run.attempt};
         bool const listed =
             std::any_of(report.attempts.begin(),
                         report.attempts.end(),
-                        [&](ports::attempt_report const& said)
+                        [&what](ports::attempt_report const& said)
                         {
-                            return said.what.task == name &&
-                                   said.what.attempt == run.attempt;
+                            return said.what == what;
                         });
         if (!listed)
         {
--- a/src/core/tasks/job_desk.cpp
+++ b/src/core/tasks/job_desk.cpp
@@ -117,7 +117,7 @@
     with.out.emplace_back(std::move(out));
 }
 
-void job_desk::on_request(desk_context& with, job_request request)
+void job_desk::on_request(desk_context& with, job_request const& request)
 {
     std::string_view target = request.target;
     auto const mark = target.find('?');
--- a/src/core/tasks/job_desk.hpp
+++ b/src/core/tasks/job_desk.hpp
@@ -59,7 +59,7 @@
     job_desk(std::uint64_t incarnation, job_desk_settings settings);
 
     /// Answers by a `caller_reply`, now or later.
-    void on_request(desk_context& with, job_request request);
+    void on_request(desk_context& with, job_request const& request);
     /// Has all cells stop a job that was found to be at fault.
     void post_stop(desk_context& with, job_stopped const& what);
 
--- a/src/core/tasks/planner_engine.cpp
+++ b/src/core/tasks/planner_engine.cpp
@@ -31,16 +31,16 @@
 
 } // namespace
 
-planner_engine::planner_engine(planner_settings settings,
-                               membership::member_info self,
+planner_engine::planner_engine(planner_settings const& settings,
+                               membership::member_info const& self,
                                std::uint64_t seed)
-    : settings_(std::move(settings)), member_(settings_.membership, self, seed),
+    : settings_(settings), member_(settings_.membership, self, seed),
       claims_(role, {}), follower_(settings_.follower), calls_(settings_.store),
       workers_(settings_.workers),
       quotas_(self.id.incarnation, settings_.quotas),
       loads_(self.id.name, seed ^ self.id.incarnation, settings_.loads),
       inbox_(settings_.inboxes), desk_(self.id.incarnation, settings_.desk),
-      learned_(settings_.interference)
+      sweep_(settings_.sweep), learned_(settings_.interference)
 {
 }
 
@@ -127,6 +127,10 @@
     quotas_.tick(now, follower_.current().contracts, calls_, out);
     post_faulty(now, out);
     erase_notices(now, out);
+    if (member_.may_act(now))
+    {
+        sweep_.tick(now, is_chosen_for("sweep"), calls_, out);
+    }
     hand_over(now, out);
     follow_stop(now, out);
 }
@@ -271,6 +275,17 @@
     }
 }
 
+bool planner_engine::is_chosen_for(std::string const& key) const
+{
+    std::vector<std::string> names;
+    for (auto const& info : member_.live())
+    {
+        names.push_back(info.id.name);
+    }
+    return !names.empty() && names[common::rendezvous_winner(key, names)] ==
+                                 member_.self().id.name;
+}
+
 // One planner, found by hashing, erases a notice that stood long enough.
 void planner_engine::erase_notices(common::time_point now, ports::actions& out)
 {
@@ -279,15 +294,7 @@
     {
         return;
     }
-    std::vector<std::string> names;
-    for (auto const& info : member_.live())
-    {
-        names.push_back(info.id.name);
-    }
-    bool const ours =
-        !names.empty() && names[common::rendezvous_winner(due->key, names)] ==
-                              member_.self().id.name;
-    if (ours && calls_.may_write(now))
+    if (is_chosen_for(due->key) && calls_.may_write(now))
     {
         notice_call_ = calls_.send(call_owner::sweep,
                                    due->job,
@@ -361,7 +368,11 @@
         loads_.on_store_reply(now, *tag, reply);
         break;
     case call_owner::sweep:
-        notice_call_ = 0;
+        if (tag->number == notice_call_)
+        {
+            notice_call_ = 0;
+        }
+        sweep_.on_store_reply(*tag, reply);
         break;
     }
     pump(now, out);
@@ -456,11 +467,11 @@
 }
 
 void planner_engine::on_job_request(common::time_point now,
-                                    job_request request,
+                                    job_request const& request,
                                     ports::actions& out)
 {
     auto to_desk = desk(now, out);
-    desk_.on_request(to_desk, std::move(request));
+    desk_.on_request(to_desk, request);
 }
 
 void planner_engine::begin_stop(common::time_point now, ports::actions& out)
--- a/src/core/tasks/planner_engine.hpp
+++ b/src/core/tasks/planner_engine.hpp
@@ -6,6 +6,7 @@
 #include "core/tasks/cell_runner.hpp"
 #include "core/tasks/inbox.hpp"
 #include "core/tasks/job_desk.hpp"
+#include "core/tasks/registry_sweep.hpp"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +29,7 @@
     load_board_settings loads;
     inbox_settings inboxes;
     job_desk_settings desk;
+    sweep_settings sweep;
     cell_settings cell;
     placement::interference_settings interference;
     /// A planned stop that the store keeps from ending is given up after
@@ -41,8 +43,8 @@
 class planner_engine
 {
 public:
-    planner_engine(planner_settings settings,
-                   membership::member_info self,
+    planner_engine(planner_settings const& settings,
+                   membership::member_info const& self,
                    std::uint64_t seed);
 
     void start(common::time_point now, ports::actions& out);
@@ -69,7 +71,7 @@
                          ports::actions& out);
     /// Jobs; answered by a `caller_reply` with the request's caller.
     void on_job_request(common::time_point now,
-                        job_request request,
+                        job_request const& request,
                         ports::actions& out);
     /// A planned stop: nothing new is started, what is in commit ends, the
     /// cells are handed over, the record is removed; running tasks go on.
@@ -113,6 +115,8 @@
     void
     deliver_inbox(common::time_point now, cell_runner& to, ports::actions& out);
     void erase_notices(common::time_point now, ports::actions& out);
+    /// Whether hashing gives this member what one of them does for all.
+    bool is_chosen_for(std::string const& key) const;
     void post_faulty(common::time_point now, ports::actions& out);
     void set_partitions();
 
@@ -127,6 +131,7 @@
     load_board loads_;
     inbox inbox_;
     job_desk desk_;
+    registry_sweep sweep_;
     placement::interference learned_;
     task_counters counters_;
     std::map<std::string, std::unique_ptr<cell_runner>> cells_;
--- a/src/core/tasks/quota.cpp
+++ b/src/core/tasks/quota.cpp
@@ -367,37 +367,9 @@
         auto next = wished(now, of, contract);
         if (next && calls.may_write(now))
         {
-            next->writer = writer_ + std::to_string(++writes_);
-            of.attempted = *next;
-            of.call_writes = true;
-            for (auto const& [cell, need] : of.needs)
-            {
-                auto const grant = next->cells.find(cell);
-                auto const value =
-                    grant == next->cells.end() ? cell_grant{} : grant->second;
-                auto const doubt = of.doubtful.try_emplace(cell, value).first;
-                doubt->second.granted.all =
-                    least(doubt->second.granted.all, value.granted.all);
-                doubt->second.granted.batch =
-                    least(doubt->second.granted.batch, value.granted.batch);
-            }
-            of.call =
-                calls.send(call_owner::quota,
-                           customer,
-                           ports::store_write{
-                               "quota/" + customer, to_json(*next), of.version},
-                           out);
-            of.idle_since.reset();
-            continue;
+            send_write(customer, of, std::move(*next), calls, out);
         }
-        auto const short_of = [&of](auto const& item)
-        {
-            auto const grant = of.stored.cells.find(item.first);
-            return grant == of.stored.cells.end()
-                       ? item.second.wanted != allowance{}
-                       : !holds(grant->second.granted, item.second.wanted);
-        };
-        if (!next && std::any_of(of.needs.begin(), of.needs.end(), short_of))
+        else if (!next && is_short(of))
         {
             // All of the contract is granted: see whether a cell gave back.
             of.read = false;
@@ -406,6 +378,50 @@
     }
 }
 
+bool quota_book::is_short(account const& of)
+{
+    for (auto const& [cell, need] : of.needs)
+    {
+        auto const grant = of.stored.cells.find(cell);
+        auto const granted = grant == of.stored.cells.end()
+                                 ? allowance{}
+                                 : grant->second.granted;
+        if (!holds(granted, need.wanted))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void quota_book::send_write(std::string const& customer,
+                            account& of,
+                            quota_document next,
+                            store_calls& calls,
+                            ports::actions& out)
+{
+    next.writer = writer_ + std::to_string(++writes_);
+    // Until the answer is known each cell counts on the lesser of what stands
+    // and what was asked for.
+    for (auto const& [cell, need] : of.needs)
+    {
+        auto const grant = next.cells.find(cell);
+        auto const value =
+            grant == next.cells.end() ? cell_grant{} : grant->second;
+        auto& doubt = of.doubtful.try_emplace(cell, value).first->second;
+        doubt.granted.all = least(doubt.granted.all, value.granted.all);
+        doubt.granted.batch = least(doubt.granted.batch, value.granted.batch);
+    }
+    of.call_writes = true;
+    of.idle_since.reset();
+    of.call = calls.send(
+        call_owner::quota,
+        customer,
+        ports::store_write{"quota/" + customer, to_json(next), of.version},
+        out);
+    of.attempted = std::move(next);
+}
+
 void quota_book::taken(account& of,
                        quota_document document,
                        std::uint64_t version)
--- a/src/core/tasks/quota.hpp
+++ b/src/core/tasks/quota.hpp
@@ -134,6 +134,13 @@
                    account& of,
                    store_calls& calls,
                    ports::actions& out);
+    void send_write(std::string const& customer,
+                    account& of,
+                    quota_document next,
+                    store_calls& calls,
+                    ports::actions& out);
+    /// Some cell hopes for more than its grant.
+    static bool is_short(account const& of);
     std::optional<quota_document>
     wished(common::time_point now,
            account& of,
--- /dev/null
+++ b/src/core/tasks/registry_sweep.cpp
@@ -0,0 +1,150 @@
+#include "core/tasks/registry_sweep.hpp"
+
+#include "core/tasks/job_view.hpp"
+
+#include <string_view>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+constexpr std::string_view registry_prefix = "jobs/";
+
+} // namespace
+
+registry_sweep::registry_sweep(sweep_settings settings) : settings_(settings)
+{
+}
+
+void registry_sweep::tick(common::time_point now,
+                          bool ours,
+                          store_calls& calls,
+                          ports::actions& out)
+{
+    if (!std::exchange(began_, true))
+    {
+        next_ = now + settings_.interval;
+    }
+    if (!ours || call_ != 0)
+    {
+        return;
+    }
+    auto const list = [&](std::string_view prefix)
+    {
+        call_ = calls.send(
+            call_owner::sweep, "", ports::store_list{std::string(prefix)}, out);
+    };
+    switch (step_)
+    {
+    case step::resting:
+        if (now >= next_)
+        {
+            next_ = now + settings_.interval;
+            step_ = step::listing_registry;
+            list(registry_prefix);
+        }
+        break;
+    case step::listing_registry:
+        list(registry_prefix);
+        break;
+    case step::listing_inbox:
+        list("inbox/");
+        break;
+    case step::listing_tasks:
+        list("tasks/");
+        break;
+    case step::erasing:
+        if (erasable_.empty())
+        {
+            step_ = step::resting;
+        }
+        else if (calls.may_write(now))
+        {
+            auto const [job, version] = erasable_.back();
+            erasable_.pop_back();
+            call_ = calls.send(
+                call_owner::sweep,
+                job,
+                ports::store_erase{std::string(registry_prefix) + job, version},
+                out);
+        }
+        break;
+    }
+}
+
+void registry_sweep::on_store_reply(call_tag const& tag,
+                                    ports::store_reply const& reply)
+{
+    if (tag.number != call_)
+    {
+        return;
+    }
+    call_ = 0;
+    if (step_ == step::erasing)
+    {
+        return; // An erasure that failed is found by a later sweep.
+    }
+    if (reply.status != ports::store_status::done)
+    {
+        step_ = step::resting;
+        return;
+    }
+    switch (step_)
+    {
+    case step::listing_registry:
+        registered_.clear();
+        known_.clear();
+        for (auto const& entry : reply.entries)
+        {
+            registered_[entry.key.substr(registry_prefix.size())] =
+                entry.version;
+        }
+        step_ = step::listing_inbox;
+        break;
+    case step::listing_inbox:
+        for (auto const& [id, view] : view_of(reply.entries, {}, {}))
+        {
+            known_.insert(id);
+        }
+        step_ = step::listing_tasks;
+        break;
+    case step::listing_tasks:
+        compare(reply.entries);
+        step_ = step::erasing;
+        break;
+    case step::resting:
+    case step::erasing:
+        break;
+    }
+}
+
+void registry_sweep::compare(std::vector<ports::store_entry> const& cells)
+{
+    for (auto const& [id, view] : view_of({}, cells, {}))
+    {
+        known_.insert(id);
+    }
+    auto const before = std::exchange(unknown_, {});
+    erasable_.clear();
+    for (auto const& [id, version] : registered_)
+    {
+        if (known_.count(id) != 0)
+        {
+            continue;
+        }
+        unknown_[id] = version;
+        auto const last = before.find(id);
+        if (last != before.end() && last->second == version &&
+            erasable_.size() < settings_.max_erased)
+        {
+            erasable_.emplace_back(id, version);
+        }
+    }
+    registered_.clear();
+    known_.clear();
+}
+
+} // namespace fuchsia::core::tasks
--- /dev/null
+++ b/tests/unit/tasks/modules_test.cpp
@@ -0,0 +1,288 @@
+#include "core/tasks/cell_log.hpp"
+#include "core/tasks/job.hpp"
+#include "core/tasks/life_cycle.hpp"
+#include "core/tasks/quota.hpp"
+#include "core/tasks/worker_book.hpp"
+#include "unit/tasks/planner_system.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace fuchsia;
+using namespace fuchsia::core::tasks;
+using namespace std::chrono_literals;
+using core::common::result_code;
+using core::common::time_point;
+
+namespace
+{
+
+job sample_job(std::string id, std::uint32_t tasks = 3)
+{
+    job out;
+    out.id = std::move(id);
+    out.customer = "estate";
+    out.task_class = "valuation";
+    out.declared = {1000, 2000, 0};
+    out.tasks = tasks;
+    out.work_ms = 1000;
+    return out;
+}
+
+/// A cell's log over a store in memory that answers at once.
+struct log_bench
+{
+    tests::unit::walks::store_contents store;
+    store_calls calls{{1000, 1000}};
+    time_point now{1h};
+
+    void settle(cell_log& log)
+    {
+        ports::actions out;
+        for (int round = 0; round < 20; ++round)
+        {
+            log.tick(now, calls, out);
+            for (auto const& action : std::exchange(out, {}))
+            {
+                auto const& call = std::get<ports::store_call>(action);
+                auto reply = store.apply(call.operation);
+                reply.id = call.id;
+                auto const tag = calls.take(call.id);
+                log.on_store_reply(now, *tag, reply, calls, out);
+            }
+            now += 50ms;
+        }
+    }
+
+    cell_state replayed(std::string const& cell)
+    {
+        core::common::failure reason;
+        auto const reply = store.apply(ports::store_list{cell_prefix(cell)});
+        auto const stored = replay(cell, reply.entries, reason);
+        EXPECT_TRUE(stored) << to_string(reason);
+        return stored ? stored->state : cell_state{};
+    }
+
+    void start(cell_log& log)
+    {
+        ports::actions out;
+        log.start(calls, out);
+        auto const& call = std::get<ports::store_call>(out.front());
+        auto reply = store.apply(call.operation);
+        reply.id = call.id;
+        ports::actions next;
+        log.on_store_reply(now, *calls.take(call.id), reply, calls, next);
+        for (auto const& action : next)
+        {
+            auto const& append = std::get<ports::store_call>(action);
+            auto answer = store.apply(append.operation);
+            answer.id = append.id;
+            ports::actions none;
+            log.on_store_reply(
+                now, *calls.take(append.id), answer, calls, none);
+        }
+        settle(log);
+    }
+};
+
+change random_change(std::mt19937_64& random, cell_state const& state)
+{
+    task_key const key{"j" + std::to_string(random() % 40),
+                       static_cast<std::uint32_t>(random() % 3)};
+    auto const* task = state.find(key);
+    auto const attempt = task == nullptr ? 1 : task->attempt;
+    auto const worker = "w" + std::to_string(random() % 4);
+    switch (random() % 9)
+    {
+    case 0:
+    case 1:
+        return parcel_taken{submission_of(sample_job(key.job))};
+    case 2:
+    case 3:
+        return attempt_started{key, attempt + 1, worker, 10, 20};
+    case 4:
+        return attempt_ended{
+            key, attempt, static_cast<attempt_end>(random() % 6), "why"};
+    case 5:
+        return checkpoint_taken{key, attempt, "cp"};
+    case 6:
+        return random() % 4 == 0
+                   ? change(job_stopped{
+                         key.job, result_code::job_cancelled, "asked"})
+                   : change(job_forgotten{key.job});
+    case 7:
+        return parcel_left{key.job + "~" + std::to_string(random() % 9),
+                           "other",
+                           key.job,
+                           {key.index},
+                           1};
+    default:
+        return parcel_arrived{key.job + "~" + std::to_string(random() % 9)};
+    }
+}
+
+} // namespace
+
+TEST(job, is_read_back_as_written_and_refused_with_its_place)
+{
+    core::common::failure reason;
+    auto const written = sample_job("valuation-17");
+    EXPECT_EQ(parse_job(to_json(written), reason), written);
+    std::vector<std::pair<std::string, result_code>> const cases{
+        {"{", result_code::malformed_json},
+        {"{\"id\":\"a\"}", result_code::missing_key},
+        {tests::unit::tasks::job_json("a/b", "c"), result_code::malformed_job},
+        {tests::unit::tasks::job_json("a", "c", "daemon"),
+         result_code::malformed_job},
+        {tests::unit::tasks::job_json("a", "c", "batch", 0),
+         result_code::out_of_range},
+        {tests::unit::tasks::job_json("a", "c", "batch", 1, 1, 0),
+         result_code::malformed_job},
+        {tests::unit::tasks::job_json("a", "c", "batch", 1, 1, 1, ",\"x\":1"),
+         result_code::unknown_key},
+    };
+    for (auto const& [text, code] : cases)
+    {
+        EXPECT_FALSE(parse_job(text, reason)) << text;
+        EXPECT_EQ(reason.code, code) << text << " " << to_string(reason);
+    }
+}
+
+TEST(life_cycle, has_just_the_steps_of_its_table)
+{
+    using enum attempt_phase;
+    using enum attempt_event;
+    EXPECT_EQ(next_phase(committing_start, start_committed), starting);
+    EXPECT_EQ(next_phase(starting, seen_running), running);
+    EXPECT_EQ(next_phase(running, evict), checkpointing);
+    EXPECT_EQ(next_phase(checkpointing, checkpoint_made),
+              committing_checkpoint);
+    EXPECT_EQ(next_phase(committing_checkpoint, checkpoint_committed),
+              stopping);
+    EXPECT_EQ(next_phase(stopping, stop_confirmed), settling);
+    EXPECT_EQ(next_phase(settling, ended), over);
+    EXPECT_FALSE(next_phase(committing_start, seen_running));
+    EXPECT_FALSE(next_phase(checkpointing, checkpoint_committed));
+    EXPECT_FALSE(next_phase(over, seen_running));
+}
+
+TEST(cell_log, replays_to_the_state_that_was_committed)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        std::mt19937_64 random(seed);
+        log_bench bench;
+        cell_log_settings settings;
+        settings.snapshot_every = static_cast<std::uint32_t>(1 + random() % 30);
+        cell_log log("cell", 7, 1, settings);
+        bench.start(log);
+        ASSERT_TRUE(log.active());
+        for (int round = 0; round < 200; ++round)
+        {
+            for (auto count = random() % 6; count > 0; --count)
+            {
+                log.change(
+                    bench.now, random_change(random, log.state()), false);
+            }
+            bench.settle(log);
+            ASSERT_EQ(bench.replayed("cell"), log.state()) << seed;
+        }
+        EXPECT_GT(log.state().last_record, log_slots);
+    }
+}
+
+// An owner was cut off, another took the cell over, and the first comes back
+// with decisions that nobody should hear of.
+TEST(cell_log, shuts_out_an_owner_that_was_replaced)
+{
+    log_bench bench;
+    cell_log first("cell", 7, 1, {});
+    bench.start(first);
+    cell_log second("cell", 8, 2, {});
+    bench.start(second);
+    ASSERT_TRUE(second.active());
+    first.change(
+        bench.now, parcel_taken{submission_of(sample_job("late"))}, true);
+    bench.settle(first);
+    EXPECT_TRUE(first.lost());
+    EXPECT_TRUE(first.take_committed().empty());
+    EXPECT_TRUE(bench.replayed("cell").jobs.empty());
+    cell_log older("cell", 9, 1, {});
+    bench.start(older);
+    EXPECT_TRUE(older.lost());
+}
+
+// Owners that die before their first snapshot leave only records of their
+// takeovers, and the log has a bounded number of places.
+TEST(cell_log, survives_any_number_of_takeovers)
+{
+    log_bench bench;
+    cell_log_settings settings;
+    settings.snapshot_every = 1000;
+    for (std::uint64_t epoch = 1; epoch <= 3 * log_slots; ++epoch)
+    {
+        cell_log log("cell", epoch, epoch, settings);
+        bench.start(log);
+        ASSERT_TRUE(log.active()) << epoch;
+        log.change(bench.now,
+                   parcel_taken{submission_of(
+                       sample_job("j" + std::to_string(epoch), 1))},
+                   true);
+        bench.settle(log);
+        ASSERT_EQ(bench.replayed("cell").jobs.size(), epoch);
+    }
+}
+
+TEST(quota, never_grants_more_than_the_contract)
+{
+    core::contracts::contract contract;
+    contract.capacity = {10000, 100000, 0};
+    contract.batch_permille = 500;
+    quota_document document;
+    allowance const need{{8000, 1000, 0}, {8000, 1000, 0}};
+    document.cells["a"] = grown(document, "a", need, contract);
+    EXPECT_EQ(document.cells["a"].granted.all.millicores, 8000);
+    EXPECT_EQ(document.cells["a"].granted.batch.millicores, 5000);
+    document.cells["b"] = grown(document, "b", need, contract);
+    EXPECT_EQ(document.cells["b"].granted.all.millicores, 2000);
+    EXPECT_EQ(document.cells["b"].granted.batch.millicores, 0);
+    contract.capacity = {5000, 100000, 0};
+    EXPECT_EQ(scaled(document, "a", contract).all.millicores, 4000);
+    EXPECT_EQ(scaled(document, "b", contract).all.millicores, 1000);
+    EXPECT_EQ(scaled(document, "a", contract).batch.millicores, 2500);
+}
+
+TEST(worker_book, quarantines_a_worker_by_failures_of_different_jobs)
+{
+    worker_book book({});
+    ports::worker_instance info{"w", "r", "dc", {8000, 8000, 0}};
+    book.on_list({{info}, {}});
+    time_point now{1h};
+    book.on_report(now, {"w", 1, 5000, {}});
+    for (int round = 0; round < 9; ++round)
+    {
+        book.note_failure(now, "w", "same");
+    }
+    EXPECT_TRUE(book.may_start(now, *book.find("w")));
+    for (auto const* job : {"a", "b", "c"})
+    {
+        book.note_failure(now, "w", job);
+    }
+    EXPECT_FALSE(book.may_start(now, *book.find("w")));
+    now += 25s;
+    book.on_report(now, {"w", 2, 30000, {}});
+    EXPECT_TRUE(book.may_start(now, *book.find("w")));
+    EXPECT_TRUE(book.find("w")->probing);
+    book.note_success("w");
+    EXPECT_FALSE(book.find("w")->probing);
+}
+
+TEST(worker_book, never_reads_a_clock_ahead_of_its_worker)
+{
+    worker_book book({});
+    book.on_list({{{"w", "r", "dc", {}}}, {}});
+    time_point const now{1h};
+    book.on_report(now, {"w", 1, 5000, {}});
+    EXPECT_FALSE(book.on_report(now + 1s, {"w", 1, 5000, {}}));
+    EXPECT_EQ(book.clock_at_least(now + 10s, *book.find("w")), 14700U);
+}
