--- a/src/core/membership/burial.cpp
+++ b/src/core/membership/burial.cpp
@@ -16,6 +16,20 @@
 /// Ranks beyond this wait no longer: nobody depends on many others.
 constexpr std::size_t last_rank = 6;
 
+/// Consent is asked for again after the first of these, and ever more rarely
+/// up to the last: a member that lost only the store goes on for long by the
+/// promises of those that are asked.
+constexpr common::duration first_question = std::chrono::milliseconds(500);
+constexpr common::duration last_question = std::chrono::seconds(4);
+
+/// A burial whose write failed or was unclear is tried again after this.
+constexpr common::duration write_retry = std::chrono::milliseconds(500);
+
+/// A record that has stood still for `bury` is read this often for this long,
+/// so that all learn of its burial at once; then at the regular interval.
+constexpr common::duration watch_interval = std::chrono::milliseconds(500);
+constexpr common::duration watch_length = std::chrono::seconds(10);
+
 } // namespace
 
 burial::burial(settings const& settings, safety_parts parts)
@@ -135,7 +149,9 @@
     {
         return;
     }
-    subject.next_question = now + settings_.beat_interval;
+    subject.question_interval = std::clamp(
+        subject.question_interval * 2, first_question, last_question);
+    subject.next_question = now + subject.question_interval;
     for (auto const& id : value.witnesses)
     {
         if (subject.consents.count(id) != 0)
@@ -224,6 +240,33 @@
     }
 }
 
+// A record that did not change since an earlier list is read again just when
+// it will have stood still for `bury`: lists may then be rare in calm times.
+common::time_point burial::next_look(common::time_point now,
+                                     ports::member_identity const& observer,
+                                     roster const& members) const
+{
+    auto next = common::time_point::max();
+    for (auto const& [name, seen] : members.records())
+    {
+        if (!seen.readable || seen.value.buried ||
+            seen.value.info.id == observer)
+        {
+            continue;
+        }
+        auto const due = seen.version_seen + settings_.bury;
+        if (due > members.list_sent())
+        {
+            next = std::min(next, due);
+        }
+        else if (now < due + watch_length)
+        {
+            next = std::min(next, now + watch_interval);
+        }
+    }
+    return next;
+}
+
 void burial::write_ended(common::time_point now,
                          ports::member_identity const& subject)
 {
@@ -231,7 +274,7 @@
     if (place != candidates_.end())
     {
         place->second.writing = false;
-        place->second.next_write = now + settings_.list_interval;
+        place->second.next_write = now + write_retry;
     }
 }
 
--- a/tests/unit/walks/small_system.hpp
+++ b/tests/unit/walks/small_system.hpp
@@ -80,6 +80,8 @@
     void end(std::size_t slot);
     void freeze(std::size_t slot);
     void wake(std::size_t slot);
+    /// Wakes every frozen process, zombies included.
+    void wake_all();
     void begin_leaving(std::size_t slot);
     process& at(std::size_t slot);
     /// Runs on until `wanted` holds, at most `limit`; whether it does.
@@ -95,12 +97,17 @@
     void cut(std::size_t from, std::size_t to, bool is_cut);
     void cut_store(std::size_t slot, bool is_cut);
 
+    /// The witnesses in the record that the store holds under a slot's name.
+    core::membership::witness_list const& stored_witnesses(std::size_t slot);
+
     /// The platform's list: `lag` behind the truth.
     duration list_lag = std::chrono::seconds(2);
     /// Empty while everything that must hold does.
     std::string violation;
     std::uint64_t acted_by_witnesses = 0; ///< Checks that found one.
     std::uint64_t rejoins = 0;
+    std::uint64_t burial_writes = 0;
+    std::uint64_t pauses = 0;
 
 private:
     using process_pointer = std::shared_ptr<process>;
@@ -124,8 +131,11 @@
         std::uint64_t version = 0;
         std::uint64_t incarnation = 0;
         bool buried = false;
+        core::membership::witness_list witnesses;
     };
 
+    shown_record const& stored(std::string const& name);
+
     system_options options_;
     std::mt19937_64 random_;
     std::vector<std::string> partitions_;
