--- a/src/core/tasks/cell_attempts.cpp
+++ b/src/core/tasks/cell_attempts.cpp
@@ -197,7 +197,9 @@
     start.work_ms = part.what.work_ms;
     start.checkpoint = task.checkpoint;
     start.start_before_ms =
-        std::min(run.start_before_ms, in(with.settings.send_window));
+        std::min(run.start_before_ms,
+                 in(with.settings.send_window +
+                    with.workers.find(run.worker)->report_lag));
     start.lease_until_ms = in(with.settings.lease);
     run.lease_until_ms = std::max(run.lease_until_ms, start.lease_until_ms);
     run.lease_over = with.now + longest_lease(with.settings);
@@ -268,7 +270,16 @@
         {
             continue;
         }
-        bool const longer = renewal.acknowledged;
+        // The attempts whose renewal was not acknowledged may all have ended;
+        // waiting for it would then leave newer ones without renewals.
+        bool const owed = std::any_of(keys.begin(),
+                                      keys.end(),
+                                      [&](task_key const& key)
+                                      {
+                                          return runs_.at(key).lease_until_ms <=
+                                                 renewal.until_ms;
+                                      });
+        bool const longer = renewal.acknowledged || !owed;
         if (longer)
         {
             renewal.until_ms =
@@ -293,10 +304,6 @@
                 run.lease_over = with.now + longest_lease(with.settings);
             }
         }
-        if (call.what.empty())
-        {
-            continue;
-        }
         renewal.acknowledged = false;
         renewal.next = with.now + with.settings.renew_interval;
         renewal.call = with.worker_traffic.send(
@@ -364,6 +371,7 @@
     {
     case ports::worker_status::done:
         step(run, attempt_event::seen_running);
+        with.workers.note_accepted(run.worker);
         ++with.counters.started;
         if (!log_.state().find(key)->checkpoint.empty())
         {
@@ -379,7 +387,7 @@
             send_stop(with, key, run);
             return;
         }
-        with.workers.note_failure(with.now, run.worker, key.job);
+        with.workers.note_refusal(with.now, run.worker);
         end(with, key, attempt_end::refused, reply.why);
         break;
     case ports::worker_status::unreachable:
