--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -180,9 +180,9 @@
                 time.sleep(0.05)
         raise SystemExit(f"not ready within {READY_SECONDS} s: {url}")
 
-    def check_children(self):
+    def check_children(self, but=None):
         for name, child in self.children.items():
-            if child.poll() is not None:
+            if name != but and child.poll() is not None:
                 raise SystemExit(f"{name} ended early, status "
                                  f"{child.returncode}; see {self.folder}")
 
@@ -237,11 +237,130 @@
 
     # The run --------------------------------------------------------------
 
-    def load_settings(self):
-        raise NotImplementedError
+    def experiment(self):
+        traffic = ""
+        for customer in self.user["contracts"]:
+            for label, kind, method, rate, deadline in (
+                    ("read", "latency-critical", "GET", 60, 500),
+                    ("write", "latency-critical", "POST", 60, 500),
+                    ("report", "batch", "POST", 15, 5000)):
+                traffic += f"""[[traffic]]
+label = "{label}"
+customer = "{customer}"
+class = "{kind}"
+method = "{method}"
+path = "{self.user["path"]}/{{n}}"
+rate = {rate}.0
+deadline_ms = {deadline}
+body_bytes = 128
+key = {str(method == "POST").lower()}
+
+"""
+        traffic += f"""[[traffic]]
+label = "direct"
+customer = "{self.user["contracts"][0]}"
+class = "latency-critical"
+method = "GET"
+path = "{self.user["path"]}/{{n}}"
+rate = 60.0
+deadline_ms = 2000
+direct = true
+
+"""
+        jobs = ""
+        for number, name in enumerate(self.user["services"]):
+            jobs += self.job(name, number, "service", 2000, 4000, 3, 0, 6)
+        for number, name in enumerate(self.user["batch"]):
+            jobs += self.job(name, number, "batch", 2000, 4000, 4, 8000, 40)
+        return self.write("experiment.toml", f"""name = "demo-{self.arguments.user}"
+seed = 1
+
+[retries]
+tries = 3
+honour_retry_after = true
+unknown = true
+
+[[phase]]
+name = "mixed"
+length_ms = {self.arguments.seconds * 1000}
+
+{traffic}{jobs}""")
+
+    def job(self, name, number, kind, millicores, memory, tasks, work, rate):
+        customer = self.user["contracts"][number % len(self.user["contracts"])]
+        return f"""[[job]]
+label = "{name}"
+customer = "{customer}"
+kind = "{kind}"
+class = "{name}"
+millicores = {millicores}
+memory_mb = {memory}
+tasks = {tasks}
+work_ms = {work}
+checkpointable = {str(kind == "batch").lower()}
+per_minute = {rate}.0
+
+"""
+
+    def targets(self):
+        entries = [f"{a}:{ENTRY_HTTP}" for _, _, a in self.instances()]
+        planners = [f"{a}:{PLANNER_HTTP}" for _, _, a in self.instances()]
+        return self.write("targets.toml", f"""[targets]
+entries = {json.dumps(entries)}
+planners = {json.dumps(planners)}
+platform = "{PLATFORM}"
+upstreams = "{UPSTREAM_CONTROL}"
+workers = "{WORKERS}"
+token_file = "{self.folder}/token"
+""")
+
+    def take_out(self, centre):
+        # The workers' stand-in starts its count of grace when it is told, so
+        # it is told only once operators know that the change is accepted.
+        self.must("data-centre", "out", centre)
+        self.tell_workers(centre, "out")
+
+    def take_in(self, centre):
+        self.tell_workers(centre, "in")
+        self.must("data-centre", "in", centre, "--wait")
 
     def run(self):
-        raise NotImplementedError
+        self.write_settings()
+        print(f"user={self.arguments.user} folder={self.folder}", flush=True)
+        self.start_all()
+        self.put_contracts()
+        summary = self.folder / "summary.json"
+        load = subprocess.Popen([
+            str(self.build / "fuchsia-load"), "run", self.experiment(),
+            "--targets", self.targets(), "--summary", str(summary),
+            "--csv", str(self.folder / "load.csv"),
+            "--svg", str(self.folder / "load.svg")])
+        self.children["load"] = load
+        centre = self.user["data_centres"][0]
+        started = time.monotonic()
+        steps = [(0.35, lambda: self.take_out(centre)),
+                 (0.70, lambda: self.take_in(centre))]
+        while load.poll() is None:
+            passed = (time.monotonic() - started) / self.arguments.seconds
+            if steps and passed >= steps[0][0]:
+                steps.pop(0)[1]()
+            self.check_children(but="load")
+            time.sleep(0.1)
+        del self.children["load"]
+        self.must("data-centre", "list")
+        daemons = [name for name in self.children
+                   if name.startswith(("entry-", "planner-"))]
+        clean = self.stop(daemons)
+        books = subprocess.run([
+            str(self.build / "fuchsia-load"), "books",
+            "--summary", str(summary),
+            "--upstreams", UPSTREAM_CONTROL, "--workers", WORKERS],
+            stdout=subprocess.PIPE, text=True)
+        self.stop(list(self.children))
+        if not clean:
+            print("a planned stop did not end with status 0")
+        print(books.stdout.strip(), flush=True)
+        return 0 if clean and books.returncode == 0 else 1
 
 
 def main():
