--- a/tests/unit/walks/fake_store.hpp
+++ b/tests/unit/walks/fake_store.hpp
@@ -168,6 +168,8 @@
     store_faults faults;
     store_counts counts;
     store_contents contents;
+    /// Called when a write has taken effect, before its answer is under way.
+    std::function<void(std::string const& key)> after_write;
 
     void
     call(std::string const& caller, ports::store_call const& what, answer back)
@@ -298,6 +300,12 @@
         auto const reply =
             stale ? older_[random_() % older_.size()].apply(operation)
                   : contents.apply(operation);
+        auto const* write = std::get_if<ports::store_write>(&operation);
+        if (after_write && write != nullptr &&
+            reply.status == ports::store_status::done)
+        {
+            after_write(write->key);
+        }
         reply_to(pending, reply);
         remember();
         if (writes && reply.status == ports::store_status::done)
--- a/tests/unit/walks/walk.cpp
+++ b/tests/unit/walks/walk.cpp
@@ -1,6 +1,7 @@
 #include "walk.hpp"
 
 #include <algorithm>
+#include <map>
 #include <random>
 
 namespace fuchsia::tests::unit::walks
@@ -36,6 +37,10 @@
         : system_(system), random_(options.seed * 7919),
           zombies_(options.seed % 2 != 0)
     {
+        system_.store.after_write = [this](std::string const& key)
+        {
+            lose_list_change_at(key);
+        };
     }
 
     void run(duration length)
@@ -113,9 +118,11 @@
             one_way_cut(any_slot(), any_slot(), between(500ms, 12s));
             break;
         case 5:
-            isolate(any_slot(), between(500ms, 12s));
+            lose_some_peers(any_slot(), between(500ms, 12s));
             break;
         case 6:
+            isolate(any_slot(), between(500ms, 12s));
+            break;
         case 7:
             freeze(any_slot(), between(200ms, 9s));
             break;
@@ -129,10 +136,12 @@
             leave(any_slot());
             break;
         case 11:
-        case 12:
             lose_beat(any_slot());
             break;
+        case 12:
         case 13:
+            lose_list_change(any_slot());
+            break;
         case 14:
             answer_late(any_slot());
             break;
@@ -164,7 +173,8 @@
     }
 
     /// A beat takes effect but its member never learns it: the answers are
-    /// lost for a while, and then the store can't be reached; nor can a peer.
+    /// lost for a while, and then the store can't be reached; nor can some of
+    /// its peers.
     void lose_beat(std::size_t slot)
     {
         std::string const caller = system_.address_of(slot);
@@ -175,8 +185,45 @@
                                system_.store.faults.deaf.erase(caller);
                                store_cut(slot, between(4s, 12s));
                            });
-        std::size_t const peer = any_slot();
-        one_way_cut(slot, peer, between(2s, 12s));
+        lose_some_peers(slot, between(4s, 12s));
+    }
+
+    /// The next beat of the member that names other witnesses takes effect,
+    /// and its member loses the answer, the store and some of its peers.
+    void lose_list_change(std::size_t slot)
+    {
+        list_changes_[slot] = system_.stored_witnesses(slot);
+    }
+
+    void lose_list_change_at(std::string const& key)
+    {
+        for (auto const& [slot, before] : list_changes_)
+        {
+            if (key.ends_with(system_.at(slot).id.name) &&
+                system_.stored_witnesses(slot) != before)
+            {
+                store_cut(slot, between(6s, 12s));
+                lose_some_peers(slot, between(6s, 12s));
+                lose_added(slot, before);
+                list_changes_.erase(slot);
+                return;
+            }
+        }
+    }
+
+    void lose_added(std::size_t slot,
+                    core::membership::witness_list const& before)
+    {
+        auto const now = system_.stored_witnesses(slot);
+        for (std::size_t other = 0; other < member_count; ++other)
+        {
+            auto const& id = system_.at(other).id;
+            if (std::count(now.begin(), now.end(), id) != 0 &&
+                std::count(before.begin(), before.end(), id) == 0)
+            {
+                one_way_cut(slot, other, between(6s, 12s));
+            }
+        }
     }
 
     /// A member's beats are accepted and answered late, and then its calls
@@ -211,6 +258,18 @@
                            });
     }
 
+    void lose_some_peers(std::size_t slot, duration length)
+    {
+        for (std::size_t other = 0; other < member_count; ++other)
+        {
+            if (random_() % 2 == 0)
+            {
+                one_way_cut(slot, other, length);
+                one_way_cut(other, slot, length);
+            }
+        }
+    }
+
     void isolate(std::size_t slot, duration length)
     {
         for (std::size_t other = 0; other < member_count; ++other)
@@ -271,6 +330,8 @@
     small_system& system_;
     std::mt19937_64 random_;
     bool zombies_;
+    /// Members whose next change of witnesses is lost, and these before it.
+    std::map<std::size_t, core::membership::witness_list> list_changes_;
 };
 
 } // namespace
