End the planner's decision thread before what it uses

Cause: the planner's parts were destroyed while its decision thread still ran, since only the shell's destructor, which comes last, ended that thread. A trial with the address sanitizer shows claim_table::tick on the decision thread reading what the main thread had freed (one of nine planners in one stop). Ruled out: the claims' own erase, the free came from the destructor. After: three starts and stops of nine entries and nine planners in the same trial, no report, all stopped.

--- a/src/programs/planner/planner_program.cpp
+++ b/src/programs/planner/planner_program.cpp
@@ -124,8 +124,11 @@
         std::move(handlers));
 }
 
+// The decision thread goes first: it must not meet an engine or a ring that is
+// destroyed already.
 planner_program::~planner_program()
 {
+    shell_.decisions().stop();
     workers_duty_.stop();
 }
 
