Call no handler of an HTTP client that is being destroyed

Cause: a daemon's store client is destroyed with calls open; its HTTP client told their handlers "lost", which then touched parts of the daemon that were destroyed before. In a normal build one of nine planners ended with "double free detected in tcache 2"; in a trial with the address sanitizer all nine did, in store_client::finish called from ~client. Ruled out: the stop's own order (the calls are open by design, watches wait). After: ~client abandons open calls; close() tells them as before.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -33,6 +33,8 @@
 
     void send(client_call call, handler handle);
     void close();
+    /// Closes without a word to the handlers.
+    void abandon();
 
 private:
     class connection;
@@ -128,6 +130,11 @@
         end(status, {});
     }
 
+    void forget_handler()
+    {
+        handle_ = nullptr;
+    }
+
     void abort()
     {
         fail(sent_ ? exchange_status::lost : exchange_status::not_sent);
@@ -396,14 +403,28 @@
     }
 }
 
+void client::pool::abandon()
+{
+    for (auto const& [where, endpoint] : endpoints_)
+    {
+        for (auto const& open : endpoint.all)
+        {
+            open->forget_handler();
+        }
+    }
+    close();
+}
+
 client::client(asio::io_context& io, client_settings settings)
     : pool_(std::make_shared<pool>(io, settings))
 {
 }
 
+// A handler belongs to the client's owner, which is being destroyed now: parts
+// of it that the handler would touch are gone already.
 client::~client()
 {
-    pool_->close();
+    pool_->abandon();
 }
 
 void client::send(client_call call, handler handle)
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -45,6 +45,7 @@
     using handler = std::function<void(ports::exchange_status, response)>;
 
     client(boost::asio::io_context& io, client_settings settings);
+    /// Closes every connection; handlers of open calls are not called.
     ~client();
 
     /// `handle` is called on the client's `io_context`: once, or twice where
