--- a/standins/workers/worker_server.cpp
+++ b/standins/workers/worker_server.cpp
@@ -77,7 +77,7 @@
 std::optional<ports::endpoint>
 worker_server::listen(core::common::failure& reason)
 {
-    auto const where = server_.listen(settings_.listen, reason);
+    auto where = server_.listen(settings_.listen, reason);
     if (!where)
     {
         return std::nullopt;
