--- a/src/core/claims/claim_table.cpp
+++ b/src/core/claims/claim_table.cpp
@@ -1,6 +1,5 @@
 #include "core/claims/claim_table.hpp"
 
-#include "core/common/hash.hpp"
 #include "core/membership/record.hpp"
 
 #include <algorithm>
@@ -10,26 +9,11 @@
 namespace fuchsia::core::claims
 {
 
-namespace
-{
-
-std::string const* winner(std::string const& partition,
-                          std::vector<std::string> const& names)
-{
-    if (names.empty())
-    {
-        return nullptr;
-    }
-    return &names[common::rendezvous_winner(partition, names)];
-}
-
-} // namespace
-
 claim_table::claim_table(std::string role,
                          std::vector<std::string> partitions,
                          claim_settings settings)
     : role_(std::move(role)), prefix_(partitions_prefix(role_)),
-      settings_(settings)
+      settings_(settings), view_(prefix_)
 {
     set_partitions(std::move(partitions));
 }
@@ -38,18 +22,13 @@
 {
     partitions_ = std::move(partitions);
     std::sort(partitions_.begin(), partitions_.end());
-    if (partitions_.size() > max_partitions)
+    if (partitions_.size() > claim_view::max_partitions)
     {
-        partitions_.resize(max_partitions);
+        partitions_.resize(claim_view::max_partitions);
     }
     for (auto const& partition : partitions_)
     {
-        auto const [place, added] = claims_.try_emplace(partition);
-        if (added)
-        {
-            place->second.partition = partition;
-        }
-        progress_.try_emplace(partition);
+        view_.add(partition);
     }
 }
 
@@ -62,61 +41,42 @@
                        membership::member const& members,
                        ports::actions& out)
 {
-    if (self_ != members.self().id)
-    {
-        self_ = members.self().id;
-        random_.seed(self_.incarnation);
-    }
+    know_self(members.self().id);
     drive_list(now, out);
-    if (!known_ || !members.knows_members())
+    if (!view_.known() || !members.knows_members())
     {
         return;
     }
-    auto const who = find_candidates(now, members);
-    for (auto const& [partition, current] : claims_)
+    auto const who = find_candidates(now, members, leaving_, settings_.settle);
+    for (auto const& [partition, current] : view_.all())
     {
         auto& state = progress_[partition];
-        if (current.owner == self_)
-        {
-            drive_owned(current, state, members, who);
-        }
-        if (state.calling || now < state.retry)
+        drive_owned(now, current, state, members, who);
+        if (state.calling || now < state.retry ||
+            writes_ >= settings_.max_writes)
         {
             continue;
         }
-        if (state.read_back || (state.releasing && current.owner == self_))
+        if (state.read_back || (current.owner == self_ && !is_ours(partition)))
         {
-            drive_calls(now, current, state, out);
+            drive_unsettled(current, state, out);
         }
         else
         {
-            drive_free(now, current, state, members, who, out);
+            drive_free(now, current, members, who, out);
         }
     }
     drive_buried(now, members, who, out);
 }
 
-claim_table::candidates
-claim_table::find_candidates(common::time_point now,
-                             membership::member const& members) const
+void claim_table::know_self(ports::member_identity const& self)
 {
-    candidates who;
-    for (auto const& info : members.live())
+    if (self_ != self)
     {
-        bool const self = info.id == self_;
-        if (info.leaving || (self && leaving_))
-        {
-            continue;
-        }
-        who.live.push_back(info.id.name);
-        auto const* seen = members.records().find(info.id.name);
-        if (self || (seen != nullptr &&
-                     now - seen->incarnation_seen >= settings_.settle))
-        {
-            who.settled.push_back(info.id.name);
-        }
+        self_ = self;
+        view_.set_self(self);
+        random_.seed(self.incarnation);
     }
-    return who;
 }
 
 void claim_table::drive_list(common::time_point now, ports::actions& out)
@@ -127,61 +87,72 @@
     }
     list_in_flight_ = true;
     next_list_ = now + settings_.watch_gap;
-    if (known_)
+    if (view_.known())
     {
         ++counts_.watches;
-        call(now,
-             {call_kind::list, now, {}, {}},
-             ports::store_watch{prefix_, index_, settings_.watch_wait},
+        call({call_kind::list, {}, {}},
+             ports::store_watch{prefix_, view_.index(), settings_.watch_wait},
              out);
         return;
     }
     ++counts_.lists;
-    call(now, {call_kind::list, now, {}, {}}, ports::store_list{prefix_}, out);
+    call({call_kind::list, {}, {}}, ports::store_list{prefix_}, out);
 }
 
-void claim_table::drive_calls(common::time_point now,
-                              claim const& current,
-                              progress const& state,
-                              ports::actions& out)
+void claim_table::drive_unsettled(claim const& current,
+                                  progress const& state,
+                                  ports::actions& out)
 {
-    if (writes_ >= settings_.max_writes)
-    {
-        return;
-    }
     if (state.read_back)
     {
         ++counts_.reads;
-        call(now,
-             {call_kind::read, now, current.partition, {}},
+        call({call_kind::read, current.partition, {}},
              ports::store_read{prefix_ + current.partition},
              out);
         return;
     }
-    write_release(now, current, out);
+    write_release(current, out);
 }
 
 void claim_table::drive_free(common::time_point now,
                              claim const& current,
-                             progress const& state,
                              membership::member const& members,
                              candidates const& who,
                              ports::actions& out)
 {
-    if (writes_ >= settings_.max_writes || !may_claim(now, members) ||
-        !is_free(current, state, members))
+    if (!may_claim(now, members) || !is_free(current, members))
+    {
+        return;
+    }
+    if (is_kept_for_another(current, members))
     {
         return;
     }
     auto const* wanted = winner(current.partition, who.live);
-    if (wanted != nullptr && *wanted == self_.name &&
-        std::binary_search(
-            partitions_.begin(), partitions_.end(), current.partition))
+    bool const ours = current.handed_to == self_ ||
+                      (wanted != nullptr && *wanted == self_.name);
+    if (ours && std::binary_search(
+                    partitions_.begin(), partitions_.end(), current.partition))
     {
-        write_claim(now, current, out);
+        write_claim(current, out);
     }
 }
 
+// A predecessor hands its remembered keys to the member it releases for. One
+// that joined meanwhile and wins the hash would take the partition without
+// them, and a retry of a request that had run would run again.
+bool claim_table::is_kept_for_another(claim const& current,
+                                      membership::member const& members) const
+{
+    auto const& id = current.handed_to;
+    if (!current.owner.name.empty() || id.name.empty() || id == self_)
+    {
+        return false;
+    }
+    auto const* info = members.find(id);
+    return info != nullptr && !info->leaving;
+}
+
 bool claim_table::may_claim(common::time_point now,
                             membership::member const& members) const
 {
@@ -191,11 +162,12 @@
            now - own->incarnation_seen >= settings_.claim_after;
 }
 
-// An owner that joined after the members were last read looks removed. So the
-// members must have been read after this claim was seen: its owner had joined
-// before it claimed, and if it is not among them now, it is gone for good.
+// An owner that joined after the members were last read looks removed, and a
+// store that answers from a lagging replica may show such an older state at
+// any time. So the members must have been read at an index that covers the
+// claim: its owner had joined before it claimed, and if it is not among them
+// then, it is gone for good.
 bool claim_table::is_free(claim const& current,
-                          progress const& state,
                           membership::member const& members) const
 {
     if (current.owner.name.empty())
@@ -203,15 +175,33 @@
         return true;
     }
     return current.owner != self_ && members.is_buried(current.owner) &&
-           members.members_read_at() > state.seen;
+           members.records().index() >= current.version;
 }
 
-void claim_table::drive_owned(claim const& current,
+// A claim is kept for a while, whatever the hash says: its last owner may have
+// released it since it is leaving, which the next list of members will tell.
+// Handing it back at once would leave its keys' callers without an owner.
+void claim_table::drive_owned(common::time_point now,
+                              claim const& current,
                               progress& state,
                               membership::member const& members,
                               candidates const& who)
 {
-    if (state.releasing)
+    if (current.owner != self_)
+    {
+        state.asked = false;
+        state.asked_for = {};
+    }
+    if (!is_ours(current.partition))
+    {
+        return;
+    }
+    if (state.epoch != current.epoch)
+    {
+        state.epoch = current.epoch;
+        state.owned_since = now;
+    }
+    if (!leaving_ && now - state.owned_since < settings_.settle)
     {
         return;
     }
@@ -248,7 +238,7 @@
     change.kind = claim_change_kind::handover_asked;
     change.now = current;
     change.wished = id;
-    changes_.push_back(std::move(change));
+    view_.tell(std::move(change));
 }
 
 std::size_t claim_table::handovers_asked() const
@@ -277,7 +267,7 @@
     {
         auto const age = now - seen.version_seen;
         if (!seen.value.buried || age < settings_.keep_buried ||
-            names_owner(seen.value.info.id))
+            view_.names_owner(seen.value.info.id))
         {
             continue;
         }
@@ -287,8 +277,7 @@
         {
             erasing_ = true;
             ++counts_.erases;
-            call(now,
-                 {call_kind::erase, now, {}, {}},
+            call({call_kind::erase, {}, {}},
                  ports::store_erase{membership::members_prefix(role_) + name,
                                     seen.version},
                  out);
@@ -297,19 +286,7 @@
     }
 }
 
-bool claim_table::names_owner(ports::member_identity const& id) const
-{
-    return std::any_of(claims_.begin(),
-                       claims_.end(),
-                       [&id](auto const& entry)
-                       {
-                           return entry.second.owner == id;
-                       });
-}
-
-void claim_table::write_claim(common::time_point now,
-                              claim const& current,
-                              ports::actions& out)
+void claim_table::write_claim(claim const& current, ports::actions& out)
 {
     claim_record value;
     value.owner = self_;
@@ -320,24 +297,21 @@
     value.epoch = current.epoch + 1;
     value.write_id = random_();
     ++counts_.writes;
-    call(now,
-         {call_kind::claim, now, current.partition, value},
+    call({call_kind::claim, current.partition, value},
          ports::store_write{
              prefix_ + current.partition, to_json(value), current.version},
          out);
 }
 
-void claim_table::write_release(common::time_point now,
-                                claim const& current,
-                                ports::actions& out)
+void claim_table::write_release(claim const& current, ports::actions& out)
 {
     claim_record value;
     value.released_by = self_;
+    value.handed_to = progress_[current.partition].asked_for;
     value.epoch = current.epoch;
     value.write_id = random_();
     ++counts_.writes;
-    call(now,
-         {call_kind::release, now, current.partition, value},
+    call({call_kind::release, current.partition, value},
          ports::store_write{
              prefix_ + current.partition, to_json(value), current.version},
          out);
@@ -355,11 +329,11 @@
     }
     pending_call const answered = std::move(place->second);
     calls_.erase(place);
-    self_ = members.self().id;
+    know_self(members.self().id);
     switch (answered.kind)
     {
     case call_kind::list:
-        on_list(now, answered, reply);
+        on_list(now, reply);
         break;
     case call_kind::read:
         on_read(now, answered, reply);
@@ -376,7 +350,6 @@
 }
 
 void claim_table::on_list(common::time_point now,
-                          pending_call const& answered,
                           ports::store_reply const& reply)
 {
     list_in_flight_ = false;
@@ -385,35 +358,7 @@
         next_list_ = now + settings_.retry_interval;
         return;
     }
-    if (reply.index < index_)
-    {
-        return; // An older state than was shown before.
-    }
-    index_ = reply.index;
-    known_ = true;
-    std::set<std::string> shown;
-    for (auto const& entry : reply.entries)
-    {
-        if (entry.key.starts_with(prefix_))
-        {
-            shown.insert(entry.key.substr(prefix_.size()));
-            take_entry(now, entry);
-        }
-    }
-    std::vector<std::string> absent;
-    for (auto const& [partition, current] : claims_)
-    {
-        if (current.version != 0 && current.version <= reply.index &&
-            shown.count(partition) == 0 &&
-            progress_[partition].seen < answered.sent)
-        {
-            absent.push_back(partition);
-        }
-    }
-    for (auto const& partition : absent)
-    {
-        take_absent(now, partition);
-    }
+    view_.apply_list(reply);
 }
 
 void claim_table::on_read(common::time_point now,
@@ -429,12 +374,7 @@
         return;
     }
     state.read_back = false;
-    if (reply.entries.empty())
-    {
-        take_absent(now, answered.partition);
-        return;
-    }
-    take_entry(now, reply.entries.front());
+    view_.apply_read(answered.partition, reply);
 }
 
 // After a lost answer the write may have taken effect, or may yet. A claim
@@ -452,7 +392,7 @@
     switch (reply.status)
     {
     case ports::store_status::done:
-        take(now, answered.partition, answered.written, reply.index);
+        view_.take(answered.partition, answered.written, reply.index);
         break;
     case ports::store_status::unavailable:
         state.retry = now + settings_.retry_interval;
@@ -467,105 +407,21 @@
     }
 }
 
-void claim_table::take_entry(common::time_point now,
-                             ports::store_entry const& entry)
-{
-    common::failure reason;
-    auto const value = parse_claim_record(entry.value, reason);
-    if (value)
-    {
-        take(now, entry.key.substr(prefix_.size()), *value, entry.version);
-    }
-}
-
-void claim_table::take(common::time_point now,
-                       std::string const& partition,
-                       claim_record const& value,
-                       std::uint64_t version)
-{
-    if (claims_.size() >= max_partitions && claims_.count(partition) == 0)
-    {
-        return;
-    }
-    auto& current = claims_[partition];
-    auto& state = progress_[partition];
-    if (version <= current.version)
-    {
-        return;
-    }
-    claim const before = std::exchange(
-        current,
-        {partition, value.owner, value.epoch, version, value.released_by});
-    state.seen = now;
-    bool const releasing = state.releasing;
-    if (value.owner != self_)
-    {
-        state.releasing = false;
-        state.asked = false;
-        state.asked_for = {};
-    }
-    tell_change(before, current, releasing);
-}
-
-void claim_table::take_absent(common::time_point now,
-                              std::string const& partition)
-{
-    auto& current = claims_[partition];
-    if (current.version == 0)
-    {
-        return;
-    }
-    claim const before = std::exchange(current, {});
-    current.partition = partition;
-    progress_[partition] = {};
-    progress_[partition].seen = now;
-    tell_change(before, current, false);
-}
-
-void claim_table::tell_change(claim const& before,
-                              claim const& after,
-                              bool releasing)
-{
-    if (before.owner == after.owner)
-    {
-        return;
-    }
-    claim_change change;
-    change.now = after;
-    change.before =
-        before.owner.name.empty() ? after.released_by : before.owner;
-    if (after.owner == self_)
-    {
-        if (releasing)
-        {
-            return;
-        }
-        change.kind = claim_change_kind::acquired;
-        change.handed_over = !after.released_by.name.empty();
-    }
-    else if (before.owner == self_)
-    {
-        change.kind = claim_change_kind::lost;
-    }
-    changes_.push_back(std::move(change));
-}
-
 void claim_table::release(common::time_point now,
                           std::string const& partition,
                           ports::actions& out)
 {
-    auto const place = claims_.find(partition);
-    if (place == claims_.end() || self_.name.empty() ||
-        place->second.owner != self_)
+    auto const* current = find(partition);
+    if (current == nullptr || !is_ours(partition))
     {
         return;
     }
-    auto& state = progress_[partition];
-    state.releasing = true;
-    if (!state.calling && writes_ < settings_.max_writes &&
-        now >= state.retry && !state.read_back)
+    view_.begin_release(partition);
+    auto const& state = progress_[partition];
+    if (!state.calling && !state.read_back && now >= state.retry &&
+        writes_ < settings_.max_writes)
     {
-        write_release(now, place->second, out);
+        write_release(*current, out);
     }
 }
 
@@ -579,36 +435,35 @@
                        membership::member const& members) const noexcept
 {
     auto const* current = find(partition);
-    if (current == nullptr || current->owner != members.self().id ||
-        !members.may_act(now))
-    {
-        return false;
-    }
-    auto const state = progress_.find(partition);
-    return state == progress_.end() || !state->second.releasing;
+    return current != nullptr && current->owner == members.self().id &&
+           !view_.is_releasing(partition) && members.may_act(now);
+}
+
+bool claim_table::is_ours(std::string const& partition) const
+{
+    auto const* current = find(partition);
+    return current != nullptr && !self_.name.empty() &&
+           current->owner == self_ && !view_.is_releasing(partition);
 }
 
 claim const* claim_table::find(std::string const& partition) const noexcept
 {
-    auto const place = claims_.find(partition);
-    return place == claims_.end() ? nullptr : &place->second;
+    return view_.find(partition);
 }
 
 std::map<std::string, claim> const& claim_table::all() const noexcept
 {
-    return claims_;
+    return view_.all();
 }
 
 std::vector<std::string>
 claim_table::owned(membership::member const& members) const
 {
     std::vector<std::string> names;
-    for (auto const& [partition, current] : claims_)
+    for (auto const& [partition, current] : view_.all())
     {
-        auto const state = progress_.find(partition);
-        bool const releasing =
-            state != progress_.end() && state->second.releasing;
-        if (current.owner == members.self().id && !releasing)
+        if (current.owner == members.self().id &&
+            !view_.is_releasing(partition))
         {
             names.push_back(partition);
         }
@@ -618,9 +473,10 @@
 
 std::size_t claim_table::held(membership::member const& members) const noexcept
 {
+    auto const& claims = view_.all();
     return static_cast<std::size_t>(
-        std::count_if(claims_.begin(),
-                      claims_.end(),
+        std::count_if(claims.begin(),
+                      claims.end(),
                       [&members](auto const& entry)
                       {
                           return entry.second.owner == members.self().id;
@@ -631,21 +487,13 @@
 claim_table::wished(std::string const& partition,
                     membership::member const& members) const
 {
-    std::vector<std::string> names;
-    for (auto const& info : members.live())
-    {
-        if (!info.leaving)
-        {
-            names.push_back(info.id.name);
-        }
-    }
-    auto const* wanted = winner(partition, names);
+    auto const* wanted = winner(partition, names_not_leaving(members));
     return wanted == nullptr ? nullptr : members.find(*wanted);
 }
 
 bool claim_table::known() const noexcept
 {
-    return known_;
+    return view_.known();
 }
 
 claim_counts const& claim_table::counts() const noexcept
@@ -655,15 +503,13 @@
 
 std::vector<claim_change> claim_table::take_changes()
 {
-    return std::exchange(changes_, {});
+    return view_.take_changes();
 }
 
-void claim_table::call(common::time_point now,
-                       pending_call what,
+void claim_table::call(pending_call what,
                        ports::store_operation operation,
                        ports::actions& out)
 {
-    what.sent = now;
     if (what.kind != call_kind::list && what.kind != call_kind::erase)
     {
         progress_[what.partition].calling = true;
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -82,8 +82,8 @@
 class entry_engine
 {
 public:
-    entry_engine(entry_settings settings,
-                 membership::member_info self,
+    entry_engine(entry_settings const& settings,
+                 membership::member_info const& self,
                  std::uint64_t seed);
 
     void start(common::time_point now, ports::actions& out);
@@ -156,7 +156,7 @@
     void after_platform(common::time_point now, ports::actions& out);
     void sync_members(common::time_point now, ports::actions& out);
     void sync_claims(common::time_point now, ports::actions& out);
-    void sync_configuration(ports::actions& out);
+    void sync_configuration(common::time_point now, ports::actions& out);
     void on_claim_change(common::time_point now,
                          claims::claim_change const& change,
                          ports::actions& out);
@@ -218,8 +218,9 @@
                 open_request& one,
                 result_code code,
                 ports::actions& out);
-    ports::caller_answer
-    refusal(ports::caller_request const& request, bool fresh, result_code code);
+    ports::caller_answer refusal(result_code code, bool unheard);
+    static bool is_first_heard(ports::caller_request const& request) noexcept;
+    bool is_unheard(common::time_point now, open_request const& one) const;
     void conclude(common::time_point now,
                   std::uint64_t id,
                   ports::caller_answer const& answer,
@@ -229,7 +230,7 @@
                          result_code code,
                          ports::actions& out);
     void deliver(open_request& one,
-                 ports::caller_answer const& answer,
+                 ports::caller_answer answer,
                  ports::actions& out);
     void settle_key(common::time_point now,
                     open_request& one,
@@ -274,6 +275,10 @@
 
     // entry_contracts.cpp: slices of contracts.
     customer_state& customer_of(std::string const& name);
+    std::optional<result_code>
+    waits_in_vain(common::time_point now,
+                  customer_state const& customer,
+                  contracts::slice_verdict verdict) const;
     contracts::slice_ledger& ledger_of(common::time_point now,
                                        std::string const& name);
     void ask_for_slice(common::time_point now,
@@ -359,6 +364,8 @@
     std::uint64_t applied_revision_ = 0;
     std::uint64_t newest_revision_ = 0; ///< That anybody told of.
     std::optional<common::time_point> behind_since_;
+    /// When the configuration was last known to be the newest.
+    common::time_point configuration_seen_{};
     bool may_act_ = false;
     bool retired_ = false;
     entry_counts counts_;
--- a/src/core/tasks/cell_context.hpp
+++ b/src/core/tasks/cell_context.hpp
@@ -27,7 +27,8 @@
     /// Added to a lease before it counts as run out.
     common::duration lease_margin = std::chrono::milliseconds(500);
     std::uint32_t drift_permille = 30;
-    /// From the decision to the last moment at which the worker takes it.
+    /// From the decision to the last moment at which the worker takes it; the
+    /// lag of its reports comes on top.
     common::duration start_window = std::chrono::seconds(4);
     /// The same from when the start is sent; bounds how late a delayed start
     /// can come into a data centre that went out meanwhile.
@@ -42,6 +43,9 @@
     common::duration move_after = std::chrono::milliseconds(400);
     common::duration move_after_most = std::chrono::seconds(30);
     std::uint32_t max_parcel_tasks = 64;
+    /// A task that failed on all workers with room waits this long for another
+    /// cell before it is tried on one of them again.
+    common::duration avoid_time = std::chrono::seconds(5);
     /// An ended job stays in the list this long.
     common::duration retention = std::chrono::hours(1);
     std::size_t max_jobs = 4000;
