--- a/src/core/config/follower.cpp
+++ b/src/core/config/follower.cpp
@@ -80,6 +80,10 @@
     pending_call const call = std::move(found->second);
     calls_.erase(found);
     bool const answered = reply.status == ports::store_status::done;
+    if (answered)
+    {
+        store_answered_at_ = now;
+    }
     switch (call.kind)
     {
     case call_kind::confirm:
@@ -162,6 +166,11 @@
     return confirmed_at_;
 }
 
+std::optional<common::time_point> follower::store_answered_at() const noexcept
+{
+    return store_answered_at_;
+}
+
 void follower::send(common::time_point now,
                     pending_call call,
                     ports::store_operation operation,
--- a/src/core/config/follower.hpp
+++ b/src/core/config/follower.hpp
@@ -66,6 +66,8 @@
     /// When the store last showed that `current` is its newest: the time at
     /// which the confirming call was SENT. The epoch where it never did.
     common::time_point confirmed_at() const noexcept;
+    /// When the store last answered any call; empty where it never did.
+    std::optional<common::time_point> store_answered_at() const noexcept;
 
 private:
     enum class call_kind : std::uint8_t
@@ -141,6 +143,7 @@
     common::time_point confirm_due_{};
     common::time_point watch_due_{};
     bool store_seen_ = false; ///< Whether the index was read at least once.
+    std::optional<common::time_point> store_answered_at_;
     std::uint64_t watch_index_ = 0;
     std::optional<common::time_point> asked_peer_at_;
     std::string last_refusal_;
--- a/src/programs/ctl/planner_client.cpp
+++ b/src/programs/ctl/planner_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/common/json.hpp"
 
+#include <optional>
 #include <utility>
 
 namespace fuchsia::programs::ctl
@@ -22,6 +23,25 @@
     return status >= 200 && status < 300;
 }
 
+/// What an answer that is no success says of the change: its header, else
+/// what its code means; unknown where it has neither.
+call_end end_of(adapters::http::response const& response,
+                std::optional<result_code> code) noexcept
+{
+    auto const header = response.header("Fuchsia-Outcome");
+    auto says = core::common::outcome::unknown;
+    if (header)
+    {
+        says = core::common::outcome_from(*header).value_or(says);
+    }
+    else if (code)
+    {
+        says = core::common::row_of(*code).says;
+    }
+    return says == core::common::outcome::not_run ? call_end::refused
+                                                  : call_end::unknown;
+}
+
 /// Turns a planner's answer into a result.
 call_result read_answer(adapters::http::response const& response)
 {
@@ -36,20 +56,18 @@
         result.body = std::move(body).value_or(boost::json::object{});
         return result;
     }
-    auto const outcome = core::common::outcome_from(
-        response.header("Fuchsia-Outcome").value_or("unknown"));
-    result.end = outcome == core::common::outcome::not_run ? call_end::refused
-                                                           : call_end::unknown;
     if (!body)
     {
         result.reason = {malformed.code,
                          "answer",
                          "HTTP status " + std::to_string(response.status)};
+        result.end = end_of(response, std::nullopt);
         return result;
     }
     core::common::json_reader reader(*body, "answer");
     result.reason.code =
         static_cast<result_code>(reader.integer_or("code", 0, 0, 65535));
+    result.end = end_of(response, result.reason.code);
     result.reason.where = reader.text_or("where", "");
     result.reason.why = reader.text_or("why", "");
     result.newest_revision = static_cast<std::uint64_t>(
@@ -123,6 +141,10 @@
             break;
         }
     }
+    if (again == repeat::read && last.end == call_end::unknown)
+    {
+        last.end = call_end::refused;
+    }
     // A later planner's refusal says nothing about what an earlier one did.
     if (may_be_done && last.end == call_end::refused)
     {
--- a/src/programs/planner/administration.cpp
+++ b/src/programs/planner/administration.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t max_accepted_bytes =
     core::config::max_configuration_bytes * 9 / 10;
 
+/// The follower asks the store twice a second; after this long without an
+/// answer a change would only wait in vain.
+constexpr core::common::duration store_silent_after = std::chrono::seconds(3);
+
 constexpr std::array<std::string_view, 5> own_paths{
     "contracts", "data-centres", "revisions", "status", "members"};
 
@@ -423,6 +427,19 @@
             return;
         }
     }
+    // Refused at once rather than after the writer's patience: the operator
+    // can then ask another planner, which may reach the store.
+    auto const answered_at = what.view.configuration.store_answered_at();
+    if (answered_at && what.now - *answered_at > store_silent_after)
+    {
+        what.refuse(result_code::store_unavailable,
+                    "store",
+                    "it has not answered this planner for " +
+                        std::to_string(core::common::to_milliseconds(
+                            what.now - *answered_at)) +
+                        " ms; nothing was changed");
+        return;
+    }
     if (changes_.size() >= max_changes)
     {
         what.refuse(result_code::queue_full, {}, "too many changes at once");
--- a/tests/contract/ctl/administration_test.cpp
+++ b/tests/contract/ctl/administration_test.cpp
@@ -348,6 +348,23 @@
     }
 }
 
+// The store has been down for a while. An operator who waits for each planner
+// in turn to lose its patience learns late that nothing can be changed.
+TEST(administration, a_known_outage_is_told_at_once)
+{
+    tests::memory_store store;
+    administration_bench bench(store);
+    ports::actions started;
+    bench.configuration.start(bench.now, started);
+    auto const& call = std::get<ports::store_call>(started.at(0));
+    bench.configuration.on_store_reply(bench.now, store.answer(call), started);
+    bench.now += 3s;
+    EXPECT_EQ(bench.request("PUT", "/v1/contracts/mill", mill).status, 200);
+    bench.now += 1ms;
+    auto const request = bench.ask("PUT", "/v1/contracts/mill", mill);
+    EXPECT_EQ(bench.replies[request].text("code"), "4001");
+}
+
 TEST(administration, too_many_changes_at_once_are_refused_as_not_run)
 {
     tests::memory_store store;
--- a/tests/contract/ctl/ctl_test.cpp
+++ b/tests/contract/ctl/ctl_test.cpp
@@ -303,6 +303,14 @@
         {"bad contract", refusal(result_code::out_of_range), 1, "1009"},
         {"bad token", refusal(result_code::bad_token), 1, "5003"},
         {"store away", refusal(result_code::store_unavailable), 1, "4001"},
+        {"no header",
+         adapters::http::json_response(404, R"({"code":4004})"),
+         1,
+         "4004"},
+        {"no header, unclear",
+         adapters::http::json_response(504, R"({"code":4002})"),
+         3,
+         "4002"},
         {"store unclear", refusal(result_code::store_unclear), 3, "4002"},
         {"no json", ok("<html>"), 3, "1004"},
         {"no json refusal", {500, {}, "oops"}, 3, "HTTP status 500"},
@@ -321,6 +329,16 @@
     }
 }
 
+TEST_F(fuchsiactl, a_read_that_fails_has_changed_nothing)
+{
+    scripted_planner planner(
+        [](request const&)
+        {
+            return response{500, {}, "oops"};
+        });
+    EXPECT_EQ(run_with({planner.address()}, {"status"}).status, 1);
+}
+
 TEST_F(fuchsiactl, tries_the_next_planner_where_one_did_nothing)
 {
     scripted_planner cut_off(
