--- a/src/core/tasks/cell_reports.cpp
+++ b/src/core/tasks/cell_reports.cpp
@@ -40,7 +40,6 @@
     watch_memory(with, report);
     learn(with, report);
     guard_services(with, report);
-    last_reports_[report.worker] = report;
 }
 
 void cell_runner::on_attempt_report(cell_context& with,
@@ -119,14 +118,13 @@
         {
             continue;
         }
-        auto const name = task_name(key);
+        ports::task_attempt const what{task_name(key), run.attempt};
         bool const listed =
             std::any_of(report.attempts.begin(),
                         report.attempts.end(),
-                        [&](ports::attempt_report const& said)
+                        [&what](ports::attempt_report const& said)
                         {
-                            return said.what.task == name &&
-                                   said.what.attempt == run.attempt;
+                            return said.what == what;
                         });
         if (!listed)
         {
--- a/tests/unit/walks/fake_store.hpp
+++ b/tests/unit/walks/fake_store.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -124,10 +125,15 @@
 struct store_faults
 {
     bool down = false;
-    std::set<std::string> cut; ///< Callers that can't reach it.
+    std::set<std::string> cut;  ///< Callers that can't reach it.
+    std::set<std::string> deaf; ///< Callers whose calls lose their answers.
+    std::set<std::string> mute; ///< Callers whose calls don't arrive.
+    std::set<std::string> slow; ///< Callers whose answers are all late.
     std::uint32_t lose_request_permille = 0;
     std::uint32_t lose_reply_permille = 0;
     std::uint32_t duplicate_permille = 0;
+    /// Reads and lists answered from a state of up to some seconds ago.
+    std::uint32_t stale_permille = 0;
     /// Each way of a call takes `delay`, or now and then up to `late_delay`.
     duration delay = std::chrono::milliseconds(2);
     duration late_delay = std::chrono::seconds(4);
@@ -162,6 +168,8 @@
     store_faults faults;
     store_counts counts;
     store_contents contents;
+    /// Called when a write has taken effect, before its answer is under way.
+    std::function<void(std::string const& key)> after_write;
 
     void
     call(std::string const& caller, ports::store_call const& what, answer back)
@@ -220,9 +228,9 @@
         return faults.down || faults.cut.count(caller) != 0;
     }
 
-    duration way()
+    duration way(bool slow = false)
     {
-        if (chance(faults.late_permille))
+        if (slow || chance(faults.late_permille))
         {
             return duration(static_cast<std::int64_t>(
                 random_() %
@@ -262,7 +270,7 @@
 
     void arrive(call_pointer const& pending)
     {
-        if (is_cut(pending->caller))
+        if (is_cut(pending->caller) || faults.mute.count(pending->caller) != 0)
         {
             return;
         }
@@ -287,14 +295,41 @@
         bool const writes =
             std::holds_alternative<ports::store_write>(operation) ||
             std::holds_alternative<ports::store_erase>(operation);
-        auto const reply = contents.apply(operation);
+        bool const stale =
+            !writes && !older_.empty() && chance(faults.stale_permille);
+        auto const reply =
+            stale ? older_[random_() % older_.size()].apply(operation)
+                  : contents.apply(operation);
+        auto const* write = std::get_if<ports::store_write>(&operation);
+        if (after_write && write != nullptr &&
+            reply.status == ports::store_status::done)
+        {
+            after_write(write->key);
+        }
         reply_to(pending, reply);
+        remember();
         if (writes && reply.status == ports::store_status::done)
         {
             wake_watches();
         }
     }
 
+    /// Keeps states of the last seconds for stale answers.
+    void remember()
+    {
+        if (faults.stale_permille == 0 ||
+            time_.now() < remembered_ + std::chrono::milliseconds(400))
+        {
+            return;
+        }
+        remembered_ = time_.now();
+        older_.push_back(contents);
+        if (older_.size() > 8)
+        {
+            older_.pop_front();
+        }
+    }
+
     void count(ports::store_operation const& operation)
     {
         counts.reads +=
@@ -351,10 +386,11 @@
         {
             return;
         }
-        time_.after(way(),
+        time_.after(way(faults.slow.count(pending->caller) != 0),
                     [this, pending, reply]
                     {
-                        if (!is_cut(pending->caller))
+                        if (!is_cut(pending->caller) &&
+                            faults.deaf.count(pending->caller) == 0)
                         {
                             finish(*pending, reply);
                         }
@@ -364,6 +400,8 @@
     timeline& time_;
     std::mt19937_64 random_;
     std::vector<call_pointer> watches_;
+    std::deque<store_contents> older_;
+    time_point remembered_{};
 };
 
 } // namespace fuchsia::tests::unit::walks
