--- a/tests/unit/requests/entry_world.hpp
+++ b/tests/unit/requests/entry_world.hpp
@@ -56,6 +56,8 @@
     std::unique_ptr<entry_engine> engine;
     std::deque<std::function<void()>> inbox; ///< What came while frozen.
     bool frozen = false;
+    time_point frozen_at;
+    bool waking = false; ///< Handles what came while it was frozen.
     bool ended = false;
     bool stopped = false;
 };
@@ -141,6 +143,7 @@
     void on_reply(ports::caller_reply const& reply);
     void publish_list();
     void check_contract();
+    bool counts_stand_still(node const& who) const;
     void check_not_run(sending const& one);
     void fail(std::string what);
     bool chance(std::uint32_t permille);
