--- a/tools/load/bench.hpp
+++ b/tools/load/bench.hpp
@@ -12,8 +12,8 @@
 /// and refused answers. Folds every caller's answer into `out`.
 void bench_requests(signature& out);
 
-/// One planner, 400 workers and 4,000 batch and service tasks. Folds every
-/// call to a worker into `out`.
+/// One planner, 400 workers and 1,000 jobs of 4 tasks, services and batch.
+/// Folds every call to a worker into `out`.
 void bench_tasks(signature& out);
 
 /// Runs both and prints the decisions a second and, as the last line, the
--- /dev/null
+++ b/tools/load/bench_tasks.cpp
@@ -0,0 +1,357 @@
+#include "core/config/index.hpp"
+#include "core/tasks/planner_engine.hpp"
+#include "tools/load/bench.hpp"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fuchsia::tools::load
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using core::common::duration;
+using core::tasks::planner_engine;
+using ports::attempt_state;
+
+constexpr std::uint64_t seed = 20'261'203;
+constexpr int worker_count = 400;
+constexpr int per_rack = 8;
+constexpr int job_count = 1'000;
+constexpr int tasks_each = 4;
+constexpr auto customer = "estate-owners";
+constexpr std::array<char const*, 6> classes{
+    "bidding", "catalogue", "valuation", "settlement", "index", "export"};
+constexpr duration worker_delay = 1ms;
+constexpr duration tick_interval = 50ms;
+constexpr duration report_interval = 1s;
+constexpr duration joining_time = 8s;
+constexpr duration job_interval = 20ms;
+constexpr duration ending_time = 30s;
+
+class task_bench
+{
+public:
+    explicit task_bench(signature& out) : out_(out), world_(seed)
+    {
+        write_configuration();
+        self_.id = {"planner-1", seed};
+        self_.role = "planner";
+        self_.data_centre = "dc-1";
+        self_.peer_address = {"10.0.0.1", 8091};
+        self_.http_address = {"10.0.0.1", 8090};
+        // One planner does here what nine share.
+        core::tasks::planner_settings settings;
+        settings.store.writes_per_second = 400;
+        settings.store.write_burst = 400;
+        engine_ = std::make_unique<planner_engine>(settings, self_, seed);
+    }
+
+    void run()
+    {
+        auto const start = world_.now();
+        tell(
+            [this](planner_engine& to, ports::actions& out)
+            {
+                to.start(world_.now(), out);
+            });
+        tick();
+        list();
+        report();
+        world_.run_until(start + joining_time);
+        for (int number = 0; number < job_count; ++number)
+        {
+            world_.after(number * job_interval,
+                         [this, number]
+                         {
+                             submit(number);
+                         });
+        }
+        world_.run_until(world_.now() + job_count * job_interval + ending_time);
+    }
+
+private:
+    struct attempt
+    {
+        attempt_state state = attempt_state::running;
+        ports::resources declared;
+        std::uint64_t work_ms = 0; ///< 0: a service.
+        core::common::time_point started;
+    };
+    using attempts = std::map<ports::task_attempt, attempt>;
+
+    void write_configuration()
+    {
+        core::contracts::contract contract;
+        contract.customer = customer;
+        contract.capacity = {100'000'000, 1'000'000'000, 0};
+        contract.latency_target = 500ms;
+        contract.batch_latency_target = 10s;
+        core::config::index_document index;
+        index.revision = 1;
+        auto const document = core::config::document_name(1, "bench");
+        index.contracts[customer] = {1, false, document};
+        store_.put(core::config::document_key(customer, document),
+                   core::contracts::to_json(contract));
+        store_.put(std::string(core::config::index_key),
+                   core::config::to_json(index));
+    }
+
+    template<class Event>
+    void tell(Event event)
+    {
+        ports::actions actions;
+        event(*engine_, actions);
+        perform(actions);
+    }
+
+    void tick()
+    {
+        tell(
+            [this](planner_engine& to, ports::actions& out)
+            {
+                to.tick(world_.now(), out);
+            });
+        world_.after(tick_interval,
+                     [this]
+                     {
+                         tick();
+                     });
+    }
+
+    static std::string worker_name(int number)
+    {
+        return "worker-" + std::to_string(number);
+    }
+
+    void list()
+    {
+        ports::instance_list const members{{}, {self_.id.name}, world_.now()};
+        ports::worker_list all;
+        all.received = world_.now();
+        for (int number = 0; number < worker_count; ++number)
+        {
+            ports::worker_instance worker;
+            worker.id = worker_name(number);
+            worker.rack = "rack-" + std::to_string(number / per_rack);
+            worker.data_centre = "dc-1";
+            worker.capacity = {64'000, 250'000, 0};
+            all.workers.push_back(std::move(worker));
+        }
+        tell(
+            [&](planner_engine& to, ports::actions& out)
+            {
+                to.on_instances(world_.now(), members, out);
+                to.on_workers(world_.now(), all, out);
+            });
+        world_.after(1s,
+                     [this]
+                     {
+                         list();
+                     });
+    }
+
+    std::uint64_t clock_ms() const
+    {
+        return static_cast<std::uint64_t>(
+            core::common::to_milliseconds(world_.now().time_since_epoch()));
+    }
+
+    // Services are slower the more attempts share their worker, so that there
+    // is something to learn.
+    static std::uint64_t latency_us(attempt const& one, std::size_t neighbours)
+    {
+        return one.work_ms == 0 ? 5'000 + 4'000 * neighbours : 0;
+    }
+
+    void report()
+    {
+        ++sequence_;
+        for (int number = 0; number < worker_count; ++number)
+        {
+            ports::worker_report made;
+            made.worker = worker_name(number);
+            made.sequence = sequence_;
+            made.clock_ms = clock_ms();
+            for (auto const& [what, one] : workers_[made.worker])
+            {
+                ports::attempt_report each;
+                each.what = what;
+                each.state = one.state;
+                each.used = one.declared;
+                each.latency_p99_us =
+                    latency_us(one, workers_[made.worker].size());
+                made.attempts.push_back(each);
+            }
+            tell(
+                [&](planner_engine& to, ports::actions& out)
+                {
+                    to.on_worker_report(world_.now(), made, out);
+                });
+        }
+        world_.after(report_interval,
+                     [this]
+                     {
+                         report();
+                     });
+    }
+
+    void submit(int number)
+    {
+        core::tasks::job job;
+        job.id = "job-" + std::to_string(number);
+        job.customer = customer;
+        job.task_class = classes[world_.below(classes.size())];
+        job.kind = world_.below(3) == 0 ? core::tasks::job_kind::service
+                                        : core::tasks::job_kind::batch;
+        job.tasks = tasks_each;
+        job.declared = {
+            static_cast<std::int64_t>(500 * (1 + world_.below(8))),
+            static_cast<std::int64_t>(1'000 * (1 + world_.below(8))),
+            0};
+        bool const batch = job.kind == core::tasks::job_kind::batch;
+        job.work_ms = batch ? 2'000 + world_.below(10'000) : 0;
+        job.checkpointable = batch;
+        job.urgent = world_.below(20) == 0;
+        core::tasks::job_request request{static_cast<std::uint64_t>(number),
+                                         "POST",
+                                         "/v1/jobs",
+                                         core::tasks::to_json(job)};
+        tell(
+            [&](planner_engine& to, ports::actions& out)
+            {
+                to.on_job_request(world_.now(), request, out);
+            });
+    }
+
+    void perform(ports::actions& actions)
+    {
+        for (auto& action : actions)
+        {
+            if (auto* const call = std::get_if<ports::store_call>(&action))
+            {
+                ask_store(std::move(*call));
+            }
+            else if (auto* const work =
+                         std::get_if<ports::worker_call>(&action))
+            {
+                world_.after(worker_delay,
+                             [this, call = std::move(*work)]
+                             {
+                                 work_on(call);
+                             });
+            }
+        }
+    }
+
+    void ask_store(ports::store_call call)
+    {
+        store_.ask(std::move(call),
+                   [this](ports::store_reply const& reply)
+                   {
+                       tell(
+                           [&](planner_engine& to, ports::actions& out)
+                           {
+                               to.on_store_reply(world_.now(), reply, out);
+                           });
+                   });
+    }
+
+    void work_on(ports::worker_call const& call)
+    {
+        ports::worker_reply reply;
+        reply.id = call.id;
+        reply.status = ports::worker_status::done;
+        auto& running = workers_[call.worker];
+        if (auto const* start =
+                std::get_if<ports::worker_start>(&call.operation))
+        {
+            begin(call.worker, *start);
+        }
+        else if (auto const* renew =
+                     std::get_if<ports::worker_renew>(&call.operation))
+        {
+            for (auto const& what : renew->what)
+            {
+                if (!running.contains(what))
+                {
+                    reply.gone.push_back(what);
+                }
+            }
+        }
+        else if (auto const* stop =
+                     std::get_if<ports::worker_stop>(&call.operation))
+        {
+            running.erase(stop->what);
+            note(call.worker, "stop", stop->what);
+        }
+        else if (auto const* checkpoint =
+                     std::get_if<ports::worker_checkpoint>(&call.operation))
+        {
+            reply.checkpoint = checkpoint->what.task + "-checkpoint";
+        }
+        world_.after(worker_delay,
+                     [this, reply]
+                     {
+                         tell(
+                             [&](planner_engine& to, ports::actions& out)
+                             {
+                                 to.on_worker_reply(world_.now(), reply, out);
+                             });
+                     });
+    }
+
+    void begin(std::string const& worker, ports::worker_start const& start)
+    {
+        note(worker, "start", start.what);
+        workers_[worker][start.what] = {attempt_state::running,
+                                        start.declared,
+                                        start.work_ms,
+                                        world_.now()};
+        if (start.service)
+        {
+            return;
+        }
+        world_.after(std::chrono::milliseconds(start.work_ms),
+                     [this, worker, what = start.what]
+                     {
+                         auto const found = workers_[worker].find(what);
+                         if (found != workers_[worker].end())
+                         {
+                             found->second.state = attempt_state::finished;
+                         }
+                     });
+    }
+
+    void note(std::string const& worker,
+              std::string const& kind,
+              ports::task_attempt const& what)
+    {
+        out_.add(kind + ' ' + worker + ' ' + what.task + ' ' +
+                 std::to_string(what.attempt) + ' ' +
+                 std::to_string(clock_ms()));
+    }
+
+    signature& out_;
+    bench_world world_;
+    bench_store store_{world_};
+    core::membership::member_info self_;
+    std::unique_ptr<planner_engine> engine_;
+    std::map<std::string, attempts> workers_;
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+void bench_tasks(signature& out)
+{
+    task_bench(out).run();
+}
+
+} // namespace fuchsia::tools::load
--- a/tools/load/bench_world.hpp
+++ b/tools/load/bench_world.hpp
@@ -58,19 +58,42 @@
     std::mt19937_64 random_;
 };
 
-/// A store without faults for the bench: versions and compare-and-swap.
+/// A store without faults for the bench: versions, compare-and-swap, watches.
 class bench_store
 {
 public:
-    ports::store_reply apply(ports::store_call const& call);
+    using handler = std::function<void(ports::store_reply const&)>;
+
+    explicit bench_store(bench_world& world);
+
+    /// Answers after a fixed delay; a watch when something below its prefix
+    /// changed, or its wait is over.
+    void ask(ports::store_call call, handler handle);
     void put(std::string const& key, std::string value);
 
 private:
+    struct watcher
+    {
+        ports::call_id id;
+        std::string prefix;
+        handler handle;
+    };
+
+    ports::store_reply apply(ports::store_call const& call);
+    void
+    watch(ports::call_id id, ports::store_watch const& watch, handler handle);
+    void end_watch(std::uint64_t number);
+    void notify(std::string const& key);
+    std::uint64_t changed(std::string const& prefix) const;
     ports::store_status
     swap(std::string const& key, std::uint64_t expected, std::string const* to);
     void list(std::string const& prefix, ports::store_reply& reply) const;
 
+    bench_world& world_;
     std::map<std::string, ports::store_entry> entries_;
+    std::map<std::string, std::uint64_t> changes_; ///< Erasures too.
+    std::map<std::uint64_t, watcher> watchers_;
+    std::uint64_t next_watcher_ = 0;
     std::uint64_t index_ = 0;
 };
 
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,6 +1,8 @@
+#include "tools/load/bench.hpp"
 #include "tools/load/commands.hpp"
 
 #include <CLI/CLI.hpp>
+#include <iostream>
 
 // fuchsia-load: open-loop load, experiments, and the books of a run.
 namespace
@@ -54,6 +56,12 @@
     books_options books;
     auto const* const run_command = add_run(app, run);
     add_books(app, books);
+    auto const* const bench_command = app.add_subcommand(
+        "bench", "runs the decision core on fixed input, prints a signature");
     CLI11_PARSE(app, argc, argv);
+    if (bench_command->parsed())
+    {
+        return run_bench(std::cout);
+    }
     return run_command->parsed() ? run_experiment(run) : print_books(books);
 }
