--- a/standins/upstreams/executor.cpp
+++ b/standins/upstreams/executor.cpp
@@ -137,7 +137,7 @@
             message_.set("Upstream-Outcome", "not-run");
         }
         message_.keep_alive(keep_alive_);
-        message_.body() = how == work_end::refused ? std::string() : body;
+        message_.body() = body;
         message_.prepare_payload();
         http::async_write(
             stream_,
