Tasks: a lowered contract takes from batch in all cells before any service

Grants were scaled alike in each cell, so a cell with services only stopped one while batch of the same customer went on in other cells, and the service then waited behind that batch.

--- a/src/core/tasks/quota.cpp
+++ b/src/core/tasks/quota.cpp
@@ -41,23 +41,23 @@
     return out;
 }
 
-resources scaled_down(resources const& granted,
-                      resources const& sum,
-                      resources const& limit)
+// `part` of a sum that is held to `limit`, in proportion.
+std::int64_t share_of(std::int64_t part, std::int64_t sum, std::int64_t limit)
 {
-    resources out = granted;
-    for (auto const part : parts)
+    if (sum <= limit)
     {
-        if (sum.*part > limit.*part)
-        {
-            // In double: the product of two large amounts may not fit.
-            out.*part =
-                static_cast<std::int64_t>(static_cast<double>(granted.*part) *
-                                          static_cast<double>(limit.*part) /
-                                          static_cast<double>(sum.*part));
-        }
+        return part;
     }
-    return out;
+    // In double: the product of two large amounts may not fit.
+    return static_cast<std::int64_t>(static_cast<double>(part) *
+                                     static_cast<double>(limit) /
+                                     static_cast<double>(sum));
+}
+
+// What of a grant is for batch, and what is left for services.
+std::int64_t batch_part(allowance const& granted, std::int64_t resources::*part)
+{
+    return std::min(granted.batch.*part, granted.all.*part);
 }
 
 // Moves `granted` to `need`, up by no more than `room` in each part.
@@ -174,6 +174,9 @@
     }
 }
 
+// Services keep their grants as long as the contract holds these alone; what
+// they leave is shared out to batch. Were all grants scaled alike, a cell with
+// services only would stop one while batch goes on in other cells.
 allowance scaled(quota_document const& document,
                  std::string const& cell,
                  contracts::contract const& contract)
@@ -183,10 +186,28 @@
     {
         return {};
     }
-    auto const sum = sum_of(document);
-    auto const& granted = found->second.granted;
-    return {scaled_down(granted.all, sum.all, contract.capacity),
-            scaled_down(granted.batch, sum.batch, batch_share(contract))};
+    auto const& own = found->second.granted;
+    auto const batch_most = batch_share(contract);
+    allowance out;
+    for (auto const part : parts)
+    {
+        std::int64_t services = 0;
+        std::int64_t batch = 0;
+        for (auto const& [name, grant] : document.cells)
+        {
+            auto const of_batch = batch_part(grant.granted, part);
+            batch += of_batch;
+            services += grant.granted.all.*part - of_batch;
+        }
+        auto const limit = contract.capacity.*part;
+        auto const left = std::min(batch_most.*part,
+                                   std::max<std::int64_t>(0, limit - services));
+        auto const own_batch = batch_part(own, part);
+        out.batch.*part = share_of(own_batch, batch, left);
+        out.all.*part = share_of(own.all.*part - own_batch, services, limit) +
+                        out.batch.*part;
+    }
+    return out;
 }
 
 cell_grant grown(quota_document const& document,
--- a/src/core/tasks/quota.hpp
+++ b/src/core/tasks/quota.hpp
@@ -47,8 +47,9 @@
 std::optional<quota_document> parse_quota(std::string_view json,
                                           common::failure& reason);
 
-/// What `contract` leaves of a cell's grant: grant x min(1, contract / sum of
-/// all grants), so that a lowered contract binds before any grant is changed.
+/// What `contract` leaves of a cell's grant where the sum of all grants is
+/// above it: services first, then batch, each in proportion. So a lowered
+/// contract binds before any grant is changed.
 allowance scaled(quota_document const& document,
                  std::string const& cell,
                  contracts::contract const& contract);
