--- a/src/core/tasks/cell_attempts.cpp
+++ b/src/core/tasks/cell_attempts.cpp
@@ -59,19 +59,11 @@
     {
         return;
     }
-    std::vector<task_key> keys;
-    keys.reserve(runs_.size());
-    for (auto const& [key, run] : runs_)
-    {
-        keys.push_back(key);
-    }
-    for (auto const& key : keys)
+    // An attempt that ends is taken out of the map; the next one stays valid.
+    for (auto next = runs_.begin(); next != runs_.end();)
     {
-        auto const found = runs_.find(key);
-        if (found != runs_.end())
-        {
-            drive_one(with, key, found->second);
-        }
+        auto const current = next++;
+        drive_one(with, current->first, current->second);
     }
 }
 
@@ -84,7 +76,7 @@
         end(with, key, attempt_end::lost, "its lease ran out");
         return;
     }
-    auto const& part = log_.state().jobs.at(key.job);
+    auto const& part = *run.part;
     if (part.stopped && run.evicted_for.empty())
     {
         run.evicted_for = "job_stopped";
@@ -150,12 +142,10 @@
 // Asked again right before the worker is told: between the decision and its
 // commit the data centre may have gone out, the contract may have been
 // withdrawn, and the proof may have run out.
-bool cell_runner::start_allowed(cell_context& with,
-                                task_key const& key,
-                                attempt_run const& run)
+bool cell_runner::start_allowed(cell_context& with, attempt_run const& run)
 {
     auto const* view = with.workers.find(run.worker);
-    auto const& part = log_.state().jobs.at(key.job);
+    auto const& part = *run.part;
     return with.may_act && with.may_start && !held_ && !part.stopped &&
            run.evicted_for.empty() && !data_centre_out(with) &&
            with.config.contracts.count(part.what.customer) != 0 &&
@@ -168,7 +158,7 @@
                              task_key const& key,
                              attempt_run& run)
 {
-    if (!start_allowed(with, key, run))
+    if (!start_allowed(with, run))
     {
         if (!run.maybe_sent)
         {
@@ -413,7 +403,7 @@
     {
         return;
     }
-    auto const& part = log_.state().jobs.at(key.job);
+    auto const& part = *run.part;
     if (part.what.kind == job_kind::service || part.stopped)
     {
         end(with, key, attempt_end::stopped, run.evicted_for);
@@ -493,6 +483,7 @@
         return;
     }
     run.evicted_for = std::move(why);
+    queue_dirty_ = true;
     with.out.push_back(event_of(ports::severity::info,
                                 "eviction",
                                 {{"cell", cell_},
--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -80,10 +80,6 @@
 // Urgent first, then services, then batch; within each the oldest first.
 void cell_runner::rebuild_queue(cell_context& with)
 {
-    if (!std::exchange(queue_dirty_, false))
-    {
-        return;
-    }
     queue_.clear();
     std::map<task_key, common::time_point> since;
     for (auto const& [id, part] : log_.state().jobs)
@@ -127,7 +123,7 @@
     }
     for (auto const& [key, run] : runs_)
     {
-        auto const& what = log_.state().jobs.at(key.job).what;
+        auto const& what = run.part->what;
         auto& use = use_[what.customer];
         add(use.in_use, what);
         if (run.evicted_for.empty())
@@ -187,7 +183,7 @@
             continue;
         }
         auto& on = out[place->second];
-        auto const& what = log_.state().jobs.at(key.job).what;
+        auto const& what = run.part->what;
         bool const service = what.kind == job_kind::service;
         on.committed += what.declared;
         on.batch_millicores += service ? 0 : what.declared.millicores;
@@ -316,6 +312,7 @@
     attempt_run run;
     run.attempt = task.attempt + 1;
     run.worker = *on.worker;
+    run.part = &part;
     run.start_before_ms = in(with.settings.start_window + view->report_lag);
     run.lease_until_ms = in(with.settings.lease);
     bool const urgent = part.what.urgent || wanted.service;
@@ -474,7 +471,7 @@
     std::vector<std::pair<task_key, job const*>> own;
     for (auto const& [key, run] : runs_)
     {
-        auto const& what = log_.state().jobs.at(key.job).what;
+        auto const& what = run.part->what;
         if (what.customer == customer && run.evicted_for.empty())
         {
             own.emplace_back(key, &what);
--- a/src/core/tasks/cell_reports.cpp
+++ b/src/core/tasks/cell_reports.cpp
@@ -37,9 +37,11 @@
         on_attempt_report(with, report, said);
     }
     end_absent(with, report);
-    watch_memory(with, report);
-    learn(with, report);
-    guard_services(with, report);
+    auto const* view = with.workers.find(report.worker);
+    auto const present = reported_on(report.worker);
+    watch_memory(with, *view, present);
+    learn(with, *view, present);
+    guard_services(with, *view, present);
 }
 
 void cell_runner::on_attempt_report(cell_context& with,
@@ -142,110 +144,111 @@
     }
 }
 
+std::vector<cell_runner::resident>
+cell_runner::reported_on(std::string const& worker)
+{
+    std::vector<resident> out;
+    for (auto& [key, run] : runs_)
+    {
+        if (run.worker == worker && run.reports != 0)
+        {
+            out.push_back({&key, &run});
+        }
+    }
+    return out;
+}
+
 void cell_runner::watch_memory(cell_context& with,
-                               ports::worker_report const& report)
+                               worker_view const& on,
+                               std::vector<resident> const& present)
 {
     std::int64_t used = 0;
     std::int64_t over = 0;
     std::int64_t most = 0;
-    task_key worst;
-    for (auto const& [key, run] : runs_)
+    task_key const* worst = nullptr;
+    for (auto const& [key, run] : present)
     {
-        if (run.worker != report.worker || run.reports == 0)
-        {
-            continue;
-        }
-        auto const& what = log_.state().jobs.at(key.job).what;
-        auto const excess = run.used.memory_mb - what.declared.memory_mb;
-        used += run.used.memory_mb;
+        auto const& what = run->part->what;
+        auto const excess = run->used.memory_mb - what.declared.memory_mb;
+        used += run->used.memory_mb;
         over += std::max<std::int64_t>(0, excess);
         if (what.kind == job_kind::batch && excess > most &&
-            run.evicted_for.empty())
+            run->evicted_for.empty())
         {
             most = excess;
             worst = key;
         }
     }
-    with.workers.set_memory_over_declared(report.worker, over);
-    auto const* view = with.workers.find(report.worker);
-    if (most > 0 &&
-        used * 1000 > view->info.capacity.memory_mb * memory_limit_permille)
+    with.workers.set_memory_over_declared(on.info.id, over);
+    if (worst != nullptr &&
+        used * 1000 > on.info.capacity.memory_mb * memory_limit_permille)
     {
         ++with.counters.evicted_memory;
-        evict(with, worst, "memory_pressure");
+        evict(with, *worst, "memory_pressure");
     }
 }
 
-void cell_runner::learn(cell_context& with, ports::worker_report const& report)
+void cell_runner::learn(cell_context& with,
+                        worker_view const& on,
+                        std::vector<resident> const& present)
 {
-    auto const* view = with.workers.find(report.worker);
-    std::vector<std::pair<task_key, placement::neighbour>> present;
-    for (auto const& [key, run] : runs_)
+    std::vector<placement::neighbour> all;
+    all.reserve(present.size());
+    for (auto const& [key, run] : present)
     {
-        if (run.worker == report.worker && run.reports != 0)
-        {
-            auto const& what = log_.state().jobs.at(key.job).what;
-            present.push_back({key,
-                               {with.learned.number_of(what.task_class),
-                                share(run.used, view->info.capacity)}});
-        }
+        all.push_back({with.learned.number_of(run->part->what.task_class),
+                       share(run->used, on.info.capacity)});
     }
-    for (auto const& [key, self] : present)
+    for (std::size_t self = 0; self < present.size(); ++self)
     {
-        auto const& what = log_.state().jobs.at(key.job).what;
-        auto const latency = runs_.at(key).latency_p99_us;
-        if (what.kind != job_kind::service || latency == 0)
+        auto const& run = *present[self].run;
+        if (run.part->what.kind != job_kind::service || run.latency_p99_us == 0)
         {
             continue;
         }
-        std::vector<placement::neighbour> beside;
-        for (auto const& [other, neighbour] : present)
-        {
-            if (other != key)
-            {
-                beside.push_back(neighbour);
-            }
-        }
+        auto beside = all;
+        beside.erase(beside.begin() + static_cast<std::ptrdiff_t>(self));
+        auto const victim = all[self].task_class;
         with.learned.observe(
-            self.task_class,
+            victim,
             beside,
-            with.learned.slowdown_of(self.task_class, latency));
+            with.learned.slowdown_of(victim, run.latency_p99_us));
     }
 }
 
 void cell_runner::guard_services(cell_context& with,
-                                 ports::worker_report const& report)
+                                 worker_view const& on,
+                                 std::vector<resident> const& present)
 {
-    auto const* view = with.workers.find(report.worker);
     std::vector<placement::guarded_service> services;
     std::vector<placement::guarded_task> batch;
-    for (auto const& [key, run] : runs_)
+    for (auto const& [key, run] : present)
     {
-        auto const& what = log_.state().jobs.at(key.job).what;
-        auto const contract = with.config.contracts.find(what.customer);
-        if (run.worker != report.worker || run.reports == 0 ||
-            run.phase != attempt_phase::running || !run.evicted_for.empty())
+        auto const& what = run->part->what;
+        if (run->phase != attempt_phase::running || !run->evicted_for.empty())
         {
             continue;
         }
         auto const number = with.learned.number_of(what.task_class);
         if (what.kind == job_kind::batch)
         {
-            batch.push_back({task_name(key),
+            batch.push_back({task_name(*key),
                              number,
-                             share(run.used, view->info.capacity),
-                             run.permille});
+                             share(run->used, on.info.capacity),
+                             run->permille});
+            continue;
         }
-        else if (contract != with.config.contracts.end())
+        auto const contract = with.config.contracts.find(what.customer);
+        if (contract != with.config.contracts.end())
         {
             services.push_back({number,
-                                run.latency_p99_us,
+                                run->latency_p99_us,
                                 static_cast<std::uint64_t>(
                                     contract->second.latency_target.count())});
         }
     }
     auto& guard =
-        guards_.try_emplace(report.worker, with.settings.guard).first->second;
+        guards_.try_emplace(on.info.id, with.settings.guard).first->second;
     auto const wanted = guard.on_report(services, batch, with.learned);
     auto const key = wanted ? parse_task_name(wanted->task) : std::nullopt;
     if (!key)
--- a/src/core/tasks/cell_runner.cpp
+++ b/src/core/tasks/cell_runner.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr common::duration forget_interval = std::chrono::seconds(5);
+/// What follows from contracts and data centres is looked at this often even
+/// where nothing changed in the cell.
+constexpr common::duration count_interval = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -54,10 +57,16 @@
         take_commits(with);
         drive(with);
         renew(with);
-        rebuild_queue(with);
-        count_use(with);
-        enforce_contracts(with);
-        drain(with);
+        if (queue_dirty_ || with.now >= next_count_)
+        {
+            next_count_ = with.now + count_interval;
+            queue_dirty_ = false;
+            rebuild_queue(with);
+            count_use(with);
+            enforce_contracts(with);
+            drain(with);
+            publish_load(with);
+        }
         if (!held_)
         {
             place(with);
@@ -66,7 +75,6 @@
         send_parcels(with);
         erase_inbox(with);
         forget_jobs(with);
-        publish_load(with);
     }
     log_.tick(with.now, with.calls, with.out);
 }
@@ -92,6 +100,7 @@
             auto& run = runs_[{id, index}];
             run.attempt = task.attempt;
             run.worker = task.worker;
+            run.part = &part;
             run.phase = attempt_phase::running;
             run.start_before_ms = task.start_before_ms;
             run.lease_until_ms = task.lease_until_ms;
@@ -351,7 +360,7 @@
         auto const found = free.find(run.worker);
         if (found != free.end())
         {
-            found->second -= log_.state().jobs.at(key.job).what.declared;
+            found->second -= run.part->what.declared;
         }
     }
     for (auto const& [worker, room] : free)
--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -19,6 +19,8 @@
 {
     std::uint32_t attempt = 0;
     std::string worker;
+    /// Its job in the cell's state, which keeps a job while it has attempts.
+    job_part const* part = nullptr;
     attempt_phase phase = attempt_phase::committing_start;
     std::uint64_t start_before_ms = 0;
     std::uint64_t lease_until_ms = 0; ///< The longest that was sent.
@@ -127,6 +129,13 @@
         bool has_queued = false;
     };
 
+    /// An attempt on the worker whose report is looked at.
+    struct resident
+    {
+        task_key const* key = nullptr;
+        attempt_run* run = nullptr;
+    };
+
     // cell_runner.cpp: the cell as a whole.
     void adopt(cell_context& with);
     void take_commits(cell_context& with);
@@ -161,8 +170,7 @@
     void drive(cell_context& with);
     void drive_one(cell_context& with, task_key const& key, attempt_run& run);
     void send_start(cell_context& with, task_key const& key, attempt_run& run);
-    bool
-    start_allowed(cell_context& with, task_key const& key, attempt_run const&);
+    bool start_allowed(cell_context& with, attempt_run const& run);
     void send_stop(cell_context& with, task_key const& key, attempt_run& run);
     void
     send_checkpoint(cell_context& with, task_key const& key, attempt_run& run);
@@ -195,9 +203,17 @@
                            ports::worker_report const& report,
                            ports::attempt_report const& said);
     void end_absent(cell_context& with, ports::worker_report const& report);
-    void learn(cell_context& with, ports::worker_report const& report);
-    void guard_services(cell_context& with, ports::worker_report const& report);
-    void watch_memory(cell_context& with, ports::worker_report const& report);
+    /// Attempts on the worker that a report has told of.
+    std::vector<resident> reported_on(std::string const& worker);
+    void learn(cell_context& with,
+               worker_view const& on,
+               std::vector<resident> const& present);
+    void guard_services(cell_context& with,
+                        worker_view const& on,
+                        std::vector<resident> const& present);
+    void watch_memory(cell_context& with,
+                      worker_view const& on,
+                      std::vector<resident> const& present);
 
     std::string cell_;
     std::uint64_t epoch_;
@@ -209,7 +225,9 @@
     std::map<std::string, placement::guard> guards_;
 
     std::vector<queued_task> queue_;
+    /// The queue, or who uses what, may have changed.
     bool queue_dirty_ = true;
+    common::time_point next_count_{};
     std::map<task_key, common::time_point> queued_since_;
     std::map<std::string, customer_use> use_;
     std::set<task_key> short_of_room_; ///< Waits for room, not for quota.
--- a/src/core/tasks/inbox.cpp
+++ b/src/core/tasks/inbox.cpp
@@ -108,6 +108,7 @@
     ports::store_operation const list = ports::store_list{std::string(prefix)};
     ports::store_operation const watch =
         ports::store_watch{std::string(prefix), index_, settings_.watch_wait};
+    next_try_ = now + settings_.watch_gap;
     call_ = calls.send(call_owner::inbox, "", known_ ? watch : list, out);
 }
 
--- a/src/core/tasks/inbox.hpp
+++ b/src/core/tasks/inbox.hpp
@@ -35,6 +35,9 @@
 {
     common::duration watch_wait = std::chrono::seconds(10);
     common::duration retry_interval = std::chrono::milliseconds(300);
+    /// Least time between two watches: in a burst one answer then carries many
+    /// changes, rather than each change a call of every planner.
+    common::duration watch_gap = std::chrono::milliseconds(100);
     /// A notice stays this long, so that parcels under way meet it too.
     common::duration notice_time = std::chrono::minutes(2);
 };
--- a/tests/unit/tasks/fake_workers.cpp
+++ b/tests/unit/tasks/fake_workers.cpp
@@ -83,7 +83,7 @@
     }
 }
 
-void fake_workers::call(ports::worker_call const& what, answer back)
+void fake_workers::call(ports::worker_call const& what, answer const& back)
 {
     auto const done = std::make_shared<bool>(false);
     auto const finish = [done, back, id = what.id](ports::worker_reply reply)
--- a/tests/unit/tasks/fake_workers.hpp
+++ b/tests/unit/tasks/fake_workers.hpp
@@ -49,7 +49,7 @@
     /// it again after its lease is right, and no second resume.
     void cut(std::string const& worker, bool is_cut);
     ports::worker_list list() const;
-    void call(ports::worker_call const& what, answer back);
+    void call(ports::worker_call const& what, answer const& back);
     /// The newest report of each worker of the rack that is old enough.
     std::vector<ports::worker_report> reports(std::string const& rack) const;
     /// Brings work, leases and reports up to now; wanted every 100 ms.
--- a/tests/unit/tasks/planner_system.cpp
+++ b/tests/unit/tasks/planner_system.cpp
@@ -50,7 +50,7 @@
            ",\"checkpointable\":true" + extra + "}";
 }
 
-planner_system::planner_system(system_options options)
+planner_system::planner_system(system_options const& options)
     : store(time, options.seed * 2 + 1), workers(time, options.seed * 5 + 1),
       link(time,
            options.seed * 3 + 1,
@@ -72,8 +72,7 @@
                    }
                }
            }),
-      options_(std::move(options)), random_(options_.seed),
-      slots_(options_.planners)
+      options_(options), random_(options_.seed), slots_(options_.planners)
 {
     for (std::size_t rack = 0; rack < options_.racks; ++rack)
     {
--- a/tests/unit/tasks/planner_system.hpp
+++ b/tests/unit/tasks/planner_system.hpp
@@ -29,7 +29,7 @@
 class planner_system
 {
 public:
-    explicit planner_system(system_options options);
+    explicit planner_system(system_options const& options);
 
     timeline time;
     walks::fake_store store;
--- a/tests/unit/tasks/planner_test.cpp
+++ b/tests/unit/tasks/planner_test.cpp
@@ -12,7 +12,7 @@
 /// Planners that have joined and shared out the cells, and one contract.
 struct planners : testing::Test
 {
-    explicit planners(system_options options = {}) : system(std::move(options))
+    planners() : system({})
     {
         system.put_contract("estate", {64000, 256000, 0});
         for (std::size_t slot = 0; slot < 3; ++slot)
--- a/tests/unit/tasks/planner_walk_test.cpp
+++ b/tests/unit/tasks/planner_walk_test.cpp
@@ -257,7 +257,10 @@
             {
                 if (state == "queued" || state == "running")
                 {
-                    system_.violation += id + " is still " + state + "; ";
+                    system_.violation.append(id)
+                        .append(" is still ")
+                        .append(state)
+                        .append("; ");
                 }
             }
         }
