--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -521,12 +521,14 @@
     {
         return;
     }
+    // Those that only wait for a report to tell their end burden nobody.
     auto under_way = static_cast<std::uint32_t>(
         std::count_if(runs_.begin(),
                       runs_.end(),
                       [](auto const& item)
                       {
-                          return !item.second.evicted_for.empty();
+                          return !item.second.evicted_for.empty() &&
+                                 item.second.phase != attempt_phase::settling;
                       }));
     for (auto const& [key, run] : runs_)
     {
