--- a/tests/contract/standins/servers_test.cpp
+++ b/tests/contract/standins/servers_test.cpp
@@ -44,7 +44,7 @@
                         std::move(body),
                         {}};
         call.timeout = 20s;
-        auto const result = std::make_shared<exchange>();
+        auto result = std::make_shared<exchange>();
         caller.send(std::move(call),
                     [result](exchange_status status, response answer)
                     {
@@ -70,11 +70,11 @@
                                   std::string body = {},
                                   std::vector<ports::header> headers = {})
     {
-        auto const result = send(where,
-                                 std::move(method),
-                                 std::move(target),
-                                 std::move(body),
-                                 std::move(headers));
+        auto result = send(where,
+                           std::move(method),
+                           std::move(target),
+                           std::move(body),
+                           std::move(headers));
         wait_for(
             [&]
             {
