--- a/tests/process/entry_test.cpp
+++ b/tests/process/entry_test.cpp
@@ -19,8 +19,8 @@
 {
 public:
     bidders(entry_deployment const& system,
-            std::string name,
-            std::vector<std::size_t> entries)
+            std::string const& name,
+            std::vector<std::size_t> const& entries)
     {
         for (std::size_t number = 0; number < callers; ++number)
         {
