--- a/src/core/upstreams/slot_table.cpp
+++ b/src/core/upstreams/slot_table.cpp
@@ -16,6 +16,8 @@
 /// comes back cold is filled step by step.
 constexpr double failure_factor = 0.5;
 constexpr double success_step = 0.05;
+/// An exchange is slow only after this many times the usual service time.
+constexpr double slow_factor = 4.0;
 /// Numbers of holds that no exchange of ours stands for begin here.
 constexpr std::uint64_t first_unseen = std::uint64_t{1} << 63;
 
@@ -192,13 +194,22 @@
     return placement{index, upstreams_[index].id, upstreams_[index].where};
 }
 
-void slot_table::on_slow(std::uint64_t exchange)
+// A request that waited long in our queue has little time left when it is sent.
+// If its deadline counted against the upstream, a full queue would shrink the
+// upstreams' shares, which makes the queue longer yet: an entry with plenty of
+// idle slots would stay overloaded for good.
+void slot_table::on_slow(common::time_point now, std::uint64_t exchange)
 {
     auto const found = holds_.find(exchange);
     if (found == holds_.end() || found->second.slow)
     {
         return;
     }
+    auto const had = static_cast<double>((now - found->second.sent).count());
+    if (had < slow_factor * service_time_us_)
+    {
+        return;
+    }
     found->second.slow = true;
     shrink(found->second.index);
     refresh(found->second.index);
--- a/src/core/upstreams/slot_table.hpp
+++ b/src/core/upstreams/slot_table.hpp
@@ -70,8 +70,9 @@
     std::optional<placement> take(common::time_point now,
                                   std::uint64_t exchange,
                                   std::optional<std::uint32_t> avoid);
-    /// The caller gave up on the exchange: counts against its upstream.
-    void on_slow(std::uint64_t exchange);
+    /// The caller gave up on the exchange: counts against its upstream where
+    /// it had far more time than requests usually take.
+    void on_slow(common::time_point now, std::uint64_t exchange);
     void on_end(common::time_point now, ports::upstream_end const& end);
     /// Frees slots whose bound has passed.
     void tick(common::time_point now);
