Spill by fresh load: forwarded keys too, and load on every answer

Cause: one entry owned 40 of 384 slots but 22% of the keys. A keyed request that had been forwarded to it was never spilled, and its picture of the peers' free slots was 500 ms old, so it used at most 89 spills in half a second while 74 slots stood free. Ruled out: retries, lost slots. Now the owner of a key may spill it too (a second hop, where the design allowed one: the key's owner is often not where the slots are), and every forwarded answer carries the answerer's load. Load reports go to 3 peers in turn instead of all: bytes to and from peers were 600 B/s for each member (19 KB/s at 33).

--- a/schema/peer_generated.h
+++ b/schema/peer_generated.h
@@ -1065,7 +1065,9 @@
   typedef forwarded_answerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_ANSWER = 6
+    VT_ANSWER = 6,
+    VT_FREE_SLOTS = 8,
+    VT_QUEUED = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1073,11 +1075,19 @@
   const fuchsia::schema::caller_answer *answer() const {
     return GetPointer<const fuchsia::schema::caller_answer *>(VT_ANSWER);
   }
+  uint32_t free_slots() const {
+    return GetField<uint32_t>(VT_FREE_SLOTS, 0);
+  }
+  uint32_t queued() const {
+    return GetField<uint32_t>(VT_QUEUED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyTable(answer()) &&
+           VerifyField<uint32_t>(verifier, VT_FREE_SLOTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            verifier.EndTable();
   }
 };
@@ -1092,6 +1102,12 @@
   void add_answer(flatbuffers::Offset<fuchsia::schema::caller_answer> answer) {
     fbb_.AddOffset(forwarded_answer::VT_ANSWER, answer);
   }
+  void add_free_slots(uint32_t free_slots) {
+    fbb_.AddElement<uint32_t>(forwarded_answer::VT_FREE_SLOTS, free_slots, 0);
+  }
+  void add_queued(uint32_t queued) {
+    fbb_.AddElement<uint32_t>(forwarded_answer::VT_QUEUED, queued, 0);
+  }
   explicit forwarded_answerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1106,9 +1122,13 @@
 inline flatbuffers::Offset<forwarded_answer> Createforwarded_answer(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    flatbuffers::Offset<fuchsia::schema::caller_answer> answer = 0) {
+    flatbuffers::Offset<fuchsia::schema::caller_answer> answer = 0,
+    uint32_t free_slots = 0,
+    uint32_t queued = 0) {
   forwarded_answerBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_queued(queued);
+  builder_.add_free_slots(free_slots);
   builder_.add_answer(answer);
   return builder_.Finish();
 }
--- a/src/adapters/peer/codec.cpp
+++ b/src/adapters/peer/codec.cpp
@@ -203,7 +203,8 @@
     }
     auto operator()(ports::forwarded_answer const& m) const
     {
-        return schema::Createforwarded_answer(out, m.id, write(out, m.answer))
+        return schema::Createforwarded_answer(
+                   out, m.id, write(out, m.answer), m.free_slots, m.queued)
             .Union();
     }
     auto operator()(ports::slice_request const& m) const
@@ -319,7 +320,8 @@
     {
         return std::nullopt;
     }
-    return ports::forwarded_answer{value.id(), std::move(*answer)};
+    return ports::forwarded_answer{
+        value.id(), std::move(*answer), value.free_slots(), value.queued()};
 }
 
 std::optional<ports::peer_message> read_message(schema::frame const& value)
--- a/src/adapters/runtime/clock.cpp
+++ b/src/adapters/runtime/clock.cpp
@@ -1,6 +1,7 @@
 #include "core/common/time.hpp"
 
 #include <atomic>
+#include <ctime>
 
 namespace fuchsia::core::common
 {
@@ -13,10 +14,18 @@
 // What pauses have taken from the clock's reading.
 std::atomic<clock::rep> lag{0};
 
+constexpr clock::rep microseconds_in_second = 1'000'000;
+constexpr clock::rep nanoseconds_in_microsecond = 1'000;
+
+// The steady clock stands still while a virtual machine is suspended: a member
+// that wakes would take its proof for a young one and act beside whoever took
+// over. This one counts the time asleep, so the pause is seen.
 clock::rep machine_reading() noexcept
 {
-    auto const since = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<duration>(since).count();
+    timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return reading.tv_sec * microseconds_in_second +
+           reading.tv_nsec / nanoseconds_in_microsecond;
 }
 
 } // namespace
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -279,6 +279,7 @@
                        ports::member_identity const& from,
                        ports::actions& out);
     void send_loads(common::time_point now, ports::actions& out);
+    ports::load_report own_load() const noexcept;
     void send_peer(ports::member_identity const& to,
                    ports::peer_message message,
                    ports::actions& out) const;
@@ -375,6 +376,7 @@
     std::optional<common::time_point> last_event_;
     common::time_point woke_{}; ///< End of the last pause, or the start.
     common::time_point next_loads_{};
+    std::size_t next_load_peer_ = 0;
     common::time_point stop_announced_{};
     std::uint64_t applied_revision_ = 0;
     std::uint64_t newest_revision_ = 0; ///< That anybody told of.
--- a/src/core/requests/entry_peers.cpp
+++ b/src/core/requests/entry_peers.cpp
@@ -1,5 +1,7 @@
 #include "core/requests/entry_engine.hpp"
 
+#include <algorithm>
+
 #include <utility>
 
 // What goes between entries: forwarded requests and their answers, free slots
@@ -152,7 +154,7 @@
                          open_request& one,
                          ports::actions& out)
 {
-    if (!one.is_local() || one.spilled)
+    if (one.spilled_here || one.spilled)
     {
         return false;
     }
@@ -272,6 +274,7 @@
         return;
     }
     by_sending_.erase(message.id);
+    loads_.on_report(now, from, {message.free_slots, message.queued});
     bool const not_run = message.answer.says == common::outcome::not_run;
     bool const handed_over =
         message.answer.code == result_code::owner_unreachable;
@@ -305,7 +308,11 @@
                                ports::caller_answer answer,
                                ports::actions& out) const
 {
-    send_peer(to, ports::forwarded_answer{id, std::move(answer)}, out);
+    auto const load = own_load();
+    send_peer(to,
+              ports::forwarded_answer{
+                  id, std::move(answer), load.free_slots, load.queued},
+              out);
 }
 
 // The peer was buried or has left: its answers will not come any more.
@@ -364,11 +371,13 @@
         return;
     }
     next_loads_ = now + settings_.load_interval;
-    bool const welcome = life_.phase() == entry_phase::serving;
-    ports::load_report const report{welcome ? slots_.free_slots() : 0,
-                                    static_cast<std::uint32_t>(queue_.size())};
-    for (auto const& info : members_.live())
+    auto const report = own_load();
+    auto const& live = members_.live();
+    auto const count = std::min(live.size(), settings_.load_fanout);
+    // The next few in turn, so that every peer hears of every other.
+    for (std::size_t turn = 0; turn < count; ++turn)
     {
+        auto const& info = live[next_load_peer_++ % live.size()];
         if (info.id != members_.self().id)
         {
             send_peer(info.id, report, out);
@@ -376,6 +385,13 @@
     }
 }
 
+ports::load_report entry_engine::own_load() const noexcept
+{
+    bool const welcome = life_.phase() == entry_phase::serving;
+    return {welcome ? slots_.free_slots() : 0,
+            static_cast<std::uint32_t>(queue_.size())};
+}
+
 void entry_engine::send_peer(ports::member_identity const& to,
                              ports::peer_message message,
                              ports::actions& out) const
--- a/src/core/requests/entry_settings.hpp
+++ b/src/core/requests/entry_settings.hpp
@@ -47,6 +47,12 @@
     /// our configuration is the newest.
     common::duration config_limit = std::chrono::seconds(5);
     common::duration load_interval = std::chrono::milliseconds(500);
+    /// Peers that hear of our load in one interval. All of them would make a
+    /// node's bytes grow with the members: 19 KB/s at 33.
+    std::size_t load_fanout = 3;
+    /// A peer's load counts for so long: with 33 members it is heard of every
+    /// 6 s. One that is out of date costs a refusal and a second choice.
+    common::duration load_lifetime = std::chrono::seconds(10);
     /// How long a balancer may go on sending after /readyz turned to 503.
     common::duration balancer_lag = std::chrono::seconds(5);
     /// How long a handover waits for each of: slots, keys, acknowledgement.
--- a/src/ports/peer.hpp
+++ b/src/ports/peer.hpp
@@ -78,6 +78,10 @@
 {
     std::uint64_t id = 0;
     caller_answer answer;
+    /// The answerer's load, as in `load_report`: who forwards much to a peer
+    /// learns of its free slots as fast as they change.
+    std::uint32_t free_slots = 0;
+    std::uint32_t queued = 0;
 };
 
 /// Asks the owner of hash(customer) for a slice of the contract.
--- a/tests/contract/adapters/peer_test.cpp
+++ b/tests/contract/adapters/peer_test.cpp
@@ -63,7 +63,7 @@
             ports::config_request{9},
             ports::load_report{10, 11},
             ports::forwarded_request{12, true, some_request(), 29},
-            ports::forwarded_answer{13, some_answer()},
+            ports::forwarded_answer{13, some_answer(), 32, 33},
             ports::slice_request{14, "estate-owners", 15, 16, 17},
             ports::slice_grant{18, "estate-owners", 19, 20, 21, 22},
             ports::key_handover{
