--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -18,9 +18,8 @@
 
 struct claim_settings
 {
-    /// One long poll of the partitions waits this long. An answer carries all
-    /// of them (64 are about 16 KB), so a short wait would cost bandwidth:
-    /// every 30 s it is 0.5 KB/s.
+    /// One long poll of the partitions waits this long. Its answer carries all
+    /// of them even where none changed, so a short wait would cost bandwidth.
     common::duration watch_wait = std::chrono::seconds(30);
     /// Between two polls while claims change: one answer covers many changes.
     common::duration watch_gap = std::chrono::milliseconds(250);
--- a/src/core/membership/member.hpp
+++ b/src/core/membership/member.hpp
@@ -44,11 +44,11 @@
 /// promises and consent as a witness, buries members that are gone.
 ///
 /// Promises are asked for only once the newest proof is `hold / 2` old, which
-/// is when a beat was missed. Asking always would cost each node about 2 KB/s
-/// of its 3 KB/s and gain nothing: half of `hold` is left to get them, a
-/// hundred times a round trip. While the store is silent a round goes out
-/// every `hold / 3`: 5 witnesses make 7.5 requests and as many replies a
-/// second, of about 120 bytes.
+/// is when a beat was missed. Safety needs no more, and neither does failover:
+/// half of `hold` is left to get them, hundreds of round trips. Asking always
+/// would add to each node's traffic in calm times, which is bounded. While the
+/// store is silent a round goes out every `hold / 3`: with 5 witnesses 7.5
+/// requests and as many replies a second are sent by each member.
 class member
 {
 public:
--- a/src/core/membership/record.hpp
+++ b/src/core/membership/record.hpp
@@ -52,7 +52,7 @@
 std::string to_hexadecimal(std::uint64_t number);
 std::optional<std::uint64_t> from_hexadecimal(std::string_view text) noexcept;
 
-/// "entry-kochi-a-1#9f0c". One string takes half the bytes of an object, and
+/// "entry-kochi-a-1#9f0c". One string takes fewer bytes than an object, and
 /// every member reads all records every other second.
 std::string to_text(ports::member_identity const& id);
 std::optional<ports::member_identity> identity_from(std::string_view text);
