Sample the services' tails during a run, by phase

The colocation experiment has phases now, and fuchsia-load reads the workers' reports each second: median and worst hundredth of the services' 99th percentiles stand beside the tasks' counts.

--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -88,6 +88,25 @@
         << " lost=" << count_of(books, "lost") << '\n';
 }
 
+void print_services(std::ostream& out, run_report const& report)
+{
+    for (auto const& [phase, tails] : report.services)
+    {
+        if (tails.count() == 0)
+        {
+            continue;
+        }
+        out << formatted("services in phase %s: samples=%llu "
+                         "median_p99_ms=%.2f worst_hundredth_ms=%.2f "
+                         "worst_ms=%.2f\n",
+                         phase.c_str(),
+                         wide(tails.count()),
+                         milliseconds(tails.quantile(0.5)),
+                         milliseconds(tails.quantile(0.99)),
+                         milliseconds(tails.largest()));
+    }
+}
+
 void print_upstreams(std::ostream& out, run_report const& report)
 {
     auto const& books = report.upstreams;
@@ -204,6 +223,7 @@
     }
     print_upstreams(out, report);
     print_tasks(out, report);
+    print_services(out, report);
     print_store(out, report);
 }
 
@@ -219,6 +239,14 @@
     json["streams"] = json_of_rows(report.requests.by_label());
     json["phases"] = json_of_rows(report.requests.by_phase());
     json["codes"] = json_of_counts(report.requests.codes());
+    boost::json::object services;
+    for (auto const& [phase, tails] : report.services)
+    {
+        services[phase] = {{"samples", tails.count()},
+                           {"median_p99_us", tails.quantile(0.5)},
+                           {"worst_hundredth_us", tails.quantile(0.99)}};
+    }
+    json["services"] = std::move(services);
     json["jobs"] = boost::json::object{{"submitted", report.jobs.submitted},
                                        {"accepted", report.jobs.accepted},
                                        {"refused", report.jobs.refused},
--- a/tools/load/report.hpp
+++ b/tools/load/report.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tools/load/book.hpp"
+#include "tools/load/service_sampler.hpp"
 #include "tools/load/standin_books.hpp"
 #include "tools/load/submitter.hpp"
 
@@ -23,6 +24,7 @@
     job_counts jobs;
     std::string job_reason;
     std::uint64_t events_failed = 0;
+    service_sampler::tails services;
     /// What the stand-ins counted during the run.
     counts platform;
     counts upstreams;
--- a/tools/load/run.cpp
+++ b/tools/load/run.cpp
@@ -104,6 +104,7 @@
                                       {
                                           arrivals_ = {};
                                       });
+    start_sampler();
     serve_arrivals();
     show_progress();
     end_when_idle();
@@ -266,6 +267,20 @@
     }
 }
 
+void load_run::start_sampler()
+{
+    if (!what_.targets.workers || what_.jobs.empty())
+    {
+        return;
+    }
+    auto const phase = [this]
+    {
+        return what_.phases[what_.phase_at(clock::now() - start_)].name;
+    };
+    services_.emplace(io_, *what_.targets.workers, phase);
+    services_->start();
+}
+
 void load_run::send_event(timed_event const& event, std::size_t tries)
 {
     adapters::http::client_call call;
@@ -388,6 +403,10 @@
     report.jobs = submitter_.counts();
     report.job_reason = submitter_.last_reason();
     report.events_failed = events_failed_;
+    if (services_)
+    {
+        report.services = services_->by_phase();
+    }
     report.platform =
         difference(platform_before_, counts_now(what_.targets.platform));
     report.upstreams =
--- a/tools/load/run.hpp
+++ b/tools/load/run.hpp
@@ -6,6 +6,7 @@
 #include "tools/load/experiment.hpp"
 #include "tools/load/report.hpp"
 #include "tools/load/schedule.hpp"
+#include "tools/load/service_sampler.hpp"
 #include "tools/load/submitter.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -49,6 +50,7 @@
     void push_next(std::size_t stream);
     void serve_arrivals();
     void start_events();
+    void start_sampler();
     void send_event(timed_event const& event, std::size_t tries);
     void on_event_end(timed_event const& event,
                       std::size_t tries,
@@ -66,6 +68,7 @@
     balancer entries_;
     caller caller_;
     submitter submitter_;
+    std::optional<service_sampler> services_;
     adapters::http::client events_;
     std::vector<arrival_stream> streams_;
     arrival_queue arrivals_;
--- /dev/null
+++ b/tools/load/service_sampler.cpp
@@ -0,0 +1,84 @@
+#include "tools/load/service_sampler.hpp"
+
+#include "adapters/platform/worker_client.hpp"
+
+#include <utility>
+
+namespace fuchsia::tools::load
+{
+
+namespace
+{
+constexpr core::common::duration interval = std::chrono::seconds(1);
+constexpr std::uint64_t max_reports = 64 * 1024 * 1024;
+
+adapters::http::client_settings connection_settings()
+{
+    adapters::http::client_settings settings;
+    settings.body_bytes = max_reports;
+    return settings;
+}
+
+} // namespace
+
+service_sampler::service_sampler(boost::asio::io_context& io,
+                                 ports::endpoint workers,
+                                 std::function<std::string()> phase)
+    : workers_(std::move(workers)), phase_(std::move(phase)),
+      client_(io, connection_settings()), timer_(io)
+{
+}
+
+void service_sampler::start()
+{
+    adapters::http::client_call call;
+    call.where = workers_;
+    call.message.method = "GET";
+    call.message.target = "/v1/reports";
+    client_.send(std::move(call),
+                 [this](ports::exchange_status status,
+                        adapters::http::response const& answer)
+                 {
+                     if (status == ports::exchange_status::answered)
+                     {
+                         take(answer);
+                     }
+                 });
+    timer_.expires_after(interval);
+    timer_.async_wait(
+        [this](auto error)
+        {
+            if (!error)
+            {
+                start();
+            }
+        });
+}
+
+void service_sampler::take(adapters::http::response const& answer)
+{
+    auto const reports = adapters::platform::parse_reports(answer.body);
+    if (!reports)
+    {
+        return;
+    }
+    auto& tail = by_phase_[phase_()];
+    for (auto const& report : *reports)
+    {
+        for (auto const& attempt : report.attempts)
+        {
+            bool const running = attempt.state == ports::attempt_state::running;
+            if (running && attempt.latency_p99_us > 0)
+            {
+                tail.record(static_cast<std::int64_t>(attempt.latency_p99_us));
+            }
+        }
+    }
+}
+
+service_sampler::tails const& service_sampler::by_phase() const noexcept
+{
+    return by_phase_;
+}
+
+} // namespace fuchsia::tools::load
