--- a/tests/unit/tasks/planner_test.cpp
+++ b/tests/unit/tasks/planner_test.cpp
@@ -320,6 +320,7 @@
     ASSERT_EQ(where.size(), 1U);
     system.workers.faults.delay = 1800ms;
     system.workers.faults.time_out = 10s;
+    system.workers.report_lag = 4s;
     system.set_out(system.workers.all.at(where.front()).info.data_centre, true);
     EXPECT_TRUE(reaches("report", "finished", 60s));
     EXPECT_EQ(system.workers.starts, 1U);
