--- a/src/core/requests/entry_engine.cpp
+++ b/src/core/requests/entry_engine.cpp
@@ -25,10 +25,10 @@
 
 } // namespace
 
-entry_engine::entry_engine(entry_settings settings,
-                           membership::member_info self,
+entry_engine::entry_engine(entry_settings const& settings,
+                           membership::member_info const& self,
                            std::uint64_t seed)
-    : settings_(consistent(std::move(settings))), random_(seed),
+    : settings_(consistent(settings)), random_(seed),
       members_(settings_.membership, self, seed ^ 1U),
       claims_("entry", partition_names()), follower_(settings_.configuration),
       slots_(settings_.upstreams, seed ^ 2U), keys_(settings_.keys),
@@ -247,7 +247,7 @@
 
 void entry_engine::after_platform(common::time_point now, ports::actions& out)
 {
-    sync_configuration(out);
+    sync_configuration(now, out);
     sync_members(now, out);
     sync_claims(now, out);
 }
@@ -258,6 +258,7 @@
     for (auto const& info : members_.live())
     {
         known_members_[info.id].reset();
+        heard_.emplace(info.id, now);
     }
     for (auto at = known_members_.begin(); at != known_members_.end();)
     {
@@ -281,6 +282,11 @@
         {
             return is_live(id);
         };
+        std::erase_if(heard_,
+                      [&live](auto const& heard)
+                      {
+                          return !live(heard.first);
+                      });
         replays_.keep_only(live);
         loads_.keep_only(live);
         on_peer_lost(now, out);
@@ -301,12 +307,21 @@
     for (std::uint32_t const partition : owners_.refresh(now, claims_))
     {
         report_to_new_owner(partition);
+        route_seeking(now, partition, out);
     }
 }
 
-void entry_engine::sync_configuration(ports::actions& out)
+void entry_engine::sync_configuration(common::time_point now,
+                                      ports::actions& out)
 {
     auto const& current = follower_.current();
+    configuration_seen_ =
+        std::max(configuration_seen_, follower_.confirmed_at());
+    // While the store is silent the witnesses' promises tell their revisions.
+    if (!members_.proved_by_store() && members_.may_act(now))
+    {
+        configuration_seen_ = now;
+    }
     newest_revision_ = std::max(newest_revision_, current.revision);
     if (current.revision >= newest_revision_)
     {
@@ -438,7 +453,7 @@
     switch (life_.phase())
     {
     case entry_phase::joining:
-        if (members_.may_act(now) && claims_.known())
+        if (may_send(now) && claims_.known())
         {
             life_.on(entry_event::joined);
             log(out, ports::severity::info, "serving", {});
@@ -453,7 +468,12 @@
         }
         break;
     case entry_phase::finishing:
-        if (unanswered_ == 0 && (claims_.held(members_) == 0 || waited_long))
+        if (unanswered_ > 0 || claims_.held(members_) > 0)
+        {
+            busy_at_ = now;
+        }
+        if (unanswered_ == 0 &&
+            (now - busy_at_ >= settings_.leave_lag || waited_long))
         {
             life_.on(entry_event::finished);
             members_.remove(now, out);
@@ -477,13 +497,22 @@
     return members_.find(id) != nullptr;
 }
 
+bool entry_engine::is_silent(common::time_point now,
+                             ports::member_identity const& id) const noexcept
+{
+    auto const found = heard_.find(id);
+    return found == heard_.end() ||
+           now - found->second > settings_.silence_limit;
+}
+
 // A member whose proof stands but whose configuration is known to be old could
 // give work to an upstream that operators took out of service.
 bool entry_engine::may_send(common::time_point now) const noexcept
 {
     bool const behind =
         behind_since_ && now - *behind_since_ > settings_.config_grace;
-    return !retired_ && !behind && members_.may_act(now);
+    bool const seen = now - configuration_seen_ <= settings_.config_limit;
+    return !retired_ && !behind && seen && members_.may_act(now);
 }
 
 bool entry_engine::owns(common::time_point now,
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -82,8 +82,8 @@
 class entry_engine
 {
 public:
-    entry_engine(entry_settings settings,
-                 membership::member_info self,
+    entry_engine(entry_settings const& settings,
+                 membership::member_info const& self,
                  std::uint64_t seed);
 
     void start(common::time_point now, ports::actions& out);
@@ -156,7 +156,7 @@
     void after_platform(common::time_point now, ports::actions& out);
     void sync_members(common::time_point now, ports::actions& out);
     void sync_claims(common::time_point now, ports::actions& out);
-    void sync_configuration(ports::actions& out);
+    void sync_configuration(common::time_point now, ports::actions& out);
     void on_claim_change(common::time_point now,
                          claims::claim_change const& change,
                          ports::actions& out);
@@ -169,6 +169,8 @@
                         ports::actions& out);
     void drive_life(common::time_point now, ports::actions& out);
     bool is_live(ports::member_identity const& id) const noexcept;
+    bool is_silent(common::time_point now,
+                   ports::member_identity const& id) const noexcept;
     bool may_send(common::time_point now) const noexcept;
     bool owns(common::time_point now, std::uint32_t partition) const noexcept;
     void log(ports::actions& out,
@@ -192,6 +194,11 @@
     void charge(common::time_point now, open_request& one, ports::actions& out);
     void route(common::time_point now, open_request& one, ports::actions& out);
     void
+    seek_owner(common::time_point now, open_request& one, ports::actions& out);
+    void route_seeking(common::time_point now,
+                       std::uint32_t partition,
+                       ports::actions& out);
+    void
     dispatch(common::time_point now, open_request& one, ports::actions& out);
     bool send_upstream(common::time_point now,
                        open_request& one,
@@ -211,6 +218,9 @@
     void fire_timers(common::time_point now, ports::actions& out);
     void
     on_timer(common::time_point now, open_request& one, ports::actions& out);
+    void refuse_if_waiting(common::time_point now,
+                           std::uint64_t id,
+                           ports::actions& out);
     void fail_waiting(common::time_point now, ports::actions& out);
 
     // entry_answers.cpp: how requests end.
@@ -218,8 +228,9 @@
                 open_request& one,
                 result_code code,
                 ports::actions& out);
-    ports::caller_answer
-    refusal(ports::caller_request const& request, bool fresh, result_code code);
+    ports::caller_answer refusal(result_code code, bool unheard);
+    static bool is_first_heard(ports::caller_request const& request) noexcept;
+    bool is_unheard(common::time_point now, open_request const& one) const;
     void conclude(common::time_point now,
                   std::uint64_t id,
                   ports::caller_answer const& answer,
@@ -229,7 +240,7 @@
                          result_code code,
                          ports::actions& out);
     void deliver(open_request& one,
-                 ports::caller_answer const& answer,
+                 ports::caller_answer answer,
                  ports::actions& out);
     void settle_key(common::time_point now,
                     open_request& one,
@@ -274,6 +285,10 @@
 
     // entry_contracts.cpp: slices of contracts.
     customer_state& customer_of(std::string const& name);
+    std::optional<result_code>
+    waits_in_vain(common::time_point now,
+                  customer_state const& customer,
+                  contracts::slice_verdict verdict) const;
     contracts::slice_ledger& ledger_of(common::time_point now,
                                        std::string const& name);
     void ask_for_slice(common::time_point now,
@@ -344,6 +359,11 @@
     std::map<std::string, contracts::slice_ledger> ledgers_;
     std::array<std::optional<takeover>, common::partition_count> takeovers_;
     std::map<std::uint32_t, handover> handovers_;
+    /// Requests that wait for another owner, by their key's partition.
+    std::map<std::uint32_t, std::vector<std::uint64_t>> seeking_;
+    /// When each live member was last heard from.
+    std::map<ports::member_identity, common::time_point> heard_;
+    common::time_point busy_at_{}; ///< Of a stop: last sign of work.
     /// Live members, and since when those that are not any more are gone.
     std::map<ports::member_identity, std::optional<common::time_point>>
         known_members_;
@@ -359,6 +379,8 @@
     std::uint64_t applied_revision_ = 0;
     std::uint64_t newest_revision_ = 0; ///< That anybody told of.
     std::optional<common::time_point> behind_since_;
+    /// When the configuration was last known to be the newest.
+    common::time_point configuration_seen_{};
     bool may_act_ = false;
     bool retired_ = false;
     entry_counts counts_;
--- a/src/core/requests/entry_requests.cpp
+++ b/src/core/requests/entry_requests.cpp
@@ -1,6 +1,7 @@
 #include "core/requests/entry_engine.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // The way of one request: from the door over its key, its customer's slice and
 // the queue to an upstream.
@@ -24,8 +25,8 @@
     }
     if (auto const code = refuse_at_door(now, request))
     {
-        out.emplace_back(
-            ports::caller_reply{caller, refusal(request, false, *code)});
+        out.emplace_back(ports::caller_reply{
+            caller, refusal(*code, is_first_heard(request))});
         return;
     }
     auto const* limits = contract_of(request.customer);
@@ -59,7 +60,8 @@
     }
     auto& one = requests_.at(found->second);
     if (one.stage == request_stage::queued ||
-        one.stage == request_stage::parked)
+        one.stage == request_stage::parked ||
+        one.stage == request_stage::seeking)
     {
         refuse(now, one, result_code::deadline_passed, out);
     }
@@ -127,9 +129,11 @@
     {
         return one.vouched;
     }
+    // A pause shorter than the limit is not noticed, so it counts as delay.
     auto const began = std::max(owners_.of(one.partition).learned, woke_);
-    return one.request.attempt == 1 &&
-           one.received - began >= settings_.sending_bound;
+    auto const late =
+        settings_.sending_bound + settings_.membership.pause_limit;
+    return one.request.attempt == 1 && one.received - began >= late;
 }
 
 contracts::contract const*
@@ -163,7 +167,6 @@
     switch (found.verdict)
     {
     case key_verdict::fresh:
-        one.fresh = true;
         return false;
     case key_verdict::ended:
     {
@@ -180,7 +183,6 @@
             set_timer(one, one.expires);
             return true;
         }
-        one.maybe_ran = true;
         refuse(now, one, result_code::queue_full, out);
         return true;
     case key_verdict::mismatch:
@@ -190,7 +192,6 @@
         refuse(now, one, result_code::key_memory_lost, out);
         return true;
     case key_verdict::full:
-        one.fresh = true;
         refuse(now, one, result_code::queue_full, out);
         return true;
     }
@@ -211,7 +212,7 @@
     auto const verdict =
         customer.parked.empty()
             ? customer.slice.admit(now, one.request.kind, *limits)
-            : contracts::slice_verdict::full;
+            : contracts::slice_verdict::no_slice;
     if (verdict == contracts::slice_verdict::admitted)
     {
         one.charged = true;
@@ -219,17 +220,10 @@
         return;
     }
     customer.slice.count_unmet();
-    if (verdict == contracts::slice_verdict::over_rate)
-    {
-        refuse(now, one, result_code::over_contract_rate, out);
-        return;
-    }
     // Waiting is of use only where the customer's owner may lend more.
-    bool const in_vain = customer.slice.is_limited(now) ||
-                         customer.parked.size() >= settings_.max_parked;
-    if (in_vain)
+    if (auto const code = waits_in_vain(now, customer, verdict))
     {
-        refuse(now, one, result_code::over_contract_in_flight, out);
+        refuse(now, one, *code, out);
         return;
     }
     one.stage = request_stage::parked;
@@ -254,7 +248,7 @@
     }
     if (!owns(now, one.partition))
     {
-        refuse(now, one, result_code::owner_unreachable, out);
+        seek_owner(now, one, out);
         return;
     }
     if (settle_known_key(now, one, out))
@@ -263,7 +257,7 @@
     }
     if (key_is_frozen(one.partition))
     {
-        refuse(now, one, result_code::owner_unreachable, out);
+        seek_owner(now, one, out);
         return;
     }
     keys_.begin(one.partition, one.key, one.fingerprint);
@@ -271,6 +265,47 @@
     dispatch(now, one, out);
 }
 
+// The key's partition is on its way to another owner: waits a moment for that.
+// A request that was forwarded here goes back to where it came from instead.
+void entry_engine::seek_owner(common::time_point now,
+                              open_request& one,
+                              ports::actions& out)
+{
+    if (!one.seek_until)
+    {
+        one.seek_until = std::min(one.expires, now + settings_.seek_patience);
+    }
+    auto& waiting = seeking_[one.partition];
+    bool const in_vain = !one.is_local() || now >= *one.seek_until ||
+                         waiting.size() >= settings_.max_seeking;
+    if (in_vain)
+    {
+        refuse(now, one, result_code::owner_unreachable, out);
+        return;
+    }
+    one.stage = request_stage::seeking;
+    waiting.push_back(one.id);
+    set_timer(one, one.seek_until);
+}
+
+void entry_engine::route_seeking(common::time_point now,
+                                 std::uint32_t partition,
+                                 ports::actions& out)
+{
+    auto const waiting = std::exchange(seeking_[partition], {});
+    for (std::uint64_t const id : waiting)
+    {
+        auto const found = requests_.find(id);
+        if (found != requests_.end() &&
+            found->second.stage == request_stage::seeking)
+        {
+            found->second.stage = request_stage::arrived;
+            set_timer(found->second, std::nullopt);
+            route(now, found->second, out);
+        }
+    }
+}
+
 void entry_engine::dispatch(common::time_point now,
                             open_request& one,
                             ports::actions& out)
@@ -447,10 +482,8 @@
     if (end.http_status == 0)
     {
         // A late answer that was read to its end but not kept.
-        conclude(now,
-                 one.id,
-                 refusal(one.request, false, result_code::deadline_after_send),
-                 out);
+        conclude(
+            now, one.id, refusal(result_code::deadline_after_send, true), out);
         return;
     }
     if (one.idempotent && end.http_status == http_unavailable)
@@ -517,6 +550,13 @@
                        : result_code::over_contract_in_flight,
                out);
         break;
+    case request_stage::seeking:
+        refuse(now,
+               one,
+               expired ? result_code::deadline_passed
+                       : result_code::owner_unreachable,
+               out);
+        break;
     case request_stage::queued:
         refuse(now, one, result_code::deadline_passed, out);
         break;
@@ -529,10 +569,7 @@
         slots_.on_slow(one.sending);
         if (one.is_local())
         {
-            deliver(
-                one,
-                refusal(one.request, false, result_code::deadline_after_send),
-                out);
+            deliver(one, refusal(result_code::deadline_after_send, true), out);
         }
         break;
     case request_stage::at_peer:
@@ -541,9 +578,7 @@
             erase(one.id);
             break;
         }
-        deliver(one,
-                refusal(one.request, false, result_code::deadline_after_send),
-                out);
+        deliver(one, refusal(result_code::deadline_after_send, true), out);
         set_timer(one,
                   std::max(now, one.sent + settings_.upstreams.max_execution));
         break;
@@ -553,6 +588,23 @@
     }
 }
 
+void entry_engine::refuse_if_waiting(common::time_point now,
+                                     std::uint64_t id,
+                                     ports::actions& out)
+{
+    auto const found = requests_.find(id);
+    if (found == requests_.end())
+    {
+        return;
+    }
+    auto& one = found->second;
+    if (one.stage == request_stage::parked ||
+        one.stage == request_stage::seeking)
+    {
+        refuse(now, one, result_code::no_proof, out);
+    }
+}
+
 void entry_engine::fail_waiting(common::time_point now, ports::actions& out)
 {
     while (auto const id = queue_.pop())
@@ -566,15 +618,16 @@
     }
     for (auto& [name, customer] : customers_)
     {
-        auto const parked = std::exchange(customer.parked, {});
-        for (std::uint64_t const id : parked)
+        for (std::uint64_t const id : std::exchange(customer.parked, {}))
+        {
+            refuse_if_waiting(now, id, out);
+        }
+    }
+    for (auto const& [partition, waiting] : std::exchange(seeking_, {}))
+    {
+        for (std::uint64_t const id : waiting)
         {
-            auto const found = requests_.find(id);
-            if (found != requests_.end() &&
-                found->second.stage == request_stage::parked)
-            {
-                refuse(now, found->second, result_code::no_proof, out);
-            }
+            refuse_if_waiting(now, id, out);
         }
     }
 }
--- a/src/programs/entry/entry_program.cpp
+++ b/src/programs/entry/entry_program.cpp
@@ -1,6 +1,6 @@
 #include "programs/entry/entry_program.hpp"
 
-#include "programs/entry/caller_headers.hpp"
+#include "adapters/callers/caller_headers.hpp"
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -12,6 +12,7 @@
 {
 
 using core::common::clock;
+namespace callers = adapters::callers;
 namespace http = adapters::http;
 
 constexpr std::size_t sends_ring = 8192;
@@ -113,14 +114,15 @@
         engine_->begin_stop(now, actions_);
         perform(now, false);
     };
-    events.on_rejoin = [this](time_point now, ports::member_identity self)
+    events.on_rejoin =
+        [this](time_point now, ports::member_identity const& self)
     {
         on_rejoin(now, self);
     };
     events.screen =
         [](http::request const& message) -> std::optional<http::response>
     {
-        if (auto const fault = find_fault(message))
+        if (auto const fault = callers::find_fault(message))
         {
             return http::failure_response(*fault);
         }
@@ -137,8 +139,7 @@
     info.data_centre = options_.daemon.data_centre;
     info.peer_address = shell_.peer_address();
     info.http_address = shell_.http_address();
-    return std::make_unique<engine>(
-        options_.engine, std::move(info), self_.incarnation);
+    return std::make_unique<engine>(options_.engine, info, self_.incarnation);
 }
 
 void entry_program::on_request(time_point now,
@@ -146,7 +147,7 @@
                                http::request& message)
 {
     core::common::failure reason;
-    auto request = parse_caller_request(message, reason);
+    auto request = callers::parse_caller_request(message, reason);
     if (!request)
     {
         shell_.answer(id, http::failure_response(reason));
@@ -240,7 +241,7 @@
                        reply.answer,
                        now - found->second.received);
     waiting_.erase(found);
-    shell_.answer(reply.caller, to_response(std::move(reply.answer)));
+    shell_.answer(reply.caller, callers::to_response(std::move(reply.answer)));
 }
 
 void entry_program::send_upstream(time_point now, ports::upstream_send& send)
@@ -298,7 +299,10 @@
                       ports::upstream_end end;
                       end.exchange = exchange;
                       end.status = status;
-                      end.http_status = response.status;
+                      bool const whole =
+                          status == ports::exchange_status::answered ||
+                          status == ports::exchange_status::drained;
+                      end.http_status = whole ? response.status : 0;
                       end.headers = std::move(response.headers);
                       end.body = std::move(response.body);
                       ends_.try_push(end);
--- a/tests/contract/ctl/administration_test.cpp
+++ b/tests/contract/ctl/administration_test.cpp
@@ -348,6 +348,23 @@
     }
 }
 
+// The store has been down for a while. An operator who waits for each planner
+// in turn to lose its patience learns late that nothing can be changed.
+TEST(administration, a_known_outage_is_told_at_once)
+{
+    tests::memory_store store;
+    administration_bench bench(store);
+    ports::actions started;
+    bench.configuration.start(bench.now, started);
+    auto const& call = std::get<ports::store_call>(started.at(0));
+    bench.configuration.on_store_reply(bench.now, store.answer(call), started);
+    bench.now += 3s;
+    EXPECT_EQ(bench.request("PUT", "/v1/contracts/mill", mill).status, 200);
+    bench.now += 1ms;
+    auto const request = bench.ask("PUT", "/v1/contracts/mill", mill);
+    EXPECT_EQ(bench.replies[request].text("code"), "4001");
+}
+
 TEST(administration, too_many_changes_at_once_are_refused_as_not_run)
 {
     tests::memory_store store;
@@ -438,6 +455,16 @@
     EXPECT_EQ(status.body.at("members").as_array().size(), 1U);
 }
 
+TEST(administration, names_in_a_path_may_be_percent_encoded)
+{
+    tests::memory_store store;
+    administration_bench bench(store);
+    bench.put_member("entry", "entry a:1", 0);
+    EXPECT_EQ(bench.request("DELETE", "/v1/members/entry/entry%20a%3A1").status,
+              200);
+    EXPECT_EQ(bench.request("DELETE", "/v1/members/entry/%2").status, 404);
+}
+
 TEST(administration, a_member_that_stands_still_can_be_removed)
 {
     tests::memory_store store;
