--- a/tests/process/operators_test.cpp
+++ b/tests/process/operators_test.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <set>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
@@ -227,6 +228,11 @@
             (folder_ / (names[at] + ".log")).string());
     }
 
+    std::vector<std::uint16_t> const& http_ports() const
+    {
+        return http_ports_;
+    }
+
     inline static std::vector<std::string> const names{
         "planner-kochi-a-1", "planner-thrissur-b-1", "planner-kottayam-c-1"};
     std::deque<child> planners;
@@ -441,6 +447,35 @@
     EXPECT_EQ(run({"contract", "withdraw", "mill", "--wait"}).status, 0);
 }
 
+// Somebody on call looks a metric up and the page does not know it.
+TEST_F(operators, every_metric_of_a_planner_stands_on_its_page)
+{
+    std::ifstream file(FUCHSIA_SOURCE_DIR "/docs/METRICS.md");
+    std::ostringstream page;
+    page << file.rdbuf();
+    std::set<std::string> names;
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            std::istringstream lines(
+                ask(http_ports()[0], "GET", "/metrics").body);
+            std::string line;
+            while (std::getline(lines, line))
+            {
+                if (line.starts_with("fuchsia_"))
+                {
+                    names.insert(line.substr(0, line.find_first_of(" {")));
+                }
+            }
+            return names.count("fuchsia_cells_owned") != 0 &&
+                   names.count("fuchsia_store_calls_total") != 0;
+        }));
+    for (auto const& name : names)
+    {
+        EXPECT_THAT(page.str(), HasSubstr("`" + name + "`"));
+    }
+}
+
 TEST_F(operators, bad_input_is_refused_and_the_plannerslive_on)
 {
     auto const bad = write("bad.json", R"({"customer":"mill"})");
