--- a/scripts/system.py
+++ b/scripts/system.py
@@ -70,7 +70,7 @@
         base = f"127.{net}.0.1"
         self.platform = f"{base}:8500"
         self.upstream_control = f"{base}:8600"
-        self.worker_agent = f"{base}:8700"
+        self.worker_agent = f"{base}:8550"
 
     # Settings -------------------------------------------------------------
 
