Answer every store call once, across a rejoin too; tell the outcome of job answers

Cause: the shell kept the incarnation of each open store call by the call's id, and a new incarnation numbers its calls from the start again. After a rejoin an old reply could be handed to a new call, and the new call's own reply dropped, which leaves its asker waiting for ever. The incarnation now goes with the call itself, and no more calls are open than the ring of replies has places. The ring's flag is cleared by an exchange. No functional change in the core.

--- a/src/adapters/daemon/shell.cpp
+++ b/src/adapters/daemon/shell.cpp
@@ -92,13 +92,13 @@
                    store_ring,
                    [this](store_out& out)
                    {
-                       in_flight_[out.call.id] = out.generation;
-                       store_->send(std::move(out.call));
+                       store_->send(std::move(out.call), out.generation);
                    }),
       store_replies_(decisions_,
-                     store_ring * 2,
+                     store_ring,
                      [this](store_in& in)
                      {
+                         --open_store_calls_;
                          if (in.generation != generation_)
                          {
                              return;
@@ -149,15 +149,10 @@
     store_ = std::make_unique<platform::store_client>(
         platform_.io(),
         store_settings_of(settings_),
-        [this](ports::store_reply reply)
+        [this](std::uint64_t generation, ports::store_reply reply)
         {
-            auto const found = in_flight_.find(reply.id);
-            std::uint64_t const generation =
-                found == in_flight_.end() ? 0 : found->second;
-            in_flight_.erase(reply.id);
-            // Each call takes one place for its reply, and the ring holds
-            // more than the core keeps in flight; a full one is a fault that
-            // the core sees as an unclear call.
+            // Never full: no more calls are open than the ring has places. A
+            // lost reply would leave its asker waiting for ever.
             store_replies_.try_push(store_in{generation, std::move(reply)});
         });
     catalog_ = std::make_unique<platform::catalog_client>(
@@ -420,10 +415,14 @@
 void shell::send_store(ports::store_call call)
 {
     auto const id = call.id;
-    if (!store_calls_.try_push(store_out{generation_, std::move(call)}))
+    bool const fits = open_store_calls_ < store_ring;
+    if (!fits ||
+        !store_calls_.try_push(store_out{generation_, std::move(call)}))
     {
         refuse_store(id);
+        return;
     }
+    ++open_store_calls_;
 }
 
 void shell::refuse_store(ports::call_id id)
--- a/src/adapters/daemon/shell.hpp
+++ b/src/adapters/daemon/shell.hpp
@@ -135,6 +135,7 @@
     ports::member_identity self_;
     std::uint64_t generation_ = 0;
     core::common::time_point last_tick_{};
+    std::size_t open_store_calls_ = 0; ///< Of all incarnations.
     std::atomic<bool> ready_{false};
     metrics::registry metrics_;
     logging::rate_limit log_;
@@ -168,8 +169,6 @@
     bool finishing_ = false;
     std::uint64_t next_request_ = 0;
     std::unordered_map<std::uint64_t, http::responder> waiting_;
-    // Of the platform thread: the generation of each call in flight.
-    std::map<ports::call_id, std::uint64_t> in_flight_;
     int status_ = 0;
 };
 
--- a/src/adapters/platform/store_client.cpp
+++ b/src/adapters/platform/store_client.cpp
@@ -268,16 +268,17 @@
 {
 }
 
-void store_client::send(ports::store_call call)
+void store_client::send(ports::store_call call, std::uint64_t tag)
 {
     if (!within_budget(call.operation))
     {
         ++counts_.over_budget;
-        boost::asio::post(io_,
-                          [this, id = call.id]
-                          {
-                              finish({id, store_status::unavailable, {}, 0});
-                          });
+        boost::asio::post(
+            io_,
+            [this, id = call.id, tag]
+            {
+                finish(tag, {id, store_status::unavailable, {}, 0});
+            });
         return;
     }
     ++counts_.calls[call.operation.index()];
@@ -295,10 +296,10 @@
     // beat from being sent.
     auto& client = watch != nullptr ? watches_ : client_;
     client.send(std::move(message),
-                [this, id = call.id, write](exchange_status status,
-                                            http::response const& answer)
+                [this, id = call.id, write, tag](exchange_status status,
+                                                 http::response const& answer)
                 {
-                    finish(read_reply(id, write, status, answer));
+                    finish(tag, read_reply(id, write, status, answer));
                 });
 }
 
@@ -313,10 +314,10 @@
     return is_write(operation) ? writes_.take(now) : reads_.take(now);
 }
 
-void store_client::finish(ports::store_reply reply)
+void store_client::finish(std::uint64_t tag, ports::store_reply reply)
 {
     ++counts_.ends[static_cast<std::size_t>(reply.status)];
-    handle_(std::move(reply));
+    handle_(tag, std::move(reply));
 }
 
 } // namespace fuchsia::adapters::platform
--- a/src/adapters/platform/store_client.hpp
+++ b/src/adapters/platform/store_client.hpp
@@ -46,20 +46,21 @@
 class store_client
 {
 public:
-    using handler = std::function<void(ports::store_reply)>;
+    using handler = std::function<void(std::uint64_t, ports::store_reply)>;
 
     store_client(boost::asio::io_context& io,
                  store_settings settings,
                  handler handle);
 
-    /// Answers through the handler exactly once, never from within `send`.
-    void send(ports::store_call call);
+    /// Answers through the handler exactly once, never from within `send`,
+    /// with `tag` beside the reply.
+    void send(ports::store_call call, std::uint64_t tag = 0);
 
     store_counts const& counts() const noexcept;
 
 private:
     bool within_budget(ports::store_operation const& operation);
-    void finish(ports::store_reply reply);
+    void finish(std::uint64_t tag, ports::store_reply reply);
 
     boost::asio::io_context& io_;
     store_settings settings_;
--- a/src/adapters/runtime/ring.hpp
+++ b/src/adapters/runtime/ring.hpp
@@ -63,7 +63,8 @@
     {
         // Cleared before the queue is looked at: a push that comes after the
         // last look then schedules a new turn instead of being forgotten.
-        scheduled_ = false;
+        // An exchange, since a plain store may pass the look at the queue.
+        scheduled_.exchange(false);
         T value;
         std::size_t handled = 0;
         while (handled < batch && queue_.pop(value))
--- a/src/programs/planner/planner_program.cpp
+++ b/src/programs/planner/planner_program.cpp
@@ -35,6 +35,8 @@
 
 response to_response(ports::caller_answer answer)
 {
+    answer.headers.push_back(
+        {"Fuchsia-Outcome", std::string(core::common::name_of(answer.says))});
     return {answer.status, std::move(answer.headers), std::move(answer.body)};
 }
 
--- a/tests/contract/adapters/settings_test.cpp
+++ b/tests/contract/adapters/settings_test.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 using namespace fuchsia;
 using core::common::result_code;
@@ -12,7 +13,8 @@
 
 std::string token_path()
 {
-    auto path = testing::TempDir() + "fuchsia_settings_test_token";
+    auto path = testing::TempDir() + "fuchsia_settings_test_token_" +
+                std::to_string(::getpid());
     std::ofstream(path) << "0123456789abcdef\n";
     return path;
 }
--- a/tests/session/planner_settings_test.cpp
+++ b/tests/session/planner_settings_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <regex>
 #include <sstream>
+#include <unistd.h>
 
 using namespace fuchsia;
 using adapters::settings::parse_planner_settings;
@@ -18,7 +19,8 @@
     std::ifstream file(FUCHSIA_SOURCE_DIR "/examples/planner.toml");
     std::ostringstream text;
     text << file.rdbuf();
-    auto const token = testing::TempDir() + "planner_settings_token";
+    auto const token = testing::TempDir() + "planner_settings_token_" +
+                       std::to_string(::getpid());
     std::ofstream(token) << "0123456789abcdef\n";
     return std::regex_replace(text.str(),
                               std::regex("token_file = \"token\""),
