Share partitions out evenly: rendezvous hashing with a bound

Cause: plain rendezvous hashing gave three entries 23, 14 and 27 of 64 partitions; the one with 14 had 40 of 384 slots and 22% of the keys. Nobody now gets more than the even share rounded up. Ruled out: more partitions (each is a key in the store).

--- a/src/core/claims/claim_table.cpp
+++ b/src/core/claims/claim_table.cpp
@@ -48,10 +48,12 @@
         return;
     }
     auto const who = find_candidates(now, members, leaving_, settings_.settle);
+    live_shares_.update(partitions_, who.live);
+    settled_shares_.update(partitions_, who.settled);
     for (auto const& [partition, current] : view_.all())
     {
         auto& state = progress_[partition];
-        drive_owned(now, current, state, members, who);
+        drive_owned(now, current, state, members);
         if (state.calling || now < state.retry ||
             writes_ >= settings_.max_writes)
         {
@@ -63,7 +65,7 @@
         }
         else
         {
-            drive_free(now, current, members, who, out);
+            drive_free(now, current, members, out);
         }
     }
     drive_buried(now, members, who, out);
@@ -117,7 +119,6 @@
 void claim_table::drive_free(common::time_point now,
                              claim const& current,
                              membership::member const& members,
-                             candidates const& who,
                              ports::actions& out)
 {
     if (!may_claim(now, members) || !is_free(current, members))
@@ -128,7 +129,7 @@
     {
         return;
     }
-    auto const* wanted = winner(current.partition, who.live);
+    auto const* wanted = live_shares_.owner(current.partition);
     bool const ours = current.handed_to == self_ ||
                       (wanted != nullptr && *wanted == self_.name);
     if (ours && std::binary_search(
@@ -184,8 +185,7 @@
 void claim_table::drive_owned(common::time_point now,
                               claim const& current,
                               progress& state,
-                              membership::member const& members,
-                              candidates const& who)
+                              membership::member const& members)
 {
     if (current.owner != self_)
     {
@@ -205,10 +205,10 @@
     {
         return;
     }
-    auto const* wanted = winner(current.partition, who.settled);
+    auto const* wanted = settled_shares_.owner(current.partition);
     if (wanted == nullptr)
     {
-        wanted = winner(current.partition, who.live);
+        wanted = live_shares_.owner(current.partition);
     }
     if (wanted != nullptr && *wanted == self_.name)
     {
@@ -487,7 +487,9 @@
 claim_table::wished(std::string const& partition,
                     membership::member const& members) const
 {
-    auto const* wanted = winner(partition, names_not_leaving(members));
+    fair_shares shares;
+    shares.update(partitions_, names_not_leaving(members));
+    auto const* wanted = shares.owner(partition);
     return wanted == nullptr ? nullptr : members.find(*wanted);
 }
 
--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -144,15 +144,13 @@
     void drive_owned(common::time_point now,
                      claim const& current,
                      progress& state,
-                     membership::member const& members,
-                     candidates const& who);
+                     membership::member const& members);
     void drive_unsettled(claim const& current,
                          progress const& state,
                          ports::actions& out);
     void drive_free(common::time_point now,
                     claim const& current,
                     membership::member const& members,
-                    candidates const& who,
                     ports::actions& out);
     void drive_buried(common::time_point now,
                       membership::member const& members,
@@ -184,6 +182,8 @@
     claim_settings settings_;
     claim_view view_;
     std::map<std::string, progress> progress_;
+    fair_shares live_shares_;    ///< Among all that don't leave.
+    fair_shares settled_shares_; ///< Among those live long enough.
     /// Bounded by one list, one erase and `max_writes`.
     std::map<std::uint64_t, pending_call> calls_;
     claim_counts counts_;
--- a/src/core/claims/wish.cpp
+++ b/src/core/claims/wish.cpp
@@ -41,6 +41,50 @@
     return names;
 }
 
+void fair_shares::update(std::vector<std::string> const& partitions,
+                         std::vector<std::string> const& names)
+{
+    if (partitions == partitions_ && names == names_)
+    {
+        return;
+    }
+    partitions_ = partitions;
+    names_ = names;
+    owners_.clear();
+    if (names_.empty())
+    {
+        return;
+    }
+    std::size_t const most =
+        (partitions_.size() + names_.size() - 1) / names_.size();
+    std::vector<std::size_t> owned(names_.size(), 0);
+    for (auto const& partition : partitions_)
+    {
+        std::size_t best = names_.size();
+        std::uint64_t best_weight = 0;
+        for (std::size_t index = 0; index < names_.size(); ++index)
+        {
+            auto const weight =
+                common::rendezvous_weight(partition, names_[index]);
+            if (owned[index] < most &&
+                (best == names_.size() || weight > best_weight))
+            {
+                best = index;
+                best_weight = weight;
+            }
+        }
+        ++owned[best];
+        owners_.emplace(partition, best);
+    }
+}
+
+std::string const*
+fair_shares::owner(std::string const& partition) const noexcept
+{
+    auto const found = owners_.find(partition);
+    return found == owners_.end() ? nullptr : &names_[found->second];
+}
+
 std::string const* winner(std::string const& partition,
                           std::vector<std::string> const& names)
 {
--- a/src/core/claims/wish.hpp
+++ b/src/core/claims/wish.hpp
@@ -3,6 +3,8 @@
 #include "core/common/time.hpp"
 #include "core/membership/member.hpp"
 
+#include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,24 @@
 /// Names of the live members that don't leave, sorted.
 std::vector<std::string> names_not_leaving(membership::member const& members);
 
+/// Who should own each partition: rendezvous hashing in which nobody gets more
+/// than the even share, rounded up. Without that bound one of three members
+/// owned 10% of all slots and 22% of the keys.
+class fair_shares
+{
+public:
+    /// Both sorted. Every member with the same lists names the same owners.
+    void update(std::vector<std::string> const& partitions,
+                std::vector<std::string> const& names);
+    /// Null where the partition is unknown or there is nobody.
+    std::string const* owner(std::string const& partition) const noexcept;
+
+private:
+    std::vector<std::string> partitions_;
+    std::vector<std::string> names_;
+    std::map<std::string, std::size_t> owners_; ///< Index into `names_`.
+};
+
 /// The rendezvous winner of the partition among `names`, into which it points;
 /// null where there is none.
 std::string const* winner(std::string const& partition,
--- a/src/core/common/hash.cpp
+++ b/src/core/common/hash.cpp
@@ -15,6 +15,12 @@
     return static_cast<std::uint32_t>(hash_of(key) % partition_count);
 }
 
+std::uint64_t rendezvous_weight(std::string_view key,
+                                std::string_view candidate) noexcept
+{
+    return hash_of(key, hash_of(candidate));
+}
+
 std::size_t rendezvous_winner(std::string_view key,
                               std::span<std::string const> candidates) noexcept
 {
@@ -22,7 +28,7 @@
     std::uint64_t best = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
-        std::uint64_t const weight = hash_of(key, hash_of(candidates[index]));
+        auto const weight = rendezvous_weight(key, candidates[index]);
         if (index == 0 || weight > best)
         {
             winner = index;
--- a/src/core/common/hash.hpp
+++ b/src/core/common/hash.hpp
@@ -17,6 +17,10 @@
 /// The partition of a key, below `partition_count`.
 std::uint32_t partition_of(std::string_view key) noexcept;
 
+/// How strongly rendezvous hashing draws `key` to `candidate`.
+std::uint64_t rendezvous_weight(std::string_view key,
+                                std::string_view candidate) noexcept;
+
 /// Index in `candidates` of the rendezvous-hash winner for `key`; every
 /// instance with the same candidates names the same one, and a change of the
 /// candidates moves only the keys that it must. `candidates` is not empty.
