Don't send what can't be answered in time; believe an upstream's refusal

A queued request whose time left is below the usual service time is now refused, not run, when its turn comes. An upstream's 503 with Upstream-Outcome: not-run goes elsewhere within the retry budget or is refused upstream_refused, where it was passed on as an answer.

--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -206,6 +206,8 @@
     void
     enqueue(common::time_point now, open_request& one, ports::actions& out);
     void pump(common::time_point now, ports::actions& out);
+    std::optional<result_code> too_late(common::time_point now,
+                                        open_request const& one) const;
     bool retry(common::time_point now, open_request& one, ports::actions& out);
     void on_whole_answer(common::time_point now,
                          open_request& one,
--- a/src/core/requests/entry_requests.cpp
+++ b/src/core/requests/entry_requests.cpp
@@ -1,6 +1,7 @@
 #include "core/requests/entry_engine.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 #include <utility>
 
 // The way of one request: from the door over its key, its customer's slice and
@@ -409,6 +410,10 @@
         {
             refuse(now, one, result_code::owner_unreachable, out);
         }
+        else if (auto const late = too_late(now, one))
+        {
+            refuse(now, one, *late, out);
+        }
         else if (!send_upstream(now, one, out))
         {
             refuse(now, one, result_code::no_free_slot, out);
@@ -416,6 +421,17 @@
     }
 }
 
+// By deadline, a long queue serves first what is about to expire. Such a
+// request would take a slot and be answered too late, and so would all after
+// it: goodput falls the more the higher the load. Refused now, its caller knows
+// at once that it did not run.
+std::optional<common::result_code>
+entry_engine::too_late(common::time_point now, open_request const& one) const
+{
+    queue_view const next{0, 0, slots_.usable_slots(), slots_.service_time()};
+    return requests::refuse(settings_.admission, next, one.expires - now);
+}
+
 bool entry_engine::retry(common::time_point now,
                          open_request& one,
                          ports::actions& out)
@@ -432,6 +448,24 @@
     return true;
 }
 
+namespace
+{
+
+// The upstream vouches that it did not run the request: it may go elsewhere,
+// whatever it is, and its caller may be told so.
+bool is_upstream_refusal(ports::upstream_end const& end)
+{
+    auto const says_so = [](ports::header const& header)
+    {
+        return boost::algorithm::iequals(header.name, "Upstream-Outcome") &&
+               header.value == "not-run";
+    };
+    return end.http_status == http_unavailable &&
+           std::any_of(end.headers.begin(), end.headers.end(), says_so);
+}
+
+} // namespace
+
 void entry_engine::on_upstream_end(common::time_point now,
                                    ports::upstream_end const& end,
                                    ports::actions& out)
@@ -457,6 +491,14 @@
     {
     case answered:
     case drained:
+        if (is_upstream_refusal(end) && !one->answered)
+        {
+            if (!retry(now, *one, out))
+            {
+                refuse(now, *one, result_code::upstream_refused, out);
+            }
+            break;
+        }
         on_whole_answer(now, *one, end, out);
         break;
     case not_sent:
