--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/server.hpp"
 
+#include "adapters/runtime/listen.hpp"
 #include "adapters/runtime/timer.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -60,35 +61,12 @@
     std::optional<ports::endpoint> listen(ports::endpoint const& where,
                                           core::common::failure& reason)
     {
-        beast::error_code error;
-        auto const address = asio::ip::make_address(where.address, error);
-        tcp::endpoint const target(address, where.port);
-        if (!error)
+        auto const bound = runtime::open_acceptor(acceptor_, where, reason);
+        if (bound)
         {
-            acceptor_.open(target.protocol(), error);
+            accept();
         }
-        if (!error)
-        {
-            acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-        }
-        if (!error)
-        {
-            acceptor_.bind(target, error);
-        }
-        if (!error)
-        {
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
-        }
-        if (error)
-        {
-            reason = {result_code::out_of_range,
-                      to_string(where),
-                      "can't listen: " + error.message()};
-            return std::nullopt;
-        }
-        accept();
-        return ports::endpoint{where.address,
-                               acceptor_.local_endpoint().port()};
+        return bound;
     }
 
     void drain();
--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer/transport.hpp"
 
 #include "adapters/http/message.hpp"
+#include "adapters/runtime/listen.hpp"
 #include "adapters/runtime/timer.hpp"
 
 #include <array>
@@ -407,34 +408,12 @@
 transport::state::listen(ports::endpoint const& where,
                          core::common::failure& reason)
 {
-    error_code error;
-    auto const address = asio::ip::make_address(where.address, error);
-    tcp::endpoint const target(address, where.port);
-    if (!error)
-    {
-        acceptor_.open(target.protocol(), error);
-    }
-    if (!error)
-    {
-        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error)
-    {
-        acceptor_.bind(target, error);
-    }
-    if (!error)
-    {
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
+    auto const bound = runtime::open_acceptor(acceptor_, where, reason);
+    if (bound)
     {
-        reason = {result_code::out_of_range,
-                  http::to_string(where),
-                  "can't listen: " + error.message()};
-        return std::nullopt;
+        accept();
     }
-    accept();
-    return ports::endpoint{where.address, acceptor_.local_endpoint().port()};
+    return bound;
 }
 
 void transport::state::accept()
--- a/standins/links/relay.cpp
+++ b/standins/links/relay.cpp
@@ -1,6 +1,7 @@
 #include "standins/links/relay.hpp"
 
 #include "adapters/http/message.hpp"
+#include "adapters/runtime/listen.hpp"
 #include "adapters/runtime/timer.hpp"
 
 #include <algorithm>
@@ -289,37 +290,13 @@
 
 std::optional<ports::endpoint> relay::listen(core::common::failure& reason)
 {
-    error_code error;
-    auto const address =
-        asio::ip::make_address(settings_.listen.address, error);
-    tcp::endpoint const where(address, settings_.listen.port);
-    auto& socket = acceptor_->socket;
-    if (!error)
+    auto const bound = adapters::runtime::open_acceptor(
+        acceptor_->socket, settings_.listen, reason);
+    if (bound)
     {
-        socket.open(where.protocol(), error);
+        accept();
     }
-    if (!error)
-    {
-        socket.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error)
-    {
-        socket.bind(where, error);
-    }
-    if (!error)
-    {
-        socket.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error)
-    {
-        reason = {result_code::out_of_range,
-                  adapters::http::to_string(settings_.listen),
-                  "can't listen: " + error.message()};
-        return std::nullopt;
-    }
-    accept();
-    return ports::endpoint{settings_.listen.address,
-                           socket.local_endpoint().port()};
+    return bound;
 }
 
 void relay::accept()
