Charge only what may run: retries told unknown used up the contract

Cause: after kill -9 of one of nine entries the share of answered requests was 90% for 15 s and then fell to 25% and stayed there, refused over_contract_in_flight with 400 slots free. A keyed retry whose earlier sending may have run on the dead owner is told "unknown" (3004) by the new owner. The entry it came through took "unknown" to mean that this sending runs on and charged it for max_execution, 30 s; 30 of them a second fill three contracts of 300. Ruled out: slices that the new owner reserves for silent entries (one dead holds a third at most), slots. A test of it failed with 11 charged of 100 such retries before and 0 after. Also: an entry holds at most 167 of 1,000 of a contract, 334 before, since a new owner reserves that much for each that can't report: three dead ones were all.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -61,7 +61,7 @@
     std::optional<ports::endpoint> listen(ports::endpoint const& where,
                                           core::common::failure& reason)
     {
-        auto const bound = runtime::open_acceptor(acceptor_, where, reason);
+        auto bound = runtime::open_acceptor(acceptor_, where, reason);
         if (bound)
         {
             accept();
--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -408,7 +408,7 @@
 transport::state::listen(ports::endpoint const& where,
                          core::common::failure& reason)
 {
-    auto const bound = runtime::open_acceptor(acceptor_, where, reason);
+    auto bound = runtime::open_acceptor(acceptor_, where, reason);
     if (bound)
     {
         accept();
--- a/src/core/contracts/slice.hpp
+++ b/src/core/contracts/slice.hpp
@@ -30,8 +30,11 @@
     /// An unanswered request is repeated after this.
     common::duration ask_again = std::chrono::milliseconds(150);
     /// No entry holds a larger part of a contract, so that a new owner knows
-    /// how much an entry that does not report may have at most.
-    std::uint32_t cap_permille = 334;
+    /// how much an entry that does not report may have at most. Half as much
+    /// again as the even share of nine: an entry can take more than its share,
+    /// and a new owner has half the contract left to lend while a whole data
+    /// centre of three entries can't report.
+    std::uint32_t cap_permille = 167;
     /// How long requests of an entry that died may run on.
     common::duration max_execution = std::chrono::seconds(30);
 };
--- a/src/core/requests/entry_peers.cpp
+++ b/src/core/requests/entry_peers.cpp
@@ -262,6 +262,32 @@
     }
 }
 
+namespace
+{
+
+// Whether this sending may be running at the peer's upstream. "Unknown" alone
+// does not say so: of a key that the peer's memory does not hold, or of a retry
+// that it refuses, an earlier sending may have run, and this one has not.
+// Charged as running, 30 such answers a second use up a contract of 900
+// requests.
+bool may_still_run(ports::caller_answer const& answer) noexcept
+{
+    using enum common::result_code;
+    switch (answer.code)
+    {
+    case upstream_lost:
+    case upstream_partial:
+    case deadline_after_send:
+    case owner_lost:
+    case answer_too_large:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
 void entry_engine::on_forwarded_answer(common::time_point now,
                                        ports::member_identity const& from,
                                        ports::forwarded_answer const& message,
@@ -292,7 +318,7 @@
         dispatch(now, *one, out);
         return;
     }
-    if (message.answer.says == common::outcome::unknown)
+    if (may_still_run(message.answer))
     {
         // It may run on there; the charge stays as long.
         deliver(*one, message.answer, out);
--- a/standins/links/relay.cpp
+++ b/standins/links/relay.cpp
@@ -290,7 +290,7 @@
 
 std::optional<ports::endpoint> relay::listen(core::common::failure& reason)
 {
-    auto const bound = adapters::runtime::open_acceptor(
+    auto bound = adapters::runtime::open_acceptor(
         acceptor_->socket, settings_.listen, reason);
     if (bound)
     {
--- a/standins/upstreams/executor.cpp
+++ b/standins/upstreams/executor.cpp
@@ -201,7 +201,7 @@
 
 std::optional<ports::endpoint> executor::listen(core::common::failure& reason)
 {
-    auto const bound = adapters::runtime::open_acceptor(
+    auto bound = adapters::runtime::open_acceptor(
         acceptor_->socket, settings_.listen, reason);
     if (bound)
     {
--- a/tests/unit/requests/entry_cases_test.cpp
+++ b/tests/unit/requests/entry_cases_test.cpp
@@ -448,3 +448,75 @@
     EXPECT_EQ(world().at(again).answer.says, outcome::unknown);
     EXPECT_EQ(world().runs("body of a"), 1U);
 }
+
+// An upstream that is full or starting refuses and says that it did not run the
+// request. Told as an answer, a bid would be lost though another upstream could
+// have taken it.
+TEST_F(entry_cases, what_an_upstream_refuses_goes_elsewhere_or_has_not_run)
+{
+    begin();
+    world().faults.refused_permille = 300;
+    std::uint32_t ran = 0;
+    for (int at = 0; at < 40; ++at)
+    {
+        auto const id = world().send(0, bid("r" + std::to_string(at), 1));
+        wait_for(id);
+        ran += world().at(id).answer.says == outcome::ran ? 1 : 0;
+    }
+    EXPECT_GE(ran, 30U);
+    world().faults.refused_permille = 1000;
+    auto const refused = world().send(0, bid("never", 1));
+    wait_for(refused);
+    EXPECT_EQ(world().at(refused).answer.says, outcome::not_run);
+    EXPECT_EQ(world().runs("body of never"), 0U);
+}
+
+// The queue has grown beyond what can be served in time. Serving by deadline
+// sends what is about to expire: its slot is spent on an answer that nobody
+// waits for, and the caller is told "unknown" instead of "not run".
+TEST_F(entry_cases, overload_wastes_no_slot_on_what_is_too_late)
+{
+    world_options options;
+    options.upstreams = 3;
+    options.slots = 2;
+    options.in_flight = 100'000;
+    begin(options);
+    world().faults.fastest = 10ms;
+    world().faults.slowest = 190ms;
+    std::vector<std::uint64_t> sent;
+    for (int at = 0; at < 600; ++at)
+    {
+        auto request = query("load " + std::to_string(at));
+        request.deadline = 300ms;
+        sent.push_back(world().send(at % 3, request, at * 5ms));
+    }
+    world().run(10s);
+    std::uint32_t unknown = 0;
+    for (auto const id : sent)
+    {
+        unknown += world().at(id).answer.says == outcome::unknown ? 1 : 0;
+    }
+    EXPECT_LE(unknown, sent.size() / 20);
+}
+
+// After an owner's death its callers send their keys again, and are told
+// "unknown", for minutes. None of these sendings runs. If each were charged as
+// if it did, they would use up the contract, and the customer's other requests
+// would be refused by a system with plenty of free slots.
+TEST_F(entry_cases, retries_told_unknown_after_a_takeover_use_up_no_contract)
+{
+    begin();
+    auto const owner = world().owner_of("a");
+    world().kill(owner);
+    world().run(15s);
+    auto const reader = world().other_than(owner);
+    std::uint32_t unknown = 0;
+    for (int at = 0; at < 100; ++at)
+    {
+        auto const id = world().send(reader, bid("u" + std::to_string(at), 2));
+        wait_for(id);
+        unknown += world().at(id).answer.says == outcome::unknown ? 1 : 0;
+    }
+    EXPECT_GT(unknown, 10U);
+    EXPECT_EQ(world().in_flight(), 0U);
+}
--- a/tests/unit/requests/entry_world.cpp
+++ b/tests/unit/requests/entry_world.cpp
@@ -515,6 +515,11 @@
         return;
     }
     duration const way = 1ms;
+    if (chance(faults.refused_permille))
+    {
+        refuse_later(who, what.exchange, 2 * way);
+        return;
+    }
     duration const spread = faults.slowest - faults.fastest;
     duration const service =
         faults.fastest +
@@ -538,6 +543,28 @@
               loses ? 2 * way : 2 * way + service);
 }
 
+void entry_world::refuse_later(node_pointer const& who,
+                               std::uint64_t exchange,
+                               duration after)
+{
+    ports::upstream_end end;
+    end.exchange = exchange;
+    end.status = ports::exchange_status::answered;
+    end.http_status = 503;
+    end.headers.push_back({"upstream-outcome", "not-run"});
+    time.after(after,
+               [this, who, end]
+               {
+                   hand(who,
+                        [end](entry_engine& engine,
+                              time_point now,
+                              ports::actions& out)
+                        {
+                            engine.on_upstream_end(now, end, out);
+                        });
+               });
+}
+
 void entry_world::begin_on_upstream(ports::upstream_send const& what)
 {
     auto& one = upstreams_.at(what.upstream);
--- a/tests/unit/requests/entry_world.hpp
+++ b/tests/unit/requests/entry_world.hpp
@@ -43,7 +43,8 @@
 struct upstream_faults
 {
     std::uint32_t not_sent_permille = 0;
-    std::uint32_t lost_permille = 0; ///< The answer; the request runs on.
+    std::uint32_t lost_permille = 0;    ///< The answer; the request runs on.
+    std::uint32_t refused_permille = 0; ///< 503, vouched not to have run.
     duration fastest = std::chrono::milliseconds(20);
     duration slowest = std::chrono::milliseconds(60);
 };
@@ -134,6 +135,9 @@
     void perform(node_pointer const& who, ports::actions const& actions);
     void run_on_upstream(node_pointer const& who,
                          ports::upstream_send const& what);
+    void refuse_later(node_pointer const& who,
+                      std::uint64_t exchange,
+                      duration after);
     void begin_on_upstream(ports::upstream_send const& what);
     void end_later(node_pointer const& who,
                    std::uint64_t exchange,
