Free no slot by a report while its connection stands

A timed-out exchange was taken for unseen, so a report that shows the upstream idle freed its slot; the request may lie unread in the connection of a frozen upstream and begin when it wakes. The slot is now free only with the other end.

--- a/scripts/failures.py
+++ b/scripts/failures.py
@@ -96,6 +96,7 @@
         for number in range(1, 6):
             call("POST", f"http://{system.upstream_control}/control/faults",
                  {"upstream": f"upstream-{number}", "freeze": freeze})
+    system.direct = False
     return RUN_SECONDS, [(FAULT_AT, lambda: tell(True)),
                          (FAULT_AT + 15, lambda: tell(False))]
 
--- a/scripts/system.py
+++ b/scripts/system.py
@@ -66,6 +66,7 @@
         self.customers += [f"customer-{number}" for number in
                            range(len(self.customers), contracts)]
         self.quiet = quiet
+        self.direct = True
         self.children = {}
         base = f"127.{net}.0.1"
         self.platform = f"{base}:8500"
@@ -306,6 +307,9 @@
     # Load -----------------------------------------------------------------
 
     def experiment(self, seconds, rate=60.0, jobs=True):
+        """Without `direct` no request goes past the entries: a direct one
+        takes a slot that no entry knows of, which a frozen upstream counts as
+        overfilled."""
         traffic = ""
         for customer in self.user["contracts"]:
             for label, kind, method, share, deadline in (
@@ -324,7 +328,8 @@
 key = {str(method == "POST").lower()}
 
 """
-        traffic += f"""[[traffic]]
+        if self.direct:
+            traffic += f"""[[traffic]]
 label = "direct"
 customer = "{self.user["contracts"][0]}"
 class = "latency-critical"
--- a/src/core/upstreams/slot_table.cpp
+++ b/src/core/upstreams/slot_table.cpp
@@ -236,6 +236,11 @@
         free_hold(end.exchange);
         break;
     case timed_out:
+        // The connection stands and the request may lie unread in it: a frozen
+        // upstream reports an idle slot and begins the request when it wakes.
+        // Only the other end, which follows, frees the slot.
+        on_slow(now, end.exchange);
+        break;
     case lost:
     case too_large:
         shrink(held.index);
--- a/tests/unit/upstreams/slot_table_test.cpp
+++ b/tests/unit/upstreams/slot_table_test.cpp
@@ -123,9 +123,31 @@
         table().tick(at(now + 9s));
         EXPECT_EQ(table().in_use("u"), row.free ? 0U : 1U);
         now += 11s;
+        if (row.ends.back() == timed_out)
+        {
+            table().tick(at(now));
+            EXPECT_EQ(table().in_use("u"), 1U) << "its connection stands";
+            end(now, exchange, drained);
+        }
     }
 }
 
+// An upstream is frozen with requests unread in its connections. The platform
+// reports it idle; were its slots taken for free, it would begin more than it
+// holds when it wakes.
+TEST_F(slot_table_test, report_frees_no_slot_whose_connection_stands)
+{
+    ASSERT_TRUE(take(1s, 1));
+    end(2s, 1, timed_out);
+    auto idle = upstream("u");
+    idle.slots_in_use = 0;
+    list(8s, idle);
+    EXPECT_EQ(table().in_use("u"), 1U);
+    end(9s, 1, lost);
+    list(15s, idle);
+    EXPECT_EQ(table().in_use("u"), 0U);
+}
+
 // A predecessor was killed with its requests still running here.
 TEST_F(slot_table_test, slots_stay_closed_after_a_takeover)
 {
