Leave no operator without an answer when a planner rejoins; number its calls anew

Cause: a planner frozen for 8 s was buried, rejoined and did not end within 60 s of SIGTERM. It had logged stopped; its HTTP thread waited for the answer to a request which the engine of the buried incarnation had taken with it. By reading: answers of workers were matched by the engine's call numbers, and each engine numbers from the start. An old "stopped" could be taken for the answer to a new call, and a task started twice. Calls now go out under numbers of their own. No functional change in the core.

--- a/src/adapters/daemon/shell.cpp
+++ b/src/adapters/daemon/shell.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint32_t log_lines_per_second = 10;
 constexpr core::common::duration sample_interval = std::chrono::seconds(1);
 constexpr core::common::duration finish_poll = std::chrono::milliseconds(10);
+constexpr core::common::duration finish_patience = std::chrono::seconds(10);
 constexpr core::common::duration queue_full_retry =
     std::chrono::milliseconds(250);
 
@@ -525,12 +526,16 @@
 // process ends when each has been written.
 void shell::finish()
 {
+    auto const now = clock::now();
     if (!finishing_)
     {
         finishing_ = true;
+        finish_until_ = now + finish_patience;
         server_->drain();
     }
-    if (server_->waiting() == 0)
+    // A caller that does not read its answer must not hold the process for
+    // ever.
+    if (server_->waiting() == 0 || now >= finish_until_)
     {
         main_.io().stop();
         return;
--- a/src/adapters/daemon/shell.hpp
+++ b/src/adapters/daemon/shell.hpp
@@ -167,6 +167,7 @@
 
     // Of the HTTP thread.
     bool finishing_ = false;
+    core::common::time_point finish_until_{};
     std::uint64_t next_request_ = 0;
     std::unordered_map<std::uint64_t, http::responder> waiting_;
     int status_ = 0;
--- a/src/programs/planner/planner_program.cpp
+++ b/src/programs/planner/planner_program.cpp
@@ -59,8 +59,12 @@
              max_worker_calls,
              [this](call_out& out)
              {
-                 // Numbers of two engines may be the same.
-                 generations_[out.call.id] = out.generation;
+                 // Two engines number their calls alike. Kept by those numbers,
+                 // an old "stopped" could be taken for the answer to a new
+                 // call, and the task be started a second time.
+                 auto const number = ++last_call_;
+                 open_calls_[number] = {out.generation, out.call.id};
+                 out.call.id = number;
                  client_->send(std::move(out.call));
              }),
       replies_(shell_.decisions(),
@@ -113,11 +117,10 @@
     };
     handlers.on_reply = [this](ports::worker_reply reply)
     {
-        auto const found = generations_.find(reply.id);
-        auto const generation = found == generations_.end() ? 0 : found->second;
-        generations_.erase(reply.id);
+        auto const asked = open_calls_.extract(reply.id).mapped();
+        reply.id = asked.id;
         // Never full: it has a place for each call in flight.
-        replies_.try_push(reply_in{generation, std::move(reply)});
+        replies_.try_push(reply_in{asked.generation, std::move(reply)});
     };
     client_ = std::make_unique<adapters::platform::worker_client>(
         workers_duty_.io(),
@@ -180,6 +183,7 @@
     out.on_rejoin = [this](time_point now, ports::member_identity const&)
     {
         ++generation_;
+        abandon_requests();
         begin(now);
     };
     out.screen = [this](request const& asked)
@@ -277,6 +281,7 @@
                                  std::uint64_t id,
                                  request& asked)
 {
+    open_requests_.insert(id);
     if (is_for_jobs(asked.target))
     {
         engine_->on_job_request(now,
@@ -348,7 +353,7 @@
         }
         else if (auto* reply = std::get_if<ports::caller_reply>(&action))
         {
-            shell_.answer(reply->caller, to_response(std::move(reply->answer)));
+            answer(reply->caller, to_response(std::move(reply->answer)));
         }
         else
         {
@@ -357,7 +362,28 @@
     }
     for (auto& answer : std::exchange(answers_, {}))
     {
-        shell_.answer(answer.request, std::move(answer.response));
+        this->answer(answer.request, std::move(answer.response));
+    }
+}
+
+void planner_program::answer(std::uint64_t request, response message)
+{
+    open_requests_.erase(request);
+    shell_.answer(request, std::move(message));
+}
+
+// The engine that took them is gone, and nobody else will answer them: an
+// operator would wait for ever, and a planned stop for that operator.
+void planner_program::abandon_requests()
+{
+    for (auto const id : std::exchange(open_requests_, {}))
+    {
+        shell_.answer(id,
+                      adapters::http::failure_response(
+                          {core::common::result_code::store_unclear,
+                           "",
+                           "this planner was replaced while it worked on it; "
+                           "look before you repeat it"}));
     }
 }
 
--- a/src/programs/planner/planner_program.hpp
+++ b/src/programs/planner/planner_program.hpp
@@ -7,8 +7,10 @@
 #include "programs/planner/administration.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,8 @@
     void make_engine();
     void tick(core::common::time_point now);
     void catch_up(core::common::time_point now);
+    void answer(std::uint64_t request, adapters::http::response message);
+    void abandon_requests();
     void on_request(core::common::time_point now,
                     std::uint64_t id,
                     adapters::http::request& request);
@@ -79,8 +83,15 @@
     std::vector<std::string> followed_;
     core::common::time_point last_tick_{};
     core::common::time_point next_sample_{};
-    // Of the workers' thread: the generation of each call in flight.
-    std::map<std::uint64_t, std::uint64_t> generations_;
+    std::set<std::uint64_t> open_requests_; ///< Taken and not answered.
+    // Of the workers' thread: whose each call in flight is, by its own number.
+    struct open_call
+    {
+        std::uint64_t generation = 0;
+        std::uint64_t id = 0; ///< The engine's number.
+    };
+    std::map<std::uint64_t, open_call> open_calls_;
+    std::uint64_t last_call_ = 0;
 };
 
 } // namespace fuchsia::programs::planner
