--- a/scripts/system.py
+++ b/scripts/system.py
@@ -67,6 +67,7 @@
                            range(len(self.customers), contracts)]
         self.quiet = quiet
         self.direct = True
+        self.entry_extra = ""  # Further tables of the entries' settings.
         self.children = {}
         base = f"127.{net}.0.1"
         self.platform = f"{base}:8500"
@@ -91,6 +92,10 @@
         path.write_text(text)
         return str(path)
 
+    def append(self, name, text):
+        with open(self.folder / name, "a") as file:
+            file.write(text)
+
     def write_daemon(self, role, centre, number, http, peer, rest):
         self.write(f"{role}-{centre}-{number}.toml", f"""[self]
 name = "{role}-{centre}-{number}"
@@ -154,6 +159,7 @@
             self.write_daemon("entry", centre, number,
                               f"{address}:{ENTRY_HTTP}",
                               f"{address}:{ENTRY_PEER}", "")
+            self.append(f"entry-{centre}-{number}.toml", self.entry_extra)
             self.write_daemon("planner", centre, number,
                               f"{address}:{PLANNER_HTTP}",
                               f"{address}:{PLANNER_PEER}",
--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -185,8 +185,8 @@
     open_request& add_request(open_request request);
     void prepare(open_request& one, contracts::contract const* limits) const;
     bool is_vouched(open_request const& one) const noexcept;
-    contracts::contract const* contract_of(std::string const& customer) const;
     common::duration predicted() const noexcept;
+    contracts::contract const* contract_of(std::string const& customer) const;
     void admit(common::time_point now, open_request& one, ports::actions& out);
     bool settle_known_key(common::time_point now,
                           open_request& one,
@@ -198,6 +198,15 @@
     void route_seeking(common::time_point now,
                        std::uint32_t partition,
                        ports::actions& out);
+    void fire_timers(common::time_point now, ports::actions& out);
+    void
+    on_timer(common::time_point now, open_request& one, ports::actions& out);
+    void refuse_if_waiting(common::time_point now,
+                           std::uint64_t id,
+                           ports::actions& out);
+    void fail_waiting(common::time_point now, ports::actions& out);
+
+    // entry_slots.cpp: its part at the slots.
     void
     dispatch(common::time_point now, open_request& one, ports::actions& out);
     bool send_upstream(common::time_point now,
@@ -217,13 +226,6 @@
                  open_request& one,
                  ports::upstream_end const& end,
                  ports::actions& out);
-    void fire_timers(common::time_point now, ports::actions& out);
-    void
-    on_timer(common::time_point now, open_request& one, ports::actions& out);
-    void refuse_if_waiting(common::time_point now,
-                           std::uint64_t id,
-                           ports::actions& out);
-    void fail_waiting(common::time_point now, ports::actions& out);
 
     // entry_answers.cpp: how requests end.
     void refuse(common::time_point now,
--- a/tests/unit/claims/wish_test.cpp
+++ b/tests/unit/claims/wish_test.cpp
@@ -11,6 +11,7 @@
 std::vector<std::string> numbered(std::string const& prefix, int count)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
     {
         names.push_back(prefix + std::to_string(number));
