--- a/src/core/requests/entry_peers.cpp
+++ b/src/core/requests/entry_peers.cpp
@@ -1,7 +1,6 @@
 #include "core/requests/entry_engine.hpp"
 
 #include <algorithm>
-
 #include <utility>
 
 // What goes between entries: forwarded requests and their answers, free slots
--- a/src/core/tasks/cell_attempts.cpp
+++ b/src/core/tasks/cell_attempts.cpp
@@ -67,6 +67,48 @@
     }
 }
 
+// Batch may have finished before its lease ran out, while nobody looked: a
+// planner that wakes from a pause finds all leases over, and the reports that
+// tell of it have yet to come.
+void cell_runner::end_expired(cell_context& with,
+                              task_key const& key,
+                              attempt_run& run)
+{
+    bool const waits = run.part->what.kind == job_kind::batch;
+    if (waits && !run.settle_until)
+    {
+        run.settle_until = with.now + with.settings.settle_limit;
+    }
+    if (!waits || with.now >= *run.settle_until)
+    {
+        end(with, key, attempt_end::lost, "its lease ran out");
+    }
+}
+
+void cell_runner::drive_running(cell_context& with,
+                                task_key const& key,
+                                attempt_run& run,
+                                bool saves)
+{
+    bool const evicted = !run.evicted_for.empty();
+    if (evicted && saves && !run.gone && step(run, attempt_event::evict))
+    {
+        send_checkpoint(with, key, run);
+    }
+    else if (evicted && step(run, attempt_event::stop))
+    {
+        send_stop(with, key, run);
+    }
+    else if (run.asked_permille != run.permille)
+    {
+        ++with.counters.throttled;
+        run.call = with.worker_traffic.send(
+            tag_of(worker_call_kind::throttle, cell_, key, run),
+            ports::worker_throttle{attempt_of(key, run), run.asked_permille},
+            with.out);
+    }
+}
+
 void cell_runner::drive_one(cell_context& with,
                             task_key const& key,
                             attempt_run& run)
@@ -74,18 +116,7 @@
     auto const& part = *run.part;
     if (run.maybe_sent && with.now >= run.lease_over)
     {
-        // Batch may have finished before its lease ran out, while nobody
-        // looked: a planner that wakes from a pause finds all leases over,
-        // and the reports that tell of it have yet to come.
-        bool const waits = part.what.kind == job_kind::batch;
-        if (waits && !run.settle_until)
-        {
-            run.settle_until = with.now + with.settings.settle_limit;
-        }
-        if (!waits || with.now >= *run.settle_until)
-        {
-            end(with, key, attempt_end::lost, "its lease ran out");
-        }
+        end_expired(with, key, run);
         return;
     }
     if (part.stopped && run.evicted_for.empty())
@@ -104,24 +135,7 @@
         send_start(with, key, run);
         break;
     case attempt_phase::running:
-        if (!run.evicted_for.empty() && saves && !run.gone &&
-            step(run, attempt_event::evict))
-        {
-            send_checkpoint(with, key, run);
-        }
-        else if (!run.evicted_for.empty() && step(run, attempt_event::stop))
-        {
-            send_stop(with, key, run);
-        }
-        else if (run.asked_permille != run.permille)
-        {
-            ++with.counters.throttled;
-            run.call = with.worker_traffic.send(
-                tag_of(worker_call_kind::throttle, cell_, key, run),
-                ports::worker_throttle{attempt_of(key, run),
-                                       run.asked_permille},
-                with.out);
-        }
+        drive_running(with, key, run, saves);
         break;
     case attempt_phase::checkpointing:
         if ((!saves || run.tries >= with.settings.checkpoint_tries) &&
--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -169,6 +169,11 @@
     // cell_attempts.cpp: one attempt's life.
     void drive(cell_context& with);
     void drive_one(cell_context& with, task_key const& key, attempt_run& run);
+    void end_expired(cell_context& with, task_key const& key, attempt_run& run);
+    void drive_running(cell_context& with,
+                       task_key const& key,
+                       attempt_run& run,
+                       bool saves);
     void send_start(cell_context& with, task_key const& key, attempt_run& run);
     bool start_allowed(cell_context& with, attempt_run const& run);
     void send_stop(cell_context& with, task_key const& key, attempt_run& run);
