--- a/tests/process/entry_deployment.cpp
+++ b/tests/process/entry_deployment.cpp
@@ -1,5 +1,7 @@
 #include "process/entry_deployment.hpp"
 
+#include "process/own_address.hpp"
+
 #include "core/claims/wish.hpp"
 #include "core/common/hash.hpp"
 #include "core/common/json.hpp"
@@ -32,34 +34,9 @@
 constexpr std::int64_t partitions = core::common::partition_count;
 constexpr char const* customer = "estate-owners";
 
-/// The next free port of a range that belongs to these tests. One that the
-/// system hands out could be taken by a connection before its process binds it.
-std::uint16_t free_port()
-{
-    constexpr int first = 21'000;
-    constexpr int count = 1'000;
-    constexpr int spread = 37;
-    static int next = getpid() * spread;
-    boost::asio::io_context io;
-    for (int turn = 0; turn < count; ++turn)
-    {
-        auto const port = static_cast<std::uint16_t>(first + next++ % count);
-        tcp::acceptor acceptor(io);
-        boost::system::error_code error;
-        acceptor.open(tcp::v4(), error);
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
-        if (!error)
-        {
-            return port;
-        }
-    }
-    return 0;
-}
-
 std::string address(std::uint16_t port)
 {
-    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+    return "\"" + own_address() + ":" + std::to_string(port) + "\"";
 }
 
 } // namespace
@@ -88,7 +65,7 @@
     bool whole = false;
     stream.expires_after(call_limit);
     stream.async_connect(
-        tcp::endpoint(boost::asio::ip::address_v4::loopback(), port),
+        tcp::endpoint(boost::asio::ip::make_address(own_address()), port),
         [&](beast::error_code error)
         {
             if (error)
@@ -160,13 +137,13 @@
 entry_deployment::entry_deployment(std::string const& name)
     : folder_(std::filesystem::temp_directory_path() /
               ("fuchsia-" + name + "-" + std::to_string(getpid()))),
-      platform_port_(free_port()), upstreams_port_(free_port()),
+      platform_port_(next_port()), upstreams_port_(next_port()),
       running_(entries)
 {
     for (std::size_t number = 0; number < entries; ++number)
     {
-        entry_ports_.push_back(free_port());
-        peer_ports_.push_back(free_port());
+        entry_ports_.push_back(next_port());
+        peer_ports_.push_back(next_port());
     }
     std::filesystem::create_directories(folder_);
     write_settings();
@@ -237,8 +214,12 @@
 {
     running_.clear();
     standins_.clear();
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
+    // The logs of one that did not come up tell why.
+    if (is_ready)
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(folder_, ignored);
+    }
 }
 
 void entry_deployment::start_entry(std::size_t number)
@@ -321,7 +302,8 @@
     std::ofstream(folder_ / "upstreams.toml")
         << "control = " << address(upstreams_port_)
         << "\n[platform]\naddress = " << address(platform_port_)
-        << "\n[executors]\naddress = \"127.0.0.1\"\nfirst_port = 0\n"
+        << "\n[executors]\naddress = \"" << own_address()
+        << "\"\nfirst_port = 0\n"
         << "count = 12\nslots = 4\nconnections = 60\nanswer_bytes = 64\n"
         << "data_centres = [\"kochi-a\"]\nper_machine = 4\nseed = 1\n"
         << "[latency-critical]\nmedian_ms = 10.0\nsigma = 0.3\nmax_ms = "
--- a/tests/process/operators_test.cpp
+++ b/tests/process/operators_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/client.hpp"
 #include "process/child.hpp"
+#include "process/own_address.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,35 +27,10 @@
 {
 
 constexpr auto patience = 60s;
-constexpr std::uint16_t first_port = 23000;
-constexpr std::uint16_t port_count = 1000;
-
-/// Ports below the range of outgoing connections, begun at one that differs
-/// between test processes.
-std::uint16_t free_port()
-{
-    static std::uint16_t next =
-        static_cast<std::uint16_t>(::getpid() * 17 % port_count);
-    for (;;)
-    {
-        std::uint16_t const port = first_port + next;
-        next = static_cast<std::uint16_t>((next + 1) % port_count);
-        boost::asio::io_context io;
-        boost::asio::ip::tcp::acceptor acceptor(io);
-        boost::system::error_code error;
-        acceptor.open(boost::asio::ip::tcp::v4(), error);
-        acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port},
-                      error);
-        if (!error)
-        {
-            return port;
-        }
-    }
-}
 
 std::string loopback(std::uint16_t port)
 {
-    return "127.0.0.1:" + std::to_string(port);
+    return tests::process::own_address() + ":" + std::to_string(port);
 }
 
 /// One HTTP call; status 0 where there was no answer.
@@ -66,7 +42,7 @@
     boost::asio::io_context io;
     adapters::http::client client(io, {});
     adapters::http::client_call call;
-    call.where = {"127.0.0.1", port};
+    call.where = {tests::process::own_address(), port};
     call.message.method = method;
     call.message.target = target;
     call.message.body = body;
@@ -240,13 +216,13 @@
 private:
     void start_platform()
     {
-        platform_port_ = free_port();
-        auto const workers_port = free_port();
+        platform_port_ = tests::process::next_port();
+        auto const workers_port = tests::process::next_port();
         std::ostringstream text;
         text << "listen = \"" << loopback(platform_port_) << "\"\n";
         for (auto const& name : names)
         {
-            http_ports_.push_back(free_port());
+            http_ports_.push_back(tests::process::next_port());
             auto const data_centre = name.substr(8, name.size() - 10);
             auto const http = loopback(http_ports_.back());
             text << "[[probe]]\nid = \"" << name
@@ -255,7 +231,8 @@
             std::ostringstream planner;
             planner << "[self]\nname = \"" << name << "\"\ndata_centre = \""
                     << data_centre << "\"\nhttp_listen = \"" << http
-                    << "\"\npeer_listen = \"" << loopback(free_port())
+                    << "\"\npeer_listen = \""
+                    << loopback(tests::process::next_port())
                     << "\"\n[platform]\nstore = \"" << loopback(platform_port_)
                     << "\"\nworkers = \"" << loopback(workers_port)
                     << "\"\n[security]\ntoken_file = \""
