--- a/src/adapters/daemon/shell.cpp
+++ b/src/adapters/daemon/shell.cpp
@@ -72,22 +72,13 @@
                 options_.waiting_requests,
                 [this](request_in& in)
                 {
-                    auto const now = clock::now();
-                    catch_up(now);
-                    events_.on_request(now, in.id, in.message);
+                    events_.on_request(enter(), in.id, in.message);
                 }),
       answers_(http_,
                options_.waiting_requests,
                [this](answer_out& out)
                {
-                   auto const found = waiting_.find(out.id);
-                   if (found == waiting_.end())
-                   {
-                       return;
-                   }
-                   auto const respond = std::move(found->second);
-                   waiting_.erase(found);
-                   respond(std::move(out.message));
+                   respond(out);
                }),
       store_calls_(platform_,
                    store_ring,
@@ -99,50 +90,25 @@
                      store_ring,
                      [this](store_in& in)
                      {
-                         --open_store_calls_;
-                         if (in.generation != generation_)
-                         {
-                             return;
-                         }
-                         auto const now = clock::now();
-                         catch_up(now);
-                         events_.on_store_reply(now, in.reply);
+                         take_store_reply(in);
                      }),
       instances_(decisions_,
                  list_ring,
                  [this](ports::instance_list& list)
                  {
-                     auto const now = clock::now();
-                     catch_up(now);
-                     events_.on_instances(now, list);
+                     events_.on_instances(enter(), list);
                  }),
       peer_sends_(peers_,
                   peer_ring,
                   [this](peer_out& out)
                   {
-                      if (auto* const send =
-                              std::get_if<ports::peer_send>(&out))
-                      {
-                          transport_->send(std::move(*send));
-                          return;
-                      }
-                      auto* const reset = std::get_if<peer_reset>(&out);
-                      if (reset != nullptr && reset->rename)
-                      {
-                          transport_->rename(std::move(*reset->rename));
-                      }
-                      else if (reset != nullptr)
-                      {
-                          transport_->reset();
-                      }
+                      hand_to_transport(out);
                   }),
       peer_receives_(decisions_,
                      peer_ring,
                      [this](ports::peer_receive& in)
                      {
-                         auto const now = clock::now();
-                         catch_up(now);
-                         events_.on_peer(now, in);
+                         events_.on_peer(enter(), in);
                      }),
       ticker_(decisions_.io()), platform_sampler_(platform_.io()),
       peers_sampler_(peers_.io()), finisher_(http_.io())
@@ -401,16 +367,59 @@
         });
 }
 
+// On the HTTP thread.
+void shell::respond(answer_out& out)
+{
+    auto const found = waiting_.find(out.id);
+    if (found == waiting_.end())
+    {
+        return;
+    }
+    auto const respond = std::move(found->second);
+    waiting_.erase(found);
+    respond(std::move(out.message));
+}
+
+void shell::take_store_reply(store_in& in)
+{
+    --open_store_calls_;
+    if (in.generation == generation_)
+    {
+        events_.on_store_reply(enter(), in.reply);
+    }
+}
+
+// On the peers' thread.
+void shell::hand_to_transport(peer_out& out)
+{
+    if (auto* const send = std::get_if<ports::peer_send>(&out))
+    {
+        transport_->send(std::move(*send));
+        return;
+    }
+    auto* const reset = std::get_if<peer_reset>(&out);
+    if (reset != nullptr && reset->rename)
+    {
+        transport_->rename(std::move(*reset->rename));
+    }
+    else if (reset != nullptr)
+    {
+        transport_->reset();
+    }
+}
+
 // A process that was frozen wakes with frames and answers in its rings. The
 // engine must learn of the gap before it sees any of them, or it would act on
 // proofs that are over.
-void shell::catch_up(core::common::time_point now)
+core::common::time_point shell::enter()
 {
+    auto const now = clock::now();
     if (now - last_tick_ >= 2 * tick_interval)
     {
         last_tick_ = now;
         events_.on_tick(now);
     }
+    return now;
 }
 
 void shell::send_store(ports::store_call call)
--- a/src/adapters/daemon/shell.hpp
+++ b/src/adapters/daemon/shell.hpp
@@ -120,7 +120,11 @@
 
     void handle_http(http::request request, http::responder respond);
     void tick();
-    void catch_up(core::common::time_point now);
+    /// The time at which the engine is told of an event.
+    core::common::time_point enter();
+    void respond(answer_out& out);
+    void take_store_reply(store_in& in);
+    void hand_to_transport(peer_out& out);
     void send_store(ports::store_call call);
     void refuse_store(ports::call_id id);
     void send_peer(peer_out out);
