--- a/src/adapters/daemon/shell.hpp
+++ b/src/adapters/daemon/shell.hpp
@@ -48,7 +48,6 @@
 
 struct shell_options
 {
-    std::string program; ///< "fuchsia-entry".
     std::string service; ///< Name of our own instances in the catalog.
     bool with_upstreams = false;
     http::server_limits http;
--- a/src/core/claims/claim_table.cpp
+++ b/src/core/claims/claim_table.cpp
@@ -483,16 +483,6 @@
                       }));
 }
 
-membership::member_info const*
-claim_table::wished(std::string const& partition,
-                    membership::member const& members) const
-{
-    fair_shares shares;
-    shares.update(partitions_, names_not_leaving(members));
-    auto const* wanted = shares.owner(partition);
-    return wanted == nullptr ? nullptr : members.find(*wanted);
-}
-
 bool claim_table::known() const noexcept
 {
     return view_.known();
--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -98,11 +98,6 @@
     /// How many partitions the store may still show as this member's, those
     /// being released included. A planned stop waits until there is none.
     std::size_t held(membership::member const& members) const noexcept;
-    /// Who should own the partition: the rendezvous winner of the live members
-    /// that don't leave. Null where there is none.
-    membership::member_info const*
-    wished(std::string const& partition,
-           membership::member const& members) const;
     /// Whether the table has been read at least once.
     bool known() const noexcept;
     claim_counts const& counts() const noexcept;
--- a/src/core/claims/wish.cpp
+++ b/src/core/claims/wish.cpp
@@ -28,19 +28,6 @@
     return who;
 }
 
-std::vector<std::string> names_not_leaving(membership::member const& members)
-{
-    std::vector<std::string> names;
-    for (auto const& info : members.live())
-    {
-        if (!info.leaving)
-        {
-            names.push_back(info.id.name);
-        }
-    }
-    return names;
-}
-
 void fair_shares::update(std::vector<std::string> const& partitions,
                          std::vector<std::string> const& names)
 {
--- a/src/core/claims/wish.hpp
+++ b/src/core/claims/wish.hpp
@@ -25,9 +25,6 @@
                            bool leaving,
                            common::duration settle);
 
-/// Names of the live members that don't leave, sorted.
-std::vector<std::string> names_not_leaving(membership::member const& members);
-
 /// Who should own each partition: rendezvous hashing in which nobody gets more
 /// than the even share, rounded up. Without that bound one of three members
 /// owned 10% of all slots and 22% of the keys.
--- a/src/programs/entry/entry_program.cpp
+++ b/src/programs/entry/entry_program.cpp
@@ -24,7 +24,6 @@
 shell_options_of(adapters::settings::entry_options const& options)
 {
     adapters::daemon::shell_options shell;
-    shell.program = "fuchsia-entry";
     shell.service = "fuchsia-entry";
     shell.with_upstreams = true;
     shell.http = options.http;
--- a/src/programs/planner/planner_program.cpp
+++ b/src/programs/planner/planner_program.cpp
@@ -43,7 +43,6 @@
 adapters::daemon::shell_options options()
 {
     adapters::daemon::shell_options out;
-    out.program = "fuchsia-planner";
     out.service = "fuchsia-planner";
     out.http.connections = 256;
     out.waiting_requests = 1024;
