--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -72,6 +72,11 @@
     void drain();
     void close();
 
+    void close_after_answers() noexcept
+    {
+        keep_alive_ = false;
+    }
+
     std::uint32_t waiting() const noexcept
     {
         return waiting_;
@@ -90,6 +95,7 @@
     std::uint32_t open_ = 0;
     std::uint32_t waiting_ = 0;
     bool draining_ = false;
+    bool keep_alive_ = true; ///< Connections may be used again.
 };
 
 class server::listener::connection
@@ -221,6 +227,7 @@
         {
             message_.insert(header.name, header.value);
         }
+        keep_alive_ = keep_alive_ && owner_->keep_alive_;
         message_.keep_alive(keep_alive_ && !draining_);
         message_.body() = std::move(answer.body);
         message_.prepare_payload();
@@ -346,6 +353,11 @@
     return listener_->listen(where, reason);
 }
 
+void server::close_after_answers() noexcept
+{
+    listener_->close_after_answers();
+}
+
 void server::drain()
 {
     listener_->drain();
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -43,6 +43,9 @@
     std::optional<ports::endpoint> listen(ports::endpoint const& where,
                                           core::common::failure& reason);
 
+    /// From now on every answer closes its connection; new ones are still
+    /// taken.
+    void close_after_answers() noexcept;
     /// Takes no new connection, closes those without a request, and closes
     /// each other after its answer.
     void drain();
--- a/src/adapters/runtime/signals.hpp
+++ b/src/adapters/runtime/signals.hpp
@@ -10,4 +10,8 @@
 /// ends the process at once, with the signal's own status.
 void on_stop_signal(boost::asio::io_context& io, std::function<void()> stop);
 
+/// Calls `reload`, on `io`, for every SIGHUP.
+void on_reload_signal(boost::asio::io_context& io,
+                      std::function<void()> reload);
+
 } // namespace fuchsia::adapters::runtime
--- /dev/null
+++ b/src/adapters/settings/pool_settings.cpp
@@ -0,0 +1,88 @@
+#include "adapters/settings/pool_settings.hpp"
+
+#include "adapters/settings/toml_reader.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace fuchsia::adapters::settings
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A planned stop ends this long before the process would be killed.
+constexpr core::common::duration stop_reserve = 1500ms;
+/// Final states are kept this long beyond what submitters were promised.
+constexpr core::common::duration final_reserve = 60s;
+
+// The platform's bounds narrow the defaults; they never widen them.
+void read_bounds(toml_table bounds, core::pool::pool_settings& out)
+{
+    auto const shortest =
+        bounds.duration_or("shortest_lease_ms", 1000ms, 1ms, 60s);
+    out.claim.ttl = std::max(out.claim.ttl, shortest);
+    auto const longest =
+        bounds.duration_or("longest_hold_ms", 10s, 500ms, 600s);
+    auto& lease = out.owner.workers.lease;
+    lease = std::min(lease, longest);
+    auto const grace =
+        std::chrono::seconds(bounds.integer_or("stop_limit_s", 6, 1, 600));
+    out.stop_limit = std::min(
+        out.stop_limit,
+        std::max<core::common::duration>(grace - stop_reserve, 100ms));
+    auto const kept =
+        std::chrono::seconds(bounds.integer_or("states_kept_s", 120, 1, 86400));
+    out.owner.final_kept = kept + final_reserve;
+    auto const harm = bounds.duration_or("harm_ms", 4s, 100ms, 600s);
+    auto& stop_after = out.owner.sharing.stop_after;
+    stop_after = std::min<core::common::duration>(stop_after, harm / 2);
+}
+
+std::optional<pool_file> parse(std::shared_ptr<toml_file> const& file,
+                               core::common::failure& reason)
+{
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    auto root = file->root();
+    pool_file made;
+    made.name = root.text("name");
+    made.data_centre = root.text("data_centre");
+    made.submissions = root.endpoint("submissions");
+    made.readiness = root.endpoint("readiness");
+    made.readiness_path = root.text_or("readiness_path", "/readyz");
+    made.metrics = root.endpoint("metrics");
+    made.store = root.endpoint("store");
+    made.log_level = static_cast<ports::severity>(root.choice_or(
+        "log_level", 1, {"debug", "info", "warning", "error"}));
+    read_bounds(root.table("bounds"), made.pool);
+    root.refuse_unread();
+    if (!file->ok())
+    {
+        reason = file->reason();
+        return std::nullopt;
+    }
+    return made;
+}
+
+} // namespace
+
+std::optional<pool_file> load_pool_settings(std::string const& path,
+                                            core::common::failure& reason)
+{
+    return parse(toml_file::open(path, reason), reason);
+}
+
+std::optional<pool_file> parse_pool_settings(std::string_view text,
+                                             std::string const& name,
+                                             core::common::failure& reason)
+{
+    return parse(toml_file::parse(text, name, reason), reason);
+}
+
+} // namespace fuchsia::adapters::settings
--- /dev/null
+++ b/src/core/pool/claim.cpp
@@ -0,0 +1,289 @@
+#include "core/pool/claim.hpp"
+
+#include "core/pool/keys.hpp"
+
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+using ports::kv_reply;
+using ports::kv_status;
+using ports::severity;
+
+claim::claim(claim_settings settings, std::string self, outbox& out)
+    : settings_(settings), self_(std::move(self)), out_(out)
+{
+}
+
+void claim::tick(common::time_point now)
+{
+    if (now < next_step_ || phase_ == phase::released)
+    {
+        return;
+    }
+    if (phase_ == phase::held)
+    {
+        renew(now);
+    }
+    else if (!busy_ && !retired_)
+    {
+        look(now);
+    }
+}
+
+void claim::look(common::time_point now)
+{
+    busy_ = true;
+    phase_ = phase::looking;
+    (void)now;
+    out_.store(life_,
+               ports::kv_read{std::string(keys::claim)},
+               settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   on_look(at, reply);
+               });
+}
+
+void claim::on_look(common::time_point now, kv_reply const& reply)
+{
+    busy_ = false;
+    if (phase_ != phase::looking)
+    {
+        return;
+    }
+    if (reply.status == kv_status::missing)
+    {
+        ask_lease(now);
+        return;
+    }
+    if (reply.status != kv_status::done || reply.items.empty())
+    {
+        look_again(now);
+        return;
+    }
+    auto const& item = reply.items.front();
+    // Our own claim, whose answer was lost.
+    if (item.value == self_ && lease_ != 0 && item.lease == lease_)
+    {
+        take(now, item.created);
+        return;
+    }
+    seen_revision_ = reply.revision;
+    watch(now);
+}
+
+void claim::watch(common::time_point now)
+{
+    (void)now;
+    phase_ = phase::waiting;
+    busy_ = true;
+    out_.store(life_,
+               ports::kv_watch{std::string(keys::claim),
+                               seen_revision_,
+                               settings_.watch_wait},
+               settings_.watch_wait + settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   on_watch(at, reply);
+               });
+}
+
+void claim::on_watch(common::time_point now, kv_reply const& reply)
+{
+    busy_ = false;
+    if (phase_ != phase::waiting || retired_)
+    {
+        return;
+    }
+    if (reply.status != kv_status::done)
+    {
+        look_again(now);
+        return;
+    }
+    seen_revision_ = reply.revision;
+    if (!reply.items.empty() && reply.items.back().erased)
+    {
+        ask_lease(now);
+        return;
+    }
+    // A watch may have been deaf to the one change that matters: look.
+    look(now);
+}
+
+void claim::ask_lease(common::time_point now)
+{
+    phase_ = phase::claiming;
+    busy_ = true;
+    asked_ = now;
+    out_.store(life_,
+               ports::kv_lease_grant{settings_.ttl},
+               settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   busy_ = false;
+                   if (retired_ || reply.status != kv_status::done)
+                   {
+                       look_again(at);
+                       return;
+                   }
+                   ask_key(at, reply.lease);
+               });
+}
+
+void claim::ask_key(common::time_point now, std::uint64_t lease)
+{
+    (void)now;
+    lease_ = lease;
+    busy_ = true;
+    ports::kv_commit commit;
+    commit.expected.push_back({std::string(keys::claim), 0});
+    commit.puts.push_back({std::string(keys::claim), self_, lease});
+    out_.store(life_,
+               std::move(commit),
+               settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   on_key(at, reply);
+               });
+}
+
+void claim::on_key(common::time_point now, kv_reply const& reply)
+{
+    busy_ = false;
+    if (reply.status == kv_status::done)
+    {
+        take(now, reply.revision);
+        return;
+    }
+    // Lost to another instance, or unclear: reading tells.
+    look_again(now);
+}
+
+void claim::take(common::time_point now, std::uint64_t epoch)
+{
+    if (retired_)
+    {
+        return;
+    }
+    phase_ = phase::held;
+    epoch_ = epoch;
+    confirmed_ = asked_;
+    since_ = now;
+    next_step_ = now;
+    out_.log(severity::info,
+             "claim_taken",
+             {{"epoch", std::to_string(epoch)},
+              {"lease", std::to_string(lease_)}});
+}
+
+void claim::renew(common::time_point now)
+{
+    next_step_ = now + settings_.renew_interval;
+    out_.store(life_,
+               ports::kv_lease_renew{lease_},
+               settings_.call_timeout,
+               [this, now, lease = lease_](common::time_point,
+                                           kv_reply const& reply)
+               {
+                   if (phase_ != phase::held || lease != lease_)
+                   {
+                       return;
+                   }
+                   if (reply.status == kv_status::done)
+                   {
+                       confirmed_ = std::max(confirmed_, now);
+                   }
+                   else if (reply.status == kv_status::missing)
+                   {
+                       lose("lease ended");
+                   }
+               });
+}
+
+void claim::release(common::time_point now)
+{
+    (void)now;
+    bool const held_now = phase_ == phase::held;
+    retired_ = true;
+    phase_ = phase::released;
+    if (!held_now)
+    {
+        return;
+    }
+    out_.log(severity::info,
+             "claim_released",
+             {{"epoch", std::to_string(epoch_)}});
+    out_.store(life_,
+               ports::kv_lease_end{lease_},
+               settings_.call_timeout,
+               [](common::time_point, kv_reply const&) {});
+}
+
+void claim::retire() noexcept
+{
+    retired_ = true;
+}
+
+void claim::lose(std::string const& why)
+{
+    if (phase_ != phase::held)
+    {
+        return;
+    }
+    out_.log(severity::warning,
+             "claim_lost",
+             {{"epoch", std::to_string(epoch_)}, {"why", why}});
+    phase_ = phase::looking;
+    busy_ = false;
+    lease_ = 0;
+    next_step_ = {};
+}
+
+void claim::look_again(common::time_point now)
+{
+    if (phase_ == phase::released)
+    {
+        return;
+    }
+    phase_ = phase::looking;
+    next_step_ = now + settings_.retry;
+}
+
+bool claim::held() const noexcept
+{
+    return phase_ == phase::held;
+}
+
+std::uint64_t claim::epoch() const noexcept
+{
+    return epoch_;
+}
+
+ports::kv_expect claim::condition() const
+{
+    return {std::string(keys::claim), epoch_};
+}
+
+common::time_point claim::confirmed() const noexcept
+{
+    return confirmed_;
+}
+
+common::time_point claim::since() const noexcept
+{
+    return since_;
+}
+
+void claim::on_item(ports::kv_item const& item)
+{
+    if (phase_ != phase::held || item.key != keys::claim ||
+        item.revision <= epoch_)
+    {
+        return;
+    }
+    lose(item.erased ? "key erased" : "key taken by another");
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/claim.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/pool/outbox.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace fuchsia::core::pool
+{
+
+struct claim_settings
+{
+    /// How long the store keeps the claim of an owner that fell silent: the
+    /// largest part of a failover after a power loss. No shorter than the
+    /// shortest lease that the store grants.
+    common::duration ttl = std::chrono::milliseconds(1000);
+    /// A renewal is sent this often, whether or not the last one was answered:
+    /// three may be lost or slow before the claim lapses.
+    common::duration renew_interval = std::chrono::milliseconds(250);
+    common::duration call_timeout = std::chrono::milliseconds(900);
+    /// Between two looks at a claim that somebody else holds.
+    common::duration watch_wait = std::chrono::milliseconds(3000);
+    /// After a failed try to claim.
+    common::duration retry = std::chrono::milliseconds(100);
+};
+
+/// The right to schedule: one key under a lease of the store. The revision at
+/// which the key came to be is the epoch, the fencing token of every order;
+/// whoever claims later has a higher one.
+class claim
+{
+public:
+    claim(claim_settings settings, std::string self, outbox& out);
+
+    void tick(common::time_point now);
+    /// Gives the claim back, so that another instance takes it at once.
+    void release(common::time_point now);
+    /// From here on it never claims again.
+    void retire() noexcept;
+    /// The claim is known to be lost, from elsewhere than the store.
+    void lose(std::string const& why);
+
+    bool held() const noexcept;
+    std::uint64_t epoch() const noexcept;
+    /// The claim's condition, for commits that only its holder may make.
+    ports::kv_expect condition() const;
+    /// When the last answered renewal was sent.
+    common::time_point confirmed() const noexcept;
+    /// When the claim was taken.
+    common::time_point since() const noexcept;
+
+    /// An event or a page of the store that concerns the claim's key.
+    void on_item(ports::kv_item const& item);
+
+private:
+    enum class phase : std::uint8_t
+    {
+        looking,  ///< Reads whether somebody holds it.
+        waiting,  ///< Somebody does; a watch waits for the end of it.
+        claiming, ///< Asks for a lease, then for the key.
+        held,
+        released,
+    };
+
+    void look(common::time_point now);
+    void on_look(common::time_point now, ports::kv_reply const& reply);
+    void watch(common::time_point now);
+    void on_watch(common::time_point now, ports::kv_reply const& reply);
+    void ask_lease(common::time_point now);
+    void ask_key(common::time_point now, std::uint64_t lease);
+    void on_key(common::time_point now, ports::kv_reply const& reply);
+    void take(common::time_point now, std::uint64_t epoch);
+    void renew(common::time_point now);
+    void look_again(common::time_point now);
+
+    claim_settings settings_;
+    std::string self_; ///< Name and incarnation; the key's value.
+    outbox& out_;
+    scope life_ = std::make_shared<char>();
+    phase phase_ = phase::looking;
+    bool retired_ = false;
+    bool busy_ = false; ///< A call of the present phase waits for its answer.
+    std::uint64_t lease_ = 0;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t seen_revision_ = 0;
+    common::time_point next_step_{};
+    common::time_point asked_{};
+    common::time_point confirmed_{};
+    common::time_point since_{};
+};
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/engine.cpp
@@ -0,0 +1,175 @@
+#include "core/pool/engine.hpp"
+
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+namespace
+{
+
+constexpr common::duration owner_tick = std::chrono::milliseconds(25);
+constexpr common::duration idle_tick = std::chrono::milliseconds(100);
+
+} // namespace
+
+engine::engine(pool_settings const& settings,
+               directory words,
+               std::string self)
+    : settings_(settings), words_(std::move(words)),
+      operators_(settings.operators, words_, out_),
+      claim_(settings.claim, std::move(self), out_),
+      front_(settings.front, operators_, out_)
+{
+}
+
+void engine::start(common::time_point now)
+{
+    operators_.start(now);
+    claim_.tick(now);
+    tell_readiness(now);
+}
+
+void engine::tick(common::time_point now)
+{
+    operators_.tick(now);
+    claim_.tick(now);
+    if (owner_)
+    {
+        owner_->tick(now);
+    }
+    follow(now);
+}
+
+void engine::on_request(common::time_point now, pool_request const& request)
+{
+    front_.on_request(now, request, owner_.get());
+    follow(now);
+}
+
+void engine::on_kv_reply(common::time_point now, ports::kv_reply const& reply)
+{
+    out_.on_kv_reply(now, reply);
+    follow(now);
+}
+
+void engine::on_order_reply(common::time_point now,
+                            ports::order_reply const& reply)
+{
+    out_.on_order_reply(now, reply);
+    follow(now);
+}
+
+void engine::begin_stop(common::time_point now)
+{
+    if (stopping_)
+    {
+        return;
+    }
+    stopping_ = now;
+    out_.log(ports::severity::info,
+             "stopping",
+             {{"owner", owns() ? "true" : "false"},
+              {"open", std::to_string(front_.open())}});
+    if (owner_)
+    {
+        owner_->stop();
+    }
+    claim_.release(now);
+    follow(now);
+}
+
+void engine::set_unix_offset(std::int64_t offset_ms) noexcept
+{
+    out_.set_unix_offset(offset_ms);
+}
+
+ports::pool_actions engine::take()
+{
+    return out_.take();
+}
+
+common::duration engine::tick_interval() const noexcept
+{
+    return owner_ ? owner_tick : idle_tick;
+}
+
+bool engine::owns() const noexcept
+{
+    return owner_ != nullptr;
+}
+
+owner const* engine::owned() const noexcept
+{
+    return owner_.get();
+}
+
+claim const& engine::claimed() const noexcept
+{
+    return claim_;
+}
+
+// The owner is made and unmade here, between events, never by a handler that
+// runs within it.
+void engine::follow(common::time_point now)
+{
+    if (owner_ && !claim_.held())
+    {
+        out_.log(ports::severity::info,
+                 "owner_ended",
+                 {{"epoch", std::to_string(claim_.epoch())}});
+        owner_.reset();
+        claim_.tick(now);
+    }
+    if (!owner_ && claim_.held() && operators_.known())
+    {
+        owner_ = std::make_unique<owner>(settings_.owner,
+                                         words_,
+                                         operators_.state(),
+                                         claim_,
+                                         out_,
+                                         now);
+    }
+    if (owner_ && operators_.changes() != told_changes_)
+    {
+        told_changes_ = operators_.changes();
+        owner_->on_operators(now);
+    }
+    tell_readiness(now);
+    follow_stop(now);
+}
+
+void engine::tell_readiness(common::time_point now)
+{
+    bool const ready =
+        operators_.known() && !stopping_ && !front_.store_away(now);
+    if (told_ready_ == ready)
+    {
+        return;
+    }
+    told_ready_ = ready;
+    out_.log(ports::severity::info,
+             "readiness",
+             {{"ready", ready ? "true" : "false"},
+              {"store_silent_ms",
+               std::to_string(
+                   common::to_milliseconds(now - operators_.contact()))}});
+    out_.push(ports::readiness{ready});
+}
+
+void engine::follow_stop(common::time_point now)
+{
+    if (!stopping_ || stop_told_)
+    {
+        return;
+    }
+    auto const since = now - *stopping_;
+    bool const done = since >= settings_.linger && front_.open() == 0;
+    if (done || since >= settings_.stop_limit)
+    {
+        stop_told_ = true;
+        out_.push(ports::stop_complete{});
+    }
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/fleet.cpp
@@ -0,0 +1,87 @@
+#include "core/pool/fleet.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::core::pool
+{
+
+std::int64_t worker::idle_cores(double serving_use) const noexcept
+{
+    auto const served = static_cast<double>(serving_cores) * serving_use;
+    return info.capacity.millicores - (reserved.millicores - serving_cores) -
+           static_cast<std::int64_t>(served) - fill_cores;
+}
+
+fleet::fleet(fleet_settings settings) : settings_(settings)
+{
+}
+
+void fleet::take_list(std::vector<ports::pool_worker> const& list)
+{
+    for (auto& [id, known] : workers_)
+    {
+        known.listed = false;
+    }
+    for (auto const& info : list)
+    {
+        auto& known = workers_[info.id];
+        known.info = info;
+        known.listed = true;
+    }
+}
+
+void fleet::add_rostered(ports::pool_worker const& info)
+{
+    auto& known = workers_[info.id];
+    if (known.info.id.empty())
+    {
+        known.info = info;
+    }
+    known.rostered = true;
+}
+
+void fleet::erase(std::string const& id)
+{
+    workers_.erase(id);
+}
+
+worker* fleet::find(std::string const& id)
+{
+    auto const found = workers_.find(id);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+std::map<std::string, worker>& fleet::all() noexcept
+{
+    return workers_;
+}
+
+fleet_settings const& fleet::settings() const noexcept
+{
+    return settings_;
+}
+
+std::uint64_t fleet::lease_end(worker const& of,
+                               common::time_point now) const noexcept
+{
+    if (of.clock_ms == 0)
+    {
+        return 0;
+    }
+    auto const since = common::to_milliseconds(now - of.clock_read);
+    auto const lease = common::to_milliseconds(settings_.lease);
+    return of.clock_ms + static_cast<std::uint64_t>(since + lease);
+}
+
+bool fleet::lapsed(worker const& of, common::time_point now) const noexcept
+{
+    auto const slack = common::to_milliseconds(settings_.lapse_slack);
+    auto const since =
+        static_cast<double>(common::to_milliseconds(now - of.clock_read));
+    auto const least = static_cast<double>(of.clock_ms) +
+                       since * (1 - settings_.clock_drift);
+    return least >= static_cast<double>(of.until_ms) +
+                        static_cast<double>(slack);
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/fleet.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "core/pool/outbox.hpp"
+#include "ports/pool_workers.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsia::core::pool
+{
+
+struct fleet_settings
+{
+    /// How long a worker goes on with what it runs without hearing from an
+    /// owner. Long enough for a failover (about 1.5 s after a power loss of the
+    /// owner, 3 s after one of all instances), and no longer, since a worker
+    /// that falls silent keeps its tasks from running elsewhere for this time.
+    common::duration lease = std::chrono::milliseconds(3500);
+    /// A worker's clock may run this much slower than ours.
+    double clock_drift = 0.02;
+    /// Beyond the end of a lease, for what was rounded on the way.
+    common::duration lapse_slack = std::chrono::milliseconds(100);
+    /// An owner that the store does not answer goes on for this long. Its
+    /// successor waits as long before it takes a worker that it can't reach
+    /// for idle.
+    common::duration solo_limit = std::chrono::seconds(8);
+    /// Share of its declared cores that a serving task uses on average; what is
+    /// left of them feeds tasks that fill. Measured at 0.55 on both workloads.
+    double serving_use = 0.55;
+};
+
+/// A worker as the owner knows it.
+struct worker
+{
+    ports::pool_worker info;
+    bool listed = false;  ///< The platform's list names it now.
+    bool adopted = false; ///< It answered this owner in this incarnation.
+    bool rostered = false; ///< Successors will ask it: tasks may start here.
+    std::uint64_t born = 0; ///< Incarnation that was adopted.
+
+    ports::resources reserved; ///< By what is placed; cores not by fills.
+    std::int64_t serving_cores = 0; ///< Part of the reserved.
+    std::int64_t fill_cores = 0;    ///< Declared by tasks that fill.
+    std::set<ports::task_name> runs; ///< Tasks placed here.
+
+    std::uint64_t clock_ms = 0;      ///< As it last told,
+    common::time_point clock_read{}; ///< and when that was received.
+    std::uint64_t until_ms = 0;      ///< Latest lease that may have reached it.
+
+    std::uint64_t seen = 0;   ///< Ends that are durable.
+    std::uint64_t listed_end = 0; ///< The highest end that was taken in.
+    bool holding = false;     ///< A hold is on its way.
+    common::time_point next_hold{};
+    common::time_point contact{}; ///< Last answer to a hold.
+
+    common::time_point avoid_until{}; ///< Suspected of failing what it runs.
+    common::time_point full_until{};  ///< It said that it has no room.
+    std::vector<std::string> failed_jobs; ///< Since its last success.
+    common::time_point over_since{}; ///< A serving task there is too slow.
+
+    bool serves() const noexcept
+    {
+        return serving_cores > 0;
+    }
+    /// Cores in thousandths that nobody uses, on average.
+    std::int64_t idle_cores(double serving_use) const noexcept;
+};
+
+/// All workers that may run tasks of this deployment.
+class fleet
+{
+public:
+    explicit fleet(fleet_settings settings);
+
+    /// The platform's list, whole.
+    void take_list(std::vector<ports::pool_worker> const& list);
+    /// One that a previous owner may have used.
+    void add_rostered(ports::pool_worker const& info);
+    void erase(std::string const& id);
+
+    worker* find(std::string const& id);
+    std::map<std::string, worker>& all() noexcept;
+    fleet_settings const& settings() const noexcept;
+
+    /// End of a lease that begins now, on the worker's clock; 0 while that
+    /// clock is not known.
+    std::uint64_t lease_end(worker const& of,
+                            common::time_point now) const noexcept;
+    /// Whether every lease that we gave has run out on the worker's clock, even
+    /// where that is as slow as allowed.
+    bool lapsed(worker const& of, common::time_point now) const noexcept;
+
+private:
+    fleet_settings settings_;
+    std::map<std::string, worker> workers_;
+};
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/front.cpp
@@ -0,0 +1,373 @@
+#include "core/pool/front.hpp"
+
+#include "core/common/json.hpp"
+#include "core/pool/keys.hpp"
+
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+using common::result_code;
+using ports::job_state;
+using ports::kv_reply;
+using ports::kv_status;
+using ports::severity;
+
+namespace
+{
+
+job_state final_from(std::string_view text)
+{
+    return text == "failed"      ? job_state::failed
+           : text == "cancelled" ? job_state::cancelled
+                                 : job_state::completed;
+}
+
+} // namespace
+
+front::front(front_settings settings, operators const& rules, outbox& out)
+    : settings_(settings), rules_(rules), out_(out)
+{
+}
+
+std::size_t front::open() const noexcept
+{
+    return open_;
+}
+
+bool front::store_away(common::time_point now) const noexcept
+{
+    return now - rules_.contact() > settings_.store_away_after;
+}
+
+void front::on_request(common::time_point now,
+                       pool_request const& request,
+                       owner const* owned)
+{
+    ++open_;
+    if (!rules_.known())
+    {
+        refuse(request.caller, "no configuration was read yet");
+        return;
+    }
+    auto const* const into =
+        rules_.state().config.find(request.host, request.path);
+    if (into == nullptr)
+    {
+        answer(request.caller, ports::queue_absent{});
+        return;
+    }
+    auto id = request.path.substr(into->prefix.size());
+    if (auto const* const given = std::get_if<submit_request>(&request.what))
+    {
+        submit(now, request.caller, given->what, *into, std::move(id));
+    }
+    else if (std::holds_alternative<cancel_request>(request.what))
+    {
+        cancel(now, request.caller, id);
+    }
+    else if (id.empty())
+    {
+        query_queue(now, request.caller, into->name, owned);
+    }
+    else
+    {
+        query(now, request.caller, id, owned);
+    }
+}
+
+// The job's key must not exist, nor the record of its end: the same id, sent
+// again after its answer was lost or seconds after it was accepted, stays one
+// job, whichever instance gets it.
+void front::submit(common::time_point now,
+                   std::uint64_t caller,
+                   job what,
+                   queue const& into,
+                   std::string id)
+{
+    if (store_away(now))
+    {
+        refuse(caller, "the store is away");
+        return;
+    }
+    what.id = id;
+    what.queue = into.name;
+    what.accepted_unix_ms = out_.unix_ms(now);
+    ports::kv_commit commit;
+    commit.expected.push_back({keys::job(id), 0});
+    commit.expected.push_back({keys::final_state(id), 0});
+    commit.puts.push_back({keys::job(id), to_json(what), 0});
+    out_.store(
+        life_,
+        std::move(commit),
+        settings_.call_timeout,
+        [this, caller, id, now](common::time_point at, kv_reply const& reply)
+        {
+            auto const took =
+                std::to_string(common::to_milliseconds(at - now));
+            switch (reply.status)
+            {
+            case kv_status::done:
+                out_.log(severity::info,
+                         "job_accepted",
+                         {{"job", id},
+                          {"revision", std::to_string(reply.revision)},
+                          {"took_ms", took}});
+                answer(caller, ports::job_accepted{});
+                return;
+            case kv_status::conflict:
+                out_.log(severity::info, "job_known", {{"job", id}});
+                answer(caller, ports::job_accepted{});
+                return;
+            case kv_status::refused:
+                out_.log(severity::warning,
+                         "job_refused",
+                         {{"job", id}, {"took_ms", took}});
+                refuse(caller, "the store did not take the job");
+                return;
+            default:
+                out_.log(severity::warning,
+                         "job_unclear",
+                         {{"job", id}, {"took_ms", took}});
+                unknown(caller, "the store did not answer");
+                return;
+            }
+        });
+}
+
+void front::query(common::time_point now,
+                  std::uint64_t caller,
+                  std::string const& id,
+                  owner const* owned)
+{
+    auto const known = finals_.find(id);
+    if (known != finals_.end())
+    {
+        answer(caller, ports::job_status{known->second});
+        return;
+    }
+    auto const state =
+        owned != nullptr && owned->loaded() ? owned->state_of(id) : std::nullopt;
+    if (state)
+    {
+        answer(caller, ports::job_status{*state});
+        return;
+    }
+    if (store_away(now))
+    {
+        refuse(caller, "the store is away");
+        return;
+    }
+    // In this order: a job that ends between the two reads is then found by
+    // the second, and none is taken for unknown.
+    out_.store(life_,
+               ports::kv_read{keys::job(id)},
+               settings_.call_timeout,
+               [this, caller, id](common::time_point, kv_reply const& reply)
+               {
+                   if (reply.status == kv_status::done)
+                   {
+                       answer(caller, ports::job_status{job_state::active});
+                   }
+                   else if (reply.status == kv_status::missing)
+                   {
+                       query_final(caller, id);
+                   }
+                   else
+                   {
+                       refuse(caller, "the store did not answer");
+                   }
+               });
+}
+
+void front::query_final(std::uint64_t caller, std::string const& id)
+{
+    out_.store(life_,
+               ports::kv_read{keys::final_state(id)},
+               settings_.call_timeout,
+               [this, caller, id](common::time_point, kv_reply const& reply)
+               {
+                   if (reply.status == kv_status::done && !reply.items.empty())
+                   {
+                       auto const state =
+                           final_from(reply.items.front().value);
+                       remember(id, state);
+                       answer(caller, ports::job_status{state});
+                   }
+                   else if (reply.status == kv_status::missing)
+                   {
+                       answer(caller, ports::job_absent{});
+                   }
+                   else
+                   {
+                       refuse(caller, "the store did not answer");
+                   }
+               });
+}
+
+void front::query_queue(common::time_point now,
+                        std::uint64_t caller,
+                        std::string const& name,
+                        owner const* owned)
+{
+    if (owned != nullptr && owned->loaded())
+    {
+        answer(caller, ports::queue_status{owned->pending()[name]});
+        return;
+    }
+    if (store_away(now))
+    {
+        refuse(caller, "the store is away");
+        return;
+    }
+    out_.store(
+        life_,
+        ports::kv_read{std::string(keys::backlog)},
+        settings_.call_timeout,
+        [this, caller, name](common::time_point, kv_reply const& reply)
+        {
+            if (reply.status == kv_status::missing)
+            {
+                answer(caller, ports::queue_status{0});
+                return;
+            }
+            common::failure reason;
+            auto const counts =
+                reply.status == kv_status::done && !reply.items.empty()
+                    ? common::parse_json_object(
+                          reply.items.front().value, "backlog", reason)
+                    : std::nullopt;
+            if (!counts)
+            {
+                refuse(caller, "the backlog can't be read");
+                return;
+            }
+            auto const* const count = counts->if_contains(name);
+            bool const number = count != nullptr && count->is_int64();
+            answer(caller,
+                   ports::queue_status{
+                       number ? static_cast<std::uint64_t>(count->as_int64())
+                              : 0});
+        });
+}
+
+void front::cancel(common::time_point now,
+                   std::uint64_t caller,
+                   std::string const& id)
+{
+    if (store_away(now))
+    {
+        refuse(caller, "the store is away");
+        return;
+    }
+    out_.store(
+        life_,
+        ports::kv_read{keys::job(id)},
+        settings_.call_timeout,
+        [this, caller, id](common::time_point, kv_reply const& reply)
+        {
+            if (reply.status == kv_status::done && !reply.items.empty())
+            {
+                cancel_known(caller, id, reply.items.front().revision);
+                return;
+            }
+            if (reply.status != kv_status::missing)
+            {
+                refuse(caller, "the store did not answer");
+                return;
+            }
+            // It ended already, or never was.
+            out_.store(life_,
+                       ports::kv_read{keys::final_state(id)},
+                       settings_.call_timeout,
+                       [this, caller](common::time_point, kv_reply const& last)
+                       {
+                           if (last.status == kv_status::done)
+                           {
+                               answer(caller, ports::job_accepted{});
+                           }
+                           else if (last.status == kv_status::missing)
+                           {
+                               answer(caller, ports::job_absent{});
+                           }
+                           else
+                           {
+                               refuse(caller, "the store did not answer");
+                           }
+                       });
+        });
+}
+
+void front::cancel_known(std::uint64_t caller,
+                         std::string const& id,
+                         std::uint64_t revision)
+{
+    ports::kv_commit commit;
+    commit.expected.push_back({keys::job(id), revision});
+    commit.puts.push_back({keys::cancel(id), "cancelled", 0});
+    out_.store(
+        life_,
+        std::move(commit),
+        settings_.call_timeout,
+        [this, caller, id](common::time_point, kv_reply const& reply)
+        {
+            out_.log(severity::info,
+                     "cancel_asked",
+                     {{"job", id},
+                      {"status",
+                       std::to_string(static_cast<unsigned>(reply.status))}});
+            // A conflict: it ended just now.
+            bool const taken = reply.status == kv_status::done ||
+                               reply.status == kv_status::conflict;
+            if (taken)
+            {
+                answer(caller, ports::job_accepted{});
+            }
+            else if (reply.status == kv_status::refused)
+            {
+                refuse(caller, "the store did not take the cancelling");
+            }
+            else
+            {
+                unknown(caller, "the store did not answer");
+            }
+        });
+}
+
+void front::answer(std::uint64_t caller, ports::job_answer what)
+{
+    --open_;
+    out_.reply(caller, std::move(what));
+}
+
+void front::refuse(std::uint64_t caller, std::string why)
+{
+    answer(caller,
+           ports::job_refused{
+               {result_code::store_unavailable, "store", std::move(why)},
+               settings_.retry_after});
+}
+
+void front::unknown(std::uint64_t caller, std::string why)
+{
+    answer(caller,
+           ports::job_unknown{
+               {result_code::store_unclear, "store", std::move(why)}});
+}
+
+void front::remember(std::string const& id, job_state state)
+{
+    if (!finals_.emplace(id, state).second)
+    {
+        return;
+    }
+    final_order_.push_back(id);
+    if (final_order_.size() > settings_.remembered)
+    {
+        finals_.erase(final_order_.front());
+        final_order_.pop_front();
+    }
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/front.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/pool/operators.hpp"
+#include "core/pool/outbox.hpp"
+#include "core/pool/owner.hpp"
+#include "core/pool/request.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace fuchsia::core::pool
+{
+
+struct front_settings
+{
+    /// Callers wait 3 s for an answer; a slow store answers in 0.4 s.
+    common::duration call_timeout = std::chrono::milliseconds(1500);
+    /// A store that has not answered anything for this long is taken for away,
+    /// and what needs it is refused at once.
+    common::duration store_away_after = std::chrono::milliseconds(2000);
+    /// When to come back after a refusal: the store's short outages end within
+    /// seconds, and another instance may reach it now.
+    common::duration retry_after = std::chrono::milliseconds(500);
+    /// Final states remembered, so that repeated questions need no call.
+    std::size_t remembered = 4096;
+};
+
+/// Answers submitters. Any instance does: what was accepted lies in the store
+/// before the answer goes out, and its owner learns of it there.
+class front
+{
+public:
+    front(front_settings settings, operators const& rules, outbox& out);
+
+    void on_request(common::time_point now,
+                    pool_request const& request,
+                    owner const* owned);
+    /// Requests without an answer.
+    std::size_t open() const noexcept;
+    bool store_away(common::time_point now) const noexcept;
+
+private:
+    void submit(common::time_point now,
+                std::uint64_t caller,
+                job what,
+                queue const& into,
+                std::string id);
+    void query(common::time_point now,
+               std::uint64_t caller,
+               std::string const& id,
+               owner const* owned);
+    void query_final(std::uint64_t caller, std::string const& id);
+    void query_queue(common::time_point now,
+                     std::uint64_t caller,
+                     std::string const& name,
+                     owner const* owned);
+    void cancel(common::time_point now,
+                std::uint64_t caller,
+                std::string const& id);
+    void cancel_known(std::uint64_t caller,
+                      std::string const& id,
+                      std::uint64_t revision);
+    void answer(std::uint64_t caller, ports::job_answer what);
+    void refuse(std::uint64_t caller, std::string why);
+    void unknown(std::uint64_t caller, std::string why);
+    void remember(std::string const& id, ports::job_state state);
+
+    front_settings settings_;
+    operators const& rules_;
+    outbox& out_;
+    scope life_ = std::make_shared<char>();
+    std::size_t open_ = 0;
+    std::unordered_map<std::string, ports::job_state> finals_;
+    std::deque<std::string> final_order_;
+};
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/job.cpp
@@ -0,0 +1,213 @@
+#include "core/pool/job.hpp"
+
+#include "core/common/json.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::core::pool
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+// A job is held in memory by the pool's owner: these bound what one can cost.
+constexpr std::uint32_t max_steps = 256;
+constexpr std::uint32_t max_tasks_per_step = 10'000;
+constexpr std::int64_t max_integer = std::int64_t{1} << 52;
+
+json::object step_to_json(step const& value)
+{
+    json::object out{{"count", value.count},
+                     {"cores", value.declared.millicores},
+                     {"memory", value.declared.memory_mb},
+                     {"accelerators", value.declared.accelerators},
+                     {"estimate_ms", common::to_milliseconds(value.estimate)},
+                     {"after", json::value_from(value.after)}};
+    auto const flag = [&out](char const* key, bool set)
+    {
+        if (set)
+        {
+            out[key] = true;
+        }
+    };
+    auto const text = [&out](char const* key, std::string const& set)
+    {
+        if (!set.empty())
+        {
+            out[key] = set;
+        }
+    };
+    flag("checkpoints", value.checkpoints);
+    flag("gang", value.gang);
+    flag("same_rack", value.same_rack);
+    flag("speculative", value.speculative);
+    flag("lasting", value.lasting);
+    flag("fills", value.fills);
+    text("label", value.required_label);
+    text("near_rack", value.near_rack);
+    text("image", value.image);
+    out["max_per_worker"] = value.max_per_worker;
+    out["may_miss"] = value.may_miss;
+    out["tail_target_ms"] = common::to_milliseconds(value.tail_target);
+    return out;
+}
+
+step step_from_json(common::json_reader& in)
+{
+    auto const number = [&in](char const* key)
+    {
+        return in.integer_or(key, 0, 0, max_integer);
+    };
+    step value;
+    value.count = static_cast<std::uint32_t>(
+        in.integer_or("count", 1, 1, max_tasks_per_step));
+    value.declared = {number("cores"), number("memory"), number("accelerators")};
+    value.estimate = std::chrono::milliseconds(number("estimate_ms"));
+    value.checkpoints = in.flag_or("checkpoints", false);
+    value.gang = in.flag_or("gang", false);
+    value.same_rack = in.flag_or("same_rack", false);
+    value.speculative = in.flag_or("speculative", false);
+    value.lasting = in.flag_or("lasting", false);
+    value.fills = in.flag_or("fills", false);
+    value.required_label = in.text_or("label", "");
+    value.near_rack = in.text_or("near_rack", "");
+    value.image = in.text_or("image", "");
+    value.max_per_worker = static_cast<std::uint32_t>(
+        in.integer_or("max_per_worker", 0, 0, max_tasks_per_step));
+    value.may_miss = static_cast<std::uint32_t>(
+        in.integer_or("may_miss", 0, 0, max_tasks_per_step));
+    value.tail_target = std::chrono::milliseconds(number("tail_target_ms"));
+    if (auto const* after = in.array("after"))
+    {
+        for (auto const& item : *after)
+        {
+            value.after.push_back(
+                item.is_int64() ? static_cast<std::uint32_t>(item.as_int64())
+                                : max_steps);
+        }
+    }
+    return value;
+}
+
+common::failure wrong(std::string where, std::string why)
+{
+    return {common::result_code::malformed_job,
+            std::move(where),
+            std::move(why)};
+}
+
+} // namespace
+
+common::duration job::chain() const
+{
+    std::vector<common::duration> ends;
+    common::duration longest{};
+    for (auto const& each : steps)
+    {
+        common::duration begin{};
+        for (auto const earlier : each.after)
+        {
+            begin = std::max(begin, ends[earlier]);
+        }
+        ends.push_back(begin + each.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::string to_json(job const& value)
+{
+    json::array steps;
+    for (auto const& each : value.steps)
+    {
+        steps.push_back(step_to_json(each));
+    }
+    json::object out{{"id", value.id},
+                     {"queue", value.queue},
+                     {"spec", value.spec},
+                     {"steps", std::move(steps)},
+                     {"occurrences", value.occurrences},
+                     {"first_unix_ms", value.first_unix_ms},
+                     {"interval_ms", value.interval_ms},
+                     {"accepted_unix_ms", value.accepted_unix_ms}};
+    return json::serialize(out);
+}
+
+std::optional<job> parse_job(std::string_view text, common::failure& reason)
+{
+    auto const object = common::parse_json_object(text, "job", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    common::json_reader in(*object, "job");
+    job value;
+    value.id = in.text("id");
+    value.queue = in.text("queue");
+    value.spec = in.text_or("spec", "");
+    value.occurrences = static_cast<std::uint32_t>(
+        in.integer_or("occurrences", 1, 1, max_tasks_per_step));
+    value.first_unix_ms = in.integer_or("first_unix_ms", 0, 0, max_integer);
+    value.interval_ms = in.integer_or("interval_ms", 0, 0, max_integer);
+    value.accepted_unix_ms =
+        in.integer_or("accepted_unix_ms", 0, 0, max_integer);
+    auto const* steps = in.array("steps");
+    for (std::size_t number = 0; steps != nullptr && number < steps->size();
+         ++number)
+    {
+        if (!(*steps)[number].is_object())
+        {
+            reason = wrong("job.steps", "every step is an object");
+            return std::nullopt;
+        }
+        common::json_reader each((*steps)[number].as_object(),
+                                 "job.steps[" + std::to_string(number) + "]");
+        value.steps.push_back(step_from_json(each));
+        if (!each.ok())
+        {
+            reason = each.reason();
+            return std::nullopt;
+        }
+    }
+    if (!in.ok())
+    {
+        reason = in.reason();
+        return std::nullopt;
+    }
+    if (auto const problem = check(value))
+    {
+        reason = *problem;
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<common::failure> check(job const& value)
+{
+    if (value.id.empty() || value.steps.empty() ||
+        value.steps.size() > max_steps)
+    {
+        return wrong("job", "an id and 1 to 256 steps are needed");
+    }
+    for (std::size_t number = 0; number < value.steps.size(); ++number)
+    {
+        auto const& each = value.steps[number];
+        auto const where = "job.steps[" + std::to_string(number) + "]";
+        if (each.count == 0 || each.count > max_tasks_per_step)
+        {
+            return wrong(where + ".count", "1 to 10000 tasks are allowed");
+        }
+        for (auto const earlier : each.after)
+        {
+            if (earlier >= number)
+            {
+                return wrong(where + ".after", "only earlier steps may stand");
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/job.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/common/result_code.hpp"
+#include "core/common/time.hpp"
+#include "ports/workers.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// A job as its submitter describes it.
+namespace fuchsia::core::pool
+{
+
+/// `count` equal tasks that may run once all tasks of the steps in `after`
+/// are done.
+struct step
+{
+    std::uint32_t count = 1;
+    ports::resources declared; ///< Of each task.
+    common::duration estimate{};
+    std::vector<std::uint32_t> after; ///< Numbers of earlier steps.
+    bool checkpoints = false;         ///< Its progress can be resumed.
+    bool gang = false;                ///< The tasks work only together.
+    bool same_rack = false;           ///< Slower over more than one rack.
+    std::string required_label;
+    std::string near_rack;            ///< Where its data lies.
+    std::uint32_t max_per_worker = 0; ///< 0: no limit.
+    bool speculative = false;         ///< Copies may run; the first counts.
+    bool lasting = false;             ///< Runs until the job is cancelled.
+    std::string image;                ///< Tasks of one image behave alike.
+    common::duration tail_target{};   ///< Of a serving task; 0: serves nobody.
+    bool fills = false; ///< Uses what others leave; takes no capacity.
+    std::uint32_t may_miss = 0; ///< Tasks that may be away by our own orders.
+};
+
+struct job
+{
+    std::string id; ///< Chosen by the submitter; makes submitting idempotent.
+    std::string queue;
+    std::string spec; ///< Handed to the workers as it is.
+    std::vector<step> steps;
+    std::uint32_t occurrences = 1;
+    std::int64_t first_unix_ms = 0; ///< 0: due when it is submitted.
+    std::int64_t interval_ms = 0;   ///< Between occurrences.
+    std::int64_t accepted_unix_ms = 0;
+
+    /// Length of the longest chain of dependent steps, by their estimates.
+    common::duration chain() const;
+};
+
+/// The form in which jobs lie in the store.
+std::string to_json(job const& value);
+std::optional<job> parse_job(std::string_view json, common::failure& reason);
+
+/// Empty where the steps make sense: counts, sizes, references to earlier
+/// steps only; else what does not.
+std::optional<common::failure> check(job const& value);
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/job_run.cpp
@@ -0,0 +1,134 @@
+#include "core/pool/job_run.hpp"
+
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+namespace
+{
+
+// Up to three times its time limit a job still has some worth for its users.
+constexpr std::int64_t worthless_after = 3;
+
+occurrence_run make_occurrence(job const& spec)
+{
+    occurrence_run made;
+    for (auto const& each : spec.steps)
+    {
+        step_run steps;
+        steps.tasks.resize(each.count);
+        steps.left = each.count;
+        made.steps.push_back(std::move(steps));
+    }
+    return made;
+}
+
+} // namespace
+
+task* job_run::find(ports::task_name const& name)
+{
+    if (name.occurrence >= occurrences.size() ||
+        name.step >= occurrences[name.occurrence].steps.size())
+    {
+        return nullptr;
+    }
+    auto& tasks = occurrences[name.occurrence].steps[name.step].tasks;
+    return name.index < tasks.size() ? &tasks[name.index] : nullptr;
+}
+
+task& job_run::at(ports::task_name const& name)
+{
+    return occurrences[name.occurrence].steps[name.step].tasks[name.index];
+}
+
+step const& job_run::step_of(ports::task_name const& name) const
+{
+    return spec.steps[name.step];
+}
+
+job_run
+make_job_run(job spec, std::uint64_t revision, queue const& rules)
+{
+    job_run made;
+    made.revision = revision;
+    made.rules = rules;
+    made.rank = rules.priority;
+    auto const chain = common::to_milliseconds(spec.chain());
+    auto const limit =
+        static_cast<std::int64_t>(static_cast<double>(chain) * rules.stretch) +
+        common::to_milliseconds(rules.target);
+    auto const first = spec.first_unix_ms > 0 ? spec.first_unix_ms
+                                              : spec.accepted_unix_ms;
+    made.due_unix_ms = first + limit;
+    made.late_unix_ms = first + worthless_after * limit;
+    for (std::uint32_t number = 0; number < spec.occurrences; ++number)
+    {
+        auto occurrence = make_occurrence(spec);
+        occurrence.due_unix_ms = first + number * spec.interval_ms;
+        for (auto const& each : occurrence.steps)
+        {
+            made.left += each.left;
+        }
+        made.occurrences.push_back(std::move(occurrence));
+    }
+    made.spec = std::move(spec);
+    return made;
+}
+
+void apply(progress const& known, job_run& to)
+{
+    to.has_progress = true;
+    for (auto const& each : known.tasks)
+    {
+        auto* const found =
+            to.find({known.job, each.occurrence, each.step, each.index});
+        if (found == nullptr)
+        {
+            continue;
+        }
+        to.started = true;
+        found->failures = each.failures;
+        found->attempt = each.attempt;
+        found->checkpoint = each.checkpoint;
+        if (each.done && found->phase != task_phase::done)
+        {
+            found->phase = task_phase::done;
+            --to.occurrences[each.occurrence].steps[each.step].left;
+            --to.left;
+        }
+    }
+}
+
+progress progress_of(job_run const& from)
+{
+    progress made;
+    made.job = from.spec.id;
+    for (std::uint32_t k = 0; k < from.occurrences.size(); ++k)
+    {
+        auto const& steps = from.occurrences[k].steps;
+        for (std::uint32_t number = 0; number < steps.size(); ++number)
+        {
+            auto const& tasks = steps[number].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index)
+            {
+                auto const& each = tasks[index];
+                bool const done = each.phase == task_phase::done;
+                if (!done && each.failures == 0 && each.checkpoint.empty())
+                {
+                    continue;
+                }
+                made.tasks.push_back({k,
+                                      number,
+                                      index,
+                                      done,
+                                      each.failures,
+                                      each.attempt,
+                                      done ? std::string() : each.checkpoint});
+            }
+        }
+    }
+    return made;
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/job_run.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/pool/configuration.hpp"
+#include "core/pool/job.hpp"
+#include "core/pool/progress.hpp"
+#include "ports/pool_actions.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+// A job while its owner works on it.
+namespace fuchsia::core::pool
+{
+
+enum class task_phase : std::uint8_t
+{
+    blocked,  ///< Earlier steps are not done, or its time has not come.
+    unsure,   ///< A previous owner may have started it; not yet known where.
+    ready,    ///< Waits for a worker.
+    starting, ///< The order is on its way.
+    running,
+    stopping, ///< Ordered to stop; may run until its end is known.
+    done,
+};
+
+/// A task and its only run. At most one attempt may be at work anywhere, so
+/// the next one starts only once the last is known to be over.
+struct task
+{
+    task_phase phase = task_phase::blocked;
+    std::uint32_t attempt = 0; ///< Of the present or last run.
+    std::uint32_t failures = 0;
+    std::string worker;     ///< Of the present run.
+    std::uint64_t born = 0; ///< Incarnation of that worker.
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    std::int64_t level = 0;
+    std::uint32_t pace = 100; ///< As ordered.
+    common::time_point started{};
+    common::time_point moved{};          ///< Last seen to make progress.
+    std::vector<std::string> failed_on;  ///< Workers to avoid.
+
+    /// Whether it takes room on its worker.
+    bool placed() const noexcept
+    {
+        return phase == task_phase::starting || phase == task_phase::running ||
+               phase == task_phase::stopping;
+    }
+};
+
+struct step_run
+{
+    std::vector<task> tasks;
+    std::vector<std::uint32_t> ready; ///< Indexes, the next one last.
+    std::uint32_t left = 0;           ///< Tasks that are not done.
+    bool open = false;                ///< Its tasks may start.
+};
+
+struct occurrence_run
+{
+    std::vector<step_run> steps;
+    std::int64_t due_unix_ms = 0;
+};
+
+enum class job_phase : std::uint8_t
+{
+    active,
+    cancelling, ///< Nothing starts; what runs is being stopped.
+    failing,    ///< The same, after too many failures.
+    finished,   ///< All is over; the final state is on its way to the store.
+    recorded,   ///< The final state lies in the store.
+};
+
+struct job_run
+{
+    job spec;
+    std::uint64_t revision = 0; ///< Of the job's key.
+    queue rules;                ///< As they were when it was loaded.
+    job_phase phase = job_phase::active;
+    ports::job_state outcome = ports::job_state::completed;
+    std::vector<occurrence_run> occurrences;
+    std::uint64_t left = 0;   ///< Tasks that are not done.
+    std::uint32_t placed = 0; ///< Tasks that take room somewhere.
+    bool started = false;     ///< Some task has ever been started.
+    bool dirty = false;       ///< Has progress that is not in the store.
+    bool has_progress = false; ///< A progress record may lie in the store.
+    bool cancel_key = false;   ///< A cancel record lies in the store.
+    std::uint32_t rank = 0; ///< Its place among the waiting: lower is first.
+    std::int64_t due_unix_ms = 0;  ///< Where it earns all of its worth.
+    std::int64_t late_unix_ms = 0; ///< Where it earns nothing any more.
+
+    task& at(ports::task_name const& name);
+    /// Null where the job has no such task.
+    task* find(ports::task_name const& name);
+    step const& step_of(ports::task_name const& name) const;
+};
+
+/// Lays out all tasks, as blocked; `steps` open later.
+job_run make_job_run(job spec,
+                     std::uint64_t revision,
+                     queue const& rules);
+void apply(progress const& known, job_run& to);
+progress progress_of(job_run const& from);
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/operators.cpp
@@ -0,0 +1,201 @@
+#include "core/pool/operators.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+using ports::kv_reply;
+using ports::kv_status;
+using ports::severity;
+
+operators::operators(operators_settings settings,
+                     directory const& words,
+                     outbox& out)
+    : settings_(settings), words_(words), out_(out)
+{
+}
+
+void operators::start(common::time_point now)
+{
+    read(now, "");
+}
+
+void operators::tick(common::time_point now)
+{
+    if (waiting_to_read_ && now >= read_at_)
+    {
+        waiting_to_read_ = false;
+        read(now, "");
+    }
+}
+
+operator_state const& operators::state() const noexcept
+{
+    return state_;
+}
+
+bool operators::known() const noexcept
+{
+    return known_;
+}
+
+common::time_point operators::contact() const noexcept
+{
+    return contact_;
+}
+
+std::uint64_t operators::changes() const noexcept
+{
+    return changes_;
+}
+
+void operators::read(common::time_point now, std::string after)
+{
+    (void)now;
+    if (after.empty())
+    {
+        out_in_pages_.clear();
+    }
+    out_.store(life_,
+               ports::kv_range{words_.operators_prefix, after},
+               settings_.call_timeout,
+               [this, after](common::time_point at, kv_reply const& reply)
+               {
+                   on_page(at, after, reply);
+               });
+}
+
+void operators::on_page(common::time_point now,
+                        std::string const& after,
+                        kv_reply const& reply)
+{
+    if (reply.status != kv_status::done)
+    {
+        read_again(now);
+        return;
+    }
+    contact_ = now;
+    if (after.empty())
+    {
+        watched_ = std::max(watched_, reply.revision);
+    }
+    for (auto const& item : reply.items)
+    {
+        take(item);
+    }
+    if (reply.more && !reply.items.empty())
+    {
+        read(now, reply.items.back().key);
+        return;
+    }
+    // What was taken back while no watch heard it.
+    if (state_.data_centres_out != out_in_pages_)
+    {
+        state_.data_centres_out = out_in_pages_;
+        ++changes_;
+    }
+    known_ = known_ || state_.config.version > 0;
+    if (known_)
+    {
+        watch();
+    }
+    else
+    {
+        read_again(now);
+    }
+}
+
+void operators::watch()
+{
+    out_.store(life_,
+               ports::kv_watch{
+                   words_.operators_prefix, watched_, settings_.watch_wait},
+               settings_.watch_wait + settings_.call_timeout,
+               [this](common::time_point now, kv_reply const& reply)
+               {
+                   on_watch(now, reply);
+               });
+}
+
+// An answer without events does not move the place from which the next watch
+// goes on: a watch that was deaf for a while then either hears of the change
+// it missed or is told that the history is gone, and everything is read anew.
+void operators::on_watch(common::time_point now, kv_reply const& reply)
+{
+    if (reply.status != kv_status::done)
+    {
+        read_again(now);
+        return;
+    }
+    contact_ = now;
+    for (auto const& item : reply.items)
+    {
+        out_in_pages_ = state_.data_centres_out;
+        take(item);
+        state_.data_centres_out = out_in_pages_;
+        watched_ = std::max(watched_, item.revision);
+    }
+    if (!reply.items.empty())
+    {
+        ++changes_;
+    }
+    watch();
+}
+
+void operators::take(ports::kv_item const& item)
+{
+    common::failure reason;
+    auto change = words_.read_operator(item, reason);
+    if (!change)
+    {
+        out_.log(severity::error,
+                 "operator_entry_ignored",
+                 {{"key", item.key}, {"why", common::to_string(reason)}});
+        return;
+    }
+    if (auto* const config = std::get_if<configuration>(&*change))
+    {
+        take_config(std::move(*config));
+    }
+    else if (auto const* const moved =
+                 std::get_if<data_centre_change>(&*change))
+    {
+        bool const changed = moved->out
+                                 ? out_in_pages_.insert(moved->name).second
+                                 : out_in_pages_.erase(moved->name) > 0;
+        bool const before = state_.data_centres_out.contains(moved->name);
+        if (changed && before != moved->out)
+        {
+            out_.log(severity::info,
+                     "data_centre_changed",
+                     {{"data_centre", moved->name},
+                      {"out", moved->out ? "true" : "false"},
+                      {"revision", std::to_string(item.revision)}});
+        }
+    }
+}
+
+void operators::take_config(configuration config)
+{
+    if (config.version <= state_.config.version)
+    {
+        return;
+    }
+    out_.log(severity::info,
+             "configuration_in_force",
+             {{"version", std::to_string(config.version)},
+              {"before", std::to_string(state_.config.version)},
+              {"queues", std::to_string(config.queues.size())}});
+    state_.config = std::move(config);
+    ++changes_;
+}
+
+void operators::read_again(common::time_point now)
+{
+    waiting_to_read_ = true;
+    read_at_ = now + settings_.retry;
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/operators.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/pool/directory.hpp"
+#include "core/pool/outbox.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace fuchsia::core::pool
+{
+
+struct operators_settings
+{
+    /// How long a watch waits. A connection that went silent is noticed after
+    /// this and `call_timeout` together, within the 2 s that a change may take
+    /// to be in force.
+    common::duration watch_wait = std::chrono::milliseconds(1000);
+    common::duration call_timeout = std::chrono::milliseconds(500);
+    common::duration retry = std::chrono::milliseconds(100);
+};
+
+/// Follows what operators write. A version once seen is never left for an
+/// older one, whatever a late answer says.
+class operators
+{
+public:
+    operators(operators_settings settings,
+              directory const& words,
+              outbox& out);
+
+    void start(common::time_point now);
+    void tick(common::time_point now);
+
+    operator_state const& state() const noexcept;
+    /// Everything was read once.
+    bool known() const noexcept;
+    /// When the store last answered.
+    common::time_point contact() const noexcept;
+    /// Rises with each change.
+    std::uint64_t changes() const noexcept;
+
+private:
+    void read(common::time_point now, std::string after);
+    void on_page(common::time_point now,
+                 std::string const& after,
+                 ports::kv_reply const& reply);
+    void watch();
+    void on_watch(common::time_point now, ports::kv_reply const& reply);
+    void take(ports::kv_item const& item);
+    void take_config(configuration config);
+    void read_again(common::time_point now);
+
+    operators_settings settings_;
+    directory const& words_;
+    outbox& out_;
+    scope life_ = std::make_shared<char>();
+    operator_state state_;
+    std::set<std::string> out_in_pages_; ///< Of the range being read.
+    std::uint64_t watched_ = 0;
+    std::uint64_t changes_ = 0;
+    bool known_ = false;
+    bool waiting_to_read_ = false;
+    common::time_point contact_{};
+    common::time_point read_at_{};
+};
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/outbox.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/common/time.hpp"
+#include "ports/pool_actions.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fuchsia::core::pool
+{
+
+/// Ends with the object that asked; answers that come later go nowhere.
+using scope = std::shared_ptr<void>;
+
+/// Collects what the parts of an instance ask for, and hands each answer back
+/// to the part that waits for it.
+class outbox
+{
+public:
+    using kv_handler =
+        std::function<void(common::time_point, ports::kv_reply const&)>;
+    using order_handler =
+        std::function<void(common::time_point, ports::order_reply const&)>;
+
+    void store(scope const& asker,
+               ports::kv_operation operation,
+               common::duration timeout,
+               kv_handler handle);
+    void order(scope const& asker,
+               ports::pool_order order,
+               order_handler handle);
+    void reply(std::uint64_t caller, ports::job_answer answer);
+    void log(ports::severity level,
+             std::string event,
+             std::vector<ports::header> fields);
+    void push(ports::pool_action action);
+
+    void on_kv_reply(common::time_point now, ports::kv_reply const& reply);
+    void on_order_reply(common::time_point now,
+                        ports::order_reply const& reply);
+
+    /// Takes everything that was asked for since the last call.
+    ports::pool_actions take();
+
+    /// Unix milliseconds at `now`, by this machine's clock.
+    std::int64_t unix_ms(common::time_point now) const noexcept;
+    void set_unix_offset(std::int64_t offset_ms) noexcept;
+
+private:
+    template<class Handler>
+    struct waiting
+    {
+        std::weak_ptr<void> asker;
+        Handler handle;
+    };
+
+    ports::pool_actions actions_;
+    std::unordered_map<std::uint64_t, waiting<kv_handler>> kv_calls_;
+    std::unordered_map<std::uint64_t, waiting<order_handler>> orders_;
+    std::uint64_t next_id_ = 0;
+    std::int64_t unix_offset_ms_ = 0;
+};
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/owner.cpp
@@ -0,0 +1,663 @@
+#include "core/pool/owner.hpp"
+
+#include "core/common/json.hpp"
+#include "core/pool/keys.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using ports::kv_reply;
+using ports::kv_status;
+using ports::severity;
+
+constexpr common::duration watch_wait = std::chrono::milliseconds(1000);
+constexpr common::duration rank_interval = std::chrono::milliseconds(500);
+constexpr common::duration backlog_interval = std::chrono::milliseconds(700);
+// Jobs, progress, roster and final states.
+constexpr std::uint32_t parts_to_load = 4;
+
+std::string roster_json(fleet& workers)
+{
+    json::array rows;
+    for (auto const& [id, each] : workers.all())
+    {
+        rows.push_back(json::array{id,
+                                   each.info.service,
+                                   each.info.where.address,
+                                   each.info.where.port});
+    }
+    return json::serialize(json::object{{"workers", std::move(rows)}});
+}
+
+// Rows that can't be read are passed over: they name no worker to ask.
+std::vector<ports::pool_worker> parse_roster(std::string_view text,
+                                             common::failure& reason)
+{
+    std::vector<ports::pool_worker> made;
+    auto const object = common::parse_json_object(text, "roster", reason);
+    if (!object)
+    {
+        return made;
+    }
+    common::json_reader in(*object, "roster");
+    auto const* rows = in.array("workers");
+    for (std::size_t number = 0; rows != nullptr && number < rows->size();
+         ++number)
+    {
+        auto const* const cells = (*rows)[number].if_array();
+        if (cells == nullptr || cells->size() != 4 ||
+            !(*cells)[3].is_int64())
+        {
+            reason = {common::result_code::wrong_type, "roster", "bad row"};
+            continue;
+        }
+        ports::pool_worker each;
+        each.id = std::string((*cells)[0].as_string());
+        each.service = std::string((*cells)[1].as_string());
+        each.where.address = std::string((*cells)[2].as_string());
+        each.where.port =
+            static_cast<std::uint16_t>((*cells)[3].as_int64());
+        made.push_back(std::move(each));
+    }
+    return made;
+}
+
+bool out_of_attempts(job_run const& run)
+{
+    for (auto const& occurrence : run.occurrences)
+    {
+        for (std::size_t number = 0; number < occurrence.steps.size(); ++number)
+        {
+            for (auto const& each : occurrence.steps[number].tasks)
+            {
+                if (!run.spec.steps[number].lasting &&
+                    each.failures >= run.rules.attempts)
+                {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+owner::owner(owner_settings const& settings,
+             directory const& words,
+             operator_state const& operators,
+             claim& held,
+             outbox& out,
+             common::time_point now)
+    : settings_(settings), words_(words), operators_(operators), claim_(held),
+      out_(out), ledger_(settings.commits, held, out), fleet_(settings.workers),
+      colocation_(settings.sharing), began_(now), parts_(parts_to_load)
+{
+    load_roster();
+    load_page(now, "");
+    load_progress("");
+    load_finals("");
+    read_list(now);
+}
+
+void owner::tick(common::time_point now)
+{
+    if (stopped_)
+    {
+        ledger_.tick(now);
+        return;
+    }
+    if (now >= next_list_ && !listing_)
+    {
+        read_list(now);
+    }
+    if (!loaded_)
+    {
+        return;
+    }
+    check_silent(now);
+    settle(now);
+    hold_workers(now);
+    for (auto const& id : timed_)
+    {
+        if (auto* const run = find_job(id))
+        {
+            open_steps(now, *run);
+        }
+    }
+    if (now >= next_rank_)
+    {
+        rank_again(now);
+        drop_old_finals(now);
+        next_rank_ = now + rank_interval;
+    }
+    dispatch(now);
+    for (auto const& id : std::exchange(dirty_, {}))
+    {
+        if (auto* const run = find_job(id))
+        {
+            save_progress(*run);
+        }
+    }
+    write_backlog(now);
+    ledger_.tick(now);
+}
+
+void owner::on_operators(common::time_point now)
+{
+    if (loaded_ && !stopped_)
+    {
+        rank_again(now);
+        dispatch(now);
+    }
+}
+
+void owner::stop() noexcept
+{
+    stopped_ = true;
+}
+
+bool owner::loaded() const noexcept
+{
+    return loaded_;
+}
+
+owner_counters const& owner::counters() const noexcept
+{
+    return counters_;
+}
+
+// A store that has been silent for long may have given the claim to somebody
+// who can't reach every worker that we reach. That successor counts on our
+// silence from here on.
+bool owner::may_act(common::time_point now) const
+{
+    return !stopped_ && claim_.held() &&
+           now - claim_.confirmed() < settings_.workers.solo_limit;
+}
+
+void owner::load_page(common::time_point now, std::string after)
+{
+    (void)now;
+    out_.store(life_,
+               ports::kv_range{std::string(keys::owned_prefix), after},
+               settings_.call_timeout,
+               [this, after](common::time_point at, kv_reply const& reply)
+               {
+                   if (reply.status != kv_status::done)
+                   {
+                       load_page(at, after);
+                       return;
+                   }
+                   // Pages are no snapshot: events since the first one are
+                   // taken again.
+                   if (after.empty())
+                   {
+                       watched_ = reply.revision;
+                   }
+                   on_page(at, reply);
+               });
+}
+
+void owner::on_page(common::time_point now, kv_reply const& reply)
+{
+    job_items_.insert(
+        job_items_.end(), reply.items.begin(), reply.items.end());
+    if (reply.more && !reply.items.empty())
+    {
+        load_page(now, reply.items.back().key);
+        return;
+    }
+    // After a compaction jobs are already known here; what is gone meanwhile
+    // was ended by ourselves.
+    if (loaded_)
+    {
+        for (auto const& item : std::exchange(job_items_, {}))
+        {
+            take_item(now, item);
+        }
+        watch();
+        return;
+    }
+    parts_loaded(now);
+}
+
+void owner::load_progress(std::string after)
+{
+    out_.store(
+        life_,
+        ports::kv_range{std::string(keys::progress_prefix), after},
+        settings_.call_timeout,
+        [this, after](common::time_point now, kv_reply const& reply)
+        {
+            if (reply.status != kv_status::done)
+            {
+                load_progress(after);
+                return;
+            }
+            progress_items_.insert(progress_items_.end(),
+                                   reply.items.begin(),
+                                   reply.items.end());
+            if (reply.more && !reply.items.empty())
+            {
+                load_progress(reply.items.back().key);
+                return;
+            }
+            parts_loaded(now);
+        });
+}
+
+void owner::load_finals(std::string after)
+{
+    out_.store(
+        life_,
+        ports::kv_range{std::string(keys::final_prefix), after},
+        settings_.call_timeout,
+        [this, after](common::time_point now, kv_reply const& reply)
+        {
+            if (reply.status != kv_status::done)
+            {
+                load_finals(after);
+                return;
+            }
+            for (auto const& item : reply.items)
+            {
+                final_times_.emplace_back(
+                    now, item.key.substr(keys::final_prefix.size()));
+            }
+            if (reply.more && !reply.items.empty())
+            {
+                load_finals(reply.items.back().key);
+                return;
+            }
+            parts_loaded(now);
+        });
+}
+
+void owner::load_roster()
+{
+    out_.store(life_,
+               ports::kv_read{std::string(keys::roster)},
+               settings_.call_timeout,
+               [this](common::time_point now, kv_reply const& reply)
+               {
+                   if (reply.status != kv_status::done &&
+                       reply.status != kv_status::missing)
+                   {
+                       load_roster();
+                       return;
+                   }
+                   common::failure reason;
+                   for (auto const& item : reply.items)
+                   {
+                       for (auto const& each : parse_roster(item.value, reason))
+                       {
+                           roster_.insert(each.id);
+                           fleet_.add_rostered(each);
+                       }
+                   }
+                   if (reason.code != common::result_code::ok)
+                   {
+                       out_.log(severity::error,
+                                "roster_unreadable",
+                                {{"why", common::to_string(reason)}});
+                   }
+                   parts_loaded(now);
+               });
+}
+
+void owner::parts_loaded(common::time_point now)
+{
+    if (--parts_ > 0)
+    {
+        return;
+    }
+    loaded_ = true;
+    for (auto const& item : std::exchange(job_items_, {}))
+    {
+        take_item(now, item);
+    }
+    for (auto const& item : std::exchange(progress_items_, {}))
+    {
+        common::failure reason;
+        auto const known = parse_progress(item.value, reason);
+        auto* const run =
+            known ? find_job(known->job) : nullptr;
+        if (!known)
+        {
+            out_.log(severity::error,
+                     "progress_unreadable",
+                     {{"key", item.key}, {"why", common::to_string(reason)}});
+        }
+        if (run != nullptr)
+        {
+            apply(*known, *run);
+        }
+    }
+    for (auto& [id, run] : jobs_)
+    {
+        if (run.phase == job_phase::active && out_of_attempts(run))
+        {
+            end_job(now, run, job_phase::failing);
+        }
+        open_steps(now, run);
+        if (run.phase != job_phase::active)
+        {
+            finish_if_over(now, run);
+        }
+        else if (run.left == 0)
+        {
+            end_job(now, run, job_phase::finished);
+        }
+    }
+    out_.log(severity::info,
+             "state_loaded",
+             {{"epoch", std::to_string(claim_.epoch())},
+              {"jobs", std::to_string(jobs_.size())},
+              {"roster", std::to_string(roster_.size())},
+              {"took_ms",
+               std::to_string(common::to_milliseconds(now - began_))}});
+    watch();
+    tick(now);
+}
+
+void owner::watch()
+{
+    out_.store(
+        life_,
+        ports::kv_watch{
+            std::string(keys::owned_prefix), watched_, watch_wait},
+        watch_wait + settings_.call_timeout,
+        [this](common::time_point now, kv_reply const& reply)
+        {
+            on_watch(now, reply);
+        });
+}
+
+void owner::on_watch(common::time_point now, kv_reply const& reply)
+{
+    if (reply.status == kv_status::compacted)
+    {
+        out_.log(severity::warning,
+                 "history_lost",
+                 {{"after", std::to_string(watched_)}});
+        load_page(now, "");
+        return;
+    }
+    if (reply.status != kv_status::done)
+    {
+        // An endless retry against a silent store costs one call a second.
+        watch();
+        return;
+    }
+    watched_ = std::max(watched_, reply.revision);
+    for (auto const& item : reply.items)
+    {
+        take_item(now, item);
+    }
+    if (!claim_.held())
+    {
+        return;
+    }
+    watch();
+    if (!reply.items.empty())
+    {
+        tick(now);
+    }
+}
+
+void owner::take_item(common::time_point now, ports::kv_item const& item)
+{
+    if (item.key == keys::claim)
+    {
+        claim_.on_item(item);
+        return;
+    }
+    if (item.erased || !item.key.starts_with(keys::job_prefix))
+    {
+        return;
+    }
+    if (!item.key.ends_with(keys::cancel_suffix))
+    {
+        add_job(now, item);
+        return;
+    }
+    auto const length = item.key.size() - keys::job_prefix.size() -
+                        keys::cancel_suffix.size();
+    auto const id = item.key.substr(keys::job_prefix.size(), length);
+    if (auto* const run = find_job(id))
+    {
+        run->cancel_key = true;
+        cancel_job(now, *run);
+        return;
+    }
+    // The job ended while its cancelling was on the way.
+    ledger_.write({{}, {item.key}, {}});
+}
+
+void owner::add_job(common::time_point now, ports::kv_item const& item)
+{
+    auto const id = item.key.substr(keys::job_prefix.size());
+    if (jobs_.contains(id) || finals_.contains(id))
+    {
+        return;
+    }
+    common::failure reason;
+    auto spec = parse_job(item.value, reason);
+    auto const* const rules =
+        spec ? operators_.config.named(spec->queue) : nullptr;
+    if (!spec)
+    {
+        out_.log(severity::error,
+                 "job_unreadable",
+                 {{"key", item.key}, {"why", common::to_string(reason)}});
+        return;
+    }
+    queue fallback;
+    fallback.name = spec->queue;
+    auto const& used = rules != nullptr ? *rules : fallback;
+    auto& run =
+        jobs_.emplace(id, make_job_run(std::move(*spec), item.revision, used))
+            .first->second;
+    bool const timed = run.spec.occurrences > 1 || run.spec.first_unix_ms > 0;
+    if (timed)
+    {
+        timed_.push_back(id);
+    }
+    if (loaded_ && parts_ == 0)
+    {
+        open_steps(now, run);
+    }
+}
+
+void owner::read_list(common::time_point now)
+{
+    listing_ = true;
+    next_list_ = now + settings_.list_interval;
+    out_.store(life_,
+               ports::kv_range{words_.workers_prefix,
+                               list_.empty() ? ""
+                                             : words_.workers_prefix +
+                                                   list_.back().id},
+               settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   on_list(at, reply);
+               });
+}
+
+void owner::on_list(common::time_point now, kv_reply const& reply)
+{
+    if (reply.status != kv_status::done)
+    {
+        listing_ = false;
+        list_.clear();
+        return;
+    }
+    for (auto const& item : reply.items)
+    {
+        common::failure reason;
+        auto each = words_.read_worker(item, reason);
+        if (!each)
+        {
+            out_.log(severity::warning,
+                     "worker_entry_ignored",
+                     {{"key", item.key}, {"why", common::to_string(reason)}});
+            continue;
+        }
+        list_.push_back(std::move(*each));
+    }
+    if (reply.more && !list_.empty())
+    {
+        read_list(now);
+        return;
+    }
+    listing_ = false;
+    take_list(now);
+}
+
+void owner::take_list(common::time_point now)
+{
+    fleet_.take_list(list_);
+    list_.clear();
+    list_known_ = true;
+    bool missing = false;
+    for (auto const& [id, each] : fleet_.all())
+    {
+        missing = missing || !roster_.contains(id);
+    }
+    if (missing)
+    {
+        write_roster();
+    }
+    if (loaded_)
+    {
+        tick(now);
+    }
+}
+
+// A task may start only on a worker that a successor would ask.
+void owner::write_roster()
+{
+    if (roster_writing_ || !loaded_)
+    {
+        return;
+    }
+    roster_writing_ = true;
+    std::set<std::string> names;
+    for (auto const& [id, each] : fleet_.all())
+    {
+        names.insert(id);
+    }
+    ledger_.write({{{std::string(keys::roster), roster_json(fleet_), 0}},
+                   {},
+                   [this, names](common::time_point)
+                   {
+                       roster_writing_ = false;
+                       roster_ = names;
+                       for (auto const& id : names)
+                       {
+                           if (auto* const each = fleet_.find(id))
+                           {
+                               each->rostered = true;
+                           }
+                       }
+                   }});
+}
+
+std::map<std::string, std::uint64_t> owner::pending() const
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (auto const& [id, run] : jobs_)
+    {
+        if (run.phase == job_phase::active && !run.started)
+        {
+            ++counts[run.spec.queue];
+        }
+    }
+    return counts;
+}
+
+void owner::write_backlog(common::time_point now)
+{
+    if (now < next_backlog_ || backlog_writing_)
+    {
+        return;
+    }
+    next_backlog_ = now + backlog_interval;
+    auto counts = pending();
+    if (counts == told_backlog_)
+    {
+        return;
+    }
+    json::object out;
+    for (auto const& [queue, count] : counts)
+    {
+        out[queue] = count;
+    }
+    told_backlog_ = std::move(counts);
+    backlog_writing_ = true;
+    ledger_.write(
+        {{{std::string(keys::backlog), json::serialize(out), 0}},
+         {},
+         [this](common::time_point)
+         {
+             backlog_writing_ = false;
+         }});
+}
+
+void owner::drop_old_finals(common::time_point now)
+{
+    constexpr std::size_t at_once = 20;
+    ledger::entry out;
+    auto const old = [this, now](auto const& each)
+    {
+        return now - each.first >= settings_.final_kept;
+    };
+    while (!final_times_.empty() && out.erases.size() < at_once &&
+           old(final_times_.front()))
+    {
+        out.erases.push_back(keys::final_state(final_times_.front().second));
+        finals_.erase(final_times_.front().second);
+        final_times_.erase(final_times_.begin());
+    }
+    if (!out.erases.empty())
+    {
+        ledger_.write(std::move(out));
+    }
+}
+
+std::optional<ports::job_state> owner::state_of(std::string const& id) const
+{
+    auto const final_state = finals_.find(id);
+    if (final_state != finals_.end())
+    {
+        return final_state->second;
+    }
+    auto const found = jobs_.find(id);
+    if (found == jobs_.end())
+    {
+        return std::nullopt;
+    }
+    auto const& run = found->second;
+    if (run.phase == job_phase::cancelling)
+    {
+        return ports::job_state::cancelled;
+    }
+    return run.started ? ports::job_state::active : ports::job_state::queued;
+}
+
+job_run* owner::find_job(std::string const& id)
+{
+    auto const found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/owner.hpp
@@ -0,0 +1,246 @@
+#pragma once
+
+#include "core/pool/claim.hpp"
+#include "core/pool/colocation.hpp"
+#include "core/pool/directory.hpp"
+#include "core/pool/fleet.hpp"
+#include "core/pool/job_run.hpp"
+#include "core/pool/ledger.hpp"
+#include "core/pool/outbox.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fuchsia::core::pool
+{
+
+struct owner_settings
+{
+    fleet_settings workers;
+    ledger_settings commits;
+    colocation_settings sharing;
+    common::duration call_timeout = std::chrono::milliseconds(900);
+    /// Between two looks at the platform's list of workers. A leaving worker
+    /// may get no new task 2 s after it said so.
+    common::duration list_interval = std::chrono::milliseconds(500);
+    /// How long a worker may hold back its answer while nothing ends there:
+    /// where serving tasks have neighbours that may disturb them, and elsewhere.
+    common::duration guarded_wait = std::chrono::milliseconds(250);
+    common::duration calm_wait = std::chrono::milliseconds(700);
+    /// An idle worker is asked this often, for its clock.
+    common::duration idle_interval = std::chrono::seconds(2);
+    /// An order that got no answer after this long is followed up.
+    common::duration order_timeout = std::chrono::milliseconds(350);
+    /// A wait without an answer ends this long after the worker's own limit.
+    common::duration hold_grace = std::chrono::milliseconds(500);
+    /// After a refusal for want of room.
+    common::duration full_pause = std::chrono::milliseconds(100);
+    /// A worker on which tasks of this many jobs failed in a row is avoided.
+    std::size_t suspect_after = 3;
+    common::duration suspect_pause = std::chrono::seconds(6);
+    /// A task whose progress stands still for this long is started elsewhere.
+    common::duration stuck_after = std::chrono::milliseconds(2500);
+    /// Final states are kept this long: those who ask get an answer for two
+    /// minutes at least.
+    common::duration final_kept = std::chrono::minutes(4);
+};
+
+/// What an owner counts, for metrics.
+struct owner_counters
+{
+    std::uint64_t starts = 0;
+    std::uint64_t starts_refused = 0;
+    std::uint64_t starts_unclear = 0;
+    std::uint64_t tasks_done = 0;
+    std::uint64_t tasks_failed = 0;
+    std::uint64_t tasks_lost = 0;
+    std::uint64_t paced = 0;
+    std::uint64_t evicted = 0;
+    std::uint64_t jobs_finished = 0;
+};
+
+/// Schedules all jobs while this instance holds the claim. It is made when the
+/// claim was taken and thrown away when it is lost: what must last lies in the
+/// store, and what runs is asked of the workers.
+class owner
+{
+public:
+    owner(owner_settings const& settings,
+          directory const& words,
+          operator_state const& operators,
+          claim& held,
+          outbox& out,
+          common::time_point now);
+
+    void tick(common::time_point now);
+    /// Operators changed something.
+    void on_operators(common::time_point now);
+    /// Nothing starts and no lease is renewed from here on.
+    void stop() noexcept;
+
+    /// Whether the jobs are known, so that questions can be answered here.
+    bool loaded() const noexcept;
+    /// Empty where this owner does not know the job.
+    std::optional<ports::job_state> state_of(std::string const& id) const;
+    std::map<std::string, std::uint64_t> pending() const;
+    owner_counters const& counters() const noexcept;
+
+private:
+    // owner.cpp: the store.
+    void load_page(common::time_point now, std::string after);
+    void on_page(common::time_point now, ports::kv_reply const& reply);
+    void load_progress(std::string after);
+    void load_roster();
+    void load_finals(std::string after);
+    void read_list(common::time_point now);
+    void on_list(common::time_point now, ports::kv_reply const& reply);
+    void take_list(common::time_point now);
+    void watch();
+    void on_watch(common::time_point now, ports::kv_reply const& reply);
+    void take_item(common::time_point now, ports::kv_item const& item);
+    void add_job(common::time_point now, ports::kv_item const& item);
+    void parts_loaded(common::time_point now);
+    void write_roster();
+    void write_backlog(common::time_point now);
+    void drop_old_finals(common::time_point now);
+    bool may_act(common::time_point now) const;
+
+    // owner_jobs.cpp: the life of jobs and tasks.
+    void open_steps(common::time_point now, job_run& run);
+    bool step_may_open(job_run const& run,
+                       std::uint32_t occurrence,
+                       std::uint32_t number,
+                       std::int64_t now_ms) const;
+    void make_ready(job_run& run, ports::task_name const& name);
+    void task_done(common::time_point now,
+                   job_run& run,
+                   ports::task_name const& name);
+    void task_failed(common::time_point now,
+                     job_run& run,
+                     ports::task_name const& name);
+    void task_over(common::time_point now,
+                   job_run& run,
+                   ports::task_name const& name);
+    void unplace(job_run& run, ports::task_name const& name);
+    void place(job_run& run, ports::task_name const& name, worker& on);
+    void cancel_job(common::time_point now, job_run& run);
+    void end_job(common::time_point now, job_run& run, job_phase phase);
+    void finish_if_over(common::time_point now, job_run& run);
+    void mark_dirty(job_run& run);
+    void save_progress(job_run& run);
+    job_run* find_job(std::string const& id);
+
+    // owner_workers.cpp: what workers say.
+    void hold_workers(common::time_point now);
+    void hold(common::time_point now, worker& of);
+    void on_hold(common::time_point now,
+                 common::time_point sent,
+                 std::string const& id,
+                 ports::order_reply const& reply);
+    void new_incarnation(common::time_point now,
+                         worker& of,
+                         std::uint64_t born);
+    void take_rows(common::time_point now,
+                   common::time_point sent,
+                   worker& of,
+                   ports::order_reply const& reply);
+    void take_running(common::time_point now,
+                      worker& of,
+                      ports::running_row const& row);
+    void
+    take_end(common::time_point now, worker& of, ports::ended_row const& row);
+    void forget_runs(common::time_point now, worker& of, char const* why);
+    void guard(common::time_point now, worker& of);
+    void pace(worker& on, ports::task_name const& name, std::uint32_t percent);
+    void order_stop(common::time_point now,
+                    std::string const& id,
+                    ports::task_run const& what);
+    void check_silent(common::time_point now);
+    void settle(common::time_point now);
+    worker_view view_of(worker const& of);
+    void blame(common::time_point now, worker& of, std::string const& job);
+    void fenced(std::string const& by);
+
+    // owner_dispatch.cpp: which task starts where.
+    struct ready_key
+    {
+        std::uint32_t rank = 0;
+        std::int64_t due = 0;
+        std::string job;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+
+        auto operator<=>(ready_key const&) const = default;
+    };
+    ready_key key_of(job_run const& run,
+                     std::uint32_t occurrence,
+                     std::uint32_t number) const;
+    void rank_again(common::time_point now);
+    void dispatch(common::time_point now);
+    bool dispatch_step(common::time_point now, ready_key const& key);
+    worker* choose(common::time_point now,
+                   job_run& run,
+                   ports::task_name const& name);
+    bool eligible(common::time_point now,
+                  worker const& on,
+                  job_run const& run,
+                  step const& what) const;
+    bool fits(worker const& on, step const& what) const;
+    std::optional<double> score(common::time_point now,
+                                worker& on,
+                                job_run& run,
+                                ports::task_name const& name);
+    std::optional<double>
+    score_fill(worker& on, step const& what);
+    void
+    start(common::time_point now, job_run& run, ports::task_name const& name,
+          worker& on);
+    void on_start(common::time_point now,
+                  ports::task_run const& what,
+                  std::string const& id,
+                  ports::order_reply const& reply);
+
+    owner_settings settings_;
+    directory const& words_;
+    operator_state const& operators_;
+    claim& claim_;
+    outbox& out_;
+    scope life_ = std::make_shared<char>();
+    ledger ledger_;
+    fleet fleet_;
+    colocation colocation_;
+    owner_counters counters_;
+
+    std::unordered_map<std::string, job_run> jobs_;
+    std::unordered_map<std::string, ports::job_state> finals_;
+    std::vector<std::pair<common::time_point, std::string>> final_times_;
+    std::set<ready_key> ready_;
+    std::set<std::string> dirty_;
+    std::vector<std::string> timed_; ///< Jobs with occurrences to come.
+
+    common::time_point began_{};
+    std::uint64_t watched_ = 0; ///< Revision up to which events were taken.
+    std::vector<ports::kv_item> progress_items_;
+    std::vector<ports::kv_item> job_items_;
+    std::uint32_t parts_ = 0; ///< Parts of the state that are still loading.
+    bool loaded_ = false;
+    bool list_known_ = false;
+    bool listing_ = false;
+    std::vector<ports::pool_worker> list_; ///< The pages read so far.
+    bool settled_ = false; ///< No earlier owner's start is unknown any more.
+    bool stopped_ = false;
+    std::set<std::string> roster_; ///< As it lies in the store.
+    bool roster_writing_ = false;
+    common::time_point next_list_{};
+    common::time_point next_rank_{};
+    common::time_point next_backlog_{};
+    std::map<std::string, std::uint64_t> told_backlog_;
+    bool backlog_writing_ = false;
+};
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/owner_dispatch.cpp
@@ -0,0 +1,392 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+using ports::order_reply;
+using ports::order_status;
+using ports::severity;
+
+namespace
+{
+
+// Added to the rank of what can't earn all, or anything, any more: it runs on
+// what the rest leaves.
+constexpr std::uint32_t late_rank = 1000;
+constexpr std::uint32_t worthless_rank = 2000;
+constexpr std::uint32_t gone_rank = 4000;
+// One round looks at this many steps that wait, so that a long queue costs no
+// more than a short one.
+constexpr std::size_t steps_per_round = 128;
+// Scores: the lowest wins. A rack away from its data a task takes up to twice
+// as long; a worker on which it failed before is taken only when no other is
+// left.
+constexpr double far_penalty = 10;
+constexpr double failed_penalty = 100;
+
+struct shape
+{
+    step const* what = nullptr;
+    std::string service;
+};
+
+// Whether `wanted` needs at least as much as what found no place just now.
+bool as_hard(shape const& failed, shape const& wanted)
+{
+    return failed.service == wanted.service &&
+           failed.what->fills == wanted.what->fills &&
+           failed.what->required_label == wanted.what->required_label &&
+           failed.what->max_per_worker == 0 &&
+           failed.what->image == wanted.what->image &&
+           wanted.what->declared.holds(failed.what->declared);
+}
+
+double share_of(std::int64_t part, std::int64_t whole)
+{
+    return static_cast<double>(part) /
+           static_cast<double>(std::max<std::int64_t>(whole, 1));
+}
+
+} // namespace
+
+owner::ready_key owner::key_of(job_run const& run,
+                               std::uint32_t occurrence,
+                               std::uint32_t number) const
+{
+    return {run.rank, run.due_unix_ms, run.spec.id, occurrence, number};
+}
+
+// What has become late goes behind what can still be on time.
+void owner::rank_again(common::time_point now)
+{
+    auto const now_ms = out_.unix_ms(now);
+    ready_.clear();
+    for (auto& [id, run] : jobs_)
+    {
+        if (run.phase != job_phase::active)
+        {
+            continue;
+        }
+        bool const lasting = run.spec.steps.front().lasting;
+        run.rank = run.rules.priority;
+        if (!lasting && run.spec.occurrences == 1)
+        {
+            run.rank += now_ms > run.late_unix_ms  ? worthless_rank
+                        : now_ms > run.due_unix_ms ? late_rank
+                                                   : 0;
+        }
+        if (operators_.config.named(run.spec.queue) == nullptr)
+        {
+            run.rank += gone_rank;
+        }
+        for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+        {
+            auto const& steps = run.occurrences[k].steps;
+            for (std::uint32_t number = 0; number < steps.size(); ++number)
+            {
+                if (!steps[number].ready.empty())
+                {
+                    ready_.insert(key_of(run, k, number));
+                }
+            }
+        }
+    }
+}
+
+void owner::dispatch(common::time_point now)
+{
+    if (!may_act(now) || !list_known_)
+    {
+        return;
+    }
+    std::vector<shape> failed;
+    std::size_t looked_at = 0;
+    for (auto next = ready_.begin(); next != ready_.end();)
+    {
+        // The step may be taken out of the set below.
+        auto const key = *next++;
+        auto* const run = find_job(key.job);
+        auto const* const what =
+            run != nullptr ? &run->spec.steps[key.step] : nullptr;
+        if (what == nullptr)
+        {
+            ready_.erase(key);
+            continue;
+        }
+        if (++looked_at > steps_per_round)
+        {
+            return;
+        }
+        shape const wanted{what, run->rules.service};
+        bool const hopeless = std::any_of(failed.begin(),
+                                          failed.end(),
+                                          [&wanted](shape const& each)
+                                          {
+                                              return as_hard(each, wanted);
+                                          });
+        if (hopeless)
+        {
+            continue;
+        }
+        if (!dispatch_step(now, key))
+        {
+            failed.push_back(wanted);
+        }
+    }
+}
+
+// False where a task of the step found no worker.
+bool owner::dispatch_step(common::time_point now, ready_key const& key)
+{
+    auto& run = *find_job(key.job);
+    auto& steps = run.occurrences[key.occurrence].steps[key.step];
+    while (!steps.ready.empty() && run.phase == job_phase::active)
+    {
+        auto const index = steps.ready.back();
+        ports::task_name const name{key.job, key.occurrence, key.step, index};
+        if (steps.tasks[index].phase != task_phase::ready)
+        {
+            steps.ready.pop_back();
+            continue;
+        }
+        auto* const on = choose(now, run, name);
+        if (on == nullptr)
+        {
+            return false;
+        }
+        steps.ready.pop_back();
+        start(now, run, name, *on);
+    }
+    ready_.erase(key);
+    return true;
+}
+
+bool owner::eligible(common::time_point now,
+                     worker const& on,
+                     job_run const& run,
+                     step const& what) const
+{
+    bool const usable = on.adopted && on.listed && on.rostered &&
+                        !on.info.draining && now >= on.avoid_until &&
+                        now >= on.full_until &&
+                        on.info.service == run.rules.service &&
+                        now - on.contact < settings_.workers.lease;
+    if (!usable || operators_.data_centres_out.contains(on.info.data_centre))
+    {
+        return false;
+    }
+    auto const& labels = on.info.labels;
+    return what.required_label.empty() ||
+           std::find(labels.begin(), labels.end(), what.required_label) !=
+               labels.end();
+}
+
+bool owner::fits(worker const& on, step const& what) const
+{
+    auto used = on.reserved;
+    used += what.declared;
+    if (what.fills)
+    {
+        used.millicores = 0;
+    }
+    return on.info.capacity.holds(used);
+}
+
+worker* owner::choose(common::time_point now,
+                      job_run& run,
+                      ports::task_name const& name)
+{
+    worker* best = nullptr;
+    double lowest = 0;
+    for (auto& [id, each] : fleet_.all())
+    {
+        auto const found = score(now, each, run, name);
+        if (found && (best == nullptr || *found < lowest))
+        {
+            best = &each;
+            lowest = *found;
+        }
+    }
+    return best;
+}
+
+std::optional<double> owner::score(common::time_point now,
+                                   worker& on,
+                                   job_run& run,
+                                   ports::task_name const& name)
+{
+    auto const& what = run.step_of(name);
+    if (!eligible(now, on, run, what) || !fits(on, what))
+    {
+        return std::nullopt;
+    }
+    if (what.max_per_worker > 0)
+    {
+        auto const first = on.runs.lower_bound(
+            {name.job, name.occurrence, name.step, 0});
+        std::uint32_t beside = 0;
+        for (auto each = first; each != on.runs.end() &&
+                                each->job == name.job &&
+                                each->occurrence == name.occurrence &&
+                                each->step == name.step;
+             ++each)
+        {
+            ++beside;
+        }
+        if (beside >= what.max_per_worker)
+        {
+            return std::nullopt;
+        }
+    }
+    double total = 0;
+    if (what.fills)
+    {
+        auto const fill = score_fill(on, what);
+        if (!fill)
+        {
+            return std::nullopt;
+        }
+        total = *fill;
+    }
+    else
+    {
+        // Best fit: what stays free stays in one piece, and workers without
+        // serving tasks are left to those that would disturb them.
+        auto const free = on.info.capacity.millicores - on.reserved.millicores -
+                          what.declared.millicores;
+        total = share_of(free, on.info.capacity.millicores) +
+                (on.serves() ? 0.0 : 1.0);
+    }
+    if (!what.near_rack.empty() && on.info.rack != what.near_rack)
+    {
+        total += far_penalty;
+    }
+    auto const& failed = run.at(name).failed_on;
+    if (std::find(failed.begin(), failed.end(), on.info.id) != failed.end())
+    {
+        total += failed_penalty;
+    }
+    return total;
+}
+
+// Tasks that fill go where most cores are idle, to workers without serving
+// tasks first; beside those only where they are expected to be bearable.
+std::optional<double> owner::score_fill(worker& on, step const& what)
+{
+    auto const idle = on.idle_cores(settings_.workers.serving_use) -
+                      what.declared.millicores;
+    if (idle < 0)
+    {
+        return std::nullopt;
+    }
+    double const left = 1 - share_of(idle, on.info.capacity.millicores);
+    if (!on.serves())
+    {
+        return left;
+    }
+    auto const share =
+        share_of(what.declared.millicores, on.info.capacity.millicores);
+    double const expected =
+        colocation_.expected(view_of(on), what.image, share);
+    if (expected > settings_.sharing.place_below)
+    {
+        return std::nullopt;
+    }
+    return 1 + left + expected;
+}
+
+void owner::start(common::time_point now,
+                  job_run& run,
+                  ports::task_name const& name,
+                  worker& on)
+{
+    auto& each = run.at(name);
+    place(run, name, on);
+    ++each.attempt;
+    each.phase = task_phase::starting;
+    each.percent = 0;
+    each.pace = 100;
+    each.started = now;
+    each.moved = now;
+    run.started = true;
+    ++counters_.starts;
+    ports::start_order order;
+    order.fence = claim_.epoch();
+    order.what = {name, each.attempt};
+    order.spec = run.spec.spec;
+    order.until_ms = fleet_.lease_end(on, now);
+    order.checkpoint = each.checkpoint;
+    on.until_ms = std::max(on.until_ms, order.until_ms);
+    // A worker that was idle is asked seldom; from now on it is watched.
+    on.next_hold = std::min(on.next_hold, now + settings_.full_pause);
+    out_.order(life_,
+               {0,
+                on.info.id,
+                on.info.where,
+                on.born,
+                order,
+                settings_.order_timeout},
+               [this, what = order.what, id = on.info.id](
+                   common::time_point at, order_reply const& reply)
+               {
+                   on_start(at, what, id, reply);
+               });
+}
+
+void owner::on_start(common::time_point now,
+                     ports::task_run const& what,
+                     std::string const& id,
+                     order_reply const& reply)
+{
+    if (reply.status == order_status::stale_fence)
+    {
+        fenced(id);
+        return;
+    }
+    auto* const run = find_job(what.task.job);
+    auto* const each = run != nullptr ? run->find(what.task) : nullptr;
+    bool const ours = each != nullptr && each->worker == id &&
+                      each->attempt == what.attempt &&
+                      each->phase == task_phase::starting;
+    if (!ours)
+    {
+        return;
+    }
+    if (reply.status == order_status::done)
+    {
+        each->phase = task_phase::running;
+        each->started = now;
+        each->moved = now;
+        return;
+    }
+    out_.log(severity::info,
+             "start_refused",
+             {{"job", what.task.job},
+              {"step", std::to_string(what.task.step)},
+              {"task", std::to_string(what.task.index)},
+              {"attempt", std::to_string(what.attempt)},
+              {"worker", id},
+              {"status",
+               std::to_string(static_cast<unsigned>(reply.status))}});
+    if (reply.status == order_status::unclear)
+    {
+        // It may run, or be carried out in seconds: it must be stopped for good
+        // before another attempt may start anywhere.
+        ++counters_.starts_unclear;
+        each->phase = task_phase::stopping;
+        order_stop(now, id, what);
+        return;
+    }
+    ++counters_.starts_refused;
+    if (auto* const on = fleet_.find(id))
+    {
+        on->full_until = now + settings_.full_pause;
+    }
+    each->phase = task_phase::blocked;
+    task_over(now, *run, what.task);
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/owner_jobs.cpp
@@ -0,0 +1,357 @@
+#include "core/pool/keys.hpp"
+#include "core/pool/owner.hpp"
+
+#include "core/common/json.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+using ports::job_state;
+using ports::severity;
+
+namespace
+{
+
+constexpr std::string_view state_name(job_state state)
+{
+    switch (state)
+    {
+    case job_state::completed:
+        return "completed";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        return "cancelled";
+    case job_state::queued:
+    case job_state::active:
+        break;
+    }
+    return "active";
+}
+
+} // namespace
+
+bool owner::step_may_open(job_run const& run,
+                          std::uint32_t occurrence,
+                          std::uint32_t number,
+                          std::int64_t now_ms) const
+{
+    auto const& made = run.occurrences[occurrence];
+    if (made.steps[number].open || made.due_unix_ms > now_ms)
+    {
+        return false;
+    }
+    for (auto const earlier : run.spec.steps[number].after)
+    {
+        if (made.steps[earlier].left > 0)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void owner::open_steps(common::time_point now, job_run& run)
+{
+    if (run.phase != job_phase::active)
+    {
+        return;
+    }
+    // A job that is older than our claim may have been started by somebody
+    // else on a worker that has not told us yet.
+    bool const maybe_started = !settled_ && run.revision < claim_.epoch();
+    auto const now_ms = out_.unix_ms(now);
+    for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+    {
+        auto& steps = run.occurrences[k].steps;
+        for (std::uint32_t number = 0; number < steps.size(); ++number)
+        {
+            if (!step_may_open(run, k, number, now_ms))
+            {
+                continue;
+            }
+            steps[number].open = true;
+            for (std::uint32_t index = 0; index < steps[number].tasks.size();
+                 ++index)
+            {
+                auto& each = steps[number].tasks[index];
+                if (each.phase != task_phase::blocked)
+                {
+                    continue;
+                }
+                if (maybe_started)
+                {
+                    each.phase = task_phase::unsure;
+                }
+                else
+                {
+                    make_ready(run, {run.spec.id, k, number, index});
+                }
+            }
+        }
+    }
+}
+
+void owner::make_ready(job_run& run, ports::task_name const& name)
+{
+    auto& steps = run.occurrences[name.occurrence].steps[name.step];
+    steps.tasks[name.index].phase = task_phase::ready;
+    steps.ready.push_back(name.index);
+    ready_.insert(key_of(run, name.occurrence, name.step));
+}
+
+void owner::place(job_run& run, ports::task_name const& name, worker& on)
+{
+    auto const& what = run.step_of(name);
+    auto& each = run.at(name);
+    each.worker = on.info.id;
+    each.born = on.born;
+    on.runs.insert(name);
+    ++run.placed;
+    on.reserved.memory_mb += what.declared.memory_mb;
+    on.reserved.accelerators += what.declared.accelerators;
+    if (what.fills)
+    {
+        on.fill_cores += what.declared.millicores;
+        return;
+    }
+    on.reserved.millicores += what.declared.millicores;
+    if (what.tail_target.count() > 0)
+    {
+        on.serving_cores += what.declared.millicores;
+    }
+}
+
+void owner::unplace(job_run& run, ports::task_name const& name)
+{
+    auto const& what = run.step_of(name);
+    auto* const on = fleet_.find(run.at(name).worker);
+    if (on == nullptr || on->runs.erase(name) == 0)
+    {
+        return;
+    }
+    --run.placed;
+    on->reserved.memory_mb -= what.declared.memory_mb;
+    on->reserved.accelerators -= what.declared.accelerators;
+    if (what.fills)
+    {
+        on->fill_cores -= what.declared.millicores;
+        return;
+    }
+    on->reserved.millicores -= what.declared.millicores;
+    if (what.tail_target.count() > 0)
+    {
+        on->serving_cores -= what.declared.millicores;
+    }
+}
+
+void owner::task_done(common::time_point now,
+                      job_run& run,
+                      ports::task_name const& name)
+{
+    auto& each = run.at(name);
+    unplace(run, name);
+    if (run.step_of(name).lasting)
+    {
+        task_over(now, run, name);
+        return;
+    }
+    if (each.phase == task_phase::done)
+    {
+        return;
+    }
+    if (each.phase == task_phase::ready)
+    {
+        std::erase(run.occurrences[name.occurrence].steps[name.step].ready,
+                   name.index);
+    }
+    ++counters_.tasks_done;
+    each.phase = task_phase::done;
+    each.checkpoint.clear();
+    --run.occurrences[name.occurrence].steps[name.step].left;
+    --run.left;
+    mark_dirty(run);
+    if (run.left == 0 && run.phase == job_phase::active)
+    {
+        end_job(now, run, job_phase::finished);
+        return;
+    }
+    open_steps(now, run);
+    finish_if_over(now, run);
+}
+
+void owner::task_failed(common::time_point now,
+                        job_run& run,
+                        ports::task_name const& name)
+{
+    ++counters_.tasks_failed;
+    auto& each = run.at(name);
+    unplace(run, name);
+    each.failed_on.push_back(each.worker);
+    bool const lasting = run.step_of(name).lasting;
+    if (!lasting)
+    {
+        ++each.failures;
+        mark_dirty(run);
+    }
+    if (!lasting && each.failures >= run.rules.attempts &&
+        run.phase == job_phase::active)
+    {
+        each.phase = task_phase::blocked;
+        out_.log(severity::info,
+                 "job_failing",
+                 {{"job", run.spec.id},
+                  {"step", std::to_string(name.step)},
+                  {"task", std::to_string(name.index)},
+                  {"failures", std::to_string(each.failures)}});
+        end_job(now, run, job_phase::failing);
+        return;
+    }
+    task_over(now, run, name);
+}
+
+// Its run is over and it is not done: the next attempt may start anywhere.
+void owner::task_over(common::time_point now,
+                      job_run& run,
+                      ports::task_name const& name)
+{
+    unplace(run, name);
+    auto& each = run.at(name);
+    each.percent = 0;
+    each.pace = 100;
+    if (run.phase == job_phase::active)
+    {
+        if (each.phase != task_phase::ready)
+        {
+            make_ready(run, name);
+        }
+        return;
+    }
+    each.phase = task_phase::blocked;
+    finish_if_over(now, run);
+}
+
+void owner::cancel_job(common::time_point now, job_run& run)
+{
+    if (run.phase != job_phase::active && run.phase != job_phase::failing)
+    {
+        return;
+    }
+    out_.log(severity::info, "job_cancelled", {{"job", run.spec.id}});
+    end_job(now, run, job_phase::cancelling);
+}
+
+void owner::end_job(common::time_point now, job_run& run, job_phase phase)
+{
+    run.phase = phase;
+    run.outcome = phase == job_phase::cancelling ? job_state::cancelled
+                  : phase == job_phase::failing  ? job_state::failed
+                                                 : job_state::completed;
+    for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+    {
+        auto& steps = run.occurrences[k].steps;
+        for (std::uint32_t number = 0; number < steps.size(); ++number)
+        {
+            steps[number].ready.clear();
+            for (std::uint32_t index = 0; index < steps[number].tasks.size();
+                 ++index)
+            {
+                auto& each = steps[number].tasks[index];
+                ports::task_name const name{run.spec.id, k, number, index};
+                if (each.phase == task_phase::ready)
+                {
+                    each.phase = task_phase::blocked;
+                }
+                if (each.phase == task_phase::starting ||
+                    each.phase == task_phase::running)
+                {
+                    each.phase = task_phase::stopping;
+                    order_stop(now, each.worker, {name, each.attempt});
+                }
+            }
+        }
+    }
+    finish_if_over(now, run);
+}
+
+// The final state is written once nothing of the job runs anywhere.
+void owner::finish_if_over(common::time_point now, job_run& run)
+{
+    (void)now;
+    bool const ending = run.phase == job_phase::cancelling ||
+                        run.phase == job_phase::failing ||
+                        run.phase == job_phase::finished;
+    bool unsure = false;
+    for (auto const& occurrence : run.occurrences)
+    {
+        for (auto const& steps : occurrence.steps)
+        {
+            for (auto const& each : steps.tasks)
+            {
+                unsure = unsure || each.phase == task_phase::unsure;
+            }
+        }
+    }
+    // Before all workers were asked, one of them may still run a part of it.
+    bool const maybe_elsewhere =
+        !settled_ && run.revision < claim_.epoch() &&
+        run.phase != job_phase::finished;
+    if (!ending || run.placed > 0 || unsure || maybe_elsewhere)
+    {
+        return;
+    }
+    auto const id = run.spec.id;
+    run.phase = job_phase::recorded;
+    ++counters_.jobs_finished;
+    ledger::entry entry;
+    entry.puts.push_back(
+        {keys::final_state(id), std::string(state_name(run.outcome)), 0});
+    entry.erases.push_back(keys::job(id));
+    if (run.cancel_key)
+    {
+        entry.erases.push_back(keys::cancel(id));
+    }
+    if (run.has_progress)
+    {
+        entry.erases.push_back(keys::progress(id));
+    }
+    entry.on_durable = [this, id, outcome = run.outcome](common::time_point at)
+    {
+        finals_[id] = outcome;
+        final_times_.emplace_back(at, id);
+        jobs_.erase(id);
+        std::erase(timed_, id);
+        out_.log(severity::info,
+                 "job_ended",
+                 {{"job", id}, {"state", std::string(state_name(outcome))}});
+    };
+    dirty_.erase(id);
+    ledger_.write(std::move(entry));
+}
+
+void owner::mark_dirty(job_run& run)
+{
+    if (run.phase != job_phase::recorded)
+    {
+        dirty_.insert(run.spec.id);
+    }
+}
+
+void owner::save_progress(job_run& run)
+{
+    if (run.phase == job_phase::recorded)
+    {
+        return;
+    }
+    run.has_progress = true;
+    ledger::entry entry;
+    entry.puts.push_back({keys::progress(run.spec.id),
+                          to_json(progress_of(run)),
+                          0});
+    ledger_.write(std::move(entry));
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/owner_workers.cpp
@@ -0,0 +1,660 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace fuchsia::core::pool
+{
+
+using ports::end_kind;
+using ports::order_reply;
+using ports::order_status;
+using ports::severity;
+
+namespace
+{
+
+// A stop takes 0.4 s at most; what still runs after this was never told.
+constexpr common::duration stop_again_after = std::chrono::seconds(1);
+
+std::string text_of(ports::task_name const& name)
+{
+    return name.job + "." + std::to_string(name.occurrence) + "." +
+           std::to_string(name.step) + "." + std::to_string(name.index);
+}
+
+std::string_view name_of(end_kind how)
+{
+    constexpr std::array<std::string_view, 6> names{
+        "done", "failed", "stopped", "lapsed", "broken", "alone"};
+    return names[static_cast<std::size_t>(how)];
+}
+
+} // namespace
+
+void owner::hold_workers(common::time_point now)
+{
+    if (!may_act(now))
+    {
+        return;
+    }
+    for (auto& [id, each] : fleet_.all())
+    {
+        if (!each.holding && now >= each.next_hold)
+        {
+            hold(now, each);
+        }
+    }
+}
+
+void owner::hold(common::time_point now, worker& of)
+{
+    ports::hold_order order;
+    order.fence = claim_.epoch();
+    order.seen = of.seen;
+    bool const busy = !of.runs.empty();
+    if (of.adopted)
+    {
+        order.until_ms = busy ? fleet_.lease_end(of, now) : 0;
+        of.until_ms = std::max(of.until_ms, order.until_ms);
+    }
+    bool const unwritten = of.listed_end > of.seen;
+    if (of.adopted && busy && !unwritten)
+    {
+        bool const guarded = of.serves() && of.fill_cores > 0;
+        order.wait = guarded ? settings_.guarded_wait : settings_.calm_wait;
+    }
+    of.holding = true;
+    auto const wait = order.wait;
+    out_.order(life_,
+               {0,
+                of.info.id,
+                of.info.where,
+                0,
+                order,
+                wait + settings_.hold_grace},
+               [this, now, id = of.info.id](common::time_point at,
+                                            order_reply const& reply)
+               {
+                   on_hold(at, now, id, reply);
+               });
+}
+
+void owner::on_hold(common::time_point now,
+                    common::time_point sent,
+                    std::string const& id,
+                    order_reply const& reply)
+{
+    auto* const of = fleet_.find(id);
+    if (of == nullptr)
+    {
+        return;
+    }
+    of->holding = false;
+    if (reply.status == order_status::stale_fence)
+    {
+        fenced(id);
+        return;
+    }
+    if (reply.status != order_status::done)
+    {
+        of->next_hold = now + settings_.full_pause;
+        return;
+    }
+    of->contact = now;
+    of->clock_ms = reply.clock_ms;
+    of->clock_read = now;
+    bool const first = !of->adopted || of->born != reply.born;
+    if (first)
+    {
+        new_incarnation(now, *of, reply.born);
+    }
+    take_rows(now, sent, *of, reply);
+    bool const unwritten = of->listed_end > of->seen;
+    if (unwritten)
+    {
+        // Asked before its ends are durable, it would list them again at once.
+        ledger_.after_all(
+            [this, id, born = of->born, number = of->listed_end](
+                common::time_point at)
+            {
+                auto* const told = fleet_.find(id);
+                if (told != nullptr && told->born == born)
+                {
+                    told->seen = std::max(told->seen, number);
+                    told->next_hold = at;
+                }
+            });
+        of->next_hold = now + settings_.guarded_wait;
+    }
+    else
+    {
+        of->next_hold =
+            of->runs.empty() ? now + settings_.idle_interval : now;
+    }
+    if (first)
+    {
+        of->next_hold = now;
+        settle(now);
+    }
+    guard(now, *of);
+    tick(now);
+}
+
+// Nothing of an earlier incarnation runs any more.
+void owner::new_incarnation(common::time_point now,
+                            worker& of,
+                            std::uint64_t born)
+{
+    bool const known = of.adopted;
+    of.adopted = true;
+    of.born = born;
+    of.seen = 0;
+    of.listed_end = 0;
+    of.until_ms = 0;
+    of.failed_jobs.clear();
+    out_.log(severity::info,
+             "worker_adopted",
+             {{"worker", of.info.id},
+              {"born", std::to_string(born)},
+              {"restarted", known ? "true" : "false"}});
+    if (known)
+    {
+        forget_runs(now, of, "worker restarted");
+    }
+}
+
+void owner::take_rows(common::time_point now,
+                      common::time_point sent,
+                      worker& of,
+                      order_reply const& reply)
+{
+    std::set<ports::task_name> here;
+    for (auto const& row : reply.running)
+    {
+        here.insert(row.what.task);
+        take_running(now, of, row);
+    }
+    for (auto const& row : reply.ended)
+    {
+        here.insert(row.what.task);
+        if (row.number > of.listed_end)
+        {
+            of.listed_end = row.number;
+            take_end(now, of, row);
+        }
+    }
+    // What the worker had confirmed before it was asked, and does not name, is
+    // gone without a trace.
+    auto const believed = of.runs;
+    for (auto const& name : believed)
+    {
+        auto* const run = find_job(name.job);
+        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        if (here.contains(name) || each == nullptr ||
+            each->phase == task_phase::starting || each->started >= sent)
+        {
+            continue;
+        }
+        ++counters_.tasks_lost;
+        out_.log(severity::warning,
+                 "task_missing",
+                 {{"job", name.job},
+                  {"task", text_of(name)},
+                  {"attempt", std::to_string(each->attempt)},
+                  {"worker", of.info.id}});
+        each->phase = task_phase::blocked;
+        task_over(now, *run, name);
+    }
+}
+
+void owner::take_running(common::time_point now,
+                         worker& of,
+                         ports::running_row const& row)
+{
+    auto const& name = row.what.task;
+    auto* const run = find_job(name.job);
+    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    if (each == nullptr)
+    {
+        order_stop(now, of.info.id, row.what);
+        return;
+    }
+    bool const adopt = each->phase == task_phase::unsure;
+    if (adopt)
+    {
+        each->phase = task_phase::running;
+        each->attempt = row.what.attempt;
+        each->started = now;
+        each->moved = now;
+        run->started = true;
+        place(*run, name, of);
+        if (run->phase != job_phase::active)
+        {
+            each->phase = task_phase::stopping;
+            order_stop(now, of.info.id, row.what);
+        }
+    }
+    bool const ours = each->placed() && each->worker == of.info.id &&
+                      each->attempt == row.what.attempt;
+    if (!ours)
+    {
+        // A start that was given up, carried out late.
+        order_stop(now, of.info.id, row.what);
+        return;
+    }
+    if (each->phase == task_phase::starting)
+    {
+        each->phase = task_phase::running;
+        each->started = now;
+        each->moved = now;
+    }
+    if (row.percent != each->percent || each->pace < 100)
+    {
+        each->moved = now;
+    }
+    each->percent = row.percent;
+    each->level = row.level;
+    if (!row.checkpoint.empty())
+    {
+        each->checkpoint = row.checkpoint;
+    }
+    if (each->phase == task_phase::stopping &&
+        now - each->started > stop_again_after)
+    {
+        order_stop(now, of.info.id, row.what);
+    }
+    bool const stuck = each->phase == task_phase::running &&
+                       !run->step_of(name).lasting &&
+                       now - each->moved > settings_.stuck_after;
+    if (stuck)
+    {
+        out_.log(severity::warning,
+                 "task_stuck",
+                 {{"job", name.job},
+                  {"task", text_of(name)},
+                  {"attempt", std::to_string(each->attempt)},
+                  {"worker", of.info.id},
+                  {"percent", std::to_string(each->percent)}});
+        each->phase = task_phase::stopping;
+        each->failed_on.push_back(of.info.id);
+        blame(now, of, name.job);
+        order_stop(now, of.info.id, row.what);
+    }
+}
+
+void owner::take_end(common::time_point now,
+                     worker& of,
+                     ports::ended_row const& row)
+{
+    auto const& name = row.what.task;
+    auto* const run = find_job(name.job);
+    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    if (each == nullptr || each->phase == task_phase::done)
+    {
+        return;
+    }
+    bool const current = each->placed() && each->worker == of.info.id &&
+                         each->attempt == row.what.attempt;
+    bool const unsure = each->phase == task_phase::unsure;
+    // The end of a run that was taken for lost: no other was started since.
+    bool const late = each->phase == task_phase::ready &&
+                      each->worker == of.info.id &&
+                      each->attempt == row.what.attempt;
+    if (!row.checkpoint.empty() && (current || unsure || late))
+    {
+        each->checkpoint = row.checkpoint;
+    }
+    if (unsure)
+    {
+        // Another worker may still run a later attempt of it.
+        each->attempt = std::max(each->attempt, row.what.attempt);
+        run->started = true;
+    }
+    if (row.how == end_kind::done && (current || unsure || late))
+    {
+        of.failed_jobs.clear();
+        task_done(now, *run, name);
+        return;
+    }
+    if (row.how == end_kind::failed && (current || unsure))
+    {
+        out_.log(severity::info,
+                 "task_failed",
+                 {{"job", name.job},
+                  {"task", text_of(name)},
+                  {"attempt", std::to_string(row.what.attempt)},
+                  {"worker", of.info.id}});
+        each->worker = of.info.id;
+        blame(now, of, name.job);
+        if (unsure)
+        {
+            ++each->failures;
+            mark_dirty(*run);
+            return;
+        }
+        task_failed(now, *run, name);
+        return;
+    }
+    if (!current)
+    {
+        return;
+    }
+    if (row.how != end_kind::stopped)
+    {
+        ++counters_.tasks_lost;
+        out_.log(severity::warning,
+                 "task_ended",
+                 {{"job", name.job},
+                  {"task", text_of(name)},
+                  {"attempt", std::to_string(row.what.attempt)},
+                  {"worker", of.info.id},
+                  {"how", std::string(name_of(row.how))}});
+    }
+    task_over(now, *run, name);
+}
+
+// A worker that fails tasks of several jobs in a row, with no success between,
+// is to blame itself; a job that fails on several workers is not its doing.
+void owner::blame(common::time_point now, worker& of, std::string const& job)
+{
+    auto& jobs = of.failed_jobs;
+    if (std::find(jobs.begin(), jobs.end(), job) == jobs.end())
+    {
+        jobs.push_back(job);
+    }
+    if (jobs.size() < settings_.suspect_after)
+    {
+        return;
+    }
+    out_.log(severity::warning,
+             "worker_suspected",
+             {{"worker", of.info.id},
+              {"failed_jobs", std::to_string(jobs.size())}});
+    of.avoid_until = now + settings_.suspect_pause;
+    jobs.clear();
+}
+
+void owner::forget_runs(common::time_point now, worker& of, char const* why)
+{
+    auto const runs = of.runs;
+    for (auto const& name : runs)
+    {
+        auto* const run = find_job(name.job);
+        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        if (each == nullptr)
+        {
+            of.runs.erase(name);
+            continue;
+        }
+        ++counters_.tasks_lost;
+        out_.log(severity::warning,
+                 "task_lost",
+                 {{"job", name.job},
+                  {"task", text_of(name)},
+                  {"attempt", std::to_string(each->attempt)},
+                  {"worker", of.info.id},
+                  {"why", why}});
+        each->phase = task_phase::blocked;
+        task_over(now, *run, name);
+    }
+}
+
+// A worker that can't be reached keeps its tasks until its lease has run out.
+// Started elsewhere before that, a task would run in two places.
+void owner::check_silent(common::time_point now)
+{
+    std::vector<std::string> gone;
+    for (auto& [id, each] : fleet_.all())
+    {
+        bool const silent = each.adopted && !each.runs.empty() &&
+                            now - each.contact > settings_.workers.lease;
+        if (silent && fleet_.lapsed(each, now))
+        {
+            forget_runs(now, each, "lease lapsed in silence");
+        }
+        bool const absent = !each.listed && list_known_ &&
+                            each.runs.empty() && !each.holding &&
+                            fleet_.lapsed(each, now);
+        // One that was never reached may run what its last owner gave it.
+        if (absent && (each.adopted || settled_))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (auto const& id : gone)
+    {
+        out_.log(severity::info, "worker_gone", {{"worker", id}});
+        fleet_.erase(id);
+        roster_.erase(id);
+    }
+    if (!gone.empty())
+    {
+        write_roster();
+    }
+}
+
+// Whether every worker that an earlier owner may have used has told what it
+// runs, or can't run any of it any more.
+void owner::settle(common::time_point now)
+{
+    if (settled_ || !loaded_ || !list_known_)
+    {
+        return;
+    }
+    auto const drift = 1 + fleet_.settings().clock_drift;
+    auto const lease = std::chrono::duration_cast<common::duration>(
+        fleet_.settings().lease * drift);
+    auto const patience = fleet_.settings().solo_limit + lease +
+                          fleet_.settings().lapse_slack;
+    bool const waited = now - claim_.since() > patience;
+    std::size_t missing = 0;
+    for (auto const& [id, each] : fleet_.all())
+    {
+        missing += each.rostered && !each.adopted ? 1U : 0U;
+    }
+    if (missing > 0 && !waited)
+    {
+        return;
+    }
+    settled_ = true;
+    out_.log(severity::info,
+             "takeover_settled",
+             {{"epoch", std::to_string(claim_.epoch())},
+              {"unreached", std::to_string(missing)},
+              {"after_ms",
+               std::to_string(
+                   common::to_milliseconds(now - claim_.since()))}});
+    std::vector<std::string> ids;
+    for (auto const& [id, run] : jobs_)
+    {
+        ids.push_back(id);
+    }
+    for (auto const& id : ids)
+    {
+        auto& run = *find_job(id);
+        for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+        {
+            auto& steps = run.occurrences[k].steps;
+            for (std::uint32_t number = 0; number < steps.size(); ++number)
+            {
+                auto& tasks = steps[number].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index)
+                {
+                    if (tasks[index].phase == task_phase::unsure)
+                    {
+                        task_over(now, run, {id, k, number, index});
+                    }
+                }
+            }
+        }
+        bool hopeless = false;
+        for (auto const& occurrence : run.occurrences)
+        {
+            for (std::size_t number = 0; number < occurrence.steps.size();
+                 ++number)
+            {
+                for (auto const& each : occurrence.steps[number].tasks)
+                {
+                    hopeless = hopeless ||
+                               (!run.spec.steps[number].lasting &&
+                                each.failures >= run.rules.attempts);
+                }
+            }
+        }
+        if (hopeless && run.phase == job_phase::active)
+        {
+            end_job(now, run, job_phase::failing);
+        }
+        finish_if_over(now, run);
+    }
+}
+
+worker_view owner::view_of(worker const& of)
+{
+    worker_view made;
+    auto const cores =
+        static_cast<double>(std::max<std::int64_t>(of.info.capacity.millicores, 1));
+    for (auto const& name : of.runs)
+    {
+        auto* const run = find_job(name.job);
+        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        if (each == nullptr)
+        {
+            continue;
+        }
+        auto const& what = run->step_of(name);
+        auto const target = common::to_milliseconds(what.tail_target);
+        if (target > 0 && each->percent >= 100)
+        {
+            made.serving.push_back({what.image,
+                                    static_cast<double>(each->level) /
+                                        static_cast<double>(target)});
+        }
+        if (what.fills)
+        {
+            made.fills.push_back(
+                {name,
+                 what.image,
+                 static_cast<double>(what.declared.millicores) / cores,
+                 each->pace});
+        }
+    }
+    return made;
+}
+
+void owner::guard(common::time_point now, worker& of)
+{
+    if (!of.serves() || of.fill_cores == 0)
+    {
+        of.over_since = {};
+        return;
+    }
+    auto const seen = view_of(of);
+    for (auto const& change :
+         colocation_.observe(seen, now, of.over_since))
+    {
+        pace(of, change.name, change.percent);
+    }
+    for (auto const& fill : seen.fills)
+    {
+        auto* const run = find_job(fill.name.job);
+        auto& each = run->at(fill.name);
+        // It stood still before this report already.
+        bool const waits = each.phase == task_phase::running &&
+                           each.pace == 0 && fill.pace == 0 &&
+                           now - each.started > settings_.sharing.evict_after;
+        if (waits && run->step_of(fill.name).checkpoints)
+        {
+            ++counters_.evicted;
+            each.phase = task_phase::stopping;
+            order_stop(now, of.info.id, {fill.name, each.attempt});
+        }
+    }
+}
+
+void owner::pace(worker& on,
+                 ports::task_name const& name,
+                 std::uint32_t percent)
+{
+    auto* const run = find_job(name.job);
+    auto& each = run->at(name);
+    if (each.phase != task_phase::running)
+    {
+        return;
+    }
+    ++counters_.paced;
+    each.pace = percent;
+    out_.order(life_,
+               {0,
+                on.info.id,
+                on.info.where,
+                on.born,
+                ports::pace_order{
+                    claim_.epoch(), {name, each.attempt}, percent},
+                settings_.order_timeout},
+               [this, id = on.info.id](common::time_point,
+                                       order_reply const& reply)
+               {
+                   if (reply.status == order_status::stale_fence)
+                   {
+                       fenced(id);
+                   }
+               });
+}
+
+// Repeated until the worker answers: what was stopped there, or never came, is
+// refused there for good, so the task may start elsewhere once a later hold
+// does not show it.
+void owner::order_stop(common::time_point now,
+                       std::string const& id,
+                       ports::task_run const& what)
+{
+    auto* const on = fleet_.find(id);
+    if (on == nullptr || !may_act(now))
+    {
+        return;
+    }
+    out_.order(
+        life_,
+        {0,
+         id,
+         on->info.where,
+         0,
+         ports::stop_order{claim_.epoch(), what},
+         settings_.order_timeout},
+        [this, id, what](common::time_point at, order_reply const& reply)
+        {
+            if (reply.status == order_status::stale_fence)
+            {
+                fenced(id);
+                return;
+            }
+            auto* const run = find_job(what.task.job);
+            auto* const each =
+                run != nullptr ? run->find(what.task) : nullptr;
+            bool const ours = each != nullptr &&
+                              each->phase == task_phase::stopping &&
+                              each->worker == id &&
+                              each->attempt == what.attempt;
+            if (!ours)
+            {
+                return;
+            }
+            if (reply.status == order_status::done)
+            {
+                // A hold sent from now on tells the truth about it.
+                each->started = at;
+                return;
+            }
+            order_stop(at, id, what);
+        });
+}
+
+void owner::fenced(std::string const& by)
+{
+    claim_.lose("worker " + by + " has seen a later owner");
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/ports/pool_actions.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/common/result_code.hpp"
+#include "ports/actions.hpp"
+#include "ports/kv.hpp"
+#include "ports/pool_workers.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+// What the scheduler of a pool asks of its surroundings.
+namespace fuchsia::ports
+{
+
+enum class job_state : std::uint8_t
+{
+    queued, ///< No task has started.
+    active,
+    completed,
+    failed,
+    cancelled,
+};
+
+/// The job lies in the store: it will run, once.
+struct job_accepted
+{
+};
+
+/// Nothing was done and nothing will be; worth another try after `retry`.
+struct job_refused
+{
+    core::common::failure reason;
+    core::common::duration retry{};
+};
+
+/// It may have been done: the same request again finds out.
+struct job_unknown
+{
+    core::common::failure reason;
+};
+
+/// No job of this name was ever accepted, as far back as states are kept.
+struct job_absent
+{
+};
+
+/// No queue belongs to this host and path.
+struct queue_absent
+{
+};
+
+struct job_status
+{
+    job_state state = job_state::queued;
+};
+
+struct queue_status
+{
+    std::uint64_t pending = 0; ///< Jobs of which no task has started.
+};
+
+using job_answer = std::variant<job_accepted,
+                                job_refused,
+                                job_unknown,
+                                job_absent,
+                                queue_absent,
+                                job_status,
+                                queue_status>;
+
+struct job_reply
+{
+    std::uint64_t caller = 0;
+    job_answer answer;
+};
+
+/// Whether the balancer should send new connections here.
+struct readiness
+{
+    bool ready = false;
+};
+
+using pool_action = std::
+    variant<kv_call, pool_order, job_reply, log_event, readiness, stop_complete>;
+
+using pool_actions = std::vector<pool_action>;
+
+} // namespace fuchsia::ports
--- /dev/null
+++ b/src/ports/pool_workers.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "core/common/time.hpp"
+#include "ports/identity.hpp"
+#include "ports/workers.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+// The workers of a pool and the orders that run tasks there. A worker holds
+// everything it runs under one lease, and obeys no order with a lower fencing
+// token than the highest it has seen.
+namespace fuchsia::ports
+{
+
+/// One task of a job; the same in every attempt.
+struct task_name
+{
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(task_name const&) const = default;
+};
+
+struct task_run
+{
+    task_name task;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(task_run const&) const = default;
+};
+
+/// What a worker says of itself in the platform's list.
+struct pool_worker
+{
+    std::string id;
+    std::string service;
+    endpoint where;
+    std::string data_centre;
+    std::string rack;
+    std::vector<std::string> labels;
+    resources capacity;
+    bool draining = false;
+    /// Unix millisecond of its start: names the incarnation of `id`.
+    std::uint64_t born = 0;
+};
+
+/// Asks what runs and what ended, and renews the lease of all that runs.
+struct hold_order
+{
+    std::uint64_t fence = 0;
+    std::uint64_t seen = 0;     ///< Ends up to here are durable elsewhere.
+    std::uint64_t until_ms = 0; ///< On the worker's clock; 0: renew nothing.
+    core::common::duration wait{}; ///< For an end, before it answers.
+};
+
+struct start_order
+{
+    std::uint64_t fence = 0;
+    task_run what;
+    std::string spec;
+    std::uint64_t until_ms = 0;
+    std::string checkpoint; ///< Where to resume; empty: from the start.
+};
+
+struct stop_order
+{
+    std::uint64_t fence = 0;
+    task_run what;
+};
+
+/// Lets a task work at this share of its speed.
+struct pace_order
+{
+    std::uint64_t fence = 0;
+    task_run what;
+    std::uint32_t percent = 100;
+};
+
+using pool_operation =
+    std::variant<hold_order, start_order, stop_order, pace_order>;
+
+struct pool_order
+{
+    std::uint64_t id = 0;
+    std::string worker;
+    endpoint where;
+    std::uint64_t born = 0; ///< For this incarnation only; 0: for any.
+    pool_operation operation;
+    core::common::duration timeout{};
+};
+
+enum class order_status : std::uint8_t
+{
+    done,
+    stale_fence,    ///< It has seen a higher token.
+    superseded,     ///< A later attempt, or the end of this one, is known there.
+    late,           ///< The lease would have been over on arrival.
+    no_room,        ///< It does not fit now.
+    no_ticket,      ///< The policy's permission is missing or too old.
+    invalid,        ///< The worker can't read the order.
+    unhealthy,      ///< It does nothing for now.
+    other_instance, ///< Another incarnation lives at the address.
+    not_sent,       ///< No connection; no byte went out.
+    unclear,        ///< No answer: carried out, or still to be.
+};
+
+/// One run at work. `level` is a rough reading over the last half second: of
+/// a serving task the tail of its latency in milliseconds, of any other the
+/// millicores in use.
+struct running_row
+{
+    task_run what;
+    std::string checkpoint;
+    std::uint32_t percent = 0; ///< Of a serving task: 100 once it serves.
+    std::int64_t level = 0;
+};
+
+enum class end_kind : std::uint8_t
+{
+    done,
+    failed,
+    stopped,
+    lapsed, ///< Its lease ran out.
+    broken, ///< Another member of its gang ended.
+    alone,  ///< It waited in vain for the rest of its gang.
+};
+
+struct ended_row
+{
+    std::uint64_t number = 0; ///< Rises from 1 within an incarnation.
+    task_run what;
+    end_kind how = end_kind::failed;
+    std::string checkpoint;
+};
+
+struct order_reply
+{
+    std::uint64_t id = 0;
+    order_status status = order_status::unclear;
+    std::uint64_t clock_ms = 0; ///< The worker's clock; 0: not said.
+    std::uint64_t born = 0;     ///< Of who answered; 0: not said.
+    std::vector<running_row> running;
+    std::vector<ended_row> ended;
+};
+
+} // namespace fuchsia::ports
--- /dev/null
+++ b/src/programs/pool/main.cpp
@@ -0,0 +1,52 @@
+#include "adapters/logging/logger.hpp"
+#include "programs/pool/pool_program.hpp"
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <string>
+
+namespace
+{
+
+constexpr int bad_settings = 2;
+
+int complain(fuchsia::core::common::failure const& reason)
+{
+    std::fprintf(stderr,
+                 "fuchsia-pool: %s\n",
+                 fuchsia::core::common::to_string(reason).c_str());
+    return bad_settings;
+}
+
+} // namespace
+
+/// `fuchsia-pool`: takes jobs in and runs their tasks on the pool's workers.
+int main(int count, char** arguments)
+{
+    CLI::App app("Jobs of a pool of workers: accepts, places, keeps them.");
+    std::string path;
+    bool check = false;
+    app.add_option("--settings", path, "settings file (TOML)")
+        ->envname("FUCHSIALANDING_SETTINGS")
+        ->required();
+    app.add_flag("--check", check, "read the settings, say what is wrong, end");
+    app.set_version_flag("--version", FUCHSIA_VERSION);
+    CLI11_PARSE(app, count, arguments);
+
+    fuchsia::core::common::failure reason;
+    auto settings =
+        fuchsia::adapters::settings::load_pool_settings(path, reason);
+    if (!settings)
+    {
+        return complain(reason);
+    }
+    if (check)
+    {
+        return 0;
+    }
+    fuchsia::adapters::logging::set_up("fuchsia-pool", settings->log_level);
+    fuchsia::programs::pool::pool_program program(std::move(*settings),
+                                                   path);
+    auto const status = program.run(reason);
+    return status ? *status : complain(reason);
+}
--- /dev/null
+++ b/src/programs/pool/pool_program.cpp
@@ -0,0 +1,450 @@
+#include "programs/pool/pool_program.hpp"
+
+#include "adapters/daemon/shell.hpp"
+#include "adapters/runtime/signals.hpp"
+#include "platform/codec.hpp"
+#include "platform/submissions.hpp"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+namespace fuchsia::programs::pool
+{
+
+namespace
+{
+
+namespace http = adapters::http;
+using core::common::clock;
+using ports::severity;
+
+constexpr std::size_t request_ring = 2048;
+constexpr std::size_t outside_ring = 8192;
+constexpr std::uint32_t log_lines_per_second = 100;
+constexpr core::common::duration sample_interval = std::chrono::seconds(5);
+constexpr core::common::duration finish_poll = std::chrono::milliseconds(10);
+constexpr core::common::duration finish_patience =
+    std::chrono::milliseconds(800);
+
+std::string incarnation_of(std::string const& name)
+{
+    return name + "#" + std::to_string(adapters::daemon::draw_incarnation());
+}
+
+} // namespace
+
+pool_program::pool_program(adapters::settings::pool_file settings,
+                           std::string path)
+    : settings_(std::move(settings)), path_(std::move(path)),
+      engine_(settings_.pool,
+              platform::make_directory(),
+              incarnation_of(settings_.name)),
+      log_(log_lines_per_second),
+      requests_(decisions_,
+                request_ring,
+                [this](request& in)
+                {
+                    engine_.on_request(clock::now(), in);
+                    perform();
+                }),
+      answers_(callers_,
+               request_ring,
+               [this](answer_out& out)
+               {
+                   respond(out);
+               }),
+      calls_(outside_,
+             outside_ring,
+             [this](outside_call& call)
+             {
+                 send_outside(call);
+             }),
+      replies_(decisions_,
+               outside_ring,
+               [this](outside_reply& reply)
+               {
+                   take_reply(reply);
+               }),
+      ticker_(decisions_.io()), sampler_(decisions_.io()),
+      finisher_(callers_.io())
+{
+    store_ = std::make_unique<platform::store>(
+        outside_.io(),
+        settings_.store,
+        [this](ports::kv_reply reply)
+        {
+            // Never full: no more calls are open than the ring has places.
+            replies_.try_push(outside_reply{std::move(reply)});
+        });
+    workers_ = std::make_unique<platform::workers>(
+        outside_.io(),
+        [this](ports::order_reply reply)
+        {
+            replies_.try_push(outside_reply{std::move(reply)});
+        });
+    submissions_ = std::make_unique<http::server>(
+        callers_.io(),
+        http::server_limits{},
+        [this](http::request message, http::responder respond)
+        {
+            on_caller(std::move(message), std::move(respond));
+        });
+    readiness_ = std::make_unique<http::server>(
+        callers_.io(),
+        http::server_limits{},
+        [this](http::request message, http::responder respond)
+        {
+            bool const known = message.target == settings_.readiness_path;
+            bool const good = known && ready_;
+            respond({static_cast<std::uint16_t>(good ? 200 : 503), {}, ""});
+        });
+    exposition_ = std::make_unique<http::server>(
+        callers_.io(),
+        http::server_limits{},
+        [this](http::request, http::responder respond)
+        {
+            respond({200,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     metrics_.text()});
+        });
+}
+
+// Handlers of open calls use the rings and tables of this object, so the duties
+// stop and the sockets close before any of those goes.
+pool_program::~pool_program()
+{
+    decisions_.stop();
+    callers_.stop();
+    outside_.stop();
+    store_.reset();
+    workers_.reset();
+    submissions_.reset();
+    readiness_.reset();
+    exposition_.reset();
+}
+
+bool pool_program::listen(core::common::failure& reason)
+{
+    return submissions_->listen(settings_.submissions, reason) &&
+           readiness_->listen(settings_.readiness, reason) &&
+           exposition_->listen(settings_.metrics, reason);
+}
+
+std::optional<int> pool_program::run(core::common::failure& reason)
+{
+    if (!listen(reason))
+    {
+        return std::nullopt;
+    }
+    adapters::logging::write(
+        severity::info,
+        "started",
+        {{"name", settings_.name},
+         {"data_centre", settings_.data_centre},
+         {"submissions", http::to_string(settings_.submissions)},
+         {"store", http::to_string(settings_.store)}});
+    adapters::runtime::on_stop_signal(main_.io(),
+                                      [this]
+                                      {
+                                          boost::asio::post(
+                                              decisions_.io(),
+                                              [this]
+                                              {
+                                                  closing_ = true;
+                                                  engine_.begin_stop(
+                                                      clock::now());
+                                                  perform();
+                                              });
+                                      });
+    adapters::runtime::on_reload_signal(main_.io(),
+                                        [this]
+                                        {
+                                            reload();
+                                        });
+    boost::asio::post(decisions_.io(),
+                      [this]
+                      {
+                          auto const now = clock::now();
+                          set_clock(now);
+                          engine_.start(now);
+                          perform();
+                          arm_tick();
+                          sample();
+                      });
+    outside_.start();
+    callers_.start();
+    decisions_.start();
+    main_.io().run();
+    return 0;
+}
+
+void pool_program::on_caller(http::request message, http::responder respond)
+{
+    http::response refusal;
+    auto decoded = platform::decode_submission(message, refusal);
+    if (!decoded)
+    {
+        respond(std::move(refusal));
+        return;
+    }
+    decoded->caller = ++next_caller_;
+    auto const caller = decoded->caller;
+    if (waiting_.size() >= request_ring || !requests_.try_push(*decoded))
+    {
+        respond(platform::encode(ports::job_refused{
+            {core::common::result_code::queue_full, "", "too many wait here"},
+            settings_.pool.front.retry_after}));
+        return;
+    }
+    waiting_.emplace(caller, std::move(respond));
+}
+
+void pool_program::respond(answer_out& out)
+{
+    auto const found = waiting_.find(out.caller);
+    if (found == waiting_.end())
+    {
+        return;
+    }
+    auto const respond = std::move(found->second);
+    waiting_.erase(found);
+    // Callers leave for other instances with their next request.
+    if (closing_)
+    {
+        submissions_->close_after_answers();
+    }
+    respond(std::move(out.message));
+}
+
+// On the outside's thread.
+void pool_program::send_outside(outside_call& call)
+{
+    if (auto* const kv = std::get_if<ports::kv_call>(&call))
+    {
+        store_->send(std::move(*kv));
+    }
+    else if (auto* const order = std::get_if<ports::pool_order>(&call))
+    {
+        workers_->send(std::move(*order));
+    }
+}
+
+void pool_program::take_reply(outside_reply& reply)
+{
+    --open_calls_;
+    auto const now = clock::now();
+    if (auto const* const kv = std::get_if<ports::kv_reply>(&reply))
+    {
+        engine_.on_kv_reply(now, *kv);
+    }
+    else if (auto const* const order = std::get_if<ports::order_reply>(&reply))
+    {
+        engine_.on_order_reply(now, *order);
+    }
+    perform();
+}
+
+void pool_program::tick()
+{
+    auto const now = clock::now();
+    set_clock(now);
+    engine_.tick(now);
+    perform();
+    arm_tick();
+}
+
+void pool_program::arm_tick()
+{
+    ticker_.expires_after(engine_.tick_interval());
+    ticker_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                tick();
+            }
+        });
+}
+
+void pool_program::set_clock(core::common::time_point now)
+{
+    auto const wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+    engine_.set_unix_offset(
+        wall - core::common::to_milliseconds(now.time_since_epoch()));
+}
+
+void pool_program::perform()
+{
+    auto actions = engine_.take();
+    for (auto& action : actions)
+    {
+        perform(action);
+    }
+}
+
+void pool_program::perform(ports::pool_action& action)
+{
+    if (auto* const reply = std::get_if<ports::job_reply>(&action))
+    {
+        answers_.try_push(
+            answer_out{reply->caller, platform::encode(reply->answer)});
+        return;
+    }
+    if (auto* const event = std::get_if<ports::log_event>(&action))
+    {
+        log_.write(clock::now(), std::move(*event));
+        return;
+    }
+    if (auto const* const told = std::get_if<ports::readiness>(&action))
+    {
+        ready_ = told->ready;
+        return;
+    }
+    if (std::holds_alternative<ports::stop_complete>(action))
+    {
+        finish();
+        return;
+    }
+    outside_call call;
+    if (auto* const kv = std::get_if<ports::kv_call>(&action))
+    {
+        call = std::move(*kv);
+    }
+    else if (auto* const order = std::get_if<ports::pool_order>(&action))
+    {
+        call = std::move(*order);
+    }
+    ++open_calls_;
+    if (open_calls_ > outside_ring || !calls_.try_push(call))
+    {
+        refuse(call);
+    }
+}
+
+// Nothing went out, and whoever waits for the answer is told so.
+void pool_program::refuse(outside_call const& call)
+{
+    outside_reply reply;
+    if (auto const* const kv = std::get_if<ports::kv_call>(&call))
+    {
+        ports::kv_reply made;
+        made.id = kv->id;
+        made.status = ports::kv_status::refused;
+        reply = std::move(made);
+    }
+    else if (auto const* const order = std::get_if<ports::pool_order>(&call))
+    {
+        ports::order_reply made;
+        made.id = order->id;
+        made.status = ports::order_status::not_sent;
+        reply = std::move(made);
+    }
+    boost::asio::post(decisions_.io(),
+                      [this, reply]() mutable
+                      {
+                          take_reply(reply);
+                      });
+}
+
+// The owner's counts, and whether this instance is the owner.
+void pool_program::sample()
+{
+    metrics_.gauge("fuchsia_pool_owner", "1 while this instance schedules")
+        .Set(engine_.owns() ? 1 : 0);
+    if (auto const* const owned = engine_.owned())
+    {
+        auto const& counts = owned->counters();
+        auto const set = [this](char const* name,
+                                char const* help,
+                                std::uint64_t value)
+        {
+            metrics_.gauge(name, help).Set(static_cast<double>(value));
+        };
+        set("fuchsia_pool_starts", "Tasks started", counts.starts);
+        set("fuchsia_pool_starts_refused",
+            "Starts that workers refused",
+            counts.starts_refused);
+        set("fuchsia_pool_starts_unclear",
+            "Starts without an answer",
+            counts.starts_unclear);
+        set("fuchsia_pool_tasks_done", "Tasks done", counts.tasks_done);
+        set("fuchsia_pool_tasks_failed",
+            "Runs that failed",
+            counts.tasks_failed);
+        set("fuchsia_pool_tasks_lost",
+            "Runs that ended with their worker or lease",
+            counts.tasks_lost);
+        set("fuchsia_pool_paced", "Changes of a task's speed", counts.paced);
+        set("fuchsia_pool_evicted",
+            "Tasks moved away from serving ones",
+            counts.evicted);
+        set("fuchsia_pool_jobs_finished", "Jobs ended", counts.jobs_finished);
+    }
+    sampler_.expires_after(sample_interval);
+    sampler_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                sample();
+            }
+        });
+}
+
+// Addresses last for the life of a process; what is read anew is checked, so
+// that a bad file is known before the next start depends on it.
+void pool_program::reload()
+{
+    core::common::failure reason;
+    auto const read = adapters::settings::load_pool_settings(path_, reason);
+    if (!read)
+    {
+        adapters::logging::write(severity::error,
+                                 "settings_rejected",
+                                 {{"why", core::common::to_string(reason)}});
+        return;
+    }
+    adapters::logging::write(
+        severity::info, "settings_read", {{"name", read->name}});
+}
+
+void pool_program::finish()
+{
+    boost::asio::post(callers_.io(),
+                      [this]
+                      {
+                          submissions_->drain();
+                          finish_until_ = clock::now() + finish_patience;
+                          finish_callers();
+                      });
+}
+
+// On the callers' thread: what was read meanwhile still gets its answer.
+void pool_program::finish_callers()
+{
+    if (submissions_->waiting() > 0 && clock::now() < finish_until_)
+    {
+        finisher_.expires_after(finish_poll);
+        finisher_.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    finish_callers();
+                }
+            });
+        return;
+    }
+    adapters::logging::write(
+        severity::info, "stopped", {{"name", settings_.name}});
+    boost::asio::post(main_.io(),
+                      [this]
+                      {
+                          main_.io().stop();
+                      });
+}
+
+} // namespace fuchsia::programs::pool
--- /dev/null
+++ b/src/programs/pool/pool_program.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "adapters/http/server.hpp"
+#include "adapters/logging/logger.hpp"
+#include "adapters/metrics/registry.hpp"
+#include "adapters/runtime/duty.hpp"
+#include "adapters/runtime/ring.hpp"
+#include "adapters/runtime/timer.hpp"
+#include "adapters/settings/pool_settings.hpp"
+#include "core/pool/engine.hpp"
+#include "platform/store.hpp"
+#include "platform/workers.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+
+namespace fuchsia::programs::pool
+{
+
+/// Threads, rings and sockets of one instance: callers, the outside (store and
+/// workers) and decisions are a duty each.
+class pool_program
+{
+public:
+    /// `path` is where the settings came from; SIGHUP reads it again.
+    pool_program(adapters::settings::pool_file settings, std::string path);
+    ~pool_program();
+
+    /// Runs until a planned stop is complete; the process' exit status. Empty,
+    /// with the reason, where an address can't be bound.
+    std::optional<int> run(core::common::failure& reason);
+
+private:
+    using request = core::pool::pool_request;
+    struct answer_out
+    {
+        std::uint64_t caller = 0;
+        adapters::http::response message;
+    };
+    using outside_call =
+        std::variant<std::monostate, ports::kv_call, ports::pool_order>;
+    using outside_reply =
+        std::variant<std::monostate, ports::kv_reply, ports::order_reply>;
+
+    bool listen(core::common::failure& reason);
+    void on_caller(adapters::http::request message,
+                   adapters::http::responder respond);
+    void respond(answer_out& out);
+    void send_outside(outside_call& call);
+    void take_reply(outside_reply& reply);
+    void tick();
+    void arm_tick();
+    void perform();
+    void perform(ports::pool_action& action);
+    void refuse(outside_call const& call);
+    void set_clock(core::common::time_point now);
+    void sample();
+    void reload();
+    void finish();
+    void finish_callers();
+
+    adapters::settings::pool_file settings_;
+    std::string path_;
+    core::pool::engine engine_;
+    adapters::metrics::registry metrics_;
+    adapters::logging::rate_limit log_;
+    std::atomic<bool> ready_{false};
+    std::atomic<bool> closing_{false};
+
+    adapters::runtime::duty main_{"main"};
+    adapters::runtime::duty decisions_{"decisions"};
+    adapters::runtime::duty outside_{"outside"};
+    adapters::runtime::duty callers_{"callers"};
+
+    adapters::runtime::ring<request> requests_;
+    adapters::runtime::ring<answer_out> answers_;
+    adapters::runtime::ring<outside_call> calls_;
+    adapters::runtime::ring<outside_reply> replies_;
+
+    std::unique_ptr<platform::store> store_;
+    std::unique_ptr<platform::workers> workers_;
+    std::unique_ptr<adapters::http::server> submissions_;
+    std::unique_ptr<adapters::http::server> readiness_;
+    std::unique_ptr<adapters::http::server> exposition_;
+    adapters::runtime::timer ticker_;
+    adapters::runtime::timer sampler_;
+    bool performing_ = false;
+    std::size_t open_calls_ = 0; ///< Outside calls without an answer.
+
+    // Of the callers' thread.
+    std::uint64_t next_caller_ = 0;
+    std::unordered_map<std::uint64_t, adapters::http::responder> waiting_;
+    adapters::runtime::timer finisher_;
+    core::common::time_point finish_until_{};
+};
+
+} // namespace fuchsia::programs::pool
