Views of workers are kept between changes; runs of unopened steps are adopted

Cause: placing rebuilt every worker's view for every waiting step, which used up the owner's tenth of a core for seconds; its claim lapsed. And a successor took a run of a step for a stray where it had not yet learned that the step before was done, and started the task a second time.

--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -25,6 +25,16 @@
     return made;
 }
 
+std::vector<placement::neighbour> neighbours(worker_view const& seen)
+{
+    std::vector<placement::neighbour> made;
+    for (auto const& each : seen.fills)
+    {
+        made.push_back({each.image, each.share * each.pace / 100.0});
+    }
+    return made;
+}
+
 double worst_ratio(worker_view const& seen)
 {
     double worst = 0;
@@ -47,16 +57,9 @@
     return settings_;
 }
 
-std::vector<placement::neighbour>
-colocation::neighbours(worker_view const& seen)
+std::uint16_t colocation::number_of(std::string const& image)
 {
-    std::vector<placement::neighbour> made;
-    for (auto const& each : seen.fills)
-    {
-        double const share = each.share * each.pace / 100.0;
-        made.push_back({learned_.number_of(each.image), share});
-    }
-    return made;
+    return learned_.number_of(image);
 }
 
 std::vector<pace_change> colocation::observe(worker_view const& seen,
@@ -66,9 +69,8 @@
     auto const beside = neighbours(seen);
     for (auto const& each : seen.serving)
     {
-        auto const victim = learned_.number_of(each.image);
         double const excess = std::max(0.0, each.ratio - calm_ratio);
-        learned_.observe(victim, beside, no_tail + excess);
+        learned_.observe(each.image, beside, no_tail + excess);
     }
     double const worst = worst_ratio(seen);
     if (worst < 1)
@@ -94,7 +96,7 @@
 // Stops the tasks that are blamed most until what is left of the disturbance
 // is expected to be bearable.
 std::vector<pace_change> colocation::slow_down(worker_view const& seen,
-                                               bool all)
+                                               bool all) const
 {
     struct blamed
     {
@@ -115,8 +117,7 @@
         {
             if (served.ratio > settings_.slow_above)
             {
-                weight += learned_.weight(learned_.number_of(served.image),
-                                          learned_.number_of(each.image));
+                weight += learned_.weight(served.image, each.image);
             }
         }
         order.push_back({&each, weight * each.share + 1e-6});
@@ -145,7 +146,7 @@
 }
 
 // One task at a time, the least blamed first.
-std::vector<pace_change> colocation::speed_up(worker_view const& seen)
+std::vector<pace_change> colocation::speed_up(worker_view const& seen) const
 {
     fill_view const* best = nullptr;
     double least = 0;
@@ -170,17 +171,14 @@
 }
 
 double colocation::expected(worker_view const& seen,
-                            std::string const& image,
-                            double share)
+                            std::uint16_t image,
+                            double share) const
 {
     double worst = 0;
-    auto const aggressor = learned_.number_of(image);
     for (auto const& each : seen.serving)
     {
-        auto const victim = learned_.number_of(each.image);
-        worst = std::max(worst,
-                         each.ratio +
-                             learned_.weight(victim, aggressor) * share);
+        worst = std::max(
+            worst, each.ratio + learned_.weight(each.image, image) * share);
     }
     return worst;
 }
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -31,7 +31,7 @@
 /// A serving task: what it runs, and its tail as a share of its target.
 struct serving_view
 {
-    std::string image;
+    std::uint16_t image = 0; ///< As `colocation::number_of` gives it.
     double ratio = 0;
 };
 
@@ -39,7 +39,7 @@
 struct fill_view
 {
     ports::task_name name;
-    std::string image;
+    std::uint16_t image = 0;
     double share = 0;
     std::uint32_t pace = 100;
 };
@@ -66,6 +66,8 @@
     explicit colocation(colocation_settings settings);
 
     colocation_settings const& settings() const noexcept;
+    /// A small number for an image's name.
+    std::uint16_t number_of(std::string const& image);
 
     /// Takes in one report and says which tasks change their speed.
     std::vector<pace_change> observe(worker_view const& seen,
@@ -74,13 +76,13 @@
     /// The highest expected ratio among those that serve, were `image` to use
     /// `share` of the cores besides.
     double expected(worker_view const& seen,
-                    std::string const& image,
-                    double share);
+                    std::uint16_t image,
+                    double share) const;
 
 private:
-    std::vector<placement::neighbour> neighbours(worker_view const& seen);
-    std::vector<pace_change> slow_down(worker_view const& seen, bool all);
-    std::vector<pace_change> speed_up(worker_view const& seen);
+    std::vector<pace_change> slow_down(worker_view const& seen,
+                                       bool all) const;
+    std::vector<pace_change> speed_up(worker_view const& seen) const;
 
     colocation_settings settings_;
     placement::interference learned_;
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pool/colocation.hpp"
 #include "core/pool/outbox.hpp"
 #include "ports/pool_workers.hpp"
 
@@ -62,6 +63,8 @@
     common::time_point full_until{};  ///< It said that it has no room.
     std::vector<std::string> failed_jobs; ///< Since its last success.
     common::time_point over_since{}; ///< A serving task there is too slow.
+    worker_view view;       ///< What stands beside each other here,
+    bool view_known = false; ///< unless something changed since.
 
     bool serves() const noexcept
     {
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -55,6 +55,7 @@
     std::vector<std::uint32_t> ready; ///< Indexes, the next one last.
     std::uint32_t left = 0;           ///< Tasks that are not done.
     bool open = false;                ///< Its tasks may start.
+    std::uint16_t image = 0; ///< Number of the image that its tasks run.
 };
 
 struct occurrence_run
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -138,7 +138,12 @@
         drop_old_finals(now);
         next_rank_ = now + rank_interval;
     }
-    dispatch(now);
+    if (wants_dispatch_ || now >= next_dispatch_)
+    {
+        wants_dispatch_ = false;
+        next_dispatch_ = now + settings_.dispatch_interval;
+        dispatch(now);
+    }
     for (auto const& id : std::exchange(dirty_, {}))
     {
         if (auto* const run = find_job(id))
@@ -471,6 +476,14 @@
     {
         timed_.push_back(id);
     }
+    for (auto& occurrence : run.occurrences)
+    {
+        for (std::size_t number = 0; number < occurrence.steps.size(); ++number)
+        {
+            occurrence.steps[number].image =
+                colocation_.number_of(run.spec.steps[number].image);
+        }
+    }
     if (loaded_ && parts_ == 0)
     {
         open_steps(now, run);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -38,6 +38,8 @@
     common::duration order_timeout = std::chrono::milliseconds(350);
     /// A wait without an answer ends this long after the worker's own limit.
     common::duration hold_grace = std::chrono::milliseconds(500);
+    /// Between two rounds of placing while nothing but readings has changed.
+    common::duration dispatch_interval = std::chrono::milliseconds(100);
     /// After a refusal for want of room.
     common::duration full_pause = std::chrono::milliseconds(100);
     /// A worker on which tasks of this many jobs failed in a row is avoided.
@@ -162,7 +164,8 @@
                     ports::task_run const& what);
     void check_silent(common::time_point now);
     void settle(common::time_point now);
-    worker_view view_of(worker const& of);
+    worker_view const& view_of(worker& of);
+    bool may_be_foreign(job_run const& run, task const& each) const;
     void blame(common::time_point now, worker& of, std::string const& job);
     void fenced(std::string const& by);
 
@@ -196,7 +199,7 @@
                                 job_run& run,
                                 ports::task_name const& name);
     std::optional<double>
-    score_fill(worker& on, step const& what);
+    score_fill(worker& on, step const& what, std::uint16_t image);
     void
     start(common::time_point now, job_run& run, ports::task_name const& name,
           worker& on);
@@ -231,6 +234,8 @@
     bool loaded_ = false;
     bool list_known_ = false;
     bool listing_ = false;
+    bool wants_dispatch_ = false; ///< Something may have found a place.
+    common::time_point next_dispatch_{};
     std::vector<ports::pool_worker> list_; ///< The pages read so far.
     bool settled_ = false; ///< No earlier owner's start is unknown any more.
     bool stopped_ = false;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -244,7 +244,8 @@
     double total = 0;
     if (what.fills)
     {
-        auto const fill = score_fill(on, what);
+        auto const fill = score_fill(
+            on, what, run.occurrences[name.occurrence].steps[name.step].image);
         if (!fill)
         {
             return std::nullopt;
@@ -274,7 +275,9 @@
 
 // Tasks that fill go where most cores are idle, to workers without serving
 // tasks first; beside those only where they are expected to be bearable.
-std::optional<double> owner::score_fill(worker& on, step const& what)
+std::optional<double> owner::score_fill(worker& on,
+                                         step const& what,
+                                         std::uint16_t image)
 {
     auto const idle = on.idle_cores(settings_.workers.serving_use) -
                       what.declared.millicores;
@@ -290,7 +293,7 @@
     auto const share =
         share_of(what.declared.millicores, on.info.capacity.millicores);
     double const expected =
-        colocation_.expected(view_of(on), what.image, share);
+        colocation_.expected(view_of(on), image, share);
     if (expected > settings_.sharing.place_below)
     {
         return std::nullopt;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -100,6 +100,7 @@
     auto& steps = run.occurrences[name.occurrence].steps[name.step];
     steps.tasks[name.index].phase = task_phase::ready;
     steps.ready.push_back(name.index);
+    wants_dispatch_ = true;
     ready_.insert(key_of(run, name.occurrence, name.step));
 }
 
@@ -110,6 +111,7 @@
     each.worker = on.info.id;
     each.born = on.born;
     on.runs.insert(name);
+    on.view_known = false;
     ++run.placed;
     on.reserved.memory_mb += what.declared.memory_mb;
     on.reserved.accelerators += what.declared.accelerators;
@@ -133,6 +135,8 @@
     {
         return;
     }
+    on->view_known = false;
+    wants_dispatch_ = true;
     --run.placed;
     on->reserved.memory_mb -= what.declared.memory_mb;
     on->reserved.accelerators -= what.declared.accelerators;
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -110,6 +110,7 @@
     {
         new_incarnation(now, *of, reply.born);
     }
+    of->view_known = false;
     take_rows(now, sent, *of, reply);
     bool const unwritten = of->listed_end > of->seen;
     if (unwritten)
@@ -209,6 +210,15 @@
     }
 }
 
+// An earlier owner may have started it and seen it end: of a step, too, that is
+// not known to be open yet, since workers tell of its predecessors in any order.
+bool owner::may_be_foreign(job_run const& run, task const& each) const
+{
+    bool const blocked = each.phase == task_phase::blocked && !settled_ &&
+                         run.revision < claim_.epoch();
+    return each.phase == task_phase::unsure || blocked;
+}
+
 void owner::take_running(common::time_point now,
                          worker& of,
                          ports::running_row const& row)
@@ -221,7 +231,7 @@
         order_stop(now, of.info.id, row.what);
         return;
     }
-    bool const adopt = each->phase == task_phase::unsure;
+    bool const adopt = may_be_foreign(*run, *each);
     if (adopt)
     {
         each->phase = task_phase::running;
@@ -297,7 +307,7 @@
     }
     bool const current = each->placed() && each->worker == of.info.id &&
                          each->attempt == row.what.attempt;
-    bool const unsure = each->phase == task_phase::unsure;
+    bool const unsure = may_be_foreign(*run, *each);
     // The end of a run that was taken for lost: no other was started since.
     bool const late = each->phase == task_phase::ready &&
                       each->worker == of.info.id &&
@@ -511,9 +521,16 @@
     }
 }
 
-worker_view owner::view_of(worker const& of)
+worker_view const& owner::view_of(worker& of)
 {
-    worker_view made;
+    if (of.view_known)
+    {
+        return of.view;
+    }
+    of.view_known = true;
+    auto& made = of.view;
+    made.serving.clear();
+    made.fills.clear();
     auto const cores =
         static_cast<double>(std::max<std::int64_t>(of.info.capacity.millicores, 1));
     for (auto const& name : of.runs)
@@ -525,10 +542,12 @@
             continue;
         }
         auto const& what = run->step_of(name);
+        auto const image =
+            run->occurrences[name.occurrence].steps[name.step].image;
         auto const target = common::to_milliseconds(what.tail_target);
         if (target > 0 && each->percent >= 100)
         {
-            made.serving.push_back({what.image,
+            made.serving.push_back({image,
                                     static_cast<double>(each->level) /
                                         static_cast<double>(target)});
         }
@@ -536,7 +555,7 @@
         {
             made.fills.push_back(
                 {name,
-                 what.image,
+                 image,
                  static_cast<double>(what.declared.millicores) / cores,
                  each->pace});
         }
@@ -551,6 +570,7 @@
         of.over_since = {};
         return;
     }
+    // A copy: pacing changes what it is made from.
     auto const seen = view_of(of);
     for (auto const& change :
          colocation_.observe(seen, now, of.over_since))
@@ -586,6 +606,7 @@
     }
     ++counters_.paced;
     each.pace = percent;
+    on.view_known = false;
     out_.order(life_,
                {0,
                 on.info.id,
