Count a failure once across owners; give silent workers no longer lease

Cause, first: a worker lists a failed end again to whoever takes over, who counted it a second time; a job was shown as failed with one attempt left. Ruled out: the wait for the end of the lease itself, which worked.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -22,6 +22,10 @@
     /// owner, 3 s after one of all instances), and no longer, since a worker
     /// that falls silent keeps its tasks from running elsewhere for this time.
     common::duration lease = std::chrono::milliseconds(3500);
+    /// A worker that has not answered for this long gets no longer lease: each
+    /// call may have reached it, so its lease would never be known to end. One
+    /// wait without an end, and its grace, fit in.
+    common::duration renew_within = std::chrono::milliseconds(1300);
     /// A worker's clock may run this much slower than ours.
     double clock_drift = 0.02;
     /// Beyond the end of a lease, for what was rounded on the way.
--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -89,7 +89,8 @@
         }
         to.started = true;
         found->failures = each.failures;
-        found->attempt = each.attempt;
+        found->attempt = each.last_failed;
+        found->last_failed = each.last_failed;
         found->checkpoint = each.checkpoint;
         if (each.done && found->phase != task_phase::done)
         {
@@ -123,7 +124,7 @@
                                       index,
                                       done,
                                       each.failures,
-                                      each.attempt,
+                                      each.last_failed,
                                       done ? std::string() : each.checkpoint});
             }
         }
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -125,6 +125,9 @@
     void task_failed(common::time_point now,
                      job_run& run,
                      ports::task_name const& name);
+    void count_failure(job_run& run,
+                       ports::task_name const& name,
+                       std::uint32_t attempt);
     void task_over(common::time_point now,
                    job_run& run,
                    ports::task_name const& name);
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -196,11 +196,7 @@
     unplace(run, name);
     each.failed_on.push_back(each.worker);
     bool const lasting = run.step_of(name).lasting;
-    if (!lasting)
-    {
-        ++each.failures;
-        mark_dirty(run);
-    }
+    count_failure(run, name, each.attempt);
     if (!lasting && each.failures >= run.rules.attempts &&
         run.phase == job_phase::active)
     {
@@ -217,6 +213,20 @@
     task_over(now, run, name);
 }
 
+void owner::count_failure(job_run& run,
+                          ports::task_name const& name,
+                          std::uint32_t attempt)
+{
+    if (run.step_of(name).lasting)
+    {
+        return;
+    }
+    auto& each = run.at(name);
+    ++each.failures;
+    each.last_failed = std::max(each.last_failed, attempt);
+    mark_dirty(run);
+}
+
 // Its run is over and it is not done: the next attempt may start anywhere.
 void owner::task_over(common::time_point now,
                       job_run& run,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -56,11 +56,13 @@
     bool const busy = !of.runs.empty();
     if (of.adopted)
     {
-        order.until_ms = busy ? fleet_.lease_end(of, now) : 0;
+        bool const answers =
+            now - of.contact < settings_.workers.renew_within;
+        order.until_ms = busy && answers ? fleet_.lease_end(of, now) : 0;
         of.until_ms = std::max(of.until_ms, order.until_ms);
     }
     bool const unwritten = of.listed_end > of.seen;
-    if (of.adopted && busy && !unwritten)
+    if (order.until_ms > 0 && !unwritten)
     {
         bool const guarded = of.serves() && of.fill_cores > 0;
         order.wait = guarded ? settings_.guarded_wait : settings_.calm_wait;
@@ -328,7 +330,9 @@
         task_done(now, *run, name);
         return;
     }
-    if (row.how == end_kind::failed && (current || unsure))
+    bool const counted =
+        unsure && row.what.attempt <= each->last_failed;
+    if (row.how == end_kind::failed && (current || unsure) && !counted)
     {
         out_.log(severity::info,
                  "task_failed",
@@ -340,8 +344,7 @@
         blame(now, of, name.job);
         if (unsure)
         {
-            ++each->failures;
-            mark_dirty(*run);
+            count_failure(*run, name, row.what.attempt);
             return;
         }
         task_failed(now, *run, name);
--- a/src/core/pool/progress.cpp
+++ b/src/core/pool/progress.cpp
@@ -59,7 +59,7 @@
                                    each.index,
                                    each.done ? 1 : 0,
                                    each.failures,
-                                   each.attempt,
+                                   each.last_failed,
                                    each.checkpoint});
     }
     return json::serialize(
--- a/src/core/pool/progress.hpp
+++ b/src/core/pool/progress.hpp
@@ -23,7 +23,10 @@
         std::uint32_t index = 0;
         bool done = false;
         std::uint32_t failures = 0;
-        std::uint32_t attempt = 0; ///< The highest that is known to have ended.
+        /// Attempt of the last failure that was counted. Its worker lists that
+        /// end again to whoever takes over: counted twice, a job would fail
+        /// before all its attempts were used.
+        std::uint32_t last_failed = 0;
         std::string checkpoint;
     };
 
