--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -1,5 +1,6 @@
 #include "core/pool/job_run.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -89,8 +90,10 @@
         }
         to.started = true;
         found->failures = each.failures;
-        found->attempt = each.last_failed;
-        found->last_failed = each.last_failed;
+        for (auto const attempt : each.failures)
+        {
+            found->attempt = std::max(found->attempt, attempt);
+        }
         found->checkpoint = each.checkpoint;
         if (each.done && found->phase != task_phase::done)
         {
@@ -115,7 +118,7 @@
             {
                 auto const& each = tasks[index];
                 bool const done = each.phase == task_phase::done;
-                if (!done && each.failures == 0 && each.checkpoint.empty())
+                if (!done && each.failures.empty() && each.checkpoint.empty())
                 {
                     continue;
                 }
@@ -124,7 +127,6 @@
                                       index,
                                       done,
                                       each.failures,
-                                      each.last_failed,
                                       done ? std::string() : each.checkpoint});
             }
         }
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -30,8 +30,7 @@
 {
     task_phase phase = task_phase::blocked;
     std::uint32_t attempt = 0; ///< Of the present or last run.
-    std::uint32_t failures = 0;
-    std::uint32_t last_failed = 0; ///< Attempt of the last counted failure.
+    std::vector<std::uint32_t> failures; ///< Attempts that failed.
     std::string worker;     ///< Of the present run.
     std::uint64_t born = 0; ///< Incarnation of that worker.
     std::string checkpoint;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -78,7 +78,7 @@
             for (auto const& each : occurrence.steps[number].tasks)
             {
                 if (!run.spec.steps[number].lasting &&
-                    each.failures >= run.rules.attempts)
+                    each.failures.size() >= run.rules.attempts)
                 {
                     return true;
                 }
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -197,7 +197,7 @@
     each.failed_on.push_back(each.worker);
     bool const lasting = run.step_of(name).lasting;
     count_failure(run, name, each.attempt);
-    if (!lasting && each.failures >= run.rules.attempts &&
+    if (!lasting && each.failures.size() >= run.rules.attempts &&
         run.phase == job_phase::active)
     {
         each.phase = task_phase::blocked;
@@ -206,7 +206,7 @@
                  {{"job", run.spec.id},
                   {"step", std::to_string(name.step)},
                   {"task", std::to_string(name.index)},
-                  {"failures", std::to_string(each.failures)}});
+                  {"failures", std::to_string(each.failures.size())}});
         end_job(now, run, job_phase::failing);
         return;
     }
@@ -222,8 +222,7 @@
         return;
     }
     auto& each = run.at(name);
-    ++each.failures;
-    each.last_failed = std::max(each.last_failed, attempt);
+    each.failures.push_back(attempt);
     mark_dirty(run);
 }
 
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -330,8 +330,10 @@
         task_done(now, *run, name);
         return;
     }
+    auto const& failures = each->failures;
     bool const counted =
-        unsure && row.what.attempt <= each->last_failed;
+        std::find(failures.begin(), failures.end(), row.what.attempt) !=
+        failures.end();
     if (row.how == end_kind::failed && (current || unsure) && !counted)
     {
         out_.log(severity::info,
@@ -512,7 +514,7 @@
                 {
                     hopeless = hopeless ||
                                (!run.spec.steps[number].lasting &&
-                                each.failures >= run.rules.attempts);
+                                each.failures.size() >= run.rules.attempts);
                 }
             }
         }
--- a/src/core/pool/progress.cpp
+++ b/src/core/pool/progress.cpp
@@ -2,8 +2,6 @@
 
 #include "core/common/json.hpp"
 
-#include <array>
-
 namespace fuchsia::core::pool
 {
 
@@ -14,36 +12,57 @@
 
 // A task is a row of these columns, in this order; it stands a hundred times
 // in a large job's record.
-constexpr std::size_t column_count = 7;
+enum column : std::size_t
+{
+    occurrence_column,
+    step_column,
+    index_column,
+    done_column,
+    failures_column,
+    checkpoint_column,
+    column_count,
+};
 
-std::optional<progress::task> task_from(json::value const& row)
+std::optional<std::vector<std::uint32_t>> numbers_from(json::value const& list)
 {
-    if (!row.is_array() || row.as_array().size() != column_count)
+    auto const* const cells = list.if_array();
+    if (cells == nullptr)
     {
         return std::nullopt;
     }
-    auto const& cells = row.as_array();
-    std::array<std::uint32_t, column_count - 1> numbers{};
-    for (std::size_t column = 0; column < numbers.size(); ++column)
+    std::vector<std::uint32_t> made;
+    for (auto const& cell : *cells)
     {
-        auto const* const number = cells[column].if_int64();
+        auto const* const number = cell.if_int64();
         if (number == nullptr || *number < 0)
         {
             return std::nullopt;
         }
-        numbers[column] = static_cast<std::uint32_t>(*number);
+        made.push_back(static_cast<std::uint32_t>(*number));
+    }
+    return made;
+}
+
+std::optional<progress::task> task_from(json::value const& row)
+{
+    auto const* const cells = row.if_array();
+    if (cells == nullptr || cells->size() != column_count)
+    {
+        return std::nullopt;
     }
-    auto const* const checkpoint = cells[column_count - 1].if_string();
-    if (checkpoint == nullptr)
+    auto const place = numbers_from(
+        json::array(cells->begin(), cells->begin() + failures_column));
+    auto const failures = numbers_from((*cells)[failures_column]);
+    auto const* const checkpoint = (*cells)[checkpoint_column].if_string();
+    if (!place || !failures || checkpoint == nullptr)
     {
         return std::nullopt;
     }
-    return progress::task{numbers[0],
-                          numbers[1],
-                          numbers[2],
-                          numbers[3] != 0,
-                          numbers[4],
-                          numbers[5],
+    return progress::task{(*place)[occurrence_column],
+                          (*place)[step_column],
+                          (*place)[index_column],
+                          (*place)[done_column] != 0,
+                          *failures,
                           std::string(*checkpoint)};
 }
 
@@ -58,8 +77,7 @@
                                    each.step,
                                    each.index,
                                    each.done ? 1 : 0,
-                                   each.failures,
-                                   each.last_failed,
+                                   json::value_from(each.failures),
                                    each.checkpoint});
     }
     return json::serialize(
--- a/src/core/pool/progress.hpp
+++ b/src/core/pool/progress.hpp
@@ -22,11 +22,10 @@
         std::uint32_t step = 0;
         std::uint32_t index = 0;
         bool done = false;
-        std::uint32_t failures = 0;
-        /// Attempt of the last failure that was counted. Its worker lists that
-        /// end again to whoever takes over: counted twice, a job would fail
-        /// before all its attempts were used.
-        std::uint32_t last_failed = 0;
+        /// Attempts that failed. Their workers list these ends again, in any
+        /// order, to whoever takes over: counted twice, or not at all, a job
+        /// would get too few attempts or too many.
+        std::vector<std::uint32_t> failures;
         std::string checkpoint;
     };
 
