--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -33,6 +33,9 @@
     std::vector<std::uint32_t> failures; ///< Attempts that failed.
     std::string worker;     ///< Of the present run.
     std::uint64_t born = 0; ///< Incarnation of that worker.
+    /// Its start got no answer and may be carried out seconds late: that a
+    /// worker does not show it proves nothing before the worker took a stop.
+    bool unclear = false;
     std::string checkpoint;
     std::uint32_t percent = 0;
     std::int64_t level = 0;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -144,13 +144,7 @@
         next_dispatch_ = now + settings_.dispatch_interval;
         dispatch(now);
     }
-    for (auto const& id : std::exchange(dirty_, {}))
-    {
-        if (auto* const run = find_job(id))
-        {
-            save_progress(*run);
-        }
-    }
+    save_all_progress();
     write_backlog(now);
     ledger_.tick(now);
 }
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -137,6 +137,7 @@
     void end_job(common::time_point now, job_run& run, job_phase phase);
     void finish_if_over(common::time_point now, job_run& run);
     void mark_dirty(job_run& run);
+    void save_all_progress();
     void save_progress(job_run& run);
     job_run* find_job(std::string const& id);
 
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -310,6 +310,7 @@
     place(run, name, on);
     ++each.attempt;
     each.phase = task_phase::starting;
+    each.unclear = false;
     each.percent = 0;
     each.pace = 100;
     each.started = now;
@@ -379,6 +380,7 @@
         // It may run, or be carried out in seconds: it must be stopped for good
         // before another attempt may start anywhere.
         ++counters_.starts_unclear;
+        each->unclear = true;
         each->phase = task_phase::stopping;
         order_stop(now, id, what);
         return;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -281,6 +281,7 @@
                 if (each.phase == task_phase::starting ||
                     each.phase == task_phase::running)
                 {
+                    each.unclear = each.phase == task_phase::starting;
                     each.phase = task_phase::stopping;
                     order_stop(now, each.worker, {name, each.attempt});
                 }
@@ -353,6 +354,17 @@
     }
 }
 
+void owner::save_all_progress()
+{
+    for (auto const& id : std::exchange(dirty_, {}))
+    {
+        if (auto* const run = find_job(id))
+        {
+            save_progress(*run);
+        }
+    }
+}
+
 void owner::save_progress(job_run& run)
 {
     if (run.phase == job_phase::recorded)
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -117,7 +117,11 @@
     bool const unwritten = of->listed_end > of->seen;
     if (unwritten)
     {
-        // Asked before its ends are durable, it would list them again at once.
+        // What was just learned is written before the end is acknowledged: an
+        // end that a worker has forgotten and the store does not hold is lost,
+        // and the next owner runs that task again.
+        save_all_progress();
+        // Asked before that, the worker would list the same ends at once.
         ledger_.after_all(
             [this, id, born = of->born, number = of->listed_end](
                 common::time_point at)
@@ -195,8 +199,17 @@
     {
         auto* const run = find_job(name.job);
         auto* const each = run != nullptr ? run->find(name) : nullptr;
+        bool const untold = each != nullptr && each->unclear &&
+                            each->phase == task_phase::stopping &&
+                            now - each->moved > stop_again_after;
+        if (untold)
+        {
+            each->moved = now;
+            order_stop(now, of.info.id, {name, each->attempt});
+        }
         if (here.contains(name) || each == nullptr ||
-            each->phase == task_phase::starting || each->started >= sent)
+            each->phase == task_phase::starting || each->unclear ||
+            each->started >= sent)
         {
             continue;
         }
@@ -266,6 +279,7 @@
     {
         each->moved = now;
     }
+    each->unclear = false;
     each->percent = row.percent;
     each->level = row.level;
     if (!row.checkpoint.empty())
@@ -671,6 +685,7 @@
             if (reply.status == order_status::done)
             {
                 // A hold sent from now on tells the truth about it.
+                each->unclear = false;
                 each->started = at;
                 return;
             }
