--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -41,8 +41,9 @@
     std::int64_t level = 0;
     std::uint32_t pace = 100; ///< As ordered.
     common::time_point paced{}; ///< When it was ordered to stand still.
-    double alone = 0; ///< Headroom without neighbours, by its own readings,
-    common::time_point read{}; ///< and when that was read.
+    double headroom = 0; ///< Of a serving task, as last read,
+    double taken = 0;    ///< what its neighbours were taken to cost then,
+    common::time_point read{}; ///< and when that was.
     common::time_point started{};
     common::time_point moved{};          ///< Last seen to make progress.
     std::vector<std::string> failed_on;  ///< Workers to avoid.
@@ -105,6 +106,13 @@
     step const& step_of(ports::task_name const& name) const;
 };
 
+/// Headroom that the serving tasks of a step have without neighbours, by the
+/// readings since `oldest`; 0 where there are none. How many readings there
+/// were goes to `readings`.
+double headroom_alone(step_run const& steps,
+                      common::time_point oldest,
+                      std::size_t& readings);
+
 /// Lays out all tasks, as blocked; `steps` open later.
 job_run make_job_run(job spec,
                      std::uint64_t revision,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -589,8 +589,6 @@
     return made;
 }
 
-// What the tasks of one step have in common is the load of their users: the
-// middle of what each would have without its neighbours.
 void owner::read_serving(common::time_point now, worker& of)
 {
     auto const fills = view_of(of).fills;
@@ -607,29 +605,17 @@
             continue;
         }
         auto& steps = run->occurrences[name.occurrence].steps[name.step];
-        serving_view seen;
-        seen.image = steps.image;
-        seen.headroom =
+        each->headroom =
             static_cast<double>(target) /
             static_cast<double>(std::max<std::int64_t>(each->level, 1));
-        each->alone = seen.headroom + colocation_.taken(seen.image, fills);
+        each->taken = colocation_.taken(steps.image, fills);
         each->read = now;
-        std::vector<double> readings;
-        for (auto const& sibling : steps.tasks)
+        std::size_t readings = 0;
+        steps.alone = headroom_alone(steps, now - reading_age, readings);
+        if (readings >= readings_to_learn && !fills.empty())
         {
-            if (sibling.alone > 0 && now - sibling.read <= reading_age)
-            {
-                readings.push_back(sibling.alone);
-            }
-        }
-        auto const middle = readings.begin() +
-                            static_cast<std::ptrdiff_t>(readings.size() / 2);
-        std::nth_element(readings.begin(), middle, readings.end());
-        steps.alone = *middle;
-        seen.alone = steps.alone;
-        if (readings.size() >= readings_to_learn && !fills.empty())
-        {
-            colocation_.learn(seen, fills);
+            colocation_.learn({steps.image, each->headroom, steps.alone},
+                              fills);
         }
     }
     of.view_known = false;
