--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -42,6 +42,18 @@
     stop_after = std::min<core::common::duration>(stop_after, harm / 2);
 }
 
+void read_sharing(toml_table table, core::pool::colocation_settings& out)
+{
+    out.keep = table.number_or("keep", out.keep, 0, 100);
+    out.place_above = table.number_or("place_above", out.place_above, 0, 100);
+    out.harmless = table.number_or("harmless", out.harmless, 0, 100);
+    out.prior = table.number_or("prior", out.prior, 0, 100);
+    out.evict_after =
+        table.duration_or("evict_after_ms", out.evict_after, 0ms, 60s);
+    out.stop_after =
+        table.duration_or("stop_after_ms", out.stop_after, 0ms, 60s);
+}
+
 std::optional<pool_file> parse(std::shared_ptr<toml_file> const& file,
                                core::common::failure& reason)
 {
@@ -60,6 +72,7 @@
     made.store = root.endpoint("store");
     made.log_level = static_cast<ports::severity>(root.choice_or(
         "log_level", 1, {"debug", "info", "warning", "error"}));
+    read_sharing(root.table("sharing"), made.pool.owner.sharing);
     read_bounds(root.table("bounds"), made.pool);
     root.refuse_unread();
     if (!file->ok())
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -13,8 +13,9 @@
 // Far over its target a tail says only that it is: the queue grows as long as
 // the disturbance lasts.
 constexpr double least_headroom = 0.5;
-// A pair that takes less than this for a whole worker is not slowed down.
-constexpr double harmless_weight = 0.8;
+// A single reading moves the estimates no further than this would, however far
+// off it is: a queue that overflowed, or load that has just turned.
+constexpr double most_error = 1.5;
 
 } // namespace
 
@@ -60,8 +61,10 @@
                        std::vector<fill_view> const& beside)
 {
     double const headroom = std::max(seen.headroom, least_headroom);
-    double const error =
-        seen.alone - headroom - taken(seen.image, beside);
+    double const error = std::clamp(
+        seen.alone - headroom - taken(seen.image, beside),
+        -most_error,
+        most_error);
     std::map<std::uint16_t, double> shares;
     for (auto const& each : beside)
     {
@@ -77,7 +80,8 @@
     {
         auto& pair = row[image];
         double const gain = pair.variance * share / total;
-        pair.weight = std::max(0.0, pair.weight + gain * error);
+        pair.weight =
+            std::clamp(pair.weight + gain * error, 0.0, settings_.most);
         pair.variance = std::max(settings_.least_variance,
                                  pair.variance * (1 - gain * share));
     }
@@ -91,7 +95,7 @@
     for (auto const& each : fills)
     {
         double const cost = weight(served.image, each.image);
-        wanted += cost > harmless_weight ? cost * each.declared : 0;
+        wanted += cost > settings_.harmless ? cost * each.declared : 0;
     }
     double const spare = served.alone - settings_.keep;
     return wanted <= 0 ? 1 : std::clamp(spare / wanted, 0.0, 1.0);
@@ -112,7 +116,7 @@
         {
             bool const disturbs =
                 weight(served.image, seen.fills[index].image) >
-                harmless_weight;
+                settings_.harmless;
             speeds[index] =
                 disturbs ? std::min(speeds[index], speed) : speeds[index];
         }
@@ -159,7 +163,7 @@
         }
         // One that nothing placed here disturbs is no reason to stay away.
         bool const disturbed =
-            weight(served.image, image) > harmless_weight;
+            weight(served.image, image) > settings_.harmless;
         least = disturbed ? std::min(least, served.alone - taken) : least;
     }
     return least;
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -25,9 +25,9 @@
 {
     /// Headroom that neighbours leave to a serving task: below 1 it is spoiled.
     /// A reading is up to 0.75 s old, in which load alone takes 0.3.
-    double keep = 1.25;
+    double keep = 1.3;
     /// A task that fills is placed only where this much is expected to stay.
-    double place_above = 1.6;
+    double place_above = 1.7;
     /// Tasks that fill stand still on a worker whose serving task has been over
     /// its target for this long, whatever was learned.
     common::duration stop_after = std::chrono::milliseconds(1500);
@@ -47,6 +47,11 @@
     /// Pairs change within seconds: what is known of one is never more certain
     /// than this.
     double least_variance = 0.1;
+    /// No pair that was measured costs more than this.
+    double most = 25;
+    /// A pair that costs less than this for a whole worker is taken for
+    /// harmless: what is learned of such pairs is noise of up to 3.
+    double harmless = 3;
     /// Images told apart; later ones share the last number.
     std::size_t max_images = 64;
 };
