--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -17,6 +17,29 @@
 // off it is: a queue that overflowed, or load that has just turned.
 constexpr double most_error = 1.5;
 
+// Disturbances that differ by less, in targets, are as good as each other.
+constexpr double like_the_least = 0.15;
+
+// What one task's neighbours used beyond the mean of its siblings' neighbours.
+std::map<std::uint16_t, double>
+beyond_the_mean(std::vector<serving_reading const*> const& readings)
+{
+    std::map<std::uint16_t, double> made;
+    auto const count = static_cast<double>(readings.size());
+    for (auto const* each : readings)
+    {
+        for (auto const& other : each->beside)
+        {
+            made[other.image] -= other.share / count;
+        }
+    }
+    for (auto const& other : readings.back()->beside)
+    {
+        made[other.image] += other.share;
+    }
+    return made;
+}
+
 } // namespace
 
 colocation::colocation(colocation_settings settings)
@@ -43,42 +66,59 @@
     return pairs_[served * settings_.max_images + beside].weight;
 }
 
+std::vector<neighbour_share> shares_of(std::vector<fill_view> const& fills)
+{
+    std::map<std::uint16_t, double> sums;
+    for (auto const& each : fills)
+    {
+        sums[each.image] += each.used;
+    }
+    std::vector<neighbour_share> made;
+    for (auto const& [image, share] : sums)
+    {
+        made.push_back({image, share});
+    }
+    return made;
+}
+
 double colocation::taken(std::uint16_t image,
-                         std::vector<fill_view> const& beside) const
+                         std::vector<neighbour_share> const& beside) const
 {
     double total = 0;
     for (auto const& each : beside)
     {
-        total += weight(image, each.image) * each.used;
+        total += weight(image, each.image) * each.share;
     }
     return total;
 }
 
-// A Kalman filter without the terms between pairs: each neighbour gets the part
-// of the error that its size and its uncertainty explain. A neighbour that
-// hardly works yet teaches next to nothing.
-void colocation::learn(serving_view const& seen,
-                       std::vector<fill_view> const& beside)
+// The load of their users is common to all tasks of a step, and unknown. A
+// reading is therefore held against the mean of its siblings: by how much less
+// headroom it has, and by how much more its neighbours used. A Kalman filter
+// without the terms between pairs then gives each neighbour the part of the
+// error that its size and its uncertainty explain.
+void colocation::learn(std::uint16_t image,
+                       std::vector<serving_reading const*> const& readings)
 {
-    double const headroom = std::max(seen.headroom, least_headroom);
-    double const error = std::clamp(
-        seen.alone - headroom - taken(seen.image, beside),
-        -most_error,
-        most_error);
-    std::map<std::uint16_t, double> shares;
-    for (auto const& each : beside)
+    double mean = 0;
+    for (auto const* each : readings)
     {
-        shares[each.image] += each.used;
+        mean += std::max(each->headroom, least_headroom);
     }
-    auto* const row = &pairs_[seen.image * settings_.max_images];
+    mean /= static_cast<double>(readings.size());
+    auto const beyond = beyond_the_mean(readings);
+    auto* const row = &pairs_[image * settings_.max_images];
+    double error = mean - std::max(readings.back()->headroom, least_headroom);
     double total = settings_.reading_variance;
-    for (auto const& [image, share] : shares)
+    for (auto const& [other, share] : beyond)
     {
-        total += row[image].variance * share * share;
+        error -= row[other].weight * share;
+        total += row[other].variance * share * share;
     }
-    for (auto const& [image, share] : shares)
+    error = std::clamp(error, -most_error, most_error);
+    for (auto const& [other, share] : beyond)
     {
-        auto& pair = row[image];
+        auto& pair = row[other];
         double const gain = pair.variance * share / total;
         pair.weight =
             std::clamp(pair.weight + gain * error, 0.0, settings_.most);
@@ -87,6 +127,30 @@
     }
 }
 
+// The least disturbed tasks tell the load best: what is added back for
+// neighbours is as wrong as what was learned of them.
+double
+colocation::alone(std::vector<serving_reading const*> const& readings) const
+{
+    double least = readings.front()->taken;
+    for (auto const* each : readings)
+    {
+        least = std::min(least, each->taken);
+    }
+    std::vector<double> estimates;
+    for (auto const* each : readings)
+    {
+        if (each->taken <= least + like_the_least)
+        {
+            estimates.push_back(each->headroom + each->taken);
+        }
+    }
+    auto const middle = estimates.begin() +
+                        static_cast<std::ptrdiff_t>(estimates.size() / 2);
+    std::nth_element(estimates.begin(), middle, estimates.end());
+    return *middle;
+}
+
 // Share of their speed that the neighbours which disturb `served` may have.
 double colocation::speed_beside(serving_view const& served,
                                 std::vector<fill_view> const& fills) const
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -56,6 +56,10 @@
     std::size_t max_images = 64;
 };
 
+/// What neighbours use, summed up by image.
+std::vector<neighbour_share>
+shares_of(std::vector<struct fill_view> const& fills);
+
 /// A serving task.
 struct serving_view
 {
@@ -101,9 +105,12 @@
 
     /// Headroom that neighbours take from a task of `image`, as far as known.
     double taken(std::uint16_t image,
-                 std::vector<fill_view> const& beside) const;
-    /// Learns from a reading whose step is known to have `alone`.
-    void learn(serving_view const& seen, std::vector<fill_view> const& beside);
+                 std::vector<neighbour_share> const& beside) const;
+    /// Learns from the last of `readings`, all of tasks of one step.
+    void learn(std::uint16_t image,
+               std::vector<serving_reading const*> const& readings);
+    /// Headroom that the tasks of one step would have without neighbours.
+    double alone(std::vector<serving_reading const*> const& readings) const;
 
     /// Speeds that leave every serving task its headroom.
     std::vector<pace_change> paces(worker_view const& seen,
--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -12,9 +12,6 @@
 // Up to three times its time limit a job still has some worth for its users.
 constexpr std::int64_t worthless_after = 3;
 
-// Disturbances that differ by less, in targets, are as good as each other.
-constexpr double like_the_least = 0.15;
-
 occurrence_run make_occurrence(job const& spec)
 {
     occurrence_run made;
@@ -80,42 +77,6 @@
     return made;
 }
 
-// What the tasks of one step have in common is the load of their users. Those
-// with the least disturbance tell it best: what is added back for neighbours is
-// as wrong as what was learned of them, and would confirm itself.
-double headroom_alone(step_run const& steps,
-                      common::time_point oldest,
-                      std::size_t& readings)
-{
-    std::vector<std::pair<double, double>> seen;
-    for (auto const& each : steps.tasks)
-    {
-        if (each.headroom > 0 && each.read >= oldest)
-        {
-            seen.emplace_back(each.taken, each.headroom + each.taken);
-        }
-    }
-    readings = seen.size();
-    if (seen.empty())
-    {
-        return 0;
-    }
-    std::sort(seen.begin(), seen.end());
-    double const limit = seen.front().first + like_the_least;
-    std::vector<double> alone;
-    for (auto const& [taken, headroom] : seen)
-    {
-        if (taken <= limit)
-        {
-            alone.push_back(headroom);
-        }
-    }
-    auto const middle =
-        alone.begin() + static_cast<std::ptrdiff_t>(alone.size() / 2);
-    std::nth_element(alone.begin(), middle, alone.end());
-    return *middle;
-}
-
 void apply(progress const& known, job_run& to)
 {
     to.has_progress = true;
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -24,6 +24,22 @@
     done,
 };
 
+/// Cores that neighbours of one image used, as a share of the worker's.
+struct neighbour_share
+{
+    std::uint16_t image = 0;
+    double share = 0;
+};
+
+/// How a serving task fared when its worker last told.
+struct serving_reading
+{
+    common::time_point when{};
+    double headroom = 0; ///< Target / tail.
+    double taken = 0;    ///< What its neighbours were taken to cost then.
+    std::vector<neighbour_share> beside; ///< By image, ascending.
+};
+
 /// A task and its only run. At most one attempt may be at work anywhere, so
 /// the next one starts only once the last is known to be over.
 struct task
@@ -41,9 +57,7 @@
     std::int64_t level = 0;
     std::uint32_t pace = 100; ///< As ordered.
     common::time_point paced{}; ///< When it was ordered to stand still.
-    double headroom = 0; ///< Of a serving task, as last read,
-    double taken = 0;    ///< what its neighbours were taken to cost then,
-    common::time_point read{}; ///< and when that was.
+    serving_reading reading; ///< Of a serving task; the last one.
     common::time_point started{};
     common::time_point moved{};          ///< Last seen to make progress.
     std::vector<std::string> failed_on;  ///< Workers to avoid.
@@ -106,13 +120,6 @@
     step const& step_of(ports::task_name const& name) const;
 };
 
-/// Headroom that the serving tasks of a step have without neighbours, by the
-/// readings since `oldest`; 0 where there are none. How many readings there
-/// were goes to `readings`.
-double headroom_alone(step_run const& steps,
-                      common::time_point oldest,
-                      std::size_t& readings);
-
 /// Lays out all tasks, as blocked; `steps` open later.
 job_run make_job_run(job spec,
                      std::uint64_t revision,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -591,7 +591,7 @@
 
 void owner::read_serving(common::time_point now, worker& of)
 {
-    auto const fills = view_of(of).fills;
+    auto const beside = shares_of(view_of(of).fills);
     for (auto const& name : of.runs)
     {
         auto* const run = find_job(name.job);
@@ -605,17 +605,28 @@
             continue;
         }
         auto& steps = run->occurrences[name.occurrence].steps[name.step];
-        each->headroom =
+        auto& reading = each->reading;
+        reading.when = now;
+        reading.headroom =
             static_cast<double>(target) /
             static_cast<double>(std::max<std::int64_t>(each->level, 1));
-        each->taken = colocation_.taken(steps.image, fills);
-        each->read = now;
-        std::size_t readings = 0;
-        steps.alone = headroom_alone(steps, now - reading_age, readings);
-        if (readings >= readings_to_learn && !fills.empty())
+        reading.taken = colocation_.taken(steps.image, beside);
+        reading.beside = beside;
+        std::vector<serving_reading const*> readings;
+        for (auto const& sibling : steps.tasks)
         {
-            colocation_.learn({steps.image, each->headroom, steps.alone},
-                              fills);
+            bool const fresh = sibling.reading.headroom > 0 &&
+                               now - sibling.reading.when <= reading_age;
+            if (fresh && &sibling != each)
+            {
+                readings.push_back(&sibling.reading);
+            }
+        }
+        readings.push_back(&reading);
+        steps.alone = colocation_.alone(readings);
+        if (readings.size() >= readings_to_learn)
+        {
+            colocation_.learn(steps.image, readings);
         }
     }
     of.view_known = false;
