Idle cores beside serving tasks follow their load

Cause: serving tasks were taken to use 0.55 of their cores at any time; by their tails it is 0.25 in a trough and 0.72 at a peak. Placement wasted half of what was idle in the one and crowded the other.

--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -151,6 +151,12 @@
     return *middle;
 }
 
+double colocation::load(double alone) const noexcept
+{
+    return alone <= 0 ? settings_.usual_load
+                      : std::clamp(1 - alone / settings_.idle_headroom, 0.1, 1.0);
+}
+
 // Share of their speed that the neighbours which disturb `served` may have.
 double colocation::speed_beside(serving_view const& served,
                                 std::vector<fill_view> const& fills) const
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -52,6 +52,11 @@
     /// A pair that costs less than this for a whole worker is taken for
     /// harmless: what is learned of such pairs is noise of up to 3.
     double harmless = 3;
+    /// Headroom of a serving task without any load: its tail is then a sixth of
+    /// its target on both workloads. Says what share of its cores is in use.
+    double idle_headroom = 6;
+    /// That share while it is not known.
+    double usual_load = 0.55;
     /// Images told apart; later ones share the last number.
     std::size_t max_images = 64;
 };
@@ -112,6 +117,10 @@
     /// Headroom that the tasks of one step would have without neighbours.
     double alone(std::vector<serving_reading const*> const& readings) const;
 
+    /// Share of its cores that a serving task uses, by its headroom without
+    /// neighbours.
+    double load(double alone) const noexcept;
+
     /// Speeds that leave every serving task its headroom.
     std::vector<pace_change> paces(worker_view const& seen,
                                    common::time_point now,
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -5,11 +5,10 @@
 namespace fuchsia::core::pool
 {
 
-std::int64_t worker::idle_cores(double serving_use) const noexcept
+std::int64_t worker::idle_cores() const noexcept
 {
-    auto const served = static_cast<double>(serving_cores) * serving_use;
-    return info.capacity.millicores - (reserved.millicores - serving_cores) -
-           static_cast<std::int64_t>(served) - fill_cores;
+    auto const others = reserved.millicores - serving_cores;
+    return info.capacity.millicores - others - serving_used - fill_cores;
 }
 
 fleet::fleet(fleet_settings settings) : settings_(settings)
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -34,9 +34,6 @@
     /// successor waits as long before it takes a worker that it can't reach
     /// for idle.
     common::duration solo_limit = std::chrono::seconds(8);
-    /// Share of its declared cores that a serving task uses on average; what is
-    /// left of them feeds tasks that fill. Measured at 0.55 on both workloads.
-    double serving_use = 0.55;
 };
 
 /// A worker as the owner knows it.
@@ -50,6 +47,7 @@
 
     ports::resources reserved; ///< By what is placed; cores not by fills.
     std::int64_t serving_cores = 0; ///< Part of the reserved.
+    std::int64_t serving_used = 0;  ///< Of those, what is in use now.
     std::int64_t fill_cores = 0;    ///< Declared by tasks that fill.
     std::set<ports::task_name> runs; ///< Tasks placed here.
 
@@ -74,8 +72,8 @@
     {
         return serving_cores > 0;
     }
-    /// Cores in thousandths that nobody uses, on average.
-    std::int64_t idle_cores(double serving_use) const noexcept;
+    /// Cores in thousandths that nobody uses, as far as `view` tells.
+    std::int64_t idle_cores() const noexcept;
 };
 
 /// All workers that may run tasks of this deployment.
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -666,7 +666,7 @@
     std::int64_t reserved = 0;
     std::int64_t serving = 0;
     std::int64_t fills = 0;
-    std::int64_t free_idle = 0;
+    std::int64_t idle = 0;
     double slowed = 0;
     for (auto& [id, each] : fleet_.all())
     {
@@ -674,13 +674,11 @@
         reserved += each.reserved.millicores;
         serving += each.serving_cores;
         fills += each.fill_cores;
-        free_idle += each.serves()
-                         ? 0
-                         : each.idle_cores(settings_.workers.serving_use);
         for (auto const& fill : view_of(each).fills)
         {
             slowed += 1 - fill.pace / 100.0;
         }
+        idle += std::max<std::int64_t>(each.idle_cores(), 0);
     }
     auto const cores = [](std::int64_t millicores)
     {
@@ -695,7 +693,7 @@
               {"reserved", cores(reserved)},
               {"serving", cores(serving)},
               {"fills", cores(fills)},
-              {"idle_unserved", cores(free_idle)},
+              {"idle", cores(idle)},
               {"fills_slowed", std::to_string(std::lround(slowed))}});
 }
 
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -309,8 +309,8 @@
                                          step const& what,
                                          std::uint16_t image)
 {
-    auto const idle = on.idle_cores(settings_.workers.serving_use) -
-                      what.declared.millicores;
+    auto const& seen = view_of(on);
+    auto const idle = on.idle_cores() - what.declared.millicores;
     if (idle < 0)
     {
         return std::nullopt;
@@ -322,7 +322,6 @@
     }
     auto const share =
         share_of(what.declared.millicores, on.info.capacity.millicores);
-    auto const& seen = view_of(on);
     if (colocation_.expected(seen, image, share) <
         settings_.sharing.place_above)
     {
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -556,6 +556,7 @@
     auto& made = of.view;
     made.serving.clear();
     made.fills.clear();
+    of.serving_used = 0;
     auto const cores = static_cast<double>(
         std::max<std::int64_t>(of.info.capacity.millicores, 1));
     for (auto const& name : of.runs)
@@ -570,6 +571,12 @@
         auto const& steps = run->occurrences[name.occurrence].steps[name.step];
         auto const target =
             static_cast<double>(common::to_milliseconds(what.tail_target));
+        if (target > 0)
+        {
+            double const load = colocation_.load(steps.alone);
+            of.serving_used += static_cast<std::int64_t>(
+                load * static_cast<double>(what.declared.millicores));
+        }
         if (target > 0 && each->percent >= 100)
         {
             double const tail =
