--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -31,9 +31,9 @@
     lease = std::min(lease, longest);
     auto const grace =
         std::chrono::seconds(bounds.integer_or("stop_limit_s", 6, 1, 600));
-    out.stop_limit = std::min(
-        out.stop_limit,
-        std::max<core::common::duration>(grace - stop_reserve, 100ms));
+    out.stop_limit =
+        std::min(out.stop_limit,
+                 std::max<core::common::duration>(grace - stop_reserve, 100ms));
     auto const kept =
         std::chrono::seconds(bounds.integer_or("states_kept_s", 120, 1, 86400));
     out.owner.final_kept = kept + final_reserve;
@@ -70,8 +70,8 @@
     made.readiness_path = root.text_or("readiness_path", "/readyz");
     made.metrics = root.endpoint("metrics");
     made.store = root.endpoint("store");
-    made.log_level = static_cast<ports::severity>(root.choice_or(
-        "log_level", 1, {"debug", "info", "warning", "error"}));
+    made.log_level = static_cast<ports::severity>(
+        root.choice_or("log_level", 1, {"debug", "info", "warning", "error"}));
     read_sharing(root.table("sharing"), made.pool.owner.sharing);
     read_bounds(root.table("bounds"), made.pool);
     root.refuse_unread();
--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -172,34 +172,34 @@
     confirmed_ = asked_;
     since_ = now;
     next_step_ = now;
-    out_.log(severity::info,
-             "claim_taken",
-             {{"epoch", std::to_string(epoch)},
-              {"lease", std::to_string(lease_)}});
+    out_.log(
+        severity::info,
+        "claim_taken",
+        {{"epoch", std::to_string(epoch)}, {"lease", std::to_string(lease_)}});
 }
 
 void claim::renew(common::time_point now)
 {
     next_step_ = now + settings_.renew_interval;
-    out_.store(life_,
-               ports::kv_lease_renew{lease_},
-               settings_.call_timeout,
-               [this, now, lease = lease_](common::time_point,
-                                           kv_reply const& reply)
-               {
-                   if (phase_ != phase::held || lease != lease_)
-                   {
-                       return;
-                   }
-                   if (reply.status == kv_status::done)
-                   {
-                       confirmed_ = std::max(confirmed_, now);
-                   }
-                   else if (reply.status == kv_status::missing)
-                   {
-                       lose("lease ended");
-                   }
-               });
+    out_.store(
+        life_,
+        ports::kv_lease_renew{lease_},
+        settings_.call_timeout,
+        [this, now, lease = lease_](common::time_point, kv_reply const& reply)
+        {
+            if (phase_ != phase::held || lease != lease_)
+            {
+                return;
+            }
+            if (reply.status == kv_status::done)
+            {
+                confirmed_ = std::max(confirmed_, now);
+            }
+            else if (reply.status == kv_status::missing)
+            {
+                lose("lease ended");
+            }
+        });
 }
 
 void claim::release(common::time_point now)
@@ -212,9 +212,8 @@
     {
         return;
     }
-    out_.log(severity::info,
-             "claim_released",
-             {{"epoch", std::to_string(epoch_)}});
+    out_.log(
+        severity::info, "claim_released", {{"epoch", std::to_string(epoch_)}});
     out_.store(life_,
                ports::kv_lease_end{lease_},
                settings_.call_timeout,
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -43,9 +43,8 @@
 } // namespace
 
 colocation::colocation(colocation_settings settings)
-    : settings_(settings),
-      pairs_(settings.max_images * settings.max_images,
-             {settings.prior, settings.prior_variance})
+    : settings_(settings), pairs_(settings.max_images * settings.max_images,
+                                  {settings.prior, settings.prior_variance})
 {
 }
 
@@ -145,16 +144,17 @@
             estimates.push_back(each->headroom + each->taken);
         }
     }
-    auto const middle = estimates.begin() +
-                        static_cast<std::ptrdiff_t>(estimates.size() / 2);
+    auto const middle =
+        estimates.begin() + static_cast<std::ptrdiff_t>(estimates.size() / 2);
     std::nth_element(estimates.begin(), middle, estimates.end());
     return *middle;
 }
 
 double colocation::load(double alone) const noexcept
 {
-    return alone <= 0 ? settings_.usual_load
-                      : std::clamp(1 - alone / settings_.idle_headroom, 0.1, 1.0);
+    return alone <= 0
+               ? settings_.usual_load
+               : std::clamp(1 - alone / settings_.idle_headroom, 0.1, 1.0);
 }
 
 // Share of their speed that the neighbours which disturb `served` may have.
@@ -171,10 +171,9 @@
     return wanted <= 0 ? 1 : std::clamp(spare / wanted, 0.0, 1.0);
 }
 
-std::vector<pace_change>
-colocation::paces(worker_view const& seen,
-                  common::time_point now,
-                  common::time_point& over_since) const
+std::vector<pace_change> colocation::paces(worker_view const& seen,
+                                           common::time_point now,
+                                           common::time_point& over_since) const
 {
     std::vector<double> speeds(seen.fills.size(), 1.0);
     bool over = false;
@@ -206,8 +205,8 @@
         auto const percent = static_cast<std::uint32_t>(
             std::lround(stop_all ? 0.0 : speeds[index] * 100));
         auto const before = seen.fills[index].pace;
-        auto const change = percent > before ? percent - before
-                                             : before - percent;
+        auto const change =
+            percent > before ? percent - before : before - percent;
         bool const to_end = percent == 0 || percent == 100;
         if (change >= settings_.least_change || (to_end && change > 0))
         {
@@ -228,12 +227,10 @@
         double taken = weight(served.image, image) * share;
         for (auto const& each : seen.fills)
         {
-            taken +=
-                weight(served.image, each.image) * each.declared;
+            taken += weight(served.image, each.image) * each.declared;
         }
         // One that nothing placed here disturbs is no reason to stay away.
-        bool const disturbed =
-            weight(served.image, image) > settings_.harmless;
+        bool const disturbed = weight(served.image, image) > settings_.harmless;
         least = disturbed ? std::min(least, served.alone - taken) : least;
     }
     return least;
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -70,7 +70,7 @@
 {
     std::uint16_t image = 0; ///< As `colocation::number_of` gives it.
     double headroom = 0;     ///< Target / tail as last read.
-    double alone = 0; ///< Headroom its step has without any neighbours.
+    double alone = 0;        ///< Headroom its step has without any neighbours.
 };
 
 /// A task that fills, with its shares of the worker's cores.
@@ -126,9 +126,8 @@
                                    common::time_point now,
                                    common::time_point& over_since) const;
     /// The least headroom that stays, were `image` to use `share` besides.
-    double expected(worker_view const& seen,
-                    std::uint16_t image,
-                    double share) const;
+    double
+    expected(worker_view const& seen, std::uint16_t image, double share) const;
     /// Headroom that `image` takes at most, for a whole worker.
     double worst_weight(worker_view const& seen, std::uint16_t image) const;
 
--- a/src/core/pool/configuration.cpp
+++ b/src/core/pool/configuration.cpp
@@ -11,8 +11,8 @@
     {
         bool const fits =
             candidate.host == host && path.starts_with(candidate.prefix);
-        if (fits && (best == nullptr ||
-                     best->prefix.size() < candidate.prefix.size()))
+        if (fits &&
+            (best == nullptr || best->prefix.size() < candidate.prefix.size()))
         {
             best = &candidate;
         }
--- a/src/core/pool/configuration.hpp
+++ b/src/core/pool/configuration.hpp
@@ -18,7 +18,7 @@
 {
     std::string name;
     std::string host;
-    std::string prefix; ///< Of the path; what follows it is the job's id.
+    std::string prefix;  ///< Of the path; what follows it is the job's id.
     std::string service; ///< Whose workers run its tasks.
     std::uint32_t priority = 0; ///< 0 comes first.
     std::uint32_t attempts = 1; ///< Failed runs that end a job.
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -13,9 +13,7 @@
 
 } // namespace
 
-engine::engine(pool_settings const& settings,
-               directory words,
-               std::string self)
+engine::engine(pool_settings const& settings, directory words, std::string self)
     : settings_(settings), words_(std::move(words)),
       operators_(settings.operators, words_, out_),
       claim_(settings.claim, std::move(self), out_),
@@ -123,12 +121,8 @@
     }
     if (!owner_ && claim_.held() && operators_.known())
     {
-        owner_ = std::make_unique<owner>(settings_.owner,
-                                         words_,
-                                         operators_.state(),
-                                         claim_,
-                                         out_,
-                                         now);
+        owner_ = std::make_unique<owner>(
+            settings_.owner, words_, operators_.state(), claim_, out_, now);
     }
     if (owner_ && operators_.changes() != told_changes_)
     {
--- a/src/core/pool/engine.hpp
+++ b/src/core/pool/engine.hpp
@@ -31,9 +31,7 @@
 class engine
 {
 public:
-    engine(pool_settings const& settings,
-           directory words,
-           std::string self);
+    engine(pool_settings const& settings, directory words, std::string self);
 
     void start(common::time_point now);
     /// Called at least every `tick_interval`.
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -77,10 +77,10 @@
     auto const slack = common::to_milliseconds(settings_.lapse_slack);
     auto const since =
         static_cast<double>(common::to_milliseconds(now - of.clock_read));
-    auto const least = static_cast<double>(of.clock_ms) +
-                       since * (1 - settings_.clock_drift);
-    return least >= static_cast<double>(of.until_ms) +
-                        static_cast<double>(slack);
+    auto const least =
+        static_cast<double>(of.clock_ms) + since * (1 - settings_.clock_drift);
+    return least >=
+           static_cast<double>(of.until_ms) + static_cast<double>(slack);
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -40,32 +40,32 @@
 struct worker
 {
     ports::pool_worker info;
-    bool listed = false;  ///< The platform's list names it now.
-    bool adopted = false; ///< It answered this owner in this incarnation.
-    bool rostered = false; ///< Successors will ask it: tasks may start here.
+    bool listed = false;    ///< The platform's list names it now.
+    bool adopted = false;   ///< It answered this owner in this incarnation.
+    bool rostered = false;  ///< Successors will ask it: tasks may start here.
     std::uint64_t born = 0; ///< Incarnation that was adopted.
 
-    ports::resources reserved; ///< By what is placed; cores not by fills.
-    std::int64_t serving_cores = 0; ///< Part of the reserved.
-    std::int64_t serving_used = 0;  ///< Of those, what is in use now.
-    std::int64_t fill_cores = 0;    ///< Declared by tasks that fill.
+    ports::resources reserved;       ///< By what is placed; cores not by fills.
+    std::int64_t serving_cores = 0;  ///< Part of the reserved.
+    std::int64_t serving_used = 0;   ///< Of those, what is in use now.
+    std::int64_t fill_cores = 0;     ///< Declared by tasks that fill.
     std::set<ports::task_name> runs; ///< Tasks placed here.
 
     std::uint64_t clock_ms = 0;      ///< As it last told,
     common::time_point clock_read{}; ///< and when that was received.
     std::uint64_t until_ms = 0;      ///< Latest lease that may have reached it.
 
-    std::uint64_t seen = 0;   ///< Ends that are durable.
+    std::uint64_t seen = 0;       ///< Ends that are durable.
     std::uint64_t listed_end = 0; ///< The highest end that was taken in.
-    bool holding = false;     ///< A hold is on its way.
+    bool holding = false;         ///< A hold is on its way.
     common::time_point next_hold{};
     common::time_point contact{}; ///< Last answer to a hold.
 
     common::time_point avoid_until{}; ///< Suspected of failing what it runs.
     common::time_point full_until{};  ///< It said that it has no room.
     std::vector<std::string> failed_jobs; ///< Since its last success.
-    common::time_point over_since{}; ///< A serving task there is too slow.
-    worker_view view;       ///< What stands beside each other here,
+    common::time_point over_since{};      ///< A serving task there is too slow.
+    worker_view view;        ///< What stands beside each other here,
     bool view_known = false; ///< unless something changed since.
 
     bool serves() const noexcept
--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -104,8 +104,7 @@
         settings_.call_timeout,
         [this, caller, id, now](common::time_point at, kv_reply const& reply)
         {
-            auto const took =
-                std::to_string(common::to_milliseconds(at - now));
+            auto const took = std::to_string(common::to_milliseconds(at - now));
             switch (reply.status)
             {
             case kv_status::done:
@@ -147,8 +146,8 @@
         answer(caller, ports::job_status{known->second});
         return;
     }
-    auto const state =
-        owned != nullptr && owned->loaded() ? owned->state_of(id) : std::nullopt;
+    auto const state = owned != nullptr && owned->loaded() ? owned->state_of(id)
+                                                           : std::nullopt;
     if (state)
     {
         answer(caller, ports::job_status{*state});
@@ -190,8 +189,7 @@
                {
                    if (reply.status == kv_status::done && !reply.items.empty())
                    {
-                       auto const state =
-                           final_from(reply.items.front().value);
+                       auto const state = final_from(reply.items.front().value);
                        remember(id, state);
                        answer(caller, ports::job_status{state});
                    }
@@ -261,24 +259,24 @@
         refuse(caller, "the store is away");
         return;
     }
-    out_.store(
-        life_,
-        ports::kv_read{keys::job(id)},
-        settings_.call_timeout,
-        [this, caller, id](common::time_point, kv_reply const& reply)
-        {
-            if (reply.status == kv_status::done && !reply.items.empty())
-            {
-                cancel_known(caller, id, reply.items.front().revision);
-                return;
-            }
-            if (reply.status != kv_status::missing)
-            {
-                refuse(caller, "the store did not answer");
-                return;
-            }
-            // It ended already, or never was.
-            out_.store(life_,
+    out_.store(life_,
+               ports::kv_read{keys::job(id)},
+               settings_.call_timeout,
+               [this, caller, id](common::time_point, kv_reply const& reply)
+               {
+                   if (reply.status == kv_status::done && !reply.items.empty())
+                   {
+                       cancel_known(caller, id, reply.items.front().revision);
+                       return;
+                   }
+                   if (reply.status != kv_status::missing)
+                   {
+                       refuse(caller, "the store did not answer");
+                       return;
+                   }
+                   // It ended already, or never was.
+                   out_.store(
+                       life_,
                        ports::kv_read{keys::final_state(id)},
                        settings_.call_timeout,
                        [this, caller](common::time_point, kv_reply const& last)
@@ -296,7 +294,7 @@
                                refuse(caller, "the store did not answer");
                            }
                        });
-        });
+               });
 }
 
 void front::cancel_known(std::uint64_t caller,
@@ -306,33 +304,33 @@
     ports::kv_commit commit;
     commit.expected.push_back({keys::job(id), revision});
     commit.puts.push_back({keys::cancel(id), "cancelled", 0});
-    out_.store(
-        life_,
-        std::move(commit),
-        settings_.call_timeout,
-        [this, caller, id](common::time_point, kv_reply const& reply)
-        {
-            out_.log(severity::info,
-                     "cancel_asked",
-                     {{"job", id},
-                      {"status",
-                       std::to_string(static_cast<unsigned>(reply.status))}});
-            // A conflict: it ended just now.
-            bool const taken = reply.status == kv_status::done ||
-                               reply.status == kv_status::conflict;
-            if (taken)
-            {
-                answer(caller, ports::job_accepted{});
-            }
-            else if (reply.status == kv_status::refused)
-            {
-                refuse(caller, "the store did not take the cancelling");
-            }
-            else
-            {
-                unknown(caller, "the store did not answer");
-            }
-        });
+    out_.store(life_,
+               std::move(commit),
+               settings_.call_timeout,
+               [this, caller, id](common::time_point, kv_reply const& reply)
+               {
+                   out_.log(
+                       severity::info,
+                       "cancel_asked",
+                       {{"job", id},
+                        {"status",
+                         std::to_string(static_cast<unsigned>(reply.status))}});
+                   // A conflict: it ended just now.
+                   bool const taken = reply.status == kv_status::done ||
+                                      reply.status == kv_status::conflict;
+                   if (taken)
+                   {
+                       answer(caller, ports::job_accepted{});
+                   }
+                   else if (reply.status == kv_status::refused)
+                   {
+                       refuse(caller, "the store did not take the cancelling");
+                   }
+                   else
+                   {
+                       unknown(caller, "the store did not answer");
+                   }
+               });
 }
 
 void front::answer(std::uint64_t caller, ports::job_answer what)
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -56,9 +56,8 @@
                      std::uint64_t caller,
                      std::string const& name,
                      owner const* owned);
-    void cancel(common::time_point now,
-                std::uint64_t caller,
-                std::string const& id);
+    void
+    cancel(common::time_point now, std::uint64_t caller, std::string const& id);
     void cancel_known(std::uint64_t caller,
                       std::string const& id,
                       std::uint64_t revision);
--- a/src/core/pool/job.cpp
+++ b/src/core/pool/job.cpp
@@ -63,7 +63,8 @@
     step value;
     value.count = static_cast<std::uint32_t>(
         in.integer_or("count", 1, 1, max_tasks_per_step));
-    value.declared = {number("cores"), number("memory"), number("accelerators")};
+    value.declared = {
+        number("cores"), number("memory"), number("accelerators")};
     value.estimate = std::chrono::milliseconds(number("estimate_ms"));
     value.checkpoints = in.flag_or("checkpoints", false);
     value.gang = in.flag_or("gang", false);
@@ -93,9 +94,8 @@
 
 common::failure wrong(std::string where, std::string why)
 {
-    return {common::result_code::malformed_job,
-            std::move(where),
-            std::move(why)};
+    return {
+        common::result_code::malformed_job, std::move(where), std::move(why)};
 }
 
 } // namespace
--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -48,8 +48,7 @@
     return spec.steps[name.step];
 }
 
-job_run
-make_job_run(job spec, std::uint64_t revision, queue const& rules)
+job_run make_job_run(job spec, std::uint64_t revision, queue const& rules)
 {
     job_run made;
     made.revision = revision;
@@ -59,8 +58,8 @@
     auto const limit =
         static_cast<std::int64_t>(static_cast<double>(chain) * rules.stretch) +
         common::to_milliseconds(rules.target);
-    auto const first = spec.first_unix_ms > 0 ? spec.first_unix_ms
-                                              : spec.accepted_unix_ms;
+    auto const first =
+        spec.first_unix_ms > 0 ? spec.first_unix_ms : spec.accepted_unix_ms;
     made.due_unix_ms = first + limit;
     made.late_unix_ms = first + worthless_after * limit;
     for (std::uint32_t number = 0; number < spec.occurrences; ++number)
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -45,22 +45,22 @@
 struct task
 {
     task_phase phase = task_phase::blocked;
-    std::uint32_t attempt = 0; ///< Of the present or last run.
+    std::uint32_t attempt = 0;           ///< Of the present or last run.
     std::vector<std::uint32_t> failures; ///< Attempts that failed.
-    std::string worker;     ///< Of the present run.
-    std::uint64_t born = 0; ///< Incarnation of that worker.
+    std::string worker;                  ///< Of the present run.
+    std::uint64_t born = 0;              ///< Incarnation of that worker.
     /// Its start got no answer and may be carried out seconds late: that a
     /// worker does not show it proves nothing before the worker took a stop.
     bool unclear = false;
     std::string checkpoint;
     std::uint32_t percent = 0;
     std::int64_t level = 0;
-    std::uint32_t pace = 100; ///< As ordered.
+    std::uint32_t pace = 100;   ///< As ordered.
     common::time_point paced{}; ///< When it was ordered to stand still.
-    serving_reading reading; ///< Of a serving task; the last one.
+    serving_reading reading;    ///< Of a serving task; the last one.
     common::time_point started{};
-    common::time_point moved{};          ///< Last seen to make progress.
-    std::vector<std::string> failed_on;  ///< Workers to avoid.
+    common::time_point moved{};         ///< Last seen to make progress.
+    std::vector<std::string> failed_on; ///< Workers to avoid.
 
     /// Whether it takes room on its worker.
     bool placed() const noexcept
@@ -103,10 +103,10 @@
     job_phase phase = job_phase::active;
     ports::job_state outcome = ports::job_state::completed;
     std::vector<occurrence_run> occurrences;
-    std::uint64_t left = 0;   ///< Tasks that are not done.
-    std::uint32_t placed = 0; ///< Tasks that take room somewhere.
-    bool started = false;     ///< Some task has ever been started.
-    bool dirty = false;       ///< Has progress that is not in the store.
+    std::uint64_t left = 0;    ///< Tasks that are not done.
+    std::uint32_t placed = 0;  ///< Tasks that take room somewhere.
+    bool started = false;      ///< Some task has ever been started.
+    bool dirty = false;        ///< Has progress that is not in the store.
     bool has_progress = false; ///< A progress record may lie in the store.
     bool cancel_key = false;   ///< A cancel record lies in the store.
     std::int64_t first_start_unix_ms = 0; ///< 0: not by this owner.
@@ -121,9 +121,7 @@
 };
 
 /// Lays out all tasks, as blocked; `steps` open later.
-job_run make_job_run(job spec,
-                     std::uint64_t revision,
-                     queue const& rules);
+job_run make_job_run(job spec, std::uint64_t revision, queue const& rules);
 void apply(progress const& known, job_run& to);
 progress progress_of(job_run const& from);
 
--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -57,36 +57,35 @@
 {
     busy_ = true;
     (void)now;
-    out_.store(
-        life_,
-        ports::kv_read{ledger_key},
-        settings_.call_timeout,
-        [this](common::time_point at, kv_reply const& reply)
-        {
-            busy_ = false;
-            bool const known = reply.status == kv_status::done ||
-                               reply.status == kv_status::missing;
-            if (!known)
-            {
-                next_step_ = at + settings_.retry;
-                return;
-            }
-            bool const exists = !reply.items.empty();
-            revision_ = exists ? reply.items.front().revision : 0;
-            revision_known_ = true;
-            auto const mine = std::to_string(claim_.epoch()) + "." +
-                              std::to_string(number_);
-            if (!in_flight_.empty() && exists &&
-                reply.items.front().value == mine)
-            {
-                kv_reply done;
-                done.status = kv_status::done;
-                done.revision = revision_;
-                on_commit(at, done);
-                return;
-            }
-            tick(at);
-        });
+    out_.store(life_,
+               ports::kv_read{ledger_key},
+               settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   busy_ = false;
+                   bool const known = reply.status == kv_status::done ||
+                                      reply.status == kv_status::missing;
+                   if (!known)
+                   {
+                       next_step_ = at + settings_.retry;
+                       return;
+                   }
+                   bool const exists = !reply.items.empty();
+                   revision_ = exists ? reply.items.front().revision : 0;
+                   revision_known_ = true;
+                   auto const mine = std::to_string(claim_.epoch()) + "." +
+                                     std::to_string(number_);
+                   if (!in_flight_.empty() && exists &&
+                       reply.items.front().value == mine)
+                   {
+                       kv_reply done;
+                       done.status = kv_status::done;
+                       done.revision = revision_;
+                       on_commit(at, done);
+                       return;
+                   }
+                   tick(at);
+               });
 }
 
 void ledger::commit(common::time_point now)
@@ -126,10 +125,10 @@
     ++number_;
     commit.expected.push_back(claim_.condition());
     commit.expected.push_back({ledger_key, revision_});
-    commit.puts.push_back({ledger_key,
-                           std::to_string(claim_.epoch()) + "." +
-                               std::to_string(number_),
-                           0});
+    commit.puts.push_back(
+        {ledger_key,
+         std::to_string(claim_.epoch()) + "." + std::to_string(number_),
+         0});
     busy_ = true;
     next_step_ = now + settings_.interval;
     out_.store(life_,
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -25,9 +25,7 @@
 class operators
 {
 public:
-    operators(operators_settings settings,
-              directory const& words,
-              outbox& out);
+    operators(operators_settings settings, directory const& words, outbox& out);
 
     void start(common::time_point now);
     void tick(common::time_point now);
--- a/src/core/pool/outbox.cpp
+++ b/src/core/pool/outbox.cpp
@@ -20,8 +20,7 @@
                    order_handler handle)
 {
     order.id = ++next_id_;
-    orders_.emplace(order.id,
-                    waiting<order_handler>{asker, std::move(handle)});
+    orders_.emplace(order.id, waiting<order_handler>{asker, std::move(handle)});
     actions_.emplace_back(std::move(order));
 }
 
--- a/src/core/pool/outbox.hpp
+++ b/src/core/pool/outbox.hpp
@@ -30,9 +30,8 @@
                ports::kv_operation operation,
                common::duration timeout,
                kv_handler handle);
-    void order(scope const& asker,
-               ports::pool_order order,
-               order_handler handle);
+    void
+    order(scope const& asker, ports::pool_order order, order_handler handle);
     void reply(std::uint64_t caller, ports::job_answer answer);
     void log(ports::severity level,
              std::string event,
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -54,8 +54,7 @@
          ++number)
     {
         auto const* const cells = (*rows)[number].if_array();
-        if (cells == nullptr || cells->size() != 4 ||
-            !(*cells)[3].is_int64())
+        if (cells == nullptr || cells->size() != 4 || !(*cells)[3].is_int64())
         {
             reason = {common::result_code::wrong_type, "roster", "bad row"};
             continue;
@@ -64,8 +63,7 @@
         each.id = std::string((*cells)[0].as_string());
         each.service = std::string((*cells)[1].as_string());
         each.where.address = std::string((*cells)[2].as_string());
-        each.where.port =
-            static_cast<std::uint16_t>((*cells)[3].as_int64());
+        each.where.port = static_cast<std::uint16_t>((*cells)[3].as_int64());
         made.push_back(std::move(each));
     }
     return made;
@@ -210,8 +208,7 @@
 
 void owner::on_page(common::time_point now, kv_reply const& reply)
 {
-    job_items_.insert(
-        job_items_.end(), reply.items.begin(), reply.items.end());
+    job_items_.insert(job_items_.end(), reply.items.begin(), reply.items.end());
     if (reply.more && !reply.items.empty())
     {
         load_page(now, reply.items.back().key);
@@ -233,54 +230,52 @@
 
 void owner::load_progress(std::string after)
 {
-    out_.store(
-        life_,
-        ports::kv_range{std::string(keys::progress_prefix), after},
-        settings_.call_timeout,
-        [this, after](common::time_point now, kv_reply const& reply)
-        {
-            if (reply.status != kv_status::done)
-            {
-                load_progress(after);
-                return;
-            }
-            progress_items_.insert(progress_items_.end(),
-                                   reply.items.begin(),
-                                   reply.items.end());
-            if (reply.more && !reply.items.empty())
-            {
-                load_progress(reply.items.back().key);
-                return;
-            }
-            parts_loaded(now);
-        });
+    out_.store(life_,
+               ports::kv_range{std::string(keys::progress_prefix), after},
+               settings_.call_timeout,
+               [this, after](common::time_point now, kv_reply const& reply)
+               {
+                   if (reply.status != kv_status::done)
+                   {
+                       load_progress(after);
+                       return;
+                   }
+                   progress_items_.insert(progress_items_.end(),
+                                          reply.items.begin(),
+                                          reply.items.end());
+                   if (reply.more && !reply.items.empty())
+                   {
+                       load_progress(reply.items.back().key);
+                       return;
+                   }
+                   parts_loaded(now);
+               });
 }
 
 void owner::load_finals(std::string after)
 {
-    out_.store(
-        life_,
-        ports::kv_range{std::string(keys::final_prefix), after},
-        settings_.call_timeout,
-        [this, after](common::time_point now, kv_reply const& reply)
-        {
-            if (reply.status != kv_status::done)
-            {
-                load_finals(after);
-                return;
-            }
-            for (auto const& item : reply.items)
-            {
-                final_times_.emplace_back(
-                    now, item.key.substr(keys::final_prefix.size()));
-            }
-            if (reply.more && !reply.items.empty())
-            {
-                load_finals(reply.items.back().key);
-                return;
-            }
-            parts_loaded(now);
-        });
+    out_.store(life_,
+               ports::kv_range{std::string(keys::final_prefix), after},
+               settings_.call_timeout,
+               [this, after](common::time_point now, kv_reply const& reply)
+               {
+                   if (reply.status != kv_status::done)
+                   {
+                       load_finals(after);
+                       return;
+                   }
+                   for (auto const& item : reply.items)
+                   {
+                       final_times_.emplace_back(
+                           now, item.key.substr(keys::final_prefix.size()));
+                   }
+                   if (reply.more && !reply.items.empty())
+                   {
+                       load_finals(reply.items.back().key);
+                       return;
+                   }
+                   parts_loaded(now);
+               });
 }
 
 void owner::load_roster()
@@ -330,8 +325,7 @@
     {
         common::failure reason;
         auto const known = parse_progress(item.value, reason);
-        auto* const run =
-            known ? find_job(known->job) : nullptr;
+        auto* const run = known ? find_job(known->job) : nullptr;
         if (!known)
         {
             out_.log(severity::error,
@@ -359,13 +353,13 @@
             end_job(now, run, job_phase::finished);
         }
     }
-    out_.log(severity::info,
-             "state_loaded",
-             {{"epoch", std::to_string(claim_.epoch())},
-              {"jobs", std::to_string(jobs_.size())},
-              {"roster", std::to_string(roster_.size())},
-              {"took_ms",
-               std::to_string(common::to_milliseconds(now - began_))}});
+    out_.log(
+        severity::info,
+        "state_loaded",
+        {{"epoch", std::to_string(claim_.epoch())},
+         {"jobs", std::to_string(jobs_.size())},
+         {"roster", std::to_string(roster_.size())},
+         {"took_ms", std::to_string(common::to_milliseconds(now - began_))}});
     watch();
     tick(now);
 }
@@ -374,8 +368,7 @@
 {
     out_.store(
         life_,
-        ports::kv_watch{
-            std::string(keys::owned_prefix), watched_, watch_wait},
+        ports::kv_watch{std::string(keys::owned_prefix), watched_, watch_wait},
         watch_wait + settings_.call_timeout,
         [this](common::time_point now, kv_reply const& reply)
         {
@@ -431,8 +424,8 @@
         add_job(now, item);
         return;
     }
-    auto const length = item.key.size() - keys::job_prefix.size() -
-                        keys::cancel_suffix.size();
+    auto const length =
+        item.key.size() - keys::job_prefix.size() - keys::cancel_suffix.size();
     auto const id = item.key.substr(keys::job_prefix.size(), length);
     if (auto* const run = find_job(id))
     {
@@ -493,9 +486,9 @@
     next_list_ = now + settings_.list_interval;
     out_.store(life_,
                ports::kv_range{words_.workers_prefix,
-                               list_.empty() ? ""
-                                             : words_.workers_prefix +
-                                                   list_.back().id},
+                               list_.empty()
+                                   ? ""
+                                   : words_.workers_prefix + list_.back().id},
                settings_.call_timeout,
                [this](common::time_point at, kv_reply const& reply)
                {
@@ -614,13 +607,12 @@
     }
     told_backlog_ = std::move(counts);
     backlog_writing_ = true;
-    ledger_.write(
-        {{{std::string(keys::backlog), json::serialize(out), 0}},
-         {},
-         [this](common::time_point)
-         {
-             backlog_writing_ = false;
-         }});
+    ledger_.write({{{std::string(keys::backlog), json::serialize(out), 0}},
+                   {},
+                   [this](common::time_point)
+                   {
+                       backlog_writing_ = false;
+                   }});
 }
 
 void owner::drop_old_finals(common::time_point now)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -29,7 +29,8 @@
     /// may get no new task 2 s after it said so.
     common::duration list_interval = std::chrono::milliseconds(500);
     /// How long a worker may hold back its answer while nothing ends there:
-    /// where serving tasks have neighbours that may disturb them, and elsewhere.
+    /// where serving tasks have neighbours that may disturb them, and
+    /// elsewhere.
     common::duration guarded_wait = std::chrono::milliseconds(250);
     common::duration calm_wait = std::chrono::milliseconds(700);
     /// An idle worker is asked this often, for its clock.
@@ -149,9 +150,8 @@
                  common::time_point sent,
                  std::string const& id,
                  ports::order_reply const& reply);
-    void new_incarnation(common::time_point now,
-                         worker& of,
-                         std::uint64_t born);
+    void
+    new_incarnation(common::time_point now, worker& of, std::uint64_t born);
     void take_rows(common::time_point now,
                    common::time_point sent,
                    worker& of,
@@ -168,7 +168,9 @@
                     worker& of,
                     std::vector<fill_view> const& fills);
     void pace(common::time_point now,
-              worker& on, ports::task_name const& name, std::uint32_t percent);
+              worker& on,
+              ports::task_name const& name,
+              std::uint32_t percent);
     void order_stop(common::time_point now,
                     std::string const& id,
                     ports::task_run const& what);
@@ -196,9 +198,8 @@
     void rank_again(common::time_point now);
     void dispatch(common::time_point now);
     bool dispatch_step(common::time_point now, ready_key const& key);
-    worker* choose(common::time_point now,
-                   job_run& run,
-                   ports::task_name const& name);
+    worker*
+    choose(common::time_point now, job_run& run, ports::task_name const& name);
     bool eligible(common::time_point now,
                   worker const& on,
                   job_run const& run,
@@ -211,9 +212,10 @@
                                 ports::task_name const& name);
     std::optional<double>
     score_fill(worker& on, step const& what, std::uint16_t image);
-    void
-    start(common::time_point now, job_run& run, ports::task_name const& name,
-          worker& on);
+    void start(common::time_point now,
+               job_run& run,
+               ports::task_name const& name,
+               worker& on);
     void on_start(common::time_point now,
                   ports::task_run const& what,
                   std::string const& id,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -246,13 +246,12 @@
     }
     if (what.max_per_worker > 0)
     {
-        auto const first = on.runs.lower_bound(
-            {name.job, name.occurrence, name.step, 0});
+        auto const first =
+            on.runs.lower_bound({name.job, name.occurrence, name.step, 0});
         std::uint32_t beside = 0;
-        for (auto each = first; each != on.runs.end() &&
-                                each->job == name.job &&
-                                each->occurrence == name.occurrence &&
-                                each->step == name.step;
+        for (auto each = first;
+             each != on.runs.end() && each->job == name.job &&
+             each->occurrence == name.occurrence && each->step == name.step;
              ++each)
         {
             ++beside;
@@ -282,10 +281,8 @@
         total = share_of(free, on.info.capacity.millicores) +
                 (on.serves() ? 0.0 : 1.0);
         if (what.tail_target.count() > 0 && on.serves() &&
-            !serves_only(on,
-                         run.occurrences[name.occurrence]
-                             .steps[name.step]
-                             .image))
+            !serves_only(
+                on, run.occurrences[name.occurrence].steps[name.step].image))
         {
             total += other_image_penalty;
         }
@@ -305,9 +302,8 @@
 // Tasks that fill go beside serving tasks that they do not disturb, as long as
 // there are idle cores, and leave workers without serving tasks to those that
 // would disturb everywhere else.
-std::optional<double> owner::score_fill(worker& on,
-                                         step const& what,
-                                         std::uint16_t image)
+std::optional<double>
+owner::score_fill(worker& on, step const& what, std::uint16_t image)
 {
     auto const& seen = view_of(on);
     auto const idle = on.idle_cores() - what.declared.millicores;
@@ -359,18 +355,14 @@
     on.until_ms = std::max(on.until_ms, order.until_ms);
     // A worker that was idle is asked seldom; from now on it is watched.
     on.next_hold = std::min(on.next_hold, now + settings_.full_pause);
-    out_.order(life_,
-               {0,
-                on.info.id,
-                on.info.where,
-                on.born,
-                order,
-                settings_.order_timeout},
-               [this, what = order.what, id = on.info.id](
-                   common::time_point at, order_reply const& reply)
-               {
-                   on_start(at, what, id, reply);
-               });
+    out_.order(
+        life_,
+        {0, on.info.id, on.info.where, on.born, order, settings_.order_timeout},
+        [this, what = order.what, id = on.info.id](common::time_point at,
+                                                   order_reply const& reply)
+        {
+            on_start(at, what, id, reply);
+        });
 }
 
 void owner::on_start(common::time_point now,
@@ -406,8 +398,7 @@
               {"task", std::to_string(what.task.index)},
               {"attempt", std::to_string(what.attempt)},
               {"worker", id},
-              {"status",
-               std::to_string(static_cast<unsigned>(reply.status))}});
+              {"status", std::to_string(static_cast<unsigned>(reply.status))}});
     if (reply.status == order_status::unclear)
     {
         // It may run, or be carried out in seconds: it must be stopped for good
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -310,9 +310,8 @@
         }
     }
     // Before all workers were asked, one of them may still run a part of it.
-    bool const maybe_elsewhere =
-        !settled_ && run.revision < claim_.epoch() &&
-        run.phase != job_phase::finished;
+    bool const maybe_elsewhere = !settled_ && run.revision < claim_.epoch() &&
+                                 run.phase != job_phase::finished;
     if (!ending || run.placed > 0 || unsure || maybe_elsewhere)
     {
         return;
@@ -335,20 +334,22 @@
     auto const accepted = run.spec.accepted_unix_ms;
     auto const limit = run.due_unix_ms;
     auto const first = run.first_start_unix_ms;
-    entry.on_durable = [this, id, outcome = run.outcome, accepted, limit, first](
-                           common::time_point at)
+    entry.on_durable =
+        [this, id, outcome = run.outcome, accepted, limit, first](
+            common::time_point at)
     {
         finals_[id] = outcome;
         final_times_.emplace_back(at, id);
         jobs_.erase(id);
         std::erase(timed_, id);
-        out_.log(severity::info,
-                 "job_ended",
-                 {{"job", id},
-                  {"state", std::string(state_name(outcome))},
-                  {"waited_ms", std::to_string(first > 0 ? first - accepted : -1)},
-                  {"took_ms", std::to_string(out_.unix_ms(at) - accepted)},
-                  {"limit_ms", std::to_string(limit - accepted)}});
+        out_.log(
+            severity::info,
+            "job_ended",
+            {{"job", id},
+             {"state", std::string(state_name(outcome))},
+             {"waited_ms", std::to_string(first > 0 ? first - accepted : -1)},
+             {"took_ms", std::to_string(out_.unix_ms(at) - accepted)},
+             {"limit_ms", std::to_string(limit - accepted)}});
     };
     dirty_.erase(id);
     ledger_.write(std::move(entry));
@@ -381,9 +382,8 @@
     }
     run.has_progress = true;
     ledger::entry entry;
-    entry.puts.push_back({keys::progress(run.spec.id),
-                          to_json(progress_of(run)),
-                          0});
+    entry.puts.push_back(
+        {keys::progress(run.spec.id), to_json(progress_of(run)), 0});
     ledger_.write(std::move(entry));
 }
 
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -62,8 +62,7 @@
     bool const busy = !of.runs.empty();
     if (of.adopted)
     {
-        bool const answers =
-            now - of.contact < settings_.workers.renew_within;
+        bool const answers = now - of.contact < settings_.workers.renew_within;
         order.until_ms = busy && answers ? fleet_.lease_end(of, now) : 0;
         of.until_ms = std::max(of.until_ms, order.until_ms);
     }
@@ -75,18 +74,14 @@
     }
     of.holding = true;
     auto const wait = order.wait;
-    out_.order(life_,
-               {0,
-                of.info.id,
-                of.info.where,
-                0,
-                order,
-                wait + settings_.hold_grace},
-               [this, now, id = of.info.id](common::time_point at,
-                                            order_reply const& reply)
-               {
-                   on_hold(at, now, id, reply);
-               });
+    out_.order(
+        life_,
+        {0, of.info.id, of.info.where, 0, order, wait + settings_.hold_grace},
+        [this, now, id = of.info.id](common::time_point at,
+                                     order_reply const& reply)
+        {
+            on_hold(at, now, id, reply);
+        });
 }
 
 void owner::on_hold(common::time_point now,
@@ -143,8 +138,7 @@
     }
     else
     {
-        of->next_hold =
-            of->runs.empty() ? now + settings_.idle_interval : now;
+        of->next_hold = of->runs.empty() ? now + settings_.idle_interval : now;
     }
     if (first)
     {
@@ -232,7 +226,8 @@
 }
 
 // An earlier owner may have started it and seen it end: of a step, too, that is
-// not known to be open yet, since workers tell of its predecessors in any order.
+// not known to be open yet, since workers tell of its predecessors in any
+// order.
 bool owner::may_be_foreign(job_run const& run, task const& each) const
 {
     bool const blocked = each.phase == task_phase::blocked && !settled_ &&
@@ -403,10 +398,10 @@
     {
         return;
     }
-    out_.log(severity::warning,
-             "worker_suspected",
-             {{"worker", of.info.id},
-              {"failed_jobs", std::to_string(jobs.size())}});
+    out_.log(
+        severity::warning,
+        "worker_suspected",
+        {{"worker", of.info.id}, {"failed_jobs", std::to_string(jobs.size())}});
     of.avoid_until = now + settings_.suspect_pause;
     jobs.clear();
 }
@@ -449,9 +444,8 @@
         {
             forget_runs(now, each, "lease lapsed in silence");
         }
-        bool const absent = !each.listed && list_known_ &&
-                            each.runs.empty() && !each.holding &&
-                            fleet_.lapsed(each, now);
+        bool const absent = !each.listed && list_known_ && each.runs.empty() &&
+                            !each.holding && fleet_.lapsed(each, now);
         // One that was never reached may run what its last owner gave it.
         if (absent && (each.adopted || settled_))
         {
@@ -481,8 +475,8 @@
     auto const drift = 1 + fleet_.settings().clock_drift;
     auto const lease = std::chrono::duration_cast<common::duration>(
         fleet_.settings().lease * drift);
-    auto const patience = fleet_.settings().solo_limit + lease +
-                          fleet_.settings().lapse_slack;
+    auto const patience =
+        fleet_.settings().solo_limit + lease + fleet_.settings().lapse_slack;
     bool const waited = now - claim_.since() > patience;
     std::size_t missing = 0;
     for (auto const& [id, each] : fleet_.all())
@@ -499,8 +493,7 @@
              {{"epoch", std::to_string(claim_.epoch())},
               {"unreached", std::to_string(missing)},
               {"after_ms",
-               std::to_string(
-                   common::to_milliseconds(now - claim_.since()))}});
+               std::to_string(common::to_milliseconds(now - claim_.since()))}});
     std::vector<std::string> ids;
     for (auto const& [id, run] : jobs_)
     {
@@ -692,22 +685,21 @@
     each.pace = percent;
     each.paced = now;
     on.view_known = false;
-    out_.order(life_,
-               {0,
-                on.info.id,
-                on.info.where,
-                on.born,
-                ports::pace_order{
-                    claim_.epoch(), {name, each.attempt}, percent},
-                settings_.order_timeout},
-               [this, id = on.info.id](common::time_point,
-                                       order_reply const& reply)
-               {
-                   if (reply.status == order_status::stale_fence)
-                   {
-                       fenced(id);
-                   }
-               });
+    out_.order(
+        life_,
+        {0,
+         on.info.id,
+         on.info.where,
+         on.born,
+         ports::pace_order{claim_.epoch(), {name, each.attempt}, percent},
+         settings_.order_timeout},
+        [this, id = on.info.id](common::time_point, order_reply const& reply)
+        {
+            if (reply.status == order_status::stale_fence)
+            {
+                fenced(id);
+            }
+        });
 }
 
 // Repeated until the worker answers: what was stopped there, or never came, is
@@ -722,41 +714,39 @@
     {
         return;
     }
-    out_.order(
-        life_,
-        {0,
-         id,
-         on->info.where,
-         0,
-         ports::stop_order{claim_.epoch(), what},
-         settings_.order_timeout},
-        [this, id, what](common::time_point at, order_reply const& reply)
-        {
-            if (reply.status == order_status::stale_fence)
-            {
-                fenced(id);
-                return;
-            }
-            auto* const run = find_job(what.task.job);
-            auto* const each =
-                run != nullptr ? run->find(what.task) : nullptr;
-            bool const ours = each != nullptr &&
-                              each->phase == task_phase::stopping &&
-                              each->worker == id &&
-                              each->attempt == what.attempt;
-            if (!ours)
-            {
-                return;
-            }
-            if (reply.status == order_status::done)
-            {
-                // A hold sent from now on tells the truth about it.
-                each->unclear = false;
-                each->started = at;
-                return;
-            }
-            order_stop(at, id, what);
-        });
+    out_.order(life_,
+               {0,
+                id,
+                on->info.where,
+                0,
+                ports::stop_order{claim_.epoch(), what},
+                settings_.order_timeout},
+               [this, id, what](common::time_point at, order_reply const& reply)
+               {
+                   if (reply.status == order_status::stale_fence)
+                   {
+                       fenced(id);
+                       return;
+                   }
+                   auto* const run = find_job(what.task.job);
+                   auto* const each =
+                       run != nullptr ? run->find(what.task) : nullptr;
+                   bool const ours =
+                       each != nullptr && each->phase == task_phase::stopping &&
+                       each->worker == id && each->attempt == what.attempt;
+                   if (!ours)
+                   {
+                       return;
+                   }
+                   if (reply.status == order_status::done)
+                   {
+                       // A hold sent from now on tells the truth about it.
+                       each->unclear = false;
+                       each->started = at;
+                       return;
+                   }
+                   order_stop(at, id, what);
+               });
 }
 
 void owner::fenced(std::string const& by)
--- a/src/ports/pool_actions.hpp
+++ b/src/ports/pool_actions.hpp
@@ -81,8 +81,12 @@
     bool ready = false;
 };
 
-using pool_action = std::
-    variant<kv_call, pool_order, job_reply, log_event, readiness, stop_complete>;
+using pool_action = std::variant<kv_call,
+                                 pool_order,
+                                 job_reply,
+                                 log_event,
+                                 readiness,
+                                 stop_complete>;
 
 using pool_actions = std::vector<pool_action>;
 
--- a/src/ports/pool_workers.hpp
+++ b/src/ports/pool_workers.hpp
@@ -53,8 +53,8 @@
 struct hold_order
 {
     std::uint64_t fence = 0;
-    std::uint64_t seen = 0;     ///< Ends up to here are durable elsewhere.
-    std::uint64_t until_ms = 0; ///< On the worker's clock; 0: renew nothing.
+    std::uint64_t seen = 0;        ///< Ends up to here are durable elsewhere.
+    std::uint64_t until_ms = 0;    ///< On the worker's clock; 0: renew nothing.
     core::common::duration wait{}; ///< For an end, before it answers.
 };
 
@@ -97,13 +97,13 @@
 enum class order_status : std::uint8_t
 {
     done,
-    stale_fence,    ///< It has seen a higher token.
-    superseded,     ///< A later attempt, or the end of this one, is known there.
-    late,           ///< The lease would have been over on arrival.
-    no_room,        ///< It does not fit now.
-    no_ticket,      ///< The policy's permission is missing or too old.
-    invalid,        ///< The worker can't read the order.
-    unhealthy,      ///< It does nothing for now.
+    stale_fence, ///< It has seen a higher token.
+    superseded,  ///< A later attempt, or the end of this one, is known there.
+    late,        ///< The lease would have been over on arrival.
+    no_room,     ///< It does not fit now.
+    no_ticket,   ///< The policy's permission is missing or too old.
+    invalid,     ///< The worker can't read the order.
+    unhealthy,   ///< It does nothing for now.
     other_instance, ///< Another incarnation lives at the address.
     not_sent,       ///< No connection; no byte went out.
     unclear,        ///< No answer: carried out, or still to be.
--- a/src/programs/pool/main.cpp
+++ b/src/programs/pool/main.cpp
@@ -45,8 +45,7 @@
         return 0;
     }
     fuchsia::adapters::logging::set_up("fuchsia-pool", settings->log_level);
-    fuchsia::programs::pool::pool_program program(std::move(*settings),
-                                                   path);
+    fuchsia::programs::pool::pool_program program(std::move(*settings), path);
     auto const status = program.run(reason);
     return status ? *status : complain(reason);
 }
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -144,19 +144,18 @@
          {"data_centre", settings_.data_centre},
          {"submissions", http::to_string(settings_.submissions)},
          {"store", http::to_string(settings_.store)}});
-    adapters::runtime::on_stop_signal(main_.io(),
-                                      [this]
-                                      {
-                                          boost::asio::post(
-                                              decisions_.io(),
-                                              [this]
-                                              {
-                                                  closing_ = true;
-                                                  engine_.begin_stop(
-                                                      clock::now());
-                                                  perform();
-                                              });
-                                      });
+    adapters::runtime::on_stop_signal(
+        main_.io(),
+        [this]
+        {
+            boost::asio::post(decisions_.io(),
+                              [this]
+                              {
+                                  closing_ = true;
+                                  engine_.begin_stop(clock::now());
+                                  perform();
+                              });
+        });
     adapters::runtime::on_reload_signal(main_.io(),
                                         [this]
                                         {
@@ -357,9 +356,8 @@
     if (auto const* const owned = engine_.owned())
     {
         auto const& counts = owned->counters();
-        auto const set = [this](char const* name,
-                                char const* help,
-                                std::uint64_t value)
+        auto const set =
+            [this](char const* name, char const* help, std::uint64_t value)
         {
             metrics_.gauge(name, help).Set(static_cast<double>(value));
         };
--- /dev/null
+++ b/standins/pool/worker_state.cpp
@@ -0,0 +1,242 @@
+#include "standins/pool/worker_state.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace fuchsia::standins::pool
+{
+
+using core::common::time_point;
+using core::common::to_milliseconds;
+using ports::end_kind;
+using ports::order_reply;
+using ports::order_status;
+
+namespace
+{
+
+// Clocks of workers start anywhere but at 0, which stands for "not told".
+constexpr std::uint64_t clock_start_ms = 1000;
+
+std::uint64_t fence_of(ports::pool_operation const& order)
+{
+    return std::visit(
+        [](auto const& each)
+        {
+            return each.fence;
+        },
+        order);
+}
+
+} // namespace
+
+task_script parse_script(std::string_view spec)
+{
+    task_script made;
+    made.fails = spec.find("fail") != std::string_view::npos;
+    made.lasts = spec.find("lasts") != std::string_view::npos;
+    constexpr std::string_view work = "work=";
+    auto const at = spec.find(work);
+    if (at != std::string_view::npos)
+    {
+        auto const number = spec.substr(at + work.size());
+        std::from_chars(
+            number.data(), number.data() + number.size(), made.work_ms);
+    }
+    return made;
+}
+
+worker_state::worker_state(ports::pool_worker info,
+                           time_point born,
+                           double speed)
+    : info_(std::move(info)), born_(born), speed_(speed)
+{
+}
+
+std::uint64_t worker_state::clock_ms(time_point now) const noexcept
+{
+    auto const age = static_cast<double>(to_milliseconds(now - born_));
+    return clock_start_ms + static_cast<std::uint64_t>(age * speed_);
+}
+
+order_reply worker_state::apply(time_point now,
+                                ports::pool_operation const& order)
+{
+    advance(now);
+    order_reply made;
+    made.clock_ms = clock_ms(now);
+    made.born = info_.born;
+    if (fence_of(order) < fence_)
+    {
+        made.status = order_status::stale_fence;
+        return made;
+    }
+    fence_ = fence_of(order);
+    made.status = order_status::done;
+    if (auto const* const hold = std::get_if<ports::hold_order>(&order))
+    {
+        extend(hold->until_ms);
+        list(now, *hold, made);
+    }
+    else if (auto const* const begin = std::get_if<ports::start_order>(&order))
+    {
+        made.status = start(now, *begin);
+    }
+    else if (auto const* const halt = std::get_if<ports::stop_order>(&order))
+    {
+        stop(*halt);
+    }
+    return made;
+}
+
+void worker_state::advance(time_point now)
+{
+    std::vector<std::pair<ports::task_name, end_kind>> over;
+    bool const lapsed = clock_ms(now) >= lease_ms_;
+    for (auto const& [task, each] : running_)
+    {
+        bool const done =
+            !each.script.lasts &&
+            now - each.began >= std::chrono::milliseconds(each.script.work_ms);
+        if (done)
+        {
+            over.emplace_back(task,
+                              each.script.fails ? end_kind::failed
+                                                : end_kind::done);
+        }
+        else if (lapsed)
+        {
+            over.emplace_back(task, end_kind::lapsed);
+        }
+    }
+    for (auto const& [task, how] : over)
+    {
+        end(task, how);
+    }
+}
+
+order_status worker_state::start(time_point now,
+                                 ports::start_order const& order)
+{
+    auto const& task = order.what.task;
+    auto const present = running_.find(task);
+    if (present != running_.end() &&
+        present->second.attempt == order.what.attempt)
+    {
+        return order_status::done;
+    }
+    auto const settled = settled_.find(task);
+    bool const old =
+        present != running_.end() ||
+        (settled != settled_.end() && settled->second >= order.what.attempt);
+    if (old)
+    {
+        return order_status::superseded;
+    }
+    if (order.until_ms <= clock_ms(now))
+    {
+        return order_status::late;
+    }
+    extend(order.until_ms);
+    running_[task] = {order.what.attempt, now, parse_script(order.spec)};
+    begun_.push_back(order.what);
+    return order_status::done;
+}
+
+void worker_state::stop(ports::stop_order const& order)
+{
+    auto const& task = order.what.task;
+    auto& settled = settled_[task];
+    settled = std::max(settled, order.what.attempt);
+    auto const present = running_.find(task);
+    if (present != running_.end() &&
+        present->second.attempt <= order.what.attempt)
+    {
+        end(task, end_kind::stopped);
+    }
+}
+
+std::uint32_t worker_state::percent_of(run const& of, time_point now)
+{
+    if (of.script.lasts)
+    {
+        return 100;
+    }
+    auto const worked =
+        static_cast<std::uint64_t>(to_milliseconds(now - of.began));
+    return static_cast<std::uint32_t>(
+        100 * worked / std::max<std::uint64_t>(of.script.work_ms, 1));
+}
+
+void worker_state::list(time_point now,
+                        ports::hold_order const& order,
+                        order_reply& out)
+{
+    auto const known = [&order](ports::ended_row const& row)
+    {
+        return row.number <= order.seen;
+    };
+    for (auto const& row : ended_)
+    {
+        if (known(row))
+        {
+            acknowledged_.push_back(row);
+        }
+    }
+    std::erase_if(ended_, known);
+    for (auto const& [task, each] : running_)
+    {
+        out.running.push_back(
+            {{task, each.attempt}, "", percent_of(each, now), 0});
+    }
+    out.ended = ended_;
+}
+
+void worker_state::end(ports::task_name const& task, end_kind how)
+{
+    auto const found = running_.find(task);
+    auto const attempt = found->second.attempt;
+    running_.erase(found);
+    auto& settled = settled_[task];
+    settled = std::max(settled, attempt);
+    ended_.push_back({++last_end_, {task, attempt}, how, ""});
+}
+
+void worker_state::extend(std::uint64_t until_ms) noexcept
+{
+    lease_ms_ = std::max(lease_ms_, until_ms);
+}
+
+ports::pool_worker const& worker_state::info() const noexcept
+{
+    return info_;
+}
+
+bool worker_state::runs(ports::task_name const& task) const
+{
+    return running_.contains(task);
+}
+
+std::size_t worker_state::running() const noexcept
+{
+    return running_.size();
+}
+
+std::vector<ports::ended_row> const&
+worker_state::acknowledged() const noexcept
+{
+    return acknowledged_;
+}
+
+std::vector<ports::task_run> const& worker_state::begun() const noexcept
+{
+    return begun_;
+}
+
+void worker_state::drain() noexcept
+{
+    info_.draining = true;
+}
+
+} // namespace fuchsia::standins::pool
--- /dev/null
+++ b/standins/pool/worker_state.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "ports/pool_workers.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fuchsia::standins::pool
+{
+
+/// What a task does, as its job's spec says: "work=500" (milliseconds),
+/// "fail" (after its work), "lasts" (until it is stopped), divided by spaces.
+struct task_script
+{
+    std::uint64_t work_ms = 100;
+    bool fails = false;
+    bool lasts = false;
+};
+
+task_script parse_script(std::string_view spec);
+
+/// One incarnation of a worker in memory: a fence, one lease for all that runs,
+/// ends that are listed until they are acknowledged. Its clock starts at
+/// `clock_start` and runs at `speed` of true time.
+class worker_state
+{
+public:
+    worker_state(ports::pool_worker info,
+                 core::common::time_point born,
+                 double speed);
+
+    ports::order_reply apply(core::common::time_point now,
+                             ports::pool_operation const& order);
+    /// Ends what is done by now, and everything once the lease is over.
+    void advance(core::common::time_point now);
+
+    ports::pool_worker const& info() const noexcept;
+    bool runs(ports::task_name const& task) const;
+    std::size_t running() const noexcept;
+    /// Ends that were acknowledged, in order.
+    std::vector<ports::ended_row> const& acknowledged() const noexcept;
+    /// Runs that were begun, in order.
+    std::vector<ports::task_run> const& begun() const noexcept;
+    void drain() noexcept;
+
+private:
+    struct run
+    {
+        std::uint32_t attempt = 0;
+        core::common::time_point began{};
+        task_script script;
+    };
+
+    std::uint64_t clock_ms(core::common::time_point now) const noexcept;
+    ports::order_status start(core::common::time_point now,
+                              ports::start_order const& order);
+    void stop(ports::stop_order const& order);
+    static std::uint32_t percent_of(run const& of,
+                                    core::common::time_point now);
+    void list(core::common::time_point now,
+              ports::hold_order const& order,
+              ports::order_reply& out);
+    void end(ports::task_name const& task, ports::end_kind how);
+    void extend(std::uint64_t until_ms) noexcept;
+
+    ports::pool_worker info_;
+    core::common::time_point born_;
+    double speed_;
+    std::uint64_t fence_ = 0;
+    std::uint64_t lease_ms_ = 0;
+    std::uint64_t last_end_ = 0;
+    std::map<ports::task_name, run> running_;
+    std::map<ports::task_name, std::uint32_t> settled_; ///< No lower run starts.
+    std::vector<ports::ended_row> ended_;
+    std::vector<ports::ended_row> acknowledged_;
+    std::vector<ports::task_run> begun_;
+};
+
+} // namespace fuchsia::standins::pool
--- /dev/null
+++ b/tests/unit/pool/faults_test.cpp
@@ -0,0 +1,373 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia::tests::unit::pool;
+using fuchsia::ports::job_state;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+void settle(pool_world& world)
+{
+    world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+}
+
+bool ends_as(pool_world& world,
+             std::size_t asked,
+             std::string const& id,
+             job_state wanted)
+{
+    return world.run_until(
+        [&world, asked, &id, wanted]
+        {
+            return world.state(asked, id) == wanted;
+        });
+}
+
+template<class Answer>
+bool got(pool_world& world, std::uint64_t request)
+{
+    world.run_until(
+        [&world, request]
+        {
+            return world.answer(request).has_value();
+        });
+    auto const answer = world.answer(request);
+    return answer && std::holds_alternative<Answer>(*answer);
+}
+
+} // namespace
+
+// The store takes a job and its answer is lost. Told "refused", the submitter
+// would give up on a job that runs: it is told that the outcome is unknown, and
+// the same id at another instance is the same job.
+TEST(pool_faults, a_lost_answer_of_the_store_is_no_refusal)
+{
+    pool_world world;
+    settle(world);
+    world.store_fault = [](std::size_t instance,
+                           ports::kv_operation const& operation)
+    {
+        bool const hit = instance == 1 &&
+                         std::holds_alternative<ports::kv_commit>(operation);
+        return hit ? fate::answer_lost : fate::carried_out;
+    };
+    auto const first = world.submit(1, "a", simple_job(2, 100ms));
+    EXPECT_TRUE(got<ports::job_unknown>(world, first));
+    auto const again = world.submit(2, "a", simple_job(2, 100ms));
+    EXPECT_TRUE(got<ports::job_accepted>(world, again));
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The same submission arrives again seconds after it was completed. Run once
+// more, it would be a doubled order.
+TEST(pool_faults, the_same_id_after_its_end_is_the_same_job)
+{
+    pool_world world;
+    settle(world);
+    world.submit(1, "a", simple_job(2, 100ms));
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    auto const again = world.submit(2, "a", simple_job(2, 100ms));
+    EXPECT_TRUE(got<ports::job_accepted>(world, again));
+    world.run(2s);
+    EXPECT_EQ(world.state(1, "a"), job_state::completed);
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The store turns an instance away before it writes anything: the refusal is
+// true and comes at once.
+TEST(pool_faults, a_refusal_means_that_nothing_ran)
+{
+    pool_world world;
+    settle(world);
+    world.store_fault = [](std::size_t instance,
+                           ports::kv_operation const& operation)
+    {
+        bool const hit = instance == 1 &&
+                         std::holds_alternative<ports::kv_commit>(operation);
+        return hit ? fate::refused : fate::carried_out;
+    };
+    auto const request = world.submit(1, "a", simple_job(2, 100ms));
+    EXPECT_TRUE(got<ports::job_refused>(world, request));
+    world.run(2s);
+    EXPECT_EQ(world.state(2, "a"), std::nullopt);
+}
+
+// A start gets no answer and is carried out two seconds later, when the task
+// may long run elsewhere.
+TEST(pool_faults, a_start_that_is_carried_out_late)
+{
+    for (std::size_t victim = 0; victim < 4; ++victim)
+    {
+        pool_world world;
+        settle(world);
+        int hits = 0;
+        world.worker_fault = [&hits, victim](
+                                 std::size_t,
+                                 std::size_t worker,
+                                 ports::pool_operation const& operation)
+        {
+            bool const hit =
+                worker == victim && hits < 3 &&
+                std::holds_alternative<ports::start_order>(operation);
+            hits += hit ? 1 : 0;
+            return hit ? fate::late : fate::carried_out;
+        };
+        world.submit(1, "a", simple_job(8, 3s));
+        EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+        world.run(3s);
+        EXPECT_EQ(world.violation(), "");
+    }
+}
+
+// The same, and the stop that follows up on it gets lost as well. A hold that
+// does not show the task proves nothing then.
+TEST(pool_faults, a_late_start_whose_stop_is_lost)
+{
+    pool_world world;
+    settle(world);
+    int late = 0;
+    int lost = 0;
+    world.worker_fault = [&late, &lost](std::size_t,
+                                        std::size_t worker,
+                                        ports::pool_operation const& operation)
+    {
+        bool const start =
+            worker == 1 && late < 2 &&
+            std::holds_alternative<ports::start_order>(operation);
+        bool const stop = worker == 1 && lost < 4 &&
+                          std::holds_alternative<ports::stop_order>(operation);
+        late += start ? 1 : 0;
+        lost += stop ? 1 : 0;
+        return start ? fate::late : stop ? fate::lost : fate::carried_out;
+    };
+    world.submit(1, "a", simple_job(8, 4s));
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    world.run(3s);
+    EXPECT_EQ(world.violation(), "");
+}
+
+// A worker is cut off for good and runs on under its lease. Its tasks start
+// elsewhere once that lease has run out, and not before.
+TEST(pool_faults, tasks_of_a_silent_worker_wait_for_the_end_of_its_lease)
+{
+    pool_world world;
+    settle(world);
+    world.submit(1, "a", simple_job(8, 2500ms));
+    world.run(300ms);
+    world.worker_fault = [](std::size_t,
+                            std::size_t worker,
+                            ports::pool_operation const&)
+    {
+        return worker == 0 ? fate::lost : fate::carried_out;
+    };
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The same through a cut that lets orders pass and holds answers back: every
+// renewal may have reached the worker, so renewing has to end.
+TEST(pool_faults, a_worker_whose_answers_are_lost_gets_no_longer_lease)
+{
+    pool_world world;
+    settle(world);
+    world.submit(1, "a", simple_job(8, 20s));
+    world.run(300ms);
+    world.worker_fault = [](std::size_t,
+                            std::size_t worker,
+                            ports::pool_operation const&)
+    {
+        return worker == 0 ? fate::answer_lost : fate::carried_out;
+    };
+    EXPECT_TRUE(world.run_until(
+        [&world]
+        {
+            return world.worker(0).running() == 0;
+        },
+        8s));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// A worker dies and comes back at once under its id, with nothing. Its tasks
+// must start again without waiting for the old lease.
+TEST(pool_faults, a_restarted_worker_has_forgotten_its_tasks)
+{
+    pool_world world;
+    settle(world);
+    world.submit(1, "a", simple_job(8, 1s));
+    world.run(300ms);
+    world.restart_worker(1);
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The store is away for six seconds. What was accepted goes on, a step that
+// becomes free starts, and new jobs are refused at once.
+TEST(pool_faults, work_goes_on_while_the_store_is_away)
+{
+    pool_world world;
+    settle(world);
+    world.submit(1, "a", chained_job(1s));
+    world.run(300ms);
+    world.store_fault = [](std::size_t, ports::kv_operation const&)
+    {
+        return fate::lost;
+    };
+    world.run(3s);
+    ports::task_name const second{"a", 0, 1, 0};
+    std::size_t begun = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        for (auto const& each : world.worker(number).begun())
+        {
+            begun += each.task == second ? 1U : 0U;
+        }
+    }
+    EXPECT_EQ(begun, 1U);
+    auto const before = world.now();
+    auto const request = world.submit(2, "b", simple_job(1, 100ms));
+    EXPECT_TRUE(got<ports::job_refused>(world, request));
+    EXPECT_LE(world.now() - before, 20ms);
+    world.run(3s);
+    world.store_fault = nullptr;
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// A task fails every time. The job is shown as failed after just as many runs
+// as its queue allows, also when its owner dies between two of them.
+TEST(pool_faults, a_job_fails_after_its_attempts_and_no_earlier)
+{
+    for (auto const when : {10ms, 150ms, 250ms, 350ms, 450ms})
+    {
+        pool_world world;
+        settle(world);
+        auto what = simple_job(1, 100ms);
+        what.spec += " fail";
+        world.submit(1, "a", what);
+        world.run(when);
+        world.kill(*world.owner());
+        std::size_t asked = 0;
+        world.run_until(
+            [&world, &asked]
+            {
+                asked = world.owner().value_or(0);
+                return world.owner().has_value();
+            });
+        EXPECT_TRUE(ends_as(world, asked, "a", job_state::failed));
+        std::size_t begun = 0;
+        for (std::size_t number = 0; number < world.worker_count(); ++number)
+        {
+            begun += world.worker(number).begun().size();
+        }
+        EXPECT_EQ(begun, 3U) << "killed after " << when.count();
+        EXPECT_EQ(world.violation(), "");
+    }
+}
+
+// A cancelled job stops and starts nothing more, wherever the request came in.
+TEST(pool_faults, a_cancelled_job_is_gone)
+{
+    pool_world world;
+    settle(world);
+    auto what = simple_job(6, 1s);
+    what.steps.front().lasting = true;
+    what.spec = "lasts";
+    world.submit(1, "a", what);
+    world.run(500ms);
+    EXPECT_EQ(world.state(0, "a"), job_state::active);
+    auto const request = world.cancel(2, "a");
+    EXPECT_TRUE(got<ports::job_accepted>(world, request));
+    EXPECT_TRUE(ends_as(world, 1, "a", job_state::cancelled));
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        EXPECT_EQ(world.worker(number).running(), 0U);
+    }
+}
+
+// A job that was never handed in is told to be unknown only after the store has
+// said so; while the store is silent nobody knows.
+TEST(pool_faults, an_unknown_job_is_told_only_when_it_is_certain)
+{
+    pool_world world;
+    settle(world);
+    auto const first = world.query(1, "a");
+    EXPECT_TRUE(got<ports::job_absent>(world, first));
+    world.store_fault = [](std::size_t, ports::kv_operation const&)
+    {
+        return fate::lost;
+    };
+    auto const second = world.query(1, "a");
+    EXPECT_TRUE(got<ports::job_refused>(world, second));
+}
+
+// A data centre is taken out: no task starts there any more, until it is back.
+TEST(pool_faults, no_task_starts_in_a_data_centre_that_is_out)
+{
+    pool_world world;
+    settle(world);
+    world.store().put("operators/out/even", "");
+    world.run(100ms);
+    world.submit(1, "a", simple_job(6, 200ms));
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_TRUE(world.worker(0).begun().empty());
+    EXPECT_TRUE(world.worker(2).begun().empty());
+    world.store().erase("operators/out/even");
+    world.run(100ms);
+    world.submit(1, "b", simple_job(32, 200ms));
+    EXPECT_TRUE(ends_as(world, 0, "b", job_state::completed));
+    EXPECT_FALSE(world.worker(0).begun().empty());
+}
+
+// The store forgets its history while a watch is deaf. A change of the
+// operators in that moment must still come into force.
+TEST(pool_faults, a_change_that_no_watch_heard_is_found)
+{
+    pool_world world;
+    settle(world);
+    world.store().put("operators/out/odd", "");
+    world.store().compact();
+    world.run(1500ms);
+    world.submit(1, "a", simple_job(6, 200ms));
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_TRUE(world.worker(1).begun().empty());
+    EXPECT_TRUE(world.worker(3).begun().empty());
+}
+
+// A commit of progress is carried out two seconds late, after newer ones. An
+// old record put over a newer one would make the next owner run tasks again.
+TEST(pool_faults, a_late_commit_does_not_bring_back_old_progress)
+{
+    pool_world world;
+    settle(world);
+    auto const owner = *world.owner();
+    int hits = 0;
+    world.store_fault = [&hits, owner](std::size_t instance,
+                                       ports::kv_operation const& operation)
+    {
+        auto const* const commit = std::get_if<ports::kv_commit>(&operation);
+        bool const hit = instance == owner && commit != nullptr && hits < 2 &&
+                         commit->expected.size() == 2 &&
+                         !commit->puts.empty() &&
+                         commit->puts.front().key.starts_with("progress/");
+        hits += hit ? 1 : 0;
+        return hit ? fate::late : fate::carried_out;
+    };
+    auto what = chained_job(400ms);
+    what.steps.push_back(what.steps.back());
+    what.steps.back().after = {1};
+    what.steps.back().estimate = 4s;
+    world.submit(1, "a", what);
+    world.run(4500ms);
+    EXPECT_GT(hits, 0);
+    world.kill(owner);
+    EXPECT_TRUE(ends_as(world, owner == 0 ? 1 : 0, "a", job_state::completed));
+    EXPECT_EQ(world.violation(), "");
+}
--- /dev/null
+++ b/tests/unit/pool/pool_world.cpp
@@ -0,0 +1,621 @@
+#include "pool_world.hpp"
+
+#include <utility>
+
+namespace fuchsia::tests::unit::pool
+{
+
+namespace
+{
+
+constexpr duration store_delay = 2ms; ///< One way.
+constexpr duration worker_delay = 1ms;
+constexpr duration late_by = 2s;
+constexpr duration tick_every = 10ms;
+constexpr char const* host = "jobs.example";
+constexpr char const* prefix = "/q/";
+constexpr std::uint32_t attempts = 3;
+
+ports::pool_worker make_info(std::size_t number, std::uint64_t born)
+{
+    ports::pool_worker made;
+    made.id = "w" + std::to_string(number);
+    made.service = "s";
+    made.where = {"10.0.0." + std::to_string(number + 1), 80};
+    made.data_centre = number % 2 == 0 ? "even" : "odd";
+    made.rack = made.data_centre;
+    made.capacity = {8000, 8000, 0};
+    made.born = born;
+    return made;
+}
+
+// The stand-in's own words for what operators and workers write.
+core::pool::directory make_words()
+{
+    core::pool::directory made;
+    made.workers_prefix = "workers/";
+    made.operators_prefix = "operators/";
+    made.read_worker = [](ports::kv_item const& item, core::common::failure&)
+        -> std::optional<ports::pool_worker>
+    {
+        // "number born draining"
+        auto const born = item.value.find(' ');
+        auto worker = make_info(std::stoul(item.value),
+                                std::stoull(item.value.substr(born)));
+        worker.draining = item.value.ends_with("draining");
+        return worker;
+    };
+    made.read_operator = [](ports::kv_item const& item, core::common::failure&)
+        -> std::optional<core::pool::operator_change>
+    {
+        constexpr std::string_view out = "operators/out/";
+        if (item.key.starts_with(out))
+        {
+            return core::pool::data_centre_change{item.key.substr(out.size()),
+                                                  !item.erased};
+        }
+        core::pool::configuration config;
+        config.version = std::stoull(item.value);
+        core::pool::queue queue;
+        queue.name = "q";
+        queue.host = host;
+        queue.prefix = prefix;
+        queue.service = "s";
+        queue.attempts = attempts;
+        config.queues.push_back(queue);
+        return config;
+    };
+    return made;
+}
+
+} // namespace
+
+core::pool::job simple_job(std::uint32_t count, duration work)
+{
+    core::pool::job made;
+    core::pool::step step;
+    step.count = count;
+    step.declared = {1000, 100, 0};
+    step.estimate = work;
+    made.steps.push_back(step);
+    made.spec =
+        "work=" + std::to_string(core::common::to_milliseconds(work));
+    return made;
+}
+
+core::pool::job chained_job(duration work)
+{
+    auto made = simple_job(2, work);
+    auto second = made.steps.front();
+    second.after = {0};
+    made.steps.push_back(second);
+    return made;
+}
+
+pool_world::pool_world(std::size_t instances, std::size_t workers)
+{
+    store_.put("operators/config", "1");
+    for (std::size_t number = 0; number < workers; ++number)
+    {
+        workers_.push_back(nullptr);
+        restart_worker(number);
+    }
+    instances_.resize(instances);
+    for (std::size_t number = 0; number < instances; ++number)
+    {
+        start(number);
+    }
+    tick_all();
+}
+
+void pool_world::run(duration how_long)
+{
+    auto const until = timeline_.now() + how_long;
+    while (timeline_.step(until))
+    {
+    }
+}
+
+bool pool_world::run_until(std::function<bool()> const& holds,
+                           duration patience)
+{
+    auto const until = timeline_.now() + patience;
+    while (!holds())
+    {
+        if (!timeline_.step(until))
+        {
+            return holds();
+        }
+    }
+    return true;
+}
+
+std::uint64_t pool_world::ask(std::size_t instance,
+                              core::pool::pool_request request)
+{
+    auto const id = ++next_request_;
+    request.caller = id;
+    request.host = host;
+    deliver(instance,
+            [this, request](core::pool::engine& engine)
+            {
+                engine.on_request(now(), request);
+            });
+    return id;
+}
+
+std::uint64_t pool_world::submit(std::size_t instance,
+                                 std::string const& id,
+                                 core::pool::job what)
+{
+    core::pool::pool_request request;
+    request.path = prefix + id;
+    request.what = core::pool::submit_request{std::move(what)};
+    return ask(instance, std::move(request));
+}
+
+std::uint64_t pool_world::cancel(std::size_t instance, std::string const& id)
+{
+    core::pool::pool_request request;
+    request.path = prefix + id;
+    request.what = core::pool::cancel_request{};
+    return ask(instance, std::move(request));
+}
+
+std::uint64_t pool_world::query(std::size_t instance, std::string const& id)
+{
+    core::pool::pool_request request;
+    request.path = prefix + id;
+    request.what = core::pool::query_request{};
+    return ask(instance, std::move(request));
+}
+
+std::optional<ports::job_answer> pool_world::answer(std::uint64_t request) const
+{
+    auto const found = answers_.find(request);
+    return found == answers_.end() ? std::nullopt
+                                   : std::optional(found->second);
+}
+
+std::optional<ports::job_state> pool_world::state(std::size_t instance,
+                                                  std::string const& id)
+{
+    auto const request = query(instance, id);
+    run_until(
+        [this, request]
+        {
+            return answer(request).has_value();
+        });
+    auto const got = answer(request);
+    auto const* const status =
+        got ? std::get_if<ports::job_status>(&*got) : nullptr;
+    return status == nullptr ? std::nullopt : std::optional(status->state);
+}
+
+void pool_world::kill(std::size_t instance)
+{
+    instances_[instance].engine.reset();
+    instances_[instance].life = 0;
+}
+
+void pool_world::start(std::size_t instance)
+{
+    auto& each = instances_[instance];
+    each.life = ++each.lives;
+    each.stopped = false;
+    each.engine = std::make_unique<core::pool::engine>(
+        core::pool::pool_settings{},
+        make_words(),
+        "i" + std::to_string(instance) + "#" + std::to_string(each.life));
+    deliver(instance,
+            [this](core::pool::engine& engine)
+            {
+                engine.start(now());
+            });
+}
+
+void pool_world::freeze(std::size_t instance, duration how_long)
+{
+    instances_[instance].frozen_until = now() + how_long;
+}
+
+void pool_world::stop(std::size_t instance)
+{
+    deliver(instance,
+            [this](core::pool::engine& engine)
+            {
+                engine.begin_stop(now());
+            });
+}
+
+std::optional<std::size_t> pool_world::owner() const
+{
+    for (std::size_t number = 0; number < instances_.size(); ++number)
+    {
+        auto const& each = instances_[number];
+        if (each.engine && each.engine->owned() != nullptr &&
+            each.engine->owned()->loaded() &&
+            store_.find("pool/claim") &&
+            store_.find("pool/claim")->created ==
+                each.engine->claimed().epoch())
+        {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
+standins::pool::kv_state& pool_world::store() noexcept
+{
+    return store_;
+}
+
+standins::pool::worker_state& pool_world::worker(std::size_t number)
+{
+    return *workers_[number];
+}
+
+void pool_world::restart_worker(std::size_t number)
+{
+    auto const info = make_info(number, ++next_born_);
+    // Clocks start at different times and one of them is slow.
+    double const speed = number == 0 ? 0.98 : 1.0;
+    workers_[number] = std::make_unique<standins::pool::worker_state>(
+        info, now() - std::chrono::seconds(number), speed);
+    store_.put("workers/" + info.id,
+               std::to_string(number) + " " + std::to_string(info.born));
+}
+
+std::size_t pool_world::worker_count() const noexcept
+{
+    return workers_.size();
+}
+
+std::size_t pool_world::places(ports::task_name const& task) const
+{
+    std::size_t count = 0;
+    for (auto const& each : workers_)
+    {
+        count += each->runs(task) ? 1U : 0U;
+    }
+    return count;
+}
+
+std::string const& pool_world::violation() const noexcept
+{
+    return violation_;
+}
+
+time_point pool_world::now() const noexcept
+{
+    return timeline_.now();
+}
+
+bool pool_world::stopped(std::size_t instance) const
+{
+    return instances_[instance].stopped;
+}
+
+void pool_world::deliver(std::size_t number,
+                         std::function<void(core::pool::engine&)> what)
+{
+    auto const& each = instances_[number];
+    if (!each.engine)
+    {
+        return;
+    }
+    if (each.frozen_until > now())
+    {
+        timeline_.after(each.frozen_until - now(),
+                        [this, number, life = each.life, what]
+                        {
+                            if (instances_[number].life == life)
+                            {
+                                deliver(number, what);
+                            }
+                        });
+        return;
+    }
+    what(*each.engine);
+    perform(number);
+}
+
+void pool_world::perform(std::size_t number)
+{
+    auto const actions = instances_[number].engine->take();
+    for (auto const& action : actions)
+    {
+        if (auto const* const call = std::get_if<ports::kv_call>(&action))
+        {
+            call_store(number, *call);
+        }
+        else if (auto const* const order =
+                     std::get_if<ports::pool_order>(&action))
+        {
+            call_worker(number, *order);
+        }
+        else if (auto const* const reply =
+                     std::get_if<ports::job_reply>(&action))
+        {
+            answers_[reply->caller] = reply->answer;
+        }
+        else if (std::holds_alternative<ports::stop_complete>(action))
+        {
+            instances_[number].stopped = true;
+        }
+    }
+}
+
+void pool_world::call_store(std::size_t number, ports::kv_call const& call)
+{
+    auto const what = store_fault ? store_fault(number, call.operation)
+                                  : fate::carried_out;
+    auto const life = instances_[number].life;
+    auto const tell = [this, number, life, id = call.id](ports::kv_status status)
+    {
+        if (instances_[number].life == life)
+        {
+            ports::kv_reply reply;
+            reply.id = id;
+            reply.status = status;
+            deliver(number,
+                    [this, reply](core::pool::engine& engine)
+                    {
+                        engine.on_kv_reply(now(), reply);
+                    });
+        }
+    };
+    if (what == fate::refused)
+    {
+        timeline_.after(2 * store_delay,
+                        [tell]
+                        {
+                            tell(ports::kv_status::refused);
+                        });
+        return;
+    }
+    if (what != fate::carried_out)
+    {
+        timeline_.after(call.timeout,
+                        [tell]
+                        {
+                            tell(ports::kv_status::unclear);
+                        });
+    }
+    if (what == fate::lost)
+    {
+        return;
+    }
+    auto const delay = what == fate::late ? late_by : store_delay;
+    timeline_.after(delay,
+                    [this, number, life, call, what]
+                    {
+                        apply_store(number,
+                                    life,
+                                    call,
+                                    what == fate::carried_out);
+                    });
+}
+
+void pool_world::apply_store(std::size_t number,
+                             std::uint64_t life,
+                             ports::kv_call const& call,
+                             bool answered)
+{
+    auto reply = store_.answer(now(), call.operation);
+    wake_watches();
+    if (!answered)
+    {
+        return;
+    }
+    if (!reply)
+    {
+        auto const wait = std::get<ports::kv_watch>(call.operation).wait;
+        watches_.push_back({number, life, call, now() + wait});
+        timeline_.after(wait,
+                        [this]
+                        {
+                            wake_watches();
+                        });
+        return;
+    }
+    reply->id = call.id;
+    timeline_.after(store_delay,
+                    [this, number, life, reply = *reply]
+                    {
+                        if (instances_[number].life != life)
+                        {
+                            return;
+                        }
+                        deliver(number,
+                                [this, reply](core::pool::engine& engine)
+                                {
+                                    engine.on_kv_reply(now(), reply);
+                                });
+                    });
+}
+
+void pool_world::wake_watches()
+{
+    auto const waiting = std::exchange(watches_, {});
+    for (auto const& each : waiting)
+    {
+        auto reply = store_.answer(now(), each.call.operation);
+        if (!reply && now() < each.until)
+        {
+            watches_.push_back(each);
+            continue;
+        }
+        auto told = reply.value_or(ports::kv_reply{});
+        if (!reply)
+        {
+            told.status = ports::kv_status::done;
+            told.revision = store_.revision();
+        }
+        told.id = each.call.id;
+        timeline_.after(store_delay,
+                        [this, each, told]
+                        {
+                            if (instances_[each.instance].life != each.life)
+                            {
+                                return;
+                            }
+                            deliver(each.instance,
+                                    [this, told](core::pool::engine& engine)
+                                    {
+                                        engine.on_kv_reply(now(), told);
+                                    });
+                        });
+    }
+}
+
+void pool_world::call_worker(std::size_t number, ports::pool_order const& order)
+{
+    auto const where = std::stoul(order.worker.substr(1));
+    auto const what = worker_fault
+                          ? worker_fault(number, where, order.operation)
+                          : fate::carried_out;
+    auto const life = instances_[number].life;
+    if (what != fate::carried_out)
+    {
+        bool const refused = what == fate::refused;
+        ports::order_reply reply;
+        reply.id = order.id;
+        reply.status = refused ? ports::order_status::not_sent
+                               : ports::order_status::unclear;
+        timeline_.after(refused ? 2 * worker_delay : order.timeout,
+                        [this, number, life, reply]
+                        {
+                            if (instances_[number].life != life)
+                            {
+                                return;
+                            }
+                            deliver(number,
+                                    [this, reply](core::pool::engine& engine)
+                                    {
+                                        engine.on_order_reply(now(), reply);
+                                    });
+                        });
+    }
+    if (what == fate::lost || what == fate::refused)
+    {
+        return;
+    }
+    timeline_.after(what == fate::late ? late_by : worker_delay,
+                    [this, number, life, order, what]
+                    {
+                        apply_worker(number,
+                                     life,
+                                     order,
+                                     what == fate::carried_out);
+                    });
+}
+
+void pool_world::apply_worker(std::size_t number,
+                              std::uint64_t life,
+                              ports::pool_order const& order,
+                              bool answered)
+{
+    auto const where = std::stoul(order.worker.substr(1));
+    auto& target = *workers_[where];
+    auto const begun = target.begun().size();
+    auto reply = target.apply(now(), order.operation);
+    if (target.begun().size() > begun)
+    {
+        check_start(where, target.begun().back());
+    }
+    check_ends();
+    if (!answered)
+    {
+        return;
+    }
+    reply.id = order.id;
+    // A hold waits for an end; the stand-in answers after a tenth of that.
+    auto const* const hold =
+        std::get_if<ports::hold_order>(&order.operation);
+    auto const wait = hold != nullptr ? hold->wait / 10 : duration{};
+    timeline_.after(wait + worker_delay,
+                    [this, number, life, reply]
+                    {
+                        if (instances_[number].life != life)
+                        {
+                            return;
+                        }
+                        deliver(number,
+                                [this, reply](core::pool::engine& engine)
+                                {
+                                    engine.on_order_reply(now(), reply);
+                                });
+                    });
+}
+
+void pool_world::tick_all()
+{
+    store_.expire(now());
+    wake_watches();
+    for (auto& each : workers_)
+    {
+        each->advance(now());
+    }
+    for (std::size_t number = 0; number < instances_.size(); ++number)
+    {
+        auto& each = instances_[number];
+        if (each.engine && each.frozen_until <= now() && !each.stopped)
+        {
+            each.engine->set_unix_offset(1'700'000'000'000);
+            each.engine->tick(now());
+            perform(number);
+        }
+    }
+    timeline_.after(tick_every,
+                    [this]
+                    {
+                        tick_all();
+                    });
+}
+
+void pool_world::check_start(std::size_t where, ports::task_run const& what)
+{
+    if (!violation_.empty())
+    {
+        return;
+    }
+    auto const name = what.task.job + "." + std::to_string(what.task.step) +
+                      "." + std::to_string(what.task.index) + " attempt " +
+                      std::to_string(what.attempt) + " on w" +
+                      std::to_string(where);
+    if (places(what.task) > 1)
+    {
+        violation_ = "two places: " + name;
+    }
+    else if (done_.contains(what.task))
+    {
+        violation_ = "ran again after it was done: " + name;
+    }
+    else if (failed_[what.task] >= attempts)
+    {
+        violation_ = "ran again after its last attempt: " + name;
+    }
+}
+
+void pool_world::check_ends()
+{
+    done_.clear();
+    failed_.clear();
+    for (auto const& each : workers_)
+    {
+        for (auto const& row : each->acknowledged())
+        {
+            if (row.how == ports::end_kind::done)
+            {
+                done_.insert(row.what.task);
+            }
+            else if (row.how == ports::end_kind::failed)
+            {
+                ++failed_[row.what.task];
+            }
+        }
+    }
+}
+
+} // namespace fuchsia::tests::unit::pool
--- /dev/null
+++ b/tests/unit/pool/pool_world.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "core/pool/engine.hpp"
+#include "standins/pool/kv_state.hpp"
+#include "standins/pool/worker_state.hpp"
+#include "unit/walks/timeline.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// Instances of the scheduler, a store and workers in virtual time, with the
+// faults that a deployment sees. The world watches what the workers do and
+// remembers the first broken promise.
+namespace fuchsia::tests::unit::pool
+{
+
+using core::common::duration;
+using core::common::time_point;
+using namespace std::chrono_literals;
+
+/// What a fault does to one call on its way.
+enum class fate : std::uint8_t
+{
+    carried_out,
+    answer_lost,   ///< Carried out; the caller hears nothing.
+    refused,       ///< Nothing was done, and the caller is told.
+    lost,          ///< Nothing was done; the caller hears nothing.
+    late,          ///< Carried out 2 s later; the caller hears nothing.
+};
+
+class pool_world
+{
+public:
+    explicit pool_world(std::size_t instances = 3, std::size_t workers = 4);
+
+    void run(duration how_long);
+    /// Until `holds`, at most `patience`; whether it came to hold.
+    bool run_until(std::function<bool()> const& holds, duration patience = 30s);
+
+    /// Hands a job in at an instance; the answer goes to `answers`.
+    std::uint64_t submit(std::size_t instance,
+                         std::string const& id,
+                         core::pool::job what);
+    std::uint64_t cancel(std::size_t instance, std::string const& id);
+    std::uint64_t query(std::size_t instance, std::string const& id);
+    std::optional<ports::job_answer> answer(std::uint64_t request) const;
+    /// Asks until there is a state; empty where the job is not known.
+    std::optional<ports::job_state> state(std::size_t instance,
+                                          std::string const& id);
+
+    void kill(std::size_t instance);
+    void start(std::size_t instance);
+    /// Stands still, and gets what came meanwhile when it wakes.
+    void freeze(std::size_t instance, duration how_long);
+    void stop(std::size_t instance);
+    std::optional<std::size_t> owner() const;
+
+    standins::pool::kv_state& store() noexcept;
+    standins::pool::worker_state& worker(std::size_t number);
+    /// The worker dies and comes back with nothing, under the same id.
+    void restart_worker(std::size_t number);
+    std::size_t worker_count() const noexcept;
+    /// Workers that run `task` now.
+    std::size_t places(ports::task_name const& task) const;
+
+    /// Decide what happens to calls; may be empty.
+    std::function<fate(std::size_t instance, ports::kv_operation const&)>
+        store_fault;
+    std::function<fate(std::size_t instance,
+                       std::size_t worker,
+                       ports::pool_operation const&)>
+        worker_fault;
+
+    /// The first promise that was broken; empty: none.
+    std::string const& violation() const noexcept;
+    time_point now() const noexcept;
+    bool stopped(std::size_t instance) const;
+
+private:
+    struct instance
+    {
+        std::unique_ptr<core::pool::engine> engine;
+        std::uint64_t life = 0; ///< Answers of an earlier life are dropped.
+        std::uint64_t lives = 0;
+        time_point frozen_until{};
+        bool stopped = false;
+        time_point next_tick{};
+    };
+
+    void deliver(std::size_t number,
+                 std::function<void(core::pool::engine&)> what);
+    void perform(std::size_t number);
+    void call_store(std::size_t number, ports::kv_call const& call);
+    void apply_store(std::size_t number,
+                     std::uint64_t life,
+                     ports::kv_call const& call,
+                     bool answered);
+    void call_worker(std::size_t number, ports::pool_order const& order);
+    void apply_worker(std::size_t number,
+                      std::uint64_t life,
+                      ports::pool_order const& order,
+                      bool answered);
+    void wake_watches();
+    void tick_all();
+    void check_start(std::size_t where, ports::task_run const& what);
+    void check_ends();
+    std::uint64_t ask(std::size_t instance, core::pool::pool_request request);
+
+    walks::timeline timeline_;
+    standins::pool::kv_state store_;
+    std::vector<std::unique_ptr<standins::pool::worker_state>> workers_;
+    std::vector<instance> instances_;
+    std::map<std::uint64_t, ports::job_answer> answers_;
+    std::uint64_t next_request_ = 0;
+    std::uint64_t next_born_ = 1'000'000;
+    struct waiting_watch
+    {
+        std::size_t instance = 0;
+        std::uint64_t life = 0;
+        ports::kv_call call;
+        time_point until{};
+    };
+    std::vector<waiting_watch> watches_;
+    std::set<ports::task_name> done_; ///< Acknowledged as done.
+    std::map<ports::task_name, std::size_t> failed_; ///< Acknowledged failures.
+    std::map<std::string, std::size_t> attempts_of_queue_;
+    std::string violation_;
+};
+
+/// A job of one step of `count` tasks that take `work`.
+core::pool::job simple_job(std::uint32_t count, duration work);
+/// A job whose second step waits for its first.
+core::pool::job chained_job(duration work);
+
+} // namespace fuchsia::tests::unit::pool
--- /dev/null
+++ b/tests/unit/pool/takeover_test.cpp
@@ -0,0 +1,183 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia::tests::unit::pool;
+using fuchsia::ports::job_state;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+bool settled(pool_world& world)
+{
+    return world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+}
+
+std::size_t other_than(std::size_t number)
+{
+    return number == 0 ? 1 : 0;
+}
+
+bool completes(pool_world& world, std::size_t asked, std::string const& id)
+{
+    return world.run_until(
+        [&world, asked, &id]
+        {
+            return world.state(asked, id) == job_state::completed;
+        });
+}
+
+} // namespace
+
+// A submitter hands a job in and asks for its state until it is completed.
+TEST(pool_takeover, a_calm_job_is_completed)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const request = world.submit(1, "a", chained_job(300ms));
+    world.run(50ms);
+    ASSERT_TRUE(world.answer(request).has_value());
+    EXPECT_TRUE(
+        std::holds_alternative<ports::job_accepted>(*world.answer(request)));
+    EXPECT_TRUE(completes(world, 2, "a"));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The owner is killed while tasks run and while some have ended that it had not
+// written down. Users would see a task run twice, or a job that never ends.
+TEST(pool_takeover, a_killed_owner_loses_and_doubles_nothing)
+{
+    for (auto const when : {100ms, 290ms, 305ms, 320ms, 400ms, 610ms, 640ms})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        world.submit(1, "a", chained_job(300ms));
+        world.run(when);
+        auto const owner = *world.owner();
+        world.kill(owner);
+        EXPECT_TRUE(completes(world, other_than(owner), "a"));
+        EXPECT_EQ(world.violation(), "") << "killed after " << when.count();
+    }
+}
+
+// All instances lose power at once and start again after a second. The workers
+// run on meanwhile; what they ran and ended must be taken over as it is.
+TEST(pool_takeover, all_instances_killed_at_once)
+{
+    for (auto const when : {100ms, 305ms, 610ms})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        world.submit(1, "a", chained_job(300ms));
+        world.run(when);
+        for (std::size_t number = 0; number < 3; ++number)
+        {
+            world.kill(number);
+        }
+        world.run(1s);
+        for (std::size_t number = 0; number < 3; ++number)
+        {
+            world.start(number);
+        }
+        EXPECT_TRUE(completes(world, 0, "a"));
+        EXPECT_EQ(world.violation(), "") << "killed after " << when.count();
+    }
+}
+
+// A worker can be reached by the old owner but not by its successor, and runs
+// on. Users would see its tasks run in two places.
+TEST(pool_takeover, a_worker_that_the_successor_cannot_reach_keeps_its_tasks)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    world.submit(1, "a", simple_job(8, 3s));
+    world.run(500ms);
+    auto const owner = *world.owner();
+    world.worker_fault = [owner](std::size_t instance,
+                                 std::size_t worker,
+                                 ports::pool_operation const&)
+    {
+        bool const cut = worker == 2 && instance != owner;
+        return cut ? fate::lost : fate::carried_out;
+    };
+    world.store_fault = [owner](std::size_t instance,
+                                ports::kv_operation const&)
+    {
+        return instance == owner ? fate::lost : fate::carried_out;
+    };
+    EXPECT_TRUE(completes(world, other_than(owner), "a"));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The owner stands still for seconds and wakes with old beliefs, beside a
+// successor. Its orders must have no effect.
+TEST(pool_takeover, a_frozen_owner_does_no_harm)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    world.submit(1, "a", chained_job(1s));
+    world.run(300ms);
+    auto const owner = *world.owner();
+    world.freeze(owner, 4s);
+    EXPECT_TRUE(completes(world, other_than(owner), "a"));
+    world.run(5s);
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The claim's key is taken away and no request shows it. Two owners would then
+// schedule the same jobs, each with its own idea of what runs where.
+TEST(pool_takeover, a_claim_that_is_taken_away)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    world.submit(1, "a", chained_job(1s));
+    world.run(300ms);
+    world.store().revoke("pool/claim");
+    EXPECT_TRUE(completes(world, 0, "a"));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// A planned stop gives the claim back at once, so users wait for a few
+// milliseconds and not for the end of a lease.
+TEST(pool_takeover, a_planned_stop_hands_over_within_a_moment)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.submit(other_than(owner), "a", simple_job(4, 2s));
+    world.run(300ms);
+    world.stop(owner);
+    auto const moved = [&world, owner]
+    {
+        return world.owner() && *world.owner() != owner;
+    };
+    EXPECT_TRUE(world.run_until(moved, 200ms));
+    EXPECT_TRUE(world.run_until(
+        [&world, owner]
+        {
+            return world.stopped(owner);
+        },
+        6s));
+    EXPECT_TRUE(completes(world, other_than(owner), "a"));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// A silent death of the owner is noticed when its lease in the store runs out.
+TEST(pool_takeover, a_silent_death_costs_a_second_and_a_half)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.kill(owner);
+    EXPECT_TRUE(world.run_until(
+        [&world, owner]
+        {
+            return world.owner() && *world.owner() != owner;
+        },
+        1500ms));
+}
