--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/job_run.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -76,6 +77,37 @@
     return made;
 }
 
+bool out_of_attempts(job_run const& run,
+                     std::size_t occurrence,
+                     std::size_t number)
+{
+    auto const& what = run.spec.steps[number];
+    std::set<std::uint32_t> of_gang;
+    std::size_t most = 0;
+    for (auto const& each : run.occurrences[occurrence].steps[number].tasks)
+    {
+        most = std::max(most, each.failures.size());
+        of_gang.insert(each.failures.begin(), each.failures.end());
+    }
+    auto const failures = what.gang ? of_gang.size() : most;
+    return !what.lasting && failures >= run.rules.attempts;
+}
+
+bool out_of_attempts(job_run const& run)
+{
+    for (std::size_t k = 0; k < run.occurrences.size(); ++k)
+    {
+        for (std::size_t number = 0; number < run.spec.steps.size(); ++number)
+        {
+            if (out_of_attempts(run, k, number))
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void apply(progress const& known, job_run& to)
 {
     to.has_progress = true;
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -120,6 +120,14 @@
     step const& step_of(ports::task_name const& name) const;
 };
 
+/// Whether a task of the step has failed as often as its queue allows; a gang
+/// fails as one, whichever of its members does.
+bool out_of_attempts(job_run const& run,
+                     std::size_t occurrence,
+                     std::size_t number);
+/// The same of any step.
+bool out_of_attempts(job_run const& run);
+
 /// Lays out all tasks, as blocked; `steps` open later.
 job_run make_job_run(job spec, std::uint64_t revision, queue const& rules);
 void apply(progress const& known, job_run& to);
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -69,25 +69,6 @@
     return made;
 }
 
-bool out_of_attempts(job_run const& run)
-{
-    for (auto const& occurrence : run.occurrences)
-    {
-        for (std::size_t number = 0; number < occurrence.steps.size(); ++number)
-        {
-            for (auto const& each : occurrence.steps[number].tasks)
-            {
-                if (!run.spec.steps[number].lasting &&
-                    each.failures.size() >= run.rules.attempts)
-                {
-                    return true;
-                }
-            }
-        }
-    }
-    return false;
-}
-
 } // namespace
 
 owner::owner(owner_settings const& settings,
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -130,6 +130,14 @@
     void count_failure(job_run& run,
                        ports::task_name const& name,
                        std::uint32_t attempt);
+    void mark_done(job_run& run, ports::task_name const& name);
+    void after_done(common::time_point now, job_run& run);
+    void gang_done(common::time_point now,
+                   job_run& run,
+                   ports::task_name const& name);
+    void break_gang(common::time_point now,
+                    job_run& run,
+                    ports::task_name const& name);
     void task_over(common::time_point now,
                    job_run& run,
                    ports::task_name const& name);
@@ -198,8 +206,17 @@
     void rank_again(common::time_point now);
     void dispatch(common::time_point now);
     bool dispatch_step(common::time_point now, ready_key const& key);
-    worker*
-    choose(common::time_point now, job_run& run, ports::task_name const& name);
+    bool
+    dispatch_gang(common::time_point now, ready_key const& key, job_run& run);
+    bool place_gang(common::time_point now,
+                    ready_key const& key,
+                    job_run& run,
+                    std::string const& rack);
+    void start_gang(common::time_point now, ready_key const& key, job_run& run);
+    worker* choose(common::time_point now,
+                   job_run& run,
+                   ports::task_name const& name,
+                   std::string const& rack);
     bool eligible(common::time_point now,
                   worker const& on,
                   job_run const& run,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -48,6 +48,16 @@
            wanted.what->declared.holds(failed.what->declared);
 }
 
+std::set<std::string> racks_of(fleet& workers)
+{
+    std::set<std::string> made;
+    for (auto const& [id, each] : workers.all())
+    {
+        made.insert(each.info.rack);
+    }
+    return made;
+}
+
 double share_of(std::int64_t part, std::int64_t whole)
 {
     return static_cast<double>(part) /
@@ -135,7 +145,8 @@
         {
             continue;
         }
-        if (!dispatch_step(now, key))
+        // A gang that finds no place says nothing of its tasks one by one.
+        if (!dispatch_step(now, key) && !what->gang)
         {
             failed.push_back(wanted);
         }
@@ -147,6 +158,10 @@
 {
     auto& run = *find_job(key.job);
     auto& steps = run.occurrences[key.occurrence].steps[key.step];
+    if (run.spec.steps[key.step].gang)
+    {
+        return dispatch_gang(now, key, run);
+    }
     while (!steps.ready.empty() && run.phase == job_phase::active)
     {
         auto const index = steps.ready.back();
@@ -156,18 +171,99 @@
             steps.ready.pop_back();
             continue;
         }
-        auto* const on = choose(now, run, name);
+        auto* const on = choose(now, run, name, "");
         if (on == nullptr)
         {
             return false;
         }
         steps.ready.pop_back();
+        place(run, name, *on);
         start(now, run, name, *on);
     }
     ready_.erase(key);
     return true;
 }
 
+// All tasks of a gang start at once or none does: one that waits for the rest
+// holds its room for nothing.
+bool owner::dispatch_gang(common::time_point now,
+                          ready_key const& key,
+                          job_run& run)
+{
+    auto& steps = run.occurrences[key.occurrence].steps[key.step];
+    if (steps.ready.size() < steps.tasks.size() ||
+        run.phase != job_phase::active)
+    {
+        // Some member's last run is not over yet.
+        return true;
+    }
+    std::set<std::string> racks{""};
+    if (run.spec.steps[key.step].same_rack)
+    {
+        racks = racks_of(fleet_);
+    }
+    for (auto const& rack : racks)
+    {
+        if (place_gang(now, key, run, rack))
+        {
+            start_gang(now, key, run);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool owner::place_gang(common::time_point now,
+                       ready_key const& key,
+                       job_run& run,
+                       std::string const& rack)
+{
+    auto& steps = run.occurrences[key.occurrence].steps[key.step];
+    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
+    {
+        ports::task_name const name{key.job, key.occurrence, key.step, index};
+        auto* const on = choose(now, run, name, rack);
+        if (on == nullptr)
+        {
+            for (std::uint32_t placed = 0; placed < index; ++placed)
+            {
+                unplace(run, {key.job, key.occurrence, key.step, placed});
+            }
+            return false;
+        }
+        place(run, name, *on);
+    }
+    return true;
+}
+
+// The members share the number of the attempt and one checkpoint. Checkpoints
+// begin with the progress that they hold, in digits of equal number.
+void owner::start_gang(common::time_point now,
+                       ready_key const& key,
+                       job_run& run)
+{
+    auto& steps = run.occurrences[key.occurrence].steps[key.step];
+    std::uint32_t attempt = 0;
+    std::string checkpoint;
+    for (auto const& each : steps.tasks)
+    {
+        attempt = std::max(attempt, each.attempt);
+        checkpoint = std::max(checkpoint, each.checkpoint);
+    }
+    steps.ready.clear();
+    ready_.erase(key);
+    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
+    {
+        auto& each = steps.tasks[index];
+        each.attempt = attempt;
+        each.checkpoint = checkpoint;
+        start(now,
+              run,
+              {key.job, key.occurrence, key.step, index},
+              *fleet_.find(each.worker));
+    }
+}
+
 bool owner::eligible(common::time_point now,
                      worker const& on,
                      job_run const& run,
@@ -201,12 +297,17 @@
 
 worker* owner::choose(common::time_point now,
                       job_run& run,
-                      ports::task_name const& name)
+                      ports::task_name const& name,
+                      std::string const& rack)
 {
     worker* best = nullptr;
     double lowest = 0;
     for (auto& [id, each] : fleet_.all())
     {
+        if (!rack.empty() && each.info.rack != rack)
+        {
+            continue;
+        }
         auto const found = score(now, each, run, name);
         if (found && (best == nullptr || *found < lowest))
         {
@@ -332,7 +433,6 @@
                   worker& on)
 {
     auto& each = run.at(name);
-    place(run, name, on);
     ++each.attempt;
     each.phase = task_phase::starting;
     each.unclear = false;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -172,12 +172,29 @@
         std::erase(run.occurrences[name.occurrence].steps[name.step].ready,
                    name.index);
     }
+    if (run.step_of(name).gang)
+    {
+        gang_done(now, run, name);
+        return;
+    }
+    mark_done(run, name);
+    after_done(now, run);
+}
+
+void owner::mark_done(job_run& run, ports::task_name const& name)
+{
+    auto& each = run.at(name);
+    unplace(run, name);
     ++counters_.tasks_done;
     each.phase = task_phase::done;
     each.checkpoint.clear();
     --run.occurrences[name.occurrence].steps[name.step].left;
     --run.left;
     mark_dirty(run);
+}
+
+void owner::after_done(common::time_point now, job_run& run)
+{
     if (run.left == 0 && run.phase == job_phase::active)
     {
         end_job(now, run, job_phase::finished);
@@ -187,6 +204,45 @@
     finish_if_over(now, run);
 }
 
+// One member's end stands for all: they end together.
+void owner::gang_done(common::time_point now,
+                      job_run& run,
+                      ports::task_name const& name)
+{
+    auto& steps = run.occurrences[name.occurrence].steps[name.step];
+    steps.ready.clear();
+    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
+    {
+        if (steps.tasks[index].phase != task_phase::done)
+        {
+            mark_done(run, {name.job, name.occurrence, name.step, index});
+        }
+    }
+    after_done(now, run);
+}
+
+// Without one member the others wait for nothing, or work for nothing.
+void owner::break_gang(common::time_point now,
+                       job_run& run,
+                       ports::task_name const& name)
+{
+    auto& steps = run.occurrences[name.occurrence].steps[name.step];
+    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
+    {
+        auto& each = steps.tasks[index];
+        if (each.phase == task_phase::starting ||
+            each.phase == task_phase::running)
+        {
+            each.unclear = each.phase == task_phase::starting;
+            each.phase = task_phase::stopping;
+            order_stop(
+                now,
+                each.worker,
+                {{name.job, name.occurrence, name.step, index}, each.attempt});
+        }
+    }
+}
+
 void owner::task_failed(common::time_point now,
                         job_run& run,
                         ports::task_name const& name)
@@ -195,10 +251,9 @@
     auto& each = run.at(name);
     unplace(run, name);
     each.failed_on.push_back(each.worker);
-    bool const lasting = run.step_of(name).lasting;
     count_failure(run, name, each.attempt);
-    if (!lasting && each.failures.size() >= run.rules.attempts &&
-        run.phase == job_phase::active)
+    if (run.phase == job_phase::active &&
+        out_of_attempts(run, name.occurrence, name.step))
     {
         each.phase = task_phase::blocked;
         out_.log(severity::info,
@@ -241,6 +296,10 @@
         {
             make_ready(run, name);
         }
+        if (run.step_of(name).gang)
+        {
+            break_gang(now, run, name);
+        }
         return;
     }
     each.phase = task_phase::blocked;
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -517,21 +517,7 @@
                 }
             }
         }
-        bool hopeless = false;
-        for (auto const& occurrence : run.occurrences)
-        {
-            for (std::size_t number = 0; number < occurrence.steps.size();
-                 ++number)
-            {
-                for (auto const& each : occurrence.steps[number].tasks)
-                {
-                    hopeless = hopeless ||
-                               (!run.spec.steps[number].lasting &&
-                                each.failures.size() >= run.rules.attempts);
-                }
-            }
-        }
-        if (hopeless && run.phase == job_phase::active)
+        if (run.phase == job_phase::active && out_of_attempts(run))
         {
             end_job(now, run, job_phase::failing);
         }
