--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -40,6 +40,7 @@
     auto const harm = bounds.duration_or("harm_ms", 4s, 100ms, 600s);
     auto& stop_after = out.owner.sharing.stop_after;
     stop_after = std::min<core::common::duration>(stop_after, harm / 2);
+    bounds.refuse_unread();
 }
 
 void read_sharing(toml_table table, core::pool::colocation_settings& out)
@@ -52,6 +53,7 @@
         table.duration_or("evict_after_ms", out.evict_after, 0ms, 60s);
     out.stop_after =
         table.duration_or("stop_after_ms", out.stop_after, 0ms, 60s);
+    table.refuse_unread();
 }
 
 std::optional<pool_file> parse(std::shared_ptr<toml_file> const& file,
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -17,6 +17,10 @@
 // off it is: a queue that overflowed, or load that has just turned.
 constexpr double most_error = 1.5;
 
+// A difference in neighbours below this share of a worker explains nothing that
+// can be seen in a tail: it would have to weigh more than any pair does.
+constexpr double least_share = 0.02;
+
 // Disturbances that differ by less, in targets, are as good as each other.
 constexpr double like_the_least = 0.15;
 
@@ -37,6 +41,11 @@
     {
         made[other.image] += other.share;
     }
+    std::erase_if(made,
+                  [](auto const& each)
+                  {
+                      return std::abs(each.second) < least_share;
+                  });
     return made;
 }
 
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -393,9 +393,13 @@
     auto const accepted = run.spec.accepted_unix_ms;
     auto const limit = run.due_unix_ms;
     auto const first = run.first_start_unix_ms;
-    entry.on_durable =
-        [this, id, outcome = run.outcome, accepted, limit, first](
-            common::time_point at)
+    entry.on_durable = [this,
+                        id,
+                        queue = run.spec.queue,
+                        outcome = run.outcome,
+                        accepted,
+                        limit,
+                        first](common::time_point at)
     {
         finals_[id] = outcome;
         final_times_.emplace_back(at, id);
@@ -405,6 +409,7 @@
             severity::info,
             "job_ended",
             {{"job", id},
+             {"queue", queue},
              {"state", std::string(state_name(outcome))},
              {"waited_ms", std::to_string(first > 0 ? first - accepted : -1)},
              {"took_ms", std::to_string(out_.unix_ms(at) - accepted)},
--- a/standins/pool/kv_state.cpp
+++ b/standins/pool/kv_state.cpp
@@ -33,8 +33,8 @@
     if (auto const* const read = std::get_if<ports::kv_read>(&operation))
     {
         auto const found = find(read->key);
-        auto made = reply_of(found ? kv_status::done : kv_status::missing,
-                             revision_);
+        auto made =
+            reply_of(found ? kv_status::done : kv_status::missing, revision_);
         if (found)
         {
             made.items.push_back(*found);
@@ -53,16 +53,14 @@
     {
         return commit(*call);
     }
-    if (auto const* const call =
-            std::get_if<ports::kv_lease_grant>(&operation))
+    if (auto const* const call = std::get_if<ports::kv_lease_grant>(&operation))
     {
         auto made = reply_of(kv_status::done, revision_);
         made.lease = ++next_lease_;
         leases_[made.lease] = {call->ttl, now + call->ttl};
         return made;
     }
-    if (auto const* const call =
-            std::get_if<ports::kv_lease_renew>(&operation))
+    if (auto const* const call = std::get_if<ports::kv_lease_renew>(&operation))
     {
         auto const found = leases_.find(call->lease);
         if (found == leases_.end())
@@ -122,8 +120,7 @@
 std::optional<kv_item> kv_state::find(std::string const& key) const
 {
     auto const found = items_.find(key);
-    return found == items_.end() ? std::nullopt
-                                 : std::optional(found->second);
+    return found == items_.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::optional<time_point> kv_state::next_expiry() const
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -101,9 +101,8 @@
             now - each.began >= std::chrono::milliseconds(each.script.work_ms);
         if (done)
         {
-            over.emplace_back(task,
-                              each.script.fails ? end_kind::failed
-                                                : end_kind::done);
+            over.emplace_back(
+                task, each.script.fails ? end_kind::failed : end_kind::done);
         }
         else if (lapsed)
         {
@@ -223,8 +222,7 @@
     return running_.size();
 }
 
-std::vector<ports::ended_row> const&
-worker_state::acknowledged() const noexcept
+std::vector<ports::ended_row> const& worker_state::acknowledged() const noexcept
 {
     return acknowledged_;
 }
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -72,7 +72,8 @@
     std::uint64_t lease_ms_ = 0;
     std::uint64_t last_end_ = 0;
     std::map<ports::task_name, run> running_;
-    std::map<ports::task_name, std::uint32_t> settled_; ///< No lower run starts.
+    std::map<ports::task_name, std::uint32_t>
+        settled_; ///< No lower run starts.
     std::vector<ports::ended_row> ended_;
     std::vector<ports::ended_row> acknowledged_;
     std::vector<ports::task_run> begun_;
--- /dev/null
+++ b/tests/contract/platform/codec_test.cpp
@@ -0,0 +1,192 @@
+#include "platform/codec.hpp"
+#include "platform/submissions.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia;
+using core::common::failure;
+using core::common::result_code;
+
+namespace
+{
+
+ports::kv_item item(std::string key, std::string value)
+{
+    ports::kv_item made;
+    made.key = std::move(key);
+    made.value = std::move(value);
+    return made;
+}
+
+constexpr char const* good_worker =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
+    R"("capacity":{"cpu":16000,"memMb":32768},"labels":["k","r1-3"],)"
+    R"("clockMs":1,"seq":4,"born":1791417529292})";
+
+} // namespace
+
+TEST(platform_codec, reads_a_worker)
+{
+    failure reason;
+    auto const words = platform::make_directory();
+    auto const worker =
+        words.read_worker(item("servers/i-1", good_worker), reason);
+    ASSERT_TRUE(worker) << to_string(reason);
+    EXPECT_EQ(worker->id, "i-1");
+    EXPECT_EQ(worker->where.port, 8080);
+    EXPECT_EQ(worker->rack, "r1-3");
+    EXPECT_EQ(worker->capacity.millicores, 16000);
+    EXPECT_EQ(worker->capacity.accelerators, 0);
+    EXPECT_EQ(worker->born, 1791417529292U);
+    EXPECT_FALSE(worker->draining);
+}
+
+// Another writer left an entry that is no worker. Taken for one, tasks would be
+// sent nowhere; taken for the end of the list, the good ones would be lost.
+TEST(platform_codec, refuses_entries_that_name_no_worker)
+{
+    auto const words = platform::make_directory();
+    for (auto const* bad :
+         {"",
+          "not json",
+          "[1]",
+          R"({"service":7,"address":"10.0.0.9:1","zone":"a","state":"ready"})",
+          R"({"service":"s","address":"nowhere","zone":"a","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.9:1","zone":"a"})",
+          R"({"service":"s","address":"10.0.0.9:1","zone":"a","state":"odd"})"})
+    {
+        failure reason;
+        EXPECT_FALSE(words.read_worker(item("servers/i-1", bad), reason))
+            << bad;
+        EXPECT_NE(reason.code, result_code::ok) << bad;
+    }
+}
+
+TEST(platform_codec, reads_the_configuration)
+{
+    failure reason;
+    auto const words = platform::make_directory();
+    auto const change = words.read_operator(
+        item("op/config",
+             R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+             R"("prefix":"/p/","targetDurationMs":250,"priority":2,)"
+             R"("service":"s","attempts":3,"stretch":1.5}],"services":)"
+             R"([{"name":"s","enforcesCapacity":true,"standby":false}]})"),
+        reason);
+    ASSERT_TRUE(change) << to_string(reason);
+    auto const& config = std::get<core::pool::configuration>(*change);
+    EXPECT_EQ(config.version, 7U);
+    auto const* queue = config.find("h.example", "/p/123");
+    ASSERT_NE(queue, nullptr);
+    EXPECT_EQ(queue->attempts, 3U);
+    EXPECT_DOUBLE_EQ(queue->stretch, 1.5);
+    EXPECT_EQ(config.find("other.example", "/p/123"), nullptr);
+}
+
+TEST(platform_codec, reads_a_data_centre_taken_out_and_back)
+{
+    failure reason;
+    auto const words = platform::make_directory();
+    auto gone = item("op/evacuate/a", "e30=");
+    auto const out = words.read_operator(gone, reason);
+    ASSERT_TRUE(out);
+    EXPECT_TRUE(std::get<core::pool::data_centre_change>(*out).out);
+    gone.erased = true;
+    auto const back = words.read_operator(gone, reason);
+    ASSERT_TRUE(back);
+    EXPECT_FALSE(std::get<core::pool::data_centre_change>(*back).out);
+}
+
+TEST(platform_codec, reads_a_submission)
+{
+    failure reason;
+    auto const job = platform::decode_job(
+        R"({"taskSpec":"x","steps":[{"count":4,"cpu":500,"memMb":256,)"
+        R"("estimateMs":900,"affinity":"r1-3"},{"count":2,"after":[0],)"
+        R"("longRunning":true,"image":"i","targetMs":150,"mayMiss":1}]})",
+        reason);
+    ASSERT_TRUE(job) << to_string(reason);
+    ASSERT_EQ(job->steps.size(), 2U);
+    EXPECT_EQ(job->steps[0].near_rack, "r1-3");
+    EXPECT_EQ(job->steps[1].after, std::vector<std::uint32_t>{0});
+    EXPECT_TRUE(job->steps[1].lasting);
+    EXPECT_EQ(job->steps[1].tail_target, std::chrono::milliseconds(150));
+    EXPECT_EQ(job->occurrences, 1U);
+}
+
+TEST(platform_codec, task_names_survive_the_way_there_and_back)
+{
+    ports::task_name const name{"5c0e7a21d94b36f8", 2, 1, 17};
+    EXPECT_EQ(platform::encode(name), "5c0e7a21d94b36f8.2.1.17");
+    EXPECT_EQ(platform::decode_task_name("5c0e7a21d94b36f8.2.1.17"), name);
+    for (auto const* bad : {"", "a.1.2", "a.1.2.3.4", "a.x.2.3", "a.1.2."})
+    {
+        EXPECT_FALSE(platform::decode_task_name(bad)) << bad;
+    }
+}
+
+TEST(platform_codec, reads_the_answers_of_a_worker)
+{
+    using ports::order_status;
+    struct answer_case
+    {
+        std::uint16_t status;
+        char const* body;
+        order_status wanted;
+    };
+    for (auto const& each : {
+             answer_case{200, R"({"clockMs":5})", order_status::done},
+             answer_case{
+                 409, R"({"reason":"fence"})", order_status::stale_fence},
+             answer_case{409, R"({"reason":"old"})", order_status::superseded},
+             answer_case{409, R"({"reason":"late"})", order_status::late},
+             answer_case{409, R"({"reason":"room"})", order_status::no_room},
+             answer_case{
+                 409, R"({"reason":"ticket"})", order_status::no_ticket},
+             answer_case{421, "", order_status::other_instance},
+             answer_case{400, "", order_status::invalid},
+             answer_case{503, "", order_status::unhealthy},
+             answer_case{500, "", order_status::unclear},
+         })
+    {
+        failure reason;
+        EXPECT_EQ(
+            platform::decode_order_reply(each.status, each.body, reason).status,
+            each.wanted)
+            << each.status << each.body;
+    }
+    failure reason;
+    auto const held = platform::decode_order_reply(
+        200,
+        R"({"clockMs":482113,"born":9,"running":[["a.0.1.17",2,"c",41,77]],)"
+        R"("ended":[[58,"a.0.1.9",1,"done",""],[59,"?",1,"done",""]]})",
+        reason);
+    ASSERT_EQ(held.running.size(), 1U);
+    EXPECT_EQ(held.running.front().level, 77);
+    EXPECT_EQ(held.running.front().percent, 41U);
+    ASSERT_EQ(held.ended.size(), 1U);
+    EXPECT_EQ(held.ended.front().how, ports::end_kind::done);
+    // The row that can't be read is told, not swallowed.
+    EXPECT_EQ(reason.code, result_code::wrong_type);
+}
+
+TEST(platform_codec, answers_say_what_a_client_may_conclude)
+{
+    EXPECT_EQ(platform::encode(ports::job_accepted{}).status, 200);
+    auto const refused = platform::encode(
+        ports::job_refused{{result_code::store_unavailable, "", ""},
+                           std::chrono::milliseconds(500)});
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(refused.header("Retry-After"), "1");
+    EXPECT_EQ(platform::encode(
+                  ports::job_unknown{{result_code::store_unclear, "", ""}})
+                  .status,
+              504);
+    EXPECT_EQ(platform::encode(ports::job_absent{}).status, 410);
+    EXPECT_EQ(platform::encode(ports::queue_absent{}).status, 404);
+    EXPECT_EQ(
+        platform::encode(ports::job_status{ports::job_state::failed}).body,
+        R"({"state":"failed"})");
+    EXPECT_EQ(platform::encode(ports::queue_status{12}).body,
+              R"({"pending":12})");
+}
--- /dev/null
+++ b/tests/contract/platform/settings_test.cpp
@@ -0,0 +1,68 @@
+#include "adapters/settings/pool_settings.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <map>
+#include <sstream>
+
+using namespace fuchsia;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string filled_template()
+{
+    std::ifstream file(std::string(FUCHSIA_SOURCE_DIR) + "/platform/pool.toml");
+    std::stringstream text;
+    text << file.rdbuf();
+    auto filled = text.str();
+    std::map<std::string, std::string> const values{
+        {"{{nodeName}}", "edge-a-1"},
+        {"{{zone}}", "a"},
+        {"{{listen.frontend}}", "10.1.0.13:8161"},
+        {"{{listen.readiness}}", "10.1.0.13:8167"},
+        {"{{ip}}", "10.1.0.13"},
+        {"{{platform.address}}", "10.200.1.7:8169"},
+        {"{{platform.minTtlMs}}", "1500"},
+        {"{{bounds.maxHoldMs}}", "3000"},
+        {"{{bounds.graceS}}", "6"},
+        {"{{bounds.status_s}}", "120"},
+        {"{{bounds.impactMs}}", "2000"}};
+    for (auto const& [name, value] : values)
+    {
+        for (auto at = filled.find(name); at != std::string::npos;
+             at = filled.find(name))
+        {
+            filled.replace(at, name.size(), value);
+        }
+    }
+    return filled;
+}
+
+} // namespace
+
+TEST(pool_settings, the_template_gives_settings_that_keep_to_the_bounds)
+{
+    core::common::failure reason;
+    auto const file = adapters::settings::parse_pool_settings(
+        filled_template(), "pool.toml", reason);
+    ASSERT_TRUE(file) << to_string(reason);
+    EXPECT_EQ(file->name, "edge-a-1");
+    EXPECT_EQ(file->store.port, 8169);
+    EXPECT_EQ(file->pool.claim.ttl, 1500ms);
+    EXPECT_EQ(file->pool.owner.workers.lease, 3000ms);
+    EXPECT_EQ(file->pool.owner.sharing.stop_after, 1000ms);
+    EXPECT_LE(file->pool.stop_limit, 4500ms);
+}
+
+// A wrong key would leave a default in force that nobody asked for.
+TEST(pool_settings, a_wrong_key_is_named_with_its_line)
+{
+    core::common::failure reason;
+    auto const text = filled_template() + "\n[sharing]\nkep = 1.0\n";
+    EXPECT_FALSE(
+        adapters::settings::parse_pool_settings(text, "pool.toml", reason));
+    EXPECT_NE(to_string(reason).find("kep"), std::string::npos);
+    EXPECT_NE(to_string(reason).find("pool.toml:"), std::string::npos);
+}
--- /dev/null
+++ b/tests/unit/pool/colocation_test.cpp
@@ -0,0 +1,187 @@
+#include "core/pool/colocation.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace fuchsia::core::pool;
+using namespace std::chrono_literals;
+namespace ports = fuchsia::ports;
+using fuchsia::core::common::time_point;
+
+namespace
+{
+
+// What was measured: a tail without load is a sixth of its target, load takes
+// headroom in proportion, a heavy neighbour takes 8 targets a worker.
+constexpr double idle_headroom = 6;
+constexpr double heavy = 8;
+
+struct step_readings
+{
+    std::vector<serving_reading> readings;
+
+    std::vector<serving_reading const*> with_last(std::size_t last) const
+    {
+        std::vector<serving_reading const*> made;
+        for (std::size_t index = 0; index < readings.size(); ++index)
+        {
+            if (index != last)
+            {
+                made.push_back(&readings[index]);
+            }
+        }
+        made.push_back(&readings[last]);
+        return made;
+    }
+};
+
+// Readings of a step of six tasks under one load, beside random amounts of a
+// heavy and of a harmless image, and some noise.
+step_readings draw(std::mt19937& random,
+                   std::uint16_t heavy_image,
+                   std::uint16_t light_image,
+                   double load)
+{
+    std::uniform_real_distribution<double> share(0, 0.2);
+    std::normal_distribution<double> noise(0, 0.2);
+    step_readings made;
+    for (int task = 0; task < 6; ++task)
+    {
+        double const beside = share(random);
+        double const harmless = 2 * share(random);
+        serving_reading reading;
+        reading.headroom = std::max(
+            0.1, idle_headroom * (1 - load) - heavy * beside + noise(random));
+        reading.beside = {{heavy_image, beside}, {light_image, harmless}};
+        made.readings.push_back(reading);
+    }
+    return made;
+}
+
+fill_view make_fill(std::uint16_t image, double share, std::uint32_t index)
+{
+    fill_view made;
+    made.name = {"fill", 0, 0, index};
+    made.image = image;
+    made.declared = share;
+    made.used = share;
+    return made;
+}
+
+struct learned_pair : testing::Test
+{
+    learned_pair()
+    {
+        std::mt19937 random(7);
+        for (int second = 0; second < 200; ++second)
+        {
+            // The load swings, as that of real users does.
+            double const load = 0.48 + 0.24 * std::sin(second / 10.0);
+            auto const seen = draw(random, heavy_image, light_image, load);
+            for (std::size_t task = 0; task < seen.readings.size(); ++task)
+            {
+                sharing.learn(image, seen.with_last(task));
+            }
+        }
+    }
+
+    colocation sharing{colocation_settings{}};
+    std::uint16_t image = sharing.number_of("serving");
+    std::uint16_t heavy_image = sharing.number_of("heavy");
+    std::uint16_t light_image = sharing.number_of("light");
+};
+
+} // namespace
+
+// The load of the users swings much further than the disturbance of a
+// neighbour. Taken for each other, harmless work would be kept waiting and
+// disturbing work let in: callers would wait at every peak.
+TEST_F(learned_pair, tells_heavy_from_harmless_under_a_swinging_load)
+{
+    worker_view alone;
+    alone.serving.push_back({image, 3, 3});
+    EXPECT_NEAR(sharing.worst_weight(alone, heavy_image), heavy, 2);
+    EXPECT_LT(sharing.worst_weight(alone, light_image), 1);
+}
+
+// At a peak of the load a heavy neighbour finds no place, a harmless one does;
+// in a trough both do.
+TEST_F(learned_pair, places_by_load_and_pair)
+{
+    auto const limit = sharing.settings().place_above;
+    worker_view peak;
+    peak.serving.push_back({image, 1.8, 1.8});
+    EXPECT_LT(sharing.expected(peak, heavy_image, 0.15), limit);
+    EXPECT_GT(sharing.expected(peak, light_image, 0.15), limit);
+    worker_view trough;
+    trough.serving.push_back({image, 4.5, 4.5});
+    EXPECT_GT(sharing.expected(trough, heavy_image, 0.15), limit);
+}
+
+// Only the culprit is slowed, and only as far as the serving task needs.
+TEST_F(learned_pair, slows_the_culprit_and_no_other)
+{
+    worker_view seen;
+    seen.serving.push_back({image, 1.0, 2.5});
+    seen.fills.push_back(make_fill(heavy_image, 0.3, 0));
+    seen.fills.push_back(make_fill(light_image, 0.3, 1));
+    time_point over{};
+    auto const changes = sharing.paces(seen, time_point(1s), over);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().name.index, 0U);
+    EXPECT_GT(changes.front().percent, 30U);
+    EXPECT_LT(changes.front().percent, 70U);
+}
+
+// A serving task stays over its target although nobody is known to disturb it.
+// Before its users are harmed for four seconds, everything beside it stops.
+TEST_F(learned_pair, stops_all_before_users_are_harmed)
+{
+    worker_view seen;
+    seen.serving.push_back({image, 0.5, 4});
+    seen.fills.push_back(make_fill(light_image, 0.3, 0));
+    time_point over{};
+    EXPECT_TRUE(sharing.paces(seen, time_point(10s), over).empty());
+    auto const changes = sharing.paces(seen, time_point(11600ms), over);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().percent, 0U);
+}
+
+// A pair that was never seen is taken for a heavy one: tried in a trough, and
+// not at a peak, where a wrong guess costs the users.
+TEST(colocation, tries_an_unknown_pair_where_there_is_room)
+{
+    colocation sharing{colocation_settings{}};
+    auto const image = sharing.number_of("serving");
+    auto const unknown = sharing.number_of("unknown");
+    worker_view trough;
+    trough.serving.push_back({image, 4, 4});
+    worker_view peak;
+    peak.serving.push_back({image, 1.8, 1.8});
+    auto const limit = sharing.settings().place_above;
+    EXPECT_GT(sharing.expected(trough, unknown, 0.15), limit);
+    EXPECT_LT(sharing.expected(peak, unknown, 0.15), limit);
+}
+
+// A task that has hardly begun teaches nothing, whatever the tail does.
+TEST(colocation, a_tiny_neighbour_is_not_blamed)
+{
+    colocation sharing{colocation_settings{}};
+    auto const image = sharing.number_of("serving");
+    auto const tiny = sharing.number_of("tiny");
+    serving_reading calm;
+    calm.headroom = 3;
+    serving_reading hit;
+    hit.headroom = 0.5;
+    hit.beside = {{tiny, 0.003}};
+    for (int repeat = 0; repeat < 100; ++repeat)
+    {
+        sharing.learn(image, {&calm, &calm, &hit});
+    }
+    worker_view seen;
+    seen.serving.push_back({image, 3, 3});
+
+    EXPECT_DOUBLE_EQ(sharing.worst_weight(seen, tiny),
+                     sharing.settings().prior);
+}
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -51,8 +51,8 @@
 {
     pool_world world;
     settle(world);
-    world.store_fault = [](std::size_t instance,
-                           ports::kv_operation const& operation)
+    world.store_fault =
+        [](std::size_t instance, ports::kv_operation const& operation)
     {
         bool const hit = instance == 1 &&
                          std::holds_alternative<ports::kv_commit>(operation);
@@ -87,8 +87,8 @@
 {
     pool_world world;
     settle(world);
-    world.store_fault = [](std::size_t instance,
-                           ports::kv_operation const& operation)
+    world.store_fault =
+        [](std::size_t instance, ports::kv_operation const& operation)
     {
         bool const hit = instance == 1 &&
                          std::holds_alternative<ports::kv_commit>(operation);
@@ -109,10 +109,10 @@
         pool_world world;
         settle(world);
         int hits = 0;
-        world.worker_fault = [&hits, victim](
-                                 std::size_t,
-                                 std::size_t worker,
-                                 ports::pool_operation const& operation)
+        world.worker_fault =
+            [&hits, victim](std::size_t,
+                            std::size_t worker,
+                            ports::pool_operation const& operation)
         {
             bool const hit =
                 worker == victim && hits < 3 &&
@@ -162,9 +162,8 @@
     settle(world);
     world.submit(1, "a", simple_job(8, 2500ms));
     world.run(300ms);
-    world.worker_fault = [](std::size_t,
-                            std::size_t worker,
-                            ports::pool_operation const&)
+    world.worker_fault =
+        [](std::size_t, std::size_t worker, ports::pool_operation const&)
     {
         return worker == 0 ? fate::lost : fate::carried_out;
     };
@@ -180,9 +179,8 @@
     settle(world);
     world.submit(1, "a", simple_job(8, 20s));
     world.run(300ms);
-    world.worker_fault = [](std::size_t,
-                            std::size_t worker,
-                            ports::pool_operation const&)
+    world.worker_fault =
+        [](std::size_t, std::size_t worker, ports::pool_operation const&)
     {
         return worker == 0 ? fate::answer_lost : fate::carried_out;
     };
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -35,8 +35,9 @@
     core::pool::directory made;
     made.workers_prefix = "workers/";
     made.operators_prefix = "operators/";
-    made.read_worker = [](ports::kv_item const& item, core::common::failure&)
-        -> std::optional<ports::pool_worker>
+    made.read_worker =
+        [](ports::kv_item const& item,
+           core::common::failure&) -> std::optional<ports::pool_worker>
     {
         // "number born draining"
         auto const born = item.value.find(' ');
@@ -45,8 +46,9 @@
         worker.draining = item.value.ends_with("draining");
         return worker;
     };
-    made.read_operator = [](ports::kv_item const& item, core::common::failure&)
-        -> std::optional<core::pool::operator_change>
+    made.read_operator =
+        [](ports::kv_item const& item,
+           core::common::failure&) -> std::optional<core::pool::operator_change>
     {
         constexpr std::string_view out = "operators/out/";
         if (item.key.starts_with(out))
@@ -78,8 +80,7 @@
     step.declared = {1000, 100, 0};
     step.estimate = work;
     made.steps.push_back(step);
-    made.spec =
-        "work=" + std::to_string(core::common::to_milliseconds(work));
+    made.spec = "work=" + std::to_string(core::common::to_milliseconds(work));
     return made;
 }
 
@@ -234,8 +235,7 @@
     {
         auto const& each = instances_[number];
         if (each.engine && each.engine->owned() != nullptr &&
-            each.engine->owned()->loaded() &&
-            store_.find("pool/claim") &&
+            each.engine->owned()->loaded() && store_.find("pool/claim") &&
             store_.find("pool/claim")->created ==
                 each.engine->claimed().epoch())
         {
@@ -348,10 +348,11 @@
 
 void pool_world::call_store(std::size_t number, ports::kv_call const& call)
 {
-    auto const what = store_fault ? store_fault(number, call.operation)
-                                  : fate::carried_out;
+    auto const what =
+        store_fault ? store_fault(number, call.operation) : fate::carried_out;
     auto const life = instances_[number].life;
-    auto const tell = [this, number, life, id = call.id](ports::kv_status status)
+    auto const tell =
+        [this, number, life, id = call.id](ports::kv_status status)
     {
         if (instances_[number].life == life)
         {
@@ -390,10 +391,8 @@
     timeline_.after(delay,
                     [this, number, life, call, what]
                     {
-                        apply_store(number,
-                                    life,
-                                    call,
-                                    what == fate::carried_out);
+                        apply_store(
+                            number, life, call, what == fate::carried_out);
                     });
 }
 
@@ -504,10 +503,8 @@
     timeline_.after(what == fate::late ? late_by : worker_delay,
                     [this, number, life, order, what]
                     {
-                        apply_worker(number,
-                                     life,
-                                     order,
-                                     what == fate::carried_out);
+                        apply_worker(
+                            number, life, order, what == fate::carried_out);
                     });
 }
 
@@ -531,8 +528,7 @@
     }
     reply.id = order.id;
     // A hold waits for an end; the stand-in answers after a tenth of that.
-    auto const* const hold =
-        std::get_if<ports::hold_order>(&order.operation);
+    auto const* const hold = std::get_if<ports::hold_order>(&order.operation);
     auto const wait = hold != nullptr ? hold->wait / 10 : duration{};
     timeline_.after(wait + worker_delay,
                     [this, number, life, reply]
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -28,10 +28,10 @@
 enum class fate : std::uint8_t
 {
     carried_out,
-    answer_lost,   ///< Carried out; the caller hears nothing.
-    refused,       ///< Nothing was done, and the caller is told.
-    lost,          ///< Nothing was done; the caller hears nothing.
-    late,          ///< Carried out 2 s later; the caller hears nothing.
+    answer_lost, ///< Carried out; the caller hears nothing.
+    refused,     ///< Nothing was done, and the caller is told.
+    lost,        ///< Nothing was done; the caller hears nothing.
+    late,        ///< Carried out 2 s later; the caller hears nothing.
 };
 
 class pool_world
@@ -44,9 +44,8 @@
     bool run_until(std::function<bool()> const& holds, duration patience = 30s);
 
     /// Hands a job in at an instance; the answer goes to `answers`.
-    std::uint64_t submit(std::size_t instance,
-                         std::string const& id,
-                         core::pool::job what);
+    std::uint64_t
+    submit(std::size_t instance, std::string const& id, core::pool::job what);
     std::uint64_t cancel(std::size_t instance, std::string const& id);
     std::uint64_t query(std::size_t instance, std::string const& id);
     std::optional<ports::job_answer> answer(std::uint64_t request) const;
@@ -72,9 +71,8 @@
     /// Decide what happens to calls; may be empty.
     std::function<fate(std::size_t instance, ports::kv_operation const&)>
         store_fault;
-    std::function<fate(std::size_t instance,
-                       std::size_t worker,
-                       ports::pool_operation const&)>
+    std::function<fate(
+        std::size_t instance, std::size_t worker, ports::pool_operation const&)>
         worker_fault;
 
     /// The first promise that was broken; empty: none.
@@ -127,7 +125,7 @@
         time_point until{};
     };
     std::vector<waiting_watch> watches_;
-    std::set<ports::task_name> done_; ///< Acknowledged as done.
+    std::set<ports::task_name> done_;                ///< Acknowledged as done.
     std::map<ports::task_name, std::size_t> failed_; ///< Acknowledged failures.
     std::map<std::string, std::size_t> attempts_of_queue_;
     std::string violation_;
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -105,8 +105,8 @@
         bool const cut = worker == 2 && instance != owner;
         return cut ? fate::lost : fate::carried_out;
     };
-    world.store_fault = [owner](std::size_t instance,
-                                ports::kv_operation const&)
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const&)
     {
         return instance == owner ? fate::lost : fate::carried_out;
     };
