The users' platform as a stand-in process; two process tests of the pool

Three real instances: the owner killed with SIGKILL, and all stopped in turn. fuchsia-standin pool speaks the platform's formats and counts what its workers saw. The HTTP client takes a Host header of the caller's.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -215,11 +215,14 @@
         message_.version(11);
         message_.method_string(call_.message.method);
         message_.target(call_.message.target);
-        message_.set(beast::http::field::host, to_string(where_));
         for (auto const& header : call_.message.headers)
         {
             message_.insert(header.name, header.value);
         }
+        if (message_.find(beast::http::field::host) == message_.end())
+        {
+            message_.set(beast::http::field::host, to_string(where_));
+        }
         message_.keep_alive(true);
         message_.body() = std::move(call_.message.body);
         message_.prepare_payload();
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -87,6 +87,8 @@
         add("platform", "key-value store and list of instances");
     auto const* upstreams = add("upstreams", "executors of callers' requests");
     auto const* workers = add("workers", "workers that run tasks");
+    auto const* pool =
+        add("pool", "the users' platform: its store and some workers");
     add("links", "TCP relays that delay or cut");
     CLI11_PARSE(app, argc, argv);
     if (platform->parsed())
@@ -107,6 +109,12 @@
                      standins::workers::worker_settings>(
             "workers", path, standins::read_worker_settings);
     }
+    if (pool->parsed())
+    {
+        return serve<standins::pool::pool_server,
+                     standins::pool::pool_server_settings>(
+            "pool", path, standins::read_pool_settings);
+    }
     return serve<standins::links::link_server, standins::links::links_settings>(
         "links", path, standins::read_link_settings);
 }
--- /dev/null
+++ b/standins/pool/pool_codec.cpp
@@ -0,0 +1,296 @@
+#include "standins/pool/pool_codec.hpp"
+
+#include "adapters/platform/base64.hpp"
+#include "core/common/json.hpp"
+#include "platform/codec.hpp"
+#include "standins/common/web.hpp"
+
+#include <array>
+#include <utility>
+
+namespace fuchsia::standins::pool
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using adapters::platform::from_base64;
+using adapters::platform::to_base64;
+
+std::uint64_t number(json::object const& from, char const* key)
+{
+    auto const* const found = from.if_contains(key);
+    return found != nullptr && found->is_int64()
+               ? static_cast<std::uint64_t>(found->as_int64())
+               : 0;
+}
+
+std::string text(json::object const& from, char const* key)
+{
+    auto const* const found = from.if_contains(key);
+    return found != nullptr && found->is_string()
+               ? std::string(found->as_string())
+               : std::string();
+}
+
+std::optional<json::object> body_of(adapters::http::request const& request)
+{
+    core::common::failure reason;
+    return core::common::parse_json_object(
+        request.body.empty() ? "{}" : request.body, "body", reason);
+}
+
+json::object to_object(ports::kv_item const& item)
+{
+    json::object made{{"key", item.key}, {"revision", item.revision}};
+    if (item.erased)
+    {
+        made["deleted"] = true;
+        return made;
+    }
+    made["value"] = to_base64(item.value);
+    made["created"] = item.created;
+    made["leaseId"] = item.lease;
+    return made;
+}
+
+json::array to_array(std::vector<ports::kv_item> const& items)
+{
+    json::array made;
+    for (auto const& each : items)
+    {
+        made.push_back(to_object(each));
+    }
+    return made;
+}
+
+ports::kv_commit decode_commit(json::object const& body)
+{
+    ports::kv_commit made;
+    for (auto const& each : body.at("expectedRev").as_array())
+    {
+        made.expected.push_back({text(each.as_object(), "key"),
+                                 number(each.as_object(), "revision")});
+    }
+    for (auto const& each : body.at("puts").as_array())
+    {
+        auto const& put = each.as_object();
+        made.puts.push_back({text(put, "key"),
+                             from_base64(text(put, "value")).value_or(""),
+                             number(put, "leaseId")});
+    }
+    for (auto const& each : body.at("remove").as_array())
+    {
+        made.erases.emplace_back(each.as_string());
+    }
+    return made;
+}
+
+std::uint16_t status_of(ports::kv_status status)
+{
+    switch (status)
+    {
+    case ports::kv_status::done:
+        return 200;
+    case ports::kv_status::conflict:
+        return 412;
+    case ports::kv_status::missing:
+        return 404;
+    case ports::kv_status::compacted:
+        return 410;
+    case ports::kv_status::refused:
+    case ports::kv_status::unclear:
+        break;
+    }
+    return 503;
+}
+
+} // namespace
+
+std::optional<ports::kv_operation>
+decode_store_call(adapters::http::request const& request)
+{
+    auto const target = parse_target(request.target);
+    auto const body = body_of(request);
+    if (!target || !body)
+    {
+        return std::nullopt;
+    }
+    if (target->path == "/v1/kv-key")
+    {
+        return ports::kv_read{std::string(target->text("key"))};
+    }
+    if (target->path == "/v1/kv-range")
+    {
+        return ports::kv_range{std::string(target->text("prefix")),
+                               std::string(target->text("after"))};
+    }
+    if (target->path == "/v1/kv-watch")
+    {
+        return ports::kv_watch{
+            std::string(target->text("prefix")),
+            target->number("after").value_or(0),
+            std::chrono::milliseconds(target->number("waitMs").value_or(0))};
+    }
+    if (target->path == "/v1/kv-txn")
+    {
+        return decode_commit(*body);
+    }
+    if (target->path == "/v1/kv-lease")
+    {
+        return ports::kv_lease_grant{
+            std::chrono::milliseconds(number(*body, "ttlMs"))};
+    }
+    if (auto const lease = target->after("/v1/kv-keep/"))
+    {
+        return ports::kv_lease_renew{parse_number(*lease).value_or(0)};
+    }
+    if (auto const lease = target->after("/v1/kv-lease-end/"))
+    {
+        return ports::kv_lease_end{parse_number(*lease).value_or(0)};
+    }
+    return std::nullopt;
+}
+
+adapters::http::response encode(ports::kv_operation const& call,
+                                ports::kv_reply const& reply)
+{
+    json::object body{{"atRevision", reply.revision}};
+    bool const one = std::holds_alternative<ports::kv_read>(call);
+    if (one && !reply.items.empty())
+    {
+        body = to_object(reply.items.front());
+        body["atRevision"] = reply.revision;
+    }
+    else if (std::holds_alternative<ports::kv_watch>(call))
+    {
+        body["events"] = to_array(reply.items);
+    }
+    else if (std::holds_alternative<ports::kv_commit>(call))
+    {
+        body = {{"revision", reply.revision}, {"items", to_array(reply.items)}};
+    }
+    else
+    {
+        body["items"] = to_array(reply.items);
+        body["hasMore"] = reply.more;
+        body["leaseId"] = reply.lease;
+    }
+    return adapters::http::json_response(status_of(reply.status),
+                                         json::serialize(body));
+}
+
+std::optional<ports::pool_operation>
+decode_order(adapters::http::request const& request)
+{
+    auto const body = body_of(request);
+    if (!body)
+    {
+        return std::nullopt;
+    }
+    auto const fence = number(*body, "fenceToken");
+    if (request.target == "/v1/hold")
+    {
+        return ports::hold_order{
+            fence,
+            number(*body, "lastSeen"),
+            number(*body, "untilMs"),
+            std::chrono::milliseconds(number(*body, "waitMs"))};
+    }
+    auto const name = platform::decode_task_name(text(*body, "task"));
+    if (!name)
+    {
+        return std::nullopt;
+    }
+    ports::task_run const what{
+        *name, static_cast<std::uint32_t>(number(*body, "attempt"))};
+    if (request.target == "/v1/run-start")
+    {
+        return ports::start_order{fence,
+                                  what,
+                                  text(*body, "taskSpec"),
+                                  number(*body, "untilMs"),
+                                  text(*body, "checkpoint")};
+    }
+    if (request.target == "/v1/run-stop")
+    {
+        return ports::stop_order{fence, what};
+    }
+    if (request.target == "/v1/pace")
+    {
+        return ports::pace_order{
+            fence, what, static_cast<std::uint32_t>(number(*body, "percent"))};
+    }
+    return std::nullopt;
+}
+
+adapters::http::response encode(ports::order_reply const& reply)
+{
+    using ports::order_status;
+    json::object body{{"clockMs", reply.clock_ms}, {"born", reply.born}};
+    if (reply.status != order_status::done)
+    {
+        body["reason"] = reply.status == order_status::stale_fence  ? "fence"
+                         : reply.status == order_status::superseded ? "old"
+                         : reply.status == order_status::late       ? "late"
+                                                                    : "room";
+        return adapters::http::json_response(409, json::serialize(body));
+    }
+    constexpr std::array<char const*, 6> kinds{
+        "done", "failed", "stopped", "lapsed", "broken", "alone"};
+    json::array running;
+    for (auto const& row : reply.running)
+    {
+        running.push_back(json::array{platform::encode(row.what.task),
+                                      row.what.attempt,
+                                      row.checkpoint,
+                                      row.percent,
+                                      row.level});
+    }
+    json::array ended;
+    for (auto const& row : reply.ended)
+    {
+        ended.push_back(json::array{row.number,
+                                    platform::encode(row.what.task),
+                                    row.what.attempt,
+                                    kinds[static_cast<std::size_t>(row.how)],
+                                    row.checkpoint});
+    }
+    body["running"] = std::move(running);
+    body["ended"] = std::move(ended);
+    return adapters::http::json_response(200, json::serialize(body));
+}
+
+std::string encode(ports::pool_worker const& worker)
+{
+    json::object const made{
+        {"service", worker.service},
+        {"address", adapters::http::to_string(worker.where)},
+        {"zone", worker.data_centre},
+        {"state", worker.draining ? "draining" : "ready"},
+        {"capacity",
+         json::object{{"cpu", worker.capacity.millicores},
+                      {"memMb", worker.capacity.memory_mb},
+                      {"gpu", worker.capacity.accelerators}}},
+        {"labels", json::array{"a", worker.rack}},
+        {"born", worker.born}};
+    return json::serialize(made);
+}
+
+std::string encode_config(std::string const& host, std::string const& prefix)
+{
+    json::object const queue{{"name", "jobs"},
+                             {"host", host},
+                             {"prefix", prefix},
+                             {"service", "pool"},
+                             {"attempts", 3},
+                             {"stretch", 1.5},
+                             {"targetDurationMs", 1000}};
+    json::object const service{{"name", "pool"}, {"enforcesCapacity", true}};
+    return json::serialize(json::object{{"version", 1},
+                                        {"routes", json::array{queue}},
+                                        {"services", json::array{service}}});
+}
+
+} // namespace fuchsia::standins::pool
--- /dev/null
+++ b/standins/pool/pool_codec.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "adapters/http/message.hpp"
+#include "ports/kv.hpp"
+#include "ports/pool_workers.hpp"
+
+#include <optional>
+#include <string>
+
+// The platform's formats from its own side: requests in, answers out.
+namespace fuchsia::standins::pool
+{
+
+std::optional<ports::kv_operation>
+decode_store_call(adapters::http::request const& request);
+adapters::http::response encode(ports::kv_operation const& call,
+                                ports::kv_reply const& reply);
+
+std::optional<ports::pool_operation>
+decode_order(adapters::http::request const& request);
+adapters::http::response encode(ports::order_reply const& reply);
+
+/// A worker's entry in the store's list.
+std::string encode(ports::pool_worker const& worker);
+/// The operators' configuration with one queue.
+std::string encode_config(std::string const& host, std::string const& prefix);
+
+} // namespace fuchsia::standins::pool
--- a/standins/settings.cpp
+++ b/standins/settings.cpp
@@ -217,6 +217,19 @@
     return settings;
 }
 
+pool::pool_server_settings read_pool_settings(toml_table& root)
+{
+    pool::pool_server_settings made;
+    made.store = root.endpoint("store");
+    made.first_worker_port = static_cast<std::uint16_t>(
+        root.integer("first_worker_port", 1, max_port));
+    made.workers = natural(root, "workers", made.workers, 1, max_instances);
+    made.host = root.text_or("host", made.host);
+    made.prefix = root.text_or("prefix", made.prefix);
+    root.refuse_unread();
+    return made;
+}
+
 links::links_settings read_link_settings(toml_table& root)
 {
     links::links_settings settings;
--- a/standins/settings.hpp
+++ b/standins/settings.hpp
@@ -4,6 +4,7 @@
 #include "ports/actions.hpp"
 #include "standins/links/link_server.hpp"
 #include "standins/platform/platform_server.hpp"
+#include "standins/pool/pool_server.hpp"
 #include "standins/upstreams/upstream_server.hpp"
 #include "standins/workers/worker_server.hpp"
 
@@ -24,6 +25,8 @@
 read_upstream_settings(adapters::settings::toml_table& root);
 workers::worker_settings
 read_worker_settings(adapters::settings::toml_table& root);
+pool::pool_server_settings
+read_pool_settings(adapters::settings::toml_table& root);
 links::links_settings read_link_settings(adapters::settings::toml_table& root);
 
 } // namespace fuchsia::standins
--- /dev/null
+++ b/tests/process/pool_test.cpp
@@ -0,0 +1,276 @@
+#include "adapters/http/client.hpp"
+#include "process/child.hpp"
+#include "process/own_address.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <csignal>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+#include <thread>
+
+// Three real instances against the stand-in of the platform.
+using namespace fuchsia;
+using namespace std::chrono_literals;
+using tests::process::child;
+
+namespace
+{
+
+constexpr auto patience = 60s;
+constexpr std::size_t instances = 3;
+constexpr char const* job_of_four =
+    R"({"taskSpec":"work=1500","steps":[{"count":4,"cpu":1000,"memMb":100,)"
+    R"("estimateMs":1500},{"count":4,"cpu":1000,"memMb":100,)"
+    R"("estimateMs":1500,"after":[0]}]})";
+
+template<class Condition>
+bool eventually(Condition holds)
+{
+    auto const until = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (holds())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    return false;
+}
+
+class deployment
+{
+public:
+    deployment()
+        : folder_(std::filesystem::temp_directory_path() /
+                  ("fuchsia-pool-" + std::to_string(::getpid())))
+    {
+        std::filesystem::create_directories(folder_);
+        store_port_ = tests::process::next_port();
+        auto const first_worker = tests::process::next_port();
+        constexpr int workers = 4;
+        for (int used = 1; used < workers; ++used)
+        {
+            tests::process::next_port();
+        }
+        write("standin.toml",
+              "store = \"" + at(store_port_) +
+                  "\"\nfirst_worker_port = " + std::to_string(first_worker) +
+                  "\nworkers = " + std::to_string(workers) + "\n");
+        platform_.emplace_back("fuchsia-standin",
+                               std::vector<std::string>{
+                                   "pool", "--settings", path("standin.toml")},
+                               path("standin.log"));
+        for (std::size_t number = 0; number < instances; ++number)
+        {
+            submissions_.push_back(tests::process::next_port());
+            readiness_.push_back(tests::process::next_port());
+            metrics_.push_back(tests::process::next_port());
+            start(number);
+        }
+    }
+
+    ~deployment()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(folder_, ignored);
+    }
+
+    void start(std::size_t number)
+    {
+        auto const name = "pool-" + std::to_string(number);
+        write(name + ".toml",
+              "name = \"" + name + "\"\ndata_centre = \"a\"\nsubmissions = \"" +
+                  at(submissions_[number]) + "\"\nreadiness = \"" +
+                  at(readiness_[number]) + "\"\nmetrics = \"" +
+                  at(metrics_[number]) + "\"\nstore = \"" + at(store_port_) +
+                  "\"\n");
+        children_.emplace_back(
+            "fuchsia-pool",
+            std::vector<std::string>{"--settings", path(name + ".toml")},
+            path(name + ".log"));
+        running_.resize(instances);
+        running_[number] = &children_.back();
+    }
+
+    child& instance(std::size_t number)
+    {
+        return *running_[number];
+    }
+
+    adapters::http::response
+    submit(std::size_t number, std::string const& id, std::string const& body)
+    {
+        return ask(submissions_[number], "POST", "/jobs/" + id, body);
+    }
+
+    std::string state(std::size_t number, std::string const& id)
+    {
+        return ask(submissions_[number], "GET", "/jobs/" + id, "").body;
+    }
+
+    bool ready(std::size_t number)
+    {
+        return ask(readiness_[number], "GET", "/readyz", "").status == 200;
+    }
+
+    bool owns(std::size_t number)
+    {
+        auto const text = ask(metrics_[number], "GET", "/metrics", "").body;
+        return text.find("fuchsia_pool_owner 1") != std::string::npos;
+    }
+
+    std::string counts()
+    {
+        return ask(store_port_, "GET", "/control/counts", "").body;
+    }
+
+private:
+    std::string at(std::uint16_t port) const
+    {
+        return tests::process::own_address() + ":" + std::to_string(port);
+    }
+
+    std::string path(std::string const& name) const
+    {
+        return (folder_ / name).string();
+    }
+
+    void write(std::string const& name, std::string const& text) const
+    {
+        std::ofstream(path(name)) << text;
+    }
+
+    static adapters::http::response ask(std::uint16_t port,
+                                        std::string const& method,
+                                        std::string const& target,
+                                        std::string const& body)
+    {
+        boost::asio::io_context io;
+        adapters::http::client client(io, {});
+        adapters::http::client_call call;
+        call.where = {tests::process::own_address(), port};
+        call.message = {method, target, {{"Host", "jobs.example"}}, body, ""};
+        adapters::http::response answer;
+        answer.status = 0;
+        client.send(std::move(call),
+                    [&](ports::exchange_status status, auto response)
+                    {
+                        if (status == ports::exchange_status::answered)
+                        {
+                            answer = std::move(response);
+                        }
+                        client.close();
+                    });
+        io.run_for(10s);
+        return answer;
+    }
+
+    std::filesystem::path folder_;
+    std::uint16_t store_port_ = 0;
+    std::vector<std::uint16_t> submissions_;
+    std::vector<std::uint16_t> readiness_;
+    std::vector<std::uint16_t> metrics_;
+    std::deque<child> platform_;
+    std::deque<child> children_;
+    std::vector<child*> running_;
+};
+
+std::size_t wait_for_owner(deployment& system)
+{
+    std::size_t owner = instances;
+    eventually(
+        [&system, &owner]
+        {
+            for (std::size_t number = 0; number < instances; ++number)
+            {
+                if (system.owns(number))
+                {
+                    owner = number;
+                }
+            }
+            return owner < instances;
+        });
+    return owner;
+}
+
+bool no_promise_broken(std::string const& counts)
+{
+    return counts.find("\"two_places\":0") != std::string::npos &&
+           counts.find("\"after_done\":0") != std::string::npos;
+}
+
+} // namespace
+
+// The owner is killed with SIGKILL while tasks run. The others go on answering,
+// one of them takes over, and every task still runs just once to its end.
+TEST(pool_process, a_killed_owner_is_replaced)
+{
+    deployment system;
+    auto const owner = wait_for_owner(system);
+    ASSERT_LT(owner, instances);
+    auto const other = (owner + 1) % instances;
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return system.ready(other);
+        }));
+    EXPECT_EQ(system.submit(other, "00000000000000a1", job_of_four).status,
+              200);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return system.counts().find("\"starts\":4") != std::string::npos;
+        }));
+    system.instance(owner).kill();
+    EXPECT_EQ(system.submit(other, "00000000000000a2", job_of_four).status,
+              200);
+    for (auto const* id : {"00000000000000a1", "00000000000000a2"})
+    {
+        EXPECT_TRUE(eventually(
+            [&]
+            {
+                return system.state(other, id).find("completed") !=
+                       std::string::npos;
+            }))
+            << id << ' ' << system.state(other, id);
+    }
+    EXPECT_TRUE(no_promise_broken(system.counts())) << system.counts();
+    EXPECT_NE(system.counts().find("\"starts\":16"), std::string::npos)
+        << system.counts();
+}
+
+// Every instance is stopped and started in turn, as on an ordinary day of
+// upkeep. Each ends with status 0 and no task is lost or doubled.
+TEST(pool_process, planned_stops_in_turn)
+{
+    deployment system;
+    ASSERT_LT(wait_for_owner(system), instances);
+    ASSERT_TRUE(eventually(
+        [&]
+        {
+            return system.ready(0);
+        }));
+    EXPECT_EQ(system.submit(0, "00000000000000b1", job_of_four).status, 200);
+    for (std::size_t number = 0; number < instances; ++number)
+    {
+        system.instance(number).signal(SIGTERM);
+        EXPECT_EQ(system.instance(number).wait(), 0);
+        system.start(number);
+        ASSERT_TRUE(eventually(
+            [&]
+            {
+                return system.ready(number);
+            }));
+    }
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            return system.state(0, "00000000000000b1").find("completed") !=
+                   std::string::npos;
+        }));
+    EXPECT_TRUE(no_promise_broken(system.counts())) << system.counts();
+}
