An owner without the store goes on while half of its workers answer it

A shorter bound would have ended every service in a longer outage. Now an owner without the store needs fresh answers of more than half of its workers. A successor raises the fence on as many, so one of them tells the old owner; the wait is 6.2 s from there, and an outage of half a minute ends no task. Ruled out: asking peers whether the store answers them, which needs all of them to agree; naming workers durably at each start, which leaves the wait as it is.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -60,6 +60,19 @@
     return settings_;
 }
 
+bool fleet::quorum(common::time_point oldest) const noexcept
+{
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    for (auto const& [id, each] : workers_)
+    {
+        asked += each.rostered ? 1U : 0U;
+        answered +=
+            each.rostered && each.adopted && each.contact >= oldest ? 1U : 0U;
+    }
+    return 2 * answered > asked;
+}
+
 std::uint64_t fleet::lease_end(worker const& of,
                                common::time_point now) const noexcept
 {
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -30,10 +30,17 @@
     double clock_drift = 0.02;
     /// Beyond the end of a lease, for what was rounded on the way.
     common::duration lapse_slack = std::chrono::milliseconds(100);
-    /// An owner that the store does not answer goes on for this long. Its
-    /// successor waits as long before it takes a worker that it can't reach
-    /// for idle.
-    common::duration solo_limit = std::chrono::seconds(8);
+    /// An owner that the store does not answer goes on while more than half of
+    /// its workers have answered within this time. Whoever takes over raises
+    /// the fence on more than half of them, so one of those answers tells the
+    /// old owner that it is replaced. Longer than an idle worker is left alone.
+    common::duration quorum_window = std::chrono::milliseconds(2500);
+    /// Without such answers it goes on for this long: one lost renewal more
+    /// than the store takes to let the claim lapse.
+    common::duration alone_limit = std::chrono::milliseconds(1500);
+    /// And in no case longer than this; a successor that never reaches half of
+    /// the workers waits as long.
+    common::duration solo_limit = std::chrono::seconds(60);
 };
 
 /// A worker as the owner knows it.
@@ -93,6 +100,10 @@
     std::map<std::string, worker>& all() noexcept;
     fleet_settings const& settings() const noexcept;
 
+    /// Whether more than half of the workers that a successor would ask have
+    /// answered since `oldest`.
+    bool quorum(common::time_point oldest) const noexcept;
+
     /// End of a lease that begins now, on the worker's clock; 0 while that
     /// clock is not known.
     std::uint64_t lease_end(worker const& of,
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -155,13 +155,17 @@
     return counters_;
 }
 
-// A store that has been silent for long may have given the claim to somebody
-// who can't reach every worker that we reach. That successor counts on our
-// silence from here on.
+// A store that is silent towards us may have given the claim to somebody who
+// can't reach every worker that we reach. That successor counts on our silence
+// once it has raised the fence on half of the workers.
 bool owner::may_act(common::time_point now) const
 {
-    return !stopped_ && claim_.held() &&
-           now - claim_.confirmed() < settings_.workers.solo_limit;
+    auto const& limits = settings_.workers;
+    auto const unconfirmed = now - claim_.confirmed();
+    bool const backed = unconfirmed < limits.alone_limit ||
+                        (unconfirmed < limits.solo_limit &&
+                         fleet_.quorum(now - limits.quorum_window));
+    return !stopped_ && claim_.held() && backed;
 }
 
 void owner::load_page(common::time_point now, std::string after)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -270,6 +270,8 @@
     bool wants_dispatch_ = false; ///< Something may have found a place.
     common::time_point next_dispatch_{};
     std::vector<ports::pool_worker> list_; ///< The pages read so far.
+    /// When more than half of the workers had answered; 0: not yet.
+    common::time_point majority_since_{};
     bool settled_ = false; ///< No earlier owner's start is unknown any more.
     bool stopped_ = false;
     std::set<std::string> roster_; ///< As it lies in the store.
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -504,12 +504,21 @@
     {
         return;
     }
-    auto const drift = 1 + fleet_.settings().clock_drift;
+    auto const& limits = fleet_.settings();
+    if (majority_since_ == common::time_point{} && fleet_.quorum({}))
+    {
+        majority_since_ = now;
+    }
     auto const lease = std::chrono::duration_cast<common::duration>(
-        fleet_.settings().lease * drift);
-    auto const patience =
-        fleet_.settings().solo_limit + lease + fleet_.settings().lapse_slack;
-    bool const waited = now - claim_.since() > patience;
+        limits.lease * (1 + limits.clock_drift));
+    // From then on the last owner can have renewed leases for one window, and
+    // those last for one lease.
+    bool const silenced = majority_since_ != common::time_point{} &&
+                          now - majority_since_ >
+                              limits.quorum_window + lease + limits.lapse_slack;
+    bool const waited =
+        silenced ||
+        now - claim_.since() > limits.solo_limit + lease + limits.lapse_slack;
     std::size_t missing = 0;
     for (auto const& [id, each] : fleet_.all())
     {
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -31,7 +31,7 @@
     answer_lost, ///< Carried out; the caller hears nothing.
     refused,     ///< Nothing was done, and the caller is told.
     lost,        ///< Nothing was done; the caller hears nothing.
-    deaf, ///< A watch: answered at the end of its wait, with nothing.
+    deaf,        ///< A watch: answered at the end of its wait, with nothing.
     late,        ///< Carried out 2 s later; the caller hears nothing.
 };
 
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -119,6 +119,60 @@
     EXPECT_EQ(world.violation(), "");
 }
 
+// The old owner is cut off from the store and from all workers but one, which
+// in turn is cut off from everybody else. Nothing tells it that it is replaced,
+// so it has to stop by itself before its successor takes that worker for idle.
+TEST(pool_takeover, an_owner_alone_with_one_worker_gives_up)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    world.submit(1, "a", simple_job(8, 20s));
+    world.run(500ms);
+    ASSERT_GT(world.worker(0).running(), 0U);
+    auto const owner = *world.owner();
+    world.worker_fault = [owner](std::size_t instance,
+                                 std::size_t worker,
+                                 ports::pool_operation const&)
+    {
+        bool const passes = (worker == 0) == (instance == owner);
+        return passes ? fate::carried_out : fate::lost;
+    };
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const&)
+    {
+        return instance == owner ? fate::lost : fate::carried_out;
+    };
+    EXPECT_TRUE(completes(world, other_than(owner), "a", 60s));
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The store is away for half a minute. Tasks that last go on: their users need
+// them more than anything the store could say meanwhile.
+TEST(pool_takeover, tasks_outlive_a_long_outage_of_the_store)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto what = simple_job(6, 1s);
+    what.steps.front().lasting = true;
+    what.spec = "lasts";
+    world.submit(1, "a", what);
+    world.run(500ms);
+    world.store_fault = [](std::size_t, ports::kv_operation const&)
+    {
+        return fate::lost;
+    };
+    world.run(30s);
+    std::size_t running = 0;
+    std::size_t begun = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        running += world.worker(number).running();
+        begun += world.worker(number).begun().size();
+    }
+    EXPECT_EQ(running, 6U);
+    EXPECT_EQ(begun, 6U);
+}
+
 // The owner stands still for seconds and wakes with old beliefs, beside a
 // successor. Its orders must have no effect.
 TEST(pool_takeover, a_frozen_owner_does_no_harm)
