Histograms of the pool's calls and waits; one subject a file

Each call of the store and order to a worker by kind and result; acceptance, wait to the first start, job, end to durable, takeover. Logs go to standard output.

--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -60,13 +60,13 @@
 {
     static log4cplus::Initializer const initializer;
     log4cplus::helpers::Properties properties;
-    properties.setProperty("log4cplus.rootLogger", "DEBUG, stderr");
-    properties.setProperty("log4cplus.appender.stderr",
+    properties.setProperty("log4cplus.rootLogger", "DEBUG, console");
+    properties.setProperty("log4cplus.appender.console",
                            "log4cplus::ConsoleAppender");
-    properties.setProperty("log4cplus.appender.stderr.logToStdErr", "true");
-    properties.setProperty("log4cplus.appender.stderr.layout",
+    properties.setProperty("log4cplus.appender.console.logToStdErr", "false");
+    properties.setProperty("log4cplus.appender.console.layout",
                            "log4cplus::PatternLayout");
-    properties.setProperty("log4cplus.appender.stderr.layout.ConversionPattern",
+    properties.setProperty("log4cplus.appender.console.layout.ConversionPattern",
                            "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " +
                                std::string(program) + " %m%n");
     log4cplus::PropertyConfigurator(properties).configure();
--- a/src/adapters/logging/logger.hpp
+++ b/src/adapters/logging/logger.hpp
@@ -14,7 +14,7 @@
 
 std::optional<ports::severity> severity_from(std::string_view name) noexcept;
 
-/// Sends log lines of this program to standard error, from `least` upwards:
+/// Sends log lines of this program to standard output, from `least` upwards:
 ///
 ///     2026-12-02T23:15:50.120Z WARN fuchsia-entry takeover partition=7 ...
 ///
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -48,16 +48,6 @@
            wanted.what->declared.holds(failed.what->declared);
 }
 
-std::set<std::string> racks_of(fleet& workers)
-{
-    std::set<std::string> made;
-    for (auto const& [id, each] : workers.all())
-    {
-        made.insert(each.info.rack);
-    }
-    return made;
-}
-
 double share_of(std::int64_t part, std::int64_t whole)
 {
     return static_cast<double>(part) /
@@ -184,86 +174,6 @@
     return true;
 }
 
-// All tasks of a gang start at once or none does: one that waits for the rest
-// holds its room for nothing.
-bool owner::dispatch_gang(common::time_point now,
-                          ready_key const& key,
-                          job_run& run)
-{
-    auto& steps = run.occurrences[key.occurrence].steps[key.step];
-    if (steps.ready.size() < steps.tasks.size() ||
-        run.phase != job_phase::active)
-    {
-        // Some member's last run is not over yet.
-        return true;
-    }
-    std::set<std::string> racks{""};
-    if (run.spec.steps[key.step].same_rack)
-    {
-        racks = racks_of(fleet_);
-    }
-    for (auto const& rack : racks)
-    {
-        if (place_gang(now, key, run, rack))
-        {
-            start_gang(now, key, run);
-            return true;
-        }
-    }
-    return false;
-}
-
-bool owner::place_gang(common::time_point now,
-                       ready_key const& key,
-                       job_run& run,
-                       std::string const& rack)
-{
-    auto& steps = run.occurrences[key.occurrence].steps[key.step];
-    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
-    {
-        ports::task_name const name{key.job, key.occurrence, key.step, index};
-        auto* const on = choose(now, run, name, rack);
-        if (on == nullptr)
-        {
-            for (std::uint32_t placed = 0; placed < index; ++placed)
-            {
-                unplace(run, {key.job, key.occurrence, key.step, placed});
-            }
-            return false;
-        }
-        place(run, name, *on);
-    }
-    return true;
-}
-
-// The members share the number of the attempt and one checkpoint. Checkpoints
-// begin with the progress that they hold, in digits of equal number.
-void owner::start_gang(common::time_point now,
-                       ready_key const& key,
-                       job_run& run)
-{
-    auto& steps = run.occurrences[key.occurrence].steps[key.step];
-    std::uint32_t attempt = 0;
-    std::string checkpoint;
-    for (auto const& each : steps.tasks)
-    {
-        attempt = std::max(attempt, each.attempt);
-        checkpoint = std::max(checkpoint, each.checkpoint);
-    }
-    steps.ready.clear();
-    ready_.erase(key);
-    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
-    {
-        auto& each = steps.tasks[index];
-        each.attempt = attempt;
-        each.checkpoint = checkpoint;
-        start(now,
-              run,
-              {key.job, key.occurrence, key.step, index},
-              *fleet_.find(each.worker));
-    }
-}
-
 bool owner::eligible(common::time_point now,
                      worker const& on,
                      job_run const& run,
@@ -442,6 +352,10 @@
     if (!run.started)
     {
         run.first_start_unix_ms = out_.unix_ms(now);
+        out_.push(ports::measured{
+            ports::pool_measure::wait_to_start,
+            std::chrono::milliseconds(run.first_start_unix_ms -
+                                      run.spec.accepted_unix_ms)});
     }
     run.started = true;
     ++counters_.starts;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -204,45 +204,6 @@
     finish_if_over(now, run);
 }
 
-// One member's end stands for all: they end together.
-void owner::gang_done(common::time_point now,
-                      job_run& run,
-                      ports::task_name const& name)
-{
-    auto& steps = run.occurrences[name.occurrence].steps[name.step];
-    steps.ready.clear();
-    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
-    {
-        if (steps.tasks[index].phase != task_phase::done)
-        {
-            mark_done(run, {name.job, name.occurrence, name.step, index});
-        }
-    }
-    after_done(now, run);
-}
-
-// Without one member the others wait for nothing, or work for nothing.
-void owner::break_gang(common::time_point now,
-                       job_run& run,
-                       ports::task_name const& name)
-{
-    auto& steps = run.occurrences[name.occurrence].steps[name.step];
-    for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
-    {
-        auto& each = steps.tasks[index];
-        if (each.phase == task_phase::starting ||
-            each.phase == task_phase::running)
-        {
-            each.unclear = each.phase == task_phase::starting;
-            each.phase = task_phase::stopping;
-            order_stop(
-                now,
-                each.worker,
-                {{name.job, name.occurrence, name.step, index}, each.attempt});
-        }
-    }
-}
-
 void owner::task_failed(common::time_point now,
                         job_run& run,
                         ports::task_name const& name)
@@ -401,6 +362,9 @@
                         limit,
                         first](common::time_point at)
     {
+        out_.push(ports::measured{
+            ports::pool_measure::job,
+            std::chrono::milliseconds(out_.unix_ms(at) - accepted)});
         finals_[id] = outcome;
         final_times_.emplace_back(at, id);
         jobs_.erase(id);
--- /dev/null
+++ b/src/core/pool/owner_sharing.cpp
@@ -0,0 +1,186 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+
+// Keeps serving tasks within their targets beside tasks that fill.
+namespace fuchsia::core::pool
+{
+
+using ports::order_reply;
+using ports::order_status;
+
+namespace
+{
+
+// Readings of the tasks of one step that are taken together: a worker is asked
+// every 0.7 s at the latest.
+constexpr common::duration reading_age = std::chrono::milliseconds(1000);
+// With fewer, one task's neighbours can't be told from the load of its users.
+constexpr std::size_t readings_to_learn = 3;
+
+} // namespace
+
+worker_view const& owner::view_of(worker& of)
+{
+    if (of.view_known)
+    {
+        return of.view;
+    }
+    of.view_known = true;
+    auto& made = of.view;
+    made.serving.clear();
+    made.fills.clear();
+    of.serving_used = 0;
+    auto const cores = static_cast<double>(
+        std::max<std::int64_t>(of.info.capacity.millicores, 1));
+    for (auto const& name : of.runs)
+    {
+        auto* const run = find_job(name.job);
+        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        if (each == nullptr)
+        {
+            continue;
+        }
+        auto const& what = run->step_of(name);
+        auto const& steps = run->occurrences[name.occurrence].steps[name.step];
+        auto const target =
+            static_cast<double>(common::to_milliseconds(what.tail_target));
+        if (target > 0)
+        {
+            double const load = colocation_.load(steps.alone);
+            of.serving_used += static_cast<std::int64_t>(
+                load * static_cast<double>(what.declared.millicores));
+        }
+        if (target > 0 && each->percent >= 100)
+        {
+            double const tail =
+                static_cast<double>(std::max<std::int64_t>(each->level, 1));
+            made.serving.push_back({steps.image, target / tail, steps.alone});
+        }
+        if (what.fills)
+        {
+            made.fills.push_back(
+                {name,
+                 steps.image,
+                 static_cast<double>(what.declared.millicores) / cores,
+                 static_cast<double>(each->level) / cores,
+                 each->pace});
+        }
+    }
+    return made;
+}
+
+void owner::read_serving(common::time_point now, worker& of)
+{
+    auto const beside = shares_of(view_of(of).fills);
+    for (auto const& name : of.runs)
+    {
+        auto* const run = find_job(name.job);
+        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        auto const target =
+            each != nullptr
+                ? common::to_milliseconds(run->step_of(name).tail_target)
+                : 0;
+        if (target <= 0 || each->percent < 100)
+        {
+            continue;
+        }
+        auto& steps = run->occurrences[name.occurrence].steps[name.step];
+        auto& reading = each->reading;
+        reading.when = now;
+        reading.headroom =
+            static_cast<double>(target) /
+            static_cast<double>(std::max<std::int64_t>(each->level, 1));
+        reading.taken = colocation_.taken(steps.image, beside);
+        reading.beside = beside;
+        std::vector<serving_reading const*> readings;
+        for (auto const& sibling : steps.tasks)
+        {
+            bool const fresh = sibling.reading.headroom > 0 &&
+                               now - sibling.reading.when <= reading_age;
+            if (fresh && &sibling != each)
+            {
+                readings.push_back(&sibling.reading);
+            }
+        }
+        readings.push_back(&reading);
+        steps.alone = colocation_.alone(readings);
+        if (readings.size() >= readings_to_learn)
+        {
+            colocation_.learn(steps.image, readings);
+        }
+    }
+    of.view_known = false;
+}
+
+void owner::guard(common::time_point now, worker& of)
+{
+    if (!of.serves())
+    {
+        of.over_since = {};
+        return;
+    }
+    read_serving(now, of);
+    // A copy: pacing changes what it is made from.
+    auto const seen = view_of(of);
+    for (auto const& change : colocation_.paces(seen, now, of.over_since))
+    {
+        pace(now, of, change.name, change.percent);
+    }
+    evict_idle(now, of, seen.fills);
+}
+
+// A task that stands still has a better place elsewhere, if it can go on there.
+void owner::evict_idle(common::time_point now,
+                       worker& of,
+                       std::vector<fill_view> const& fills)
+{
+    for (auto const& fill : fills)
+    {
+        auto* const run = find_job(fill.name.job);
+        auto& each = run->at(fill.name);
+        bool const waits = each.phase == task_phase::running &&
+                           each.pace == 0 &&
+                           now - each.paced > settings_.sharing.evict_after;
+        if (waits && run->step_of(fill.name).checkpoints)
+        {
+            ++counters_.evicted;
+            each.phase = task_phase::stopping;
+            order_stop(now, of.info.id, {fill.name, each.attempt});
+        }
+    }
+}
+
+void owner::pace(common::time_point now,
+                 worker& on,
+                 ports::task_name const& name,
+                 std::uint32_t percent)
+{
+    auto* const run = find_job(name.job);
+    auto& each = run->at(name);
+    if (each.phase != task_phase::running)
+    {
+        return;
+    }
+    ++counters_.paced;
+    each.pace = percent;
+    each.paced = now;
+    on.view_known = false;
+    out_.order(
+        life_,
+        {0,
+         on.info.id,
+         on.info.where,
+         on.born,
+         ports::pace_order{claim_.epoch(), {name, each.attempt}, percent},
+         settings_.order_timeout},
+        [this, id = on.info.id](common::time_point, order_reply const& reply)
+        {
+            if (reply.status == order_status::stale_fence)
+            {
+                fenced(id);
+            }
+        });
+}
+
+} // namespace fuchsia::core::pool
--- /dev/null
+++ b/src/core/pool/owner_takeover.cpp
@@ -0,0 +1,142 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+
+// What a new owner learns of the work of earlier ones.
+namespace fuchsia::core::pool
+{
+
+using ports::end_kind;
+using ports::severity;
+
+// Nothing of an earlier incarnation runs any more.
+void owner::new_incarnation(common::time_point now,
+                            worker& of,
+                            std::uint64_t born)
+{
+    bool const known = of.adopted;
+    of.adopted = true;
+    of.born = born;
+    of.seen = 0;
+    of.listed_end = 0;
+    of.until_ms = 0;
+    of.failed_jobs.clear();
+    out_.log(severity::info,
+             "worker_adopted",
+             {{"worker", of.info.id},
+              {"born", std::to_string(born)},
+              {"restarted", known ? "true" : "false"}});
+    if (known)
+    {
+        forget_runs(now, of, "worker restarted");
+    }
+}
+
+// An earlier owner may have started it and seen it end: of a step, too, that is
+// not known to be open yet, since workers tell of its predecessors in any
+// order.
+bool owner::may_be_foreign(job_run const& run, task const& each) const
+{
+    bool const blocked = each.phase == task_phase::blocked && !settled_ &&
+                         run.revision < claim_.epoch();
+    return each.phase == task_phase::unsure || blocked;
+}
+
+// An end that an earlier owner saw, or nobody: its worker tells it to whoever
+// adopts the worker. The task may run again elsewhere by now; its failure still
+// counts.
+void owner::take_inherited_failure(common::time_point now,
+                                   ports::ended_row const& row)
+{
+    auto const& name = row.what.task;
+    auto* const run = find_job(name.job);
+    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    if (each == nullptr || row.how != end_kind::failed ||
+        each->phase == task_phase::done ||
+        std::find(each->failures.begin(),
+                  each->failures.end(),
+                  row.what.attempt) != each->failures.end())
+    {
+        return;
+    }
+    count_failure(*run, name, row.what.attempt);
+    if (run->phase == job_phase::active &&
+        out_of_attempts(*run, name.occurrence, name.step))
+    {
+        end_job(now, *run, job_phase::failing);
+    }
+}
+
+// Whether every worker that an earlier owner may have used has told what it
+// runs, or can't run any of it any more.
+void owner::settle(common::time_point now)
+{
+    if (settled_ || !loaded_ || !list_known_)
+    {
+        return;
+    }
+    auto const& limits = fleet_.settings();
+    if (majority_since_ == common::time_point{} && fleet_.quorum({}))
+    {
+        majority_since_ = now;
+    }
+    auto const lease = std::chrono::duration_cast<common::duration>(
+        limits.lease * (1 + limits.clock_drift));
+    // From then on the last owner can have renewed leases for one window, and
+    // those last for one lease.
+    bool const silenced = majority_since_ != common::time_point{} &&
+                          now - majority_since_ >
+                              limits.quorum_window + lease + limits.lapse_slack;
+    bool const waited =
+        silenced ||
+        now - claim_.since() > limits.solo_limit + lease + limits.lapse_slack;
+    std::size_t missing = 0;
+    for (auto const& [id, each] : fleet_.all())
+    {
+        missing += each.rostered && !each.adopted ? 1U : 0U;
+    }
+    if (missing > 0 && !waited)
+    {
+        return;
+    }
+    settled_ = true;
+    out_.push(
+        ports::measured{ports::pool_measure::takeover, now - claim_.since()});
+    out_.log(severity::info,
+             "takeover_settled",
+             {{"epoch", std::to_string(claim_.epoch())},
+              {"unreached", std::to_string(missing)},
+              {"after_ms",
+               std::to_string(common::to_milliseconds(now - claim_.since()))}});
+    std::vector<std::string> ids;
+    for (auto const& [id, run] : jobs_)
+    {
+        ids.push_back(id);
+    }
+    for (auto const& id : ids)
+    {
+        auto& run = *find_job(id);
+        for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+        {
+            auto& steps = run.occurrences[k].steps;
+            for (std::uint32_t number = 0; number < steps.size(); ++number)
+            {
+                auto& tasks = steps[number].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index)
+                {
+                    if (tasks[index].phase == task_phase::unsure)
+                    {
+                        task_over(now, run, {id, k, number, index});
+                    }
+                }
+            }
+        }
+        if (run.phase == job_phase::active && out_of_attempts(run))
+        {
+            end_job(now, run, job_phase::failing);
+        }
+        finish_if_over(now, run);
+    }
+}
+
+} // namespace fuchsia::core::pool
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -18,12 +18,6 @@
 // A stop takes 0.4 s at most; what still runs after this was never told.
 constexpr common::duration stop_again_after = std::chrono::seconds(1);
 
-// Readings of the tasks of one step that are taken together: a worker is asked
-// every 0.7 s at the latest.
-constexpr common::duration reading_age = std::chrono::milliseconds(1000);
-// With fewer, one task's neighbours can't be told from the load of its users.
-constexpr std::size_t readings_to_learn = 3;
-
 std::string text_of(ports::task_name const& name)
 {
     return name.job + "." + std::to_string(name.occurrence) + "." +
@@ -126,9 +120,11 @@
         save_all_progress();
         // Asked before that, the worker would list the same ends at once.
         ledger_.after_all(
-            [this, id, born = of->born, number = of->listed_end](
+            [this, id, now, born = of->born, number = of->listed_end](
                 common::time_point at)
             {
+                out_.push(ports::measured{ports::pool_measure::end_to_durable,
+                                          at - now});
                 auto* const told = fleet_.find(id);
                 if (told != nullptr && told->born == born)
                 {
@@ -151,29 +147,6 @@
     tick(now);
 }
 
-// Nothing of an earlier incarnation runs any more.
-void owner::new_incarnation(common::time_point now,
-                            worker& of,
-                            std::uint64_t born)
-{
-    bool const known = of.adopted;
-    of.adopted = true;
-    of.born = born;
-    of.seen = 0;
-    of.listed_end = 0;
-    of.until_ms = 0;
-    of.failed_jobs.clear();
-    out_.log(severity::info,
-             "worker_adopted",
-             {{"worker", of.info.id},
-              {"born", std::to_string(born)},
-              {"restarted", known ? "true" : "false"}});
-    if (known)
-    {
-        forget_runs(now, of, "worker restarted");
-    }
-}
-
 void owner::take_rows(common::time_point now,
                       common::time_point sent,
                       worker& of,
@@ -232,16 +205,6 @@
     }
 }
 
-// An earlier owner may have started it and seen it end: of a step, too, that is
-// not known to be open yet, since workers tell of its predecessors in any
-// order.
-bool owner::may_be_foreign(job_run const& run, task const& each) const
-{
-    bool const blocked = each.phase == task_phase::blocked && !settled_ &&
-                         run.revision < claim_.epoch();
-    return each.phase == task_phase::unsure || blocked;
-}
-
 void owner::take_running(common::time_point now,
                          worker& of,
                          ports::running_row const& row)
@@ -392,31 +355,6 @@
     task_over(now, *run, name);
 }
 
-// An end that an earlier owner saw, or nobody: its worker tells it to whoever
-// adopts the worker. The task may run again elsewhere by now; its failure still
-// counts.
-void owner::take_inherited_failure(common::time_point now,
-                                   ports::ended_row const& row)
-{
-    auto const& name = row.what.task;
-    auto* const run = find_job(name.job);
-    auto* const each = run != nullptr ? run->find(name) : nullptr;
-    if (each == nullptr || row.how != end_kind::failed ||
-        each->phase == task_phase::done ||
-        std::find(each->failures.begin(),
-                  each->failures.end(),
-                  row.what.attempt) != each->failures.end())
-    {
-        return;
-    }
-    count_failure(*run, name, row.what.attempt);
-    if (run->phase == job_phase::active &&
-        out_of_attempts(*run, name.occurrence, name.step))
-    {
-        end_job(now, *run, job_phase::failing);
-    }
-}
-
 // A worker that fails tasks of several jobs in a row, with no success between,
 // is to blame itself; a job that fails on several workers is not its doing.
 void owner::blame(common::time_point now, worker& of, std::string const& job)
@@ -496,239 +434,6 @@
     }
 }
 
-// Whether every worker that an earlier owner may have used has told what it
-// runs, or can't run any of it any more.
-void owner::settle(common::time_point now)
-{
-    if (settled_ || !loaded_ || !list_known_)
-    {
-        return;
-    }
-    auto const& limits = fleet_.settings();
-    if (majority_since_ == common::time_point{} && fleet_.quorum({}))
-    {
-        majority_since_ = now;
-    }
-    auto const lease = std::chrono::duration_cast<common::duration>(
-        limits.lease * (1 + limits.clock_drift));
-    // From then on the last owner can have renewed leases for one window, and
-    // those last for one lease.
-    bool const silenced = majority_since_ != common::time_point{} &&
-                          now - majority_since_ >
-                              limits.quorum_window + lease + limits.lapse_slack;
-    bool const waited =
-        silenced ||
-        now - claim_.since() > limits.solo_limit + lease + limits.lapse_slack;
-    std::size_t missing = 0;
-    for (auto const& [id, each] : fleet_.all())
-    {
-        missing += each.rostered && !each.adopted ? 1U : 0U;
-    }
-    if (missing > 0 && !waited)
-    {
-        return;
-    }
-    settled_ = true;
-    out_.log(severity::info,
-             "takeover_settled",
-             {{"epoch", std::to_string(claim_.epoch())},
-              {"unreached", std::to_string(missing)},
-              {"after_ms",
-               std::to_string(common::to_milliseconds(now - claim_.since()))}});
-    std::vector<std::string> ids;
-    for (auto const& [id, run] : jobs_)
-    {
-        ids.push_back(id);
-    }
-    for (auto const& id : ids)
-    {
-        auto& run = *find_job(id);
-        for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
-        {
-            auto& steps = run.occurrences[k].steps;
-            for (std::uint32_t number = 0; number < steps.size(); ++number)
-            {
-                auto& tasks = steps[number].tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index)
-                {
-                    if (tasks[index].phase == task_phase::unsure)
-                    {
-                        task_over(now, run, {id, k, number, index});
-                    }
-                }
-            }
-        }
-        if (run.phase == job_phase::active && out_of_attempts(run))
-        {
-            end_job(now, run, job_phase::failing);
-        }
-        finish_if_over(now, run);
-    }
-}
-
-worker_view const& owner::view_of(worker& of)
-{
-    if (of.view_known)
-    {
-        return of.view;
-    }
-    of.view_known = true;
-    auto& made = of.view;
-    made.serving.clear();
-    made.fills.clear();
-    of.serving_used = 0;
-    auto const cores = static_cast<double>(
-        std::max<std::int64_t>(of.info.capacity.millicores, 1));
-    for (auto const& name : of.runs)
-    {
-        auto* const run = find_job(name.job);
-        auto* const each = run != nullptr ? run->find(name) : nullptr;
-        if (each == nullptr)
-        {
-            continue;
-        }
-        auto const& what = run->step_of(name);
-        auto const& steps = run->occurrences[name.occurrence].steps[name.step];
-        auto const target =
-            static_cast<double>(common::to_milliseconds(what.tail_target));
-        if (target > 0)
-        {
-            double const load = colocation_.load(steps.alone);
-            of.serving_used += static_cast<std::int64_t>(
-                load * static_cast<double>(what.declared.millicores));
-        }
-        if (target > 0 && each->percent >= 100)
-        {
-            double const tail =
-                static_cast<double>(std::max<std::int64_t>(each->level, 1));
-            made.serving.push_back({steps.image, target / tail, steps.alone});
-        }
-        if (what.fills)
-        {
-            made.fills.push_back(
-                {name,
-                 steps.image,
-                 static_cast<double>(what.declared.millicores) / cores,
-                 static_cast<double>(each->level) / cores,
-                 each->pace});
-        }
-    }
-    return made;
-}
-
-void owner::read_serving(common::time_point now, worker& of)
-{
-    auto const beside = shares_of(view_of(of).fills);
-    for (auto const& name : of.runs)
-    {
-        auto* const run = find_job(name.job);
-        auto* const each = run != nullptr ? run->find(name) : nullptr;
-        auto const target =
-            each != nullptr
-                ? common::to_milliseconds(run->step_of(name).tail_target)
-                : 0;
-        if (target <= 0 || each->percent < 100)
-        {
-            continue;
-        }
-        auto& steps = run->occurrences[name.occurrence].steps[name.step];
-        auto& reading = each->reading;
-        reading.when = now;
-        reading.headroom =
-            static_cast<double>(target) /
-            static_cast<double>(std::max<std::int64_t>(each->level, 1));
-        reading.taken = colocation_.taken(steps.image, beside);
-        reading.beside = beside;
-        std::vector<serving_reading const*> readings;
-        for (auto const& sibling : steps.tasks)
-        {
-            bool const fresh = sibling.reading.headroom > 0 &&
-                               now - sibling.reading.when <= reading_age;
-            if (fresh && &sibling != each)
-            {
-                readings.push_back(&sibling.reading);
-            }
-        }
-        readings.push_back(&reading);
-        steps.alone = colocation_.alone(readings);
-        if (readings.size() >= readings_to_learn)
-        {
-            colocation_.learn(steps.image, readings);
-        }
-    }
-    of.view_known = false;
-}
-
-void owner::guard(common::time_point now, worker& of)
-{
-    if (!of.serves())
-    {
-        of.over_since = {};
-        return;
-    }
-    read_serving(now, of);
-    // A copy: pacing changes what it is made from.
-    auto const seen = view_of(of);
-    for (auto const& change : colocation_.paces(seen, now, of.over_since))
-    {
-        pace(now, of, change.name, change.percent);
-    }
-    evict_idle(now, of, seen.fills);
-}
-
-// A task that stands still has a better place elsewhere, if it can go on there.
-void owner::evict_idle(common::time_point now,
-                       worker& of,
-                       std::vector<fill_view> const& fills)
-{
-    for (auto const& fill : fills)
-    {
-        auto* const run = find_job(fill.name.job);
-        auto& each = run->at(fill.name);
-        bool const waits = each.phase == task_phase::running &&
-                           each.pace == 0 &&
-                           now - each.paced > settings_.sharing.evict_after;
-        if (waits && run->step_of(fill.name).checkpoints)
-        {
-            ++counters_.evicted;
-            each.phase = task_phase::stopping;
-            order_stop(now, of.info.id, {fill.name, each.attempt});
-        }
-    }
-}
-
-void owner::pace(common::time_point now,
-                 worker& on,
-                 ports::task_name const& name,
-                 std::uint32_t percent)
-{
-    auto* const run = find_job(name.job);
-    auto& each = run->at(name);
-    if (each.phase != task_phase::running)
-    {
-        return;
-    }
-    ++counters_.paced;
-    each.pace = percent;
-    each.paced = now;
-    on.view_known = false;
-    out_.order(
-        life_,
-        {0,
-         on.info.id,
-         on.info.where,
-         on.born,
-         ports::pace_order{claim_.epoch(), {name, each.attempt}, percent},
-         settings_.order_timeout},
-        [this, id = on.info.id](common::time_point, order_reply const& reply)
-        {
-            if (reply.status == order_status::stale_fence)
-            {
-                fenced(id);
-            }
-        });
-}
-
 // Repeated until the worker answers: what was stopped there, or never came, is
 // refused there for good, so the task may start elsewhere once a later hold
 // does not show it.
--- a/src/ports/pool_actions.hpp
+++ b/src/ports/pool_actions.hpp
@@ -81,10 +81,27 @@
     bool ready = false;
 };
 
+enum class pool_measure : std::uint8_t
+{
+    accept,         ///< From a submission to its answer.
+    wait_to_start,  ///< From the acceptance of a job to its first start.
+    job,            ///< From the acceptance of a job to its recorded end.
+    end_to_durable, ///< From hearing of an end to having written it.
+    takeover,       ///< From the claim to knowing what runs.
+};
+
+/// One length of time for the histograms.
+struct measured
+{
+    pool_measure what = pool_measure::accept;
+    core::common::duration took{};
+};
+
 using pool_action = std::variant<kv_call,
                                  pool_order,
                                  job_reply,
                                  log_event,
+                                 measured,
                                  readiness,
                                  stop_complete>;
 
--- /dev/null
+++ b/src/programs/pool/pool_metrics.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "adapters/metrics/registry.hpp"
+#include "core/pool/owner.hpp"
+#include "ports/pool_actions.hpp"
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+#include <variant>
+
+namespace fuchsia::programs::pool
+{
+
+/// Histograms and counts of one instance (docs/METRICS.md). Belongs to the
+/// decision thread.
+class pool_metrics
+{
+public:
+    explicit pool_metrics(adapters::metrics::registry& registry);
+
+    void began(core::common::time_point now, ports::kv_call const& call);
+    void began(core::common::time_point now, ports::pool_order const& order);
+    void ended(core::common::time_point now, ports::kv_reply const& reply);
+    void ended(core::common::time_point now, ports::order_reply const& reply);
+    void observe(ports::measured const& length);
+    /// Copies the owner's counts; null while another instance owns.
+    void sample(core::pool::owner const* owned);
+    /// Calls without an answer.
+    std::size_t open() const noexcept;
+
+private:
+    static constexpr std::size_t measures = 5;
+    static constexpr std::size_t kv_statuses = 6;
+    static constexpr std::size_t order_statuses = 11;
+    struct open_call
+    {
+        std::size_t kind = 0;
+        core::common::time_point began{};
+    };
+
+    adapters::metrics::registry& registry_;
+    std::unordered_map<std::uint64_t, open_call> open_;
+    std::array<prometheus::Histogram*, measures> lengths_{};
+    // By kind and result; made when first seen.
+    std::array<std::array<prometheus::Histogram*, kv_statuses>,
+               std::variant_size_v<ports::kv_operation>>
+        store_{};
+    std::array<std::array<prometheus::Histogram*, order_statuses>,
+               std::variant_size_v<ports::pool_operation>>
+        orders_{};
+};
+
+} // namespace fuchsia::programs::pool
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -40,7 +40,7 @@
       engine_(settings_.pool,
               platform::make_directory(),
               incarnation_of(settings_.name)),
-      log_(log_lines_per_second),
+      log_(log_lines_per_second), measures_(metrics_),
       requests_(decisions_,
                 request_ring,
                 [this](request& in)
@@ -231,14 +231,15 @@
 
 void pool_program::take_reply(outside_reply& reply)
 {
-    --open_calls_;
     auto const now = clock::now();
     if (auto const* const kv = std::get_if<ports::kv_reply>(&reply))
     {
+        measures_.ended(now, *kv);
         engine_.on_kv_reply(now, *kv);
     }
     else if (auto const* const order = std::get_if<ports::order_reply>(&reply))
     {
+        measures_.ended(now, *order);
         engine_.on_order_reply(now, *order);
     }
     perform();
@@ -307,17 +308,23 @@
         finish();
         return;
     }
+    if (auto const* const length = std::get_if<ports::measured>(&action))
+    {
+        measures_.observe(*length);
+        return;
+    }
     outside_call call;
     if (auto* const kv = std::get_if<ports::kv_call>(&action))
     {
+        measures_.began(clock::now(), *kv);
         call = std::move(*kv);
     }
     else if (auto* const order = std::get_if<ports::pool_order>(&action))
     {
+        measures_.began(clock::now(), *order);
         call = std::move(*order);
     }
-    ++open_calls_;
-    if (open_calls_ > outside_ring || !calls_.try_push(call))
+    if (measures_.open() > outside_ring || !calls_.try_push(call))
     {
         refuse(call);
     }
@@ -351,36 +358,7 @@
 // The owner's counts, and whether this instance is the owner.
 void pool_program::sample()
 {
-    metrics_.gauge("fuchsia_pool_owner", "1 while this instance schedules")
-        .Set(engine_.owns() ? 1 : 0);
-    if (auto const* const owned = engine_.owned())
-    {
-        auto const& counts = owned->counters();
-        auto const set =
-            [this](char const* name, char const* help, std::uint64_t value)
-        {
-            metrics_.gauge(name, help).Set(static_cast<double>(value));
-        };
-        set("fuchsia_pool_starts", "Tasks started", counts.starts);
-        set("fuchsia_pool_starts_refused",
-            "Starts that workers refused",
-            counts.starts_refused);
-        set("fuchsia_pool_starts_unclear",
-            "Starts without an answer",
-            counts.starts_unclear);
-        set("fuchsia_pool_tasks_done", "Tasks done", counts.tasks_done);
-        set("fuchsia_pool_tasks_failed",
-            "Runs that failed",
-            counts.tasks_failed);
-        set("fuchsia_pool_tasks_lost",
-            "Runs that ended with their worker or lease",
-            counts.tasks_lost);
-        set("fuchsia_pool_paced", "Changes of a task's speed", counts.paced);
-        set("fuchsia_pool_evicted",
-            "Tasks moved away from serving ones",
-            counts.evicted);
-        set("fuchsia_pool_jobs_finished", "Jobs ended", counts.jobs_finished);
-    }
+    measures_.sample(engine_.owned());
     sampler_.expires_after(sample_interval);
     sampler_.async_wait(
         [this](boost::system::error_code error)
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -10,6 +10,7 @@
 #include "core/pool/engine.hpp"
 #include "platform/store.hpp"
 #include "platform/workers.hpp"
+#include "programs/pool/pool_metrics.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -68,6 +69,7 @@
     core::pool::engine engine_;
     adapters::metrics::registry metrics_;
     adapters::logging::rate_limit log_;
+    pool_metrics measures_;
     std::atomic<bool> ready_{false};
     std::atomic<bool> closing_{false};
 
@@ -89,7 +91,6 @@
     adapters::runtime::timer ticker_;
     adapters::runtime::timer sampler_;
     bool performing_ = false;
-    std::size_t open_calls_ = 0; ///< Outside calls without an answer.
 
     // Of the callers' thread.
     std::uint64_t next_caller_ = 0;
