--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -64,6 +64,9 @@
     properties.setProperty("log4cplus.appender.console",
                            "log4cplus::ConsoleAppender");
     properties.setProperty("log4cplus.appender.console.logToStdErr", "false");
+    // Lines that wait in a buffer are lost with a process that is killed: just
+    // those that tell why.
+    properties.setProperty("log4cplus.appender.console.ImmediateFlush", "true");
     properties.setProperty("log4cplus.appender.console.layout",
                            "log4cplus::PatternLayout");
     properties.setProperty("log4cplus.appender.console.layout.ConversionPattern",
--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -3,6 +3,7 @@
 #include "core/common/json.hpp"
 #include "core/pool/keys.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -17,6 +18,9 @@
 namespace
 {
 
+// One failure may be a connection that broke just then.
+constexpr std::uint32_t failures_to_believe = 2;
+
 job_state final_from(std::string_view text)
 {
     return text == "failed"      ? job_state::failed
@@ -36,9 +40,22 @@
     return open_;
 }
 
+// A call that fails for want of a connection takes most of a second. After two
+// of them in a row the next callers are not made to wait for a third.
 bool front::store_away(common::time_point now) const noexcept
 {
-    return now - rules_.contact() > settings_.store_away_after;
+    auto const silent = now - std::max(rules_.contact(), answered_);
+    bool const failing =
+        failures_ >= failures_to_believe && silent > settings_.failing_after;
+    return failing || silent > settings_.store_away_after;
+}
+
+void front::note(common::time_point now, ports::kv_reply const& reply)
+{
+    bool const failed = reply.status == kv_status::refused ||
+                        reply.status == kv_status::unclear;
+    failures_ = failed ? failures_ + 1 : 0;
+    answered_ = failed ? answered_ : now;
 }
 
 void front::on_request(common::time_point now,
@@ -88,6 +105,13 @@
 {
     if (store_away(now))
     {
+        out_.log(severity::warning,
+                 "job_turned_away",
+                 {{"job", id},
+                  {"store_silent_ms",
+                   std::to_string(common::to_milliseconds(
+                       now - std::max(rules_.contact(), answered_)))},
+                  {"failures", std::to_string(failures_)}});
         refuse(caller, "the store is away");
         return;
     }
@@ -105,6 +129,10 @@
         [this, caller, id, now](common::time_point at, kv_reply const& reply)
         {
             auto const took = std::to_string(common::to_milliseconds(at - now));
+            note(at, reply);
+            out_.push(ports::measured{ports::pool_measure::accept, at - now});
+            auto const silent = std::to_string(common::to_milliseconds(
+                at - std::max(rules_.contact(), answered_)));
             switch (reply.status)
             {
             case kv_status::done:
@@ -122,13 +150,17 @@
             case kv_status::refused:
                 out_.log(severity::warning,
                          "job_refused",
-                         {{"job", id}, {"took_ms", took}});
+                         {{"job", id},
+                          {"took_ms", took},
+                          {"store_silent_ms", silent}});
                 refuse(caller, "the store did not take the job");
                 return;
             default:
                 out_.log(severity::warning,
                          "job_unclear",
-                         {{"job", id}, {"took_ms", took}});
+                         {{"job", id},
+                          {"took_ms", took},
+                          {"store_silent_ms", silent}});
                 unknown(caller, "the store did not answer");
                 return;
             }
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -20,6 +20,9 @@
     /// A store that has not answered anything for this long is taken for away,
     /// and what needs it is refused at once.
     common::duration store_away_after = std::chrono::milliseconds(2000);
+    /// After two failed calls in a row this much silence is enough. Longer than
+    /// the answers of a store that is merely slow.
+    common::duration failing_after = std::chrono::milliseconds(600);
     /// When to come back after a refusal: the store's short outages end within
     /// seconds, and another instance may reach it now.
     common::duration retry_after = std::chrono::milliseconds(500);
@@ -61,6 +64,7 @@
     void cancel_known(std::uint64_t caller,
                       std::string const& id,
                       std::uint64_t revision);
+    void note(common::time_point now, ports::kv_reply const& reply);
     void answer(std::uint64_t caller, ports::job_answer what);
     void refuse(std::uint64_t caller, std::string why);
     void unknown(std::uint64_t caller, std::string why);
@@ -71,6 +75,8 @@
     outbox& out_;
     scope life_ = std::make_shared<char>();
     std::size_t open_ = 0;
+    std::uint32_t failures_ = 0;    ///< Failed commits in a row.
+    common::time_point answered_{}; ///< The last commit that was answered.
     std::unordered_map<std::string, ports::job_state> finals_;
     std::deque<std::string> final_order_;
 };
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -253,7 +253,15 @@
     each.pace = 100;
     if (run.phase == job_phase::active)
     {
-        if (each.phase != task_phase::ready)
+        // Before all workers were asked, one of them may know of failures that
+        // leave the task no further attempt.
+        bool const may_be_spent = !settled_ && !run.step_of(name).lasting &&
+                                  run.revision < claim_.epoch();
+        if (may_be_spent)
+        {
+            each.phase = task_phase::unsure;
+        }
+        else if (each.phase != task_phase::ready)
         {
             make_ready(run, name);
         }
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -127,28 +127,29 @@
     }
 }
 
-// The same, and the stop that follows up on it gets lost as well. A hold that
-// does not show the task proves nothing then.
+// The same, and the stops that follow up on it get lost until after that. A
+// hold that does not show the task proves nothing then.
 TEST(pool_faults, a_late_start_whose_stop_is_lost)
 {
     pool_world world;
     settle(world);
     int late = 0;
-    int lost = 0;
-    world.worker_fault = [&late, &lost](std::size_t,
-                                        std::size_t worker,
-                                        ports::pool_operation const& operation)
+    world.worker_fault = [&late, &world](std::size_t,
+                                         std::size_t worker,
+                                         ports::pool_operation const& operation)
     {
         bool const start =
-            worker == 0 && late < 2 &&
+            worker == 0 && late < 1 &&
             std::holds_alternative<ports::start_order>(operation);
-        bool const stop = worker == 0 && lost < 4 &&
+        bool const stop = worker == 0 && world.now() < time_point(3s) &&
                           std::holds_alternative<ports::stop_order>(operation);
         late += start ? 1 : 0;
-        lost += stop ? 1 : 0;
         return start ? fate::late : stop ? fate::lost : fate::carried_out;
     };
-    world.submit(1, "a", simple_job(8, 4s));
+    world.submit(1, "a", simple_job(1, 4s));
+    world.run(100ms);
+    // The next attempt goes elsewhere.
+    world.store().put("operators/out/even", "");
     EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
     world.run(3s);
     EXPECT_EQ(world.violation(), "");
@@ -163,10 +164,16 @@
     world.submit(1, "a", simple_job(8, 6s));
     world.run(300ms);
     ASSERT_GT(world.worker(0).running(), 0U);
+    // One more renewal reaches the worker, whose clock is slow.
+    int passed = 0;
     world.worker_fault =
-        [](std::size_t, std::size_t worker, ports::pool_operation const&)
+        [&passed](std::size_t, std::size_t worker, ports::pool_operation const&)
     {
-        return worker == 0 ? fate::lost : fate::carried_out;
+        if (worker != 0)
+        {
+            return fate::carried_out;
+        }
+        return ++passed == 1 ? fate::answer_lost : fate::lost;
     };
     EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
     EXPECT_EQ(world.violation(), "");
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -23,6 +23,43 @@
     return number == 0 ? 1 : 0;
 }
 
+// From now on `owner` gets nothing through to the store.
+void cut_from_store(pool_world& world, std::size_t owner)
+{
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const&)
+    {
+        return instance == owner ? fate::lost : fate::carried_out;
+    };
+}
+
+// Until `until` only `owner` reaches the worker.
+void hide_worker(pool_world& world,
+                 std::size_t hidden,
+                 std::size_t owner,
+                 duration until)
+{
+    world.worker_fault =
+        [&world, hidden, owner, until](std::size_t instance,
+                                       std::size_t worker,
+                                       ports::pool_operation const&)
+    {
+        bool const cut = worker == hidden && instance != owner &&
+                         world.now() < time_point(until);
+        return cut ? fate::lost : fate::carried_out;
+    };
+}
+
+std::size_t begun_in_all(pool_world& world)
+{
+    std::size_t begun = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        begun += world.worker(number).begun().size();
+    }
+    return begun;
+}
+
 bool completes(pool_world& world,
                std::size_t asked,
                std::string const& id,
@@ -253,40 +290,76 @@
     auto what = simple_job(1, 900ms);
     what.spec += " fail";
     world.submit(other_than(owner), "a", what);
-    world.run(50ms);
-    world.store_fault =
-        [owner](std::size_t instance, ports::kv_operation const&)
+    world.run(500ms);
+    ASSERT_GT(world.worker(0).running(), 0U);
+    cut_from_store(world, owner);
+    hide_worker(world, 0, owner, 4s);
+    auto const asked = other_than(owner);
+    EXPECT_TRUE(world.run_until(
+        [&world, asked]
+        {
+            return world.state(asked, "a") == job_state::failed;
+        }));
+    EXPECT_EQ(begun_in_all(world), 3U);
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The first step ended on a worker that the successor reaches late, the second
+// runs on one that it reaches at once. Taken for a stray, the second would be
+// stopped and run again.
+TEST(pool_takeover, a_step_whose_predecessor_is_told_of_later)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto what = simple_job(1, 700ms);
+    what.steps.push_back(what.steps.front());
+    what.steps.back().after = {0};
+    what.spec = "work=3000";
+    world.submit(other_than(owner), "a", what);
+    world.run(300ms);
+    ASSERT_GT(world.worker(0).running(), 0U);
+    world.store().put("operators/out/even", "");
+    world.run(2600ms);
+    cut_from_store(world, owner);
+    hide_worker(world, 0, owner, 6s);
+    world.run(500ms);
+    ASSERT_EQ(world.worker(1).running(), 1U);
+    EXPECT_TRUE(completes(world, other_than(owner), "a"));
+    EXPECT_EQ(begun_in_all(world), 2U);
+    EXPECT_EQ(world.violation(), "");
+}
+
+// The owner has written a failure down and dies before its worker learns that.
+// The worker tells it again to the successor; counted twice, the job would fail
+// with an attempt unused.
+TEST(pool_takeover, a_failure_that_is_told_again)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto what = simple_job(1, 300ms);
+    what.spec += " fail";
+    world.submit(other_than(owner), "a", what);
+    world.worker_fault = [&world, owner](std::size_t instance,
+                                         std::size_t,
+                                         ports::pool_operation const&)
     {
-        return instance == owner ? fate::lost : fate::carried_out;
+        bool const written = world.store().find("progress/a").has_value();
+        return written && instance == owner ? fate::lost : fate::carried_out;
     };
-    std::optional<std::size_t> first;
-    world.worker_fault = [&first, &world, owner](std::size_t instance,
-                                                 std::size_t worker,
-                                                 ports::pool_operation const&)
-    {
-        for (std::size_t number = 0; !first && number < world.worker_count();
-             ++number)
+    ASSERT_TRUE(world.run_until(
+        [&world]
         {
-            if (!world.worker(number).begun().empty())
-            {
-                first = number;
-            }
-        }
-        bool const hidden = instance != owner && first == worker &&
-                            world.now() < time_point(2700ms);
-        return hidden ? fate::lost : fate::carried_out;
-    };
+            return world.store().find("progress/a").has_value();
+        }));
+    world.kill(owner);
     auto const asked = other_than(owner);
     EXPECT_TRUE(world.run_until(
         [&world, asked]
         {
             return world.state(asked, "a") == job_state::failed;
         }));
-    std::size_t begun = 0;
-    for (std::size_t number = 0; number < world.worker_count(); ++number)
-    {
-        begun += world.worker(number).begun().size();
-    }
-    EXPECT_EQ(begun, 3U);
+    EXPECT_EQ(begun_in_all(world), 3U);
     EXPECT_EQ(world.violation(), "");
 }
