--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -69,9 +69,9 @@
     properties.setProperty("log4cplus.appender.console.ImmediateFlush", "true");
     properties.setProperty("log4cplus.appender.console.layout",
                            "log4cplus::PatternLayout");
-    properties.setProperty("log4cplus.appender.console.layout.ConversionPattern",
-                           "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " +
-                               std::string(program) + " %m%n");
+    properties.setProperty(
+        "log4cplus.appender.console.layout.ConversionPattern",
+        "%D{%Y-%m-%dT%H:%M:%S.%qZ} %p " + std::string(program) + " %m%n");
     log4cplus::PropertyConfigurator(properties).configure();
     program_logger().setLogLevel(levels[static_cast<std::size_t>(least)]);
 }
--- a/src/adapters/runtime/signals.cpp
+++ b/src/adapters/runtime/signals.cpp
@@ -43,7 +43,8 @@
 
 } // namespace
 
-void on_reload_signal(boost::asio::io_context& io, std::function<void()> reload)
+void on_reload_signal(boost::asio::io_context& io,
+                      std::function<void()> const& reload)
 {
     wait_for_reload(std::make_shared<boost::asio::signal_set>(io, SIGHUP),
                     reload);
--- a/src/adapters/runtime/signals.hpp
+++ b/src/adapters/runtime/signals.hpp
@@ -12,6 +12,6 @@
 
 /// Calls `reload`, on `io`, for every SIGHUP.
 void on_reload_signal(boost::asio::io_context& io,
-                      std::function<void()> reload);
+                      std::function<void()> const& reload);
 
 } // namespace fuchsia::adapters::runtime
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -82,6 +82,7 @@
         sums[each.image] += each.used;
     }
     std::vector<neighbour_share> made;
+    made.reserve(sums.size());
     for (auto const& [image, share] : sums)
     {
         made.push_back({image, share});
--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -51,7 +51,7 @@
     return changes_;
 }
 
-void operators::read(common::time_point now, std::string after)
+void operators::read(common::time_point now, std::string const& after)
 {
     (void)now;
     if (after.empty())
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -39,7 +39,7 @@
     std::uint64_t changes() const noexcept;
 
 private:
-    void read(common::time_point now, std::string after);
+    void read(common::time_point now, std::string const& after);
     void on_page(common::time_point now,
                  std::string const& after,
                  ports::kv_reply const& reply);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -95,11 +95,11 @@
 
 private:
     // owner.cpp: the store.
-    void load_page(common::time_point now, std::string after);
+    void load_page(common::time_point now, std::string const& after);
     void on_page(common::time_point now, ports::kv_reply const& reply);
-    void load_progress(std::string after);
+    void load_progress(std::string const& after);
     void load_roster();
-    void load_finals(std::string after);
+    void load_finals(std::string const& after);
     void read_list(common::time_point now);
     void on_list(common::time_point now, ports::kv_reply const& reply);
     void take_list(common::time_point now);
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -12,7 +12,7 @@
 using ports::kv_status;
 using ports::severity;
 
-void owner::load_page(common::time_point now, std::string after)
+void owner::load_page(common::time_point now, std::string const& after)
 {
     (void)now;
     out_.store(life_,
@@ -57,7 +57,7 @@
     parts_loaded(now);
 }
 
-void owner::load_progress(std::string after)
+void owner::load_progress(std::string const& after)
 {
     out_.store(life_,
                ports::kv_range{std::string(keys::progress_prefix), after},
@@ -81,7 +81,7 @@
                });
 }
 
-void owner::load_finals(std::string after)
+void owner::load_finals(std::string const& after)
 {
     out_.store(life_,
                ports::kv_range{std::string(keys::final_prefix), after},
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -86,14 +86,14 @@
     submissions_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
-        [this](http::request message, http::responder respond)
+        [this](http::request const& message, http::responder const& respond)
         {
-            on_caller(std::move(message), std::move(respond));
+            on_caller(message, respond);
         });
     readiness_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
-        [this](http::request message, http::responder respond)
+        [this](http::request const& message, http::responder const& respond)
         {
             bool const known = message.target == settings_.readiness_path;
             bool const good = known && ready_;
@@ -102,7 +102,7 @@
     exposition_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
-        [this](http::request, http::responder respond)
+        [this](http::request const&, http::responder const& respond)
         {
             respond({200,
                      {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -178,7 +178,8 @@
     return 0;
 }
 
-void pool_program::on_caller(http::request message, http::responder respond)
+void pool_program::on_caller(http::request const& message,
+                             http::responder const& respond)
 {
     http::response refusal;
     auto decoded = platform::decode_submission(message, refusal);
@@ -196,7 +197,7 @@
             settings_.pool.front.retry_after}));
         return;
     }
-    waiting_.emplace(caller, std::move(respond));
+    waiting_.emplace(caller, respond);
 }
 
 void pool_program::respond(answer_out& out)
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -48,8 +48,8 @@
         std::variant<std::monostate, ports::kv_reply, ports::order_reply>;
 
     bool listen(core::common::failure& reason);
-    void on_caller(adapters::http::request message,
-                   adapters::http::responder respond);
+    void on_caller(adapters::http::request const& message,
+                   adapters::http::responder const& respond);
     void respond(answer_out& out);
     void send_outside(outside_call& call);
     void take_reply(outside_reply& reply);
--- a/standins/pool/pool_server.cpp
+++ b/standins/pool/pool_server.cpp
@@ -52,7 +52,7 @@
         {
             on_store(request, respond);
         }));
-    auto const bound = servers_.back()->listen(settings_.store, reason);
+    auto bound = servers_.back()->listen(settings_.store, reason);
     for (std::size_t number = 0; bound && number < workers_.size(); ++number)
     {
         servers_.push_back(std::make_unique<adapters::http::server>(
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -297,7 +297,7 @@
 }
 
 void pool_world::deliver(std::size_t number,
-                         std::function<void(core::pool::engine&)> what)
+                         std::function<void(core::pool::engine&)> const& what)
 {
     auto const& each = instances_[number];
     if (!each.engine)
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -93,7 +93,7 @@
     };
 
     void deliver(std::size_t number,
-                 std::function<void(core::pool::engine&)> what);
+                 std::function<void(core::pool::engine&)> const& what);
     void perform(std::size_t number);
     void call_store(std::size_t number, ports::kv_call const& call);
     void apply_store(std::size_t number,
