Slow workers: learned from progress, and not mistaken for bad neighbours

Tasks also went on being placed there. The test of logs asks for standard output now, where the users want them.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "core/pool/colocation.hpp"
 #include "core/pool/outbox.hpp"
+#include "core/pool/worker_speed.hpp"
 #include "ports/pool_workers.hpp"
 
 #include <cstdint>
@@ -71,6 +72,7 @@
 
     common::time_point avoid_until{}; ///< Suspected of failing what it runs.
     common::time_point full_until{};  ///< It said that it has no room.
+    worker_speed speed;
     std::vector<std::string> failed_jobs; ///< Since its last success.
     common::time_point over_since{};      ///< A serving task there is too slow.
     worker_view view;        ///< What stands beside each other here,
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -59,6 +59,7 @@
     common::time_point paced{}; ///< When it was ordered to stand still.
     serving_reading reading;    ///< Of a serving task; the last one.
     common::time_point started{};
+    common::time_point told{};          ///< When its percent was last told.
     common::time_point moved{};         ///< Last seen to make progress.
     std::vector<std::string> failed_on; ///< Workers to avoid.
 
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -174,6 +174,7 @@
                                 ports::ended_row const& row);
     void forget_runs(common::time_point now, worker& of, char const* why);
     void guard(common::time_point now, worker& of);
+    bool tails_are_odd(worker& of);
     void read_serving(common::time_point now, worker& of);
     void evict_idle(common::time_point now,
                     worker& of,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -27,6 +27,10 @@
 constexpr double far_penalty = 10;
 constexpr double failed_penalty = 100;
 constexpr double free_worker_penalty = 0.5;
+// For each time that a worker takes longer than estimated; a quarter more is
+// within what estimates are off by.
+constexpr double slow_penalty = 1;
+constexpr double usual_slowness = 1.25;
 // Serving tasks of one image stand together: what disturbs one of them disturbs
 // all, and has the other workers for itself.
 constexpr double other_image_penalty = 1.5;
@@ -301,6 +305,8 @@
     {
         total += far_penalty;
     }
+    total +=
+        slow_penalty * std::max(0.0, 1 / on.speed.value(now) - usual_slowness);
     auto const& failed = run.at(name).failed_on;
     if (std::find(failed.begin(), failed.end(), on.info.id) != failed.end())
     {
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -17,6 +17,11 @@
 constexpr common::duration reading_age = std::chrono::milliseconds(1000);
 // With fewer, one task's neighbours can't be told from the load of its users.
 constexpr std::size_t readings_to_learn = 3;
+// Half of a worker's tails at least 2.5 times as long as load and neighbours
+// explain: it is the worker.
+constexpr double odd_ratio = 0.4;
+constexpr std::size_t tails_to_judge = 2;
+constexpr double least_expected = 0.5;
 
 } // namespace
 
@@ -70,8 +75,40 @@
     return made;
 }
 
+// A worker that turns slow makes all tails on it long at once. Taken for the
+// work of neighbours, that would teach that everything disturbs, and nothing
+// would find a place anywhere.
+bool owner::tails_are_odd(worker& of)
+{
+    std::vector<double> ratios;
+    for (auto const& served : view_of(of).serving)
+    {
+        auto const expected =
+            served.alone -
+            colocation_.taken(served.image, shares_of(of.view.fills));
+        if (served.alone > 0)
+        {
+            ratios.push_back(served.headroom /
+                             std::max(expected, least_expected));
+        }
+    }
+    if (ratios.size() < tails_to_judge)
+    {
+        return false;
+    }
+    auto const middle =
+        ratios.begin() + static_cast<std::ptrdiff_t>(ratios.size() / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    return *middle < odd_ratio;
+}
+
+// What the tasks of one step have in common is the load of their users.
 void owner::read_serving(common::time_point now, worker& of)
 {
+    if (tails_are_odd(of))
+    {
+        return;
+    }
     auto const beside = shares_of(view_of(of).fills);
     for (auto const& name : of.runs)
     {
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -250,6 +250,17 @@
     {
         each->moved = now;
     }
+    // A task at full speed shows how fast its worker is.
+    bool const steady = each->pace == 100 && each->told > each->started &&
+                        row.percent > each->percent;
+    if (steady && !run->step_of(name).lasting)
+    {
+        of.speed.observe(now,
+                         row.percent - each->percent,
+                         run->step_of(name).estimate,
+                         now - each->told);
+    }
+    each->told = now;
     each->unclear = false;
     each->percent = row.percent;
     each->level = row.level;
--- a/tests/contract/adapters/logging_test.cpp
+++ b/tests/contract/adapters/logging_test.cpp
@@ -5,16 +5,16 @@
 namespace fuchsia::adapters::logging
 {
 
-TEST(logging, a_line_from_the_level_upwards_reaches_standard_error)
+TEST(logging, a_line_from_the_level_upwards_reaches_standard_output)
 {
     // A logger that was set up with properties the library doesn't read
     // prints one complaint at the start and then nothing: an operator sees an
     // empty log.
-    testing::internal::CaptureStderr();
+    testing::internal::CaptureStdout();
     set_up("program-a", ports::severity::info);
     write(ports::severity::debug, "too_small", {});
     write(ports::severity::warning, "takeover", {{"partition", "7"}});
-    auto const text = testing::internal::GetCapturedStderr();
+    auto const text = testing::internal::GetCapturedStdout();
     EXPECT_NE(text.find("WARN program-a takeover partition=7\n"),
               std::string::npos)
         << text;
