Steps under a policy: tickets from the advice service, asked one call at a time

Cause: a queue with a policy had every start refused for want of a ticket, and its jobs counted as begun.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -72,6 +72,10 @@
     made.readiness_path = root.text_or("readiness_path", "/readyz");
     made.metrics = root.endpoint("metrics");
     made.store = root.endpoint("store");
+    if (!root.text_or("advice", "").empty())
+    {
+        made.advice = root.endpoint("advice");
+    }
     made.log_level = static_cast<ports::severity>(
         root.choice_or("log_level", 1, {"debug", "info", "warning", "error"}));
     read_sharing(root.table("sharing"), made.pool.owner.sharing);
--- a/src/core/pool/configuration.hpp
+++ b/src/core/pool/configuration.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -13,6 +14,13 @@
 namespace fuchsia::core::pool
 {
 
+/// A policy that allows the queue's steps on some workers only.
+struct advice_rules
+{
+    common::duration decision{};   ///< Time of one call,
+    common::duration per_worker{}; ///< and for each worker that it names.
+};
+
 /// A queue of jobs; requests find it by host and path.
 struct queue
 {
@@ -24,6 +32,7 @@
     std::uint32_t attempts = 1; ///< Failed runs that end a job.
     double stretch = 1;         ///< Of the longest chain, for its deadline.
     common::duration target{};  ///< Added to the stretched chain.
+    std::optional<advice_rules> advice;
 };
 
 struct service
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -58,6 +58,13 @@
     follow(now);
 }
 
+void engine::on_advice_reply(common::time_point now,
+                             ports::advice_reply const& reply)
+{
+    out_.on_advice_reply(now, reply);
+    follow(now);
+}
+
 void engine::begin_stop(common::time_point now)
 {
     if (stopping_)
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -6,6 +6,8 @@
 #include "ports/pool_actions.hpp"
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,13 +73,23 @@
     }
 };
 
+/// Permission of a policy to start tasks of a step on a worker.
+struct ticket
+{
+    std::string text;
+    std::uint64_t born = 0; ///< Incarnation of the worker.
+    common::time_point until{};
+};
+
 struct step_run
 {
     std::vector<task> tasks;
-    std::vector<std::uint32_t> ready; ///< Indexes, the next one last.
-    std::uint32_t left = 0;           ///< Tasks that are not done.
-    bool open = false;                ///< Its tasks may start.
-    std::uint16_t image = 0; ///< Number of the image that its tasks run.
+    std::vector<std::uint32_t> ready;      ///< Indexes, the next one last.
+    std::map<std::string, ticket> tickets; ///< By worker; kept when over.
+    std::set<std::string> asked; ///< Workers that the policy was asked about.
+    std::uint32_t left = 0;      ///< Tasks that are not done.
+    bool open = false;           ///< Its tasks may start.
+    std::uint16_t image = 0;     ///< Number of the image that its tasks run.
     double alone = 0; ///< Headroom of its serving tasks without neighbours.
 };
 
--- a/src/core/pool/outbox.cpp
+++ b/src/core/pool/outbox.cpp
@@ -24,6 +24,16 @@
     actions_.emplace_back(std::move(order));
 }
 
+void outbox::advise(scope const& asker,
+                    ports::advice_call call,
+                    advice_handler handle)
+{
+    call.id = ++next_id_;
+    advice_calls_.emplace(call.id,
+                          waiting<advice_handler>{asker, std::move(handle)});
+    actions_.emplace_back(std::move(call));
+}
+
 void outbox::reply(std::uint64_t caller, ports::job_answer answer)
 {
     actions_.emplace_back(ports::job_reply{caller, std::move(answer)});
@@ -74,6 +84,12 @@
     hand_over(orders_, now, reply);
 }
 
+void outbox::on_advice_reply(common::time_point now,
+                             ports::advice_reply const& reply)
+{
+    hand_over(advice_calls_, now, reply);
+}
+
 ports::pool_actions outbox::take()
 {
     return std::exchange(actions_, {});
--- a/src/core/pool/outbox.hpp
+++ b/src/core/pool/outbox.hpp
@@ -26,12 +26,17 @@
     using order_handler =
         std::function<void(common::time_point, ports::order_reply const&)>;
 
+    using advice_handler =
+        std::function<void(common::time_point, ports::advice_reply const&)>;
+
     void store(scope const& asker,
                ports::kv_operation operation,
                common::duration timeout,
                kv_handler handle);
     void
     order(scope const& asker, ports::pool_order order, order_handler handle);
+    void
+    advise(scope const& asker, ports::advice_call call, advice_handler handle);
     void reply(std::uint64_t caller, ports::job_answer answer);
     void log(ports::severity level,
              std::string event,
@@ -41,6 +46,8 @@
     void on_kv_reply(common::time_point now, ports::kv_reply const& reply);
     void on_order_reply(common::time_point now,
                         ports::order_reply const& reply);
+    void on_advice_reply(common::time_point now,
+                         ports::advice_reply const& reply);
 
     /// Takes everything that was asked for since the last call.
     ports::pool_actions take();
@@ -60,6 +67,7 @@
     ports::pool_actions actions_;
     std::unordered_map<std::uint64_t, waiting<kv_handler>> kv_calls_;
     std::unordered_map<std::uint64_t, waiting<order_handler>> orders_;
+    std::unordered_map<std::uint64_t, waiting<advice_handler>> advice_calls_;
     std::uint64_t next_id_ = 0;
     std::int64_t unix_offset_ms_ = 0;
 };
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -193,6 +193,19 @@
     void blame(common::time_point now, worker& of, std::string const& job);
     void fenced(std::string const& by);
 
+    // owner_advice.cpp: steps under a policy.
+    struct ready_key;
+    bool has_ticket(common::time_point now,
+                    step_run const& steps,
+                    worker const& on) const;
+    void ask_advice(common::time_point now, ready_key const& key);
+    std::vector<std::string>
+    workers_to_ask(common::time_point now, job_run& run, ready_key const& key);
+    void on_advice(common::time_point now,
+                   common::time_point asked,
+                   ready_key const& key,
+                   ports::advice_reply const& reply);
+
     // owner_dispatch.cpp: which task starts where.
     struct ready_key
     {
@@ -268,6 +281,7 @@
     bool loaded_ = false;
     bool list_known_ = false;
     bool listing_ = false;
+    bool advice_busy_ = false;    ///< A call of the policy is on its way.
     bool wants_dispatch_ = false; ///< Something may have found a place.
     common::time_point next_dispatch_{};
     std::vector<ports::pool_worker> list_; ///< The pages read so far.
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -140,7 +140,7 @@
             continue;
         }
         // A gang that finds no place says nothing of its tasks one by one.
-        if (!dispatch_step(now, key) && !what->gang)
+        if (!dispatch_step(now, key) && !what->gang && !run->rules.advice)
         {
             failed.push_back(wanted);
         }
@@ -152,6 +152,10 @@
 {
     auto& run = *find_job(key.job);
     auto& steps = run.occurrences[key.occurrence].steps[key.step];
+    if (run.rules.advice)
+    {
+        ask_advice(now, key);
+    }
     if (run.spec.steps[key.step].gang)
     {
         return dispatch_gang(now, key, run);
@@ -258,6 +262,11 @@
     {
         return std::nullopt;
     }
+    if (run.rules.advice &&
+        !has_ticket(now, run.occurrences[name.occurrence].steps[name.step], on))
+    {
+        return std::nullopt;
+    }
     if (what.max_per_worker > 0)
     {
         auto const first =
@@ -355,7 +364,7 @@
     each.pace = 100;
     each.started = now;
     each.moved = now;
-    if (!run.started)
+    if (run.first_start_unix_ms == 0)
     {
         run.first_start_unix_ms = out_.unix_ms(now);
         out_.push(ports::measured{
@@ -363,7 +372,6 @@
             std::chrono::milliseconds(run.first_start_unix_ms -
                                       run.spec.accepted_unix_ms)});
     }
-    run.started = true;
     ++counters_.starts;
     ports::start_order order;
     order.fence = claim_.epoch();
@@ -371,6 +379,12 @@
     order.spec = run.spec.spec;
     order.until_ms = fleet_.lease_end(on, now);
     order.checkpoint = each.checkpoint;
+    auto const& tickets =
+        run.occurrences[name.occurrence].steps[name.step].tickets;
+    if (auto const found = tickets.find(on.info.id); found != tickets.end())
+    {
+        order.ticket = found->second.text;
+    }
     on.until_ms = std::max(on.until_ms, order.until_ms);
     // A worker that was idle is asked seldom; from now on it is watched.
     on.next_hold = std::min(on.next_hold, now + settings_.full_pause);
@@ -405,6 +419,7 @@
     }
     if (reply.status == order_status::done)
     {
+        run->started = true;
         each->phase = task_phase::running;
         each->started = now;
         each->moved = now;
@@ -429,6 +444,12 @@
         return;
     }
     ++counters_.starts_refused;
+    if (reply.status == order_status::no_ticket)
+    {
+        run->occurrences[what.task.occurrence]
+            .steps[what.task.step]
+            .tickets.erase(id);
+    }
     if (auto* const on = fleet_.find(id))
     {
         on->full_until = now + settings_.full_pause;
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -242,6 +242,7 @@
     }
     if (each->phase == task_phase::starting)
     {
+        run->started = true;
         each->phase = task_phase::running;
         each->started = now;
         each->moved = now;
--- a/src/ports/pool_actions.hpp
+++ b/src/ports/pool_actions.hpp
@@ -3,6 +3,7 @@
 #include "core/common/result_code.hpp"
 #include "ports/actions.hpp"
 #include "ports/kv.hpp"
+#include "ports/pool_advice.hpp"
 #include "ports/pool_workers.hpp"
 
 #include <cstdint>
@@ -99,6 +100,7 @@
 
 using pool_action = std::variant<kv_call,
                                  pool_order,
+                                 advice_call,
                                  job_reply,
                                  log_event,
                                  measured,
--- a/src/ports/pool_workers.hpp
+++ b/src/ports/pool_workers.hpp
@@ -65,6 +65,7 @@
     std::string spec;
     std::uint64_t until_ms = 0;
     std::string checkpoint; ///< Where to resume; empty: from the start.
+    std::string ticket;     ///< Of a policy; empty where none applies.
 };
 
 struct stop_order
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -83,6 +83,13 @@
         {
             replies_.try_push(outside_reply{std::move(reply)});
         });
+    advice_ = std::make_unique<platform::advice>(
+        outside_.io(),
+        settings_.advice,
+        [this](ports::advice_reply reply)
+        {
+            replies_.try_push(outside_reply{std::move(reply)});
+        });
     submissions_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
@@ -119,6 +126,7 @@
     outside_.stop();
     store_.reset();
     workers_.reset();
+    advice_.reset();
     submissions_.reset();
     readiness_.reset();
     exposition_.reset();
@@ -228,6 +236,10 @@
     {
         workers_->send(std::move(*order));
     }
+    else if (auto* const ask = std::get_if<ports::advice_call>(&call))
+    {
+        advice_->send(std::move(*ask));
+    }
 }
 
 void pool_program::take_reply(outside_reply& reply)
@@ -243,6 +255,11 @@
         measures_.ended(now, *order);
         engine_.on_order_reply(now, *order);
     }
+    else if (auto const* const advice =
+                 std::get_if<ports::advice_reply>(&reply))
+    {
+        engine_.on_advice_reply(now, *advice);
+    }
     perform();
 }
 
@@ -325,6 +342,10 @@
         measures_.began(clock::now(), *order);
         call = std::move(*order);
     }
+    else if (auto* const ask = std::get_if<ports::advice_call>(&action))
+    {
+        call = std::move(*ask);
+    }
     if (measures_.open() > outside_ring || !calls_.try_push(call))
     {
         refuse(call);
@@ -349,6 +370,12 @@
         made.status = ports::order_status::not_sent;
         reply = std::move(made);
     }
+    else if (auto const* const ask = std::get_if<ports::advice_call>(&call))
+    {
+        ports::advice_reply made;
+        made.id = ask->id;
+        reply = std::move(made);
+    }
     boost::asio::post(decisions_.io(),
                       [this, reply]() mutable
                       {
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -8,6 +8,7 @@
 #include "adapters/runtime/timer.hpp"
 #include "adapters/settings/pool_settings.hpp"
 #include "core/pool/engine.hpp"
+#include "platform/advice.hpp"
 #include "platform/store.hpp"
 #include "platform/workers.hpp"
 #include "programs/pool/pool_metrics.hpp"
@@ -42,10 +43,14 @@
         std::uint64_t caller = 0;
         adapters::http::response message;
     };
-    using outside_call =
-        std::variant<std::monostate, ports::kv_call, ports::pool_order>;
-    using outside_reply =
-        std::variant<std::monostate, ports::kv_reply, ports::order_reply>;
+    using outside_call = std::variant<std::monostate,
+                                      ports::kv_call,
+                                      ports::pool_order,
+                                      ports::advice_call>;
+    using outside_reply = std::variant<std::monostate,
+                                       ports::kv_reply,
+                                       ports::order_reply,
+                                       ports::advice_reply>;
 
     bool listen(core::common::failure& reason);
     void on_caller(adapters::http::request const& message,
@@ -85,6 +90,7 @@
 
     std::unique_ptr<platform::store> store_;
     std::unique_ptr<platform::workers> workers_;
+    std::unique_ptr<platform::advice> advice_;
     std::unique_ptr<adapters::http::server> submissions_;
     std::unique_ptr<adapters::http::server> readiness_;
     std::unique_ptr<adapters::http::server> exposition_;
--- a/standins/pool/pool_codec.cpp
+++ b/standins/pool/pool_codec.cpp
@@ -211,7 +211,8 @@
                                   what,
                                   text(*body, "taskSpec"),
                                   number(*body, "untilMs"),
-                                  text(*body, "checkpoint")};
+                                  text(*body, "checkpoint"),
+                                  text(*body, "ticket")};
     }
     if (request.target == "/v1/run-stop")
     {
--- a/tests/contract/platform/settings_test.cpp
+++ b/tests/contract/platform/settings_test.cpp
@@ -24,6 +24,7 @@
         {"{{listen.readiness}}", "10.1.0.13:8167"},
         {"{{ip}}", "10.1.0.13"},
         {"{{platform.address}}", "10.200.1.7:8169"},
+        {"{{advice}}", ""},
         {"{{platform.minTtlMs}}", "1500"},
         {"{{bounds.maxHoldMs}}", "3000"},
         {"{{bounds.graceS}}", "6"},
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -403,3 +403,23 @@
     EXPECT_TRUE(ends_as(world, owner == 0 ? 1 : 0, "a", job_state::completed));
     EXPECT_EQ(world.violation(), "");
 }
+
+// A policy allows a queue's steps on some workers only, and says so by tickets.
+// Started without one, every task would be refused and the job never run.
+TEST(pool_faults, steps_under_a_policy_start_with_its_tickets)
+{
+    pool_world world;
+    settle(world);
+    world.require_tickets();
+    world.run(100ms);
+    auto what = simple_job(3, 200ms);
+    what.steps.push_back(what.steps.back());
+    what.steps.back().after = {0};
+    world.submit(1, "a", what);
+    world.submit(1, "b", simple_job(2, 200ms));
+    EXPECT_TRUE(ends_as(world, 0, "a", job_state::completed));
+    EXPECT_TRUE(ends_as(world, 0, "b", job_state::completed));
+    EXPECT_EQ(world.starts_without_ticket(), 0U);
+    EXPECT_TRUE(world.worker(0).begun().empty());
+    EXPECT_EQ(world.violation(), "");
+}
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -58,12 +58,17 @@
         }
         core::pool::configuration config;
         config.version = std::stoull(item.value);
+        bool const advised = item.value.ends_with("advised");
         core::pool::queue queue;
         queue.name = "q";
         queue.host = host;
         queue.prefix = prefix;
         queue.service = "s";
         queue.attempts = attempts;
+        if (advised)
+        {
+            queue.advice = core::pool::advice_rules{300ms, 2ms};
+        }
         config.queues.push_back(queue);
         return config;
     };
@@ -334,6 +339,11 @@
         {
             call_worker(number, *order);
         }
+        else if (auto const* const ask =
+                     std::get_if<ports::advice_call>(&action))
+        {
+            call_policy(number, *ask);
+        }
         else if (auto const* const reply =
                      std::get_if<ports::job_reply>(&action))
         {
@@ -456,6 +466,51 @@
                     });
 }
 
+void pool_world::require_tickets()
+{
+    tickets_required_ = true;
+    store_.put("operators/config", "2 advised");
+}
+
+std::size_t pool_world::starts_without_ticket() const noexcept
+{
+    return without_ticket_;
+}
+
+void pool_world::call_policy(std::size_t number, ports::advice_call const& call)
+{
+    if (policy_busy_ && violation_.empty())
+    {
+        violation_ = "a second call of the policy at a time";
+    }
+    policy_busy_ = true;
+    ports::advice_reply reply;
+    reply.id = call.id;
+    reply.answered = true;
+    reply.valid = 3s;
+    for (auto const& id : call.workers)
+    {
+        if (std::stoul(id.substr(1)) % 2 == 1)
+        {
+            reply.allowed.push_back({id, "ticket " + id});
+        }
+    }
+    timeline_.after(300ms,
+                    [this, number, life = instances_[number].life, reply]
+                    {
+                        policy_busy_ = false;
+                        if (instances_[number].life != life)
+                        {
+                            return;
+                        }
+                        deliver(number,
+                                [this, reply](core::pool::engine& engine)
+                                {
+                                    engine.on_advice_reply(now(), reply);
+                                });
+                    });
+}
+
 void pool_world::wake_watches()
 {
     auto const waiting = std::exchange(watches_, {});
@@ -537,6 +592,11 @@
 {
     auto const where = std::stoul(order.worker.substr(1));
     auto& target = *workers_[where];
+    auto const* const start = std::get_if<ports::start_order>(&order.operation);
+    without_ticket_ += tickets_required_ && start != nullptr &&
+                               start->ticket != "ticket " + order.worker
+                           ? 1U
+                           : 0U;
     auto const begun = target.begun().size();
     auto reply = target.apply(now(), order.operation);
     if (target.begun().size() > begun)
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -76,6 +76,11 @@
         std::size_t instance, std::size_t worker, ports::pool_operation const&)>
         worker_fault;
 
+    /// From now on a policy allows tasks on workers of odd number only, by
+    /// tickets; it takes one call at a time.
+    void require_tickets();
+    std::size_t starts_without_ticket() const noexcept;
+
     /// The first promise that was broken; empty: none.
     std::string const& violation() const noexcept;
     time_point now() const noexcept;
@@ -105,6 +110,7 @@
                       std::uint64_t life,
                       ports::pool_order const& order,
                       bool answered);
+    void call_policy(std::size_t number, ports::advice_call const& call);
     void wake_watches();
     void tick_all();
     void check_start(std::size_t where, ports::task_run const& what);
@@ -130,6 +136,9 @@
     std::map<ports::task_name, std::size_t> failed_; ///< Acknowledged failures.
     std::map<std::string, std::size_t> attempts_of_queue_;
     std::string violation_;
+    bool tickets_required_ = false;
+    bool policy_busy_ = false;
+    std::size_t without_ticket_ = 0;
 };
 
 /// A job of one step of `count` tasks that take `work`.
