Long tails are the worker's fault only where its tasks are slow too

Cause: a bad neighbour makes half of a worker's tails long as well; taken for a slow worker, its pair was never learned.

--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -25,7 +25,7 @@
 {
     /// Headroom that neighbours leave to a serving task: below 1 it is spoiled.
     /// A reading is up to 0.75 s old, in which load alone takes 0.3.
-    double keep = 1.3;
+    double keep = 1.4;
     /// A task that fills is placed only where this much is expected to stay.
     double place_above = 1.7;
     /// Tasks that fill stand still on a worker whose serving task has been over
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -31,7 +31,7 @@
     /// How long a worker may hold back its answer while nothing ends there:
     /// where serving tasks have neighbours that may disturb them, and
     /// elsewhere.
-    common::duration guarded_wait = std::chrono::milliseconds(250);
+    common::duration guarded_wait = std::chrono::milliseconds(350);
     common::duration calm_wait = std::chrono::milliseconds(700);
     /// An idle worker is asked this often, for its clock.
     common::duration idle_interval = std::chrono::seconds(2);
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -21,6 +21,9 @@
 // explain: it is the worker.
 constexpr double odd_ratio = 0.4;
 constexpr std::size_t tails_to_judge = 2;
+// And its tasks get on this much slower than estimated: a bad neighbour alone
+// makes tails long, and must be learned.
+constexpr double slow_worker = 0.6;
 constexpr double least_expected = 0.5;
 
 } // namespace
@@ -105,7 +108,7 @@
 // What the tasks of one step have in common is the load of their users.
 void owner::read_serving(common::time_point now, worker& of)
 {
-    if (tails_are_odd(of))
+    if (of.speed.value(now) < slow_worker && tails_are_odd(of))
     {
         return;
     }
