Shorter steps in what an owner learns from its workers

One function a subject: progress, adopting, stuck tasks, failures, missing tasks, acknowledging; one look-up of a task and one form of its log lines.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -470,6 +470,13 @@
     return run.started ? ports::job_state::active : ports::job_state::queued;
 }
 
+owner::known_task owner::find_task(ports::task_name const& name)
+{
+    auto* const run = find_job(name.job);
+    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    return each != nullptr ? known_task{run, each} : known_task{};
+}
+
 job_run* owner::find_job(std::string const& id)
 {
     auto const found = jobs_.find(id);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -150,6 +150,18 @@
     void save_all_progress();
     void save_progress(job_run& run);
     job_run* find_job(std::string const& id);
+    /// Both null where the job, or the task in it, is not known.
+    struct known_task
+    {
+        job_run* run = nullptr;
+        task* each = nullptr;
+    };
+    known_task find_task(ports::task_name const& name);
+    void log_task(ports::severity level,
+                  char const* event,
+                  ports::task_run const& what,
+                  std::string const& on,
+                  std::vector<ports::header> more = {});
 
     // owner_workers.cpp: what workers say.
     void hold_workers(common::time_point now);
@@ -160,6 +172,28 @@
                  ports::order_reply const& reply);
     void
     new_incarnation(common::time_point now, worker& of, std::uint64_t born);
+    void acknowledge_ends(common::time_point now, worker& of);
+    void check_missing(common::time_point now,
+                       common::time_point sent,
+                       worker& of,
+                       std::set<ports::task_name> const& told);
+    void adopt_run(common::time_point now,
+                   worker& of,
+                   job_run& run,
+                   ports::task_run const& what);
+    void note_progress(common::time_point now,
+                       worker& of,
+                       job_run& run,
+                       ports::running_row const& row);
+    void stop_if_stuck(common::time_point now,
+                       worker& of,
+                       job_run& run,
+                       ports::task_run const& what);
+    void take_failure(common::time_point now,
+                      worker& of,
+                      job_run& run,
+                      ports::task_run const& what,
+                      bool current);
     void take_rows(common::time_point now,
                    common::time_point sent,
                    worker& of,
@@ -188,6 +222,8 @@
                     ports::task_run const& what);
     void check_silent(common::time_point now);
     void settle(common::time_point now);
+    void resolve_unsure(common::time_point now, job_run& run);
+    bool waited_for_silence(common::time_point now);
     worker_view const& view_of(worker& of);
     bool may_be_foreign(job_run const& run, task const& each) const;
     void blame(common::time_point now, worker& of, std::string const& job);
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -408,8 +408,7 @@
         fenced(id);
         return;
     }
-    auto* const run = find_job(what.task.job);
-    auto* const each = run != nullptr ? run->find(what.task) : nullptr;
+    auto const [run, each] = find_task(what.task);
     bool const ours = each != nullptr && each->worker == id &&
                       each->attempt == what.attempt &&
                       each->phase == task_phase::starting;
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -43,8 +43,7 @@
         std::max<std::int64_t>(of.info.capacity.millicores, 1));
     for (auto const& name : of.runs)
     {
-        auto* const run = find_job(name.job);
-        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        auto const [run, each] = find_task(name);
         if (each == nullptr)
         {
             continue;
@@ -115,8 +114,7 @@
     auto const beside = shares_of(view_of(of).fills);
     for (auto const& name : of.runs)
     {
-        auto* const run = find_job(name.job);
-        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        auto const [run, each] = find_task(name);
         auto const target =
             each != nullptr
                 ? common::to_milliseconds(run->step_of(name).tail_target)
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -49,8 +49,7 @@
                                    ports::ended_row const& row)
 {
     auto const& name = row.what.task;
-    auto* const run = find_job(name.job);
-    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    auto const [run, each] = find_task(name);
     if (each == nullptr || row.how != end_kind::failed ||
         each->phase == task_phase::done ||
         std::find(each->failures.begin(),
@@ -75,27 +74,12 @@
     {
         return;
     }
-    auto const& limits = fleet_.settings();
-    if (majority_since_ == common::time_point{} && fleet_.quorum({}))
-    {
-        majority_since_ = now;
-    }
-    auto const lease = std::chrono::duration_cast<common::duration>(
-        limits.lease * (1 + limits.clock_drift));
-    // From then on the last owner can have renewed leases for one window, and
-    // those last for one lease.
-    bool const silenced = majority_since_ != common::time_point{} &&
-                          now - majority_since_ >
-                              limits.quorum_window + lease + limits.lapse_slack;
-    bool const waited =
-        silenced ||
-        now - claim_.since() > limits.solo_limit + lease + limits.lapse_slack;
     std::size_t missing = 0;
     for (auto const& [id, each] : fleet_.all())
     {
         missing += each.rostered && !each.adopted ? 1U : 0U;
     }
-    if (missing > 0 && !waited)
+    if (missing > 0 && !waited_for_silence(now))
     {
         return;
     }
@@ -115,28 +99,52 @@
     }
     for (auto const& id : ids)
     {
-        auto& run = *find_job(id);
-        for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+        resolve_unsure(now, *find_job(id));
+    }
+}
+
+// What no worker told of does not run anywhere.
+void owner::resolve_unsure(common::time_point now, job_run& run)
+{
+    for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
+    {
+        auto& steps = run.occurrences[k].steps;
+        for (std::uint32_t number = 0; number < steps.size(); ++number)
         {
-            auto& steps = run.occurrences[k].steps;
-            for (std::uint32_t number = 0; number < steps.size(); ++number)
+            auto& tasks = steps[number].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index)
             {
-                auto& tasks = steps[number].tasks;
-                for (std::uint32_t index = 0; index < tasks.size(); ++index)
+                if (tasks[index].phase == task_phase::unsure)
                 {
-                    if (tasks[index].phase == task_phase::unsure)
-                    {
-                        task_over(now, run, {id, k, number, index});
-                    }
+                    task_over(now, run, {run.spec.id, k, number, index});
                 }
             }
         }
-        if (run.phase == job_phase::active && out_of_attempts(run))
-        {
-            end_job(now, run, job_phase::failing);
-        }
-        finish_if_over(now, run);
     }
+    if (run.phase == job_phase::active && out_of_attempts(run))
+    {
+        end_job(now, run, job_phase::failing);
+    }
+    finish_if_over(now, run);
+}
+
+// Whether the last owner's leases are over on every worker, heard or not. From
+// the moment that half of the workers know the new fence it can have renewed
+// leases for one window, and those last for one lease.
+bool owner::waited_for_silence(common::time_point now)
+{
+    auto const& limits = fleet_.settings();
+    if (majority_since_ == common::time_point{} && fleet_.quorum({}))
+    {
+        majority_since_ = now;
+    }
+    auto const lease = std::chrono::duration_cast<common::duration>(
+        limits.lease * (1 + limits.clock_drift));
+    bool const silenced = majority_since_ != common::time_point{} &&
+                          now - majority_since_ >
+                              limits.quorum_window + lease + limits.lapse_slack;
+    return silenced || now - claim_.since() >
+                           limits.solo_limit + lease + limits.lapse_slack;
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -33,6 +33,20 @@
 
 } // namespace
 
+void owner::log_task(severity level,
+                     char const* event,
+                     ports::task_run const& what,
+                     std::string const& on,
+                     std::vector<ports::header> more)
+{
+    std::vector<ports::header> fields{{"job", what.task.job},
+                                      {"task", text_of(what.task)},
+                                      {"attempt", std::to_string(what.attempt)},
+                                      {"worker", on}};
+    fields.insert(fields.end(), more.begin(), more.end());
+    out_.log(level, event, std::move(fields));
+}
+
 void owner::hold_workers(common::time_point now)
 {
     if (!may_act(now))
@@ -111,32 +125,10 @@
     }
     of->view_known = false;
     take_rows(now, sent, *of, reply, first);
-    bool const unwritten = of->listed_end > of->seen;
-    if (unwritten)
-    {
-        // What was just learned is written before the end is acknowledged: an
-        // end that a worker has forgotten and the store does not hold is lost,
-        // and the next owner runs that task again.
-        save_all_progress();
-        // Asked before that, the worker would list the same ends at once.
-        ledger_.after_all(
-            [this, id, now, born = of->born, number = of->listed_end](
-                common::time_point at)
-            {
-                out_.push(ports::measured{ports::pool_measure::end_to_durable,
-                                          at - now});
-                auto* const told = fleet_.find(id);
-                if (told != nullptr && told->born == born)
-                {
-                    told->seen = std::max(told->seen, number);
-                    told->next_hold = at;
-                }
-            });
-        of->next_hold = now + settings_.guarded_wait;
-    }
-    else
+    of->next_hold = of->runs.empty() ? now + settings_.idle_interval : now;
+    if (of->listed_end > of->seen)
     {
-        of->next_hold = of->runs.empty() ? now + settings_.idle_interval : now;
+        acknowledge_ends(now, *of);
     }
     if (first)
     {
@@ -147,6 +139,29 @@
     tick(now);
 }
 
+// What was just learned is written before the end is acknowledged: an end that
+// a worker has forgotten and the store does not hold is lost, and the next
+// owner runs that task again. Asked before that, the worker would list the same
+// ends at once.
+void owner::acknowledge_ends(common::time_point now, worker& of)
+{
+    save_all_progress();
+    ledger_.after_all(
+        [this, id = of.info.id, now, born = of.born, number = of.listed_end](
+            common::time_point at)
+        {
+            out_.push(
+                ports::measured{ports::pool_measure::end_to_durable, at - now});
+            auto* const told = fleet_.find(id);
+            if (told != nullptr && told->born == born)
+            {
+                told->seen = std::max(told->seen, number);
+                told->next_hold = at;
+            }
+        });
+    of.next_hold = now + settings_.guarded_wait;
+}
+
 void owner::take_rows(common::time_point now,
                       common::time_point sent,
                       worker& of,
@@ -172,13 +187,20 @@
             }
         }
     }
-    // What the worker had confirmed before it was asked, and does not name, is
-    // gone without a trace.
+    check_missing(now, sent, of, here);
+}
+
+// What the worker had confirmed before it was asked, and does not name, is gone
+// without a trace.
+void owner::check_missing(common::time_point now,
+                          common::time_point sent,
+                          worker& of,
+                          std::set<ports::task_name> const& told)
+{
     auto const believed = of.runs;
     for (auto const& name : believed)
     {
-        auto* const run = find_job(name.job);
-        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        auto const [run, each] = find_task(name);
         bool const untold = each != nullptr && each->unclear &&
                             each->phase == task_phase::stopping &&
                             now - each->moved > stop_again_after;
@@ -187,19 +209,17 @@
             each->moved = now;
             order_stop(now, of.info.id, {name, each->attempt});
         }
-        if (here.contains(name) || each == nullptr ||
+        if (told.contains(name) || each == nullptr ||
             each->phase == task_phase::starting || each->unclear ||
             each->started >= sent)
         {
             continue;
         }
         ++counters_.tasks_lost;
-        out_.log(severity::warning,
+        log_task(severity::warning,
                  "task_missing",
-                 {{"job", name.job},
-                  {"task", text_of(name)},
-                  {"attempt", std::to_string(each->attempt)},
-                  {"worker", of.info.id}});
+                 {name, each->attempt},
+                 of.info.id);
         each->phase = task_phase::blocked;
         task_over(now, *run, name);
     }
@@ -209,28 +229,15 @@
                          worker& of,
                          ports::running_row const& row)
 {
-    auto const& name = row.what.task;
-    auto* const run = find_job(name.job);
-    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    auto const [run, each] = find_task(row.what.task);
     if (each == nullptr)
     {
         order_stop(now, of.info.id, row.what);
         return;
     }
-    bool const adopt = may_be_foreign(*run, *each);
-    if (adopt)
+    if (may_be_foreign(*run, *each))
     {
-        each->phase = task_phase::running;
-        each->attempt = row.what.attempt;
-        each->started = now;
-        each->moved = now;
-        run->started = true;
-        place(*run, name, of);
-        if (run->phase != job_phase::active)
-        {
-            each->phase = task_phase::stopping;
-            order_stop(now, of.info.id, row.what);
-        }
+        adopt_run(now, of, *run, row.what);
     }
     bool const ours = each->placed() && each->worker == of.info.id &&
                       each->attempt == row.what.attempt;
@@ -240,57 +247,95 @@
         order_stop(now, of.info.id, row.what);
         return;
     }
-    if (each->phase == task_phase::starting)
+    note_progress(now, of, *run, row);
+    bool const overdue = each->phase == task_phase::stopping &&
+                         now - each->started > stop_again_after;
+    if (overdue)
     {
-        run->started = true;
-        each->phase = task_phase::running;
-        each->started = now;
-        each->moved = now;
+        order_stop(now, of.info.id, row.what);
+    }
+    stop_if_stuck(now, of, *run, row.what);
+}
+
+// A run that an earlier owner began.
+void owner::adopt_run(common::time_point now,
+                      worker& of,
+                      job_run& run,
+                      ports::task_run const& what)
+{
+    auto& each = run.at(what.task);
+    each.phase = task_phase::running;
+    each.attempt = what.attempt;
+    each.started = now;
+    each.moved = now;
+    run.started = true;
+    place(run, what.task, of);
+    if (run.phase != job_phase::active)
+    {
+        each.phase = task_phase::stopping;
+        order_stop(now, of.info.id, what);
+    }
+}
+
+void owner::note_progress(common::time_point now,
+                          worker& of,
+                          job_run& run,
+                          ports::running_row const& row)
+{
+    auto& each = run.at(row.what.task);
+    if (each.phase == task_phase::starting)
+    {
+        run.started = true;
+        each.phase = task_phase::running;
+        each.started = now;
+        each.moved = now;
     }
-    if (row.percent != each->percent || each->pace < 100)
+    if (row.percent != each.percent || each.pace < 100)
     {
-        each->moved = now;
+        each.moved = now;
     }
     // A task at full speed shows how fast its worker is.
-    bool const steady = each->pace == 100 && each->told > each->started &&
-                        row.percent > each->percent;
-    if (steady && !run->step_of(name).lasting)
-    {
-        of.speed.observe(now,
-                         row.percent - each->percent,
-                         run->step_of(name).estimate,
-                         now - each->told);
-    }
-    each->told = now;
-    each->unclear = false;
-    each->percent = row.percent;
-    each->level = row.level;
+    auto const& what = run.step_of(row.what.task);
+    bool const steady = each.pace == 100 && each.told > each.started &&
+                        row.percent > each.percent;
+    if (steady && !what.lasting)
+    {
+        of.speed.observe(
+            now, row.percent - each.percent, what.estimate, now - each.told);
+    }
+    each.told = now;
+    each.unclear = false;
+    each.percent = row.percent;
+    each.level = row.level;
     if (!row.checkpoint.empty())
     {
-        each->checkpoint = row.checkpoint;
+        each.checkpoint = row.checkpoint;
     }
-    if (each->phase == task_phase::stopping &&
-        now - each->started > stop_again_after)
+}
+
+// Some workers look healthy and let all their tasks stand still.
+void owner::stop_if_stuck(common::time_point now,
+                          worker& of,
+                          job_run& run,
+                          ports::task_run const& what)
+{
+    auto& each = run.at(what.task);
+    bool const stuck = each.phase == task_phase::running &&
+                       !run.step_of(what.task).lasting &&
+                       now - each.moved > settings_.stuck_after;
+    if (!stuck)
     {
-        order_stop(now, of.info.id, row.what);
-    }
-    bool const stuck = each->phase == task_phase::running &&
-                       !run->step_of(name).lasting &&
-                       now - each->moved > settings_.stuck_after;
-    if (stuck)
-    {
-        out_.log(severity::warning,
-                 "task_stuck",
-                 {{"job", name.job},
-                  {"task", text_of(name)},
-                  {"attempt", std::to_string(each->attempt)},
-                  {"worker", of.info.id},
-                  {"percent", std::to_string(each->percent)}});
-        each->phase = task_phase::stopping;
-        each->failed_on.push_back(of.info.id);
-        blame(now, of, name.job);
-        order_stop(now, of.info.id, row.what);
+        return;
     }
+    log_task(severity::warning,
+             "task_stuck",
+             what,
+             of.info.id,
+             {{"percent", std::to_string(each.percent)}});
+    each.phase = task_phase::stopping;
+    each.failed_on.push_back(of.info.id);
+    blame(now, of, what.task.job);
+    order_stop(now, of.info.id, what);
 }
 
 void owner::take_end(common::time_point now,
@@ -298,8 +343,7 @@
                      ports::ended_row const& row)
 {
     auto const& name = row.what.task;
-    auto* const run = find_job(name.job);
-    auto* const each = run != nullptr ? run->find(name) : nullptr;
+    auto const [run, each] = find_task(name);
     if (each == nullptr || each->phase == task_phase::done)
     {
         return;
@@ -327,26 +371,9 @@
         task_done(now, *run, name);
         return;
     }
-    auto const& failures = each->failures;
-    bool const counted =
-        std::find(failures.begin(), failures.end(), row.what.attempt) !=
-        failures.end();
-    if (row.how == end_kind::failed && (current || unsure) && !counted)
-    {
-        out_.log(severity::info,
-                 "task_failed",
-                 {{"job", name.job},
-                  {"task", text_of(name)},
-                  {"attempt", std::to_string(row.what.attempt)},
-                  {"worker", of.info.id}});
-        each->worker = of.info.id;
-        blame(now, of, name.job);
-        if (unsure)
-        {
-            count_failure(*run, name, row.what.attempt);
-            return;
-        }
-        task_failed(now, *run, name);
+    if (row.how == end_kind::failed && (current || unsure))
+    {
+        take_failure(now, of, *run, row.what, current);
         return;
     }
     if (!current)
@@ -356,17 +383,47 @@
     if (row.how != end_kind::stopped)
     {
         ++counters_.tasks_lost;
-        out_.log(severity::warning,
+        log_task(severity::warning,
                  "task_ended",
-                 {{"job", name.job},
-                  {"task", text_of(name)},
-                  {"attempt", std::to_string(row.what.attempt)},
-                  {"worker", of.info.id},
-                  {"how", std::string(name_of(row.how))}});
+                 {name, row.what.attempt},
+                 of.info.id,
+                 {{"how", std::string(name_of(row.how))}});
     }
     task_over(now, *run, name);
 }
 
+// A failure that was counted already is told again by a worker that did not
+// hear of it.
+void owner::take_failure(common::time_point now,
+                         worker& of,
+                         job_run& run,
+                         ports::task_run const& what,
+                         bool current)
+{
+    auto& each = run.at(what.task);
+    auto const& failures = each.failures;
+    bool const counted =
+        std::find(failures.begin(), failures.end(), what.attempt) !=
+        failures.end();
+    if (counted && current)
+    {
+        task_over(now, run, what.task);
+    }
+    if (counted)
+    {
+        return;
+    }
+    log_task(severity::info, "task_failed", what, of.info.id);
+    each.worker = of.info.id;
+    blame(now, of, what.task.job);
+    if (current)
+    {
+        task_failed(now, run, what.task);
+        return;
+    }
+    count_failure(run, what.task, what.attempt);
+}
+
 // A worker that fails tasks of several jobs in a row, with no success between,
 // is to blame itself; a job that fails on several workers is not its doing.
 void owner::blame(common::time_point now, worker& of, std::string const& job)
@@ -393,21 +450,18 @@
     auto const runs = of.runs;
     for (auto const& name : runs)
     {
-        auto* const run = find_job(name.job);
-        auto* const each = run != nullptr ? run->find(name) : nullptr;
+        auto const [run, each] = find_task(name);
         if (each == nullptr)
         {
             of.runs.erase(name);
             continue;
         }
         ++counters_.tasks_lost;
-        out_.log(severity::warning,
+        log_task(severity::warning,
                  "task_lost",
-                 {{"job", name.job},
-                  {"task", text_of(name)},
-                  {"attempt", std::to_string(each->attempt)},
-                  {"worker", of.info.id},
-                  {"why", why}});
+                 {name, each->attempt},
+                 of.info.id,
+                 {{"why", why}});
         each->phase = task_phase::blocked;
         task_over(now, *run, name);
     }
@@ -472,9 +526,7 @@
                        fenced(id);
                        return;
                    }
-                   auto* const run = find_job(what.task.job);
-                   auto* const each =
-                       run != nullptr ? run->find(what.task) : nullptr;
+                   auto const [run, each] = find_task(what.task);
                    bool const ours =
                        each != nullptr && each->phase == task_phase::stopping &&
                        each->worker == id && each->attempt == what.attempt;
