--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -238,7 +238,7 @@
     }
     else if (auto* const ask = std::get_if<ports::advice_call>(&call))
     {
-        advice_->send(std::move(*ask));
+        advice_->send(*ask);
     }
 }
 
