--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -41,7 +41,8 @@
 }
 
 // A call that fails for want of a connection takes most of a second. After two
-// of them in a row the next callers are not made to wait for a third.
+// of them in a row the next callers are not made to wait for a third. A lost
+// answer says nothing of the next call.
 bool front::store_away(common::time_point now) const noexcept
 {
     auto const silent = now - std::max(rules_.contact(), answered_);
@@ -52,10 +53,15 @@
 
 void front::note(common::time_point now, ports::kv_reply const& reply)
 {
-    bool const failed = reply.status == kv_status::refused ||
-                        reply.status == kv_status::unclear;
-    failures_ = failed ? failures_ + 1 : 0;
-    answered_ = failed ? answered_ : now;
+    if (reply.status == kv_status::refused)
+    {
+        ++failures_;
+    }
+    else if (reply.status != kv_status::unclear)
+    {
+        failures_ = 0;
+        answered_ = now;
+    }
 }
 
 void front::on_request(common::time_point now,
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -423,3 +423,24 @@
     EXPECT_TRUE(world.worker(0).begun().empty());
     EXPECT_EQ(world.violation(), "");
 }
+
+// The store can't be reached from one instance. Its first callers wait for a
+// time-out; the others are turned away at once.
+TEST(pool_faults, callers_are_turned_away_once_the_store_is_known_to_be_away)
+{
+    pool_world world;
+    settle(world);
+    world.store_fault = [](std::size_t instance, ports::kv_operation const&)
+    {
+        return instance == 1 ? fate::refused : fate::carried_out;
+    };
+    world.run(700ms);
+    auto const first = world.submit(1, "a", simple_job(1, 100ms));
+    EXPECT_TRUE(got<ports::job_refused>(world, first));
+    auto const second = world.submit(1, "b", simple_job(1, 100ms));
+    EXPECT_TRUE(got<ports::job_refused>(world, second));
+    auto const before = world.now();
+    auto const third = world.submit(1, "c", simple_job(1, 100ms));
+    EXPECT_TRUE(world.answer(third).has_value());
+    EXPECT_EQ(world.now(), before);
+}
