One way to stop a run, one reckoning of the store's silence, no idle times

Stopping a run that may still be on its way stood in two places, the time since the store last answered in three, and nine functions took a time that they did not look at.

No functional change

--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -28,15 +28,14 @@
     }
     else if (!busy_ && !retired_)
     {
-        look(now);
+        look();
     }
 }
 
-void claim::look(common::time_point now)
+void claim::look()
 {
     busy_ = true;
     phase_ = phase::looking;
-    (void)now;
     out_.store(life_,
                ports::kv_read{std::string(keys::claim)},
                settings_.call_timeout,
@@ -71,12 +70,11 @@
         return;
     }
     seen_revision_ = reply.revision;
-    watch(now);
+    watch();
 }
 
-void claim::watch(common::time_point now)
+void claim::watch()
 {
-    (void)now;
     phase_ = phase::waiting;
     busy_ = true;
     out_.store(life_,
@@ -109,7 +107,7 @@
         return;
     }
     // A watch may have been deaf to the one change that matters: look.
-    look(now);
+    look();
 }
 
 void claim::ask_lease(common::time_point now)
@@ -128,13 +126,12 @@
                        look_again(at);
                        return;
                    }
-                   ask_key(at, reply.lease);
+                   ask_key(reply.lease);
                });
 }
 
-void claim::ask_key(common::time_point now, std::uint64_t lease)
+void claim::ask_key(std::uint64_t lease)
 {
-    (void)now;
     lease_ = lease;
     busy_ = true;
     ports::kv_commit commit;
@@ -202,9 +199,8 @@
         });
 }
 
-void claim::release(common::time_point now)
+void claim::release()
 {
-    (void)now;
     bool const held_now = phase_ == phase::held;
     retired_ = true;
     phase_ = phase::released;
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -35,7 +35,7 @@
 
     void tick(common::time_point now);
     /// Gives the claim back, so that another instance takes it at once.
-    void release(common::time_point now);
+    void release();
     /// From here on it never claims again.
     void retire() noexcept;
     /// The claim is known to be lost, from elsewhere than the store.
@@ -63,12 +63,12 @@
         released,
     };
 
-    void look(common::time_point now);
+    void look();
     void on_look(common::time_point now, ports::kv_reply const& reply);
-    void watch(common::time_point now);
+    void watch();
     void on_watch(common::time_point now, ports::kv_reply const& reply);
     void ask_lease(common::time_point now);
-    void ask_key(common::time_point now, std::uint64_t lease);
+    void ask_key(std::uint64_t lease);
     void on_key(common::time_point now, ports::kv_reply const& reply);
     void take(common::time_point now, std::uint64_t epoch);
     void renew(common::time_point now);
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -23,7 +23,7 @@
 
 void engine::start(common::time_point now)
 {
-    operators_.start(now);
+    operators_.start();
     claim_.tick(now);
     tell_readiness(now);
 }
@@ -80,7 +80,7 @@
     {
         owner_->stop();
     }
-    claim_.release(now);
+    claim_.release();
     follow(now);
 }
 
--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -45,12 +45,17 @@
 // answer says nothing of the next call.
 bool front::store_away(common::time_point now) const noexcept
 {
-    auto const silent = now - std::max(rules_.contact(), answered_);
+    auto const silent = store_silence(now);
     bool const failing =
         failures_ >= failures_to_believe && silent > settings_.failing_after;
     return failing || silent > settings_.store_away_after;
 }
 
+common::duration front::store_silence(common::time_point now) const noexcept
+{
+    return now - std::max(rules_.contact(), answered_);
+}
+
 void front::note(common::time_point now, ports::kv_reply const& reply)
 {
     if (reply.status == kv_status::refused)
@@ -115,8 +120,7 @@
                  "job_turned_away",
                  {{"job", id},
                   {"store_silent_ms",
-                   std::to_string(common::to_milliseconds(
-                       now - std::max(rules_.contact(), answered_)))},
+                   std::to_string(common::to_milliseconds(store_silence(now)))},
                   {"failures", std::to_string(failures_)}});
         refuse(caller, "the store is away");
         return;
@@ -137,8 +141,8 @@
             auto const took = std::to_string(common::to_milliseconds(at - now));
             note(at, reply);
             out_.push(ports::measured{ports::pool_measure::accept, at - now});
-            auto const silent = std::to_string(common::to_milliseconds(
-                at - std::max(rules_.contact(), answered_)));
+            auto const silent =
+                std::to_string(common::to_milliseconds(store_silence(at)));
             switch (reply.status)
             {
             case kv_status::done:
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -64,6 +64,7 @@
     void cancel_known(std::uint64_t caller,
                       std::string const& id,
                       std::uint64_t revision);
+    common::duration store_silence(common::time_point now) const noexcept;
     void note(common::time_point now, ports::kv_reply const& reply);
     void answer(std::uint64_t caller, ports::job_answer what);
     void refuse(std::uint64_t caller, std::string why);
--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -47,16 +47,15 @@
     }
     else
     {
-        read_revision(now);
+        read_revision();
     }
 }
 
 // Also tells whether a commit without an answer took effect: the key holds its
 // number then.
-void ledger::read_revision(common::time_point now)
+void ledger::read_revision()
 {
     busy_ = true;
-    (void)now;
     out_.store(life_,
                ports::kv_read{ledger_key},
                settings_.call_timeout,
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -51,7 +51,7 @@
     bool idle() const noexcept;
 
 private:
-    void read_revision(common::time_point now);
+    void read_revision();
     void commit(common::time_point now);
     void on_commit(common::time_point now, ports::kv_reply const& reply);
 
--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -17,9 +17,9 @@
 {
 }
 
-void operators::start(common::time_point now)
+void operators::start()
 {
-    read(now, "");
+    read("");
 }
 
 void operators::tick(common::time_point now)
@@ -27,7 +27,7 @@
     if (waiting_to_read_ && now >= read_at_)
     {
         waiting_to_read_ = false;
-        read(now, "");
+        read("");
     }
 }
 
@@ -51,9 +51,8 @@
     return changes_;
 }
 
-void operators::read(common::time_point now, std::string const& after)
+void operators::read(std::string const& after)
 {
-    (void)now;
     if (after.empty())
     {
         out_in_pages_.clear();
@@ -87,7 +86,7 @@
     }
     if (reply.more && !reply.items.empty())
     {
-        read(now, reply.items.back().key);
+        read(reply.items.back().key);
         return;
     }
     // What was taken back while no watch heard it.
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -27,7 +27,7 @@
 public:
     operators(operators_settings settings, directory const& words, outbox& out);
 
-    void start(common::time_point now);
+    void start();
     void tick(common::time_point now);
 
     operator_state const& state() const noexcept;
@@ -39,7 +39,7 @@
     std::uint64_t changes() const noexcept;
 
 private:
-    void read(common::time_point now, std::string const& after);
+    void read(std::string const& after);
     void on_page(common::time_point now,
                  std::string const& after,
                  ports::kv_reply const& reply);
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -39,7 +39,7 @@
       colocation_(settings.sharing), began_(now), parts_(parts_to_load)
 {
     load_roster();
-    load_page(now, "");
+    load_page("");
     load_progress("");
     load_finals("");
     read_list(now);
@@ -144,7 +144,7 @@
         out_.log(severity::warning,
                  "history_lost",
                  {{"after", std::to_string(watched_)}});
-        load_page(now, "");
+        load_page("");
         return;
     }
     if (reply.status != kv_status::done)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -95,7 +95,7 @@
 
 private:
     // owner.cpp: the store.
-    void load_page(common::time_point now, std::string const& after);
+    void load_page(std::string const& after);
     void on_page(common::time_point now, ports::kv_reply const& reply);
     void load_progress(std::string const& after);
     void load_roster();
@@ -132,6 +132,9 @@
                        std::uint32_t attempt);
     void mark_done(job_run& run, ports::task_name const& name);
     void after_done(common::time_point now, job_run& run);
+    void stop_run(common::time_point now,
+                  job_run& run,
+                  ports::task_name const& name);
     void gang_done(common::time_point now,
                    job_run& run,
                    ports::task_name const& name);
@@ -145,7 +148,7 @@
     void place(job_run& run, ports::task_name const& name, worker& on);
     void cancel_job(common::time_point now, job_run& run);
     void end_job(common::time_point now, job_run& run, job_phase phase);
-    void finish_if_over(common::time_point now, job_run& run);
+    void finish_if_over(job_run& run);
     void mark_dirty(job_run& run);
     void save_all_progress();
     void save_progress(job_run& run);
--- a/src/core/pool/owner_advice.cpp
+++ b/src/core/pool/owner_advice.cpp
@@ -124,7 +124,6 @@
                    std::to_string(common::to_milliseconds(now - asked))}});
         return;
     }
-    (void)asked;
     for (auto const& each : reply.allowed)
     {
         auto const* const on = fleet_.find(each.worker);
--- a/src/core/pool/owner_gangs.cpp
+++ b/src/core/pool/owner_gangs.cpp
@@ -125,20 +125,10 @@
                        job_run& run,
                        ports::task_name const& name)
 {
-    auto& steps = run.occurrences[name.occurrence].steps[name.step];
+    auto const& steps = run.occurrences[name.occurrence].steps[name.step];
     for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
     {
-        auto& each = steps.tasks[index];
-        if (each.phase == task_phase::starting ||
-            each.phase == task_phase::running)
-        {
-            each.unclear = each.phase == task_phase::starting;
-            each.phase = task_phase::stopping;
-            order_stop(
-                now,
-                each.worker,
-                {{name.job, name.occurrence, name.step, index}, each.attempt});
-        }
+        stop_run(now, run, {name.job, name.occurrence, name.step, index});
     }
 }
 
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -201,7 +201,7 @@
         return;
     }
     open_steps(now, run);
-    finish_if_over(now, run);
+    finish_if_over(run);
 }
 
 void owner::task_failed(common::time_point now,
@@ -272,7 +272,7 @@
         return;
     }
     each.phase = task_phase::blocked;
-    finish_if_over(now, run);
+    finish_if_over(run);
 }
 
 void owner::cancel_job(common::time_point now, job_run& run)
@@ -306,23 +306,32 @@
                 {
                     each.phase = task_phase::blocked;
                 }
-                if (each.phase == task_phase::starting ||
-                    each.phase == task_phase::running)
-                {
-                    each.unclear = each.phase == task_phase::starting;
-                    each.phase = task_phase::stopping;
-                    order_stop(now, each.worker, {name, each.attempt});
-                }
+                stop_run(now, run, name);
             }
         }
     }
-    finish_if_over(now, run);
+    finish_if_over(run);
+}
+
+// Stops the task if it is at work, or may be: a start that is still on its way
+// has told nothing yet.
+void owner::stop_run(common::time_point now,
+                     job_run& run,
+                     ports::task_name const& name)
+{
+    auto& each = run.at(name);
+    if (each.phase != task_phase::starting && each.phase != task_phase::running)
+    {
+        return;
+    }
+    each.unclear = each.phase == task_phase::starting;
+    each.phase = task_phase::stopping;
+    order_stop(now, each.worker, {name, each.attempt});
 }
 
 // The final state is written once nothing of the job runs anywhere.
-void owner::finish_if_over(common::time_point now, job_run& run)
+void owner::finish_if_over(job_run& run)
 {
-    (void)now;
     bool const ending = run.phase == job_phase::cancelling ||
                         run.phase == job_phase::failing ||
                         run.phase == job_phase::finished;
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -12,9 +12,8 @@
 using ports::kv_status;
 using ports::severity;
 
-void owner::load_page(common::time_point now, std::string const& after)
+void owner::load_page(std::string const& after)
 {
-    (void)now;
     out_.store(life_,
                ports::kv_range{std::string(keys::owned_prefix), after},
                settings_.call_timeout,
@@ -22,7 +21,7 @@
                {
                    if (reply.status != kv_status::done)
                    {
-                       load_page(at, after);
+                       load_page(after);
                        return;
                    }
                    // Pages are no snapshot: events since the first one are
@@ -40,7 +39,7 @@
     job_items_.insert(job_items_.end(), reply.items.begin(), reply.items.end());
     if (reply.more && !reply.items.empty())
     {
-        load_page(now, reply.items.back().key);
+        load_page(reply.items.back().key);
         return;
     }
     // After a compaction jobs are already known here; what is gone meanwhile
@@ -175,7 +174,7 @@
         open_steps(now, run);
         if (run.phase != job_phase::active)
         {
-            finish_if_over(now, run);
+            finish_if_over(run);
         }
         else if (run.left == 0)
         {
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -125,7 +125,7 @@
     {
         end_job(now, run, job_phase::failing);
     }
-    finish_if_over(now, run);
+    finish_if_over(run);
 }
 
 // Whether the last owner's leases are over on every worker, heard or not. From
