Judge each serving task by its own last reading, and keep more headroom

In 837 of them the task's own headroom lay 0.6 or more below what its siblings showed: the users of one task press harder for a second or so (autocorrelation 0.53 after 0.35 s, 0.19 after 1.4 s), which the common load of the step hides.

The test of pacing moved its load from 2.5 to 2.8 with the wider margin, so that the same share of the speed is left to be checked.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -47,6 +47,7 @@
 {
     out.keep = table.number_or("keep", out.keep, 0, 100);
     out.place_above = table.number_or("place_above", out.place_above, 0, 100);
+    out.carry = table.number_or("carry", out.carry, 0, 1);
     out.harmless = table.number_or("harmless", out.harmless, 0, 100);
     out.prior = table.number_or("prior", out.prior, 0, 100);
     out.evict_after =
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -160,6 +160,15 @@
     return *middle;
 }
 
+// The users of one task may press harder than those of its siblings for a
+// second or so. That they press less is not counted on.
+double colocation::own(double alone, serving_reading const& last) const
+{
+    double const beyond = last.headroom + last.taken - alone;
+    bool const read = last.headroom > 0;
+    return read && beyond < 0 ? alone + settings_.carry * beyond : alone;
+}
+
 double colocation::load(double alone) const noexcept
 {
     return alone <= 0
@@ -177,7 +186,7 @@
         double const cost = weight(served.image, each.image);
         wanted += cost > settings_.harmless ? cost * each.declared : 0;
     }
-    double const spare = served.alone - settings_.keep;
+    double const spare = served.own - settings_.keep;
     return wanted <= 0 ? 1 : std::clamp(spare / wanted, 0.0, 1.0);
 }
 
@@ -241,7 +250,7 @@
         }
         // One that nothing placed here disturbs is no reason to stay away.
         bool const disturbed = weight(served.image, image) > settings_.harmless;
-        least = disturbed ? std::min(least, served.alone - taken) : least;
+        least = disturbed ? std::min(least, served.own - taken) : least;
     }
     return least;
 }
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -24,10 +24,13 @@
 struct colocation_settings
 {
     /// Headroom that neighbours leave to a serving task: below 1 it is spoiled.
-    /// A reading is up to 0.75 s old, in which load alone takes 0.3.
-    double keep = 1.4;
+    /// A reading is up to 0.75 s old, in which load alone takes 0.3, and tails
+    /// scatter by 0.3 around what load and neighbours explain. Over nine days
+    /// of the first workload 1.4 left 6.0% of what was asked unserved, 1.7 4.6%
+    /// and 2.0 as much, since work that fills then comes late itself.
+    double keep = 1.7;
     /// A task that fills is placed only where this much is expected to stay.
-    double place_above = 1.7;
+    double place_above = 2.0;
     /// Tasks that fill stand still on a worker whose serving task has been over
     /// its target for this long, whatever was learned.
     common::duration stop_after = std::chrono::milliseconds(1500);
@@ -57,6 +60,9 @@
     double idle_headroom = 6;
     /// That share while it is not known.
     double usual_load = 0.55;
+    /// Share of a task's distance from its siblings that is left at its next
+    /// reading: measured 0.55 after 0.35 s and 0.2 after 1.4 s.
+    double carry = 0.6;
     /// Images told apart; later ones share the last number.
     std::size_t max_images = 64;
 };
@@ -71,6 +77,7 @@
     std::uint16_t image = 0; ///< As `colocation::number_of` gives it.
     double headroom = 0;     ///< Target / tail as last read.
     double alone = 0;        ///< Headroom its step has without any neighbours.
+    double own = 0;          ///< The same of this task, as far as it lasts.
 };
 
 /// A task that fills, with its shares of the worker's cores.
@@ -117,6 +124,10 @@
     /// Headroom that the tasks of one step would have without neighbours.
     double alone(std::vector<serving_reading const*> const& readings) const;
 
+    /// Headroom without neighbours that a task of a step will have when it is
+    /// asked next, by its own last reading.
+    double own(double alone, serving_reading const& last) const;
+
     /// Share of its cores that a serving task uses, by its headroom without
     /// neighbours.
     double load(double alone) const noexcept;
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -62,7 +62,11 @@
         {
             double const tail =
                 static_cast<double>(std::max<std::int64_t>(each->level, 1));
-            made.serving.push_back({steps.image, target / tail, steps.alone});
+            made.serving.push_back(
+                {steps.image,
+                 target / tail,
+                 steps.alone,
+                 colocation_.own(steps.alone, each->reading)});
         }
         if (what.fills)
         {
--- a/tests/unit/pool/colocation_test.cpp
+++ b/tests/unit/pool/colocation_test.cpp
@@ -69,6 +69,13 @@
     return made;
 }
 
+// A serving task whose users press as those of the whole step do.
+serving_view
+like_its_siblings(std::uint16_t image, double headroom, double alone)
+{
+    return {image, headroom, alone, alone};
+}
+
 struct learned_pair : testing::Test
 {
     learned_pair()
@@ -100,7 +107,7 @@
 TEST_F(learned_pair, tells_heavy_from_harmless_under_a_swinging_load)
 {
     worker_view alone;
-    alone.serving.push_back({image, 3, 3});
+    alone.serving.push_back(like_its_siblings(image, 3, 3));
     EXPECT_NEAR(sharing.worst_weight(alone, heavy_image), heavy, 2);
     EXPECT_LT(sharing.worst_weight(alone, light_image), 1);
 }
@@ -111,11 +118,11 @@
 {
     auto const limit = sharing.settings().place_above;
     worker_view peak;
-    peak.serving.push_back({image, 1.8, 1.8});
+    peak.serving.push_back(like_its_siblings(image, 1.8, 1.8));
     EXPECT_LT(sharing.expected(peak, heavy_image, 0.15), limit);
     EXPECT_GT(sharing.expected(peak, light_image, 0.15), limit);
     worker_view trough;
-    trough.serving.push_back({image, 4.5, 4.5});
+    trough.serving.push_back(like_its_siblings(image, 4.5, 4.5));
     EXPECT_GT(sharing.expected(trough, heavy_image, 0.15), limit);
 }
 
@@ -123,7 +130,7 @@
 TEST_F(learned_pair, slows_the_culprit_and_no_other)
 {
     worker_view seen;
-    seen.serving.push_back({image, 1.0, 2.5});
+    seen.serving.push_back(like_its_siblings(image, 1.0, 2.8));
     seen.fills.push_back(make_fill(heavy_image, 0.3, 0));
     seen.fills.push_back(make_fill(light_image, 0.3, 1));
     time_point over{};
@@ -134,12 +141,44 @@
     EXPECT_LT(changes.front().percent, 70U);
 }
 
+// The users of one task of a step press harder than those of its siblings, as
+// they do for a second or so. Judged by the siblings alone, the neighbour would
+// work on at full speed and this task's users would wait.
+TEST_F(learned_pair, slows_the_neighbour_of_a_task_whose_own_users_press)
+{
+    serving_reading last;
+    last.headroom = 1.2;
+    last.taken = 1.3;
+    double const alone = 4.5;
+    double const own = sharing.own(alone, last);
+    EXPECT_NEAR(own, 3.3, 0.01);
+    worker_view seen;
+    seen.fills.push_back(make_fill(heavy_image, 0.3, 0));
+    time_point over{};
+    seen.serving.push_back(like_its_siblings(image, 1.2, alone));
+    EXPECT_TRUE(sharing.paces(seen, time_point(1s), over).empty());
+    seen.serving.front().own = own;
+    auto const changes = sharing.paces(seen, time_point(1s), over);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_LT(changes.front().percent, 85U);
+}
+
+// That the users of one task press less is no room to give away: they may be
+// back before the worker is asked again.
+TEST(colocation, a_calm_moment_of_one_task_is_not_counted_on)
+{
+    colocation const sharing{colocation_settings{}};
+    serving_reading last;
+    last.headroom = 5;
+    EXPECT_DOUBLE_EQ(sharing.own(3, last), 3);
+}
+
 // A serving task stays over its target although nobody is known to disturb it.
 // Before its users are harmed for four seconds, everything beside it stops.
 TEST_F(learned_pair, stops_all_before_users_are_harmed)
 {
     worker_view seen;
-    seen.serving.push_back({image, 0.5, 4});
+    seen.serving.push_back(like_its_siblings(image, 0.5, 4));
     seen.fills.push_back(make_fill(light_image, 0.3, 0));
     time_point over{};
     EXPECT_TRUE(sharing.paces(seen, time_point(10s), over).empty());
@@ -156,9 +195,9 @@
     auto const image = sharing.number_of("serving");
     auto const unknown = sharing.number_of("unknown");
     worker_view trough;
-    trough.serving.push_back({image, 4, 4});
+    trough.serving.push_back(like_its_siblings(image, 4, 4));
     worker_view peak;
-    peak.serving.push_back({image, 1.8, 1.8});
+    peak.serving.push_back(like_its_siblings(image, 1.8, 1.8));
     auto const limit = sharing.settings().place_above;
     EXPECT_GT(sharing.expected(trough, unknown, 0.15), limit);
     EXPECT_LT(sharing.expected(peak, unknown, 0.15), limit);
@@ -180,7 +219,7 @@
         sharing.learn(image, {&calm, &calm, &hit});
     }
     worker_view seen;
-    seen.serving.push_back({image, 3, 3});
+    seen.serving.push_back(like_its_siblings(image, 3, 3));
 
     EXPECT_DOUBLE_EQ(sharing.worst_weight(seen, tiny),
                      sharing.settings().prior);
