fuchsiactl and an administration API for the pool

Operators could see the pool only by its metrics and logs. Now every instance answers questions beside its metrics, and `fuchsiactl pool` asks them: who owns the pool since when and which configuration is in force at each instance, the workers with leases, silence and suspicion, the jobs in the order of their turn, and for one job its tasks, attempts and why it waits. An instance that gives no answer is named. `fuchsiactl settings check` knows fuchsia-pool.

Why a task waits comes from the code that places tasks: the tests of a worker that stood in eligible(), fits() and score() are one question with a typed answer now (owner_placement.cpp, split from owner_dispatch.cpp).

The process test that kills the owner asks the new API who that is. Before, it looked for "fuchsia_pool_owner 1" in the metrics, which the line of help text "fuchsia_pool_owner 1 while this instance schedules" matched at every instance, so it killed the last one, owner or not. The check is as strict and now true.

--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -109,6 +109,25 @@
     return owner_.get();
 }
 
+owner* engine::owned() noexcept
+{
+    return owner_.get();
+}
+
+instance_status engine::status(common::time_point now) const
+{
+    instance_status made;
+    made.owner = owns();
+    made.loaded = owns() && owner_->loaded();
+    made.epoch = claim_.held() ? claim_.epoch() : 0;
+    made.owned_for = claim_.held() ? now - claim_.since() : common::duration{};
+    made.configuration_version = operators_.state().config.version;
+    made.store_silence = now - operators_.contact();
+    auto const& out = operators_.state().data_centres_out;
+    made.data_centres_out.assign(out.begin(), out.end());
+    return made;
+}
+
 claim const& engine::claimed() const noexcept
 {
     return claim_;
--- a/src/core/pool/engine.hpp
+++ b/src/core/pool/engine.hpp
@@ -52,6 +52,9 @@
     common::duration tick_interval() const noexcept;
     bool owns() const noexcept;
     owner const* owned() const noexcept;
+    /// For questions that the owner answers; null where this is none.
+    owner* owned() noexcept;
+    instance_status status(common::time_point now) const;
     claim const& claimed() const noexcept;
 
 private:
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -55,6 +55,11 @@
     return workers_;
 }
 
+std::map<std::string, worker> const& fleet::all() const noexcept
+{
+    return workers_;
+}
+
 fleet_settings const& fleet::settings() const noexcept
 {
     return settings_;
@@ -85,6 +90,15 @@
     return of.clock_ms + static_cast<std::uint64_t>(since + lease);
 }
 
+common::duration fleet::lease_left(worker const& of,
+                                   common::time_point now) const noexcept
+{
+    auto const since = common::to_milliseconds(now - of.clock_read);
+    auto const left = static_cast<std::int64_t>(of.until_ms) -
+                      static_cast<std::int64_t>(of.clock_ms) - since;
+    return std::chrono::milliseconds(std::max<std::int64_t>(left, 0));
+}
+
 bool fleet::lapsed(worker const& of, common::time_point now) const noexcept
 {
     auto const slack = common::to_milliseconds(settings_.lapse_slack);
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -100,6 +100,7 @@
 
     worker* find(std::string const& id);
     std::map<std::string, worker>& all() noexcept;
+    std::map<std::string, worker> const& all() const noexcept;
     fleet_settings const& settings() const noexcept;
 
     /// Whether more than half of the workers that a successor would ask have
@@ -110,6 +111,9 @@
     /// clock is not known.
     std::uint64_t lease_end(worker const& of,
                             common::time_point now) const noexcept;
+    /// What is left of the longest lease that may have reached it.
+    common::duration lease_left(worker const& of,
+                                common::time_point now) const noexcept;
     /// Whether every lease that we gave has run out on the worker's clock, even
     /// where that is as slow as allowed.
     bool lapsed(worker const& of, common::time_point now) const noexcept;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -7,6 +7,7 @@
 #include "core/pool/job_run.hpp"
 #include "core/pool/ledger.hpp"
 #include "core/pool/outbox.hpp"
+#include "core/pool/pool_view.hpp"
 
 #include <cstdint>
 #include <map>
@@ -93,7 +94,20 @@
     std::map<std::string, std::uint64_t> pending() const;
     owner_counters const& counters() const noexcept;
 
+    // owner_view.cpp: for those who ask.
+    std::vector<worker_status> workers(common::time_point now) const;
+    /// In the order in which they are given workers.
+    std::vector<job_status_row> jobs(common::time_point now) const;
+    /// Empty where the job is over, or was never known.
+    std::optional<job_status_detail> describe(common::time_point now,
+                                              std::string const& id);
+
 private:
+    job_status_row row_of(common::time_point now, job_run const& run) const;
+    step_status why_waiting(common::time_point now,
+                            job_run& run,
+                            ports::task_name const& first);
+
     // owner.cpp: the store.
     void load_page(std::string const& after);
     void on_page(common::time_point now, ports::kv_reply const& reply);
@@ -245,7 +259,7 @@
                    ready_key const& key,
                    ports::advice_reply const& reply);
 
-    // owner_dispatch.cpp: which task starts where.
+    // owner_dispatch.cpp: which task starts next.
     struct ready_key
     {
         std::uint32_t rank = 0;
@@ -269,30 +283,37 @@
                     job_run& run,
                     std::string const& rack);
     void start_gang(common::time_point now, ready_key const& key, job_run& run);
+    void start(common::time_point now,
+               job_run& run,
+               ports::task_name const& name,
+               worker& on);
+    void on_start(common::time_point now,
+                  ports::task_run const& what,
+                  std::string const& id,
+                  ports::order_reply const& reply);
+
+    // owner_placement.cpp: which worker a task starts on.
     worker* choose(common::time_point now,
                    job_run& run,
                    ports::task_name const& name,
                    std::string const& rack);
-    bool eligible(common::time_point now,
-                  worker const& on,
-                  job_run const& run,
-                  step const& what) const;
+    std::optional<obstacle> obstacle_of(common::time_point now,
+                                        worker const& on,
+                                        job_run const& run,
+                                        step const& what) const;
+    std::optional<obstacle> obstacle_to(common::time_point now,
+                                        worker& on,
+                                        job_run& run,
+                                        ports::task_name const& name);
     bool fits(worker const& on, step const& what) const;
     bool serves_only(worker const& on, std::uint16_t image);
     std::optional<double> score(common::time_point now,
                                 worker& on,
                                 job_run& run,
                                 ports::task_name const& name);
-    std::optional<double>
-    score_fill(worker& on, step const& what, std::uint16_t image);
-    void start(common::time_point now,
-               job_run& run,
-               ports::task_name const& name,
-               worker& on);
-    void on_start(common::time_point now,
-                  ports::task_run const& what,
-                  std::string const& id,
-                  ports::order_reply const& reply);
+    std::optional<obstacle>
+    obstacle_to_fill(worker& on, step const& what, std::uint16_t image);
+    double score_fill(worker& on, step const& what, std::uint16_t image);
 
     owner_settings settings_;
     directory const& words_;
--- a/src/core/pool/owner_advice.cpp
+++ b/src/core/pool/owner_advice.cpp
@@ -79,7 +79,8 @@
     std::vector<std::string> fresh;
     for (auto const& [id, each] : fleet_.all())
     {
-        bool const usable = eligible(now, each, run, what) && fits(each, what);
+        bool const usable =
+            !obstacle_of(now, each, run, what) && fits(each, what);
         if (!usable || has_ticket(now, steps, each))
         {
             continue;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -21,19 +21,6 @@
 // One round looks at this many steps that wait, so that a long queue costs no
 // more than a short one.
 constexpr std::size_t steps_per_round = 128;
-// Scores: the lowest wins. A rack away from its data a task takes up to twice
-// as long; a worker on which it failed before is taken only when no other is
-// left.
-constexpr double far_penalty = 10;
-constexpr double failed_penalty = 100;
-constexpr double free_worker_penalty = 0.5;
-// For each time that a worker takes longer than estimated; a quarter more is
-// within what estimates are off by.
-constexpr double slow_penalty = 1;
-constexpr double usual_slowness = 1.25;
-// Serving tasks of one image stand together: what disturbs one of them disturbs
-// all, and has the other workers for itself.
-constexpr double other_image_penalty = 1.5;
 
 struct shape
 {
@@ -52,12 +39,6 @@
            wanted.what->declared.holds(failed.what->declared);
 }
 
-double share_of(std::int64_t part, std::int64_t whole)
-{
-    return static_cast<double>(part) /
-           static_cast<double>(std::max<std::int64_t>(whole, 1));
-}
-
 } // namespace
 
 owner::ready_key owner::key_of(job_run const& run,
@@ -182,175 +163,6 @@
     return true;
 }
 
-bool owner::eligible(common::time_point now,
-                     worker const& on,
-                     job_run const& run,
-                     step const& what) const
-{
-    bool const usable = on.adopted && on.listed && on.rostered &&
-                        !on.info.draining && now >= on.avoid_until &&
-                        now >= on.full_until &&
-                        on.info.service == run.rules.service && !on.silent;
-    if (!usable || operators_.data_centres_out.contains(on.info.data_centre))
-    {
-        return false;
-    }
-    auto const& labels = on.info.labels;
-    return what.required_label.empty() ||
-           std::find(labels.begin(), labels.end(), what.required_label) !=
-               labels.end();
-}
-
-bool owner::fits(worker const& on, step const& what) const
-{
-    auto used = on.reserved;
-    used += what.declared;
-    if (what.fills)
-    {
-        used.millicores = 0;
-    }
-    return on.info.capacity.holds(used);
-}
-
-worker* owner::choose(common::time_point now,
-                      job_run& run,
-                      ports::task_name const& name,
-                      std::string const& rack)
-{
-    worker* best = nullptr;
-    double lowest = 0;
-    for (auto& [id, each] : fleet_.all())
-    {
-        if (!rack.empty() && each.info.rack != rack)
-        {
-            continue;
-        }
-        auto const found = score(now, each, run, name);
-        if (found && (best == nullptr || *found < lowest))
-        {
-            best = &each;
-            lowest = *found;
-        }
-    }
-    return best;
-}
-
-bool owner::serves_only(worker const& on, std::uint16_t image)
-{
-    for (auto const& name : on.runs)
-    {
-        auto* const run = find_job(name.job);
-        if (run == nullptr || run->step_of(name).tail_target.count() == 0)
-        {
-            continue;
-        }
-        if (run->occurrences[name.occurrence].steps[name.step].image != image)
-        {
-            return false;
-        }
-    }
-    return true;
-}
-
-std::optional<double> owner::score(common::time_point now,
-                                   worker& on,
-                                   job_run& run,
-                                   ports::task_name const& name)
-{
-    auto const& what = run.step_of(name);
-    if (!eligible(now, on, run, what) || !fits(on, what))
-    {
-        return std::nullopt;
-    }
-    if (run.rules.advice &&
-        !has_ticket(now, run.occurrences[name.occurrence].steps[name.step], on))
-    {
-        return std::nullopt;
-    }
-    if (what.max_per_worker > 0)
-    {
-        auto const first =
-            on.runs.lower_bound({name.job, name.occurrence, name.step, 0});
-        std::uint32_t beside = 0;
-        for (auto each = first;
-             each != on.runs.end() && each->job == name.job &&
-             each->occurrence == name.occurrence && each->step == name.step;
-             ++each)
-        {
-            ++beside;
-        }
-        if (beside >= what.max_per_worker)
-        {
-            return std::nullopt;
-        }
-    }
-    double total = 0;
-    if (what.fills)
-    {
-        auto const fill = score_fill(
-            on, what, run.occurrences[name.occurrence].steps[name.step].image);
-        if (!fill)
-        {
-            return std::nullopt;
-        }
-        total = *fill;
-    }
-    else
-    {
-        // Best fit: what stays free stays in one piece, and workers without
-        // serving tasks are left to those that would disturb them.
-        auto const free = on.info.capacity.millicores - on.reserved.millicores -
-                          what.declared.millicores;
-        total = share_of(free, on.info.capacity.millicores) +
-                (on.serves() ? 0.0 : 1.0);
-        if (what.tail_target.count() > 0 && on.serves() &&
-            !serves_only(
-                on, run.occurrences[name.occurrence].steps[name.step].image))
-        {
-            total += other_image_penalty;
-        }
-    }
-    if (!what.near_rack.empty() && on.info.rack != what.near_rack)
-    {
-        total += far_penalty;
-    }
-    total +=
-        slow_penalty * std::max(0.0, 1 / on.speed.value(now) - usual_slowness);
-    auto const& failed = run.at(name).failed_on;
-    if (std::find(failed.begin(), failed.end(), on.info.id) != failed.end())
-    {
-        total += failed_penalty;
-    }
-    return total;
-}
-
-// Tasks that fill go beside serving tasks that they do not disturb, as long as
-// there are idle cores, and leave workers without serving tasks to those that
-// would disturb everywhere else.
-std::optional<double>
-owner::score_fill(worker& on, step const& what, std::uint16_t image)
-{
-    auto const& seen = view_of(on);
-    auto const idle = on.idle_cores() - what.declared.millicores;
-    if (idle < 0)
-    {
-        return std::nullopt;
-    }
-    double const left = 1 - share_of(idle, on.info.capacity.millicores);
-    if (!on.serves())
-    {
-        return left + free_worker_penalty;
-    }
-    auto const share =
-        share_of(what.declared.millicores, on.info.capacity.millicores);
-    if (colocation_.expected(seen, image, share) <
-        settings_.sharing.place_above)
-    {
-        return std::nullopt;
-    }
-    return left + share * colocation_.worst_weight(seen, image);
-}
-
 void owner::start(common::time_point now,
                   job_run& run,
                   ports::task_name const& name,
--- /dev/null
+++ b/src/core/pool/owner_placement.cpp
@@ -0,0 +1,242 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+
+// Which worker a task starts on, and what speaks against the others.
+namespace fuchsia::core::pool
+{
+
+namespace
+{
+
+// Scores: the lowest wins. A rack away from its data a task takes up to twice
+// as long; a worker on which it failed before is taken only when no other is
+// left.
+constexpr double far_penalty = 10;
+constexpr double failed_penalty = 100;
+constexpr double free_worker_penalty = 0.5;
+// For each time that a worker takes longer than estimated; a quarter more is
+// within what estimates are off by.
+constexpr double slow_penalty = 1;
+constexpr double usual_slowness = 1.25;
+// Serving tasks of one image stand together: what disturbs one of them disturbs
+// all, and has the other workers for itself.
+constexpr double other_image_penalty = 1.5;
+
+// Tasks of the same step of the same occurrence that are placed there.
+std::uint32_t siblings_on(worker const& on, ports::task_name const& name)
+{
+    std::uint32_t count = 0;
+    auto each = on.runs.lower_bound({name.job, name.occurrence, name.step, 0});
+    while (each != on.runs.end() && each->job == name.job &&
+           each->occurrence == name.occurrence && each->step == name.step)
+    {
+        ++count;
+        ++each;
+    }
+    return count;
+}
+
+double share_of(std::int64_t part, std::int64_t whole)
+{
+    return static_cast<double>(part) /
+           static_cast<double>(std::max<std::int64_t>(whole, 1));
+}
+
+} // namespace
+
+// What speaks against the worker for any task of the step.
+std::optional<obstacle> owner::obstacle_of(common::time_point now,
+                                           worker const& on,
+                                           job_run const& run,
+                                           step const& what) const
+{
+    if (on.info.service != run.rules.service)
+    {
+        return obstacle::service;
+    }
+    if (!on.adopted || !on.rostered)
+    {
+        return obstacle::unknown;
+    }
+    if (on.silent)
+    {
+        return obstacle::silent;
+    }
+    if (!on.listed || on.info.draining)
+    {
+        return obstacle::leaving;
+    }
+    if (now < on.avoid_until)
+    {
+        return obstacle::suspected;
+    }
+    if (now < on.full_until)
+    {
+        return obstacle::said_full;
+    }
+    if (operators_.data_centres_out.contains(on.info.data_centre))
+    {
+        return obstacle::data_centre;
+    }
+    auto const& labels = on.info.labels;
+    bool const labelled =
+        what.required_label.empty() ||
+        std::find(labels.begin(), labels.end(), what.required_label) !=
+            labels.end();
+    return labelled ? std::nullopt : std::optional(obstacle::label);
+}
+
+// Whatever keeps this task from that worker now; empty where it may start.
+std::optional<obstacle> owner::obstacle_to(common::time_point now,
+                                           worker& on,
+                                           job_run& run,
+                                           ports::task_name const& name)
+{
+    auto const& what = run.step_of(name);
+    if (auto const reason = obstacle_of(now, on, run, what))
+    {
+        return reason;
+    }
+    if (!fits(on, what))
+    {
+        return obstacle::room;
+    }
+    auto const& steps = run.occurrences[name.occurrence].steps[name.step];
+    if (run.rules.advice && !has_ticket(now, steps, on))
+    {
+        return obstacle::ticket;
+    }
+    if (what.max_per_worker > 0 && siblings_on(on, name) >= what.max_per_worker)
+    {
+        return obstacle::siblings;
+    }
+    return what.fills ? obstacle_to_fill(on, what, steps.image) : std::nullopt;
+}
+
+bool owner::fits(worker const& on, step const& what) const
+{
+    auto used = on.reserved;
+    used += what.declared;
+    if (what.fills)
+    {
+        used.millicores = 0;
+    }
+    return on.info.capacity.holds(used);
+}
+
+worker* owner::choose(common::time_point now,
+                      job_run& run,
+                      ports::task_name const& name,
+                      std::string const& rack)
+{
+    worker* best = nullptr;
+    double lowest = 0;
+    for (auto& [id, each] : fleet_.all())
+    {
+        if (!rack.empty() && each.info.rack != rack)
+        {
+            continue;
+        }
+        auto const found = score(now, each, run, name);
+        if (found && (best == nullptr || *found < lowest))
+        {
+            best = &each;
+            lowest = *found;
+        }
+    }
+    return best;
+}
+
+bool owner::serves_only(worker const& on, std::uint16_t image)
+{
+    for (auto const& name : on.runs)
+    {
+        auto* const run = find_job(name.job);
+        if (run == nullptr || run->step_of(name).tail_target.count() == 0)
+        {
+            continue;
+        }
+        if (run->occurrences[name.occurrence].steps[name.step].image != image)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::optional<double> owner::score(common::time_point now,
+                                   worker& on,
+                                   job_run& run,
+                                   ports::task_name const& name)
+{
+    if (obstacle_to(now, on, run, name))
+    {
+        return std::nullopt;
+    }
+    auto const& what = run.step_of(name);
+    auto const image = run.occurrences[name.occurrence].steps[name.step].image;
+    double total = 0;
+    if (what.fills)
+    {
+        total = score_fill(on, what, image);
+    }
+    else
+    {
+        // Best fit: what stays free stays in one piece, and workers without
+        // serving tasks are left to those that would disturb them.
+        auto const free = on.info.capacity.millicores - on.reserved.millicores -
+                          what.declared.millicores;
+        total = share_of(free, on.info.capacity.millicores) +
+                (on.serves() ? 0.0 : 1.0);
+        if (what.tail_target.count() > 0 && on.serves() &&
+            !serves_only(on, image))
+        {
+            total += other_image_penalty;
+        }
+    }
+    if (!what.near_rack.empty() && on.info.rack != what.near_rack)
+    {
+        total += far_penalty;
+    }
+    total +=
+        slow_penalty * std::max(0.0, 1 / on.speed.value(now) - usual_slowness);
+    auto const& failed = run.at(name).failed_on;
+    if (std::find(failed.begin(), failed.end(), on.info.id) != failed.end())
+    {
+        total += failed_penalty;
+    }
+    return total;
+}
+
+std::optional<obstacle>
+owner::obstacle_to_fill(worker& on, step const& what, std::uint16_t image)
+{
+    auto const& seen = view_of(on);
+    if (on.idle_cores() < what.declared.millicores)
+    {
+        return obstacle::no_idle_core;
+    }
+    auto const share =
+        share_of(what.declared.millicores, on.info.capacity.millicores);
+    bool const disturbs =
+        on.serves() && colocation_.expected(seen, image, share) <
+                           settings_.sharing.place_above;
+    return disturbs ? std::optional(obstacle::disturbs) : std::nullopt;
+}
+
+// Tasks that fill go beside serving tasks that they do not disturb, as long as
+// there are idle cores, and leave workers without serving tasks to those that
+// would disturb everywhere else.
+double owner::score_fill(worker& on, step const& what, std::uint16_t image)
+{
+    auto const& seen = view_of(on);
+    auto const idle = on.idle_cores() - what.declared.millicores;
+    double const left = 1 - share_of(idle, on.info.capacity.millicores);
+    auto const share =
+        share_of(what.declared.millicores, on.info.capacity.millicores);
+    return on.serves() ? left + share * colocation_.worst_weight(seen, image)
+                       : left + free_worker_penalty;
+}
+
+} // namespace fuchsia::core::pool
--- a/src/programs/ctl/command_line.cpp
+++ b/src/programs/ctl/command_line.cpp
@@ -22,6 +22,7 @@
   fuchsiactl --settings ctl.toml contract show estate-owners > estate-owners.json
   fuchsiactl --settings ctl.toml data-centre out kochi-a --wait --timeout 30
   fuchsiactl --settings ctl.toml job list --state running --json
+  fuchsiactl --settings ctl.toml pool job 5c0e7a21d94b36f8
   fuchsiactl settings check fuchsia-entry entry.toml
 
 FUCHSIACTL_SETTINGS may name the settings file in place of --settings.
@@ -46,6 +47,7 @@
         add_contracts();
         add_data_centres();
         add_jobs();
+        add_pool();
         add_rest();
     }
 
@@ -233,6 +235,48 @@
         cancel.add_option("ID", name_)->required();
     }
 
+    void add_question(CLI::App& group,
+                      std::string const& name,
+                      std::string const& about,
+                      pool_subject subject)
+    {
+        add_command(group,
+                    name,
+                    about,
+                    [subject]
+                    {
+                        return pool_question{subject, {}};
+                    });
+    }
+
+    void add_pool()
+    {
+        auto& group = add_group(app_, "pool", "Jobs on a pool of workers");
+        add_question(group,
+                     "status",
+                     "Who owns the pool since when, and what each instance "
+                     "believes; names those that give no answer",
+                     pool_subject::instances);
+        add_question(group,
+                     "workers",
+                     "Workers with leases, silence and suspicion",
+                     pool_subject::workers);
+        add_question(group,
+                     "jobs",
+                     "Jobs at work, those next in line first",
+                     pool_subject::jobs);
+        auto& job =
+            add_command(group,
+                        "job",
+                        "One job: its tasks and attempts, and why it "
+                        "waits",
+                        [this]
+                        {
+                            return pool_question{pool_subject::job, name_};
+                        });
+        job.add_option("ID", name_)->required();
+    }
+
     void add_rest()
     {
         add_command(app_,
@@ -271,8 +315,10 @@
                                       return settings_check{binary_, file_};
                                   });
         check
-            .add_option(
-                "BINARY", binary_, "fuchsia-entry, fuchsia-planner, fuchsiactl")
+            .add_option("BINARY",
+                        binary_,
+                        "fuchsia-entry, fuchsia-planner, fuchsia-pool, "
+                        "fuchsiactl")
             ->required();
         check.add_option("FILE", file_)->required();
     }
--- a/src/programs/ctl/command_line.hpp
+++ b/src/programs/ctl/command_line.hpp
@@ -81,6 +81,21 @@
     std::string name;
 };
 
+enum class pool_subject : std::uint8_t
+{
+    instances,
+    workers,
+    jobs,
+    job,
+};
+
+/// What the pool's instances are asked.
+struct pool_question
+{
+    pool_subject subject = pool_subject::instances;
+    std::string id; ///< Of the job.
+};
+
 struct settings_check
 {
     std::string binary;
@@ -99,6 +114,7 @@
                              job_cancel,
                              show_status,
                              member_remove,
+                             pool_question,
                              settings_check>;
 
 struct command_line
--- a/src/programs/ctl/ctl_settings.cpp
+++ b/src/programs/ctl/ctl_settings.cpp
@@ -16,27 +16,42 @@
 // less patience than that the outcome would be unknown without need.
 constexpr core::common::duration least_timeout = 10s;
 constexpr core::common::duration most_timeout = 10min;
-constexpr std::size_t max_planners = 64;
+constexpr std::size_t max_addresses = 64;
 
-void read_planners(adapters::settings::toml_table& root, ctl_settings& out)
+std::vector<ports::endpoint>
+read_addresses(adapters::settings::toml_table& root, char const* key)
 {
-    for (auto const& text : root.texts_or("planners", {}))
+    std::vector<ports::endpoint> made;
+    for (auto const& text : root.texts_or(key, {}))
     {
         auto const where = adapters::http::parse_endpoint(text);
         if (!where)
         {
             root.fail(result_code::out_of_range,
-                      "planners",
+                      key,
                       text + " is no IP number and port");
-            return;
+            return made;
         }
-        out.planners.push_back(*where);
+        made.push_back(*where);
     }
-    if (out.planners.empty() || out.planners.size() > max_planners)
+    if (made.size() > max_addresses)
+    {
+        root.fail(result_code::out_of_range, key, "at most 64 are expected");
+    }
+    return made;
+}
+
+// A deployment has planners, a pool or both.
+void read_instances(adapters::settings::toml_table& root, ctl_settings& out)
+{
+    out.planners = read_addresses(root, "planners");
+    out.pools = read_addresses(root, "pools");
+    if (out.planners.empty() && out.pools.empty())
     {
         root.fail(result_code::out_of_range,
                   "planners",
-                  "1 to 64 addresses of planners are expected");
+                  "1 to 64 addresses of planners, or of a pool's instances "
+                  "under pools, are expected");
     }
 }
 
@@ -71,8 +86,12 @@
     }
     auto root = file->root();
     ctl_settings settings;
-    read_planners(root, settings);
-    read_token(root, settings);
+    read_instances(root, settings);
+    // Only planners ask for a token.
+    if (!settings.planners.empty() || !root.text_or("token_file", "").empty())
+    {
+        read_token(root, settings);
+    }
     settings.timeout = root.duration_or(
         "timeout_ms", settings.timeout, least_timeout, most_timeout);
     root.refuse_unread();
--- a/src/programs/ctl/ctl_settings.hpp
+++ b/src/programs/ctl/ctl_settings.hpp
@@ -16,7 +16,8 @@
 struct ctl_settings
 {
     std::vector<ports::endpoint> planners; ///< Tried in this order.
-    std::string token;                     ///< Read from the file named there.
+    std::vector<ports::endpoint> pools; ///< Metrics addresses of fuchsia-pool.
+    std::string token;                  ///< Read from the file named there.
     core::common::duration timeout = std::chrono::seconds(15);
 };
 
--- a/src/programs/ctl/planner_client.cpp
+++ b/src/programs/ctl/planner_client.cpp
@@ -76,20 +76,20 @@
     return result;
 }
 
-call_result unreachable(std::string const& tried)
+call_result unreachable(std::string const& whom)
 {
     return {call_end::refused,
             {},
             {result_code::owner_unreachable,
-             tried,
-             "no planner can be reached; nothing was changed"},
+             {},
+             "no " + whom + " can be reached; nothing was changed"},
             0};
 }
 
 } // namespace
 
-planner_client::planner_client(ctl_settings settings)
-    : settings_(std::move(settings)),
+planner_client::planner_client(ctl_settings settings, std::string whom)
+    : settings_(std::move(settings)), whom_(std::move(whom)),
       client_(io_,
               []
               {
@@ -106,7 +106,7 @@
                                  repeat again)
 {
     auto const count = settings_.planners.size();
-    call_result last = unreachable({});
+    call_result last = unreachable(whom_);
     bool may_be_done = false;
     for (std::size_t tried = 0; tried < count; ++tried)
     {
@@ -134,7 +134,7 @@
         last.body = {};
         last.reason = {result_code::owner_lost,
                        adapters::http::to_string(where),
-                       "the planner's answer was lost"};
+                       "the " + whom_ + "'s answer was lost"};
         may_be_done = again != repeat::read;
         if (again == repeat::never)
         {
--- a/src/programs/ctl/planner_client.hpp
+++ b/src/programs/ctl/planner_client.hpp
@@ -41,7 +41,9 @@
 class planner_client
 {
 public:
-    explicit planner_client(ctl_settings settings);
+    /// `whom` names what is asked in reasons.
+    explicit planner_client(ctl_settings settings,
+                            std::string whom = "planner");
 
     call_result call(std::string const& method,
                      std::string const& target,
@@ -61,6 +63,7 @@
                  std::string const& body);
 
     ctl_settings settings_;
+    std::string whom_;
     boost::asio::io_context io_;
     adapters::http::client client_;
     std::size_t first_ = 0; ///< The planner that answered last.
--- a/src/programs/ctl/runner.cpp
+++ b/src/programs/ctl/runner.cpp
@@ -5,6 +5,7 @@
 #include "core/contracts/contract.hpp"
 #include "core/tasks/job.hpp"
 #include "programs/ctl/planner_client.hpp"
+#include "programs/ctl/pool_questions.hpp"
 #include "programs/ctl/settings_checks.hpp"
 #include "programs/ctl/table.hpp"
 
@@ -242,9 +243,15 @@
             });
     }
 
+    // Ask no planner; never come here.
+    exit_status operator()(pool_question const&)
+    {
+        return exit_status::usage;
+    }
+
     exit_status operator()(settings_check const&)
     {
-        return exit_status::usage; // Asks no planner; never comes here.
+        return exit_status::usage;
     }
 
 private:
@@ -529,6 +536,15 @@
         error << "fuchsiactl: " << to_string(reason) << '\n';
         return exit_status::usage;
     }
+    if (auto const* what = std::get_if<pool_question>(&line.what))
+    {
+        return ask_pool(line, *what, *settings, out, error);
+    }
+    if (settings->planners.empty())
+    {
+        error << "fuchsiactl: the settings name no planner\n";
+        return exit_status::usage;
+    }
     return std::visit(asking(line, std::move(*settings), out, error),
                       line.what);
 }
--- a/src/programs/ctl/settings_checks.cpp
+++ b/src/programs/ctl/settings_checks.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/settings/entry_options.hpp"
 #include "adapters/settings/planner_settings.hpp"
+#include "adapters/settings/pool_settings.hpp"
 #include "programs/ctl/ctl_settings.hpp"
 
 #include <array>
@@ -20,7 +21,7 @@
     bool (*is_valid)(std::string const& file, failure& reason);
 };
 
-constexpr std::array<check, 3> checks{{
+constexpr std::array<check, 4> checks{{
     {"fuchsia-entry",
      [](std::string const& file, failure& reason)
      {
@@ -33,6 +34,12 @@
          return adapters::settings::load_planner_settings(file, reason)
              .has_value();
      }},
+    {"fuchsia-pool",
+     [](std::string const& file, failure& reason)
+     {
+         return adapters::settings::load_pool_settings(file, reason)
+             .has_value();
+     }},
     {"fuchsiactl",
      [](std::string const& file, failure& reason)
      {
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -4,6 +4,7 @@
 #include "adapters/runtime/signals.hpp"
 #include "platform/codec.hpp"
 #include "platform/submissions.hpp"
+#include "programs/pool/pool_administration.hpp"
 
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -109,11 +110,9 @@
     exposition_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
-        [this](http::request const&, http::responder const& respond)
+        [this](http::request const& message, http::responder const& respond)
         {
-            respond({200,
-                     {{"Content-Type", "text/plain; version=0.0.4"}},
-                     metrics_.text()});
+            on_operator(message, respond);
         });
 }
 
@@ -208,6 +207,31 @@
     waiting_.emplace(caller, respond);
 }
 
+// Metrics, and what the decisions' thread believes: asked there, answered here.
+void pool_program::on_operator(http::request const& message,
+                               http::responder const& respond)
+{
+    if (!message.target.starts_with("/v1/"))
+    {
+        respond({200,
+                 {{"Content-Type", "text/plain; version=0.0.4"}},
+                 metrics_.text()});
+        return;
+    }
+    boost::asio::post(
+        decisions_.io(),
+        [this, target = message.target, respond]
+        {
+            auto made =
+                answer_operator(engine_, settings_.name, clock::now(), target);
+            boost::asio::post(callers_.io(),
+                              [respond, made = std::move(made)]() mutable
+                              {
+                                  respond(std::move(made));
+                              });
+        });
+}
+
 void pool_program::respond(answer_out& out)
 {
     auto const found = waiting_.find(out.caller);
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -55,6 +55,8 @@
     bool listen(core::common::failure& reason);
     void on_caller(adapters::http::request const& message,
                    adapters::http::responder const& respond);
+    void on_operator(adapters::http::request const& message,
+                     adapters::http::responder const& respond);
     void respond(answer_out& out);
     void send_outside(outside_call& call);
     void take_reply(outside_reply& reply);
--- a/tests/contract/ctl/ctl_test.cpp
+++ b/tests/contract/ctl/ctl_test.cpp
@@ -537,3 +537,66 @@
     EXPECT_EQ(run({"contract", "put", "--help"}).status, 0);
     EXPECT_THAT(run({"--version"}).out, HasSubstr("."));
 }
+
+// One instance of the pool is down and another does not own it. The operator
+// hears of both, and of the owner's epoch; questions about jobs find the owner.
+TEST_F(fuchsiactl, asks_the_pool_and_names_who_is_silent)
+{
+    scripted_planner front(
+        [](request const& message)
+        {
+            return message.target == "/v1/pool"
+                       ? response{200, {}, R"({"name":"b","owner":false})"}
+                       : refusal(core::common::result_code::owner_unreachable);
+        });
+    scripted_planner owner(
+        [](request const& message) -> response
+        {
+            return message.target == "/v1/pool"
+                       ? response{200,
+                                  {},
+                                  R"({"name":"a","owner":true,"epoch":42})"}
+                       : response{200,
+                                  {},
+                                  R"({"id":"j1","tasks":[],"waiting":[
+{"step":0,"ready":3,"workers_by_obstacle":{"room":48}}]})"};
+        });
+    auto const dead = dead_address();
+    auto const named = file("pool.toml",
+                            "pools = [\"" + dead + "\", \"" + front.address() +
+                                "\", \"" + owner.address() + "\"]\n");
+    auto const status = run({"--settings", named, "pool", "status"});
+    EXPECT_EQ(status.status, 0) << status.error;
+    EXPECT_THAT(status.out, HasSubstr("42"));
+    EXPECT_THAT(status.error, HasSubstr("no answer from " + dead));
+
+    auto const job = run({"--settings", named, "pool", "job", "j1"});
+    EXPECT_EQ(job.status, 0) << job.error;
+    EXPECT_THAT(job.out, HasSubstr("room"));
+    EXPECT_EQ(owner.seen().back().target, "/v1/pool/jobs/j1");
+    EXPECT_EQ(owner.seen().back().header("Authorization").value_or("Bearer"),
+              "Bearer");
+
+    auto const none = run({"--settings",
+                           file("none.toml", "pools = [\"" + dead + "\"]\n"),
+                           "pool",
+                           "workers"});
+    EXPECT_EQ(none.status, 1);
+    EXPECT_THAT(none.error,
+                HasSubstr("no instance of the pool can be reached"));
+}
+
+// A deployment with planners only has no pool to ask, and the other way round.
+TEST_F(fuchsiactl, settings_without_the_instances_that_a_command_needs)
+{
+    auto const planners = run_with({dead_address()}, {"pool", "status"});
+    EXPECT_EQ(planners.status, 2);
+    EXPECT_THAT(planners.error, HasSubstr("pools"));
+    auto const pools =
+        run({"--settings",
+             file("pool.toml", "pools = [\"" + dead_address() + "\"]\n"),
+             "contract",
+             "list"});
+    EXPECT_EQ(pools.status, 2);
+    EXPECT_THAT(pools.error, HasSubstr("no planner"));
+}
--- a/tests/process/pool_test.cpp
+++ b/tests/process/pool_test.cpp
@@ -119,8 +119,14 @@
 
     bool owns(std::size_t number)
     {
-        auto const text = ask(metrics_[number], "GET", "/metrics", "").body;
-        return text.find("fuchsia_pool_owner 1") != std::string::npos;
+        return told(number, "/v1/pool").find("\"owner\":true") !=
+               std::string::npos;
+    }
+
+    /// What an operator is told.
+    std::string told(std::size_t number, std::string const& target)
+    {
+        return ask(metrics_[number], "GET", target, "").body;
     }
 
     std::string counts()
@@ -225,6 +231,13 @@
         {
             return system.counts().find("\"starts\":4") != std::string::npos;
         }));
+    EXPECT_NE(system.told(owner, "/v1/pool/jobs/00000000000000a1")
+                  .find("\"tasks\":[{"),
+              std::string::npos);
+    EXPECT_NE(system.told(other, "/v1/pool").find("\"owner\":false"),
+              std::string::npos);
+    EXPECT_NE(system.told(other, "/v1/pool/workers").find("owner_unreachable"),
+              std::string::npos);
     system.instance(owner).kill();
     EXPECT_EQ(system.submit(other, "00000000000000a2", job_of_four).status,
               200);
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr duration store_delay = 2ms; ///< One way.
+constexpr std::int64_t unix_offset_ms = 1'700'000'000'000;
 constexpr duration worker_delay = 1ms;
 constexpr duration late_by = 2s;
 constexpr duration tick_every = 10ms;
@@ -250,6 +251,16 @@
     return std::nullopt;
 }
 
+void pool_world::set_clock_ahead(std::size_t instance, duration ahead)
+{
+    instances_.at(instance).clock_ahead = ahead;
+}
+
+core::pool::owner& pool_world::scheduler(std::size_t instance)
+{
+    return *instances_.at(instance).engine->owned();
+}
+
 standins::pool::kv_state& pool_world::store() noexcept
 {
     return store_;
@@ -640,7 +651,9 @@
         auto& each = instances_[number];
         if (each.engine && each.frozen_until <= now() && !each.stopped)
         {
-            each.engine->set_unix_offset(1'700'000'000'000);
+            each.engine->set_unix_offset(
+                unix_offset_ms +
+                core::common::to_milliseconds(each.clock_ahead));
             each.engine->tick(now());
             perform(number);
         }
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -54,12 +54,16 @@
     std::optional<ports::job_state> state(std::size_t instance,
                                           std::string const& id);
 
+    /// From now on its time of day runs that much ahead of the others'.
+    void set_clock_ahead(std::size_t instance, duration ahead);
     void kill(std::size_t instance);
     void start(std::size_t instance);
     /// Stands still, and gets what came meanwhile when it wakes.
     void freeze(std::size_t instance, duration how_long);
     void stop(std::size_t instance);
     std::optional<std::size_t> owner() const;
+    /// The owner's part of an instance that is one.
+    core::pool::owner& scheduler(std::size_t instance);
 
     standins::pool::kv_state& store() noexcept;
     standins::pool::worker_state& worker(std::size_t number);
@@ -94,6 +98,7 @@
         std::uint64_t lives = 0;
         time_point frozen_until{};
         bool stopped = false;
+        duration clock_ahead{};
         time_point next_tick{};
     };
 
