Start jobs whatever the clock of the instance that accepted them says

Cause: the process test with a real owner killed failed once in six runs: a job was accepted and never started. Its log showed jobs=1, steps_waiting=0 for ever. A step opened only when the job's due time, stamped by the instance that accepted it, was not in the future by the owner's clock, and for a job without a time of its own that was asked once, when it arrived. A stamp a millisecond ahead was enough; on machines whose clocks differ every job of the one ahead would have waited for the next owner.

Ruled out: lost watch events (the owner knew the job), a lost claim (epoch 7 throughout), a busy machine (nothing waited for anything).

Now a job without a time of its own is due at once, and the owner takes a job that comes by its watch as accepted now, by its own clock: a stamp behind it made jobs late on arrival, one ahead late too late.

--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -66,7 +66,9 @@
     for (std::uint32_t number = 0; number < spec.occurrences; ++number)
     {
         auto occurrence = make_occurrence(spec);
-        occurrence.due_unix_ms = first + number * spec.interval_ms;
+        // Without a time of its own it may start whatever any clock says.
+        occurrence.due_unix_ms =
+            spec.first_unix_ms > 0 ? first + number * spec.interval_ms : 0;
         for (auto const& each : occurrence.steps)
         {
             made.left += each.left;
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -96,7 +96,7 @@
 struct occurrence_run
 {
     std::vector<step_run> steps;
-    std::int64_t due_unix_ms = 0;
+    std::int64_t due_unix_ms = 0; ///< 0: at once.
 };
 
 enum class job_phase : std::uint8_t
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -216,6 +216,8 @@
                  {{"key", item.key}, {"why", common::to_string(reason)}});
         return;
     }
+    bool const just_accepted = loaded_ && parts_ == 0;
+    spec->accepted_unix_ms = accepted_by_own_clock(now, *spec, just_accepted);
     queue fallback;
     fallback.name = spec->queue;
     auto const& used = rules != nullptr ? *rules : fallback;
@@ -235,12 +237,25 @@
                 colocation_.number_of(run.spec.steps[number].image);
         }
     }
-    if (loaded_ && parts_ == 0)
+    if (just_accepted)
     {
         open_steps(now, run);
     }
 }
 
+// The stamp of a job is of the clock of the instance that accepted it, and
+// machines disagree about the time of day by up to seconds. By a stamp ahead of
+// this clock a job would be late much later than its submitter counts; by one
+// behind it, it would be late when it arrives and go behind all others. What
+// was just accepted is taken to have come now, within 10 ms of the truth.
+std::int64_t owner::accepted_by_own_clock(common::time_point now,
+                                          job const& spec,
+                                          bool just_accepted) const
+{
+    auto const now_ms = out_.unix_ms(now);
+    return just_accepted ? now_ms : std::min(spec.accepted_unix_ms, now_ms);
+}
+
 void owner::read_list(common::time_point now)
 {
     listing_ = true;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -121,6 +121,9 @@
     void on_watch(common::time_point now, ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
     void add_job(common::time_point now, ports::kv_item const& item);
+    std::int64_t accepted_by_own_clock(common::time_point now,
+                                       job const& spec,
+                                       bool just_accepted) const;
     void parts_loaded(common::time_point now);
     void write_roster();
     void write_backlog(common::time_point now);
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -316,6 +316,44 @@
     EXPECT_TRUE(got<ports::job_refused>(world, second));
 }
 
+// Two machines disagree about the time of day, by a millisecond or by minutes.
+// A job that was accepted by the one ahead and is scheduled by the other starts
+// at once all the same; its submitter does not wait for the clocks to meet.
+TEST(pool_faults, a_job_from_an_instance_whose_clock_is_ahead)
+{
+    for (auto const ahead : {50ms, 600'000ms})
+    {
+        pool_world world;
+        settle(world);
+        auto const front = (*world.owner() + 1) % 3;
+        world.set_clock_ahead(front, ahead);
+        world.run(100ms);
+        world.submit(front, "a", simple_job(2, 200ms));
+        EXPECT_TRUE(ends_as(world, front, "a", job_state::completed));
+        EXPECT_EQ(world.violation(), "");
+    }
+}
+
+// The other way round a job would seem to be late when it arrives, and would be
+// put behind everything that can still be on time.
+TEST(pool_faults, a_job_from_an_instance_whose_clock_is_behind)
+{
+    pool_world world;
+    settle(world);
+    auto const scheduler = *world.owner();
+    auto const front = (scheduler + 1) % 3;
+    world.set_clock_ahead(front, -600'000ms);
+    world.run(100ms);
+    auto wide = simple_job(1, 1s);
+    wide.steps.front().declared.millicores = 1'000'000'000;
+    world.submit(front, "a", wide);
+    world.run(700ms);
+    auto const jobs = world.scheduler(scheduler).jobs(world.now());
+    ASSERT_EQ(jobs.size(), 1U);
+    EXPECT_EQ(jobs.front().rank, 0U);
+    EXPECT_GT(jobs.front().due_in, 0ms);
+}
+
 // Copies of the store that answer cheap reads fall seconds behind. A job that
 // was accepted meanwhile is not told to be unknown, one that ended is not told
 // to be at work, and what a copy says of an end is true for ever.
