--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -1,11 +1,8 @@
 #include "core/pool/owner.hpp"
 
-#include "core/common/json.hpp"
 #include "core/pool/keys.hpp"
-#include "core/pool/roster.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -14,15 +11,12 @@
 namespace
 {
 
-namespace json = boost::json;
 using ports::kv_reply;
 using ports::kv_status;
 using ports::severity;
 
 constexpr common::duration watch_wait = std::chrono::milliseconds(1000);
-constexpr common::duration load_interval = std::chrono::seconds(1);
 constexpr common::duration rank_interval = std::chrono::milliseconds(500);
-constexpr common::duration backlog_interval = std::chrono::milliseconds(700);
 // Jobs, progress, roster and final states.
 constexpr std::uint32_t parts_to_load = 4;
 
@@ -256,215 +250,6 @@
     return just_accepted ? now_ms : std::min(spec.accepted_unix_ms, now_ms);
 }
 
-void owner::read_list(common::time_point now)
-{
-    listing_ = true;
-    next_list_ = now + settings_.list_interval;
-    out_.store(life_,
-               ports::kv_range{words_.workers_prefix,
-                               list_.empty()
-                                   ? ""
-                                   : words_.workers_prefix + list_.back().id},
-               settings_.call_timeout,
-               [this](common::time_point at, kv_reply const& reply)
-               {
-                   on_list(at, reply);
-               });
-}
-
-void owner::on_list(common::time_point now, kv_reply const& reply)
-{
-    if (reply.status != kv_status::done)
-    {
-        listing_ = false;
-        list_.clear();
-        return;
-    }
-    for (auto const& item : reply.items)
-    {
-        common::failure reason;
-        auto each = words_.read_worker(item, reason);
-        if (!each)
-        {
-            out_.log(severity::warning,
-                     "worker_entry_ignored",
-                     {{"key", item.key}, {"why", common::to_string(reason)}});
-            continue;
-        }
-        list_.push_back(std::move(*each));
-    }
-    if (reply.more && !list_.empty())
-    {
-        read_list(now);
-        return;
-    }
-    listing_ = false;
-    take_list(now);
-}
-
-void owner::take_list(common::time_point now)
-{
-    fleet_.take_list(list_);
-    list_.clear();
-    list_known_ = true;
-    bool missing = false;
-    for (auto const& [id, each] : fleet_.all())
-    {
-        missing = missing || !roster_.contains(id);
-    }
-    if (missing)
-    {
-        write_roster();
-    }
-    if (loaded_)
-    {
-        tick(now);
-    }
-}
-
-// A task may start only on a worker that a successor would ask.
-void owner::write_roster()
-{
-    if (roster_writing_ || !loaded_)
-    {
-        return;
-    }
-    roster_writing_ = true;
-    std::set<std::string> names;
-    for (auto const& [id, each] : fleet_.all())
-    {
-        names.insert(id);
-    }
-    ledger_.write({{{std::string(keys::roster), to_json(fleet_), 0}},
-                   {},
-                   [this, names](common::time_point)
-                   {
-                       roster_writing_ = false;
-                       roster_ = names;
-                       for (auto const& id : names)
-                       {
-                           if (auto* const each = fleet_.find(id))
-                           {
-                               each->rostered = true;
-                           }
-                       }
-                   }});
-}
-
-std::map<std::string, std::uint64_t> owner::pending() const
-{
-    std::map<std::string, std::uint64_t> counts;
-    for (auto const& [id, run] : jobs_)
-    {
-        if (run.phase == job_phase::active && !run.started)
-        {
-            ++counts[run.spec.queue];
-        }
-    }
-    return counts;
-}
-
-void owner::write_backlog(common::time_point now)
-{
-    if (now < next_backlog_ || backlog_writing_)
-    {
-        return;
-    }
-    next_backlog_ = now + backlog_interval;
-    auto counts = pending();
-    if (counts == told_backlog_)
-    {
-        return;
-    }
-    json::object out;
-    for (auto const& [queue, count] : counts)
-    {
-        out[queue] = count;
-    }
-    told_backlog_ = std::move(counts);
-    backlog_writing_ = true;
-    ledger_.write({{{std::string(keys::backlog), json::serialize(out), 0}},
-                   {},
-                   [this](common::time_point)
-                   {
-                       backlog_writing_ = false;
-                   }});
-}
-
-void owner::drop_old_finals(common::time_point now)
-{
-    constexpr std::size_t at_once = 20;
-    ledger::entry out;
-    auto const old = [this, now](auto const& each)
-    {
-        return now - each.first >= settings_.final_kept;
-    };
-    while (!final_times_.empty() && out.erases.size() < at_once &&
-           old(final_times_.front()))
-    {
-        out.erases.push_back(keys::final_state(final_times_.front().second));
-        finals_.erase(final_times_.front().second);
-        final_times_.erase(final_times_.begin());
-    }
-    if (!out.erases.empty())
-    {
-        ledger_.write(std::move(out));
-    }
-}
-
-// One line that says what binds: who waits, what is in use, what stands still.
-void owner::log_load(common::time_point now)
-{
-    if (now < next_load_line_)
-    {
-        return;
-    }
-    next_load_line_ = now + load_interval;
-    std::size_t waiting = 0;
-    for (auto const& key : ready_)
-    {
-        auto const* const run = find_job(key.job);
-        if (run != nullptr)
-        {
-            waiting +=
-                run->occurrences[key.occurrence].steps[key.step].ready.size();
-        }
-    }
-    std::int64_t capacity = 0;
-    std::int64_t reserved = 0;
-    std::int64_t serving = 0;
-    std::int64_t fills = 0;
-    std::int64_t idle = 0;
-    double slowed = 0;
-    for (auto& [id, each] : fleet_.all())
-    {
-        capacity += each.info.capacity.millicores;
-        reserved += each.reserved.millicores;
-        serving += each.serving_cores;
-        fills += each.fill_cores;
-        for (auto const& fill : view_of(each).fills)
-        {
-            slowed += 1 - fill.pace / 100.0;
-        }
-        idle += std::max<std::int64_t>(each.idle_cores(), 0);
-    }
-    auto const cores = [](std::int64_t millicores)
-    {
-        return std::to_string(millicores / 1000);
-    };
-    out_.log(severity::info,
-             "pool_load",
-             {{"jobs", std::to_string(jobs_.size())},
-              {"steps_waiting", std::to_string(ready_.size())},
-              {"tasks_waiting", std::to_string(waiting)},
-              {"cores", cores(capacity)},
-              {"reserved", cores(reserved)},
-              {"serving", cores(serving)},
-              {"fills", cores(fills)},
-              {"idle", cores(idle)},
-              {"fills_slowed", std::to_string(std::lround(slowed))}});
-}
-
 std::optional<ports::job_state> owner::state_of(std::string const& id) const
 {
     auto const final_state = finals_.find(id);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -108,15 +108,7 @@
                             job_run& run,
                             ports::task_name const& first);
 
-    // owner.cpp: the store.
-    void load_page(std::string const& after);
-    void on_page(common::time_point now, ports::kv_reply const& reply);
-    void load_progress(std::string const& after);
-    void load_roster();
-    void load_finals(std::string const& after);
-    void read_list(common::time_point now);
-    void on_list(common::time_point now, ports::kv_reply const& reply);
-    void take_list(common::time_point now);
+    // owner.cpp: its clock, and jobs as they come.
     void watch();
     void on_watch(common::time_point now, ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
@@ -124,12 +116,26 @@
     std::int64_t accepted_by_own_clock(common::time_point now,
                                        job const& spec,
                                        bool just_accepted) const;
+    bool may_act(common::time_point now) const;
+
+    // owner_load.cpp: the state that the last owner left in the store.
+    void load_page(std::string const& after);
+    void on_page(common::time_point now, ports::kv_reply const& reply);
+    void load_progress(std::string const& after);
+    void load_roster();
+    void load_finals(std::string const& after);
     void parts_loaded(common::time_point now);
+
+    // owner_list.cpp: which workers there are.
+    void read_list(common::time_point now);
+    void on_list(common::time_point now, ports::kv_reply const& reply);
+    void take_list(common::time_point now);
     void write_roster();
+
+    // owner_reports.cpp: what it tells of itself.
     void write_backlog(common::time_point now);
     void log_load(common::time_point now);
     void drop_old_finals(common::time_point now);
-    bool may_act(common::time_point now) const;
 
     // owner_jobs.cpp: the life of jobs and tasks.
     void open_steps(common::time_point now, job_run& run);
@@ -183,20 +189,35 @@
                   std::string const& on,
                   std::vector<ports::header> more = {});
 
-    // owner_workers.cpp: what workers say.
+    // owner_workers.cpp: asking workers, and what becomes of silent ones.
     void hold_workers(common::time_point now);
     void hold(common::time_point now, worker& of);
     void on_hold(common::time_point now,
                  common::time_point sent,
                  std::string const& id,
                  ports::order_reply const& reply);
-    void
-    new_incarnation(common::time_point now, worker& of, std::uint64_t born);
     void acknowledge_ends(common::time_point now, worker& of);
+    void blame(common::time_point now, worker& of, std::string const& job);
+    void forget_runs(common::time_point now, worker& of, char const* why);
+    void check_silent(common::time_point now);
+    void order_stop(common::time_point now,
+                    std::string const& id,
+                    ports::task_run const& what);
+    void fenced(std::string const& by);
+
+    // owner_rows.cpp: what a worker tells of its runs and of their ends.
+    void take_rows(common::time_point now,
+                   common::time_point sent,
+                   worker& of,
+                   ports::order_reply const& reply,
+                   bool first);
     void check_missing(common::time_point now,
                        common::time_point sent,
                        worker& of,
                        std::set<ports::task_name> const& told);
+    void take_running(common::time_point now,
+                      worker& of,
+                      ports::running_row const& row);
     void adopt_run(common::time_point now,
                    worker& of,
                    job_run& run,
@@ -209,24 +230,26 @@
                        worker& of,
                        job_run& run,
                        ports::task_run const& what);
+    void
+    take_end(common::time_point now, worker& of, ports::ended_row const& row);
     void take_failure(common::time_point now,
                       worker& of,
                       job_run& run,
                       ports::task_run const& what,
                       bool current);
-    void take_rows(common::time_point now,
-                   common::time_point sent,
-                   worker& of,
-                   ports::order_reply const& reply,
-                   bool first);
-    void take_running(common::time_point now,
-                      worker& of,
-                      ports::running_row const& row);
+
+    // owner_takeover.cpp: what earlier owners may have started.
     void
-    take_end(common::time_point now, worker& of, ports::ended_row const& row);
+    new_incarnation(common::time_point now, worker& of, std::uint64_t born);
     void take_inherited_failure(common::time_point now,
                                 ports::ended_row const& row);
-    void forget_runs(common::time_point now, worker& of, char const* why);
+    void settle(common::time_point now);
+    void resolve_unsure(common::time_point now, job_run& run);
+    bool waited_for_silence(common::time_point now);
+    bool may_be_foreign(job_run const& run, task const& each) const;
+
+    // owner_sharing.cpp: tasks that fill beside tasks that serve.
+    worker_view const& view_of(worker& of);
     void guard(common::time_point now, worker& of);
     bool tails_are_odd(worker& of);
     void read_serving(common::time_point now, worker& of);
@@ -237,17 +260,6 @@
               worker& on,
               ports::task_name const& name,
               std::uint32_t percent);
-    void order_stop(common::time_point now,
-                    std::string const& id,
-                    ports::task_run const& what);
-    void check_silent(common::time_point now);
-    void settle(common::time_point now);
-    void resolve_unsure(common::time_point now, job_run& run);
-    bool waited_for_silence(common::time_point now);
-    worker_view const& view_of(worker& of);
-    bool may_be_foreign(job_run const& run, task const& each) const;
-    void blame(common::time_point now, worker& of, std::string const& job);
-    void fenced(std::string const& by);
 
     // owner_advice.cpp: steps under a policy.
     struct ready_key;
--- /dev/null
+++ b/src/core/pool/owner_reports.cpp
@@ -0,0 +1,139 @@
+#include "core/common/json.hpp"
+#include "core/pool/keys.hpp"
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+// What the owner tells of itself at intervals: waiting jobs in the store, what
+// binds in the log. Also ends what is kept for submitters who ask.
+namespace fuchsia::core::pool
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using ports::severity;
+
+constexpr common::duration load_interval = std::chrono::seconds(1);
+constexpr common::duration backlog_interval = std::chrono::milliseconds(700);
+
+} // namespace
+
+std::map<std::string, std::uint64_t> owner::pending() const
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (auto const& [id, run] : jobs_)
+    {
+        if (run.phase == job_phase::active && !run.started)
+        {
+            ++counts[run.spec.queue];
+        }
+    }
+    return counts;
+}
+
+void owner::write_backlog(common::time_point now)
+{
+    if (now < next_backlog_ || backlog_writing_)
+    {
+        return;
+    }
+    next_backlog_ = now + backlog_interval;
+    auto counts = pending();
+    if (counts == told_backlog_)
+    {
+        return;
+    }
+    json::object out;
+    for (auto const& [queue, count] : counts)
+    {
+        out[queue] = count;
+    }
+    told_backlog_ = std::move(counts);
+    backlog_writing_ = true;
+    ledger_.write({{{std::string(keys::backlog), json::serialize(out), 0}},
+                   {},
+                   [this](common::time_point)
+                   {
+                       backlog_writing_ = false;
+                   }});
+}
+
+void owner::drop_old_finals(common::time_point now)
+{
+    constexpr std::size_t at_once = 20;
+    ledger::entry out;
+    auto const old = [this, now](auto const& each)
+    {
+        return now - each.first >= settings_.final_kept;
+    };
+    while (!final_times_.empty() && out.erases.size() < at_once &&
+           old(final_times_.front()))
+    {
+        out.erases.push_back(keys::final_state(final_times_.front().second));
+        finals_.erase(final_times_.front().second);
+        final_times_.erase(final_times_.begin());
+    }
+    if (!out.erases.empty())
+    {
+        ledger_.write(std::move(out));
+    }
+}
+
+// One line that says what binds: who waits, what is in use, what stands still.
+void owner::log_load(common::time_point now)
+{
+    if (now < next_load_line_)
+    {
+        return;
+    }
+    next_load_line_ = now + load_interval;
+    std::size_t waiting = 0;
+    for (auto const& key : ready_)
+    {
+        auto const* const run = find_job(key.job);
+        if (run != nullptr)
+        {
+            waiting +=
+                run->occurrences[key.occurrence].steps[key.step].ready.size();
+        }
+    }
+    std::int64_t capacity = 0;
+    std::int64_t reserved = 0;
+    std::int64_t serving = 0;
+    std::int64_t fills = 0;
+    std::int64_t idle = 0;
+    double slowed = 0;
+    for (auto& [id, each] : fleet_.all())
+    {
+        capacity += each.info.capacity.millicores;
+        reserved += each.reserved.millicores;
+        serving += each.serving_cores;
+        fills += each.fill_cores;
+        for (auto const& fill : view_of(each).fills)
+        {
+            slowed += 1 - fill.pace / 100.0;
+        }
+        idle += std::max<std::int64_t>(each.idle_cores(), 0);
+    }
+    auto const cores = [](std::int64_t millicores)
+    {
+        return std::to_string(millicores / 1000);
+    };
+    out_.log(severity::info,
+             "pool_load",
+             {{"jobs", std::to_string(jobs_.size())},
+              {"steps_waiting", std::to_string(ready_.size())},
+              {"tasks_waiting", std::to_string(waiting)},
+              {"cores", cores(capacity)},
+              {"reserved", cores(reserved)},
+              {"serving", cores(serving)},
+              {"fills", cores(fills)},
+              {"idle", cores(idle)},
+              {"fills_slowed", std::to_string(std::lround(slowed))}});
+}
+
+} // namespace fuchsia::core::pool
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -1,13 +1,12 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
+// Asks workers, renews their leases and decides what becomes of silent ones.
 namespace fuchsia::core::pool
 {
 
-using ports::end_kind;
 using ports::order_reply;
 using ports::order_status;
 using ports::severity;
@@ -15,22 +14,12 @@
 namespace
 {
 
-// A stop takes 0.4 s at most; what still runs after this was never told.
-constexpr common::duration stop_again_after = std::chrono::seconds(1);
-
 std::string text_of(ports::task_name const& name)
 {
     return name.job + "." + std::to_string(name.occurrence) + "." +
            std::to_string(name.step) + "." + std::to_string(name.index);
 }
 
-std::string_view name_of(end_kind how)
-{
-    constexpr std::array<std::string_view, 6> names{
-        "done", "failed", "stopped", "lapsed", "broken", "alone"};
-    return names[static_cast<std::size_t>(how)];
-}
-
 } // namespace
 
 void owner::log_task(severity level,
@@ -162,268 +151,6 @@
     of.next_hold = now + settings_.guarded_wait;
 }
 
-void owner::take_rows(common::time_point now,
-                      common::time_point sent,
-                      worker& of,
-                      order_reply const& reply,
-                      bool first)
-{
-    std::set<ports::task_name> here;
-    for (auto const& row : reply.running)
-    {
-        here.insert(row.what.task);
-        take_running(now, of, row);
-    }
-    for (auto const& row : reply.ended)
-    {
-        here.insert(row.what.task);
-        if (row.number > of.listed_end)
-        {
-            of.listed_end = row.number;
-            take_end(now, of, row);
-            if (first)
-            {
-                take_inherited_failure(now, row);
-            }
-        }
-    }
-    check_missing(now, sent, of, here);
-}
-
-// What the worker had confirmed before it was asked, and does not name, is gone
-// without a trace.
-void owner::check_missing(common::time_point now,
-                          common::time_point sent,
-                          worker& of,
-                          std::set<ports::task_name> const& told)
-{
-    auto const believed = of.runs;
-    for (auto const& name : believed)
-    {
-        auto const [run, each] = find_task(name);
-        bool const untold = each != nullptr && each->unclear &&
-                            each->phase == task_phase::stopping &&
-                            now - each->moved > stop_again_after;
-        if (untold)
-        {
-            each->moved = now;
-            order_stop(now, of.info.id, {name, each->attempt});
-        }
-        if (told.contains(name) || each == nullptr ||
-            each->phase == task_phase::starting || each->unclear ||
-            each->started >= sent)
-        {
-            continue;
-        }
-        ++counters_.tasks_lost;
-        log_task(severity::warning,
-                 "task_missing",
-                 {name, each->attempt},
-                 of.info.id);
-        each->phase = task_phase::blocked;
-        task_over(now, *run, name);
-    }
-}
-
-void owner::take_running(common::time_point now,
-                         worker& of,
-                         ports::running_row const& row)
-{
-    auto const [run, each] = find_task(row.what.task);
-    if (each == nullptr)
-    {
-        order_stop(now, of.info.id, row.what);
-        return;
-    }
-    if (may_be_foreign(*run, *each))
-    {
-        adopt_run(now, of, *run, row.what);
-    }
-    bool const ours = each->placed() && each->worker == of.info.id &&
-                      each->attempt == row.what.attempt;
-    if (!ours)
-    {
-        // A start that was given up, carried out late.
-        order_stop(now, of.info.id, row.what);
-        return;
-    }
-    note_progress(now, of, *run, row);
-    bool const overdue = each->phase == task_phase::stopping &&
-                         now - each->started > stop_again_after;
-    if (overdue)
-    {
-        order_stop(now, of.info.id, row.what);
-    }
-    stop_if_stuck(now, of, *run, row.what);
-}
-
-// A run that an earlier owner began.
-void owner::adopt_run(common::time_point now,
-                      worker& of,
-                      job_run& run,
-                      ports::task_run const& what)
-{
-    auto& each = run.at(what.task);
-    each.phase = task_phase::running;
-    each.attempt = what.attempt;
-    each.started = now;
-    each.moved = now;
-    run.started = true;
-    place(run, what.task, of);
-    if (run.phase != job_phase::active)
-    {
-        each.phase = task_phase::stopping;
-        order_stop(now, of.info.id, what);
-    }
-}
-
-void owner::note_progress(common::time_point now,
-                          worker& of,
-                          job_run& run,
-                          ports::running_row const& row)
-{
-    auto& each = run.at(row.what.task);
-    if (each.phase == task_phase::starting)
-    {
-        run.started = true;
-        each.phase = task_phase::running;
-        each.started = now;
-        each.moved = now;
-    }
-    if (row.percent != each.percent || each.pace < 100)
-    {
-        each.moved = now;
-    }
-    // A task at full speed shows how fast its worker is.
-    auto const& what = run.step_of(row.what.task);
-    bool const steady = each.pace == 100 && each.told > each.started &&
-                        row.percent > each.percent;
-    if (steady && !what.lasting)
-    {
-        of.speed.observe(
-            now, row.percent - each.percent, what.estimate, now - each.told);
-    }
-    each.told = now;
-    each.unclear = false;
-    each.percent = row.percent;
-    each.level = row.level;
-    if (!row.checkpoint.empty())
-    {
-        each.checkpoint = row.checkpoint;
-    }
-}
-
-// Some workers look healthy and let all their tasks stand still.
-void owner::stop_if_stuck(common::time_point now,
-                          worker& of,
-                          job_run& run,
-                          ports::task_run const& what)
-{
-    auto& each = run.at(what.task);
-    bool const stuck = each.phase == task_phase::running &&
-                       !run.step_of(what.task).lasting &&
-                       now - each.moved > settings_.stuck_after;
-    if (!stuck)
-    {
-        return;
-    }
-    log_task(severity::warning,
-             "task_stuck",
-             what,
-             of.info.id,
-             {{"percent", std::to_string(each.percent)}});
-    each.phase = task_phase::stopping;
-    each.failed_on.push_back(of.info.id);
-    blame(now, of, what.task.job);
-    order_stop(now, of.info.id, what);
-}
-
-void owner::take_end(common::time_point now,
-                     worker& of,
-                     ports::ended_row const& row)
-{
-    auto const& name = row.what.task;
-    auto const [run, each] = find_task(name);
-    if (each == nullptr || each->phase == task_phase::done)
-    {
-        return;
-    }
-    bool const current = each->placed() && each->worker == of.info.id &&
-                         each->attempt == row.what.attempt;
-    bool const unsure = may_be_foreign(*run, *each);
-    // The end of a run that was taken for lost: no other was started since.
-    bool const late = each->phase == task_phase::ready &&
-                      each->worker == of.info.id &&
-                      each->attempt == row.what.attempt;
-    if (!row.checkpoint.empty() && (current || unsure || late))
-    {
-        each->checkpoint = row.checkpoint;
-    }
-    if (unsure)
-    {
-        // Another worker may still run a later attempt of it.
-        each->attempt = std::max(each->attempt, row.what.attempt);
-        run->started = true;
-    }
-    if (row.how == end_kind::done && (current || unsure || late))
-    {
-        of.failed_jobs.clear();
-        task_done(now, *run, name);
-        return;
-    }
-    if (row.how == end_kind::failed && (current || unsure))
-    {
-        take_failure(now, of, *run, row.what, current);
-        return;
-    }
-    if (!current)
-    {
-        return;
-    }
-    if (row.how != end_kind::stopped)
-    {
-        ++counters_.tasks_lost;
-        log_task(severity::warning,
-                 "task_ended",
-                 {name, row.what.attempt},
-                 of.info.id,
-                 {{"how", std::string(name_of(row.how))}});
-    }
-    task_over(now, *run, name);
-}
-
-// A failure that was counted already is told again by a worker that did not
-// hear of it.
-void owner::take_failure(common::time_point now,
-                         worker& of,
-                         job_run& run,
-                         ports::task_run const& what,
-                         bool current)
-{
-    auto& each = run.at(what.task);
-    auto const& failures = each.failures;
-    bool const counted =
-        std::find(failures.begin(), failures.end(), what.attempt) !=
-        failures.end();
-    if (counted && current)
-    {
-        task_over(now, run, what.task);
-    }
-    if (counted)
-    {
-        return;
-    }
-    log_task(severity::info, "task_failed", what, of.info.id);
-    each.worker = of.info.id;
-    blame(now, of, what.task.job);
-    if (current)
-    {
-        task_failed(now, run, what.task);
-        return;
-    }
-    count_failure(run, what.task, what.attempt);
-}
-
 // A worker that fails tasks of several jobs in a row, with no success between,
 // is to blame itself; a job that fails on several workers is not its doing.
 void owner::blame(common::time_point now, worker& of, std::string const& job)
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -2,7 +2,7 @@
 
 #include "adapters/daemon/shell.hpp"
 #include "adapters/runtime/signals.hpp"
-#include "platform/codec.hpp"
+#include "platform/directory.hpp"
 #include "platform/submissions.hpp"
 #include "programs/pool/pool_administration.hpp"
 
--- a/standins/pool/pool_codec.cpp
+++ b/standins/pool/pool_codec.cpp
@@ -2,7 +2,7 @@
 
 #include "adapters/platform/base64.hpp"
 #include "core/common/json.hpp"
-#include "platform/codec.hpp"
+#include "platform/order_codec.hpp"
 #include "standins/common/web.hpp"
 
 #include <array>
--- a/tests/contract/platform/codec_test.cpp
+++ b/tests/contract/platform/codec_test.cpp
@@ -1,4 +1,6 @@
-#include "platform/codec.hpp"
+#include "platform/directory.hpp"
+#include "platform/job_codec.hpp"
+#include "platform/order_codec.hpp"
 #include "platform/submissions.hpp"
 
 #include <gtest/gtest.h>
