--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -146,6 +146,11 @@
     {
         revision_ = reply.revision;
         auto const durable = std::exchange(in_flight_, {});
+        // A commit that can't hold what waits already would only grow a queue.
+        if (waiting_.size() >= settings_.max_changes)
+        {
+            next_step_ = now;
+        }
         for (auto const& each : durable)
         {
             if (each.on_durable)
