--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -1,5 +1,6 @@
 #include "core/pool/engine.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -23,6 +24,7 @@
 
 void engine::start(common::time_point now)
 {
+    started_ = now;
     operators_.start();
     claim_.tick(now);
     tell_readiness(now);
@@ -122,7 +124,7 @@
     made.epoch = claim_.held() ? claim_.epoch() : 0;
     made.owned_for = claim_.held() ? now - claim_.since() : common::duration{};
     made.configuration_version = operators_.state().config.version;
-    made.store_silence = now - operators_.contact();
+    made.store_silence = store_silence(now);
     auto const& out = operators_.state().data_centres_out;
     made.data_centres_out.assign(out.begin(), out.end());
     return made;
@@ -159,6 +161,12 @@
     follow_stop(now);
 }
 
+// Since the start where the store has not answered at all yet.
+common::duration engine::store_silence(common::time_point now) const
+{
+    return now - std::max(started_, operators_.contact());
+}
+
 void engine::tell_readiness(common::time_point now)
 {
     bool const ready =
@@ -172,8 +180,7 @@
              "readiness",
              {{"ready", ready ? "true" : "false"},
               {"store_silent_ms",
-               std::to_string(
-                   common::to_milliseconds(now - operators_.contact()))}});
+               std::to_string(common::to_milliseconds(store_silence(now)))}});
     out_.push(ports::readiness{ready});
 }
 
--- a/src/core/pool/engine.hpp
+++ b/src/core/pool/engine.hpp
@@ -59,6 +59,7 @@
 
 private:
     void follow(common::time_point now);
+    common::duration store_silence(common::time_point now) const;
     void tell_readiness(common::time_point now);
     void follow_stop(common::time_point now);
 
@@ -69,6 +70,7 @@
     claim claim_;
     front front_;
     std::unique_ptr<owner> owner_;
+    common::time_point started_{};
     std::uint64_t told_changes_ = 0;
     std::optional<bool> told_ready_;
     std::optional<common::time_point> stopping_;
