--- a/tests/process/entry_deployment.cpp
+++ b/tests/process/entry_deployment.cpp
@@ -16,7 +16,6 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <fstream>
-#include <thread>
 
 namespace fuchsia::tests::process
 {
@@ -29,8 +28,6 @@
 using namespace std::chrono_literals;
 
 constexpr auto call_limit = 30s;
-constexpr auto wait_limit = 60s;
-constexpr auto poll_interval = 20ms;
 constexpr std::int64_t partitions = core::common::partition_count;
 constexpr char const* customer = "estate-owners";
 
@@ -107,20 +104,6 @@
     return result;
 }
 
-bool wait_until(std::function<bool()> const& wanted)
-{
-    auto const until = std::chrono::steady_clock::now() + wait_limit;
-    while (!wanted())
-    {
-        if (std::chrono::steady_clock::now() > until)
-        {
-            return false;
-        }
-        std::this_thread::sleep_for(poll_interval);
-    }
-    return true;
-}
-
 std::string header_of(std::optional<adapters::http::response> const& answer,
                       std::string_view name)
 {
--- a/tests/process/entry_deployment.hpp
+++ b/tests/process/entry_deployment.hpp
@@ -2,10 +2,10 @@
 
 #include "adapters/http/message.hpp"
 #include "process/child.hpp"
+#include "process/wait_until.hpp"
 
 #include <cstdint>
 #include <filesystem>
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,9 +23,6 @@
      std::vector<ports::header> const& headers = {},
      std::string const& body = {});
 
-/// Waits until `wanted` holds, at most a minute; whether it does.
-bool wait_until(std::function<bool()> const& wanted);
-
 class entry_deployment
 {
 public:
--- a/tests/process/operators_test.cpp
+++ b/tests/process/operators_test.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/client.hpp"
 #include "process/child.hpp"
 #include "process/own_address.hpp"
+#include "process/wait_until.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,7 +15,6 @@
 #include <gtest/gtest.h>
 #include <set>
 #include <sstream>
-#include <thread>
 #include <unistd.h>
 
 // Operators' commands against real planners and the platform's stand-in.
@@ -22,12 +22,11 @@
 using namespace std::chrono_literals;
 using testing::HasSubstr;
 using tests::process::child;
+using tests::process::wait_until;
 
 namespace
 {
 
-constexpr auto patience = 60s;
-
 std::string loopback(std::uint16_t port)
 {
     return tests::process::own_address() + ":" + std::to_string(port);
@@ -61,21 +60,6 @@
     return answer;
 }
 
-template<class Condition>
-bool eventually(Condition holds)
-{
-    auto const until = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < until)
-    {
-        if (holds())
-        {
-            return true;
-        }
-        std::this_thread::sleep_for(50ms);
-    }
-    return false;
-}
-
 struct ended
 {
     int status = 0;
@@ -127,7 +111,7 @@
         }
         for (auto const port : http_ports_)
         {
-            ASSERT_TRUE(eventually(
+            ASSERT_TRUE(wait_until(
                 [port]
                 {
                     return ask(port, "GET", "/readyz").status == 200;
@@ -245,7 +229,7 @@
                           "\"\n[workers]\ncount = 6\nper_rack = 2\n"
                           "data_centres = [\"kochi-a\", \"thrissur-b\", "
                           "\"kottayam-c\"]\n");
-        ASSERT_TRUE(eventually(
+        ASSERT_TRUE(wait_until(
             [this]
             {
                 return ask(platform_port_, "GET", "/control/counts").status ==
@@ -342,7 +326,7 @@
             }
         }
         ASSERT_NE(newest, 0U) << "one of them must win";
-        EXPECT_TRUE(eventually(
+        EXPECT_TRUE(wait_until(
             [&]
             {
                 auto const shown = run({"contract", "show", "mill"});
@@ -370,7 +354,7 @@
     EXPECT_EQ(late.status, 0) << late.text;
 
     planners[2].signal(SIGCONT);
-    EXPECT_TRUE(eventually(
+    EXPECT_TRUE(wait_until(
         [&]
         {
             auto const listed = run({"data-centre", "list", "--json"}, {2});
@@ -391,7 +375,7 @@
     EXPECT_THAT(down.text, HasSubstr("4001 store_unavailable"));
     set_faults(R"({"down":false})");
     // Planners notice its return at their next read of the store.
-    EXPECT_TRUE(eventually(
+    EXPECT_TRUE(wait_until(
         [this]
         {
             return run({"contract", "put", contract("shop", 1), "--wait"})
@@ -431,7 +415,7 @@
     std::ostringstream page;
     page << file.rdbuf();
     std::set<std::string> names;
-    ASSERT_TRUE(eventually(
+    ASSERT_TRUE(wait_until(
         [&]
         {
             std::istringstream lines(
--- a/tests/process/pool_test.cpp
+++ b/tests/process/pool_test.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/client.hpp"
 #include "process/child.hpp"
 #include "process/own_address.hpp"
+#include "process/wait_until.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <csignal>
@@ -9,38 +10,22 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <sstream>
-#include <thread>
 
 // Three real instances against the stand-in of the platform.
 using namespace fuchsia;
 using namespace std::chrono_literals;
 using tests::process::child;
+using tests::process::wait_until;
 
 namespace
 {
 
-constexpr auto patience = 60s;
 constexpr std::size_t instances = 3;
 constexpr char const* job_of_four =
     R"({"taskSpec":"work=1500","steps":[{"count":4,"cpu":1000,"memMb":100,)"
     R"("estimateMs":1500},{"count":4,"cpu":1000,"memMb":100,)"
     R"("estimateMs":1500,"after":[0]}]})";
 
-template<class Condition>
-bool eventually(Condition holds)
-{
-    auto const until = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < until)
-    {
-        if (holds())
-        {
-            return true;
-        }
-        std::this_thread::sleep_for(50ms);
-    }
-    return false;
-}
-
 class deployment
 {
 public:
@@ -188,7 +173,7 @@
 std::size_t wait_for_owner(deployment& system)
 {
     std::size_t owner = instances;
-    eventually(
+    wait_until(
         [&system, &owner]
         {
             for (std::size_t number = 0; number < instances; ++number)
@@ -219,14 +204,14 @@
     auto const owner = wait_for_owner(system);
     ASSERT_LT(owner, instances);
     auto const other = (owner + 1) % instances;
-    ASSERT_TRUE(eventually(
+    ASSERT_TRUE(wait_until(
         [&]
         {
             return system.ready(other);
         }));
     EXPECT_EQ(system.submit(other, "00000000000000a1", job_of_four).status,
               200);
-    ASSERT_TRUE(eventually(
+    ASSERT_TRUE(wait_until(
         [&]
         {
             return system.counts().find("\"starts\":4") != std::string::npos;
@@ -243,7 +228,7 @@
               200);
     for (auto const* id : {"00000000000000a1", "00000000000000a2"})
     {
-        EXPECT_TRUE(eventually(
+        EXPECT_TRUE(wait_until(
             [&]
             {
                 return system.state(other, id).find("completed") !=
@@ -262,7 +247,7 @@
 {
     deployment system;
     ASSERT_LT(wait_for_owner(system), instances);
-    ASSERT_TRUE(eventually(
+    ASSERT_TRUE(wait_until(
         [&]
         {
             return system.ready(0);
@@ -273,13 +258,13 @@
         system.instance(number).signal(SIGTERM);
         EXPECT_EQ(system.instance(number).wait(), 0);
         system.start(number);
-        ASSERT_TRUE(eventually(
+        ASSERT_TRUE(wait_until(
             [&]
             {
                 return system.ready(number);
             }));
     }
-    EXPECT_TRUE(eventually(
+    EXPECT_TRUE(wait_until(
         [&]
         {
             return system.state(0, "00000000000000b1").find("completed") !=
