Serving tasks move away from where they keep waiting work out

Cause: where serving tasks stand is decided before anything is known of who disturbs whom.

Change: a plan (core/pool/regroup, no network) clears one worker of what the waiting work would disturb, if that unlocks more core-seconds than the move costs. Room at the new place is reserved before the old run is stopped, beside nothing that disturbs the task; half of a step stays at work, or all but what it may miss; a task moves once in 10 s at most; nothing moves while a takeover is unsettled, for pairs that are not learned, or when nothing waits. A line a second says for each kind of waiting step what keeps it from how many workers.

Ruled out: moving more.

--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -24,6 +24,10 @@
 // Disturbances that differ by less, in targets, are as good as each other.
 constexpr double like_the_least = 0.15;
 
+// A pair counts as learned once this part of its first variance is left: a
+// reading beside a quarter of a worker's cores leaves 0.08 of it.
+constexpr double known_part = 0.2;
+
 // What one task's neighbours used beyond the mean of its siblings' neighbours.
 std::map<std::uint16_t, double>
 beyond_the_mean(std::vector<serving_reading const*> const& readings)
@@ -49,6 +53,23 @@
     return made;
 }
 
+std::vector<neighbour_share> sum_by_image(std::vector<fill_view> const& fills,
+                                          double fill_view::*share)
+{
+    std::map<std::uint16_t, double> sums;
+    for (auto const& each : fills)
+    {
+        sums[each.image] += each.*share;
+    }
+    std::vector<neighbour_share> made;
+    made.reserve(sums.size());
+    for (auto const& [image, total] : sums)
+    {
+        made.push_back({image, total});
+    }
+    return made;
+}
+
 } // namespace
 
 colocation::colocation(colocation_settings settings)
@@ -76,18 +97,13 @@
 
 std::vector<neighbour_share> shares_of(std::vector<fill_view> const& fills)
 {
-    std::map<std::uint16_t, double> sums;
-    for (auto const& each : fills)
-    {
-        sums[each.image] += each.used;
-    }
-    std::vector<neighbour_share> made;
-    made.reserve(sums.size());
-    for (auto const& [image, share] : sums)
-    {
-        made.push_back({image, share});
-    }
-    return made;
+    return sum_by_image(fills, &fill_view::used);
+}
+
+std::vector<neighbour_share>
+declared_shares_of(std::vector<fill_view> const& fills)
+{
+    return sum_by_image(fills, &fill_view::declared);
 }
 
 double colocation::taken(std::uint16_t image,
@@ -255,6 +271,17 @@
     return least;
 }
 
+bool colocation::disturbs(std::uint16_t served, std::uint16_t beside) const
+{
+    return weight(served, beside) > settings_.harmless;
+}
+
+bool colocation::known(std::uint16_t served, std::uint16_t beside) const
+{
+    auto const& pair = pairs_[served * settings_.max_images + beside];
+    return pair.variance < known_part * settings_.prior_variance;
+}
+
 double colocation::worst_weight(worker_view const& seen,
                                 std::uint16_t image) const
 {
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -70,6 +70,9 @@
 /// What neighbours use, summed up by image.
 std::vector<neighbour_share>
 shares_of(std::vector<struct fill_view> const& fills);
+/// What they may use, summed up by image.
+std::vector<neighbour_share>
+declared_shares_of(std::vector<struct fill_view> const& fills);
 
 /// A serving task.
 struct serving_view
@@ -139,6 +142,11 @@
     /// The least headroom that stays, were `image` to use `share` besides.
     double
     expected(worker_view const& seen, std::uint16_t image, double share) const;
+    /// Whether `beside` is taken to disturb `served`, as every pair is until
+    /// it was seen,
+    bool disturbs(std::uint16_t served, std::uint16_t beside) const;
+    /// and whether that was learned.
+    bool known(std::uint16_t served, std::uint16_t beside) const;
     /// Headroom that `image` takes at most, for a whole worker.
     double worst_weight(worker_view const& seen, std::uint16_t image) const;
 
@@ -154,7 +162,7 @@
 
     colocation_settings settings_;
     std::map<std::string, std::uint16_t> numbers_;
-    std::vector<pair_estimate> pairs_; ///< max_images squared, by the served.
+    std::vector<pair_estimate> pairs_;  ///< max_images squared, by the served.
 };
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -58,6 +58,10 @@
     std::int64_t serving_used = 0;   ///< Of those, what is in use now.
     std::int64_t fill_cores = 0;     ///< Declared by tasks that fill.
     std::set<ports::task_name> runs; ///< Tasks placed here.
+    /// Serving tasks that are being moved here: their room is reserved.
+    std::set<ports::task_name> promised;
+    /// Filling images that this worker was cleared for, and until when.
+    std::map<std::uint16_t, common::time_point> kept_for;
 
     std::uint64_t clock_ms = 0;      ///< As it last told,
     common::time_point clock_read{}; ///< and when that was received.
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -76,6 +76,7 @@
         next_dispatch_ = now + settings_.dispatch_interval;
         dispatch(now);
     }
+    regroup(now);
     save_all_progress();
     log_load(now);
     write_backlog(now);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -8,6 +8,7 @@
 #include "core/pool/ledger.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/pool_view.hpp"
+#include "core/pool/regroup.hpp"
 
 #include <cstdint>
 #include <map>
@@ -25,6 +26,7 @@
     fleet_settings workers;
     ledger_settings commits;
     colocation_settings sharing;
+    regroup_settings regroup;
     common::duration call_timeout = std::chrono::milliseconds(900);
     /// Between two looks at the platform's list of workers. A leaving worker
     /// may get no new task 2 s after it said so.
@@ -65,6 +67,7 @@
     std::uint64_t tasks_lost = 0;
     std::uint64_t paced = 0;
     std::uint64_t evicted = 0;
+    std::uint64_t regrouped = 0; ///< Serving tasks moved.
     std::uint64_t jobs_finished = 0;
 };
 
@@ -135,6 +138,7 @@
     // owner_reports.cpp: what it tells of itself.
     void write_backlog(common::time_point now);
     void log_load(common::time_point now);
+    void log_waiting(common::time_point now);
     void drop_old_finals(common::time_point now);
 
     // owner_jobs.cpp: the life of jobs and tasks.
@@ -261,6 +265,20 @@
               ports::task_name const& name,
               std::uint32_t percent);
 
+    // owner_regroup.cpp: serving tasks move to where they bind least.
+    void regroup(common::time_point now);
+    std::vector<waiting_image> waiting_fills(common::time_point now);
+    std::vector<regroup_worker> regroup_workers(common::time_point now);
+    bool may_move(common::time_point now,
+                  job_run const& run,
+                  ports::task_name const& name) const;
+    void carry_out(common::time_point now, regroup_plan const& plan);
+    /// The worker that room was kept at; that room is free again.
+    worker* take_promise(ports::task_name const& name);
+    bool kept_clear_of(common::time_point now,
+                       worker const& on,
+                       std::uint16_t image) const;
+
     // owner_advice.cpp: steps under a policy.
     struct ready_key;
     bool has_ticket(common::time_point now,
@@ -307,6 +325,14 @@
                   std::string const& id,
                   ports::order_reply const& reply);
 
+    /// Steps of one queue and image that wait for workers.
+    struct waiting_kind
+    {
+        std::size_t steps = 0;
+        std::size_t tasks = 0;
+        ready_key first;
+    };
+
     // owner_placement.cpp: which worker a task starts on.
     worker* choose(common::time_point now,
                    job_run& run,
@@ -346,6 +372,9 @@
     std::vector<std::pair<common::time_point, std::string>> final_times_;
     std::set<ready_key> ready_;
     std::set<std::string> dirty_;
+    std::map<ports::task_name, std::string> promises_; ///< Where tasks move.
+    /// Filling images whose tasks wait, and since when.
+    std::map<std::uint16_t, common::time_point> waiting_since_;
     std::vector<std::string> timed_; ///< Jobs with occurrences to come.
 
     common::time_point began_{};
@@ -368,6 +397,7 @@
     bool roster_writing_ = false;
     common::time_point next_list_{};
     common::time_point next_rank_{};
+    common::time_point next_regroup_{};
     common::time_point next_load_line_{};
     common::time_point next_backlog_{};
     std::map<std::string, std::uint64_t> told_backlog_;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -110,7 +110,8 @@
             return;
         }
         shape const wanted{what, run->rules.service};
-        bool const hopeless = std::any_of(failed.begin(),
+        bool const hopeless = what->tail_target.count() == 0 &&
+                              std::any_of(failed.begin(),
                                           failed.end(),
                                           [&wanted](shape const& each)
                                           {
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -24,6 +24,10 @@
 // workload is worth 0.02 less and one of the second 0.05.
 constexpr double other_image_penalty = 1.5;
 
+// A worker that was cleared for work that waits stays clear while any other
+// has room.
+constexpr double kept_clear_penalty = 5;
+
 // Tasks of the same step of the same occurrence that are placed there.
 std::uint32_t siblings_on(worker const& on, ports::task_name const& name)
 {
@@ -131,6 +135,11 @@
                       ports::task_name const& name,
                       std::string const& rack)
 {
+    auto* const promised = take_promise(name);
+    if (promised != nullptr && !obstacle_to(now, *promised, run, name))
+    {
+        return promised;
+    }
     worker* best = nullptr;
     double lowest = 0;
     for (auto& [id, each] : fleet_.all())
@@ -195,6 +204,10 @@
         {
             total += other_image_penalty;
         }
+        if (what.tail_target.count() > 0 && kept_clear_of(now, on, image))
+        {
+            total += kept_clear_penalty;
+        }
     }
     if (!what.near_rack.empty() && on.info.rack != what.near_rack)
     {
--- /dev/null
+++ b/src/core/pool/owner_regroup.cpp
@@ -0,0 +1,224 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+
+// Moves serving tasks away from where they keep filling work out. The room at
+// the new place is reserved before the old run is stopped: a serving task that
+// finds no place would stand still until some job is cancelled, which its users
+// notice as requests without an answer.
+namespace fuchsia::core::pool
+{
+
+using ports::severity;
+
+namespace
+{
+
+// Steps of filling work that are looked at; more do not change what binds.
+constexpr std::size_t most_steps = 256;
+
+} // namespace
+
+void owner::regroup(common::time_point now)
+{
+    auto const& limits = settings_.regroup;
+    if (!limits.enabled || now < next_regroup_ || !settled_ || !may_act(now))
+    {
+        return;
+    }
+    next_regroup_ = now + limits.interval;
+    auto const waiting = waiting_fills(now);
+    if (waiting.empty())
+    {
+        return;
+    }
+    auto const plan =
+        plan_regroup(limits, colocation_, regroup_workers(now), waiting);
+    if (plan)
+    {
+        carry_out(now, *plan);
+    }
+}
+
+// Filling work that has been waiting for a while and may still be of use.
+std::vector<waiting_image> owner::waiting_fills(common::time_point now)
+{
+    std::map<std::uint16_t, waiting_image> by_image;
+    std::size_t looked_at = 0;
+    auto const now_ms = out_.unix_ms(now);
+    for (auto const& key : ready_)
+    {
+        auto* const run = find_job(key.job);
+        if (run == nullptr || !run->spec.steps[key.step].fills ||
+            now_ms > run->due_unix_ms)
+        {
+            continue;
+        }
+        if (++looked_at > most_steps)
+        {
+            break;
+        }
+        auto const& steps = run->occurrences[key.occurrence].steps[key.step];
+        auto const each = run->spec.steps[key.step].declared.millicores;
+        auto& sum = by_image[steps.image];
+        sum.image = steps.image;
+        sum.each = sum.total == 0 ? each : std::min(sum.each, each);
+        sum.total += each * static_cast<std::int64_t>(steps.ready.size());
+    }
+    std::erase_if(waiting_since_,
+                  [&by_image](auto const& each)
+                  {
+                      return !by_image.contains(each.first);
+                  });
+    std::vector<waiting_image> made;
+    for (auto const& [image, sum] : by_image)
+    {
+        auto const since = waiting_since_.emplace(image, now).first->second;
+        if (now - since >= settings_.regroup.patience && sum.total > 0)
+        {
+            made.push_back(sum);
+        }
+    }
+    return made;
+}
+
+std::vector<regroup_worker> owner::regroup_workers(common::time_point now)
+{
+    std::vector<regroup_worker> made;
+    for (auto& [id, each] : fleet_.all())
+    {
+        bool const takes =
+            each.adopted && each.rostered && each.listed && !each.silent &&
+            !each.info.draining && now >= each.avoid_until &&
+            now >= each.full_until &&
+            !operators_.data_centres_out.contains(each.info.data_centre);
+        if (!takes)
+        {
+            continue;
+        }
+        regroup_worker row;
+        row.id = id;
+        row.capacity = each.info.capacity.millicores;
+        row.free = each.info.capacity;
+        row.free -= each.reserved;
+        row.fills = declared_shares_of(view_of(each).fills);
+        row.idle = each.idle_cores();
+        row.settled = each.promised.empty();
+        for (auto const& [image, until] : each.kept_for)
+        {
+            if (now < until)
+            {
+                row.kept_for.push_back(image);
+            }
+        }
+        for (auto const& name : each.runs)
+        {
+            auto const [run, task] = find_task(name);
+            if (task == nullptr || run->step_of(name).tail_target.count() == 0)
+            {
+                continue;
+            }
+            auto const& steps =
+                run->occurrences[name.occurrence].steps[name.step];
+            row.serving.push_back({name,
+                                   steps.image,
+                                   run->step_of(name).declared,
+                                   steps.alone,
+                                   may_move(now, *run, name)});
+        }
+        made.push_back(std::move(row));
+    }
+    return made;
+}
+
+// Others of its step that are away count against what the step may miss; where
+// it says nothing, half of the step stays at work.
+bool owner::may_move(common::time_point now,
+                     job_run const& run,
+                     ports::task_name const& name) const
+{
+    auto const& steps = run.occurrences[name.occurrence].steps[name.step];
+    auto const& each = steps.tasks[name.index];
+    auto const& what = run.step_of(name);
+    std::uint32_t away = 0;
+    for (auto const& other : steps.tasks)
+    {
+        bool const at_work =
+            other.phase == task_phase::running && other.percent >= 100;
+        away += at_work ? 0U : 1U;
+    }
+    auto const half = static_cast<std::uint32_t>(steps.tasks.size() / 2);
+    auto const allowed = what.may_miss > 0 ? what.may_miss : std::max(half, 1U);
+    return run.phase == job_phase::active && !what.gang &&
+           what.max_per_worker == 0 && what.required_label.empty() &&
+           what.near_rack.empty() && !run.rules.advice &&
+           each.phase == task_phase::running && each.percent >= 100 &&
+           now - each.started >= settings_.regroup.least_stay && away < allowed;
+}
+
+void owner::carry_out(common::time_point now, regroup_plan const& plan)
+{
+    auto* const from = fleet_.find(plan.from);
+    if (from == nullptr)
+    {
+        return;
+    }
+    for (auto const& move : plan.moves)
+    {
+        auto const [run, each] = find_task(move.name);
+        auto* const to = fleet_.find(move.to);
+        // An earlier move of this plan may have used up what its step may miss.
+        if (each == nullptr || to == nullptr || !may_move(now, *run, move.name))
+        {
+            continue;
+        }
+        ++counters_.regrouped;
+        promises_[move.name] = move.to;
+        to->promised.insert(move.name);
+        to->reserved += run->step_of(move.name).declared;
+        to->view_known = false;
+        log_task(severity::info,
+                 "task_moves",
+                 {move.name, each->attempt},
+                 plan.from,
+                 {{"to", move.to},
+                  {"for_image", std::to_string(plan.image)},
+                  {"idle_cores", std::to_string(plan.idle / 1000)}});
+        stop_run(now, *run, move.name);
+    }
+    from->kept_for[plan.image] = now + settings_.regroup.kept_clear;
+}
+
+worker* owner::take_promise(ports::task_name const& name)
+{
+    auto const found = promises_.find(name);
+    if (found == promises_.end())
+    {
+        return nullptr;
+    }
+    auto* const to = fleet_.find(found->second);
+    promises_.erase(found);
+    auto* const run = find_job(name.job);
+    if (to == nullptr || run == nullptr || to->promised.erase(name) == 0)
+    {
+        return nullptr;
+    }
+    to->reserved -= run->step_of(name).declared;
+    to->view_known = false;
+    return to;
+}
+
+bool owner::kept_clear_of(common::time_point now,
+                          worker const& on,
+                          std::uint16_t image) const
+{
+    return std::any_of(on.kept_for.begin(),
+                       on.kept_for.end(),
+                       [&](auto const& each)
+                       {
+                           return now < each.second &&
+                                  colocation_.disturbs(image, each.first);
+                       });
+}
+
+} // namespace fuchsia::core::pool
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -8,6 +8,7 @@
 
 using ports::order_reply;
 using ports::order_status;
+using ports::severity;
 
 namespace
 {
@@ -78,6 +79,18 @@
                  each->pace});
         }
     }
+    // What is on its way here must find its headroom when it comes.
+    for (auto const& name : of.promised)
+    {
+        auto const [run, each] = find_task(name);
+        if (each != nullptr)
+        {
+            auto const& steps =
+                run->occurrences[name.occurrence].steps[name.step];
+            made.serving.push_back(
+                {steps.image, steps.alone, steps.alone, steps.alone});
+        }
+    }
     return made;
 }
 
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -29,6 +29,21 @@
         order);
 }
 
+// The number behind `name` in a script; `fallback` where it is not there.
+std::uint64_t
+number_in(std::string_view spec, std::string_view name, std::uint64_t fallback)
+{
+    auto const at = spec.find(name);
+    if (at == std::string_view::npos)
+    {
+        return fallback;
+    }
+    auto const number = spec.substr(at + name.size());
+    std::uint64_t made = fallback;
+    std::from_chars(number.data(), number.data() + number.size(), made);
+    return made;
+}
+
 } // namespace
 
 task_script parse_script(std::string_view spec)
@@ -36,14 +51,10 @@
     task_script made;
     made.fails = spec.find("fail") != std::string_view::npos;
     made.lasts = spec.find("lasts") != std::string_view::npos;
-    constexpr std::string_view work = "work=";
-    auto const at = spec.find(work);
-    if (at != std::string_view::npos)
-    {
-        auto const number = spec.substr(at + work.size());
-        std::from_chars(
-            number.data(), number.data() + number.size(), made.work_ms);
-    }
+    made.work_ms = number_in(spec, "work=", made.work_ms);
+    made.tail_ms = number_in(spec, "tail=", 0);
+    made.strain_ms = number_in(spec, "strain=", 0);
+    made.millicores = number_in(spec, "cores=", 0);
     return made;
 }
 
@@ -187,11 +198,26 @@
     for (auto const& [task, each] : running_)
     {
         out.running.push_back(
-            {{task, each.attempt}, "", percent_of(each, now), 0});
+            {{task, each.attempt}, "", percent_of(each, now), level_of(each)});
     }
     out.ended = ended_;
 }
 
+// The tail of a task that serves, the cores in use of any other.
+std::int64_t worker_state::level_of(run const& of) const
+{
+    if (of.script.tail_ms == 0)
+    {
+        return static_cast<std::int64_t>(of.script.millicores);
+    }
+    auto tail = of.script.tail_ms;
+    for (auto const& [task, each] : running_)
+    {
+        tail += each.script.strain_ms;
+    }
+    return static_cast<std::int64_t>(tail);
+}
+
 void worker_state::end(ports::task_name const& task, end_kind how)
 {
     auto const found = running_.find(task);
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -11,12 +11,18 @@
 {
 
 /// What a task does, as its job's spec says: "work=500" (milliseconds),
-/// "fail" (after its work), "lasts" (until it is stopped), divided by spaces.
+/// "fail" (after its work), "lasts" (until it is stopped), "tail=20" (it serves,
+/// and that is its tail alone, in milliseconds), "strain=30" (what it adds to
+/// the tails of tasks that serve beside it), "cores=1000" (thousandths that it
+/// uses), divided by spaces.
 struct task_script
 {
     std::uint64_t work_ms = 100;
     bool fails = false;
     bool lasts = false;
+    std::uint64_t tail_ms = 0; ///< 0: it serves nobody.
+    std::uint64_t strain_ms = 0;
+    std::uint64_t millicores = 0;
 };
 
 task_script parse_script(std::string_view spec);
@@ -59,6 +65,7 @@
     void stop(ports::stop_order const& order);
     static std::uint32_t percent_of(run const& of,
                                     core::common::time_point now);
+    std::int64_t level_of(run const& of) const;
     void list(core::common::time_point now,
               ports::hold_order const& order,
               ports::order_reply& out);
