Images of serving tasks mix only once no worker is empty

Cause: an empty worker cost a serving task up to 1 + its free share, another image on a nearly full worker 1.5: images mixed wherever a worker was nearly full, while others were empty, and each mixed worker is closed to what disturbs either image.

--- a/tests/unit/pool/regroup_test.cpp
+++ b/tests/unit/pool/regroup_test.cpp
@@ -417,3 +417,31 @@
         }));
     EXPECT_EQ(pool.world.violation(), "");
 }
+
+// One worker has room left for just one more task. A task of another image
+// could fill it, and what disturbs that image would be kept from the whole
+// worker from then on, with empty workers beside it.
+TEST(pool_serving, images_share_a_worker_only_once_none_is_empty)
+{
+    pool_world world;
+    world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+    world.submit(0, "first", serving_job(3));
+    world.run(1s);
+    auto other = serving_job(1);
+    other.steps.front().image = "other";
+    world.submit(0, "second", other);
+    world.run(1s);
+    std::size_t mixed = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        bool const second = world.worker(number).runs({"second", 0, 0, 0});
+        bool const first = world.worker(number).runs({"first", 0, 0, 0});
+        mixed += first && second ? 1U : 0U;
+    }
+    EXPECT_EQ(world.places({"second", 0, 0, 0}), 1U);
+    EXPECT_EQ(mixed, 0U);
+}
