A stopped instance ends when it says so

Cause: after "stopped" fuchsia-pool stayed until the end of its grace time and was killed. Lines in each step of the end showed that all its own duties had joined and all sockets were closed within 0.3 ms; what hung was the destructor of the log library's static state, which joins a pool of threads that nothing uses. A pool of one thread hangs as well; on a machine of its own it does not, so no test without the users' platform fails before.

Change: the process leaves by quick_exit once its lines are flushed.

--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -1,6 +1,8 @@
 #include "adapters/logging/logger.hpp"
 
 #include <array>
+#include <cstdlib>
+#include <iostream>
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
@@ -76,6 +78,16 @@
     program_logger().setLogLevel(levels[static_cast<std::size_t>(least)]);
 }
 
+// The library's destructors wait for its pool of threads, which nothing here
+// uses. Where those threads don't come to their end, a process that has said
+// "stopped" stays until it is killed, seconds later: operators see each planned
+// stop use up its whole grace time, and the instance is away for as long.
+void end_process(int status)
+{
+    std::cout.flush();
+    std::quick_exit(status);
+}
+
 void write(ports::log_event const& event)
 {
     auto const level = levels[static_cast<std::size_t>(event.level)];
--- a/src/adapters/logging/logger.hpp
+++ b/src/adapters/logging/logger.hpp
@@ -29,6 +29,10 @@
            std::string event,
            std::vector<ports::header> fields);
 
+/// Ends the process with `status`, all lines written, without the destructors of
+/// static objects.
+[[noreturn]] void end_process(int status);
+
 /// Lets at most `per_second` lines of each event name through and adds the
 /// number it held back to the next one (`suppressed=N`), so that a fault which
 /// repeats thousands of times a second neither fills the log nor hides others.
--- a/src/programs/pool/main.cpp
+++ b/src/programs/pool/main.cpp
@@ -18,6 +18,16 @@
     return bad_settings;
 }
 
+// All duties are over, and all sockets closed, when this returns.
+int serve(fuchsia::adapters::settings::pool_file settings,
+          std::string const& path)
+{
+    fuchsia::core::common::failure reason;
+    fuchsia::programs::pool::pool_program program(std::move(settings), path);
+    auto const status = program.run(reason);
+    return status ? *status : complain(reason);
+}
+
 } // namespace
 
 /// `fuchsia-pool`: takes jobs in and runs their tasks on the pool's workers.
@@ -45,7 +55,5 @@
         return 0;
     }
     fuchsia::adapters::logging::set_up("fuchsia-pool", settings->log_level);
-    fuchsia::programs::pool::pool_program program(std::move(*settings), path);
-    auto const status = program.run(reason);
-    return status ? *status : complain(reason);
+    fuchsia::adapters::logging::end_process(serve(std::move(*settings), path));
 }
