The largest instances schedule, and an owner that can't begin gives up

Cause: any instance could take the claim. On the grown sites 36 of 42 have 0.069 of a core and 10 Mbit/s; 350 workers are asked 700 times a second, 11 Mbit/s.

Change: the claim's record names its holder's size (the scarcer of processor and link, from [machine]). Half as large as a holder that was seen, an instance leaves a free claim to others for 0.5 s; twice as large as the holder, it writes pool/handover and the owner gives the claim up. Pages have 5 s. An owner that gets no page for 6 s, or no configuration, hands over and pauses for 2 s. No registry and no new service; where all instances are alike nothing changes.

Ruled out: shorter asking alone, since a small owner's processor does not suffice either; cells, since one large instance carries the pool.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -73,6 +73,19 @@
     table.refuse_unread();
 }
 
+// What one owner of 350 workers and 1,000 starts a second needs.
+constexpr double cores_of_size_one = 0.5;
+constexpr double mbps_of_size_one = 200;
+
+void read_machine(toml_table table, core::pool::claim_settings& out)
+{
+    auto const cores =
+        table.number_or("cores", cores_of_size_one, 0.001, 10'000);
+    auto const link = table.number_or("link_mbps", mbps_of_size_one, 0.1, 1e7);
+    out.size = std::min(cores / cores_of_size_one, link / mbps_of_size_one);
+    table.refuse_unread();
+}
+
 std::optional<pool_file> parse(std::shared_ptr<toml_file> const& file,
                                core::common::failure& reason)
 {
@@ -97,6 +110,7 @@
         root.choice_or("log_level", 1, {"debug", "info", "warning", "error"}));
     read_sharing(root.table("sharing"), made.pool.owner.sharing);
     read_regroup(root.table("regroup"), made.pool.owner.regroup);
+    read_machine(root.table("machine"), made.pool.claim);
     read_bounds(root.table("bounds"), made.pool);
     root.refuse_unread();
     if (!file->ok())
--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -2,6 +2,7 @@
 
 #include "core/pool/keys.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -12,7 +13,8 @@
 using ports::severity;
 
 claim::claim(claim_settings settings, std::string self, outbox& out)
-    : settings_(settings), self_(std::move(self)), out_(out)
+    : settings_(settings),
+      self_(to_json(holder{std::move(self), settings.size})), out_(out)
 {
 }
 
@@ -54,7 +56,7 @@
     }
     if (reply.status == kv_status::missing)
     {
-        ask_lease(now);
+        claim_or_yield(now);
         return;
     }
     if (reply.status != kv_status::done || reply.items.empty())
@@ -70,9 +72,85 @@
         return;
     }
     seen_revision_ = reply.revision;
+    yielded_ = false;
+    note_holder(now, item);
     watch();
 }
 
+// A small instance that schedules a large pool fills its own link and
+// processor: its renewals come late, the claim lapses, and the next one does no
+// better. Users see tasks start seconds late, or none. So whoever is clearly
+// smaller than a holder it has seen lets others try first; where all are alike,
+// or the large ones are gone, that costs nothing or `yield`.
+void claim::claim_or_yield(common::time_point now)
+{
+    bool const small = settings_.size * settings_.clearly_larger <= largest_;
+    if (!small || yielded_)
+    {
+        yielded_ = false;
+        ask_lease(now);
+        return;
+    }
+    yielded_ = true;
+    phase_ = phase::looking;
+    next_step_ = now + settings_.yield;
+}
+
+void claim::note_holder(common::time_point now, ports::kv_item const& item)
+{
+    common::failure reason;
+    auto const present = parse_holder(item.value, reason);
+    if (!present)
+    {
+        out_.log(severity::warning,
+                 "holder_unreadable",
+                 {{"why", common::to_string(reason)}});
+        return;
+    }
+    largest_ = std::max(largest_, present->size);
+    if (settings_.size >= present->size * settings_.clearly_larger)
+    {
+        ask_for_it(now, *present);
+    }
+}
+
+// Whoever starts first claims first, large or small. Lost or unanswered, the
+// request is made again at a later look.
+void claim::ask_for_it(common::time_point now, holder const& present)
+{
+    if (now < next_ask_ || retired_)
+    {
+        return;
+    }
+    next_ask_ = now + settings_.ask_interval;
+    out_.log(severity::info,
+             "claim_wanted",
+             {{"holder", present.instance},
+              {"its_size", std::to_string(present.size)},
+              {"our_size", std::to_string(settings_.size)}});
+    ports::kv_commit commit;
+    commit.puts.push_back({std::string(keys::handover), self_, 0});
+    out_.store(life_,
+               std::move(commit),
+               settings_.call_timeout,
+               [](common::time_point, kv_reply const&) {});
+}
+
+void claim::hand_over(common::time_point now, std::string const& why)
+{
+    if (phase_ != phase::held)
+    {
+        return;
+    }
+    auto const lease = lease_;
+    lose(why);
+    next_step_ = now + settings_.handover_pause;
+    out_.store(life_,
+               ports::kv_lease_end{lease},
+               settings_.call_timeout,
+               [](common::time_point, kv_reply const&) {});
+}
+
 void claim::watch()
 {
     phase_ = phase::waiting;
@@ -103,7 +181,7 @@
     seen_revision_ = reply.revision;
     if (!reply.items.empty() && reply.items.back().erased)
     {
-        ask_lease(now);
+        claim_or_yield(now);
         return;
     }
     // A watch may have been deaf to the one change that matters: look.
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pool/holder.hpp"
 #include "core/pool/outbox.hpp"
 
 #include <cstdint>
@@ -23,6 +24,20 @@
     common::duration watch_wait = std::chrono::milliseconds(3000);
     /// After a failed try to claim.
     common::duration retry = std::chrono::milliseconds(100);
+    /// How much of a pool this instance can schedule, in any unit that all
+    /// share. 1 is what one owner of 350 workers and 1,000 starts a second
+    /// needs: half a core and 200 Mbit/s.
+    double size = 1;
+    /// Smaller by this factor than a holder that was seen, an instance leaves a
+    /// free claim to others first; larger by it, it asks for the claim.
+    double clearly_larger = 2;
+    /// How long it is left to them: a claim takes two calls, 0.4 s where the
+    /// store is slow.
+    common::duration yield = std::chrono::milliseconds(500);
+    /// Between two requests for a claim that somebody smaller holds.
+    common::duration ask_interval = std::chrono::seconds(5);
+    /// Who gave the claim up leaves it to others for this long.
+    common::duration handover_pause = std::chrono::seconds(2);
 };
 
 /// The right to schedule: one key under a lease of the store. The revision at
@@ -38,6 +53,9 @@
     void release();
     /// From here on it never claims again.
     void retire() noexcept;
+    /// Gives the claim to whoever takes it next, and does not take it itself
+    /// for a while.
+    void hand_over(common::time_point now, std::string const& why);
     /// The claim is known to be lost, from elsewhere than the store.
     void lose(std::string const& why);
 
@@ -63,6 +81,9 @@
         released,
     };
 
+    void claim_or_yield(common::time_point now);
+    void note_holder(common::time_point now, ports::kv_item const& item);
+    void ask_for_it(common::time_point now, holder const& present);
     void look();
     void on_look(common::time_point now, ports::kv_reply const& reply);
     void watch();
@@ -75,7 +96,10 @@
     void look_again(common::time_point now);
 
     claim_settings settings_;
-    std::string self_; ///< Name and incarnation; the key's value.
+    std::string self_;     ///< As the key's value: a `holder`.
+    double largest_ = 0;   ///< Size of the largest holder that was seen.
+    bool yielded_ = false; ///< The free claim was left to others once.
+    common::time_point next_ask_{};
     outbox& out_;
     scope life_ = std::make_shared<char>();
     phase phase_ = phase::looking;
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -147,6 +147,11 @@
         owner_.reset();
         claim_.tick(now);
     }
+    bool const waits = !owner_ && claim_.held() && !operators_.known();
+    if (waits && now - claim_.since() > settings_.owner.load_patience)
+    {
+        claim_.hand_over(now, "no configuration was read");
+    }
     if (!owner_ && claim_.held() && operators_.known())
     {
         owner_ = std::make_unique<owner>(
--- a/src/core/pool/keys.hpp
+++ b/src/core/pool/keys.hpp
@@ -13,6 +13,8 @@
 
 constexpr std::string_view owned_prefix = "pool/";
 constexpr std::string_view claim = "pool/claim";
+/// An instance that could schedule more asks the owner for the claim.
+constexpr std::string_view handover = "pool/handover";
 constexpr std::string_view job_prefix = "pool/job/";
 constexpr std::string_view cancel_suffix = "/cancel";
 constexpr std::string_view progress_prefix = "progress/";
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -52,6 +52,7 @@
     }
     if (!loaded_)
     {
+        give_up_loading(now);
         return;
     }
     check_silent(now);
@@ -83,6 +84,16 @@
     ledger_.tick(now);
 }
 
+// Nothing runs while an owner loads. One whose link can't carry the state would
+// keep the claim, and everybody waiting, for good.
+void owner::give_up_loading(common::time_point now)
+{
+    if (now - std::max(began_, advanced_) > settings_.load_patience)
+    {
+        claim_.hand_over(now, "the state does not load");
+    }
+}
+
 void owner::on_operators(common::time_point now)
 {
     if (loaded_ && !stopped_)
@@ -171,6 +182,11 @@
         claim_.on_item(item);
         return;
     }
+    if (item.key == keys::handover)
+    {
+        hand_over_to(now, item);
+        return;
+    }
     if (item.erased || !item.key.starts_with(keys::job_prefix))
     {
         return;
@@ -193,6 +209,18 @@
     ledger_.write({{}, {item.key}, {}});
 }
 
+// A request that is older than the claim was meant for somebody else.
+void owner::hand_over_to(common::time_point now, ports::kv_item const& item)
+{
+    common::failure reason;
+    auto const to = parse_holder(item.value, reason);
+    if (!to || item.erased || item.revision <= claim_.epoch())
+    {
+        return;
+    }
+    claim_.hand_over(now, "asked for by " + to->instance);
+}
+
 void owner::add_job(common::time_point now, ports::kv_item const& item)
 {
     auto const id = item.key.substr(keys::job_prefix.size());
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -28,6 +28,11 @@
     colocation_settings sharing;
     regroup_settings regroup;
     common::duration call_timeout = std::chrono::milliseconds(900);
+    /// A page of the store is up to 1 MB: 0.8 s on a link of 10 Mbit/s that has
+    /// nothing else to carry.
+    common::duration page_timeout = std::chrono::seconds(5);
+    /// An owner that gets no part of the state for this long gives up.
+    common::duration load_patience = std::chrono::seconds(6);
     /// Between two looks at the platform's list of workers. A leaving worker
     /// may get no new task 2 s after it said so.
     common::duration list_interval = std::chrono::milliseconds(500);
@@ -112,10 +117,12 @@
                             ports::task_name const& first);
 
     // owner.cpp: its clock, and jobs as they come.
+    void give_up_loading(common::time_point now);
     void watch();
     void on_watch(common::time_point now, ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
     void add_job(common::time_point now, ports::kv_item const& item);
+    void hand_over_to(common::time_point now, ports::kv_item const& item);
     std::int64_t accepted_by_own_clock(common::time_point now,
                                        job const& spec,
                                        bool just_accepted) const;
@@ -378,7 +385,8 @@
     std::vector<std::string> timed_; ///< Jobs with occurrences to come.
 
     common::time_point began_{};
-    std::uint64_t watched_ = 0; ///< Revision up to which events were taken.
+    common::time_point advanced_{}; ///< When the last page came.
+    std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
     std::vector<ports::kv_item> progress_items_;
     std::vector<ports::kv_item> job_items_;
     std::uint32_t parts_ = 0; ///< Parts of the state that are still loading.
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -16,7 +16,7 @@
 {
     out_.store(life_,
                ports::kv_range{std::string(keys::owned_prefix), after},
-               settings_.call_timeout,
+               settings_.page_timeout,
                [this, after](common::time_point at, kv_reply const& reply)
                {
                    if (reply.status != kv_status::done)
@@ -24,6 +24,7 @@
                        load_page(after);
                        return;
                    }
+                   advanced_ = at;
                    // Pages are no snapshot: events since the first one are
                    // taken again.
                    if (after.empty())
@@ -60,7 +61,7 @@
 {
     out_.store(life_,
                ports::kv_range{std::string(keys::progress_prefix), after},
-               settings_.call_timeout,
+               settings_.page_timeout,
                [this, after](common::time_point now, kv_reply const& reply)
                {
                    if (reply.status != kv_status::done)
@@ -68,6 +69,7 @@
                        load_progress(after);
                        return;
                    }
+                   advanced_ = now;
                    progress_items_.insert(progress_items_.end(),
                                           reply.items.begin(),
                                           reply.items.end());
@@ -84,7 +86,7 @@
 {
     out_.store(life_,
                ports::kv_range{std::string(keys::final_prefix), after},
-               settings_.call_timeout,
+               settings_.page_timeout,
                [this, after](common::time_point now, kv_reply const& reply)
                {
                    if (reply.status != kv_status::done)
@@ -92,6 +94,7 @@
                        load_finals(after);
                        return;
                    }
+                   advanced_ = now;
                    for (auto const& item : reply.items)
                    {
                        final_times_.emplace_back(
@@ -110,7 +113,7 @@
 {
     out_.store(life_,
                ports::kv_read{std::string(keys::roster)},
-               settings_.call_timeout,
+               settings_.page_timeout,
                [this](common::time_point now, kv_reply const& reply)
                {
                    if (reply.status != kv_status::done &&
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -20,10 +20,10 @@
 constexpr double slow_penalty = 1;
 constexpr double usual_slowness = 1.25;
 // Serving tasks of one image stand together: what disturbs one of them disturbs
-// all, and has the other workers for itself. More than an empty worker can cost,
-// so that images mix only once no worker is empty: at 1.5 they mixed on any
-// worker that was nearly full. Over 36 days on each of three workloads worth
-// rose by 0.02, 0.02 and 0.03.
+// all, and has the other workers for itself. More than an empty worker can
+// cost, so that images mix only once no worker is empty: at 1.5 they mixed on
+// any worker that was nearly full. Over 36 days on each of three workloads
+// worth rose by 0.02, 0.02 and 0.03.
 constexpr double other_image_penalty = 3;
 
 // A worker that was cleared for work that waits stays clear while any other
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -199,6 +199,11 @@
     return status == nullptr ? std::nullopt : std::optional(status->state);
 }
 
+void pool_world::set_size(std::size_t instance, double size)
+{
+    instances_[instance].size = size;
+}
+
 void pool_world::kill(std::size_t instance)
 {
     instances_[instance].engine.reset();
@@ -210,8 +215,10 @@
     auto& each = instances_[instance];
     each.life = ++each.lives;
     each.stopped = false;
+    core::pool::pool_settings settings;
+    settings.claim.size = each.size;
     each.engine = std::make_unique<core::pool::engine>(
-        core::pool::pool_settings{},
+        settings,
         make_words(),
         "i" + std::to_string(instance) + "#" + std::to_string(each.life));
     deliver(instance,
@@ -418,7 +425,10 @@
                         });
         return;
     }
-    if (what != fate::carried_out)
+    bool const answered =
+        what == fate::carried_out ||
+        (what == fate::slow && call.timeout > late_by + store_delay);
+    if (!answered)
     {
         timeline_.after(call.timeout,
                         [tell]
@@ -430,12 +440,11 @@
     {
         return;
     }
-    auto const delay = what == fate::late ? late_by : store_delay;
-    timeline_.after(delay,
-                    [this, number, life, call, what]
+    bool const delayed = what == fate::late || what == fate::slow;
+    timeline_.after(delayed ? late_by : store_delay,
+                    [this, number, life, call, answered]
                     {
-                        apply_store(
-                            number, life, call, what == fate::carried_out);
+                        apply_store(number, life, call, answered);
                     });
 }
 
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -33,6 +33,7 @@
     lost,        ///< Nothing was done; the caller hears nothing.
     deaf,        ///< A watch: answered at the end of its wait, with nothing.
     late,        ///< Carried out 2 s later; the caller hears nothing.
+    slow, ///< Carried out and answered 2 s later, if the caller waits so long.
 };
 
 class pool_world
@@ -56,6 +57,8 @@
 
     /// From now on its time of day runs that much ahead of the others'.
     void set_clock_ahead(std::size_t instance, duration ahead);
+    /// What it has of processor and link, from its next start on; 1 at first.
+    void set_size(std::size_t instance, double size);
     void kill(std::size_t instance);
     void start(std::size_t instance);
     /// Stands still, and gets what came meanwhile when it wakes.
@@ -99,6 +102,7 @@
         time_point frozen_until{};
         bool stopped = false;
         duration clock_ahead{};
+        double size = 1;
         time_point next_tick{};
     };
 
