Place in rounds, and rank the workers once for a step

Each end of a task began a round that scored all 350 workers for each kind of task that waits, each task of a wide step scored them again, and each answer of a worker walked the fleet three times.

Change: rounds are at least 10 ms apart; tasks of a step that have not failed are ranked once, and only the worker taken is scored anew; an answer touches its own worker, the timer the rest. A plan for serving tasks tries eight workers.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -71,12 +71,8 @@
         drop_old_finals(now);
         next_rank_ = now + rank_interval;
     }
-    if (wants_dispatch_ || now >= next_dispatch_)
-    {
-        wants_dispatch_ = false;
-        next_dispatch_ = now + settings_.dispatch_interval;
-        dispatch(now);
-    }
+    wants_dispatch_ = wants_dispatch_ || now >= next_dispatch_;
+    dispatch_if_wanted(now);
     regroup(now);
     save_all_progress();
     log_load(now);
@@ -84,6 +80,24 @@
     ledger_.tick(now);
 }
 
+// Ends come a thousand times a second on a large pool, and each may make room.
+// A round for each of them looks at all workers again for each kind of task
+// that waits: that was most of the processor time of the owner, whose orders
+// then went out seconds late. Rounds a few milliseconds apart serve all of
+// them.
+void owner::dispatch_if_wanted(common::time_point now)
+{
+    if (!wants_dispatch_ || now < last_dispatch_ + settings_.dispatch_pause)
+    {
+        return;
+    }
+    wants_dispatch_ = false;
+    last_dispatch_ = now;
+    ++counters_.rounds;
+    next_dispatch_ = now + settings_.dispatch_interval;
+    dispatch(now);
+}
+
 // Nothing runs while an owner loads. One whose link can't carry the state would
 // keep the claim, and everybody waiting, for good.
 void owner::give_up_loading(common::time_point now)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -49,6 +49,9 @@
     common::duration hold_grace = std::chrono::milliseconds(500);
     /// Between two rounds of placing while nothing but readings has changed.
     common::duration dispatch_interval = std::chrono::milliseconds(100);
+    /// At least so long between two rounds. Against half of a first start,
+    /// which comes 18 ms after its job, it is little.
+    common::duration dispatch_pause = std::chrono::milliseconds(10);
     /// After a refusal for want of room.
     common::duration full_pause = std::chrono::milliseconds(100);
     /// A worker on which tasks of this many jobs failed in a row is avoided.
@@ -73,6 +76,8 @@
     std::uint64_t paced = 0;
     std::uint64_t evicted = 0;
     std::uint64_t regrouped = 0; ///< Serving tasks moved.
+    std::uint64_t rounds = 0;    ///< Of placing.
+    std::uint64_t scored = 0;    ///< Workers looked at for a task.
     std::uint64_t jobs_finished = 0;
 };
 
@@ -280,8 +285,11 @@
                   job_run const& run,
                   ports::task_name const& name) const;
     void carry_out(common::time_point now, regroup_plan const& plan);
-    /// The worker that room was kept at; that room is free again.
-    worker* take_promise(ports::task_name const& name);
+    worker* take_promise(common::time_point now,
+                         job_run& run,
+                         ports::task_name const& name);
+    /// The worker that room was kept at, if any; that room is free again.
+    worker* drop_promise(job_run const& run, ports::task_name const& name);
     bool kept_clear_of(common::time_point now,
                        worker const& on,
                        std::uint16_t image) const;
@@ -315,6 +323,7 @@
                      std::uint32_t number) const;
     void rank_again(common::time_point now);
     void dispatch(common::time_point now);
+    void dispatch_if_wanted(common::time_point now);
     bool dispatch_step(common::time_point now, ready_key const& key);
     bool
     dispatch_gang(common::time_point now, ready_key const& key, job_run& run);
@@ -345,6 +354,27 @@
                    job_run& run,
                    ports::task_name const& name,
                    std::string const& rack);
+    /// Workers that take the tasks of one step, with their scores: the lowest
+    /// is best.
+    struct ranked_workers
+    {
+        struct row
+        {
+            double score = 0;
+            worker* which = nullptr;
+        };
+        bool made = false;
+        std::vector<row> rows; ///< In the fleet's order.
+    };
+    worker* choose_ranked(common::time_point now,
+                          job_run& run,
+                          ports::task_name const& name,
+                          ranked_workers& ranked);
+    void rank_one(common::time_point now,
+                  job_run& run,
+                  ports::task_name const& name,
+                  ranked_workers& ranked,
+                  worker& on);
     std::optional<obstacle> obstacle_of(common::time_point now,
                                         worker const& on,
                                         job_run const& run,
@@ -396,6 +426,7 @@
     bool advice_busy_ = false;    ///< A call of the policy is on its way.
     bool wants_dispatch_ = false; ///< Something may have found a place.
     common::time_point next_dispatch_{};
+    common::time_point last_dispatch_{};
     std::vector<ports::pool_worker> list_; ///< The pages read so far.
     /// When more than half of the workers had answered; 0: not yet.
     common::time_point majority_since_{};
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -142,6 +142,7 @@
     {
         return dispatch_gang(now, key, run);
     }
+    ranked_workers ranked;
     while (!steps.ready.empty() && run.phase == job_phase::active)
     {
         auto const index = steps.ready.back();
@@ -151,7 +152,12 @@
             steps.ready.pop_back();
             continue;
         }
-        auto* const on = choose(now, run, name, "");
+        bool const alike = run.at(name).failed_on.empty() &&
+                           run.spec.steps[key.step].max_per_worker == 0;
+        auto* const promised = take_promise(now, run, name);
+        auto* const on = promised != nullptr ? promised
+                         : alike ? choose_ranked(now, run, name, ranked)
+                                 : choose(now, run, name, "");
         if (on == nullptr)
         {
             return false;
@@ -159,6 +165,7 @@
         steps.ready.pop_back();
         place(run, name, *on);
         start(now, run, name, *on);
+        rank_one(now, run, name, ranked, *on);
     }
     ready_.erase(key);
     return true;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -306,7 +306,7 @@
                 {
                     each.phase = task_phase::blocked;
                 }
-                take_promise(name);
+                drop_promise(run, name);
                 stop_run(now, run, name);
             }
         }
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -137,11 +137,6 @@
                       ports::task_name const& name,
                       std::string const& rack)
 {
-    auto* const promised = take_promise(name);
-    if (promised != nullptr && !obstacle_to(now, *promised, run, name))
-    {
-        return promised;
-    }
     worker* best = nullptr;
     double lowest = 0;
     for (auto& [id, each] : fleet_.all())
@@ -160,6 +155,60 @@
     return best;
 }
 
+// Tasks of one step that have not failed anywhere are alike: all workers are
+// scored once for them, and after each placement just the one that was taken. A
+// step of 26 tasks on 350 workers costs 376 scores in place of 9,100.
+worker* owner::choose_ranked(common::time_point now,
+                             job_run& run,
+                             ports::task_name const& name,
+                             ranked_workers& ranked)
+{
+    if (!ranked.made)
+    {
+        ranked.made = true;
+        for (auto& [id, each] : fleet_.all())
+        {
+            if (auto const found = score(now, each, run, name))
+            {
+                ranked.rows.push_back({*found, &each});
+            }
+        }
+    }
+    auto const best = std::min_element(ranked.rows.begin(),
+                                       ranked.rows.end(),
+                                       [](auto const& left, auto const& right)
+                                       {
+                                           return left.score < right.score;
+                                       });
+    return best == ranked.rows.end() ? nullptr : best->which;
+}
+
+// `name` was just placed on `on`; its siblings find that changed.
+void owner::rank_one(common::time_point now,
+                     job_run& run,
+                     ports::task_name const& name,
+                     ranked_workers& ranked,
+                     worker& on)
+{
+    auto const row = std::find_if(ranked.rows.begin(),
+                                  ranked.rows.end(),
+                                  [&on](auto const& each)
+                                  {
+                                      return each.which == &on;
+                                  });
+    if (row == ranked.rows.end())
+    {
+        return;
+    }
+    auto const found = score(now, on, run, name);
+    if (found)
+    {
+        row->score = *found;
+        return;
+    }
+    ranked.rows.erase(row);
+}
+
 bool owner::serves_only(worker const& on, std::uint16_t image)
 {
     for (auto const& name : on.runs)
@@ -182,6 +231,7 @@
                                    job_run& run,
                                    ports::task_name const& name)
 {
+    ++counters_.scored;
     if (obstacle_to(now, on, run, name))
     {
         return std::nullopt;
--- a/src/core/pool/owner_regroup.cpp
+++ b/src/core/pool/owner_regroup.cpp
@@ -189,7 +189,17 @@
     from->kept_for[plan.image] = now + settings_.regroup.kept_clear;
 }
 
-worker* owner::take_promise(ports::task_name const& name)
+// Where the task was to move, if it may still start there.
+worker* owner::take_promise(common::time_point now,
+                            job_run& run,
+                            ports::task_name const& name)
+{
+    auto* const to = drop_promise(run, name);
+    bool const usable = to != nullptr && !obstacle_to(now, *to, run, name);
+    return usable ? to : nullptr;
+}
+
+worker* owner::drop_promise(job_run const& run, ports::task_name const& name)
 {
     auto const found = promises_.find(name);
     if (found == promises_.end())
@@ -198,12 +208,11 @@
     }
     auto* const to = fleet_.find(found->second);
     promises_.erase(found);
-    auto* const run = find_job(name.job);
-    if (to == nullptr || run == nullptr || to->promised.erase(name) == 0)
+    if (to == nullptr || to->promised.erase(name) == 0)
     {
         return nullptr;
     }
-    to->reserved -= run->step_of(name).declared;
+    to->reserved -= run.step_of(name).declared;
     to->view_known = false;
     return to;
 }
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -125,7 +125,13 @@
         settle(now);
     }
     guard(now, *of);
-    tick(now);
+    if (now >= of->next_hold && may_act(now))
+    {
+        hold(now, *of);
+    }
+    save_all_progress();
+    ledger_.tick(now);
+    dispatch_if_wanted(now);
 }
 
 // What was just learned is written before the end is acknowledged: an end that
--- a/src/core/pool/regroup.cpp
+++ b/src/core/pool/regroup.cpp
@@ -95,10 +95,39 @@
     {
     }
 
+    // Of what would unlock most, the first that has places for its tasks.
     std::optional<regroup_plan> best() const
     {
-        std::optional<regroup_plan> found;
-        double most = 0;
+        auto wanted = candidates();
+        auto const tries = std::min(wanted.size(), settings_.most_tries);
+        std::partial_sort(wanted.begin(),
+                          wanted.begin() + static_cast<std::ptrdiff_t>(tries),
+                          wanted.end(),
+                          [](candidate const& left, candidate const& right)
+                          {
+                              return left.gain > right.gain;
+                          });
+        for (std::size_t index = 0; index < tries; ++index)
+        {
+            if (auto plan = clear(*wanted[index].from, *wanted[index].work))
+            {
+                return plan;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    struct candidate
+    {
+        double gain = 0;
+        regroup_worker const* from = nullptr;
+        waiting_image const* work = nullptr;
+    };
+
+    std::vector<candidate> candidates() const
+    {
+        std::vector<candidate> made;
         for (auto const& work : waiting_)
         {
             if (has_place(work))
@@ -108,21 +137,15 @@
             for (auto const& from : workers_)
             {
                 auto const gain = worth(from, work);
-                if (gain <= most)
+                if (gain > 0)
                 {
-                    continue;
-                }
-                if (auto plan = clear(from, work))
-                {
-                    most = gain;
-                    found = std::move(plan);
+                    made.push_back({gain, &from, &work});
                 }
             }
         }
-        return found;
+        return made;
     }
 
-private:
     // Work that finds a worker needs no room made for it.
     bool has_place(waiting_image const& work) const
     {
--- a/src/core/pool/regroup.hpp
+++ b/src/core/pool/regroup.hpp
@@ -38,6 +38,9 @@
     common::duration kept_clear = std::chrono::seconds(25);
     /// At most this many tasks are moved away from one worker at a time.
     std::size_t most_tasks = 6;
+    /// Workers that a plan tries to clear, the best first: each try looks for
+    /// places on all workers, 0.1 ms where there are 350.
+    std::size_t most_tries = 8;
     /// Cores of the cleared worker are worth what runs there in this time, in
     /// seconds,
     double horizon = 10;
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -146,6 +146,13 @@
     set("fuchsia_pool_evicted",
         "Tasks moved away from serving ones",
         counts.evicted);
+    set("fuchsia_pool_regrouped",
+        "Serving tasks moved to where they keep less work out",
+        counts.regrouped);
+    set("fuchsia_pool_rounds", "Rounds of placing", counts.rounds);
+    set("fuchsia_pool_workers_scored",
+        "Workers looked at for a task",
+        counts.scored);
     set("fuchsia_pool_jobs_finished", "Jobs ended", counts.jobs_finished);
 }
 
