--- a/src/adapters/logging/logger.hpp
+++ b/src/adapters/logging/logger.hpp
@@ -29,8 +29,8 @@
            std::string event,
            std::vector<ports::header> fields);
 
-/// Ends the process with `status`, all lines written, without the destructors of
-/// static objects.
+/// Ends the process with `status`, all lines written, without the destructors
+/// of static objects.
 [[noreturn]] void end_process(int status);
 
 /// Lets at most `per_second` lines of each event name through and adds the
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -150,7 +150,6 @@
     // owner_reports.cpp: what it tells of itself.
     void write_backlog(common::time_point now);
     void log_load(common::time_point now);
-    void log_waiting(common::time_point now);
     void drop_old_finals(common::time_point now);
 
     // owner_jobs.cpp: the life of jobs and tasks.
@@ -341,6 +340,7 @@
                   std::string const& id,
                   ports::order_reply const& reply);
 
+    // owner_waiting.cpp: why steps wait, for the log.
     /// Steps of one queue and image that wait for workers.
     struct waiting_kind
     {
@@ -348,6 +348,19 @@
         std::size_t tasks = 0;
         ready_key first;
     };
+    /// What speaks against starting a task, by the number of workers.
+    struct kept_away
+    {
+        std::size_t possible = 0;
+        std::map<obstacle, std::size_t> obstacles;
+        std::int64_t idle_beside = 0; ///< Thousandths of cores that stand idle
+                                      ///< where it would disturb.
+    };
+    std::vector<waiting_kind> waiting_kinds();
+    kept_away keeps_away(common::time_point now,
+                         job_run& run,
+                         ports::task_name const& name);
+    void log_waiting(common::time_point now);
 
     // owner_placement.cpp: which worker a task starts on.
     worker* choose(common::time_point now,
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -18,9 +18,6 @@
 using ports::severity;
 
 constexpr common::duration load_interval = std::chrono::seconds(1);
-// Steps and kinds of steps that are told of at most, each second.
-constexpr std::size_t most_steps = 512;
-constexpr std::size_t most_lines = 12;
 constexpr common::duration backlog_interval = std::chrono::milliseconds(700);
 
 } // namespace
@@ -140,75 +137,4 @@
     log_waiting(now);
 }
 
-// A line for each kind of step that waits, the first of its kind standing for
-// the rest: how many workers are kept from it by what, and whom it disturbs.
-void owner::log_waiting(common::time_point now)
-{
-    std::map<std::pair<std::string, std::string>, waiting_kind> kinds;
-    std::size_t looked_at = 0;
-    for (auto const& key : ready_)
-    {
-        auto* const run = find_job(key.job);
-        if (run == nullptr || ++looked_at > most_steps)
-        {
-            continue;
-        }
-        auto const& steps = run->occurrences[key.occurrence].steps[key.step];
-        auto& kind = kinds[{run->spec.queue, run->spec.steps[key.step].image}];
-        kind.steps += 1;
-        kind.tasks += steps.ready.size();
-        kind.first = kind.steps == 1 ? key : kind.first;
-    }
-    std::size_t lines = 0;
-    for (auto const& [name, kind] : kinds)
-    {
-        if (++lines > most_lines)
-        {
-            return;
-        }
-        auto& run = *find_job(kind.first.job);
-        auto const& steps =
-            run.occurrences[kind.first.occurrence].steps[kind.first.step];
-        if (steps.ready.empty())
-        {
-            continue;
-        }
-        std::map<obstacle, std::size_t> obstacles;
-        std::int64_t idle_beside = 0;
-        std::size_t possible = 0;
-        for (auto& [id, each] : fleet_.all())
-        {
-            auto const why = obstacle_to(now,
-                                         each,
-                                         run,
-                                         {kind.first.job,
-                                          kind.first.occurrence,
-                                          kind.first.step,
-                                          steps.ready.back()});
-            possible += why ? 0U : 1U;
-            obstacles[why.value_or(obstacle::service)] += why ? 1U : 0U;
-            idle_beside += why == obstacle::disturbs
-                               ? std::max<std::int64_t>(each.idle_cores(), 0)
-                               : 0;
-        }
-        std::vector<ports::header> fields{
-            {"queue", name.first},
-            {"image", name.second},
-            {"steps", std::to_string(kind.steps)},
-            {"tasks", std::to_string(kind.tasks)},
-            {"possible", std::to_string(possible)},
-            {"idle_where_it_disturbs", std::to_string(idle_beside / 1000)}};
-        for (auto const& [why, count] : obstacles)
-        {
-            if (count > 0)
-            {
-                fields.push_back(
-                    {std::string(obstacle_names[static_cast<std::size_t>(why)]),
-                     std::to_string(count)});
-            }
-        }
-        out_.log(severity::info, "steps_wait", std::move(fields));
-    }
-}
-
 } // namespace fuchsia::core::pool
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -11,10 +11,10 @@
 {
 
 /// What a task does, as its job's spec says: "work=500" (milliseconds),
-/// "fail" (after its work), "lasts" (until it is stopped), "tail=20" (it serves,
-/// and that is its tail alone, in milliseconds), "strain=30" (what it adds to
-/// the tails of tasks that serve beside it), "cores=1000" (thousandths that it
-/// uses), divided by spaces.
+/// "fail" (after its work), "lasts" (until it is stopped), "tail=20" (it
+/// serves, and that is its tail alone, in milliseconds), "strain=30" (what it
+/// adds to the tails of tasks that serve beside it), "cores=1000" (thousandths
+/// that it uses), divided by spaces.
 struct task_script
 {
     std::uint64_t work_ms = 100;
--- a/tests/unit/pool/regroup_test.cpp
+++ b/tests/unit/pool/regroup_test.cpp
@@ -48,7 +48,8 @@
 
 // A worker with `images` on it, one serving task each, that use half of what
 // they reserve.
-regroup_worker make_worker(std::string id, std::vector<std::uint16_t> images)
+regroup_worker make_worker(std::string id,
+                           std::vector<std::uint16_t> const& images)
 {
     static std::uint32_t next = 0;
     regroup_worker made;
@@ -234,10 +235,10 @@
     std::mt19937 random(7);
     for (int number = 0; number < 48; ++number)
     {
-        std::vector<std::uint16_t> images;
-        for (int task = 0; task < (number % 8 == 0 ? 2 : 5); ++task)
+        std::vector<std::uint16_t> images(number % 8 == 0 ? 2 : 5);
+        for (auto& image : images)
         {
-            images.push_back(random() % 2 == 0 ? delicate : sturdy);
+            image = random() % 2 == 0 ? delicate : sturdy;
         }
         workers.push_back(make_worker("w" + std::to_string(number), images));
     }
