Say what was not understood or not sent; tasks that move keep to their service

Found in a last reading: an owner that could not read who asks for the claim said nothing, and an instance whose request failed neither; a plan could name a worker of another service, where the task would have found no place (it then looked for one as any other, so no rule was in danger). Both logged now, a test for the third.

No functional change where a pool has one service

--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -133,9 +133,20 @@
     out_.store(life_,
                std::move(commit),
                settings_.call_timeout,
-               [](common::time_point, kv_reply const&) {});
+               [this](common::time_point, kv_reply const& reply)
+               {
+                   if (reply.status != kv_status::done)
+                   {
+                       out_.log(severity::info,
+                                "claim_request_failed",
+                                {{"status",
+                                  std::to_string(
+                                      static_cast<unsigned>(reply.status))}});
+                   }
+               });
 }
 
+// The end of its lease, if that call is lost, frees the claim a second later.
 void claim::hand_over(common::time_point now, std::string const& why)
 {
     if (phase_ != phase::held)
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -228,10 +228,17 @@
 {
     common::failure reason;
     auto const to = parse_holder(item.value, reason);
-    if (!to || item.erased || item.revision <= claim_.epoch())
+    if (item.erased || item.revision <= claim_.epoch())
     {
         return;
     }
+    if (!to)
+    {
+        out_.log(severity::warning,
+                 "holder_unreadable",
+                 {{"why", common::to_string(reason)}});
+        return;
+    }
     claim_.hand_over(now, "asked for by " + to->instance);
 }
 
--- a/src/core/pool/owner_regroup.cpp
+++ b/src/core/pool/owner_regroup.cpp
@@ -98,6 +98,7 @@
         }
         regroup_worker row;
         row.id = id;
+        row.service = each.info.service;
         row.capacity = each.info.capacity.millicores;
         row.free = each.info.capacity;
         row.free -= each.reserved;
--- a/src/core/pool/regroup.cpp
+++ b/src/core/pool/regroup.cpp
@@ -222,7 +222,8 @@
         {
             auto wanted = promised[to.id];
             wanted += what.declared;
-            bool const fits = to.id != from.id && to.free.holds(wanted);
+            bool const fits = to.id != from.id && to.service == from.service &&
+                              to.free.holds(wanted);
             bool const opens =
                 !to.serving.empty() && !disturbed(pairs_, to, work.image);
             if (!fits || opens ||
--- a/src/core/pool/regroup.hpp
+++ b/src/core/pool/regroup.hpp
@@ -63,6 +63,7 @@
 struct regroup_worker
 {
     std::string id;
+    std::string service;       ///< Tasks stay with it.
     ports::resources free;     ///< Not reserved by anything placed there.
     std::int64_t capacity = 0; ///< Cores in thousandths.
     std::int64_t idle = 0;     ///< Of those, in use by nobody.
--- a/tests/unit/pool/regroup_test.cpp
+++ b/tests/unit/pool/regroup_test.cpp
@@ -217,6 +217,17 @@
     EXPECT_FALSE(plan().has_value());
 }
 
+// The only other worker with room runs another service's tasks: the task could
+// not start there, and would look for a place with none kept for it.
+TEST_F(regrouping, keeps_tasks_with_their_service)
+{
+    workers = {make_worker("a", {delicate, sturdy}),
+               make_worker("b", {delicate, delicate})};
+    workers[1].service = "another";
+    waiting = {{heavy, 7000, 70'000}};
+    EXPECT_FALSE(plan().has_value());
+}
+
 // A worker that was cleared a moment ago is not filled again by the next plan.
 TEST_F(regrouping, leaves_a_cleared_worker_clear)
 {
