See what the owner has to write, and how old a told count of waiting jobs is

Of three ways in which instances come to tell too few waiting jobs, lines and metrics could not tell which: nobody owns and the record is old; the record waits behind the owner's other writes; the owner hears of jobs late. pool_load now says how many entries the owner has to write, how long the oldest has waited and when a watch was last answered; backlog_recorded says how long the counts were on their way; backlog_told says what an instance told, from what record, at which revision of the store. Two gauges tell the same.

No functional change

--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -284,7 +284,13 @@
 {
     if (owned != nullptr && owned->loaded())
     {
-        answer(caller, ports::queue_status{owned->pending()[name]});
+        auto const count = owned->pending()[name];
+        out_.log(severity::info,
+                 "backlog_told",
+                 {{"queue", name},
+                  {"jobs", std::to_string(count)},
+                  {"from", "memory"}});
+        answer(caller, ports::queue_status{count});
         return;
     }
     if (store_away(now))
@@ -316,10 +322,16 @@
             }
             auto const* const count = counts->if_contains(name);
             bool const number = count != nullptr && count->is_int64();
-            answer(caller,
-                   ports::queue_status{
-                       number ? static_cast<std::uint64_t>(count->as_int64())
-                              : 0});
+            auto const jobs =
+                number ? static_cast<std::uint64_t>(count->as_int64()) : 0;
+            out_.log(severity::info,
+                     "backlog_told",
+                     {{"queue", name},
+                      {"jobs", std::to_string(jobs)},
+                      {"from", "store"},
+                      {"recorded", std::to_string(reply.items.front().revision)},
+                      {"store", std::to_string(reply.revision)}});
+            answer(caller, ports::queue_status{jobs});
         });
 }
 
--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -22,12 +22,12 @@
 
 void ledger::write(entry what)
 {
-    waiting_.push_back(std::move(what));
+    waiting_.push_back({std::move(what), ticked_});
 }
 
 void ledger::after_all(std::function<void(common::time_point)> then)
 {
-    waiting_.push_back({{}, {}, std::move(then)});
+    write({{}, {}, std::move(then)});
 }
 
 bool ledger::idle() const noexcept
@@ -35,8 +35,25 @@
     return waiting_.empty() && in_flight_.empty();
 }
 
+std::size_t ledger::waiting() const noexcept
+{
+    return waiting_.size() + in_flight_.size();
+}
+
+common::duration ledger::lag(common::time_point now) const noexcept
+{
+    if (idle())
+    {
+        return {};
+    }
+    auto const& oldest =
+        in_flight_.empty() ? waiting_.front() : in_flight_.front();
+    return now - oldest.since;
+}
+
 void ledger::tick(common::time_point now)
 {
+    ticked_ = now;
     if (busy_ || now < next_step_ || idle() || !claim_.held())
     {
         return;
@@ -92,12 +109,12 @@
     std::size_t changes = 0;
     for (auto const& each : in_flight_)
     {
-        changes += each.puts.size() + each.erases.size();
+        changes += each.what.puts.size() + each.what.erases.size();
     }
     while (!waiting_.empty())
     {
         auto& next = waiting_.front();
-        changes += next.puts.size() + next.erases.size();
+        changes += next.what.puts.size() + next.what.erases.size();
         if (changes > settings_.max_changes && !in_flight_.empty())
         {
             break;
@@ -106,12 +123,12 @@
         waiting_.pop_front();
     }
     ports::kv_commit commit;
-    for (auto const& each : in_flight_)
+    for (auto const& [what, since] : in_flight_)
     {
         commit.puts.insert(
-            commit.puts.end(), each.puts.begin(), each.puts.end());
+            commit.puts.end(), what.puts.begin(), what.puts.end());
         commit.erases.insert(
-            commit.erases.end(), each.erases.begin(), each.erases.end());
+            commit.erases.end(), what.erases.begin(), what.erases.end());
     }
     if (commit.puts.empty() && commit.erases.empty())
     {
@@ -153,9 +170,9 @@
         }
         for (auto const& each : durable)
         {
-            if (each.on_durable)
+            if (each.what.on_durable)
             {
-                each.on_durable(now);
+                each.what.on_durable(now);
             }
         }
         return;
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -52,8 +52,19 @@
     void after_all(std::function<void(common::time_point)> then);
     void tick(common::time_point now);
     bool idle() const noexcept;
+    /// Entries that are not durable yet.
+    std::size_t waiting() const noexcept;
+    /// How long the oldest of them has waited; zero where none does.
+    common::duration lag(common::time_point now) const noexcept;
 
 private:
+    /// Since when each entry waits, the oldest first.
+    struct queued
+    {
+        entry what;
+        common::time_point since{};
+    };
+
     void read_revision();
     void commit(common::time_point now);
     void on_commit(common::time_point now, ports::kv_reply const& reply);
@@ -62,8 +73,9 @@
     claim& claim_;
     outbox& out_;
     scope life_ = std::make_shared<char>();
-    std::deque<entry> waiting_;
-    std::vector<entry> in_flight_;
+    std::deque<queued> waiting_;
+    std::vector<queued> in_flight_;
+    common::time_point ticked_{}; ///< The last tick.
     bool busy_ = false;
     bool revision_known_ = false;
     std::uint64_t revision_ = 0;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -132,6 +132,11 @@
     return counters_;
 }
 
+ledger const& owner::commits() const noexcept
+{
+    return ledger_;
+}
+
 // A store that is silent towards us may have given the claim to somebody who
 // can't reach every worker that we reach. That successor counts on our silence
 // once it has raised the fence on half of the workers.
@@ -174,6 +179,7 @@
         return;
     }
     watched_ = std::max(watched_, reply.revision);
+    heard_ = now;
     for (auto const& item : reply.items)
     {
         take_item(now, item);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -108,6 +108,8 @@
     std::optional<ports::job_state> state_of(std::string const& id) const;
     std::map<std::string, std::uint64_t> pending() const;
     owner_counters const& counters() const noexcept;
+    /// What it writes.
+    ledger const& commits() const noexcept;
 
     // owner_view.cpp: for those who ask.
     std::vector<worker_status> workers(common::time_point now) const;
@@ -422,6 +424,7 @@
     common::time_point began_{};
     common::time_point advanced_{}; ///< When the last page came.
     std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
+    common::time_point heard_{};    ///< When the last watch was answered.
     std::vector<ports::kv_item> progress_items_;
     std::vector<ports::kv_item> job_items_;
     std::uint32_t parts_ = 0; ///< Parts of the state that are still loading.
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -52,13 +52,24 @@
     {
         out[queue] = count;
     }
+    std::uint64_t total = 0;
+    for (auto const& [queue, count] : counts)
+    {
+        total += count;
+    }
     told_backlog_ = std::move(counts);
     backlog_writing_ = true;
     ledger_.write({{{std::string(keys::backlog), json::serialize(out), 0}},
                    {},
-                   [this](common::time_point)
+                   [this, total, counted = now](common::time_point at)
                    {
                        backlog_writing_ = false;
+                       out_.log(severity::info,
+                                "backlog_recorded",
+                                {{"jobs", std::to_string(total)},
+                                 {"took_ms",
+                                  std::to_string(
+                                      common::to_milliseconds(at - counted))}});
                    }});
 }
 
@@ -123,17 +134,22 @@
     {
         return std::to_string(millicores / 1000);
     };
-    out_.log(severity::info,
-             "pool_load",
-             {{"jobs", std::to_string(jobs_.size())},
-              {"steps_waiting", std::to_string(ready_.size())},
-              {"tasks_waiting", std::to_string(waiting)},
-              {"cores", cores(capacity)},
-              {"reserved", cores(reserved)},
-              {"serving", cores(serving)},
-              {"fills", cores(fills)},
-              {"idle", cores(idle)},
-              {"fills_slowed", std::to_string(std::lround(slowed))}});
+    out_.log(
+        severity::info,
+        "pool_load",
+        {{"jobs", std::to_string(jobs_.size())},
+         {"steps_waiting", std::to_string(ready_.size())},
+         {"tasks_waiting", std::to_string(waiting)},
+         {"cores", cores(capacity)},
+         {"reserved", cores(reserved)},
+         {"serving", cores(serving)},
+         {"fills", cores(fills)},
+         {"idle", cores(idle)},
+         {"fills_slowed", std::to_string(std::lround(slowed))},
+         {"commits_waiting", std::to_string(ledger_.waiting())},
+         {"commit_lag_ms",
+          std::to_string(common::to_milliseconds(ledger_.lag(now)))},
+         {"heard_ms", std::to_string(common::to_milliseconds(now - heard_))}});
     log_waiting(now);
 }
 
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -51,7 +51,7 @@
         lengths_[index] =
             &registry_.latency(lengths[index].name, lengths[index].help);
     }
-    sample(nullptr);
+    sample({}, nullptr);
 }
 
 void pool_metrics::began(core::common::time_point now,
@@ -116,7 +116,8 @@
         seconds(length.took));
 }
 
-void pool_metrics::sample(core::pool::owner const* owned)
+void pool_metrics::sample(core::common::time_point now,
+                          core::pool::owner const* owned)
 {
     registry_.gauge("fuchsia_pool_owner", "1 while this instance schedules")
         .Set(owned != nullptr ? 1 : 0);
@@ -154,6 +155,13 @@
         "Workers looked at for a task",
         counts.scored);
     set("fuchsia_pool_jobs_finished", "Jobs ended", counts.jobs_finished);
+    set("fuchsia_pool_commits_waiting",
+        "Entries of the owner that are not durable yet",
+        owned->commits().waiting());
+    registry_
+        .gauge("fuchsia_pool_commit_lag_seconds",
+               "How long the oldest entry that is not durable has waited")
+        .Set(seconds(owned->commits().lag(now)));
 }
 
 std::size_t pool_metrics::open() const noexcept
--- a/src/programs/pool/pool_metrics.hpp
+++ b/src/programs/pool/pool_metrics.hpp
@@ -25,7 +25,7 @@
     void ended(core::common::time_point now, ports::order_reply const& reply);
     void observe(ports::measured const& length);
     /// Copies the owner's counts; null while another instance owns.
-    void sample(core::pool::owner const* owned);
+    void sample(core::common::time_point now, core::pool::owner const* owned);
     /// Calls without an answer.
     std::size_t open() const noexcept;
 
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -410,7 +410,7 @@
 // The owner's counts, and whether this instance is the owner.
 void pool_program::sample()
 {
-    measures_.sample(engine_.owned());
+    measures_.sample(clock::now(), engine_.owned());
     sampler_.expires_after(sample_interval);
     sampler_.async_wait(
         [this](boost::system::error_code error)
