--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -199,6 +199,25 @@
     return status == nullptr ? std::nullopt : std::optional(status->state);
 }
 
+std::optional<std::uint64_t> pool_world::waiting_told(std::size_t instance)
+{
+    auto const request = query(instance, "");
+    run_until(
+        [this, request]
+        {
+            return answer(request).has_value();
+        });
+    auto const got = answer(request);
+    auto const* const status =
+        got ? std::get_if<ports::queue_status>(&*got) : nullptr;
+    return status == nullptr ? std::nullopt : std::optional(status->pending);
+}
+
+void pool_world::set_commit_delay(std::size_t instance, duration delay)
+{
+    instances_[instance].commit_delay = delay;
+}
+
 void pool_world::set_size(std::size_t instance, double size)
 {
     instances_[instance].size = size;
@@ -441,7 +460,11 @@
         return;
     }
     bool const delayed = what == fate::late || what == fate::slow;
-    timeline_.after(delayed ? late_by : store_delay,
+    bool const commits =
+        std::holds_alternative<ports::kv_commit>(call.operation);
+    auto const way =
+        store_delay + (commits ? instances_[number].commit_delay : duration{});
+    timeline_.after(delayed ? late_by : way,
                     [this, number, life, call, answered]
                     {
                         apply_store(number, life, call, answered);
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -50,6 +50,8 @@
     submit(std::size_t instance, std::string const& id, core::pool::job what);
     std::uint64_t cancel(std::size_t instance, std::string const& id);
     std::uint64_t query(std::size_t instance, std::string const& id);
+    /// Jobs that wait as the instance tells it; empty where it refuses.
+    std::optional<std::uint64_t> waiting_told(std::size_t instance);
     std::optional<ports::job_answer> answer(std::uint64_t request) const;
     /// Asks until there is a state; empty where the job is not known.
     std::optional<ports::job_state> state(std::size_t instance,
@@ -59,6 +61,8 @@
     void set_clock_ahead(std::size_t instance, duration ahead);
     /// What it has of processor and link, from its next start on; 1 at first.
     void set_size(std::size_t instance, double size);
+    /// From now on each of its commits takes that much longer.
+    void set_commit_delay(std::size_t instance, duration delay);
     void kill(std::size_t instance);
     void start(std::size_t instance);
     /// Stands still, and gets what came meanwhile when it wakes.
@@ -102,6 +106,7 @@
         time_point frozen_until{};
         bool stopped = false;
         duration clock_ahead{};
+        duration commit_delay{};
         double size = 1;
         time_point next_tick{};
     };
