--- a/tests/process/entry_deployment.cpp
+++ b/tests/process/entry_deployment.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <fstream>
+#include <gtest/gtest.h>
 
 namespace fuchsia::tests::process
 {
@@ -197,8 +198,8 @@
 {
     running_.clear();
     standins_.clear();
-    // The logs of one that did not come up tell why.
-    if (is_ready)
+    // The logs of one that did not come up, or whose test failed, tell why.
+    if (is_ready && !testing::Test::HasFailure())
     {
         std::error_code ignored;
         std::filesystem::remove_all(folder_, ignored);
