What an owner has to write is bounded by its jobs, however slow its commits are

Callers who ask how many jobs wait got fewer than half of those that had waited for five seconds, and ends of jobs were told up to 23 s late.

Cause: for each end that an owner hears of it queued the whole progress of that job, each behind the one before, also when one of the same job still waited. Commits carry 29 changes one after the other; an owner that is slow for a while, or has more ends than that, falls behind for good, and its count of waiting jobs stands behind the rest. On 1,100 workers its own line showed 105,000 entries and a lag of 22 s, and the last watch answered 0.2 s ago: it heard of jobs in time, so that was ruled out.

Now a key that waits is written once, with the value that it has when the commit is made; a record that the job's end makes needless is not written at all. Order stays: what an acknowledgement waits for stands before it, with that content or a newer one. A commit without effect is made again with newer values; a late one still finds another revision of the ledger.

--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -22,7 +22,21 @@
 
 void ledger::write(entry what)
 {
-    waiting_.push_back({std::move(what), ticked_});
+    waiting_.push_back({std::move(what), {}, {}, ticked_, {}});
+}
+
+void ledger::write_latest(std::string const& key,
+                          value_source value,
+                          std::function<void(common::time_point)> on_durable)
+{
+    if (latest_.insert(key).second)
+    {
+        waiting_.push_back({{{}, {}, std::move(on_durable)},
+                            key,
+                            std::move(value),
+                            ticked_,
+                            {}});
+    }
 }
 
 void ledger::after_all(std::function<void(common::time_point)> then)
@@ -104,32 +118,70 @@
                });
 }
 
-void ledger::commit(common::time_point now)
+void ledger::queued::refresh()
+{
+    text = value ? value() : std::nullopt;
+}
+
+std::size_t ledger::queued::changes() const noexcept
+{
+    return what.puts.size() + what.erases.size() + (text ? 1 : 0);
+}
+
+// After a commit that had no effect its entries are still in flight, and what
+// came meanwhile joins them.
+void ledger::take_waiting()
 {
     std::size_t changes = 0;
-    for (auto const& each : in_flight_)
+    std::set<std::string> present;
+    for (auto& each : in_flight_)
     {
-        changes += each.what.puts.size() + each.what.erases.size();
+        each.refresh();
+        changes += each.changes();
+        present.insert(each.latest);
     }
     while (!waiting_.empty())
     {
         auto& next = waiting_.front();
-        changes += next.what.puts.size() + next.what.erases.size();
+        bool const has_key = !next.latest.empty();
+        if (has_key && present.contains(next.latest))
+        {
+            next.value = nullptr;
+        }
+        next.refresh();
+        changes += next.changes();
         if (changes > settings_.max_changes && !in_flight_.empty())
         {
-            break;
+            return;
         }
+        latest_.erase(next.latest);
+        present.insert(next.latest);
         in_flight_.push_back(std::move(next));
         waiting_.pop_front();
     }
-    ports::kv_commit commit;
-    for (auto const& [what, since] : in_flight_)
+}
+
+ports::kv_commit ledger::changes_in_flight() const
+{
+    ports::kv_commit made;
+    for (auto const& each : in_flight_)
     {
-        commit.puts.insert(
-            commit.puts.end(), what.puts.begin(), what.puts.end());
-        commit.erases.insert(
-            commit.erases.end(), what.erases.begin(), what.erases.end());
+        auto const& what = each.what;
+        made.puts.insert(made.puts.end(), what.puts.begin(), what.puts.end());
+        made.erases.insert(
+            made.erases.end(), what.erases.begin(), what.erases.end());
+        if (each.text)
+        {
+            made.puts.push_back({each.latest, *each.text, 0});
+        }
     }
+    return made;
+}
+
+void ledger::commit(common::time_point now)
+{
+    take_waiting();
+    auto commit = changes_in_flight();
     if (commit.puts.empty() && commit.erases.empty())
     {
         kv_reply done;
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,9 +47,19 @@
         std::function<void(common::time_point)> on_durable;
     };
 
+    /// The value of a key when a commit is made; empty: nothing to write.
+    using value_source = std::function<std::optional<std::string>()>;
+
     ledger(ledger_settings settings, claim& held, outbox& out);
 
     void write(entry what);
+    /// Writes the value that `key` has when the commit is made. Asked for again
+    /// while it waits, it is still written once: what waits is bounded by the
+    /// number of keys, however slow the commits are. `on_durable` of the first
+    /// request that waits is called.
+    void write_latest(std::string const& key,
+                      value_source value,
+                      std::function<void(common::time_point)> on_durable = {});
     /// Runs `then` once everything written so far is durable.
     void after_all(std::function<void(common::time_point)> then);
     void tick(common::time_point now);
@@ -58,15 +70,22 @@
     common::duration lag(common::time_point now) const noexcept;
 
 private:
-    /// Since when each entry waits, the oldest first.
     struct queued
     {
         entry what;
+        std::string latest; ///< Key of `value`; empty: none.
+        value_source value;
         common::time_point since{};
+        std::optional<std::string> text; ///< As it was last asked for.
+
+        void refresh();
+        std::size_t changes() const noexcept;
     };
 
     void read_revision();
     void commit(common::time_point now);
+    void take_waiting();
+    ports::kv_commit changes_in_flight() const;
     void on_commit(common::time_point now, ports::kv_reply const& reply);
 
     ledger_settings settings_;
@@ -75,7 +94,8 @@
     scope life_ = std::make_shared<char>();
     std::deque<queued> waiting_;
     std::vector<queued> in_flight_;
-    common::time_point ticked_{}; ///< The last tick.
+    std::set<std::string> latest_; ///< Keys in `waiting_` to be asked for.
+    common::time_point ticked_{};  ///< The last tick.
     bool busy_ = false;
     bool revision_known_ = false;
     std::uint64_t revision_ = 0;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -159,6 +159,9 @@
 
     // owner_reports.cpp: what it tells of itself.
     void write_backlog(common::time_point now);
+    /// The counts of waiting jobs as they are now.
+    std::string backlog_record();
+    void log_backlog(common::duration took);
     void log_load(common::time_point now);
     void drop_old_finals(common::time_point now);
 
@@ -200,6 +203,7 @@
     void mark_dirty(job_run& run);
     void save_all_progress();
     void save_progress(job_run& run);
+    std::optional<std::string> progress_record(std::string const& id);
     job_run* find_job(std::string const& id);
     /// Both null where the job, or the task in it, is not known.
     struct known_task
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -426,11 +426,23 @@
     {
         return;
     }
-    run.has_progress = true;
-    ledger::entry entry;
-    entry.puts.push_back(
-        {keys::progress(run.spec.id), to_json(progress_of(run)), 0});
-    ledger_.write(std::move(entry));
+    ledger_.write_latest(keys::progress(run.spec.id),
+                         [this, id = run.spec.id]
+                         {
+                             return progress_record(id);
+                         });
+}
+
+// Empty once the job's end is on its way: that erases the record.
+std::optional<std::string> owner::progress_record(std::string const& id)
+{
+    auto* const run = find_job(id);
+    if (run == nullptr || run->phase == job_phase::recorded)
+    {
+        return std::nullopt;
+    }
+    run->has_progress = true;
+    return to_json(progress_of(*run));
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -42,35 +42,46 @@
         return;
     }
     next_backlog_ = now + backlog_interval;
-    auto counts = pending();
-    if (counts == told_backlog_)
+    if (pending() == told_backlog_)
     {
         return;
     }
+    backlog_writing_ = true;
+    ledger_.write_latest(
+        std::string(keys::backlog),
+        [this]
+        {
+            return backlog_record();
+        },
+        [this, now](common::time_point at)
+        {
+            backlog_writing_ = false;
+            log_backlog(at - now);
+        });
+}
+
+std::string owner::backlog_record()
+{
+    told_backlog_ = pending();
     json::object out;
-    for (auto const& [queue, count] : counts)
+    for (auto const& [queue, count] : told_backlog_)
     {
         out[queue] = count;
     }
-    std::uint64_t total = 0;
-    for (auto const& [queue, count] : counts)
+    return json::serialize(out);
+}
+
+void owner::log_backlog(common::duration took)
+{
+    std::uint64_t jobs = 0;
+    for (auto const& [queue, count] : told_backlog_)
     {
-        total += count;
+        jobs += count;
     }
-    told_backlog_ = std::move(counts);
-    backlog_writing_ = true;
-    ledger_.write({{{std::string(keys::backlog), json::serialize(out), 0}},
-                   {},
-                   [this, total, counted = now](common::time_point at)
-                   {
-                       backlog_writing_ = false;
-                       out_.log(severity::info,
-                                "backlog_recorded",
-                                {{"jobs", std::to_string(total)},
-                                 {"took_ms",
-                                  std::to_string(
-                                      common::to_milliseconds(at - counted))}});
-                   }});
+    out_.log(severity::info,
+             "backlog_recorded",
+             {{"jobs", std::to_string(jobs)},
+              {"took_ms", std::to_string(common::to_milliseconds(took))}});
 }
 
 void owner::drop_old_finals(common::time_point now)
--- a/tests/unit/pool/backlog_test.cpp
+++ b/tests/unit/pool/backlog_test.cpp
@@ -78,8 +78,10 @@
     expect_at_least_half(world, 21);
 }
 
-// An owner whose commits were slow for some seconds wrote one record for each
-// end it heard of, one behind the other, and the counts waited behind them.
+// Instances told 39 of 139 waiting jobs while an owner's commits took 0.4 s. It
+// wrote the whole progress of a job for each end that it heard of, each write
+// behind the one before; 105,000 of them stood before the counts on a pool of
+// 1,100 workers, by its own line, while it heard of jobs within 0.2 s.
 TEST(pool_backlog, is_not_late_behind_the_ends_of_a_slow_owner)
 {
     constexpr std::size_t workers = 16;
