A count of waiting jobs that may be too old is not told

Two instances told a caller 7 waiting jobs while 17 and 19 had waited for five seconds.

Cause: an instance told whatever record of the counts lay in the store, and an owner whatever it remembered, without asking how old that was. Nobody writes the record while nobody owns, while a new owner loads, or while an owner is cut off or far behind; jobs go on being accepted all the time. Class: a derived value that is served without its version.

Now the record names the revision up to which its owner had heard of jobs, and is written each 0.7 s also when the counts are the same. An instance keeps the times of its own recent calls with the revisions that the store answered; the latest one at or below the record's revision tells how long ago a job may have been accepted that is not in it, by no other machine's clock. Beyond the bound of the settings it refuses at once with code 6006 and when to come back, and the line backlog_unknown says why. An owner judges its own memory by when its last answered watch was asked. A record that was never written counts as one that has heard of nothing.

Weighed: comparing the record's epoch with the claim's (does not see an owner that is behind); a time stamp of the owner (machines' clocks differ by seconds); counting the jobs' keys at each question (all jobs read, by each instance).

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -18,6 +18,9 @@
 constexpr core::common::duration stop_reserve = 1500ms;
 /// Final states are kept this long beyond what submitters were promised.
 constexpr core::common::duration final_reserve = 60s;
+// Counts may be 2 s older than other answers; half of that is left for their
+// way.
+constexpr core::common::duration count_slack = 1s;
 
 // The platform's bounds narrow the defaults; they never widen them.
 void read_bounds(toml_table bounds, core::pool::pool_settings& out)
@@ -40,6 +43,9 @@
     auto const harm = bounds.duration_or("harm_ms", 4s, 100ms, 600s);
     auto& stop_after = out.owner.sharing.stop_after;
     stop_after = std::min<core::common::duration>(stop_after, harm / 2);
+    auto const visible = bounds.duration_or("visible_ms", 3s, 100ms, 600s);
+    auto& limit = out.front.count_age_limit;
+    limit = std::min<core::common::duration>(limit, visible + count_slack);
     bounds.refuse_unread();
 }
 
--- a/src/core/common/result_code.cpp
+++ b/src/core/common/result_code.cpp
@@ -8,7 +8,7 @@
 using enum result_code;
 using enum outcome;
 
-const std::array<result_code_row, 54> result_code_table{{
+const std::array<result_code_row, 55> result_code_table{{
     {ok, "ok", 200, ran, "done"},
     {malformed_http,
      "malformed_http",
@@ -219,6 +219,11 @@
      503,
      unknown,
      "the worker does not answer"},
+    {backlog_unknown,
+     "backlog_unknown",
+     503,
+     not_run,
+     "how many jobs wait is not known"},
 }};
 
 result_code_row const& row_of(result_code code) noexcept
--- a/src/core/common/result_code.hpp
+++ b/src/core/common/result_code.hpp
@@ -73,6 +73,7 @@
     job_cancelled = 6003,
     worker_refused = 6004,
     worker_unreachable = 6005,
+    backlog_unknown = 6006,
 };
 
 /// What a caller may conclude about its request from an answer.
@@ -93,7 +94,7 @@
 };
 
 /// The table behind `row_of`, in the order of the numbers.
-extern const std::array<result_code_row, 54> result_code_table;
+extern const std::array<result_code_row, 55> result_code_table;
 
 /// The row of `code`; every code has one.
 result_code_row const& row_of(result_code code) noexcept;
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -16,16 +16,16 @@
 
 engine::engine(pool_settings const& settings, directory words, std::string self)
     : settings_(settings), words_(std::move(words)),
-      operators_(settings.operators, words_, out_),
+      operators_(settings.operators, words_, out_, times_),
       claim_(settings.claim, std::move(self), out_),
-      front_(settings.front, operators_, out_)
+      front_(settings.front, operators_, out_, times_)
 {
 }
 
 void engine::start(common::time_point now)
 {
     started_ = now;
-    operators_.start();
+    operators_.start(now);
     claim_.tick(now);
     tell_readiness(now);
 }
--- a/src/core/pool/engine.hpp
+++ b/src/core/pool/engine.hpp
@@ -66,6 +66,7 @@
     pool_settings settings_;
     directory words_;
     outbox out_;
+    revision_times times_;
     operators operators_;
     claim claim_;
     front front_;
--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -1,6 +1,5 @@
 #include "core/pool/front.hpp"
 
-#include "core/common/json.hpp"
 #include "core/pool/keys.hpp"
 
 #include <algorithm>
@@ -30,8 +29,11 @@
 
 } // namespace
 
-front::front(front_settings settings, operators const& rules, outbox& out)
-    : settings_(settings), rules_(rules), out_(out)
+front::front(front_settings settings,
+             operators const& rules,
+             outbox& out,
+             revision_times& times)
+    : settings_(settings), rules_(rules), out_(out), times_(times)
 {
 }
 
@@ -140,6 +142,7 @@
         {
             auto const took = std::to_string(common::to_milliseconds(at - now));
             note(at, reply);
+            times_.note(now, reply.revision);
             out_.push(ports::measured{ports::pool_measure::accept, at - now});
             auto const silent =
                 std::to_string(common::to_milliseconds(store_silence(at)));
@@ -284,13 +287,10 @@
 {
     if (owned != nullptr && owned->loaded())
     {
-        auto const count = owned->pending()[name];
-        out_.log(severity::info,
-                 "backlog_told",
-                 {{"queue", name},
-                  {"jobs", std::to_string(count)},
-                  {"from", "memory"}});
-        answer(caller, ports::queue_status{count});
+        tell_waiting(caller,
+                     name,
+                     owned->waiting_jobs(),
+                     {"memory", 0, now - owned->heard()});
         return;
     }
     if (store_away(now))
@@ -302,39 +302,73 @@
         life_,
         ports::kv_read{std::string(keys::backlog)},
         settings_.call_timeout,
-        [this, caller, name](common::time_point, kv_reply const& reply)
+        [this, caller, name, now](common::time_point at, kv_reply const& reply)
         {
-            if (reply.status == kv_status::missing)
-            {
-                answer(caller, ports::queue_status{0});
-                return;
-            }
-            common::failure reason;
-            auto const counts =
-                reply.status == kv_status::done && !reply.items.empty()
-                    ? common::parse_json_object(
-                          reply.items.front().value, "backlog", reason)
-                    : std::nullopt;
-            if (!counts)
-            {
-                refuse(caller, "the backlog can't be read");
-                return;
-            }
-            auto const* const count = counts->if_contains(name);
-            bool const number = count != nullptr && count->is_int64();
-            auto const jobs =
-                number ? static_cast<std::uint64_t>(count->as_int64()) : 0;
-            out_.log(severity::info,
-                     "backlog_told",
-                     {{"queue", name},
-                      {"jobs", std::to_string(jobs)},
-                      {"from", "store"},
-                      {"recorded", std::to_string(reply.items.front().revision)},
-                      {"store", std::to_string(reply.revision)}});
-            answer(caller, ports::queue_status{jobs});
+            times_.note(now, reply.revision);
+            on_backlog(at, caller, name, reply);
         });
 }
 
+// A record that was never written has heard of nothing yet.
+void front::on_backlog(common::time_point now,
+                       std::uint64_t caller,
+                       std::string const& name,
+                       kv_reply const& reply)
+{
+    if (reply.status != kv_status::done && reply.status != kv_status::missing)
+    {
+        refuse(caller, "the store did not answer");
+        return;
+    }
+    common::failure reason;
+    auto const known = reply.items.empty()
+                           ? std::optional(backlog{})
+                           : parse_backlog(reply.items.front().value, reason);
+    if (!known)
+    {
+        out_.log(severity::error,
+                 "backlog_unreadable",
+                 {{"why", common::to_string(reason)}});
+        refuse(caller, "the backlog can't be read");
+        return;
+    }
+    auto const complete = times_.complete_until(known->heard);
+    auto const age = complete ? std::optional(now - *complete) : std::nullopt;
+    tell_waiting(caller, name, *known, {"store", reply.revision, age});
+}
+
+// An owner that is gone or far behind leaves a count that may be far too low.
+// Nobody's clock but this one's tells how old it is.
+void front::tell_waiting(std::uint64_t caller,
+                         std::string const& name,
+                         backlog const& known,
+                         count_source const& source)
+{
+    auto const found = known.waiting.find(name);
+    auto const jobs = found == known.waiting.end() ? 0 : found->second;
+    std::vector<ports::header> fields{
+        {"queue", name},
+        {"jobs", std::to_string(jobs)},
+        {"from", source.from},
+        {"heard", std::to_string(known.heard)},
+        {"store", std::to_string(source.store)},
+        {"age_ms",
+         source.age ? std::to_string(common::to_milliseconds(*source.age))
+                    : "unknown"}};
+    if (source.age && *source.age <= settings_.count_age_limit)
+    {
+        out_.log(severity::info, "backlog_told", std::move(fields));
+        answer(caller, ports::queue_status{jobs});
+        return;
+    }
+    out_.log(severity::warning, "backlog_unknown", std::move(fields));
+    answer(caller,
+           ports::job_refused{{result_code::backlog_unknown,
+                               name,
+                               "what is known of waiting jobs is too old"},
+                              settings_.retry_after});
+}
+
 void front::cancel(common::time_point now,
                    std::uint64_t caller,
                    std::string const& id)
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -4,9 +4,11 @@
 #include "core/pool/outbox.hpp"
 #include "core/pool/owner.hpp"
 #include "core/pool/request.hpp"
+#include "core/pool/revision_times.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -26,6 +28,8 @@
     /// When to come back after a refusal: the store's short outages end within
     /// seconds, and another instance may reach it now.
     common::duration retry_after = std::chrono::milliseconds(500);
+    /// A count that may leave out jobs accepted longer ago is not told.
+    common::duration count_age_limit = std::chrono::milliseconds(4000);
     /// Final states remembered, so that repeated questions need no call.
     std::size_t remembered = 4096;
 };
@@ -35,7 +39,10 @@
 class front
 {
 public:
-    front(front_settings settings, operators const& rules, outbox& out);
+    front(front_settings settings,
+          operators const& rules,
+          outbox& out,
+          revision_times& times);
 
     void on_request(common::time_point now,
                     pool_request const& request,
@@ -45,6 +52,15 @@
     bool store_away(common::time_point now) const noexcept;
 
 private:
+    /// Where a count comes from.
+    struct count_source
+    {
+        char const* from = "";
+        std::uint64_t store = 0; ///< The store's revision when it was read.
+        /// Every job that was accepted longer ago is in it; empty: not known.
+        std::optional<common::duration> age;
+    };
+
     void submit(common::time_point now,
                 std::uint64_t caller,
                 job what,
@@ -64,6 +80,14 @@
                      std::uint64_t caller,
                      std::string const& name,
                      owner const* owned);
+    void on_backlog(common::time_point now,
+                    std::uint64_t caller,
+                    std::string const& name,
+                    ports::kv_reply const& reply);
+    void tell_waiting(std::uint64_t caller,
+                      std::string const& name,
+                      backlog const& known,
+                      count_source const& source);
     void
     cancel(common::time_point now, std::uint64_t caller, std::string const& id);
     void cancel_known(std::uint64_t caller,
@@ -79,6 +103,7 @@
     front_settings settings_;
     operators const& rules_;
     outbox& out_;
+    revision_times& times_;
     scope life_ = std::make_shared<char>();
     std::size_t open_ = 0;
     std::uint32_t failures_ = 0;    ///< Failed commits in a row.
--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -12,14 +12,15 @@
 
 operators::operators(operators_settings settings,
                      directory const& words,
-                     outbox& out)
-    : settings_(settings), words_(words), out_(out)
+                     outbox& out,
+                     revision_times& times)
+    : settings_(settings), words_(words), out_(out), times_(times)
 {
 }
 
-void operators::start()
+void operators::start(common::time_point now)
 {
-    read("");
+    read(now, "");
 }
 
 void operators::tick(common::time_point now)
@@ -27,7 +28,7 @@
     if (waiting_to_read_ && now >= read_at_)
     {
         waiting_to_read_ = false;
-        read("");
+        read(now, "");
     }
 }
 
@@ -51,7 +52,7 @@
     return changes_;
 }
 
-void operators::read(std::string const& after)
+void operators::read(common::time_point now, std::string const& after)
 {
     if (after.empty())
     {
@@ -60,8 +61,9 @@
     out_.store(life_,
                ports::kv_range{words_.operators_prefix, after},
                settings_.call_timeout,
-               [this, after](common::time_point at, kv_reply const& reply)
+               [this, after, now](common::time_point at, kv_reply const& reply)
                {
+                   times_.note(now, reply.revision);
                    on_page(at, after, reply);
                });
 }
@@ -86,7 +88,7 @@
     }
     if (reply.more && !reply.items.empty())
     {
-        read(reply.items.back().key);
+        read(now, reply.items.back().key);
         return;
     }
     // What was taken back while no watch heard it.
@@ -98,7 +100,7 @@
     known_ = known_ || state_.config.version > 0;
     if (known_)
     {
-        watch();
+        watch(now);
     }
     else
     {
@@ -106,22 +108,24 @@
     }
 }
 
-void operators::watch()
+void operators::watch(common::time_point now)
 {
     out_.store(life_,
                ports::kv_watch{
                    words_.operators_prefix, watched_, settings_.watch_wait},
                settings_.watch_wait + settings_.call_timeout,
-               [this](common::time_point now, kv_reply const& reply)
+               [this, asked = now](common::time_point at, kv_reply const& reply)
                {
-                   on_watch(now, reply);
+                   on_watch(at, asked, reply);
                });
 }
 
 // An answer without events does not move the place from which the next watch
 // goes on: a watch that was deaf for a while then either hears of the change
 // it missed or is told that the history is gone, and everything is read anew.
-void operators::on_watch(common::time_point now, kv_reply const& reply)
+void operators::on_watch(common::time_point now,
+                         common::time_point asked,
+                         kv_reply const& reply)
 {
     if (reply.status != kv_status::done)
     {
@@ -129,6 +133,7 @@
         return;
     }
     contact_ = now;
+    times_.note(asked, reply.revision);
     for (auto const& item : reply.items)
     {
         out_in_pages_ = state_.data_centres_out;
@@ -140,7 +145,7 @@
     {
         ++changes_;
     }
-    watch();
+    watch(now);
 }
 
 void operators::take(ports::kv_item const& item)
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -2,6 +2,7 @@
 
 #include "core/pool/directory.hpp"
 #include "core/pool/outbox.hpp"
+#include "core/pool/revision_times.hpp"
 
 #include <cstdint>
 #include <set>
@@ -25,9 +26,12 @@
 class operators
 {
 public:
-    operators(operators_settings settings, directory const& words, outbox& out);
+    operators(operators_settings settings,
+              directory const& words,
+              outbox& out,
+              revision_times& times);
 
-    void start();
+    void start(common::time_point now);
     void tick(common::time_point now);
 
     operator_state const& state() const noexcept;
@@ -39,12 +43,14 @@
     std::uint64_t changes() const noexcept;
 
 private:
-    void read(std::string const& after);
+    void read(common::time_point now, std::string const& after);
     void on_page(common::time_point now,
                  std::string const& after,
                  ports::kv_reply const& reply);
-    void watch();
-    void on_watch(common::time_point now, ports::kv_reply const& reply);
+    void watch(common::time_point now);
+    void on_watch(common::time_point now,
+                  common::time_point asked,
+                  ports::kv_reply const& reply);
     void take(ports::kv_item const& item);
     void take_config(configuration config);
     void read_again(common::time_point now);
@@ -52,6 +58,7 @@
     operators_settings settings_;
     directory const& words_;
     outbox& out_;
+    revision_times& times_;
     scope life_ = std::make_shared<char>();
     operator_state state_;
     std::set<std::string> out_in_pages_; ///< Of the range being read.
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -150,19 +150,21 @@
     return !stopped_ && claim_.held() && backed;
 }
 
-void owner::watch()
+void owner::watch(common::time_point now)
 {
     out_.store(
         life_,
         ports::kv_watch{std::string(keys::owned_prefix), watched_, watch_wait},
         watch_wait + settings_.call_timeout,
-        [this](common::time_point now, kv_reply const& reply)
+        [this, asked = now](common::time_point at, kv_reply const& reply)
         {
-            on_watch(now, reply);
+            on_watch(at, asked, reply);
         });
 }
 
-void owner::on_watch(common::time_point now, kv_reply const& reply)
+void owner::on_watch(common::time_point now,
+                     common::time_point asked,
+                     kv_reply const& reply)
 {
     if (reply.status == kv_status::compacted)
     {
@@ -175,11 +177,11 @@
     if (reply.status != kv_status::done)
     {
         // An endless retry against a silent store costs one call a second.
-        watch();
+        watch(now);
         return;
     }
     watched_ = std::max(watched_, reply.revision);
-    heard_ = now;
+    heard_ = asked;
     for (auto const& item : reply.items)
     {
         take_item(now, item);
@@ -188,7 +190,7 @@
     {
         return;
     }
-    watch();
+    watch(now);
     if (!reply.items.empty())
     {
         tick(now);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pool/backlog.hpp"
 #include "core/pool/claim.hpp"
 #include "core/pool/colocation.hpp"
 #include "core/pool/directory.hpp"
@@ -106,7 +107,12 @@
     bool loaded() const noexcept;
     /// Empty where this owner does not know the job.
     std::optional<ports::job_state> state_of(std::string const& id) const;
+    /// Jobs of which no task has started, by queue.
     std::map<std::string, std::uint64_t> pending() const;
+    /// The same, with the revision up to which this owner has heard of jobs.
+    backlog waiting_jobs() const;
+    /// Every job that was accepted before then is known here.
+    common::time_point heard() const noexcept;
     owner_counters const& counters() const noexcept;
     /// What it writes.
     ledger const& commits() const noexcept;
@@ -127,8 +133,10 @@
 
     // owner.cpp: its clock, and jobs as they come.
     void give_up_loading(common::time_point now);
-    void watch();
-    void on_watch(common::time_point now, ports::kv_reply const& reply);
+    void watch(common::time_point now);
+    void on_watch(common::time_point now,
+                  common::time_point asked,
+                  ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
     void add_job(common::time_point now, ports::kv_item const& item);
     std::int64_t accepted_by_own_clock(common::time_point now,
@@ -159,8 +167,6 @@
 
     // owner_reports.cpp: what it tells of itself.
     void write_backlog(common::time_point now);
-    /// The counts of waiting jobs as they are now.
-    std::string backlog_record();
     void log_backlog(common::duration took);
     void log_load(common::time_point now);
     void drop_old_finals(common::time_point now);
@@ -428,7 +434,7 @@
     common::time_point began_{};
     common::time_point advanced_{}; ///< When the last page came.
     std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
-    common::time_point heard_{};    ///< When the last watch was answered.
+    common::time_point heard_{};    ///< When the last answered watch was asked.
     std::vector<ports::kv_item> progress_items_;
     std::vector<ports::kv_item> job_items_;
     std::uint32_t parts_ = 0; ///< Parts of the state that are still loading.
@@ -451,7 +457,6 @@
     common::time_point next_regroup_{};
     common::time_point next_load_line_{};
     common::time_point next_backlog_{};
-    std::map<std::string, std::uint64_t> told_backlog_;
     bool backlog_writing_ = false;
 };
 
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -70,7 +70,7 @@
         {
             take_item(now, item);
         }
-        watch();
+        watch(now);
         return;
     }
     parts_loaded(now);
@@ -150,7 +150,7 @@
         return;
     }
     loaded_ = true;
-    heard_ = now;
+    heard_ = began_;
     for (auto const& item : std::exchange(job_items_, {}))
     {
         take_item(now, item);
@@ -194,7 +194,7 @@
          {"jobs", std::to_string(jobs_.size())},
          {"roster", std::to_string(roster_.size())},
          {"took_ms", std::to_string(common::to_milliseconds(now - began_))}});
-    watch();
+    watch(now);
     tick(now);
 }
 
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -1,4 +1,3 @@
-#include "core/common/json.hpp"
 #include "core/pool/keys.hpp"
 #include "core/pool/owner.hpp"
 
@@ -14,7 +13,6 @@
 namespace
 {
 
-namespace json = boost::json;
 using ports::severity;
 
 constexpr common::duration load_interval = std::chrono::seconds(1);
@@ -35,6 +33,16 @@
     return counts;
 }
 
+backlog owner::waiting_jobs() const
+{
+    return {watched_, pending()};
+}
+
+common::time_point owner::heard() const noexcept
+{
+    return heard_;
+}
+
 void owner::write_backlog(common::time_point now)
 {
     if (now < next_backlog_ || backlog_writing_)
@@ -42,16 +50,12 @@
         return;
     }
     next_backlog_ = now + backlog_interval;
-    if (pending() == told_backlog_)
-    {
-        return;
-    }
     backlog_writing_ = true;
     ledger_.write_latest(
         std::string(keys::backlog),
         [this]
         {
-            return backlog_record();
+            return to_json(waiting_jobs());
         },
         [this, now](common::time_point at)
         {
@@ -60,21 +64,10 @@
         });
 }
 
-std::string owner::backlog_record()
-{
-    told_backlog_ = pending();
-    json::object out;
-    for (auto const& [queue, count] : told_backlog_)
-    {
-        out[queue] = count;
-    }
-    return json::serialize(out);
-}
-
 void owner::log_backlog(common::duration took)
 {
     std::uint64_t jobs = 0;
-    for (auto const& [queue, count] : told_backlog_)
+    for (auto const& [queue, count] : pending())
     {
         jobs += count;
     }
--- a/tests/unit/pool/backlog_test.cpp
+++ b/tests/unit/pool/backlog_test.cpp
@@ -50,8 +50,10 @@
 
 } // namespace
 
-// Instances told few waiting jobs for seconds while many more had come and none
-// was served.
+// Two instances told 7 waiting jobs while 17 and 19 had waited for five seconds
+// and hardly any was served. They read the record of an owner that is gone,
+// whatever its age, while nobody who owns can begin; the record now names the
+// revision up to which its owner had heard of jobs.
 TEST(pool_backlog, is_not_told_from_the_record_of_an_owner_that_is_gone)
 {
     pool_world world(instances, 1);
@@ -108,3 +110,59 @@
     EXPECT_GE(truth, 40U);
     EXPECT_LE(world.scheduler(owner).commits().lag(world.now()), 2s);
 }
+
+// Callers of a healthy pool are told the count, whichever instance they ask.
+TEST(pool_backlog, is_told_while_all_is_well)
+{
+    pool_world world(instances, 4);
+    ASSERT_TRUE(settled(world));
+    world.run(2s);
+    for (std::size_t step = 0; step < 150; ++step)
+    {
+        // Jobs come for five seconds, then none, then again.
+        if (step / 50 != 1)
+        {
+            world.submit(step % instances,
+                         "job" + std::to_string(step),
+                         simple_job(2, 500ms));
+        }
+        world.run(100ms);
+        EXPECT_TRUE(world.waiting_told(step % instances).has_value())
+            << "step " << step;
+    }
+}
+
+// An owner that wakes from a pause tells what it knew before.
+TEST(pool_backlog, is_not_told_from_memory_of_before_a_pause)
+{
+    pool_world world(instances, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    submit_many(world, other, "fills", 1, simple_job(8, 60s));
+    world.run(1s);
+    world.freeze(owner, 6s);
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
+    world.run(5900ms);
+    EXPECT_FALSE(world.waiting_told(owner).value_or(20) < 10);
+}
+
+// An owner that is cut from the store tells too few of the jobs that others
+// accept.
+TEST(pool_backlog, is_not_told_by_an_owner_that_hears_of_no_jobs)
+{
+    pool_world world(instances, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    submit_many(world, other, "fills", 1, simple_job(8, 60s));
+    world.run(1s);
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        bool const watches = std::holds_alternative<ports::kv_watch>(call);
+        return at == owner && watches ? fate::lost : fate::carried_out;
+    };
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
+    world.run(6s);
+    expect_at_least_half(world, 20);
+}
