Ends of jobs and counts are written before records that only a successor needs

What waits has two ranks now. A commit takes results first, with a share kept for records; more than one commit of records no longer makes commits follow each other without a pause, since the next one holds their newest values. What an acknowledgement waits for is told by the numbers of the entries, not by their place in one queue.

--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -1,5 +1,6 @@
 #include "core/pool/ledger.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -20,55 +21,107 @@
 {
 }
 
+template<class Look>
+void ledger::for_each(Look look) const
+{
+    std::for_each(in_flight_.begin(), in_flight_.end(), look);
+    std::for_each(results_.begin(), results_.end(), look);
+    std::for_each(records_.begin(), records_.end(), look);
+}
+
 void ledger::write(entry what)
 {
-    waiting_.push_back({std::move(what), {}, {}, ticked_, {}});
+    enqueue(write_rank::result, {std::move(what), {}, {}, {}, {}, {}});
 }
 
-void ledger::write_latest(std::string const& key,
+void ledger::write_latest(write_rank rank,
+                          std::string const& key,
                           value_source value,
-                          std::function<void(common::time_point)> on_durable)
+                          durable_handler on_durable)
 {
     if (latest_.insert(key).second)
     {
-        waiting_.push_back({{{}, {}, std::move(on_durable)},
-                            key,
-                            std::move(value),
-                            ticked_,
-                            {}});
+        enqueue(rank,
+                {{{}, {}, std::move(on_durable)},
+                 key,
+                 std::move(value),
+                 {},
+                 {},
+                 {}});
     }
 }
 
-void ledger::after_all(std::function<void(common::time_point)> then)
+void ledger::enqueue(write_rank rank, queued what)
+{
+    what.since = ticked_;
+    what.number = ++last_entry_;
+    waiting_of(rank).push_back(std::move(what));
+}
+
+std::deque<ledger::queued>& ledger::waiting_of(write_rank rank) noexcept
 {
-    write({{}, {}, std::move(then)});
+    return rank == write_rank::result ? results_ : records_;
+}
+
+void ledger::after_all(durable_handler then)
+{
+    barriers_.push_back({last_entry_, std::move(then)});
 }
 
 bool ledger::idle() const noexcept
 {
-    return waiting_.empty() && in_flight_.empty();
+    return waiting() == 0 && barriers_.empty();
 }
 
 std::size_t ledger::waiting() const noexcept
 {
-    return waiting_.size() + in_flight_.size();
+    return results_.size() + records_.size() + in_flight_.size();
+}
+
+ledger::queued const* ledger::oldest() const noexcept
+{
+    queued const* first = nullptr;
+    for_each(
+        [&first](queued const& each)
+        {
+            bool const older = first == nullptr || each.number < first->number;
+            first = older ? &each : first;
+        });
+    return first;
 }
 
 common::duration ledger::lag(common::time_point now) const noexcept
 {
-    if (idle())
+    auto const* const first = oldest();
+    return first == nullptr ? common::duration{} : now - first->since;
+}
+
+// What a handler writes comes behind all that counts here.
+void ledger::pass_barriers(common::time_point now)
+{
+    auto const* const first = oldest();
+    auto const durable = first == nullptr ? last_entry_ : first->number - 1;
+    while (!barriers_.empty() && barriers_.front().number <= durable)
     {
-        return {};
+        auto const then = std::move(barriers_.front().then);
+        barriers_.pop_front();
+        then(now);
     }
-    auto const& oldest =
-        in_flight_.empty() ? waiting_.front() : in_flight_.front();
-    return now - oldest.since;
 }
 
 void ledger::tick(common::time_point now)
 {
     ticked_ = now;
-    if (busy_ || now < next_step_ || idle() || !claim_.held())
+    if (!claim_.held())
+    {
+        return;
+    }
+    if (waiting() == 0)
+    {
+        pass_barriers(now);
+        return;
+    }
+    if (busy_ || now < next_step_)
     {
         return;
     }
@@ -128,36 +181,45 @@
     return what.puts.size() + what.erases.size() + (text ? 1 : 0);
 }
 
-// After a commit that had no effect its entries are still in flight, and what
-// came meanwhile joins them.
-void ledger::take_waiting()
+// After a commit that had no effect its entries are still in flight.
+void ledger::refresh_in_flight()
 {
-    std::size_t changes = 0;
-    std::set<std::string> present;
     for (auto& each : in_flight_)
     {
         each.refresh();
+    }
+}
+
+// Takes what waits until the commit holds `most` changes.
+void ledger::take_waiting(write_rank rank, std::size_t most)
+{
+    auto& waiting = waiting_of(rank);
+    std::size_t changes = 0;
+    std::set<std::string> present;
+    for (auto const& each : in_flight_)
+    {
         changes += each.changes();
         present.insert(each.latest);
     }
-    while (!waiting_.empty())
+    while (!waiting.empty())
     {
-        auto& next = waiting_.front();
-        bool const has_key = !next.latest.empty();
-        if (has_key && present.contains(next.latest))
+        auto& next = waiting.front();
+        bool const known =
+            !next.latest.empty() && present.contains(next.latest);
+        if (known)
         {
             next.value = nullptr;
         }
         next.refresh();
         changes += next.changes();
-        if (changes > settings_.max_changes && !in_flight_.empty())
+        if (changes > most && !in_flight_.empty())
         {
             return;
         }
         latest_.erase(next.latest);
         present.insert(next.latest);
         in_flight_.push_back(std::move(next));
-        waiting_.pop_front();
+        waiting.pop_front();
     }
 }
 
@@ -180,14 +242,14 @@
 
 void ledger::commit(common::time_point now)
 {
-    take_waiting();
+    refresh_in_flight();
+    auto const kept = records_.empty() ? 0 : settings_.record_share;
+    take_waiting(write_rank::result, settings_.max_changes - kept);
+    take_waiting(write_rank::record, settings_.max_changes);
     auto commit = changes_in_flight();
     if (commit.puts.empty() && commit.erases.empty())
     {
-        kv_reply done;
-        done.status = kv_status::done;
-        done.revision = revision_;
-        on_commit(now, done);
+        committed(now, revision_);
         return;
     }
     ++number_;
@@ -209,24 +271,31 @@
                });
 }
 
-void ledger::on_commit(common::time_point now, kv_reply const& reply)
+void ledger::committed(common::time_point now, std::uint64_t revision)
 {
-    if (reply.status == kv_status::done)
+    revision_ = revision;
+    auto const durable = std::exchange(in_flight_, {});
+    // Records lose nothing by waiting: the next commit holds their newest
+    // values. Results are asked for.
+    if (results_.size() >= settings_.max_changes)
     {
-        revision_ = reply.revision;
-        auto const durable = std::exchange(in_flight_, {});
-        // A commit that can't hold what waits already would only grow a queue.
-        if (waiting_.size() >= settings_.max_changes)
-        {
-            next_step_ = now;
-        }
-        for (auto const& each : durable)
+        next_step_ = now;
+    }
+    for (auto const& each : durable)
+    {
+        if (each.what.on_durable)
         {
-            if (each.what.on_durable)
-            {
-                each.what.on_durable(now);
-            }
+            each.what.on_durable(now);
         }
+    }
+    pass_barriers(now);
+}
+
+void ledger::on_commit(common::time_point now, kv_reply const& reply)
+{
+    if (reply.status == kv_status::done)
+    {
+        committed(now, reply.revision);
         return;
     }
     if (reply.status == kv_status::refused)
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -28,6 +28,15 @@
     /// Changes in one commit; the store takes 32 entries, of which the two
     /// conditions and the common key take three.
     std::size_t max_changes = 29;
+    /// Of these, kept for records while some wait.
+    std::size_t record_share = 8;
+};
+
+/// What a commit takes first while more waits than one commit holds.
+enum class write_rank : std::uint8_t
+{
+    result, ///< What callers ask for: ends of jobs, counts.
+    record, ///< What only a successor needs.
 };
 
 /// Writes the owner's progress, one commit at a time.
@@ -39,12 +48,14 @@
 class ledger
 {
 public:
+    using durable_handler = std::function<void(common::time_point)>;
+
     /// One thing to write. All its changes go into the same commit.
     struct entry
     {
         std::vector<ports::kv_put> puts;
         std::vector<std::string> erases;
-        std::function<void(common::time_point)> on_durable;
+        durable_handler on_durable;
     };
 
     /// The value of a key when a commit is made; empty: nothing to write.
@@ -52,16 +63,20 @@
 
     ledger(ledger_settings settings, claim& held, outbox& out);
 
-    void write(entry what);
+    /// Before everything of rank `record` that waits. Where it makes the value
+    /// of `instead_of` needless, what waits for that value waits for this
+    /// entry.
+    void write(entry what, std::string const& instead_of = {});
     /// Writes the value that `key` has when the commit is made. Asked for again
     /// while it waits, it is still written once: what waits is bounded by the
     /// number of keys, however slow the commits are. `on_durable` of the first
     /// request that waits is called.
-    void write_latest(std::string const& key,
+    void write_latest(write_rank rank,
+                      std::string const& key,
                       value_source value,
-                      std::function<void(common::time_point)> on_durable = {});
-    /// Runs `then` once everything written so far is durable.
-    void after_all(std::function<void(common::time_point)> then);
+                      durable_handler on_durable = {});
+    /// Runs `then` once everything asked for so far is durable.
+    void after_all(durable_handler then);
     void tick(common::time_point now);
     bool idle() const noexcept;
     /// Entries that are not durable yet.
@@ -76,26 +91,46 @@
         std::string latest; ///< Key of `value`; empty: none.
         value_source value;
         common::time_point since{};
+        std::uint64_t number = 0;        ///< Rises with each entry.
         std::optional<std::string> text; ///< As it was last asked for.
 
         void refresh();
         std::size_t changes() const noexcept;
     };
 
+    struct barrier
+    {
+        std::uint64_t number = 0; ///< Of the last entry that it waits for.
+        durable_handler then;
+    };
+
+    void enqueue(write_rank rank, queued what);
+    std::deque<queued>& waiting_of(write_rank rank) noexcept;
+    /// Calls `look` with each entry that is not durable.
+    template<class Look>
+    void for_each(Look look) const;
+    /// The one of the lowest number; null where everything is durable.
+    queued const* oldest() const noexcept;
+    void pass_barriers(common::time_point now);
     void read_revision();
     void commit(common::time_point now);
-    void take_waiting();
+    void refresh_in_flight();
+    void take_waiting(write_rank rank, std::size_t most);
     ports::kv_commit changes_in_flight() const;
     void on_commit(common::time_point now, ports::kv_reply const& reply);
+    void committed(common::time_point now, std::uint64_t revision);
 
     ledger_settings settings_;
     claim& claim_;
     outbox& out_;
     scope life_ = std::make_shared<char>();
-    std::deque<queued> waiting_;
+    std::deque<queued> results_;
+    std::deque<queued> records_;
     std::vector<queued> in_flight_;
-    std::set<std::string> latest_; ///< Keys in `waiting_` to be asked for.
+    std::deque<barrier> barriers_;
+    std::set<std::string> latest_; ///< Keys that wait to be asked for.
     common::time_point ticked_{};  ///< The last tick.
+    std::uint64_t last_entry_ = 0;
     bool busy_ = false;
     bool revision_known_ = false;
     std::uint64_t revision_ = 0;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -426,7 +426,8 @@
     {
         return;
     }
-    ledger_.write_latest(keys::progress(run.spec.id),
+    ledger_.write_latest(write_rank::record,
+                         keys::progress(run.spec.id),
                          [this, id = run.spec.id]
                          {
                              return progress_record(id);
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -52,6 +52,7 @@
     next_backlog_ = now + backlog_interval;
     backlog_writing_ = true;
     ledger_.write_latest(
+        write_rank::result,
         std::string(keys::backlog),
         [this]
         {
