An end is acknowledged once its record, or what replaces it, is durable

A task ran again after it was done.

Cause: the record of a job's progress is not written any more once the job's end is on its way, since that erases it. But the end may need a later commit, and what waited for the record, the acknowledgement of an end to its worker, counted it as durable. An owner that died between the two left a job without a record, and a worker that had forgotten.

Now an entry that makes a record needless stands for it: whatever waits for that record waits for the entry. Ruled out: writing the record all the same (three changes a job in place of two, for a record that the next commit erases).

--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -29,9 +29,24 @@
     std::for_each(records_.begin(), records_.end(), look);
 }
 
-void ledger::write(entry what)
+// Acknowledged once the needless record is out of the way, an end would be lost
+// with this owner while the entry still waits.
+void ledger::write(entry what, std::string const& instead_of)
 {
     enqueue(write_rank::result, {std::move(what), {}, {}, {}, {}, {}});
+    if (instead_of.empty())
+    {
+        return;
+    }
+    auto& number = results_.back().number;
+    for_each(
+        [&number, &instead_of](queued const& each)
+        {
+            if (each.latest == instead_of)
+            {
+                number = std::min(number, each.number);
+            }
+        });
 }
 
 void ledger::write_latest(write_rank rank,
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -91,7 +91,8 @@
         std::string latest; ///< Key of `value`; empty: none.
         value_source value;
         common::time_point since{};
-        std::uint64_t number = 0;        ///< Rises with each entry.
+        /// Rises with each entry, but for one that stands for an earlier one.
+        std::uint64_t number = 0;
         std::optional<std::string> text; ///< As it was last asked for.
 
         void refresh();
--- a/tests/unit/pool/backlog_test.cpp
+++ b/tests/unit/pool/backlog_test.cpp
@@ -166,3 +166,22 @@
     world.run(6s);
     expect_at_least_half(world, 20);
 }
+
+// An end was acknowledged to its worker before the record of its job's end was
+// durable, and the next owner ran the task again.
+TEST(pool_backlog, an_end_is_acknowledged_once_its_record_is_durable)
+{
+    for (std::size_t step = 0; step < 40; ++step)
+    {
+        pool_world world(instances, 16);
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        auto const other = other_than(owner);
+        world.set_commit_delay(owner, 400ms);
+        submit_many(world, other, "job", 100, chained_job(100ms));
+        world.run(1s + step * 50ms);
+        world.kill(owner);
+        world.run(10s);
+        EXPECT_EQ(world.violation(), "") << "killed at step " << step;
+    }
+}
