Five tests of what an owner tells late, or asks without end

An owner whose watches for jobs get no answer, while its claim is renewed, tells 1 of 21 waiting jobs five seconds after they were accepted, and so do the others from its record; a job accepted then has not started 15 s later. While the store takes no record, eight ends make 15 entries after 5 s and 43 after 15 s. A store or a worker that refuses at once is asked 250 and 971 times a second.

No functional change

--- /dev/null
+++ b/tests/unit/pool/staleness_test.cpp
@@ -0,0 +1,165 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia::tests::unit::pool;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+constexpr std::size_t instances = 3;
+
+bool settled(pool_world& world)
+{
+    return world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+}
+
+std::size_t other_than(std::size_t number)
+{
+    return number == 0 ? 1 : 0;
+}
+
+void submit_many(pool_world& world, std::size_t at, std::size_t count)
+{
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        world.submit(at, "later" + std::to_string(number), simple_job(1, 1s));
+    }
+}
+
+bool watches_jobs(ports::kv_operation const& call)
+{
+    auto const* const watch = std::get_if<ports::kv_watch>(&call);
+    return watch != nullptr && watch->prefix == "pool/";
+}
+
+// From now on no watch of the owner for jobs gets an answer.
+void deafen(pool_world& world, std::size_t owner)
+{
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const& call)
+    {
+        return instance == owner && watches_jobs(call) ? fate::lost
+                                                       : fate::carried_out;
+    };
+}
+
+} // namespace
+
+// An owner that renews its claim and hears of no new job told its old count as
+// the present one, and recorded it for the others to tell.
+TEST(pool_staleness, counts_of_an_owner_that_hears_of_no_jobs_are_not_told)
+{
+    pool_world world(instances, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    world.submit(other, "fills", simple_job(8, 60s));
+    world.run(1s);
+    world.submit(other, "first", simple_job(1, 1s));
+    world.run(2s);
+    ASSERT_EQ(world.waiting_told(other), 1U);
+    deafen(world, owner);
+    // A watch that waits already may still be answered.
+    world.run(2s);
+    submit_many(world, other, 20);
+    world.run(5s);
+    for (std::size_t number = 0; number < instances; ++number)
+    {
+        auto const told = world.waiting_told(number);
+        EXPECT_TRUE(!told || *told * 2 >= 21)
+            << "instance " << number << " tells " << told.value_or(0);
+    }
+}
+
+// An owner that renews its claim and hears of no new job kept both for good.
+TEST(pool_staleness, an_owner_that_hears_of_no_jobs_gives_the_claim_up)
+{
+    pool_world world(instances);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    deafen(world, owner);
+    // A watch that waits already may still be answered.
+    world.run(2s);
+    submit_many(world, other_than(owner), 1);
+    EXPECT_TRUE(world.run_until(
+        [&world, owner]
+        {
+            return world.state(other_than(owner), "later0") ==
+                   ports::job_state::completed;
+        },
+        15s));
+}
+
+// While the store took no record, each look at a worker queued one more
+// acknowledgement of the same ends.
+TEST(pool_staleness, ends_that_wait_for_their_record_wait_once)
+{
+    pool_world world(instances);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(1s);
+    world.submit(other_than(owner), "a", simple_job(8, 100ms));
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const& call)
+    {
+        bool const commits = std::holds_alternative<ports::kv_commit>(call);
+        return instance == owner && commits ? fate::refused : fate::carried_out;
+    };
+    world.run(5s);
+    auto const& commits = world.scheduler(owner).commits();
+    auto const after_a_while = commits.waiting();
+    EXPECT_GE(after_a_while, world.worker_count());
+    world.run(10s);
+    EXPECT_EQ(commits.waiting(), after_a_while);
+}
+
+// An owner that the store turned away asked it again without a pause, hundreds
+// of times a second.
+TEST(pool_staleness, a_store_that_turns_the_owner_away_is_asked_with_pauses)
+{
+    pool_world world(instances);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    std::size_t asked = 0;
+    world.store_fault =
+        [owner, &asked](std::size_t instance, ports::kv_operation const& call)
+    {
+        bool const hit = instance == owner && watches_jobs(call);
+        asked += hit ? 1U : 0U;
+        return hit ? fate::refused : fate::carried_out;
+    };
+    world.run(3s);
+    asked = 0;
+    world.run(1s);
+    EXPECT_GT(asked, 0U);
+    EXPECT_LE(asked, 20U);
+}
+
+// A stop that its worker refused was sent again without a pause, hundreds of
+// times a second for each task.
+TEST(pool_staleness, a_worker_that_refuses_a_stop_is_asked_with_pauses)
+{
+    pool_world world(instances, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.submit(owner, "a", simple_job(1, 60s));
+    world.run(1s);
+    ASSERT_EQ(world.worker(0).running(), 1U);
+    std::size_t asked = 0;
+    world.worker_fault =
+        [&asked](std::size_t, std::size_t, ports::pool_operation const& call)
+    {
+        asked += std::holds_alternative<ports::stop_order>(call) ? 1U : 0U;
+        return fate::refused;
+    };
+    world.cancel(owner, "a");
+    world.run(1s);
+    EXPECT_GT(asked, 0U);
+    EXPECT_LE(asked, 20U);
+}
