An owner that the store turns away asks again after a pause

Callers saw nothing of it directly; whoever pays for calls did, and an owner on a tenth of a core had less of it for everything else. Cause: a watch, a page of the state or the roster that came back refused was asked for again in the same moment; a store that refuses within 4 ms got 250 watches a second from one owner in the test's world. They now wait 0.1 s, as the ledger, the claim and the operators' range do, and go out with the owner's tick.

Ruled out: a pause for refusals alone. A channel that is reset at once is told as unclear and would go round as fast. A watch that timed out after 1.9 s is asked again 0.1 s later than before.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -46,6 +46,7 @@
         ledger_.tick(now);
         return;
     }
+    ask_again(now);
     if (now >= next_list_ && !listing_)
     {
         read_list(now);
@@ -108,6 +109,24 @@
     }
 }
 
+// Who refuses answers within milliseconds. Asked at once, and again, it would
+// take the processor and the calls that everything else needs.
+void owner::again_soon(common::time_point now,
+                       std::function<void(common::time_point)> what)
+{
+    again_.emplace_back(now + settings_.refused_pause, std::move(what));
+}
+
+void owner::ask_again(common::time_point now)
+{
+    while (!again_.empty() && again_.front().first <= now)
+    {
+        auto const what = std::move(again_.front().second);
+        again_.pop_front();
+        what(now);
+    }
+}
+
 void owner::on_operators(common::time_point now)
 {
     if (loaded_ && !stopped_)
@@ -174,8 +193,11 @@
     }
     if (reply.status != kv_status::done)
     {
-        // An endless retry against a silent store costs one call a second.
-        watch();
+        again_soon(now,
+                   [this](common::time_point)
+                   {
+                       watch();
+                   });
         return;
     }
     watched_ = std::max(watched_, reply.revision);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -11,6 +11,7 @@
 #include "core/pool/regroup.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -54,6 +55,8 @@
     /// At least so long between two rounds. Against half of a first start,
     /// which comes 18 ms after its job, it is little.
     common::duration dispatch_pause = std::chrono::milliseconds(10);
+    /// Before what was refused, or got no answer, is asked again.
+    common::duration refused_pause = std::chrono::milliseconds(100);
     /// After a refusal for want of room.
     common::duration full_pause = std::chrono::milliseconds(100);
     /// A worker on which tasks of this many jobs failed in a row is avoided.
@@ -127,6 +130,10 @@
 
     // owner.cpp: its clock, and jobs as they come.
     void give_up_loading(common::time_point now);
+    /// Runs `what` at the first tick after a pause.
+    void again_soon(common::time_point now,
+                    std::function<void(common::time_point)> what);
+    void ask_again(common::time_point now);
     void watch();
     void on_watch(common::time_point now, ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
@@ -425,6 +432,10 @@
     common::time_point advanced_{}; ///< When the last page came.
     std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
     common::time_point heard_{};    ///< When the last watch was answered.
+    /// What is asked again, and when, the earliest first.
+    std::deque<
+        std::pair<common::time_point, std::function<void(common::time_point)>>>
+        again_;
     std::vector<ports::kv_item> progress_items_;
     std::vector<ports::kv_item> job_items_;
     std::uint32_t parts_ = 0; ///< Parts of the state that are still loading.
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -27,7 +27,12 @@
                {
                    if (reply.status != kv_status::done)
                    {
-                       load_pages(prefix, after, take, done);
+                       again_soon(
+                           now,
+                           [this, prefix, after, take, done](common::time_point)
+                           {
+                               load_pages(prefix, after, take, done);
+                           });
                        return;
                    }
                    advanced_ = now;
@@ -121,7 +126,11 @@
                    if (reply.status != kv_status::done &&
                        reply.status != kv_status::missing)
                    {
-                       load_roster();
+                       again_soon(now,
+                                  [this](common::time_point)
+                                  {
+                                      load_roster();
+                                  });
                        return;
                    }
                    common::failure reason;
