A stop that got no answer is repeated after a pause

Cause: a stop was repeated in the same moment until its worker took it. Stops now wait 0.1 s between two tries. Why it holds: the same queue as for the store, one place a stop, and a stop whose run has ended or was given up meanwhile is not sent.

Ruled out: a pause before the first stop, which still goes out at once; a later start, since the next attempt waits for a taken stop and a hold, as before.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -235,6 +235,7 @@
     void order_stop(common::time_point now,
                     std::string const& id,
                     ports::task_run const& what);
+    task* find_stopping(std::string const& id, ports::task_run const& what);
     void fenced(std::string const& by);
 
     // owner_rows.cpp: what a worker tells of its runs and of their ends.
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -259,11 +259,8 @@
                        fenced(id);
                        return;
                    }
-                   auto const [run, each] = find_task(what.task);
-                   bool const ours =
-                       each != nullptr && each->phase == task_phase::stopping &&
-                       each->worker == id && each->attempt == what.attempt;
-                   if (!ours)
+                   auto* const each = find_stopping(id, what);
+                   if (each == nullptr)
                    {
                        return;
                    }
@@ -274,10 +271,27 @@
                        each->started = at;
                        return;
                    }
-                   order_stop(at, id, what);
+                   again_soon(at,
+                              [this, id, what](common::time_point then)
+                              {
+                                  if (find_stopping(id, what) != nullptr)
+                                  {
+                                      order_stop(then, id, what);
+                                  }
+                              });
                });
 }
 
+// Null where its worker has told its end, or was given up.
+task* owner::find_stopping(std::string const& id, ports::task_run const& what)
+{
+    auto const [run, each] = find_task(what.task);
+    bool const stopping = each != nullptr &&
+                          each->phase == task_phase::stopping &&
+                          each->worker == id && each->attempt == what.attempt;
+    return stopping ? each : nullptr;
+}
+
 void owner::fenced(std::string const& by)
 {
     claim_.lose("worker " + by + " has seen a later owner");
