Ends whose record waits are asked for once

Callers see ends, and counts of waiting jobs, late where the owner's queue of entries is long. One source of its length: a worker lists its ends again at each look, every 0.35 s while they are not acknowledged, and each look queued one more acknowledgement of the same ends. Now a worker has one acknowledgement on its way for the highest end that it listed. Why it holds: the record of an end is queued before the first acknowledgement that covers it, so a second one adds nothing; a new incarnation of the worker forgets what was on its way for the old one.

Ruled out: the length on its own as the cause of the counts told too low; the records of ends and their order are another fault, mended elsewhere. The time from an end to its record was measured once a look, most of the samples too short; it is now measured once.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -69,6 +69,7 @@
 
     std::uint64_t seen = 0;       ///< Ends that are durable.
     std::uint64_t listed_end = 0; ///< The highest end that was taken in.
+    std::uint64_t writing = 0;    ///< Ends whose record is on its way.
     bool holding = false;         ///< A hold is on its way.
     common::time_point next_hold{};
     common::time_point contact{}; ///< Last answer to a hold.
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -19,6 +19,7 @@
     of.born = born;
     of.seen = 0;
     of.listed_end = 0;
+    of.writing = 0;
     of.until_ms = 0;
     of.failed_jobs.clear();
     out_.log(severity::info,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -137,9 +137,15 @@
 // What was just learned is written before the end is acknowledged: an end that
 // a worker has forgotten and the store does not hold is lost, and the next
 // owner runs that task again. Asked before that, the worker would list the same
-// ends at once.
+// ends at once. What it lists again while their record waits is asked for once.
 void owner::acknowledge_ends(common::time_point now, worker& of)
 {
+    of.next_hold = now + settings_.guarded_wait;
+    if (of.writing == of.listed_end)
+    {
+        return;
+    }
+    of.writing = of.listed_end;
     save_all_progress();
     ledger_.after_all(
         [this, id = of.info.id, now, born = of.born, number = of.listed_end](
@@ -154,7 +160,6 @@
                 told->next_hold = at;
             }
         });
-    of.next_hold = now + settings_.guarded_wait;
 }
 
 // A worker that fails tasks of several jobs in a row, with no success between,
