An owner that hears of no jobs gives the claim up

Callers saw 1 waiting job of 21, from the owner's memory and from its record alike, five seconds after the others were accepted; a job that was accepted then had not started 15 s later. Cause: an owner whose watch for jobs gets no answer while its claim is renewed kept the claim for good. Its record is young and of the present epoch, so neither age nor epoch shows it; nothing bounded how long ago it had heard. Channels that fall silent one by one, or an answer that takes longer than its 1.9 s, do that.

Now an owner that has heard nothing for 4 s, while the store answered its renewals, hands the claim over. Why it holds: whoever takes over reads all jobs by pages, which needs no watch. 4 s let one watch get lost (1.9 s, and 1.4 s for the next from a slow store) and leave a second of the 5 s in which accepted jobs have to be counted. While the store is silent altogether the time does not run, so services outlive its outage as before, and an owner that was frozen or starved has old renewals too and waits.

Ruled out: not telling alone, which leaves the jobs where they are; giving up on the first lost watch, since takeovers cost more than it. Not covered: watches that are answered with nothing although there is something.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -56,6 +56,7 @@
         give_up_loading(now);
         return;
     }
+    give_up_deaf(now);
     check_silent(now);
     settle(now);
     hold_workers(now);
@@ -109,6 +110,22 @@
     }
 }
 
+// An owner that hears of no job starts none and tells old counts as the present
+// ones, and with a claim that is renewed nobody takes its place. While the
+// store is silent altogether, a successor would hear no more.
+void owner::give_up_deaf(common::time_point now)
+{
+    if (now - claim_.confirmed() >= settings_.workers.alone_limit)
+    {
+        silenced_ = now;
+    }
+    if (now - std::max({heard_, advanced_, silenced_}) >
+        settings_.deaf_patience)
+    {
+        claim_.hand_over(now, "no watch for jobs is answered");
+    }
+}
+
 // Who refuses answers within milliseconds. Asked at once, and again, it would
 // take the processor and the calls that everything else needs.
 void owner::again_soon(common::time_point now,
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -36,6 +36,11 @@
     common::duration page_timeout = std::chrono::seconds(5);
     /// An owner that gets no part of the state for this long gives up.
     common::duration load_patience = std::chrono::seconds(6);
+    /// An owner whose watches for jobs bring nothing for this long while the
+    /// store renews its claim gives up. One watch may get lost; a successor,
+    /// within a second, still tells of what came meanwhile within the 5 s in
+    /// which accepted jobs have to be counted.
+    common::duration deaf_patience = std::chrono::seconds(4);
     /// Between two looks at the platform's list of workers. A leaving worker
     /// may get no new task 2 s after it said so.
     common::duration list_interval = std::chrono::milliseconds(500);
@@ -130,6 +135,7 @@
 
     // owner.cpp: its clock, and jobs as they come.
     void give_up_loading(common::time_point now);
+    void give_up_deaf(common::time_point now);
     /// Runs `what` at the first tick after a pause.
     void again_soon(common::time_point now,
                     std::function<void(common::time_point)> what);
@@ -433,6 +439,7 @@
     common::time_point advanced_{}; ///< When the last page came.
     std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
     common::time_point heard_{};    ///< When the last watch was answered.
+    common::time_point silenced_{}; ///< The store did not renew the claim then.
     /// What is asked again, and when, the earliest first.
     std::deque<
         std::pair<common::time_point, std::function<void(common::time_point)>>>
