--- a/src/ports/kv.hpp
+++ b/src/ports/kv.hpp
@@ -103,7 +103,7 @@
     done,
     conflict,  ///< A commit's condition did not hold; nothing was changed.
     missing,   ///< No such key or lease.
-    compacted, ///< The history that a watch asked for is gone.
+    compacted, ///< A watch is to read anew: its history is gone, or too long.
     refused,   ///< The store, or the way to it, did nothing.
     unclear,   ///< No answer: it may have taken effect, or may yet.
 };
