--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -46,6 +46,7 @@
         ledger_.tick(now);
         return;
     }
+    ask_again(now);
     if (now >= next_list_ && !listing_)
     {
         read_list(now);
@@ -55,6 +56,7 @@
         give_up_loading(now);
         return;
     }
+    give_up_deaf(now);
     check_silent(now);
     settle(now);
     hold_workers(now);
@@ -108,6 +110,40 @@
     }
 }
 
+// An owner that hears of no job starts none and tells old counts as the present
+// ones, and with a claim that is renewed nobody takes its place. While the
+// store is silent altogether, a successor would hear no more.
+void owner::give_up_deaf(common::time_point now)
+{
+    if (now - claim_.confirmed() >= settings_.workers.alone_limit)
+    {
+        silenced_ = now;
+    }
+    if (now - std::max({heard_, advanced_, silenced_}) >
+        settings_.deaf_patience)
+    {
+        claim_.hand_over(now, "no watch for jobs is answered");
+    }
+}
+
+// Who refuses answers within milliseconds. Asked at once, and again, it would
+// take the processor and the calls that everything else needs.
+void owner::again_soon(common::time_point now,
+                       std::function<void(common::time_point)> what)
+{
+    again_.emplace_back(now + settings_.refused_pause, std::move(what));
+}
+
+void owner::ask_again(common::time_point now)
+{
+    while (!again_.empty() && again_.front().first <= now)
+    {
+        auto const what = std::move(again_.front().second);
+        again_.pop_front();
+        what(now);
+    }
+}
+
 void owner::on_operators(common::time_point now)
 {
     if (loaded_ && !stopped_)
@@ -176,8 +212,11 @@
     }
     if (reply.status != kv_status::done)
     {
-        // An endless retry against a silent store costs one call a second.
-        watch(now);
+        again_soon(now,
+                   [this](common::time_point then)
+                   {
+                       watch(then);
+                   });
         return;
     }
     watched_ = std::max(watched_, reply.revision);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -12,6 +12,7 @@
 #include "core/pool/regroup.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -36,6 +37,9 @@
     common::duration page_timeout = std::chrono::seconds(5);
     /// An owner that gets no part of the state for this long gives up.
     common::duration load_patience = std::chrono::seconds(6);
+    /// An owner whose watches for jobs bring nothing for this long while the
+    /// store renews its claim gives up. One watch may get lost.
+    common::duration deaf_patience = std::chrono::seconds(5);
     /// Between two looks at the platform's list of workers. A leaving worker
     /// may get no new task 2 s after it said so.
     common::duration list_interval = std::chrono::milliseconds(500);
@@ -55,6 +59,8 @@
     /// At least so long between two rounds. Against half of a first start,
     /// which comes 18 ms after its job, it is little.
     common::duration dispatch_pause = std::chrono::milliseconds(10);
+    /// Before what was refused, or got no answer, is asked again.
+    common::duration refused_pause = std::chrono::milliseconds(100);
     /// After a refusal for want of room.
     common::duration full_pause = std::chrono::milliseconds(100);
     /// A worker on which tasks of this many jobs failed in a row is avoided.
@@ -133,6 +139,11 @@
 
     // owner.cpp: its clock, and jobs as they come.
     void give_up_loading(common::time_point now);
+    void give_up_deaf(common::time_point now);
+    /// Runs `what` at the first tick after a pause.
+    void again_soon(common::time_point now,
+                    std::function<void(common::time_point)> what);
+    void ask_again(common::time_point now);
     void watch(common::time_point now);
     void on_watch(common::time_point now,
                   common::time_point asked,
@@ -238,6 +249,7 @@
     void order_stop(common::time_point now,
                     std::string const& id,
                     ports::task_run const& what);
+    task* find_stopping(std::string const& id, ports::task_run const& what);
     void fenced(std::string const& by);
 
     // owner_rows.cpp: what a worker tells of its runs and of their ends.
@@ -435,6 +447,11 @@
     common::time_point advanced_{}; ///< When the last page came.
     std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
     common::time_point heard_{};    ///< When the last answered watch was asked.
+    common::time_point silenced_{}; ///< The store did not renew the claim then.
+    /// What is asked again, and when, the earliest first.
+    std::deque<
+        std::pair<common::time_point, std::function<void(common::time_point)>>>
+        again_;
     std::vector<ports::kv_item> progress_items_;
     std::vector<ports::kv_item> job_items_;
     std::uint32_t parts_ = 0; ///< Parts of the state that are still loading.
