Failed runs take a line each two seconds, but where they end a job

On call only the last 58 KB of an owner were at hand: on a pool of 350 workers its last 4 to 10 s, so what it did ten seconds before a failure was gone. A third of that, 4 KB a second, were lines of single failed runs, of which 96% were the first of their task and ended no job.

All failed runs are counted now in `tasks_failed`, a line each two seconds with the workers that fail most. A single line is kept from the second failure of a task on (of a gang: of any member), or where the queue has one attempt only; it names the workers of the failures before. So a failed job's `job_failing` still has lines for all its attempts beside it. `worker_suspected` names the jobs whose runs failed there. `task` says the job's id no more, which stands before it.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -29,8 +29,9 @@
              outbox& out,
              common::time_point now)
     : settings_(settings), words_(words), operators_(operators), claim_(held),
-      out_(out), ledger_(settings.commits, held, out), fleet_(settings.workers),
-      colocation_(settings.sharing), began_(now), parts_(parts_to_load)
+      out_(out), digest_(out), ledger_(settings.commits, held, out),
+      fleet_(settings.workers), colocation_(settings.sharing), began_(now),
+      parts_(parts_to_load)
 {
     load_roster();
     load_jobs();
@@ -41,6 +42,7 @@
 
 void owner::tick(common::time_point now)
 {
+    digest_.tick(now);
     if (stopped_)
     {
         ledger_.tick(now);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -6,6 +6,7 @@
 #include "core/pool/fleet.hpp"
 #include "core/pool/job_run.hpp"
 #include "core/pool/ledger.hpp"
+#include "core/pool/log_digest.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/pool_view.hpp"
 #include "core/pool/regroup.hpp"
@@ -257,6 +258,10 @@
                        ports::task_run const& what);
     void
     take_end(common::time_point now, worker& of, ports::ended_row const& row);
+    void log_failure(common::time_point now,
+                     worker const& of,
+                     job_run const& run,
+                     ports::task_run const& what);
     void take_failure(common::time_point now,
                       worker& of,
                       job_run& run,
@@ -406,6 +411,7 @@
     claim& claim_;
     outbox& out_;
     scope life_ = std::make_shared<char>();
+    log_digest digest_;
     ledger ledger_;
     fleet fleet_;
     colocation colocation_;
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -25,6 +25,36 @@
     return names[static_cast<std::size_t>(how)];
 }
 
+/// What went wrong with earlier attempts of a task; of a gang, of any member.
+struct earlier_failures
+{
+    bool failed = false;
+    std::string workers; ///< As far as this owner saw them: "w1,w2".
+};
+
+earlier_failures failed_before(job_run const& run, ports::task_name const& name)
+{
+    auto const& tasks = run.occurrences[name.occurrence].steps[name.step].tasks;
+    bool const gang = run.step_of(name).gang;
+    earlier_failures made;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index)
+    {
+        if (!gang && index != name.index)
+        {
+            continue;
+        }
+        auto const& each = tasks[index];
+        made.failed =
+            made.failed || !each.failures.empty() || !each.failed_on.empty();
+        for (auto const& worker : each.failed_on)
+        {
+            made.workers += made.workers.empty() ? "" : ",";
+            made.workers += worker;
+        }
+    }
+    return made;
+}
+
 } // namespace
 
 void owner::take_rows(common::time_point now,
@@ -257,6 +287,25 @@
     task_over(now, *run, name);
 }
 
+// One failed run changes little and many jobs have one. From the second on they
+// lead to the end of the job.
+void owner::log_failure(common::time_point now,
+                        worker const& of,
+                        job_run const& run,
+                        ports::task_run const& what)
+{
+    digest_.task_failed(now, of.info.id);
+    auto const before = failed_before(run, what.task);
+    if (before.failed || run.rules.attempts <= 1)
+    {
+        log_task(severity::info,
+                 "task_failed",
+                 what,
+                 of.info.id,
+                 {{"failed_before_on", before.workers}});
+    }
+}
+
 // A failure that was counted already is told again by a worker that did not
 // hear of it.
 void owner::take_failure(common::time_point now,
@@ -278,7 +327,7 @@
     {
         return;
     }
-    log_task(severity::info, "task_failed", what, of.info.id);
+    log_failure(now, of, run, what);
     each.worker = of.info.id;
     blame(now, of, what.task.job);
     if (current)
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -16,8 +16,8 @@
 
 std::string text_of(ports::task_name const& name)
 {
-    return name.job + "." + std::to_string(name.occurrence) + "." +
-           std::to_string(name.step) + "." + std::to_string(name.index);
+    return std::to_string(name.occurrence) + "." + std::to_string(name.step) +
+           "." + std::to_string(name.index);
 }
 
 } // namespace
@@ -170,10 +170,14 @@
     {
         return;
     }
-    out_.log(
-        severity::warning,
-        "worker_suspected",
-        {{"worker", of.info.id}, {"failed_jobs", std::to_string(jobs.size())}});
+    std::string names;
+    for (auto const& each : jobs)
+    {
+        names += names.empty() ? each : "," + each;
+    }
+    out_.log(severity::warning,
+             "worker_suspected",
+             {{"worker", of.info.id}, {"failed_jobs", names}});
     of.avoid_until = now + settings_.suspect_pause;
     jobs.clear();
 }
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -50,6 +50,7 @@
 {
     task_script made;
     made.fails = spec.find("fail") != std::string_view::npos;
+    made.fails_once = spec.find("fail_first") != std::string_view::npos;
     made.lasts = spec.find("lasts") != std::string_view::npos;
     made.work_ms = number_in(spec, "work=", made.work_ms);
     made.tail_ms = number_in(spec, "tail=", 0);
@@ -112,8 +113,9 @@
             now - each.began >= std::chrono::milliseconds(each.script.work_ms);
         if (done)
         {
-            over.emplace_back(
-                task, each.script.fails ? end_kind::failed : end_kind::done);
+            bool const fails = each.script.fails &&
+                               (!each.script.fails_once || each.attempt == 1);
+            over.emplace_back(task, fails ? end_kind::failed : end_kind::done);
         }
         else if (lapsed)
         {
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -11,7 +11,8 @@
 {
 
 /// What a task does, as its job's spec says: "work=500" (milliseconds),
-/// "fail" (after its work), "lasts" (until it is stopped), "tail=20" (it
+/// "fail" (after its work), "fail_first" (the same, only its first attempt),
+/// "lasts" (until it is stopped), "tail=20" (it
 /// serves, and that is its tail alone, in milliseconds), "strain=30" (what it
 /// adds to the tails of tasks that serve beside it), "cores=1000" (thousandths
 /// that it uses), divided by spaces.
@@ -19,6 +20,7 @@
 {
     std::uint64_t work_ms = 100;
     bool fails = false;
+    bool fails_once = false; ///< Attempts after the first don't.
     bool lasts = false;
     std::uint64_t tail_ms = 0; ///< 0: it serves nobody.
     std::uint64_t strain_ms = 0;
--- /dev/null
+++ b/tests/unit/pool/log_volume_test.cpp
@@ -0,0 +1,130 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia::tests::unit::pool;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+// Time, level, program and the spaces between them; what a collector puts
+// before each line.
+constexpr std::size_t line_start = 43 + 25;
+
+bool settled(pool_world& world)
+{
+    return world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+}
+
+struct volume
+{
+    std::size_t lines = 0;
+    std::size_t bytes = 0;
+};
+
+// Of lines that instance `of` logged since `since`; of one event where one is
+// named.
+volume written(pool_world const& world,
+               std::size_t of,
+               time_point since,
+               std::string const& event = "")
+{
+    volume made;
+    for (auto const& line : world.log())
+    {
+        bool const counts = line.instance == of && line.when >= since &&
+                            (event.empty() || line.what.event == event);
+        made.lines += counts ? 1U : 0U;
+        made.bytes += counts ? line_start + text_of(line).size() : 0U;
+    }
+    return made;
+}
+
+// The lines of an event that say `what`.
+std::vector<std::string> lines_with(pool_world const& world,
+                                    std::string const& event,
+                                    std::string const& what)
+{
+    std::vector<std::string> found;
+    for (auto const& line : world.log())
+    {
+        auto const text = text_of(line);
+        if (line.what.event == event && text.find(what) != std::string::npos)
+        {
+            found.push_back(text);
+        }
+    }
+    return found;
+}
+
+// As long as a real one.
+std::string job_id(std::size_t number)
+{
+    auto const digits = std::to_string(number);
+    return std::string(16 - digits.size(), 'a') + digits;
+}
+
+fuchsia::core::pool::job failing_job(std::string const& how)
+{
+    auto made = simple_job(2, 300ms);
+    made.spec += " " + how;
+    return made;
+}
+
+} // namespace
+
+// A line for each failed run filled the output of a pool where a tenth of the
+// runs fails, and it held no more than the last seconds.
+TEST(pool_log, failures_that_end_no_job_take_few_lines)
+{
+    constexpr std::size_t jobs_a_second = 15;
+    constexpr std::size_t seconds = 20;
+    pool_world world(2, 40);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const since = world.now();
+    for (std::size_t number = 0; number < jobs_a_second * seconds; ++number)
+    {
+        world.submit(1 - owner, job_id(number), failing_job("fail_first"));
+        world.run(1000ms / jobs_a_second);
+    }
+    auto const runs = world.scheduler(owner).counters().tasks_failed;
+    ASSERT_GT(runs, jobs_a_second * seconds);
+    auto const single = written(world, owner, since, "task_failed");
+    auto const gathered = written(world, owner, since, "tasks_failed");
+    EXPECT_LE(single.bytes + gathered.bytes, 100 * seconds)
+        << single.lines << " and " << gathered.lines << " lines for " << runs
+        << " failed runs";
+    EXPECT_GT(gathered.lines, 0U);
+}
+
+// A job had failed and no line said on which workers its attempts had been.
+TEST(pool_log, names_the_workers_of_all_attempts_of_a_failed_job)
+{
+    pool_world world(2, 4);
+    ASSERT_TRUE(settled(world));
+    auto what = failing_job("fail");
+    what.steps.front().count = 1;
+    world.submit(0, "failing", what);
+    ASSERT_TRUE(world.run_until(
+        [&world]
+        {
+            return !lines_with(world, "job_ended", "job=failing").empty();
+        }));
+    ASSERT_EQ(lines_with(world, "job_failing", "job=failing").size(), 1U);
+    auto const failures = lines_with(world, "task_failed", "job=failing");
+    ASSERT_FALSE(failures.empty());
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        auto const& begun = world.worker(number).begun();
+        auto const name = "w" + std::to_string(number);
+        EXPECT_TRUE(begun.empty() ||
+                    failures.back().find(name) != std::string::npos)
+            << name << " is not in " << failures.back();
+    }
+}
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -338,6 +338,21 @@
     return instances_[instance].stopped;
 }
 
+std::vector<logged_line> const& pool_world::log() const noexcept
+{
+    return log_;
+}
+
+std::string text_of(logged_line const& line)
+{
+    auto made = line.what.event;
+    for (auto const& field : line.what.fields)
+    {
+        made += " " + field.name + "=" + field.value;
+    }
+    return made;
+}
+
 void pool_world::deliver(std::size_t number,
                          std::function<void(core::pool::engine&)> const& what)
 {
@@ -386,6 +401,11 @@
         {
             answers_[reply->caller] = reply->answer;
         }
+        else if (auto const* const line =
+                     std::get_if<ports::log_event>(&action))
+        {
+            log_.push_back({now(), number, *line});
+        }
         else if (std::holds_alternative<ports::stop_complete>(action))
         {
             instances_[number].stopped = true;
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -36,6 +36,17 @@
     slow, ///< Carried out and answered 2 s later, if the caller waits so long.
 };
 
+/// A line that an instance logged.
+struct logged_line
+{
+    time_point when{};
+    std::size_t instance = 0;
+    ports::log_event what;
+};
+
+/// As it is written, behind time, level and program.
+std::string text_of(logged_line const& line);
+
 class pool_world
 {
 public:
@@ -96,6 +107,8 @@
     std::string const& violation() const noexcept;
     time_point now() const noexcept;
     bool stopped(std::size_t instance) const;
+    /// All that instances logged, in order.
+    std::vector<logged_line> const& log() const noexcept;
 
 private:
     struct instance
@@ -150,6 +163,7 @@
     std::map<ports::task_name, std::size_t> failed_; ///< Acknowledged failures.
     std::map<std::string, std::size_t> attempts_of_queue_;
     std::string violation_;
+    std::vector<logged_line> log_;
     bool tickets_required_ = false;
     bool policy_busy_ = false;
     std::size_t without_ticket_ = 0;
