A takeover takes a line or two, and names the workers it did not reach

What had led to the takeover was behind it. Which workers had not answered could only be reckoned from those that had.

`workers_adopted` counts who answered within two seconds and names the first three; `takeover_settled` names those that had not answered; a worker that comes back with nothing has a line of its own, `worker_restarted`.

No functional change

--- a/src/core/pool/log_digest.cpp
+++ b/src/core/pool/log_digest.cpp
@@ -9,11 +9,22 @@
 
 using ports::severity;
 
+std::string joined(std::vector<std::string> const& names, std::size_t most)
+{
+    std::string made;
+    for (std::size_t k = 0; k < names.size() && k < most; ++k)
+    {
+        made += k > 0 ? "," : "";
+        made += names[k];
+    }
+    return made;
+}
+
 namespace
 {
 
 constexpr common::duration gathered_for = std::chrono::seconds(2);
-/// Workers that a line of failures names.
+/// Workers that a line names; the rest are counted.
 constexpr std::size_t most_workers = 3;
 
 /// "w1:3,w2:1": the workers with most failures, by number.
@@ -46,6 +57,7 @@
 log_digest::~log_digest()
 {
     write_failures();
+    write_adoptions();
 }
 
 void log_digest::task_failed(common::time_point now, std::string const& worker)
@@ -57,12 +69,26 @@
     ++failures_[worker];
 }
 
+void log_digest::worker_adopted(common::time_point now,
+                                std::string const& worker)
+{
+    if (adopted_.empty())
+    {
+        adopting_since_ = now;
+    }
+    adopted_.push_back(worker);
+}
+
 void log_digest::tick(common::time_point now)
 {
     if (now - failing_since_ >= gathered_for)
     {
         write_failures();
     }
+    if (now - adopting_since_ >= gathered_for)
+    {
+        write_adoptions();
+    }
 }
 
 void log_digest::write_failures()
@@ -84,4 +110,17 @@
     failures_.clear();
 }
 
+void log_digest::write_adoptions()
+{
+    if (adopted_.empty())
+    {
+        return;
+    }
+    out_.log(severity::info,
+             "workers_adopted",
+             {{"workers", std::to_string(adopted_.size())},
+              {"first", joined(adopted_, most_workers)}});
+    adopted_.clear();
+}
+
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -9,6 +9,14 @@
 using ports::end_kind;
 using ports::severity;
 
+namespace
+{
+
+/// Unreached workers that the line of a takeover names.
+constexpr std::size_t most_missing_named = 8;
+
+} // namespace
+
 // Nothing of an earlier incarnation runs any more.
 void owner::new_incarnation(common::time_point now,
                             worker& of,
@@ -21,15 +29,15 @@
     of.listed_end = 0;
     of.until_ms = 0;
     of.failed_jobs.clear();
-    out_.log(severity::info,
-             "worker_adopted",
-             {{"worker", of.info.id},
-              {"born", std::to_string(born)},
-              {"restarted", known ? "true" : "false"}});
     if (known)
     {
+        out_.log(severity::info,
+                 "worker_restarted",
+                 {{"worker", of.info.id}, {"born", std::to_string(born)}});
         forget_runs(now, of, "worker restarted");
+        return;
     }
+    digest_.worker_adopted(now, of.info.id);
 }
 
 // An earlier owner may have started it and seen it end: of a step, too, that is
@@ -74,12 +82,15 @@
     {
         return;
     }
-    std::size_t missing = 0;
+    std::vector<std::string> missing;
     for (auto const& [id, each] : fleet_.all())
     {
-        missing += each.rostered && !each.adopted ? 1U : 0U;
+        if (each.rostered && !each.adopted)
+        {
+            missing.push_back(id);
+        }
     }
-    if (missing > 0 && !waited_for_silence(now))
+    if (!missing.empty() && !waited_for_silence(now))
     {
         return;
     }
@@ -89,7 +100,8 @@
     out_.log(severity::info,
              "takeover_settled",
              {{"epoch", std::to_string(claim_.epoch())},
-              {"unreached", std::to_string(missing)},
+              {"unreached", std::to_string(missing.size())},
+              {"missing", joined(missing, most_missing_named)},
               {"after_ms",
                std::to_string(common::to_milliseconds(now - claim_.since()))}});
     std::vector<std::string> ids;
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -170,14 +170,10 @@
     {
         return;
     }
-    std::string names;
-    for (auto const& each : jobs)
-    {
-        names += names.empty() ? each : "," + each;
-    }
-    out_.log(severity::warning,
-             "worker_suspected",
-             {{"worker", of.info.id}, {"failed_jobs", names}});
+    out_.log(
+        severity::warning,
+        "worker_suspected",
+        {{"worker", of.info.id}, {"failed_jobs", joined(jobs, jobs.size())}});
     of.avoid_until = now + settings_.suspect_pause;
     jobs.clear();
 }
--- a/tests/unit/pool/log_volume_test.cpp
+++ b/tests/unit/pool/log_volume_test.cpp
@@ -128,3 +128,63 @@
             << name << " is not in " << failures.back();
     }
 }
+
+// A takeover wrote a line for each worker that answered, and those took the
+// place of what had led to it.
+TEST(pool_log, a_takeover_takes_few_lines_however_many_workers_answer)
+{
+    pool_world world(2, 300);
+    ASSERT_TRUE(settled(world));
+    auto const old = *world.owner();
+    auto const since = world.now();
+    world.kill(old);
+    ASSERT_TRUE(world.run_until(
+        [&world, old, since]
+        {
+            return written(world, 1 - old, since, "takeover_settled").lines > 0;
+        }));
+    world.run(3s);
+    auto const all = written(world, 1 - old, since);
+    EXPECT_LE(all.bytes, 5'000U) << all.lines << " lines";
+    EXPECT_FALSE(lines_with(world, "workers_adopted", "").empty());
+}
+
+// After a takeover tasks of an unreached worker start late, and only lines of
+// those that had been reached said which it was.
+TEST(pool_log, names_the_workers_that_a_takeover_did_not_reach)
+{
+    pool_world world(2, 4);
+    ASSERT_TRUE(settled(world));
+    auto const old = *world.owner();
+    world.run(1s);
+    world.worker_fault =
+        [](std::size_t, std::size_t worker, ports::pool_operation const&)
+    {
+        return worker == 2 ? fate::lost : fate::carried_out;
+    };
+    world.kill(old);
+    ASSERT_TRUE(world.run_until(
+        [&world]
+        {
+            return !lines_with(world, "takeover_settled", "unreached=1")
+                        .empty();
+        }));
+    auto const line =
+        lines_with(world, "takeover_settled", "unreached=1").front();
+    EXPECT_NE(line.find("missing=w2"), std::string::npos) << line;
+}
+
+// That a worker had lost its tasks by a restart drowned among takeovers' lines.
+TEST(pool_log, tells_a_restarted_worker_by_name)
+{
+    pool_world world(2, 4);
+    ASSERT_TRUE(settled(world));
+    world.run(1s);
+    world.restart_worker(1);
+    EXPECT_TRUE(world.run_until(
+        [&world]
+        {
+            return !lines_with(world, "worker_restarted", "worker=w1 ").empty();
+        }));
+    EXPECT_EQ(lines_with(world, "worker_restarted", "").size(), 1U);
+}
