Why steps wait is told at once, and then each 5 s

A kind of step that begins to wait is told of within a second, as before, and as long as it waits each 5 s.

No functional change

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace fuchsia::core::pool
@@ -452,6 +453,9 @@
     common::time_point next_rank_{};
     common::time_point next_regroup_{};
     common::time_point next_load_line_{};
+    /// When it was last said why steps of a queue and image wait.
+    std::map<std::pair<std::string, std::string>, common::time_point>
+        waiting_told_;
     common::time_point next_backlog_{};
     std::map<std::string, std::uint64_t> told_backlog_;
     bool backlog_writing_ = false;
--- a/src/core/pool/owner_waiting.cpp
+++ b/src/core/pool/owner_waiting.cpp
@@ -17,6 +17,8 @@
 // stay few however long the queue is.
 constexpr std::size_t most_steps = 512;
 constexpr std::size_t most_lines = 12;
+// Between two lines about a kind that goes on waiting.
+constexpr common::duration told_again_after = std::chrono::seconds(5);
 
 } // namespace
 
@@ -59,6 +61,11 @@
 // What keeps the first task of a kind from each worker stands for the rest.
 void owner::log_waiting(common::time_point now)
 {
+    std::erase_if(waiting_told_,
+                  [now](auto const& told)
+                  {
+                      return now - told.second >= told_again_after;
+                  });
     for (auto const& kind : waiting_kinds())
     {
         auto const& key = kind.first;
@@ -69,11 +76,16 @@
         {
             continue;
         }
+        auto const& image = run.spec.steps[key.step].image;
+        if (!waiting_told_.insert({{run.spec.queue, image}, now}).second)
+        {
+            continue;
+        }
         auto const found = why_waiting(
             now, run, {key.job, key.occurrence, key.step, ready.back()});
         std::vector<ports::header> fields{
             {"queue", run.spec.queue},
-            {"image", run.spec.steps[key.step].image},
+            {"image", image},
             {"steps", std::to_string(kind.steps)},
             {"tasks", std::to_string(kind.tasks)},
             {"possible", std::to_string(found.possible)},
--- a/tests/unit/pool/log_volume_test.cpp
+++ b/tests/unit/pool/log_volume_test.cpp
@@ -188,3 +188,30 @@
         }));
     EXPECT_EQ(lines_with(world, "worker_restarted", "").size(), 1U);
 }
+
+// What kept steps waiting was told each second for each kind of step, in the
+// same words for minutes.
+TEST(pool_log, says_at_once_why_a_kind_of_step_waits_and_then_seldom)
+{
+    pool_world world(2, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(1s);
+    world.submit(1 - owner, "fills", simple_job(8, 60s));
+    world.run(500ms);
+    world.submit(1 - owner, "waits", simple_job(1, 1s));
+    auto const since = world.now();
+    world.run(2s);
+    EXPECT_EQ(written(world, owner, since, "steps_wait").lines, 1U);
+    world.run(18s);
+    auto const told = written(world, owner, since, "steps_wait").lines;
+    EXPECT_GE(told, 3U);
+    EXPECT_LE(told, 5U);
+    world.run(60s);
+    auto const again = world.now();
+    world.submit(1 - owner, "fills again", simple_job(8, 60s));
+    world.run(500ms);
+    world.submit(1 - owner, "waits again", simple_job(1, 1s));
+    world.run(2s);
+    EXPECT_EQ(written(world, owner, again, "steps_wait").lines, 1U);
+}
