The moves from a worker take one line

Each serving task that leaves a worker to work that waits had a line of 176 bytes. On a pool of 350 workers these were 15 lines in three seconds, when work waited and the owner's output was needed most; the same worker, image and number of idle cores stood in each.

One line a worker now, `tasks_move`, with all its tasks and where they go. A job's id is still found in it.

No functional change

--- a/src/core/pool/log_digest.cpp
+++ b/src/core/pool/log_digest.cpp
@@ -9,6 +9,12 @@
 
 using ports::severity;
 
+std::string text_of(ports::task_name const& name)
+{
+    return std::to_string(name.occurrence) + "." + std::to_string(name.step) +
+           "." + std::to_string(name.index);
+}
+
 std::string joined(std::vector<std::string> const& names, std::size_t most)
 {
     std::string made;
--- a/src/core/pool/log_digest.hpp
+++ b/src/core/pool/log_digest.hpp
@@ -11,6 +11,9 @@
 namespace fuchsia::core::pool
 {
 
+/// Which task of its job: occurrence, step and number, "0.2.7".
+std::string text_of(ports::task_name const& name);
+
 /// The first of the names, at most `most`: "a,b".
 std::string joined(std::vector<std::string> const& names, std::size_t most);
 
--- a/src/core/pool/owner_regroup.cpp
+++ b/src/core/pool/owner_regroup.cpp
@@ -159,6 +159,7 @@
     {
         return;
     }
+    std::vector<std::string> told;
     for (auto const& move : plan.moves)
     {
         auto const [run, each] = find_task(move.name);
@@ -173,15 +174,19 @@
         to->promised.insert(move.name);
         to->reserved += run->step_of(move.name).declared;
         to->view_known = false;
-        log_task(severity::info,
-                 "task_moves",
-                 {move.name, each->attempt},
-                 plan.from,
-                 {{"to", move.to},
-                  {"for_image", std::to_string(plan.image)},
-                  {"idle_cores", std::to_string(plan.idle / 1000)}});
+        told.push_back(move.name.job + "." + text_of(move.name) + ">" +
+                       move.to);
         stop_run(now, *run, move.name);
     }
+    if (!told.empty())
+    {
+        out_.log(severity::info,
+                 "tasks_move",
+                 {{"worker", plan.from},
+                  {"for_image", std::to_string(plan.image)},
+                  {"idle_cores", std::to_string(plan.idle / 1000)},
+                  {"tasks", joined(told, told.size())}});
+    }
     from->kept_for[plan.image] = now + settings_.regroup.kept_clear;
 }
 
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -11,17 +11,6 @@
 using ports::order_status;
 using ports::severity;
 
-namespace
-{
-
-std::string text_of(ports::task_name const& name)
-{
-    return std::to_string(name.occurrence) + "." + std::to_string(name.step) +
-           "." + std::to_string(name.index);
-}
-
-} // namespace
-
 void owner::log_task(severity level,
                      char const* event,
                      ports::task_run const& what,
--- a/tests/unit/pool/regroup_test.cpp
+++ b/tests/unit/pool/regroup_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
 #include <random>
 
 using namespace fuchsia::core::pool;
@@ -457,3 +458,30 @@
     EXPECT_EQ(world.places({"second", 0, 0, 0}), 1U);
     EXPECT_EQ(mixed, 0U);
 }
+
+// Moves of many serving tasks filled the owner's output just when work waited.
+TEST(pool_regroup, tells_the_moves_from_a_worker_in_one_line)
+{
+    scattered_pool pool;
+    pool.send_heavy_work(50);
+    std::map<std::pair<time_point, std::string>, std::size_t> lines;
+    std::size_t moved = 0;
+    for (auto const& line : pool.world.log())
+    {
+        if (line.what.event == "tasks_move")
+        {
+            auto const& from = line.what.fields.at(0);
+            ++lines[{line.when, from.value}];
+            auto const text = text_of(line);
+            moved += static_cast<std::size_t>(
+                std::count(text.begin(), text.end(), '>'));
+        }
+    }
+    auto const owner = *pool.world.owner();
+    EXPECT_EQ(moved, pool.world.scheduler(owner).counters().regrouped);
+    ASSERT_FALSE(lines.empty());
+    for (auto const& [when, count] : lines)
+    {
+        EXPECT_EQ(count, 1U) << when.second;
+    }
+}
