A job that fails by inherited failures says so

Where a new owner learned, from the record or from workers, that earlier owners had seen all attempts of a job fail, the job ended as failed and no line said why: `job_failing` was written only by the owner that saw the last attempt fail. `job_failing` has `inherited=true` there now; on which workers the attempts failed stands in the lines of those owners.

Killing the owner at 80 moments of a failing job (test): at some of them no such line before, one at each now.

No functional change

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -274,6 +274,7 @@
     new_incarnation(common::time_point now, worker& of, std::uint64_t born);
     void take_inherited_failure(common::time_point now,
                                 ports::ended_row const& row);
+    void end_failed(common::time_point now, job_run& run);
     void settle(common::time_point now);
     void resolve_unsure(common::time_point now, job_run& run);
     bool waited_for_silence(common::time_point now);
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -175,7 +175,7 @@
     {
         if (run.phase == job_phase::active && out_of_attempts(run))
         {
-            end_job(now, run, job_phase::failing);
+            end_failed(now, run);
         }
         open_steps(now, run);
         if (run.phase != job_phase::active)
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -70,10 +70,32 @@
     if (run->phase == job_phase::active &&
         out_of_attempts(*run, name.occurrence, name.step))
     {
-        end_job(now, *run, job_phase::failing);
+        end_failed(now, *run);
     }
 }
 
+// Attempts that earlier owners saw fail used up what the job has.
+void owner::end_failed(common::time_point now, job_run& run)
+{
+    std::size_t failures = 0;
+    for (auto const& occurrence : run.occurrences)
+    {
+        for (auto const& steps : occurrence.steps)
+        {
+            for (auto const& each : steps.tasks)
+            {
+                failures = std::max(failures, each.failures.size());
+            }
+        }
+    }
+    out_.log(severity::info,
+             "job_failing",
+             {{"job", run.spec.id},
+              {"failures", std::to_string(failures)},
+              {"inherited", "true"}});
+    end_job(now, run, job_phase::failing);
+}
+
 // Whether every worker that an earlier owner may have used has told what it
 // runs, or can't run any of it any more.
 void owner::settle(common::time_point now)
@@ -135,7 +157,7 @@
     }
     if (run.phase == job_phase::active && out_of_attempts(run))
     {
-        end_job(now, run, job_phase::failing);
+        end_failed(now, run);
     }
     finish_if_over(run);
 }
--- a/tests/unit/pool/log_volume_test.cpp
+++ b/tests/unit/pool/log_volume_test.cpp
@@ -215,3 +215,29 @@
     world.run(2s);
     EXPECT_EQ(written(world, owner, again, "steps_wait").lines, 1U);
 }
+
+// A job had failed right after a takeover, and no line said that its attempts
+// were used up: earlier owners had seen them fail.
+TEST(pool_log, says_that_a_job_fails_whoever_saw_its_attempts_fail)
+{
+    std::size_t inherited = 0;
+    for (auto after = 0ms; after < 2s; after += 25ms)
+    {
+        pool_world world(2, 4);
+        ASSERT_TRUE(settled(world));
+        auto what = failing_job("fail");
+        what.steps.front().count = 1;
+        world.submit(0, "failing", what);
+        world.run(after);
+        world.kill(*world.owner());
+        ASSERT_TRUE(world.run_until(
+            [&world]
+            {
+                return !lines_with(world, "job_ended", "state=failed").empty();
+            }));
+        EXPECT_FALSE(lines_with(world, "job_failing", "job=failing").empty())
+            << "killed after " << after.count() << " ms";
+        inherited += lines_with(world, "job_failing", "inherited=true").size();
+    }
+    EXPECT_GT(inherited, 0U);
+}
