--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -7,6 +7,7 @@
 #include "core/pool/fleet.hpp"
 #include "core/pool/job_run.hpp"
 #include "core/pool/ledger.hpp"
+#include "core/pool/log_digest.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/pool_view.hpp"
 #include "core/pool/regroup.hpp"
@@ -20,6 +21,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace fuchsia::core::pool
@@ -279,6 +281,10 @@
                        ports::task_run const& what);
     void
     take_end(common::time_point now, worker& of, ports::ended_row const& row);
+    void log_failure(common::time_point now,
+                     worker const& of,
+                     job_run const& run,
+                     ports::task_run const& what);
     void take_failure(common::time_point now,
                       worker& of,
                       job_run& run,
@@ -290,6 +296,7 @@
     new_incarnation(common::time_point now, worker& of, std::uint64_t born);
     void take_inherited_failure(common::time_point now,
                                 ports::ended_row const& row);
+    void end_failed(common::time_point now, job_run& run);
     void settle(common::time_point now);
     void resolve_unsure(common::time_point now, job_run& run);
     bool waited_for_silence(common::time_point now);
@@ -428,6 +435,7 @@
     claim& claim_;
     outbox& out_;
     scope life_ = std::make_shared<char>();
+    log_digest digest_;
     ledger ledger_;
     fleet fleet_;
     colocation colocation_;
@@ -473,6 +481,9 @@
     common::time_point next_rank_{};
     common::time_point next_regroup_{};
     common::time_point next_load_line_{};
+    /// When it was last said why steps of a queue and image wait.
+    std::map<std::pair<std::string, std::string>, common::time_point>
+        waiting_told_;
     common::time_point next_backlog_{};
     bool backlog_writing_ = false;
 };
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -9,6 +9,14 @@
 using ports::end_kind;
 using ports::severity;
 
+namespace
+{
+
+/// Unreached workers that the line of a takeover names.
+constexpr std::size_t most_missing_named = 8;
+
+} // namespace
+
 // Nothing of an earlier incarnation runs any more.
 void owner::new_incarnation(common::time_point now,
                             worker& of,
@@ -22,15 +30,15 @@
     of.writing = 0;
     of.until_ms = 0;
     of.failed_jobs.clear();
-    out_.log(severity::info,
-             "worker_adopted",
-             {{"worker", of.info.id},
-              {"born", std::to_string(born)},
-              {"restarted", known ? "true" : "false"}});
     if (known)
     {
+        out_.log(severity::info,
+                 "worker_restarted",
+                 {{"worker", of.info.id}, {"born", std::to_string(born)}});
         forget_runs(now, of, "worker restarted");
+        return;
     }
+    digest_.worker_adopted(now, of.info.id);
 }
 
 // An earlier owner may have started it and seen it end: of a step, too, that is
@@ -63,8 +71,30 @@
     if (run->phase == job_phase::active &&
         out_of_attempts(*run, name.occurrence, name.step))
     {
-        end_job(now, *run, job_phase::failing);
+        end_failed(now, *run);
+    }
+}
+
+// Attempts that earlier owners saw fail used up what the job has.
+void owner::end_failed(common::time_point now, job_run& run)
+{
+    std::size_t failures = 0;
+    for (auto const& occurrence : run.occurrences)
+    {
+        for (auto const& steps : occurrence.steps)
+        {
+            for (auto const& each : steps.tasks)
+            {
+                failures = std::max(failures, each.failures.size());
+            }
+        }
     }
+    out_.log(severity::info,
+             "job_failing",
+             {{"job", run.spec.id},
+              {"failures", std::to_string(failures)},
+              {"inherited", "true"}});
+    end_job(now, run, job_phase::failing);
 }
 
 // Whether every worker that an earlier owner may have used has told what it
@@ -75,12 +105,15 @@
     {
         return;
     }
-    std::size_t missing = 0;
+    std::vector<std::string> missing;
     for (auto const& [id, each] : fleet_.all())
     {
-        missing += each.rostered && !each.adopted ? 1U : 0U;
+        if (each.rostered && !each.adopted)
+        {
+            missing.push_back(id);
+        }
     }
-    if (missing > 0 && !waited_for_silence(now))
+    if (!missing.empty() && !waited_for_silence(now))
     {
         return;
     }
@@ -90,7 +123,8 @@
     out_.log(severity::info,
              "takeover_settled",
              {{"epoch", std::to_string(claim_.epoch())},
-              {"unreached", std::to_string(missing)},
+              {"unreached", std::to_string(missing.size())},
+              {"missing", joined(missing, most_missing_named)},
               {"after_ms",
                std::to_string(common::to_milliseconds(now - claim_.since()))}});
     std::vector<std::string> ids;
@@ -124,7 +158,7 @@
     }
     if (run.phase == job_phase::active && out_of_attempts(run))
     {
-        end_job(now, run, job_phase::failing);
+        end_failed(now, run);
     }
     finish_if_over(run);
 }
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -11,17 +11,6 @@
 using ports::order_status;
 using ports::severity;
 
-namespace
-{
-
-std::string text_of(ports::task_name const& name)
-{
-    return name.job + "." + std::to_string(name.occurrence) + "." +
-           std::to_string(name.step) + "." + std::to_string(name.index);
-}
-
-} // namespace
-
 void owner::log_task(severity level,
                      char const* event,
                      ports::task_run const& what,
@@ -178,7 +167,7 @@
     out_.log(
         severity::warning,
         "worker_suspected",
-        {{"worker", of.info.id}, {"failed_jobs", std::to_string(jobs.size())}});
+        {{"worker", of.info.id}, {"failed_jobs", joined(jobs, jobs.size())}});
     of.avoid_until = now + settings_.suspect_pause;
     jobs.clear();
 }
