--- a/tests/unit/pool/colocation_test.cpp
+++ b/tests/unit/pool/colocation_test.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-// What was measured: a tail without load is a sixth of its target, load takes
-// headroom in proportion, a heavy neighbour takes 8 targets a worker.
+// Headroom of a serving task without load, and what a worker's cores of a heavy
+// neighbour take of it.
 constexpr double idle_headroom = 6;
 constexpr double heavy = 8;
 
@@ -101,9 +101,7 @@
 
 } // namespace
 
-// The load of the users swings much further than the disturbance of a
-// neighbour. Taken for each other, harmless work would be kept waiting and
-// disturbing work let in: callers would wait at every peak.
+// Failure: a swing of the users' load is taken for the work of a neighbour.
 TEST_F(learned_pair, tells_heavy_from_harmless_under_a_swinging_load)
 {
     worker_view alone;
@@ -112,8 +110,7 @@
     EXPECT_LT(sharing.worst_weight(alone, light_image), 1);
 }
 
-// At a peak of the load a heavy neighbour finds no place, a harmless one does;
-// in a trough both do.
+// Failure: work is placed by its pair alone, or by the load alone.
 TEST_F(learned_pair, places_by_load_and_pair)
 {
     auto const limit = sharing.settings().place_above;
@@ -126,7 +123,7 @@
     EXPECT_GT(sharing.expected(trough, heavy_image, 0.15), limit);
 }
 
-// Only the culprit is slowed, and only as far as the serving task needs.
+// Failure: harmless neighbours are slowed, or the culprit more than needed.
 TEST_F(learned_pair, slows_the_culprit_and_no_other)
 {
     worker_view seen;
@@ -141,9 +138,7 @@
     EXPECT_LT(changes.front().percent, 70U);
 }
 
-// The users of one task of a step press harder than those of its siblings, as
-// they do for a second or so. Judged by the siblings alone, the neighbour would
-// work on at full speed and this task's users would wait.
+// Failure: a task whose own users press is judged by its siblings alone.
 TEST_F(learned_pair, slows_the_neighbour_of_a_task_whose_own_users_press)
 {
     serving_reading last;
@@ -163,8 +158,7 @@
     EXPECT_LT(changes.front().percent, 85U);
 }
 
-// That the users of one task press less is no room to give away: they may be
-// back before the worker is asked again.
+// Failure: room is given away that a task's users need again at once.
 TEST(colocation, a_calm_moment_of_one_task_is_not_counted_on)
 {
     colocation const sharing{colocation_settings{}};
@@ -173,8 +167,7 @@
     EXPECT_DOUBLE_EQ(sharing.own(3, last), 3);
 }
 
-// A serving task stays over its target although nobody is known to disturb it.
-// Before its users are harmed for four seconds, everything beside it stops.
+// Failure: a task stays over its target, since nobody is known to disturb it.
 TEST_F(learned_pair, stops_all_before_users_are_harmed)
 {
     worker_view seen;
@@ -187,8 +180,7 @@
     EXPECT_EQ(changes.front().percent, 0U);
 }
 
-// A pair that was never seen is taken for a heavy one: tried in a trough, and
-// not at a peak, where a wrong guess costs the users.
+// Failure: a pair that was never seen is tried at a peak, or not at all.
 TEST(colocation, tries_an_unknown_pair_where_there_is_room)
 {
     colocation sharing{colocation_settings{}};
@@ -203,7 +195,7 @@
     EXPECT_LT(sharing.expected(peak, unknown, 0.15), limit);
 }
 
-// A task that has hardly begun teaches nothing, whatever the tail does.
+// Failure: a task that has hardly begun is blamed for a long tail.
 TEST(colocation, a_tiny_neighbour_is_not_blamed)
 {
     colocation sharing{colocation_settings{}};
@@ -225,9 +217,7 @@
                      sharing.settings().prior);
 }
 
-// Tasks of one image have a shorter tail without load than those of another.
-// Held against one figure for all, the load of the first is read too high, and
-// work waits beside cores that nobody uses.
+// Failure: load is read by one figure for all images; idle cores look used.
 TEST(colocation_load, is_read_by_what_is_usual_for_the_image)
 {
     colocation model{colocation_settings{}};
@@ -245,7 +235,7 @@
     }
 }
 
-// Without a reading nothing is known of the load, and the usual one is taken.
+// Failure: load is guessed from a headroom that was never read.
 TEST(colocation_load, is_the_usual_one_while_none_was_read)
 {
     colocation model{colocation_settings{}};
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -44,9 +44,7 @@
 
 } // namespace
 
-// The store takes a job and its answer is lost. Told "refused", the submitter
-// would give up on a job that runs: it is told that the outcome is unknown, and
-// the same id at another instance is the same job.
+// Failure: a job that the store took is told to its submitter as refused.
 TEST(pool_faults, a_lost_answer_of_the_store_is_no_refusal)
 {
     pool_world world;
@@ -66,8 +64,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The same submission arrives again seconds after it was completed. Run once
-// more, it would be a doubled order.
+// Failure: a submission that arrives again after its end runs twice.
 TEST(pool_faults, the_same_id_after_its_end_is_the_same_job)
 {
     pool_world world;
@@ -81,8 +78,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The store turns an instance away before it writes anything: the refusal is
-// true and comes at once.
+// Failure: a job that the store turned away is told as unknown, or runs.
 TEST(pool_faults, a_refusal_means_that_nothing_ran)
 {
     pool_world world;
@@ -100,8 +96,7 @@
     EXPECT_EQ(world.state(2, "a"), std::nullopt);
 }
 
-// A start gets no answer and is carried out two seconds later, when the task
-// may long run elsewhere.
+// Failure: a start without an answer runs late, beside the next attempt.
 TEST(pool_faults, a_start_that_is_carried_out_late)
 {
     for (std::size_t victim = 0; victim < 4; ++victim)
@@ -127,8 +122,7 @@
     }
 }
 
-// The same, and the stops that follow up on it get lost until after that. A
-// hold that does not show the task proves nothing then.
+// Failure: a late start runs, as a hold without its task is taken for proof.
 TEST(pool_faults, a_late_start_whose_stop_is_lost)
 {
     pool_world world;
@@ -157,8 +151,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// A worker is cut off for good and runs on under its lease. Its tasks start
-// elsewhere once that lease has run out, and not before.
+// Failure: tasks run elsewhere while a cut-off worker still runs them.
 TEST(pool_faults, tasks_of_a_silent_worker_wait_for_the_end_of_its_lease)
 {
     pool_world world;
@@ -181,8 +174,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The same through a cut that lets orders pass and holds answers back: every
-// renewal may have reached the worker, so renewing has to end.
+// Failure: a worker that hears and can't answer is renewed for ever.
 TEST(pool_faults, a_worker_whose_answers_are_lost_gets_no_longer_lease)
 {
     pool_world world;
@@ -203,8 +195,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// A worker dies and comes back at once under its id, with nothing. Its tasks
-// must start again without waiting for the old lease.
+// Failure: tasks of a worker that came back empty wait for its old lease.
 TEST(pool_faults, a_restarted_worker_has_forgotten_its_tasks)
 {
     pool_world world;
@@ -216,8 +207,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The store is away for six seconds. What was accepted goes on, a step that
-// becomes free starts, and new jobs are refused at once.
+// Failure: accepted work stops, or new work is taken, without the store.
 TEST(pool_faults, work_goes_on_while_the_store_is_away)
 {
     pool_world world;
@@ -249,8 +239,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// A task fails every time. The job is shown as failed after just as many runs
-// as its queue allows, also when its owner dies between two of them.
+// Failure: a job gets a run too many or too few, most easily at a takeover.
 TEST(pool_faults, a_job_fails_after_its_attempts_and_no_earlier)
 {
     for (auto const when : {10ms, 150ms, 250ms, 350ms, 450ms})
@@ -280,7 +269,7 @@
     }
 }
 
-// A cancelled job stops and starts nothing more, wherever the request came in.
+// Failure: a cancelled job starts something more.
 TEST(pool_faults, a_cancelled_job_is_gone)
 {
     pool_world world;
@@ -300,8 +289,7 @@
     }
 }
 
-// A job that was never handed in is told to be unknown only after the store has
-// said so; while the store is silent nobody knows.
+// Failure: a job is told to be unknown while the store is silent.
 TEST(pool_faults, an_unknown_job_is_told_only_when_it_is_certain)
 {
     pool_world world;
@@ -316,9 +304,7 @@
     EXPECT_TRUE(got<ports::job_refused>(world, second));
 }
 
-// Two machines disagree about the time of day, by a millisecond or by minutes.
-// A job that was accepted by the one ahead and is scheduled by the other starts
-// at once all the same; its submitter does not wait for the clocks to meet.
+// Failure: a job starts only when the clock of its owner has caught up.
 TEST(pool_faults, a_job_from_an_instance_whose_clock_is_ahead)
 {
     for (auto const ahead : {50ms, 600'000ms})
@@ -334,8 +320,7 @@
     }
 }
 
-// The other way round a job would seem to be late when it arrives, and would be
-// put behind everything that can still be on time.
+// Failure: a job seems late on arrival and goes behind all others.
 TEST(pool_faults, a_job_from_an_instance_whose_clock_is_behind)
 {
     pool_world world;
@@ -354,9 +339,7 @@
     EXPECT_GT(jobs.front().due_in, 0ms);
 }
 
-// Copies of the store that answer cheap reads fall seconds behind. A job that
-// was accepted meanwhile is not told to be unknown, one that ended is not told
-// to be at work, and what a copy says of an end is true for ever.
+// Failure: a store's old copy hides a job, or says that one still runs.
 TEST(pool_faults, copies_of_the_store_that_are_behind)
 {
     pool_world world;
@@ -386,7 +369,7 @@
     EXPECT_EQ(world.state(1, "late"), ports::job_state::completed);
 }
 
-// A data centre is taken out: no task starts there any more, until it is back.
+// Failure: a task starts in a data centre that was taken out.
 TEST(pool_faults, no_task_starts_in_a_data_centre_that_is_out)
 {
     pool_world world;
@@ -404,8 +387,7 @@
     EXPECT_FALSE(world.worker(0).begun().empty());
 }
 
-// The store forgets its history while a watch is deaf. A change of the
-// operators in that moment must still come into force.
+// Failure: an operators' change is missed that the store forgot unheard.
 TEST(pool_faults, a_change_that_no_watch_heard_is_found)
 {
     pool_world world;
@@ -419,8 +401,7 @@
     EXPECT_TRUE(world.worker(2).begun().empty());
 }
 
-// The same while watches still answer, but with nothing: taking their word for
-// how far they have heard would lose the change for good.
+// Failure: an operators' change is missed, as a deaf watch is believed.
 TEST(pool_faults, a_deaf_watch_does_not_move_on)
 {
     pool_world world;
@@ -443,8 +424,7 @@
     EXPECT_TRUE(world.worker(2).begun().empty());
 }
 
-// A commit of progress is carried out two seconds late, after newer ones. An
-// old record put over a newer one would make the next owner run tasks again.
+// Failure: old progress overwrites newer; the next owner repeats tasks.
 TEST(pool_faults, a_late_commit_does_not_bring_back_old_progress)
 {
     pool_world world;
@@ -474,8 +454,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// A policy allows a queue's steps on some workers only, and says so by tickets.
-// Started without one, every task would be refused and the job never run.
+// Failure: tasks under a policy are sent without a ticket and never run.
 TEST(pool_faults, steps_under_a_policy_start_with_its_tickets)
 {
     pool_world world;
@@ -494,8 +473,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The store can't be reached from one instance. Its first callers wait for a
-// time-out; the others are turned away at once.
+// Failure: every caller waits for the time-out of a store that is away.
 TEST(pool_faults, callers_are_turned_away_once_the_store_is_known_to_be_away)
 {
     pool_world world;
--- a/tests/unit/pool/regroup_test.cpp
+++ b/tests/unit/pool/regroup_test.cpp
@@ -146,9 +146,7 @@
 
 } // namespace
 
-// Heavy work waits beside idle cores, since each worker has a delicate task.
-// The worker with the fewest of them is cleared, into one that is closed
-// already.
+// Failure: work waits beside idle cores, a delicate task on each worker.
 TEST_F(regrouping, clears_the_worker_that_costs_least)
 {
     workers = {make_worker("a", {delicate, sturdy, sturdy}),
@@ -161,7 +159,7 @@
     EXPECT_EQ(made->moves.front().to, "b");
 }
 
-// Work that only waits its turn needs no serving task to stand still.
+// Failure: serving tasks move for work that only waits its turn.
 TEST_F(regrouping, moves_nothing_while_the_work_has_a_place)
 {
     workers = {make_worker("a", {delicate, sturdy}),
@@ -171,8 +169,7 @@
     EXPECT_FALSE(plan().has_value());
 }
 
-// A pair that was hardly seen may turn out to be harmless: moving tasks for it
-// costs their users for nothing.
+// Failure: serving tasks move for a pair that may be harmless.
 TEST_F(regrouping, moves_nothing_for_a_pair_that_is_not_known)
 {
     auto const fresh = pairs.number_of("fresh");
@@ -181,8 +178,7 @@
     EXPECT_FALSE(plan().has_value());
 }
 
-// A serving task that is stopped and finds no room stands still for its users
-// until some other job ends.
+// Failure: a serving task is stopped and finds no room.
 TEST_F(regrouping, moves_nothing_without_room_elsewhere)
 {
     workers = {
@@ -192,7 +188,7 @@
     EXPECT_FALSE(plan().has_value());
 }
 
-// Two tasks that leave one worker can't be promised the same room.
+// Failure: two tasks that leave one worker are promised the same room.
 TEST_F(regrouping, promises_room_once)
 {
     workers = {make_worker("a", {delicate, delicate}),
@@ -205,8 +201,7 @@
     EXPECT_NE(made->moves[0].to, made->moves[1].to);
 }
 
-// Moved beside what disturbs it, a serving task would be over its target at
-// once.
+// Failure: a serving task moves beside what disturbs it.
 TEST_F(regrouping, keeps_away_from_what_disturbs_there)
 {
     workers = {make_worker("a", {delicate, sturdy}),
@@ -217,8 +212,7 @@
     EXPECT_FALSE(plan().has_value());
 }
 
-// The only other worker with room runs another service's tasks: the task could
-// not start there, and would look for a place with none kept for it.
+// Failure: a task moves to another service's worker, where it can't start.
 TEST_F(regrouping, keeps_tasks_with_their_service)
 {
     workers = {make_worker("a", {delicate, sturdy}),
@@ -228,7 +222,7 @@
     EXPECT_FALSE(plan().has_value());
 }
 
-// A worker that was cleared a moment ago is not filled again by the next plan.
+// Failure: the next plan fills a worker that was just cleared.
 TEST_F(regrouping, leaves_a_cleared_worker_clear)
 {
     workers = {make_worker("a", {}), make_worker("b", {delicate})};
@@ -238,9 +232,7 @@
     EXPECT_FALSE(plan().has_value());
 }
 
-// Delicate and sturdy tasks stand mixed on 48 workers, in no order, with a
-// tenth of the room free; the heavy work may use next to nothing. Plan after
-// plan opens a good part of the idle cores to it, and then they end.
+// Failure: plans open too few idle cores of a mixed pool, or never end.
 TEST_F(regrouping, opens_a_mixed_pool_to_the_work_that_waits)
 {
     std::mt19937 random(7);
@@ -377,8 +369,7 @@
 
 } // namespace
 
-// Each worker has one serving task that the waiting work disturbs. Some of them
-// move together, and each of them runs in one place all the while.
+// Failure: serving tasks stay in the way, or run twice as they move.
 TEST(pool_regroup, serving_tasks_make_room_for_work_that_waits)
 {
     scattered_pool pool;
@@ -390,9 +381,7 @@
     EXPECT_EQ(pool.world.violation(), "");
 }
 
-// The owner dies while serving tasks are on their way. Its successor knows of
-// no promised room; the users of those tasks would notice one that is started
-// twice, or never again.
+// Failure: a task that moves at a takeover starts twice, or never.
 TEST(pool_regroup, a_killed_owner_leaves_no_task_without_a_place)
 {
     for (int rounds = 20; rounds < 44; rounds += 3)
@@ -406,8 +395,7 @@
     }
 }
 
-// The job of the serving tasks is cancelled while they are on their way: the
-// room that was kept for them is free again, or later tasks find none.
+// Failure: room promised to cancelled tasks stays reserved.
 TEST(pool_regroup, cancelled_tasks_give_their_promised_room_back)
 {
     scattered_pool pool;
@@ -430,9 +418,7 @@
     EXPECT_EQ(pool.world.violation(), "");
 }
 
-// One worker has room left for just one more task. A task of another image
-// could fill it, and what disturbs that image would be kept from the whole
-// worker from then on, with empty workers beside it.
+// Failure: two serving images share a worker beside empty ones.
 TEST(pool_serving, images_share_a_worker_only_once_none_is_empty)
 {
     pool_world world;
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -76,7 +76,7 @@
 
 } // namespace
 
-// A submitter hands a job in and asks for its state until it is completed.
+// Failure: a job does not run to its end on a calm day.
 TEST(pool_takeover, a_calm_job_is_completed)
 {
     pool_world world;
@@ -90,8 +90,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The owner is killed while tasks run and while some have ended that it had not
-// written down. Users would see a task run twice, or a job that never ends.
+// Failure: tasks whose ends a killed owner did not write down run twice.
 TEST(pool_takeover, a_killed_owner_loses_and_doubles_nothing)
 {
     for (auto const when : {100ms, 290ms, 305ms, 320ms, 400ms, 610ms, 640ms})
@@ -107,8 +106,7 @@
     }
 }
 
-// All instances lose power at once and start again after a second. The workers
-// run on meanwhile; what they ran and ended must be taken over as it is.
+// Failure: what workers did while nobody owned is lost or run again.
 TEST(pool_takeover, all_instances_killed_at_once)
 {
     for (auto const when : {100ms, 305ms, 610ms})
@@ -131,8 +129,7 @@
     }
 }
 
-// A worker can be reached by the old owner but not by its successor, and runs
-// on. Users would see its tasks run in two places.
+// Failure: tasks of a worker that a successor can't reach run twice.
 TEST(pool_takeover, a_worker_that_the_successor_cannot_reach_keeps_its_tasks)
 {
     pool_world world;
@@ -157,9 +154,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The old owner is cut off from the store and from all workers but one, which
-// in turn is cut off from everybody else. Nothing tells it that it is replaced,
-// so it has to stop by itself before its successor takes that worker for idle.
+// Failure: an owner that nobody tells of its successor goes on beside it.
 TEST(pool_takeover, an_owner_alone_with_one_worker_gives_up)
 {
     pool_world world;
@@ -184,8 +179,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The store is away for half a minute. Tasks that last go on: their users need
-// them more than anything the store could say meanwhile.
+// Failure: lasting tasks stop while the store is away.
 TEST(pool_takeover, tasks_outlive_a_long_outage_of_the_store)
 {
     pool_world world;
@@ -211,8 +205,7 @@
     EXPECT_EQ(begun, 6U);
 }
 
-// The owner stands still for seconds and wakes with old beliefs, beside a
-// successor. Its orders must have no effect.
+// Failure: orders of an owner that wakes with old beliefs take effect.
 TEST(pool_takeover, a_frozen_owner_does_no_harm)
 {
     pool_world world;
@@ -226,8 +219,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The claim's key is taken away and no request shows it. Two owners would then
-// schedule the same jobs, each with its own idea of what runs where.
+// Failure: two owners schedule the same jobs, since a lost claim goes unseen.
 TEST(pool_takeover, a_claim_that_is_taken_away)
 {
     pool_world world;
@@ -239,8 +231,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// A planned stop gives the claim back at once, so users wait for a few
-// milliseconds and not for the end of a lease.
+// Failure: a planned stop costs users the length of a lease.
 TEST(pool_takeover, a_planned_stop_hands_over_within_a_moment)
 {
     pool_world world;
@@ -264,7 +255,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// A silent death of the owner is noticed when its lease in the store runs out.
+// Failure: a silent death of the owner is noticed later than its lease ends.
 TEST(pool_takeover, a_silent_death_costs_a_second_and_a_half)
 {
     pool_world world;
@@ -279,10 +270,7 @@
         1500ms));
 }
 
-// A task failed on one worker and runs again on another; the owner that saw the
-// failure could not write it down, and its successor hears of the second run
-// before it hears of the first. It must count both, or the task gets a run too
-// many.
+// Failure: a failure told after the next run began is not counted.
 TEST(pool_takeover, a_failure_that_is_told_after_the_next_run)
 {
     // While the second run is at work, and after it.
@@ -309,9 +297,7 @@
     }
 }
 
-// The first step ended on a worker that the successor reaches late, the second
-// runs on one that it reaches at once. Taken for a stray, the second would be
-// stopped and run again.
+// Failure: a running step is stopped, as its predecessor's end comes later.
 TEST(pool_takeover, a_step_whose_predecessor_is_told_of_later)
 {
     pool_world world;
@@ -335,9 +321,7 @@
     EXPECT_EQ(world.violation(), "");
 }
 
-// The owner has written a failure down and dies before its worker learns that.
-// The worker tells it again to the successor; counted twice, the job would fail
-// with an attempt unused.
+// Failure: a failure that is told again counts twice: an attempt is not used.
 TEST(pool_takeover, a_failure_that_is_told_again)
 {
     pool_world world;
