--- a/src/core/requests/entry_engine.hpp
+++ b/src/core/requests/entry_engine.hpp
@@ -149,14 +149,27 @@
         std::vector<ports::member_identity> others;
     };
 
-    // entry_engine.cpp: composition, time, configuration.
+    // entry_engine.cpp: composition and time.
     void notice_pause(common::time_point now, ports::actions& out);
     /// Does what an event made possible: sends what waits for a slot or slice.
     void after_event(common::time_point now, ports::actions& out);
     void after_platform(common::time_point now, ports::actions& out);
+    bool owns(common::time_point now, std::uint32_t partition) const noexcept;
+    void log(ports::actions& out,
+             ports::severity level,
+             std::string event,
+             std::vector<ports::header> fields) const;
+
+    // entry_members.cpp: what members and the configuration mean here.
     void sync_members(common::time_point now, ports::actions& out);
-    void sync_claims(common::time_point now, ports::actions& out);
     void sync_configuration(common::time_point now, ports::actions& out);
+    bool is_live(ports::member_identity const& id) const noexcept;
+    bool is_silent(common::time_point now,
+                   ports::member_identity const& id) const noexcept;
+    bool may_send(common::time_point now) const noexcept;
+
+    // entry_partitions.cpp: partitions that come and go.
+    void sync_claims(common::time_point now, ports::actions& out);
     void on_claim_change(common::time_point now,
                          claims::claim_change const& change,
                          ports::actions& out);
@@ -167,16 +180,9 @@
     void lose_partition(common::time_point now,
                         std::uint32_t partition,
                         ports::actions& out);
+
+    // entry_life.cpp: from joining to the end.
     void drive_life(common::time_point now, ports::actions& out);
-    bool is_live(ports::member_identity const& id) const noexcept;
-    bool is_silent(common::time_point now,
-                   ports::member_identity const& id) const noexcept;
-    bool may_send(common::time_point now) const noexcept;
-    bool owns(common::time_point now, std::uint32_t partition) const noexcept;
-    void log(ports::actions& out,
-             ports::severity level,
-             std::string event,
-             std::vector<ports::header> fields) const;
 
     // entry_requests.cpp: the way of one request.
     std::optional<result_code>
--- /dev/null
+++ b/src/core/requests/entry_life.cpp
@@ -0,0 +1,95 @@
+#include "core/requests/entry_engine.hpp"
+
+// From joining to a planned stop, or to its burial.
+namespace fuchsia::core::requests
+{
+
+void entry_engine::begin_stop(common::time_point now, ports::actions& out)
+{
+    notice_pause(now, out);
+    if (!life_.on(entry_event::stop_asked))
+    {
+        return;
+    }
+    stop_announced_ = now;
+    log(out,
+        ports::severity::info,
+        "stop_begun",
+        {{"phase", std::string(name_of(life_.phase()))}});
+    drive_life(now, out);
+}
+
+void entry_engine::retire(common::time_point now, ports::actions& out)
+{
+    retired_ = true;
+    fail_waiting(now, out);
+    std::vector<std::uint64_t> elsewhere;
+    for (auto const& [id, one] : requests_)
+    {
+        if (one.stage == request_stage::joined ||
+            one.stage == request_stage::at_peer)
+        {
+            elsewhere.push_back(id);
+        }
+    }
+    for (std::uint64_t const id : elsewhere)
+    {
+        if (requests_.contains(id))
+        {
+            conclude_linger(now, id, result_code::owner_lost, out);
+        }
+    }
+}
+
+bool entry_engine::ready(common::time_point now) const noexcept
+{
+    return life_.phase() == entry_phase::serving && may_send(now);
+}
+
+void entry_engine::drive_life(common::time_point now, ports::actions& out)
+{
+    bool const waited_long = now - stop_announced_ >
+                             settings_.balancer_lag + settings_.stop_patience;
+    switch (life_.phase())
+    {
+    case entry_phase::joining:
+        if (may_send(now) && claims_.known())
+        {
+            life_.on(entry_event::joined);
+            log(out, ports::severity::info, "serving", {});
+        }
+        break;
+    case entry_phase::announced:
+        if (now - stop_announced_ >= settings_.balancer_lag)
+        {
+            life_.on(entry_event::balancer_passed);
+            members_.begin_leaving(now, out);
+            claims_.begin_leaving();
+        }
+        break;
+    case entry_phase::finishing:
+        if (unanswered_ > 0 || claims_.held(members_) > 0)
+        {
+            busy_at_ = now;
+        }
+        if (unanswered_ == 0 &&
+            (now - busy_at_ >= settings_.leave_lag || waited_long))
+        {
+            life_.on(entry_event::finished);
+            members_.remove(now, out);
+        }
+        break;
+    case entry_phase::leaving:
+        if (members_.gone() || waited_long)
+        {
+            life_.on(entry_event::removed);
+            out.emplace_back(ports::stop_complete{});
+        }
+        break;
+    case entry_phase::serving:
+    case entry_phase::stopped:
+        break;
+    }
+}
+
+} // namespace fuchsia::core::requests
--- /dev/null
+++ b/src/core/requests/entry_partitions.cpp
@@ -0,0 +1,130 @@
+#include "core/requests/entry_engine.hpp"
+
+#include <utility>
+
+// Partitions that come to this entry, and those that it loses.
+namespace fuchsia::core::requests
+{
+
+void entry_engine::sync_claims(common::time_point now, ports::actions& out)
+{
+    auto const changes = claims_.take_changes();
+    for (auto const& change : changes)
+    {
+        on_claim_change(now, change, out);
+    }
+    if (changes.empty())
+    {
+        return;
+    }
+    for (std::uint32_t const partition : owners_.refresh(now, claims_))
+    {
+        report_to_new_owner(partition);
+        route_seeking(now, partition, out);
+    }
+}
+
+void entry_engine::on_claim_change(common::time_point now,
+                                   claims::claim_change const& change,
+                                   ports::actions& out)
+{
+    std::uint32_t const partition = partition_number(change.now.partition);
+    if (partition == common::partition_count)
+    {
+        return;
+    }
+    switch (change.kind)
+    {
+    case claims::claim_change_kind::acquired:
+        take_partition(now, partition, change, out);
+        break;
+    case claims::claim_change_kind::handover_asked:
+        start_handover(now, partition, change);
+        break;
+    case claims::claim_change_kind::lost:
+        lose_partition(now, partition, out);
+        break;
+    case claims::claim_change_kind::owner_changed:
+        break;
+    }
+}
+
+// Only a partition that nobody ever owned, or one whose keys a predecessor
+// handed over whole, comes without a past.
+void entry_engine::take_partition(common::time_point now,
+                                  std::uint32_t partition,
+                                  claims::claim_change const& change,
+                                  ports::actions& out)
+{
+    bool const first_owner =
+        change.before.name.empty() && change.now.epoch <= 1;
+    auto const imported =
+        imports_.take(partition, change.now.epoch, change.before);
+    handovers_.erase(partition);
+    if (first_owner)
+    {
+        keys_.open(partition, std::nullopt);
+    }
+    else if (imported && keys_.import_keys(now, partition, imported->keys))
+    {
+        keys_.open(partition, imported->reaches_from);
+    }
+    else
+    {
+        keys_.open(partition, now);
+        ++counts_.takeovers;
+    }
+    slots_.acquire(
+        now, partition, first_owner || (imported && imported->slots_idle));
+    if (first_owner)
+    {
+        takeovers_[partition].reset();
+    }
+    else
+    {
+        takeover taken{now, {}};
+        for (auto const& [id, gone_since] : known_members_)
+        {
+            taken.others.push_back(id);
+        }
+        if (!change.before.name.empty())
+        {
+            taken.others.push_back(change.before);
+        }
+        takeovers_[partition] = std::move(taken);
+    }
+    log(out,
+        ports::severity::info,
+        "partition_acquired",
+        {{"partition", change.now.partition},
+         {"epoch", std::to_string(change.now.epoch)},
+         {"before", change.before.name},
+         {"keys", imported ? std::to_string(imported->keys.size()) : "none"}});
+}
+
+void entry_engine::lose_partition(common::time_point now,
+                                  std::uint32_t partition,
+                                  ports::actions& out)
+{
+    slots_.release(partition);
+    handovers_.erase(partition);
+    takeovers_[partition].reset();
+    std::erase_if(ledgers_,
+                  [partition](auto const& one)
+                  {
+                      return common::partition_of(one.first) == partition;
+                  });
+    for (std::uint64_t const waiter : keys_.close(partition))
+    {
+        if (requests_.contains(waiter))
+        {
+            conclude_linger(now, waiter, result_code::owner_lost, out);
+        }
+    }
+    log(out,
+        ports::severity::info,
+        "partition_lost",
+        {{"partition", partition_name(partition)}});
+}
+
+} // namespace fuchsia::core::requests
