--- /dev/null
+++ b/src/core/tasks/planner_cells.cpp
@@ -0,0 +1,199 @@
+#include "core/tasks/planner_engine.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+// The cells that this planner owns: taken up, driven, handed over.
+namespace fuchsia::core::tasks
+{
+
+cell_context planner_engine::context(common::time_point now,
+                                     std::string const& cell,
+                                     ports::actions& out)
+{
+    bool const may_act = claims_.owns(now, cell, member_);
+    return {now,
+            may_act,
+            may_act && config_fresh(now) && !stop_since_,
+            settings_.cell,
+            follower_.current(),
+            workers_,
+            quotas_,
+            loads_,
+            calls_,
+            worker_calls_,
+            learned_,
+            counters_,
+            out};
+}
+
+void planner_engine::touch_all()
+{
+    for (auto const& [name, cell] : cells_)
+    {
+        touched_.insert(name);
+    }
+}
+
+// Each round begins with another cell: when the budget of store writes is
+// short, the same cells would else go without each time.
+void planner_engine::tick_cells(common::time_point now, ports::actions& out)
+{
+    auto const touched = std::exchange(touched_, {});
+    std::vector<std::string> order(touched.begin(), touched.end());
+    if (order.empty())
+    {
+        return;
+    }
+    auto const first = static_cast<std::ptrdiff_t>(++rounds_ % order.size());
+    std::rotate(order.begin(), order.begin() + first, order.end());
+    for (auto const& name : order)
+    {
+        auto const found = cells_.find(name);
+        if (found == cells_.end())
+        {
+            continue;
+        }
+        auto& cell = *found->second;
+        bool const was_active = cell.active();
+        auto with = context(now, name, out);
+        cell.tick(with);
+        if (cell.active() && !was_active)
+        {
+            deliver_inbox(now, cell, out);
+        }
+    }
+}
+
+void planner_engine::take_claims(common::time_point now, ports::actions& out)
+{
+    for (auto const& change : claims_.take_changes())
+    {
+        auto const& cell = change.now.partition;
+        switch (change.kind)
+        {
+        case claims::claim_change_kind::acquired:
+            add_cell(now, change.now, out);
+            break;
+        case claims::claim_change_kind::handover_asked:
+            releasing_.insert(cell);
+            break;
+        case claims::claim_change_kind::lost:
+            drop_cell(cell);
+            break;
+        case claims::claim_change_kind::owner_changed:
+            break;
+        }
+    }
+}
+
+void planner_engine::add_cell(common::time_point now,
+                              claims::claim const& claim,
+                              ports::actions& out)
+{
+    drop_cell(claim.partition);
+    auto& cell = cells_[claim.partition];
+    cell = std::make_unique<cell_runner>(claim.partition,
+                                         member_.self().id.incarnation,
+                                         claim.epoch,
+                                         settings_.cell.log);
+    auto with = context(now, claim.partition, out);
+    cell->start(with);
+}
+
+void planner_engine::drop_cell(std::string const& cell)
+{
+    cells_.erase(cell);
+    releasing_.erase(cell);
+    quotas_.drop_cell(cell);
+    loads_.drop_own(cell);
+}
+
+// A cell asked for by another member is held, its commits end, and only then
+// it is released: the next owner reads a log that nobody adds to.
+void planner_engine::hand_over(common::time_point now, ports::actions& out)
+{
+    std::vector<std::string> released;
+    for (auto const& name : releasing_)
+    {
+        auto const found = cells_.find(name);
+        if (found == cells_.end())
+        {
+            continue;
+        }
+        auto& cell = *found->second;
+        if (!cell.held())
+        {
+            cell.hold();
+        }
+        if (cell.idle() || cell.lost())
+        {
+            claims_.release(now, name, out);
+            released.push_back(name);
+        }
+    }
+    for (auto const& name : released)
+    {
+        drop_cell(name);
+    }
+}
+
+void planner_engine::deliver_inbox(common::time_point now,
+                                   cell_runner& to,
+                                   ports::actions& out)
+{
+    auto with = context(now, to.name(), out);
+    to.on_inbox(with, inbox_.items_of(to.name()));
+    for (auto const& notice : inbox_.notices())
+    {
+        to.stop_job(with, notice.job, notice.code, notice.why);
+    }
+}
+
+void planner_engine::post_faulty(common::time_point now, ports::actions& out)
+{
+    for (auto& [name, cell] : cells_)
+    {
+        for (auto const& job : cell->take_faulty())
+        {
+            auto to_desk = desk(now, out);
+            desk_.post_stop(to_desk, job);
+        }
+    }
+}
+
+// Cells are the racks of the list and those that were ever claimed: the tasks
+// of a rack that is gone still need an owner who moves them elsewhere.
+void planner_engine::set_partitions()
+{
+    std::set<std::string> names;
+    for (auto const& rack : workers_.racks())
+    {
+        names.insert(rack);
+    }
+    for (auto const& [name, claim] : claims_.all())
+    {
+        names.insert(name);
+    }
+    claims_.set_partitions({names.begin(), names.end()});
+}
+
+std::map<std::string, std::unique_ptr<cell_runner>> const&
+planner_engine::cells() const noexcept
+{
+    return cells_;
+}
+
+std::vector<std::string> planner_engine::racks() const
+{
+    std::vector<std::string> out;
+    out.reserve(cells_.size());
+    for (auto const& [name, cell] : cells_)
+    {
+        out.push_back(name);
+    }
+    return out;
+}
+
+} // namespace fuchsia::core::tasks
--- a/src/core/tasks/planner_engine.cpp
+++ b/src/core/tasks/planner_engine.cpp
@@ -2,9 +2,6 @@
 
 #include "core/common/hash.hpp"
 
-#include <algorithm>
-#include <utility>
-
 namespace fuchsia::core::tasks
 {
 
@@ -15,20 +12,6 @@
 /// Between two looks at a cell that no event concerned.
 constexpr common::duration round_interval = std::chrono::milliseconds(100);
 
-// Tells the follower which revision a promise carries.
-std::optional<std::uint64_t> revision_in(ports::peer_message const& message)
-{
-    if (auto const* asked = std::get_if<ports::promise_request>(&message))
-    {
-        return asked->config_revision;
-    }
-    if (auto const* told = std::get_if<ports::promise_reply>(&message))
-    {
-        return told->config_revision;
-    }
-    return std::nullopt;
-}
-
 } // namespace
 
 planner_engine::planner_engine(planner_settings const& settings,
@@ -57,26 +40,6 @@
            now - follower_.confirmed_at() <= settings_.membership.hold;
 }
 
-cell_context planner_engine::context(common::time_point now,
-                                     std::string const& cell,
-                                     ports::actions& out)
-{
-    bool const may_act = claims_.owns(now, cell, member_);
-    return {now,
-            may_act,
-            may_act && config_fresh(now) && !stop_since_,
-            settings_.cell,
-            follower_.current(),
-            workers_,
-            quotas_,
-            loads_,
-            calls_,
-            worker_calls_,
-            learned_,
-            counters_,
-            out};
-}
-
 desk_context planner_engine::desk(common::time_point now, ports::actions& out)
 {
     return {now,
@@ -102,14 +65,6 @@
     pump(now, out);
 }
 
-void planner_engine::touch_all()
-{
-    for (auto const& [name, cell] : cells_)
-    {
-        touched_.insert(name);
-    }
-}
-
 // All that follows from what is known now. Called after every event, so that
 // a job that came in is committed and started without waiting for a tick.
 void planner_engine::pump(common::time_point now, ports::actions& out)
@@ -135,36 +90,6 @@
     follow_stop(now, out);
 }
 
-// Each round begins with another cell: when the budget of store writes is
-// short, the same cells would else go without each time.
-void planner_engine::tick_cells(common::time_point now, ports::actions& out)
-{
-    auto const touched = std::exchange(touched_, {});
-    std::vector<std::string> order(touched.begin(), touched.end());
-    if (order.empty())
-    {
-        return;
-    }
-    auto const first = static_cast<std::ptrdiff_t>(++rounds_ % order.size());
-    std::rotate(order.begin(), order.begin() + first, order.end());
-    for (auto const& name : order)
-    {
-        auto const found = cells_.find(name);
-        if (found == cells_.end())
-        {
-            continue;
-        }
-        auto& cell = *found->second;
-        bool const was_active = cell.active();
-        auto with = context(now, name, out);
-        cell.tick(with);
-        if (cell.active() && !was_active)
-        {
-            deliver_inbox(now, cell, out);
-        }
-    }
-}
-
 void planner_engine::follow_config(ports::actions&)
 {
     auto const revision = follower_.current().revision;
@@ -178,103 +103,6 @@
     touch_all();
 }
 
-void planner_engine::take_claims(common::time_point now, ports::actions& out)
-{
-    for (auto const& change : claims_.take_changes())
-    {
-        auto const& cell = change.now.partition;
-        switch (change.kind)
-        {
-        case claims::claim_change_kind::acquired:
-            add_cell(now, change.now, out);
-            break;
-        case claims::claim_change_kind::handover_asked:
-            releasing_.insert(cell);
-            break;
-        case claims::claim_change_kind::lost:
-            drop_cell(cell);
-            break;
-        case claims::claim_change_kind::owner_changed:
-            break;
-        }
-    }
-}
-
-void planner_engine::add_cell(common::time_point now,
-                              claims::claim const& claim,
-                              ports::actions& out)
-{
-    drop_cell(claim.partition);
-    auto& cell = cells_[claim.partition];
-    cell = std::make_unique<cell_runner>(claim.partition,
-                                         member_.self().id.incarnation,
-                                         claim.epoch,
-                                         settings_.cell.log);
-    auto with = context(now, claim.partition, out);
-    cell->start(with);
-}
-
-void planner_engine::drop_cell(std::string const& cell)
-{
-    cells_.erase(cell);
-    releasing_.erase(cell);
-    quotas_.drop_cell(cell);
-    loads_.drop_own(cell);
-}
-
-// A cell asked for by another member is held, its commits end, and only then
-// it is released: the next owner reads a log that nobody adds to.
-void planner_engine::hand_over(common::time_point now, ports::actions& out)
-{
-    std::vector<std::string> released;
-    for (auto const& name : releasing_)
-    {
-        auto const found = cells_.find(name);
-        if (found == cells_.end())
-        {
-            continue;
-        }
-        auto& cell = *found->second;
-        if (!cell.held())
-        {
-            cell.hold();
-        }
-        if (cell.idle() || cell.lost())
-        {
-            claims_.release(now, name, out);
-            released.push_back(name);
-        }
-    }
-    for (auto const& name : released)
-    {
-        drop_cell(name);
-    }
-}
-
-void planner_engine::deliver_inbox(common::time_point now,
-                                   cell_runner& to,
-                                   ports::actions& out)
-{
-    auto with = context(now, to.name(), out);
-    to.on_inbox(with, inbox_.items_of(to.name()));
-    for (auto const& notice : inbox_.notices())
-    {
-        to.stop_job(with, notice.job, notice.code, notice.why);
-    }
-}
-
-void planner_engine::post_faulty(common::time_point now, ports::actions& out)
-{
-    for (auto& [name, cell] : cells_)
-    {
-        for (auto const& job : cell->take_faulty())
-        {
-            auto to_desk = desk(now, out);
-            desk_.post_stop(to_desk, job);
-        }
-    }
-}
-
 bool planner_engine::is_chosen_for(std::string const& key) const
 {
     std::vector<std::string> names;
@@ -303,177 +131,6 @@
     }
 }
 
-bool planner_engine::on_store_reply(common::time_point now,
-                                    ports::store_reply const& reply,
-                                    ports::actions& out)
-{
-    switch (reply.id.user)
-    {
-    case ports::store_user::membership:
-        member_.on_store_reply(now, reply, out);
-        break;
-    case ports::store_user::claims:
-        claims_.on_store_reply(now, reply, member_, out);
-        break;
-    case ports::store_user::configuration:
-        follower_.on_store_reply(now, reply, out);
-        break;
-    case ports::store_user::tasks:
-        break;
-    case ports::store_user::requests:
-    case ports::store_user::administration:
-        return false;
-    }
-    auto const tag = reply.id.user == ports::store_user::tasks
-                         ? calls_.take(reply.id)
-                         : std::nullopt;
-    if (!tag)
-    {
-        pump(now, out);
-        return true;
-    }
-    auto to_desk = desk(now, out);
-    auto const cell = cells_.find(tag->name);
-    switch (tag->owner)
-    {
-    case call_owner::log:
-    case call_owner::snapshot:
-    case call_owner::parcel:
-    case call_owner::erase:
-        if (cell != cells_.end())
-        {
-            auto with = context(now, tag->name, out);
-            cell->second->on_store_reply(with, *tag, reply);
-            touched_.insert(tag->name);
-        }
-        break;
-    case call_owner::inbox:
-        if (inbox_.on_store_reply(now, *tag, reply))
-        {
-            for (auto& [name, each] : cells_)
-            {
-                deliver_inbox(now, *each, out);
-            }
-            touch_all();
-        }
-        break;
-    case call_owner::desk:
-        desk_.on_store_reply(to_desk, *tag, reply);
-        break;
-    case call_owner::quota:
-        quotas_.on_store_reply(now, *tag, reply);
-        touch_all();
-        break;
-    case call_owner::load:
-        loads_.on_store_reply(now, *tag, reply);
-        break;
-    case call_owner::sweep:
-        if (tag->number == notice_call_)
-        {
-            notice_call_ = 0;
-        }
-        sweep_.on_store_reply(*tag, reply);
-        break;
-    }
-    pump(now, out);
-    return true;
-}
-
-void planner_engine::on_peer(common::time_point now,
-                             ports::peer_receive const& message,
-                             ports::actions& out)
-{
-    auto const* from = member_.find(message.from);
-    if (from != nullptr)
-    {
-        auto const where = from->peer_address;
-        if (auto const revision = revision_in(message.message))
-        {
-            follower_.on_peer_revision(
-                now, *revision, message.from, where, out);
-        }
-        follower_.on_peer(now, message, where, out);
-    }
-    member_.on_peer(now, message, out);
-    pump(now, out);
-}
-
-void planner_engine::on_instances(common::time_point now,
-                                  ports::instance_list const& list,
-                                  ports::actions& out)
-{
-    member_.on_instances(now, list, out);
-    pump(now, out);
-}
-
-// Cells are the racks of the list and those that were ever claimed: the tasks
-// of a rack that is gone still need an owner who moves them elsewhere.
-void planner_engine::set_partitions()
-{
-    std::set<std::string> names;
-    for (auto const& rack : workers_.racks())
-    {
-        names.insert(rack);
-    }
-    for (auto const& [name, claim] : claims_.all())
-    {
-        names.insert(name);
-    }
-    claims_.set_partitions({names.begin(), names.end()});
-}
-
-void planner_engine::on_workers(common::time_point now,
-                                ports::worker_list const& list,
-                                ports::actions& out)
-{
-    workers_.on_list(list);
-    workers_known_ = true;
-    set_partitions();
-    pump(now, out);
-}
-
-void planner_engine::on_worker_report(common::time_point now,
-                                      ports::worker_report const& report,
-                                      ports::actions& out)
-{
-    if (!workers_.on_report(now, report))
-    {
-        return;
-    }
-    auto const* view = workers_.find(report.worker);
-    auto const cell = cells_.find(view->info.rack);
-    if (cell != cells_.end())
-    {
-        auto with = context(now, cell->first, out);
-        cell->second->on_report(with, report);
-    }
-}
-
-void planner_engine::on_worker_reply(common::time_point now,
-                                     ports::worker_reply const& reply,
-                                     ports::actions& out)
-{
-    auto const tag = worker_calls_.take(reply.id);
-    if (!tag)
-    {
-        return;
-    }
-    auto const cell = cells_.find(tag->cell);
-    if (cell != cells_.end())
-    {
-        auto with = context(now, tag->cell, out);
-        cell->second->on_worker_reply(with, *tag, reply);
-    }
-}
-
-void planner_engine::on_job_request(common::time_point now,
-                                    job_request const& request,
-                                    ports::actions& out)
-{
-    auto to_desk = desk(now, out);
-    desk_.on_request(to_desk, request);
-}
-
 void planner_engine::begin_stop(common::time_point now, ports::actions& out)
 {
     if (stop_since_)
@@ -555,23 +212,6 @@
     return calls_;
 }
 
-std::map<std::string, std::unique_ptr<cell_runner>> const&
-planner_engine::cells() const noexcept
-{
-    return cells_;
-}
-
-std::vector<std::string> planner_engine::racks() const
-{
-    std::vector<std::string> out;
-    out.reserve(cells_.size());
-    for (auto const& [name, cell] : cells_)
-    {
-        out.push_back(name);
-    }
-    return out;
-}
-
 cell_load planner_engine::totals() const noexcept
 {
     return loads_.totals();
--- a/src/core/tasks/planner_engine.hpp
+++ b/src/core/tasks/planner_engine.hpp
@@ -96,12 +96,20 @@
     cell_load totals() const noexcept;
 
 private:
-    cell_context context(common::time_point now,
-                         std::string const& cell,
-                         ports::actions& out);
+    // planner_engine.cpp: composition, time, a planned stop.
     desk_context desk(common::time_point now, ports::actions& out);
     bool config_fresh(common::time_point now) const noexcept;
     void pump(common::time_point now, ports::actions& out);
+    void follow_stop(common::time_point now, ports::actions& out);
+    void follow_config(ports::actions& out);
+    void erase_notices(common::time_point now, ports::actions& out);
+    /// Whether hashing gives this member what one of them does for all.
+    bool is_chosen_for(std::string const& key) const;
+
+    // planner_cells.cpp: the cells that it owns.
+    cell_context context(common::time_point now,
+                         std::string const& cell,
+                         ports::actions& out);
     void tick_cells(common::time_point now, ports::actions& out);
     void touch_all();
     void take_claims(common::time_point now, ports::actions& out);
@@ -110,13 +118,8 @@
                   ports::actions& out);
     void drop_cell(std::string const& cell);
     void hand_over(common::time_point now, ports::actions& out);
-    void follow_stop(common::time_point now, ports::actions& out);
-    void follow_config(ports::actions& out);
     void
     deliver_inbox(common::time_point now, cell_runner& to, ports::actions& out);
-    void erase_notices(common::time_point now, ports::actions& out);
-    /// Whether hashing gives this member what one of them does for all.
-    bool is_chosen_for(std::string const& key) const;
     void post_faulty(common::time_point now, ports::actions& out);
     void set_partitions();
 
--- /dev/null
+++ b/src/core/tasks/planner_events.cpp
@@ -0,0 +1,184 @@
+#include "core/tasks/planner_engine.hpp"
+
+#include <optional>
+#include <variant>
+
+// What comes in, and to which part it goes.
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+// Tells the follower which revision a promise carries.
+std::optional<std::uint64_t> revision_in(ports::peer_message const& message)
+{
+    if (auto const* asked = std::get_if<ports::promise_request>(&message))
+    {
+        return asked->config_revision;
+    }
+    if (auto const* told = std::get_if<ports::promise_reply>(&message))
+    {
+        return told->config_revision;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool planner_engine::on_store_reply(common::time_point now,
+                                    ports::store_reply const& reply,
+                                    ports::actions& out)
+{
+    switch (reply.id.user)
+    {
+    case ports::store_user::membership:
+        member_.on_store_reply(now, reply, out);
+        break;
+    case ports::store_user::claims:
+        claims_.on_store_reply(now, reply, member_, out);
+        break;
+    case ports::store_user::configuration:
+        follower_.on_store_reply(now, reply, out);
+        break;
+    case ports::store_user::tasks:
+        break;
+    case ports::store_user::requests:
+    case ports::store_user::administration:
+        return false;
+    }
+    auto const tag = reply.id.user == ports::store_user::tasks
+                         ? calls_.take(reply.id)
+                         : std::nullopt;
+    if (!tag)
+    {
+        pump(now, out);
+        return true;
+    }
+    auto to_desk = desk(now, out);
+    auto const cell = cells_.find(tag->name);
+    switch (tag->owner)
+    {
+    case call_owner::log:
+    case call_owner::snapshot:
+    case call_owner::parcel:
+    case call_owner::erase:
+        if (cell != cells_.end())
+        {
+            auto with = context(now, tag->name, out);
+            cell->second->on_store_reply(with, *tag, reply);
+            touched_.insert(tag->name);
+        }
+        break;
+    case call_owner::inbox:
+        if (inbox_.on_store_reply(now, *tag, reply))
+        {
+            for (auto& [name, each] : cells_)
+            {
+                deliver_inbox(now, *each, out);
+            }
+            touch_all();
+        }
+        break;
+    case call_owner::desk:
+        desk_.on_store_reply(to_desk, *tag, reply);
+        break;
+    case call_owner::quota:
+        quotas_.on_store_reply(now, *tag, reply);
+        touch_all();
+        break;
+    case call_owner::load:
+        loads_.on_store_reply(now, *tag, reply);
+        break;
+    case call_owner::sweep:
+        if (tag->number == notice_call_)
+        {
+            notice_call_ = 0;
+        }
+        sweep_.on_store_reply(*tag, reply);
+        break;
+    }
+    pump(now, out);
+    return true;
+}
+
+void planner_engine::on_peer(common::time_point now,
+                             ports::peer_receive const& message,
+                             ports::actions& out)
+{
+    auto const* from = member_.find(message.from);
+    if (from != nullptr)
+    {
+        auto const where = from->peer_address;
+        if (auto const revision = revision_in(message.message))
+        {
+            follower_.on_peer_revision(
+                now, *revision, message.from, where, out);
+        }
+        follower_.on_peer(now, message, where, out);
+    }
+    member_.on_peer(now, message, out);
+    pump(now, out);
+}
+
+void planner_engine::on_instances(common::time_point now,
+                                  ports::instance_list const& list,
+                                  ports::actions& out)
+{
+    member_.on_instances(now, list, out);
+    pump(now, out);
+}
+
+void planner_engine::on_workers(common::time_point now,
+                                ports::worker_list const& list,
+                                ports::actions& out)
+{
+    workers_.on_list(list);
+    workers_known_ = true;
+    set_partitions();
+    pump(now, out);
+}
+
+void planner_engine::on_worker_report(common::time_point now,
+                                      ports::worker_report const& report,
+                                      ports::actions& out)
+{
+    if (!workers_.on_report(now, report))
+    {
+        return;
+    }
+    auto const* view = workers_.find(report.worker);
+    auto const cell = cells_.find(view->info.rack);
+    if (cell != cells_.end())
+    {
+        auto with = context(now, cell->first, out);
+        cell->second->on_report(with, report);
+    }
+}
+
+void planner_engine::on_worker_reply(common::time_point now,
+                                     ports::worker_reply const& reply,
+                                     ports::actions& out)
+{
+    auto const tag = worker_calls_.take(reply.id);
+    if (!tag)
+    {
+        return;
+    }
+    auto const cell = cells_.find(tag->cell);
+    if (cell != cells_.end())
+    {
+        auto with = context(now, tag->cell, out);
+        cell->second->on_worker_reply(with, *tag, reply);
+    }
+}
+
+void planner_engine::on_job_request(common::time_point now,
+                                    job_request const& request,
+                                    ports::actions& out)
+{
+    auto to_desk = desk(now, out);
+    desk_.on_request(to_desk, request);
+}
+
+} // namespace fuchsia::core::tasks
