--- a/src/core/claims/claim_table.hpp
+++ b/src/core/claims/claim_table.hpp
@@ -134,8 +134,8 @@
         common::time_point owned_since;
     };
 
+    // claim_table.cpp: which partitions to claim, keep and hand over.
     void know_self(ports::member_identity const& self);
-    void drive_list(common::time_point now, ports::actions& out);
     void drive_owned(common::time_point now,
                      claim const& current,
                      progress& state,
@@ -158,6 +158,9 @@
     bool is_free(claim const& current, membership::member const& members) const;
     bool is_ours(std::string const& partition) const;
     std::size_t handovers_asked() const;
+
+    // claim_calls.cpp: calls of the store.
+    void drive_list(common::time_point now, ports::actions& out);
     void write_claim(claim const& current, ports::actions& out);
     void write_release(claim const& current, ports::actions& out);
     void on_list(common::time_point now, ports::store_reply const& reply);
