--- a/src/core/membership/member.hpp
+++ b/src/core/membership/member.hpp
@@ -125,12 +125,11 @@
         ports::member_identity subject; ///< Of a burial.
     };
 
+    // member.cpp: the own record, the list of members, the proof.
     void notice(common::time_point now, ports::actions& out);
     void drive(common::time_point now, ports::actions& out);
     void drive_own(common::time_point now, ports::actions& out);
     void drive_list(common::time_point now, ports::actions& out);
-    void drive_rounds(common::time_point now, ports::actions& out);
-    void drive_burials(common::time_point now, ports::actions& out);
     void follow_proof(common::time_point now, ports::actions& out);
     void on_own_reply(common::time_point now,
                       ports::store_reply const& reply,
@@ -145,6 +144,10 @@
               ports::store_operation operation,
               ports::actions& out,
               ports::member_identity const& subject = {});
+
+    // member_peers.cpp: promises and consent.
+    void drive_rounds(common::time_point now, ports::actions& out);
+    void drive_burials(common::time_point now, ports::actions& out);
     void send(ports::member_identity const& to,
               ports::peer_message message,
               ports::actions& out) const;
