--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -139,13 +139,15 @@
     // cell_runner.cpp: the cell as a whole.
     void adopt(cell_context& with);
     void take_commits(cell_context& with);
-    void erase_inbox(cell_context& with);
-    void send_parcels(cell_context& with);
     void forget_jobs(cell_context& with);
     void publish_load(cell_context& with);
     bool data_centre_out(cell_context const& with) const;
     bool commit(cell_context& with, change what, bool urgent);
 
+    // cell_inbox.cpp: parcels that come and leave.
+    void erase_inbox(cell_context& with);
+    void send_parcels(cell_context& with);
+
     // cell_placement.cpp: from the queue to a worker, or to another cell.
     void rebuild_queue(cell_context& with);
     void count_use(cell_context& with);
