--- a/src/core/config/follower.hpp
+++ b/src/core/config/follower.hpp
@@ -96,20 +96,31 @@
         common::time_point retry_at;
     };
 
+    // follower.cpp: when to look, and what was found.
     void send(common::time_point now,
               pending_call call,
               ports::store_operation operation,
               ports::actions& out);
     void send_confirm(common::time_point now, ports::actions& out);
     void send_watch(common::time_point now, ports::actions& out);
-    void send_missing(common::time_point now, ports::actions& out);
     bool in_flight(call_kind kind) const noexcept;
     bool in_flight(std::string const& key) const noexcept;
-
     void on_index(common::time_point now,
                   common::time_point sent,
                   ports::store_reply const& reply,
                   ports::actions& out);
+    void apply(configuration newer, char const* source, ports::actions& out);
+    void on_offer(common::time_point now,
+                  ports::peer_receive const& message,
+                  ports::config_offer const& offer,
+                  ports::actions& out);
+    void refuse(common::time_point now,
+                std::string const& what,
+                common::failure const& reason,
+                ports::actions& out);
+
+    // follower_fetch.cpp: the documents of a newer index.
+    void send_missing(common::time_point now, ports::actions& out);
     void begin_fetch(common::time_point now,
                      common::time_point sent,
                      index_document index,
@@ -124,15 +135,6 @@
                        ports::actions& out);
     std::vector<std::string> missing() const;
     void apply_if_whole(ports::actions& out);
-    void apply(configuration newer, char const* source, ports::actions& out);
-    void on_offer(common::time_point now,
-                  ports::peer_receive const& message,
-                  ports::config_offer const& offer,
-                  ports::actions& out);
-    void refuse(common::time_point now,
-                std::string const& what,
-                common::failure const& reason,
-                ports::actions& out);
 
     follower_settings settings_;
     configuration current_;
