Writer: what a change does to an index and a configuration is apart

change.hpp holds the kinds of change and three functions on them; the writer keeps the way of a change into the store. The visitors moved as they were.

No functional change

--- a/src/core/config/writer.hpp
+++ b/src/core/config/writer.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/config/configuration.hpp"
+#include "core/config/change.hpp"
 #include "core/config/index.hpp"
 #include "core/config/name_set.hpp"
 #include "ports/actions.hpp"
@@ -8,38 +8,11 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
-#include <variant>
 #include <vector>
 
 namespace fuchsia::core::config
 {
 
-struct put_contract
-{
-    contracts::contract value;
-};
-
-struct withdraw_contract
-{
-    std::string customer;
-};
-
-struct set_data_centre
-{
-    std::string name;
-    bool out = false;
-};
-
-/// What an operator asks for.
-using change = std::variant<put_contract, withdraw_contract, set_data_centre>;
-
-/// The configuration after `what` became `revision`; empty where `before` is
-/// not the revision just below, so that what lies between is unknown.
-std::optional<configuration> apply_change(configuration const& before,
-                                          change const& what,
-                                          std::uint64_t revision);
-
 struct change_request
 {
     change what;
