--- /dev/null
+++ b/src/core/tasks/cell_replies.cpp
@@ -0,0 +1,177 @@
+#include "core/tasks/cell_runner.hpp"
+
+// What workers answer to calls about attempts.
+namespace fuchsia::core::tasks
+{
+
+void cell_runner::on_worker_reply(cell_context& with,
+                                  worker_call_tag const& tag,
+                                  ports::worker_reply const& reply)
+{
+    if (tag.kind == worker_call_kind::renew)
+    {
+        on_renewed(with, tag, reply);
+        return;
+    }
+    auto const found = runs_.find(tag.task);
+    if (tag.kind == worker_call_kind::stray_stop || found == runs_.end() ||
+        found->second.call != tag.number)
+    {
+        return;
+    }
+    auto& run = found->second;
+    run.call = 0;
+    run.next_try = with.now + with.settings.retry_interval;
+    switch (tag.kind)
+    {
+    case worker_call_kind::start:
+        on_start_reply(with, tag.task, run, reply);
+        break;
+    case worker_call_kind::stop:
+        on_stop_reply(with, tag.task, run, reply);
+        break;
+    case worker_call_kind::checkpoint:
+        on_checkpoint_reply(with, tag.task, run, reply);
+        break;
+    case worker_call_kind::throttle:
+        if (reply.status == ports::worker_status::done)
+        {
+            run.permille = run.asked_permille;
+        }
+        else if (reply.status == ports::worker_status::refused)
+        {
+            run.asked_permille = run.permille;
+        }
+        break;
+    case worker_call_kind::renew:
+    case worker_call_kind::stray_stop:
+        break;
+    }
+}
+
+void cell_runner::on_start_reply(cell_context& with,
+                                 task_key const& key,
+                                 attempt_run& run,
+                                 ports::worker_reply const& reply)
+{
+    if (run.phase != attempt_phase::starting)
+    {
+        return; // A report was faster.
+    }
+    switch (reply.status)
+    {
+    case ports::worker_status::done:
+        step(run, attempt_event::seen_running);
+        with.workers.note_accepted(run.worker);
+        ++with.counters.started;
+        if (!log_.state().find(key)->checkpoint.empty())
+        {
+            ++with.counters.resumed;
+        }
+        break;
+    case ports::worker_status::refused:
+        // A refusal of a repeated start says nothing of the first: it may
+        // have come after the window, or the attempt may have ended.
+        if (run.tries > 1)
+        {
+            step(run, attempt_event::stop);
+            send_stop(with, key, run);
+            return;
+        }
+        with.workers.note_refusal(with.now, run.worker);
+        end(with, key, attempt_end::refused, reply.why);
+        break;
+    case ports::worker_status::unreachable:
+        if (run.tries == 1)
+        {
+            run.maybe_sent = false;
+            run.tries = 0;
+        }
+        break;
+    case ports::worker_status::unclear:
+        break;
+    }
+}
+
+void cell_runner::on_stop_reply(cell_context& with,
+                                task_key const& key,
+                                attempt_run& run,
+                                ports::worker_reply const& reply)
+{
+    bool const over = reply.status == ports::worker_status::done ||
+                      reply.status == ports::worker_status::refused;
+    if (run.phase != attempt_phase::stopping || !over)
+    {
+        return;
+    }
+    auto const& part = *run.part;
+    if (part.what.kind == job_kind::service || part.stopped)
+    {
+        end(with, key, attempt_end::stopped, run.evicted_for);
+        return;
+    }
+    // It may have finished before the stop came in; running it again would
+    // do the work twice. A report of the worker tells.
+    if (step(run, attempt_event::stop_confirmed))
+    {
+        run.settle_until = with.now + with.settings.settle_limit;
+    }
+}
+
+void cell_runner::on_checkpoint_reply(cell_context& with,
+                                      task_key const& key,
+                                      attempt_run& run,
+                                      ports::worker_reply const& reply)
+{
+    if (run.phase != attempt_phase::checkpointing)
+    {
+        return;
+    }
+    if (reply.status == ports::worker_status::done && !reply.checkpoint.empty())
+    {
+        if (step(run, attempt_event::checkpoint_made))
+        {
+            commit(with,
+                   checkpoint_taken{key, run.attempt, reply.checkpoint},
+                   true);
+        }
+    }
+    else if (reply.status == ports::worker_status::done ||
+             reply.status == ports::worker_status::refused)
+    {
+        if (step(run, attempt_event::checkpoint_impossible))
+        {
+            send_stop(with, key, run);
+        }
+    }
+}
+
+void cell_runner::on_renewed(cell_context& with,
+                             worker_call_tag const& tag,
+                             ports::worker_reply const& reply)
+{
+    auto const found = renewals_.find(tag.worker);
+    if (found == renewals_.end() || found->second.call != tag.number)
+    {
+        return;
+    }
+    found->second.call = 0;
+    if (reply.status != ports::worker_status::done)
+    {
+        found->second.next = with.now + with.settings.retry_interval;
+        return;
+    }
+    found->second.acknowledged = true;
+    for (auto const& gone : reply.gone)
+    {
+        auto const key = parse_task_name(gone.task);
+        auto const run = key ? runs_.find(*key) : runs_.end();
+        if (run != runs_.end() && run->second.attempt == gone.attempt)
+        {
+            // A report says how it ended; without one its lease runs out.
+            run->second.gone = true;
+        }
+    }
+}
+
+} // namespace fuchsia::core::tasks
--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -188,6 +188,9 @@
              attempt_end how,
              std::string why);
     void after_failure(cell_context& with, task_key const& key);
+    static bool step(attempt_run& run, attempt_event event);
+
+    // cell_replies.cpp: what workers answer.
     void on_start_reply(cell_context& with,
                         task_key const& key,
                         attempt_run& run,
@@ -203,7 +206,6 @@
     void on_renewed(cell_context& with,
                     worker_call_tag const& tag,
                     ports::worker_reply const& reply);
-    static bool step(attempt_run& run, attempt_event event);
 
     // cell_reports.cpp: what reports tell.
     void on_attempt_report(cell_context& with,
