--- /dev/null
+++ b/src/core/tasks/cell_moves.cpp
@@ -0,0 +1,137 @@
+#include "core/tasks/cell_runner.hpp"
+
+#include <algorithm>
+
+// On to another cell, and away from a data centre that is out.
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+constexpr common::duration move_interval = std::chrono::milliseconds(100);
+constexpr std::size_t max_parcels_a_round = 8;
+
+} // namespace
+
+bool cell_runner::should_move(cell_context& with,
+                              job_part const& part,
+                              queued_task const& task) const
+{
+    auto const& workers = with.workers.in_rack(cell_);
+    bool const never_here =
+        std::none_of(workers.begin(),
+                     workers.end(),
+                     [&](std::string const& id)
+                     {
+                         return with.workers.find(id)->info.capacity.holds(
+                             part.what.declared);
+                     });
+    bool const elsewhere =
+        !part.what.data_centre.empty() &&
+        part.what.data_centre != with.workers.data_centre_of(cell_);
+    if (data_centre_out(with) || never_here || elsewhere)
+    {
+        return true;
+    }
+    auto const doublings = std::min<std::uint32_t>(part.moves, 10);
+    auto const patience = std::min(with.settings.move_after * (1 << doublings),
+                                   with.settings.move_after_most);
+    return short_of_room_.count(task.key) != 0 &&
+           with.now - task.since >= patience;
+}
+
+void cell_runner::move_on(cell_context& with)
+{
+    if (with.now < next_move_ || with.workers.all().empty() ||
+        log_.waiting() >= max_waiting_changes)
+    {
+        return;
+    }
+    next_move_ = with.now + move_interval;
+    bool const must = data_centre_out(with);
+    std::map<std::string, std::vector<std::uint32_t>> leaving;
+    for (auto const& task : queue_)
+    {
+        auto const& part = log_.state().jobs.at(task.key.job);
+        auto const* record = log_.state().find(task.key);
+        bool const full = leaving.size() >= max_parcels_a_round &&
+                          leaving.count(task.key.job) == 0;
+        if (full || record->status != task_status::queued ||
+            !should_move(with, part, task))
+        {
+            continue;
+        }
+        auto& tasks = leaving[task.key.job];
+        if (tasks.size() < with.settings.max_parcel_tasks)
+        {
+            tasks.push_back(task.key.index);
+        }
+    }
+    for (auto const& [id, tasks] : leaving)
+    {
+        auto const& part = log_.state().jobs.at(id);
+        auto const to =
+            with.loads.choose({part.what.declared,
+                               part.what.data_centre,
+                               cell_,
+                               !must && !with.workers.in_rack(cell_).empty(),
+                               with.config.data_centres_out},
+                              with.workers);
+        if (!to)
+        {
+            continue;
+        }
+        auto const name = id + "~" + cell_ + "~" +
+                          std::to_string(log_.state().parcels_sent + 1);
+        for (std::size_t count = 0; count < tasks.size(); ++count)
+        {
+            with.loads.reserve(*to, part.what.declared);
+        }
+        if (commit(with,
+                   parcel_left{name, *to, id, tasks, part.moves + 1},
+                   part.what.urgent || must))
+        {
+            with.counters.moved += tasks.size();
+        }
+    }
+}
+
+void cell_runner::drain(cell_context& with)
+{
+    bool const out = data_centre_out(with);
+    if (was_out_ && !out)
+    {
+        back_since_ = with.now;
+        starts_since_back_ = 0;
+    }
+    was_out_ = out;
+    if (!out)
+    {
+        return;
+    }
+    // Those that only wait for a report to tell their end burden nobody.
+    auto under_way = static_cast<std::uint32_t>(
+        std::count_if(runs_.begin(),
+                      runs_.end(),
+                      [](auto const& item)
+                      {
+                          return !item.second.evicted_for.empty() &&
+                                 item.second.phase != attempt_phase::settling;
+                      }));
+    for (auto const& [key, run] : runs_)
+    {
+        if (under_way >= with.settings.max_draining)
+        {
+            return;
+        }
+        if (run.evicted_for.empty())
+        {
+            ++under_way;
+            ++with.counters.evicted_data_centre;
+            evict(with, key, "data_centre_out");
+        }
+    }
+}
+
+} // namespace fuchsia::core::tasks
--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -129,6 +129,9 @@
         bool has_queued = false;
     };
 
+    /// Changes on their way into the log; with more, none is added.
+    static constexpr std::size_t max_waiting_changes = 2000;
+
     /// An attempt on the worker whose report is looked at.
     struct resident
     {
@@ -148,7 +151,7 @@
     void erase_inbox(cell_context& with);
     void send_parcels(cell_context& with);
 
-    // cell_placement.cpp: from the queue to a worker, or to another cell.
+    // cell_placement.cpp: from the queue to a worker, and back.
     void rebuild_queue(cell_context& with);
     void count_use(cell_context& with);
     void place(cell_context& with);
@@ -158,14 +161,16 @@
     bool quota_allows(cell_context& with, job const& what);
     std::vector<placement::candidate> candidates(cell_context& with) const;
     bool ramp_allows(cell_context& with) const;
-    void move_on(cell_context& with);
-    bool should_move(cell_context& with,
-                     job_part const& part,
-                     queued_task const& task) const;
     void evict_overage(cell_context& with,
                        std::string const& customer,
                        allowance const& allowed);
     void enforce_contracts(cell_context& with);
+
+    // cell_moves.cpp: on to another cell.
+    void move_on(cell_context& with);
+    bool should_move(cell_context& with,
+                     job_part const& part,
+                     queued_task const& task) const;
     void drain(cell_context& with);
 
     // cell_attempts.cpp: one attempt's life.
