--- a/src/core/tasks/cell_log.hpp
+++ b/src/core/tasks/cell_log.hpp
@@ -101,9 +101,14 @@
         lost,
     };
 
+    // cell_log.cpp: what is written, and when.
     void read(store_calls& calls, ports::actions& out);
     void send_append(store_calls& calls, ports::actions& out);
     void begin_append(store_calls& calls, ports::actions& out);
+    void send_snapshot(store_calls& calls, ports::actions& out);
+    bool commit_due(common::time_point now) const noexcept;
+
+    // cell_log_replies.cpp: what the store answers.
     void on_listed(common::time_point now,
                    ports::store_reply const& reply,
                    store_calls& calls,
@@ -118,7 +123,6 @@
                     ports::actions& out);
     void settle(std::uint64_t version);
     void fail_over(store_calls& calls, ports::actions& out);
-    void send_snapshot(store_calls& calls, ports::actions& out);
     void on_snapshot(common::time_point now,
                      ports::store_reply const& reply,
                      store_calls& calls,
@@ -126,7 +130,6 @@
     void snapshot_stands(std::uint64_t version,
                          store_calls& calls,
                          ports::actions& out);
-    bool commit_due(common::time_point now) const noexcept;
 
     std::string cell_;
     std::string writer_;
