--- a/src/core/tasks/job_desk.hpp
+++ b/src/core/tasks/job_desk.hpp
@@ -104,11 +104,18 @@
         bool wrote = false; ///< A write of this errand may have taken effect.
     };
 
+    // job_desk.cpp: requests, and the calls that they need.
     void submit(desk_context& with, job_request const& request);
     void begin(desk_context& with, errand next);
     void send(desk_context& with, errand& of);
     std::optional<common::failure> refusal(desk_context& with,
                                            job const& wanted) const;
+    static void answer(desk_context& with,
+                       errand const& of,
+                       std::uint16_t status,
+                       std::string body);
+
+    // job_desk_replies.cpp: what the store answers.
     /// Each gives false where the errand is over.
     bool on_registered(errand& of, ports::store_reply const& reply);
     bool on_job_read(desk_context& with,
@@ -121,10 +128,6 @@
                       ports::store_reply const& reply);
     bool
     on_posted(desk_context& with, errand& of, ports::store_reply const& reply);
-    static void answer(desk_context& with,
-                       errand const& of,
-                       std::uint16_t status,
-                       std::string body);
 
     std::string writer_;
     job_desk_settings settings_;
--- /dev/null
+++ b/src/core/tasks/job_registration.cpp
@@ -0,0 +1,48 @@
+#include "core/tasks/job_registration.hpp"
+
+#include "core/common/json.hpp"
+
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace json = boost::json;
+
+std::string registry_key(std::string const& job)
+{
+    return "jobs/" + job;
+}
+
+std::string to_json(registration const& value)
+{
+    return json::serialize(
+        json::object{{"w", value.writer},
+                     {"cell", value.cell},
+                     {"job", json::parse(to_json(value.what))}});
+}
+
+std::optional<registration> parse_registration(std::string_view text,
+                                               common::failure& reason)
+{
+    auto const object = common::parse_json_object(text, "jobs", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    common::json_reader reader(*object, "jobs");
+    registration out;
+    out.writer = reader.text("w");
+    out.cell = reader.text("cell");
+    auto const* inner = reader.object("job");
+    auto what = inner == nullptr ? std::nullopt
+                                 : parse_job(json::serialize(*inner), reason);
+    if (!reader.ok() || !what)
+    {
+        return std::nullopt;
+    }
+    out.what = std::move(*what);
+    return out;
+}
+
+} // namespace fuchsia::core::tasks
