--- a/src/adapters/daemon/shell.cpp
+++ b/src/adapters/daemon/shell.cpp
@@ -13,18 +13,12 @@
 {
 
 using core::common::clock;
-using core::common::result_code;
 using ports::severity;
 
 constexpr std::size_t store_ring = 1024;
 constexpr std::size_t peer_ring = 8192;
 constexpr std::size_t list_ring = 16;
 constexpr std::uint32_t log_lines_per_second = 10;
-constexpr core::common::duration sample_interval = std::chrono::seconds(1);
-constexpr core::common::duration finish_poll = std::chrono::milliseconds(10);
-constexpr core::common::duration finish_patience = std::chrono::seconds(10);
-constexpr core::common::duration queue_full_retry =
-    std::chrono::milliseconds(250);
 
 platform::store_settings
 store_settings_of(settings::daemon_settings const& settings)
@@ -35,23 +29,6 @@
             settings.store_writes};
 }
 
-// Brings a counter to a total that another thread's adapter keeps.
-void raise(prometheus::Counter& counter, std::uint64_t total)
-{
-    counter.Increment(static_cast<double>(total) - counter.Value());
-}
-
-http::response queue_full()
-{
-    auto answer = http::failure_response(
-        {result_code::queue_full, "", "too many requests wait here"});
-    answer.headers.push_back({"Retry-After", "1"});
-    answer.headers.push_back(
-        {"Fuchsia-Retry-After-Ms",
-         std::to_string(core::common::to_milliseconds(queue_full_retry))});
-    return answer;
-}
-
 } // namespace
 
 std::uint64_t draw_incarnation()
@@ -299,58 +276,6 @@
     return true;
 }
 
-void shell::answer(std::uint64_t request, http::response response)
-{
-    // Never full: each waiting request holds one place, and no more wait than
-    // the ring has places.
-    answers_.try_push(answer_out{request, std::move(response)});
-}
-
-void shell::handle_http(http::request request, http::responder respond)
-{
-    if (request.target == "/healthz")
-    {
-        respond({200, {}, "ok\n"});
-        return;
-    }
-    if (request.target == "/readyz")
-    {
-        bool const ready = ready_;
-        respond({static_cast<std::uint16_t>(ready ? 200 : 503),
-                 {},
-                 ready ? "ready\n" : "not ready\n"});
-        return;
-    }
-    if (request.target == "/metrics")
-    {
-        respond({200,
-                 {{"Content-Type", "text/plain; version=0.0.4"}},
-                 metrics_.text()});
-        return;
-    }
-    if (events_.screen)
-    {
-        if (auto final_answer = events_.screen(request))
-        {
-            respond(std::move(*final_answer));
-            return;
-        }
-    }
-    if (waiting_.size() >= options_.waiting_requests)
-    {
-        respond(queue_full());
-        return;
-    }
-    auto const id = ++next_request_;
-    request_in in{id, std::move(request)};
-    if (!requests_.try_push(in))
-    {
-        respond(queue_full());
-        return;
-    }
-    waiting_.emplace(id, std::move(respond));
-}
-
 void shell::tick()
 {
     auto const now = clock::now();
@@ -367,19 +292,6 @@
         });
 }
 
-// On the HTTP thread.
-void shell::respond(answer_out& out)
-{
-    auto const found = waiting_.find(out.id);
-    if (found == waiting_.end())
-    {
-        return;
-    }
-    auto const respond = std::move(found->second);
-    waiting_.erase(found);
-    respond(std::move(out.message));
-}
-
 void shell::take_store_reply(store_in& in)
 {
     --open_store_calls_;
@@ -476,88 +388,4 @@
                       });
 }
 
-// The platform thread's counts.
-void shell::sample_store()
-{
-    constexpr std::array<char const*, 5> kinds{
-        "read", "list", "write", "erase", "watch"};
-    auto const& counts = store_->counts();
-    for (std::size_t kind = 0; kind < kinds.size(); ++kind)
-    {
-        raise(metrics_.counter("fuchsia_store_calls_total",
-                               "Calls made to the platform's store",
-                               {{"kind", kinds[kind]}}),
-              counts.calls[kind]);
-    }
-    raise(metrics_.counter("fuchsia_store_over_budget_total",
-                           "Store calls not made: the budget was used up"),
-          counts.over_budget);
-    platform_sampler_.expires_after(sample_interval);
-    platform_sampler_.async_wait(
-        [this](boost::system::error_code error)
-        {
-            if (!error)
-            {
-                sample_store();
-            }
-        });
-}
-
-// The peer thread's counts.
-void shell::sample_peers()
-{
-    auto const& counts = transport_->counts();
-    raise(metrics_.counter("fuchsia_peer_sent_bytes_total",
-                           "Bytes sent to peers"),
-          counts.bytes_sent);
-    raise(metrics_.counter("fuchsia_peer_received_bytes_total",
-                           "Bytes received from peers"),
-          counts.bytes_received);
-    raise(metrics_.counter("fuchsia_peer_dropped_total",
-                           "Messages to peers dropped with their connection"),
-          counts.dropped);
-    raise(metrics_.counter("fuchsia_peer_refused_total",
-                           "Frames or connections refused: wrong token, "
-                           "address, incarnation or form"),
-          counts.refused);
-    peers_sampler_.expires_after(sample_interval);
-    peers_sampler_.async_wait(
-        [this](boost::system::error_code error)
-        {
-            if (!error)
-            {
-                sample_peers();
-            }
-        });
-}
-
-// The engine is done, but its last answers may still be on their way out: the
-// process ends when each has been written.
-void shell::finish()
-{
-    auto const now = clock::now();
-    if (!finishing_)
-    {
-        finishing_ = true;
-        finish_until_ = now + finish_patience;
-        server_->drain();
-    }
-    // A caller that does not read its answer must not hold the process for
-    // ever.
-    if (server_->waiting() == 0 || now >= finish_until_)
-    {
-        main_.io().stop();
-        return;
-    }
-    finisher_.expires_after(finish_poll);
-    finisher_.async_wait(
-        [this](boost::system::error_code error)
-        {
-            if (!error)
-            {
-                finish();
-            }
-        });
-}
-
 } // namespace fuchsia::adapters::daemon
--- a/src/adapters/daemon/shell.hpp
+++ b/src/adapters/daemon/shell.hpp
@@ -117,20 +117,25 @@
     };
     using peer_out = std::variant<std::monostate, ports::peer_send, peer_reset>;
 
-    void handle_http(http::request request, http::responder respond);
+    // shell.cpp: duties, time, store and peers.
     void tick();
     /// The time at which the engine is told of an event.
     core::common::time_point enter();
-    void respond(answer_out& out);
     void take_store_reply(store_in& in);
     void hand_to_transport(peer_out& out);
     void send_store(ports::store_call call);
     void refuse_store(ports::call_id id);
     void send_peer(peer_out out);
     void rejoin(std::string const& why);
+
+    // shell_callers.cpp: callers over HTTP.
+    void handle_http(http::request request, http::responder respond);
+    void respond(answer_out& out);
+    void finish();
+
+    // shell_samples.cpp: counts.
     void sample_store();
     void sample_peers();
-    void finish();
 
     settings::daemon_settings settings_;
     shell_options options_;
