--- /dev/null
+++ b/src/programs/planner/planner_callers.cpp
@@ -0,0 +1,139 @@
+#include "programs/planner/planner_program.hpp"
+
+#include <utility>
+
+// Requests over HTTP: for jobs to the engine, the others to the administration.
+namespace fuchsia::programs::planner
+{
+
+using adapters::http::request;
+using adapters::http::response;
+using core::common::clock;
+using core::common::time_point;
+
+namespace
+{
+
+constexpr std::string_view jobs_path = "/v1/jobs";
+
+bool is_for_jobs(std::string_view target)
+{
+    if (!target.starts_with(jobs_path))
+    {
+        return false;
+    }
+    auto const rest = target.substr(jobs_path.size());
+    return rest.empty() || rest.front() == '/' || rest.front() == '?';
+}
+
+} // namespace
+
+// Runs on the HTTP thread, and so touches nothing that changes.
+std::optional<response> planner_program::screen(request const& asked) const
+{
+    auto const authorization = asked.header("Authorization").value_or("");
+    if (!bears_token(authorization, settings_.daemon.token))
+    {
+        return adapters::http::failure_response(
+            {core::common::result_code::bad_token,
+             "Authorization",
+             "the token is absent or wrong"});
+    }
+    if (!is_for_jobs(asked.target) && !administration::handles(asked.target))
+    {
+        return adapters::http::failure_response(
+            {core::common::result_code::unknown_path,
+             asked.target,
+             "no such path"});
+    }
+    return std::nullopt;
+}
+
+void planner_program::on_request(time_point now,
+                                 std::uint64_t id,
+                                 request& asked)
+{
+    open_requests_.insert(id);
+    if (is_for_jobs(asked.target))
+    {
+        engine_->on_job_request(now,
+                                {id,
+                                 std::move(asked.method),
+                                 std::move(asked.target),
+                                 std::move(asked.body)},
+                                actions_);
+    }
+    else
+    {
+        administration_->on_request(now, id, asked, view(), actions_, answers_);
+    }
+    perform();
+}
+
+administration_view planner_program::view()
+{
+    return {engine_->follower(),
+            engine_->members(),
+            [this]
+            {
+                core::config::name_set names;
+                for (auto const& [id, worker] : engine_->workers().all())
+                {
+                    names.insert(worker.info.data_centre);
+                }
+                return names;
+            },
+            [this]
+            {
+                return status();
+            }};
+}
+
+// The planner's part of the status: what all cells published last, and what
+// this planner owns.
+boost::json::object planner_program::status() const
+{
+    auto const totals = engine_->totals();
+    std::size_t quarantined = 0;
+    auto const now = clock::now();
+    for (auto const& [id, worker] : engine_->workers().all())
+    {
+        quarantined +=
+            worker.quarantined_until && now < *worker.quarantined_until ? 1 : 0;
+    }
+    return {{"workers",
+             boost::json::object{{"listed", engine_->workers().all().size()},
+                                 {"quarantined_here", quarantined},
+                                 {"free_millicores", totals.free.millicores},
+                                 {"free_memory_mb", totals.free.memory_mb}}},
+            {"tasks",
+             boost::json::object{{"queued", totals.queued_tasks},
+                                 {"running", totals.running_tasks}}},
+            {"jobs",
+             boost::json::object{{"live", totals.live_jobs},
+                                 {"ended", totals.ended_jobs}}},
+            {"cells_here", engine_->cells().size()}};
+}
+
+void planner_program::answer(std::uint64_t request, response message)
+{
+    open_requests_.erase(request);
+    shell_.answer(request, std::move(message));
+}
+
+// The engine that took them is gone, and nobody else will answer them: an
+// operator would wait for ever, and a planned stop for that operator.
+void planner_program::abandon_requests()
+{
+    for (auto const id : std::exchange(open_requests_, {}))
+    {
+        shell_.answer(id,
+                      adapters::http::failure_response(
+                          {core::common::result_code::store_unclear,
+                           "",
+                           "this planner was replaced while it worked on it; "
+                           "look before you repeat it"}));
+    }
+}
+
+} // namespace fuchsia::programs::planner
--- a/src/programs/planner/planner_program.cpp
+++ b/src/programs/planner/planner_program.cpp
@@ -1,6 +1,5 @@
 #include "programs/planner/planner_program.hpp"
 
-#include <array>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -20,18 +19,6 @@
 constexpr std::uint32_t max_worker_calls = 2048;
 constexpr std::size_t report_ring = 4096;
 constexpr std::size_t small_ring = 16;
-constexpr core::common::duration sample_interval = std::chrono::seconds(1);
-constexpr std::string_view jobs_path = "/v1/jobs";
-
-bool is_for_jobs(std::string_view target)
-{
-    if (!target.starts_with(jobs_path))
-    {
-        return false;
-    }
-    auto const rest = target.substr(jobs_path.size());
-    return rest.empty() || rest.front() == '/' || rest.front() == '?';
-}
 
 response to_response(ports::caller_answer answer)
 {
@@ -255,93 +242,6 @@
     perform();
 }
 
-// Runs on the HTTP thread, and so touches nothing that changes.
-std::optional<response> planner_program::screen(request const& asked) const
-{
-    auto const authorization = asked.header("Authorization").value_or("");
-    if (!bears_token(authorization, settings_.daemon.token))
-    {
-        return adapters::http::failure_response(
-            {core::common::result_code::bad_token,
-             "Authorization",
-             "the token is absent or wrong"});
-    }
-    if (!is_for_jobs(asked.target) && !administration::handles(asked.target))
-    {
-        return adapters::http::failure_response(
-            {core::common::result_code::unknown_path,
-             asked.target,
-             "no such path"});
-    }
-    return std::nullopt;
-}
-
-void planner_program::on_request(time_point now,
-                                 std::uint64_t id,
-                                 request& asked)
-{
-    open_requests_.insert(id);
-    if (is_for_jobs(asked.target))
-    {
-        engine_->on_job_request(now,
-                                {id,
-                                 std::move(asked.method),
-                                 std::move(asked.target),
-                                 std::move(asked.body)},
-                                actions_);
-    }
-    else
-    {
-        administration_->on_request(now, id, asked, view(), actions_, answers_);
-    }
-    perform();
-}
-
-administration_view planner_program::view()
-{
-    return {engine_->follower(),
-            engine_->members(),
-            [this]
-            {
-                core::config::name_set names;
-                for (auto const& [id, worker] : engine_->workers().all())
-                {
-                    names.insert(worker.info.data_centre);
-                }
-                return names;
-            },
-            [this]
-            {
-                return status();
-            }};
-}
-
-// The planner's part of the status: what all cells published last, and what
-// this planner owns.
-boost::json::object planner_program::status() const
-{
-    auto const totals = engine_->totals();
-    std::size_t quarantined = 0;
-    auto const now = clock::now();
-    for (auto const& [id, worker] : engine_->workers().all())
-    {
-        quarantined +=
-            worker.quarantined_until && now < *worker.quarantined_until ? 1 : 0;
-    }
-    return {{"workers",
-             boost::json::object{{"listed", engine_->workers().all().size()},
-                                 {"quarantined_here", quarantined},
-                                 {"free_millicores", totals.free.millicores},
-                                 {"free_memory_mb", totals.free.memory_mb}}},
-            {"tasks",
-             boost::json::object{{"queued", totals.queued_tasks},
-                                 {"running", totals.running_tasks}}},
-            {"jobs",
-             boost::json::object{{"live", totals.live_jobs},
-                                 {"ended", totals.ended_jobs}}},
-            {"cells_here", engine_->cells().size()}};
-}
-
 void planner_program::perform()
 {
     for (auto& action : std::exchange(actions_, {}))
@@ -365,27 +265,6 @@
     }
 }
 
-void planner_program::answer(std::uint64_t request, response message)
-{
-    open_requests_.erase(request);
-    shell_.answer(request, std::move(message));
-}
-
-// The engine that took them is gone, and nobody else will answer them: an
-// operator would wait for ever, and a planned stop for that operator.
-void planner_program::abandon_requests()
-{
-    for (auto const id : std::exchange(open_requests_, {}))
-    {
-        shell_.answer(id,
-                      adapters::http::failure_response(
-                          {core::common::result_code::store_unclear,
-                           "",
-                           "this planner was replaced while it worked on it; "
-                           "look before you repeat it"}));
-    }
-}
-
 void planner_program::send_to_worker(ports::worker_call call)
 {
     auto const id = call.id;
@@ -420,82 +299,4 @@
     }
 }
 
-void planner_program::sample(time_point now)
-{
-    shell_.set_ready(engine_->ready(now));
-    if (now < next_sample_)
-    {
-        return;
-    }
-    next_sample_ = now + sample_interval;
-    auto& metrics = shell_.metrics();
-    auto const& counts = engine_->counters();
-    std::array<std::pair<char const*, std::uint64_t>, 7> const ends{
-        {{"finished", counts.finished},
-         {"failed", counts.failed},
-         {"stopped", counts.stopped},
-         {"lost", counts.lost},
-         {"refused", counts.refused},
-         {"unsent", counts.unsent},
-         {"started", counts.started}}};
-    for (auto const& [what, value] : ends)
-    {
-        metrics
-            .gauge("fuchsia_task_attempts",
-                   "Attempts since this planner joined, by what became of them",
-                   {{"what", what}})
-            .Set(static_cast<double>(value));
-    }
-    std::array<std::pair<char const*, std::uint64_t>, 4> const evictions{
-        {{"data_centre_out", counts.evicted_data_centre},
-         {"over_contract", counts.evicted_contract},
-         {"guard", counts.evicted_guard},
-         {"memory_pressure", counts.evicted_memory}}};
-    for (auto const& [why, value] : evictions)
-    {
-        metrics
-            .gauge("fuchsia_task_evictions",
-                   "Evictions since this planner joined, by reason",
-                   {{"why", why}})
-            .Set(static_cast<double>(value));
-    }
-    std::size_t queued = 0;
-    std::size_t running = 0;
-    for (auto const& [name, cell] : engine_->cells())
-    {
-        auto const of = cell->counts();
-        queued += of.queued;
-        running += of.running;
-    }
-    auto const set =
-        [&metrics](char const* name, char const* help, double value)
-    {
-        metrics.gauge(name, help).Set(value);
-    };
-    set("fuchsia_tasks_queued",
-        "Tasks that wait in the cells of this planner",
-        static_cast<double>(queued));
-    set("fuchsia_tasks_running",
-        "Attempts under way in the cells of this planner",
-        static_cast<double>(running));
-    set("fuchsia_cells_owned",
-        "Cells that this planner owns",
-        static_cast<double>(engine_->cells().size()));
-    set("fuchsia_proof_age_seconds",
-        "Age of the newest proof of membership",
-        adapters::metrics::seconds(engine_->members().proof_age(now)));
-    set("fuchsia_config_revision",
-        "Revision of the configuration in force here",
-        static_cast<double>(engine_->follower().current().revision));
-    for (std::size_t owner = 0; owner < tasks::call_owner_count; ++owner)
-    {
-        auto const kind = static_cast<tasks::call_owner>(owner);
-        metrics
-            .gauge("fuchsia_task_store_calls",
-                   "Store calls of the tasks part, by what they were for",
-                   {{"for", std::string(tasks::name_of(kind))}})
-            .Set(static_cast<double>(engine_->calls().count(kind)));
-    }
-}
-
 } // namespace fuchsia::programs::planner
--- a/src/programs/planner/planner_program.hpp
+++ b/src/programs/planner/planner_program.hpp
@@ -41,27 +41,32 @@
         ports::worker_reply reply;
     };
 
+    // planner_program.cpp: duties, time, the store and workers.
     adapters::daemon::shell_events events();
     void begin(core::common::time_point now);
     void make_engine();
     void tick(core::common::time_point now);
     void catch_up(core::common::time_point now);
-    void answer(std::uint64_t request, adapters::http::response message);
-    void abandon_requests();
-    void on_request(core::common::time_point now,
-                    std::uint64_t id,
-                    adapters::http::request& request);
     void on_store_reply(core::common::time_point now,
                         ports::store_reply const& reply);
-    administration_view view();
-    boost::json::object status() const;
     /// Performs what the engine and the administration asked for.
     void perform();
     void send_to_worker(ports::worker_call call);
     void follow_racks();
-    void sample(core::common::time_point now);
+
+    // planner_callers.cpp: requests over HTTP.
     std::optional<adapters::http::response>
     screen(adapters::http::request const& request) const;
+    void on_request(core::common::time_point now,
+                    std::uint64_t id,
+                    adapters::http::request& request);
+    administration_view view();
+    boost::json::object status() const;
+    void answer(std::uint64_t request, adapters::http::response message);
+    void abandon_requests();
+
+    // planner_samples.cpp: counts.
+    void sample(core::common::time_point now);
 
     adapters::settings::planner_file settings_;
     adapters::daemon::shell shell_;
