--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -52,25 +52,28 @@
                                        ports::order_reply,
                                        ports::advice_reply>;
 
+    // pool_program.cpp: duties, time and callers.
     bool listen(core::common::failure& reason);
     void on_caller(adapters::http::request const& message,
                    adapters::http::responder const& respond);
     void on_operator(adapters::http::request const& message,
                      adapters::http::responder const& respond);
     void respond(answer_out& out);
-    void send_outside(outside_call& call);
-    void take_reply(outside_reply& reply);
     void tick();
     void arm_tick();
     void perform();
     void perform(ports::pool_action& action);
-    void refuse(outside_call const& call);
     void set_clock(core::common::time_point now);
     void sample();
     void reload();
     void finish();
     void finish_callers();
 
+    // pool_outside.cpp: calls of the store, workers and the policy.
+    void send_outside(outside_call& call);
+    void take_reply(outside_reply& reply);
+    void refuse(outside_call const& call);
+
     adapters::settings::pool_file settings_;
     std::string path_;
     core::pool::engine engine_;
