One acceptor takes connections for servers, peers and stand-ins

Binding, accepting one connection after another, the pause after a failed accept and closing stood four times, in the HTTP server, the peers' transport, the relay and the executor. runtime::acceptor does it once; what differs is what is done with a connection.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -21,10 +21,6 @@
 using core::common::result_code;
 using tcp = asio::ip::tcp;
 
-// After a failed accept (such as: no file descriptor left) the next try waits,
-// since an immediate one would fail again and take the whole thread.
-constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
-
 core::common::failure failure_of(beast::error_code error)
 {
     if (error == beast::http::error::body_limit)
@@ -54,14 +50,14 @@
 {
 public:
     listener(asio::io_context& io, server_limits limits, request_handler handle)
-        : acceptor_(io), retry_(io), limits_(limits), handle_(std::move(handle))
+        : acceptor_(io), limits_(limits), handle_(std::move(handle))
     {
     }
 
     std::optional<ports::endpoint> listen(ports::endpoint const& where,
                                           core::common::failure& reason)
     {
-        auto bound = runtime::open_acceptor(acceptor_, where, reason);
+        auto bound = acceptor_.listen(where, reason);
         if (bound)
         {
             accept();
@@ -87,14 +83,12 @@
 
     void accept();
 
-    tcp::acceptor acceptor_;
-    runtime::timer retry_;
+    runtime::acceptor acceptor_;
     server_limits limits_;
     request_handler handle_;
     std::list<std::weak_ptr<connection>> connections_;
     std::uint32_t open_ = 0;
     std::uint32_t waiting_ = 0;
-    bool draining_ = false;
     bool keep_alive_ = true; ///< Connections may be used again.
 };
 
@@ -270,26 +264,9 @@
 
 void server::listener::accept()
 {
-    acceptor_.async_accept(
-        [self = shared_from_this()](beast::error_code error, tcp::socket socket)
+    acceptor_.next(
+        [self = shared_from_this()](tcp::socket socket)
         {
-            if (error == asio::error::operation_aborted || self->draining_)
-            {
-                return;
-            }
-            if (error)
-            {
-                self->retry_.expires_after(accept_pause);
-                self->retry_.async_wait(
-                    [self](beast::error_code stopped)
-                    {
-                        if (!stopped)
-                        {
-                            self->accept();
-                        }
-                    });
-                return;
-            }
             if (self->open_ < self->limits_.connections)
             {
                 auto const made =
@@ -308,9 +285,7 @@
 
 void server::listener::drain()
 {
-    draining_ = true;
-    beast::error_code ignored;
-    acceptor_.close(ignored);
+    acceptor_.close();
     for (auto const& weak : connections_)
     {
         if (auto const open = weak.lock())
@@ -322,10 +297,7 @@
 
 void server::listener::close()
 {
-    draining_ = true;
-    beast::error_code ignored;
-    acceptor_.close(ignored);
-    retry_.cancel();
+    acceptor_.close();
     for (auto const& weak : connections_)
     {
         if (auto const open = weak.lock())
--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -31,7 +31,6 @@
 // otherwise cost a connection attempt for each message.
 constexpr core::common::duration reconnect_pause =
     std::chrono::milliseconds(200);
-constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
 
 bool matches(asio::ip::address const& address, std::string const& rule)
 {
@@ -59,7 +58,7 @@
 {
 public:
     state(asio::io_context& io, transport_settings settings, handler handle)
-        : io_(io), acceptor_(io), retry_(io), settings_(std::move(settings)),
+        : io_(io), acceptor_(io), settings_(std::move(settings)),
           handle_(std::move(handle))
     {
     }
@@ -82,8 +81,7 @@
     bool is_allowed(asio::ip::address const& address) const;
 
     asio::io_context& io_;
-    tcp::acceptor acceptor_;
-    runtime::timer retry_;
+    runtime::acceptor acceptor_;
     transport_settings settings_;
     handler handle_;
     std::list<std::weak_ptr<inbound>> inbound_;
@@ -408,7 +406,7 @@
 transport::state::listen(ports::endpoint const& where,
                          core::common::failure& reason)
 {
-    auto bound = runtime::open_acceptor(acceptor_, where, reason);
+    auto bound = acceptor_.listen(where, reason);
     if (bound)
     {
         accept();
@@ -418,28 +416,11 @@
 
 void transport::state::accept()
 {
-    acceptor_.async_accept(
-        [self = shared_from_this()](error_code error, tcp::socket socket)
+    acceptor_.next(
+        [self = shared_from_this()](tcp::socket socket)
         {
-            if (self->closed_ || error == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!error)
-            {
-                self->take(std::move(socket));
-                self->accept();
-                return;
-            }
-            self->retry_.expires_after(accept_pause);
-            self->retry_.async_wait(
-                [self](error_code stopped)
-                {
-                    if (!stopped)
-                    {
-                        self->accept();
-                    }
-                });
+            self->take(std::move(socket));
+            self->accept();
         });
 }
 
@@ -523,9 +504,7 @@
 void transport::state::close()
 {
     closed_ = true;
-    error_code ignored;
-    acceptor_.close(ignored);
-    retry_.cancel();
+    acceptor_.close();
     reset();
 }
 
--- a/src/adapters/runtime/listen.cpp
+++ b/src/adapters/runtime/listen.cpp
@@ -1,32 +1,48 @@
 #include "adapters/runtime/listen.hpp"
 
+#include <utility>
+
 namespace fuchsia::adapters::runtime
 {
 
+namespace
+{
+
 namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// After a failed accept (such as: no file descriptor left) the next try waits,
+// since an immediate one would fail again and take the whole thread.
+constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
+
+} // namespace
+
+acceptor::acceptor(asio::io_context& io) : socket_(io), retry_(io)
+{
+}
 
-std::optional<ports::endpoint> open_acceptor(asio::ip::tcp::acceptor& acceptor,
-                                             ports::endpoint const& where,
-                                             core::common::failure& reason)
+std::optional<ports::endpoint> acceptor::listen(ports::endpoint const& where,
+                                                core::common::failure& reason)
 {
-    boost::system::error_code error;
+    error_code error;
     auto const address = asio::ip::make_address(where.address, error);
-    asio::ip::tcp::endpoint const target(address, where.port);
+    tcp::endpoint const target(address, where.port);
     if (!error)
     {
-        acceptor.open(target.protocol(), error);
+        socket_.open(target.protocol(), error);
     }
     if (!error)
     {
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        socket_.set_option(asio::socket_base::reuse_address(true), error);
     }
     if (!error)
     {
-        acceptor.bind(target, error);
+        socket_.bind(target, error);
     }
     if (!error)
     {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
+        socket_.listen(asio::socket_base::max_listen_connections, error);
     }
     if (error)
     {
@@ -35,7 +51,41 @@
                   "can't listen: " + error.message()};
         return std::nullopt;
     }
-    return ports::endpoint{where.address, acceptor.local_endpoint().port()};
+    return ports::endpoint{where.address, socket_.local_endpoint().port()};
+}
+
+void acceptor::next(taker take)
+{
+    socket_.async_accept(
+        [this, take = std::move(take)](error_code error, tcp::socket socket)
+        {
+            if (closed_ || error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                take(std::move(socket));
+                return;
+            }
+            retry_.expires_after(accept_pause);
+            retry_.async_wait(
+                [this, take](error_code stopped)
+                {
+                    if (!stopped)
+                    {
+                        next(take);
+                    }
+                });
+        });
+}
+
+void acceptor::close()
+{
+    closed_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+    retry_.cancel();
 }
 
 } // namespace fuchsia::adapters::runtime
--- a/standins/links/relay.cpp
+++ b/standins/links/relay.cpp
@@ -1,7 +1,6 @@
 #include "standins/links/relay.hpp"
 
 #include "adapters/http/message.hpp"
-#include "adapters/runtime/listen.hpp"
 #include "adapters/runtime/timer.hpp"
 
 #include <algorithm>
@@ -26,7 +25,6 @@
 
 constexpr std::size_t chunk_bytes = 16 * 1024;
 constexpr core::common::duration connect_retry = std::chrono::milliseconds(20);
-constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
 
 struct cut_row
 {
@@ -55,15 +53,6 @@
     return std::nullopt;
 }
 
-struct relay::acceptor
-{
-    explicit acceptor(asio::io_context& io) : socket(io), retry(io)
-    {
-    }
-    tcp::acceptor socket;
-    adapters::runtime::timer retry;
-};
-
 // Carries bytes one way: reads chunks, lets each wait for its time, writes
 // them in order. The end of the stream travels as an empty chunk.
 class relay::direction
@@ -281,8 +270,7 @@
 };
 
 relay::relay(asio::io_context& io, link_settings settings)
-    : io_(io), settings_(std::move(settings)),
-      acceptor_(std::make_unique<acceptor>(io))
+    : io_(io), settings_(std::move(settings)), acceptor_(io)
 {
 }
 
@@ -290,8 +278,7 @@
 
 std::optional<ports::endpoint> relay::listen(core::common::failure& reason)
 {
-    auto bound = adapters::runtime::open_acceptor(
-        acceptor_->socket, settings_.listen, reason);
+    auto bound = acceptor_.listen(settings_.listen, reason);
     if (bound)
     {
         accept();
@@ -301,27 +288,9 @@
 
 void relay::accept()
 {
-    acceptor_->socket.async_accept(
-        [self = shared_from_this()](error_code error, tcp::socket socket)
+    acceptor_.next(
+        [self = shared_from_this()](tcp::socket socket)
         {
-            if (self->closed_)
-            {
-                return;
-            }
-            if (error)
-            {
-                auto& retry = self->acceptor_->retry;
-                retry.expires_after(accept_pause);
-                retry.async_wait(
-                    [self](error_code stopped)
-                    {
-                        if (!stopped)
-                        {
-                            self->accept();
-                        }
-                    });
-                return;
-            }
             if (self->open_ < self->settings_.connections)
             {
                 auto const made =
@@ -373,10 +342,7 @@
 
 void relay::close()
 {
-    closed_ = true;
-    error_code ignored;
-    acceptor_->socket.close(ignored);
-    acceptor_->retry.cancel();
+    acceptor_.close();
     reset();
 }
 
--- a/standins/links/relay.hpp
+++ b/standins/links/relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/runtime/listen.hpp"
 #include "core/common/result_code.hpp"
 #include "core/common/time.hpp"
 #include "ports/identity.hpp"
@@ -69,18 +70,16 @@
 private:
     class direction;
     class connection;
-    struct acceptor;
 
     void accept();
 
     boost::asio::io_context& io_;
     link_settings settings_;
     cut_state cut_ = cut_state::none;
-    std::unique_ptr<acceptor> acceptor_;
+    adapters::runtime::acceptor acceptor_;
     std::vector<std::weak_ptr<connection>> connections_;
     link_books books_;
     std::uint32_t open_ = 0;
-    bool closed_ = false;
 };
 
 } // namespace fuchsia::standins::links
--- a/standins/upstreams/executor.cpp
+++ b/standins/upstreams/executor.cpp
@@ -1,7 +1,6 @@
 #include "standins/upstreams/executor.hpp"
 
 #include "adapters/http/message.hpp"
-#include "adapters/runtime/listen.hpp"
 #include "adapters/runtime/timer.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -22,8 +21,6 @@
 using asio::ip::tcp;
 using core::common::result_code;
 
-constexpr core::common::duration accept_pause = std::chrono::milliseconds(50);
-
 std::string text_of(beast::string_view text)
 {
     return std::string(text.data(), text.size());
@@ -50,15 +47,6 @@
 
 } // namespace
 
-struct executor::acceptor
-{
-    explicit acceptor(asio::io_context& io) : socket(io), retry(io)
-    {
-    }
-    tcp::acceptor socket;
-    adapters::runtime::timer retry;
-};
-
 // Reads one request at a time, runs it, answers.
 class executor::connection : public std::enable_shared_from_this<connection>
 {
@@ -193,7 +181,7 @@
                    std::size_t number,
                    executor_settings settings)
     : io_(io), pool_(pool), number_(number), settings_(std::move(settings)),
-      acceptor_(std::make_unique<acceptor>(io))
+      acceptor_(io)
 {
 }
 
@@ -201,8 +189,7 @@
 
 std::optional<ports::endpoint> executor::listen(core::common::failure& reason)
 {
-    auto bound = adapters::runtime::open_acceptor(
-        acceptor_->socket, settings_.listen, reason);
+    auto bound = acceptor_.listen(settings_.listen, reason);
     if (bound)
     {
         accept();
@@ -212,27 +199,9 @@
 
 void executor::accept()
 {
-    acceptor_->socket.async_accept(
-        [self = shared_from_this()](beast::error_code error, tcp::socket socket)
+    acceptor_.next(
+        [self = shared_from_this()](tcp::socket socket)
         {
-            if (self->closed_)
-            {
-                return;
-            }
-            if (error)
-            {
-                auto& retry = self->acceptor_->retry;
-                retry.expires_after(accept_pause);
-                retry.async_wait(
-                    [self](beast::error_code stopped)
-                    {
-                        if (!stopped)
-                        {
-                            self->accept();
-                        }
-                    });
-                return;
-            }
             if (self->open_ < self->settings_.connections)
             {
                 auto const made =
@@ -307,10 +276,7 @@
 
 void executor::close()
 {
-    closed_ = true;
-    beast::error_code ignored;
-    acceptor_->socket.close(ignored);
-    acceptor_->retry.cancel();
+    acceptor_.close();
     parked_.clear();
     for (auto const& weak : connections_)
     {
--- a/standins/upstreams/executor.hpp
+++ b/standins/upstreams/executor.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/runtime/listen.hpp"
 #include "core/common/result_code.hpp"
 #include "ports/identity.hpp"
 #include "standins/upstreams/upstream_pool.hpp"
@@ -43,7 +44,6 @@
 
 private:
     class connection;
-    struct acceptor;
 
     void accept();
     /// Runs `step` now, or when the executor is thawed. Each connection and
@@ -56,12 +56,11 @@
     upstream_pool& pool_;
     std::size_t number_;
     executor_settings settings_;
-    std::unique_ptr<acceptor> acceptor_;
+    adapters::runtime::acceptor acceptor_;
     std::vector<std::weak_ptr<connection>> connections_;
     std::vector<std::function<void()>> parked_;
     std::uint32_t open_ = 0;
     std::uint64_t connections_refused_ = 0;
-    bool closed_ = false;
 };
 
 } // namespace fuchsia::standins::upstreams
