--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -129,6 +129,9 @@
         bool has_queued = false;
     };
 
+    /// Changes on their way into the log; with more, none is added.
+    static constexpr std::size_t max_waiting_changes = 2000;
+
     /// An attempt on the worker whose report is looked at.
     struct resident
     {
@@ -139,14 +142,16 @@
     // cell_runner.cpp: the cell as a whole.
     void adopt(cell_context& with);
     void take_commits(cell_context& with);
-    void erase_inbox(cell_context& with);
-    void send_parcels(cell_context& with);
     void forget_jobs(cell_context& with);
     void publish_load(cell_context& with);
     bool data_centre_out(cell_context const& with) const;
     bool commit(cell_context& with, change what, bool urgent);
 
-    // cell_placement.cpp: from the queue to a worker, or to another cell.
+    // cell_inbox.cpp: parcels that come and leave.
+    void erase_inbox(cell_context& with);
+    void send_parcels(cell_context& with);
+
+    // cell_placement.cpp: from the queue to a worker, and back.
     void rebuild_queue(cell_context& with);
     void count_use(cell_context& with);
     void place(cell_context& with);
@@ -156,14 +161,16 @@
     bool quota_allows(cell_context& with, job const& what);
     std::vector<placement::candidate> candidates(cell_context& with) const;
     bool ramp_allows(cell_context& with) const;
-    void move_on(cell_context& with);
-    bool should_move(cell_context& with,
-                     job_part const& part,
-                     queued_task const& task) const;
     void evict_overage(cell_context& with,
                        std::string const& customer,
                        allowance const& allowed);
     void enforce_contracts(cell_context& with);
+
+    // cell_moves.cpp: on to another cell.
+    void move_on(cell_context& with);
+    bool should_move(cell_context& with,
+                     job_part const& part,
+                     queued_task const& task) const;
     void drain(cell_context& with);
 
     // cell_attempts.cpp: one attempt's life.
@@ -186,6 +193,9 @@
              attempt_end how,
              std::string why);
     void after_failure(cell_context& with, task_key const& key);
+    static bool step(attempt_run& run, attempt_event event);
+
+    // cell_replies.cpp: what workers answer.
     void on_start_reply(cell_context& with,
                         task_key const& key,
                         attempt_run& run,
@@ -201,7 +211,6 @@
     void on_renewed(cell_context& with,
                     worker_call_tag const& tag,
                     ports::worker_reply const& reply);
-    static bool step(attempt_run& run, attempt_event event);
 
     // cell_reports.cpp: what reports tell.
     void on_attempt_report(cell_context& with,
