Review: a task runs again whose end was acknowledged too early

Symptom: after a change of owner a task runs again whose end its worker had already forgotten.

How: with slow commits a job's progress waits in the queue, behind it the barrier that acknowledges its first ends. The job ends meanwhile; its progress is then left out, the barrier passes, and the final state stands more than one commit behind it. An owner that dies in between leaves neither.

No functional change

--- /dev/null
+++ b/tests/unit/pool/review_test.cpp
@@ -0,0 +1,83 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <random>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace fuchsia::tests::unit::pool;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+bool settled(pool_world& world)
+{
+    return world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+}
+
+std::size_t other_than(std::size_t number)
+{
+    return number == 0 ? 1 : 0;
+}
+
+void submit_many(pool_world& world,
+                 std::size_t at,
+                 std::string const& name,
+                 std::size_t count,
+                 fuchsia::core::pool::job const& what)
+{
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        world.submit(at, name + std::to_string(number), what);
+    }
+}
+
+// All workers are busy for a minute.
+void fill(pool_world& world, std::size_t at)
+{
+    submit_many(world, at, "fills", world.worker_count(), simple_job(8, 60s));
+    world.run(1s);
+}
+
+bool watches_jobs(ports::kv_operation const& call)
+{
+    auto const* const watch = std::get_if<ports::kv_watch>(&call);
+    return watch != nullptr && watch->prefix == "pool/";
+}
+
+} // namespace
+
+// A task whose end was acknowledged before its record is durable runs again.
+TEST(pool_review, no_end_is_acknowledged_before_what_holds_it_is_durable)
+{
+    for (int attempt = 0; attempt < 12; ++attempt)
+    {
+        pool_world world(3, 16);
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        auto const other = other_than(owner);
+        world.set_commit_delay(owner, 400ms);
+        for (int round = 0; round < 4; ++round)
+        {
+            submit_many(world,
+                        other,
+                        "round" + std::to_string(round) + ".",
+                        30,
+                        chained_job(100ms));
+            world.run(500ms);
+        }
+        world.run(attempt * 100ms);
+        world.kill(owner);
+        world.run(15s);
+        EXPECT_EQ(world.violation(), "") << "attempt " << attempt;
+    }
+}
