Review: barriers of ends grow without bound while no commit is taken

Symptom: 153 entries wait after 3 s without a commit, 1,049 after 23 s, with 32 jobs and 16 workers.

How: each worker whose ends are not acknowledged is asked each 0.35 s, and each answer adds a barrier.

No functional change

--- a/tests/unit/pool/review_test.cpp
+++ b/tests/unit/pool/review_test.cpp
@@ -81,3 +81,30 @@
         EXPECT_EQ(world.violation(), "") << "attempt " << attempt;
     }
 }
+
+// Ends that wait for a commit pile up without bound while none is taken.
+TEST(pool_review, what_waits_is_bounded_while_no_commit_is_taken)
+{
+    constexpr std::size_t workers = 16;
+    pool_world world(3, workers);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    world.run(1s);
+    submit_many(world, other, "long", 16, simple_job(4, 60s));
+    submit_many(world, other, "job", 16, simple_job(8, 100ms));
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const commit = std::get_if<ports::kv_commit>(&call);
+        bool const hit = at == owner && commit != nullptr &&
+                         commit->expected.size() == 2 &&
+                         commit->expected.back().key == "ledger";
+        return hit ? fate::refused : fate::carried_out;
+    };
+    world.run(3s);
+    auto const early = world.scheduler(owner).commits().waiting();
+    world.run(20s);
+    ASSERT_EQ(world.owner(), owner);
+    auto const late = world.scheduler(owner).commits().waiting();
+    EXPECT_LE(late, early + workers) << early << " after 3 s";
+}
