Review: a watch that hears nothing counts as heard

Symptom: all three instances tell 0 of 20 jobs that have waited over five seconds, and the owner never learns of them.

How: the owner's watch of jobs moves on to the revision of an answer without events. The operators' watch does not; see pool_faults.a_deaf_watch_does_not_move_on.

No functional change

--- a/tests/unit/pool/review_test.cpp
+++ b/tests/unit/pool/review_test.cpp
@@ -108,3 +108,29 @@
     auto const late = world.scheduler(owner).commits().waiting();
     EXPECT_LE(late, early + workers) << early << " after 3 s";
 }
+
+// An owner tells 0 of 20 after a watch that answered with nothing for a while.
+TEST(pool_review, a_deaf_watch_of_jobs_does_not_count_as_heard)
+{
+    pool_world world(3, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    fill(world, other);
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        return at == owner && watches_jobs(call) ? fate::deaf
+                                                 : fate::carried_out;
+    };
+    world.run(1500ms);
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
+    world.run(1500ms);
+    world.store_fault = nullptr;
+    world.run(4500ms);
+    for (std::size_t number = 0; number < 3; ++number)
+    {
+        auto const told = world.waiting_told(number);
+        EXPECT_TRUE(!told || *told >= 10)
+            << "instance " << number << " tells " << told.value_or(0);
+    }
+}
