Review: jobs on pages that are still to come count as heard

Symptom: an instance tells 0 of 20 jobs that have waited over five seconds.

How: after lost history the owner takes the revision of the first page for heard at once, but takes the jobs only when the last page has come; the record of counts that it writes meanwhile claims that revision.

No functional change

--- a/tests/unit/pool/review_test.cpp
+++ b/tests/unit/pool/review_test.cpp
@@ -134,3 +134,42 @@
             << "instance " << number << " tells " << told.value_or(0);
     }
 }
+
+// Instances tell 0 of 20 while an owner reads all jobs again, page by page.
+TEST(pool_review, jobs_on_pages_to_come_do_not_count_as_heard)
+{
+    pool_world world(3, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    auto small = simple_job(1, 60s);
+    small.steps.front().declared = {1, 1, 0};
+    submit_many(world, other, "a", 600, small);
+    submit_many(world, other, "fills", 1, simple_job(7, 60s));
+    world.run(4s);
+    ASSERT_EQ(world.scheduler(owner).pending()["q"], 0U);
+    bool cut = true;
+    world.store_fault =
+        [owner, &cut](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const pages = std::get_if<ports::kv_range>(&call);
+        bool const later_page = pages != nullptr && pages->prefix == "pool/" &&
+                                !pages->after.empty();
+        bool const hit =
+            at == owner && ((cut && watches_jobs(call)) || later_page);
+        return hit ? fate::lost : fate::carried_out;
+    };
+    world.run(2s);
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
+    world.run(5s);
+    world.store().compact();
+    cut = false;
+    for (int step = 0; step < 40; ++step)
+    {
+        world.run(100ms);
+        auto const told = world.waiting_told(other);
+        EXPECT_TRUE(!told || *told >= 10)
+            << "step " << step << " tells " << told.value_or(0);
+    }
+    EXPECT_EQ(world.owner(), owner);
+}
