Review: commits that take effect late are never found again

Symptom: an owner renews leases and starts tasks, and hardly any job ends for callers (34 of 40 are not shown as completed 15 s later).

How: each commit takes effect 2 s after it was sent, its time limit is 1.5 s. The key read 0.1 s later holds the number of the one before, which is compared only with that of the last one sent: none is ever taken for done, and nothing behind it is written.

No functional change

--- a/tests/unit/pool/review_test.cpp
+++ b/tests/unit/pool/review_test.cpp
@@ -173,3 +173,34 @@
     }
     EXPECT_EQ(world.owner(), owner);
 }
+
+// Jobs never end if commits take effect only after their time limit.
+TEST(pool_review, commits_that_take_effect_late_are_found)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    world.run(1s);
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const commit = std::get_if<ports::kv_commit>(&call);
+        bool const hit = at == owner && commit != nullptr &&
+                         commit->expected.size() == 2 &&
+                         commit->expected.back().key == "ledger";
+        return hit ? fate::late : fate::carried_out;
+    };
+    submit_many(world, other, "a", 8, simple_job(4, 100ms));
+    world.run(5s);
+    submit_many(world, other, "b", 40, simple_job(2, 100ms));
+    world.run(15s);
+    ASSERT_EQ(world.owner(), owner);
+    EXPECT_LE(world.scheduler(owner).commits().lag(world.now()), 10s);
+    int open = 0;
+    for (int number = 0; number < 40; ++number)
+    {
+        auto const state = world.state(other, "b" + std::to_string(number));
+        open += state == ports::job_state::completed ? 0 : 1;
+    }
+    EXPECT_EQ(open, 0) << "of 40 jobs whose work is done";
+}
