Review: two guards of the counts and of the commits, which hold

Commits name each key once and have at most 32 entries, with a fifth and more of them lost, refused or late.

No functional change

--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr duration store_delay = 2ms; ///< One way.
 constexpr std::int64_t unix_offset_ms = 1'700'000'000'000;
 constexpr duration worker_delay = 1ms;
 constexpr duration late_by = 2s;
@@ -218,6 +217,11 @@
     instances_[instance].commit_delay = delay;
 }
 
+void pool_world::set_store_way(duration way)
+{
+    store_way_ = way;
+}
+
 void pool_world::set_size(std::size_t instance, double size)
 {
     instances_[instance].size = size;
@@ -435,7 +439,7 @@
     };
     if (what == fate::refused)
     {
-        timeline_.after(2 * store_delay,
+        timeline_.after(2 * store_way_,
                         [tell]
                         {
                             tell(ports::kv_status::refused);
@@ -466,7 +470,7 @@
     }
     bool const answered =
         what == fate::carried_out ||
-        (what == fate::slow && call.timeout > late_by + store_delay);
+        (what == fate::slow && call.timeout > late_by + store_way_);
     if (!answered)
     {
         timeline_.after(call.timeout,
@@ -483,7 +487,7 @@
     bool const commits =
         std::holds_alternative<ports::kv_commit>(call.operation);
     auto const way =
-        store_delay + (commits ? instances_[number].commit_delay : duration{});
+        store_way_ + (commits ? instances_[number].commit_delay : duration{});
     timeline_.after(delayed ? late_by : way,
                     [this, number, life, call, answered]
                     {
@@ -514,7 +518,7 @@
         return;
     }
     reply->id = call.id;
-    timeline_.after(store_delay,
+    timeline_.after(store_way_,
                     [this, number, life, reply = *reply]
                     {
                         if (instances_[number].life != life)
@@ -592,7 +596,7 @@
             told.revision = store_.revision();
         }
         told.id = each.call.id;
-        timeline_.after(store_delay,
+        timeline_.after(store_way_,
                         [this, each, told]
                         {
                             if (instances_[each.instance].life != each.life)
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -74,6 +74,8 @@
     void set_size(std::size_t instance, double size);
     /// From now on each of its commits takes that much longer.
     void set_commit_delay(std::size_t instance, duration delay);
+    /// From now on each way to the store and back takes that long.
+    void set_store_way(duration way);
     void kill(std::size_t instance);
     void start(std::size_t instance);
     /// Stands still, and gets what came meanwhile when it wakes.
@@ -144,6 +146,7 @@
     void check_ends();
     std::uint64_t ask(std::size_t instance, core::pool::pool_request request);
 
+    duration store_way_ = 2ms;
     walks::timeline timeline_;
     standins::pool::kv_state store_;
     std::vector<std::unique_ptr<standins::pool::worker_state>> workers_;
--- a/tests/unit/pool/review_test.cpp
+++ b/tests/unit/pool/review_test.cpp
@@ -204,3 +204,97 @@
     }
     EXPECT_EQ(open, 0) << "of 40 jobs whose work is done";
 }
+
+// Callers are refused a count although the store is merely slow.
+TEST(pool_review, a_count_is_told_while_the_store_answers_in_400_ms)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    auto const others_write = [&world](duration how_long)
+    {
+        for (duration done{}; done < how_long; done += 20ms)
+        {
+            world.store().put("noise", "x");
+            world.run(20ms);
+        }
+    };
+    others_write(2s);
+    world.set_store_way(200ms);
+    others_write(3s);
+    std::size_t refused = 0;
+    std::vector<std::uint64_t> asked;
+    for (std::size_t step = 0; step < 100; ++step)
+    {
+        if (step < 50)
+        {
+            world.submit(0, "job" + std::to_string(step), simple_job(2, 500ms));
+        }
+        asked.push_back(world.query(step % 3, ""));
+        others_write(200ms);
+    }
+    others_write(2s);
+    for (auto const each : asked)
+    {
+        auto const got = world.answer(each);
+        bool const told =
+            got && std::holds_alternative<ports::queue_status>(*got);
+        refused += told ? 0U : 1U;
+    }
+    EXPECT_EQ(refused, 0U) << "of " << asked.size();
+}
+
+// A commit that names a key twice, or has too many entries, is refused for
+// good.
+TEST(pool_review, a_commit_names_each_key_once_and_is_within_the_limit)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        std::mt19937 random(seed);
+        pool_world world(3, 8);
+        ASSERT_TRUE(settled(world));
+        std::string broken;
+        world.store_fault =
+            [&random, &broken](std::size_t, ports::kv_operation const& call)
+        {
+            auto const* const commit = std::get_if<ports::kv_commit>(&call);
+            if (commit == nullptr || commit->expected.size() != 2 ||
+                commit->expected.back().key != "ledger")
+            {
+                return fate::carried_out;
+            }
+            std::set<std::string> keys;
+            for (auto const& put : commit->puts)
+            {
+                broken += keys.insert(put.key).second ? "" : put.key + " ";
+            }
+            for (auto const& key : commit->erases)
+            {
+                broken += keys.insert(key).second ? "" : key + " ";
+            }
+            auto const entries = commit->expected.size() + commit->puts.size() +
+                                 commit->erases.size();
+            broken +=
+                entries <= 32 ? "" : std::to_string(entries) + " entries ";
+            constexpr std::array<fate, 5> fates{fate::answer_lost,
+                                                fate::refused,
+                                                fate::lost,
+                                                fate::late,
+                                                fate::slow};
+            auto const drawn = random() % 20;
+            return drawn < fates.size() ? fates.at(drawn) : fate::carried_out;
+        };
+        for (int step = 0; step < 100; ++step)
+        {
+            auto const id = "job" + std::to_string(step);
+            world.submit(step % 3, id, chained_job(100ms));
+            world.run(100ms);
+            if (random() % 5 == 0)
+            {
+                world.cancel(step % 3, id);
+            }
+        }
+        world.run(10s);
+        EXPECT_EQ(broken, "") << "seed " << seed;
+        EXPECT_EQ(world.violation(), "") << "seed " << seed;
+    }
+}
