Review: a walk of unclear commits and a change of owner, which holds

Sixty seeds of lost, late, refused and slow commits with a kill of the owner after them, jobs of two steps, some cancelled: no task runs again.

No functional change

--- a/tests/unit/pool/review_test.cpp
+++ b/tests/unit/pool/review_test.cpp
@@ -298,3 +298,49 @@
         EXPECT_EQ(world.violation(), "") << "seed " << seed;
     }
 }
+
+// A task runs again after commits that were lost or late and a change of owner.
+TEST(pool_review, no_task_runs_again_after_unclear_commits_and_a_kill)
+{
+    for (unsigned seed = 1; seed <= 60; ++seed)
+    {
+        std::mt19937 random(seed);
+        pool_world world(3, 16);
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        auto const other = other_than(owner);
+        world.set_commit_delay(owner, 200ms);
+        world.store_fault =
+            [&random, owner](std::size_t at, ports::kv_operation const& call)
+        {
+            auto const* const commit = std::get_if<ports::kv_commit>(&call);
+            if (at != owner || commit == nullptr ||
+                commit->expected.size() != 2 ||
+                commit->expected.back().key != "ledger")
+            {
+                return fate::carried_out;
+            }
+            constexpr std::array<fate, 5> fates{fate::answer_lost,
+                                                fate::refused,
+                                                fate::lost,
+                                                fate::late,
+                                                fate::slow};
+            auto const drawn = random() % 15;
+            return drawn < fates.size() ? fates.at(drawn) : fate::carried_out;
+        };
+        for (std::size_t round = 0; round < 6; ++round)
+        {
+            submit_many(world,
+                        other,
+                        "round" + std::to_string(round) + ".",
+                        25,
+                        chained_job(100ms));
+            world.cancel(other, "round" + std::to_string(round) + ".3");
+            world.run(400ms);
+        }
+        world.run(std::chrono::milliseconds(random() % 4000));
+        world.kill(owner);
+        world.run(15s);
+        EXPECT_EQ(world.violation(), "") << "seed " << seed;
+    }
+}
