A commit that takes effect late is recognised, whichever it is

Ends of jobs were not told and 34 of 40 jobs whose work was done were not shown as completed after 15 s, by the test, while an owner's commits took effect 0.5 s after their time limit. Cause: after a commit without an answer the owner compared the common key with the number of its last commit only. When commit n takes effect after n+1 was sent, n+1 conflicts and n is never recognised, and so on: nothing behind it is written, while the claim is kept and tasks go on starting.

Now each entry knows the first commit that held it, and the key's mark tells which one took effect: what that one held is durable, the rest goes into the next. A value that is asked for again stays with both requests and is put once a commit. Why it holds: a commit names the revision of the key, so of two that are on their way only one takes effect. What waits counts acknowledgements too, and its age begins with the owner.

--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -1,6 +1,8 @@
 #include "core/pool/ledger.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -16,8 +18,11 @@
 
 } // namespace
 
-ledger::ledger(ledger_settings settings, claim& held, outbox& out)
-    : settings_(settings), claim_(held), out_(out)
+ledger::ledger(ledger_settings settings,
+               claim& held,
+               outbox& out,
+               common::time_point now)
+    : settings_(settings), claim_(held), out_(out), ticked_(now)
 {
 }
 
@@ -33,7 +38,7 @@
 // with this owner while the entry still waits.
 void ledger::write(entry what, std::string const& instead_of)
 {
-    enqueue(write_rank::result, {std::move(what), {}, {}, {}, {}, {}});
+    enqueue(write_rank::result, {std::move(what), {}, {}, {}, {}, {}, {}});
     if (instead_of.empty())
     {
         return;
@@ -62,6 +67,7 @@
                  std::move(value),
                  {},
                  {},
+                 {},
                  {}});
     }
 }
@@ -85,14 +91,19 @@
 
 bool ledger::idle() const noexcept
 {
-    return waiting() == 0 && barriers_.empty();
+    return waiting() == 0;
 }
 
-std::size_t ledger::waiting() const noexcept
+std::size_t ledger::entries() const noexcept
 {
     return results_.size() + records_.size() + in_flight_.size();
 }
 
+std::size_t ledger::waiting() const noexcept
+{
+    return entries() + barriers_.size();
+}
+
 ledger::queued const* ledger::oldest() const noexcept
 {
     queued const* first = nullptr;
@@ -131,7 +142,7 @@
     {
         return;
     }
-    if (waiting() == 0)
+    if (entries() == 0)
     {
         pass_barriers(now);
         return;
@@ -150,8 +161,8 @@
     }
 }
 
-// Also tells whether a commit without an answer took effect: the key holds its
-// number then.
+// Also tells which commit without an answer took effect: the key holds its
+// number. It need not be the last one that was sent.
 void ledger::read_revision()
 {
     busy_ = true;
@@ -169,23 +180,33 @@
                        return;
                    }
                    bool const exists = !reply.items.empty();
-                   revision_ = exists ? reply.items.front().revision : 0;
+                   auto const applied =
+                       exists ? own_commit(reply.items.front().value) : 0;
                    revision_known_ = true;
-                   auto const mine = std::to_string(claim_.epoch()) + "." +
-                                     std::to_string(number_);
-                   if (!in_flight_.empty() && exists &&
-                       reply.items.front().value == mine)
-                   {
-                       kv_reply done;
-                       done.status = kv_status::done;
-                       done.revision = revision_;
-                       on_commit(at, done);
-                       return;
-                   }
+                   committed(
+                       at, exists ? reply.items.front().revision : 0, applied);
                    tick(at);
                });
 }
 
+std::string ledger::mark_of(std::uint64_t commit) const
+{
+    return std::to_string(claim_.epoch()) + "." + std::to_string(commit);
+}
+
+// 0 where the mark is not of a commit of this owner.
+std::uint64_t ledger::own_commit(std::string_view mark) const
+{
+    auto const prefix = std::to_string(claim_.epoch()) + ".";
+    std::uint64_t number = 0;
+    if (mark.starts_with(prefix))
+    {
+        std::from_chars(
+            mark.data() + prefix.size(), mark.data() + mark.size(), number);
+    }
+    return number;
+}
+
 void ledger::queued::refresh()
 {
     text = value ? value() : std::nullopt;
@@ -221,18 +242,15 @@
         auto& next = waiting.front();
         bool const known =
             !next.latest.empty() && present.contains(next.latest);
-        if (known)
-        {
-            next.value = nullptr;
-        }
         next.refresh();
-        changes += next.changes();
+        changes += known ? 0 : next.changes();
         if (changes > most && !in_flight_.empty())
         {
             return;
         }
         latest_.erase(next.latest);
         present.insert(next.latest);
+        next.sent = number_ + 1;
         in_flight_.push_back(std::move(next));
         waiting.pop_front();
     }
@@ -241,13 +259,14 @@
 ports::kv_commit ledger::changes_in_flight() const
 {
     ports::kv_commit made;
+    std::set<std::string> present;
     for (auto const& each : in_flight_)
     {
         auto const& what = each.what;
         made.puts.insert(made.puts.end(), what.puts.begin(), what.puts.end());
         made.erases.insert(
             made.erases.end(), what.erases.begin(), what.erases.end());
-        if (each.text)
+        if (each.text && present.insert(each.latest).second)
         {
             made.puts.push_back({each.latest, *each.text, 0});
         }
@@ -264,16 +283,13 @@
     auto commit = changes_in_flight();
     if (commit.puts.empty() && commit.erases.empty())
     {
-        committed(now, revision_);
+        committed(now, revision_, number_ + 1);
         return;
     }
     ++number_;
     commit.expected.push_back(claim_.condition());
     commit.expected.push_back({ledger_key, revision_});
-    commit.puts.push_back(
-        {ledger_key,
-         std::to_string(claim_.epoch()) + "." + std::to_string(number_),
-         0});
+    commit.puts.push_back({ledger_key, mark_of(number_), 0});
     busy_ = true;
     next_step_ = now + settings_.interval;
     out_.store(life_,
@@ -286,10 +302,21 @@
                });
 }
 
-void ledger::committed(common::time_point now, std::uint64_t revision)
+// Everything that commits up to `number` held is durable.
+void ledger::committed(common::time_point now,
+                       std::uint64_t revision,
+                       std::uint64_t number)
 {
     revision_ = revision;
-    auto const durable = std::exchange(in_flight_, {});
+    auto const rest = std::stable_partition(in_flight_.begin(),
+                                            in_flight_.end(),
+                                            [number](queued const& each)
+                                            {
+                                                return each.sent <= number;
+                                            });
+    std::vector<queued> durable(std::make_move_iterator(in_flight_.begin()),
+                                std::make_move_iterator(rest));
+    in_flight_.erase(in_flight_.begin(), rest);
     // Records lose nothing by waiting: the next commit holds their newest
     // values. Results are asked for.
     if (results_.size() >= settings_.max_changes)
@@ -310,7 +337,7 @@
 {
     if (reply.status == kv_status::done)
     {
-        committed(now, reply.revision);
+        committed(now, reply.revision, number_);
         return;
     }
     if (reply.status == kv_status::refused)
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fuchsia::core::pool
@@ -61,7 +62,10 @@
     /// The value of a key when a commit is made; empty: nothing to write.
     using value_source = std::function<std::optional<std::string>()>;
 
-    ledger(ledger_settings settings, claim& held, outbox& out);
+    ledger(ledger_settings settings,
+           claim& held,
+           outbox& out,
+           common::time_point now);
 
     /// Before everything of rank `record` that waits. Where it makes the value
     /// of `instead_of` needless, what waits for that value waits for this
@@ -79,7 +83,7 @@
     void after_all(durable_handler then);
     void tick(common::time_point now);
     bool idle() const noexcept;
-    /// Entries that are not durable yet.
+    /// Entries that are not durable yet, and what waits for them.
     std::size_t waiting() const noexcept;
     /// How long the oldest of them has waited; zero where none does.
     common::duration lag(common::time_point now) const noexcept;
@@ -93,6 +97,7 @@
         common::time_point since{};
         /// Rises with each entry, but for one that stands for an earlier one.
         std::uint64_t number = 0;
+        std::uint64_t sent = 0; ///< The first commit that held it; 0: none.
         std::optional<std::string> text; ///< As it was last asked for.
 
         void refresh();
@@ -119,7 +124,13 @@
     void take_waiting(write_rank rank, std::size_t most);
     ports::kv_commit changes_in_flight() const;
     void on_commit(common::time_point now, ports::kv_reply const& reply);
-    void committed(common::time_point now, std::uint64_t revision);
+    void committed(common::time_point now,
+                   std::uint64_t revision,
+                   std::uint64_t number);
+    std::size_t entries() const noexcept;
+    /// As the common key holds it.
+    std::string mark_of(std::uint64_t commit) const;
+    std::uint64_t own_commit(std::string_view mark) const;
 
     ledger_settings settings_;
     claim& claim_;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -29,7 +29,7 @@
              outbox& out,
              common::time_point now)
     : settings_(settings), words_(words), operators_(operators), claim_(held),
-      out_(out), digest_(out), ledger_(settings.commits, held, out),
+      out_(out), digest_(out), ledger_(settings.commits, held, out, now),
       fleet_(settings.workers), colocation_(settings.sharing), began_(now),
       parts_(parts_to_load)
 {
