What a deaf watch and pages to come leave out does not count as heard

An owner told 0 of 20 waiting jobs, and never started them, after watches that answered with nothing for 3 s: it moved on to the revision of the empty answer, so the events in between never came. Now the next watch goes on from the last event that was taken, as that of operators does; a store whose history ended there has all jobs read by pages. That costs an idle pool a range each time its history ends.

While an owner reads all jobs again after lost history, its first page counted as heard although its jobs are taken with the last. Now they count together.

A cancelling that comes while its job's end is on the way no longer leaves its key.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -34,7 +34,7 @@
       parts_(parts_to_load)
 {
     load_roster();
-    load_jobs();
+    load_jobs(now);
     load_progress();
     load_finals();
     read_list(now);
@@ -200,6 +200,8 @@
         });
 }
 
+// An answer without events does not move the place from which the next watch
+// goes on: what a deaf watch missed comes with the next one that is not.
 void owner::on_watch(common::time_point now,
                      common::time_point asked,
                      kv_reply const& reply)
@@ -209,7 +211,7 @@
         out_.log(severity::warning,
                  "history_lost",
                  {{"after", std::to_string(watched_)}});
-        load_jobs();
+        load_jobs(now);
         return;
     }
     if (reply.status != kv_status::done)
@@ -221,12 +223,13 @@
                    });
         return;
     }
-    watched_ = std::max(watched_, reply.revision);
-    heard_ = asked;
     for (auto const& item : reply.items)
     {
+        watched_ = std::max(watched_, item.revision);
         take_item(now, item);
     }
+    heard_revision_ = std::max({heard_revision_, watched_, reply.revision});
+    heard_ = asked;
     if (!claim_.held())
     {
         return;
@@ -257,7 +260,8 @@
     auto const length =
         item.key.size() - keys::job_prefix.size() - keys::cancel_suffix.size();
     auto const id = item.key.substr(keys::job_prefix.size(), length);
-    if (auto* const run = find_job(id))
+    if (auto* const run = find_job(id);
+        run != nullptr && run->phase != job_phase::recorded)
     {
         run->cancel_key = true;
         cancel_job(now, *run);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -165,8 +165,9 @@
                     std::string const& after,
                     page_taker const& take,
                     load_end const& done);
-    void load_jobs();
+    void load_jobs(common::time_point now);
     void jobs_loaded(common::time_point now);
+    void hear_pages();
     void load_progress();
     void load_roster();
     void load_finals();
@@ -452,8 +453,11 @@
     std::vector<std::string> timed_; ///< Jobs with occurrences to come.
 
     common::time_point began_{};
-    common::time_point advanced_{}; ///< When the last page came.
-    std::uint64_t watched_ = 0;     ///< Revision up to which events were taken.
+    common::time_point advanced_{};   ///< When the last page came.
+    std::uint64_t watched_ = 0;       ///< Of the last event that was taken.
+    std::uint64_t page_revision_ = 0; ///< Of the first page of jobs.
+    common::time_point pages_asked_{};
+    std::uint64_t heard_revision_ = 0; ///< All jobs up to it are known.
     common::time_point heard_{};    ///< When the last answered watch was asked.
     common::time_point silenced_{}; ///< The store did not renew the claim then.
     /// What is asked again, and when, the earliest first.
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -46,8 +46,9 @@
                });
 }
 
-void owner::load_jobs()
+void owner::load_jobs(common::time_point now)
 {
+    pages_asked_ = now;
     load_pages(
         keys::owned_prefix,
         "",
@@ -55,13 +56,14 @@
         {
             // Pages are no snapshot: events since the first one are taken
             // again.
-            watched_ = job_items_.empty() ? reply.revision : watched_;
+            page_revision_ =
+                job_items_.empty() ? reply.revision : page_revision_;
             job_items_.insert(
                 job_items_.end(), reply.items.begin(), reply.items.end());
         },
-        [this](common::time_point now)
+        [this](common::time_point at)
         {
-            jobs_loaded(now);
+            jobs_loaded(at);
         });
 }
 
@@ -75,12 +77,21 @@
         {
             take_item(now, item);
         }
+        hear_pages();
         watch(now);
         return;
     }
     parts_loaded(now);
 }
 
+// Jobs of the last page count as heard no sooner than they were taken.
+void owner::hear_pages()
+{
+    watched_ = page_revision_;
+    heard_revision_ = page_revision_;
+    heard_ = pages_asked_;
+}
+
 void owner::load_progress()
 {
     load_pages(
@@ -159,11 +170,11 @@
         return;
     }
     loaded_ = true;
-    heard_ = began_;
     for (auto const& item : std::exchange(job_items_, {}))
     {
         take_item(now, item);
     }
+    hear_pages();
     for (auto const& item : std::exchange(progress_items_, {}))
     {
         common::failure reason;
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -35,7 +35,7 @@
 
 backlog owner::waiting_jobs() const
 {
-    return {watched_, pending()};
+    return {heard_revision_, pending()};
 }
 
 common::time_point owner::heard() const noexcept
