One silent connection to the store makes the unused ones doubtful

Callers see a route that was added refused, and a removed one served, for longer than the 2 s in which a change has to be in force, and instances that turn work away though the store would answer. Cause: kept connections can fall silent together without a reset, and the client gave each further call the next of them: six calls in a row were lost on six. A call for the configuration takes 0.6 s with its pause, so four unused ones are enough. Now a call that times out closes the unused connections to its endpoint that have brought nothing since it began. Why it holds: what has answered since then is known to be alive, what has not costs a new connection at most; busy ones keep their own limits.

Ruled out: keep-alive probes, which a peer that is silent above TCP still answers.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -49,10 +49,12 @@
     connection_ptr take_idle(ports::endpoint const& where);
     void put_back(connection_ptr const& done);
     void forget(connection_ptr const& gone);
+    void doubt_unused(connection const& silent);
 
     asio::io_context& io_;
     client_settings settings_;
     std::map<ports::endpoint, endpoint_pool> endpoints_;
+    std::uint64_t moment_ = 0; // Of the last begin of a call, or answer.
 };
 
 // One TCP connection. States in order: connecting, then any number of times
@@ -77,6 +79,7 @@
         handle_ = std::move(handle);
         ended_ = false;
         timed_out_ = false;
+        began_ = ++owner_->moment_;
         if (socket_.is_open())
         {
             arm(call_.timeout);
@@ -130,6 +133,11 @@
         end(status, {});
     }
 
+    bool heard_since_begin_of(connection const& other) const noexcept
+    {
+        return heard_ > other.began_;
+    }
+
     void forget_handler()
     {
         handle_ = nullptr;
@@ -173,6 +181,7 @@
             return;
         }
         timed_out_ = true;
+        owner_->doubt_unused(*this);
         if (!call_.drain)
         {
             fail(exchange_status::timed_out);
@@ -273,6 +282,7 @@
                                       : exchange_status::lost);
             return;
         }
+        heard_ = ++owner_->moment_;
         auto message = parser_->release();
         auto const keep = shared_from_this();
         if (message.keep_alive() && buffer_.size() == 0)
@@ -330,6 +340,8 @@
     bool sent_ = false;      // A byte of the present call may have gone out.
     bool ended_ = true;
     bool timed_out_ = false;
+    std::uint64_t began_ = 0; // Moments of the pool: the present call began,
+    std::uint64_t heard_ = 0; // the last answer came.
 };
 
 void client::pool::send(client_call call, handler handle)
@@ -393,6 +405,25 @@
     }
 }
 
+// Channels to one place can fall silent together, without a reset. Tried one
+// after the other, each would cost the next call.
+void client::pool::doubt_unused(connection const& silent)
+{
+    auto const found = endpoints_.find(silent.where());
+    if (!settings_.doubt_unused || found == endpoints_.end())
+    {
+        return;
+    }
+    auto const unused = found->second.idle;
+    for (auto const& each : unused)
+    {
+        if (!each->heard_since_begin_of(silent))
+        {
+            each->close();
+        }
+    }
+}
+
 void client::pool::close()
 {
     auto const endpoints = std::move(endpoints_);
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -21,6 +21,9 @@
     core::common::duration idle_timeout = std::chrono::seconds(30);
     std::uint32_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 4 * 1024 * 1024;
+    /// A call that times out closes the unused connections to its endpoint that
+    /// have brought nothing since it began: they may be as silent as its own.
+    bool doubt_unused = false;
 };
 
 struct client_call
--- a/tests/contract/adapters/silent_connections_test.cpp
+++ b/tests/contract/adapters/silent_connections_test.cpp
@@ -138,7 +138,9 @@
 {
     asio::io_context io;
     server served(io);
-    adapters::http::client from(io, {});
+    adapters::http::client_settings settings;
+    settings.doubt_unused = true;
+    adapters::http::client from(io, settings);
     auto const before = exchange(io, from, served.where, at_once);
     ASSERT_EQ(before,
               std::vector<exchange_status>(at_once, exchange_status::answered));
