Quota: amounts and documents of grants in files of their own

allowance.hpp holds amounts and how they compare, quota_document.hpp what is stored and shared out, quota.hpp the book of this planner's cells. Placement's own comparison of two allowances was the same as the book's; holds() serves both.

No functional change

--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -31,11 +31,6 @@
     }
 }
 
-bool within(allowance const& use, allowance const& limit)
-{
-    return limit.all.holds(use.all) && limit.batch.holds(use.batch);
-}
-
 double share_of(attempt_run const& run,
                 ports::resources const& declared,
                 ports::resources const& capacity)
@@ -207,8 +202,8 @@
     }
     auto next = use_[what.customer].in_use;
     add(next, what);
-    return within(next,
-                  with.quotas.allowed(what.customer, cell_, contract->second));
+    return holds(with.quotas.allowed(what.customer, cell_, contract->second),
+                 next);
 }
 
 // After a data centre came back everybody would start there at once; a slow
@@ -378,7 +373,7 @@
                                 allowance const& allowed)
 {
     auto staying = use_[customer].staying;
-    if (within(staying, allowed))
+    if (holds(allowed, staying))
     {
         return;
     }
@@ -407,7 +402,7 @@
               });
     for (auto const& [key, what] : own)
     {
-        if (within(staying, allowed))
+        if (holds(allowed, staying))
         {
             return;
         }
--- a/src/core/tasks/quota.hpp
+++ b/src/core/tasks/quota.hpp
@@ -2,14 +2,13 @@
 
 #include "core/common/time.hpp"
 #include "core/contracts/contract.hpp"
+#include "core/tasks/quota_document.hpp"
 #include "core/tasks/store_calls.hpp"
-#include "ports/workers.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 
 // What of a customer's contract each cell may use. The sum of the grants
 // never exceeds the contract, and each cell stays within its grant, so the
@@ -17,50 +16,6 @@
 namespace fuchsia::core::tasks
 {
 
-/// A part of a contract: of everything, and of that what batch may use.
-struct allowance
-{
-    ports::resources all;
-    ports::resources batch;
-
-    bool operator==(allowance const&) const = default;
-};
-
-struct cell_grant
-{
-    /// Claim epoch of the owner that wrote it. A new owner writes its own
-    /// before it uses more, so that a late write of the old one conflicts.
-    std::uint64_t epoch = 0;
-    allowance granted;
-
-    bool operator==(cell_grant const&) const = default;
-};
-
-/// The value of `quota/<customer>`.
-struct quota_document
-{
-    std::string writer;
-    std::map<std::string, cell_grant> cells;
-};
-
-std::string to_json(quota_document const& value);
-std::optional<quota_document> parse_quota(std::string_view json,
-                                          common::failure& reason);
-
-/// What `contract` leaves of a cell's grant where the sum of all grants is
-/// above it: services first, then batch, each in proportion. So a lowered
-/// contract binds before any grant is changed.
-allowance scaled(quota_document const& document,
-                 std::string const& cell,
-                 contracts::contract const& contract);
-
-/// The document with one cell's grant moved to what it needs, as far as the
-/// contract leaves room.
-cell_grant grown(quota_document const& document,
-                 std::string const& cell,
-                 allowance const& need,
-                 contracts::contract const& contract);
-
 /// One cell's need of one customer: in use now, and hoped for.
 struct cell_need
 {
--- /dev/null
+++ b/src/core/tasks/quota_document.cpp
@@ -0,0 +1,188 @@
+#include "core/tasks/quota_document.hpp"
+
+#include "core/common/json.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsia::core::tasks
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using ports::resources;
+
+json::array encoded(resources const& value)
+{
+    return {value.millicores, value.memory_mb, value.accelerators};
+}
+
+resources read_resources(json::value const& value)
+{
+    auto const& array = value.as_array();
+    return {array.at(0).to_number<std::int64_t>(),
+            array.at(1).to_number<std::int64_t>(),
+            array.at(2).to_number<std::int64_t>()};
+}
+
+resources batch_share(contracts::contract const& contract)
+{
+    resources out;
+    for (auto const part : resource_parts)
+    {
+        out.*part = contract.capacity.*part * contract.batch_permille / 1000;
+    }
+    return out;
+}
+
+// `part` of a sum that is held to `limit`, in proportion.
+std::int64_t share_of(std::int64_t part, std::int64_t sum, std::int64_t limit)
+{
+    if (sum <= limit)
+    {
+        return part;
+    }
+    // In double: the product of two large amounts may not fit.
+    return static_cast<std::int64_t>(static_cast<double>(part) *
+                                     static_cast<double>(limit) /
+                                     static_cast<double>(sum));
+}
+
+// What of a grant is for batch, and what is left for services.
+std::int64_t batch_part(allowance const& granted, std::int64_t resources::*part)
+{
+    return std::min(granted.batch.*part, granted.all.*part);
+}
+
+// Moves `granted` to `need`, up by no more than `room` in each part.
+resources
+moved(resources const& granted, resources const& need, resources const& room)
+{
+    resources out = need;
+    for (auto const part : resource_parts)
+    {
+        auto const most = granted.*part + std::max<std::int64_t>(0, room.*part);
+        out.*part = std::min(need.*part, most);
+    }
+    return out;
+}
+
+allowance sum_of(quota_document const& document)
+{
+    allowance sum;
+    for (auto const& [cell, grant] : document.cells)
+    {
+        sum.all += grant.granted.all;
+        sum.batch += grant.granted.batch;
+    }
+    return sum;
+}
+
+resources minus(resources left, resources const& right)
+{
+    left -= right;
+    return left;
+}
+
+} // namespace
+
+std::string to_json(quota_document const& value)
+{
+    json::object cells;
+    for (auto const& [cell, grant] : value.cells)
+    {
+        cells.emplace(cell,
+                      json::object{{"e", grant.epoch},
+                                   {"all", encoded(grant.granted.all)},
+                                   {"batch", encoded(grant.granted.batch)}});
+    }
+    return json::serialize(
+        json::object{{"w", value.writer}, {"cells", std::move(cells)}});
+}
+
+std::optional<quota_document> parse_quota(std::string_view json,
+                                          common::failure& reason)
+{
+    auto const object = common::parse_json_object(json, "quota", reason);
+    if (!object)
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        quota_document out;
+        out.writer = object->at("w").as_string();
+        for (auto const& item : object->at("cells").as_object())
+        {
+            auto const& grant = item.value().as_object();
+            out.cells[std::string(item.key())] = {
+                grant.at("e").to_number<std::uint64_t>(),
+                {read_resources(grant.at("all")),
+                 read_resources(grant.at("batch"))}};
+        }
+        return out;
+    }
+    catch (std::exception const& error)
+    {
+        reason = {common::result_code::malformed_json, "quota", error.what()};
+        return std::nullopt;
+    }
+}
+
+// Services keep their grants as long as the contract holds these alone; what
+// they leave is shared out to batch. Were all grants scaled alike, a cell with
+// services only would stop one while batch goes on in other cells.
+allowance scaled(quota_document const& document,
+                 std::string const& cell,
+                 contracts::contract const& contract)
+{
+    auto const found = document.cells.find(cell);
+    if (found == document.cells.end())
+    {
+        return {};
+    }
+    auto const& own = found->second.granted;
+    auto const batch_most = batch_share(contract);
+    allowance out;
+    for (auto const part : resource_parts)
+    {
+        std::int64_t services = 0;
+        std::int64_t batch = 0;
+        for (auto const& [name, grant] : document.cells)
+        {
+            auto const of_batch = batch_part(grant.granted, part);
+            batch += of_batch;
+            services += grant.granted.all.*part - of_batch;
+        }
+        auto const limit = contract.capacity.*part;
+        auto const left = std::min(batch_most.*part,
+                                   std::max<std::int64_t>(0, limit - services));
+        auto const own_batch = batch_part(own, part);
+        out.batch.*part = share_of(own_batch, batch, left);
+        out.all.*part = share_of(own.all.*part - own_batch, services, limit) +
+                        out.batch.*part;
+    }
+    return out;
+}
+
+cell_grant grown(quota_document const& document,
+                 std::string const& cell,
+                 allowance const& need,
+                 contracts::contract const& contract)
+{
+    auto const found = document.cells.find(cell);
+    cell_grant const before =
+        found == document.cells.end() ? cell_grant{} : found->second;
+    auto const sum = sum_of(document);
+    cell_grant out = before;
+    out.granted.all =
+        moved(before.granted.all, need.all, minus(contract.capacity, sum.all));
+    out.granted.batch = moved(before.granted.batch,
+                              need.batch,
+                              minus(batch_share(contract), sum.batch));
+    return out;
+}
+
+} // namespace fuchsia::core::tasks
