--- a/src/programs/ctl/runner.cpp
+++ b/src/programs/ctl/runner.cpp
@@ -1,9 +1,9 @@
 #include "programs/ctl/runner.hpp"
 
 #include "adapters/settings/toml_reader.hpp"
-#include "core/common/json.hpp"
 #include "core/contracts/contract.hpp"
 #include "core/tasks/job.hpp"
+#include "programs/ctl/answers.hpp"
 #include "programs/ctl/planner_client.hpp"
 #include "programs/ctl/pool_questions.hpp"
 #include "programs/ctl/settings_checks.hpp"
@@ -22,7 +22,6 @@
 {
 
 using namespace std::chrono_literals;
-using boost::json::array;
 using boost::json::object;
 using core::common::clock;
 using core::common::failure;
@@ -30,26 +29,6 @@
 
 constexpr auto poll_interval = 300ms;
 
-array const& array_of(object const& body, std::string_view key)
-{
-    static array const empty;
-    auto const* value = body.if_contains(key);
-    return value != nullptr && value->is_array() ? value->get_array() : empty;
-}
-
-std::string text_of(object const& body, std::string_view key)
-{
-    auto const* value = body.if_contains(key);
-    return value == nullptr ? "-" : plain_text(*value);
-}
-
-std::uint64_t revision_of(object const& body)
-{
-    core::common::json_reader reader(body, "answer");
-    return static_cast<std::uint64_t>(
-        reader.integer_or("revision", 0, 0, INT64_MAX));
-}
-
 /// `text` as one part of a path, percent-encoded.
 std::string escaped(std::string_view text)
 {
@@ -119,7 +98,7 @@
         return ask("/v1/contracts",
                    [this](object const& body)
                    {
-                       print_contracts(body);
+                       print_contracts(out_, body);
                    });
     }
 
@@ -151,7 +130,7 @@
                                     {"STATE", "state"},
                                     {"CHANGED AT", "changed_at"}},
                                    array_of(body, "data_centres"));
-                       print_revision(body);
+                       print_revision(out_, body);
                    });
     }
 
@@ -226,7 +205,7 @@
         return ask("/v1/status",
                    [this](object const& body)
                    {
-                       print_status(body);
+                       print_status(out_, body);
                    });
     }
 
@@ -394,81 +373,6 @@
         return exit_status::timeout;
     }
 
-    void print_revision(object const& body)
-    {
-        out_ << "\nrevision " << text_of(body, "revision")
-             << ", confirmed by the store " << text_of(body, "confirmed_ms_ago")
-             << " ms ago\n";
-    }
-
-    void print_contracts(object const& body)
-    {
-        auto rows = array_of(body, "contracts");
-        auto const* changed_at = body.if_contains("changed_at");
-        for (auto& row : rows)
-        {
-            auto const customer = text_of(row.as_object(), "customer");
-            if (changed_at != nullptr && changed_at->is_object())
-            {
-                row.as_object()["changed_at"] =
-                    text_of(changed_at->get_object(), customer);
-            }
-        }
-        print_table(out_,
-                    {{"CUSTOMER", "customer"},
-                     {"MILLICORES", "millicores"},
-                     {"MEMORY MB", "memory_mb"},
-                     {"ACCELERATORS", "accelerators"},
-                     {"IN FLIGHT", "requests_in_flight"},
-                     {"PER SECOND", "requests_per_second"},
-                     {"BATCH PERMILLE", "batch_permille"},
-                     {"TARGET MS", "latency_target_ms"},
-                     {"CHANGED AT", "changed_at"}},
-                    rows);
-        for (auto const& name : array_of(body, "withdrawn"))
-        {
-            out_ << "withdrawn: " << plain_text(name) << '\n';
-        }
-        print_revision(body);
-    }
-
-    void print_status(object const& body)
-    {
-        object rest = body;
-        rest.erase("members");
-        auto const claims = rest["claims"];
-        rest.erase("claims");
-        print_members(out_, rest);
-        out_ << '\n';
-        print_table(out_,
-                    {{"ROLE", "role"},
-                     {"MEMBER", "name"},
-                     {"DATA CENTRE", "data_centre"},
-                     {"HTTP", "http"},
-                     {"REVISION", "revision"},
-                     {"LEAVING", "leaving"},
-                     {"BURIED", "buried"}},
-                    array_of(body, "members"));
-        out_ << '\n';
-        array rows;
-        if (claims.is_object())
-        {
-            for (auto const& role : claims.get_object())
-            {
-                for (auto const& owner : role.value().as_object())
-                {
-                    rows.push_back(object{{"role", role.key()},
-                                          {"owner", owner.key()},
-                                          {"count", owner.value()}});
-                }
-            }
-        }
-        print_table(
-            out_,
-            {{"ROLE", "role"}, {"OWNER", "owner"}, {"PARTITIONS", "count"}},
-            rows);
-    }
-
     command_line const& line_;
     planner_client client_;
     std::ostream& out_;
