--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -30,6 +30,18 @@
         });
 }
 
+// From now on this becomes of all commits of `victim`.
+void fail_commits(pool_world& world, std::size_t victim, fate how)
+{
+    world.store_fault = [victim, how](std::size_t instance,
+                                      ports::kv_operation const& operation)
+    {
+        bool const hit = instance == victim &&
+                         std::holds_alternative<ports::kv_commit>(operation);
+        return hit ? how : fate::carried_out;
+    };
+}
+
 template<class Answer>
 bool got(pool_world& world, std::uint64_t request)
 {
@@ -49,13 +61,7 @@
 {
     pool_world world;
     settle(world);
-    world.store_fault =
-        [](std::size_t instance, ports::kv_operation const& operation)
-    {
-        bool const hit = instance == 1 &&
-                         std::holds_alternative<ports::kv_commit>(operation);
-        return hit ? fate::answer_lost : fate::carried_out;
-    };
+    fail_commits(world, 1, fate::answer_lost);
     auto const first = world.submit(1, "a", simple_job(2, 100ms));
     EXPECT_TRUE(got<ports::job_unknown>(world, first));
     auto const again = world.submit(2, "a", simple_job(2, 100ms));
@@ -83,13 +89,7 @@
 {
     pool_world world;
     settle(world);
-    world.store_fault =
-        [](std::size_t instance, ports::kv_operation const& operation)
-    {
-        bool const hit = instance == 1 &&
-                         std::holds_alternative<ports::kv_commit>(operation);
-        return hit ? fate::refused : fate::carried_out;
-    };
+    fail_commits(world, 1, fate::refused);
     auto const request = world.submit(1, "a", simple_job(2, 100ms));
     EXPECT_TRUE(got<ports::job_refused>(world, request));
     world.run(2s);
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -145,11 +145,7 @@
         bool const cut = worker == 0 && instance != owner;
         return cut ? fate::lost : fate::carried_out;
     };
-    world.store_fault =
-        [owner](std::size_t instance, ports::kv_operation const&)
-    {
-        return instance == owner ? fate::lost : fate::carried_out;
-    };
+    cut_from_store(world, owner);
     EXPECT_TRUE(completes(world, other_than(owner), "a", 60s));
     EXPECT_EQ(world.violation(), "");
 }
@@ -170,11 +166,7 @@
         bool const passes = (worker == 0) == (instance == owner);
         return passes ? fate::carried_out : fate::lost;
     };
-    world.store_fault =
-        [owner](std::size_t instance, ports::kv_operation const&)
-    {
-        return instance == owner ? fate::lost : fate::carried_out;
-    };
+    cut_from_store(world, owner);
     EXPECT_TRUE(completes(world, other_than(owner), "a", 60s));
     EXPECT_EQ(world.violation(), "");
 }
