fuchsia-load bench-pool: what an owner's decisions cost at each size of a pool

How much of an owner's processor goes into what was known from plays alone, whose processes also speak HTTP. The new subcommand runs core::pool::engine in virtual time on the stand-ins for store and workers, at 48, 350 and 1,100 workers of 64 cores. Two thirds of the cores are reserved; filling steps of 24 images arrive, of which half disturb what serves and wait, and short guaranteed steps. It takes the processor time of the thread around each event, so nothing in the core knows of it. What a round of placing takes is the time of events with a round beyond that of as many without; the JSON of progress is written once more to take its time. The last row folds all orders in their sequence: same row, same decisions.

`fuchsia-load bench` and its signature stay as they are.

No functional change

--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,8 +1,11 @@
 #include "tools/load/bench.hpp"
+#include "tools/load/bench_pool.hpp"
 #include "tools/load/commands.hpp"
 
 #include <CLI/CLI.hpp>
+#include <cstdint>
 #include <iostream>
+#include <vector>
 
 // fuchsia-load: open-loop load, experiments, and the books of a run.
 namespace
@@ -45,6 +48,18 @@
     return command;
 }
 
+CLI::App* add_bench_pool(CLI::App& app,
+                         std::vector<std::uint32_t>& sizes,
+                         pool_bench_settings& settings)
+{
+    auto* command = app.add_subcommand(
+        "bench-pool", "what an owner's decisions cost at each size of a pool");
+    command->add_option("--workers", sizes, "sizes, in workers");
+    command->add_option("--seconds", settings.seconds, "of virtual time");
+    command->add_option("--seed", settings.seed, "of what arrives");
+    return command;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -58,10 +73,17 @@
     add_books(app, books);
     auto const* const bench_command = app.add_subcommand(
         "bench", "runs the decision core on fixed input, prints a signature");
+    std::vector<std::uint32_t> sizes{48, 350, 1100};
+    pool_bench_settings pool;
+    auto const* const pool_command = add_bench_pool(app, sizes, pool);
     CLI11_PARSE(app, argc, argv);
     if (bench_command->parsed())
     {
         return run_bench(std::cout);
     }
+    if (pool_command->parsed())
+    {
+        return run_pool_bench(sizes, pool, std::cout);
+    }
     return run_command->parsed() ? run_experiment(run) : print_books(books);
 }
