--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -34,31 +34,6 @@
 // reading beside a quarter of a worker's cores leaves 0.08 of it.
 constexpr double known_part = 0.2;
 
-// What one task's neighbours used beyond the mean of its siblings' neighbours.
-std::map<std::uint16_t, double>
-beyond_the_mean(std::vector<serving_reading const*> const& readings)
-{
-    std::map<std::uint16_t, double> made;
-    auto const count = static_cast<double>(readings.size());
-    for (auto const* each : readings)
-    {
-        for (auto const& other : each->beside)
-        {
-            made[other.image] -= other.share / count;
-        }
-    }
-    for (auto const& other : readings.back()->beside)
-    {
-        made[other.image] += other.share;
-    }
-    std::erase_if(made,
-                  [](auto const& each)
-                  {
-                      return std::abs(each.second) < least_share;
-                  });
-    return made;
-}
-
 std::vector<neighbour_share> sum_by_image(std::vector<fill_view> const& fills,
                                           double fill_view::*share)
 {
@@ -127,6 +102,28 @@
     return total;
 }
 
+// What the neighbours of the last reading's task used beyond the mean of its
+// siblings' neighbours, by image. A map of it made for each reading was most of
+// what learning cost.
+std::vector<double> const&
+colocation::beyond_the_mean(std::vector<serving_reading const*> const& readings)
+{
+    beyond_.assign(std::min(numbers_.size(), settings_.max_images), 0);
+    auto const count = static_cast<double>(readings.size());
+    for (auto const* each : readings)
+    {
+        for (auto const& other : each->beside)
+        {
+            beyond_[other.image] -= other.share / count;
+        }
+    }
+    for (auto const& other : readings.back()->beside)
+    {
+        beyond_[other.image] += other.share;
+    }
+    return beyond_;
+}
+
 // The load of their users is common to all tasks of a step, and unknown. A
 // reading is therefore held against the mean of its siblings: by how much less
 // headroom it has, and by how much more its neighbours used. A Kalman filter
@@ -141,18 +138,27 @@
         mean += std::max(each->headroom, least_headroom);
     }
     mean /= static_cast<double>(readings.size());
-    auto const beyond = beyond_the_mean(readings);
+    auto const& beyond = beyond_the_mean(readings);
     auto* const row = &pairs_[image * settings_.max_images];
     double error = mean - std::max(readings.back()->headroom, least_headroom);
     double total = settings_.reading_variance;
-    for (auto const& [other, share] : beyond)
+    for (std::size_t other = 0; other < beyond.size(); ++other)
     {
-        error -= row[other].weight * share;
-        total += row[other].variance * share * share;
+        auto const share = beyond[other];
+        if (std::abs(share) >= least_share)
+        {
+            error -= row[other].weight * share;
+            total += row[other].variance * share * share;
+        }
     }
     error = std::clamp(error, -most_error, most_error);
-    for (auto const& [other, share] : beyond)
+    for (std::size_t other = 0; other < beyond.size(); ++other)
     {
+        auto const share = beyond[other];
+        if (std::abs(share) < least_share)
+        {
+            continue;
+        }
         auto& pair = row[other];
         double const gain = pair.variance * share / total;
         pair.weight =
@@ -173,6 +179,7 @@
         least = std::min(least, each->taken);
     }
     std::vector<double> estimates;
+    estimates.reserve(readings.size());
     for (auto const* each : readings)
     {
         if (each->taken <= least + like_the_least)
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -165,6 +165,8 @@
         double variance = 0;
     };
     double weight(std::uint16_t served, std::uint16_t beside) const;
+    std::vector<double> const&
+    beyond_the_mean(std::vector<serving_reading const*> const& readings);
     double speed_beside(serving_view const& served,
                         std::vector<fill_view> const& fills) const;
 
@@ -178,6 +180,7 @@
     };
     std::vector<usual_headroom> usual_; ///< By image.
     std::vector<pair_estimate> pairs_;  ///< max_images squared, by the served.
+    std::vector<double> beyond_;        ///< Of the reading learned from last.
 };
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -129,6 +129,7 @@
         return;
     }
     auto const beside = shares_of(view_of(of).fills);
+    std::vector<serving_reading const*> readings;
     for (auto const& name : of.runs)
     {
         auto const [run, each] = find_task(name);
@@ -148,7 +149,7 @@
             static_cast<double>(std::max<std::int64_t>(each->level, 1));
         reading.taken = colocation_.taken(steps.image, beside);
         reading.beside = beside;
-        std::vector<serving_reading const*> readings;
+        readings.clear();
         for (auto const& sibling : steps.tasks)
         {
             bool const fresh = sibling.reading.headroom > 0 &&
