The index of a round in a row, without sorting

Sorting 1,100 workers for each round was half of what placing still cost. What each worker has left now stands in one row in the fleet's order, which each kind of step walks; a worker that changes writes its own entry. The names come in the fleet's order, so the first of equal scores is the first named and the choice by number goes. The test of the index asks for that order now, which is stricter than before.

No functional change

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -368,18 +368,18 @@
     struct ranked_worker
     {
         double score = 0;
-        std::size_t number = 0; ///< Its place in the fleet's order.
         worker* which = nullptr;
     };
     room_index usable_workers(common::time_point now);
     /// Whatever places or takes away within a round says so.
     void room_changed(worker const& at);
-    /// Within a round of placing. Of one rack where one is named.
+    /// Within a round of placing, in the fleet's order; of one rack where one
+    /// is named.
     std::vector<ranked_worker> rank(common::time_point now,
                                     job_run& run,
                                     ports::task_name const& name,
                                     std::string const& rack);
-    /// The first of the best in the fleet's order; null where there is none.
+    /// The first of the best; null where there is none.
     static worker* best_of(std::vector<ranked_worker> const& ranked);
     void score_again(common::time_point now,
                      job_run& run,
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -181,15 +181,15 @@
                                 ? room_->with_idle(what.declared.millicores)
                                 : room_->with_free(what.declared.millicores);
     std::vector<ranked_worker> made;
-    for (auto const& each : candidates)
+    for (auto* const each : candidates)
     {
-        if (!rack.empty() && each.which->info.rack != rack)
+        if (!rack.empty() && each->info.rack != rack)
         {
             continue;
         }
-        if (auto const found = score(now, *each.which, run, name))
+        if (auto const found = score(now, *each, run, name))
         {
-            made.push_back({*found, each.number, each.which});
+            made.push_back({*found, each});
         }
     }
     return made;
@@ -202,8 +202,7 @@
         ranked.end(),
         [](ranked_worker const& left, ranked_worker const& right)
         {
-            return left.score != right.score ? left.score < right.score
-                                             : left.number < right.number;
+            return left.score < right.score;
         });
     return best == ranked.end() ? nullptr : best->which;
 }
--- a/src/core/pool/room_index.cpp
+++ b/src/core/pool/room_index.cpp
@@ -1,6 +1,8 @@
 #include "core/pool/room_index.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <string>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -9,6 +11,8 @@
 namespace
 {
 
+constexpr std::int64_t any_amount = std::numeric_limits<std::int64_t>::max();
+
 std::int64_t free_cores(worker const& of) noexcept
 {
     return of.info.capacity.millicores - of.reserved.millicores;
@@ -16,65 +20,6 @@
 
 } // namespace
 
-bool sorted_workers::before(entry const& one, entry const& other) noexcept
-{
-    return one.left != other.left ? one.left > other.left
-                                  : one.number < other.number;
-}
-
-void sorted_workers::clear(std::size_t count)
-{
-    entries_.clear();
-    lefts_.assign(count, 0);
-    present_.assign(count, false);
-}
-
-void sorted_workers::append(std::size_t number, std::int64_t left)
-{
-    entries_.push_back({left, number});
-    lefts_[number] = left;
-    present_[number] = true;
-}
-
-void sorted_workers::sort()
-{
-    std::sort(entries_.begin(), entries_.end(), before);
-}
-
-void sorted_workers::insert(std::size_t number, std::int64_t left)
-{
-    erase(number);
-    entry const made{left, number};
-    entries_.insert(
-        std::lower_bound(entries_.begin(), entries_.end(), made, before), made);
-    lefts_[number] = left;
-    present_[number] = true;
-}
-
-void sorted_workers::erase(std::size_t number)
-{
-    if (present_[number])
-    {
-        entry const old{lefts_[number], number};
-        entries_.erase(
-            std::lower_bound(entries_.begin(), entries_.end(), old, before));
-        present_[number] = false;
-    }
-}
-
-void sorted_workers::take(std::int64_t least,
-                          std::vector<std::size_t>& into) const
-{
-    for (auto const& each : entries_)
-    {
-        if (each.left < least)
-        {
-            return;
-        }
-        into.push_back(each.number);
-    }
-}
-
 room_index::room_index(std::vector<worker*> usable) : all_(std::move(usable))
 {
 }
@@ -94,96 +39,80 @@
         return;
     }
     auto const number = static_cast<std::size_t>(found - all_.begin());
-    if (free_sorted_)
+    if (!free_.empty())
     {
-        free_.insert(number, free_cores(changed));
+        free_[number] = free_cores(changed);
     }
-    if (idle_sorted_)
+    if (!idle_.empty())
     {
         std::erase(unknown_, number);
-        put_idle(number);
+        take_idle(number);
     }
 }
 
-std::vector<room_index::candidate>
-room_index::with_free(std::int64_t millicores)
+std::vector<worker*> room_index::with_free(std::int64_t millicores)
 {
-    if (!free_sorted_)
+    if (free_.empty())
     {
-        sort_free();
+        read_free();
     }
-    std::vector<std::size_t> numbers;
-    free_.take(millicores, numbers);
-    return candidates(numbers);
+    return with(free_, millicores);
 }
 
-std::vector<room_index::candidate>
-room_index::with_idle(std::int64_t millicores)
+std::vector<worker*> room_index::with_idle(std::int64_t millicores)
 {
-    if (!idle_sorted_)
+    if (idle_.empty())
     {
-        sort_idle();
+        read_idle();
     }
     // Those that were looked at since have a view by now.
     for (auto const number : std::exchange(unknown_, {}))
     {
-        put_idle(number);
+        take_idle(number);
     }
-    auto numbers = unknown_;
-    idle_.take(millicores, numbers);
-    return candidates(numbers);
+    return with(idle_, millicores);
 }
 
-void room_index::sort_free()
+void room_index::read_free()
 {
-    free_sorted_ = true;
-    free_.clear(all_.size());
-    for (std::size_t number = 0; number < all_.size(); ++number)
+    free_.reserve(all_.size());
+    for (auto const* each : all_)
     {
-        free_.append(number, free_cores(*all_[number]));
+        free_.push_back(free_cores(*each));
     }
-    free_.sort();
 }
 
-void room_index::sort_idle()
+void room_index::read_idle()
 {
-    idle_sorted_ = true;
-    idle_.clear(all_.size());
+    idle_.resize(all_.size());
     for (std::size_t number = 0; number < all_.size(); ++number)
     {
-        auto const& each = *all_[number];
-        if (each.view_known)
-        {
-            idle_.append(number, each.idle_cores());
-        }
-        else
-        {
-            unknown_.push_back(number);
-        }
+        take_idle(number);
     }
-    idle_.sort();
 }
 
-void room_index::put_idle(std::size_t number)
+void room_index::take_idle(std::size_t number)
 {
     auto const& each = *all_[number];
     if (each.view_known)
     {
-        idle_.insert(number, each.idle_cores());
+        idle_[number] = each.idle_cores();
         return;
     }
-    idle_.erase(number);
+    idle_[number] = any_amount;
     unknown_.push_back(number);
 }
 
-std::vector<room_index::candidate>
-room_index::candidates(std::vector<std::size_t> const& numbers) const
+std::vector<worker*> room_index::with(std::vector<std::int64_t> const& left,
+                                      std::int64_t least) const
 {
-    std::vector<candidate> made;
-    made.reserve(numbers.size());
-    for (auto const number : numbers)
+    std::vector<worker*> made;
+    for (std::size_t number = 0; number < left.size(); ++number)
     {
-        made.push_back({number, all_[number]});
+        if (left[number] >= least)
+        {
+            made.push_back(all_[number]);
+        }
     }
     return made;
 }
--- a/tests/unit/pool/room_index_test.cpp
+++ b/tests/unit/pool/room_index_test.cpp
@@ -1,11 +1,9 @@
 #include "core/pool/room_index.hpp"
 
-#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <random>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace fuchsia::core::pool;
@@ -85,19 +83,12 @@
     return !of.view_known || of.idle_cores() >= millicores;
 }
 
-// By id: a worker that is named twice would show.
-std::vector<std::string> ids_of(std::vector<room_index::candidate> const& from)
+std::vector<std::string> ids_of(std::vector<worker*> const& from)
 {
-    std::vector<std::pair<std::size_t, std::string>> sorted;
-    for (auto const& each : from)
-    {
-        sorted.emplace_back(each.number, each.which->info.id);
-    }
-    std::sort(sorted.begin(), sorted.end());
     std::vector<std::string> made;
-    for (auto const& [number, id] : sorted)
+    for (auto const* each : from)
     {
-        made.push_back(id);
+        made.push_back(each->info.id);
     }
     return made;
 }
@@ -119,8 +110,8 @@
 
 } // namespace
 
-// A worker with room that the index leaves out, or one that it names twice:
-// another worker would be chosen than by looking at all of them.
+// A worker with room that the index leaves out, one that it names twice, or
+// another sequence: not the worker is chosen that looking at all would choose.
 TEST(room_index, names_the_workers_that_a_walk_finds)
 {
     for (std::uint64_t seed = 1; seed <= pools; ++seed)
