What a worker's answer names is compared without copies

The names are pointed at now and sorted where they are not already, and the walk that may change something runs only if a placed task was not named, is unknown or unclear. For any other answer that walk did nothing. No test counts copies; those of missing, unclear and late tasks are as they were and pass.

No functional change

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -237,10 +237,13 @@
                    worker& of,
                    ports::order_reply const& reply,
                    bool first);
+    /// Tasks that a worker named, sorted.
+    using told_names = std::vector<ports::task_name const*>;
+    bool is_odd(worker const& of, told_names const& told);
     void check_missing(common::time_point now,
                        common::time_point sent,
                        worker& of,
-                       std::set<ports::task_name> const& told);
+                       told_names const& told);
     void take_running(common::time_point now,
                       worker& of,
                       ports::running_row const& row);
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -18,6 +18,26 @@
 // A stop takes 0.4 s at most; what still runs after this was never told.
 constexpr common::duration stop_again_after = std::chrono::seconds(1);
 
+bool before(ports::task_name const* one, ports::task_name const* other)
+{
+    return *one < *other;
+}
+
+// Workers name tasks in an order of their own, mostly the same as ours.
+void sort_names(std::vector<ports::task_name const*>& names)
+{
+    if (!std::is_sorted(names.begin(), names.end(), before))
+    {
+        std::sort(names.begin(), names.end(), before);
+    }
+}
+
+bool contains(std::vector<ports::task_name const*> const& sorted,
+              ports::task_name const& name)
+{
+    return std::binary_search(sorted.begin(), sorted.end(), &name, before);
+}
+
 std::string_view name_of(end_kind how)
 {
     constexpr std::array<std::string_view, 6> names{
@@ -33,15 +53,16 @@
                       order_reply const& reply,
                       bool first)
 {
-    std::set<ports::task_name> here;
+    told_names here;
+    here.reserve(reply.running.size() + reply.ended.size());
     for (auto const& row : reply.running)
     {
-        here.insert(row.what.task);
+        here.push_back(&row.what.task);
         take_running(now, of, row);
     }
     for (auto const& row : reply.ended)
     {
-        here.insert(row.what.task);
+        here.push_back(&row.what.task);
         if (row.number > of.listed_end)
         {
             of.listed_end = row.number;
@@ -52,7 +73,33 @@
             }
         }
     }
-    check_missing(now, sent, of, here);
+    sort_names(here);
+    if (is_odd(of, here))
+    {
+        check_missing(now, sent, of, here);
+    }
+}
+
+// Whether the worker does not name a task that is placed there, or one of which
+// it is unclear whether it began. Hardly ever.
+bool owner::is_odd(worker const& of, told_names const& told)
+{
+    auto here = told.begin();
+    for (auto const& name : of.runs)
+    {
+        while (here != told.end() && **here < name)
+        {
+            ++here;
+        }
+        auto const* const each = find_task(name).each;
+        bool const plain = here != told.end() && **here == name &&
+                           each != nullptr && !each->unclear;
+        if (!plain)
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 // What the worker had confirmed before it was asked, and does not name, is gone
@@ -60,7 +107,7 @@
 void owner::check_missing(common::time_point now,
                           common::time_point sent,
                           worker& of,
-                          std::set<ports::task_name> const& told)
+                          told_names const& told)
 {
     auto const believed = of.runs;
     for (auto const& name : believed)
@@ -74,7 +121,7 @@
             each->moved = now;
             order_stop(now, of.info.id, {name, each->attempt});
         }
-        if (told.contains(name) || each == nullptr ||
+        if (contains(told, name) || each == nullptr ||
             each->phase == task_phase::starting || each->unclear ||
             each->started >= sent)
         {
