--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -11,6 +11,7 @@
 #include "core/pool/outbox.hpp"
 #include "core/pool/pool_view.hpp"
 #include "core/pool/regroup.hpp"
+#include "core/pool/room_index.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -261,10 +262,13 @@
                    worker& of,
                    ports::order_reply const& reply,
                    bool first);
+    /// Tasks that a worker named, sorted.
+    using told_names = std::vector<ports::task_name const*>;
+    bool is_odd(worker const& of, told_names const& told);
     void check_missing(common::time_point now,
                        common::time_point sent,
                        worker& of,
-                       std::set<ports::task_name> const& told);
+                       told_names const& told);
     void take_running(common::time_point now,
                       worker& of,
                       ports::running_row const& row);
@@ -320,9 +324,11 @@
     void regroup(common::time_point now);
     std::vector<waiting_image> waiting_fills(common::time_point now);
     std::vector<regroup_worker> regroup_workers(common::time_point now);
+    /// `away`: tasks of its step that are not at work.
     bool may_move(common::time_point now,
                   job_run const& run,
-                  ports::task_name const& name) const;
+                  ports::task_name const& name,
+                  std::uint32_t away) const;
     void carry_out(common::time_point now, regroup_plan const& plan);
     worker* take_promise(common::time_point now,
                          job_run& run,
@@ -362,6 +368,7 @@
                      std::uint32_t number) const;
     void rank_again(common::time_point now);
     void dispatch(common::time_point now);
+    void dispatch_steps(common::time_point now);
     void dispatch_if_wanted(common::time_point now);
     bool dispatch_step(common::time_point now, ready_key const& key);
     bool
@@ -398,7 +405,11 @@
         double score = 0;
         worker* which = nullptr;
     };
-    /// In the fleet's order; of one rack where one is named.
+    room_index usable_workers(common::time_point now);
+    /// Whatever places or takes away within a round says so.
+    void room_changed(worker const& at);
+    /// Within a round of placing, in the fleet's order; of one rack where one
+    /// is named.
     std::vector<ranked_worker> rank(common::time_point now,
                                     job_run& run,
                                     ports::task_name const& name,
@@ -446,6 +457,7 @@
     std::unordered_map<std::string, ports::job_state> finals_;
     std::vector<std::pair<common::time_point, std::string>> final_times_;
     std::set<ready_key> ready_;
+    std::optional<room_index> room_; ///< Of a round of placing, while it lasts.
     std::set<std::string> dirty_;
     std::map<ports::task_name, std::string> promises_; ///< Where tasks move.
     /// Filling images whose tasks wait, and since when.
--- a/tests/contract/adapters/silent_connections_test.cpp
+++ b/tests/contract/adapters/silent_connections_test.cpp
@@ -32,8 +32,7 @@
     explicit server(asio::io_context& io) : acceptor_(io)
     {
         core::common::failure reason;
-        auto const bound = adapters::runtime::open_acceptor(
-            acceptor_, {"127.0.0.1", 0}, reason);
+        auto const bound = acceptor_.listen({"127.0.0.1", 0}, reason);
         EXPECT_TRUE(bound) << to_string(reason);
         where = bound.value_or(ports::endpoint{});
         accept();
@@ -56,16 +55,13 @@
 
     void accept()
     {
-        acceptor_.async_accept(
-            [this](boost::system::error_code error, tcp::socket socket)
+        acceptor_.next(
+            [this](tcp::socket socket)
             {
-                if (!error)
-                {
-                    open_.push_back(std::make_unique<connection>(
-                        connection{std::move(socket), "", generation_}));
-                    read(*open_.back());
-                    accept();
-                }
+                open_.push_back(std::make_unique<connection>(
+                    connection{std::move(socket), "", generation_}));
+                read(*open_.back());
+                accept();
             });
     }
 
@@ -97,7 +93,7 @@
             });
     }
 
-    tcp::acceptor acceptor_;
+    adapters::runtime::acceptor acceptor_;
     std::vector<std::unique_ptr<connection>> open_;
     std::size_t generation_ = 0;
 };
