--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -121,7 +121,7 @@
     {
         silenced_ = now;
     }
-    if (now - std::max({heard_, advanced_, silenced_}) >
+    if (now - std::max({answered_, advanced_, silenced_}) >
         settings_.deaf_patience)
     {
         claim_.hand_over(now, "no watch for jobs is answered");
@@ -230,6 +230,7 @@
     }
     heard_revision_ = std::max({heard_revision_, watched_, reply.revision});
     heard_ = asked;
+    answered_ = now;
     if (!claim_.held())
     {
         return;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -42,7 +42,7 @@
     common::duration load_patience = std::chrono::seconds(6);
     /// An owner whose watches for jobs bring nothing for this long while the
     /// store renews its claim gives up. One watch may get lost.
-    common::duration deaf_patience = std::chrono::seconds(5);
+    common::duration deaf_patience = std::chrono::seconds(4);
     /// Between two looks at the platform's list of workers. A leaving worker
     /// may get no new task 2 s after it said so.
     common::duration list_interval = std::chrono::milliseconds(500);
@@ -470,7 +470,8 @@
     std::uint64_t page_revision_ = 0; ///< Of the first page of jobs.
     common::time_point pages_asked_{};
     std::uint64_t heard_revision_ = 0; ///< All jobs up to it are known.
-    common::time_point heard_{};    ///< When the last answered watch was asked.
+    common::time_point heard_{};    ///< When the last answered watch was asked,
+    common::time_point answered_{}; ///< and answered.
     common::time_point silenced_{}; ///< The store did not renew the claim then.
     /// What is asked again, and when, the earliest first.
     std::deque<
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -170,6 +170,7 @@
         return;
     }
     loaded_ = true;
+    answered_ = now;
     for (auto const& item : std::exchange(job_items_, {}))
     {
         take_item(now, item);
--- a/tests/unit/pool/staleness_test.cpp
+++ b/tests/unit/pool/staleness_test.cpp
@@ -116,6 +116,31 @@
     EXPECT_EQ(world.store().find("pool/claim")->created, epoch);
 }
 
+// An owner that took long to read the state gave up before its first watch.
+TEST(pool_staleness, a_slow_start_costs_no_claim)
+{
+    pool_world world(instances);
+    bool lost = false;
+    world.store_fault = [&lost](std::size_t, ports::kv_operation const& call)
+    {
+        auto const* const read = std::get_if<ports::kv_read>(&call);
+        bool const hit = !lost && read != nullptr && read->key == "roster";
+        lost = lost || hit;
+        return hit ? fate::lost : fate::carried_out;
+    };
+    ASSERT_TRUE(world.run_until(
+        [&world]
+        {
+            return world.store().find("pool/claim").has_value();
+        }));
+    auto const epoch = world.store().find("pool/claim")->created;
+    world.run(10s);
+    EXPECT_TRUE(lost);
+    EXPECT_TRUE(world.owner().has_value());
+    ASSERT_TRUE(world.store().find("pool/claim").has_value());
+    EXPECT_EQ(world.store().find("pool/claim")->created, epoch);
+}
+
 // Each look at a worker queued one more acknowledgement of the same ends.
 TEST(pool_staleness, ends_that_wait_for_their_record_wait_once)
 {
