Final states are dropped as fast as they come due

An owner dropped 40 final states a second at most; a pool whose jobs end faster keeps ever more of them in the store, and each takeover reads them all. Now all that are due go, eight an entry, in what commits have room for beside what callers wait for; so does the key of a cancelling that came too late.

--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -36,14 +36,14 @@
 
 // Acknowledged once the needless record is out of the way, an end would be lost
 // with this owner while the entry still waits.
-void ledger::write(entry what, std::string const& instead_of)
+void ledger::write(write_rank rank, entry what, std::string const& instead_of)
 {
-    enqueue(write_rank::result, {std::move(what), {}, {}, {}, {}, {}, {}});
+    enqueue(rank, {std::move(what), {}, {}, {}, {}, {}, {}});
     if (instead_of.empty())
     {
         return;
     }
-    auto& number = results_.back().number;
+    auto& number = waiting_of(rank).back().number;
     for_each(
         [&number, &instead_of](queued const& each)
         {
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -67,10 +67,9 @@
            outbox& out,
            common::time_point now);
 
-    /// Before everything of rank `record` that waits. Where it makes the value
-    /// of `instead_of` needless, what waits for that value waits for this
-    /// entry.
-    void write(entry what, std::string const& instead_of = {});
+    /// Where the entry makes the value of `instead_of` needless, what waits for
+    /// that value waits for the entry.
+    void write(write_rank rank, entry what, std::string const& instead_of = {});
     /// Writes the value that `key` has when the commit is made. Asked for again
     /// while it waits, it is still written once: what waits is bounded by the
     /// number of keys, however slow the commits are. `on_durable` of the first
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -269,7 +269,7 @@
         return;
     }
     // The job ended while its cancelling was on the way.
-    ledger_.write({{}, {item.key}, {}});
+    ledger_.write(write_rank::record, {{}, {item.key}, {}});
 }
 
 void owner::add_job(common::time_point now, ports::kv_item const& item)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -455,7 +455,7 @@
 
     std::unordered_map<std::string, job_run> jobs_;
     std::unordered_map<std::string, ports::job_state> finals_;
-    std::vector<std::pair<common::time_point, std::string>> final_times_;
+    std::deque<std::pair<common::time_point, std::string>> final_times_;
     std::set<ready_key> ready_;
     std::optional<room_index> room_; ///< Of a round of placing, while it lasts.
     std::set<std::string> dirty_;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -398,7 +398,7 @@
              {"limit_ms", std::to_string(limit - accepted)}});
     };
     dirty_.erase(id);
-    ledger_.write(std::move(entry), keys::progress(id));
+    ledger_.write(write_rank::result, std::move(entry), keys::progress(id));
 }
 
 void owner::mark_dirty(job_run& run)
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -92,7 +92,8 @@
     {
         names.insert(id);
     }
-    ledger_.write({{{std::string(keys::roster), to_json(fleet_), 0}},
+    ledger_.write(write_rank::result,
+                  {{{std::string(keys::roster), to_json(fleet_), 0}},
                    {},
                    [this, names](common::time_point)
                    {
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -17,6 +17,7 @@
 
 constexpr common::duration load_interval = std::chrono::seconds(1);
 constexpr common::duration backlog_interval = std::chrono::milliseconds(700);
+constexpr std::size_t finals_at_once = 8;
 
 } // namespace
 
@@ -78,24 +79,22 @@
               {"took_ms", std::to_string(common::to_milliseconds(took))}});
 }
 
+// As many as are due: what is dropped more slowly than jobs end piles up.
 void owner::drop_old_finals(common::time_point now)
 {
-    constexpr std::size_t at_once = 20;
-    ledger::entry out;
-    auto const old = [this, now](auto const& each)
+    while (!final_times_.empty() &&
+           now - final_times_.front().first >= settings_.final_kept)
     {
-        return now - each.first >= settings_.final_kept;
-    };
-    while (!final_times_.empty() && out.erases.size() < at_once &&
-           old(final_times_.front()))
-    {
-        out.erases.push_back(keys::final_state(final_times_.front().second));
-        finals_.erase(final_times_.front().second);
-        final_times_.erase(final_times_.begin());
-    }
-    if (!out.erases.empty())
-    {
-        ledger_.write(std::move(out));
+        ledger::entry out;
+        while (!final_times_.empty() && out.erases.size() < finals_at_once &&
+               now - final_times_.front().first >= settings_.final_kept)
+        {
+            auto const& id = final_times_.front().second;
+            out.erases.push_back(keys::final_state(id));
+            finals_.erase(id);
+            final_times_.pop_front();
+        }
+        ledger_.write(write_rank::record, std::move(out));
     }
 }
 
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -222,6 +222,11 @@
     store_way_ = way;
 }
 
+void pool_world::set_final_kept(duration how_long)
+{
+    final_kept_ = how_long;
+}
+
 void pool_world::set_size(std::size_t instance, double size)
 {
     instances_[instance].size = size;
@@ -240,6 +245,7 @@
     each.stopped = false;
     core::pool::pool_settings settings;
     settings.claim.size = each.size;
+    settings.owner.final_kept = final_kept_.value_or(settings.owner.final_kept);
     each.engine = std::make_unique<core::pool::engine>(
         settings,
         make_words(),
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -72,6 +72,8 @@
     void set_clock_ahead(std::size_t instance, duration ahead);
     /// What it has of processor and link, from its next start on; 1 at first.
     void set_size(std::size_t instance, double size);
+    /// How long owners keep final states, from their next start on.
+    void set_final_kept(duration how_long);
     /// From now on each of its commits takes that much longer.
     void set_commit_delay(std::size_t instance, duration delay);
     /// From now on each way to the store and back takes that long.
@@ -151,6 +153,7 @@
     standins::pool::kv_state store_;
     std::vector<std::unique_ptr<standins::pool::worker_state>> workers_;
     std::vector<instance> instances_;
+    std::optional<duration> final_kept_;
     std::map<std::uint64_t, ports::job_answer> answers_;
     std::uint64_t next_request_ = 0;
     std::uint64_t next_born_ = 1'000'000;
--- a/tests/unit/pool/staleness_test.cpp
+++ b/tests/unit/pool/staleness_test.cpp
@@ -213,3 +213,31 @@
     EXPECT_GT(asked, 0U);
     EXPECT_LE(asked, 20U);
 }
+
+// Final states of more jobs than an owner drops a second pile up in the store.
+TEST(pool_staleness, final_states_go_as_fast_as_jobs_end)
+{
+    pool_world world(2, 16);
+    world.set_final_kept(1s);
+    world.kill(0);
+    world.kill(1);
+    world.start(0);
+    world.start(1);
+    ASSERT_TRUE(settled(world));
+    auto const other = 1 - *world.owner();
+    for (int step = 0; step < 100; ++step)
+    {
+        for (int number = 0; number < 10; ++number)
+        {
+            world.submit(other,
+                         "job" + std::to_string(step * 10 + number),
+                         simple_job(1, 50ms));
+        }
+        world.run(100ms);
+    }
+    world.run(3s);
+    auto const left =
+        world.store().answer(world.now(), ports::kv_range{"final/", ""});
+    ASSERT_TRUE(left.has_value());
+    EXPECT_LE(left->items.size(), 100U);
+}
