--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -294,11 +294,9 @@
     void regroup(common::time_point now);
     std::vector<waiting_image> waiting_fills(common::time_point now);
     std::vector<regroup_worker> regroup_workers(common::time_point now);
-    /// `away`: tasks of its step that are not at work.
     bool may_move(common::time_point now,
                   job_run const& run,
-                  ports::task_name const& name,
-                  std::uint32_t away) const;
+                  ports::task_name const& name) const;
     void carry_out(common::time_point now, regroup_plan const& plan);
     worker* take_promise(common::time_point now,
                          job_run& run,
--- a/src/core/pool/owner_regroup.cpp
+++ b/src/core/pool/owner_regroup.cpp
@@ -1,7 +1,6 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 
 // Moves serving tasks away from where they keep filling work out. The room at
 // the new place is reserved before the old run is stopped: a serving task that
@@ -18,37 +17,6 @@
 // Steps of filling work that are looked at; more do not change what binds.
 constexpr std::size_t most_steps = 256;
 
-bool at_work(task const& of)
-{
-    return of.phase == task_phase::running && of.percent >= 100;
-}
-
-std::uint32_t away_of(step_run const& steps)
-{
-    return static_cast<std::uint32_t>(
-        steps.tasks.size() -
-        std::count_if(steps.tasks.begin(), steps.tasks.end(), at_work));
-}
-
-// Each step's tasks that are away, counted once for all its tasks: the tasks of
-// a wide step would else be walked once for each of them.
-class away_counts
-{
-public:
-    std::uint32_t of(step_run const& steps)
-    {
-        auto const [found, fresh] = counts_.try_emplace(&steps, 0U);
-        if (fresh)
-        {
-            found->second = away_of(steps);
-        }
-        return found->second;
-    }
-
-private:
-    std::unordered_map<step_run const*, std::uint32_t> counts_;
-};
-
 } // namespace
 
 void owner::regroup(common::time_point now)
@@ -117,7 +85,6 @@
 std::vector<regroup_worker> owner::regroup_workers(common::time_point now)
 {
     std::vector<regroup_worker> made;
-    away_counts away;
     for (auto& [id, each] : fleet_.all())
     {
         if (obstacle_at(now, each))
@@ -153,7 +120,7 @@
                                    steps.image,
                                    run->step_of(name).declared,
                                    steps.alone,
-                                   may_move(now, *run, name, away.of(steps))});
+                                   may_move(now, *run, name)});
         }
         made.push_back(std::move(row));
     }
@@ -164,12 +131,18 @@
 // it says nothing, half of the step stays at work.
 bool owner::may_move(common::time_point now,
                      job_run const& run,
-                     ports::task_name const& name,
-                     std::uint32_t away) const
+                     ports::task_name const& name) const
 {
     auto const& steps = run.occurrences[name.occurrence].steps[name.step];
     auto const& each = steps.tasks[name.index];
     auto const& what = run.step_of(name);
+    std::uint32_t away = 0;
+    for (auto const& other : steps.tasks)
+    {
+        bool const at_work =
+            other.phase == task_phase::running && other.percent >= 100;
+        away += at_work ? 0U : 1U;
+    }
     auto const half = static_cast<std::uint32_t>(steps.tasks.size() / 2);
     auto const allowed = what.may_miss > 0 ? what.may_miss : std::max(half, 1U);
     return run.phase == job_phase::active && !what.gang &&
@@ -190,14 +163,8 @@
     {
         auto const [run, each] = find_task(move.name);
         auto* const to = fleet_.find(move.to);
-        if (each == nullptr || to == nullptr)
-        {
-            continue;
-        }
-        auto const& steps =
-            run->occurrences[move.name.occurrence].steps[move.name.step];
         // An earlier move of this plan may have used up what its step may miss.
-        if (!may_move(now, *run, move.name, away_of(steps)))
+        if (each == nullptr || to == nullptr || !may_move(now, *run, move.name))
         {
             continue;
         }
