--- a/tools/load/bench_pool.hpp
+++ b/tools/load/bench_pool.hpp
@@ -45,6 +45,7 @@
     std::uint32_t workers = 48; ///< Of 64 cores each.
     std::uint32_t seconds = 8;  ///< Of virtual time, after a warm-up.
     std::uint64_t seed = 1;
+    double load = 1; ///< Factor of the rate at which jobs arrive.
 };
 
 /// One owner's decisions over a time, and what they cost it.
--- a/tools/load/bench_pool_world.cpp
+++ b/tools/load/bench_pool_world.cpp
@@ -525,7 +525,8 @@
                 text("cores", static_cast<std::uint64_t>(millicores)) +
                 text("strain", image < disturbing_images ? strain_ms : 0);
     submit(filling_queue, std::move(made));
-    auto const rate = settings_.workers * filling_starts / (2 * filling_width);
+    auto const rate = settings_.load * settings_.workers * filling_starts /
+                      (2 * filling_width);
     world_.after(
         std::chrono::microseconds(static_cast<std::int64_t>(1e6 / rate)),
         [this]
@@ -542,7 +543,8 @@
     auto const work = short_ms / 2 + world_.below(short_ms);
     made.spec = text("work", work) + text("cores", short_millicores);
     submit(short_queue, std::move(made));
-    auto const rate = settings_.workers * short_starts / short_width;
+    auto const rate =
+        settings_.load * settings_.workers * short_starts / short_width;
     world_.after(
         std::chrono::microseconds(static_cast<std::int64_t>(1e6 / rate)),
         [this]
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -57,6 +57,8 @@
     command->add_option("--workers", sizes, "sizes, in workers");
     command->add_option("--seconds", settings.seconds, "of virtual time");
     command->add_option("--seed", settings.seed, "of what arrives");
+    command->add_option("--load", settings.load, "factor of what arrives")
+        ->check(CLI::PositiveNumber);
     return command;
 }
 
