--- a/tests/unit/pool/backlog_test.cpp
+++ b/tests/unit/pool/backlog_test.cpp
@@ -10,32 +10,6 @@
 
 constexpr std::size_t instances = 3;
 
-bool settled(pool_world& world)
-{
-    return world.run_until(
-        [&world]
-        {
-            return world.owner().has_value();
-        });
-}
-
-std::size_t other_than(std::size_t number)
-{
-    return number == 0 ? 1 : 0;
-}
-
-void submit_many(pool_world& world,
-                 std::size_t at,
-                 std::string const& name,
-                 std::size_t count,
-                 fuchsia::core::pool::job const& what)
-{
-    for (std::size_t number = 0; number < count; ++number)
-    {
-        world.submit(at, name + std::to_string(number), what);
-    }
-}
-
 // Each instance says that it does not know, or no less than half of them.
 void expect_at_least_half(pool_world& world, std::size_t waiting)
 {
@@ -48,6 +22,13 @@
     }
 }
 
+// All workers are busy for a minute.
+void fill(pool_world& world, std::size_t at)
+{
+    submit_many(world, at, "fills", world.worker_count(), simple_job(8, 60s));
+    world.run(1s);
+}
+
 } // namespace
 
 // Two instances told 7 waiting jobs while 17 and 19 had waited for five seconds
@@ -167,21 +148,106 @@
     expect_at_least_half(world, 20);
 }
 
-// An end was acknowledged to its worker before the record of its job's end was
-// durable, and the next owner ran the task again.
-TEST(pool_backlog, an_end_is_acknowledged_once_its_record_is_durable)
+// An owner tells 0 of 20 after a watch that answered with nothing for a while.
+TEST(pool_backlog, a_deaf_watch_of_jobs_does_not_count_as_heard)
 {
-    for (std::size_t step = 0; step < 40; ++step)
+    pool_world world(3, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    fill(world, other);
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        return at == owner && watches_jobs(call) ? fate::deaf
+                                                 : fate::carried_out;
+    };
+    world.run(1500ms);
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
+    world.run(1500ms);
+    world.store_fault = nullptr;
+    world.run(4500ms);
+    for (std::size_t number = 0; number < 3; ++number)
+    {
+        auto const told = world.waiting_told(number);
+        EXPECT_TRUE(!told || *told >= 10)
+            << "instance " << number << " tells " << told.value_or(0);
+    }
+}
+
+// Instances tell 0 of 20 while an owner reads all jobs again, page by page.
+TEST(pool_backlog, jobs_on_pages_to_come_do_not_count_as_heard)
+{
+    pool_world world(3, 1);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    auto small = simple_job(1, 60s);
+    small.steps.front().declared = {1, 1, 0};
+    submit_many(world, other, "a", 600, small);
+    submit_many(world, other, "fills", 1, simple_job(7, 60s));
+    world.run(4s);
+    ASSERT_EQ(world.scheduler(owner).pending()["q"], 0U);
+    bool cut = true;
+    world.store_fault =
+        [owner, &cut](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const pages = std::get_if<ports::kv_range>(&call);
+        bool const later_page = pages != nullptr && pages->prefix == "pool/" &&
+                                !pages->after.empty();
+        bool const hit =
+            at == owner && ((cut && watches_jobs(call)) || later_page);
+        return hit ? fate::lost : fate::carried_out;
+    };
+    world.run(200ms);
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
+    world.run(200ms);
+    world.store().compact();
+    cut = false;
+    world.run(4700ms);
+    for (int step = 0; step < 8; ++step)
+    {
+        world.run(100ms);
+        auto const told = world.waiting_told(other);
+        EXPECT_TRUE(!told || *told >= 10)
+            << "step " << step << " tells " << told.value_or(0);
+    }
+    EXPECT_EQ(world.owner(), owner);
+}
+
+// Callers are refused a count although the store is merely slow.
+TEST(pool_backlog, a_count_is_told_while_the_store_answers_in_400_ms)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    auto const others_write = [&world](duration how_long)
+    {
+        for (duration done{}; done < how_long; done += 20ms)
+        {
+            world.store().put("noise", "x");
+            world.run(20ms);
+        }
+    };
+    others_write(2s);
+    world.set_store_way(200ms);
+    others_write(3s);
+    std::size_t refused = 0;
+    std::vector<std::uint64_t> asked;
+    for (std::size_t step = 0; step < 100; ++step)
+    {
+        if (step < 50)
+        {
+            world.submit(0, "job" + std::to_string(step), simple_job(2, 500ms));
+        }
+        asked.push_back(world.query(step % 3, ""));
+        others_write(200ms);
+    }
+    others_write(2s);
+    for (auto const each : asked)
     {
-        pool_world world(instances, 16);
-        ASSERT_TRUE(settled(world));
-        auto const owner = *world.owner();
-        auto const other = other_than(owner);
-        world.set_commit_delay(owner, 400ms);
-        submit_many(world, other, "job", 100, chained_job(100ms));
-        world.run(1s + step * 50ms);
-        world.kill(owner);
-        world.run(10s);
-        EXPECT_EQ(world.violation(), "") << "killed at step " << step;
+        auto const got = world.answer(each);
+        bool const told =
+            got && std::holds_alternative<ports::queue_status>(*got);
+        refused += told ? 0U : 1U;
     }
+    EXPECT_EQ(refused, 0U) << "of " << asked.size();
 }
--- a/tests/unit/pool/log_volume_test.cpp
+++ b/tests/unit/pool/log_volume_test.cpp
@@ -12,15 +12,6 @@
 // before each line.
 constexpr std::size_t line_start = 43 + 25;
 
-bool settled(pool_world& world)
-{
-    return world.run_until(
-        [&world]
-        {
-            return world.owner().has_value();
-        });
-}
-
 struct volume
 {
     std::size_t lines = 0;
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -77,6 +77,38 @@
 
 } // namespace
 
+bool settled(pool_world& world)
+{
+    return world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        });
+}
+
+std::size_t other_than(std::size_t number)
+{
+    return number == 0 ? 1 : 0;
+}
+
+void submit_many(pool_world& world,
+                 std::size_t at,
+                 std::string const& name,
+                 std::size_t count,
+                 core::pool::job const& what)
+{
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        world.submit(at, name + std::to_string(number), what);
+    }
+}
+
+bool watches_jobs(ports::kv_operation const& call)
+{
+    auto const* const watch = std::get_if<ports::kv_watch>(&call);
+    return watch != nullptr && watch->prefix == "pool/";
+}
+
 core::pool::job simple_job(std::uint32_t count, duration work)
 {
     core::pool::job made;
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -175,6 +175,18 @@
     std::size_t without_ticket_ = 0;
 };
 
+/// Runs until an instance owns; false where none does in time.
+bool settled(pool_world& world);
+/// An instance that is not this one.
+std::size_t other_than(std::size_t number);
+/// Hands in `name`0 to `name`(`count` - 1), all alike.
+void submit_many(pool_world& world,
+                 std::size_t at,
+                 std::string const& name,
+                 std::size_t count,
+                 core::pool::job const& what);
+bool watches_jobs(ports::kv_operation const& call);
+
 /// A job of one step of `count` tasks that take `work`.
 core::pool::job simple_job(std::uint32_t count, duration work);
 /// A job whose second step waits for its first.
--- a/tests/unit/pool/staleness_test.cpp
+++ b/tests/unit/pool/staleness_test.cpp
@@ -10,34 +10,6 @@
 
 constexpr std::size_t instances = 3;
 
-bool settled(pool_world& world)
-{
-    return world.run_until(
-        [&world]
-        {
-            return world.owner().has_value();
-        });
-}
-
-std::size_t other_than(std::size_t number)
-{
-    return number == 0 ? 1 : 0;
-}
-
-void submit_many(pool_world& world, std::size_t at, std::size_t count)
-{
-    for (std::size_t number = 0; number < count; ++number)
-    {
-        world.submit(at, "later" + std::to_string(number), simple_job(1, 1s));
-    }
-}
-
-bool watches_jobs(ports::kv_operation const& call)
-{
-    auto const* const watch = std::get_if<ports::kv_watch>(&call);
-    return watch != nullptr && watch->prefix == "pool/";
-}
-
 // From now on no watch of the owner for jobs gets an answer.
 void deafen(pool_world& world, std::size_t owner)
 {
@@ -66,7 +38,7 @@
     deafen(world, owner);
     // A watch that waits already may still be answered.
     world.run(2s);
-    submit_many(world, other, 20);
+    submit_many(world, other, "later", 20, simple_job(1, 1s));
     world.run(5s);
     for (std::size_t number = 0; number < instances; ++number)
     {
@@ -85,7 +57,7 @@
     deafen(world, owner);
     // A watch that waits already may still be answered.
     world.run(2s);
-    submit_many(world, other_than(owner), 1);
+    submit_many(world, other_than(owner), "later", 1, simple_job(1, 1s));
     EXPECT_TRUE(world.run_until(
         [&world, owner]
         {
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -9,20 +9,6 @@
 namespace
 {
 
-bool settled(pool_world& world)
-{
-    return world.run_until(
-        [&world]
-        {
-            return world.owner().has_value();
-        });
-}
-
-std::size_t other_than(std::size_t number)
-{
-    return number == 0 ? 1 : 0;
-}
-
 // From now on `owner` gets nothing through to the store.
 void cut_from_store(pool_world& world, std::size_t owner)
 {
