--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -38,7 +38,9 @@
 // with this owner while the entry still waits.
 void ledger::write(write_rank rank, entry what, std::string const& instead_of)
 {
-    enqueue(rank, {std::move(what), {}, {}, {}, {}, {}, {}});
+    queued made;
+    made.what = std::move(what);
+    enqueue(rank, std::move(made));
     if (instead_of.empty())
     {
         return;
@@ -59,17 +61,15 @@
                           value_source value,
                           durable_handler on_durable)
 {
-    if (latest_.insert(key).second)
+    if (!latest_.insert(key).second)
     {
-        enqueue(rank,
-                {{{}, {}, std::move(on_durable)},
-                 key,
-                 std::move(value),
-                 {},
-                 {},
-                 {},
-                 {}});
+        return;
     }
+    queued made;
+    made.latest = key;
+    made.value = std::move(value);
+    made.what.on_durable = std::move(on_durable);
+    enqueue(rank, std::move(made));
 }
 
 void ledger::enqueue(write_rank rank, queued what)
