Nothing starts by an old list of workers

An owner that gets little processor time, or whose calls for the list are lost, started tasks on a worker that had said seconds ago that it leaves: eight in the test, none now. While the store answers, nothing starts by a list that was asked longer ago than the bound of a leaving worker less 0.2 s; while the store is silent the last list has to do, as before. Pages of a list that stopped half-way are kept for the next try. pool_load tells the list's age.

It was looked for as the cause of tasks that started on leaving workers of a pool of 1,100 workers; there the list was 0.7 s old at most, so it is not, and that is open.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -21,6 +21,8 @@
 // Counts may be 2 s older than other answers; half of that is left for their
 // way.
 constexpr core::common::duration count_slack = 1s;
+/// A list of workers is given up this long before a leaving one must be spared.
+constexpr core::common::duration drain_reserve = 200ms;
 
 // The platform's bounds narrow the defaults; they never widen them.
 void read_bounds(toml_table bounds, core::pool::pool_settings& out)
@@ -46,6 +48,8 @@
     auto const visible = bounds.duration_or("visible_ms", 3s, 100ms, 600s);
     auto& limit = out.front.count_age_limit;
     limit = std::min<core::common::duration>(limit, visible + count_slack);
+    auto const drain = bounds.duration_or("drain_ms", 2s, 500ms, 600s);
+    out.owner.list_age_limit = drain - drain_reserve;
     bounds.refuse_unread();
 }
 
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -46,6 +46,9 @@
     /// Between two looks at the platform's list of workers. A leaving worker
     /// may get no new task 2 s after it said so.
     common::duration list_interval = std::chrono::milliseconds(500);
+    /// On a list that is older nothing starts while the store answers: a worker
+    /// in it may be leaving.
+    common::duration list_age_limit = std::chrono::milliseconds(1800);
     /// How long a worker may hold back its answer while nothing ends there:
     /// where serving tasks have neighbours that may disturb them, and
     /// elsewhere.
@@ -178,6 +181,7 @@
     void read_list(common::time_point now);
     void on_list(common::time_point now, ports::kv_reply const& reply);
     void take_list(common::time_point now);
+    bool list_is_fresh(common::time_point now) const;
     void write_roster();
 
     // owner_reports.cpp: what it tells of itself.
@@ -486,6 +490,8 @@
     common::time_point next_dispatch_{};
     common::time_point last_dispatch_{};
     std::vector<ports::pool_worker> list_; ///< The pages read so far.
+    common::time_point list_asked_{};      ///< When the first of them was asked
+    common::time_point listed_{};          ///< and that of the last whole list.
     /// When more than half of the workers had answered; 0: not yet.
     common::time_point majority_since_{};
     bool settled_ = false; ///< No earlier owner's start is unknown any more.
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -17,6 +17,12 @@
 {
     listing_ = true;
     next_list_ = now + settings_.list_interval;
+    // Pages that stand since long ago would age the whole list.
+    if (list_.empty() || now - list_asked_ > settings_.call_timeout)
+    {
+        list_.clear();
+        list_asked_ = now;
+    }
     out_.store(life_,
                ports::kv_range{words_.workers_prefix,
                                list_.empty()
@@ -34,7 +40,6 @@
     if (reply.status != kv_status::done)
     {
         listing_ = false;
-        list_.clear();
         return;
     }
     for (auto const& item : reply.items)
@@ -63,6 +68,7 @@
 {
     fleet_.take_list(list_);
     list_.clear();
+    listed_ = list_asked_;
     list_known_ = true;
     bool missing = false;
     for (auto const& [id, each] : fleet_.all())
@@ -79,6 +85,16 @@
     }
 }
 
+// An owner that gets little processor time reads the list late, and would start
+// tasks on workers that said long ago that they leave. While the store is
+// silent the last list has to do.
+bool owner::list_is_fresh(common::time_point now) const
+{
+    bool const silent =
+        now - claim_.confirmed() > settings_.workers.alone_limit;
+    return list_known_ && (silent || now - listed_ <= settings_.list_age_limit);
+}
+
 // A task may start only on a worker that a successor would ask.
 void owner::write_roster()
 {
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -153,7 +153,8 @@
          {"commits_waiting", std::to_string(ledger_.waiting())},
          {"commit_lag_ms",
           std::to_string(common::to_milliseconds(ledger_.lag(now)))},
-         {"heard_ms", std::to_string(common::to_milliseconds(now - heard_))}});
+         {"heard_ms", std::to_string(common::to_milliseconds(now - heard_))},
+         {"list_ms", std::to_string(common::to_milliseconds(now - listed_))}});
     log_waiting(now);
 }
 
--- a/tests/unit/pool/staleness_test.cpp
+++ b/tests/unit/pool/staleness_test.cpp
@@ -213,3 +213,32 @@
     ASSERT_TRUE(left.has_value());
     EXPECT_LE(left->items.size(), 100U);
 }
+
+// Tasks start on a worker that leaves, by a list that the owner read long ago.
+TEST(pool_staleness, nothing_starts_by_an_old_list_of_workers)
+{
+    pool_world world(3, 2);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(2s);
+    bool cut = true;
+    world.store_fault =
+        [owner, &cut](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const pages = std::get_if<ports::kv_range>(&call);
+        bool const list = pages != nullptr && pages->prefix == "workers/";
+        return at == owner && list && cut ? fate::lost : fate::carried_out;
+    };
+    auto const entry = world.store().find("workers/w0");
+    ASSERT_TRUE(entry.has_value());
+    world.store().put("workers/w0", entry->value + " draining");
+    world.run(3s);
+    auto const before = world.worker(0).begun().size();
+    submit_many(world, other_than(owner), "later", 8, simple_job(1, 1s));
+    world.run(2s);
+    EXPECT_EQ(world.worker(0).begun().size(), before);
+    cut = false;
+    world.run(3s);
+    EXPECT_EQ(world.worker(0).begun().size(), before);
+    EXPECT_GE(world.worker(1).begun().size(), 8U);
+}
