--- a/tests/unit/pool/learning_test.cpp
+++ b/tests/unit/pool/learning_test.cpp
@@ -131,6 +131,7 @@
     {
         auto const drawn = draw(random, numbers);
         std::vector<serving_reading const*> readings;
+        readings.reserve(drawn.size());
         for (auto const& each : drawn)
         {
             readings.push_back(&each);
--- a/tests/unit/pool/room_index_test.cpp
+++ b/tests/unit/pool/room_index_test.cpp
@@ -86,6 +86,7 @@
 std::vector<std::string> ids_of(std::vector<worker*> const& from)
 {
     std::vector<std::string> made;
+    made.reserve(from.size());
     for (auto const* each : from)
     {
         made.push_back(each->info.id);
