--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -20,11 +20,8 @@
     common::duration call_timeout = std::chrono::milliseconds(1500);
     /// After a commit that failed.
     common::duration retry = std::chrono::milliseconds(100);
-    /// Commits begin at least this far apart unless one is full: each costs a
-    /// call whatever it holds, and what is asked for meanwhile shares the next
-    /// one. Against 40 ms it saves 9 calls a second at 12 jobs a second, and
-    /// an end is known 20 ms later on average, of the 250 ms and more that the
-    /// shortest jobs have beyond their work.
+    /// Commits begin at least this far apart unless results fill one: each
+    /// costs a call whatever it holds.
     common::duration interval = std::chrono::milliseconds(80);
     /// Changes in one commit; the store takes 32 entries, of which the two
     /// conditions and the common key take three.
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -62,8 +62,7 @@
     common::duration hold_grace = std::chrono::milliseconds(500);
     /// Between two rounds of placing while nothing but readings has changed.
     common::duration dispatch_interval = std::chrono::milliseconds(100);
-    /// At least so long between two rounds. Against half of a first start,
-    /// which comes 18 ms after its job, it is little.
+    /// At least so long between two rounds.
     common::duration dispatch_pause = std::chrono::milliseconds(10);
     /// Before what was refused, or got no answer, is asked again.
     common::duration refused_pause = std::chrono::milliseconds(100);
