--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -89,11 +89,6 @@
     barriers_.push_back({last_entry_, std::move(then)});
 }
 
-bool ledger::idle() const noexcept
-{
-    return waiting() == 0;
-}
-
 std::size_t ledger::entries() const noexcept
 {
     return results_.size() + records_.size() + in_flight_.size();
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -78,7 +78,6 @@
     /// Runs `then` once everything asked for so far is durable.
     void after_all(durable_handler then);
     void tick(common::time_point now);
-    bool idle() const noexcept;
     /// Entries that are not durable yet, and what waits for them.
     std::size_t waiting() const noexcept;
     /// How long the oldest of them has waited; zero where none does.
--- a/tests/unit/pool/backlog_test.cpp
+++ b/tests/unit/pool/backlog_test.cpp
@@ -41,8 +41,7 @@
     ASSERT_TRUE(settled(world));
     auto const owner = *world.owner();
     auto const other = other_than(owner);
-    submit_many(world, other, "fills", 1, simple_job(8, 60s));
-    world.run(1s);
+    fill(world, other);
     submit_many(world, other, "first", 1, simple_job(1, 1s));
     world.run(2s);
     ASSERT_EQ(world.waiting_told(other), 1U);
@@ -120,8 +119,7 @@
     ASSERT_TRUE(settled(world));
     auto const owner = *world.owner();
     auto const other = other_than(owner);
-    submit_many(world, other, "fills", 1, simple_job(8, 60s));
-    world.run(1s);
+    fill(world, other);
     world.freeze(owner, 6s);
     submit_many(world, other, "later", 20, simple_job(1, 1s));
     world.run(5900ms);
@@ -136,8 +134,7 @@
     ASSERT_TRUE(settled(world));
     auto const owner = *world.owner();
     auto const other = other_than(owner);
-    submit_many(world, other, "fills", 1, simple_job(8, 60s));
-    world.run(1s);
+    fill(world, other);
     world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
     {
         bool const watches = std::holds_alternative<ports::kv_watch>(call);
