An answer that came while the process stood still is read

Tasks were started again 4.6 s after their worker had told that they were done, by the same owner. After a stall the timers of its calls and the bytes of their answers were due together; Asio runs such a timer before an answer that takes more than one read, so the owner dropped answers that had come in time and took its workers for silent until their leases were over.

A deadline that finds bytes of its answer waits a little for the rest, at most ten times 100 ms. A silent server is given up as before (test).

late_reader.reads_what_came_while_it_stood_still fails without the change: the client sleeps past its deadline while 20 KB lie in its socket. Ruled out: the clock that tests pause doesn't show it, since the reactor then looks at sockets first.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -21,6 +21,10 @@
 namespace beast = boost::beast;
 using ports::exchange_status;
 using tcp = asio::ip::tcp;
+
+// To read an answer that has begun to arrive, and how often that is granted.
+constexpr core::common::duration reading_time = std::chrono::milliseconds(100);
+constexpr std::uint32_t most_extensions = 10;
 } // namespace
 
 class client::pool : public std::enable_shared_from_this<client::pool>
@@ -79,6 +83,7 @@
         handle_ = std::move(handle);
         ended_ = false;
         timed_out_ = false;
+        extensions_ = 0;
         began_ = ++owner_->moment_;
         if (socket_.is_open())
         {
@@ -180,6 +185,12 @@
             fail(exchange_status::lost);
             return;
         }
+        if (extensions_ < most_extensions && answer_has_begun())
+        {
+            ++extensions_;
+            arm(reading_time);
+            return;
+        }
         timed_out_ = true;
         owner_->doubt_unused(*this);
         if (!call_.drain)
@@ -191,6 +202,16 @@
         handle_(exchange_status::timed_out, {});
     }
 
+    // After a stall of this process its timers and what came meanwhile are due
+    // together. An answer that lies in the socket then is not the other side's
+    // silence. A call that drains reads it in any case.
+    bool answer_has_begun()
+    {
+        beast::error_code error;
+        return !call_.drain &&
+               (buffer_.size() > 0 || socket_.available(error) > 0);
+    }
+
     void connect()
     {
         sent_ = false;
@@ -340,6 +361,7 @@
     bool sent_ = false;      // A byte of the present call may have gone out.
     bool ended_ = true;
     bool timed_out_ = false;
+    std::uint32_t extensions_ = 0; // Of the deadline, while an answer is read.
     std::uint64_t began_ = 0; // Moments of the pool: the present call began,
     std::uint64_t heard_ = 0; // the last answer came.
 };
