A worker is asked once more before its tasks start elsewhere

Now a call that was sent when the lease had run out must stay unanswered too. Answers and failures of calls come in one queue, so whatever the worker told earlier is taken in before.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -71,6 +71,8 @@
     common::time_point next_hold{};
     common::time_point contact{}; ///< Last answer to a hold.
     bool silent = false; ///< The last hold got no answer: nothing starts here.
+    /// Nor did one that was sent when the lease had run out.
+    bool silent_since_lapse = false;
 
     common::time_point avoid_until{}; ///< Suspected of failing what it runs.
     common::time_point full_until{};  ///< It said that it has no room.
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -89,10 +89,12 @@
     if (reply.status != order_status::done)
     {
         of->silent = true;
+        of->silent_since_lapse = fleet_.lapsed(*of, sent);
         of->next_hold = now + settings_.full_pause;
         return;
     }
     of->silent = false;
+    of->silent_since_lapse = false;
     of->contact = now;
     of->clock_ms = reply.clock_ms;
     of->clock_read = now;
@@ -195,7 +197,9 @@
 }
 
 // A worker that can't be reached keeps its tasks until its lease has run out.
-// Started elsewhere before that, a task would run in two places.
+// Started elsewhere before that, a task would run in two places. It is asked
+// once more then: where this owner was too busy to hear its answers, it may
+// have told long ago that its tasks are done.
 void owner::check_silent(common::time_point now)
 {
     std::vector<std::string> gone;
@@ -203,10 +207,14 @@
     {
         bool const silent = each.adopted && !each.runs.empty() &&
                             now - each.contact > settings_.workers.lease;
-        if (silent && fleet_.lapsed(each, now))
+        if (silent && each.silent_since_lapse)
         {
             forget_runs(now, each, "lease lapsed in silence");
         }
+        else if (silent && fleet_.lapsed(each, now))
+        {
+            each.next_hold = now;
+        }
         bool const absent = !each.listed && list_known_ && each.runs.empty() &&
                             !each.holding && fleet_.lapsed(each, now);
         // One that was never reached may run what its last owner gave it.
