Nothing is done by what was heard too long ago

An instance that can't vouch for what operators set within the bound (`config_ms`) now takes no job and calls no queue absent; it answers 503, not run. An owner starts nothing by older news of jobs (`cancel_ms`) or of operators either. While the store is silent to all, what was heard last has to do, as before.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -21,8 +21,11 @@
 // Counts may be 2 s older than other answers; half of that is left for their
 // way.
 constexpr core::common::duration count_slack = 1s;
-/// A list of workers is given up this long before a leaving one must be spared.
-constexpr core::common::duration drain_reserve = 200ms;
+/// What was heard is taken for old this long before it must have effect: an
+/// order by it takes time to arrive.
+constexpr core::common::duration order_reserve = 400ms;
+/// The same of an answer to a caller.
+constexpr core::common::duration answer_reserve = 50ms;
 
 // The platform's bounds narrow the defaults; they never widen them.
 void read_bounds(toml_table bounds, core::pool::pool_settings& out)
@@ -49,7 +52,12 @@
     auto& limit = out.front.count_age_limit;
     limit = std::min<core::common::duration>(limit, visible + count_slack);
     auto const drain = bounds.duration_or("drain_ms", 2s, 500ms, 600s);
-    out.owner.list_age_limit = drain - drain_reserve;
+    out.owner.list_age_limit = drain - order_reserve;
+    auto const change = bounds.duration_or("config_ms", 2s, 1200ms, 600s);
+    out.front.configuration_age_limit = change - answer_reserve;
+    out.owner.configuration_age_limit = change - answer_reserve;
+    auto const cancel = bounds.duration_or("cancel_ms", 3s, 1200ms, 600s);
+    out.owner.news_age_limit = cancel - order_reserve;
     bounds.refuse_unread();
 }
 
--- a/src/core/pool/configuration.hpp
+++ b/src/core/pool/configuration.hpp
@@ -59,6 +59,8 @@
 {
     configuration config;
     std::set<std::string> data_centres_out;
+    /// Every change that was written before then is in it.
+    common::time_point vouched{};
 };
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -83,6 +83,12 @@
     }
     auto const* const into =
         rules_.state().config.find(request.host, request.path);
+    bool const submits = std::holds_alternative<submit_request>(request.what);
+    if ((into == nullptr || submits) && configuration_is_old(now))
+    {
+        refuse_by_old_configuration(now, request);
+        return;
+    }
     if (into == nullptr)
     {
         answer(request.caller, ports::queue_absent{});
@@ -107,6 +113,26 @@
     }
 }
 
+bool front::configuration_is_old(common::time_point now) const noexcept
+{
+    return now - rules_.state().vouched > settings_.configuration_age_limit;
+}
+
+// An instance that hears late of changes would go on saying that a queue which
+// was just added is absent, and take jobs for one that is gone.
+void front::refuse_by_old_configuration(common::time_point now,
+                                        pool_request const& request)
+{
+    auto const& state = rules_.state();
+    out_.log(severity::warning,
+             "configuration_old",
+             {{"path", request.path},
+              {"version", std::to_string(state.config.version)},
+              {"age_ms",
+               std::to_string(common::to_milliseconds(now - state.vouched))}});
+    refuse(request.caller, "what operators set was last heard too long ago");
+}
+
 // The job's key must not exist, nor the record of its end: the same id, sent
 // again after its answer was lost or seconds after it was accepted, stays one
 // job, whichever instance gets it.
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -28,6 +28,9 @@
     /// When to come back after a refusal: the store's short outages end within
     /// seconds, and another instance may reach it now.
     common::duration retry_after = std::chrono::milliseconds(500);
+    /// What operators set may be in force after this long: by an older state
+    /// no job is taken and no queue is said to be absent.
+    common::duration configuration_age_limit = std::chrono::milliseconds(1950);
     /// A count that may leave out jobs accepted longer ago is not told.
     common::duration count_age_limit = std::chrono::milliseconds(4000);
     /// Final states remembered, so that repeated questions need no call.
@@ -94,6 +97,9 @@
                       std::string const& id,
                       std::uint64_t revision);
     common::duration store_silence(common::time_point now) const noexcept;
+    bool configuration_is_old(common::time_point now) const noexcept;
+    void refuse_by_old_configuration(common::time_point now,
+                                     pool_request const& request);
     void note(common::time_point now, ports::kv_reply const& reply);
     void answer(std::uint64_t caller, ports::job_answer what);
     void refuse(std::uint64_t caller, std::string why);
--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -64,11 +64,12 @@
                [this, after, now](common::time_point at, kv_reply const& reply)
                {
                    times_.note(now, reply.revision);
-                   on_page(at, after, reply);
+                   on_page(at, now, after, reply);
                });
 }
 
 void operators::on_page(common::time_point now,
+                        common::time_point asked,
                         std::string const& after,
                         kv_reply const& reply)
 {
@@ -81,6 +82,7 @@
     if (after.empty())
     {
         watched_ = std::max(watched_, reply.revision);
+        pages_asked_ = asked;
     }
     for (auto const& item : reply.items)
     {
@@ -97,10 +99,11 @@
         state_.data_centres_out = out_in_pages_;
         ++changes_;
     }
+    state_.vouched = pages_asked_;
     known_ = known_ || state_.config.version > 0;
     if (known_)
     {
-        watch(now);
+        watch(now, settings_.watch_wait);
     }
     else
     {
@@ -108,23 +111,38 @@
     }
 }
 
-void operators::watch(common::time_point now)
+void operators::watch(common::time_point now, common::duration wait)
 {
     out_.store(life_,
-               ports::kv_watch{
-                   words_.operators_prefix, watched_, settings_.watch_wait},
-               settings_.watch_wait + settings_.call_timeout,
-               [this, asked = now](common::time_point at, kv_reply const& reply)
+               ports::kv_watch{words_.operators_prefix, watched_, wait},
+               wait + settings_.call_timeout,
+               [this, asked = now, wait](common::time_point at,
+                                         kv_reply const& reply)
                {
-                   on_watch(at, asked, reply);
+                   on_watch(at, asked, wait, reply);
                });
 }
 
+// What a later item of the same answer replaces need not be read: a document of
+// a thousand queues takes a small instance most of a second.
+bool operators::is_replaced(std::vector<ports::kv_item> const& items,
+                            std::size_t number)
+{
+    return std::any_of(items.begin() +
+                           static_cast<std::ptrdiff_t>(number + 1),
+                       items.end(),
+                       [&key = items[number].key](ports::kv_item const& later)
+                       {
+                           return later.key == key;
+                       });
+}
+
 // An answer without events does not move the place from which the next watch
 // goes on: a watch that was deaf for a while then either hears of the change
 // it missed or is told that the history is gone, and everything is read anew.
 void operators::on_watch(common::time_point now,
                          common::time_point asked,
+                         common::duration wait,
                          kv_reply const& reply)
 {
     if (reply.status != kv_status::done)
@@ -134,18 +152,28 @@
     }
     contact_ = now;
     times_.note(asked, reply.revision);
-    for (auto const& item : reply.items)
+    if (reply.items.empty())
     {
+        // It was given when the wait was over.
+        state_.vouched = std::min(now, asked + wait);
+        watch(now, settings_.watch_wait);
+        return;
+    }
+    state_.vouched = std::max(state_.vouched, asked);
+    for (std::size_t number = 0; number < reply.items.size(); ++number)
+    {
+        auto const& item = reply.items[number];
+        watched_ = std::max(watched_, item.revision);
+        if (is_replaced(reply.items, number))
+        {
+            continue;
+        }
         out_in_pages_ = state_.data_centres_out;
         take(item);
         state_.data_centres_out = out_in_pages_;
-        watched_ = std::max(watched_, item.revision);
     }
-    if (!reply.items.empty())
-    {
-        ++changes_;
-    }
-    watch(now);
+    ++changes_;
+    watch(now, settings_.watch_wait_after_change);
 }
 
 void operators::take(ports::kv_item const& item)
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace fuchsia::core::pool
 {
@@ -17,6 +18,9 @@
     /// this and `call_timeout` together, within the 2 s that a change may take
     /// to be in force.
     common::duration watch_wait = std::chrono::milliseconds(1000);
+    /// The same behind an answer that brought a change: it does not say when
+    /// it was given.
+    common::duration watch_wait_after_change = std::chrono::milliseconds(300);
     common::duration call_timeout = std::chrono::milliseconds(500);
     common::duration retry = std::chrono::milliseconds(100);
 };
@@ -45,12 +49,16 @@
 private:
     void read(common::time_point now, std::string const& after);
     void on_page(common::time_point now,
+                 common::time_point asked,
                  std::string const& after,
                  ports::kv_reply const& reply);
-    void watch(common::time_point now);
+    void watch(common::time_point now, common::duration wait);
     void on_watch(common::time_point now,
                   common::time_point asked,
+                  common::duration wait,
                   ports::kv_reply const& reply);
+    static bool is_replaced(std::vector<ports::kv_item> const& items,
+                            std::size_t number);
     void take(ports::kv_item const& item);
     void take_config(configuration config);
     void read_again(common::time_point now);
@@ -67,6 +75,7 @@
     bool known_ = false;
     bool waiting_to_read_ = false;
     common::time_point contact_{};
+    common::time_point pages_asked_{}; ///< The first of them.
     common::time_point read_at_{};
 };
 
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -47,7 +47,11 @@
     worker_list_settings list;
     /// On a list that is older nothing starts while the store answers: a worker
     /// in it may be leaving.
-    common::duration list_age_limit = std::chrono::milliseconds(1800);
+    common::duration list_age_limit = std::chrono::milliseconds(1600);
+    /// The same of what operators set,
+    common::duration configuration_age_limit = std::chrono::milliseconds(1950);
+    /// and of news of jobs: one of which something starts may be cancelled.
+    common::duration news_age_limit = std::chrono::milliseconds(2600);
     /// How long a worker may hold back its answer while nothing ends there:
     /// where serving tasks have neighbours that may disturb them, and
     /// elsewhere.
@@ -177,7 +181,7 @@
 
     // owner_list.cpp: which workers there are.
     void take_list(common::time_point now, worker_changes const& seen);
-    bool list_is_fresh(common::time_point now) const;
+    bool knowledge_is_fresh(common::time_point now) const;
     void complete_roster();
     void write_roster();
 
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -87,7 +87,7 @@
 
 void owner::dispatch(common::time_point now)
 {
-    if (may_act(now) && list_is_fresh(now))
+    if (may_act(now) && knowledge_is_fresh(now))
     {
         dispatch_steps(now);
     }
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -19,15 +19,19 @@
     }
 }
 
-// An owner that gets little processor time reads the list late, and would start
-// tasks on workers that said long ago that they leave. While the store is
-// silent the last list has to do.
-bool owner::list_is_fresh(common::time_point now) const
+// An owner that gets little processor time hears late, and would start tasks on
+// workers that said long ago that they leave, in data centres that are out, of
+// jobs that were cancelled. While the store is silent what was heard last has
+// to do.
+bool owner::knowledge_is_fresh(common::time_point now) const
 {
     bool const silent =
         now - claim_.confirmed() > settings_.workers.alone_limit;
-    return list_.known() &&
-           (silent || now - list_.vouched() <= settings_.list_age_limit);
+    bool const fresh =
+        now - list_.vouched() <= settings_.list_age_limit &&
+        now - operators_.vouched <= settings_.configuration_age_limit &&
+        now - heard_ <= settings_.news_age_limit;
+    return list_.known() && (silent || fresh);
 }
 
 void owner::complete_roster()
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -155,7 +155,9 @@
           std::to_string(common::to_milliseconds(ledger_.lag(now)))},
          {"heard_ms", std::to_string(common::to_milliseconds(now - heard_))},
          {"list_ms",
-          std::to_string(common::to_milliseconds(now - list_.vouched()))}});
+          std::to_string(common::to_milliseconds(now - list_.vouched()))},
+         {"configuration_ms",
+          std::to_string(common::to_milliseconds(now - operators_.vouched))}});
     log_waiting(now);
 }
 
--- a/tests/contract/platform/settings_test.cpp
+++ b/tests/contract/platform/settings_test.cpp
@@ -32,6 +32,8 @@
         {"{{bounds.impactMs}}", "2000"},
         {"{{bounds.visible_ms}}", "2000"},
         {"{{bounds.drainMs}}", "3000"},
+        {"{{bounds.configApplyMs}}", "2000"},
+        {"{{bounds.cancel_ms}}", "3000"},
         {"{{limits.cpuShare}}", "0.069"},
         {"{{limits.linkMbps}}", "10"}};
     for (auto const& [name, value] : values)
@@ -59,7 +61,10 @@
     EXPECT_EQ(file->pool.owner.workers.lease, 3000ms);
     EXPECT_EQ(file->pool.owner.sharing.stop_after, 1000ms);
     EXPECT_EQ(file->pool.front.count_age_limit, 3000ms);
-    EXPECT_EQ(file->pool.owner.list_age_limit, 2800ms);
+    EXPECT_EQ(file->pool.owner.list_age_limit, 2600ms);
+    EXPECT_EQ(file->pool.owner.configuration_age_limit, 1950ms);
+    EXPECT_EQ(file->pool.front.configuration_age_limit, 1950ms);
+    EXPECT_EQ(file->pool.owner.news_age_limit, 2600ms);
     EXPECT_LE(file->pool.stop_limit, 4500ms);
     // The scarcer of 0.069 of 0.5 cores and 10 of 200 Mbit/s.
     EXPECT_NEAR(file->pool.claim.size, 0.05, 1e-9);
--- a/tests/unit/pool/busy_owner_test.cpp
+++ b/tests/unit/pool/busy_owner_test.cpp
@@ -10,6 +10,12 @@
 
 constexpr std::size_t instances = 3;
 
+bool watches(ports::kv_operation const& call, std::string_view prefix)
+{
+    auto const* const watch = std::get_if<ports::kv_watch>(&call);
+    return watch != nullptr && watch->prefix == prefix;
+}
+
 /// Runs of the task on any worker.
 std::size_t runs_of(pool_world& world, std::string const& job)
 {
@@ -39,6 +45,16 @@
     return world.worker_count();
 }
 
+std::size_t begun(pool_world& world)
+{
+    std::size_t made = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        made += world.worker(number).begun().size();
+    }
+    return made;
+}
+
 } // namespace
 
 // An owner that could not read a worker's answers ran its tasks again once the
@@ -102,3 +118,99 @@
         7s));
     EXPECT_EQ(world.violation(), "");
 }
+
+// Jobs start that were cancelled seconds ago, and nobody told the owner.
+TEST(pool_busy_owner, starts_nothing_by_old_news_of_jobs)
+{
+    pool_world world(instances);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(1s);
+    world.submit(other_than(owner), "fills", simple_job(32, 4s));
+    world.run(200ms);
+    world.submit(other_than(owner), "waits", simple_job(8, 1s));
+    world.run(300ms);
+    ASSERT_EQ(runs_of(world, "fills"), 32U);
+    ASSERT_EQ(runs_of(world, "waits"), 0U);
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const& call)
+    {
+        return instance == owner && watches_jobs(call) ? fate::lost
+                                                       : fate::carried_out;
+    };
+    // The answer to a watch that waits already may still come.
+    world.run(1100ms);
+    world.cancel(other_than(owner), "waits");
+    world.run(4s);
+    EXPECT_EQ(runs_of(world, "waits"), 0U);
+}
+
+// Tasks start in a data centre that was taken out seconds ago.
+TEST(pool_busy_owner, starts_nothing_by_an_old_configuration)
+{
+    pool_world world(instances);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(2s);
+    world.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const& call)
+    {
+        auto const* const pages = std::get_if<ports::kv_range>(&call);
+        bool const read = pages != nullptr && pages->prefix == "operators/";
+        bool const hit =
+            instance == owner && (read || watches(call, "operators/"));
+        return hit ? fate::lost : fate::carried_out;
+    };
+    world.run(1100ms);
+    world.store().put("operators/out/even", "");
+    world.run(2s);
+    auto const before = begun(world);
+    submit_many(world, other_than(owner), "later", 8, simple_job(1, 1s));
+    world.run(2s);
+    EXPECT_EQ(begun(world), before);
+    world.store_fault = nullptr;
+    EXPECT_TRUE(world.run_until(
+        [&world, before]
+        {
+            return begun(world) == before + 8;
+        }));
+    EXPECT_EQ(world.worker(0).begun().size() + world.worker(2).begun().size(),
+              0U);
+}
+
+// An instance that hears late of a new queue tells its callers for seconds that
+// there is none.
+TEST(pool_busy_front, calls_no_queue_absent_by_an_old_configuration)
+{
+    pool_world world(instances);
+    ASSERT_TRUE(settled(world));
+    auto const late = other_than(*world.owner());
+    world.run(2s);
+    auto const told = [&world, late]
+    {
+        auto const request = world.query_at(late, "/other/", "a");
+        world.run(2s);
+        return world.answer(request);
+    };
+    auto const before = told();
+    ASSERT_TRUE(before.has_value());
+    EXPECT_TRUE(std::holds_alternative<ports::queue_absent>(*before));
+    world.store_fault =
+        [late](std::size_t instance, ports::kv_operation const& call)
+    {
+        auto const* const pages = std::get_if<ports::kv_range>(&call);
+        bool const read = pages != nullptr && pages->prefix == "operators/";
+        bool const hit =
+            instance == late && (read || watches(call, "operators/"));
+        return hit ? fate::lost : fate::carried_out;
+    };
+    world.run(3s);
+    auto const after = told();
+    ASSERT_TRUE(after.has_value());
+    EXPECT_TRUE(std::holds_alternative<ports::job_refused>(*after));
+    auto const request = world.submit(late, "b", simple_job(1, 1s));
+    world.run(2s);
+    auto const handed_in = world.answer(request);
+    ASSERT_TRUE(handed_in.has_value());
+    EXPECT_TRUE(std::holds_alternative<ports::job_refused>(*handed_in));
+}
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -201,9 +201,16 @@
 }
 
 std::uint64_t pool_world::query(std::size_t instance, std::string const& id)
+{
+    return query_at(instance, prefix, id);
+}
+
+std::uint64_t pool_world::query_at(std::size_t instance,
+                                   std::string const& path,
+                                   std::string const& id)
 {
     core::pool::pool_request request;
-    request.path = prefix + id;
+    request.path = path + id;
     request.what = core::pool::query_request{};
     return ask(instance, std::move(request));
 }
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -61,6 +61,10 @@
     submit(std::size_t instance, std::string const& id, core::pool::job what);
     std::uint64_t cancel(std::size_t instance, std::string const& id);
     std::uint64_t query(std::size_t instance, std::string const& id);
+    /// The same below another path than the queue's.
+    std::uint64_t query_at(std::size_t instance,
+                           std::string const& path,
+                           std::string const& id);
     /// Jobs that wait as the instance tells it; empty where it refuses.
     std::optional<std::uint64_t> waiting_told(std::size_t instance);
     std::optional<ports::job_answer> answer(std::uint64_t request) const;
