Orders that waited too long within the instance are not sent

Between the decision and the connection an order passes a ring. Where the thread behind it gets no processor, a start went out by what was known seconds ago. One that waited longer than its answer may take is told as held back now, a status of its own: it says nothing of its worker. Answers of the store have a ring of their own, so that operators' changes and cancelled jobs don't wait behind the answers of a thousand workers.

No test fails without it: the program's threads are not played in virtual time.

--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -292,7 +292,8 @@
             .steps[what.task.step]
             .tickets.erase(id);
     }
-    if (auto* const on = fleet_.find(id))
+    auto* const on = fleet_.find(id);
+    if (on != nullptr && reply.status != order_status::held_back)
     {
         on->full_until = now + settings_.full_pause;
     }
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -86,6 +86,11 @@
         fenced(id);
         return;
     }
+    if (reply.status == order_status::held_back)
+    {
+        of->next_hold = now + settings_.refused_pause;
+        return;
+    }
     if (reply.status != order_status::done)
     {
         of->silent = true;
--- a/src/ports/pool_workers.hpp
+++ b/src/ports/pool_workers.hpp
@@ -107,6 +107,7 @@
     unhealthy,   ///< It does nothing for now.
     other_instance, ///< Another incarnation lives at the address.
     not_sent,       ///< No connection; no byte went out.
+    held_back,      ///< Nor was one tried: this instance was too busy.
     unclear,        ///< No answer: carried out, or still to be.
 };
 
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -29,7 +29,7 @@
     "done", "conflict", "missing", "compacted", "refused", "unclear"};
 constexpr std::array<char const*, 4> order_kinds{
     "hold", "start", "stop", "pace"};
-constexpr std::array<char const*, 11> order_results{"done",
+constexpr std::array<char const*, 12> order_results{"done",
                                                     "stale_fence",
                                                     "superseded",
                                                     "late",
@@ -39,6 +39,7 @@
                                                     "unhealthy",
                                                     "other_instance",
                                                     "not_sent",
+                                                    "held_back",
                                                     "unclear"};
 
 } // namespace
--- a/src/programs/pool/pool_metrics.hpp
+++ b/src/programs/pool/pool_metrics.hpp
@@ -32,7 +32,7 @@
 private:
     static constexpr std::size_t measures = 5;
     static constexpr std::size_t kv_statuses = 6;
-    static constexpr std::size_t order_statuses = 11;
+    static constexpr std::size_t order_statuses = 12;
     struct open_call
     {
         std::size_t kind = 0;
--- a/src/programs/pool/pool_outside.cpp
+++ b/src/programs/pool/pool_outside.cpp
@@ -10,18 +10,38 @@
 
 using core::common::clock;
 
-// On the outside's thread.
+namespace
+{
+
+ports::order_reply held_back(ports::pool_order const& order)
+{
+    ports::order_reply made;
+    made.id = order.id;
+    made.status = ports::order_status::held_back;
+    return made;
+}
+
+} // namespace
+
+// On the outside's thread. An order that waited here for longer than its answer
+// may take rests on what was known too long ago.
 void pool_program::send_outside(outside_call& call)
 {
-    if (auto* const kv = std::get_if<ports::kv_call>(&call))
+    auto const waited = clock::now() - call.asked;
+    if (auto* const kv = std::get_if<ports::kv_call>(&call.what))
     {
         store_->send(std::move(*kv));
     }
-    else if (auto* const order = std::get_if<ports::pool_order>(&call))
+    else if (auto* const order = std::get_if<ports::pool_order>(&call.what))
     {
+        if (waited > order->timeout)
+        {
+            replies_.try_push(outside_reply{held_back(*order)});
+            return;
+        }
         workers_->send(std::move(*order));
     }
-    else if (auto* const ask = std::get_if<ports::advice_call>(&call))
+    else if (auto* const ask = std::get_if<ports::advice_call>(&call.what))
     {
         advice_->send(*ask);
     }
@@ -49,7 +69,7 @@
 }
 
 // Nothing went out, and whoever waits for the answer is told so.
-void pool_program::refuse(outside_call const& call)
+void pool_program::refuse(outside_operation const& call)
 {
     outside_reply reply;
     if (auto const* const kv = std::get_if<ports::kv_call>(&call))
@@ -61,10 +81,7 @@
     }
     else if (auto const* const order = std::get_if<ports::pool_order>(&call))
     {
-        ports::order_reply made;
-        made.id = order->id;
-        made.status = ports::order_status::not_sent;
-        reply = std::move(made);
+        reply = held_back(*order);
     }
     else if (auto const* const ask = std::get_if<ports::advice_call>(&call))
     {
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -61,6 +61,12 @@
              {
                  send_outside(call);
              }),
+      store_replies_(decisions_,
+                     outside_ring,
+                     [this](outside_reply& reply)
+                     {
+                         take_reply(reply);
+                     }),
       replies_(decisions_,
                outside_ring,
                [this](outside_reply& reply)
@@ -76,7 +82,7 @@
         [this](ports::kv_reply reply)
         {
             // Never full: no more calls are open than the ring has places.
-            replies_.try_push(outside_reply{std::move(reply)});
+            store_replies_.try_push(outside_reply{std::move(reply)});
         });
     workers_ = std::make_unique<platform::workers>(
         outside_.io(),
@@ -318,23 +324,24 @@
         return;
     }
     outside_call call;
+    call.asked = clock::now();
     if (auto* const kv = std::get_if<ports::kv_call>(&action))
     {
         measures_.began(clock::now(), *kv);
-        call = std::move(*kv);
+        call.what = std::move(*kv);
     }
     else if (auto* const order = std::get_if<ports::pool_order>(&action))
     {
         measures_.began(clock::now(), *order);
-        call = std::move(*order);
+        call.what = std::move(*order);
     }
     else if (auto* const ask = std::get_if<ports::advice_call>(&action))
     {
-        call = std::move(*ask);
+        call.what = std::move(*ask);
     }
     if (measures_.open() > outside_ring || !calls_.try_push(call))
     {
-        refuse(call);
+        refuse(call.what);
     }
 }
 
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -43,10 +43,15 @@
         std::uint64_t caller = 0;
         adapters::http::response message;
     };
-    using outside_call = std::variant<std::monostate,
-                                      ports::kv_call,
-                                      ports::pool_order,
-                                      ports::advice_call>;
+    using outside_operation = std::variant<std::monostate,
+                                           ports::kv_call,
+                                           ports::pool_order,
+                                           ports::advice_call>;
+    struct outside_call
+    {
+        outside_operation what;
+        core::common::time_point asked{};
+    };
     using outside_reply = std::variant<std::monostate,
                                        ports::kv_reply,
                                        ports::order_reply,
@@ -72,7 +77,7 @@
     // pool_outside.cpp: calls of the store, workers and the policy.
     void send_outside(outside_call& call);
     void take_reply(outside_reply& reply);
-    void refuse(outside_call const& call);
+    void refuse(outside_operation const& call);
 
     adapters::settings::pool_file settings_;
     std::string path_;
@@ -91,6 +96,8 @@
     adapters::runtime::ring<request> requests_;
     adapters::runtime::ring<answer_out> answers_;
     adapters::runtime::ring<outside_call> calls_;
+    // Answers of the store don't wait behind those of a thousand workers.
+    adapters::runtime::ring<outside_reply> store_replies_;
     adapters::runtime::ring<outside_reply> replies_;
 
     std::unique_ptr<platform::store> store_;
