--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -116,7 +116,10 @@
         beast::error_code error;
         socket_.cancel(error);
         char byte = 0;
-        socket_.non_blocking(true, error);
+        if (!socket_.non_blocking())
+        {
+            socket_.non_blocking(true, error);
+        }
         socket_.receive(
             asio::buffer(&byte, 1), tcp::socket::message_peek, error);
         return error == asio::error::would_block;
--- a/src/core/common/json.cpp
+++ b/src/core/common/json.cpp
@@ -187,7 +187,10 @@
     boost::json::parse_options options;
     options.max_depth = max_json_depth;
     boost::json::error_code error;
-    auto value = boost::json::parse(text, error, {}, options);
+    // One block for all values: they live and go together.
+    auto const block =
+        boost::json::make_shared_resource<boost::json::monotonic_resource>();
+    auto value = boost::json::parse(text, error, block, options);
     if (error)
     {
         reason = {
