Lasting tasks leave room for short work with reserved cores

Confirmations are steps of 13 tasks of 12 cores for .8 s; lasting tasks reserve 95% of all cores, take whatever comes free and give it back after a minute. So 186 of 668 confirmations found no room in time.

What short work with reserved cores has needed at its peak lately, at work or waiting while it can still be on time, is kept from lasting tasks: learned by service, half of it forgotten after 10 s, counted in pieces of the size of its tasks, since slivers serve nobody. A lasting task still starts where a worker has room for two of it, whether or not this owner would use that worker now, and the first task of each lasting job goes before: a job of which nothing is at work serves nobody.

`pool_load` tells the cores kept, `kept_room` is an obstacle in `fuchsiactl pool job` and `steps_wait`.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -11,6 +11,14 @@
     return info.capacity.millicores - others - serving_used - fill_cores;
 }
 
+bool worker::has_room_twice(ports::resources const& declared) const noexcept
+{
+    auto used = reserved;
+    used += declared;
+    used += declared;
+    return info.capacity.holds(used);
+}
+
 fleet::fleet(fleet_settings settings) : settings_(settings)
 {
 }
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -53,6 +53,7 @@
 
     ports::resources reserved;       ///< By what is placed; cores not by fills.
     std::int64_t serving_cores = 0;  ///< Part of the reserved.
+    std::int64_t lasting_cores = 0;  ///< Of the reserved, by lasting tasks.
     std::int64_t serving_used = 0;   ///< Of those, what is in use now.
     std::int64_t fill_cores = 0;     ///< Declared by tasks that fill.
     std::set<ports::task_name> runs; ///< Tasks placed here.
@@ -87,6 +88,8 @@
     {
         return serving_cores > 0;
     }
+    /// Whether two such tasks can have their room reserved.
+    bool has_room_twice(ports::resources const& declared) const noexcept;
     /// Cores in thousandths that nobody uses, as far as `view` tells.
     std::int64_t idle_cores() const noexcept;
 };
--- /dev/null
+++ b/src/core/pool/guaranteed_room.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+
+namespace fuchsia::core::pool
+{
+
+struct guaranteed_room_settings
+{
+    bool enabled = true;
+    /// What was needed at a peak counts half after this long.
+    common::duration half_life = std::chrono::seconds(10);
+};
+
+/// Cores in thousandths, and tasks, of short work with reserved cores: at work,
+/// or waiting while it can still be on time.
+struct guaranteed_demand
+{
+    std::int64_t millicores = 0;
+    std::int64_t tasks = 0;
+};
+
+/// How many cores lasting tasks leave to short work that needs its cores
+/// reserved.
+///
+/// Lasting tasks take whatever can be reserved and give it back after minutes.
+/// Jobs of a second, which come in bursts, then find no place and are late,
+/// those of many tasks first. What they have needed lately tells what to keep
+/// for them.
+class guaranteed_room
+{
+public:
+    explicit guaranteed_room(guaranteed_room_settings settings);
+
+    /// What short work needs now.
+    void observe(common::time_point now, guaranteed_demand const& present);
+    /// Of so many millicores on one worker, those that short tasks of the usual
+    /// size can take.
+    std::int64_t usable(std::int64_t millicores) const noexcept;
+    /// `usable` of what lasting tasks leave, of all workers together.
+    void set_left(std::int64_t millicores) noexcept;
+    /// A lasting task takes so many of them.
+    void take(std::int64_t millicores) noexcept;
+    /// Whether short work has enough once a lasting task takes so many.
+    bool spares(std::int64_t millicores) const noexcept;
+
+    /// Millicores that short work is expected to need at once.
+    std::int64_t expected() const noexcept;
+    std::int64_t left() const noexcept;
+
+private:
+    guaranteed_room_settings settings_;
+    common::time_point observed_{};
+    double expected_ = 0;
+    double piece_ = 0; ///< Millicores of a task, over what was seen lately.
+    std::int64_t left_ = 0;
+};
+
+} // namespace fuchsia::core::pool
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -91,6 +91,9 @@
     bool open = false;           ///< Its tasks may start.
     std::uint16_t image = 0;     ///< Number of the image that its tasks run.
     double alone = 0; ///< Headroom of its serving tasks without neighbours.
+    /// Of a lasting step: a worker that can't be used now has room for two of
+    /// its tasks.
+    bool room_elsewhere = false;
 };
 
 struct occurrence_run
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -76,6 +76,7 @@
     if (now >= next_rank_)
     {
         rank_again(now);
+        observe_guaranteed(now);
         drop_old_finals(now);
         next_rank_ = now + rank_interval;
     }
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -5,6 +5,7 @@
 #include "core/pool/colocation.hpp"
 #include "core/pool/directory.hpp"
 #include "core/pool/fleet.hpp"
+#include "core/pool/guaranteed_room.hpp"
 #include "core/pool/job_run.hpp"
 #include "core/pool/ledger.hpp"
 #include "core/pool/log_digest.hpp"
@@ -35,6 +36,7 @@
     ledger_settings commits;
     colocation_settings sharing;
     regroup_settings regroup;
+    guaranteed_room_settings guaranteed;
     common::duration call_timeout = std::chrono::milliseconds(900);
     /// A page of the store is up to 1 MB: 0.8 s on a link of 10 Mbit/s that has
     /// nothing else to carry.
@@ -342,6 +344,17 @@
                        worker const& on,
                        std::uint16_t image) const;
 
+    // owner_room.cpp: room that lasting tasks leave to short work.
+    guaranteed_room& guaranteed_room_of(std::string const& service);
+    void observe_guaranteed(common::time_point now);
+    guaranteed_demand guaranteed_demand_of(common::time_point now,
+                                           job_run const& run) const;
+    void note_room_of_unusable(common::time_point now);
+    /// Whether the task may only go where there is room for two of it.
+    bool must_leave_room(job_run const& run, ports::task_name const& name);
+    /// The task found a place.
+    void note_taken(job_run const& run, ports::task_name const& name);
+
     // owner_advice.cpp: steps under a policy.
     struct ready_key;
     bool has_ticket(common::time_point now,
@@ -455,6 +468,7 @@
     fleet fleet_;
     worker_list list_;
     colocation colocation_;
+    std::map<std::string, guaranteed_room> guaranteed_; ///< By service.
     owner_counters counters_;
 
     std::unordered_map<std::string, job_run> jobs_;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -127,8 +127,11 @@
         {
             continue;
         }
-        // A gang that finds no place says nothing of its tasks one by one.
-        if (!dispatch_step(now, key) && !what->gang && !run->rules.advice)
+        // A gang that finds no place says nothing of its tasks one by one, and
+        // a lasting task may be kept from room that others may take.
+        bool const tells =
+            !what->gang && !run->rules.advice && !what->lasting;
+        if (!dispatch_step(now, key) && tells)
         {
             failed.push_back(wanted);
         }
@@ -182,10 +185,16 @@
             return false;
         }
         steps.ready.pop_back();
+        bool const left_room = must_leave_room(run, name);
         place(run, name, *on);
+        note_taken(run, name);
         room_changed(*on);
         start(now, run, name, *on);
-        if (ranked)
+        if (left_room != must_leave_room(run, name))
+        {
+            ranked.reset();
+        }
+        else if (ranked)
         {
             score_again(now, run, name, *on, *ranked);
         }
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -121,6 +121,7 @@
         return;
     }
     on.reserved.millicores += what.declared.millicores;
+    on.lasting_cores += what.lasting ? what.declared.millicores : 0;
     if (what.tail_target.count() > 0)
     {
         on.serving_cores += what.declared.millicores;
@@ -146,6 +147,7 @@
         return;
     }
     on->reserved.millicores -= what.declared.millicores;
+    on->lasting_cores -= what.lasting ? what.declared.millicores : 0;
     if (what.tail_target.count() > 0)
     {
         on->serving_cores -= what.declared.millicores;
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -177,13 +177,16 @@
         room_ = usable_workers(now);
     }
     auto const& what = run.step_of(name);
-    auto const candidates = what.fills
-                                ? room_->with_idle(what.declared.millicores)
-                                : room_->with_free(what.declared.millicores);
+    bool const leaves_room = must_leave_room(run, name);
+    auto const least = what.declared.millicores * (leaves_room ? 2 : 1);
+    auto const candidates =
+        what.fills ? room_->with_idle(least) : room_->with_free(least);
     std::vector<ranked_worker> made;
     for (auto* const each : candidates)
     {
-        if (!rack.empty() && each->info.rack != rack)
+        bool const elsewhere = !rack.empty() && each->info.rack != rack;
+        if (elsewhere ||
+            (leaves_room && !each->has_room_twice(what.declared)))
         {
             continue;
         }
@@ -224,8 +227,10 @@
     {
         return;
     }
+    bool const keeps = must_leave_room(run, name) &&
+                       !on.has_room_twice(run.step_of(name).declared);
     auto const found = score(now, on, run, name);
-    if (found)
+    if (found && !keeps)
     {
         row->score = *found;
         return;
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -134,6 +134,11 @@
         }
         idle += std::max<std::int64_t>(each.idle_cores(), 0);
     }
+    std::int64_t kept = 0;
+    for (auto const& [service, room] : guaranteed_)
+    {
+        kept += room.expected();
+    }
     auto const cores = [](std::int64_t millicores)
     {
         return std::to_string(millicores / 1000);
@@ -149,6 +154,7 @@
          {"serving", cores(serving)},
          {"fills", cores(fills)},
          {"idle", cores(idle)},
+         {"kept", cores(kept)},
          {"fills_slowed", std::to_string(std::lround(slowed))},
          {"commits_waiting", std::to_string(ledger_.waiting())},
          {"commit_lag_ms",
--- /dev/null
+++ b/src/core/pool/owner_room.cpp
@@ -0,0 +1,129 @@
+#include "core/pool/owner.hpp"
+
+#include <algorithm>
+
+// Room that tasks which last leave to short work with reserved cores.
+namespace fuchsia::core::pool
+{
+
+guaranteed_room& owner::guaranteed_room_of(std::string const& service)
+{
+    return guaranteed_.try_emplace(service, settings_.guaranteed).first->second;
+}
+
+void owner::observe_guaranteed(common::time_point now)
+{
+    std::map<std::string, guaranteed_demand> demands;
+    std::map<std::string, std::int64_t> left;
+    for (auto const& [id, run] : jobs_)
+    {
+        auto const demand = guaranteed_demand_of(now, run);
+        auto& sum = demands[run.rules.service];
+        sum.millicores += demand.millicores;
+        sum.tasks += demand.tasks;
+    }
+    for (auto const& [id, each] : fleet_.all())
+    {
+        if (each.listed && !each.info.draining &&
+            !operators_.data_centres_out.contains(each.info.data_centre))
+        {
+            left[each.info.service] +=
+                guaranteed_room_of(each.info.service)
+                    .usable(each.info.capacity.millicores - each.lasting_cores);
+        }
+    }
+    for (auto const& [service, demand] : demands)
+    {
+        auto& room = guaranteed_room_of(service);
+        room.observe(now, demand);
+        room.set_left(left[service]);
+    }
+    note_room_of_unusable(now);
+}
+
+// What is late already may wait for what is left.
+guaranteed_demand owner::guaranteed_demand_of(common::time_point now,
+                                              job_run const& run) const
+{
+    guaranteed_demand made;
+    bool const on_time = out_.unix_ms(now) <= run.due_unix_ms;
+    for (auto const& occurrence : run.occurrences)
+    {
+        for (std::size_t number = 0; number < occurrence.steps.size(); ++number)
+        {
+            auto const& what = run.spec.steps[number];
+            if (what.fills || what.lasting)
+            {
+                continue;
+            }
+            for (auto const& each : occurrence.steps[number].tasks)
+            {
+                bool const counts = each.placed() || (on_time && each.phase ==
+                                                          task_phase::ready);
+                made.millicores += counts ? what.declared.millicores : 0;
+                made.tasks += counts ? 1 : 0;
+            }
+        }
+    }
+    return made;
+}
+
+// A task that lasts may not wait while a worker has room for two of it, whether
+// or not this owner would use that worker now.
+void owner::note_room_of_unusable(common::time_point now)
+{
+    std::vector<worker const*> unusable;
+    for (auto const& [id, each] : fleet_.all())
+    {
+        if (each.listed && !each.info.draining && obstacle_at(now, each))
+        {
+            unusable.push_back(&each);
+        }
+    }
+    for (auto const& key : ready_)
+    {
+        auto* const run = find_job(key.job);
+        if (run == nullptr || !run->spec.steps[key.step].lasting)
+        {
+            continue;
+        }
+        auto const& what = run->spec.steps[key.step];
+        run->occurrences[key.occurrence].steps[key.step].room_elsewhere =
+            std::any_of(unusable.begin(),
+                        unusable.end(),
+                        [&what, run](worker const* each)
+                        {
+                            return each->info.service == run->rules.service &&
+                                   each->has_room_twice(what.declared);
+                        });
+    }
+}
+
+// A job of which nothing is at work serves nobody; its first task goes before
+// the room of others.
+bool owner::must_leave_room(job_run const& run, ports::task_name const& name)
+{
+    auto const& what = run.step_of(name);
+    auto const& steps = run.occurrences[name.occurrence].steps[name.step];
+    bool const may_have_to =
+        what.lasting && !what.fills && !steps.room_elsewhere &&
+        !guaranteed_room_of(run.rules.service)
+             .spares(what.declared.millicores);
+    return may_have_to && std::any_of(steps.tasks.begin(),
+                                      steps.tasks.end(),
+                                      [](task const& each)
+                                      {
+                                          return each.placed();
+                                      });
+}
+
+void owner::note_taken(job_run const& run, ports::task_name const& name)
+{
+    auto const& what = run.step_of(name);
+    if (what.lasting && !what.fills)
+    {
+        guaranteed_room_of(run.rules.service).take(what.declared.millicores);
+    }
+}
+
+} // namespace fuchsia::core::pool
--- a/src/core/pool/owner_view.cpp
+++ b/src/core/pool/owner_view.cpp
@@ -72,9 +72,16 @@
     made.step = first.step;
     made.ready =
         run.occurrences[first.occurrence].steps[first.step].ready.size();
+    auto const& declared = run.step_of(first).declared;
+    bool const leaves_room = must_leave_room(run, first);
     for (auto& [id, each] : fleet_.all())
     {
-        if (auto const reason = obstacle_to(now, each, run, first))
+        auto reason = obstacle_to(now, each, run, first);
+        if (!reason && leaves_room && !each.has_room_twice(declared))
+        {
+            reason = obstacle::kept_room;
+        }
+        if (reason)
         {
             ++made.obstacles[*reason];
             made.idle_beside +=
--- a/src/core/pool/pool_view.hpp
+++ b/src/core/pool/pool_view.hpp
@@ -31,9 +31,10 @@
     siblings,    ///< It runs as many tasks of the step as may be on one worker.
     no_idle_core, ///< Tasks that fill need cores that nobody uses.
     disturbs,     ///< A serving task there would lose its headroom.
+    kept_room,    ///< What it has left is kept for short work.
 };
 
-constexpr std::array<std::string_view, 13> obstacle_names{
+constexpr std::array<std::string_view, 14> obstacle_names{
     "service",
     "unknown",
     "silent",
@@ -47,6 +48,7 @@
     "siblings",
     "no_idle_core",
     "disturbs",
+    "kept_room",
 };
 
 constexpr std::array<std::string_view, 7> task_phase_names{
--- /dev/null
+++ b/tests/unit/pool/guaranteed_room_test.cpp
@@ -0,0 +1,122 @@
+#include "core/pool/guaranteed_room.hpp"
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia::tests::unit::pool;
+using fuchsia::core::pool::guaranteed_room;
+namespace common = fuchsia::core::common;
+
+namespace
+{
+
+constexpr common::time_point start{1h};
+
+// Tasks of so many cores of the 8 of a worker.
+fuchsia::core::pool::job sized_job(std::uint32_t tasks, std::int64_t cores)
+{
+    auto made = simple_job(tasks, 1s);
+    made.steps.front().declared.millicores = cores * 1000;
+    return made;
+}
+
+fuchsia::core::pool::job lasting_job(std::uint32_t tasks, std::int64_t cores)
+{
+    auto made = sized_job(tasks, cores);
+    made.steps.front().lasting = true;
+    made.spec = "lasts";
+    return made;
+}
+
+std::size_t at_work(pool_world& world)
+{
+    std::size_t made = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        made += world.worker(number).running();
+    }
+    return made;
+}
+
+} // namespace
+
+// Room that was kept for what is needed on average is missing in each burst.
+TEST(pool_guaranteed_room, expects_the_peak_of_what_was_needed_lately)
+{
+    guaranteed_room room({});
+    room.observe(start, {40'000, 4});
+    room.observe(start + 500ms, {10'000, 1});
+    EXPECT_GE(room.expected(), 38'000);
+    room.observe(start + 20s, {10'000, 1});
+    EXPECT_LE(room.expected(), 10'000);
+}
+
+// Slivers add up to cores that no task can use.
+TEST(pool_guaranteed_room, counts_whole_pieces_alone)
+{
+    guaranteed_room room({});
+    EXPECT_EQ(room.usable(7'000), 7'000);
+    room.observe(start, {24'000, 2});
+    EXPECT_EQ(room.usable(11'999), 0);
+    EXPECT_EQ(room.usable(30'000), 24'000);
+    EXPECT_EQ(room.usable(-1'000), 0);
+}
+
+TEST(pool_guaranteed_room, spares_what_is_beyond_the_expected)
+{
+    guaranteed_room room({});
+    room.observe(start, {24'000, 2});
+    room.set_left(40'000);
+    EXPECT_TRUE(room.spares(16'000));
+    EXPECT_FALSE(room.spares(17'000));
+    room.take(10'000);
+    EXPECT_FALSE(room.spares(7'000));
+}
+
+// Lasting tasks took all that could be reserved, and short jobs waited until
+// they were late.
+TEST(pool_guaranteed_room, a_burst_of_short_tasks_finds_room_beside_lasting_ones)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(1s);
+    world.submit(other_than(owner), "first", sized_job(6, 4));
+    world.run(1s);
+    world.submit(other_than(owner), "lasting", lasting_job(20, 3));
+    world.run(3s);
+    // Wherever two of them had room they may not wait.
+    EXPECT_EQ(at_work(world), 5U);
+    world.submit(other_than(owner), "burst", sized_job(4, 4));
+    world.run(200ms);
+    EXPECT_EQ(at_work(world), 8U);
+}
+
+// A lasting job of which nothing is at work serves nobody, while another one of
+// many tasks could do with one less.
+TEST(pool_guaranteed_room, each_lasting_job_has_a_task_at_work)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(1s);
+    world.submit(other_than(owner), "first", sized_job(6, 4));
+    world.run(1s);
+    world.submit(other_than(owner), "lasting", lasting_job(20, 3));
+    world.run(2s);
+    ASSERT_EQ(at_work(world), 5U);
+    world.submit(other_than(owner), "other", lasting_job(20, 3));
+    world.run(1s);
+    EXPECT_EQ(at_work(world), 6U);
+}
+
+// Without short work lasting tasks may have everything.
+TEST(pool_guaranteed_room, nothing_is_kept_where_nobody_needs_it)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    world.run(1s);
+    world.submit(other_than(*world.owner()), "lasting", lasting_job(20, 3));
+    world.run(2s);
+    EXPECT_EQ(at_work(world), 8U);
+}
