Lasting jobs share the room that comes free

With a quarter of the lasting tasks waiting, whatever came free went to the job that was submitted first, and others kept one task of thirty.

The job with the smallest part of its tasks at work comes first, one task at a time where room is scarce; behind short jobs that can still be on time, which need theirs now.

pool_guaranteed_room.lasting_jobs_share_what_comes_free shows it on four workers.

--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -134,6 +134,8 @@
     /// Null where the job has no such task.
     task* find(ports::task_name const& name);
     step const& step_of(ports::task_name const& name) const;
+    /// Of its tasks, those that have a place, in thousandths.
+    std::int64_t placed_permille() const noexcept;
 };
 
 /// Whether a task of the step has failed as often as its queue allows; a gang
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -379,7 +379,7 @@
     struct ready_key
     {
         std::uint32_t rank = 0;
-        std::int64_t due = 0;
+        std::int64_t order = 0; ///< When it is due; see `key_of`.
         std::string job;
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -18,6 +19,8 @@
 constexpr std::uint32_t late_rank = 1000;
 constexpr std::uint32_t worthless_rank = 2000;
 constexpr std::uint32_t gone_rank = 4000;
+// Unix milliseconds beyond any job's.
+constexpr std::int64_t never_due = std::numeric_limits<std::int64_t>::max() / 2;
 // One round looks at this many steps that wait, so that a long queue costs no
 // more than a short one.
 constexpr std::size_t steps_per_round = 128;
@@ -41,11 +44,16 @@
 
 } // namespace
 
+// Lasting jobs have no moment when they are due. They come behind what can still
+// be on time, first the one that has the smallest part of its tasks at work.
 owner::ready_key owner::key_of(job_run const& run,
                                std::uint32_t occurrence,
                                std::uint32_t number) const
 {
-    return {run.rank, run.due_unix_ms, run.spec.id, occurrence, number};
+    auto const order = run.spec.steps[number].lasting
+                           ? never_due + run.placed_permille()
+                           : run.due_unix_ms;
+    return {run.rank, order, run.spec.id, occurrence, number};
 }
 
 // What has become late goes behind what can still be on time.
@@ -198,6 +206,12 @@
         {
             score_again(now, run, name, *on, *ranked);
         }
+        if (must_leave_room(run, name))
+        {
+            // One at a time, so that scarce room is shared among lasting jobs.
+            wants_dispatch_ = true;
+            return true;
+        }
     }
     ready_.erase(key);
     return true;
--- a/tests/unit/pool/guaranteed_room_test.cpp
+++ b/tests/unit/pool/guaranteed_room_test.cpp
@@ -110,6 +110,38 @@
     EXPECT_EQ(at_work(world), 6U);
 }
 
+// What comes free went to the lasting job that came first, while the tasks of
+// another one waited all but one.
+TEST(pool_guaranteed_room, lasting_jobs_share_what_comes_free)
+{
+    pool_world world(3, 4);
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.run(1s);
+    world.submit(other_than(owner), "leaves", lasting_job(6, 3));
+    world.run(1s);
+    world.submit(other_than(owner), "early", lasting_job(8, 3));
+    world.run(1s);
+    world.submit(other_than(owner), "later", lasting_job(8, 3));
+    world.run(1s);
+    world.cancel(other_than(owner), "leaves");
+    world.run(3s);
+    auto const placed = [&world](std::string const& job)
+    {
+        std::size_t made = 0;
+        for (std::size_t number = 0; number < world.worker_count(); ++number)
+        {
+            for (std::uint32_t index = 0; index < 8; ++index)
+            {
+                made += world.worker(number).runs({job, 0, 0, index}) ? 1U : 0U;
+            }
+        }
+        return made;
+    };
+    EXPECT_EQ(placed("early") + placed("later"), 8U);
+    EXPECT_GE(placed("later"), 3U);
+}
+
 // Without short work lasting tasks may have everything.
 TEST(pool_guaranteed_room, nothing_is_kept_where_nobody_needs_it)
 {
