--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -58,8 +58,6 @@
     /// where serving tasks have neighbours that may disturb them, and
     /// elsewhere.
     common::duration guarded_wait = std::chrono::milliseconds(350);
-    /// Where all of these have headroom for more. Readings are of half a second.
-    common::duration eased_wait = std::chrono::milliseconds(550);
     common::duration calm_wait = std::chrono::milliseconds(700);
     /// An idle worker is asked this often, for its clock.
     common::duration idle_interval = std::chrono::seconds(2);
@@ -255,7 +253,6 @@
     // owner_workers.cpp: asking workers, and what becomes of silent ones.
     void hold_workers(common::time_point now);
     void hold(common::time_point now, worker& of);
-    common::duration wait_for(worker& of);
     void on_hold(common::time_point now,
                  common::time_point sent,
                  std::string const& id,
