--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -91,6 +91,14 @@
     table.refuse_unread();
 }
 
+void read_guaranteed(toml_table table,
+                     core::pool::guaranteed_room_settings& out)
+{
+    out.enabled = table.flag_or("enabled", out.enabled);
+    out.half_life = table.duration_or("half_life_ms", out.half_life, 1s, 600s);
+    table.refuse_unread();
+}
+
 // What one owner of 350 workers and 1,000 starts a second needs.
 constexpr double cores_of_size_one = 0.5;
 constexpr double mbps_of_size_one = 200;
@@ -128,6 +136,7 @@
         root.choice_or("log_level", 1, {"debug", "info", "warning", "error"}));
     read_sharing(root.table("sharing"), made.pool.owner.sharing);
     read_regroup(root.table("regroup"), made.pool.owner.regroup);
+    read_guaranteed(root.table("guaranteed_room"), made.pool.owner.guaranteed);
     read_machine(root.table("machine"), made.pool.claim);
     read_bounds(root.table("bounds"), made.pool);
     root.refuse_unread();
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -94,6 +94,9 @@
     /// Of a lasting step: a worker that can't be used now has room for two of
     /// its tasks.
     bool room_elsewhere = false;
+    /// When a task of it began to wait and none other did.
+    common::time_point waits_since{};
+    bool waits_long = false; ///< Of a lasting step; see `owner::key_of`.
 };
 
 struct occurrence_run
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -45,14 +45,23 @@
 } // namespace
 
 // Lasting jobs have no moment when they are due. They come behind what can still
-// be on time, first the one that has the smallest part of its tasks at work.
+// be on time, so that room for large short tasks, which is rare, goes to those;
+// but not for long. Of themselves the smallest come first, since a task may not
+// wait beside room for two of it and larger ones leave more room that may be
+// kept; of equal ones the job that has the smallest part of its tasks at work.
 owner::ready_key owner::key_of(job_run const& run,
                                std::uint32_t occurrence,
                                std::uint32_t number) const
 {
-    auto const order = run.spec.steps[number].lasting
-                           ? never_due + run.placed_permille()
-                           : run.due_unix_ms;
+    auto const& what = run.spec.steps[number];
+    if (!what.lasting)
+    {
+        return {run.rank, run.due_unix_ms, run.spec.id, occurrence, number};
+    }
+    bool const first = run.occurrences[occurrence].steps[number].waits_long;
+    auto const order = (first ? 0 : never_due) +
+                       what.declared.millicores * 1000 +
+                       run.placed_permille();
     return {run.rank, order, run.spec.id, occurrence, number};
 }
 
@@ -81,9 +90,12 @@
         }
         for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
         {
-            auto const& steps = run.occurrences[k].steps;
+            auto& steps = run.occurrences[k].steps;
             for (std::uint32_t number = 0; number < steps.size(); ++number)
             {
+                steps[number].waits_long =
+                    now - steps[number].waits_since >=
+                    settings_.lasting_patience;
                 if (!steps[number].ready.empty())
                 {
                     ready_.insert(key_of(run, k, number));
@@ -119,7 +131,9 @@
             ready_.erase(key);
             continue;
         }
-        if (++looked_at > steps_per_round)
+        // Lasting steps that wait are looked at in no time, and may be many.
+        looked_at += what->lasting ? 0U : 1U;
+        if (looked_at > steps_per_round)
         {
             return;
         }
--- a/tests/contract/platform/settings_test.cpp
+++ b/tests/contract/platform/settings_test.cpp
@@ -70,6 +70,24 @@
     EXPECT_NEAR(file->pool.claim.size, 0.05, 1e-9);
 }
 
+TEST(pool_settings, room_for_short_work_can_be_set)
+{
+    core::common::failure reason;
+    auto const text = filled_template() +
+                      "\n[guaranteed_room]\nenabled = false\n"
+                      "half_life_ms = 4000\n";
+    auto const file =
+        adapters::settings::parse_pool_settings(text, "pool.toml", reason);
+    ASSERT_TRUE(file) << to_string(reason);
+    EXPECT_FALSE(file->pool.owner.guaranteed.enabled);
+    EXPECT_EQ(file->pool.owner.guaranteed.half_life, 4000ms);
+    EXPECT_FALSE(adapters::settings::parse_pool_settings(
+        filled_template() + "\n[guaranteed_room]\nhalf_life_ms = 10\n",
+        "pool.toml",
+        reason));
+    EXPECT_NE(to_string(reason).find("half_life_ms"), std::string::npos);
+}
+
 // A wrong key would leave a default in force that nobody asked for.
 TEST(pool_settings, a_wrong_key_is_named_with_its_line)
 {
