A full answer of the list's watch vouches for nothing

An answer that holds hundreds of changes may have been cut short, and was taken for all of them. It is now followed by the next watch at once and vouches for nothing. Since reading takes little now, a list is given up after five eighths of the time in which a leaving worker must be spared, in place of all but .4 s. Not shown yet that this was the cause.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -24,6 +24,10 @@
 /// What was heard is taken for old this long before it must have effect: an
 /// order by it takes time to arrive.
 constexpr core::common::duration order_reserve = 400ms;
+/// A list of workers is read often enough to be given up after this part of the
+/// time in which a leaving worker must be spared.
+constexpr int drain_parts = 8;
+constexpr int list_parts = 5;
 /// The same of an answer to a caller.
 constexpr core::common::duration answer_reserve = 50ms;
 
@@ -52,7 +56,7 @@
     auto& limit = out.front.count_age_limit;
     limit = std::min<core::common::duration>(limit, visible + count_slack);
     auto const drain = bounds.duration_or("drain_ms", 2s, 500ms, 600s);
-    out.owner.list_age_limit = drain - order_reserve;
+    out.owner.list_age_limit = drain * list_parts / drain_parts;
     auto const change = bounds.duration_or("config_ms", 2s, 1200ms, 600s);
     out.front.configuration_age_limit = change - answer_reserve;
     out.owner.configuration_age_limit = change - answer_reserve;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -49,7 +49,7 @@
     worker_list_settings list;
     /// On a list that is older nothing starts while the store answers: a worker
     /// in it may be leaving.
-    common::duration list_age_limit = std::chrono::milliseconds(1600);
+    common::duration list_age_limit = std::chrono::milliseconds(1250);
     /// The same of what operators set,
     common::duration configuration_age_limit = std::chrono::milliseconds(1950);
     /// and of news of jobs: one of which something starts may be cancelled.
--- a/src/core/pool/worker_list.cpp
+++ b/src/core/pool/worker_list.cpp
@@ -131,7 +131,14 @@
         watched_ = std::max(watched_, item.revision);
         take(item, seen);
     }
-    vouched_ = asked_;
+    if (reply.items.size() < settings_.full_answer)
+    {
+        vouched_ = asked_;
+    }
+    else
+    {
+        next_ = now;
+    }
     handle_(now, seen);
 }
 
--- a/src/core/pool/worker_list.hpp
+++ b/src/core/pool/worker_list.hpp
@@ -3,6 +3,8 @@
 #include "core/pool/directory.hpp"
 #include "core/pool/outbox.hpp"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -19,6 +21,8 @@
     /// nothing for this long may be deaf, and the whole list is read.
     common::duration deaf_after = std::chrono::milliseconds(900);
     common::duration call_timeout = std::chrono::milliseconds(900);
+    /// An answer with so many changes may have left others out.
+    std::size_t full_answer = 200;
     common::duration retry = std::chrono::milliseconds(100);
 };
 
--- a/tests/contract/platform/settings_test.cpp
+++ b/tests/contract/platform/settings_test.cpp
@@ -61,7 +61,7 @@
     EXPECT_EQ(file->pool.owner.workers.lease, 3000ms);
     EXPECT_EQ(file->pool.owner.sharing.stop_after, 1000ms);
     EXPECT_EQ(file->pool.front.count_age_limit, 3000ms);
-    EXPECT_EQ(file->pool.owner.list_age_limit, 2600ms);
+    EXPECT_EQ(file->pool.owner.list_age_limit, 1875ms);
     EXPECT_EQ(file->pool.owner.configuration_age_limit, 1950ms);
     EXPECT_EQ(file->pool.front.configuration_age_limit, 1950ms);
     EXPECT_EQ(file->pool.owner.news_age_limit, 2600ms);
--- a/tests/unit/pool/worker_list_test.cpp
+++ b/tests/unit/pool/worker_list_test.cpp
@@ -183,6 +183,29 @@
     EXPECT_EQ(it.listed(), (listing{{"a", false}, {"b", true}, {"c", false}}));
 }
 
+// A store that tells part of what changed leaves the rest for the next answer;
+// vouched for, a worker that left would get tasks until then.
+TEST(pool_worker_list, an_answer_that_may_be_cut_short_vouches_for_nothing)
+{
+    followed_list it;
+    it.answer({entry("a", 3)}, 7);
+    auto const read = it.now();
+    it.run(500ms);
+    std::vector<ports::kv_item> many;
+    for (std::uint64_t number = 0; number < 300; ++number)
+    {
+        many.push_back(entry("b" + std::to_string(number), 10 + number));
+    }
+    it.answer(many, 400);
+    EXPECT_LE(it.list().vouched(), read);
+    it.run(10ms);
+    ASSERT_TRUE(it.watches());
+    EXPECT_EQ(std::get<ports::kv_watch>(it.call()->operation).after, 309U);
+    it.answer({entry("a", 310, "draining")}, 400);
+    EXPECT_GT(it.list().vouched(), read);
+    EXPECT_TRUE(it.listed().at("a"));
+}
+
 // What changed while the pages were read would be missed for good.
 TEST(pool_worker_list, goes_on_from_the_first_page)
 {
