The store has a thread of its own

So were commits (the oldest entry 1.4 to 2 s), the renewals of the claim and news of jobs.

Threads share the process' processor evenly, so the store's answers wait for their turn alone now. Nothing of the decisions changes.

--- a/src/programs/pool/pool_outside.cpp
+++ b/src/programs/pool/pool_outside.cpp
@@ -28,11 +28,7 @@
 void pool_program::send_outside(outside_call& call)
 {
     auto const waited = clock::now() - call.asked;
-    if (auto* const kv = std::get_if<ports::kv_call>(&call.what))
-    {
-        store_->send(std::move(*kv));
-    }
-    else if (auto* const order = std::get_if<ports::pool_order>(&call.what))
+    if (auto* const order = std::get_if<ports::pool_order>(&call.what))
     {
         if (waited > order->timeout)
         {
@@ -50,12 +46,7 @@
 void pool_program::take_reply(outside_reply& reply)
 {
     auto const now = clock::now();
-    if (auto const* const kv = std::get_if<ports::kv_reply>(&reply))
-    {
-        measures_.ended(now, *kv);
-        engine_.on_kv_reply(now, *kv);
-    }
-    else if (auto const* const order = std::get_if<ports::order_reply>(&reply))
+    if (auto const* const order = std::get_if<ports::order_reply>(&reply))
     {
         measures_.ended(now, *order);
         engine_.on_order_reply(now, *order);
@@ -68,18 +59,31 @@
     perform();
 }
 
+void pool_program::take_reply(ports::kv_reply const& reply)
+{
+    auto const now = clock::now();
+    measures_.ended(now, reply);
+    engine_.on_kv_reply(now, reply);
+    perform();
+}
+
+void pool_program::refuse(ports::kv_call const& call)
+{
+    ports::kv_reply made;
+    made.id = call.id;
+    made.status = ports::kv_status::refused;
+    boost::asio::post(decisions_.io(),
+                      [this, made]
+                      {
+                          take_reply(made);
+                      });
+}
+
 // Nothing went out, and whoever waits for the answer is told so.
 void pool_program::refuse(outside_operation const& call)
 {
     outside_reply reply;
-    if (auto const* const kv = std::get_if<ports::kv_call>(&call))
-    {
-        ports::kv_reply made;
-        made.id = kv->id;
-        made.status = ports::kv_status::refused;
-        reply = std::move(made);
-    }
-    else if (auto const* const order = std::get_if<ports::pool_order>(&call))
+    if (auto const* const order = std::get_if<ports::pool_order>(&call))
     {
         reply = held_back(*order);
     }
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -61,28 +61,34 @@
              {
                  send_outside(call);
              }),
-      store_replies_(decisions_,
-                     outside_ring,
-                     [this](outside_reply& reply)
-                     {
-                         take_reply(reply);
-                     }),
       replies_(decisions_,
                outside_ring,
                [this](outside_reply& reply)
                {
                    take_reply(reply);
                }),
+      store_calls_(store_duty_,
+                   outside_ring,
+                   [this](ports::kv_call& call)
+                   {
+                       store_->send(std::move(call));
+                   }),
+      store_replies_(decisions_,
+                     outside_ring,
+                     [this](ports::kv_reply& reply)
+                     {
+                         take_reply(reply);
+                     }),
       ticker_(decisions_.io()), sampler_(decisions_.io()),
       finisher_(callers_.io())
 {
     store_ = std::make_unique<platform::store>(
-        outside_.io(),
+        store_duty_.io(),
         settings_.store,
         [this](ports::kv_reply reply)
         {
             // Never full: no more calls are open than the ring has places.
-            store_replies_.try_push(outside_reply{std::move(reply)});
+            store_replies_.try_push(std::move(reply));
         });
     workers_ = std::make_unique<platform::workers>(
         outside_.io(),
@@ -129,6 +135,7 @@
     decisions_.stop();
     callers_.stop();
     outside_.stop();
+    store_duty_.stop();
     store_.reset();
     workers_.reset();
     advice_.reset();
@@ -185,6 +192,7 @@
                           sample();
                       });
     outside_.start();
+    store_duty_.start();
     callers_.start();
     decisions_.start();
     main_.io().run();
@@ -323,14 +331,18 @@
         measures_.observe(*length);
         return;
     }
-    outside_call call;
-    call.asked = clock::now();
     if (auto* const kv = std::get_if<ports::kv_call>(&action))
     {
         measures_.began(clock::now(), *kv);
-        call.what = std::move(*kv);
+        if (measures_.open() > outside_ring || !store_calls_.try_push(*kv))
+        {
+            refuse(*kv);
+        }
+        return;
     }
-    else if (auto* const order = std::get_if<ports::pool_order>(&action))
+    outside_call call;
+    call.asked = clock::now();
+    if (auto* const order = std::get_if<ports::pool_order>(&action))
     {
         measures_.began(clock::now(), *order);
         call.what = std::move(*order);
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -23,8 +23,8 @@
 namespace fuchsia::programs::pool
 {
 
-/// Threads, rings and sockets of one instance: callers, the outside (store and
-/// workers) and decisions are a duty each.
+/// Threads, rings and sockets of one instance: callers, the store, workers (and
+/// the policy) and decisions are a duty each.
 class pool_program
 {
 public:
@@ -43,19 +43,15 @@
         std::uint64_t caller = 0;
         adapters::http::response message;
     };
-    using outside_operation = std::variant<std::monostate,
-                                           ports::kv_call,
-                                           ports::pool_order,
-                                           ports::advice_call>;
+    using outside_operation = std::
+        variant<std::monostate, ports::pool_order, ports::advice_call>;
     struct outside_call
     {
         outside_operation what;
         core::common::time_point asked{};
     };
-    using outside_reply = std::variant<std::monostate,
-                                       ports::kv_reply,
-                                       ports::order_reply,
-                                       ports::advice_reply>;
+    using outside_reply = std::
+        variant<std::monostate, ports::order_reply, ports::advice_reply>;
 
     // pool_program.cpp: duties, time and callers.
     bool listen(core::common::failure& reason);
@@ -77,7 +73,9 @@
     // pool_outside.cpp: calls of the store, workers and the policy.
     void send_outside(outside_call& call);
     void take_reply(outside_reply& reply);
+    void take_reply(ports::kv_reply const& reply);
     void refuse(outside_operation const& call);
+    void refuse(ports::kv_call const& call);
 
     adapters::settings::pool_file settings_;
     std::string path_;
@@ -91,14 +89,17 @@
     adapters::runtime::duty main_{"main"};
     adapters::runtime::duty decisions_{"decisions"};
     adapters::runtime::duty outside_{"outside"};
+    adapters::runtime::duty store_duty_{"store"};
     adapters::runtime::duty callers_{"callers"};
 
     adapters::runtime::ring<request> requests_;
     adapters::runtime::ring<answer_out> answers_;
     adapters::runtime::ring<outside_call> calls_;
-    // Answers of the store don't wait behind those of a thousand workers.
-    adapters::runtime::ring<outside_reply> store_replies_;
     adapters::runtime::ring<outside_reply> replies_;
+    // The store has a thread and rings of its own: what it says doesn't wait
+    // behind the answers of a thousand workers.
+    adapters::runtime::ring<ports::kv_call> store_calls_;
+    adapters::runtime::ring<ports::kv_reply> store_replies_;
 
     std::unique_ptr<platform::store> store_;
     std::unique_ptr<platform::workers> workers_;
