What was at work returns first; room is kept for most of the time, not for the peak

So a lasting task that was at work goes before all else now, and takes no regard of kept room.

The orders tried since (the smallest part at work first, one task at a time; the smallest tasks first) are reverted: they mix images of serving tasks, which costs filling work.

What is kept is now enough for four fifths of the last 20 s.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -99,7 +99,8 @@
                      core::pool::guaranteed_room_settings& out)
 {
     out.enabled = table.flag_or("enabled", out.enabled);
-    out.half_life = table.duration_or("half_life_ms", out.half_life, 1s, 600s);
+    out.window = table.duration_or("window_ms", out.window, 1s, 600s);
+    out.enough = table.number_or("enough", out.enough, 0, 1);
     table.refuse_unread();
 }
 
--- a/src/core/pool/guaranteed_room.cpp
+++ b/src/core/pool/guaranteed_room.cpp
@@ -1,7 +1,7 @@
 #include "core/pool/guaranteed_room.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <vector>
 
 namespace fuchsia::core::pool
 {
@@ -14,26 +14,31 @@
 void guaranteed_room::observe(common::time_point now,
                               guaranteed_demand const& present)
 {
-    std::chrono::duration<double> const since = now - observed_;
-    std::chrono::duration<double> const half = settings_.half_life;
-    auto const faded = expected_ * std::exp2(-since / half);
-    auto const needed = static_cast<double>(present.millicores);
-    expected_ = std::max(faded, needed);
-    observed_ = now;
-    if (present.tasks == 0)
+    samples_.push_back({now, present});
+    while (now - samples_.front().when > settings_.window)
     {
-        return;
+        samples_.pop_front();
     }
-    auto const size = needed / static_cast<double>(present.tasks);
-    auto const weight = expected_ > 0 ? needed / expected_ : 1;
-    piece_ = piece_ == 0 ? size : piece_ + weight * (size - piece_) / 2;
+    guaranteed_demand all;
+    std::vector<std::int64_t> needed;
+    needed.reserve(samples_.size());
+    for (auto const& each : samples_)
+    {
+        needed.push_back(each.needed.millicores);
+        all.millicores += each.needed.millicores;
+        all.tasks += each.needed.tasks;
+    }
+    auto const behind = static_cast<std::ptrdiff_t>(
+        settings_.enough * static_cast<double>(needed.size() - 1));
+    std::nth_element(needed.begin(), needed.begin() + behind, needed.end());
+    expected_ = needed[static_cast<std::size_t>(behind)];
+    piece_ = all.tasks > 0 ? all.millicores / all.tasks : 0;
 }
 
 std::int64_t guaranteed_room::usable(std::int64_t millicores) const noexcept
 {
-    auto const piece = static_cast<std::int64_t>(piece_);
-    return piece == 0 ? std::max<std::int64_t>(millicores, 0)
-                      : std::max<std::int64_t>(millicores, 0) / piece * piece;
+    auto const left = std::max<std::int64_t>(millicores, 0);
+    return piece_ == 0 ? left : left / piece_ * piece_;
 }
 
 void guaranteed_room::set_left(std::int64_t millicores) noexcept
@@ -48,12 +53,12 @@
 
 bool guaranteed_room::spares(std::int64_t millicores) const noexcept
 {
-    return !settings_.enabled || left_ - millicores >= expected();
+    return !settings_.enabled || left_ - millicores >= expected_;
 }
 
 std::int64_t guaranteed_room::expected() const noexcept
 {
-    return static_cast<std::int64_t>(expected_);
+    return expected_;
 }
 
 std::int64_t guaranteed_room::left() const noexcept
--- a/src/core/pool/guaranteed_room.hpp
+++ b/src/core/pool/guaranteed_room.hpp
@@ -3,6 +3,7 @@
 #include "core/common/time.hpp"
 
 #include <cstdint>
+#include <deque>
 
 namespace fuchsia::core::pool
 {
@@ -10,8 +11,10 @@
 struct guaranteed_room_settings
 {
     bool enabled = true;
-    /// What was needed at a peak counts half after this long.
-    common::duration half_life = std::chrono::seconds(10);
+    /// How far back what was needed counts.
+    common::duration window = std::chrono::seconds(20);
+    /// Part of that time in which what is kept is enough.
+    double enough = 0.8;
 };
 
 /// Cores in thousandths, and tasks, of short work with reserved cores: at work,
@@ -52,9 +55,14 @@
 
 private:
     guaranteed_room_settings settings_;
-    common::time_point observed_{};
-    double expected_ = 0;
-    double piece_ = 0; ///< Millicores of a task, over what was seen lately.
+    struct sample
+    {
+        common::time_point when{};
+        guaranteed_demand needed;
+    };
+    std::deque<sample> samples_; ///< The oldest first.
+    std::int64_t expected_ = 0;
+    std::int64_t piece_ = 0; ///< Millicores of a task, of all samples.
     std::int64_t left_ = 0;
 };
 
--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -79,12 +79,6 @@
     return made;
 }
 
-std::int64_t job_run::placed_permille() const noexcept
-{
-    auto const all = std::max<std::int64_t>(static_cast<std::int64_t>(left), 1);
-    return 1000 * static_cast<std::int64_t>(placed) / all;
-}
-
 bool out_of_attempts(job_run const& run,
                      std::size_t occurrence,
                      std::size_t number)
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -54,6 +54,7 @@
     /// Its start got no answer and may be carried out seconds late: that a
     /// worker does not show it proves nothing before the worker took a stop.
     bool unclear = false;
+    bool returns = false; ///< It waits after a run that is over.
     std::string checkpoint;
     std::uint32_t percent = 0;
     std::int64_t level = 0;
@@ -94,9 +95,6 @@
     /// Of a lasting step: a worker that can't be used now has room for two of
     /// its tasks.
     bool room_elsewhere = false;
-    /// When a task of it began to wait and none other did.
-    common::time_point waits_since{};
-    bool waits_long = false; ///< Of a lasting step; see `owner::key_of`.
 };
 
 struct occurrence_run
@@ -137,8 +135,6 @@
     /// Null where the job has no such task.
     task* find(ports::task_name const& name);
     step const& step_of(ports::task_name const& name) const;
-    /// Of its tasks, those that have a place, in thousandths.
-    std::int64_t placed_permille() const noexcept;
 };
 
 /// Whether a task of the step has failed as often as its queue allows; a gang
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -51,7 +51,6 @@
 void owner::tick(common::time_point now)
 {
     digest_.tick(now);
-    ticked_ = now;
     if (stopped_)
     {
         ledger_.tick(now);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -67,8 +67,6 @@
     common::duration hold_grace = std::chrono::milliseconds(500);
     /// Between two rounds of placing while nothing but readings has changed.
     common::duration dispatch_interval = std::chrono::milliseconds(100);
-    /// A lasting task that waits for longer goes before short ones.
-    common::duration lasting_patience = std::chrono::milliseconds(1000);
     /// At least so long between two rounds.
     common::duration dispatch_pause = std::chrono::milliseconds(10);
     /// Before what was refused, or got no answer, is asked again.
@@ -507,7 +505,6 @@
     bool loaded_ = false;
     bool advice_busy_ = false;    ///< A call of the policy is on its way.
     bool wants_dispatch_ = false; ///< Something may have found a place.
-    common::time_point ticked_{}; ///< The last tick.
     common::time_point next_dispatch_{};
     common::time_point last_dispatch_{};
     /// When more than half of the workers had answered; 0: not yet.
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -44,25 +44,20 @@
 
 } // namespace
 
-// Lasting jobs have no moment when they are due. They come behind what can still
-// be on time, so that room for large short tasks, which is rare, goes to those;
-// but not for long. Of themselves the smallest come first, since a task may not
-// wait beside room for two of it and larger ones leave more room that may be
-// kept; of equal ones the job that has the smallest part of its tasks at work.
+// Lasting jobs are never late. What was at work already returns before all else;
+// what never was comes behind what can still be on time, so that room for large
+// short tasks, which is rare, goes to those.
 owner::ready_key owner::key_of(job_run const& run,
                                std::uint32_t occurrence,
                                std::uint32_t number) const
 {
-    auto const& what = run.spec.steps[number];
-    if (!what.lasting)
-    {
-        return {run.rank, run.due_unix_ms, run.spec.id, occurrence, number};
-    }
-    bool const first = run.occurrences[occurrence].steps[number].waits_long;
-    auto const order = (first ? 0 : never_due) +
-                       what.declared.millicores * 1000 +
-                       run.placed_permille();
-    return {run.rank, order, run.spec.id, occurrence, number};
+    auto const& steps = run.occurrences[occurrence].steps[number];
+    bool const lasting = run.spec.steps[number].lasting;
+    bool const returns =
+        !steps.ready.empty() && steps.tasks[steps.ready.back()].returns;
+    auto const behind = lasting && !returns ? never_due : 0;
+    return {
+        run.rank, behind + run.due_unix_ms, run.spec.id, occurrence, number};
 }
 
 // What has become late goes behind what can still be on time.
@@ -90,12 +85,9 @@
         }
         for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
         {
-            auto& steps = run.occurrences[k].steps;
+            auto const& steps = run.occurrences[k].steps;
             for (std::uint32_t number = 0; number < steps.size(); ++number)
             {
-                steps[number].waits_long =
-                    now - steps[number].waits_since >=
-                    settings_.lasting_patience;
                 if (!steps[number].ready.empty())
                 {
                     ready_.insert(key_of(run, k, number));
@@ -220,12 +212,6 @@
         {
             score_again(now, run, name, *on, *ranked);
         }
-        if (must_leave_room(run, name))
-        {
-            // One at a time, so that scarce room is shared among lasting jobs.
-            wants_dispatch_ = true;
-            return true;
-        }
     }
     ready_.erase(key);
     return true;
@@ -240,6 +226,7 @@
     ++each.attempt;
     each.phase = task_phase::starting;
     each.unclear = false;
+    each.returns = false;
     each.percent = 0;
     each.pace = 100;
     each.started = now;
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -99,11 +99,6 @@
 {
     auto& steps = run.occurrences[name.occurrence].steps[name.step];
     steps.tasks[name.index].phase = task_phase::ready;
-    if (steps.ready.empty())
-    {
-        steps.waits_since = ticked_;
-        steps.waits_long = false;
-    }
     steps.ready.push_back(name.index);
     wants_dispatch_ = true;
     ready_.insert(key_of(run, name.occurrence, name.step));
@@ -270,6 +265,7 @@
         }
         else if (each.phase != task_phase::ready)
         {
+            each.returns = true;
             make_ready(run, name);
         }
         if (run.step_of(name).gang)
--- a/src/core/pool/owner_room.cpp
+++ b/src/core/pool/owner_room.cpp
@@ -99,14 +99,15 @@
     }
 }
 
-// A job of which nothing is at work serves nobody; its first task goes before
-// the room of others.
+// A job of which nothing is at work serves nobody: its first task goes before
+// the room of others, and so does what was at work before.
 bool owner::must_leave_room(job_run const& run, ports::task_name const& name)
 {
     auto const& what = run.step_of(name);
     auto const& steps = run.occurrences[name.occurrence].steps[name.step];
     bool const may_have_to =
         what.lasting && !what.fills && !steps.room_elsewhere &&
+        !steps.tasks[name.index].returns &&
         !guaranteed_room_of(run.rules.service)
              .spares(what.declared.millicores);
     return may_have_to && std::any_of(steps.tasks.begin(),
