Nothing is learned of a worker whose size is not known yet

A successor knows its workers by the roster, without what they have, and hears them before it has read the list.

pool_learned.nothing_is_learned_of_workers_of_unknown_size fails without it.

--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -61,11 +61,10 @@
         }
         if (target > 0 && each->percent >= 100)
         {
-            double const tail =
-                static_cast<double>(std::max<std::int64_t>(each->level, 1));
+            auto const tail = static_cast<double>(each->level);
             made.serving.push_back(
                 {steps.image,
-                 target / tail,
+                 tail > 0 ? target / tail : steps.alone,
                  steps.alone,
                  colocation_.own(steps.alone, each->reading)});
         }
@@ -136,7 +135,8 @@
             each != nullptr
                 ? common::to_milliseconds(run->step_of(name).tail_target)
                 : 0;
-        if (target <= 0 || each->percent < 100)
+        // A worker that has no figure yet says 0.
+        if (target <= 0 || each->percent < 100 || each->level <= 0)
         {
             continue;
         }
@@ -144,8 +144,7 @@
         auto& reading = each->reading;
         reading.when = now;
         reading.headroom =
-            static_cast<double>(target) /
-            static_cast<double>(std::max<std::int64_t>(each->level, 1));
+            static_cast<double>(target) / static_cast<double>(each->level);
         reading.taken = colocation_.taken(steps.image, beside);
         reading.beside = beside;
         readings.clear();
@@ -169,8 +168,14 @@
     of.view_known = false;
 }
 
+// A successor knows workers by the roster before the list tells what they have:
+// shares of cores that are not known yet would teach nonsense.
 void owner::guard(common::time_point now, worker& of)
 {
+    if (of.info.capacity.millicores == 0)
+    {
+        return;
+    }
     if (!of.serves())
     {
         of.over_since = {};
--- a/tests/unit/pool/learned_test.cpp
+++ b/tests/unit/pool/learned_test.cpp
@@ -97,6 +97,58 @@
     }
 }
 
+// A successor heard workers before it had read what cores they have, took one
+// thousandth of a core for all of them, and filling work waited for minutes.
+TEST(pool_learned, nothing_is_learned_of_workers_of_unknown_size)
+{
+    namespace ports = fuchsia::ports;
+    using fuchsia::tests::unit::pool::fate;
+    pool_world world(3, 4);
+    ASSERT_TRUE(fuchsia::tests::unit::pool::settled(world));
+    auto const first = *world.owner();
+    auto serving = fuchsia::tests::unit::pool::simple_job(24, 1s);
+    serving.steps.front().lasting = true;
+    serving.steps.front().image = "serves";
+    serving.steps.front().tail_target = 100ms;
+    serving.spec = "lasts tail=20";
+    auto filling = fuchsia::tests::unit::pool::simple_job(16, 60s);
+    filling.steps.front().fills = true;
+    filling.steps.front().image = "fills";
+    filling.spec = "work=60000 cores=1000";
+    auto const other = fuchsia::tests::unit::pool::other_than(first);
+    world.submit(other, "serving", serving);
+    world.run(5s);
+    world.submit(other, "filling", filling);
+    world.run(3s);
+    auto const idle = [&world]
+    {
+        std::string last;
+        for (auto const& line : world.log())
+        {
+            last = line.what.event == "pool_load" ? text_of(line) : last;
+        }
+        return std::stoi(last.substr(last.find(" idle=") + 6));
+    };
+    auto const before = idle();
+    ASSERT_GE(before, 4);
+    world.store_fault =
+        [first](std::size_t instance, ports::kv_operation const& call)
+    {
+        auto const* const pages = std::get_if<ports::kv_range>(&call);
+        bool const list = pages != nullptr && pages->prefix == "workers/";
+        return instance != first && list ? fate::slow : fate::carried_out;
+    };
+    world.kill(first);
+    ASSERT_TRUE(world.run_until(
+        [&world]
+        {
+            return world.owner().has_value();
+        }));
+    world.store_fault = nullptr;
+    world.run(6s);
+    EXPECT_GE(idle(), before / 2);
+}
+
 // An owner whose predecessor's record is damaged must work all the same.
 TEST(pool_learned, an_owner_works_without_the_record)
 {
