--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -113,14 +113,14 @@
 
 void operators::watch(common::time_point now, common::duration wait)
 {
-    out_.store(life_,
-               ports::kv_watch{words_.operators_prefix, watched_, wait},
-               wait + settings_.call_timeout,
-               [this, asked = now, wait](common::time_point at,
-                                         kv_reply const& reply)
-               {
-                   on_watch(at, asked, wait, reply);
-               });
+    out_.store(
+        life_,
+        ports::kv_watch{words_.operators_prefix, watched_, wait},
+        wait + settings_.call_timeout,
+        [this, asked = now, wait](common::time_point at, kv_reply const& reply)
+        {
+            on_watch(at, asked, wait, reply);
+        });
 }
 
 // What a later item of the same answer replaces need not be read: a document of
@@ -128,8 +128,7 @@
 bool operators::is_replaced(std::vector<ports::kv_item> const& items,
                             std::size_t number)
 {
-    return std::any_of(items.begin() +
-                           static_cast<std::ptrdiff_t>(number + 1),
+    return std::any_of(items.begin() + static_cast<std::ptrdiff_t>(number + 1),
                        items.end(),
                        [&key = items[number].key](ports::kv_item const& later)
                        {
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -44,9 +44,9 @@
 
 } // namespace
 
-// Lasting jobs are never late. What was at work already returns before all else;
-// what never was comes behind what can still be on time, so that room for large
-// short tasks, which is rare, goes to those.
+// Lasting jobs are never late. What was at work already returns before all
+// else; what never was comes behind what can still be on time, so that room for
+// large short tasks, which is rare, goes to those.
 owner::ready_key owner::key_of(job_run const& run,
                                std::uint32_t occurrence,
                                std::uint32_t number) const
@@ -143,8 +143,7 @@
         }
         // A gang that finds no place says nothing of its tasks one by one, and
         // a lasting task may be kept from room that others may take.
-        bool const tells =
-            !what->gang && !run->rules.advice && !what->lasting;
+        bool const tells = !what->gang && !run->rules.advice && !what->lasting;
         if (!dispatch_step(now, key) && tells)
         {
             failed.push_back(wanted);
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -185,8 +185,7 @@
     for (auto* const each : candidates)
     {
         bool const elsewhere = !rack.empty() && each->info.rack != rack;
-        if (elsewhere ||
-            (leaves_room && !each->has_room_twice(what.declared)))
+        if (elsewhere || (leaves_room && !each->has_room_twice(what.declared)))
         {
             continue;
         }
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -76,16 +76,17 @@
     }
     next_learned_ = now + learned_interval;
     learned_writing_ = true;
-    ledger_.write_latest(write_rank::record,
-                         std::string(keys::learned),
-                         [this]
-                         {
-                             return to_json(colocation_.learned());
-                         },
-                         [this](common::time_point)
-                         {
-                             learned_writing_ = false;
-                         });
+    ledger_.write_latest(
+        write_rank::record,
+        std::string(keys::learned),
+        [this]
+        {
+            return to_json(colocation_.learned());
+        },
+        [this](common::time_point)
+        {
+            learned_writing_ = false;
+        });
 }
 
 void owner::log_backlog(common::duration took)
--- a/src/core/pool/owner_room.cpp
+++ b/src/core/pool/owner_room.cpp
@@ -58,8 +58,9 @@
             }
             for (auto const& each : occurrence.steps[number].tasks)
             {
-                bool const counts = each.placed() || (on_time && each.phase ==
-                                                          task_phase::ready);
+                bool const counts =
+                    each.placed() ||
+                    (on_time && each.phase == task_phase::ready);
                 made.millicores += counts ? what.declared.millicores : 0;
                 made.tasks += counts ? 1 : 0;
             }
@@ -108,8 +109,7 @@
     bool const may_have_to =
         what.lasting && !what.fills && !steps.room_elsewhere &&
         !steps.tasks[name.index].returns &&
-        !guaranteed_room_of(run.rules.service)
-             .spares(what.declared.millicores);
+        !guaranteed_room_of(run.rules.service).spares(what.declared.millicores);
     return may_have_to && std::any_of(steps.tasks.begin(),
                                       steps.tasks.end(),
                                       [](task const& each)
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -220,8 +220,9 @@
         {
             each.next_hold = now;
         }
-        bool const absent = !each.listed && list_.known() && each.runs.empty() &&
-                            !each.holding && fleet_.lapsed(each, now);
+        bool const absent = !each.listed && list_.known() &&
+                            each.runs.empty() && !each.holding &&
+                            fleet_.lapsed(each, now);
         // One that was never reached may run what its last owner gave it.
         if (absent && (each.adopted || settled_))
         {
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -82,14 +82,16 @@
       ticker_(decisions_.io()), sampler_(decisions_.io()),
       finisher_(callers_.io())
 {
-    store_ = std::make_unique<platform::store>(
-        store_duty_.io(),
-        settings_.store,
-        [this](ports::kv_reply reply)
-        {
-            // Never full: no more calls are open than the ring has places.
-            store_replies_.try_push(std::move(reply));
-        });
+    store_ = std::make_unique<platform::store>(store_duty_.io(),
+                                               settings_.store,
+                                               [this](ports::kv_reply reply)
+                                               {
+                                                   // Never full: no more calls
+                                                   // are open than the ring has
+                                                   // places.
+                                                   store_replies_.try_push(
+                                                       std::move(reply));
+                                               });
     workers_ = std::make_unique<platform::workers>(
         outside_.io(),
         [this](ports::order_reply reply)
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -43,15 +43,15 @@
         std::uint64_t caller = 0;
         adapters::http::response message;
     };
-    using outside_operation = std::
-        variant<std::monostate, ports::pool_order, ports::advice_call>;
+    using outside_operation =
+        std::variant<std::monostate, ports::pool_order, ports::advice_call>;
     struct outside_call
     {
         outside_operation what;
         core::common::time_point asked{};
     };
-    using outside_reply = std::
-        variant<std::monostate, ports::order_reply, ports::advice_reply>;
+    using outside_reply =
+        std::variant<std::monostate, ports::order_reply, ports::advice_reply>;
 
     // pool_program.cpp: duties, time and callers.
     bool listen(core::common::failure& reason);
--- a/tests/unit/pool/busy_owner_test.cpp
+++ b/tests/unit/pool/busy_owner_test.cpp
@@ -72,10 +72,9 @@
             return runs_of(world, "a") == 1;
         }));
     auto const unheard = worker_of(world, "a");
-    world.worker_fault = [&world, owner, unheard](
-                             std::size_t,
-                             std::size_t worker,
-                             ports::pool_operation const& call)
+    world.worker_fault =
+        [&world, owner, unheard](
+            std::size_t, std::size_t worker, ports::pool_operation const& call)
     {
         auto const seen = world.scheduler(owner).workers(world.now());
         bool const hit = worker == unheard &&
--- a/tests/unit/pool/guaranteed_room_test.cpp
+++ b/tests/unit/pool/guaranteed_room_test.cpp
@@ -91,7 +91,8 @@
 
 // Lasting tasks took all that could be reserved, and short jobs waited until
 // they were late.
-TEST(pool_guaranteed_room, a_burst_of_short_tasks_finds_room_beside_lasting_ones)
+TEST(pool_guaranteed_room,
+     a_burst_of_short_tasks_finds_room_beside_lasting_ones)
 {
     pool_world world(3, 4);
     ASSERT_TRUE(settled(world));
@@ -124,8 +125,8 @@
     EXPECT_EQ(at_work(world), 6U);
 }
 
-// A lasting task that failed waited for good behind short ones, though there was
-// room for it.
+// A lasting task that failed waited for good behind short ones, though there
+// was room for it.
 TEST(pool_guaranteed_room, what_was_at_work_returns_first)
 {
     pool_world world(3, 4);
--- a/tests/unit/pool/learned_test.cpp
+++ b/tests/unit/pool/learned_test.cpp
@@ -40,8 +40,8 @@
 
 } // namespace
 
-// A successor that learns anew takes idle cores for used, and filling work waits
-// for many seconds after each failover.
+// A successor that learns anew takes idle cores for used, and filling work
+// waits for many seconds after each failover.
 TEST(pool_learned, a_successor_expects_what_its_predecessor_did)
 {
     auto const before = taught();
@@ -54,15 +54,14 @@
     after.recall(*read);
     auto const served = after.number_of("first");
     auto old = taught();
-    EXPECT_NEAR(after.load(served, 2.0),
-                old.load(old.number_of("first"), 2.0),
-                0.01);
+    EXPECT_NEAR(
+        after.load(served, 2.0), old.load(old.number_of("first"), 2.0), 0.01);
     for (auto const* image : {"heavy", "light"})
     {
-        EXPECT_NEAR(after.taken(served, {{after.number_of(image), 1.0}}),
-                    old.taken(old.number_of("first"),
-                              {{old.number_of(image), 1.0}}),
-                    0.02)
+        EXPECT_NEAR(
+            after.taken(served, {{after.number_of(image), 1.0}}),
+            old.taken(old.number_of("first"), {{old.number_of(image), 1.0}}),
+            0.02)
             << image;
         EXPECT_EQ(after.known(served, after.number_of(image)),
                   old.known(old.number_of("first"), old.number_of(image)));
@@ -83,7 +82,9 @@
 TEST(pool_learned, a_record_that_makes_no_sense_is_refused)
 {
     for (auto const* text :
-         {"", "[]", "{}",
+         {"",
+          "[]",
+          "{}",
           R"({"images":[1],"headrooms":[],"pairs":[]})",
           R"({"images":["a"],"headrooms":[[1,1,1]],"pairs":[]})",
           R"({"images":["a"],"headrooms":[[0,1]],"pairs":[]})",
--- a/tests/unit/pool/worker_list_test.cpp
+++ b/tests/unit/pool/worker_list_test.cpp
@@ -49,14 +49,14 @@
 {
 public:
     followed_list()
-        : words_(make_words()), list_({},
-                                      words_,
-                                      out_,
-                                      [this](common::time_point,
-                                             worker_changes const& seen)
-                                      {
-                                          take(seen);
-                                      })
+        : words_(make_words()),
+          list_({},
+                words_,
+                out_,
+                [this](common::time_point, worker_changes const& seen)
+                {
+                    take(seen);
+                })
     {
         list_.tick(now_);
     }
