--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -10,6 +10,7 @@
 #include "core/pool/ledger.hpp"
 #include "core/pool/log_digest.hpp"
 #include "core/pool/outbox.hpp"
+#include "core/pool/owner_settings.hpp"
 #include "core/pool/pool_view.hpp"
 #include "core/pool/regroup.hpp"
 #include "core/pool/room_index.hpp"
@@ -30,76 +31,6 @@
 namespace fuchsia::core::pool
 {
 
-struct owner_settings
-{
-    fleet_settings workers;
-    ledger_settings commits;
-    colocation_settings sharing;
-    regroup_settings regroup;
-    guaranteed_room_settings guaranteed;
-    common::duration call_timeout = std::chrono::milliseconds(900);
-    /// A page of the store is up to 1 MB: 0.8 s on a link of 10 Mbit/s that has
-    /// nothing else to carry.
-    common::duration page_timeout = std::chrono::seconds(5);
-    /// An owner that gets no part of the state for this long gives up.
-    common::duration load_patience = std::chrono::seconds(6);
-    /// An owner whose watches for jobs bring nothing for this long while the
-    /// store renews its claim gives up. One watch may get lost.
-    common::duration deaf_patience = std::chrono::seconds(4);
-    worker_list_settings list;
-    /// On a list that is older nothing starts while the store answers: a worker
-    /// in it may be leaving.
-    common::duration list_age_limit = std::chrono::milliseconds(1250);
-    /// The same of what operators set,
-    common::duration configuration_age_limit = std::chrono::milliseconds(1950);
-    /// and of news of jobs: one of which something starts may be cancelled.
-    common::duration news_age_limit = std::chrono::milliseconds(2600);
-    /// How long a worker may hold back its answer while nothing ends there:
-    /// where serving tasks have neighbours that may disturb them, and
-    /// elsewhere.
-    common::duration guarded_wait = std::chrono::milliseconds(350);
-    common::duration calm_wait = std::chrono::milliseconds(700);
-    /// An idle worker is asked this often, for its clock.
-    common::duration idle_interval = std::chrono::seconds(2);
-    /// An order that got no answer after this long is followed up.
-    common::duration order_timeout = std::chrono::milliseconds(350);
-    /// A wait without an answer ends this long after the worker's own limit.
-    common::duration hold_grace = std::chrono::milliseconds(500);
-    /// Between two rounds of placing while nothing but readings has changed.
-    common::duration dispatch_interval = std::chrono::milliseconds(100);
-    /// At least so long between two rounds.
-    common::duration dispatch_pause = std::chrono::milliseconds(10);
-    /// Before what was refused, or got no answer, is asked again.
-    common::duration refused_pause = std::chrono::milliseconds(100);
-    /// After a refusal for want of room.
-    common::duration full_pause = std::chrono::milliseconds(100);
-    /// A worker on which tasks of this many jobs failed in a row is avoided.
-    std::size_t suspect_after = 3;
-    common::duration suspect_pause = std::chrono::seconds(6);
-    /// A task whose progress stands still for this long is started elsewhere.
-    common::duration stuck_after = std::chrono::milliseconds(2500);
-    /// Final states are kept this long: those who ask get an answer for two
-    /// minutes at least.
-    common::duration final_kept = std::chrono::minutes(4);
-};
-
-/// What an owner counts, for metrics.
-struct owner_counters
-{
-    std::uint64_t starts = 0;
-    std::uint64_t starts_refused = 0;
-    std::uint64_t starts_unclear = 0;
-    std::uint64_t tasks_done = 0;
-    std::uint64_t tasks_failed = 0;
-    std::uint64_t tasks_lost = 0;
-    std::uint64_t paced = 0;
-    std::uint64_t evicted = 0;
-    std::uint64_t regrouped = 0; ///< Serving tasks moved.
-    std::uint64_t rounds = 0;    ///< Of placing.
-    std::uint64_t scored = 0;    ///< Workers looked at for a task.
-    std::uint64_t jobs_finished = 0;
-};
-
 /// Schedules all jobs while this instance holds the claim. It is made when the
 /// claim was taken and thrown away when it is lost: what must last lies in the
 /// store, and what runs is asked of the workers.
