A full answer of the list's watch vouches for what was written before it

With 200 changes counted as a full answer that vouches for nothing, each answer is full where workers write faster than the owner gets round to reading: nothing starts then. An answer of 500 holds, cut short or not, all that was written up to its last revision; the owner's own commits tell when the store had not yet reached that.

pool_worker_list.a_full_answer_vouches_for_what_was_written_before_it.

--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -117,6 +117,11 @@
     return first == nullptr ? common::duration{} : now - first->since;
 }
 
+commit_mark ledger::last_commit() const noexcept
+{
+    return last_commit_;
+}
+
 // What a handler writes comes behind all that counts here.
 void ledger::pass_barriers(common::time_point now)
 {
@@ -282,6 +287,7 @@
         return;
     }
     ++number_;
+    sent_ = now;
     commit.expected.push_back(claim_.condition());
     commit.expected.push_back({ledger_key, revision_});
     commit.puts.push_back({ledger_key, mark_of(number_), 0});
@@ -332,6 +338,7 @@
 {
     if (reply.status == kv_status::done)
     {
+        last_commit_ = {sent_, reply.revision};
         committed(now, reply.revision, number_);
         return;
     }
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -37,6 +37,14 @@
     record, ///< What only a successor needs.
 };
 
+/// A commit that took effect: at `asked` the store had not reached more than
+/// its revision.
+struct commit_mark
+{
+    common::time_point asked{};
+    std::uint64_t revision = 0; ///< 0: there was none.
+};
+
 /// Writes the owner's progress, one commit at a time.
 ///
 /// A commit whose answer is lost may take effect seconds later and put an old
@@ -80,6 +88,7 @@
     void tick(common::time_point now);
     /// Entries that are not durable yet, and what waits for them.
     std::size_t waiting() const noexcept;
+    commit_mark last_commit() const noexcept;
     /// How long the oldest of them has waited; zero where none does.
     common::duration lag(common::time_point now) const noexcept;
 
@@ -141,7 +150,9 @@
     bool busy_ = false;
     bool revision_known_ = false;
     std::uint64_t revision_ = 0;
-    std::uint64_t number_ = 0; ///< Of the last commit that was sent.
+    std::uint64_t number_ = 0;  ///< Of the last commit that was sent.
+    common::time_point sent_{}; ///< When it was.
+    commit_mark last_commit_;
     common::time_point next_step_{};
 };
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -57,6 +57,7 @@
         return;
     }
     ask_again(now);
+    list_.note(ledger_.last_commit().asked, ledger_.last_commit().revision);
     list_.tick(now);
     if (!loaded_)
     {
--- a/src/core/pool/worker_list.cpp
+++ b/src/core/pool/worker_list.cpp
@@ -28,6 +28,11 @@
     return vouched_;
 }
 
+void worker_list::note(common::time_point asked, std::uint64_t revision)
+{
+    times_.note(asked, revision);
+}
+
 void worker_list::tick(common::time_point now)
 {
     if (busy_ || now < next_)
@@ -137,6 +142,10 @@
     }
     else
     {
+        // Cut short or not, it holds all that was written up to its last
+        // revision.
+        vouched_ = std::max(vouched_,
+                            times_.complete_until(watched_).value_or(vouched_));
         next_ = now;
     }
     handle_(now, seen);
--- a/src/core/pool/worker_list.hpp
+++ b/src/core/pool/worker_list.hpp
@@ -2,6 +2,7 @@
 
 #include "core/pool/directory.hpp"
 #include "core/pool/outbox.hpp"
+#include "core/pool/revision_times.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,7 +23,7 @@
     common::duration deaf_after = std::chrono::milliseconds(900);
     common::duration call_timeout = std::chrono::milliseconds(900);
     /// An answer with so many changes may have left others out.
-    std::size_t full_answer = 200;
+    std::size_t full_answer = 500;
     common::duration retry = std::chrono::milliseconds(100);
 };
 
@@ -48,6 +49,8 @@
                 handler handle);
 
     void tick(common::time_point now);
+    /// At `asked` the store had not reached more than `revision`.
+    void note(common::time_point asked, std::uint64_t revision);
     /// It was read whole once.
     bool known() const noexcept;
     /// Every change that was written before then is known.
@@ -75,6 +78,7 @@
     common::time_point pages_asked_{};
     common::time_point asked_{};
     common::time_point vouched_{};
+    revision_times times_;
     common::time_point next_{};
 };
 
--- a/tests/unit/pool/worker_list_test.cpp
+++ b/tests/unit/pool/worker_list_test.cpp
@@ -61,6 +61,11 @@
         list_.tick(now_);
     }
 
+    void note(common::time_point asked, std::uint64_t revision)
+    {
+        list_.note(asked, revision);
+    }
+
     worker_list const& list() const
     {
         return list_;
@@ -192,20 +197,41 @@
     auto const read = it.now();
     it.run(500ms);
     std::vector<ports::kv_item> many;
-    for (std::uint64_t number = 0; number < 300; ++number)
+    for (std::uint64_t number = 0; number < 500; ++number)
     {
         many.push_back(entry("b" + std::to_string(number), 10 + number));
     }
-    it.answer(many, 400);
+    it.answer(many, 600);
     EXPECT_LE(it.list().vouched(), read);
     it.run(10ms);
     ASSERT_TRUE(it.watches());
-    EXPECT_EQ(std::get<ports::kv_watch>(it.call()->operation).after, 309U);
-    it.answer({entry("a", 310, "draining")}, 400);
+    EXPECT_EQ(std::get<ports::kv_watch>(it.call()->operation).after, 509U);
+    it.answer({entry("a", 510, "draining")}, 600);
     EXPECT_GT(it.list().vouched(), read);
     EXPECT_TRUE(it.listed().at("a"));
 }
 
+// Where a thousand workers write between two answers each answer is full; never
+// vouched for, it stopped all starts on a pool of 3,000.
+TEST(pool_worker_list, a_full_answer_vouches_for_what_was_written_before_it)
+{
+    followed_list it;
+    it.answer({entry("a", 3)}, 7);
+    it.run(500ms);
+    ASSERT_TRUE(it.watches());
+    auto const reached = it.now();
+    it.note(reached, 300);
+    it.run(200ms);
+    it.note(it.now(), 700);
+    std::vector<ports::kv_item> many;
+    for (std::uint64_t number = 0; number < 500; ++number)
+    {
+        many.push_back(entry("b" + std::to_string(number), 10 + number));
+    }
+    it.answer(many, 600);
+    EXPECT_EQ(it.list().vouched(), reached);
+}
+
 // What changed while the pages were read would be missed for good.
 TEST(pool_worker_list, goes_on_from_the_first_page)
 {
