An order to slow a task down is sent again where it got lost

Looking for what could let a filling task go on beside one that it harms: an order of pace was believed as soon as it was decided, and none was ever repeated.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -261,6 +261,7 @@
               worker& on,
               ports::task_name const& name,
               std::uint32_t percent);
+    void pace_failed(std::string const& id, ports::task_run const& what);
 
     // owner_regroup.cpp: serving tasks move to where they bind least.
     void regroup(common::time_point now);
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -235,13 +235,34 @@
          on.born,
          ports::pace_order{claim_.epoch(), {name, each.attempt}, percent},
          settings_.order_timeout},
-        [this, id = on.info.id](common::time_point, order_reply const& reply)
+        [this, id = on.info.id, what = ports::task_run{name, each.attempt}](
+            common::time_point, order_reply const& reply)
         {
             if (reply.status == order_status::stale_fence)
             {
                 fenced(id);
             }
+            else if (reply.status != order_status::done)
+            {
+                pace_failed(id, what);
+            }
         });
 }
 
+// Believed, a task that was to stand still would go on beside one that it slows
+// down. The next look at its worker finds it at another speed than wanted.
+void owner::pace_failed(std::string const& id, ports::task_run const& what)
+{
+    auto const [run, each] = find_task(what.task);
+    if (each == nullptr || each->worker != id || each->attempt != what.attempt)
+    {
+        return;
+    }
+    each->pace = each->pace < 100 ? 100 : 0;
+    if (auto* const on = fleet_.find(id))
+    {
+        on->view_known = false;
+    }
+}
+
 } // namespace fuchsia::core::pool
--- a/tests/unit/pool/busy_owner_test.cpp
+++ b/tests/unit/pool/busy_owner_test.cpp
@@ -118,6 +118,39 @@
     EXPECT_EQ(world.violation(), "");
 }
 
+// An order to slow a task down that never went out was taken for carried out,
+// and the task went on harming its neighbours.
+TEST(pool_busy_owner, slows_a_task_down_again_where_the_order_got_lost)
+{
+    pool_world world(instances, 1);
+    ASSERT_TRUE(settled(world));
+    auto const other = other_than(*world.owner());
+    world.run(1s);
+    auto serving = simple_job(2, 1s);
+    serving.steps.front().lasting = true;
+    serving.steps.front().image = "serves";
+    serving.steps.front().tail_target = 100ms;
+    serving.spec = "lasts tail=20";
+    world.submit(other, "serving", serving);
+    world.run(3s);
+    std::size_t orders = 0;
+    world.worker_fault =
+        [&orders](std::size_t, std::size_t, ports::pool_operation const& call)
+    {
+        bool const paces = std::holds_alternative<ports::pace_order>(call);
+        orders += paces ? 1U : 0U;
+        return paces ? fate::refused : fate::carried_out;
+    };
+    auto filling = simple_job(1, 60s);
+    filling.steps.front().declared.millicores = 4000;
+    filling.steps.front().fills = true;
+    filling.steps.front().image = "fills";
+    filling.spec = "work=60000 cores=4000 strain=100";
+    world.submit(other, "filling", filling);
+    world.run(5s);
+    EXPECT_GE(orders, 3U);
+}
+
 // Jobs start that were cancelled seconds ago, and nobody told the owner.
 TEST(pool_busy_owner, starts_nothing_by_old_news_of_jobs)
 {
