A line says that what operators set was not heard

Now the 1st, 2nd, 4th, 8th failure in a row and so on is logged, with the call, its status and its length: a page that times out (5), a store that turns the instance away (4) and a history that is gone (3) can be told apart.

No functional change

--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/operators.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -75,10 +76,12 @@
 {
     if (reply.status != kv_status::done)
     {
+        note_failure(now, asked, "page", reply.status);
         read_again(now);
         return;
     }
     contact_ = now;
+    failures_ = 0;
     if (after.empty())
     {
         watched_ = std::max(watched_, reply.revision);
@@ -146,10 +149,12 @@
 {
     if (reply.status != kv_status::done)
     {
+        note_failure(now, asked, "watch", reply.status);
         read_again(now);
         return;
     }
     contact_ = now;
+    failures_ = 0;
     times_.note(asked, reply.revision);
     if (reply.items.empty())
     {
@@ -223,6 +228,29 @@
     ++changes_;
 }
 
+// The first failure in a row and then ever fewer of them.
+void operators::note_failure(common::time_point now,
+                             common::time_point asked,
+                             char const* call,
+                             kv_status status)
+{
+    if (!std::has_single_bit(++failures_))
+    {
+        return;
+    }
+    auto const age = now - state_.vouched;
+    out_.log(
+        severity::warning,
+        "configuration_not_heard",
+        {{"call", call},
+         {"status", std::to_string(static_cast<unsigned>(status))},
+         {"took_ms", std::to_string(common::to_milliseconds(now - asked))},
+         {"in_a_row", std::to_string(failures_)},
+         {"version", std::to_string(state_.config.version)},
+         {"age_ms",
+          known_ ? std::to_string(common::to_milliseconds(age)) : "unknown"}});
+}
+
 void operators::read_again(common::time_point now)
 {
     waiting_to_read_ = true;
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -62,6 +62,10 @@
     void take(ports::kv_item const& item);
     void take_config(configuration config);
     void read_again(common::time_point now);
+    void note_failure(common::time_point now,
+                      common::time_point asked,
+                      char const* call,
+                      ports::kv_status status);
 
     operators_settings settings_;
     directory const& words_;
@@ -74,6 +78,7 @@
     std::uint64_t changes_ = 0;
     bool known_ = false;
     bool waiting_to_read_ = false;
+    std::uint64_t failures_ = 0; ///< Calls in a row that brought nothing.
     common::time_point contact_{};
     common::time_point pages_asked_{}; ///< The first of them.
     common::time_point read_at_{};
