--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -24,6 +24,9 @@
     /// A call that times out closes the unused connections to its endpoint that
     /// have brought nothing since it began: they may be as silent as its own.
     bool doubt_unused = false;
+    /// An answer that keeps arriving when its call's time limit passes is read
+    /// on for at most this long.
+    core::common::duration reading_limit = std::chrono::seconds(1);
 };
 
 struct client_call
--- a/tests/unit/pool/operators_unheard_test.cpp
+++ b/tests/unit/pool/operators_unheard_test.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::string_view operators_prefix = "operators/";
+// Of the 3 s that callers wait, what their links take is off.
+constexpr auto callers_wait = 2800ms;
 
 bool hears_operators(ports::kv_operation const& call)
 {
@@ -47,6 +49,13 @@
     return found;
 }
 
+template<class Answer>
+bool told(pool_world const& world, std::uint64_t request)
+{
+    auto const answer = world.answer(request);
+    return answer && std::holds_alternative<Answer>(*answer);
+}
+
 } // namespace
 
 // A read that fails again and again for a minute left no line in the log.
@@ -67,3 +76,89 @@
     EXPECT_TRUE(
         lines_of(world, *world.owner(), "configuration_not_heard").empty());
 }
+
+// An instance that couldn't read the configuration took the store for away, and
+// told no caller the state of a job.
+TEST(pool_unheard, states_of_jobs_are_told_without_a_fresh_configuration)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const deaf = other_than(owner);
+    world.submit(owner, "a", simple_job(1, 60s));
+    world.run(1s);
+    deafen(world, deaf);
+    world.run(10s);
+    auto const request = world.query(deaf, "a");
+    world.run(1s);
+    EXPECT_TRUE(told<ports::job_status>(world, request));
+}
+
+// The same instance must take no job, for its queue may be gone, and the
+// balancer has to send callers elsewhere.
+TEST(pool_unheard, no_job_is_taken_and_no_caller_invited_meanwhile)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const deaf = other_than(*world.owner());
+    world.run(1s);
+    deafen(world, deaf);
+    world.run(10s);
+    auto const request = world.submit(deaf, "a", simple_job(1, 1s));
+    world.run(1s);
+    EXPECT_TRUE(told<ports::job_refused>(world, request));
+    EXPECT_FALSE(world.store().find("pool/job/a").has_value());
+    auto const readiness = lines_of(world, deaf, "readiness");
+    ASSERT_FALSE(readiness.empty());
+    EXPECT_NE(text_of(readiness.back()).find("ready=false"), std::string::npos);
+}
+
+// Calls to a silent store, one behind the other, took longer than callers wait:
+// they heard nothing instead of a refusal.
+TEST(pool_unheard, a_question_ends_while_its_caller_still_waits)
+{
+    std::vector<std::set<std::size_t>> const lost_calls{{1, 2}, {1, 3}};
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const asked = other_than(*world.owner());
+    world.run(1s);
+    for (auto const& lost : lost_calls)
+    {
+        std::size_t reads = 0;
+        auto const id = "never" + std::to_string(*lost.rbegin());
+        world.store_fault =
+            [&](std::size_t instance, ports::kv_operation const& call)
+        {
+            auto const* const read = std::get_if<ports::kv_read>(&call);
+            bool const counts = instance == asked && read != nullptr &&
+                                read->key.find(id) != std::string::npos;
+            return counts && lost.contains(++reads) ? fate::lost
+                                                    : fate::carried_out;
+        };
+        auto const request = world.query(asked, id);
+        world.run(callers_wait);
+        EXPECT_TRUE(world.answer(request).has_value()) << id;
+        world.run(2s);
+    }
+}
+
+// The same for a job's cancelling.
+TEST(pool_unheard, a_cancelling_ends_while_its_caller_still_waits)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const asked = other_than(*world.owner());
+    world.submit(asked, "a", simple_job(1, 60s));
+    world.run(1s);
+    world.store_fault =
+        [asked](std::size_t instance, ports::kv_operation const& call)
+    {
+        bool const hit =
+            instance == asked && std::holds_alternative<ports::kv_commit>(call);
+        return hit ? fate::lost : fate::carried_out;
+    };
+    world.set_store_way(700ms);
+    auto const request = world.cancel(asked, "a");
+    world.run(callers_wait);
+    EXPECT_TRUE(world.answer(request).has_value());
+}
