Any answer of the store shows that it is there

Callers saw: an instance that could not read the configuration told no one the state of a job: "the store is away", while the store answered everybody's small calls. With 36 of 42 instances like that, the questions for two jobs met no other.

Cause: only an answer about operators' keys, or of a commit that accepts a job, counted as a sign of the store. One large read that failed made the instance deaf to all others. The class: the health of a dependency judged by one kind of call.

The mend: the outbox notes when any call was answered, and store_away goes by that. Jobs are still refused by an old configuration (configuration_old), and such an instance is still not ready: readiness now says so itself.

Ruled out: telling by an old configuration what it can't know. A state is asked of the store; only the path's queue comes from the configuration, and where none is known by an old one the request is refused as before.

pool_unheard.states_of_jobs_are_told_without_a_fresh_configuration failed before; no_job_is_taken_and_no_caller_invited_meanwhile guards the other side and passed.

--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -169,13 +169,14 @@
 // Since the start where the store has not answered at all yet.
 common::duration engine::store_silence(common::time_point now) const
 {
-    return now - std::max(started_, operators_.contact());
+    return now - std::max(started_, out_.store_answered());
 }
 
 void engine::tell_readiness(common::time_point now)
 {
-    bool const ready =
-        operators_.known() && !stopping_ && !front_.store_away(now);
+    bool const ready = operators_.known() && !stopping_ &&
+                       !front_.store_away(now) &&
+                       !front_.configuration_is_old(now);
     if (told_ready_ == ready)
     {
         return;
@@ -185,7 +186,9 @@
              "readiness",
              {{"ready", ready ? "true" : "false"},
               {"store_silent_ms",
-               std::to_string(common::to_milliseconds(store_silence(now)))}});
+               std::to_string(common::to_milliseconds(store_silence(now)))},
+              {"configuration_old",
+               front_.configuration_is_old(now) ? "true" : "false"}});
     out_.push(ports::readiness{ready});
 }
 
--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -2,7 +2,6 @@
 
 #include "core/pool/keys.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace fuchsia::core::pool
@@ -55,10 +54,10 @@
 
 common::duration front::store_silence(common::time_point now) const noexcept
 {
-    return now - std::max(rules_.contact(), answered_);
+    return now - out_.store_answered();
 }
 
-void front::note(common::time_point now, ports::kv_reply const& reply)
+void front::note(ports::kv_reply const& reply)
 {
     if (reply.status == kv_status::refused)
     {
@@ -67,7 +66,6 @@
     else if (reply.status != kv_status::unclear)
     {
         failures_ = 0;
-        answered_ = now;
     }
 }
 
@@ -167,7 +165,7 @@
         [this, caller, id, now](common::time_point at, kv_reply const& reply)
         {
             auto const took = std::to_string(common::to_milliseconds(at - now));
-            note(at, reply);
+            note(reply);
             times_.note(now, reply.revision);
             out_.push(ports::measured{ports::pool_measure::accept, at - now});
             auto const silent =
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -53,6 +53,8 @@
     /// Requests without an answer.
     std::size_t open() const noexcept;
     bool store_away(common::time_point now) const noexcept;
+    /// Whether what operators set was last heard too long ago to take jobs.
+    bool configuration_is_old(common::time_point now) const noexcept;
 
 private:
     /// Where a count comes from.
@@ -97,10 +99,9 @@
                       std::string const& id,
                       std::uint64_t revision);
     common::duration store_silence(common::time_point now) const noexcept;
-    bool configuration_is_old(common::time_point now) const noexcept;
     void refuse_by_old_configuration(common::time_point now,
                                      pool_request const& request);
-    void note(common::time_point now, ports::kv_reply const& reply);
+    void note(ports::kv_reply const& reply);
     void answer(std::uint64_t caller, ports::job_answer what);
     void refuse(std::uint64_t caller, std::string why);
     void unknown(std::uint64_t caller, std::string why);
@@ -112,8 +113,7 @@
     revision_times& times_;
     scope life_ = std::make_shared<char>();
     std::size_t open_ = 0;
-    std::uint32_t failures_ = 0;    ///< Failed commits in a row.
-    common::time_point answered_{}; ///< The last commit that was answered.
+    std::uint32_t failures_ = 0; ///< Failed commits in a row.
     std::unordered_map<std::string, ports::job_state> finals_;
     std::deque<std::string> final_order_;
 };
--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -43,11 +43,6 @@
     return known_;
 }
 
-common::time_point operators::contact() const noexcept
-{
-    return contact_;
-}
-
 std::uint64_t operators::changes() const noexcept
 {
     return changes_;
@@ -80,7 +75,6 @@
         read_again(now);
         return;
     }
-    contact_ = now;
     failures_ = 0;
     if (after.empty())
     {
@@ -153,7 +147,6 @@
         read_again(now);
         return;
     }
-    contact_ = now;
     failures_ = 0;
     times_.note(asked, reply.revision);
     if (reply.items.empty())
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -41,8 +41,6 @@
     operator_state const& state() const noexcept;
     /// Everything was read once.
     bool known() const noexcept;
-    /// When the store last answered.
-    common::time_point contact() const noexcept;
     /// Rises with each change.
     std::uint64_t changes() const noexcept;
 
@@ -78,8 +76,7 @@
     std::uint64_t changes_ = 0;
     bool known_ = false;
     bool waiting_to_read_ = false;
-    std::uint64_t failures_ = 0; ///< Calls in a row that brought nothing.
-    common::time_point contact_{};
+    std::uint64_t failures_ = 0;       ///< Calls in a row that brought nothing.
     common::time_point pages_asked_{}; ///< The first of them.
     common::time_point read_at_{};
 };
--- a/src/core/pool/outbox.cpp
+++ b/src/core/pool/outbox.cpp
@@ -75,9 +75,17 @@
 
 void outbox::on_kv_reply(common::time_point now, ports::kv_reply const& reply)
 {
+    bool const answered = reply.status != ports::kv_status::refused &&
+                          reply.status != ports::kv_status::unclear;
+    store_answered_ = answered ? now : store_answered_;
     hand_over(kv_calls_, now, reply);
 }
 
+common::time_point outbox::store_answered() const noexcept
+{
+    return store_answered_;
+}
+
 void outbox::on_order_reply(common::time_point now,
                             ports::order_reply const& reply)
 {
--- a/src/core/pool/outbox.hpp
+++ b/src/core/pool/outbox.hpp
@@ -44,6 +44,8 @@
     void push(ports::pool_action action);
 
     void on_kv_reply(common::time_point now, ports::kv_reply const& reply);
+    /// When the store last answered any call.
+    common::time_point store_answered() const noexcept;
     void on_order_reply(common::time_point now,
                         ports::order_reply const& reply);
     void on_advice_reply(common::time_point now,
@@ -68,6 +70,7 @@
     std::unordered_map<std::uint64_t, waiting<kv_handler>> kv_calls_;
     std::unordered_map<std::uint64_t, waiting<order_handler>> orders_;
     std::unordered_map<std::uint64_t, waiting<advice_handler>> advice_calls_;
+    common::time_point store_answered_{};
     std::uint64_t next_id_ = 0;
     std::int64_t unix_offset_ms_ = 0;
 };
