A question or a cancelling ends while its caller waits

Callers saw: no answer at all where calls to the store got lost one behind the other. They wait 3 s; a question could take 3.0 s (two lost) to 4.5 s, a cancelling 3.0 s.

Cause: each call had 1.5 s, as if it were the only one of its answer.

The mend: the read that may be old has .6 s, each other read 1 s: .6 + 1 + 1 for a question, 1 + 1.5 (the commit keeps its limit, an unclear one is worse) for a cancelling, so that a refusal with when to come back goes out by 2.6 s.

Ruled out: giving up a slow store's answers, which take .4 s.

The tests' world gave answers that came after the call's time limit; it says unclear now, as a real call does.

--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -237,7 +237,7 @@
 {
     out_.store(life_,
                ports::kv_read{keys::final_state(id), true},
-               settings_.call_timeout,
+               settings_.old_read_timeout,
                [this, caller, id](common::time_point, kv_reply const& reply)
                {
                    if (reply.status == kv_status::done && !reply.items.empty())
@@ -255,7 +255,7 @@
 {
     out_.store(life_,
                ports::kv_read{keys::job(id)},
-               settings_.call_timeout,
+               settings_.read_timeout,
                [this, caller, id](common::time_point, kv_reply const& reply)
                {
                    if (reply.status == kv_status::done)
@@ -277,7 +277,7 @@
 {
     out_.store(life_,
                ports::kv_read{keys::final_state(id)},
-               settings_.call_timeout,
+               settings_.read_timeout,
                [this, caller, id](common::time_point, kv_reply const& reply)
                {
                    if (reply.status == kv_status::done && !reply.items.empty())
@@ -315,7 +315,7 @@
     }
     out_.store(life_,
                ports::kv_read{keys::job(id)},
-               settings_.call_timeout,
+               settings_.read_timeout,
                [this, caller, id](common::time_point, kv_reply const& reply)
                {
                    if (reply.status == kv_status::done && !reply.items.empty())
@@ -332,7 +332,7 @@
                    out_.store(
                        life_,
                        ports::kv_read{keys::final_state(id)},
-                       settings_.call_timeout,
+                       settings_.read_timeout,
                        [this, caller](common::time_point, kv_reply const& last)
                        {
                            if (last.status == kv_status::done)
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -19,6 +19,11 @@
 {
     /// Callers wait 3 s for an answer; a slow store answers in 0.4 s.
     common::duration call_timeout = std::chrono::milliseconds(1500);
+    /// Of each read of a job or its final state: up to two of them, and a call
+    /// with one of the other limits, follow one another for one answer.
+    common::duration read_timeout = std::chrono::milliseconds(1000);
+    /// Of the read that may be old, which is only the cheaper way.
+    common::duration old_read_timeout = std::chrono::milliseconds(600);
     /// A store that has not answered anything for this long is taken for away,
     /// and what needs it is refused at once.
     common::duration store_away_after = std::chrono::milliseconds(2000);
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -513,8 +513,13 @@
                         });
         return;
     }
+    bool const commits =
+        std::holds_alternative<ports::kv_commit>(call.operation);
+    auto const way =
+        store_way_ + (commits ? instances_[number].commit_delay : duration{});
+    // No caller hears an answer that comes after its time limit.
     bool const answered =
-        what == fate::carried_out ||
+        (what == fate::carried_out && call.timeout > way + store_way_) ||
         (what == fate::slow && call.timeout > late_by + store_way_);
     if (!answered)
     {
@@ -529,10 +534,6 @@
         return;
     }
     bool const delayed = what == fate::late || what == fate::slow;
-    bool const commits =
-        std::holds_alternative<ports::kv_commit>(call.operation);
-    auto const way =
-        store_way_ + (commits ? instances_[number].commit_delay : duration{});
     timeline_.after(delayed ? late_by : way,
                     [this, number, life, call, answered]
                     {
