An unchanged configuration is not parsed again; behind slow pages the watch is short

Callers of small instances saw refusals (configuration_old) for up to a second after each read of all keys: the pages are as old as the call that asked for them, 1.2 s and more on a link of 10 Mbit/s, and the next watch vouched for them a second later. And each such read parsed the whole document again though its revision was the one in force.

Both tests failed before. Ruled out: a short watch behind every page, which costs calls and changes nothing where pages come at once.

--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -100,7 +100,10 @@
     known_ = known_ || state_.config.version > 0;
     if (known_)
     {
-        watch(now, settings_.watch_wait);
+        // Pages over a thin link are old when the last of them arrives.
+        bool const old = now - pages_asked_ > settings_.watch_wait_after_change;
+        watch(now,
+              old ? settings_.watch_wait_after_change : settings_.watch_wait);
     }
     else
     {
@@ -175,6 +178,11 @@
 
 void operators::take(ports::kv_item const& item)
 {
+    // To parse a document of thousands of queues takes a small instance long.
+    if (item.key == config_key_ && item.revision == config_revision_)
+    {
+        return;
+    }
     common::failure reason;
     auto change = words_.read_operator(item, reason);
     if (!change)
@@ -186,6 +194,8 @@
     }
     if (auto* const config = std::get_if<configuration>(&*change))
     {
+        config_key_ = item.key;
+        config_revision_ = item.revision;
         take_config(std::move(*config));
     }
     else if (auto const* const moved =
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -72,6 +72,8 @@
     scope life_ = std::make_shared<char>();
     operator_state state_;
     std::set<std::string> out_in_pages_; ///< Of the range being read.
+    std::string config_key_;             ///< Of the last that could be read.
+    std::uint64_t config_revision_ = 0;  ///< The same.
     std::uint64_t watched_ = 0;
     std::uint64_t changes_ = 0;
     bool known_ = false;
--- /dev/null
+++ b/tests/unit/pool/operators_test.cpp
@@ -0,0 +1,105 @@
+#include "core/pool/operators.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia;
+using namespace std::chrono_literals;
+using core::common::time_point;
+
+namespace
+{
+
+constexpr std::uint64_t revision = 7;
+
+class pool_operators : public testing::Test
+{
+protected:
+    pool_operators()
+    {
+        words_.operators_prefix = "operators/";
+        words_.read_operator =
+            [this](ports::kv_item const&, core::common::failure&)
+        {
+            ++parsed;
+            core::pool::configuration made;
+            made.version = revision;
+            return core::pool::operator_change(made);
+        };
+    }
+
+    // The only call that waits for an answer.
+    ports::kv_call call()
+    {
+        ports::kv_call found;
+        for (auto const& each : out_.take())
+        {
+            if (auto const* const made = std::get_if<ports::kv_call>(&each))
+            {
+                found = *made;
+            }
+        }
+        return found;
+    }
+
+    void answer(ports::kv_call const& to, ports::kv_status status)
+    {
+        ports::kv_reply reply;
+        reply.id = to.id;
+        reply.status = status;
+        reply.revision = revision;
+        if (std::holds_alternative<ports::kv_range>(to.operation))
+        {
+            reply.items.push_back(
+                {"operators/config", "text", revision, revision, 0, false});
+        }
+        out_.on_kv_reply(now, reply);
+    }
+
+    void pass(core::common::duration by)
+    {
+        now += by;
+        rules.tick(now);
+    }
+
+    time_point now{1h};
+    std::size_t parsed = 0;
+
+private:
+    core::pool::directory words_;
+    core::pool::outbox out_;
+    core::pool::revision_times times_;
+
+protected:
+    core::pool::operators rules{{}, words_, out_, times_};
+};
+
+} // namespace
+
+// A document of thousands of queues was parsed at each read of all keys, which
+// takes a small instance most of a second.
+TEST_F(pool_operators, an_unchanged_document_is_not_parsed_again)
+{
+    rules.start(now);
+    answer(call(), ports::kv_status::done);
+    ASSERT_TRUE(rules.known());
+    ASSERT_EQ(parsed, 1U);
+    answer(call(), ports::kv_status::compacted);
+    pass(1s);
+    answer(call(), ports::kv_status::done);
+    EXPECT_EQ(rules.state().vouched, now);
+    EXPECT_EQ(parsed, 1U);
+}
+
+// Over a thin link the pages are old on arrival; with a long watch behind them
+// the instance refused jobs until that was answered.
+TEST_F(pool_operators, the_watch_behind_pages_that_took_long_is_short)
+{
+    rules.start(now);
+    now += 1200ms;
+    answer(call(), ports::kv_status::done);
+    auto const next = call();
+    auto const* const watch = std::get_if<ports::kv_watch>(&next.operation);
+    ASSERT_NE(watch, nullptr);
+    EXPECT_EQ(watch->wait,
+              core::pool::operators_settings{}.watch_wait_after_change);
+}
