Tests: cancellings that must hold through a takeover

They cover an owner that dies right after a cancelling was acknowledged, with its commits lost, unanswered, late or refused and the history forgotten; stops that are lost, refused, unanswered or late; starts carried out after their job was cancelled, with and without a takeover; a worker that the successor reaches late; the cancelling of a job that nobody knows.

No functional change

--- /dev/null
+++ b/tests/unit/pool/cancel_test.cpp
@@ -0,0 +1,208 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+using namespace fuchsia::tests::unit::pool;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+// From an acknowledged cancel to the end of the job's last run.
+constexpr auto cancel_limit = 3200ms;
+
+// A job whose tasks run until they are stopped.
+fuchsia::core::pool::job lasting_job(std::uint32_t count)
+{
+    auto made = simple_job(count, 1s);
+    made.steps.front().lasting = true;
+    made.spec = "lasts";
+    return made;
+}
+
+std::size_t running_in_all(pool_world& world)
+{
+    std::size_t running = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        running += world.worker(number).running();
+    }
+    return running;
+}
+
+std::size_t begun_in_all(pool_world& world)
+{
+    std::size_t begun = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        begun += world.worker(number).begun().size();
+    }
+    return begun;
+}
+
+bool nothing_runs(pool_world& world, duration patience)
+{
+    return world.run_until(
+        [&world]
+        {
+            return running_in_all(world) == 0;
+        },
+        patience);
+}
+
+// Whether its caller was told that the job is cancelled, or that there is none.
+bool acknowledged(pool_world& world, std::uint64_t request)
+{
+    world.run_until(
+        [&world, request]
+        {
+            return world.answer(request).has_value();
+        });
+    auto const got = world.answer(request);
+    return got && (std::holds_alternative<ports::job_accepted>(*got) ||
+                   std::holds_alternative<ports::job_absent>(*got));
+}
+
+// From now on the first such order to each worker meets this, the others pass.
+template<class Order>
+void first_order_meets(pool_world& world, fate how)
+{
+    auto hit = std::make_shared<std::set<std::size_t>>();
+    world.worker_fault = [hit, how](std::size_t,
+                                    std::size_t worker,
+                                    ports::pool_operation const& call)
+    {
+        bool const meant = std::holds_alternative<Order>(call);
+        return meant && hit->insert(worker).second ? how : fate::carried_out;
+    };
+}
+
+} // namespace
+
+// Failure: a job that is unknown when it is cancelled is told to be there.
+TEST(pool_cancel, the_cancelling_of_an_unknown_job_makes_none)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const request = world.cancel(2, "a");
+    EXPECT_TRUE(acknowledged(world, request));
+    EXPECT_TRUE(
+        std::holds_alternative<ports::job_absent>(*world.answer(request)));
+    for (std::size_t number = 0; number < 3; ++number)
+    {
+        EXPECT_EQ(world.state(number, "a"), std::nullopt);
+    }
+    EXPECT_EQ(world.waiting_told(1), 0U);
+}
+
+// Failure: a cancelling dies with the owner that heard of it, or did not.
+TEST(pool_cancel, a_cancelling_outlives_the_owner)
+{
+    for (auto const commits : {fate::carried_out,
+                               fate::lost,
+                               fate::answer_lost,
+                               fate::late,
+                               fate::refused})
+    {
+        for (auto const when : {0ms, 3ms, 10ms, 100ms, 300ms})
+        {
+            pool_world world;
+            ASSERT_TRUE(settled(world));
+            auto const owner = *world.owner();
+            auto const other = other_than(owner);
+            world.submit(other, "a", lasting_job(6));
+            world.run(1s);
+            ASSERT_EQ(running_in_all(world), 6U);
+            world.store_fault =
+                [owner, commits](std::size_t at,
+                                 ports::kv_operation const& call)
+            {
+                bool const hit = at == owner &&
+                                 std::holds_alternative<ports::kv_commit>(call);
+                return hit ? commits : fate::carried_out;
+            };
+            EXPECT_TRUE(acknowledged(world, world.cancel(other, "a")));
+            world.run(when);
+            world.kill(owner);
+            world.store().compact();
+            EXPECT_TRUE(nothing_runs(world, 5s));
+            auto const begun = begun_in_all(world);
+            world.run(5s);
+            EXPECT_EQ(begun_in_all(world), begun);
+            EXPECT_EQ(world.state(other, "a"), ports::job_state::cancelled);
+        }
+    }
+}
+
+// Failure: a stop that gets lost, is refused or comes late is not repeated.
+TEST(pool_cancel, stops_in_trouble_are_repeated)
+{
+    for (auto const how :
+         {fate::lost, fate::answer_lost, fate::late, fate::refused})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        world.submit(1, "a", lasting_job(6));
+        world.run(1s);
+        first_order_meets<ports::stop_order>(world, how);
+        EXPECT_TRUE(acknowledged(world, world.cancel(1, "a")));
+        EXPECT_TRUE(nothing_runs(world, 1s));
+        world.run(3s);
+        EXPECT_EQ(world.state(1, "a"), ports::job_state::cancelled);
+    }
+}
+
+// Failure: a start that is carried out after its job was over runs for good.
+TEST(pool_cancel, a_late_start_of_a_cancelled_job_is_stopped)
+{
+    for (bool const takeover : {false, true})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        auto const other = other_than(owner);
+        first_order_meets<ports::start_order>(world, fate::late);
+        world.submit(other, "a", lasting_job(6));
+        world.run(100ms);
+        EXPECT_TRUE(acknowledged(world, world.cancel(other, "a")));
+        if (takeover)
+        {
+            world.kill(owner);
+        }
+        world.run(3500ms);
+        EXPECT_TRUE(nothing_runs(world, cancel_limit));
+        EXPECT_EQ(world.violation(), "");
+    }
+}
+
+// Failure: tasks of a worker that the successor reaches late are not stopped.
+TEST(pool_cancel, a_worker_that_the_successor_reaches_late)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    world.submit(other, "a", lasting_job(6));
+    world.run(1s);
+    ASSERT_GT(world.worker(0).running(), 0U);
+    auto const until = world.now() + 3s;
+    world.worker_fault = [&world, until](std::size_t,
+                                         std::size_t worker,
+                                         ports::pool_operation const&)
+    {
+        return worker == 0 && world.now() < until ? fate::lost
+                                                  : fate::carried_out;
+    };
+    EXPECT_TRUE(acknowledged(world, world.cancel(other, "a")));
+    world.kill(owner);
+    world.run(3s);
+    EXPECT_TRUE(nothing_runs(world, cancel_limit));
+    auto const begun = begun_in_all(world);
+    world.run(5s);
+    EXPECT_EQ(begun_in_all(world), begun);
+    EXPECT_EQ(world.state(other, "a"), ports::job_state::cancelled);
+}
