A cancelling goes from the store with its job, not before it

What callers saw: a cancelled job runs again, or on, after a takeover, for as long as it likes.

Cause: an owner that hears of a cancelling whose job has ended and waits to be written removed the cancelling's key as a record. Ends are results; where many wait, a commit keeps a share for records, and the key went commits before the end. An owner that died between left jobs in the store that nobody had cancelled. It needs no second call of the submitter: after the store forgot its history all pages are read again, with the cancellings of all jobs that wait to be written.

Now the end of a job whose cancelling is known takes the key along, as it did already, and any other such key goes behind the end, in the same queue.

Why orders stay safe: nothing is decided otherwise; a key only lives longer. The cancelling was written under the condition that its job's key stood, and both keys are removed by commits of the owner in the order of one queue.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -269,15 +269,26 @@
     auto const length =
         item.key.size() - keys::job_prefix.size() - keys::cancel_suffix.size();
     auto const id = item.key.substr(keys::job_prefix.size(), length);
-    if (auto* const run = find_job(id);
-        run != nullptr && run->phase != job_phase::recorded)
+    auto* const run = find_job(id);
+    if (run != nullptr && run->phase != job_phase::recorded)
     {
         run->cancel_key = true;
         cancel_job(now, *run);
         return;
     }
-    // The job ended while its cancelling was on the way.
-    ledger_.write(write_rank::record, {{}, {item.key}, {}});
+    bool const goes_with_job = run != nullptr && run->cancel_key;
+    if (!goes_with_job)
+    {
+        drop_cancel(item.key);
+    }
+}
+
+// The job ended while its cancelling was on the way. Gone before the job itself
+// is, the key would leave a successor a job that nobody cancelled: both go in
+// the order in which they are written here.
+void owner::drop_cancel(std::string const& key)
+{
+    ledger_.write(write_rank::result, {{}, {key}, {}});
 }
 
 void owner::add_job(common::time_point now, ports::kv_item const& item)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -90,6 +90,7 @@
                   common::time_point asked,
                   ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
+    void drop_cancel(std::string const& key);
     void add_job(common::time_point now, ports::kv_item const& item);
     std::int64_t accepted_by_own_clock(common::time_point now,
                                        job const& spec,
--- a/tests/unit/pool/cancel_test.cpp
+++ b/tests/unit/pool/cancel_test.cpp
@@ -67,6 +67,17 @@
                    std::holds_alternative<ports::job_absent>(*got));
 }
 
+void cancel_backwards(pool_world& world,
+                      std::size_t at,
+                      std::string const& name,
+                      std::size_t count)
+{
+    for (std::size_t number = count; number > 0; --number)
+    {
+        world.cancel(at, name + std::to_string(number - 1));
+    }
+}
+
 // From now on the first such order to each worker meets this, the others pass.
 template<class Order>
 void first_order_meets(pool_world& world, fate how)
@@ -99,6 +110,49 @@
     EXPECT_EQ(world.waiting_told(1), 0U);
 }
 
+// Failure: cancellings heard twice are gone from the store before their jobs.
+TEST(pool_cancel, a_cancelling_that_is_heard_again_outlives_the_owner)
+{
+    constexpr std::size_t jobs = 40;
+    for (bool const forgets : {false, true})
+    {
+        for (auto when = 20ms; when <= 400ms; when += 20ms)
+        {
+            pool_world world(3, 8);
+            ASSERT_TRUE(settled(world));
+            auto const owner = *world.owner();
+            auto const other = other_than(owner);
+            submit_many(world, other, "job", jobs, lasting_job(1));
+            world.run(2s);
+            ASSERT_EQ(running_in_all(world), jobs);
+            cancel_backwards(world, other, "job", jobs);
+            // The ends of all jobs are known and wait to be written.
+            ASSERT_TRUE(world.run_until(
+                [&world, owner]
+                {
+                    return world.scheduler(owner).commits().waiting() >= jobs;
+                }));
+            if (forgets)
+            {
+                // All pages are read again.
+                world.store().compact();
+            }
+            else
+            {
+                cancel_backwards(world, other, "job", jobs);
+            }
+            world.run(when);
+            world.kill(owner);
+            auto const begun = begun_in_all(world);
+            world.run(8s);
+            EXPECT_EQ(begun_in_all(world), begun)
+                << "killed after " << when.count() << " ms";
+            EXPECT_EQ(running_in_all(world), 0U)
+                << "killed after " << when.count() << " ms";
+        }
+    }
+}
+
 // Failure: a cancelling dies with the owner that heard of it, or did not.
 TEST(pool_cancel, a_cancelling_outlives_the_owner)
 {
