A cancelling that overtakes its job keeps it from coming to be

What callers saw: a cancel is answered 410, as the job is unknown, and then the job runs, all of it, and nobody stops it.

Cause: a submission whose commit the store carries out late, or just behind the cancel on another instance, found nothing in its way. Submitters that give up early cancel just then.

Now a cancelling that finds neither the job nor its end is written under the condition that neither is there, before the 410; a submission has the further condition that no such key is there. The owner removes the key after a minute (a call without an answer may be carried out "seconds later"), for an ended job behind its end. The same job is told as unknown afterwards; a submission sent again is answered 200, as of any job that was cancelled.

Costs one commit for a DELETE of an unknown job, none elsewhere. Ruled out: the record of an end as the mark (it would be told as a job that nobody submitted, and a front's would stay until the next takeover); a key under a lease (leases may end while the store is away, which is when commits come late).

Why orders stay safe: no order is decided otherwise; one more condition keeps a job from being accepted.

--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -135,7 +135,8 @@
 
 // The job's key must not exist, nor the record of its end: the same id, sent
 // again after its answer was lost or seconds after it was accepted, stays one
-// job, whichever instance gets it.
+// job, whichever instance gets it. Nor must its cancelling, which may have
+// overtaken it: a job that was cancelled before it came never runs.
 void front::submit(common::time_point now,
                    std::uint64_t caller,
                    job what,
@@ -159,6 +160,7 @@
     ports::kv_commit commit;
     commit.expected.push_back({keys::job(id), 0});
     commit.expected.push_back({keys::final_state(id), 0});
+    commit.expected.push_back({keys::cancel(id), 0});
     commit.puts.push_back({keys::job(id), to_json(what), 0});
     out_.store(
         life_,
@@ -330,26 +332,62 @@
                        refuse(caller, "the store did not answer");
                        return;
                    }
-                   // It ended already, or never was.
-                   out_.store(
-                       life_,
-                       ports::kv_read{keys::final_state(id)},
-                       settings_.call_timeout,
-                       [this, caller](common::time_point, kv_reply const& last)
-                       {
-                           if (last.status == kv_status::done)
-                           {
-                               answer(caller, ports::job_accepted{});
-                           }
-                           else if (last.status == kv_status::missing)
-                           {
-                               answer(caller, ports::job_absent{});
-                           }
-                           else
-                           {
-                               refuse(caller, "the store did not answer");
-                           }
-                       });
+                   cancel_ended(caller, id);
+               });
+}
+
+void front::cancel_ended(std::uint64_t caller, std::string const& id)
+{
+    out_.store(life_,
+               ports::kv_read{keys::final_state(id)},
+               settings_.call_timeout,
+               [this, caller, id](common::time_point, kv_reply const& reply)
+               {
+                   if (reply.status == kv_status::done)
+                   {
+                       answer(caller, ports::job_accepted{});
+                   }
+                   else if (reply.status == kv_status::missing)
+                   {
+                       cancel_unknown(caller, id);
+                   }
+                   else
+                   {
+                       refuse(caller, "the store did not answer");
+                   }
+               });
+}
+
+// Its submission may still be on the way, or be carried out by the store
+// seconds from now: it finds the cancelling there and makes no job.
+void front::cancel_unknown(std::uint64_t caller, std::string const& id)
+{
+    ports::kv_commit commit;
+    commit.expected.push_back({keys::job(id), 0});
+    commit.expected.push_back({keys::final_state(id), 0});
+    commit.puts.push_back({keys::cancel(id), "cancelled", 0});
+    out_.store(life_,
+               std::move(commit),
+               settings_.call_timeout,
+               [this, caller, id](common::time_point at, kv_reply const& reply)
+               {
+                   switch (reply.status)
+                   {
+                   case kv_status::done:
+                       out_.log(severity::info, "cancel_ahead", {{"job", id}});
+                       answer(caller, ports::job_absent{});
+                       return;
+                   case kv_status::conflict:
+                       // The job came just now.
+                       cancel(at, caller, id);
+                       return;
+                   case kv_status::refused:
+                       refuse(caller, "the store did not take the cancelling");
+                       return;
+                   default:
+                       unknown(caller, "the store did not answer");
+                       return;
+                   }
                });
 }
 
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -93,6 +93,8 @@
                       count_source const& source);
     void
     cancel(common::time_point now, std::uint64_t caller, std::string const& id);
+    void cancel_ended(std::uint64_t caller, std::string const& id);
+    void cancel_unknown(std::uint64_t caller, std::string const& id);
     void cancel_known(std::uint64_t caller,
                       std::string const& id,
                       std::uint64_t revision);
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -80,6 +80,7 @@
         rank_again(now);
         observe_guaranteed(now);
         drop_old_finals(now);
+        drop_spare_cancels(now);
         next_rank_ = now + rank_interval;
     }
     wants_dispatch_ = wants_dispatch_ || now >= next_dispatch_;
@@ -276,19 +277,7 @@
         cancel_job(now, *run);
         return;
     }
-    bool const goes_with_job = run != nullptr && run->cancel_key;
-    if (!goes_with_job)
-    {
-        drop_cancel(item.key);
-    }
-}
-
-// The job ended while its cancelling was on the way. Gone before the job itself
-// is, the key would leave a successor a job that nobody cancelled: both go in
-// the order in which they are written here.
-void owner::drop_cancel(std::string const& key)
-{
-    ledger_.write(write_rank::result, {{}, {key}, {}});
+    spare_cancels_[item.key] = now;
 }
 
 void owner::add_job(common::time_point now, ports::kv_item const& item)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -90,7 +90,6 @@
                   common::time_point asked,
                   ports::kv_reply const& reply);
     void take_item(common::time_point now, ports::kv_item const& item);
-    void drop_cancel(std::string const& key);
     void add_job(common::time_point now, ports::kv_item const& item);
     std::int64_t accepted_by_own_clock(common::time_point now,
                                        job const& spec,
@@ -128,6 +127,7 @@
     void log_backlog(common::duration took);
     void log_load(common::time_point now);
     void drop_old_finals(common::time_point now);
+    void drop_spare_cancels(common::time_point now);
 
     // owner_jobs.cpp: the life of jobs and tasks.
     void open_steps(common::time_point now, job_run& run);
@@ -411,6 +411,8 @@
     std::unordered_map<std::string, job_run> jobs_;
     std::unordered_map<std::string, ports::job_state> finals_;
     std::deque<std::pair<common::time_point, std::string>> final_times_;
+    /// Keys of cancellings whose jobs are over or never came, since when.
+    std::map<std::string, common::time_point> spare_cancels_;
     std::set<ready_key> ready_;
     std::optional<room_index> room_; ///< Of a round of placing, while it lasts.
     std::set<std::string> dirty_;
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -19,6 +19,7 @@
 constexpr common::duration backlog_interval = std::chrono::milliseconds(700);
 constexpr common::duration learned_interval = std::chrono::seconds(3);
 constexpr std::size_t finals_at_once = 8;
+constexpr std::size_t cancels_at_once = 8;
 
 } // namespace
 
@@ -121,6 +122,32 @@
     }
 }
 
+// A cancelling may have overtaken its job, which finds it here and does not
+// come to be. Where the job has ended, the key goes behind that end, in the
+// same queue: a successor that found the job without it would run it again.
+void owner::drop_spare_cancels(common::time_point now)
+{
+    ledger::entry out;
+    for (auto each = spare_cancels_.begin(); each != spare_cancels_.end();)
+    {
+        if (now - each->second < settings_.cancel_kept)
+        {
+            ++each;
+            continue;
+        }
+        out.erases.push_back(each->first);
+        each = spare_cancels_.erase(each);
+        if (out.erases.size() == cancels_at_once)
+        {
+            ledger_.write(write_rank::result, std::exchange(out, {}));
+        }
+    }
+    if (!out.erases.empty())
+    {
+        ledger_.write(write_rank::result, std::move(out));
+    }
+}
+
 // One line that says what binds: who waits, what is in use, what stands still.
 void owner::log_load(common::time_point now)
 {
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -65,6 +65,9 @@
     /// Final states are kept this long: those who ask get an answer for two
     /// minutes at least.
     common::duration final_kept = std::chrono::minutes(4);
+    /// So long a cancelling stays that overtook its job. A commit without an
+    /// answer may take effect within seconds.
+    common::duration cancel_kept = std::chrono::seconds(60);
 };
 
 /// What an owner counts, for metrics.
--- a/tests/unit/pool/cancel_test.cpp
+++ b/tests/unit/pool/cancel_test.cpp
@@ -67,6 +67,13 @@
                    std::holds_alternative<ports::job_absent>(*got));
 }
 
+bool writes_job(ports::kv_operation const& call, std::string const& id)
+{
+    auto const* const commit = std::get_if<ports::kv_commit>(&call);
+    return commit != nullptr && !commit->puts.empty() &&
+           commit->puts.front().key == "pool/job/" + id;
+}
+
 void cancel_backwards(pool_world& world,
                       std::size_t at,
                       std::string const& name,
@@ -94,6 +101,25 @@
 
 } // namespace
 
+// Failure: a job runs that came after its own cancelling was acknowledged.
+TEST(pool_cancel, a_job_that_its_cancelling_overtook_never_runs)
+{
+    for (auto const how : {fate::late, fate::slow})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        world.store_fault = [how](std::size_t, ports::kv_operation const& call)
+        {
+            return writes_job(call, "a") ? how : fate::carried_out;
+        };
+        world.submit(1, "a", lasting_job(6));
+        world.run(100ms);
+        EXPECT_TRUE(acknowledged(world, world.cancel(2, "a")));
+        world.run(10s);
+        EXPECT_EQ(begun_in_all(world), 0U);
+    }
+}
+
 // Failure: a job that is unknown when it is cancelled is told to be there.
 TEST(pool_cancel, the_cancelling_of_an_unknown_job_makes_none)
 {
@@ -110,6 +136,36 @@
     EXPECT_EQ(world.waiting_told(1), 0U);
 }
 
+// Failure: cancellings of unknown jobs pile up in the store.
+TEST(pool_cancel, the_cancelling_of_an_unknown_job_goes_in_time)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    constexpr std::size_t jobs = 40;
+    cancel_backwards(world, 1, "never", jobs);
+    world.run(1s);
+    EXPECT_TRUE(world.store().find("pool/job/never0/cancel").has_value());
+    world.kill(*world.owner());
+    world.run(90s);
+    auto const left =
+        world.store().answer(world.now(), ports::kv_range{"pool/job/", ""});
+    ASSERT_TRUE(left.has_value());
+    EXPECT_TRUE(left->items.empty());
+}
+
+// Failure: a job that is sent again after its cancelling runs.
+TEST(pool_cancel, a_job_that_was_cancelled_ahead_is_told_absent)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    EXPECT_TRUE(acknowledged(world, world.cancel(2, "a")));
+    world.submit(1, "a", lasting_job(6));
+    world.run(5s);
+    EXPECT_EQ(begun_in_all(world), 0U);
+    EXPECT_EQ(world.state(0, "a"), std::nullopt);
+    EXPECT_EQ(world.waiting_told(1), 0U);
+}
+
 // Failure: cancellings heard twice are gone from the store before their jobs.
 TEST(pool_cancel, a_cancelling_that_is_heard_again_outlives_the_owner)
 {
