A deaf watch of jobs is found out and hides no cancelling

What callers saw: an acknowledged cancel is carried out when the store's watches hear again, many seconds later; until then tasks of the job run on, and others of it start.

Cause: an owner's watch that is answered with nothing counted as news that there is none. Nothing told a deaf watch from a quiet store.

Now the owner's record of waiting jobs, written each 0.7 s anyway, lies below the prefix that the owner watches. An answer without it, from a store that has reached its revision, or to a watch that was sent when its commit was known, is deaf for certain; all pages are then read again. The count of waiting jobs and starts by news of jobs profit likewise.

A sound watch beside lost, late, slow or refused commits and watches is never taken for deaf.

Ruled out: distrust of every empty answer (reads all jobs again each second whenever the store's commits falter); a key of its own (one more write).

Why orders stay safe: news are added, none is dropped, and the claim's loss is still seen before any later job, as pages and watch are taken in the same sequence. In a rolling update instances of both versions tell counts from different keys, and refuse by age.

--- a/src/core/pool/keys.hpp
+++ b/src/core/pool/keys.hpp
@@ -15,14 +15,15 @@
 constexpr std::string_view claim = "pool/claim";
 /// An instance that could schedule more asks the owner for the claim.
 constexpr std::string_view handover = "pool/handover";
+/// How many jobs of each queue wait. Written all the time, and watched with the
+/// jobs: a watch that does not tell of it is deaf.
+constexpr std::string_view backlog = "pool/backlog";
 constexpr std::string_view job_prefix = "pool/job/";
 constexpr std::string_view cancel_suffix = "/cancel";
 constexpr std::string_view progress_prefix = "progress/";
 constexpr std::string_view final_prefix = "final/";
 /// Workers that may hold tasks: who takes over asks each of them.
 constexpr std::string_view roster = "roster";
-/// How many jobs of each queue wait.
-constexpr std::string_view backlog = "backlog";
 /// What owners learned of images.
 constexpr std::string_view learned = "learned";
 
--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -122,6 +122,11 @@
     return last_commit_;
 }
 
+std::uint64_t ledger::revision() const noexcept
+{
+    return revision_;
+}
+
 // What a handler writes comes behind all that counts here.
 void ledger::pass_barriers(common::time_point now)
 {
--- a/src/core/pool/ledger.hpp
+++ b/src/core/pool/ledger.hpp
@@ -89,6 +89,8 @@
     /// Entries that are not durable yet, and what waits for them.
     std::size_t waiting() const noexcept;
     commit_mark last_commit() const noexcept;
+    /// Of the last commit that is known to have taken effect, by any owner.
+    std::uint64_t revision() const noexcept;
     /// How long the oldest of them has waited; zero where none does.
     common::duration lag(common::time_point now) const noexcept;
 
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -210,7 +210,8 @@
 }
 
 // An answer without events does not move the place from which the next watch
-// goes on: what a deaf watch missed comes with the next one that is not.
+// goes on: what a deaf watch missed comes with the next one that is not. Until
+// then all pages are read again whenever a watch is known to be deaf.
 void owner::on_watch(common::time_point now,
                      common::time_point asked,
                      kv_reply const& reply)
@@ -232,6 +233,15 @@
                    });
         return;
     }
+    if (is_deaf(asked, reply))
+    {
+        out_.log(severity::warning,
+                 "watch_deaf",
+                 {{"after", std::to_string(watched_)},
+                  {"written", std::to_string(marked_)}});
+        load_jobs(now);
+        return;
+    }
     for (auto const& item : reply.items)
     {
         watched_ = std::max(watched_, item.revision);
@@ -251,6 +261,13 @@
     }
 }
 
+// What we wrote ourselves below the watched prefix was there to be told.
+bool owner::is_deaf(common::time_point asked, kv_reply const& reply) const
+{
+    bool const there = reply.revision >= marked_ || asked >= marked_at_;
+    return reply.items.empty() && marked_ > watched_ && there;
+}
+
 void owner::take_item(common::time_point now, ports::kv_item const& item)
 {
     if (item.key == keys::claim || item.key == keys::handover)
@@ -277,7 +294,11 @@
         cancel_job(now, *run);
         return;
     }
-    spare_cancels_[item.key] = now;
+    bool const goes_with_job = run != nullptr && run->cancel_key;
+    if (!goes_with_job)
+    {
+        spare_cancels_[item.key] = now;
+    }
 }
 
 void owner::add_job(common::time_point now, ports::kv_item const& item)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -89,6 +89,7 @@
     void on_watch(common::time_point now,
                   common::time_point asked,
                   ports::kv_reply const& reply);
+    bool is_deaf(common::time_point asked, ports::kv_reply const& reply) const;
     void take_item(common::time_point now, ports::kv_item const& item);
     void add_job(common::time_point now, ports::kv_item const& item);
     std::int64_t accepted_by_own_clock(common::time_point now,
@@ -429,6 +430,8 @@
     std::uint64_t heard_revision_ = 0; ///< All jobs up to it are known.
     common::time_point heard_{};    ///< When the last answered watch was asked,
     common::time_point answered_{}; ///< and answered.
+    std::uint64_t marked_ = 0;      ///< Revision of our last written backlog,
+    common::time_point marked_at_{}; ///< and when that was known.
     common::time_point silenced_{}; ///< The store did not renew the claim then.
     /// What is asked again, and when, the earliest first.
     std::deque<
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -64,6 +64,8 @@
         [this, now](common::time_point at)
         {
             backlog_writing_ = false;
+            marked_ = ledger_.revision();
+            marked_at_ = at;
             log_backlog(at - now);
         });
 }
--- a/tests/unit/pool/cancel_test.cpp
+++ b/tests/unit/pool/cancel_test.cpp
@@ -67,6 +67,26 @@
                    std::holds_alternative<ports::job_absent>(*got));
 }
 
+// From now on the owner's watches for jobs are answered with nothing.
+void deafen(pool_world& world, std::size_t owner)
+{
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        return at == owner && watches_jobs(call) ? fate::deaf
+                                                 : fate::carried_out;
+    };
+}
+
+std::size_t logged(pool_world const& world, std::string const& event)
+{
+    std::size_t lines = 0;
+    for (auto const& line : world.log())
+    {
+        lines += line.what.event == event ? 1U : 0U;
+    }
+    return lines;
+}
+
 bool writes_job(ports::kv_operation const& call, std::string const& id)
 {
     auto const* const commit = std::get_if<ports::kv_commit>(&call);
@@ -166,6 +186,79 @@
     EXPECT_EQ(world.waiting_told(1), 0U);
 }
 
+// Failure: tasks run on as the owner's watches answer and tell it nothing.
+TEST(pool_cancel, a_deaf_watch_does_not_hide_a_cancelling)
+{
+    for (auto when = 0ms; when <= 2000ms; when += 100ms)
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        world.submit(other_than(owner), "a", lasting_job(6));
+        world.run(1s);
+        ASSERT_EQ(running_in_all(world), 6U);
+        deafen(world, owner);
+        world.run(when);
+        EXPECT_TRUE(acknowledged(world, world.cancel(other_than(owner), "a")));
+        EXPECT_TRUE(nothing_runs(world, cancel_limit)) << when.count();
+        EXPECT_EQ(world.owner(), owner);
+    }
+}
+
+// Failure: an owner reads all jobs again and again, as a good watch seems deaf.
+TEST(pool_cancel, a_watch_that_hears_is_not_taken_for_deaf)
+{
+    for (auto const how : {fate::carried_out,
+                           fate::answer_lost,
+                           fate::late,
+                           fate::slow,
+                           fate::refused})
+    {
+        for (auto const way : {2ms, 200ms})
+        {
+            pool_world world;
+            ASSERT_TRUE(settled(world));
+            world.set_store_way(way);
+            std::size_t calls = 0;
+            world.store_fault =
+                [how, &calls](std::size_t, ports::kv_operation const& call)
+            {
+                bool const meant =
+                    watches_jobs(call) ||
+                    std::holds_alternative<ports::kv_commit>(call);
+                return meant && ++calls % 3 == 0 ? how : fate::carried_out;
+            };
+            for (int number = 0; number < 20; ++number)
+            {
+                submit_many(world,
+                            number % 3,
+                            "job" + std::to_string(number) + ".",
+                            2,
+                            simple_job(2, 500ms));
+                world.run(1s);
+            }
+            EXPECT_GT(calls, 30U);
+            EXPECT_EQ(logged(world, "watch_deaf"), 0U);
+        }
+    }
+}
+
+// Failure: a job starts after its cancelling, by news that are not heard.
+TEST(pool_cancel, a_deaf_watch_starts_nothing_of_a_cancelled_job)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.submit(other_than(owner), "fills", simple_job(32, 8s));
+    world.submit(other_than(owner), "a", lasting_job(6));
+    world.run(1s);
+    deafen(world, owner);
+    world.run(1500ms);
+    EXPECT_TRUE(acknowledged(world, world.cancel(other_than(owner), "a")));
+    world.run(12s);
+    EXPECT_EQ(begun_in_all(world), 32U);
+}
+
 // Failure: cancellings heard twice are gone from the store before their jobs.
 TEST(pool_cancel, a_cancelling_that_is_heard_again_outlives_the_owner)
 {
