An owner takes no job that a later page shows and the first could not

What could happen: two runs of one task. An owner that reads all jobs again, page by page, takes from the last page a job that was accepted after it had lost its claim, and starts it beside the successor, which asks nobody about jobs newer than its own claim.

Cause: events tell the loss of the claim before any later job; pages don't. The claim stands on the first page and the rest may be read a second later. Pages are read again more often since a deaf watch is found out.

Now an owner takes from pages what is no newer than the first of them, and only if its claim stands there. The watch brings the rest, in its sequence.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -109,7 +109,7 @@
     void load_key(std::string_view key, value_taker const& take);
     void load_jobs(common::time_point now);
     void jobs_loaded(common::time_point now);
-    void hear_pages();
+    bool take_pages(common::time_point now);
     void load_progress();
     void load_roster();
     void load_finals();
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -2,6 +2,7 @@
 #include "core/pool/owner.hpp"
 #include "core/pool/roster.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Reads the state that the last owner left in the store.
@@ -73,23 +74,43 @@
     // was ended by ourselves.
     if (loaded_)
     {
-        for (auto const& item : std::exchange(job_items_, {}))
+        if (take_pages(now))
         {
-            take_item(now, item);
+            watch(now);
         }
-        hear_pages();
-        watch(now);
         return;
     }
     parts_loaded(now);
 }
 
-// Jobs of the last page count as heard no sooner than they were taken.
-void owner::hear_pages()
+// What is newer than the first page comes with the watch, in its sequence: on a
+// later page stands a job that was accepted after the claim was lost, and no
+// page tells of that. False where the claim is gone.
+bool owner::take_pages(common::time_point now)
 {
+    auto const items = std::exchange(job_items_, {});
+    bool const claimed = std::any_of(items.begin(),
+                                     items.end(),
+                                     [](ports::kv_item const& each)
+                                     {
+                                         return each.key == keys::claim;
+                                     });
+    if (!claimed)
+    {
+        claim_.lose("key gone from the first page");
+    }
+    for (auto const& item : items)
+    {
+        if (claim_.held() && item.revision <= page_revision_)
+        {
+            take_item(now, item);
+        }
+    }
+    // Jobs of the last page count as heard no sooner than they were taken.
     watched_ = page_revision_;
     heard_revision_ = page_revision_;
     heard_ = pages_asked_;
+    return claim_.held();
 }
 
 void owner::load_progress()
@@ -204,11 +225,10 @@
     }
     loaded_ = true;
     answered_ = now;
-    for (auto const& item : std::exchange(job_items_, {}))
+    if (!take_pages(now))
     {
-        take_item(now, item);
+        return;
     }
-    hear_pages();
     for (auto const& item : std::exchange(progress_items_, {}))
     {
         common::failure reason;
--- a/tests/unit/pool/cancel_test.cpp
+++ b/tests/unit/pool/cancel_test.cpp
@@ -259,6 +259,65 @@
     EXPECT_EQ(begun_in_all(world), 32U);
 }
 
+// Failure: an owner takes a job from a page that is newer than its claim.
+TEST(pool_cancel, a_later_page_does_not_hide_the_loss_of_the_claim)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    auto small = lasting_job(1);
+    small.steps.front().declared = {1, 1, 0};
+    submit_many(world, other, "a", 600, small);
+    world.run(3s);
+    ASSERT_EQ(running_in_all(world), 600U);
+    bool paged = false;
+    bool lost = false;
+    world.store_fault =
+        [owner, &paged, &lost](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const page = std::get_if<ports::kv_range>(&call);
+        bool const later =
+            page != nullptr && page->prefix == "pool/" && !page->after.empty();
+        paged = paged || (at == owner && later);
+        bool const tells =
+            std::holds_alternative<ports::kv_lease_renew>(call) ||
+            std::holds_alternative<ports::kv_commit>(call);
+        return at != owner          ? fate::carried_out
+               : watches_jobs(call) ? fate::deaf
+               : later              ? fate::slow
+               : lost && tells      ? fate::lost
+                                    : fate::carried_out;
+    };
+    ASSERT_TRUE(world.run_until(
+        [&paged]
+        {
+            return paged;
+        }));
+    world.run(1200ms);
+    lost = true;
+    // The owner keeps one worker, a successor reaches all others.
+    world.worker_fault = [owner](std::size_t instance,
+                                 std::size_t worker,
+                                 ports::pool_operation const&)
+    {
+        bool const passes = (worker == 0) == (instance == owner);
+        return passes ? fate::carried_out : fate::lost;
+    };
+    world.store().revoke("pool/claim");
+    world.run(300ms);
+    ASSERT_NE(world.owner(), owner);
+    world.submit(other, "z", lasting_job(8));
+    world.run(3s);
+    EXPECT_EQ(world.violation(), "");
+    std::size_t places = 0;
+    for (std::uint32_t index = 0; index < 8; ++index)
+    {
+        places += world.places({"z", 0, 0, index});
+    }
+    EXPECT_EQ(places, 8U);
+}
+
 // Failure: cancellings heard twice are gone from the store before their jobs.
 TEST(pool_cancel, a_cancelling_that_is_heard_again_outlives_the_owner)
 {
