--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -80,6 +80,7 @@
         rank_again(now);
         observe_guaranteed(now);
         drop_old_finals(now);
+        drop_spare_cancels(now);
         next_rank_ = now + rank_interval;
     }
     wants_dispatch_ = wants_dispatch_ || now >= next_dispatch_;
@@ -209,7 +210,8 @@
 }
 
 // An answer without events does not move the place from which the next watch
-// goes on: what a deaf watch missed comes with the next one that is not.
+// goes on: what a deaf watch missed comes with the next one that is not. Until
+// then all pages are read again whenever a watch is known to be deaf.
 void owner::on_watch(common::time_point now,
                      common::time_point asked,
                      kv_reply const& reply)
@@ -231,6 +233,15 @@
                    });
         return;
     }
+    if (is_deaf(asked, reply))
+    {
+        out_.log(severity::warning,
+                 "watch_deaf",
+                 {{"after", std::to_string(watched_)},
+                  {"written", std::to_string(marked_)}});
+        load_jobs(now);
+        return;
+    }
     for (auto const& item : reply.items)
     {
         watched_ = std::max(watched_, item.revision);
@@ -250,6 +261,13 @@
     }
 }
 
+// What we wrote ourselves below the watched prefix was there to be told.
+bool owner::is_deaf(common::time_point asked, kv_reply const& reply) const
+{
+    bool const there = reply.revision >= marked_ || asked >= marked_at_;
+    return reply.items.empty() && marked_ > watched_ && there;
+}
+
 void owner::take_item(common::time_point now, ports::kv_item const& item)
 {
     if (item.key == keys::claim || item.key == keys::handover)
@@ -269,15 +287,18 @@
     auto const length =
         item.key.size() - keys::job_prefix.size() - keys::cancel_suffix.size();
     auto const id = item.key.substr(keys::job_prefix.size(), length);
-    if (auto* const run = find_job(id);
-        run != nullptr && run->phase != job_phase::recorded)
+    auto* const run = find_job(id);
+    if (run != nullptr && run->phase != job_phase::recorded)
     {
         run->cancel_key = true;
         cancel_job(now, *run);
         return;
     }
-    // The job ended while its cancelling was on the way.
-    ledger_.write(write_rank::record, {{}, {item.key}, {}});
+    bool const goes_with_job = run != nullptr && run->cancel_key;
+    if (!goes_with_job)
+    {
+        spare_cancels_[item.key] = now;
+    }
 }
 
 void owner::add_job(common::time_point now, ports::kv_item const& item)
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -89,6 +89,7 @@
     void on_watch(common::time_point now,
                   common::time_point asked,
                   ports::kv_reply const& reply);
+    bool is_deaf(common::time_point asked, ports::kv_reply const& reply) const;
     void take_item(common::time_point now, ports::kv_item const& item);
     void add_job(common::time_point now, ports::kv_item const& item);
     std::int64_t accepted_by_own_clock(common::time_point now,
@@ -108,7 +109,7 @@
     void load_key(std::string_view key, value_taker const& take);
     void load_jobs(common::time_point now);
     void jobs_loaded(common::time_point now);
-    void hear_pages();
+    bool take_pages(common::time_point now);
     void load_progress();
     void load_roster();
     void load_finals();
@@ -127,6 +128,7 @@
     void log_backlog(common::duration took);
     void log_load(common::time_point now);
     void drop_old_finals(common::time_point now);
+    void drop_spare_cancels(common::time_point now);
 
     // owner_jobs.cpp: the life of jobs and tasks.
     void open_steps(common::time_point now, job_run& run);
@@ -410,6 +412,8 @@
     std::unordered_map<std::string, job_run> jobs_;
     std::unordered_map<std::string, ports::job_state> finals_;
     std::deque<std::pair<common::time_point, std::string>> final_times_;
+    /// Keys of cancellings whose jobs are over or never came, since when.
+    std::map<std::string, common::time_point> spare_cancels_;
     std::set<ready_key> ready_;
     std::optional<room_index> room_; ///< Of a round of placing, while it lasts.
     std::set<std::string> dirty_;
@@ -426,6 +430,8 @@
     std::uint64_t heard_revision_ = 0; ///< All jobs up to it are known.
     common::time_point heard_{};    ///< When the last answered watch was asked,
     common::time_point answered_{}; ///< and answered.
+    std::uint64_t marked_ = 0;      ///< Revision of our last written backlog,
+    common::time_point marked_at_{}; ///< and when that was known.
     common::time_point silenced_{}; ///< The store did not renew the claim then.
     /// What is asked again, and when, the earliest first.
     std::deque<
--- /dev/null
+++ b/tests/unit/pool/cancel_test.cpp
@@ -0,0 +1,470 @@
+#include "pool_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+using namespace fuchsia::tests::unit::pool;
+namespace ports = fuchsia::ports;
+
+namespace
+{
+
+// From an acknowledged cancel to the end of the job's last run.
+constexpr auto cancel_limit = 3200ms;
+
+// A job whose tasks run until they are stopped.
+fuchsia::core::pool::job lasting_job(std::uint32_t count)
+{
+    auto made = simple_job(count, 1s);
+    made.steps.front().lasting = true;
+    made.spec = "lasts";
+    return made;
+}
+
+std::size_t running_in_all(pool_world& world)
+{
+    std::size_t running = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        running += world.worker(number).running();
+    }
+    return running;
+}
+
+std::size_t begun_in_all(pool_world& world)
+{
+    std::size_t begun = 0;
+    for (std::size_t number = 0; number < world.worker_count(); ++number)
+    {
+        begun += world.worker(number).begun().size();
+    }
+    return begun;
+}
+
+bool nothing_runs(pool_world& world, duration patience)
+{
+    return world.run_until(
+        [&world]
+        {
+            return running_in_all(world) == 0;
+        },
+        patience);
+}
+
+// Whether its caller was told that the job is cancelled, or that there is none.
+bool acknowledged(pool_world& world, std::uint64_t request)
+{
+    world.run_until(
+        [&world, request]
+        {
+            return world.answer(request).has_value();
+        });
+    auto const got = world.answer(request);
+    return got && (std::holds_alternative<ports::job_accepted>(*got) ||
+                   std::holds_alternative<ports::job_absent>(*got));
+}
+
+// From now on the owner's watches for jobs are answered with nothing.
+void deafen(pool_world& world, std::size_t owner)
+{
+    world.store_fault = [owner](std::size_t at, ports::kv_operation const& call)
+    {
+        return at == owner && watches_jobs(call) ? fate::deaf
+                                                 : fate::carried_out;
+    };
+}
+
+std::size_t logged(pool_world const& world, std::string const& event)
+{
+    std::size_t lines = 0;
+    for (auto const& line : world.log())
+    {
+        lines += line.what.event == event ? 1U : 0U;
+    }
+    return lines;
+}
+
+bool writes_job(ports::kv_operation const& call, std::string const& id)
+{
+    auto const* const commit = std::get_if<ports::kv_commit>(&call);
+    return commit != nullptr && !commit->puts.empty() &&
+           commit->puts.front().key == "pool/job/" + id;
+}
+
+void cancel_backwards(pool_world& world,
+                      std::size_t at,
+                      std::string const& name,
+                      std::size_t count)
+{
+    for (std::size_t number = count; number > 0; --number)
+    {
+        world.cancel(at, name + std::to_string(number - 1));
+    }
+}
+
+// From now on the first such order to each worker meets this, the others pass.
+template<class Order>
+void first_order_meets(pool_world& world, fate how)
+{
+    auto hit = std::make_shared<std::set<std::size_t>>();
+    world.worker_fault = [hit, how](std::size_t,
+                                    std::size_t worker,
+                                    ports::pool_operation const& call)
+    {
+        bool const meant = std::holds_alternative<Order>(call);
+        return meant && hit->insert(worker).second ? how : fate::carried_out;
+    };
+}
+
+} // namespace
+
+// Failure: a job runs that came after its own cancelling was acknowledged.
+TEST(pool_cancel, a_job_that_its_cancelling_overtook_never_runs)
+{
+    for (auto const how : {fate::late, fate::slow})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        world.store_fault = [how](std::size_t, ports::kv_operation const& call)
+        {
+            return writes_job(call, "a") ? how : fate::carried_out;
+        };
+        world.submit(1, "a", lasting_job(6));
+        world.run(100ms);
+        EXPECT_TRUE(acknowledged(world, world.cancel(2, "a")));
+        world.run(10s);
+        EXPECT_EQ(begun_in_all(world), 0U);
+    }
+}
+
+// Failure: a job that is unknown when it is cancelled is told to be there.
+TEST(pool_cancel, the_cancelling_of_an_unknown_job_makes_none)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const request = world.cancel(2, "a");
+    EXPECT_TRUE(acknowledged(world, request));
+    EXPECT_TRUE(
+        std::holds_alternative<ports::job_absent>(*world.answer(request)));
+    for (std::size_t number = 0; number < 3; ++number)
+    {
+        EXPECT_EQ(world.state(number, "a"), std::nullopt);
+    }
+    EXPECT_EQ(world.waiting_told(1), 0U);
+}
+
+// Failure: cancellings of unknown jobs pile up in the store.
+TEST(pool_cancel, the_cancelling_of_an_unknown_job_goes_in_time)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    constexpr std::size_t jobs = 40;
+    cancel_backwards(world, 1, "never", jobs);
+    world.run(1s);
+    EXPECT_TRUE(world.store().find("pool/job/never0/cancel").has_value());
+    world.kill(*world.owner());
+    world.run(90s);
+    auto const left =
+        world.store().answer(world.now(), ports::kv_range{"pool/job/", ""});
+    ASSERT_TRUE(left.has_value());
+    EXPECT_TRUE(left->items.empty());
+}
+
+// Failure: a job that is sent again after its cancelling runs.
+TEST(pool_cancel, a_job_that_was_cancelled_ahead_is_told_absent)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    EXPECT_TRUE(acknowledged(world, world.cancel(2, "a")));
+    world.submit(1, "a", lasting_job(6));
+    world.run(5s);
+    EXPECT_EQ(begun_in_all(world), 0U);
+    EXPECT_EQ(world.state(0, "a"), std::nullopt);
+    EXPECT_EQ(world.waiting_told(1), 0U);
+}
+
+// Failure: tasks run on as the owner's watches answer and tell it nothing.
+TEST(pool_cancel, a_deaf_watch_does_not_hide_a_cancelling)
+{
+    for (auto when = 0ms; when <= 2000ms; when += 100ms)
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        world.submit(other_than(owner), "a", lasting_job(6));
+        world.run(1s);
+        ASSERT_EQ(running_in_all(world), 6U);
+        deafen(world, owner);
+        world.run(when);
+        EXPECT_TRUE(acknowledged(world, world.cancel(other_than(owner), "a")));
+        EXPECT_TRUE(nothing_runs(world, cancel_limit)) << when.count();
+        EXPECT_EQ(world.owner(), owner);
+    }
+}
+
+// Failure: an owner reads all jobs again and again, as a good watch seems deaf.
+TEST(pool_cancel, a_watch_that_hears_is_not_taken_for_deaf)
+{
+    for (auto const how : {fate::carried_out,
+                           fate::answer_lost,
+                           fate::late,
+                           fate::slow,
+                           fate::refused})
+    {
+        for (auto const way : {2ms, 200ms})
+        {
+            pool_world world;
+            ASSERT_TRUE(settled(world));
+            world.set_store_way(way);
+            std::size_t calls = 0;
+            world.store_fault =
+                [how, &calls](std::size_t, ports::kv_operation const& call)
+            {
+                bool const meant =
+                    watches_jobs(call) ||
+                    std::holds_alternative<ports::kv_commit>(call);
+                return meant && ++calls % 3 == 0 ? how : fate::carried_out;
+            };
+            for (int number = 0; number < 20; ++number)
+            {
+                submit_many(world,
+                            number % 3,
+                            "job" + std::to_string(number) + ".",
+                            2,
+                            simple_job(2, 500ms));
+                world.run(1s);
+            }
+            EXPECT_GT(calls, 30U);
+            EXPECT_EQ(logged(world, "watch_deaf"), 0U);
+        }
+    }
+}
+
+// Failure: a job starts after its cancelling, by news that are not heard.
+TEST(pool_cancel, a_deaf_watch_starts_nothing_of_a_cancelled_job)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.submit(other_than(owner), "fills", simple_job(32, 8s));
+    world.submit(other_than(owner), "a", lasting_job(6));
+    world.run(1s);
+    deafen(world, owner);
+    world.run(1500ms);
+    EXPECT_TRUE(acknowledged(world, world.cancel(other_than(owner), "a")));
+    world.run(12s);
+    EXPECT_EQ(begun_in_all(world), 32U);
+}
+
+// Failure: an owner takes a job from a page that is newer than its claim.
+TEST(pool_cancel, a_later_page_does_not_hide_the_loss_of_the_claim)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    auto small = lasting_job(1);
+    small.steps.front().declared = {1, 1, 0};
+    submit_many(world, other, "a", 600, small);
+    world.run(3s);
+    ASSERT_EQ(running_in_all(world), 600U);
+    bool paged = false;
+    bool lost = false;
+    world.store_fault =
+        [owner, &paged, &lost](std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const page = std::get_if<ports::kv_range>(&call);
+        bool const later =
+            page != nullptr && page->prefix == "pool/" && !page->after.empty();
+        paged = paged || (at == owner && later);
+        bool const tells =
+            std::holds_alternative<ports::kv_lease_renew>(call) ||
+            std::holds_alternative<ports::kv_commit>(call);
+        return at != owner          ? fate::carried_out
+               : watches_jobs(call) ? fate::deaf
+               : later              ? fate::slow
+               : lost && tells      ? fate::lost
+                                    : fate::carried_out;
+    };
+    ASSERT_TRUE(world.run_until(
+        [&paged]
+        {
+            return paged;
+        }));
+    world.run(1200ms);
+    lost = true;
+    // The owner keeps one worker, a successor reaches all others.
+    world.worker_fault = [owner](std::size_t instance,
+                                 std::size_t worker,
+                                 ports::pool_operation const&)
+    {
+        bool const passes = (worker == 0) == (instance == owner);
+        return passes ? fate::carried_out : fate::lost;
+    };
+    world.store().revoke("pool/claim");
+    world.run(300ms);
+    ASSERT_NE(world.owner(), owner);
+    world.submit(other, "z", lasting_job(8));
+    world.run(3s);
+    EXPECT_EQ(world.violation(), "");
+    std::size_t places = 0;
+    for (std::uint32_t index = 0; index < 8; ++index)
+    {
+        places += world.places({"z", 0, 0, index});
+    }
+    EXPECT_EQ(places, 8U);
+}
+
+// Failure: cancellings heard twice are gone from the store before their jobs.
+TEST(pool_cancel, a_cancelling_that_is_heard_again_outlives_the_owner)
+{
+    constexpr std::size_t jobs = 40;
+    for (bool const forgets : {false, true})
+    {
+        for (auto when = 20ms; when <= 400ms; when += 20ms)
+        {
+            pool_world world(3, 8);
+            ASSERT_TRUE(settled(world));
+            auto const owner = *world.owner();
+            auto const other = other_than(owner);
+            submit_many(world, other, "job", jobs, lasting_job(1));
+            world.run(2s);
+            ASSERT_EQ(running_in_all(world), jobs);
+            cancel_backwards(world, other, "job", jobs);
+            // The ends of all jobs are known and wait to be written.
+            ASSERT_TRUE(world.run_until(
+                [&world, owner]
+                {
+                    return world.scheduler(owner).commits().waiting() >= jobs;
+                }));
+            if (forgets)
+            {
+                // All pages are read again.
+                world.store().compact();
+            }
+            else
+            {
+                cancel_backwards(world, other, "job", jobs);
+            }
+            world.run(when);
+            world.kill(owner);
+            auto const begun = begun_in_all(world);
+            world.run(8s);
+            EXPECT_EQ(begun_in_all(world), begun)
+                << "killed after " << when.count() << " ms";
+            EXPECT_EQ(running_in_all(world), 0U)
+                << "killed after " << when.count() << " ms";
+        }
+    }
+}
+
+// Failure: a cancelling dies with the owner that heard of it, or did not.
+TEST(pool_cancel, a_cancelling_outlives_the_owner)
+{
+    for (auto const commits : {fate::carried_out,
+                               fate::lost,
+                               fate::answer_lost,
+                               fate::late,
+                               fate::refused})
+    {
+        for (auto const when : {0ms, 3ms, 10ms, 100ms, 300ms})
+        {
+            pool_world world;
+            ASSERT_TRUE(settled(world));
+            auto const owner = *world.owner();
+            auto const other = other_than(owner);
+            world.submit(other, "a", lasting_job(6));
+            world.run(1s);
+            ASSERT_EQ(running_in_all(world), 6U);
+            world.store_fault =
+                [owner, commits](std::size_t at,
+                                 ports::kv_operation const& call)
+            {
+                bool const hit = at == owner &&
+                                 std::holds_alternative<ports::kv_commit>(call);
+                return hit ? commits : fate::carried_out;
+            };
+            EXPECT_TRUE(acknowledged(world, world.cancel(other, "a")));
+            world.run(when);
+            world.kill(owner);
+            world.store().compact();
+            EXPECT_TRUE(nothing_runs(world, 5s));
+            auto const begun = begun_in_all(world);
+            world.run(5s);
+            EXPECT_EQ(begun_in_all(world), begun);
+            EXPECT_EQ(world.state(other, "a"), ports::job_state::cancelled);
+        }
+    }
+}
+
+// Failure: a stop that gets lost, is refused or comes late is not repeated.
+TEST(pool_cancel, stops_in_trouble_are_repeated)
+{
+    for (auto const how :
+         {fate::lost, fate::answer_lost, fate::late, fate::refused})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        world.submit(1, "a", lasting_job(6));
+        world.run(1s);
+        first_order_meets<ports::stop_order>(world, how);
+        EXPECT_TRUE(acknowledged(world, world.cancel(1, "a")));
+        EXPECT_TRUE(nothing_runs(world, 1s));
+        world.run(3s);
+        EXPECT_EQ(world.state(1, "a"), ports::job_state::cancelled);
+    }
+}
+
+// Failure: a start that is carried out after its job was over runs for good.
+TEST(pool_cancel, a_late_start_of_a_cancelled_job_is_stopped)
+{
+    for (bool const takeover : {false, true})
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        auto const other = other_than(owner);
+        first_order_meets<ports::start_order>(world, fate::late);
+        world.submit(other, "a", lasting_job(6));
+        world.run(100ms);
+        EXPECT_TRUE(acknowledged(world, world.cancel(other, "a")));
+        if (takeover)
+        {
+            world.kill(owner);
+        }
+        world.run(3500ms);
+        EXPECT_TRUE(nothing_runs(world, cancel_limit));
+        EXPECT_EQ(world.violation(), "");
+    }
+}
+
+// Failure: tasks of a worker that the successor reaches late are not stopped.
+TEST(pool_cancel, a_worker_that_the_successor_reaches_late)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    auto const other = other_than(owner);
+    world.submit(other, "a", lasting_job(6));
+    world.run(1s);
+    ASSERT_GT(world.worker(0).running(), 0U);
+    auto const until = world.now() + 3s;
+    world.worker_fault = [&world, until](std::size_t,
+                                         std::size_t worker,
+                                         ports::pool_operation const&)
+    {
+        return worker == 0 && world.now() < until ? fate::lost
+                                                  : fate::carried_out;
+    };
+    EXPECT_TRUE(acknowledged(world, world.cancel(other, "a")));
+    world.kill(owner);
+    world.run(3s);
+    EXPECT_TRUE(nothing_runs(world, cancel_limit));
+    auto const begun = begun_in_all(world);
+    world.run(5s);
+    EXPECT_EQ(begun_in_all(world), begun);
+    EXPECT_EQ(world.state(other, "a"), ports::job_state::cancelled);
+}
