A job that no owner can hold is refused at the door

Submitters got a 2xx for jobs without steps, with more than 10,000 tasks in a step, a hundred thousand occurrences or a label of a megabyte; the owner then logged "job_unreadable" and the job never ran. What the body held was checked by the owner only. decode_job makes the same check now, and the check covers all that the owner computes with: tasks of all occurrences together (20,000: 240 bytes each in memory and a row each in one value of the store), sizes, times, names.

Ruled out: a limit in the front instead.

No functional change for jobs within the bounds.

--- a/src/core/pool/job.cpp
+++ b/src/core/pool/job.cpp
@@ -3,6 +3,7 @@
 #include "core/common/json.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fuchsia::core::pool
 {
@@ -12,9 +13,8 @@
 
 namespace json = boost::json;
 
-// A job is held in memory by the pool's owner: these bound what one can cost.
-constexpr std::uint32_t max_steps = 256;
-constexpr std::uint32_t max_tasks_per_step = 10'000;
+// Tasks of a step that a limit may name; more is no limit.
+constexpr std::int64_t max_limit = 1'000'000;
 constexpr std::int64_t max_integer = std::int64_t{1} << 52;
 
 json::object step_to_json(step const& value)
@@ -76,9 +76,9 @@
     value.near_rack = in.text_or("near_rack", "");
     value.image = in.text_or("image", "");
     value.max_per_worker = static_cast<std::uint32_t>(
-        in.integer_or("max_per_worker", 0, 0, max_tasks_per_step));
-    value.may_miss = static_cast<std::uint32_t>(
-        in.integer_or("may_miss", 0, 0, max_tasks_per_step));
+        in.integer_or("max_per_worker", 0, 0, max_limit));
+    value.may_miss =
+        static_cast<std::uint32_t>(in.integer_or("may_miss", 0, 0, max_limit));
     value.tail_target = std::chrono::milliseconds(number("tail_target_ms"));
     if (auto const* after = in.array("after"))
     {
@@ -98,6 +98,43 @@
         common::result_code::malformed_job, std::move(where), std::move(why)};
 }
 
+bool within(std::int64_t size)
+{
+    return 0 <= size && size <= max_size;
+}
+
+std::optional<common::failure>
+check_step(step const& value, std::size_t number, std::string const& where)
+{
+    if (value.count == 0 || value.count > max_tasks_per_step)
+    {
+        return wrong(where + ".count", "1 to 10000 tasks are allowed");
+    }
+    auto const& size = value.declared;
+    if (!within(size.millicores) || !within(size.memory_mb) ||
+        !within(size.accelerators))
+    {
+        return wrong(where, "a task is larger than any worker");
+    }
+    if (value.estimate > max_time || value.tail_target > max_time)
+    {
+        return wrong(where, "a time is longer than a year");
+    }
+    if (value.required_label.size() > max_name ||
+        value.near_rack.size() > max_name || value.image.size() > max_name)
+    {
+        return wrong(where, "a name is longer than 256 bytes");
+    }
+    for (auto const earlier : value.after)
+    {
+        if (earlier >= number)
+        {
+            return wrong(where + ".after", "only earlier steps may stand");
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 common::duration job::chain() const
@@ -148,7 +185,7 @@
     value.queue = in.text("queue");
     value.spec = in.text_or("spec", "");
     value.occurrences = static_cast<std::uint32_t>(
-        in.integer_or("occurrences", 1, 1, max_tasks_per_step));
+        in.integer_or("occurrences", 1, 1, max_occurrences));
     value.first_unix_ms = in.integer_or("first_unix_ms", 0, 0, max_integer);
     value.interval_ms = in.integer_or("interval_ms", 0, 0, max_integer);
     value.accepted_unix_ms =
@@ -176,9 +213,14 @@
         reason = in.reason();
         return std::nullopt;
     }
-    if (auto const problem = check(value))
+    if (value.id.empty())
+    {
+        reason = wrong("job.id", "an id is needed");
+        return std::nullopt;
+    }
+    if (auto problem = check(value))
     {
-        reason = *problem;
+        reason = std::move(*problem);
         return std::nullopt;
     }
     return value;
@@ -186,26 +228,36 @@
 
 std::optional<common::failure> check(job const& value)
 {
-    if (value.id.empty() || value.steps.empty() ||
-        value.steps.size() > max_steps)
+    if (value.steps.empty() || value.steps.size() > max_steps)
+    {
+        return wrong("job.steps", "1 to 256 steps are needed");
+    }
+    if (value.spec.size() > max_spec)
+    {
+        return wrong("job.spec", "longer than 16 KiB");
+    }
+    if (value.occurrences > max_occurrences)
+    {
+        return wrong("job.occurrences", "more than 10000");
+    }
+    if (std::chrono::milliseconds(value.interval_ms) > max_time)
     {
-        return wrong("job", "an id and 1 to 256 steps are needed");
+        return wrong("job.interval", "longer than a year");
     }
+    std::uint64_t tasks = 0;
     for (std::size_t number = 0; number < value.steps.size(); ++number)
     {
-        auto const& each = value.steps[number];
         auto const where = "job.steps[" + std::to_string(number) + "]";
-        if (each.count == 0 || each.count > max_tasks_per_step)
-        {
-            return wrong(where + ".count", "1 to 10000 tasks are allowed");
-        }
-        for (auto const earlier : each.after)
+        if (auto const problem = check_step(value.steps[number], number, where))
         {
-            if (earlier >= number)
-            {
-                return wrong(where + ".after", "only earlier steps may stand");
-            }
+            return problem;
         }
+        tasks += std::uint64_t{value.steps[number].count} * value.occurrences;
+    }
+    if (tasks > max_tasks)
+    {
+        return wrong("job.steps",
+                     std::to_string(tasks) + " tasks, 20000 are allowed");
     }
     return std::nullopt;
 }
--- a/src/core/pool/job.hpp
+++ b/src/core/pool/job.hpp
@@ -14,6 +14,19 @@
 namespace fuchsia::core::pool
 {
 
+/// Bounds of a job. Its owner holds every task in memory, and the record of
+/// its progress has a row for each: more tasks would not fit into one value of
+/// the store.
+constexpr std::size_t max_steps = 256;
+constexpr std::uint32_t max_tasks_per_step = 10'000;
+constexpr std::uint32_t max_occurrences = 10'000;
+constexpr std::uint64_t max_tasks = 20'000; ///< Of all occurrences together.
+constexpr std::size_t max_spec = 16 * 1024; ///< Bytes.
+constexpr std::size_t max_name = 256;       ///< Bytes of a label or an image.
+/// Of each part of a task's resources: sums of them stay exact.
+constexpr std::int64_t max_size = 1'000'000'000;
+constexpr common::duration max_time = std::chrono::hours(24 * 366);
+
 /// `count` equal tasks that may run once all tasks of the steps in `after`
 /// are done.
 struct step
--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -12,6 +12,8 @@
 
 // Up to three times its time limit a job still has some worth for its users.
 constexpr std::int64_t worthless_after = 3;
+// Of a time limit; sums of a few of them and a time of day stay exact.
+constexpr double longest_limit_ms = 1e15;
 
 occurrence_run make_occurrence(job const& spec)
 {
@@ -56,9 +58,10 @@
     made.rules = rules;
     made.rank = rules.priority;
     auto const chain = common::to_milliseconds(spec.chain());
-    auto const limit =
-        static_cast<std::int64_t>(static_cast<double>(chain) * rules.stretch) +
-        common::to_milliseconds(rules.target);
+    auto const stretched =
+        std::min(static_cast<double>(chain) * rules.stretch, longest_limit_ms);
+    auto const limit = static_cast<std::int64_t>(stretched) +
+                       common::to_milliseconds(rules.target);
     auto const first =
         spec.first_unix_ms > 0 ? spec.first_unix_ms : spec.accepted_unix_ms;
     made.due_unix_ms = first + limit;
--- /dev/null
+++ b/tests/contract/inputs/job_inputs_test.cpp
@@ -0,0 +1,75 @@
+#include "core/pool/job_run.hpp"
+#include "platform/job_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+
+// Odd submissions that were accepted once.
+namespace fuchsia::tests::contract::inputs
+{
+
+namespace
+{
+
+using core::common::failure;
+
+bool accepted(std::string const& submission)
+{
+    failure reason;
+    bool const taken = platform::decode_job(submission, reason).has_value();
+    EXPECT_TRUE(taken || !reason.where.empty()) << submission;
+    return taken;
+}
+
+} // namespace
+
+// A job that its owner could not read was accepted, and never ran.
+TEST(job_inputs, jobs_that_no_owner_can_hold_are_refused_at_the_door)
+{
+    EXPECT_TRUE(accepted(R"({"steps":[{"count":10000}]})"));
+    EXPECT_TRUE(accepted(R"({"steps":[{"count":2}],"repeatCount":10000})"));
+    for (auto const* bad :
+         {R"({"steps":[]})",
+          R"({"taskSpec":"x"})",
+          R"({"steps":[{"count":10001}]})",
+          R"({"steps":[{"count":3}],"repeatCount":10000})",
+          R"({"steps":[{"count":1}],"repeatCount":10001})",
+          R"({"steps":[{"after":[0]}]})",
+          R"({"steps":[{},{"after":[1]}]})",
+          R"({"steps":[{"estimateMs":4503599627370496}]})",
+          R"({"steps":[{"targetMs":4503599627370496}]})",
+          R"({"steps":[{"cpu":4503599627370496}]})",
+          R"({"steps":[{"memMb":4503599627370496}]})",
+          R"({"steps":[{}],"repeatCount":9,"intervalMs":4503599627370496})"})
+    {
+        EXPECT_FALSE(accepted(bad)) << bad;
+    }
+    EXPECT_FALSE(accepted(R"({"steps":[{"image":")" + std::string(300, 'x') +
+                          R"("}]})"));
+    EXPECT_FALSE(accepted(R"({"steps":[{}],"taskSpec":")" +
+                          std::string(20'000, 'x') + R"("})"));
+}
+
+// The time limit of a long job under a large stretch wrapped round, and the job
+// was late before it began.
+TEST(job_inputs, the_longest_job_is_due_after_it_begins)
+{
+    core::pool::job longest;
+    longest.first_unix_ms = std::int64_t{1} << 52;
+    longest.steps.resize(256);
+    for (std::uint32_t number = 0; number < longest.steps.size(); ++number)
+    {
+        longest.steps[number].estimate = std::chrono::hours(24 * 366);
+        if (number > 0)
+        {
+            longest.steps[number].after = {number - 1};
+        }
+    }
+    core::pool::queue rules;
+    rules.stretch = 1e6;
+    auto const run = core::pool::make_job_run(longest, 1, rules);
+    EXPECT_GT(run.due_unix_ms, longest.first_unix_ms);
+    EXPECT_GT(run.late_unix_ms, run.due_unix_ms);
+}
+
+} // namespace fuchsia::tests::contract::inputs
