A step waits for no other step than it says

The number of an earlier step was cut to 32 bits: in `after` counted as step 0, in submissions and in the store's records alike. Both read the list by one function now, which takes whole numbers below the number of steps.

No functional change for valid jobs.

--- a/src/core/pool/job.cpp
+++ b/src/core/pool/job.cpp
@@ -80,15 +80,7 @@
     value.may_miss =
         static_cast<std::uint32_t>(in.integer_or("may_miss", 0, 0, max_limit));
     value.tail_target = std::chrono::milliseconds(number("tail_target_ms"));
-    if (auto const* after = in.array("after"))
-    {
-        for (auto const& item : *after)
-        {
-            value.after.push_back(
-                item.is_int64() ? static_cast<std::uint32_t>(item.as_int64())
-                                : max_steps);
-        }
-    }
+    value.after = earlier_steps(in, "after");
     return value;
 }
 
@@ -226,6 +218,28 @@
     return value;
 }
 
+std::vector<std::uint32_t> earlier_steps(common::json_reader& in,
+                                         std::string_view key)
+{
+    std::vector<std::uint32_t> made;
+    auto const* const list = in.array(key);
+    for (std::size_t index = 0; list != nullptr && index < list->size();
+         ++index)
+    {
+        auto const* const number = (*list)[index].if_int64();
+        if (number == nullptr || *number < 0 ||
+            *number >= static_cast<std::int64_t>(max_steps))
+        {
+            in.fail(common::result_code::wrong_type,
+                    key,
+                    "the number of an earlier step is expected");
+            return made;
+        }
+        made.push_back(static_cast<std::uint32_t>(*number));
+    }
+    return made;
+}
+
 std::optional<common::failure> check(job const& value)
 {
     if (value.steps.empty() || value.steps.size() > max_steps)
--- a/src/core/pool/job.hpp
+++ b/src/core/pool/job.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/common/result_code.hpp"
+#include "core/common/json.hpp"
 #include "core/common/time.hpp"
 #include "ports/workers.hpp"
 
@@ -68,8 +68,12 @@
 std::string to_json(job const& value);
 std::optional<job> parse_job(std::string_view json, common::failure& reason);
 
-/// Empty where the steps make sense: counts, sizes, references to earlier
-/// steps only; else what does not.
+/// Numbers of steps under `key`, which may be absent; what is none fails `in`.
+std::vector<std::uint32_t> earlier_steps(common::json_reader& in,
+                                         std::string_view key);
+
+/// Empty where the job keeps the bounds above and its steps refer to earlier
+/// ones only; else what does not. Says nothing of its id and queue.
 std::optional<common::failure> check(job const& value);
 
 } // namespace fuchsia::core::pool
--- a/tests/contract/inputs/job_inputs_test.cpp
+++ b/tests/contract/inputs/job_inputs_test.cpp
@@ -72,4 +72,27 @@
     EXPECT_GT(run.late_unix_ms, run.due_unix_ms);
 }
 
+// The number of an earlier step wrapped round to that of another.
+TEST(job_inputs, a_step_waits_for_no_other_step_than_it_says)
+{
+    EXPECT_TRUE(accepted(R"({"steps":[{},{"after":[0]}]})"));
+    for (auto const* bad : {"4294967296",
+                            "-4294967296",
+                            "18446744073709551615",
+                            "0.0",
+                            "null",
+                            "\"0\""})
+    {
+        EXPECT_FALSE(
+            accepted(R"({"steps":[{},{"after":[)" + std::string(bad) + "]}]}"))
+            << bad;
+        failure reason;
+        EXPECT_FALSE(core::pool::parse_job(
+            R"({"id":"a","queue":"q","steps":[{},{"after":[)" +
+                std::string(bad) + "]}]}",
+            reason))
+            << bad;
+    }
+}
+
 } // namespace fuchsia::tests::contract::inputs
