A configuration without a version is not one

One without `version` was read as version 0, and one whose times of advice were of another type as if the policy took no time.

No functional change for valid configurations.

--- a/tests/contract/inputs/directory_inputs_test.cpp
+++ b/tests/contract/inputs/directory_inputs_test.cpp
@@ -52,6 +52,15 @@
     return taken;
 }
 
+bool is_configuration(std::string const& value)
+{
+    failure reason;
+    ports::kv_item item;
+    item.key = "op/config";
+    item.value = value;
+    return platform::make_directory().read_operator(item, reason).has_value();
+}
+
 } // namespace
 
 // What another writer left under a worker's key was used with what was readable
@@ -100,4 +109,26 @@
     }
 }
 
+// A configuration without a number counted as read, and none came after it.
+TEST(directory_inputs, a_configuration_has_a_version)
+{
+    EXPECT_TRUE(is_configuration(R"({"version":1})"));
+    EXPECT_FALSE(is_configuration("{}"));
+    EXPECT_FALSE(is_configuration(R"({"version":null})"));
+}
+
+// Times of a policy that can't be read counted as none.
+TEST(directory_inputs, a_configuration_says_how_long_advice_takes)
+{
+    auto const with_advice = [](std::string const& advice)
+    {
+        return R"({"version":1,"routes":[{"name":"r","advice":)" + advice +
+               "}]}";
+    };
+    EXPECT_TRUE(is_configuration(with_advice(R"({"decisionMs":300})")));
+    EXPECT_FALSE(is_configuration(with_advice(R"({"decisionMs":"300"})")));
+    EXPECT_FALSE(is_configuration(with_advice(R"({"perWorkerMs":-1})")));
+    EXPECT_FALSE(is_configuration(with_advice(R"({"decisionMs":1e300})")));
+}
+
 } // namespace fuchsia::tests::contract::inputs
