A task has one name

"a.0.1.007" was read as task 7, so that one task had several names, and so had a task without a job.

--- a/tests/contract/inputs/order_inputs_test.cpp
+++ b/tests/contract/inputs/order_inputs_test.cpp
@@ -113,4 +113,13 @@
     }
 }
 
+// One task under two names counts as two.
+TEST(order_inputs, a_task_has_one_name)
+{
+    for (auto const* other : {"a.00.0.0", "a.0.01.0", "a.0.0.007", ".0.0.0"})
+    {
+        EXPECT_FALSE(platform::decode_task_name(other)) << other;
+    }
+}
+
 } // namespace fuchsia::tests::contract::inputs
