An answer of the store is whole or unclear

What a 200 lacked was taken for 0 or for nothing: a page without `items` ended the reading of all jobs with none, `hasMore` without items did the same, a negative revision moved a watch beyond all that will ever be written, and an item without a key, or with one that was not asked for, threw in what read it.

Ruled out: checks in each caller; there are twelve of them.

No functional change for whole answers.

--- /dev/null
+++ b/tests/contract/inputs/store_inputs_test.cpp
@@ -0,0 +1,94 @@
+#include "platform/store_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+
+// Odd answers of the store that were believed once.
+namespace fuchsia::tests::contract::inputs
+{
+
+namespace
+{
+
+using core::common::failure;
+using core::common::result_code;
+
+ports::kv_status said_of(ports::kv_operation const& asked,
+                         std::string const& body)
+{
+    failure reason;
+    auto const made = platform::decode_kv_reply(asked, {200, {}, body}, reason);
+    EXPECT_EQ(made.status == ports::kv_status::unclear,
+              reason.code != result_code::ok)
+        << body;
+    return made.status;
+}
+
+} // namespace
+
+// Answers of the store that lack what their call returns were taken as whole:
+// a page counted as the last one, and an item without a key ended the process.
+TEST(store_inputs, a_page_of_the_store_is_whole_or_unclear)
+{
+    ports::kv_range const asked{"servers/", ""};
+    auto const page = [](std::string const& item, std::string const& rest)
+    {
+        return R"({"items":[)" + item + "]," + rest + "}";
+    };
+    std::string const good = R"({"key":"servers/a","value":"","revision":7})";
+    EXPECT_EQ(said_of(asked, page(good, R"("atRevision":9,"hasMore":true)")),
+              ports::kv_status::done);
+    EXPECT_EQ(said_of(asked, page("", R"("atRevision":9,"hasMore":false)")),
+              ports::kv_status::done);
+    for (auto const& bad :
+         {page(good, R"("hasMore":false)"),
+          page(good, R"("atRevision":"9","hasMore":false)"),
+          page(good, R"("atRevision":-9,"hasMore":false)"),
+          page(good, R"("atRevision":9,"hasMore":1)"),
+          page("", R"("atRevision":9,"hasMore":true)"),
+          page("7", R"("atRevision":9)"),
+          page(R"({"value":"","revision":7})", R"("atRevision":9)"),
+          page(R"({"key":"","revision":7})", R"("atRevision":9)"),
+          page(R"({"key":"serv","revision":7})", R"("atRevision":9)"),
+          page(R"({"key":"op/config","revision":7})", R"("atRevision":9)"),
+          page(R"({"key":"servers/a"})", R"("atRevision":9)"),
+          page(R"({"key":"servers/a","revision":-1})", R"("atRevision":9)"),
+          std::string(R"({"items":{},"atRevision":9})"),
+          std::string(R"({"atRevision":9})"),
+          std::string("{}"),
+          std::string("")})
+    {
+        EXPECT_EQ(said_of(asked, bad), ports::kv_status::unclear) << bad;
+    }
+}
+
+// The same of the other calls.
+TEST(store_inputs, an_answer_of_the_store_holds_what_its_call_returns)
+{
+    using ports::kv_status;
+    ports::kv_watch const watch{"pool/", 3, {}};
+    EXPECT_EQ(said_of(watch, R"({"events":[],"atRevision":9})"),
+              kv_status::done);
+    EXPECT_EQ(said_of(watch,
+                      R"({"events":[{"revision":9,"deleted":true}],)"
+                      R"("atRevision":9})"),
+              kv_status::unclear);
+    EXPECT_EQ(said_of(watch, R"({"events":[]})"), kv_status::unclear);
+    EXPECT_EQ(said_of(watch, R"({"atRevision":9})"), kv_status::unclear);
+    ports::kv_read const read{"roster", false};
+    EXPECT_EQ(said_of(read, R"({"key":"roster","revision":3,"atRevision":9})"),
+              kv_status::done);
+    EXPECT_EQ(said_of(read, R"({"key":"backlog","revision":3,"atRevision":9})"),
+              kv_status::unclear);
+    EXPECT_EQ(said_of(read, R"({"atRevision":9})"), kv_status::unclear);
+    EXPECT_EQ(said_of(read, ""), kv_status::unclear);
+    EXPECT_EQ(said_of(ports::kv_commit{}, R"({"revision":9})"),
+              kv_status::done);
+    EXPECT_EQ(said_of(ports::kv_commit{}, "{}"), kv_status::unclear);
+    EXPECT_EQ(said_of(ports::kv_lease_grant{}, R"({"leaseId":9})"),
+              kv_status::done);
+    EXPECT_EQ(said_of(ports::kv_lease_grant{}, "{}"), kv_status::unclear);
+    EXPECT_EQ(said_of(ports::kv_lease_renew{1}, "{}"), kv_status::done);
+}
+
+} // namespace fuchsia::tests::contract::inputs
