--- a/src/core/pool/progress.cpp
+++ b/src/core/pool/progress.cpp
@@ -23,6 +23,9 @@
     column_count,
 };
 
+// Of an occurrence, a step, an index or an attempt.
+constexpr std::int64_t max_number = 1'000'000'000;
+
 std::optional<std::vector<std::uint32_t>> numbers_from(json::value const& list)
 {
     auto const* const cells = list.if_array();
@@ -34,7 +37,7 @@
     for (auto const& cell : *cells)
     {
         auto const* const number = cell.if_int64();
-        if (number == nullptr || *number < 0)
+        if (number == nullptr || *number < 0 || *number > max_number)
         {
             return std::nullopt;
         }
