Rows of the roster that name no worker are passed over

A port above 65535 was cut to another one. Such rows are passed over and the log says which.

No functional change for records that we write.

--- a/src/core/pool/roster.cpp
+++ b/src/core/pool/roster.cpp
@@ -2,6 +2,9 @@
 
 #include "core/common/json.hpp"
 
+#include <limits>
+#include <utility>
+
 namespace fuchsia::core::pool
 {
 
@@ -20,6 +23,41 @@
     return json::serialize(json::object{{"workers", std::move(rows)}});
 }
 
+namespace
+{
+
+constexpr std::size_t row_cells = 4;
+
+std::string text_in(json::value const& cell)
+{
+    auto const* const text = cell.if_string();
+    return text == nullptr ? std::string() : std::string(*text);
+}
+
+std::optional<ports::pool_worker> worker_from(json::value const& row)
+{
+    auto const* const cells = row.if_array();
+    if (cells == nullptr || cells->size() != row_cells)
+    {
+        return std::nullopt;
+    }
+    ports::pool_worker made;
+    made.id = text_in((*cells)[0]);
+    made.service = text_in((*cells)[1]);
+    made.where.address = text_in((*cells)[2]);
+    auto const* const port = (*cells)[3].if_int64();
+    bool const good = port != nullptr && *port > 0 &&
+                      *port <= std::numeric_limits<std::uint16_t>::max();
+    if (!good || made.id.empty() || made.where.address.empty())
+    {
+        return std::nullopt;
+    }
+    made.where.port = static_cast<std::uint16_t>(*port);
+    return made;
+}
+
+} // namespace
+
 // Rows that can't be read are passed over: they name no worker to ask.
 std::vector<ports::pool_worker> parse_roster(std::string_view text,
                                              common::failure& reason)
@@ -35,18 +73,18 @@
     for (std::size_t number = 0; rows != nullptr && number < rows->size();
          ++number)
     {
-        auto const* const cells = (*rows)[number].if_array();
-        if (cells == nullptr || cells->size() != 4 || !(*cells)[3].is_int64())
+        if (auto each = worker_from((*rows)[number]))
         {
-            reason = {common::result_code::wrong_type, "roster", "bad row"};
+            made.push_back(std::move(*each));
             continue;
         }
-        ports::pool_worker each;
-        each.id = std::string((*cells)[0].as_string());
-        each.service = std::string((*cells)[1].as_string());
-        each.where.address = std::string((*cells)[2].as_string());
-        each.where.port = static_cast<std::uint16_t>((*cells)[3].as_int64());
-        made.push_back(std::move(each));
+        in.fail(common::result_code::wrong_type,
+                "workers",
+                "row " + std::to_string(number) + " names no worker");
+    }
+    if (!in.ok())
+    {
+        reason = in.reason();
     }
     return made;
 }
--- a/tests/contract/inputs/record_inputs_test.cpp
+++ b/tests/contract/inputs/record_inputs_test.cpp
@@ -1,4 +1,5 @@
 #include "core/pool/progress.hpp"
+#include "core/pool/roster.hpp"
 
 #include <gtest/gtest.h>
 #include <string>
@@ -11,6 +12,7 @@
 {
 
 using core::common::failure;
+using core::common::result_code;
 
 } // namespace
 
@@ -30,4 +32,23 @@
     }
 }
 
+// Cells of another type ended the process; a port wrapped round to another.
+TEST(record_inputs, rows_of_the_roster_that_name_no_worker_are_passed_over)
+{
+    failure reason;
+    auto const made = core::pool::parse_roster(
+        R"({"workers":[[7,"s","10.0.0.1",80],["a",7,"10.0.0.1",80],)"
+        R"(["b","s",7,80],["c","s","10.0.0.1",65616],["d","s","10.0.0.1",0],)"
+        R"(["","s","10.0.0.1",80],["e","s","",80],["f","s","10.0.0.1",80]]})",
+        reason);
+    // Of what service it is doesn't matter to who asks it.
+    ASSERT_EQ(made.size(), 2U);
+    EXPECT_EQ(made.front().id, "a");
+    EXPECT_EQ(made.back().id, "f");
+    EXPECT_EQ(reason.code, result_code::wrong_type);
+    failure whole;
+    EXPECT_TRUE(core::pool::parse_roster(R"({"workers":7})", whole).empty());
+    EXPECT_EQ(whole.code, result_code::wrong_type);
+}
+
 } // namespace fuchsia::tests::contract::inputs
