A holder has a size above 0

A size of 1e300 made every instance yield to a holder that can't exist, one of -1 made them all ask for the claim. Sizes are above 0 and at most 1e6.

No functional change for records that we write.

--- a/src/core/pool/holder.cpp
+++ b/src/core/pool/holder.cpp
@@ -7,6 +7,13 @@
 
 namespace json = boost::json;
 
+namespace
+{
+
+constexpr double largest_size = 1e6;
+
+} // namespace
+
 std::string to_json(holder const& value)
 {
     return json::serialize(
@@ -21,18 +28,22 @@
     {
         return std::nullopt;
     }
-    auto const* const instance = object->if_contains("instance");
-    auto const* const size = object->if_contains("size");
-    if (instance == nullptr || !instance->is_string() || size == nullptr ||
-        !size->is_number())
+    common::json_reader in(*object, "holder");
+    holder made;
+    made.instance = in.text("instance");
+    made.size = in.number_or("size", 0, 0, largest_size);
+    if (made.instance.empty() || made.size <= 0)
+    {
+        in.fail(common::result_code::wrong_type,
+                "size",
+                "an instance and a size above 0 are needed");
+    }
+    if (!in.ok())
     {
-        reason = {common::result_code::wrong_type,
-                  "holder",
-                  "needs an instance and a size"};
+        reason = in.reason();
         return std::nullopt;
     }
-    return holder{std::string(instance->get_string()),
-                  size->to_number<double>()};
+    return made;
 }
 
 } // namespace fuchsia::core::pool
--- a/tests/contract/inputs/record_inputs_test.cpp
+++ b/tests/contract/inputs/record_inputs_test.cpp
@@ -1,3 +1,4 @@
+#include "core/pool/holder.hpp"
 #include "core/pool/progress.hpp"
 #include "core/pool/roster.hpp"
 
@@ -51,4 +52,16 @@
     EXPECT_EQ(whole.code, result_code::wrong_type);
 }
 
+// Beside a holder of endless size nobody would ever claim at once.
+TEST(record_inputs, a_holder_has_a_size)
+{
+    for (auto const* bad : {"0", "-1", "1e300", "1e999", "\"1\""})
+    {
+        failure reason;
+        EXPECT_FALSE(core::pool::parse_holder(
+            R"({"instance":"a","size":)" + std::string(bad) + "}", reason))
+            << bad;
+    }
+}
+
 } // namespace fuchsia::tests::contract::inputs
