Ids that are no names are refused

Whatever followed the queue's prefix became a job's id. "ID/cancel" wrote under the key that cancels another job, "a&staleOk=1" changed the call of the store, an id with a dot gave its tasks names that can't be read back, and a POST to the queue itself made a job without a name: all were accepted and none ever ran. Ids are 1 to 64 letters, digits, "-" and "_" now (clients send 16 hexadecimal digits). Others are answered 400 to a POST, and 410 to GET and DELETE without a call of the store, since nobody can have handed such a job in.

No functional change for ids that are names.

--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -95,6 +95,13 @@
         return;
     }
     auto id = request.path.substr(into->prefix.size());
+    bool const of_queue =
+        id.empty() && std::holds_alternative<query_request>(request.what);
+    if (!of_queue && !is_job_id(id))
+    {
+        answer_odd_id(request.caller, submits);
+        return;
+    }
     if (auto const* const given = std::get_if<submit_request>(&request.what))
     {
         submit(now, request.caller, given->what, *into, std::move(id));
@@ -103,7 +110,7 @@
     {
         cancel(now, request.caller, id);
     }
-    else if (id.empty())
+    else if (of_queue)
     {
         query_queue(now, request.caller, into->name, owned);
     }
@@ -113,6 +120,20 @@
     }
 }
 
+// Nobody can have handed such a job in.
+void front::answer_odd_id(std::uint64_t caller, bool submits)
+{
+    if (!submits)
+    {
+        answer(caller, ports::job_absent{});
+        return;
+    }
+    answer(caller,
+           ports::job_invalid{{result_code::malformed_job,
+                               "job.id",
+                               "1 to 64 letters, digits, - and _"}});
+}
+
 bool front::configuration_is_old(common::time_point now) const noexcept
 {
     return now - rules_.state().vouched > settings_.configuration_age_limit;
--- a/src/core/pool/front.hpp
+++ b/src/core/pool/front.hpp
@@ -69,6 +69,7 @@
                 job what,
                 queue const& into,
                 std::string id);
+    void answer_odd_id(std::uint64_t caller, bool submits);
     void query(common::time_point now,
                std::uint64_t caller,
                std::string const& id,
--- a/src/core/pool/job.cpp
+++ b/src/core/pool/job.cpp
@@ -15,6 +15,7 @@
 
 // Tasks of a step that a limit may name; more is no limit.
 constexpr std::int64_t max_limit = 1'000'000;
+constexpr std::size_t max_id = 64; // Bytes.
 constexpr std::int64_t max_integer = std::int64_t{1} << 52;
 
 json::object step_to_json(step const& value)
@@ -205,9 +206,9 @@
         reason = in.reason();
         return std::nullopt;
     }
-    if (value.id.empty())
+    if (!is_job_id(value.id))
     {
-        reason = wrong("job.id", "an id is needed");
+        reason = wrong("job.id", "1 to 64 letters, digits, - and _");
         return std::nullopt;
     }
     if (auto problem = check(value))
@@ -218,6 +219,20 @@
     return value;
 }
 
+bool is_job_id(std::string_view text) noexcept
+{
+    return !text.empty() && text.size() <= max_id &&
+           std::all_of(text.begin(),
+                       text.end(),
+                       [](char letter)
+                       {
+                           return (letter >= 'a' && letter <= 'z') ||
+                                  (letter >= 'A' && letter <= 'Z') ||
+                                  (letter >= '0' && letter <= '9') ||
+                                  letter == '-' || letter == '_';
+                       });
+}
+
 std::vector<std::uint32_t> earlier_steps(common::json_reader& in,
                                          std::string_view key)
 {
--- a/src/core/pool/job.hpp
+++ b/src/core/pool/job.hpp
@@ -72,6 +72,11 @@
 std::vector<std::uint32_t> earlier_steps(common::json_reader& in,
                                          std::string_view key);
 
+/// Whether a job may be called so: 1 to 64 letters, digits, "-" and "_". Ids
+/// stand in keys of the store and in names of tasks, where "/", "." and what a
+/// query gives a meaning would make them another key's or another task's.
+bool is_job_id(std::string_view text) noexcept;
+
 /// Empty where the job keeps the bounds above and its steps refer to earlier
 /// ones only; else what does not. Says nothing of its id and queue.
 std::optional<common::failure> check(job const& value);
--- a/src/ports/pool_actions.hpp
+++ b/src/ports/pool_actions.hpp
@@ -42,6 +42,12 @@
     core::common::failure reason;
 };
 
+/// It can't be a job; the same again won't be one either.
+struct job_invalid
+{
+    core::common::failure reason;
+};
+
 /// No job of this name was ever accepted, as far back as states are kept.
 struct job_absent
 {
@@ -65,6 +71,7 @@
 using job_answer = std::variant<job_accepted,
                                 job_refused,
                                 job_unknown,
+                                job_invalid,
                                 job_absent,
                                 queue_absent,
                                 job_status,
