An end that can't be read is not told as completed

Any record of a job's end that was neither "failed" nor "cancelled" was told as "completed", also one whose bytes are no base64 and so read as empty. Its submitter is told to ask again, and the log says "final_unreadable".

No functional change for records that we write.

--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -20,11 +20,18 @@
 // One failure may be a connection that broke just then.
 constexpr std::uint32_t failures_to_believe = 2;
 
-job_state final_from(std::string_view text)
+std::optional<job_state> final_from(std::string_view text)
 {
-    return text == "failed"      ? job_state::failed
-           : text == "cancelled" ? job_state::cancelled
-                                 : job_state::completed;
+    if (text == "completed")
+    {
+        return job_state::completed;
+    }
+    if (text == "failed")
+    {
+        return job_state::failed;
+    }
+    return text == "cancelled" ? std::optional(job_state::cancelled)
+                               : std::nullopt;
 }
 
 } // namespace
@@ -323,8 +330,14 @@
                          ports::kv_item const& item)
 {
     auto const state = final_from(item.value);
-    remember(id, state);
-    answer(caller, ports::job_status{state});
+    if (!state)
+    {
+        out_.log(severity::error, "final_unreadable", {{"job", id}});
+        refuse(caller, "the record of the job's end can't be read");
+        return;
+    }
+    remember(id, *state);
+    answer(caller, ports::job_status{*state});
 }
 
 void front::cancel(common::time_point now,
--- a/tests/unit/pool/odd_inputs_test.cpp
+++ b/tests/unit/pool/odd_inputs_test.cpp
@@ -49,4 +49,20 @@
         world, world.submit(0, std::string(64, 'a'), job)));
 }
 
+// Told as "completed", its submitter believed what never ran.
+TEST(pool_odd_inputs, an_end_that_cannot_be_read_is_not_told)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    std::size_t number = 0;
+    for (auto const* odd : {"", "complete", "{}", "\xff", "queued", "active"})
+    {
+        auto const id = "odd" + std::to_string(number++);
+        world.store().put("final/" + id, odd);
+        EXPECT_TRUE(got<ports::job_refused>(world, world.query(0, id))) << odd;
+    }
+    world.store().put("final/good", "failed");
+    EXPECT_EQ(world.state(0, "good"), ports::job_state::failed);
+}
+
 } // namespace fuchsia::tests::unit::pool
