Ends count in whatever order a worker lists them

What was known before the answer decides now which of its ends are new.

The world of the pool's tests can change answers on their way and hand them over twice; records of other writers and odd answers end no owner.

No functional change for ends in order.

--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -90,12 +90,15 @@
         here.push_back(&row.what.task);
         take_running(now, of, row);
     }
+    // Whatever their order: an end that was passed over is acknowledged with a
+    // later one, and is lost.
+    auto const known = of.listed_end;
     for (auto const& row : reply.ended)
     {
         here.push_back(&row.what.task);
-        if (row.number > of.listed_end)
+        if (row.number > known)
         {
-            of.listed_end = row.number;
+            of.listed_end = std::max(of.listed_end, row.number);
             take_end(now, of, row);
             if (first)
             {
--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -37,9 +37,15 @@
     made.operators_prefix = "operators/";
     made.read_worker =
         [](ports::kv_item const& item,
-           core::common::failure&) -> std::optional<ports::pool_worker>
+           core::common::failure& reason) -> std::optional<ports::pool_worker>
     {
         // "number born draining"
+        if (item.value.find_first_of("0123456789") != 0 ||
+            item.value.find(' ') == std::string::npos)
+        {
+            reason = {core::common::result_code::wrong_type, item.key, "odd"};
+            return std::nullopt;
+        }
         auto const born = item.value.find(' ');
         auto worker = make_info(std::stoul(item.value),
                                 std::stoull(item.value.substr(born)));
@@ -75,6 +81,14 @@
     return made;
 }
 
+// The same as the answer to a call that was never made.
+template<class Reply>
+Reply to_nobody(Reply reply)
+{
+    reply.id += std::uint64_t{1} << 40;
+    return reply;
+}
+
 } // namespace
 
 bool settled(pool_world& world)
@@ -566,18 +580,43 @@
     timeline_.after(store_way_,
                     [this, number, life, reply = *reply]
                     {
-                        if (instances_[number].life != life)
+                        if (instances_[number].life == life)
                         {
-                            return;
+                            hand_back(number, reply);
                         }
-                        deliver(number,
-                                [this, reply](core::pool::engine& engine)
-                                {
-                                    engine.on_kv_reply(now(), reply);
-                                });
                     });
 }
 
+void pool_world::hand_back(std::size_t number, ports::kv_reply reply)
+{
+    bool const twice = store_answer && store_answer(reply);
+    deliver(number,
+            [this, reply, twice](core::pool::engine& engine)
+            {
+                engine.on_kv_reply(now(), reply);
+                if (twice)
+                {
+                    engine.on_kv_reply(now(), reply);
+                    engine.on_kv_reply(now(), to_nobody(reply));
+                }
+            });
+}
+
+void pool_world::hand_back(std::size_t number, ports::order_reply reply)
+{
+    bool const twice = worker_answer && worker_answer(reply);
+    deliver(number,
+            [this, reply, twice](core::pool::engine& engine)
+            {
+                engine.on_order_reply(now(), reply);
+                if (twice)
+                {
+                    engine.on_order_reply(now(), reply);
+                    engine.on_order_reply(now(), to_nobody(reply));
+                }
+            });
+}
+
 void pool_world::require_tickets()
 {
     tickets_required_ = true;
@@ -644,15 +683,10 @@
         timeline_.after(store_way_,
                         [this, each, told]
                         {
-                            if (instances_[each.instance].life != each.life)
+                            if (instances_[each.instance].life == each.life)
                             {
-                                return;
+                                hand_back(each.instance, told);
                             }
-                            deliver(each.instance,
-                                    [this, told](core::pool::engine& engine)
-                                    {
-                                        engine.on_kv_reply(now(), told);
-                                    });
                         });
     }
 }
@@ -727,15 +761,10 @@
     timeline_.after(wait + worker_delay,
                     [this, number, life, reply]
                     {
-                        if (instances_[number].life != life)
+                        if (instances_[number].life == life)
                         {
-                            return;
+                            hand_back(number, reply);
                         }
-                        deliver(number,
-                                [this, reply](core::pool::engine& engine)
-                                {
-                                    engine.on_order_reply(now(), reply);
-                                });
                     });
 }
 
--- a/tests/unit/pool/pool_world.hpp
+++ b/tests/unit/pool/pool_world.hpp
@@ -106,6 +106,11 @@
         std::size_t instance, std::size_t worker, ports::pool_operation const&)>
         worker_fault;
 
+    /// Change answers on their way back; may be empty. True: it comes twice,
+    /// and once as if to another call.
+    std::function<bool(ports::kv_reply&)> store_answer;
+    std::function<bool(ports::order_reply&)> worker_answer;
+
     /// From now on a policy allows tasks on workers of odd number only, by
     /// tickets; it takes one call at a time.
     void require_tickets();
@@ -147,6 +152,9 @@
                       bool answered);
     void call_policy(std::size_t number, ports::advice_call const& call);
     void wake_watches();
+    /// By way of `store_answer` and `worker_answer`.
+    void hand_back(std::size_t number, ports::kv_reply reply);
+    void hand_back(std::size_t number, ports::order_reply reply);
     void tick_all();
     void check_start(std::size_t where, ports::task_run const& what);
     void check_ends();
