An answer that does not say whose it is proves nothing

It is taken for no answer now. A worker that never says it is used as before.

Ruled out: taking it for the same incarnation. After a restart the ends are numbered anew, and none of them would be heard.

No functional change where every answer says it.

--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -91,7 +91,10 @@
         of->next_hold = now + settings_.refused_pause;
         return;
     }
-    if (reply.status != order_status::done)
+    // An answer that does not say whose it is may be of an earlier or a later
+    // incarnation.
+    bool const nameless = of->adopted && of->born != 0 && reply.born == 0;
+    if (reply.status != order_status::done || nameless)
     {
         of->silent = true;
         of->silent_since_lapse = fleet_.lapsed(*of, sent);
