--- a/src/core/tasks/change.cpp
+++ b/src/core/tasks/change.cpp
@@ -262,8 +262,14 @@
     if (kind == "taken")
     {
         auto const* inner = reader.object("p");
-        auto taken =
-            inner == nullptr ? std::nullopt : read_parcel(*inner, reason);
+        if (inner == nullptr)
+        {
+            reason = {common::result_code::missing_key,
+                      "change.p",
+                      "an object is expected"};
+            return std::nullopt;
+        }
+        auto taken = read_parcel(*inner, reason);
         if (!taken)
         {
             return std::nullopt;
@@ -409,15 +415,26 @@
     value.epoch = read_number(reader, "e");
     value.writer = reader.text("w");
     auto const* changes = reader.array("c");
-    if (!reader.ok() || changes == nullptr)
+    if (changes == nullptr)
+    {
+        reader.fail(
+            common::result_code::missing_key, "c", "a list is expected");
+    }
+    if (!reader.ok())
     {
         reason = reader.reason();
         return std::nullopt;
     }
     for (auto const& item : *changes)
     {
-        auto one = item.is_object() ? read_change(item.as_object(), reason)
-                                    : std::nullopt;
+        if (!item.is_object())
+        {
+            reason = {common::result_code::wrong_type,
+                      "record.c",
+                      "an object is expected"};
+            return std::nullopt;
+        }
+        auto one = read_change(item.as_object(), reason);
         if (!one)
         {
             return std::nullopt;
--- a/src/core/tasks/job_registration.cpp
+++ b/src/core/tasks/job_registration.cpp
@@ -35,9 +35,18 @@
     out.writer = reader.text("w");
     out.cell = reader.text("cell");
     auto const* inner = reader.object("job");
-    auto what = inner == nullptr ? std::nullopt
-                                 : parse_job(json::serialize(*inner), reason);
-    if (!reader.ok() || !what)
+    if (inner == nullptr)
+    {
+        reader.fail(
+            common::result_code::missing_key, "job", "an object is expected");
+    }
+    if (!reader.ok())
+    {
+        reason = reader.reason();
+        return std::nullopt;
+    }
+    auto what = parse_job(json::serialize(*inner), reason);
+    if (!what)
     {
         return std::nullopt;
     }
--- /dev/null
+++ b/tests/contract/inputs/record_parsers_test.cpp
@@ -0,0 +1,365 @@
+#include "contract/inputs/sound_inputs.hpp"
+
+#include "adapters/http/message.hpp"
+#include "adapters/peer/codec.hpp"
+#include "adapters/platform/base64.hpp"
+#include "adapters/platform/catalog_client.hpp"
+#include "adapters/platform/worker_client.hpp"
+#include "adapters/settings/pool_settings.hpp"
+#include "core/claims/claim_record.hpp"
+#include "core/config/configuration.hpp"
+#include "core/config/index.hpp"
+#include "core/contracts/contract.hpp"
+#include "core/membership/record.hpp"
+#include "core/tasks/cell_state.hpp"
+#include "core/tasks/change.hpp"
+#include "core/tasks/job.hpp"
+#include "core/tasks/job_registration.hpp"
+#include "core/tasks/quota_document.hpp"
+
+#include <gtest/gtest.h>
+#include <span>
+
+// Records and documents of the other programs, settings, and the adapters' own
+// formats.
+namespace fuchsia::tests::contract::inputs
+{
+
+namespace
+{
+
+using core::common::failure;
+using core::common::result_code;
+
+std::string told(failure const& reason)
+{
+    bool const good = reason.code != result_code::ok && !reason.where.empty();
+    return good ? "" : "refused without a reason: " + to_string(reason);
+}
+
+// What was read is written and read again without a difference.
+template<class Parse>
+input_check round_trip(Parse parse)
+{
+    return [parse](std::string const& input) -> std::string
+    {
+        failure reason;
+        auto const made = parse(input, reason);
+        if (!made)
+        {
+            return told(reason);
+        }
+        auto const written = to_json(*made);
+        auto const back = parse(written, reason);
+        bool const same = back && to_json(*back) == written;
+        return same ? "" : "written and read again it differs: " + written;
+    };
+}
+
+std::string contract_sample()
+{
+    return R"({"customer":"c","millicores":5000,"memory_mb":100,)"
+           R"("accelerators":1,"requests_in_flight":9,"requests_per_second":)"
+           R"(90,"batch_permille":500,"latency_target_ms":100,)"
+           R"("batch_latency_target_ms":900,"idempotent_routes":["/a"]})";
+}
+
+std::string task_job_sample()
+{
+    return R"({"id":"j","customer":"c","kind":"batch","class":"k",)"
+           R"("millicores":500,"memory_mb":64,"accelerators":0,"tasks":4,)"
+           R"("work_ms":900,"checkpointable":true,"urgent":false,)"
+           R"("data_centre":"a"})";
+}
+
+core::tasks::job task_job()
+{
+    failure reason;
+    return core::tasks::parse_job(task_job_sample(), reason).value();
+}
+
+core::tasks::log_record log_record_sample()
+{
+    core::tasks::parcel parcel;
+    parcel.name = "p";
+    parcel.what = task_job();
+    parcel.tasks = {{0, 1, "c", {"w1"}}, {1, 0, "", {}}};
+    core::tasks::log_record made;
+    made.number = 3;
+    made.epoch = 2;
+    made.writer = "w";
+    made.changes = {core::tasks::parcel_taken{parcel},
+                    core::tasks::parcel_left{"p2", "b", "j", {1}, 2},
+                    core::tasks::parcel_arrived{"p2"},
+                    core::tasks::job_forgotten{"j"}};
+    return made;
+}
+
+core::tasks::cell_state cell_sample()
+{
+    core::tasks::cell_state made;
+    made.last_record = 2;
+    for (auto const& each : log_record_sample().changes)
+    {
+        core::tasks::apply_change(made, each);
+    }
+    return made;
+}
+
+std::string configuration_sample()
+{
+    core::config::configuration made;
+    made.revision = 9;
+    failure reason;
+    made.contracts["c"] =
+        core::contracts::parse_contract(contract_sample(), reason).value();
+    made.withdrawn = {"d"};
+    made.changed_at = {{"c", 3}, {"d", 9}};
+    made.data_centres = {{"a", 0}, {"b", 4}};
+    made.data_centres_out = {"b"};
+    return to_json(made);
+}
+
+std::string index_sample()
+{
+    core::config::index_document made;
+    made.revision = 9;
+    made.contracts["c"] = {3, false, "3-x"};
+    made.contracts["d"] = {9, true, ""};
+    made.data_centres["b"] = {4, true};
+    made.recent_writes = {{8, "x"}, {9, "y"}};
+    return to_json(made);
+}
+
+std::string member_sample()
+{
+    core::membership::record made;
+    made.info.id = {"m", 0x9f};
+    made.info.data_centre = "a";
+    made.info.peer_address = {"10.0.0.1", 80};
+    made.info.http_address = {"10.0.0.1", 81};
+    made.witnesses = {{"n", 5}};
+    made.successor = 3;
+    return to_json(made);
+}
+
+std::string quota_sample()
+{
+    core::tasks::quota_document made;
+    made.writer = "w";
+    made.cells["a"] = {3, {{5000, 100, 1}, {500, 10, 0}}};
+    return to_json(made);
+}
+
+std::string settings_sample()
+{
+    return "name = \"n\"\ndata_centre = \"a\"\nsubmissions = "
+           "\"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\nmetrics = "
+           "\"127.0.0.1:3\"\nstore = \"127.0.0.1:4\"\nadvice = \"\"\n"
+           "[machine]\ncores = 0.1\nlink_mbps = 1000\n[bounds]\n"
+           "shortest_lease_ms = 1000\nlongest_hold_ms = 6000\n"
+           "stop_limit_s = 6\nstates_kept_s = 120\ncancel_ms = 3000\n";
+}
+
+std::string check_settings(std::string const& input)
+{
+    failure reason;
+    auto const made =
+        adapters::settings::parse_pool_settings(input, "file", reason);
+    if (!made)
+    {
+        return told(reason);
+    }
+    auto const& pool = made->pool;
+    bool const sane = pool.claim.ttl.count() > 0 && pool.claim.size > 0 &&
+                      pool.owner.workers.lease.count() > 0 &&
+                      pool.stop_limit.count() > 0 &&
+                      pool.owner.final_kept.count() > 0 &&
+                      pool.owner.news_age_limit.count() > 0;
+    return sane ? "" : "a time or a size is not above 0";
+}
+
+std::string check_base64(std::string const& input)
+{
+    using adapters::platform::from_base64;
+    using adapters::platform::to_base64;
+    if (from_base64(to_base64(input)) != input)
+    {
+        return "written and read again it differs";
+    }
+    auto const bytes = from_base64(input);
+    return !bytes || bytes->size() <= input.size() ? "" : "more than there was";
+}
+
+std::string check_upstreams(std::string const& input)
+{
+    adapters::platform::parse_names(input);
+    auto const made = adapters::platform::parse_upstreams(input);
+    for (std::size_t index = 0; made && index < made->size(); ++index)
+    {
+        auto const& each = (*made)[index];
+        if (each.id.empty() || each.where.port == 0 ||
+            each.report_age.count() < 0)
+        {
+            return "an upstream that can't be called";
+        }
+    }
+    return "";
+}
+
+std::string check_workers(std::string const& input)
+{
+    adapters::platform::parse_reports(input);
+    auto const made = adapters::platform::parse_workers(input);
+    for (std::size_t index = 0; made && index < made->size(); ++index)
+    {
+        if ((*made)[index].capacity.millicores < 0)
+        {
+            return "less than no cores";
+        }
+    }
+    return "";
+}
+
+std::string check_frame(std::string const& input)
+{
+    std::vector<std::uint8_t> const bytes(input.begin(), input.end());
+    failure reason;
+    auto const made = adapters::peer::decode(bytes, reason);
+    if (!made)
+    {
+        return told(reason);
+    }
+    auto const written = adapters::peer::encode(*made);
+    auto const back = adapters::peer::decode(
+        std::span(written).subspan(adapters::peer::length_size), reason);
+    bool const same = back && adapters::peer::encode(*back) == written;
+    return same ? "" : "written and read again it differs";
+}
+
+std::vector<std::string> frame_samples()
+{
+    std::vector<std::string> made;
+    for (auto const& message : std::vector<ports::peer_message>{
+             ports::promise_request{1, 2, 3},
+             ports::consent_request{{"m", 7}, 6},
+             ports::config_offer{8, "{}"},
+             ports::load_report{10, 11},
+             ports::forwarded_request{
+                 12,
+                 true,
+                 {"c", {}, "POST", "/", {{"A", "b"}}, "x", "k", 1, {}},
+                 29},
+             ports::slice_grant{18, "c", 19, 20, 21, 22}})
+    {
+        auto const bytes =
+            adapters::peer::encode({{"a", 1}, {"b", 2}, "", message});
+        made.emplace_back(bytes.begin() + adapters::peer::length_size,
+                          bytes.end());
+    }
+    return made;
+}
+
+std::string check_endpoint(std::string const& input)
+{
+    auto const made = adapters::http::parse_endpoint(input);
+    auto const back =
+        made ? adapters::http::parse_endpoint(adapters::http::to_string(*made))
+             : made;
+    bool const same = !made || (back && back->address == made->address &&
+                                back->port == made->port);
+    return same ? "" : "written and read again it differs";
+}
+
+} // namespace
+
+TEST(record_parsers, contracts)
+{
+    expect_sound({contract_sample()},
+                 round_trip(core::contracts::parse_contract));
+}
+
+TEST(record_parsers, configurations_and_their_index)
+{
+    expect_sound({configuration_sample()},
+                 round_trip(core::config::parse_configuration));
+    expect_sound({index_sample()}, round_trip(core::config::parse_index));
+}
+
+TEST(record_parsers, jobs_of_planners)
+{
+    expect_sound({task_job_sample()}, round_trip(core::tasks::parse_job));
+    expect_sound({to_json(core::tasks::registration{"w", "a", task_job()})},
+                 round_trip(core::tasks::parse_registration));
+}
+
+TEST(record_parsers, cells_and_their_logs)
+{
+    expect_sound({to_json(log_record_sample())},
+                 round_trip(core::tasks::parse_log_record));
+    expect_sound({to_json(cell_sample())},
+                 round_trip(core::tasks::parse_cell_state));
+}
+
+TEST(record_parsers, quotas)
+{
+    expect_sound({quota_sample()}, round_trip(core::tasks::parse_quota));
+}
+
+TEST(record_parsers, claims_and_members)
+{
+    core::claims::claim_record claim;
+    claim.owner = {"m", 7};
+    claim.handed_to = {"n", 8};
+    claim.epoch = 3;
+    expect_sound({to_json(claim)},
+                 round_trip(core::claims::parse_claim_record));
+    expect_sound({member_sample()},
+                 round_trip(
+                     [](std::string const& text, failure& reason)
+                     {
+                         return core::membership::parse_record(
+                             "r", "m", text, reason);
+                     }));
+}
+
+TEST(record_parsers, settings_of_the_pool)
+{
+    expect_sound({settings_sample()}, check_settings);
+}
+
+TEST(record_parsers, base64)
+{
+    expect_sound({"e30=", "", "QUJD", "QQ=="}, check_base64);
+}
+
+TEST(record_parsers, lists_of_the_catalog)
+{
+    expect_sound(
+        {R"([{"ServiceID":"u","Datacenter":"a","ServiceAddress":"10.0.0.1",)"
+         R"("ServicePort":80,"ServiceMeta":{"state":"live","slots":"8",)"
+         R"("connections":"3","report_age_ms":"10"}}])"},
+        check_upstreams);
+}
+
+TEST(record_parsers, lists_and_reports_of_workers)
+{
+    expect_sound(
+        {R"([{"id":"w","rack":"r","data_centre":"a","millicores":8000,)"
+         R"("memory_mb":1000,"accelerators":0,"state":"live"}])",
+         R"([{"worker":"w","sequence":3,"clock_ms":9,"attempts":[{"task":"t",)"
+         R"("attempt":1,"state":"running","millicores":1,"memory_mb":1}]}])"},
+        check_workers);
+}
+
+TEST(record_parsers, frames_of_peers)
+{
+    expect_sound(frame_samples(), check_frame);
+}
+
+TEST(record_parsers, addresses)
+{
+    expect_sound({"127.0.0.1:8080", "[::1]:80"}, check_endpoint);
+}
+
+} // namespace fuchsia::tests::contract::inputs
