--- a/src/core/pool/front.cpp
+++ b/src/core/pool/front.cpp
@@ -19,11 +19,18 @@
 // One failure may be a connection that broke just then.
 constexpr std::uint32_t failures_to_believe = 2;
 
-job_state final_from(std::string_view text)
+std::optional<job_state> final_from(std::string_view text)
 {
-    return text == "failed"      ? job_state::failed
-           : text == "cancelled" ? job_state::cancelled
-                                 : job_state::completed;
+    if (text == "completed")
+    {
+        return job_state::completed;
+    }
+    if (text == "failed")
+    {
+        return job_state::failed;
+    }
+    return text == "cancelled" ? std::optional(job_state::cancelled)
+                               : std::nullopt;
 }
 
 } // namespace
@@ -93,6 +100,13 @@
         return;
     }
     auto id = request.path.substr(into->prefix.size());
+    bool const of_queue =
+        id.empty() && std::holds_alternative<query_request>(request.what);
+    if (!of_queue && !is_job_id(id))
+    {
+        answer_odd_id(request.caller, submits);
+        return;
+    }
     if (auto const* const given = std::get_if<submit_request>(&request.what))
     {
         submit(now, request.caller, given->what, *into, std::move(id));
@@ -101,7 +115,7 @@
     {
         cancel(now, request.caller, id);
     }
-    else if (id.empty())
+    else if (of_queue)
     {
         query_queue(now, request.caller, into->name, owned);
     }
@@ -111,6 +125,20 @@
     }
 }
 
+// Nobody can have handed such a job in.
+void front::answer_odd_id(std::uint64_t caller, bool submits)
+{
+    if (!submits)
+    {
+        answer(caller, ports::job_absent{});
+        return;
+    }
+    answer(caller,
+           ports::job_invalid{{result_code::malformed_job,
+                               "job.id",
+                               "1 to 64 letters, digits, - and _"}});
+}
+
 bool front::configuration_is_old(common::time_point now) const noexcept
 {
     return now - rules_.state().vouched > settings_.configuration_age_limit;
@@ -302,8 +330,14 @@
                          ports::kv_item const& item)
 {
     auto const state = final_from(item.value);
-    remember(id, state);
-    answer(caller, ports::job_status{state});
+    if (!state)
+    {
+        out_.log(severity::error, "final_unreadable", {{"job", id}});
+        refuse(caller, "the record of the job's end can't be read");
+        return;
+    }
+    remember(id, *state);
+    answer(caller, ports::job_status{*state});
 }
 
 void front::cancel(common::time_point now,
--- a/src/core/pool/job.hpp
+++ b/src/core/pool/job.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/common/result_code.hpp"
+#include "core/common/json.hpp"
 #include "core/common/time.hpp"
 #include "ports/workers.hpp"
 
@@ -14,6 +14,19 @@
 namespace fuchsia::core::pool
 {
 
+/// Bounds of a job. Its owner holds every task in memory, and the record of
+/// its progress has a row for each: more tasks would not fit into one value of
+/// the store.
+constexpr std::size_t max_steps = 256;
+constexpr std::uint32_t max_tasks_per_step = 10'000;
+constexpr std::uint32_t max_occurrences = 10'000;
+constexpr std::uint64_t max_tasks = 20'000; ///< Of all occurrences together.
+constexpr std::size_t max_spec = 16 * 1024; ///< Bytes.
+constexpr std::size_t max_name = 256;       ///< Bytes of a label or an image.
+/// Of each part of a task's resources: sums of them stay exact.
+constexpr std::int64_t max_size = 1'000'000'000;
+constexpr common::duration max_time = std::chrono::hours(24 * 366);
+
 /// `count` equal tasks that may run once all tasks of the steps in `after`
 /// are done.
 struct step
@@ -55,8 +68,17 @@
 std::string to_json(job const& value);
 std::optional<job> parse_job(std::string_view json, common::failure& reason);
 
-/// Empty where the steps make sense: counts, sizes, references to earlier
-/// steps only; else what does not.
+/// Numbers of steps under `key`, which may be absent; what is none fails `in`.
+std::vector<std::uint32_t> earlier_steps(common::json_reader& in,
+                                         std::string_view key);
+
+/// Whether a job may be called so: 1 to 64 letters, digits, "-" and "_". Ids
+/// stand in keys of the store and in names of tasks, where "/", "." and what a
+/// query gives a meaning would make them another key's or another task's.
+bool is_job_id(std::string_view text) noexcept;
+
+/// Empty where the job keeps the bounds above and its steps refer to earlier
+/// ones only; else what does not. Says nothing of its id and queue.
 std::optional<common::failure> check(job const& value);
 
 } // namespace fuchsia::core::pool
--- a/tests/contract/platform/codec_test.cpp
+++ b/tests/contract/platform/codec_test.cpp
@@ -21,7 +21,8 @@
 }
 
 constexpr char const* good_worker =
-    R"({"service":"s","address":"10.0.0.9:8080","zone":"a","state":"ready",)"
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"a","version":"v1",)"
+    R"("slots":8,"state":"ready","coldRemainingMs":0,)"
     R"("capacity":{"cpu":16000,"memMb":32768},"labels":["k","r1-3"],)"
     R"("clockMs":1,"seq":4,"born":1791417529292})";
 
@@ -152,13 +153,15 @@
          })
     {
         failure reason;
-        EXPECT_EQ(
-            platform::decode_order_reply(each.status, each.body, reason).status,
-            each.wanted)
+        EXPECT_EQ(platform::decode_order_reply(
+                      ports::stop_order{}, each.status, each.body, reason)
+                      .status,
+                  each.wanted)
             << each.status << each.body;
     }
     failure reason;
     auto const held = platform::decode_order_reply(
+        ports::hold_order{},
         200,
         R"({"clockMs":482113,"born":9,"running":[["a.0.1.17",2,"c",41,77]],)"
         R"("ended":[[58,"a.0.1.9",1,"done",""],[59,"?",1,"done",""]]})",
