A lost read of the state is asked for again after a second

What callers saw: after the store forgot its history, one lost page kept the owner from hearing of cancellings for five seconds. In a takeover one lost read of the state kept the successor from renewing anything for as long: all that ran lapsed and began again.

Cause: each read of the state was given 5 s, which only a page of 1 MB on a slow link needs, and no other was sent meanwhile.

Now the first try of a page or key waits 1 s, every later one of that sequence 5 s.

Ruled out: 1.5 s (the takeover then ends after 2.85 s and may leave less than the 0.75 s that a lease can already have used); a shorter time-out for all tries (a small instance would never get a full page).

Why orders stay safe: reads only; a late answer of a call that was given up is dropped, as before.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -101,12 +101,19 @@
     using page_taker =
         std::function<void(common::time_point, ports::kv_reply const&)>;
     using load_end = std::function<void(common::time_point)>;
-    void load_pages(std::string_view prefix,
-                    std::string const& after,
+    struct page_place
+    {
+        std::string_view prefix;
+        std::string after;          ///< It begins behind this key.
+        common::duration timeout{}; ///< Then it is asked for again.
+    };
+    void load_pages(page_place const& from,
                     page_taker const& take,
                     load_end const& done);
     using value_taker = std::function<void(std::string const&)>;
-    void load_key(std::string_view key, value_taker const& take);
+    void load_key(std::string_view key,
+                  common::duration timeout,
+                  value_taker const& take);
     void load_jobs(common::time_point now);
     void jobs_loaded(common::time_point now);
     bool take_pages(common::time_point now);
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -14,45 +14,46 @@
 using ports::severity;
 
 // All pages below `prefix`, one after the other, each to `take`; then `done`. A
-// page that did not come is asked for again.
-void owner::load_pages(std::string_view prefix,
-                       std::string const& after,
+// page that did not come is asked for again, from then on with more patience:
+// mostly it was lost, but it may be large and the link slow.
+void owner::load_pages(page_place const& from,
                        page_taker const& take,
                        load_end const& done)
 {
-    out_.store(life_,
-               ports::kv_range{std::string(prefix), after},
-               settings_.page_timeout,
-               [this, prefix, after, take, done](common::time_point now,
-                                                 kv_reply const& reply)
-               {
-                   if (reply.status != kv_status::done)
-                   {
-                       again_soon(
-                           now,
-                           [this, prefix, after, take, done](common::time_point)
+    out_.store(
+        life_,
+        ports::kv_range{std::string(from.prefix), from.after},
+        from.timeout,
+        [this, from, take, done](common::time_point now, kv_reply const& reply)
+        {
+            auto next = from;
+            if (reply.status != kv_status::done)
+            {
+                next.timeout = settings_.page_timeout;
+                again_soon(now,
+                           [this, next, take, done](common::time_point)
                            {
-                               load_pages(prefix, after, take, done);
+                               load_pages(next, take, done);
                            });
-                       return;
-                   }
-                   advanced_ = now;
-                   take(now, reply);
-                   if (reply.more && !reply.items.empty())
-                   {
-                       load_pages(prefix, reply.items.back().key, take, done);
-                       return;
-                   }
-                   done(now);
-               });
+                return;
+            }
+            advanced_ = now;
+            take(now, reply);
+            if (reply.more && !reply.items.empty())
+            {
+                next.after = reply.items.back().key;
+                load_pages(next, take, done);
+                return;
+            }
+            done(now);
+        });
 }
 
 void owner::load_jobs(common::time_point now)
 {
     pages_asked_ = now;
     load_pages(
-        keys::owned_prefix,
-        "",
+        {keys::owned_prefix, "", settings_.first_page_timeout},
         [this](common::time_point, kv_reply const& reply)
         {
             // Pages are no snapshot: events since the first one are taken
@@ -116,8 +117,7 @@
 void owner::load_progress()
 {
     load_pages(
-        keys::progress_prefix,
-        "",
+        {keys::progress_prefix, "", settings_.first_page_timeout},
         [this](common::time_point, kv_reply const& reply)
         {
             progress_items_.insert(
@@ -132,8 +132,7 @@
 void owner::load_finals()
 {
     load_pages(
-        keys::final_prefix,
-        "",
+        {keys::final_prefix, "", settings_.first_page_timeout},
         [this](common::time_point now, kv_reply const& reply)
         {
             for (auto const& item : reply.items)
@@ -148,12 +147,14 @@
         });
 }
 
-// One key; a read that got no answer is asked again.
-void owner::load_key(std::string_view key, value_taker const& take)
+// One key; a read that got no answer is asked again, like a page.
+void owner::load_key(std::string_view key,
+                     common::duration timeout,
+                     value_taker const& take)
 {
     out_.store(life_,
                ports::kv_read{std::string(key)},
-               settings_.page_timeout,
+               timeout,
                [this, key, take](common::time_point now, kv_reply const& reply)
                {
                    if (reply.status != kv_status::done &&
@@ -162,7 +163,8 @@
                        again_soon(now,
                                   [this, key, take](common::time_point)
                                   {
-                                      load_key(key, take);
+                                      load_key(
+                                          key, settings_.page_timeout, take);
                                   });
                        return;
                    }
@@ -177,6 +179,7 @@
 void owner::load_roster()
 {
     load_key(keys::roster,
+             settings_.first_page_timeout,
              [this](std::string const& text)
              {
                  common::failure reason;
@@ -198,6 +201,7 @@
 void owner::load_learned()
 {
     load_key(keys::learned,
+             settings_.first_page_timeout,
              [this](std::string const& text)
              {
                  common::failure reason;
--- a/tests/unit/pool/cancel_test.cpp
+++ b/tests/unit/pool/cancel_test.cpp
@@ -87,6 +87,18 @@
     return lines;
 }
 
+// One of the reads by which a new owner learns what there is.
+bool reads_state(ports::kv_operation const& call)
+{
+    auto const* const page = std::get_if<ports::kv_range>(&call);
+    auto const* const read = std::get_if<ports::kv_read>(&call);
+    return (page != nullptr &&
+            (page->prefix == "pool/" || page->prefix == "progress/" ||
+             page->prefix == "final/")) ||
+           (read != nullptr &&
+            (read->key == "roster" || read->key == "learned"));
+}
+
 bool writes_job(ports::kv_operation const& call, std::string const& id)
 {
     auto const* const commit = std::get_if<ports::kv_commit>(&call);
@@ -318,6 +330,69 @@
     EXPECT_EQ(places, 8U);
 }
 
+// Failure: one lost page hides all cancellings for the length of its time-out.
+TEST(pool_cancel, a_lost_page_does_not_hide_a_cancelling)
+{
+    pool_world world;
+    ASSERT_TRUE(settled(world));
+    auto const owner = *world.owner();
+    world.submit(other_than(owner), "a", lasting_job(6));
+    world.run(1s);
+    ASSERT_EQ(running_in_all(world), 6U);
+    bool forgotten = false;
+    bool lost = false;
+    world.store_fault = [owner, &forgotten, &lost, &world](
+                            std::size_t at, ports::kv_operation const& call)
+    {
+        auto const* const page = std::get_if<ports::kv_range>(&call);
+        bool const jobs =
+            at == owner && page != nullptr && page->prefix == "pool/";
+        if (at == owner && watches_jobs(call) && !forgotten)
+        {
+            forgotten = true;
+            world.store().put("elsewhere", "");
+            world.store().compact();
+        }
+        bool const hit = jobs && !lost;
+        lost = lost || hit;
+        return hit ? fate::lost : fate::carried_out;
+    };
+    ASSERT_TRUE(world.run_until(
+        [&lost]
+        {
+            return lost;
+        }));
+    EXPECT_TRUE(acknowledged(world, world.cancel(other_than(owner), "a")));
+    EXPECT_TRUE(nothing_runs(world, cancel_limit));
+}
+
+// Failure: all that runs lapses, as a takeover waits for one lost read.
+TEST(pool_cancel, a_lost_page_does_not_hold_a_takeover_up)
+{
+    for (std::size_t victim = 0; victim < 5; ++victim)
+    {
+        pool_world world;
+        ASSERT_TRUE(settled(world));
+        auto const owner = *world.owner();
+        auto const other = other_than(owner);
+        world.submit(other, "a", lasting_job(6));
+        world.run(1s);
+        ASSERT_EQ(running_in_all(world), 6U);
+        std::size_t reads = 0;
+        world.store_fault =
+            [&reads, victim](std::size_t, ports::kv_operation const& call)
+        {
+            bool const hit = reads_state(call) && reads++ == victim;
+            return hit ? fate::lost : fate::carried_out;
+        };
+        world.kill(owner);
+        world.run(8s);
+        EXPECT_GE(reads, 5U);
+        EXPECT_EQ(begun_in_all(world), 6U) << victim;
+        EXPECT_EQ(running_in_all(world), 6U) << victim;
+    }
+}
+
 // Failure: cancellings heard twice are gone from the store before their jobs.
 TEST(pool_cancel, a_cancelling_that_is_heard_again_outlives_the_owner)
 {
