Tests' world: an order for another incarnation of a worker does nothing

A late start that was meant for a worker's last incarnation was carried out by the next one. The platform's workers answer 421 (PROTOCOL.md). Two of 300 walks with restarted workers met it as a task in two places; the scheduler was not to blame.

No functional change

--- a/tests/unit/pool/pool_world.cpp
+++ b/tests/unit/pool/pool_world.cpp
@@ -710,7 +710,13 @@
                            ? 1U
                            : 0U;
     auto const begun = target.begun().size();
-    auto reply = target.apply(now(), order.operation);
+    bool const meant = order.born == 0 || order.born == target.info().born;
+    ports::order_reply reply;
+    reply.status = ports::order_status::other_instance;
+    if (meant)
+    {
+        reply = target.apply(now(), order.operation);
+    }
     if (target.begun().size() > begun)
     {
         check_start(where, target.begun().back());
