The client reads on over gaps and stalls; an old deadline spares the next call

A gap may last .4 s now. - A process that stood still while the limit for reading passed gave up an answer that lay whole in its socket, and bytes that were merely read counted for no progress. Both count now, and one more look is taken behind the limit. - Where an answer and its deadline were due together after a stall, the deadline ran after the next call had begun on that connection and ended it: a commit without a clear answer.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -22,8 +22,9 @@
 using ports::exchange_status;
 using tcp = asio::ip::tcp;
 
-// How long an answer that is being read may bring nothing.
-constexpr core::common::duration reading_time = std::chrono::milliseconds(100);
+// How long an answer that is being read may bring nothing: a packet that was
+// lost comes again after 200 ms.
+constexpr core::common::duration longest_gap = std::chrono::milliseconds(400);
 } // namespace
 
 class client::pool : public std::enable_shared_from_this<client::pool>
@@ -82,9 +83,10 @@
         handle_ = std::move(handle);
         ended_ = false;
         timed_out_ = false;
-        received_ = 0;
+        progress_ = 0;
         parser_.reset();
         reading_until_.reset();
+        last_look_ = false;
         began_ = ++owner_->moment_;
         if (socket_.is_open())
         {
@@ -174,6 +176,11 @@
 
     void on_deadline()
     {
+        // After a stall of this process it may be the one of an earlier call.
+        if (deadline_.expiry() > core::common::clock::now())
+        {
+            return;
+        }
         if (ended_)
         {
             close();
@@ -191,7 +198,7 @@
         }
         if (answer_keeps_coming())
         {
-            arm(reading_time);
+            arm(std::min(longest_gap, call_.reading_limit));
             return;
         }
         timed_out_ = true;
@@ -212,18 +219,23 @@
     bool answer_keeps_coming()
     {
         auto const now = core::common::clock::now();
-        auto const before = std::exchange(received_, received());
-        reading_until_ =
-            reading_until_.value_or(now + owner_->settings_.reading_limit);
-        return !call_.drain && received_ > before && now < *reading_until_;
+        auto const before = std::exchange(progress_, progress());
+        if (call_.drain || progress_ <= before)
+        {
+            return false;
+        }
+        reading_until_ = reading_until_.value_or(now + call_.reading_limit);
+        // This process may have stood still when the limit passed.
+        return now < *reading_until_ || !std::exchange(last_look_, true);
     }
 
-    // Bytes of the answer that are here, read or not.
-    std::size_t received()
+    // Grows with each byte of the answer that arrives, and with each that is
+    // read.
+    std::size_t progress()
     {
         beast::error_code ignored;
         auto const unread = buffer_.size() + socket_.available(ignored);
-        return parser_ ? parser_->get().body().size() + unread : unread;
+        return parser_ ? 2 * parser_->get().body().size() + unread : unread;
     }
 
     void connect()
@@ -290,6 +302,7 @@
 
     void read()
     {
+        buffer_.reserve(owner_->settings_.read_bytes);
         parser_.emplace();
         parser_->header_limit(owner_->settings_.header_bytes);
         parser_->body_limit(owner_->settings_.body_bytes);
@@ -375,8 +388,9 @@
     bool sent_ = false;      // A byte of the present call may have gone out.
     bool ended_ = true;
     bool timed_out_ = false;
-    std::size_t received_ = 0; // At the last look, past the time limit.
+    std::size_t progress_ = 0; // At the last look, past the time limit.
     std::optional<core::common::time_point> reading_until_;
+    bool last_look_ = false;  // Was taken, behind `reading_until_`.
     std::uint64_t began_ = 0; // Moments of the pool: the present call began,
     std::uint64_t heard_ = 0; // the last answer came.
 };
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -24,9 +24,8 @@
     /// A call that times out closes the unused connections to its endpoint that
     /// have brought nothing since it began: they may be as silent as its own.
     bool doubt_unused = false;
-    /// An answer that keeps arriving when its call's time limit passes is read
-    /// on for at most this long.
-    core::common::duration reading_limit = std::chrono::seconds(1);
+    /// Answers are read in pieces of this size, at least.
+    std::size_t read_bytes = 512;
 };
 
 struct client_call
@@ -37,6 +36,9 @@
     /// After a time-out: keep the connection until the late answer was drained
     /// (a second call of the handler says so), or close it at once.
     bool drain = false;
+    /// An answer that keeps arriving when the time limit passes is read on for
+    /// about this long.
+    core::common::duration reading_limit = std::chrono::seconds(1);
 };
 
 /// HTTP/1.1 client with a pool of kept connections per endpoint; one request
--- a/src/adapters/platform/store_client.cpp
+++ b/src/adapters/platform/store_client.cpp
@@ -31,7 +31,6 @@
     result.connections_per_endpoint = store_connections;
     result.connect_timeout = settings.timeout;
     result.body_bytes = max_answer;
-    result.reading_limit = reading_limit;
     return result;
 }
 
@@ -289,6 +288,7 @@
     message.where = settings_.where;
     message.message = std::visit(request_writer{}, call.operation);
     message.timeout = settings_.timeout;
+    message.reading_limit = reading_limit;
     auto const* const watch = std::get_if<ports::store_watch>(&call.operation);
     if (watch != nullptr)
     {
--- a/tests/contract/adapters/flowing_answer_test.cpp
+++ b/tests/contract/adapters/flowing_answer_test.cpp
@@ -42,20 +42,32 @@
             {
                 peer_.emplace(std::move(socket));
             });
-        adapters::http::client_settings settings;
-        settings.reading_limit = reading_limit;
-        client_.emplace(io_, settings);
-        adapters::http::client_call call;
-        call.where = *where;
-        call.message = {"GET", "/x", {}, "", {}};
-        call.timeout = timeout;
-        client_->send(std::move(call),
-                      [this](exchange_status status,
-                             adapters::http::response const& answer)
-                      {
-                          ended = status;
-                          body_bytes = answer.body.size();
-                      });
+        where_ = *where;
+        client_.emplace(io_, adapters::http::client_settings{});
+        call(timeout,
+             reading_limit,
+             [this](exchange_status status,
+                    adapters::http::response const& answer)
+             {
+                 ended = status;
+                 body_bytes = answer.body.size();
+                 if (on_end)
+                 {
+                     on_end();
+                 }
+             });
+    }
+
+    void call(core::common::duration limit,
+              core::common::duration reading_limit,
+              adapters::http::client::handler handle)
+    {
+        adapters::http::client_call made;
+        made.where = where_;
+        made.message = {"GET", "/x", {}, "", {}};
+        made.timeout = limit;
+        made.reading_limit = reading_limit;
+        client_->send(std::move(made), std::move(handle));
     }
 
     // Takes the request in and says how long its answer is.
@@ -93,6 +105,22 @@
         std::this_thread::sleep_for(piece_interval);
     }
 
+    // Nothing arrives, and timers run.
+    void idle(core::common::duration length)
+    {
+        auto const end = std::chrono::steady_clock::now() + length;
+        while (std::chrono::steady_clock::now() < end)
+        {
+            io_.run_one_for(1ms);
+        }
+    }
+
+    void send(std::string const& bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(*peer_, asio::buffer(bytes), ignored);
+    }
+
     void wait_for_end()
     {
         run_until(
@@ -103,6 +131,7 @@
     }
 
     std::optional<exchange_status> ended;
+    std::function<void()> on_end;
     std::size_t body_bytes = 0;
 
 private:
@@ -116,13 +145,8 @@
         ASSERT_TRUE(done());
     }
 
-    void send(std::string const& bytes)
-    {
-        boost::system::error_code ignored;
-        asio::write(*peer_, asio::buffer(bytes), ignored);
-    }
-
     asio::io_context io_;
+    ports::endpoint where_;
     adapters::runtime::acceptor acceptor_{io_};
     std::optional<tcp::socket> peer_;
     std::optional<adapters::http::client> client_;
@@ -160,6 +184,67 @@
     EXPECT_EQ(ended, exchange_status::timed_out);
 }
 
+// One lost packet, sent again after 200 ms, made a page begin from its start.
+TEST_F(flowing_answer, is_read_on_behind_a_retransmission)
+{
+    constexpr std::size_t pieces = 40;
+    constexpr auto retransmission = 250ms;
+    ask(patience);
+    begin_answer(pieces * piece_bytes);
+    for (std::size_t sent = 0; sent < pieces; ++sent)
+    {
+        flow(piece_bytes);
+        if (sent == pieces - 5)
+        {
+            idle(retransmission);
+        }
+    }
+    wait_for_end();
+    EXPECT_EQ(ended, exchange_status::answered);
+}
+
+// An answer that lies here whole was given up as this process had stood still
+// when the limit for reading it passed.
+TEST_F(flowing_answer, that_came_whole_during_a_stall_is_read)
+{
+    constexpr auto reading_limit = 300ms;
+    constexpr std::size_t pieces = 20;
+    ask(reading_limit);
+    begin_answer((pieces + 1) * piece_bytes);
+    for (std::size_t sent = 0; sent < pieces; ++sent)
+    {
+        flow(piece_bytes);
+    }
+    ASSERT_FALSE(ended.has_value());
+    flow(piece_bytes);
+    std::this_thread::sleep_for(2 * reading_limit);
+    wait_for_end();
+    EXPECT_EQ(ended, exchange_status::answered);
+}
+
+// After a stall the deadline of a call that had its answer ended the next one.
+TEST_F(flowing_answer, and_its_deadline_after_a_stall_spare_the_next_call)
+{
+    ask(patience);
+    begin_answer(2);
+    send("ok");
+    std::this_thread::sleep_for(2 * timeout);
+    std::optional<exchange_status> next;
+    on_end = [this, &next]
+    {
+        call(1h,
+             1h,
+             [&next](exchange_status status, auto const&)
+             {
+                 next = status;
+             });
+    };
+    wait_for_end();
+    EXPECT_EQ(ended, exchange_status::answered);
+    idle(50ms);
+    EXPECT_FALSE(next.has_value());
+}
+
 // Nor may a server hold a call for ever by sending a little now and then.
 TEST_F(flowing_answer, is_given_up_at_the_reading_limit)
 {
