Watches of a calm pool stay within the store's history

The place from which an instance watches operators' keys never moved on answers without events, so that the history ended before it 20 s after the last change, and every instance read the whole of op/ again.

Now the place moves to where the store was at an empty answer 12 s ago, or 3/5 of the store's history where that is less (history_s, from the platform's settings). A watch that is deaf for less than that still hears, or is told that the history is gone; the overlap is why the place is not moved at once.

watches_of_a_calm_pool_keep_within_the_history fails with the place left where it is; a_watch_moves_on_only_behind_a_while guards the other side, as does pool_staleness' deaf watch.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -28,6 +28,9 @@
 /// time in which a leaving worker must be spared.
 constexpr int drain_parts = 8;
 constexpr int list_parts = 5;
+/// A watch goes on from what lies this part of the store's history back.
+constexpr int history_parts = 5;
+constexpr int overlap_parts = 3;
 /// The same of an answer to a caller.
 constexpr core::common::duration answer_reserve = 50ms;
 
@@ -60,6 +63,11 @@
     auto const change = bounds.duration_or("config_ms", 2s, 1200ms, 600s);
     out.front.configuration_age_limit = change - answer_reserve;
     out.owner.configuration_age_limit = change - answer_reserve;
+    auto const history = std::chrono::duration_cast<core::common::duration>(
+        std::chrono::duration<double>(
+            bounds.number_or("history_s", 20, 0.1, 86400)));
+    auto& overlap = out.operators.watch_overlap;
+    overlap = std::min(overlap, history * overlap_parts / history_parts);
     auto const cancel = bounds.duration_or("cancel_ms", 3s, 1200ms, 600s);
     out.owner.news_age_limit = cancel - order_reserve;
     bounds.refuse_unread();
--- a/src/core/pool/operators.cpp
+++ b/src/core/pool/operators.cpp
@@ -136,9 +136,20 @@
                        });
 }
 
-// An answer without events does not move the place from which the next watch
-// goes on: a watch that was deaf for a while then either hears of the change
-// it missed or is told that the history is gone, and everything is read anew.
+// An answer without events moves the place from which watches go on, but only
+// after a while: a watch that was deaf may have missed a change. Left where it
+// is, the place would fall out of the store's history, and all that operators
+// set would be read again whenever they are quiet for that long.
+void operators::move_on(common::time_point now, std::uint64_t revision)
+{
+    quiet_.push_back({now, revision});
+    while (now - quiet_.front().at >= settings_.watch_overlap)
+    {
+        watched_ = std::max(watched_, quiet_.front().revision);
+        quiet_.pop_front();
+    }
+}
+
 void operators::on_watch(common::time_point now,
                          common::time_point asked,
                          common::duration wait,
@@ -156,6 +167,7 @@
     {
         // It was given when the wait was over.
         state_.vouched = std::min(now, asked + wait);
+        move_on(now, reply.revision);
         watch(now, settings_.watch_wait);
         return;
     }
--- a/src/core/pool/operators.hpp
+++ b/src/core/pool/operators.hpp
@@ -5,6 +5,7 @@
 #include "core/pool/revision_times.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,9 @@
     /// The same behind an answer that brought a change: it does not say when
     /// it was given.
     common::duration watch_wait_after_change = std::chrono::milliseconds(300);
+    /// A watch goes on from where the store was this long ago: one that is deaf
+    /// for less misses nothing. Less than the store keeps of its history.
+    common::duration watch_overlap = std::chrono::seconds(12);
     common::duration call_timeout = std::chrono::milliseconds(500);
     common::duration retry = std::chrono::milliseconds(100);
 };
@@ -60,6 +64,7 @@
     void take(ports::kv_item const& item);
     void take_config(configuration config);
     void read_again(common::time_point now);
+    void move_on(common::time_point now, std::uint64_t revision);
     void note_failure(common::time_point now,
                       common::time_point asked,
                       char const* call,
@@ -75,6 +80,13 @@
     std::string config_key_;             ///< Of the last that could be read.
     std::uint64_t config_revision_ = 0;  ///< The same.
     std::uint64_t watched_ = 0;
+    /// Where the store was at answers without events, the oldest first.
+    struct quiet_answer
+    {
+        common::time_point at{};
+        std::uint64_t revision = 0;
+    };
+    std::deque<quiet_answer> quiet_;
     std::uint64_t changes_ = 0;
     bool known_ = false;
     bool waiting_to_read_ = false;
--- a/tests/contract/platform/settings_test.cpp
+++ b/tests/contract/platform/settings_test.cpp
@@ -34,6 +34,7 @@
         {"{{bounds.drainMs}}", "3000"},
         {"{{bounds.configApplyMs}}", "2000"},
         {"{{bounds.cancel_ms}}", "3000"},
+        {"{{platform.historyS}}", "20"},
         {"{{limits.cpuShare}}", "0.069"},
         {"{{limits.linkMbps}}", "10"}};
     for (auto const& [name, value] : values)
--- a/tests/unit/pool/operators_test.cpp
+++ b/tests/unit/pool/operators_test.cpp
@@ -41,12 +41,14 @@
         return found;
     }
 
-    void answer(ports::kv_call const& to, ports::kv_status status)
+    void answer(ports::kv_call const& to,
+                ports::kv_status status,
+                std::uint64_t store_revision = revision)
     {
         ports::kv_reply reply;
         reply.id = to.id;
         reply.status = status;
-        reply.revision = revision;
+        reply.revision = store_revision;
         if (std::holds_alternative<ports::kv_range>(to.operation))
         {
             reply.items.push_back(
@@ -103,3 +105,45 @@
     EXPECT_EQ(watch->wait,
               core::pool::operators_settings{}.watch_wait_after_change);
 }
+
+// Every instance read all that operators set, each time that nothing of it had
+// changed for as long as the store keeps its history.
+TEST_F(pool_operators, watches_of_a_calm_pool_keep_within_the_history)
+{
+    constexpr auto history = 20s;
+    rules.start(now);
+    answer(call(), ports::kv_status::done);
+    auto const began = now;
+    auto const revision_at = [began](time_point when)
+    {
+        return revision + static_cast<std::uint64_t>((when - began) / 1s);
+    };
+    for (int answers = 0; answers < 100; ++answers)
+    {
+        auto const next = call();
+        auto const* const watch = std::get_if<ports::kv_watch>(&next.operation);
+        ASSERT_NE(watch, nullptr);
+        EXPECT_LE(watch->after, revision_at(now));
+        EXPECT_GE(watch->after + history / 1s, revision_at(now));
+        now += watch->wait;
+        answer(next, ports::kv_status::done, revision_at(now));
+    }
+}
+
+// A watch that was deaf while a change was made must not move on past it.
+TEST_F(pool_operators, a_watch_moves_on_only_behind_a_while)
+{
+    constexpr auto deaf = 8s;
+    rules.start(now);
+    answer(call(), ports::kv_status::done);
+    auto const began = now;
+    while (now - began < deaf)
+    {
+        auto const next = call();
+        auto const* const watch = std::get_if<ports::kv_watch>(&next.operation);
+        ASSERT_NE(watch, nullptr);
+        EXPECT_EQ(watch->after, revision);
+        now += watch->wait;
+        answer(next, ports::kv_status::done, 2 * revision);
+    }
+}
