Checks of the fault soak

The soak's judge: observations from outside in, violations out, pure. One check a rule of observation.hpp. A time limit counts where no trouble was on for its length and the stable window before it; the span slides, so that one trouble doesn't switch a check off for the rest of a run.

--- /dev/null
+++ b/tests/unit/soak/story.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "tools/soak/checker.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+
+// A sequence of observations, told step by step.
+namespace fuchsia::tests::unit::soak
+{
+
+using namespace std::chrono_literals;
+using namespace fuchsia::tools::soak;
+using core::common::duration;
+using core::common::time_point;
+using ports::end_kind;
+using ports::job_state;
+
+constexpr time_point origin{1h};
+
+inline ports::task_name
+task(std::string job, std::uint32_t step = 0, std::uint32_t index = 0)
+{
+    return {std::move(job), 0, step, index};
+}
+
+/// A job of one task.
+inline job_shape single(std::uint32_t attempts = 1)
+{
+    return {"q", {{1, {}, false}}, attempts};
+}
+
+/// A job of one task that lasts.
+inline job_shape service()
+{
+    return {"q", {{1, {}, true}}, 1};
+}
+
+/// A step of two tasks, then one of one.
+inline job_shape chain()
+{
+    return {"q", {{2, {}, false}, {1, {0}, false}}, 1};
+}
+
+class story
+{
+public:
+    /// Moves on to this time after the begin.
+    story& at(duration since_begin)
+    {
+        now_ = origin + since_begin;
+        return *this;
+    }
+
+    template<class Event>
+    story& see(Event event)
+    {
+        judge_.take({now_, std::move(event)});
+        return *this;
+    }
+
+    story& submit(std::string const& job,
+                  job_shape const& shape,
+                  call_end how = call_end::done)
+    {
+        see(submit_sent{job, shape});
+        return see(submit_ended{job, how});
+    }
+
+    story& start(ports::task_name const& what,
+                 std::uint32_t attempt = 1,
+                 std::string const& worker = "w1",
+                 std::string const& data_centre = "dc1")
+    {
+        return see(run_started{worker, data_centre, {what, attempt}, 1});
+    }
+
+    story& end(ports::task_name const& what,
+               end_kind how = end_kind::done,
+               std::uint32_t attempt = 1,
+               std::string const& worker = "w1")
+    {
+        return see(run_ended{worker, {what, attempt}, how});
+    }
+
+    story& acknowledge(ports::task_name const& what,
+                       end_kind how = end_kind::done,
+                       std::uint32_t attempt = 1,
+                       std::string const& worker = "w1")
+    {
+        return see(end_acknowledged{worker, {what, attempt}, how});
+    }
+
+    story& status(std::string const& job,
+                  job_state state,
+                  call_end how = call_end::done)
+    {
+        return see(status_ended{job, "i1", now_, how, state});
+    }
+
+    story& waiting(std::uint64_t jobs)
+    {
+        return see(waiting_ended{"q", "i1", now_, call_end::done, jobs});
+    }
+
+    story&
+    shows(std::string const& queue, bool present, std::uint64_t incarnation = 1)
+    {
+        return see(queue_seen{queue, "i1", incarnation, now_, present});
+    }
+
+    /// Trouble from `from` to `to`; the story goes on at `to`.
+    story& trouble(duration from, duration to)
+    {
+        at(from).see(trouble_set{"link", true});
+        return at(to).see(trouble_set{"link", false});
+    }
+
+    /// The rules broken, with the end at the present time.
+    std::set<rule> broken()
+    {
+        std::set<rule> rules;
+        for (violation const& one : judge_.finish(now_))
+        {
+            rules.insert(one.which);
+        }
+        return rules;
+    }
+
+private:
+    checker judge_{limits{}};
+    time_point now_ = origin;
+};
+
+} // namespace fuchsia::tests::unit::soak
--- /dev/null
+++ b/tools/soak/books.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "tools/soak/calm.hpp"
+#include "tools/soak/observation.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+// What the checks have seen so far, by job and task.
+namespace fuchsia::tools::soak
+{
+
+/// One run of a task on one worker.
+struct run_book
+{
+    std::string worker;
+    std::uint32_t attempt = 0;
+    core::common::time_point began{};
+    std::optional<core::common::time_point> gone; ///< Ended, or crashed.
+    std::optional<ports::end_kind> how;           ///< Empty: crashed.
+    bool acknowledged = false;
+};
+
+struct task_book
+{
+    std::vector<run_book> runs; ///< In the order of their begin.
+
+    /// When the `nth` (from 1) run that ended so did end; empty: fewer did.
+    std::optional<core::common::time_point> ended(ports::end_kind how,
+                                                  std::size_t nth) const;
+    /// Runs that ended so, and whose end was acknowledged.
+    std::size_t acknowledged(ports::end_kind how) const;
+    bool done() const;
+};
+
+struct job_book
+{
+    job_shape shape;
+    std::optional<core::common::time_point> sent; ///< The first time.
+    std::size_t unanswered = 0;                   ///< Sendings under way.
+    std::size_t answers = 0;
+    std::size_t rejections = 0;
+    std::optional<core::common::time_point> accepted;
+    std::optional<core::common::time_point> cancelled; ///< Acknowledged.
+    /// The first cancel that ended so that it may have been carried out.
+    std::optional<core::common::time_point> cancel_tried;
+    std::optional<core::common::time_point> first_start;
+    std::optional<core::common::time_point> shown_cancelled;
+    /// The last answer on its state after the end of the traffic.
+    std::optional<status_ended> last_word;
+    bool unasked_reported = false;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, task_book> tasks;
+
+    /// Each sending so far was answered, and none but with a rejection.
+    bool refused() const;
+    bool has(ports::task_name const& task) const;
+    /// All tasks of the step have ended done; never, where they last.
+    bool step_done(std::uint32_t step) const;
+    /// When its last task ended done; empty: not all have.
+    std::optional<core::common::time_point> completed() const;
+    /// When a task had used up its attempts; empty: none has.
+    std::optional<core::common::time_point> failed() const;
+    /// Accepted, and nobody tried to cancel it.
+    bool owed() const;
+};
+
+struct books
+{
+    explicit books(limits value);
+
+    limits bounds;
+    calm_log calm;
+    std::map<std::string, job_book> jobs;
+    std::optional<core::common::time_point> traffic_end;
+    std::vector<violation> found;
+
+    /// When a cancel of the job has to be obeyed from, as known at `at`; also
+    /// an unanswered one, once it had time enough to be acknowledged.
+    std::optional<core::common::time_point>
+    cancelled_since(job_book const& job, core::common::time_point at) const;
+    /// No trouble for the last `length` before `at`, and before that long
+    /// enough for the system to be itself again.
+    bool calm_for(core::common::duration length,
+                  core::common::time_point at) const;
+    void report(rule which,
+                core::common::time_point at,
+                std::string subject,
+                std::string why);
+};
+
+/// JOB.STEP.INDEX
+std::string name_of(ports::task_name const& task);
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/checker.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "tools/soak/books.hpp"
+#include "tools/soak/configuration_check.hpp"
+#include "tools/soak/jobs_check.hpp"
+#include "tools/soak/observation.hpp"
+#include "tools/soak/recovery_check.hpp"
+#include "tools/soak/runs_check.hpp"
+
+#include <deque>
+#include <vector>
+
+// Judges a run of the fault soak by what was seen from outside.
+namespace fuchsia::tools::soak
+{
+
+/// Takes all that was seen, in the order of time, and says which rules were
+/// broken. A time limit counts where no trouble was on for the length of the
+/// limit and the stable window before it; all else counts always.
+class checker
+{
+public:
+    explicit checker(limits bounds);
+
+    /// `seen.at` is no earlier than that of any observation before it.
+    void take(observation const& seen);
+
+    /// To be called once, after the last observation. By `now` the accepted
+    /// jobs have had time to end, and each was asked for after the traffic
+    /// ended. Returns all violations, with those that only the end shows.
+    std::vector<violation> finish(core::common::time_point now);
+
+    /// Those found so far. Answers are judged once `limits::acknowledge` has
+    /// passed since they came.
+    std::vector<violation> const& violations() const;
+
+private:
+    void judge(observation const& answer);
+    void judge_until(core::common::time_point limit);
+
+    books books_;
+    runs_check runs_;
+    configuration_check configurations_;
+    recovery_check recovery_;
+    std::deque<observation> unjudged_; ///< Answers, the oldest first.
+};
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/jobs_check.cpp
@@ -0,0 +1,283 @@
+#include "tools/soak/jobs_check.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace fuchsia::tools::soak
+{
+
+using core::common::duration;
+using core::common::time_point;
+using ports::end_kind;
+using ports::job_state;
+
+namespace
+{
+
+/// A count may be this old.
+constexpr duration count_age = std::chrono::seconds(2);
+/// An order that an instance counts as a start may be this long on its way.
+constexpr duration order_under_way = std::chrono::milliseconds(250);
+/// The state of a job that has ended is kept at least this long.
+constexpr duration state_kept = std::chrono::seconds(120);
+/// A lasting task runs again this long after its last run.
+constexpr duration restart = std::chrono::seconds(9);
+
+bool by(std::optional<time_point> const& event, time_point at)
+{
+    return event && *event <= at;
+}
+
+/// The job ended so long before `at` that its state may be forgotten.
+bool forgotten(job_book const& job, time_point at)
+{
+    return by(job.completed(), at - state_kept) ||
+           by(job.failed(), at - state_kept);
+}
+
+void judge_absent(books& seen,
+                  time_point at,
+                  status_ended const& answer,
+                  job_book const& job)
+{
+    duration const visible = seen.bounds.visible;
+    bool const due = job.owed() && *job.accepted + visible < answer.asked &&
+                     !forgotten(job, answer.asked);
+    if (due && seen.calm.calm(answer.asked - visible, at))
+    {
+        seen.report(
+            rule::lost, at, answer.job, answer.instance + " does not know it");
+    }
+}
+
+void judge_state(books& seen,
+                 time_point at,
+                 status_ended const& answer,
+                 job_book& job)
+{
+    if (answer.state == job_state::completed && !by(job.completed(), at))
+    {
+        seen.report(
+            rule::state, at, answer.job, "shown as completed, and is not");
+    }
+    if (answer.state == job_state::failed && !by(job.failed(), at))
+    {
+        seen.report(rule::state, at, answer.job, "shown as failed, and is not");
+    }
+    if (answer.state == job_state::cancelled && !job.shown_cancelled)
+    {
+        job.shown_cancelled = at;
+    }
+}
+
+/// For each step, whether all tasks of it can end done in the end.
+std::vector<bool> finite_steps(job_shape const& shape)
+{
+    std::vector<bool> finite;
+    for (step_shape const& step : shape.steps)
+    {
+        bool const reached =
+            std::all_of(step.after.begin(),
+                        step.after.end(),
+                        [&](std::uint32_t earlier)
+                        {
+                            return earlier < finite.size() && finite[earlier];
+                        });
+        finite.push_back(reached && !step.lasting);
+    }
+    return finite;
+}
+
+/// Whether each task of the lasting step runs, or ran just before `now`.
+bool kept_up(job_book const& job, std::uint32_t step, time_point now)
+{
+    for (std::uint32_t index = 0; index < job.shape.steps[step].count; ++index)
+    {
+        auto const task = job.tasks.find({step, index});
+        if (task == job.tasks.end() || task->second.runs.empty())
+        {
+            return false;
+        }
+        auto const& gone = task->second.runs.back().gone;
+        if (gone && *gone + restart < now)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// All that could be done has been, and all that lasts is at work.
+bool served(job_book const& job, time_point now)
+{
+    std::vector<bool> const finite = finite_steps(job.shape);
+    for (std::uint32_t step = 0; step < finite.size(); ++step)
+    {
+        auto const& after = job.shape.steps[step].after;
+        bool const reached =
+            std::all_of(after.begin(),
+                        after.end(),
+                        [&](std::uint32_t earlier)
+                        {
+                            return earlier < step && finite[earlier];
+                        });
+        bool const good = job.shape.steps[step].lasting
+                              ? kept_up(job, step, now)
+                              : job.step_done(step);
+        if (reached && !good)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// The job is shown at the end as what it is.
+bool shown(job_book const& job)
+{
+    auto const& word = job.last_word;
+    return !word || !job.completed() || word->state == job_state::completed;
+}
+
+void finish_accepted(books& seen,
+                     time_point now,
+                     std::string const& name,
+                     job_book const& job)
+{
+    auto const& word = job.last_word;
+    bool const known = word && word->how == call_end::done;
+    if (!known && !forgotten(job, now))
+    {
+        seen.report(rule::lost, now, name, "not known at the end");
+        return;
+    }
+    time_point const due = *seen.traffic_end + seen.bounds.finish;
+    bool const counts =
+        due < now && !job.failed() && seen.calm_for(seen.bounds.finish, now);
+    if (counts && !served(job, now))
+    {
+        seen.report(rule::lost, now, name, "never done");
+    }
+    else if (counts && known && due < word->asked && !shown(job))
+    {
+        seen.report(rule::lost, now, name, "never shown as completed");
+    }
+}
+
+} // namespace
+
+void jobs_check::take(books& seen, time_point at, submit_sent const& call)
+{
+    job_book& job = seen.jobs[call.job];
+    if (!job.sent)
+    {
+        job.sent = at;
+        job.shape = call.shape;
+        job.shape.attempts = std::max(call.shape.attempts, 1U);
+    }
+    ++job.unanswered;
+}
+
+void jobs_check::take(books& seen, time_point at, submit_ended const& call)
+{
+    job_book& job = seen.jobs[call.job];
+    job.unanswered -= std::min<std::size_t>(job.unanswered, 1);
+    ++job.answers;
+    if (call.how == call_end::refused || call.how == call_end::absent)
+    {
+        ++job.rejections;
+    }
+    if (call.how == call_end::done && !job.accepted)
+    {
+        job.accepted = at;
+    }
+}
+
+void jobs_check::take(books& seen, time_point at, cancel_ended const& call)
+{
+    job_book& job = seen.jobs[call.job];
+    if (call.how == call_end::done && !job.cancelled)
+    {
+        job.cancelled = at;
+    }
+    if (call.how != call_end::refused && !job.cancel_tried)
+    {
+        job.cancel_tried = at;
+    }
+}
+
+void jobs_check::judge(books& seen, time_point at, status_ended const& answer)
+{
+    if (answer.how != call_end::done && answer.how != call_end::absent)
+    {
+        return;
+    }
+    auto const entry = seen.jobs.find(answer.job);
+    if (entry == seen.jobs.end() || !by(entry->second.sent, at))
+    {
+        if (answer.how == call_end::done)
+        {
+            seen.report(rule::state, at, answer.job, "nobody handed it in");
+        }
+        return;
+    }
+    job_book& job = entry->second;
+    if (seen.traffic_end && *seen.traffic_end <= answer.asked)
+    {
+        job.last_word = answer;
+    }
+    if (answer.how == call_end::absent)
+    {
+        judge_absent(seen, at, answer, job);
+    }
+    else
+    {
+        judge_state(seen, at, answer, job);
+    }
+}
+
+void jobs_check::judge(books& seen, time_point at, waiting_ended const& answer)
+{
+    duration const age = seen.bounds.visible + count_age;
+    if (answer.how != call_end::done || !seen.calm.calm(answer.asked - age, at))
+    {
+        return;
+    }
+    auto const waits = [&](auto const& entry)
+    {
+        job_book const& job = entry.second;
+        return job.shape.queue == answer.queue && job.owed() &&
+               *job.accepted + age < answer.asked &&
+               !by(job.first_start, at + order_under_way);
+    };
+    std::uint64_t const due =
+        std::count_if(seen.jobs.begin(), seen.jobs.end(), waits);
+    if (2 * answer.jobs < due)
+    {
+        seen.report(rule::counts,
+                    at,
+                    answer.queue,
+                    answer.instance + " tells " + std::to_string(answer.jobs) +
+                        " of " + std::to_string(due));
+    }
+}
+
+void jobs_check::finish(books& seen, time_point now)
+{
+    for (auto const& [name, job] : seen.jobs)
+    {
+        if (job.shown_cancelled && !job.cancelled && !job.cancel_tried)
+        {
+            seen.report(rule::state,
+                        *job.shown_cancelled,
+                        name,
+                        "shown as cancelled, and nobody asked for it");
+        }
+        if (seen.traffic_end && job.owed())
+        {
+            finish_accepted(seen, now, name, job);
+        }
+    }
+}
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/recovery_check.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "tools/soak/books.hpp"
+
+#include <vector>
+
+// Whether callers are served again after the last trouble.
+namespace fuchsia::tools::soak
+{
+
+/// Checks `recovery`, for submissions and for questions separately.
+class recovery_check
+{
+public:
+    void take(core::common::time_point at, submit_sent const& call);
+    void take(core::common::time_point at, submit_ended const& call);
+    void take(core::common::time_point at, status_ended const& call);
+    void take(core::common::time_point at, waiting_ended const& call);
+
+    void finish(books& seen, core::common::time_point now) const;
+
+private:
+    struct call
+    {
+        core::common::time_point sent{};
+        core::common::time_point ended{};
+        bool served = false;
+    };
+
+    static void judge(books& seen,
+                      core::common::time_point now,
+                      std::vector<call> const& calls,
+                      char const* kind);
+
+    /// When the sendings under way began, by job, the oldest first.
+    std::map<std::string, std::vector<core::common::time_point>> under_way_;
+    std::vector<call> submissions_;
+    std::vector<call> questions_;
+};
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/runs_check.cpp
@@ -0,0 +1,291 @@
+#include "tools/soak/runs_check.hpp"
+
+#include <algorithm>
+
+namespace fuchsia::tools::soak
+{
+
+using core::common::duration;
+using core::common::time_point;
+using ports::end_kind;
+
+namespace
+{
+
+task_book& task_of(books& seen, ports::task_name const& task)
+{
+    return seen.jobs[task.job].tasks[{task.step, task.index}];
+}
+
+bool lasting(job_book const& job, ports::task_name const& task)
+{
+    return job.has(task) && job.shape.steps[task.step].lasting;
+}
+
+void check_asked(books& seen, time_point at, ports::task_name const& task)
+{
+    job_book& job = seen.jobs[task.job];
+    if (!job.has(task))
+    {
+        seen.report(
+            rule::refused_ran, at, name_of(task), "nobody handed it in");
+        job.unasked_reported = true;
+    }
+    else if (job.refused())
+    {
+        seen.report(
+            rule::refused_ran, at, name_of(task), "starts after the refusal");
+        job.unasked_reported = true;
+    }
+}
+
+void check_doubled(books& seen, time_point at, ports::task_name const& task)
+{
+    task_book const& book = task_of(seen, task);
+    auto const other = std::find_if(book.runs.begin(),
+                                    book.runs.end(),
+                                    [](run_book const& run)
+                                    {
+                                        return !run.gone;
+                                    });
+    if (other != book.runs.end())
+    {
+        seen.report(rule::doubled,
+                    at,
+                    name_of(task),
+                    "runs already on " + other->worker);
+    }
+    if (!lasting(seen.jobs[task.job], task) &&
+        book.acknowledged(end_kind::done) > 0)
+    {
+        seen.report(rule::doubled, at, name_of(task), "was done");
+    }
+}
+
+void check_order(books& seen, time_point at, ports::task_name const& task)
+{
+    job_book const& job = seen.jobs[task.job];
+    for (std::uint32_t const earlier : job.shape.steps[task.step].after)
+    {
+        if (!job.step_done(earlier))
+        {
+            seen.report(rule::order,
+                        at,
+                        name_of(task),
+                        "step " + std::to_string(earlier) + " is not done");
+        }
+    }
+}
+
+void check_attempts(books& seen, time_point at, ports::task_name const& task)
+{
+    job_book const& job = seen.jobs[task.job];
+    std::size_t const failures =
+        task_of(seen, task).acknowledged(end_kind::failed);
+    if (!lasting(job, task) && failures >= job.shape.attempts)
+    {
+        seen.report(rule::attempts, at, name_of(task), "had failed for good");
+    }
+}
+
+void check_cancelled(books& seen, time_point at, ports::task_name const& task)
+{
+    auto const since = seen.cancelled_since(seen.jobs[task.job], at);
+    duration const bound = seen.bounds.cancel;
+    if (since && at > *since + bound && seen.calm_for(bound, at))
+    {
+        seen.report(rule::cancelled, at, name_of(task), "its job is cancelled");
+    }
+}
+
+/// Whether a run of a cancelled job worked on, up to `at`, longer than it may
+/// in some calm stretch.
+void check_stopped(books& seen,
+                   time_point at,
+                   ports::task_name const& task,
+                   run_book const& run)
+{
+    auto const since = seen.cancelled_since(seen.jobs[task.job], at);
+    if (!since)
+    {
+        return;
+    }
+    // An order that came late leaves time to hear of the run.
+    time_point const heard = run.began + seen.bounds.stable_window;
+    bool const in_time =
+        run.began <= *since || seen.calm.calm(*since, run.began);
+    time_point const begin = in_time ? *since : std::max(*since, heard);
+    duration const bound = seen.bounds.cancel + seen.bounds.stop;
+    if (seen.calm.calm_stretch(begin, at, bound))
+    {
+        seen.report(
+            rule::cancelled, at, name_of(task), "ran on after the cancel");
+    }
+}
+
+/// Whether a run began after what the end at `decided` ruled out, where that
+/// end was acknowledged only at `at`. Trouble may have hidden the end.
+bool ran_on(books const& seen,
+            task_book const& book,
+            time_point decided,
+            time_point at)
+{
+    return seen.calm.calm(decided, at) &&
+           std::any_of(book.runs.begin(),
+                       book.runs.end(),
+                       [&](run_book const& run)
+                       {
+                           return run.began > decided;
+                       });
+}
+
+void check_acknowledged(books& seen,
+                        time_point at,
+                        ports::task_name const& task,
+                        end_kind how)
+{
+    job_book const& job = seen.jobs[task.job];
+    task_book const& book = task_of(seen, task);
+    bool const done = how == end_kind::done;
+    std::size_t const limit = done ? 1 : job.shape.attempts;
+    if (lasting(job, task) || (!done && how != end_kind::failed) ||
+        book.acknowledged(how) != limit)
+    {
+        return;
+    }
+    if (ran_on(seen, book, *book.ended(how, limit), at))
+    {
+        seen.report(done ? rule::doubled : rule::attempts,
+                    at,
+                    name_of(task),
+                    "began again after this end");
+    }
+}
+
+} // namespace
+
+void runs_check::take(books& seen, time_point at, run_started const& start)
+{
+    ports::task_name const& task = start.what.task;
+    job_book& job = seen.jobs[task.job];
+    check_asked(seen, at, task);
+    if (job.has(task))
+    {
+        check_doubled(seen, at, task);
+        check_order(seen, at, task);
+        check_attempts(seen, at, task);
+        check_cancelled(seen, at, task);
+    }
+    check_place(seen, at, start);
+    if (!job.first_start)
+    {
+        job.first_start = at;
+    }
+    auto& runs = task_of(seen, task).runs;
+    running_[{start.worker, start.what}] = runs.size();
+    runs.push_back({start.worker, start.what.attempt, at, {}, {}, false});
+}
+
+void runs_check::check_place(books& seen,
+                             time_point at,
+                             run_started const& start) const
+{
+    auto const late = [&](auto const& since, auto const& name, duration bound)
+    {
+        auto const entry = since.find(name);
+        return entry != since.end() && at > entry->second + bound &&
+               seen.calm_for(bound, at);
+    };
+    std::string const task = name_of(start.what.task);
+    if (late(draining_, start.worker, seen.bounds.drain))
+    {
+        seen.report(rule::drain, at, task, start.worker + " leaves");
+    }
+    if (late(out_, start.data_centre, seen.bounds.data_centre))
+    {
+        seen.report(rule::data_centre, at, task, start.data_centre + " is out");
+    }
+}
+
+void runs_check::take(books& seen, time_point at, run_ended const& end)
+{
+    auto const entry = running_.find({end.worker, end.what});
+    if (entry == running_.end())
+    {
+        return;
+    }
+    run_book& run = task_of(seen, end.what.task).runs[entry->second];
+    run.gone = at;
+    run.how = end.how;
+    running_.erase(entry);
+    check_stopped(seen, at, end.what.task, run);
+}
+
+void runs_check::take(books& seen, time_point at, end_acknowledged const& end)
+{
+    auto& runs = task_of(seen, end.what.task).runs;
+    auto const run =
+        std::find_if(runs.begin(),
+                     runs.end(),
+                     [&](run_book const& known)
+                     {
+                         return known.worker == end.worker &&
+                                known.attempt == end.what.attempt &&
+                                known.how == end.how && !known.acknowledged;
+                     });
+    if (run != runs.end())
+    {
+        run->acknowledged = true;
+        check_acknowledged(seen, at, end.what.task, end.how);
+    }
+}
+
+void runs_check::take(books& seen, time_point at, worker_crashed const& crash)
+{
+    draining_.erase(crash.worker);
+    auto entry = running_.lower_bound({crash.worker, ports::task_run{}});
+    while (entry != running_.end() && entry->first.first == crash.worker)
+    {
+        ports::task_name const& task = entry->first.second.task;
+        run_book& run = task_of(seen, task).runs[entry->second];
+        run.gone = at;
+        check_stopped(seen, at, task, run);
+        entry = running_.erase(entry);
+    }
+}
+
+void runs_check::take(books&, time_point at, worker_draining const& leaving)
+{
+    draining_.emplace(leaving.worker, at);
+}
+
+void runs_check::take(books&, time_point at, data_centre_set const& change)
+{
+    if (change.out)
+    {
+        out_.emplace(change.name, at);
+    }
+    else
+    {
+        out_.erase(change.name);
+    }
+}
+
+void runs_check::finish(books& seen, time_point now) const
+{
+    for (auto const& [where, place] : running_)
+    {
+        ports::task_name const& task = where.second.task;
+        check_stopped(seen, now, task, task_of(seen, task).runs[place]);
+    }
+    for (auto const& [name, job] : seen.jobs)
+    {
+        if (job.first_start && !job.unasked_reported && job.refused())
+        {
+            seen.report(
+                rule::refused_ran, now, name, "ran, and was refused each time");
+        }
+    }
+}
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/runs_check.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "tools/soak/books.hpp"
+
+#include <map>
+#include <string>
+#include <utility>
+
+// What workers see: starts, ends and crashes.
+namespace fuchsia::tools::soak
+{
+
+/// Checks `refused_ran`, `doubled`, `order`, `attempts`, `cancelled`, `drain`
+/// and `data_centre`.
+class runs_check
+{
+public:
+    void
+    take(books& seen, core::common::time_point at, run_started const& start);
+    void take(books& seen, core::common::time_point at, run_ended const& end);
+    void
+    take(books& seen, core::common::time_point at, end_acknowledged const& end);
+    void
+    take(books& seen, core::common::time_point at, worker_crashed const& crash);
+    void take(books& seen,
+              core::common::time_point at,
+              worker_draining const& leaving);
+    void take(books& seen,
+              core::common::time_point at,
+              data_centre_set const& change);
+
+    /// What still runs for a cancelled job, and what ran for a refused one.
+    void finish(books& seen, core::common::time_point now) const;
+
+private:
+    void check_place(books& seen,
+                     core::common::time_point at,
+                     run_started const& start) const;
+
+    std::map<std::string, core::common::time_point> draining_;
+    std::map<std::string, core::common::time_point> out_;
+    /// What runs, by worker and run: the place in the task's book.
+    std::map<std::pair<std::string, ports::task_run>, std::size_t> running_;
+};
+
+} // namespace fuchsia::tools::soak
