Soak checks: only an end that may have been heard of decides

Walks of an honest model blamed it: an end that a crash took along, unheard, was taken for the one that was acknowledged later, and a start between the two for a second run or an attempt too many. The same for a job shown as active after such an end, or within moments of the last one. Recovery is judged from twelve calls on; with four, chance refusals were blamed.

No functional change

--- a/tools/soak/books.cpp
+++ b/tools/soak/books.cpp
@@ -9,12 +9,17 @@
 using core::common::time_point;
 using ports::end_kind;
 
-std::optional<time_point> task_book::ended(end_kind how, std::size_t nth) const
+namespace
+{
+
+template<class Wanted>
+std::optional<time_point>
+nth_end(std::vector<run_book> const& runs, std::size_t nth, Wanted wanted)
 {
     std::vector<time_point> ends;
     for (run_book const& run : runs)
     {
-        if (run.how == how)
+        if (wanted(run))
         {
             ends.push_back(*run.gone);
         }
@@ -27,14 +32,27 @@
     return ends[nth - 1];
 }
 
-std::size_t task_book::acknowledged(end_kind how) const
+} // namespace
+
+std::optional<time_point> task_book::ended(end_kind how, std::size_t nth) const
+{
+    return nth_end(runs,
+                   nth,
+                   [&](run_book const& run)
+                   {
+                       return run.how == how;
+                   });
+}
+
+std::optional<time_point> task_book::acknowledged(end_kind how,
+                                                  std::size_t nth) const
 {
-    return std::count_if(runs.begin(),
-                         runs.end(),
-                         [&](run_book const& run)
-                         {
-                             return run.how == how && run.acknowledged;
-                         });
+    return nth_end(runs,
+                   nth,
+                   [&](run_book const& run)
+                   {
+                       return run.how == how && run.acknowledged;
+                   });
 }
 
 bool task_book::done() const
--- a/tools/soak/books.hpp
+++ b/tools/soak/books.hpp
@@ -24,6 +24,7 @@
     std::optional<core::common::time_point> gone; ///< Ended, or crashed.
     std::optional<ports::end_kind> how;           ///< Empty: crashed.
     bool acknowledged = false;
+    bool lost = false; ///< The worker crashed before that.
 };
 
 struct task_book
@@ -33,8 +34,9 @@
     /// When the `nth` (from 1) run that ended so did end; empty: fewer did.
     std::optional<core::common::time_point> ended(ports::end_kind how,
                                                   std::size_t nth) const;
-    /// Runs that ended so, and whose end was acknowledged.
-    std::size_t acknowledged(ports::end_kind how) const;
+    /// The same of the runs whose end was acknowledged.
+    std::optional<core::common::time_point> acknowledged(ports::end_kind how,
+                                                         std::size_t nth) const;
     bool done() const;
 };
 
--- a/tools/soak/jobs_check.cpp
+++ b/tools/soak/jobs_check.cpp
@@ -132,11 +132,22 @@
     return true;
 }
 
-/// The job is shown at the end as what it is.
-bool shown(job_book const& job)
+/// All tasks ended so early, and so that it must have been heard of, that the
+/// job has to be shown as completed by `at`.
+bool must_show(job_book const& job, time_point at)
 {
-    auto const& word = job.last_word;
-    return !word || !job.completed() || word->state == job_state::completed;
+    auto const counts = [&](run_book const& run)
+    {
+        return run.how == end_kind::done && !run.lost && by(run.gone, at);
+    };
+    return job.completed() &&
+           std::all_of(job.tasks.begin(),
+                       job.tasks.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& runs = entry.second.runs;
+                           return std::any_of(runs.begin(), runs.end(), counts);
+                       });
 }
 
 void finish_accepted(books& seen,
@@ -158,7 +169,9 @@
     {
         seen.report(rule::lost, now, name, "never done");
     }
-    else if (counts && known && due < word->asked && !shown(job))
+    else if (counts && known && due < word->asked &&
+             word->state != job_state::completed &&
+             must_show(job, word->asked - seen.bounds.visible))
     {
         seen.report(rule::lost, now, name, "never shown as completed");
     }
--- a/tools/soak/recovery_check.cpp
+++ b/tools/soak/recovery_check.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Fewer calls than these say nothing.
-constexpr std::size_t enough_calls = 4;
+constexpr std::size_t enough_calls = 12;
 /// At least one call of this many has to be served.
 constexpr std::size_t one_served_of = 4;
 
--- a/tools/soak/runs_check.cpp
+++ b/tools/soak/runs_check.cpp
@@ -56,7 +56,7 @@
                     "runs already on " + other->worker);
     }
     if (!lasting(seen.jobs[task.job], task) &&
-        book.acknowledged(end_kind::done) > 0)
+        book.acknowledged(end_kind::done, 1))
     {
         seen.report(rule::doubled, at, name_of(task), "was done");
     }
@@ -80,9 +80,9 @@
 void check_attempts(books& seen, time_point at, ports::task_name const& task)
 {
     job_book const& job = seen.jobs[task.job];
-    std::size_t const failures =
-        task_of(seen, task).acknowledged(end_kind::failed);
-    if (!lasting(job, task) && failures >= job.shape.attempts)
+    auto const last =
+        task_of(seen, task).acknowledged(end_kind::failed, job.shape.attempts);
+    if (!lasting(job, task) && last)
     {
         seen.report(rule::attempts, at, name_of(task), "had failed for good");
     }
@@ -148,12 +148,12 @@
     task_book const& book = task_of(seen, task);
     bool const done = how == end_kind::done;
     std::size_t const limit = done ? 1 : job.shape.attempts;
-    if (lasting(job, task) || (!done && how != end_kind::failed) ||
-        book.acknowledged(how) != limit)
+    auto const decided = book.acknowledged(how, limit);
+    if (lasting(job, task) || (!done && how != end_kind::failed) || !decided)
     {
         return;
     }
-    if (ran_on(seen, book, *book.ended(how, limit), at))
+    if (ran_on(seen, book, *decided, at))
     {
         seen.report(done ? rule::doubled : rule::attempts,
                     at,
@@ -162,6 +162,21 @@
     }
 }
 
+/// Ends that nobody may have heard of are gone with the worker.
+void lose_ends(books& seen, std::string const& worker)
+{
+    for (auto& [name, job] : seen.jobs)
+    {
+        for (auto& [place, task] : job.tasks)
+        {
+            for (run_book& run : task.runs)
+            {
+                run.lost |= run.worker == worker && !run.acknowledged;
+            }
+        }
+    }
+}
+
 } // namespace
 
 void runs_check::take(books& seen, time_point at, run_started const& start)
@@ -183,7 +198,7 @@
     }
     auto& runs = task_of(seen, task).runs;
     running_[{start.worker, start.what}] = runs.size();
-    runs.push_back({start.worker, start.what.attempt, at, {}, {}, false});
+    runs.push_back({start.worker, start.what.attempt, at, {}, {}});
 }
 
 void runs_check::check_place(books& seen,
@@ -243,6 +258,7 @@
 void runs_check::take(books& seen, time_point at, worker_crashed const& crash)
 {
     draining_.erase(crash.worker);
+    lose_ends(seen, crash.worker);
     auto entry = running_.lower_bound({crash.worker, ports::task_run{}});
     while (entry != running_.end() && entry->first.first == crash.worker)
     {
