--- a/tests/unit/soak/checker_test.cpp
+++ b/tests/unit/soak/checker_test.cpp
@@ -131,6 +131,15 @@
     EXPECT_EQ(seen.broken(), only(rule::lost));
 }
 
+// A crash elsewhere is no excuse for an end that was there to be heard.
+TEST(soak_lost, done_job_is_never_shown_as_completed_after_another_crash)
+{
+    story seen = accepted_until_traffic_ends();
+    seen.start(task("a")).end(task("a")).see(worker_crashed{"w2"});
+    seen.at(20s).status("a", job_state::active);
+    EXPECT_EQ(seen.broken(), only(rule::lost));
+}
+
 TEST(soak_lost, job_whose_end_was_lost_or_is_news_may_be_shown_as_active)
 {
     story lost = accepted_until_traffic_ends();
@@ -156,6 +165,24 @@
     EXPECT_EQ(seen.broken(), none);
 }
 
+TEST(soak_lost, step_behind_a_lasting_one_is_not_owed)
+{
+    story seen = accepted_until_traffic_ends(
+        {"q", {{1, {}, true}, {1, {0}, false}, {1, {1}, true}}, 1});
+    seen.start(task("a")).at(20s).status("a", job_state::active);
+    EXPECT_EQ(seen.broken(), none);
+}
+
+// The first step is done, and the second is left out.
+TEST(soak_lost, later_step_is_never_done)
+{
+    story seen = accepted_until_traffic_ends(chain());
+    seen.start(task("a")).end(task("a"));
+    seen.start(task("a", 0, 1)).end(task("a", 0, 1));
+    seen.at(20s).status("a", job_state::active);
+    EXPECT_EQ(seen.broken(), only(rule::lost));
+}
+
 // A task that lasts ends and stays away.
 TEST(soak_lost, lasting_task_is_not_started_again)
 {
@@ -197,6 +224,10 @@
     story no_task;
     no_task.submit("a", single()).start(task("a", 0, 1));
     EXPECT_EQ(no_task.broken(), only(rule::refused_ran));
+
+    story no_occurrence;
+    no_occurrence.submit("a", single()).start({"a", 1, 0, 0});
+    EXPECT_EQ(no_occurrence.broken(), only(rule::refused_ran));
 }
 
 // A job is handed in to a queue that isn't there, and runs.
--- a/tests/unit/soak/model.cpp
+++ b/tests/unit/soak/model.cpp
@@ -142,7 +142,7 @@
     walk_result run()
     {
         change_configuration();
-        while (now_ < origin_ + walk_end)
+        while (now_ < origin + walk_end)
         {
             now_ += tick;
             step();
@@ -152,11 +152,11 @@
     }
 
 private:
-    static constexpr time_point origin_{1h};
+    static constexpr time_point origin{1h};
 
     void step()
     {
-        bool const faults = now_ < origin_ + faults_end;
+        bool const faults = now_ < origin + faults_end;
         end_troubles();
         if (faults)
         {
@@ -212,7 +212,7 @@
     bool may_trouble() const
     {
         bool const forced = lie_ == lie::no_recovery;
-        return now_ > quiet_until_ && (!forced || now_ < origin_ + 10s);
+        return now_ > quiet_until_ && (!forced || now_ < origin + 5s);
     }
 
     void begin_trouble(std::string const& name, duration length)
@@ -341,11 +341,12 @@
 
     void traffic()
     {
-        if (now_ == origin_ + traffic_end)
+        if (now_ == origin + traffic_end)
         {
             see(traffic_ended{});
         }
-        if (now_ < origin_ + traffic_end && one_in(10))
+        if (now_ < origin + traffic_end &&
+            one_in(lie_ == lie::no_recovery ? 5 : 10))
         {
             submit();
         }
@@ -353,7 +354,7 @@
         {
             cancel(any(jobs_));
         }
-        if (lie_ == lie::no_recovery && now_ == origin_ + 10s)
+        if (lie_ == lie::no_recovery && now_ == origin + 10s)
         {
             begin_trouble("last", 1s);
             result_.told = true;
@@ -401,7 +402,7 @@
         see(submit_sent{job.name, job.shape});
         std::uint64_t const chance = below(10);
         bool const overcome =
-            lie_ == lie::no_recovery && calm_since_ > origin_ + 10s;
+            lie_ == lie::no_recovery && calm_since_ > origin + 10s;
         bool const refused = overcome || chance == 0;
         bool const silent = !refused && chance == 1;
         job.rejected = refused;
@@ -556,7 +557,7 @@
             bool const there = versions_[one.view].first.count(queue) > 0;
             see(queue_seen{queue, one.name, 1, asked, there});
         }
-        if (now_ == origin_ + last_questions)
+        if (now_ == origin + last_questions)
         {
             for (job_model const& job : jobs_)
             {
@@ -578,7 +579,7 @@
     /// Tells the lie if there is an occasion for it now.
     void tell()
     {
-        bool const told = !jobs_.empty() && now_ < origin_ + faults_end &&
+        bool const told = !jobs_.empty() && now_ < origin + faults_end &&
                           (tell_of_jobs() || tell_of_places());
         if (told)
         {
@@ -730,7 +731,7 @@
     lie lie_;
     checker judge_{limits{}};
     walk_result result_;
-    time_point now_ = origin_;
+    time_point now_ = origin;
     time_point calm_since_{};  ///< The end of the last trouble.
     time_point quiet_until_{}; ///< No trouble, cancel or change before.
     std::map<std::string, time_point> troubles_; ///< Those on: until when.
--- a/tools/soak/jobs_check.cpp
+++ b/tools/soak/jobs_check.cpp
@@ -70,24 +70,6 @@
     }
 }
 
-/// For each step, whether all tasks of it can end done in the end.
-std::vector<bool> finite_steps(job_shape const& shape)
-{
-    std::vector<bool> finite;
-    for (step_shape const& step : shape.steps)
-    {
-        bool const reached =
-            std::all_of(step.after.begin(),
-                        step.after.end(),
-                        [&](std::uint32_t earlier)
-                        {
-                            return earlier < finite.size() && finite[earlier];
-                        });
-        finite.push_back(reached && !step.lasting);
-    }
-    return finite;
-}
-
 /// Whether each task of the lasting step runs, or ran just before `now`.
 bool kept_up(job_book const& job, std::uint32_t step, time_point now)
 {
@@ -110,24 +92,23 @@
 /// All that could be done has been, and all that lasts is at work.
 bool served(job_book const& job, time_point now)
 {
-    std::vector<bool> const finite = finite_steps(job.shape);
-    for (std::uint32_t step = 0; step < finite.size(); ++step)
+    std::vector<bool> finite; // Whether all tasks of the step can end done.
+    for (step_shape const& step : job.shape.steps)
     {
-        auto const& after = job.shape.steps[step].after;
+        auto const can_end = [&](std::uint32_t earlier)
+        {
+            return earlier < finite.size() && finite[earlier];
+        };
         bool const reached =
-            std::all_of(after.begin(),
-                        after.end(),
-                        [&](std::uint32_t earlier)
-                        {
-                            return earlier < step && finite[earlier];
-                        });
-        bool const good = job.shape.steps[step].lasting
-                              ? kept_up(job, step, now)
-                              : job.step_done(step);
+            std::all_of(step.after.begin(), step.after.end(), can_end);
+        std::uint32_t const place = finite.size();
+        bool const good =
+            step.lasting ? kept_up(job, place, now) : job.step_done(place);
         if (reached && !good)
         {
             return false;
         }
+        finite.push_back(reached && !step.lasting);
     }
     return true;
 }
--- a/tools/soak/recovery_check.hpp
+++ b/tools/soak/recovery_check.hpp
@@ -2,6 +2,8 @@
 
 #include "tools/soak/books.hpp"
 
+#include <map>
+#include <string>
 #include <vector>
 
 // Whether callers are served again after the last trouble.
--- a/tools/soak/runs_check.cpp
+++ b/tools/soak/runs_check.cpp
@@ -149,11 +149,8 @@
     bool const done = how == end_kind::done;
     std::size_t const limit = done ? 1 : job.shape.attempts;
     auto const decided = book.acknowledged(how, limit);
-    if (lasting(job, task) || (!done && how != end_kind::failed) || !decided)
-    {
-        return;
-    }
-    if (ran_on(seen, book, *decided, at))
+    bool const decides = decided && (done || how == end_kind::failed);
+    if (decides && !lasting(job, task) && ran_on(seen, book, *decided, at))
     {
         seen.report(done ? rule::doubled : rule::attempts,
                     at,
--- a/tools/soak/runs_check.hpp
+++ b/tools/soak/runs_check.hpp
@@ -2,6 +2,7 @@
 
 #include "tools/soak/books.hpp"
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <utility>
