A frame without its message is refused

A peer's frame that names the kind of its message and holds none passed the buffer's checks, and reading it ended the process with a segmentation fault. The token is compared after decoding, so whoever reached the peers' port could do that. The frame is refused as malformed.

Ruled out: marking the field as required in the schema; the first frame of a connection has no message.

No functional change for frames that we write.

--- a/src/adapters/peer/codec.cpp
+++ b/src/adapters/peer/codec.cpp
@@ -444,6 +444,13 @@
         return std::nullopt;
     }
     auto const& parsed = *schema::Getframe(bytes.data());
+    // The schema lets a message be absent whose kind is named.
+    if (parsed.body_type() != schema::message_NONE && parsed.body() == nullptr)
+    {
+        reason = {
+            result_code::malformed_frame, "frame", "the message is absent"};
+        return std::nullopt;
+    }
     frame result{read(parsed.from()),
                  read(parsed.to()),
                  text_of(parsed.token()),
