A peer's answer has a status that a caller can be told

An answer that a peer forwards may carry any 16-bit status, and one above 999 makes the HTTP library throw where the answer is written: the member that passes it on would end. Frames with such an answer are refused.

No functional change for answers that we write.

--- a/src/adapters/peer/codec.cpp
+++ b/src/adapters/peer/codec.cpp
@@ -18,6 +18,9 @@
 using core::common::outcome;
 using core::common::result_code;
 
+// HTTP has no status of four digits.
+constexpr std::uint16_t max_status = 999;
+
 std::string text_of(flatbuffers::String const* value)
 {
     return value == nullptr ? std::string() : value->str();
@@ -138,7 +141,7 @@
 
 std::optional<ports::caller_answer> read(schema::caller_answer const* value)
 {
-    if (value == nullptr ||
+    if (value == nullptr || value->status() > max_status ||
         value->says() > static_cast<std::uint8_t>(outcome::unknown))
     {
         return std::nullopt;
