A page of the store brings its reader forward

A page that was answered again and again, each time with more to come, was read for ever: the owner counted as loading, since pages came, and scheduled nothing. A page with more to come that does not end behind the key it was asked after is `unclear` now, and reading starts anew.

No functional change for pages in order.

--- a/tests/contract/inputs/store_inputs_test.cpp
+++ b/tests/contract/inputs/store_inputs_test.cpp
@@ -62,6 +62,23 @@
     }
 }
 
+// A page that was answered again and again was read for ever, and the owner
+// never came to schedule.
+TEST(store_inputs, a_page_brings_its_reader_forward)
+{
+    std::string const page =
+        R"({"items":[{"key":"pool/b","revision":7}],"atRevision":9,)"
+        R"("hasMore":true})";
+    using ports::kv_status;
+    EXPECT_EQ(said_of(ports::kv_range{"pool/", ""}, page), kv_status::done);
+    EXPECT_EQ(said_of(ports::kv_range{"pool/", "pool/a"}, page),
+              kv_status::done);
+    EXPECT_EQ(said_of(ports::kv_range{"pool/", "pool/b"}, page),
+              kv_status::unclear);
+    EXPECT_EQ(said_of(ports::kv_range{"pool/", "pool/c"}, page),
+              kv_status::unclear);
+}
+
 // The same of the other calls.
 TEST(store_inputs, an_answer_of_the_store_holds_what_its_call_returns)
 {
