Left from the last read: a caller-less accessor, a question asked twice, two like posts

guaranteed_room::left() goes; whether a task must leave room is handed to score_again, which asked it again for each task; the refusals of the store's and the outside's calls end in one function.

No functional change

--- a/src/core/pool/guaranteed_room.cpp
+++ b/src/core/pool/guaranteed_room.cpp
@@ -61,9 +61,4 @@
     return expected_;
 }
 
-std::int64_t guaranteed_room::left() const noexcept
-{
-    return left_;
-}
-
 } // namespace fuchsia::core::pool
--- a/src/core/pool/guaranteed_room.hpp
+++ b/src/core/pool/guaranteed_room.hpp
@@ -51,7 +51,6 @@
 
     /// Millicores that short work is expected to need at once.
     std::int64_t expected() const noexcept;
-    std::int64_t left() const noexcept;
 
 private:
     guaranteed_room_settings settings_;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -381,6 +381,7 @@
                      job_run& run,
                      ports::task_name const& name,
                      worker& on,
+                     bool leaves_room,
                      std::vector<ranked_worker>& ranked);
     bool may_trust(worker const& on) const;
     std::optional<obstacle> obstacle_at(common::time_point now,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -209,7 +209,7 @@
         }
         else if (ranked)
         {
-            score_again(now, run, name, *on, *ranked);
+            score_again(now, run, name, *on, left_room, *ranked);
         }
     }
     ready_.erase(key);
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -222,6 +222,7 @@
                         job_run& run,
                         ports::task_name const& name,
                         worker& on,
+                        bool leaves_room,
                         std::vector<ranked_worker>& ranked)
 {
     auto const row = std::find_if(ranked.begin(),
@@ -234,8 +235,8 @@
     {
         return;
     }
-    bool const keeps = must_leave_room(run, name) &&
-                       !on.has_room_twice(run.step_of(name).declared);
+    bool const keeps =
+        leaves_room && !on.has_room_twice(run.step_of(name).declared);
     auto const found = score(now, on, run, name);
     if (found && !keeps)
     {
--- a/src/programs/pool/pool_outside.cpp
+++ b/src/programs/pool/pool_outside.cpp
@@ -67,16 +67,22 @@
     perform();
 }
 
+template<class Reply>
+void pool_program::take_reply_soon(Reply reply)
+{
+    boost::asio::post(decisions_.io(),
+                      [this, reply = std::move(reply)]() mutable
+                      {
+                          take_reply(reply);
+                      });
+}
+
 void pool_program::refuse(ports::kv_call const& call)
 {
     ports::kv_reply made;
     made.id = call.id;
     made.status = ports::kv_status::refused;
-    boost::asio::post(decisions_.io(),
-                      [this, made]
-                      {
-                          take_reply(made);
-                      });
+    take_reply_soon(std::move(made));
 }
 
 // Nothing went out, and whoever waits for the answer is told so.
@@ -93,11 +99,7 @@
         made.id = ask->id;
         reply = std::move(made);
     }
-    boost::asio::post(decisions_.io(),
-                      [this, reply]() mutable
-                      {
-                          take_reply(reply);
-                      });
+    take_reply_soon(std::move(reply));
 }
 
 } // namespace fuchsia::programs::pool
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -74,6 +74,9 @@
     void send_outside(outside_call& call);
     void take_reply(outside_reply& reply);
     void take_reply(ports::kv_reply const& reply);
+    /// From the decisions' thread, but not from within what it does now.
+    template<class Reply>
+    void take_reply_soon(Reply reply);
     void refuse(outside_operation const& call);
     void refuse(ports::kv_call const& call);
 
