--- a/tests/contract/inputs/http_inputs_test.cpp
+++ b/tests/contract/inputs/http_inputs_test.cpp
@@ -2,12 +2,14 @@
 
 #include "adapters/callers/caller_headers.hpp"
 #include "adapters/http/server.hpp"
+#include "platform/store.hpp"
 #include "platform/submissions.hpp"
 
-#include <boost/asio/connect.hpp>
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <memory>
@@ -166,6 +168,66 @@
     EXPECT_EQ(served.waiting(), 0U);
 }
 
+// Whatever an answer is, the call ends once, and its connection brings nothing
+// of it to the next one.
+TEST(http_inputs, odd_answers_end_each_call_once)
+{
+    std::string const body = R"({"items":[],"hasMore":false,"atRevision":3})";
+    std::vector<std::string> const samples{
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body,
+        "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"
+        "0\r\n\r\n",
+        "HTTP/1.1 503 No\r\nConnection: close\r\n\r\n"};
+    asio::io_context io;
+    tcp::acceptor accepting(io, {asio::ip::make_address("127.0.0.1"), 0});
+    ports::endpoint const where{"127.0.0.1", accepting.local_endpoint().port()};
+    std::size_t ended = 0;
+    platform::store asked(io,
+                          where,
+                          [&ended](ports::kv_reply const&)
+                          {
+                              ++ended;
+                          });
+    for (std::uint64_t seed = 1; seed <= cases; ++seed)
+    {
+        input_mutator mutator(seed);
+        auto const answer = mutator.damaged(samples[seed % samples.size()]);
+        std::string taken;
+        tcp::socket socket(io);
+        accepting.async_accept(
+            socket,
+            [&](boost::system::error_code)
+            {
+                asio::async_read_until(
+                    socket,
+                    asio::dynamic_buffer(taken),
+                    "\r\n\r\n",
+                    [&](boost::system::error_code, std::size_t)
+                    {
+                        boost::system::error_code ignored;
+                        asio::write(socket, asio::buffer(answer), ignored);
+                        socket.close(ignored);
+                    });
+            });
+        io.restart();
+        asked.send({seed, ports::kv_range{"pool/", ""}, 10s});
+        auto const end = std::chrono::steady_clock::now() + patience;
+        while (ended < seed && std::chrono::steady_clock::now() < end)
+        {
+            io.run_one_for(50ms);
+        }
+        ASSERT_EQ(ended, seed) << testing::PrintToString(answer.substr(0, 300));
+        boost::system::error_code ignored;
+        accepting.cancel(ignored);
+        socket.close(ignored);
+        io.poll();
+        ASSERT_EQ(ended, seed);
+    }
+}
+
 // A caller's headers are taken within their bounds or refused by name.
 TEST(http_inputs, odd_headers_of_callers_are_refused_by_name)
 {
