A record of progress fits into one value of the store

Checkpoints are texts of any length that workers choose. A record of progress larger than the store's largest value was refused, sent again and again, and with it every other write of the owner: nothing was acknowledged any more. A record holds 400 kB of checkpoints at most; with 20,000 rows that stays below a megabyte (50 MB before, with checkpoints of 500 kB). A task whose checkpoint is left out goes on as before and begins anew only after a takeover.

Ruled out: refusing long checkpoints.

No functional change for jobs with less.

--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -15,6 +15,25 @@
 // Of a time limit; sums of a few of them and a time of day stay exact.
 constexpr double longest_limit_ms = 1e15;
 
+// Bytes of checkpoints in one record of progress. With the rows of the largest
+// job they fit into one value of the store; a task whose checkpoint is left out
+// begins anew after a takeover.
+constexpr std::size_t checkpoint_room = 400'000;
+
+// As it stands in JSON, where some bytes take six.
+std::size_t written_size(std::string const& text)
+{
+    constexpr std::size_t escaped = 6;
+    std::size_t size = 0;
+    for (char const letter : text)
+    {
+        auto const byte = static_cast<unsigned char>(letter);
+        bool const plain = byte >= ' ' && letter != '"' && letter != '\\';
+        size += plain ? 1 : escaped;
+    }
+    return size;
+}
+
 occurrence_run make_occurrence(job const& spec)
 {
     occurrence_run made;
@@ -144,6 +163,7 @@
 {
     progress made;
     made.job = from.spec.id;
+    auto room = checkpoint_room;
     for (std::uint32_t k = 0; k < from.occurrences.size(); ++k)
     {
         auto const& steps = from.occurrences[k].steps;
@@ -154,16 +174,19 @@
             {
                 auto const& each = tasks[index];
                 bool const done = each.phase == task_phase::done;
-                if (!done && each.failures.empty() && each.checkpoint.empty())
+                auto const size = done ? 0 : written_size(each.checkpoint);
+                bool const kept = size > 0 && size <= room;
+                if (!done && !kept && each.failures.empty())
                 {
                     continue;
                 }
+                room -= kept ? size : 0;
                 made.tasks.push_back({k,
                                       number,
                                       index,
                                       done,
                                       each.failures,
-                                      done ? std::string() : each.checkpoint});
+                                      kept ? each.checkpoint : std::string()});
             }
         }
     }
--- a/tests/contract/inputs/job_inputs_test.cpp
+++ b/tests/contract/inputs/job_inputs_test.cpp
@@ -95,4 +95,35 @@
     }
 }
 
+// Workers' checkpoints made a record that the store takes from nobody: its
+// owner sent it again and again, and no other write came through.
+TEST(job_inputs, a_record_of_progress_fits_into_one_value_of_the_store)
+{
+    constexpr std::size_t largest_value = 1024 * 1024;
+    for (std::size_t const size : {16, 1000, 500'000})
+    {
+        core::pool::job job;
+        job.steps.resize(2);
+        job.steps[0].count = 10'000;
+        job.steps[1].count = 10'000;
+        auto run = core::pool::make_job_run(job, 1, {});
+        for (auto& steps : run.occurrences.front().steps)
+        {
+            for (std::size_t index = 0; index < steps.tasks.size(); ++index)
+            {
+                auto& each = steps.tasks[index];
+                each.checkpoint = index < 100 || size < 100
+                                      ? std::string(size, 'c')
+                                      : std::string();
+                each.phase = index % 2 == 0 ? core::pool::task_phase::done
+                                            : core::pool::task_phase::ready;
+            }
+        }
+        auto const known = progress_of(run);
+        EXPECT_LT(to_json(known).size(), largest_value) << size;
+        // What must not run again is always in it.
+        EXPECT_GE(known.tasks.size(), 10'000U) << size;
+    }
+}
+
 } // namespace fuchsia::tests::contract::inputs
