A worker is named by visible letters

A worker's id is the rest of its key in the store and stands in a header of each call. An entry of another writer under a key with a line break was used, and put headers of its own into our calls, a fencing token among them.

No functional change for such ids.

--- a/tests/contract/inputs/directory_inputs_test.cpp
+++ b/tests/contract/inputs/directory_inputs_test.cpp
@@ -109,6 +109,22 @@
     }
 }
 
+// The id stands in a header of each call of the worker: with a line break in it
+// whoever writes an entry wrote headers of ours.
+TEST(directory_inputs, a_worker_is_named_by_visible_letters)
+{
+    EXPECT_TRUE(names_a_worker("servers/i-7f3a.b_1:2", entry_with(99, "")));
+    for (auto const& id : {std::string("a b"),
+                           std::string("a\r\nFuchsialanding-Fence-Token: 9"),
+                           std::string("a\x7f"),
+                           std::string("a\xc3\xa4"),
+                           std::string("a\0b", 3),
+                           std::string(201, 'a')})
+    {
+        EXPECT_FALSE(names_a_worker("servers/" + id, entry_with(99, ""))) << id;
+    }
+}
+
 // A configuration without a number counted as read, and none came after it.
 TEST(directory_inputs, a_configuration_has_a_version)
 {
