Odd keys are escaped in calls of the store

A page of workers may end with a key that another writer chose. It stood in the query of the next page as it was: with a blank in it no server reads the call, with "&" it is another one, and the list was never read to its end. What is no letter, digit or one of "/-._:" is escaped now.

No functional change for keys of those letters.

--- a/tests/contract/inputs/store_inputs_test.cpp
+++ b/tests/contract/inputs/store_inputs_test.cpp
@@ -79,6 +79,22 @@
               kv_status::unclear);
 }
 
+// A page that ended with another writer's odd key made the next call one that
+// no server reads, and the list of workers was never read to its end.
+TEST(store_inputs, odd_keys_are_escaped_in_calls)
+{
+    EXPECT_EQ(platform::encode(ports::kv_range{"servers/", "servers/i-1.a:b_c"})
+                  .target,
+              "/v1/kv-range?prefix=servers/&after=servers/i-1.a:b_c");
+    EXPECT_EQ(platform::encode(ports::kv_range{"servers/", "servers/a b&c%\n"})
+                  .target,
+              "/v1/kv-range?prefix=servers/&after=servers/a%20b%26c%25%0A");
+    EXPECT_EQ(platform::encode(ports::kv_read{"a#\xc3", false}).target,
+              "/v1/kv-key?key=a%23%C3");
+    EXPECT_EQ(platform::encode(ports::kv_watch{"p+", 3, {}}).target,
+              "/v1/kv-watch?prefix=p%2B&after=3&waitMs=0");
+}
+
 // The same of the other calls.
 TEST(store_inputs, an_answer_of_the_store_holds_what_its_call_returns)
 {
