Fault soak: instances, platform, callers and a schedule of faults

fuchsia-soak starts instances of fuchsia-pool against the platform's stand-in inside its own process and plays a schedule drawn from a seed. The stand-in gains gates before its store and workers, lives of workers, an onlooker, and planted lies. Child processes move to the adapters and no longer inherit our sockets: a connection that the soak closed stayed open in its children.

--- a/tests/process/child.cpp
+++ b/src/adapters/runtime/child.cpp
@@ -1,4 +1,4 @@
-#include "process/child.hpp"
+#include "adapters/runtime/child.hpp"
 
 #include <csignal>
 #include <fcntl.h>
@@ -8,7 +8,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace fuchsia::tests::process
+namespace fuchsia::adapters::runtime
 {
 
 namespace
@@ -21,11 +21,10 @@
 
 } // namespace
 
-child::child(std::string const& program,
+child::child(std::string const& path,
              std::vector<std::string> const& arguments,
              std::string const& log)
 {
-    std::string const path = std::string(FUCHSIA_BINARY_DIR) + "/" + program;
     std::vector<char*> argv{const_cast<char*>(path.c_str())};
     for (auto const& argument : arguments)
     {
@@ -40,6 +39,8 @@
                                      O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Else a connection that we close stays open in the child.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     int const error = posix_spawn(
         &pid_, path.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -64,7 +65,10 @@
 
 void child::signal(int number) const
 {
-    ::kill(pid_, number);
+    if (!status_)
+    {
+        ::kill(pid_, number);
+    }
 }
 
 bool child::running()
@@ -77,6 +81,12 @@
     return !status_;
 }
 
+std::optional<int> child::status()
+{
+    running();
+    return status_;
+}
+
 int child::wait()
 {
     int raw = 0;
@@ -96,4 +106,4 @@
     }
 }
 
-} // namespace fuchsia::tests::process
+} // namespace fuchsia::adapters::runtime
--- /dev/null
+++ b/standins/common/own_address.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unistd.h>
+
+namespace fuchsia::standins
+{
+
+/// A loopback address of this process alone, by its process id: tests that
+/// run at the same time can't take each other's ports.
+inline std::string own_address()
+{
+    auto const id = static_cast<std::uint32_t>(::getpid());
+    return "127." + std::to_string(200 + id / 65'536 % 32) + "." +
+           std::to_string(id / 256 % 256) + "." + std::to_string(id % 256);
+}
+
+/// Ports of that address, one after the other.
+inline std::uint16_t next_port()
+{
+    static std::uint16_t next = 20'000;
+    return ++next;
+}
+
+} // namespace fuchsia::standins
--- /dev/null
+++ b/standins/pool/gate.cpp
@@ -0,0 +1,69 @@
+#include "standins/pool/gate.hpp"
+
+#include "standins/common/web.hpp"
+
+#include <utility>
+
+namespace fuchsia::standins::pool
+{
+
+using core::common::time_point;
+
+void gate::set(gate_mode mode, core::common::duration delay)
+{
+    mode_ = mode;
+    delay_ = delay;
+    if (mode_ == gate_mode::open)
+    {
+        for (auto& each : held_)
+        {
+            each.due = time_point{};
+        }
+    }
+}
+
+void gate::pass(time_point now,
+                work carry_out,
+                adapters::http::responder const& respond)
+{
+    switch (mode_)
+    {
+    case gate_mode::open:
+        carry_out(respond);
+        break;
+    case gate_mode::late:
+        held_.push_back({now + delay_, std::move(carry_out), respond});
+        break;
+    case gate_mode::lossy:
+        carry_out([](adapters::http::response const&) {});
+        break;
+    case gate_mode::silent:
+        held_.push_back({time_point::max(), std::move(carry_out), respond});
+        break;
+    case gate_mode::refusing:
+        respond(refusal(503, "unwilling"));
+        break;
+    }
+}
+
+void gate::pump(time_point now)
+{
+    for (auto each = held_.begin(); each != held_.end();)
+    {
+        if (each->due > now)
+        {
+            ++each;
+            continue;
+        }
+        auto const due = std::move(*each);
+        each = held_.erase(each);
+        due.carry_out(due.respond);
+    }
+}
+
+void gate::clear()
+{
+    held_.clear();
+}
+
+} // namespace fuchsia::standins::pool
--- /dev/null
+++ b/standins/pool/gate.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "adapters/http/server.hpp"
+#include "core/common/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+
+namespace fuchsia::standins::pool
+{
+
+/// What becomes of the requests that a service gets.
+enum class gate_mode : std::uint8_t
+{
+    open,
+    late,     ///< Carried out, and answered, after the delay.
+    lossy,    ///< Carried out and never answered.
+    silent,   ///< Carried out once the gate opens again.
+    refusing, ///< Answered with 503; nothing is done.
+};
+
+/// Stands before a service and makes it late, deaf or unwilling.
+class gate
+{
+public:
+    using work = std::function<void(adapters::http::responder const&)>;
+
+    /// Requests that wait are let through by the next `pump` where the gate
+    /// opens.
+    void set(gate_mode mode, core::common::duration delay = {});
+    void pass(core::common::time_point now,
+              work carry_out,
+              adapters::http::responder const& respond);
+    /// Carries out what is due.
+    void pump(core::common::time_point now);
+    /// Forgets what waits.
+    void clear();
+
+private:
+    struct held
+    {
+        core::common::time_point due{};
+        work carry_out;
+        adapters::http::responder respond;
+    };
+
+    gate_mode mode_ = gate_mode::open;
+    core::common::duration delay_{};
+    std::list<held> held_;
+};
+
+} // namespace fuchsia::standins::pool
--- a/standins/pool/kv_state.cpp
+++ b/standins/pool/kv_state.cpp
@@ -105,6 +105,24 @@
     remove(key);
 }
 
+void kv_state::forget(std::string const& key)
+{
+    items_.erase(key);
+    std::erase_if(history_,
+                  [&key](kv_item const& each)
+                  {
+                      return each.key == key;
+                  });
+}
+
+void kv_state::end_leases()
+{
+    while (!leases_.empty())
+    {
+        end_lease(leases_.begin()->first);
+    }
+}
+
 std::uint64_t kv_state::revision() const noexcept
 {
     return revision_;
--- a/standins/pool/kv_state.hpp
+++ b/standins/pool/kv_state.hpp
@@ -31,6 +31,10 @@
     /// Writes as the operator or a worker would.
     void put(std::string const& key, std::string value);
     void erase(std::string const& key);
+    /// Loses a key and the memory of it, as no store may.
+    void forget(std::string const& key);
+    /// Ends all leases at once.
+    void end_leases();
 
     std::uint64_t revision() const noexcept;
     std::optional<ports::kv_item> find(std::string const& key) const;
--- a/standins/pool/pool_codec.cpp
+++ b/standins/pool/pool_codec.cpp
@@ -280,18 +280,24 @@
     return json::serialize(made);
 }
 
-std::string encode_config(std::string const& host, std::string const& prefix)
+std::string encode_config(std::uint64_t version,
+                          std::vector<queue_entry> const& queues)
 {
-    json::object const queue{{"name", "jobs"},
-                             {"host", host},
-                             {"prefix", prefix},
-                             {"service", "pool"},
-                             {"attempts", 3},
-                             {"stretch", 1.5},
-                             {"targetDurationMs", 1000}};
+    json::array routes;
+    for (auto const& each : queues)
+    {
+        routes.push_back(json::object{{"name", each.name},
+                                      {"host", each.host},
+                                      {"prefix", each.prefix},
+                                      {"service", "pool"},
+                                      {"priority", each.priority},
+                                      {"attempts", 3},
+                                      {"stretch", 1.5},
+                                      {"targetDurationMs", 1000}});
+    }
     json::object const service{{"name", "pool"}, {"enforcesCapacity", true}};
-    return json::serialize(json::object{{"version", 1},
-                                        {"routes", json::array{queue}},
+    return json::serialize(json::object{{"version", version},
+                                        {"routes", std::move(routes)},
                                         {"services", json::array{service}}});
 }
 
--- a/standins/pool/pool_codec.hpp
+++ b/standins/pool/pool_codec.hpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 // The platform's formats from its own side: requests in, answers out.
 namespace fuchsia::standins::pool
@@ -22,7 +23,17 @@
 
 /// A worker's entry in the store's list.
 std::string encode(ports::pool_worker const& worker);
-/// The operators' configuration with one queue.
-std::string encode_config(std::string const& host, std::string const& prefix);
+/// One queue of the operators' configuration.
+struct queue_entry
+{
+    std::string name;
+    std::string host;
+    std::string prefix;
+    std::uint32_t priority = 0;
+};
+
+/// The operators' configuration.
+std::string encode_config(std::uint64_t version,
+                          std::vector<queue_entry> const& queues);
 
 } // namespace fuchsia::standins::pool
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -66,6 +66,21 @@
 {
 }
 
+void worker_state::observe(std::function<void(worker_event const&)> tell)
+{
+    observer_ = std::move(tell);
+}
+
+void worker_state::tell(worker_moment when,
+                        ports::task_run const& what,
+                        end_kind how) const
+{
+    if (observer_)
+    {
+        observer_({when, what, how, fence_});
+    }
+}
+
 std::uint64_t worker_state::clock_ms(time_point now) const noexcept
 {
     auto const age = static_cast<double>(to_milliseconds(now - born_));
@@ -153,6 +168,7 @@
     extend(order.until_ms);
     running_[task] = {order.what.attempt, now, parse_script(order.spec)};
     begun_.push_back(order.what);
+    tell(worker_moment::started, order.what);
     return order_status::done;
 }
 
@@ -194,6 +210,7 @@
         if (known(row))
         {
             acknowledged_.push_back(row);
+            tell(worker_moment::acknowledged, row.what, row.how);
         }
     }
     std::erase_if(ended_, known);
@@ -228,6 +245,7 @@
     auto& settled = settled_[task];
     settled = std::max(settled, attempt);
     ended_.push_back({++last_end_, {task, attempt}, how, ""});
+    tell(worker_moment::ended, {task, attempt}, how);
 }
 
 void worker_state::extend(std::uint64_t until_ms) noexcept
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -3,6 +3,7 @@
 #include "ports/pool_workers.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -29,6 +30,22 @@
 
 task_script parse_script(std::string_view spec);
 
+enum class worker_moment : std::uint8_t
+{
+    started,
+    ended,
+    acknowledged, ///< The owner said that it has written this end down.
+};
+
+/// What an onlooker at a worker sees; `how` is of an end.
+struct worker_event
+{
+    worker_moment when = worker_moment::started;
+    ports::task_run what;
+    ports::end_kind how = ports::end_kind::done;
+    std::uint64_t fence = 0;
+};
+
 /// One incarnation of a worker in memory: a fence, one lease for all that runs,
 /// ends that are listed until they are acknowledged. Its clock starts at
 /// `clock_start` and runs at `speed` of true time.
@@ -39,6 +56,8 @@
                  core::common::time_point born,
                  double speed);
 
+    /// Called at every event from now on, from within `apply` and `advance`.
+    void observe(std::function<void(worker_event const&)> tell);
     ports::order_reply apply(core::common::time_point now,
                              ports::pool_operation const& order);
     /// Ends what is done by now, and everything once the lease is over.
@@ -74,7 +93,12 @@
     void end(ports::task_name const& task, ports::end_kind how);
     void extend(std::uint64_t until_ms) noexcept;
 
+    void tell(worker_moment when,
+              ports::task_run const& what,
+              ports::end_kind how = ports::end_kind::done) const;
+
     ports::pool_worker info_;
+    std::function<void(worker_event const&)> observer_;
     core::common::time_point born_;
     double speed_;
     std::uint64_t fence_ = 0;
--- a/tests/process/own_address.hpp
+++ b/tests/process/own_address.hpp
@@ -1,26 +1,11 @@
 #pragma once
 
-#include <cstdint>
-#include <string>
-#include <unistd.h>
+#include "standins/common/own_address.hpp"
 
 namespace fuchsia::tests::process
 {
 
-/// A loopback address of this test process alone, by its process id: tests that
-/// run at the same time can't take each other's ports.
-inline std::string own_address()
-{
-    auto const id = static_cast<std::uint32_t>(::getpid());
-    return "127." + std::to_string(200 + id / 65'536 % 32) + "." +
-           std::to_string(id / 256 % 256) + "." + std::to_string(id % 256);
-}
-
-/// Ports of that address, one after the other.
-inline std::uint16_t next_port()
-{
-    static std::uint16_t next = 20'000;
-    return ++next;
-}
+using standins::next_port;
+using standins::own_address;
 
 } // namespace fuchsia::tests::process
--- /dev/null
+++ b/tools/soak/dice.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+#include <random>
+
+namespace fuchsia::tools::soak
+{
+
+/// Draws that are the same on every machine for one seed.
+class dice
+{
+public:
+    explicit dice(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    /// From 0 to `end` - 1; `end` is above 0.
+    std::uint32_t below(std::uint64_t end)
+    {
+        return static_cast<std::uint32_t>(random_() % end);
+    }
+
+    bool percent(std::uint32_t share)
+    {
+        return below(100) < share;
+    }
+
+    core::common::duration between(core::common::duration least,
+                                   core::common::duration most)
+    {
+        auto const span = static_cast<std::uint64_t>((most - least).count());
+        return least + core::common::duration(random_() % (span + 1));
+    }
+
+private:
+    std::mt19937_64 random_;
+};
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/faults.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "standins/links/relay.hpp"
+#include "standins/pool/pool_server.hpp"
+#include "tools/soak/instances.hpp"
+#include "tools/soak/plan.hpp"
+#include "tools/soak/record.hpp"
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fuchsia::tools::soak
+{
+
+/// Brings the faults of a plan about, and heals them. Faults of one kind and
+/// target may overlap: the last one lasts.
+class faults
+{
+public:
+    using relays = std::vector<std::shared_ptr<standins::links::relay>>;
+
+    /// `stale`: the operator's configurations after the first never reach the
+    /// store, though they are told to have.
+    faults(instances& under_test,
+           standins::pool::pool_server& platform,
+           relays workers,
+           record& out,
+           bool stale);
+
+    /// Puts the first configuration into the store.
+    void begin();
+    void apply(fault const& what);
+    /// Ends what is over by now; starts again what was to end.
+    void advance(core::common::time_point now);
+    /// Ends all; what is dead is up again once this is true.
+    bool heal();
+    std::uint64_t applied() const noexcept;
+
+private:
+    struct active
+    {
+        fault what;
+        std::string name;
+        core::common::time_point until{};
+    };
+
+    void begin_one(fault const& what);
+    void begin_worker(fault const& what);
+    /// False where it can't end yet.
+    bool end_one(fault const& what);
+    void settle(fault const& what);
+    void settle_links(fault const& what);
+    void settle_gates(fault const& what);
+    /// The last active fault of `kind` and, where given, `target`.
+    fault const* last(fault_kind kind, std::uint32_t target) const;
+    bool restart(std::uint32_t instance);
+    void leave(std::uint32_t worker, bool same_id);
+    void change_configuration(std::uint32_t value);
+    void put_configuration();
+    void set_data_centre(bool out);
+
+    instances& instances_;
+    standins::pool::pool_server& platform_;
+    relays workers_;
+    record& out_;
+    bool stale_;
+    std::list<active> active_;
+    std::uint64_t applied_ = 0;
+    std::uint64_t version_ = 1;
+    std::set<std::uint32_t> extra_;
+    std::set<std::uint32_t> busy_workers_; ///< Leave, or are down.
+    std::set<std::uint32_t> ending_; ///< Instances that are to start again.
+};
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/instances.cpp
@@ -0,0 +1,232 @@
+#include "tools/soak/instances.hpp"
+
+#include "adapters/http/message.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+namespace fuchsia::tools::soak
+{
+
+namespace
+{
+
+using adapters::http::to_string;
+using core::common::clock;
+using standins::links::relay;
+
+// What an instance listens at, and the relays beside it.
+enum role : std::uint16_t
+{
+    submissions_port,
+    readiness_port,
+    metrics_port,
+    caller_link_port,
+    store_link_port,
+    ports_of_one,
+};
+
+// From SIGTERM to SIGKILL, as in the settings below.
+constexpr core::common::duration stop_limit = std::chrono::seconds(6);
+constexpr char const* bounds = R"(
+[bounds]
+shortest_lease_ms = 1000
+longest_hold_ms = 10000
+stop_limit_s = 6
+states_kept_s = 120
+harm_ms = 4000
+visible_ms = 3000
+drain_ms = 2000
+config_ms = 2000
+cancel_ms = 3000
+)";
+
+} // namespace
+
+instances::instances(boost::asio::io_context& io,
+                     instances_settings settings,
+                     record& out)
+    : io_(io), settings_(std::move(settings)), out_(out),
+      members_(settings_.count)
+{
+}
+
+bool instances::listen(core::common::failure& reason)
+{
+    for (std::size_t number = 0; number < size(); ++number)
+    {
+        auto& one = members_[number];
+        one.caller_link = std::make_shared<relay>(
+            io_,
+            standins::links::link_settings{
+                "callers", submissions(number), at(number, submissions_port)});
+        one.store_link = std::make_shared<relay>(
+            io_,
+            standins::links::link_settings{
+                "store", at(number, store_link_port), settings_.store});
+        if (!one.caller_link->listen(reason) || !one.store_link->listen(reason))
+        {
+            return false;
+        }
+        start(number);
+    }
+    return true;
+}
+
+std::size_t instances::size() const noexcept
+{
+    return members_.size();
+}
+
+std::string instances::name(std::size_t number) const
+{
+    return "pool-" + std::to_string(number);
+}
+
+ports::endpoint instances::at(std::size_t number, std::uint16_t role) const
+{
+    return {settings_.address,
+            static_cast<std::uint16_t>(settings_.first_port +
+                                       number * ports_of_one + role)};
+}
+
+ports::endpoint instances::submissions(std::size_t number) const
+{
+    return at(number, caller_link_port);
+}
+
+ports::endpoint instances::readiness(std::size_t number) const
+{
+    return at(number, readiness_port);
+}
+
+std::uint64_t instances::incarnation(std::size_t number) const
+{
+    return members_[number].starts;
+}
+
+relay& instances::caller_link(std::size_t number)
+{
+    return *members_[number].caller_link;
+}
+
+relay& instances::store_link(std::size_t number)
+{
+    return *members_[number].store_link;
+}
+
+void instances::start(std::size_t number)
+{
+    auto& one = members_[number];
+    write_settings(number);
+    auto const base = settings_.folder + "/" + name(number);
+    one.process = std::make_unique<adapters::runtime::child>(
+        settings_.program,
+        std::vector<std::string>{"--settings", base + ".toml"},
+        base + ".log");
+    ++one.starts;
+    one.killed = false;
+    one.paused = false;
+    one.asked_to_stop.reset();
+    out_.note("started " + name(number));
+}
+
+void instances::kill(std::size_t number)
+{
+    auto& one = members_[number];
+    if (!gone(number))
+    {
+        one.killed = true;
+        one.process->kill();
+    }
+}
+
+void instances::terminate(std::size_t number)
+{
+    auto& one = members_[number];
+    if (!gone(number) && !one.asked_to_stop)
+    {
+        one.asked_to_stop = clock::now();
+        one.process->signal(SIGTERM);
+        out_.note("SIGTERM to " + name(number));
+    }
+}
+
+void instances::pause(std::size_t number, bool on)
+{
+    auto& one = members_[number];
+    if (one.paused != on && !gone(number))
+    {
+        one.process->signal(on ? SIGSTOP : SIGCONT);
+    }
+    if (one.paused && !on && one.asked_to_stop)
+    {
+        one.asked_to_stop = clock::now();
+    }
+    one.paused = on;
+}
+
+void instances::change_settings(std::size_t number, bool tell)
+{
+    ++members_[number].changes;
+    write_settings(number);
+    if (tell && !gone(number))
+    {
+        members_[number].process->signal(SIGHUP);
+    }
+}
+
+bool instances::gone(std::size_t number)
+{
+    auto& one = members_[number];
+    auto const status = one.process->status();
+    if (!status)
+    {
+        bool const late = one.asked_to_stop && !one.paused && !one.killed &&
+                          clock::now() - *one.asked_to_stop > stop_limit;
+        if (late)
+        {
+            complain(number, "runs on after SIGTERM");
+            one.killed = true;
+            one.process->kill();
+        }
+        return late;
+    }
+    if (!one.killed && (!one.asked_to_stop || *status != 0))
+    {
+        one.killed = true; // Said once.
+        complain(number, "ended with status " + std::to_string(*status));
+    }
+    return true;
+}
+
+std::vector<std::string> const& instances::complaints() const noexcept
+{
+    return complaints_;
+}
+
+void instances::write_settings(std::size_t number) const
+{
+    auto const path = settings_.folder + "/" + name(number);
+    bool const odd = members_[number].changes % 2 != 0;
+    {
+        std::ofstream out(path + ".new");
+        out << "name = \"" << name(number) << "\"\ndata_centre = \"a\""
+            << "\nsubmissions = \"" << to_string(at(number, submissions_port))
+            << "\"\nreadiness = \"" << to_string(at(number, readiness_port))
+            << "\"\nmetrics = \"" << to_string(at(number, metrics_port))
+            << "\"\nstore = \"" << to_string(at(number, store_link_port))
+            << "\"\nlog_level = \"" << (odd ? "debug" : "info") << "\"\n"
+            << bounds;
+    }
+    std::rename((path + ".new").c_str(), (path + ".toml").c_str());
+}
+
+void instances::complain(std::size_t number, std::string const& why)
+{
+    complaints_.push_back(name(number) + " " + why);
+    out_.note("complaint: " + complaints_.back());
+}
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/instances.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "adapters/runtime/child.hpp"
+#include "ports/identity.hpp"
+#include "standins/links/relay.hpp"
+#include "tools/soak/record.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fuchsia::tools::soak
+{
+
+struct instances_settings
+{
+    std::string program; ///< Path of fuchsia-pool.
+    std::string folder;  ///< For settings files and logs.
+    std::string address; ///< Of all ports here.
+    std::uint16_t first_port = 0;
+    ports::endpoint store;
+    std::uint32_t count = 0;
+};
+
+/// The processes under test, each between two relays: from its callers, and to
+/// the store. Complains of one that ends by itself, with a status other than 0
+/// after SIGTERM, or too late after it.
+class instances
+{
+public:
+    instances(boost::asio::io_context& io,
+              instances_settings settings,
+              record& out);
+
+    bool listen(core::common::failure& reason);
+    std::size_t size() const noexcept;
+    std::string name(std::size_t number) const;
+    ports::endpoint submissions(std::size_t number) const;
+    ports::endpoint readiness(std::size_t number) const;
+    /// Counts the starts of its process.
+    std::uint64_t incarnation(std::size_t number) const;
+    standins::links::relay& caller_link(std::size_t number);
+    standins::links::relay& store_link(std::size_t number);
+
+    void start(std::size_t number);
+    void kill(std::size_t number);
+    void terminate(std::size_t number);
+    void pause(std::size_t number, bool on);
+    /// Writes the settings anew, a little different.
+    void change_settings(std::size_t number, bool tell);
+    /// Looks for ends; true where the process is gone.
+    bool gone(std::size_t number);
+    std::vector<std::string> const& complaints() const noexcept;
+
+private:
+    struct member
+    {
+        std::shared_ptr<standins::links::relay> caller_link;
+        std::shared_ptr<standins::links::relay> store_link;
+        std::unique_ptr<adapters::runtime::child> process;
+        std::uint64_t starts = 0;
+        std::uint32_t changes = 0;
+        bool killed = false;
+        bool paused = false;
+        std::optional<core::common::time_point> asked_to_stop;
+    };
+
+    ports::endpoint at(std::size_t number, std::uint16_t role) const;
+    void write_settings(std::size_t number) const;
+    void complain(std::size_t number, std::string const& why);
+
+    boost::asio::io_context& io_;
+    instances_settings settings_;
+    record& out_;
+    std::vector<member> members_;
+    std::vector<std::string> complaints_;
+};
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/main.cpp
@@ -0,0 +1,144 @@
+#include "tools/soak/soak.hpp"
+
+#include <algorithm>
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <unistd.h>
+
+// fuchsia-soak: real instances of fuchsia-pool under faults drawn from a seed.
+namespace
+{
+
+using namespace fuchsia;
+using namespace fuchsia::tools::soak;
+
+constexpr int bad_options = 2;
+
+std::string program_beside()
+{
+    return std::filesystem::canonical("/proc/self/exe")
+        .replace_filename("fuchsia-pool")
+        .string();
+}
+
+std::string command_line(int count, char** arguments)
+{
+    std::string made;
+    for (int number = 0; number < count; ++number)
+    {
+        made += (number > 0 ? " " : "") + std::string(arguments[number]);
+    }
+    return made;
+}
+
+std::string to_text(soak_figures const& figures, std::size_t violations)
+{
+    auto const& jobs = figures.jobs;
+    return "jobs accepted " + std::to_string(jobs.accepted) + ", refused " +
+           std::to_string(jobs.refused) + ", unknown " +
+           std::to_string(jobs.unknown) + ", completed " +
+           std::to_string(jobs.completed) + "; runs " +
+           std::to_string(figures.runs) + "; faults " +
+           std::to_string(figures.faults) + "; lag ms " +
+           std::to_string(core::common::to_milliseconds(figures.lag)) +
+           "; violations " + std::to_string(violations);
+}
+
+void write(std::string const& path, std::string const& text)
+{
+    std::ofstream(path) << text;
+}
+
+// Exit status: 1 where something was broken, 2 where it can't begin.
+int play(soak_settings const& settings, std::string const& command)
+{
+    write(settings.folder + "/schedule.txt", to_text(draw(settings.what)));
+    write(settings.folder + "/command.txt", command + '\n');
+    core::common::failure reason;
+    auto const figures = run(
+        settings, [](observation const&) {}, reason);
+    if (!figures)
+    {
+        std::cerr << "fuchsia-soak: " << core::common::to_string(reason)
+                  << '\n';
+        return bad_options;
+    }
+    for (auto const& each : figures->complaints)
+    {
+        std::cout << "process: " << each << '\n';
+    }
+    auto const found = figures->complaints.size();
+    if (found > 0)
+    {
+        std::cout << "again: " << command << "\nseen: " << settings.folder
+                  << '\n';
+    }
+    std::cout << to_text(*figures, found) << std::endl;
+    return found > 0 ? 1 : 0;
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    CLI::App app("Randomized faults against real instances of fuchsia-pool");
+    soak_settings settings;
+    std::uint32_t seconds = 20;
+    std::vector<std::string> kinds;
+    std::string planted;
+    app.add_option("--seed", settings.what.seed, "of jobs and faults");
+    app.add_option("--seconds", seconds, "of traffic")
+        ->check(CLI::Range(1, 3600));
+    app.add_option("--instances", settings.what.instances)
+        ->check(CLI::Range(1, 40));
+    app.add_option("--workers", settings.what.workers)
+        ->check(CLI::Range(2, 64));
+    app.add_option("--out", settings.folder, "folder for what was seen");
+    app.add_option("--fault-set", kinds, "kinds of fault; \"none\"")
+        ->delimiter(',');
+    app.add_option("--plant", planted, "a lie that has to be found");
+    CLI11_PARSE(app, count, arguments);
+
+    settings.what.traffic = std::chrono::seconds(seconds);
+    settings.program = program_beside();
+    if (!kinds.empty())
+    {
+        settings.what.kinds.clear();
+    }
+    for (auto const& name : kinds)
+    {
+        auto const kind = fault_kind_from(name);
+        if (!kind && name != "none")
+        {
+            std::cerr << "fuchsia-soak: no such kind of fault: " << name
+                      << '\n';
+            return bad_options;
+        }
+        if (kind)
+        {
+            settings.what.kinds.insert(*kind);
+        }
+    }
+    if (!planted.empty() && !plant(planted, settings))
+    {
+        std::cerr << "fuchsia-soak: no such lie: " << planted << '\n';
+        return bad_options;
+    }
+    bool const kept = !settings.folder.empty();
+    if (!kept)
+    {
+        settings.folder = (std::filesystem::temp_directory_path() /
+                           ("fuchsia-soak-" + std::to_string(::getpid())))
+                              .string();
+    }
+    std::filesystem::create_directories(settings.folder);
+    auto const status = play(settings, command_line(count, arguments));
+    if (!kept && status == 0)
+    {
+        std::filesystem::remove_all(settings.folder);
+    }
+    return status;
+}
--- /dev/null
+++ b/tools/soak/soak.cpp
@@ -0,0 +1,360 @@
+#include "tools/soak/soak.hpp"
+
+#include "standins/common/own_address.hpp"
+#include "tools/soak/faults.hpp"
+#include "tools/soak/instances.hpp"
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <utility>
+
+namespace fuchsia::tools::soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using core::common::clock;
+using core::common::duration;
+using core::common::time_point;
+using standins::pool::planted;
+using standins::pool::worker_event;
+using standins::pool::worker_moment;
+
+constexpr duration tick_interval = 20ms;
+constexpr duration start_limit = 20s;
+constexpr std::uint16_t store_port = 20'000;
+constexpr std::uint16_t first_worker_port = 20'100;
+constexpr std::uint16_t first_worker_link_port = 20'400;
+constexpr std::uint16_t first_instance_port = 21'000;
+
+enum class phase : std::uint8_t
+{
+    starting,
+    traffic,
+    finishing,
+    stopping,
+};
+
+class world
+{
+public:
+    world(soak_settings const& settings, record::sink const& take)
+        : settings_(settings), drawn_(draw(settings.what)),
+          out_(settings.folder + "/observations.txt", take),
+          address_(standins::own_address()), platform_(io_, platform()),
+          instances_(io_, instances_of(), out_),
+          traffic_(io_, instances_, out_, settings.what.seed),
+          faults_(instances_,
+                  platform_,
+                  worker_links(),
+                  out_,
+                  settings.stale_configuration),
+          probe_(io_, {}), ticker_(io_)
+    {
+    }
+
+    bool listen(core::common::failure& reason)
+    {
+        platform_.observe(
+            [this](auto const& worker, auto const& event)
+            {
+                on_worker(worker, event);
+            });
+        platform_.plant(settings_.planted);
+        for (auto const& each : worker_links_)
+        {
+            if (!each->listen(reason))
+            {
+                return false;
+            }
+        }
+        faults_.begin();
+        return platform_.listen(reason) && instances_.listen(reason);
+    }
+
+    soak_figures play()
+    {
+        enter(phase::starting);
+        ask_readiness();
+        tick();
+        io_.run();
+        soak_figures made;
+        made.jobs = traffic_.counts();
+        made.runs = runs_;
+        made.faults = faults_.applied();
+        made.complaints = instances_.complaints();
+        made.complaints.insert(
+            made.complaints.end(), complaints_.begin(), complaints_.end());
+        made.lag = lag_;
+        return made;
+    }
+
+private:
+    standins::pool::pool_server_settings platform() const
+    {
+        standins::pool::pool_server_settings made;
+        made.store = {address_, store_port};
+        made.first_worker_port = first_worker_port;
+        made.shown_worker_port = first_worker_link_port;
+        made.workers = settings_.what.workers;
+        return made;
+    }
+
+    instances_settings instances_of() const
+    {
+        return {settings_.program,
+                settings_.folder,
+                address_,
+                first_instance_port,
+                {address_, store_port},
+                settings_.what.instances};
+    }
+
+    faults::relays worker_links()
+    {
+        for (std::uint16_t number = 0; number < settings_.what.workers;
+             ++number)
+        {
+            auto const at = [this, number](std::uint16_t first)
+            {
+                return ports::endpoint{
+                    address_, static_cast<std::uint16_t>(first + number)};
+            };
+            worker_links_.push_back(std::make_shared<standins::links::relay>(
+                io_,
+                standins::links::link_settings{"worker",
+                                               at(first_worker_link_port),
+                                               at(first_worker_port)}));
+        }
+        return worker_links_;
+    }
+
+    void on_worker(ports::pool_worker const& worker, worker_event const& event)
+    {
+        switch (event.when)
+        {
+        case worker_moment::started:
+            ++runs_;
+            out_.take(run_started{
+                worker.id, worker.data_centre, event.what, event.fence});
+            break;
+        case worker_moment::ended:
+            out_.take(run_ended{worker.id, event.what, event.how});
+            break;
+        case worker_moment::acknowledged:
+            out_.take(end_acknowledged{worker.id, event.what, event.how});
+            break;
+        }
+    }
+
+    void enter(phase next)
+    {
+        phase_ = next;
+        since_ = clock::now();
+    }
+
+    duration in_phase() const
+    {
+        return clock::now() - since_;
+    }
+
+    // The traffic begins once every instance has been ready.
+    void ask_readiness()
+    {
+        if (phase_ != phase::starting || ready_ == instances_.size())
+        {
+            return;
+        }
+        adapters::http::client_call call;
+        call.where = instances_.readiness(ready_);
+        call.message = {"GET", "/readyz", {}, "", ""};
+        probe_.send(std::move(call),
+                    [this](ports::exchange_status status, auto const& answer)
+                    {
+                        bool const ready =
+                            status == ports::exchange_status::answered &&
+                            answer.status == 200;
+                        ready_ += ready ? 1U : 0U;
+                        probing_ = false;
+                    });
+        probing_ = true;
+    }
+
+    void tick()
+    {
+        auto const now = clock::now();
+        lag_ = std::max(lag_, due_ ? now - *due_ : duration{});
+        switch (phase_)
+        {
+        case phase::starting:
+            tick_start();
+            break;
+        case phase::traffic:
+            tick_traffic(now);
+            break;
+        case phase::finishing:
+            tick_finish(now);
+            break;
+        case phase::stopping:
+            tick_stop();
+            break;
+        }
+        if (over_)
+        {
+            return;
+        }
+        due_ = now + tick_interval;
+        ticker_.expires_at(*due_);
+        ticker_.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    tick();
+                }
+            });
+    }
+
+    void tick_start()
+    {
+        if (in_phase() > start_limit)
+        {
+            complaints_.emplace_back("not all instances got ready");
+            begin_stop();
+            return;
+        }
+        if (ready_ == instances_.size())
+        {
+            out_.note("traffic begins");
+            traffic_.begin(drawn_.jobs);
+            enter(phase::traffic);
+        }
+        else if (!probing_)
+        {
+            ask_readiness();
+        }
+    }
+
+    void tick_traffic(time_point now)
+    {
+        while (next_fault_ < drawn_.faults.size() &&
+               drawn_.faults[next_fault_].at <= in_phase())
+        {
+            faults_.apply(drawn_.faults[next_fault_++]);
+        }
+        faults_.advance(now);
+        if (in_phase() >= settings_.what.traffic)
+        {
+            out_.take(traffic_ended{});
+            traffic_.end();
+            enter(phase::finishing);
+        }
+    }
+
+    // What an instance that is still to end holds up is not yet healed.
+    void tick_finish(time_point now)
+    {
+        constexpr duration answer_reserve = 2s;
+        bool const healed = faults_.heal();
+        faults_.advance(now);
+        if (!healed)
+        {
+            since_ = now;
+        }
+        bool const late = in_phase() > limits{}.finish + answer_reserve;
+        if (late || (healed && traffic_.all_over()))
+        {
+            out_.note(late ? "not all jobs are over" : "all jobs are over");
+            begin_stop();
+        }
+    }
+
+    void begin_stop()
+    {
+        traffic_.stop();
+        for (std::size_t number = 0; number < instances_.size(); ++number)
+        {
+            instances_.terminate(number);
+        }
+        enter(phase::stopping);
+    }
+
+    void tick_stop()
+    {
+        bool all = true;
+        for (std::size_t number = 0; number < instances_.size(); ++number)
+        {
+            all = instances_.gone(number) && all;
+        }
+        if (!all)
+        {
+            return;
+        }
+        over_ = true;
+        platform_.stop();
+        io_.stop();
+    }
+
+    soak_settings const& settings_;
+    plan drawn_;
+    record out_;
+    std::string address_;
+    boost::asio::io_context io_{1};
+    faults::relays worker_links_;
+    standins::pool::pool_server platform_;
+    instances instances_;
+    traffic traffic_;
+    faults faults_;
+    adapters::http::client probe_;
+    adapters::runtime::timer ticker_;
+    phase phase_ = phase::starting;
+    time_point since_{};
+    std::optional<time_point> due_;
+    duration lag_{};
+    std::size_t ready_ = 0;
+    bool probing_ = false;
+    bool over_ = false;
+    std::size_t next_fault_ = 0;
+    std::uint64_t runs_ = 0;
+    std::vector<std::string> complaints_;
+};
+
+} // namespace
+
+bool plant(std::string_view name, soak_settings& out) noexcept
+{
+    constexpr std::array<std::pair<std::string_view, planted>, 5> names{{
+        {"two_places", planted::two_places},
+        {"lost_job", planted::lost_job},
+        {"forgotten_cancel", planted::forgotten_cancel},
+        {"ended_twice", planted::ended_twice},
+        {"early_step", planted::early_step},
+    }};
+    out.stale_configuration = name == "stale_config";
+    for (auto const& [each, what] : names)
+    {
+        if (each == name)
+        {
+            out.planted = what;
+            return true;
+        }
+    }
+    return out.stale_configuration;
+}
+
+std::optional<soak_figures> run(soak_settings const& settings,
+                                record::sink const& take,
+                                core::common::failure& reason)
+{
+    world made(settings, take);
+    if (!made.listen(reason))
+    {
+        return std::nullopt;
+    }
+    return made.play();
+}
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/soak.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "standins/pool/pool_server.hpp"
+#include "tools/soak/plan.hpp"
+#include "tools/soak/record.hpp"
+#include "tools/soak/traffic.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fuchsia::tools::soak
+{
+
+struct soak_settings
+{
+    plan_settings what;
+    std::string program; ///< Path of fuchsia-pool.
+    std::string folder;  ///< Exists; for settings files, logs, observations.
+    /// A lie that the checks have to find: of the stand-ins, or, by
+    /// `stale_configuration`, of the operator.
+    standins::pool::planted planted = standins::pool::planted::nothing;
+    bool stale_configuration = false;
+};
+
+/// Sets the lie of this name; false where there is none.
+bool plant(std::string_view name, soak_settings& out) noexcept;
+
+struct soak_figures
+{
+    traffic_counts jobs;
+    std::uint64_t runs = 0;
+    std::uint64_t faults = 0;
+    /// Of processes that ended by themselves, wrongly, or too late.
+    std::vector<std::string> complaints;
+    /// By how much the soak itself came late at most: what it saw is as late.
+    core::common::duration lag{};
+};
+
+/// Runs it from the start of the processes to their end; `take` is called with
+/// each observation. Empty, with the reason, where it can't begin.
+std::optional<soak_figures> run(soak_settings const& settings,
+                                record::sink const& take,
+                                core::common::failure& reason);
+
+} // namespace fuchsia::tools::soak
--- /dev/null
+++ b/tools/soak/traffic.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "adapters/http/client.hpp"
+#include "adapters/runtime/timer.hpp"
+#include "tools/soak/dice.hpp"
+#include "tools/soak/instances.hpp"
+#include "tools/soak/plan.hpp"
+#include "tools/soak/record.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fuchsia::tools::soak
+{
+
+struct traffic_counts
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0; ///< Each try was, up to the last.
+    std::uint64_t unknown = 0;
+    std::uint64_t completed = 0;
+};
+
+/// Callers: each keeps its connections until they break, hands in its jobs,
+/// tries again at other instances, cancels, and asks.
+class traffic
+{
+public:
+    traffic(boost::asio::io_context& io,
+            instances& to,
+            record& out,
+            std::uint64_t seed);
+
+    void begin(std::vector<planned_job> const& jobs);
+    /// No more jobs; cancels those that last, and asks for each accepted job
+    /// again and again until it is over.
+    void end();
+    /// Every accepted job was told to be over.
+    bool all_over() const;
+    /// Cancels all that is under way.
+    void stop();
+    traffic_counts counts() const;
+
+private:
+    struct entry
+    {
+        planned_job plan;
+        std::uint32_t tries = 0;
+        bool accepted = false;
+        bool refused = true; ///< No try ended otherwise.
+        bool cancelling = false;
+        ports::job_state state = ports::job_state::queued;
+    };
+    using after = std::function<void(call_end, std::string const& body)>;
+
+    void later(core::common::duration wait, std::function<void()> what);
+    void ask(std::uint32_t caller,
+             std::size_t instance,
+             std::string const& method,
+             std::string const& queue,
+             std::string const& id,
+             std::string const& body,
+             after then);
+    void submit(entry& job);
+    void on_submitted(entry& job, call_end how);
+    void repeat(entry& job);
+    void cancel(entry& job, std::size_t instance);
+    void ask_state(entry& job, std::size_t instance);
+    void ask_waiting();
+    void ask_queue();
+    void ask_some();
+    void ask_all();
+
+    boost::asio::io_context& io_;
+    instances& to_;
+    record& out_;
+    dice random_;
+    std::vector<std::unique_ptr<adapters::http::client>> clients_;
+    std::vector<std::unique_ptr<entry>> jobs_;
+    std::vector<entry*> accepted_;
+    std::uint32_t round_ = 0;
+    bool ended_ = false;
+    bool stopped_ = false;
+};
+
+} // namespace fuchsia::tools::soak
