Fault soak: faults meet the owner, every job is asked for at the end

Three of ten faults of an instance now meet whoever owns the pool: with nine instances a drawn one rarely did. Late services let some requests overtake others. On SIGTERM the soak ends its processes.

--- a/standins/pool/gate.cpp
+++ b/standins/pool/gate.cpp
@@ -26,7 +26,10 @@
                 work carry_out,
                 adapters::http::responder const& respond)
 {
-    switch (mode_)
+    constexpr std::uint64_t prompt_one_of = 3;
+    bool const prompt =
+        mode_ == gate_mode::late && ++passed_ % prompt_one_of == 0;
+    switch (prompt ? gate_mode::open : mode_)
     {
     case gate_mode::open:
         carry_out(respond);
--- a/standins/pool/gate.hpp
+++ b/standins/pool/gate.hpp
@@ -14,7 +14,8 @@
 enum class gate_mode : std::uint8_t
 {
     open,
-    late,     ///< Carried out, and answered, after the delay.
+    late,     ///< Two of three are carried out, and answered, after the
+              ///< delay: newer ones may overtake them.
     lossy,    ///< Carried out and never answered.
     silent,   ///< Carried out once the gate opens again.
     refusing, ///< Answered with 503; nothing is done.
@@ -47,6 +48,7 @@
 
     gate_mode mode_ = gate_mode::open;
     core::common::duration delay_{};
+    std::uint64_t passed_ = 0;
     std::list<held> held_;
 };
 
--- /dev/null
+++ b/tests/unit/soak/plan_test.cpp
@@ -0,0 +1,47 @@
+#include "tools/soak/plan.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace fuchsia::tools::soak;
+
+// A run that failed could not be played again.
+TEST(soak_plan, one_seed_draws_one_plan)
+{
+    plan_settings settings;
+    settings.seed = 7;
+    auto const first = to_text(draw(settings));
+    EXPECT_EQ(first, to_text(draw(settings)));
+    settings.seed = 8;
+    EXPECT_NE(first, to_text(draw(settings)));
+}
+
+// Fewer kinds of fault, to narrow a failure down, would also change the jobs.
+TEST(soak_plan, jobs_do_not_depend_on_the_kinds_of_fault)
+{
+    plan_settings settings;
+    auto all = draw(settings);
+    settings.kinds = {fault_kind::kill};
+    auto one = draw(settings);
+    ASSERT_FALSE(one.faults.empty());
+    for (auto const& each : one.faults)
+    {
+        EXPECT_EQ(each.what, fault_kind::kill);
+    }
+    all.faults.clear();
+    one.faults.clear();
+    EXPECT_EQ(to_text(all), to_text(one));
+}
+
+// A kind that is never drawn, or has no name, is never seen to hold.
+TEST(soak_plan, every_kind_is_drawn_and_named)
+{
+    plan_settings settings;
+    settings.traffic = std::chrono::seconds(2000);
+    std::set<fault_kind> seen;
+    for (auto const& each : draw(settings).faults)
+    {
+        seen.insert(each.what);
+        EXPECT_EQ(fault_kind_from(name_of(each.what)), each.what);
+    }
+    EXPECT_EQ(seen, all_fault_kinds());
+}
--- a/tools/soak/faults.cpp
+++ b/tools/soak/faults.cpp
@@ -1,5 +1,6 @@
 #include "tools/soak/faults.hpp"
 
+#include "core/pool/holder.hpp"
 #include "standins/pool/pool_codec.hpp"
 
 #include <algorithm>
@@ -55,8 +56,30 @@
     put_configuration();
 }
 
-void faults::apply(fault const& what)
+std::optional<std::uint32_t> faults::owner() const
 {
+    auto const item = platform_.store().find("pool/claim");
+    core::common::failure reason;
+    auto const holder =
+        item ? core::pool::parse_holder(item->value, reason) : std::nullopt;
+    for (std::uint32_t number = 0; holder && number < instances_.size();
+         ++number)
+    {
+        if (holder->instance.starts_with(instances_.name(number) + "#"))
+        {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
+void faults::apply(fault const& planned)
+{
+    auto what = planned;
+    if (what.at_owner && what.what < fault_kind::worker_cut)
+    {
+        what.target = owner().value_or(what.target);
+    }
     if (ends_worker(what.what) && !busy_workers_.insert(what.target).second)
     {
         return;
@@ -97,8 +120,7 @@
         instances_.terminate(what.target);
         break;
     case fault_kind::hangup:
-        instances_.change_settings(what.target % instances_.size(),
-                                   what.value % 2 == 0);
+        instances_.change_settings(what.target, what.value % 2 == 0);
         break;
     case fault_kind::store_reset:
         instances_.store_link(what.target).reset();
--- a/tools/soak/faults.hpp
+++ b/tools/soak/faults.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,7 +34,7 @@
 
     /// Puts the first configuration into the store.
     void begin();
-    void apply(fault const& what);
+    void apply(fault const& planned);
     /// Ends what is over by now; starts again what was to end.
     void advance(core::common::time_point now);
     /// Ends all; what is dead is up again once this is true.
@@ -48,6 +49,8 @@
         core::common::time_point until{};
     };
 
+    /// The instance that the store's claim names; empty where there is none.
+    std::optional<std::uint32_t> owner() const;
     void begin_one(fault const& what);
     void begin_worker(fault const& what);
     /// False where it can't end yet.
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -29,17 +29,17 @@
 constexpr std::array<kind_row, 26> kinds{{
     {fault_kind::kill, "kill", true, 200ms, 2500ms},
     {fault_kind::stop, "stop", true, 200ms, 2500ms},
-    {fault_kind::pause, "pause", true, 100ms, 3000ms},
+    {fault_kind::pause, "pause", true, 100ms, 6000ms},
     {fault_kind::hangup, "hangup", false, 0ms, 0ms},
     {fault_kind::store_delay, "store_delay", true, 500ms, 2500ms},
-    {fault_kind::store_cut, "store_cut", true, 300ms, 3000ms},
+    {fault_kind::store_cut, "store_cut", true, 300ms, 6000ms},
     {fault_kind::store_reset, "store_reset", true, 0ms, 0ms},
     {fault_kind::caller_delay, "caller_delay", true, 500ms, 2500ms},
     {fault_kind::caller_cut, "caller_cut", true, 300ms, 2500ms},
     {fault_kind::caller_reset, "caller_reset", true, 0ms, 0ms},
-    {fault_kind::worker_cut, "worker_cut", true, 300ms, 3000ms},
+    {fault_kind::worker_cut, "worker_cut", true, 300ms, 6000ms},
     {fault_kind::worker_reset, "worker_reset", true, 0ms, 0ms},
-    {fault_kind::store_silent, "store_silent", true, 200ms, 3000ms},
+    {fault_kind::store_silent, "store_silent", true, 200ms, 5000ms},
     {fault_kind::store_refusing, "store_refusing", true, 200ms, 3000ms},
     {fault_kind::store_late, "store_late", true, 500ms, 3000ms},
     {fault_kind::store_lossy, "store_lossy", true, 100ms, 1000ms},
@@ -83,6 +83,7 @@
     made.length = random.between(row.shortest, row.longest);
     made.target = random.below(1000);
     made.value = random.below(1000);
+    made.at_owner = random.percent(30);
     made.target %= row.kind >= fault_kind::worker_cut ? settings.workers
                                                       : settings.instances;
     out.push_back(made);
@@ -255,7 +256,8 @@
     {
         out << to_milliseconds(each.at) << " fault " << name_of(each.what)
             << ' ' << each.target << " for " << to_milliseconds(each.length)
-            << " value " << each.value << '\n';
+            << " value " << each.value << (each.at_owner ? " at the owner" : "")
+            << '\n';
     }
     for (auto const& each : drawn.jobs)
     {
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -57,6 +57,8 @@
     fault_kind what = fault_kind::kill;
     std::uint32_t target = 0; ///< Instance or worker.
     std::uint32_t value = 0;  ///< Its kind's choice among variants.
+    /// Of one that meets an instance: it meets whoever owns the pool then.
+    bool at_owner = false;
 };
 
 struct planned_job
--- a/tools/soak/record.cpp
+++ b/tools/soak/record.cpp
@@ -140,6 +140,11 @@
     write(clock::now(), "-- " + text);
 }
 
+core::common::time_point record::first() const noexcept
+{
+    return first_;
+}
+
 void record::write(core::common::time_point at, std::string const& text)
 {
     file_ << to_milliseconds(at - first_) << ' ' << text << '\n';
--- a/tools/soak/record.hpp
+++ b/tools/soak/record.hpp
@@ -10,7 +10,7 @@
 {
 
 /// Hands each observation on and writes it to a file, a line each: milliseconds
-/// since the first one, and what was seen.
+/// since its making, and what was seen.
 class record
 {
 public:
@@ -20,6 +20,8 @@
     void take(event what);
     /// Of what the soak itself does; for the reader of the file alone.
     void note(std::string const& text);
+    /// When it was made: zero of the file's times.
+    core::common::time_point first() const noexcept;
 
 private:
     void write(core::common::time_point at, std::string const& text);
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "tools/soak/soak.hpp"
 
+#include "adapters/runtime/signals.hpp"
 #include "standins/common/own_address.hpp"
 #include "tools/soak/faults.hpp"
 #include "tools/soak/instances.hpp"
@@ -77,11 +78,19 @@
 
     soak_figures play()
     {
+        adapters::runtime::on_stop_signal(
+            io_,
+            [this]
+            {
+                complaints_.emplace_back("the soak was interrupted");
+                io_.stop(); // Its processes end with this object.
+            });
         enter(phase::starting);
         ask_readiness();
         tick();
         io_.run();
         soak_figures made;
+        made.began = out_.first();
         made.jobs = traffic_.counts();
         made.runs = runs_;
         made.faults = faults_.applied();
--- a/tools/soak/soak.hpp
+++ b/tools/soak/soak.hpp
@@ -30,6 +30,7 @@
 
 struct soak_figures
 {
+    core::common::time_point began{}; ///< Zero of observations.txt.
     traffic_counts jobs;
     std::uint64_t runs = 0;
     std::uint64_t faults = 0;
--- a/tools/soak/traffic.cpp
+++ b/tools/soak/traffic.cpp
@@ -199,7 +199,7 @@
     if (how != call_end::done)
     {
         bool const again = how != call_end::refused || job.plan.persistent;
-        if (again && job.tries < most_tries && !ended_)
+        if (again && job.tries < most_tries && !ended_at_)
         {
             later(try_again,
                   [this, &job]
@@ -292,6 +292,8 @@
             {
                 job.state = state;
             }
+            job.confirmed = job.confirmed || (ended_at_ && is_over(state) &&
+                                              asked >= *ended_at_);
             out_.take(
                 status_ended{job.plan.id, to_.name(at), asked, how, state});
         });
@@ -342,7 +344,7 @@
 
 void traffic::ask_some()
 {
-    if (ended_)
+    if (ended_at_)
     {
         return;
     }
@@ -365,7 +367,7 @@
 
 void traffic::end()
 {
-    ended_ = true;
+    ended_at_ = clock::now();
     for (auto* const job : accepted_)
     {
         bool const lasting = job->plan.shape.steps.front().lasting;
@@ -382,7 +384,7 @@
     ++round_;
     for (std::size_t number = 0; number < accepted_.size(); ++number)
     {
-        if (!is_over(accepted_[number]->state) || round_ == 1)
+        if (!accepted_[number]->confirmed)
         {
             ask_state(*accepted_[number], number + round_);
         }
@@ -398,12 +400,12 @@
 {
     for (auto const* const job : accepted_)
     {
-        if (!is_over(job->state))
+        if (!job->confirmed)
         {
             return false;
         }
     }
-    return ended_ && round_ > 1;
+    return ended_at_.has_value();
 }
 
 void traffic::stop()
--- a/tools/soak/traffic.hpp
+++ b/tools/soak/traffic.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,7 +41,7 @@
     /// No more jobs; cancels those that last, and asks for each accepted job
     /// again and again until it is over.
     void end();
-    /// Every accepted job was told to be over.
+    /// Every accepted job was told to be over since `end`.
     bool all_over() const;
     /// Cancels all that is under way.
     void stop();
@@ -54,6 +55,7 @@
         bool accepted = false;
         bool refused = true; ///< No try ended otherwise.
         bool cancelling = false;
+        bool confirmed = false; ///< Told to be over, after the traffic.
         ports::job_state state = ports::job_state::queued;
     };
     using after = std::function<void(call_end, std::string const& body)>;
@@ -84,7 +86,7 @@
     std::vector<std::unique_ptr<entry>> jobs_;
     std::vector<entry*> accepted_;
     std::uint32_t round_ = 0;
-    bool ended_ = false;
+    std::optional<core::common::time_point> ended_at_;
     bool stopped_ = false;
 };
 
