Fault soak: long tasks, bursts, and only ends that count are told as noted

Tasks that outlive a lease are drawn, since brief ones were over before any lease was. The pool's room is twice what the jobs need on average, so that bursts wait. A machine too busy for the soak counts as trouble.

--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -141,6 +141,7 @@
     {
         end(task, how);
     }
+    outlived_end_ = lapsed ? last_end_ : outlived_end_;
 }
 
 order_status worker_state::start(time_point now,
@@ -210,7 +211,10 @@
         if (known(row))
         {
             acknowledged_.push_back(row);
-            tell(worker_moment::acknowledged, row.what, row.how);
+            if (row.number > outlived_end_)
+            {
+                tell(worker_moment::acknowledged, row.what, row.how);
+            }
         }
     }
     std::erase_if(ended_, known);
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -34,7 +34,9 @@
 {
     started,
     ended,
-    acknowledged, ///< The owner said that it has written this end down.
+    /// The owner said that it has written this end down; not told of an end
+    /// that the worker's lease did not outlast until then.
+    acknowledged,
 };
 
 /// What an onlooker at a worker sees; `how` is of an end.
@@ -104,6 +106,7 @@
     std::uint64_t fence_ = 0;
     std::uint64_t lease_ms_ = 0;
     std::uint64_t last_end_ = 0;
+    std::uint64_t outlived_end_ = 0; ///< The lease lapsed after it.
     std::map<ports::task_name, run> running_;
     std::map<ports::task_name, std::uint32_t>
         settled_; ///< No lower run starts.
--- a/tools/soak/observation.hpp
+++ b/tools/soak/observation.hpp
@@ -94,7 +94,8 @@
     ports::end_kind how = ports::end_kind::done;
 };
 
-/// The worker was told that this end is durable elsewhere.
+/// The worker was told that this end is durable elsewhere. Never seen where
+/// its lease lapsed between the end and this: it was taken for lost.
 struct end_acknowledged
 {
     std::string worker;
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -138,19 +138,40 @@
     }
 }
 
-job_shape draw_shape(dice& random, bool lasting)
+// Tasks that outlive a lease, among many that are soon over.
+enum class job_kind : std::uint8_t
+{
+    brief,
+    lengthy,
+    lasting,
+};
+
+job_kind draw_kind(dice& random)
+{
+    constexpr std::uint32_t lasting_percent = 8;
+    constexpr std::uint32_t lengthy_percent = 22;
+    auto const drawn = random.below(100);
+    return drawn < lasting_percent                     ? job_kind::lasting
+           : drawn < lasting_percent + lengthy_percent ? job_kind::lengthy
+                                                       : job_kind::brief;
+}
+
+job_shape draw_shape(dice& random, job_kind kind)
 {
     constexpr std::uint32_t most_steps = 3;
     constexpr std::uint32_t most_tasks = 4;
+    constexpr std::uint32_t most_lengthy = 2;
     job_shape made;
     made.queue = random.percent(75) ? first_queue : second_queue;
     made.attempts = 3;
-    auto const steps = lasting ? 1 : 1 + random.below(most_steps);
+    auto const steps =
+        kind == job_kind::brief ? 1 + random.below(most_steps) : 1;
     for (std::uint32_t number = 0; number < steps; ++number)
     {
         step_shape step;
-        step.count = 1 + random.below(most_tasks);
-        step.lasting = lasting;
+        step.count = 1 + random.below(kind == job_kind::brief ? most_tasks
+                                                              : most_lengthy);
+        step.lasting = kind == job_kind::lasting;
         if (number > 0 && random.percent(80))
         {
             step.after = {random.below(number)};
@@ -168,10 +189,12 @@
     std::snprintf(
         id.data(), id.size(), "%08x%08x", random.below(1U << 31U), number);
     made.id = id.data();
-    bool const lasting = random.percent(5);
-    made.shape = draw_shape(random, lasting);
-    auto const work = std::to_string(50 + random.below(1500));
-    made.spec = "work=" + work;
+    auto const kind = draw_kind(random);
+    bool const lasting = kind == job_kind::lasting;
+    made.shape = draw_shape(random, kind);
+    auto const work = kind == job_kind::lengthy ? 2000 + random.below(4000)
+                                                : 50 + random.below(1200);
+    made.spec = "work=" + std::to_string(work);
     auto const fate = random.below(100);
     made.spec += lasting     ? " lasts"
                  : fate < 8  ? " fail_first"
@@ -229,7 +252,8 @@
 
 plan draw(plan_settings const& settings)
 {
-    constexpr duration mean_gap = 170ms;
+    constexpr duration mean_gap = 240ms;
+    constexpr std::uint32_t burst_percent = 30;
     plan made;
     draw_troubles(settings, made.faults);
     draw_words(settings, made.faults);
@@ -242,7 +266,9 @@
     dice random(settings.seed + 2);
     std::uint32_t number = 0;
     for (duration at{}; at < settings.traffic;
-         at += random.between(0ms, 2 * mean_gap))
+         at += random.percent(burst_percent)
+                   ? duration{}
+                   : random.between(0ms, 2 * mean_gap))
     {
         made.jobs.push_back(draw_job(++number, at, random));
     }
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -26,6 +26,8 @@
 
 constexpr duration tick_interval = 20ms;
 constexpr duration start_limit = 20s;
+// Twice what the jobs need on average: bursts have to wait.
+constexpr std::uint32_t pool_millicores = 48'000;
 constexpr std::uint16_t store_port = 20'000;
 constexpr std::uint16_t first_worker_port = 20'100;
 constexpr std::uint16_t first_worker_link_port = 20'400;
@@ -109,6 +111,7 @@
         made.first_worker_port = first_worker_port;
         made.shown_worker_port = first_worker_link_port;
         made.workers = settings_.what.workers;
+        made.capacity.millicores = pool_millicores / made.workers;
         return made;
     }
 
@@ -195,7 +198,7 @@
     void tick()
     {
         auto const now = clock::now();
-        lag_ = std::max(lag_, due_ ? now - *due_ : duration{});
+        judge_lag(due_ ? now - *due_ : duration{});
         switch (phase_)
         {
         case phase::starting:
@@ -227,6 +230,19 @@
             });
     }
 
+    // On a machine too busy for us the instances have too little as well.
+    void judge_lag(duration lag)
+    {
+        constexpr duration too_late = 250ms;
+        lag_ = std::max(lag_, lag);
+        bool const late = lag > too_late;
+        if (late != late_)
+        {
+            late_ = late;
+            out_.take(trouble_set{"busy machine", late});
+        }
+    }
+
     void tick_start()
     {
         if (in_phase() > start_limit)
@@ -323,6 +339,7 @@
     time_point since_{};
     std::optional<time_point> due_;
     duration lag_{};
+    bool late_ = false;
     std::size_t ready_ = 0;
     bool probing_ = false;
     bool over_ = false;
