--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -1,3 +1,4 @@
+#include "tools/soak/checker.hpp"
 #include "tools/soak/soak.hpp"
 
 #include <algorithm>
@@ -6,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <unistd.h>
 
 // fuchsia-soak: real instances of fuchsia-pool under faults drawn from a seed.
@@ -47,6 +49,41 @@
            "; violations " + std::to_string(violations);
 }
 
+std::string_view name_of(rule which)
+{
+    constexpr std::array<std::string_view, 12> names{"lost",
+                                                     "refused_ran",
+                                                     "doubled",
+                                                     "order",
+                                                     "attempts",
+                                                     "cancelled",
+                                                     "drain",
+                                                     "data_centre",
+                                                     "configuration",
+                                                     "counts",
+                                                     "state",
+                                                     "recovery"};
+    return names[static_cast<std::size_t>(which)];
+}
+
+// A line each, with the time as in observations.txt.
+std::string to_text(soak_figures const& figures,
+                    std::vector<violation> const& broken)
+{
+    std::ostringstream out;
+    for (auto const& each : broken)
+    {
+        out << core::common::to_milliseconds(each.at - figures.began) << " ms "
+            << name_of(each.which) << ' ' << each.subject << ": " << each.why
+            << '\n';
+    }
+    for (auto const& each : figures.complaints)
+    {
+        out << "process " << each << '\n';
+    }
+    return out.str();
+}
+
 void write(std::string const& path, std::string const& text)
 {
     std::ofstream(path) << text;
@@ -58,19 +95,25 @@
     write(settings.folder + "/schedule.txt", to_text(draw(settings.what)));
     write(settings.folder + "/command.txt", command + '\n');
     core::common::failure reason;
+    checker check((limits()));
     auto const figures = run(
-        settings, [](observation const&) {}, reason);
+        settings,
+        [&check](observation const& seen)
+        {
+            check.take(seen);
+        },
+        reason);
     if (!figures)
     {
         std::cerr << "fuchsia-soak: " << core::common::to_string(reason)
                   << '\n';
         return bad_options;
     }
-    for (auto const& each : figures->complaints)
-    {
-        std::cout << "process: " << each << '\n';
-    }
-    auto const found = figures->complaints.size();
+    auto const broken = check.finish(core::common::clock::now());
+    auto const text = to_text(*figures, broken);
+    write(settings.folder + "/violations.txt", text);
+    std::cout << text;
+    auto const found = broken.size() + figures->complaints.size();
     if (found > 0)
     {
         std::cout << "again: " << command << "\nseen: " << settings.folder
