--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -66,6 +66,21 @@
 {
 }
 
+void worker_state::observe(std::function<void(worker_event const&)> tell)
+{
+    observer_ = std::move(tell);
+}
+
+void worker_state::tell(worker_moment when,
+                        ports::task_run const& what,
+                        end_kind how) const
+{
+    if (observer_)
+    {
+        observer_({when, what, how, fence_});
+    }
+}
+
 std::uint64_t worker_state::clock_ms(time_point now) const noexcept
 {
     auto const age = static_cast<double>(to_milliseconds(now - born_));
@@ -126,6 +141,7 @@
     {
         end(task, how);
     }
+    outlived_end_ = lapsed ? last_end_ : outlived_end_;
 }
 
 order_status worker_state::start(time_point now,
@@ -153,6 +169,7 @@
     extend(order.until_ms);
     running_[task] = {order.what.attempt, now, parse_script(order.spec)};
     begun_.push_back(order.what);
+    tell(worker_moment::started, order.what);
     return order_status::done;
 }
 
@@ -194,6 +211,10 @@
         if (known(row))
         {
             acknowledged_.push_back(row);
+            if (row.number > outlived_end_)
+            {
+                tell(worker_moment::acknowledged, row.what, row.how);
+            }
         }
     }
     std::erase_if(ended_, known);
@@ -228,6 +249,7 @@
     auto& settled = settled_[task];
     settled = std::max(settled, attempt);
     ended_.push_back({++last_end_, {task, attempt}, how, ""});
+    tell(worker_moment::ended, {task, attempt}, how);
 }
 
 void worker_state::extend(std::uint64_t until_ms) noexcept
