Soak checks: a job with a run at work is not idle

The trace: the job's one step takes 5.8 s an attempt and fails each, as drawn; its first run lapsed with a worker that was cut, two failed, and the fourth was at work when the soak judged, 38.9 s after its start. What the rule asks is that a job with work left and room for it is not idle for 3 s, so the case is allowed.

The check asks that now, for a step of which nothing is done yet; a job of which nothing runs, or has run for 3 s, is told as before, as is one shown to nobody, and all lies of the walks are still found.

--- a/tests/unit/soak/checker_test.cpp
+++ b/tests/unit/soak/checker_test.cpp
@@ -122,6 +122,23 @@
     EXPECT_EQ(troubled.broken(), none);
 }
 
+// A job whose long attempts fail one after the other is not idle.
+TEST(soak_lost, job_with_a_run_at_work_is_not_never_done)
+{
+    story working = accepted_until_traffic_ends({"q", {{1, {}, false}}, 4});
+    working.at(10s).start(task("a"));
+    working.at(16s).end(task("a"), end_kind::failed);
+    working.at(17s).start(task("a"), 2);
+    working.at(20s).status("a", job_state::active);
+    EXPECT_EQ(working.broken(), none);
+
+    story idle = accepted_until_traffic_ends({"q", {{1, {}, false}}, 4});
+    idle.at(10s).start(task("a"));
+    idle.at(16s).end(task("a"), end_kind::failed);
+    idle.at(20s).status("a", job_state::active);
+    EXPECT_EQ(idle.broken(), only(rule::lost));
+}
+
 // All tasks ended, and the job's owner is never told.
 TEST(soak_lost, done_job_is_never_shown_as_completed)
 {
--- a/tools/soak/jobs_check.cpp
+++ b/tools/soak/jobs_check.cpp
@@ -22,6 +22,8 @@
 constexpr duration state_kept = std::chrono::seconds(120);
 /// A lasting task runs again this long after its last run.
 constexpr duration restart = std::chrono::seconds(9);
+/// A job with work left has a run again within this time.
+constexpr duration idle_limit = std::chrono::seconds(3);
 
 bool by(std::optional<time_point> const& event, time_point at)
 {
@@ -89,7 +91,24 @@
     return true;
 }
 
-/// All that could be done has been, and all that lasts is at work.
+/// Whether a task of the step runs, or ran just before `now`.
+bool at_work(job_book const& job, std::uint32_t step, time_point now)
+{
+    auto const lately = [now](run_book const& run)
+    {
+        return !run.gone || *run.gone + idle_limit >= now;
+    };
+    return std::any_of(job.tasks.begin(),
+                       job.tasks.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& runs = entry.second.runs;
+                           return entry.first.first == step &&
+                                  std::any_of(runs.begin(), runs.end(), lately);
+                       });
+}
+
+/// All that could be done has been or is at work, and so is all that lasts.
 bool served(job_book const& job, time_point now)
 {
     std::vector<bool> finite; // Whether all tasks of the step can end done.
@@ -102,13 +121,14 @@
         bool const reached =
             std::all_of(step.after.begin(), step.after.end(), can_end);
         std::uint32_t const place = finite.size();
-        bool const good =
-            step.lasting ? kept_up(job, place, now) : job.step_done(place);
+        bool const done = !step.lasting && job.step_done(place);
+        bool const good = step.lasting ? kept_up(job, place, now)
+                                       : done || at_work(job, place, now);
         if (reached && !good)
         {
             return false;
         }
-        finite.push_back(reached && !step.lasting);
+        finite.push_back(reached && done);
     }
     return true;
 }
