--- a/tools/soak/faults.cpp
+++ b/tools/soak/faults.cpp
@@ -28,7 +28,7 @@
     return 10ms + std::chrono::milliseconds(what.value);
 }
 
-// Whether a worker or the store itself is meant, rather than an instance.
+// Its process is gone until the fault ends.
 bool ends_instance(fault_kind kind)
 {
     return kind == fault_kind::kill || kind == fault_kind::stop;
