Pool: logs tell what ran on a lost worker, and for how long

Whether a task crashes its workers or is a bystander could only be told by comparing all lines of task_lost by hand. Change: worker_lost names the youngest run of a lost worker; both lines tell for how long the worker had shown a run. The handling of lost workers has a file of its own.

No functional change

--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -69,6 +69,8 @@
                                     ///< time of the pause while the limit is 0.
     serving_reading reading;        ///< Last reading of a serving task.
     common::time_point started{};
+    /// Time for which its worker has reported the present attempt as running.
+    common::duration seen_running{};
     common::time_point
         reported_at{}; ///< Time of the last report of its progress.
     common::time_point
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -229,9 +229,6 @@
     void note_worker_failure(common::time_point now,
                              worker& target,
                              std::string const& job);
-    void mark_attempts_lost(common::time_point now,
-                            worker& target,
-                            char const* reason);
     void check_silent_workers(common::time_point now);
     void order_stop(common::time_point now,
                     std::string const& id,
@@ -241,6 +238,12 @@
     /// Handles a worker's answer that it knows a higher fencing token.
     void on_fenced(std::string const& worker_id);
 
+    // owner_crashes.cpp: tasks of workers that crashed or can't be reached.
+    void log_worker_lost(worker const& target, char const* reason);
+    void mark_attempts_lost(common::time_point now,
+                            worker& target,
+                            char const* reason);
+
     // owner_rows.cpp: running and ended attempts that a worker reports.
     void apply_rows(common::time_point now,
                     common::time_point sent_at,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -246,6 +246,7 @@
     t.percent = 0;
     t.speed_limit = 100;
     t.started = now;
+    t.seen_running = {};
     t.progressed_at = now;
     if (run.first_start_unix_ms == 0)
     {
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -214,6 +214,7 @@
     t.phase = task_phase::running;
     t.attempt = attempt_id.attempt;
     t.started = now;
+    t.seen_running = {};
     t.progressed_at = now;
     run.started = true;
     place(run, attempt_id.task, target);
@@ -254,6 +255,8 @@
                              now - t.reported_at);
     }
     t.reported_at = now;
+    t.seen_running =
+        t.phase == task_phase::running ? now - t.started : t.seen_running;
     t.start_unanswered = false;
     t.percent = row.progress_percent;
     t.level = row.measurement;
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -201,30 +201,6 @@
     jobs.clear();
 }
 
-void owner::mark_attempts_lost(common::time_point now,
-                               worker& target,
-                               char const* reason)
-{
-    auto const runs = target.runs;
-    for (auto const& name : runs)
-    {
-        auto const [run, t] = find_task(name);
-        if (t == nullptr)
-        {
-            target.runs.erase(name);
-            continue;
-        }
-        ++counters_.tasks_lost;
-        log_task(severity::warning,
-                 "task_lost",
-                 {name, t->attempt},
-                 target.info.id,
-                 {{"why", reason}});
-        t->phase = task_phase::blocked;
-        task_over(now, *run, name);
-    }
-}
-
 // A worker that can't be reached keeps its tasks until its lease has expired.
 // If a task were started elsewhere before that, it would run in two places.
 // After the expiry the worker is polled once more: if this owner was too busy
