Stand-in workers crash under tasks; a failing test of what follows

No test and no stand-in knew a task that crashes its workers, so nothing could show that it is started without end. Change: the stand-in worker's task script has 'crash', with its time and task; the simulation of the pool lets such workers go down and come back under the same id or a new one, and checks the budget of starts and the capacity of workers at each start.

No functional change

--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace fuchsia::standins::pool
@@ -58,6 +59,15 @@
     script.tail_latency_ms = number_in(spec, "tail=", 0);
     script.neighbour_latency_ms = number_in(spec, "strain=", 0);
     script.millicores = number_in(spec, "cores=", 0);
+    script.crashes = spec.find("crash") != std::string_view::npos;
+    script.crash_after_ms =
+        number_in(spec, "crash_after=", script.crash_after_ms);
+    constexpr auto no_index = std::numeric_limits<std::uint64_t>::max();
+    auto const crash_index = number_in(spec, "crash_index=", no_index);
+    if (crash_index != no_index)
+    {
+        script.crash_index = crash_index;
+    }
     return script;
 }
 
@@ -283,6 +293,16 @@
     return running_.size();
 }
 
+std::vector<ports::task_name> worker_state::running_tasks() const
+{
+    std::vector<ports::task_name> result;
+    for (auto const& [task, run] : running_)
+    {
+        result.push_back(task);
+    }
+    return result;
+}
+
 std::vector<ports::ended_attempt> const&
 worker_state::acknowledged_ends() const noexcept
 {
@@ -300,4 +320,27 @@
     info_.draining = true;
 }
 
+void worker_state::set_capacity(ports::resources capacity) noexcept
+{
+    info_.capacity = capacity;
+}
+
+std::optional<ports::task_name>
+worker_state::crashing_task(time_point now) const
+{
+    for (auto const& [task, run] : running_)
+    {
+        bool const is_culprit =
+            run.script.crashes &&
+            run.script.crash_index.value_or(task.index) == task.index;
+        if (is_culprit &&
+            now - run.started_at >=
+                std::chrono::milliseconds(run.script.crash_after_ms))
+        {
+            return task;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace fuchsia::standins::pool
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,10 @@
 /// when it runs alone;
 /// "strain=30" is what it adds to the tail latency of serving tasks on the same
 /// worker, in milliseconds;
-/// "cores=1000" is its CPU use in thousandths of a core.
+/// "cores=1000" is its CPU use in thousandths of a core;
+/// "crash" makes the task crash each worker that starts it;
+/// "crash_after=10" is the time from the start to the crash, in milliseconds;
+/// "crash_index=0" limits this to the task with that index in its step.
 struct task_script
 {
     std::uint64_t work_ms = 100;
@@ -31,6 +35,10 @@
     std::uint64_t tail_latency_ms = 0; ///< 0: not a serving task.
     std::uint64_t neighbour_latency_ms = 0;
     std::uint64_t millicores = 0;
+    bool crashes = false;
+    std::uint64_t crash_after_ms = 10;
+    /// Index of the only task that crashes workers; empty: all tasks do.
+    std::optional<std::uint64_t> crash_index;
 };
 
 task_script parse_task_script(std::string_view spec);
@@ -75,11 +83,18 @@
     ports::pool_worker const& info() const noexcept;
     bool runs(ports::task_name const& task) const;
     std::size_t running() const noexcept;
+    std::vector<ports::task_name> running_tasks() const;
     /// Acknowledged ends, in order of acknowledgement.
     std::vector<ports::ended_attempt> const& acknowledged_ends() const noexcept;
     /// Started attempts, in order of their start.
     std::vector<ports::pool_attempt> const& started_runs() const noexcept;
     void drain() noexcept;
+    /// Changes the capacity that the worker reports. What runs goes on.
+    void set_capacity(ports::resources capacity) noexcept;
+    /// Returns a running task that crashes the worker by `now`, if there is
+    /// one.
+    std::optional<ports::task_name>
+    crashing_task(core::common::time_point now) const;
 
 private:
     struct run
--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -15,6 +15,13 @@
 constexpr char const* host = "jobs.example";
 constexpr char const* prefix = "/q/";
 constexpr std::uint32_t attempts = 3;
+// Starts of a task after it has crashed three workers.
+constexpr std::size_t crashes_before_budget = 3;
+constexpr std::size_t forbidden_start_after_crashes = 3;
+// Time for which an owner may rely on a capacity that has shrunk.
+constexpr duration capacity_grace = 3s + 1500ms;
+// Time for which the entry of a crashed worker stays in the list.
+constexpr duration entry_retention = 4500ms;
 
 ports::pool_worker make_info(std::size_t number, std::uint64_t incarnation)
 {
@@ -40,7 +47,8 @@
         [](ports::kv_item const& item,
            core::common::failure& reason) -> std::optional<ports::pool_worker>
     {
-        // Format: "number incarnation", optionally followed by " draining".
+        // Format: "number incarnation cores", optionally followed by
+        // " draining".
         if (item.value.find_first_of("0123456789") != 0 ||
             item.value.find(' ') == std::string::npos)
         {
@@ -50,8 +58,15 @@
             return std::nullopt;
         }
         auto const separator = item.value.find(' ');
-        auto worker = make_info(std::stoul(item.value),
-                                std::stoull(item.value.substr(separator)));
+        std::size_t length = 0;
+        auto const rest = item.value.substr(separator);
+        auto worker =
+            make_info(std::stoul(item.value), std::stoull(rest, &length));
+        worker.id = item.key.substr(item.key.find('/') + 1);
+        if (rest.find_first_of("0123456789", length) != std::string::npos)
+        {
+            worker.capacity.millicores = std::stoll(rest.substr(length));
+        }
         worker.draining = item.value.ends_with("draining");
         return worker;
     };
@@ -206,6 +221,7 @@
 {
     core::pool::pool_request request;
     request.path = prefix + id;
+    submitted_jobs_[id] = submitted_job;
     request.action = core::pool::submit_request{std::move(submitted_job)};
     return send_request(instance, std::move(request));
 }
@@ -373,14 +389,104 @@
 
 void pool_simulation::restart_worker(std::size_t number)
 {
-    auto const info = make_info(number, ++next_incarnation_);
+    auto info = make_info(number, ++next_incarnation_);
+    if (workers_[number] != nullptr)
+    {
+        info.id = workers_[number]->info().id;
+    }
     // Worker clocks start at different times, and the clock of worker 0 is
     // slow.
     double const speed = number == 0 ? 0.98 : 1.0;
     workers_[number] = std::make_unique<standins::pool::worker_state>(
         info, now() - std::chrono::seconds(number), speed);
+    publish_worker(number);
+}
+
+void pool_simulation::publish_worker(std::size_t number)
+{
+    auto const& info = workers_[number]->info();
     store_.put("workers/" + info.id,
-               std::to_string(number) + " " + std::to_string(info.incarnation));
+               std::to_string(number) + " " + std::to_string(info.incarnation) +
+                   " " + std::to_string(info.capacity.millicores) +
+                   (info.draining ? " draining" : ""));
+}
+
+void pool_simulation::set_crash_recovery(duration down_time, bool same_id)
+{
+    crash_down_time_ = down_time;
+    returns_under_same_id_ = same_id;
+}
+
+void pool_simulation::crash_worker(
+    std::size_t number, std::optional<ports::task_name> const& culprit)
+{
+    if (!crashed_workers_.insert(number).second)
+    {
+        return;
+    }
+    if (culprit)
+    {
+        ++crashes_[*culprit];
+    }
+    auto info = workers_[number]->info();
+    auto const old_id = info.id;
+    info.id = returns_under_same_id_ ? old_id
+                                     : "w" + std::to_string(number) + "." +
+                                           std::to_string(++next_incarnation_);
+    workers_[number] =
+        std::make_unique<standins::pool::worker_state>(info, now(), 1.0);
+    clock_.after(crash_down_time_,
+                 [this, number]
+                 {
+                     crashed_workers_.erase(number);
+                     restart_worker(number);
+                 });
+    if (!returns_under_same_id_)
+    {
+        clock_.after(entry_retention,
+                     [this, old_id]
+                     {
+                         store_.erase("workers/" + old_id);
+                     });
+    }
+}
+
+void pool_simulation::crash_by_tasks()
+{
+    for (std::size_t number = 0; number < workers_.size(); ++number)
+    {
+        if (auto const culprit = workers_[number]->crashing_task(now()))
+        {
+            crash_worker(number, culprit);
+        }
+    }
+}
+
+void pool_simulation::set_capacity(std::size_t number,
+                                   ports::resources capacity)
+{
+    earlier_capacities_[number] = {workers_[number]->info().capacity,
+                                   now() + capacity_grace};
+    workers_[number]->set_capacity(capacity);
+    publish_worker(number);
+}
+
+void pool_simulation::set_draining(std::size_t number)
+{
+    workers_[number]->drain();
+    publish_worker(number);
+}
+
+std::size_t pool_simulation::crashes_by(ports::task_name const& task) const
+{
+    auto const found = crashes_.find(task);
+    return found == crashes_.end() ? 0 : found->second;
+}
+
+std::size_t pool_simulation::starts_of(ports::task_name const& task) const
+{
+    auto const found = starts_.find(task);
+    return found == starts_.end() ? 0 : found->second;
 }
 
 std::size_t pool_simulation::worker_count() const noexcept
@@ -711,34 +817,55 @@
     }
 }
 
+bool pool_simulation::is_up(ports::pool_order const& order) const
+{
+    auto const number = std::stoul(order.worker.substr(1));
+    return !crashed_workers_.contains(number) &&
+           workers_[number]->info().id == order.worker;
+}
+
+void pool_simulation::answer_later(std::size_t number,
+                                   std::uint64_t incarnation,
+                                   ports::pool_order const& order,
+                                   ports::order_status status,
+                                   duration delay)
+{
+    ports::order_reply reply;
+    reply.id = order.id;
+    reply.status = status;
+    clock_.after(delay,
+                 [this, number, incarnation, reply]
+                 {
+                     if (instances_[number].incarnation != incarnation)
+                     {
+                         return;
+                     }
+                     deliver(number,
+                             [this, reply](core::pool::engine& engine)
+                             {
+                                 engine.on_order_reply(now(), reply);
+                             });
+                 });
+}
+
 void pool_simulation::call_worker(std::size_t number,
                                   ports::pool_order const& order)
 {
     auto const worker_number = std::stoul(order.worker.substr(1));
     auto const effect =
-        worker_fault ? worker_fault(number, worker_number, order.operation)
-                     : fault_effect::carried_out;
+        !is_up(order)  ? fault_effect::request_lost
+        : worker_fault ? worker_fault(number, worker_number, order.operation)
+                       : fault_effect::carried_out;
     auto const incarnation = instances_[number].incarnation;
     if (effect != fault_effect::carried_out)
     {
         bool const refused = effect == fault_effect::refused;
-        ports::order_reply reply;
-        reply.id = order.id;
-        reply.status = refused ? ports::order_status::not_sent
-                               : ports::order_status::unclear;
-        clock_.after(refused ? 2 * worker_delay : order.timeout,
-                     [this, number, incarnation, reply]
-                     {
-                         if (instances_[number].incarnation != incarnation)
-                         {
-                             return;
-                         }
-                         deliver(number,
-                                 [this, reply](core::pool::engine& engine)
-                                 {
-                                     engine.on_order_reply(now(), reply);
-                                 });
-                     });
+        answer_later(number,
+                     incarnation,
+                     order,
+                     refused ? ports::order_status::not_sent
+                             : ports::order_status::unclear,
+                     refused ? 2 * worker_delay : order.timeout);
     }
     if (effect == fault_effect::request_lost || effect == fault_effect::refused)
     {
@@ -760,6 +887,18 @@
                                    ports::pool_order const& order,
                                    bool answered)
 {
+    if (!is_up(order))
+    {
+        if (answered)
+        {
+            answer_later(number,
+                         incarnation,
+                         order,
+                         ports::order_status::unclear,
+                         order.timeout);
+        }
+        return;
+    }
     auto const worker_number = std::stoul(order.worker.substr(1));
     auto& target = *workers_[worker_number];
     auto const* const start = std::get_if<ports::start_order>(&order.operation);
@@ -805,6 +944,7 @@
 {
     store_.expire(now());
     answer_watches();
+    crash_by_tasks();
     for (auto& current : workers_)
     {
         current->advance(now());
@@ -831,6 +971,7 @@
 void pool_simulation::check_start(std::size_t worker_number,
                                   ports::pool_attempt const& attempt)
 {
+    ++starts_[attempt.task];
     if (!violation_.empty())
     {
         return;
@@ -852,6 +993,50 @@
     {
         violation_ = "ran again after its last attempt: " + name;
     }
+    check_crash_budget(attempt.task, name);
+    check_capacity(worker_number, name);
+}
+
+void pool_simulation::check_crash_budget(ports::task_name const& task,
+                                         std::string const& description)
+{
+    if (crashes_by(task) >= crashes_before_budget &&
+        ++starts_after_crashes_[task] >= forbidden_start_after_crashes)
+    {
+        violation_ = "started three times more after three workers had "
+                     "crashed under it: " +
+                     description;
+    }
+}
+
+// Whatever runs counts, including what is being stopped.
+void pool_simulation::check_capacity(std::size_t worker_number,
+                                     std::string const& description)
+{
+    ports::resources used;
+    for (auto const& task : workers_[worker_number]->running_tasks())
+    {
+        auto const job = submitted_jobs_.find(task.job);
+        if (job == submitted_jobs_.end())
+        {
+            continue;
+        }
+        auto declared = job->second.steps[task.step].declared;
+        if (job->second.steps[task.step].best_effort)
+        {
+            declared.millicores = 0;
+        }
+        used += declared;
+    }
+    auto const earlier = earlier_capacities_.find(worker_number);
+    bool const earlier_counts =
+        earlier != earlier_capacities_.end() && now() <= earlier->second.until;
+    bool const fits = workers_[worker_number]->info().capacity.covers(used) ||
+                      (earlier_counts && earlier->second.capacity.covers(used));
+    if (!fits)
+    {
+        violation_ = "exceeds the capacity of its worker: " + description;
+    }
 }
 
 void pool_simulation::check_ends()
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -105,8 +105,22 @@
 
     standins::pool::kv_state& store() noexcept;
     standins::pool::worker_state& worker(std::size_t number);
-    /// Restarts a worker with the same id and no state.
+    /// Restarts a worker with no state, under its present id.
     void restart_worker(std::size_t number);
+    /// Sets what becomes of crashed workers: they return after `down_time`,
+    /// under the same id or a new one.
+    void set_crash_recovery(duration down_time, bool same_id);
+    /// Crashes a worker: everything on it is lost, and it answers nothing until
+    /// it returns. `culprit` is the task that crashes it, if one does.
+    void crash_worker(std::size_t number,
+                      std::optional<ports::task_name> const& culprit = {});
+    /// Changes the capacity of a worker and what its entry says of it.
+    void set_capacity(std::size_t number, ports::resources capacity);
+    void set_draining(std::size_t number);
+    /// Returns the number of workers that the task has crashed.
+    std::size_t crashes_by(ports::task_name const& task) const;
+    /// Returns the number of starts of the task on all workers.
+    std::size_t starts_of(ports::task_name const& task) const;
     std::size_t worker_count() const noexcept;
     /// Returns the number of workers that currently run `task`.
     std::size_t running_count(ports::task_name const& task) const;
@@ -166,6 +180,13 @@
                       std::uint64_t incarnation,
                       ports::pool_order const& order,
                       bool answered);
+    /// Whether the worker that the order names is up.
+    bool is_up(ports::pool_order const& order) const;
+    void answer_later(std::size_t number,
+                      std::uint64_t incarnation,
+                      ports::pool_order const& order,
+                      ports::order_status status,
+                      duration delay);
     void call_policy(std::size_t number, ports::policy_request const& call);
     void answer_watches();
     /// Delivers a reply after `store_answer` or `worker_answer` was applied to
@@ -175,6 +196,12 @@
     void tick_all();
     void check_start(std::size_t worker_number,
                      ports::pool_attempt const& attempt);
+    void check_crash_budget(ports::task_name const& task,
+                            std::string const& description);
+    void check_capacity(std::size_t worker_number,
+                        std::string const& description);
+    void publish_worker(std::size_t number);
+    void crash_by_tasks();
     void check_ends();
     std::uint64_t send_request(std::size_t instance,
                                core::pool::pool_request request);
@@ -183,6 +210,22 @@
     walks::virtual_clock clock_;
     standins::pool::kv_state store_;
     std::vector<std::unique_ptr<standins::pool::worker_state>> workers_;
+    /// Capacity of a worker before its last change, and the time until which it
+    /// may still be relied on.
+    struct earlier_capacity
+    {
+        ports::resources capacity;
+        time_point until{};
+    };
+    std::map<std::size_t, earlier_capacity> earlier_capacities_;
+    std::set<std::size_t> crashed_workers_; ///< Those that are down.
+    duration crash_down_time_ = 3s;
+    bool returns_under_same_id_ = false;
+    std::map<ports::task_name, std::size_t> crashes_;
+    std::map<ports::task_name, std::size_t> starts_;
+    /// Number of starts since the third crash, by task.
+    std::map<ports::task_name, std::size_t> starts_after_crashes_;
+    std::map<std::string, core::pool::job> submitted_jobs_;
     std::vector<instance> instances_;
     std::optional<duration> final_state_retention_;
     std::map<std::uint64_t, ports::job_answer> answers_;
