Pool: a task that crashes its workers is given up, and no other

Cause: only ends that a worker reports as failed use up a task's attempts. A crash reports no end, so a run that was lost with its worker cost nothing. The class of fault: retries without a limit where the failure is only seen as silence. Why it works: a lost run is blamed on its task unless the run had got older than twice the age at which the task's runs were lost before, so a bystander clears itself and one that crashes late doesn't. Suspects are kept apart, so the second crash tells them apart. Two crashes of its own fault and one more end the job, if two are known to be crashes: a cut, a lost rack and a planned end blame nobody for good. The counts are written behind the crash; the place of a suspect's run behind its start, and of any young run when its worker falls silent, so that a takeover between the crash and its count loses little. The simulation now takes acknowledged ends from the workers' events: an end before which the lease had expired doesn't count by the rule, and those of replaced workers do.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -51,6 +51,7 @@
     ports::pool_worker info;
     bool listed = false;  ///< It is in the platform's list.
     bool adopted = false; ///< This incarnation has answered this owner.
+    common::time_point adopted_at{}; ///< Time of its first answer.
     /// It is in the stored roster, so that a successor will poll it and tasks
     /// may start here.
     bool rostered = false;
@@ -66,6 +67,8 @@
     std::int64_t serving_used = 0; ///< Part of `serving_cores` that is in use.
     std::int64_t best_effort_cores = 0; ///< Declared by best-effort tasks.
     std::set<ports::task_name> runs;    ///< Tasks placed here.
+    /// Tasks placed here that may crash the worker.
+    std::set<ports::task_name> suspects;
     /// Serving tasks that are being moved here, whose capacity is reserved.
     std::set<ports::task_name> reservations;
     /// Best-effort images for which this worker was cleared by rebalancing,
@@ -89,6 +92,11 @@
     common::time_point last_contact{}; ///< Time of the last answer to a poll.
     /// The last poll was not answered, so no task starts here.
     bool silent = false;
+    /// Time of the last answer before the worker last fell silent, or of its
+    /// restart where no poll went unanswered; zero: it never did.
+    common::time_point contact_lost_at{};
+    /// Whether the last loss of its runs may have been the fault of one of them.
+    bool lost_uncleared = false;
     /// A poll that was sent after the lease had expired was not answered
     /// either.
     bool silent_since_lapse = false;
--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -113,13 +113,16 @@
     auto const& s = run.spec.steps[step_index];
     std::set<std::uint32_t> gang_failures;
     std::size_t max_failures = 0;
+    bool crash_limit_reached = false;
     for (auto const& t : run.occurrences[occurrence].steps[step_index].tasks)
     {
         max_failures = std::max(max_failures, t.failures.size());
         gang_failures.insert(t.failures.begin(), t.failures.end());
+        crash_limit_reached |= t.crash_history.is_exhausted();
     }
     auto const failures = s.gang ? gang_failures.size() : max_failures;
-    return !s.long_running && failures >= run.rules.attempts;
+    return crash_limit_reached ||
+           (!s.long_running && failures >= run.rules.attempts);
 }
 
 bool out_of_attempts(job_run const& run)
@@ -165,6 +168,16 @@
             --run.tasks_left;
         }
     }
+    for (auto const& row : saved.suspects)
+    {
+        auto* const t =
+            run.find({saved.job, row.occurrence, row.step, row.index});
+        if (t != nullptr)
+        {
+            run.started = true;
+            t->crash_history = row.history;
+        }
+    }
 }
 
 progress progress_of(job_run const& run)
@@ -184,6 +197,11 @@
             for (std::uint32_t index = 0; index < tasks.size(); ++index)
             {
                 auto const& t = tasks[index];
+                if (t.crash_history.must_be_kept())
+                {
+                    result.suspects.push_back(
+                        {occurrence_index, step_index, index, t.crash_history});
+                }
                 bool const done = t.phase == task_phase::done;
                 auto const size = done ? 0 : written_size(t.checkpoint);
                 bool const kept = size > 0 && size <= bytes_left;
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/pool/configuration.hpp"
+#include "core/pool/crash_record.hpp"
 #include "core/pool/job.hpp"
 #include "core/pool/progress.hpp"
 #include "ports/pool_actions.hpp"
@@ -76,6 +77,7 @@
     common::time_point
         progressed_at{}; ///< Time of the last report that showed progress.
     std::vector<std::string> failed_on; ///< Workers to avoid.
+    crash_record crash_history;
 
     /// Whether the task occupies capacity on its worker.
     bool placed() const noexcept
@@ -158,8 +160,9 @@
     step const& step_of(ports::task_name const& name) const;
 };
 
-/// Whether a task of the step has failed as often as its queue allows. A gang
-/// fails as a whole, whichever of its members fails.
+/// Whether a task of the step has failed as often as its queue allows, or has
+/// crashed as many workers as any task may. A gang fails as a whole, whichever
+/// of its members fails. Long-running tasks may fail without limit.
 bool out_of_attempts(job_run const& run,
                      std::size_t occurrence,
                      std::size_t step_index);
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -239,10 +239,57 @@
     void on_fenced(std::string const& worker_id);
 
     // owner_crashes.cpp: tasks of workers that crashed or can't be reached.
-    void log_worker_lost(worker const& target, char const* reason);
+    enum class loss_reason : std::uint8_t
+    {
+        restarted,
+        silent, ///< Its lease expired while it answered nothing.
+    };
+    using blamed_tasks = std::map<ports::task_name, crash_evidence>;
+    /// Tasks that were blamed for the loss of a worker that fell silent.
+    struct blame
+    {
+        common::time_point when{};
+        ports::endpoint remote_endpoint;
+        std::uint64_t incarnation = 0; ///< Incarnation of the worker.
+        blamed_tasks tasks;
+    };
+    struct gone_worker
+    {
+        std::string service;
+        std::string rack;
+        common::time_point contact_lost_at{};
+        bool lost_uncleared = false; ///< See `worker`.
+    };
     void mark_attempts_lost(common::time_point now,
                             worker& target,
-                            char const* reason);
+                            loss_reason reason);
+    bool is_replaced(worker const& lost) const;
+    bool has_uncleared_run(worker const& target);
+    bool lost_with_rack(worker const& target);
+    blamed_tasks blamed_for_loss(worker const& target);
+    void count_crash(job_run& run,
+                     ports::task_name const& name,
+                     crash_evidence evidence,
+                     bool confirmed);
+    void fail_if_crash_limit_reached(common::time_point now,
+                                     job_run& run,
+                                     ports::task_name const& name);
+    void
+    clear_if_proven(worker& target, job_run& run, ports::task_name const& name);
+    void note_silence(worker const& target);
+    void remember_blame(common::time_point now,
+                        worker const& target,
+                        blamed_tasks const& tasks);
+    void settle_blame(common::time_point now, worker const& target);
+    void settle_blame_at(common::time_point now,
+                         ports::pool_worker const& successor);
+    void withdraw_blame(worker const& target, blame const& settled);
+    void confirm_blame(common::time_point now, blame const& settled);
+    bool lost_unseen(task const& t);
+    void log_worker_lost(worker const& target,
+                         loss_reason reason,
+                         blamed_tasks const& blamed);
+    void note_worker_gone(common::time_point now, worker const& target);
 
     // owner_rows.cpp: running and ended attempts that a worker reports.
     void apply_rows(common::time_point now,
@@ -445,6 +492,7 @@
                                              ports::task_name const& name);
     bool fits(worker const& target, step const& spec) const;
     bool serves_only(worker const& target, std::uint16_t image);
+    static double suspicion_penalty(worker const& target, task const& t);
     std::optional<double> score(common::time_point now,
                                 worker& target,
                                 job_run& run,
@@ -480,6 +528,9 @@
     /// Usable workers by free capacity; set during a dispatch round only.
     std::optional<capacity_index> capacity_index_;
     std::set<std::string> unsaved_jobs_;
+    std::map<std::string, blame> blames_; ///< Unsettled ones, by worker.
+    std::vector<gone_worker>
+        gone_workers_; ///< Silent workers that were erased.
     /// Target worker of each task being moved.
     std::map<ports::task_name, std::string> reservations_;
     /// Best-effort images with waiting tasks, and since when they wait.
--- a/src/core/pool/owner_crashes.cpp
+++ b/src/core/pool/owner_crashes.cpp
@@ -1,14 +1,390 @@
 #include "core/pool/owner.hpp"
 
-// Handles the tasks of workers that crashed or can no longer be reached.
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+// Tasks of workers that crashed or can no longer be reached: which of them are
+// to blame, and when a task is given up.
 namespace fuchsia::core::pool
 {
 
 using ports::severity;
 
+namespace
+{
+
+// Workers of a rack that fall silent within this time of each other were lost
+// together. Idle workers are polled every two seconds.
+constexpr common::duration lost_together = std::chrono::seconds(3);
+// Minimum number of other workers in a rack that must be lost with a worker for
+// the loss of the rack to be the cause.
+constexpr std::size_t min_lost_others = 2;
+// Time for which the owner remembers whom it blamed for the loss of a worker,
+// and which workers are gone.
+constexpr common::duration loss_retention = std::chrono::seconds(60);
+
+// In the order of `loss_reason`.
+constexpr std::array<std::string_view, 2> loss_reasons{
+    "worker restarted", "lease expired without an answer"};
+
+// Whether the present run is too young to clear its task of a crash.
+bool is_uncleared(task const& t)
+{
+    return t.seen_running < t.crash_history.clearing_run();
+}
+
+bool within(common::time_point lhs,
+            common::time_point rhs,
+            common::duration limit)
+{
+    return lhs - rhs <= limit && rhs - lhs <= limit;
+}
+
+} // namespace
+
+// Handles the loss of all runs of a worker.
+void owner::mark_attempts_lost(common::time_point now,
+                               worker& target,
+                               loss_reason reason)
+{
+    bool const confirmed =
+        reason == loss_reason::restarted || is_replaced(target);
+    auto const blamed = blamed_for_loss(target);
+    log_worker_lost(target, reason, blamed);
+    target.lost_uncleared = has_uncleared_run(target);
+    if (!confirmed)
+    {
+        remember_blame(now, target, blamed);
+    }
+    auto const runs = target.runs;
+    for (auto const& name : runs)
+    {
+        auto const [run, t] = find_task(name);
+        if (t == nullptr)
+        {
+            target.runs.erase(name);
+            continue;
+        }
+        ++counters_.tasks_lost;
+        log_task(severity::warning,
+                 "task_lost",
+                 {name, t->attempt},
+                 target.info.id,
+                 {{"why", std::string(name_in(loss_reasons, reason))},
+                  {"ran_ms",
+                   std::to_string(common::to_milliseconds(t->seen_running))}});
+        t->phase = task_phase::blocked;
+        t->crash_history.note_lost_run(t->seen_running);
+        if (auto const found = blamed.find(name); found != blamed.end())
+        {
+            count_crash(*run, name, found->second, confirmed);
+        }
+        task_over(now, *run, name);
+        fail_if_crash_limit_reached(now, *run, name);
+    }
+}
+
+// Whether another worker is listed at the address of the lost one, which is
+// then over.
+bool owner::is_replaced(worker const& lost) const
+{
+    return std::any_of(fleet_.all().begin(),
+                       fleet_.all().end(),
+                       [&lost](auto const& entry)
+                       {
+                           worker const& other = entry.second;
+                           return other.listed &&
+                                  other.info.id != lost.info.id &&
+                                  other.info.remote_endpoint ==
+                                      lost.info.remote_endpoint;
+                       });
+}
+
+bool owner::has_uncleared_run(worker const& target)
+{
+    return std::any_of(target.runs.begin(),
+                       target.runs.end(),
+                       [this](ports::task_name const& name)
+                       {
+                           auto const* const t = find_task(name).state;
+                           return t != nullptr && is_uncleared(*t);
+                       });
+}
+
+// Whether the worker was lost with its rack: no other worker that was there is
+// left, and one of them ran nothing that may have crashed it.
+bool owner::lost_with_rack(worker const& target)
+{
+    std::size_t lost = 0;
+    bool without_cause = false;
+    for (auto const& [id, other] : fleet_.all())
+    {
+        bool const neighbour = id != target.info.id && other.adopted &&
+                               other.info.rack == target.info.rack &&
+                               other.info.service == target.info.service;
+        bool const was_there = other.adopted_at <= target.contact_lost_at ||
+                               other.contact_lost_at != common::time_point{};
+        if (!neighbour || !was_there)
+        {
+            continue;
+        }
+        bool const left =
+            other.silent || other.adopted_at > target.contact_lost_at;
+        if (!left || !within(other.contact_lost_at,
+                             target.contact_lost_at,
+                             lost_together))
+        {
+            return false;
+        }
+        ++lost;
+        without_cause |= !other.lost_uncleared && !has_uncleared_run(other);
+    }
+    for (auto const& gone : gone_workers_)
+    {
+        bool const together =
+            gone.rack == target.info.rack &&
+            gone.service == target.info.service &&
+            within(gone.contact_lost_at, target.contact_lost_at, lost_together);
+        lost += together ? 1 : 0;
+        without_cause |= together && !gone.lost_uncleared;
+    }
+    return lost >= min_lost_others && without_cause;
+}
+
+// Returns the tasks that may have crashed the worker, with the evidence against
+// each: those whose run was too young to clear them. If all had proved
+// themselves, any but the oldest may have crashed it late. A suspect among
+// tasks that are not suspected of earlier crashes is to blame alone.
+owner::blamed_tasks owner::blamed_for_loss(worker const& target)
+{
+    if (target.info.draining || lost_with_rack(target))
+    {
+        return {};
+    }
+    std::vector<ports::task_name> uncleared;
+    std::vector<ports::task_name> young;
+    std::size_t suspects = 0;
+    for (auto const& name : target.runs)
+    {
+        auto const* const t = find_task(name).state;
+        if (t == nullptr)
+        {
+            continue;
+        }
+        if (is_uncleared(*t))
+        {
+            uncleared.push_back(name);
+            suspects += t->crash_history.is_suspect() ? 1 : 0;
+        }
+        if (t->seen_running < max_clearing_run)
+        {
+            young.push_back(name);
+        }
+    }
+    auto const& chosen = uncleared.empty() ? young : uncleared;
+    blamed_tasks result;
+    for (auto const& name : chosen)
+    {
+        bool const only_suspect =
+            suspects == 1 && find_task(name).state->crash_history.is_suspect();
+        result[name] = chosen.size() == 1 || only_suspect
+                           ? crash_evidence::alone
+                           : crash_evidence::shared;
+    }
+    return result;
+}
+
+void owner::count_crash(job_run& run,
+                        ports::task_name const& name,
+                        crash_evidence evidence,
+                        bool confirmed)
+{
+    ++counters_.tasks_blamed;
+    auto& history = run.at(name).crash_history;
+    history.blame(evidence);
+    if (confirmed)
+    {
+        history.confirm();
+    }
+    mark_dirty(run);
+}
+
+// Ends the job of a task that has crashed as many workers as any task may.
+void owner::fail_if_crash_limit_reached(common::time_point now,
+                                        job_run& run,
+                                        ports::task_name const& name)
+{
+    auto const& history = run.at(name).crash_history;
+    if (run.phase != job_phase::active || !history.is_exhausted())
+    {
+        return;
+    }
+    out_.log(severity::warning,
+             "job_crashes_workers",
+             {{"job", name.job},
+              {"step", std::to_string(name.step)},
+              {"task", std::to_string(name.index)},
+              {"crashes", std::to_string(history.crashes())}});
+    end_job(now, run, job_phase::failing);
+}
+
+// Clears a suspect whose run has got older than a run that crashes the worker
+// gets.
+void owner::clear_if_proven(worker& target,
+                            job_run& run,
+                            ports::task_name const& name)
+{
+    auto& t = run.at(name);
+    if (!t.crash_history.is_suspect() || is_uncleared(t))
+    {
+        return;
+    }
+    log_task(
+        severity::info,
+        "task_cleared",
+        {name, t.attempt},
+        target.info.id,
+        {{"crashes", std::to_string(t.crash_history.crashes())},
+         {"ran_ms", std::to_string(common::to_milliseconds(t.seen_running))}});
+    t.crash_history = {};
+    target.suspects.erase(name);
+    mark_dirty(run);
+}
+
+// Records which tasks may have crashed a worker that has just fallen silent.
+// Its loss counts only once its lease is over, and by then a successor may own
+// the pool.
+void owner::note_silence(worker const& target)
+{
+    for (auto const& name : target.runs)
+    {
+        auto const [run, t] = find_task(name);
+        if (t != nullptr && is_uncleared(*t))
+        {
+            t->crash_history.worker = target.info.id;
+            t->crash_history.worker_incarnation = target.incarnation;
+            mark_dirty(*run);
+        }
+    }
+}
+
+// A worker that did not answer until its lease had expired may only have been
+// cut off. What was blamed on its tasks is settled once it shows what became of
+// the worker.
+void owner::remember_blame(common::time_point now,
+                           worker const& target,
+                           blamed_tasks const& tasks)
+{
+    std::erase_if(blames_,
+                  [now](auto const& entry)
+                  {
+                      return now - entry.second.when > loss_retention;
+                  });
+    blames_[target.info.id] = {
+        now, target.info.remote_endpoint, target.incarnation, tasks};
+}
+
+// Settles the blame for a worker that answers again.
+void owner::settle_blame(common::time_point now, worker const& target)
+{
+    auto const found = blames_.find(target.info.id);
+    if (found == blames_.end())
+    {
+        return;
+    }
+    auto const settled = found->second;
+    blames_.erase(found);
+    if (settled.incarnation == target.incarnation)
+    {
+        withdraw_blame(target, settled);
+    }
+    else
+    {
+        confirm_blame(now, settled);
+    }
+}
+
+// Settles the blame for the worker whose address a new worker has.
+void owner::settle_blame_at(common::time_point now,
+                            ports::pool_worker const& successor)
+{
+    for (auto entry = blames_.begin(); entry != blames_.end();)
+    {
+        if (entry->second.remote_endpoint != successor.remote_endpoint ||
+            entry->first == successor.id)
+        {
+            ++entry;
+            continue;
+        }
+        auto const settled = entry->second;
+        entry = blames_.erase(entry);
+        confirm_blame(now, settled);
+    }
+}
+
+// The worker was only cut off.
+void owner::withdraw_blame(worker const& target, blame const& settled)
+{
+    for (auto const& [name, evidence] : settled.tasks)
+    {
+        auto const [run, t] = find_task(name);
+        if (t == nullptr || !t->crash_history.is_suspect())
+        {
+            continue;
+        }
+        t->crash_history.withdraw(evidence);
+        mark_dirty(*run);
+        auto* const present = fleet_.find(t->worker);
+        if (present != nullptr && !t->crash_history.is_suspect())
+        {
+            present->suspects.erase(name);
+        }
+    }
+    out_.log(severity::info,
+             "blame_withdrawn",
+             {{"worker", target.info.id},
+              {"tasks", std::to_string(settled.tasks.size())}});
+}
+
+// The worker has crashed.
+void owner::confirm_blame(common::time_point now, blame const& settled)
+{
+    for (auto const& [name, evidence] : settled.tasks)
+    {
+        auto const [run, t] = find_task(name);
+        if (t == nullptr || !t->crash_history.is_suspect())
+        {
+            continue;
+        }
+        t->crash_history.confirm();
+        mark_dirty(*run);
+        fail_if_crash_limit_reached(now, *run, name);
+    }
+}
+
+// Whether the run that an earlier owner recorded ended with its worker before
+// that owner could count it.
+bool owner::lost_unseen(task const& t)
+{
+    auto const& history = t.crash_history;
+    if (history.worker.empty())
+    {
+        return false;
+    }
+    auto const* const w = fleet_.find(history.worker);
+    bool const still_there = w != nullptr && w->adopted &&
+                             w->incarnation == history.worker_incarnation;
+    bool const left_as_planned = w != nullptr && w->info.draining;
+    return !still_there && !left_as_planned;
+}
+
 // Logs what ran on the lost worker. The youngest run is the likeliest cause of
 // a crash: tasks that crash their workers mostly do so when they start.
-void owner::log_worker_lost(worker const& target, char const* reason)
+void owner::log_worker_lost(worker const& target,
+                            loss_reason reason,
+                            blamed_tasks const& blamed)
 {
     ports::task_name const* youngest = nullptr;
     common::duration min_seen{};
@@ -28,36 +404,27 @@
     out_.log(severity::warning,
              "worker_lost",
              {{"worker", target.info.id},
-              {"why", reason},
+              {"why", std::string(name_in(loss_reasons, reason))},
               {"runs", std::to_string(target.runs.size())},
+              {"blamed", std::to_string(blamed.size())},
               {"youngest", youngest->job + "." + text_of(*youngest)},
               {"ran_ms", std::to_string(common::to_milliseconds(min_seen))}});
 }
 
-void owner::mark_attempts_lost(common::time_point now,
-                               worker& target,
-                               char const* reason)
+// Records that the worker is no longer followed.
+void owner::note_worker_gone(common::time_point now, worker const& target)
 {
-    log_worker_lost(target, reason);
-    auto const runs = target.runs;
-    for (auto const& name : runs)
+    std::erase_if(gone_workers_,
+                  [now](gone_worker const& entry)
+                  {
+                      return now - entry.contact_lost_at > loss_retention;
+                  });
+    if (target.silent)
     {
-        auto const [run, t] = find_task(name);
-        if (t == nullptr)
-        {
-            target.runs.erase(name);
-            continue;
-        }
-        ++counters_.tasks_lost;
-        log_task(severity::warning,
-                 "task_lost",
-                 {name, t->attempt},
-                 target.info.id,
-                 {{"why", reason},
-                  {"ran_ms",
-                   std::to_string(common::to_milliseconds(t->seen_running))}});
-        t->phase = task_phase::blocked;
-        task_over(now, *run, name);
+        gone_workers_.push_back({target.info.service,
+                                 target.info.rack,
+                                 target.contact_lost_at,
+                                 target.lost_uncleared});
     }
 }
 
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -181,7 +181,8 @@
     {
         return dispatch_gang(now, key, run);
     }
-    // Tasks of one step that have not failed anywhere are equivalent: all
+    // Tasks of one step that have neither failed anywhere nor are suspected of
+    // crashing workers are equivalent: all
     // workers are scored once for them, and after each placement only the
     // worker that was used is scored again. A step of 26 tasks on 350 workers
     // costs 376 scores instead of 9,100.
@@ -196,6 +197,7 @@
             continue;
         }
         bool const alike = run.at(name).failed_on.empty() &&
+                           !run.at(name).crash_history.is_suspect() &&
                            run.spec.steps[key.step].max_per_worker == 0;
         auto* target = take_reservation(now, run, name);
         if (target == nullptr && alike)
@@ -248,6 +250,12 @@
     t.started = now;
     t.seen_running = {};
     t.progressed_at = now;
+    if (t.crash_history.is_suspect())
+    {
+        t.crash_history.worker = target.info.id;
+        t.crash_history.worker_incarnation = target.incarnation;
+        mark_dirty(run);
+    }
     if (run.first_start_unix_ms == 0)
     {
         run.first_start_unix_ms = out_.unix_ms(now);
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -114,6 +114,10 @@
     t.worker = target.info.id;
     t.worker_incarnation = target.incarnation;
     target.runs.insert(name);
+    if (t.crash_history.is_suspect())
+    {
+        target.suspects.insert(name);
+    }
     target.view_known = false;
     ++run.placed;
     target.reserved.memory_mb += spec.declared.memory_mb;
@@ -140,6 +144,13 @@
     {
         return;
     }
+    target->suspects.erase(name);
+    auto& crash_history = run.at(name).crash_history;
+    if (!crash_history.worker.empty())
+    {
+        crash_history.worker.clear();
+        mark_dirty(run);
+    }
     target->view_known = false;
     dispatch_requested_ = true;
     --run.placed;
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -12,7 +12,19 @@
 void owner::apply_worker_list(common::time_point now,
                               worker_changes const& changes)
 {
+    std::vector<ports::pool_worker> added;
+    for (auto const& info : changes.present)
+    {
+        if (fleet_.find(info.id) == nullptr)
+        {
+            added.push_back(info);
+        }
+    }
     fleet_.take_list(changes);
+    for (auto const& info : added)
+    {
+        settle_blame_at(now, info);
+    }
     complete_roster();
     if (loaded_)
     {
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -27,6 +27,13 @@
 // on each of three workloads the earned value rose by 0.02, 0.02 and 0.03.
 constexpr double other_image_penalty = 3;
 
+// A suspect runs on a worker without another suspect if possible, so that a
+// crash shows which of them is to blame, and beside few other tasks, which its
+// crash would end. Nothing else starts beside it until it is cleared.
+constexpr double two_suspects_penalty = 50;
+constexpr double suspect_neighbour_penalty = 0.3; // for each neighbour
+constexpr double beside_suspect_penalty = 5;
+
 // A worker that was cleared for waiting work gets no serving task that the work
 // disturbs while another worker has capacity.
 constexpr double cleared_worker_penalty = 5;
@@ -318,6 +325,7 @@
     }
     total += slow_penalty *
              std::max(0.0, 1 / target.speed.value(now) - slowness_tolerance);
+    total += suspicion_penalty(target, run.at(name));
     auto const& failed = run.at(name).failed_on;
     if (std::find(failed.begin(), failed.end(), target.info.id) != failed.end())
     {
@@ -326,6 +334,19 @@
     return total;
 }
 
+// Returns the penalty that keeps suspects apart from each other and from the
+// rest.
+double owner::suspicion_penalty(worker const& target, task const& t)
+{
+    if (!t.crash_history.is_suspect())
+    {
+        return target.suspects.empty() ? 0 : beside_suspect_penalty;
+    }
+    auto const neighbours = static_cast<double>(target.runs.size());
+    return suspect_neighbour_penalty * neighbours +
+           (target.suspects.empty() ? 0 : two_suspects_penalty);
+}
+
 std::optional<obstacle> owner::obstacle_to_best_effort(worker& target,
                                                        step const& step_spec,
                                                        std::uint16_t image)
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -258,6 +258,7 @@
     t.seen_running =
         t.phase == task_phase::running ? now - t.started : t.seen_running;
     t.start_unanswered = false;
+    clear_if_proven(target, run, row.attempt_id.task);
     t.percent = row.progress_percent;
     t.level = row.measurement;
     if (!row.checkpoint.empty())
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -88,6 +88,7 @@
     std::uint64_t tasks_done = 0;
     std::uint64_t tasks_failed = 0;
     std::uint64_t tasks_lost = 0;
+    std::uint64_t tasks_blamed = 0; ///< Runs blamed for a worker's crash.
     std::uint64_t speed_limit_changes = 0;
     std::uint64_t evicted = 0;
     std::uint64_t rebalanced = 0; ///< Serving tasks moved.
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -25,6 +25,7 @@
 {
     bool const previously_adopted = target.adopted;
     target.adopted = true;
+    target.adopted_at = now;
     target.incarnation = incarnation;
     target.durable_end = 0;
     target.highest_end = 0;
@@ -38,7 +39,7 @@
                  "worker_restarted",
                  {{"worker", target.info.id},
                   {"born", std::to_string(incarnation)}});
-        mark_attempts_lost(now, target, "worker restarted");
+        mark_attempts_lost(now, target, loss_reason::restarted);
         return;
     }
     digest_.worker_adopted(now, target.info.id);
@@ -79,10 +80,12 @@
     }
 }
 
-// Fails a job whose attempts were used up by failures under earlier owners.
+// Fails a job whose attempts were used up by failures or crashes under earlier
+// owners.
 void owner::fail_exhausted_job(common::time_point now, job_run& run)
 {
     std::size_t failures = 0;
+    std::uint32_t crashes = 0;
     for (auto const& occurrence : run.occurrences)
     {
         for (auto const& steps : occurrence.steps)
@@ -90,6 +93,7 @@
             for (auto const& t : steps.tasks)
             {
                 failures = std::max(failures, t.failures.size());
+                crashes = std::max(crashes, t.crash_history.crashes());
             }
         }
     }
@@ -97,6 +101,7 @@
              "job_failing",
              {{"job", run.spec.id},
               {"failures", std::to_string(failures)},
+              {"crashes", std::to_string(crashes)},
               {"inherited", "true"}});
     end_job(now, run, job_phase::failing);
 }
@@ -156,10 +161,16 @@
             auto& tasks = steps[step_index].tasks;
             for (std::uint32_t index = 0; index < tasks.size(); ++index)
             {
-                if (tasks[index].phase == task_phase::unresolved)
+                ports::task_name const name{run.spec.id, k, step_index, index};
+                if (tasks[index].phase != task_phase::unresolved)
                 {
-                    task_over(now, run, {run.spec.id, k, step_index, index});
+                    continue;
                 }
+                if (lost_unseen(tasks[index]))
+                {
+                    count_crash(run, name, crash_evidence::shared, false);
+                }
+                task_over(now, run, name);
             }
         }
     }
--- a/src/core/pool/owner_view.cpp
+++ b/src/core/pool/owner_view.cpp
@@ -125,6 +125,7 @@
                      t.phase,
                      t.attempt,
                      t.failures.size(),
+                     t.crash_history.crashes(),
                      t.worker,
                      t.percent,
                      t.speed_limit});
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -106,12 +106,17 @@
         target->adopted && target->incarnation != 0 && reply.incarnation == 0;
     if (reply.status != order_status::done || anonymous)
     {
+        if (!target->silent)
+        {
+            target->contact_lost_at = target->last_contact;
+            note_silence(*target);
+        }
         target->silent = true;
         target->silent_since_lapse = fleet_.lapsed(*target, sent_at);
         target->next_poll = now + settings_.full_pause;
         return;
     }
-    target->silent = false;
+    bool const was_silent = std::exchange(target->silent, false);
     target->silent_since_lapse = false;
     target->last_contact = now;
     target->clock_ms = reply.clock_ms;
@@ -120,8 +125,14 @@
         !target->adopted || target->incarnation != reply.incarnation;
     if (first_report)
     {
+        target->contact_lost_at =
+            target->adopted && !was_silent ? now : target->contact_lost_at;
         adopt_incarnation(now, *target, reply.incarnation);
     }
+    if (was_silent || first_report)
+    {
+        settle_blame(now, *target);
+    }
     target->view_known = false;
     apply_rows(now, sent_at, *target, reply, first_report);
     target->next_poll =
@@ -215,7 +226,7 @@
                             now - w.last_contact > settings_.workers.lease;
         if (silent && w.silent_since_lapse)
         {
-            mark_attempts_lost(now, w, "lease expired without an answer");
+            mark_attempts_lost(now, w, loss_reason::silent);
         }
         else if (silent && fleet_.lapsed(w, now))
         {
@@ -233,6 +244,7 @@
     for (auto const& id : removed)
     {
         out_.log(severity::info, "worker_gone", {{"worker", id}});
+        note_worker_gone(now, *fleet_.find(id));
         fleet_.erase(id);
         roster_.erase(id);
     }
--- a/src/core/pool/pool_view.hpp
+++ b/src/core/pool/pool_view.hpp
@@ -130,7 +130,8 @@
     task_phase phase = task_phase::blocked;
     std::uint32_t attempt = 0;
     std::size_t failures = 0;
-    std::string worker; ///< Worker of the present or last attempt.
+    std::uint32_t crashes = 0; ///< Crashes of workers that it is blamed for.
+    std::string worker;        ///< Worker of the present or last attempt.
     std::uint32_t percent = 0;
     std::uint32_t speed_limit = 100;
 };
--- a/src/core/pool/progress.hpp
+++ b/src/core/pool/progress.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/common/result_code.hpp"
+#include "core/pool/crash_record.hpp"
 #include "ports/pool_workers.hpp"
 
 #include <cstdint>
@@ -30,9 +31,19 @@
         std::string checkpoint;
     };
 
+    /// A task that is blamed for crashes of workers.
+    struct suspect
+    {
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+        crash_record history;
+    };
+
     std::string job;
     std::vector<task> tasks; ///< Tasks that are done, have failed attempts or
                              ///< have a checkpoint.
+    std::vector<suspect> suspects;
 };
 
 std::string to_json(progress const& value);
--- a/src/programs/ctl/pool_questions.cpp
+++ b/src/programs/ctl/pool_questions.cpp
@@ -138,6 +138,7 @@
                  {"PHASE", "phase"},
                  {"ATTEMPT", "attempt"},
                  {"FAILURES", "failures"},
+                 {"CRASHES", "crashes"},
                  {"WORKER", "worker"},
                  {"PERCENT", "percent"},
                  {"PACE", "pace"}},
--- a/src/programs/pool/pool_administration.cpp
+++ b/src/programs/pool/pool_administration.cpp
@@ -99,6 +99,7 @@
             {"phase", name_in(task_phase_names, value.phase)},
             {"attempt", value.attempt},
             {"failures", value.failures},
+            {"crashes", value.crashes},
             {"worker", value.worker},
             {"percent", value.percent},
             {"pace", value.speed_limit}};
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -144,6 +144,9 @@
     set("fuchsia_pool_tasks_lost",
         "Runs that ended with their worker or lease",
         counts.tasks_lost);
+    set("fuchsia_pool_tasks_blamed",
+        "Lost runs that may have crashed their worker",
+        counts.tasks_blamed);
     set("fuchsia_pool_paced",
         "Changes of a task's speed",
         counts.speed_limit_changes);
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -182,8 +182,10 @@
         return order_status::lease_expired;
     }
     extend(order.lease_until_ms);
-    running_[task] = {
-        order.attempt_id.attempt, now, parse_task_script(order.spec)};
+    running_[task] = {order.attempt_id.attempt,
+                      now,
+                      parse_task_script(order.spec),
+                      order.spec};
     started_runs_.push_back(order.attempt_id);
     notify(worker_event_kind::started, order.attempt_id);
     return order_status::done;
@@ -325,19 +327,22 @@
     info_.capacity = capacity;
 }
 
-std::optional<ports::task_name>
-worker_state::crashing_task(time_point now) const
+std::optional<ports::start_order>
+worker_state::crashing_run(time_point now) const
 {
     for (auto const& [task, run] : running_)
     {
-        bool const is_culprit =
-            run.script.crashes &&
-            run.script.crash_index.value_or(task.index) == task.index;
-        if (is_culprit &&
-            now - run.started_at >=
-                std::chrono::milliseconds(run.script.crash_after_ms))
+        auto const& script = run.script;
+        bool const is_culprit = script.crashes && script.crash_index.value_or(
+                                                      task.index) == task.index;
+        if (is_culprit && now - run.started_at >=
+                              std::chrono::milliseconds(script.crash_after_ms))
         {
-            return task;
+            ports::start_order order;
+            order.fencing_token = fencing_token_;
+            order.attempt_id = {task, run.attempt};
+            order.spec = run.spec;
+            return order;
         }
     }
     return std::nullopt;
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -91,10 +91,10 @@
     void drain() noexcept;
     /// Changes the capacity that the worker reports. What runs goes on.
     void set_capacity(ports::resources capacity) noexcept;
-    /// Returns a running task that crashes the worker by `now`, if there is
+    /// Returns the order of a run that crashes the worker by `now`, if there is
     /// one.
-    std::optional<ports::task_name>
-    crashing_task(core::common::time_point now) const;
+    std::optional<ports::start_order>
+    crashing_run(core::common::time_point now) const;
 
 private:
     struct run
@@ -102,6 +102,7 @@
         std::uint32_t attempt = 0;
         core::common::time_point started_at{};
         task_script script;
+        std::string spec;
     };
 
     std::uint64_t clock_ms(core::common::time_point now) const noexcept;
--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -1,5 +1,6 @@
 #include "pool_simulation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace fuchsia::tests::unit::pool
@@ -399,6 +400,7 @@
     double const speed = number == 0 ? 0.98 : 1.0;
     workers_[number] = std::make_unique<standins::pool::worker_state>(
         info, now() - std::chrono::seconds(number), speed);
+    observe_worker(number);
     publish_worker(number);
 }
 
@@ -455,9 +457,9 @@
 {
     for (std::size_t number = 0; number < workers_.size(); ++number)
     {
-        if (auto const culprit = workers_[number]->crashing_task(now()))
+        if (auto const culprit = workers_[number]->crashing_run(now()))
         {
-            crash_worker(number, culprit);
+            crash_worker(number, culprit->attempt_id.task);
         }
     }
 }
@@ -465,8 +467,8 @@
 void pool_simulation::set_capacity(std::size_t number,
                                    ports::resources capacity)
 {
-    earlier_capacities_[number] = {workers_[number]->info().capacity,
-                                   now() + capacity_grace};
+    earlier_capacities_.push_back(
+        {number, workers_[number]->info().capacity, now() + capacity_grace});
     workers_[number]->set_capacity(capacity);
     publish_worker(number);
 }
@@ -920,7 +922,6 @@
     {
         check_start(worker_number, target.started_runs().back());
     }
-    check_ends();
     if (!answered)
     {
         return;
@@ -1028,35 +1029,39 @@
         }
         used += declared;
     }
-    auto const earlier = earlier_capacities_.find(worker_number);
-    bool const earlier_counts =
-        earlier != earlier_capacities_.end() && now() <= earlier->second.until;
     bool const fits = workers_[worker_number]->info().capacity.covers(used) ||
-                      (earlier_counts && earlier->second.capacity.covers(used));
+                      std::any_of(earlier_capacities_.begin(),
+                                  earlier_capacities_.end(),
+                                  [&](earlier_capacity const& earlier)
+                                  {
+                                      return earlier.worker == worker_number &&
+                                             now() <= earlier.until &&
+                                             earlier.capacity.covers(used);
+                                  });
     if (!fits)
     {
         violation_ = "exceeds the capacity of its worker: " + description;
     }
 }
 
-void pool_simulation::check_ends()
+void pool_simulation::observe_worker(std::size_t number)
 {
-    done_.clear();
-    failed_.clear();
-    for (auto const& worker : workers_)
-    {
-        for (auto const& row : worker->acknowledged_ends())
+    workers_[number]->observe(
+        [this](standins::pool::worker_event const& event)
         {
-            if (row.kind == ports::end_kind::done)
+            if (event.kind != standins::pool::worker_event_kind::acknowledged)
             {
-                done_.insert(row.attempt_id.task);
+                return;
             }
-            else if (row.kind == ports::end_kind::failed)
+            if (event.end_result == ports::end_kind::done)
             {
-                ++failed_[row.attempt_id.task];
+                done_.insert(event.run.task);
             }
-        }
-    }
+            else if (event.end_result == ports::end_kind::failed)
+            {
+                ++failed_[event.run.task];
+            }
+        });
 }
 
 } // namespace fuchsia::tests::unit::pool
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -202,7 +202,8 @@
                         std::string const& description);
     void publish_worker(std::size_t number);
     void crash_by_tasks();
-    void check_ends();
+    /// Records the ends that the worker is told are durable.
+    void observe_worker(std::size_t number);
     std::uint64_t send_request(std::size_t instance,
                                core::pool::pool_request request);
 
@@ -210,14 +211,15 @@
     walks::virtual_clock clock_;
     standins::pool::kv_state store_;
     std::vector<std::unique_ptr<standins::pool::worker_state>> workers_;
-    /// Capacity of a worker before its last change, and the time until which it
-    /// may still be relied on.
+    /// Capacity of a worker before a change, and the time until which it may
+    /// still be relied on.
     struct earlier_capacity
     {
+        std::size_t worker = 0;
         ports::resources capacity;
         time_point until{};
     };
-    std::map<std::size_t, earlier_capacity> earlier_capacities_;
+    std::vector<earlier_capacity> earlier_capacities_;
     std::set<std::size_t> crashed_workers_; ///< Those that are down.
     duration crash_down_time_ = 3s;
     bool returns_under_same_id_ = false;
@@ -239,7 +241,8 @@
         time_point until{};
     };
     std::vector<waiting_watch> watches_;
-    std::set<ports::task_name> done_; ///< Tasks acknowledged as done.
+    /// Tasks acknowledged as done, unless the lease had expired in between.
+    std::set<ports::task_name> done_;
     std::map<ports::task_name, std::size_t>
         failed_; ///< Number of acknowledged failures by task.
     std::map<std::string, std::size_t> attempts_of_queue_;
