Soak: tasks that crash workers, and capacities that change

Change: the stand-in worker goes down with a task that crashes it and comes back under the same id or a new one; 4 of 100 jobs have such a task; the fault 'shrink' changes the capacity of a worker and gives it back. New rules: 'crashes' (the third start by instances in touch after three crashes) and 'capacity' (a start beyond what the worker has reported for 4.5 s). A job may be shown as failed once a task of it has crashed two workers itself. Result: each check reports its planted defect in the model and in a real run (crash_again, hidden_shrink). Both draws have random sources of their own, so the other faults and jobs of a seed stay as they were.

No functional change

--- a/standins/pool/pool_server.cpp
+++ b/standins/pool/pool_server.cpp
@@ -23,6 +23,11 @@
 constexpr core::common::duration list_entry_retention =
     std::chrono::milliseconds(900);
 constexpr std::uint64_t rerun_lease_ms = 1000;
+// Time for which a worker that a task has crashed is down.
+constexpr core::common::duration crash_down_time =
+    std::chrono::milliseconds(1500);
+// Starts of a task by which `rerun_after_crash` breaks its budget.
+constexpr std::uint32_t max_planted_reruns = 8;
 
 } // namespace
 
@@ -57,6 +62,8 @@
         first_incarnation + index + worker.incarnations * incarnation_step;
     worker.state = std::make_unique<worker_state>(entry, clock::now(), 1.0);
     worker.listed_until.reset();
+    worker.down = false;
+    worker.back_at.reset();
     ++worker.incarnations;
     worker.state->observe(
         [this, index](worker_event const& event)
@@ -167,6 +174,77 @@
     crashed.state =
         std::make_unique<worker_state>(info(worker), clock::now(), 1.0);
     crashed.listed_until = clock::now() + list_entry_retention;
+    crashed.down = true;
+}
+
+bool pool_server::is_down(std::size_t worker) const
+{
+    return workers_[worker].down;
+}
+
+void pool_server::set_capacity(std::size_t worker, ports::resources capacity)
+{
+    workers_[worker].state->set_capacity(capacity);
+    if (!is_down(worker) && planted_defect_ != planted_defect::hidden_shrink)
+    {
+        publish(worker);
+    }
+}
+
+// Ends the workers that one of their tasks crashes. They come back after a
+// while, under the same id or a new one by turns.
+void pool_server::crash_by_tasks(core::common::time_point now)
+{
+    for (std::size_t index = 0; index < workers_.size(); ++index)
+    {
+        auto const culprit = workers_[index].state->crashing_run(now);
+        if (!culprit)
+        {
+            continue;
+        }
+        if (observer_)
+        {
+            observer_(info(index),
+                      {worker_event_kind::crashed_worker,
+                       culprit->attempt_id,
+                       ports::end_kind::failed,
+                       culprit->fencing_token});
+        }
+        crash(index);
+        workers_[index].back_at = now + crash_down_time;
+        workers_[index].crashed_by = culprit;
+    }
+}
+
+void pool_server::bring_back(core::common::time_point now)
+{
+    for (std::size_t index = 0; index < workers_.size(); ++index)
+    {
+        if (!workers_[index].back_at || *workers_[index].back_at > now)
+        {
+            continue;
+        }
+        restart(index, workers_[index].incarnations % 2 == 0);
+        if (planted_defect_ == planted_defect::rerun_after_crash)
+        {
+            rerun_crashed(index, now);
+        }
+    }
+}
+
+void pool_server::rerun_crashed(std::size_t index, core::common::time_point now)
+{
+    auto& worker = workers_[index];
+    auto rerun = std::exchange(worker.crashed_by, std::nullopt);
+    if (!rerun || ++rerun->attempt_id.attempt > max_planted_reruns)
+    {
+        return;
+    }
+    rerun->lease_until_ms =
+        worker.state->apply(now, ports::poll_order{rerun->fencing_token})
+            .clock_ms +
+        rerun_lease_ms;
+    worker.state->apply(now, *rerun);
 }
 
 void pool_server::restart(std::size_t worker, bool same_id)
@@ -410,6 +488,8 @@
 void pool_server::tick()
 {
     auto const now = clock::now();
+    crash_by_tasks(now);
+    bring_back(now);
     advance(now);
     for (auto& worker : workers_)
     {
--- a/standins/pool/pool_server.hpp
+++ b/standins/pool/pool_server.hpp
@@ -43,6 +43,9 @@
     rerun_after_end,     ///< A worker reruns a task whose end was acknowledged.
     early_dependent_step, ///< A worker starts the next step of a job together
                           ///< with each step.
+    rerun_after_crash,    ///< A worker that a task has crashed starts the task
+                          ///< again when it is back.
+    hidden_shrink,        ///< A worker's entry hides that its capacity shrank.
 };
 
 /// Stand-in for the users' platform in one process: the store and some workers,
@@ -76,6 +79,10 @@
     /// one.
     void restart(std::size_t worker, bool same_id);
     void drain(std::size_t worker);
+    /// Changes the capacity of a worker and what its entry says of it.
+    void set_capacity(std::size_t worker, ports::resources capacity);
+    /// Whether the worker has crashed and not come back yet.
+    bool is_down(std::size_t worker) const;
 
 private:
     struct simulated_worker
@@ -86,6 +93,11 @@
         std::uint32_t incarnations = 0;
         /// Time at which the entry of a crashed worker leaves the list.
         std::optional<core::common::time_point> listed_until;
+        bool down = false;
+        /// Time at which a worker that a task has crashed comes back.
+        std::optional<core::common::time_point> back_at;
+        /// Run that crashed the worker last, for `rerun_after_crash`.
+        std::optional<ports::start_order> crashed_by;
     };
 
     struct pending_watch
@@ -118,6 +130,9 @@
     adapters::http::response counters_answer() const;
     void publish(std::size_t index);
     void advance(core::common::time_point now);
+    void crash_by_tasks(core::common::time_point now);
+    void bring_back(core::common::time_point now);
+    void rerun_crashed(std::size_t index, core::common::time_point now);
     void tick();
 
     boost::asio::io_context& io_;
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -50,6 +50,9 @@
     /// The owner acknowledged that it has stored this end. Not reported if the
     /// worker's lease expired between the end and the acknowledgement.
     acknowledged,
+    /// The run crashed the worker. The event comes from the server, which ends
+    /// the worker with all its runs.
+    crashed_worker,
 };
 
 /// Event on a worker; `end_result` is valid for ends only.
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -56,6 +56,8 @@
 {
     char const* name;
     char const* rule;
+    char const* seconds = "8";
+    char const* faults = "configuration";
 };
 
 class soak_planted_violation : public testing::TestWithParam<planted_violation>
@@ -88,11 +90,11 @@
                                  {"--seed",
                                   "2",
                                   "--seconds",
-                                  "8",
+                                  planted.seconds,
                                   "--instances",
                                   "3",
                                   "--fault-set",
-                                  "configuration",
+                                  planted.faults,
                                   "--plant",
                                   planted.name});
     EXPECT_EQ(result.status, 1);
@@ -109,7 +111,10 @@
                     planted_violation{"forgotten_cancel", "cancelled"},
                     planted_violation{"stale_config", "configuration"},
                     planted_violation{"ended_twice", "doubled"},
-                    planted_violation{"early_step", "order"}),
+                    planted_violation{"early_step", "order"},
+                    planted_violation{"crash_again", "crashes", "12"},
+                    planted_violation{
+                        "hidden_shrink", "capacity", "16", "shrink"}),
     [](auto const& test)
     {
         return std::string(test.param.name);
--- a/tests/unit/soak/checker_test.cpp
+++ b/tests/unit/soak/checker_test.cpp
@@ -946,3 +946,116 @@
     submit_twelve(events, "still", call_outcome::refused);
     EXPECT_EQ(events.broken_rules(), none);
 }
+
+namespace
+{
+
+// Starts the task and lets it crash its worker, `times` times.
+void crash(scenario& events,
+           fuchsia::ports::task_name const& crashing,
+           int times)
+{
+    for (int number = 0; number < times; ++number)
+    {
+        events.start(crashing).observe(worker_crashed{"w1", crashing});
+    }
+}
+
+job_shape two_task_job()
+{
+    return {"q", {{2, {}, false}}, 1};
+}
+
+} // namespace
+
+TEST(soak_crashes, the_third_start_after_three_crashes_is_reported)
+{
+    scenario allowed;
+    allowed.submit("a", single_task_job());
+    crash(allowed, task("a"), 5);
+    EXPECT_EQ(allowed.broken_rules(), none);
+
+    scenario events;
+    events.submit("a", single_task_job());
+    crash(events, task("a"), 6);
+    EXPECT_EQ(events.broken_rules(), only(rule::crash_budget));
+}
+
+// The limit is for instances in touch, and for crashes by the task itself.
+TEST(soak_crashes, starts_during_faults_and_other_crashes_do_not_count)
+{
+    scenario faulty;
+    faulty.submit("a", single_task_job());
+    faulty.observe(fault_state_set{"link", true});
+    crash(faulty, task("a"), 9);
+    EXPECT_EQ(faulty.broken_rules(), none);
+
+    scenario bystander;
+    bystander.submit("a", single_task_job());
+    for (int number = 0; number < 9; ++number)
+    {
+        bystander.start(task("a")).observe(worker_crashed{"w1"});
+    }
+    EXPECT_EQ(bystander.broken_rules(), none);
+}
+
+TEST(soak_crashes, failed_needs_two_crashes_by_a_task_of_the_job)
+{
+    scenario early;
+    early.submit("a", single_task_job());
+    crash(early, task("a"), 1);
+    early.status("a", job_state::failed);
+    EXPECT_EQ(early.broken_rules(), only(rule::reported_state));
+
+    scenario bystander;
+    bystander.submit("a", single_task_job());
+    for (int number = 0; number < 3; ++number)
+    {
+        bystander.start(task("a")).observe(worker_crashed{"w1"});
+    }
+    bystander.status("a", job_state::failed);
+    EXPECT_EQ(bystander.broken_rules(), only(rule::reported_state));
+
+    scenario events;
+    events.submit("a", single_task_job());
+    crash(events, task("a"), 2);
+    events.status("a", job_state::failed);
+    EXPECT_EQ(events.broken_rules(), none);
+}
+
+TEST(soak_capacity, start_beyond_the_capacity_is_reported)
+{
+    scenario events;
+    events.observe(capacity_set{"w1", 1000}).submit("a", two_task_job());
+    events.at(10s).start(task("a")).start(task("a", 0, 1));
+    EXPECT_EQ(events.broken_rules(), only(rule::capacity));
+}
+
+// A shrunk capacity counts after the stable window and a heartbeat.
+TEST(soak_capacity, shrunk_capacity_counts_after_its_grace)
+{
+    for (auto const& [wait, broken] :
+         {std::pair{4s, false}, std::pair{5s, true}})
+    {
+        scenario events;
+        events.observe(capacity_set{"w1", 2000}).submit("a", two_task_job());
+        events.at(20s).observe(capacity_set{"w1", 1000});
+        events.at(20s + wait).start(task("a")).start(task("a", 0, 1));
+        EXPECT_EQ(events.broken_rules(), broken ? only(rule::capacity) : none);
+    }
+}
+
+// What ended leaves its capacity; a worker that came back has another one.
+TEST(soak_capacity, ended_runs_and_new_incarnations_leave_capacity)
+{
+    scenario ended;
+    ended.observe(capacity_set{"w1", 1000}).submit("a", two_task_job());
+    ended.at(10s).start(task("a")).end(task("a")).start(task("a", 0, 1));
+    EXPECT_EQ(ended.broken_rules(), none);
+
+    scenario restarted;
+    restarted.observe(capacity_set{"w1", 1000}).submit("a", two_task_job());
+    restarted.at(10s).observe(worker_crashed{"w1"});
+    restarted.start(task("a")).start(task("a", 0, 1));
+    EXPECT_EQ(restarted.broken_rules(), none);
+}
--- a/tests/unit/soak/checker_walk_test.cpp
+++ b/tests/unit/soak/checker_walk_test.cpp
@@ -114,7 +114,12 @@
                     rule::reported_state},
         defect_case{
             "false_failed", model_defect::false_failed, rule::reported_state},
-        defect_case{"no_recovery", model_defect::no_recovery, rule::recovery}),
+        defect_case{"no_recovery", model_defect::no_recovery, rule::recovery},
+        defect_case{
+            "crash_budget", model_defect::crash_budget, rule::crash_budget},
+        defect_case{"overfilled_worker",
+                    model_defect::overfilled_worker,
+                    rule::capacity}),
     [](auto const& item)
     {
         return std::string(item.param.name);
--- a/tests/unit/soak/scheduler_model.cpp
+++ b/tests/unit/soak/scheduler_model.cpp
@@ -19,6 +19,8 @@
 constexpr duration undisturbed_after_defect = 12s;
 /// Attempt number of runs that the scheduler did not order.
 constexpr std::uint32_t unscheduled_attempt = 1000;
+/// Worker that the scheduler does not use, with capacity for one task.
+constexpr char const* spare_worker = "spare";
 
 enum class stage : std::uint8_t
 {
@@ -144,6 +146,7 @@
     model_result run()
     {
         change_configuration();
+        record(capacity_set{spare_worker, 1000});
         while (now_ < origin + run_end)
         {
             now_ += tick;
@@ -643,6 +646,14 @@
         case model_defect::false_failed:
             return job.is_open() && !job.started &&
                    report_state(job, job_state::failed);
+        case model_defect::crash_budget:
+            return job.is_open() && task.attempt == 0 &&
+                   limit_applies(duration{}) && crash_too_often(job, task);
+        case model_defect::overfilled_worker:
+            return job.is_open() && job.tasks.size() > 1 &&
+                   limit_applies(time_limits{}.stable_window +
+                                 time_limits{}.heartbeat) &&
+                   overfill(job);
         default:
             return false;
         }
@@ -693,6 +704,35 @@
         record(run_ended{worker.name, run, end_kind::stopped});
         return true;
     }
+    /// Records six runs that each crash their worker.
+    bool crash_too_often(job_model const& job, task_model const& task)
+    {
+        constexpr std::uint32_t runs = 6;
+        for (std::uint32_t number = 0; number < runs; ++number)
+        {
+            ports::pool_attempt run = job.run(task);
+            run.attempt = unscheduled_attempt + number;
+            record(run_started{spare_worker, "dc2", run, 1});
+            record(worker_crashed{spare_worker, run.task});
+        }
+        return true;
+    }
+    /// Records runs of all tasks of a job on a worker with capacity for one.
+    bool overfill(job_model const& job)
+    {
+        if (now_ <
+            origin + time_limits{}.stable_window + time_limits{}.heartbeat)
+        {
+            return false; // The checker does not rely on the capacity yet.
+        }
+        for (task_model const& task : job.tasks)
+        {
+            ports::pool_attempt run = job.run(task);
+            run.attempt = unscheduled_attempt;
+            record(run_started{spare_worker, "dc2", run, 1});
+        }
+        return true;
+    }
     bool ignore_cancel(job_model& job, task_model& task)
     {
         record(cancel_ended{job.name, call_outcome::done});
--- a/tests/unit/soak/scheduler_model.hpp
+++ b/tests/unit/soak/scheduler_model.hpp
@@ -41,6 +41,8 @@
     false_completed,    ///< An open job is reported as completed.
     false_failed,       ///< An open job is reported as failed.
     no_recovery,        ///< No job is accepted after the last fault.
+    crash_budget,       ///< A task that crashes its workers runs six times.
+    overfilled_worker,  ///< A worker gets more than its capacity.
 };
 
 /// Result of one run of the model.
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -47,13 +47,19 @@
                                observation_log& out,
                                bool stale_configuration)
     : instances_(under_test), platform_(platform), workers_(std::move(workers)),
-      out_(out), stale_configuration_(stale_configuration)
+      out_(out), full_capacity_(platform_.info(0).capacity),
+      stale_configuration_(stale_configuration)
 {
 }
 
 void fault_injector::begin()
 {
     put_configuration();
+    for (std::size_t worker = 0; worker < platform_.workers(); ++worker)
+    {
+        out_.append(
+            capacity_set{platform_.info(worker).id, full_capacity_.millicores});
+    }
 }
 
 std::optional<std::uint32_t> fault_injector::owner() const
@@ -81,7 +87,11 @@
     {
         spec.target = owner().value_or(spec.target);
     }
-    if (stops_worker(spec.kind) && !busy_workers_.insert(spec.target).second)
+    // A worker that a task has crashed can't crash again before it is back.
+    bool const is_down =
+        stops_worker(spec.kind) && platform_.is_down(spec.target);
+    if (is_down ||
+        (stops_worker(spec.kind) && !busy_workers_.insert(spec.target).second))
     {
         return;
     }
@@ -157,7 +167,7 @@
         workers_[worker]->reset();
         break;
     case fault_kind::crash:
-        out_.append(worker_crashed{platform_.info(worker).id});
+        out_.append(worker_crashed{platform_.info(worker).id, {}});
         platform_.crash(worker);
         break;
     case fault_kind::drain:
@@ -167,11 +177,27 @@
     case fault_kind::evacuation:
         set_data_centre(true);
         break;
+    case fault_kind::shrink:
+        set_capacity(worker, spec.variant % 4 * full_capacity_.millicores / 4);
+        break;
     default:
         break;
     }
 }
 
+// A worker that has shrunk twice grows with the end of the first change.
+void fault_injector::set_capacity(std::uint32_t worker, std::int64_t millicores)
+{
+    if (platform_.is_down(worker))
+    {
+        return;
+    }
+    auto capacity = full_capacity_;
+    capacity.millicores = millicores;
+    platform_.set_capacity(worker, capacity);
+    out_.append(capacity_set{platform_.info(worker).id, millicores});
+}
+
 void fault_injector::advance(time_point now)
 {
     for (std::size_t number = 0; number < instances_.size(); ++number)
@@ -211,10 +237,13 @@
         replace_worker(spec.target, spec.variant % 2 == 0);
         break;
     case fault_kind::drain:
-        out_.append(worker_crashed{platform_.info(spec.target).id});
+        out_.append(worker_crashed{platform_.info(spec.target).id, {}});
         platform_.crash(spec.target);
         replace_worker(spec.target, false);
         break;
+    case fault_kind::shrink:
+        set_capacity(spec.target, full_capacity_.millicores);
+        break;
     default:
         break;
     }
--- a/tools/soak/fault_injector.hpp
+++ b/tools/soak/fault_injector.hpp
@@ -67,11 +67,13 @@
     void change_configuration(std::uint32_t value);
     void put_configuration();
     void set_data_centre(bool out_of_service);
+    void set_capacity(std::uint32_t worker, std::int64_t millicores);
 
     instance_group& instances_;
     standins::pool::pool_server& platform_;
     relays workers_;
     observation_log& out_;
+    ports::resources full_capacity_;
     bool stale_configuration_;
     std::list<active_fault> active_;
     std::uint64_t applied_ = 0;
--- a/tools/soak/jobs_check.cpp
+++ b/tools/soak/jobs_check.cpp
@@ -73,10 +73,12 @@
     }
     if (answer.state == job_state::failed && !happened_by(job.failed_at(), at))
     {
-        history.report(rule::reported_state,
-                       at,
-                       answer.job,
-                       "reported as failed before a task used up its attempts");
+        history.report(
+            rule::reported_state,
+            at,
+            answer.job,
+            "reported as failed before a task used up its attempts or "
+            "crashed two workers");
     }
     if (answer.state == job_state::cancelled && !job.reported_cancelled_at)
     {
@@ -188,6 +190,7 @@
     }
     time_point const due = *history.traffic_end + history.bounds.finish;
     bool const qualifies = due < now && !job.failed_at() &&
+                           !job.crashes_workers() &&
                            history.fault_free_for(history.bounds.finish, now);
     if (qualifies && !all_work_served(job, now))
     {
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -52,7 +52,7 @@
 
 std::string_view name_of(rule named_rule)
 {
-    constexpr std::array<std::string_view, 12> names{"lost",
+    constexpr std::array<std::string_view, 14> names{"lost",
                                                      "refused_ran",
                                                      "doubled",
                                                      "order",
@@ -63,7 +63,9 @@
                                                      "configuration",
                                                      "counts",
                                                      "state",
-                                                     "recovery"};
+                                                     "recovery",
+                                                     "crashes",
+                                                     "capacity"};
     return names[static_cast<std::size_t>(named_rule)];
 }
 
--- a/tools/soak/observation.hpp
+++ b/tools/soak/observation.hpp
@@ -5,6 +5,7 @@
 #include "ports/pool_workers.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -21,6 +22,7 @@
     std::vector<std::uint32_t>
         after; ///< Indices of the steps that must be done first.
     bool lasting = false;
+    std::int64_t millicores = 1000; ///< Declared cores of each task.
 };
 
 struct job_shape
@@ -111,6 +113,15 @@
 struct worker_crashed
 {
     std::string worker;
+    /// Task that crashed the worker; empty if none did.
+    std::optional<ports::task_name> culprit{};
+};
+
+/// A worker starts with this capacity, or reports it from now on.
+struct capacity_set
+{
+    std::string worker;
+    std::int64_t millicores = 0;
 };
 
 /// The store accepted the notice of the worker that it is draining.
@@ -166,6 +177,7 @@
                            run_ended,
                            end_acknowledged,
                            worker_crashed,
+                           capacity_set,
                            worker_draining,
                            data_centre_set,
                            configuration_set,
@@ -199,7 +211,10 @@
     configuration,    ///< An answer is based on an outdated configuration.
     waiting_count,    ///< The reported number of waiting jobs is too low.
     reported_state,   ///< A reported state contradicts the observed runs.
-    recovery, ///< Too few calls are served too long after the last fault.
+    recovery,     ///< Too few calls are served too long after the last fault.
+    crash_budget, ///< A task was started too often after it had crashed its
+                  ///< workers.
+    capacity,     ///< A start brought a worker over its capacity.
 };
 
 struct violation
@@ -217,6 +232,7 @@
     core::common::duration acknowledge = std::chrono::milliseconds(4000);
     core::common::duration cancel = std::chrono::milliseconds(3000);
     core::common::duration stop = std::chrono::milliseconds(400);
+    core::common::duration heartbeat = std::chrono::milliseconds(1500);
     core::common::duration drain = std::chrono::milliseconds(2000);
     core::common::duration data_centre = std::chrono::milliseconds(5000);
     core::common::duration configuration = std::chrono::milliseconds(2000);
--- a/tools/soak/observation_log.cpp
+++ b/tools/soak/observation_log.cpp
@@ -90,7 +90,12 @@
     }
     std::string operator()(worker_crashed const& it) const
     {
-        return "gone " + it.worker;
+        return "gone " + it.worker +
+               (it.culprit ? " by " + platform::encode(*it.culprit) : "");
+    }
+    std::string operator()(capacity_set const& it) const
+    {
+        return "capacity of " + it.worker + ' ' + std::to_string(it.millicores);
     }
     std::string operator()(worker_draining const& it) const
     {
--- a/tools/soak/observed_history.cpp
+++ b/tools/soak/observed_history.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+// Crashes by a task after which its job may be shown as failed.
+constexpr std::size_t crashes_to_give_up = 2;
+
 template<class Predicate>
 std::optional<time_point> nth_end(std::vector<run_history> const& runs,
                                   std::size_t nth,
@@ -112,22 +115,38 @@
 std::optional<time_point> job_history::failed_at() const
 {
     std::optional<time_point> earliest;
+    auto const note = [&earliest](std::optional<time_point> const& at)
+    {
+        if (at && (!earliest || *at < *earliest))
+        {
+            earliest = at;
+        }
+    };
     for (auto const& [task_key, task] : tasks)
     {
-        if (task_key.first >= shape.steps.size() ||
-            shape.steps[task_key.first].lasting)
+        if (task.crashes.size() >= crashes_to_give_up)
         {
-            continue;
+            note(task.crashes[crashes_to_give_up - 1]);
         }
-        auto const end = task.ended_at(end_kind::failed, shape.attempts);
-        if (end && (!earliest || *end < *earliest))
+        if (task_key.first < shape.steps.size() &&
+            !shape.steps[task_key.first].lasting)
         {
-            earliest = end;
+            note(task.ended_at(end_kind::failed, shape.attempts));
         }
     }
     return earliest;
 }
 
+bool job_history::crashes_workers() const
+{
+    return std::any_of(tasks.begin(),
+                       tasks.end(),
+                       [](auto const& entry)
+                       {
+                           return !entry.second.crashes.empty();
+                       });
+}
+
 bool job_history::must_complete() const
 {
     return accepted_at && !cancel_acknowledged_at && !first_possible_cancel_at;
--- a/tools/soak/observed_history.hpp
+++ b/tools/soak/observed_history.hpp
@@ -31,6 +31,10 @@
 struct task_history
 {
     std::vector<run_history> runs; ///< Runs in order of their start.
+    /// Times at which it crashed a worker, in order.
+    std::vector<core::common::time_point> crashes;
+    /// Starts since its third crash by instances in touch.
+    std::size_t starts_after_crashes = 0;
 
     /// Time of the `nth` end (from 1) with this outcome; empty if there are
     /// fewer.
@@ -70,9 +74,12 @@
     /// Time when the last task ended as done; empty if a task has not, and
     /// always empty for a job with a long-running step.
     std::optional<core::common::time_point> completed_at() const;
-    /// Time when the first task had failed in all its attempts; empty if no
-    /// task has. Tasks of long-running steps do not count.
+    /// Time when the first task had failed in all its attempts or had crashed
+    /// two workers; empty if no task has. Failures of tasks of long-running
+    /// steps do not count.
     std::optional<core::common::time_point> failed_at() const;
+    /// Whether a task has crashed a worker. Such a job need not complete.
+    bool crashes_workers() const;
     /// Whether the job was accepted and no cancel can have taken effect.
     bool must_complete() const;
 };
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -26,7 +26,7 @@
     duration longest;
 };
 
-constexpr std::array<kind_row, 26> kinds{{
+constexpr std::array<kind_row, 27> kinds{{
     {fault_kind::kill, "kill", true, 200ms, 2500ms},
     {fault_kind::stop, "stop", true, 200ms, 2500ms},
     {fault_kind::pause, "pause", true, 100ms, 6000ms},
@@ -53,6 +53,7 @@
     {fault_kind::worker_lossy, "worker_lossy", true, 300ms, 2000ms},
     {fault_kind::configuration, "configuration", false, 0ms, 0ms},
     {fault_kind::evacuation, "evacuation", false, 2000ms, 8000ms},
+    {fault_kind::shrink, "shrink", false, 3000ms, 9000ms},
 }};
 
 kind_row const& row_of(fault_kind kind) noexcept
@@ -96,7 +97,7 @@
     for (auto const& row : kinds)
     {
         if (row.suspends_limits == suspends_limits &&
-            settings.kinds.contains(row.kind))
+            row.kind != fault_kind::shrink && settings.kinds.contains(row.kind))
         {
             result.push_back(row);
         }
@@ -143,6 +144,46 @@
     }
 }
 
+// Capacities change at any time, several of them at once. They are drawn on
+// their own, so that the other faults of a seed stay as they are.
+void draw_capacity_changes(plan_settings const& settings,
+                           std::vector<fault>& out)
+{
+    constexpr duration longest_wait = 3s;
+    if (!settings.kinds.contains(fault_kind::shrink))
+    {
+        return;
+    }
+    random_source random(settings.seed + 4);
+    for (duration at = random.between(0ms, longest_wait); at < settings.traffic;
+         at += random.between(0ms, longest_wait))
+    {
+        draw_fault(at, {row_of(fault_kind::shrink)}, settings, random, out);
+    }
+}
+
+// Makes the first task of some jobs crash the workers that start it, at once or
+// late.
+void draw_crashing_jobs(plan_settings const& settings,
+                        std::vector<planned_job>& jobs)
+{
+    constexpr std::uint32_t crashing_percent = 4;
+    constexpr std::uint32_t late_percent = 25;
+    constexpr std::uint32_t latest_crash_ms = 1200;
+    random_source random(settings.seed + 5);
+    for (auto& job : jobs)
+    {
+        if (!random.true_with_percent(crashing_percent))
+        {
+            continue;
+        }
+        auto const after = random.true_with_percent(late_percent)
+                               ? 200 + random.below(latest_crash_ms)
+                               : 10;
+        job.spec += " crash crash_index=0 crash_after=" + std::to_string(after);
+    }
+}
+
 // Kind of job by the length of its tasks. Some tasks must outlive a lease; most
 // end soon.
 enum class job_kind : std::uint8_t
@@ -263,6 +304,7 @@
     plan result;
     draw_faults(settings, result.faults);
     draw_operator_actions(settings, result.faults);
+    draw_capacity_changes(settings, result.faults);
     std::stable_sort(result.faults.begin(),
                      result.faults.end(),
                      [](fault const& left, fault const& right)
@@ -278,6 +320,7 @@
     {
         result.jobs.push_back(draw_job(++number, at, random));
     }
+    draw_crashing_jobs(settings, result.jobs);
     return result;
 }
 
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -45,6 +45,7 @@
     configuration, ///< The operator adds or removes a queue.
     evacuation,    ///< The operator evacuates a data centre and ends the
                    ///< evacuation.
+    shrink, ///< The capacity of a worker shrinks, and grows again at the end.
 };
 
 std::string_view name_of(fault_kind kind) noexcept;
@@ -69,7 +70,7 @@
 {
     core::common::duration at{};
     std::string id;
-    std::string spec;
+    std::string spec; ///< May make one task of the job crash its workers.
     job_shape shape;
     std::uint32_t caller = 0;
     std::uint32_t instance = 0; ///< Instance that gets the first submission.
--- a/tools/soak/runs_check.cpp
+++ b/tools/soak/runs_check.cpp
@@ -108,6 +108,27 @@
     }
 }
 
+// A task that crashes its workers may start twice more after the third crash.
+// Only starts by instances in touch count.
+void check_crash_budget(observed_history& history,
+                        time_point at,
+                        ports::task_name const& task)
+{
+    constexpr std::size_t counted_crashes = 3;
+    constexpr std::size_t forbidden_start = 3;
+    task_history& record = task_of(history, task);
+    bool const counts = record.crashes.size() >= counted_crashes &&
+                        history.fault_free_for(duration{}, at);
+    if (counts && ++record.starts_after_crashes == forbidden_start)
+    {
+        history.report(rule::crash_budget,
+                       at,
+                       name_of(task),
+                       "started three times more after three workers had "
+                       "crashed under it");
+    }
+}
+
 void check_cancelled(observed_history& history,
                      time_point at,
                      ports::task_name const& task)
@@ -222,6 +243,7 @@
         check_duplicate(history, at, task);
         check_order(history, at, task);
         check_attempts(history, at, task);
+        check_crash_budget(history, at, task);
         check_cancelled(history, at, task);
     }
     check_place(history, at, start);
@@ -232,6 +254,25 @@
     auto& runs = task_of(history, task).runs;
     running_[{start.worker, start.run}] = runs.size();
     runs.push_back({start.worker, start.run.attempt, at, {}, {}});
+    capacity_.check_start(history, at, start, used_on(history, start.worker));
+}
+
+std::int64_t runs_check::used_on(observed_history const& history,
+                                 std::string const& worker) const
+{
+    std::int64_t used = 0;
+    for (auto entry = running_.lower_bound({worker, ports::pool_attempt{}});
+         entry != running_.end() && entry->first.first == worker;
+         ++entry)
+    {
+        ports::task_name const& task = entry->first.second.task;
+        auto const job = history.jobs.find(task.job);
+        if (job != history.jobs.end() && job->second.has_task(task))
+        {
+            used += job->second.shape.steps[task.step].millicores;
+        }
+    }
+    return used;
 }
 
 void runs_check::check_place(observed_history& history,
@@ -299,6 +340,11 @@
                         worker_crashed const& crash)
 {
     draining_since_.erase(crash.worker);
+    capacity_.record(crash);
+    if (crash.culprit)
+    {
+        task_of(history, *crash.culprit).crashes.push_back(at);
+    }
     mark_lost_ends(history, crash.worker);
     auto entry = running_.lower_bound({crash.worker, ports::pool_attempt{}});
     while (entry != running_.end() && entry->first.first == crash.worker)
@@ -311,6 +357,13 @@
     }
 }
 
+void runs_check::record(observed_history&,
+                        time_point at,
+                        capacity_set const& change)
+{
+    capacity_.record(at, change);
+}
+
 void runs_check::record(observed_history&,
                         time_point at,
                         worker_draining const& draining)
--- a/tools/soak/runs_check.hpp
+++ b/tools/soak/runs_check.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tools/soak/capacity_check.hpp"
 #include "tools/soak/observed_history.hpp"
 
 #include <cstddef>
@@ -12,7 +13,7 @@
 {
 
 /// Checks the rules `refused_ran`, `doubled`, `order`, `attempts`, `cancelled`,
-/// `drain` and `data_centre`.
+/// `drain`, `data_centre` and `crashes`, and `capacity` by a check of its own.
 class runs_check
 {
 public:
@@ -28,6 +29,9 @@
     void record(observed_history& history,
                 core::common::time_point at,
                 worker_crashed const& crash);
+    void record(observed_history& history,
+                core::common::time_point at,
+                capacity_set const& change);
     void record(observed_history& history,
                 core::common::time_point at,
                 worker_draining const& draining);
@@ -43,7 +47,11 @@
     void check_place(observed_history& history,
                      core::common::time_point at,
                      run_started const& start) const;
+    /// Declared cores of all runs on the worker, in thousandths.
+    std::int64_t used_on(observed_history const& history,
+                         std::string const& worker) const;
 
+    capacity_check capacity_;
     std::map<std::string, core::common::time_point> draining_since_;
     std::map<std::string, core::common::time_point> evacuated_since_;
     /// Active runs by worker and run; the value is the index in
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -163,6 +163,9 @@
             out_.append(
                 end_acknowledged{worker.id, event.run, event.end_result});
             break;
+        case worker_event_kind::crashed_worker:
+            out_.append(worker_crashed{worker.id, event.run.task});
+            break;
         }
     }
 
@@ -361,12 +364,14 @@
 
 bool set_planted_defect(std::string_view name, soak_settings& out) noexcept
 {
-    constexpr std::array<std::pair<std::string_view, planted_defect>, 5> names{{
+    constexpr std::array<std::pair<std::string_view, planted_defect>, 7> names{{
         {"two_places", planted_defect::duplicate_placement},
         {"lost_job", planted_defect::lost_job},
         {"forgotten_cancel", planted_defect::lost_cancel},
         {"ended_twice", planted_defect::rerun_after_end},
         {"early_step", planted_defect::early_dependent_step},
+        {"crash_again", planted_defect::rerun_after_crash},
+        {"hidden_shrink", planted_defect::hidden_shrink},
     }};
     out.stale_configuration = name == "stale_config";
     for (auto const& [defect_name, defect] : names)
--- a/tools/soak/traffic_generator.cpp
+++ b/tools/soak/traffic_generator.cpp
@@ -82,8 +82,8 @@
     char const* comma = "";
     for (auto const& step : job.shape.steps)
     {
-        out << comma << R"({"count":)" << step.count
-            << R"(,"cpu":1000,"memMb":100,"estimateMs":800)";
+        out << comma << R"({"count":)" << step.count << R"(,"cpu":)"
+            << step.millicores << R"(,"memMb":100,"estimateMs":800)";
         if (!step.after.empty())
         {
             out << R"(,"after":[)" << step.after.front() << ']';
