--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -95,8 +95,9 @@
     /// Time of the last answer before the worker last fell silent, or of its
     /// restart where no poll went unanswered; zero: it never did.
     common::time_point contact_lost_at{};
-    /// Whether the last loss of its runs may have been the fault of one of them.
-    bool lost_uncleared = false;
+    /// Whether one of its runs may have crashed it when it last fell silent.
+    bool may_have_crashed = false;
+    bool silence_noted = false; ///< It has been silent for some time.
     /// A poll that was sent after the lease had expired was not answered
     /// either.
     bool silent_since_lapse = false;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -8,6 +8,7 @@
 #include "core/pool/job_run.hpp"
 #include "core/pool/ledger.hpp"
 #include "core/pool/log_digest.hpp"
+#include "core/pool/lost_workers.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/owner_settings.hpp"
 #include "core/pool/platform_records.hpp"
@@ -253,19 +254,11 @@
         std::uint64_t incarnation = 0; ///< Incarnation of the worker.
         blamed_tasks tasks;
     };
-    struct gone_worker
-    {
-        std::string service;
-        std::string rack;
-        common::time_point contact_lost_at{};
-        bool lost_uncleared = false; ///< See `worker`.
-    };
     void mark_attempts_lost(common::time_point now,
                             worker& target,
                             loss_reason reason);
     bool is_replaced(worker const& lost) const;
     bool has_uncleared_run(worker const& target);
-    bool lost_with_rack(worker const& target);
     blamed_tasks blamed_for_loss(worker const& target);
     void count_crash(job_run& run,
                      ports::task_name const& name,
@@ -276,7 +269,7 @@
                                      ports::task_name const& name);
     void
     clear_if_proven(worker& target, job_run& run, ports::task_name const& name);
-    void note_silence(worker const& target);
+    void note_silence(common::time_point now, worker& target);
     void remember_blame(common::time_point now,
                         worker const& target,
                         blamed_tasks const& tasks);
@@ -289,7 +282,6 @@
     void log_worker_lost(worker const& target,
                          loss_reason reason,
                          blamed_tasks const& blamed);
-    void note_worker_gone(common::time_point now, worker const& target);
 
     // owner_rows.cpp: running and ended attempts that a worker reports.
     void apply_rows(common::time_point now,
@@ -529,8 +521,7 @@
     std::optional<capacity_index> capacity_index_;
     std::set<std::string> unsaved_jobs_;
     std::map<std::string, blame> blames_; ///< Unsettled ones, by worker.
-    std::vector<gone_worker>
-        gone_workers_; ///< Silent workers that were erased.
+    lost_workers lost_workers_;
     /// Target worker of each task being moved.
     std::map<ports::task_name, std::string> reservations_;
     /// Best-effort images with waiting tasks, and since when they wait.
--- a/src/core/pool/owner_crashes.cpp
+++ b/src/core/pool/owner_crashes.cpp
@@ -15,15 +15,8 @@
 namespace
 {
 
-// Workers of a rack that fall silent within this time of each other were lost
-// together. Idle workers are polled every two seconds.
-constexpr common::duration lost_together = std::chrono::seconds(3);
-// Minimum number of other workers in a rack that must be lost with a worker for
-// the loss of the rack to be the cause.
-constexpr std::size_t min_lost_others = 2;
-// Time for which the owner remembers whom it blamed for the loss of a worker,
-// and which workers are gone.
-constexpr common::duration loss_retention = std::chrono::seconds(60);
+// Time for which the owner remembers whom it blamed for the loss of a worker.
+constexpr common::duration blame_retention = std::chrono::seconds(60);
 
 // In the order of `loss_reason`.
 constexpr std::array<std::string_view, 2> loss_reasons{
@@ -35,13 +28,6 @@
     return t.seen_running < t.crash_history.clearing_run();
 }
 
-bool within(common::time_point lhs,
-            common::time_point rhs,
-            common::duration limit)
-{
-    return lhs - rhs <= limit && rhs - lhs <= limit;
-}
-
 } // namespace
 
 // Handles the loss of all runs of a worker.
@@ -53,8 +39,8 @@
         reason == loss_reason::restarted || is_replaced(target);
     auto const blamed = blamed_for_loss(target);
     log_worker_lost(target, reason, blamed);
-    target.lost_uncleared = has_uncleared_run(target);
-    if (!confirmed)
+    target.may_have_crashed = has_uncleared_run(target);
+    if (!confirmed && !blamed.empty())
     {
         remember_blame(now, target, blamed);
     }
@@ -113,53 +99,13 @@
                        });
 }
 
-// Whether the worker was lost with its rack: no other worker that was there is
-// left, and one of them ran nothing that may have crashed it.
-bool owner::lost_with_rack(worker const& target)
-{
-    std::size_t lost = 0;
-    bool without_cause = false;
-    for (auto const& [id, other] : fleet_.all())
-    {
-        bool const neighbour = id != target.info.id && other.adopted &&
-                               other.info.rack == target.info.rack &&
-                               other.info.service == target.info.service;
-        bool const was_there = other.adopted_at <= target.contact_lost_at ||
-                               other.contact_lost_at != common::time_point{};
-        if (!neighbour || !was_there)
-        {
-            continue;
-        }
-        bool const left =
-            other.silent || other.adopted_at > target.contact_lost_at;
-        if (!left || !within(other.contact_lost_at,
-                             target.contact_lost_at,
-                             lost_together))
-        {
-            return false;
-        }
-        ++lost;
-        without_cause |= !other.lost_uncleared && !has_uncleared_run(other);
-    }
-    for (auto const& gone : gone_workers_)
-    {
-        bool const together =
-            gone.rack == target.info.rack &&
-            gone.service == target.info.service &&
-            within(gone.contact_lost_at, target.contact_lost_at, lost_together);
-        lost += together ? 1 : 0;
-        without_cause |= together && !gone.lost_uncleared;
-    }
-    return lost >= min_lost_others && without_cause;
-}
-
 // Returns the tasks that may have crashed the worker, with the evidence against
 // each: those whose run was too young to clear them. If all had proved
 // themselves, any but the oldest may have crashed it late. A suspect among
 // tasks that are not suspected of earlier crashes is to blame alone.
 owner::blamed_tasks owner::blamed_for_loss(worker const& target)
 {
-    if (target.info.draining || lost_with_rack(target))
+    if (target.info.draining || lost_workers_.lost_with_rack(fleet_, target))
     {
         return {};
     }
@@ -253,11 +199,19 @@
     mark_dirty(run);
 }
 
-// Records which tasks may have crashed a worker that has just fallen silent.
-// Its loss counts only once its lease is over, and by then a successor may own
-// the pool.
-void owner::note_silence(worker const& target)
+// Records which tasks may have crashed a worker that has fallen silent. Its
+// loss counts only once its lease is over, and by then a successor may own the
+// pool.
+void owner::note_silence(common::time_point now, worker& target)
 {
+    bool const due = target.adopted && target.silent && !target.silence_noted &&
+                     now - target.last_contact > settings_.workers.renew_within;
+    if (!due)
+    {
+        return;
+    }
+    target.silence_noted = true;
+    target.may_have_crashed = has_uncleared_run(target);
     for (auto const& name : target.runs)
     {
         auto const [run, t] = find_task(name);
@@ -280,7 +234,7 @@
     std::erase_if(blames_,
                   [now](auto const& entry)
                   {
-                      return now - entry.second.when > loss_retention;
+                      return now - entry.second.when > blame_retention;
                   });
     blames_[target.info.id] = {
         now, target.info.remote_endpoint, target.incarnation, tasks};
@@ -411,21 +365,4 @@
               {"ran_ms", std::to_string(common::to_milliseconds(min_seen))}});
 }
 
-// Records that the worker is no longer followed.
-void owner::note_worker_gone(common::time_point now, worker const& target)
-{
-    std::erase_if(gone_workers_,
-                  [now](gone_worker const& entry)
-                  {
-                      return now - entry.contact_lost_at > loss_retention;
-                  });
-    if (target.silent)
-    {
-        gone_workers_.push_back({target.info.service,
-                                 target.info.rack,
-                                 target.contact_lost_at,
-                                 target.lost_uncleared});
-    }
-}
-
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -109,7 +109,7 @@
         if (!target->silent)
         {
             target->contact_lost_at = target->last_contact;
-            note_silence(*target);
+            target->may_have_crashed = false;
         }
         target->silent = true;
         target->silent_since_lapse = fleet_.lapsed(*target, sent_at);
@@ -117,6 +117,7 @@
         return;
     }
     bool const was_silent = std::exchange(target->silent, false);
+    target->silence_noted = false;
     target->silent_since_lapse = false;
     target->last_contact = now;
     target->clock_ms = reply.clock_ms;
@@ -222,6 +223,7 @@
     std::vector<std::string> removed;
     for (auto& [id, w] : fleet_.all())
     {
+        note_silence(now, w);
         bool const silent = w.adopted && !w.runs.empty() &&
                             now - w.last_contact > settings_.workers.lease;
         if (silent && w.silent_since_lapse)
@@ -244,7 +246,7 @@
     for (auto const& id : removed)
     {
         out_.log(severity::info, "worker_gone", {{"worker", id}});
-        note_worker_gone(now, *fleet_.find(id));
+        lost_workers_.note_gone(now, *fleet_.find(id));
         fleet_.erase(id);
         roster_.erase(id);
     }
