Tests: blame that is withdrawn, and a crash that a killed owner saw as silence

Cause: each rule was taken out alone (13 of them). Three were caught by no test: withdrawn blame, the count of runs lost unseen, and the record of silence.

No functional change

--- a/tests/unit/pool/crash_test.cpp
+++ b/tests/unit/pool/crash_test.cpp
@@ -74,6 +74,22 @@
         });
 }
 
+/// Returns the number of crashes for which the owner blames the task.
+std::uint32_t blamed_crashes(pool_simulation& simulation,
+                             ports::task_name const& task)
+{
+    auto const detail = simulation.owner_at(*simulation.owner())
+                            .describe(simulation.now(), task.job);
+    for (auto const& row : detail->tasks)
+    {
+        if (row.name == task)
+        {
+            return row.crashes;
+        }
+    }
+    return 0;
+}
+
 bool logged(pool_simulation const& simulation, std::string const& event)
 {
     return std::any_of(simulation.log().begin(),
@@ -224,9 +240,16 @@
         ASSERT_TRUE(runs(simulation, task));
         simulation.run(300ms);
         cut = worker_of(simulation, task);
-        simulation.run(6s);
+        simulation.run_until(
+            [&simulation, &task]
+            {
+                return blamed_crashes(simulation, task) == 1;
+            },
+            10s);
+        EXPECT_EQ(blamed_crashes(simulation, task), 1U);
         cut.reset();
-        simulation.run(200ms);
+        simulation.run(700ms);
+        EXPECT_EQ(blamed_crashes(simulation, task), 0U);
     }
     EXPECT_TRUE(logged(simulation, "blame_withdrawn"));
     EXPECT_EQ(simulation.state(*simulation.owner(), "a"), job_state::active);
@@ -286,6 +309,30 @@
     }
 }
 
+// Guards against a first crash that is forgotten since its owner was killed
+// before the worker's lease was over.
+TEST(pool_crashes, a_crash_that_the_killed_owner_saw_as_silence_counts)
+{
+    pool_simulation simulation;
+    ASSERT_TRUE(run_until_owned(simulation));
+    simulation.submit(1, "a", crashing_job());
+    ports::task_name const task{"a", 0, 0, 0};
+    simulation.run_until(
+        [&simulation, &task]
+        {
+            return simulation.crashes_by(task) == 1;
+        });
+    simulation.run(2s);
+    EXPECT_EQ(blamed_crashes(simulation, task), 0U);
+    simulation.kill(*simulation.owner());
+    simulation.run_until(
+        [&simulation, &task]
+        {
+            return simulation.starts_of(task) == 2;
+        });
+    EXPECT_EQ(blamed_crashes(simulation, task), 1U);
+}
+
 // Guards against a long-running task that crashes its workers without end,
 // since its failures are not limited.
 TEST(pool_crashes, a_long_running_task_that_crashes_its_workers_is_given_up)
