--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -24,6 +24,11 @@
 using core::common::time_point;
 using namespace std::chrono_literals;
 
+/// Failed attempts of a task that end its job.
+constexpr std::uint32_t attempts_of_queue = 3;
+/// Time by which calls are executed or answered late.
+constexpr duration late_delay = 2s;
+
 /// Effect of a fault on one call.
 enum class fault_effect : std::uint8_t
 {
@@ -245,7 +250,6 @@
     std::set<ports::task_name> done_;
     std::map<ports::task_name, std::size_t>
         failed_; ///< Number of acknowledged failures by task.
-    std::map<std::string, std::size_t> attempts_of_queue_;
     std::string violation_;
     std::vector<logged_line> log_;
     bool tickets_required_ = false;
@@ -253,6 +257,9 @@
     std::size_t starts_without_ticket_ = 0;
 };
 
+/// Returns the entry of a worker with its full capacity.
+ports::pool_worker make_worker_info(std::size_t number,
+                                    std::uint64_t incarnation);
 /// Runs until an instance is the owner. Returns false if none is in time.
 bool run_until_owned(pool_simulation& simulation);
 /// Returns the number of an instance other than `number`.
