Pool: successors count a crash that was seen as silence only once

What callers would see: a job shown as failed after a single crash, where its task waits through several takeovers. Cause: the worker that a record names was not cleared when a new owner counted its loss, so each later owner counted the same loss again.

--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -170,6 +170,7 @@
                 {
                     count_crash(run, name, crash_evidence::shared, false);
                 }
+                tasks[index].crash_history.worker.clear();
                 task_over(now, run, name);
             }
         }
--- a/tests/unit/pool/crash_test.cpp
+++ b/tests/unit/pool/crash_test.cpp
@@ -333,6 +333,35 @@
     EXPECT_EQ(blamed_crashes(simulation, task), 1U);
 }
 
+// Guards against one crash that each successor counts anew while the task
+// waits.
+TEST(pool_crashes, a_crash_that_was_seen_as_silence_counts_once)
+{
+    pool_simulation simulation;
+    simulation.set_crash_recovery(120s, false);
+    ASSERT_TRUE(run_until_owned(simulation));
+    simulation.submit(1, "a", crashing_job());
+    ports::task_name const task{"a", 0, 0, 0};
+    simulation.run_until(
+        [&simulation, &task]
+        {
+            return simulation.crashes_by(task) == 1;
+        });
+    for (std::size_t number = 0; number < simulation.worker_count(); ++number)
+    {
+        simulation.set_capacity(number, {0, 8000, 0});
+    }
+    simulation.run(2s);
+    for (int takeover = 0; takeover < 3; ++takeover)
+    {
+        auto const owner = *simulation.owner();
+        simulation.kill(owner);
+        simulation.start(owner);
+        simulation.run(12s);
+        EXPECT_EQ(blamed_crashes(simulation, task), 1U);
+    }
+}
+
 // Guards against a long-running task that crashes its workers without end,
 // since its failures are not limited.
 TEST(pool_crashes, a_long_running_task_that_crashes_its_workers_is_given_up)
