--- a/src/core/pool/crash_record.hpp
+++ b/src/core/pool/crash_record.hpp
@@ -14,7 +14,9 @@
     /// Other tasks may have crashed the worker as well, or nobody saw whether
     /// the task was running.
     shared,
-    alone, ///< No other task can have crashed it.
+    /// It is the only task that may have crashed the worker, or the only one of
+    /// them that is blamed for an earlier crash.
+    alone,
 };
 
 /// Shortest run that clears a task of blame; longer than the interval at which
--- a/src/core/pool/owner_crashes.cpp
+++ b/src/core/pool/owner_crashes.cpp
@@ -100,9 +100,9 @@
 }
 
 // Returns the tasks that may have crashed the worker, with the evidence against
-// each: those whose run was too young to clear them. If all had proved
-// themselves, any but the oldest may have crashed it late. A suspect among
-// tasks that are not suspected of earlier crashes is to blame alone.
+// each: those whose run was too young to clear them. If all runs were old
+// enough, those below `max_clearing_run` may have crashed it late. A suspect
+// among tasks that are not blamed for earlier crashes is to blame alone.
 owner::blamed_tasks owner::blamed_for_loss(worker const& target)
 {
     if (target.info.draining || lost_workers_.lost_with_rack(fleet_, target))
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -181,11 +181,10 @@
     {
         return dispatch_gang(now, key, run);
     }
-    // Tasks of one step that have neither failed anywhere nor are suspected of
-    // crashing workers are equivalent: all
-    // workers are scored once for them, and after each placement only the
-    // worker that was used is scored again. A step of 26 tasks on 350 workers
-    // costs 376 scores instead of 9,100.
+    // Tasks of one step that have not failed anywhere and are not suspected of
+    // crashing workers are equivalent: all workers are scored once for them,
+    // and after each placement only the worker that was used is scored again. A
+    // step of 26 tasks on 350 workers costs 376 scores instead of 9,100.
     std::optional<std::vector<ranked_worker>> ranked;
     while (!steps.ready.empty() && run.phase == job_phase::active)
     {
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -29,7 +29,8 @@
 
 // A suspect runs on a worker without another suspect if possible, so that a
 // crash shows which of them is to blame, and beside few other tasks, which its
-// crash would end. Nothing else starts beside it until it is cleared.
+// crash would end. Until it is cleared, other tasks start elsewhere if they
+// can.
 constexpr double two_suspects_penalty = 50;
 constexpr double suspect_neighbour_penalty = 0.3; // for each neighbour
 constexpr double beside_suspect_penalty = 5;
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -162,8 +162,8 @@
     }
 }
 
-// Makes the first task of some jobs crash the workers that start it, at once or
-// late.
+// In some jobs, makes the first task of each step crash the workers that start
+// it, at once or late.
 void draw_crashing_jobs(plan_settings const& settings,
                         std::vector<planned_job>& jobs)
 {
