--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -591,8 +591,9 @@
             machine["frontend"], method, path,
             {"Host": "nony24.example", "Fuchsialanding-Deadline-Ms": "3000"},
             body)
-        self.record.write("client", f"{method} {path} to {machine['name']}: "
-                          f"{answer if answer else 'no answer'}")
+        sent = f" {json.dumps(body)}" if body else ""
+        self.record.write("client", f"{method} {path} to {machine['name']}"
+                          f"{sent}: {answer if answer else 'no answer'}")
         return answer
 
     async def submit(self, prefix, steps, spec, machines, attempts=5):
