Pool: logs and metrics that tell why the pool had no working owner

Change: claim_observed names each new holder from every instance's view, claim_not_taken a failed attempt, claim_unconfirmed renewals without answers, tick_late a process that stood still; owner_ended says how far the owner got. The gauge fuchsia_pool_working_owner is 1 where the takeover is complete.

No functional change

--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -118,6 +118,15 @@
         return;
     }
     largest_holder_size_ = std::max(largest_holder_size_, current_holder->size);
+    if (item.revision != observed_epoch_)
+    {
+        observed_epoch_ = item.revision;
+        out_.log(severity::info,
+                 "claim_observed",
+                 {{"holder", current_holder->instance},
+                  {"its_size", std::to_string(current_holder->size)},
+                  {"epoch", std::to_string(item.revision)}});
+    }
     if (settings_.size >= current_holder->size * settings_.size_ratio)
     {
         request_handover(now, *current_holder);
@@ -229,7 +238,7 @@
                    call_pending_ = false;
                    if (retired_ || reply.status != kv_status::done)
                    {
-                       retry_later(at);
+                       on_acquire_failed(at, "lease", reply.status);
                        return;
                    }
                    write_key(reply.lease);
@@ -262,6 +271,17 @@
     }
     // Another instance was faster, or the outcome is unknown: the next read
     // shows which.
+    on_acquire_failed(now, "key", reply.status);
+}
+
+void claim::on_acquire_failed(common::time_point now,
+                              std::string_view call,
+                              kv_status status)
+{
+    out_.log(severity::info,
+             "claim_not_taken",
+             {{"call", std::string(call)},
+              {"status", std::to_string(static_cast<unsigned>(status))}});
     retry_later(now);
 }
 
@@ -285,6 +305,16 @@
 void claim::renew(common::time_point now)
 {
     next_step_at_ = now + settings_.renew_interval;
+    if (now - confirmed_at_ > settings_.ttl && now >= next_unconfirmed_report_)
+    {
+        next_unconfirmed_report_ = now + settings_.ttl;
+        out_.log(
+            severity::warning,
+            "claim_unconfirmed",
+            {{"epoch", std::to_string(epoch_)},
+             {"for_ms",
+              std::to_string(common::to_milliseconds(now - confirmed_at_))}});
+    }
     out_.store(
         life_,
         ports::kv_lease_renew{lease_},
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace fuchsia::core::pool
 {
@@ -101,6 +102,9 @@
     void request_lease(common::time_point now);
     void write_key(std::uint64_t lease);
     void on_key_written(common::time_point now, ports::kv_reply const& reply);
+    void on_acquire_failed(common::time_point now,
+                           std::string_view call,
+                           ports::kv_status status);
     void on_acquired(common::time_point now, std::uint64_t epoch);
     void renew(common::time_point now);
     void retry_later(common::time_point now);
@@ -109,6 +113,8 @@
     std::string own_record_; ///< Value of the key: a `claim_holder` as JSON.
     double largest_holder_size_ = 0; ///< Size of the largest known holder.
     bool yielded_ = false;           ///< The free claim was left to others.
+    /// Epoch of the last holder that was logged.
+    std::uint64_t observed_epoch_ = 0;
     common::time_point next_handover_request_{};
     outbox& out_;
     lifetime_token life_ = std::make_shared<char>();
@@ -125,6 +131,8 @@
     common::time_point lease_requested_at_{};
     common::time_point confirmed_at_{};
     common::time_point held_since_{};
+    /// Earliest time of the next log line about missing confirmations.
+    common::time_point next_unconfirmed_report_{};
 };
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -11,6 +11,8 @@
 
 constexpr common::duration owner_tick = std::chrono::milliseconds(25);
 constexpr common::duration idle_tick = std::chrono::milliseconds(100);
+// A gap between two ticks above which renewals of the claim may come too late.
+constexpr common::duration late_tick = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -34,6 +36,7 @@
 
 void engine::tick(common::time_point now)
 {
+    report_late_tick(now);
     operators_.tick(now);
     claim_.tick(now);
     if (owner_)
@@ -146,7 +149,12 @@
     {
         out_.log(ports::severity::info,
                  "owner_ended",
-                 {{"epoch", std::to_string(claim_.epoch())}});
+                 {{"epoch", std::to_string(claim_.epoch())},
+                  {"loaded", owner_->loaded() ? "true" : "false"},
+                  {"working", owner_->working() ? "true" : "false"},
+                  {"after_ms",
+                   std::to_string(
+                       common::to_milliseconds(now - claim_.held_since()))}});
         owner_.reset();
         claim_.tick(now);
     }
@@ -175,6 +183,21 @@
     update_stop(now);
 }
 
+// Without this line a claim that lapsed because the process got no processor
+// time looks like one that lapsed because the store did not answer.
+void engine::report_late_tick(common::time_point now)
+{
+    auto const gap = now - last_tick_at_;
+    if (last_tick_at_ != common::time_point{} && gap > late_tick)
+    {
+        out_.log(ports::severity::warning,
+                 "tick_late",
+                 {{"gap_ms", std::to_string(common::to_milliseconds(gap))},
+                  {"owner", has_owner() ? "true" : "false"}});
+    }
+    last_tick_at_ = now;
+}
+
 // Time since the last answer of the store, or since the start if the store has
 // not answered at all.
 common::duration engine::store_silence(common::time_point now) const
--- a/src/core/pool/engine.hpp
+++ b/src/core/pool/engine.hpp
@@ -65,6 +65,7 @@
 
 private:
     void update(common::time_point now);
+    void report_late_tick(common::time_point now);
     common::duration store_silence(common::time_point now) const;
     void report_readiness(common::time_point now);
     void update_stop(common::time_point now);
@@ -78,6 +79,7 @@
     request_handler request_handler_;
     std::unique_ptr<owner> owner_;
     common::time_point started_at_{};
+    common::time_point last_tick_at_{};
     /// Count of operator changes when the owner was last notified.
     std::uint64_t applied_change_count_ = 0;
     std::optional<bool> reported_ready_;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -179,6 +179,11 @@
     return loaded_;
 }
 
+bool owner::working() const noexcept
+{
+    return takeover_complete_;
+}
+
 owner_counters const& owner::counters() const noexcept
 {
     return counters_;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -56,6 +56,9 @@
     /// Whether the state is loaded, so that this owner can answer requests
     /// about jobs.
     bool loaded() const noexcept;
+    /// Whether the takeover is complete, so that every task that could run may
+    /// start.
+    bool working() const noexcept;
     /// Returns nothing if this owner does not know the job.
     std::optional<ports::job_state> state_of(std::string const& id) const;
     /// Number of jobs without a started task, by queue.
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -122,6 +122,10 @@
 {
     registry_.gauge("fuchsia_pool_owner", "1 while this instance schedules")
         .Set(active_owner != nullptr ? 1 : 0);
+    registry_
+        .gauge("fuchsia_pool_working_owner",
+               "1 while this instance schedules and knows what runs")
+        .Set(active_owner != nullptr && active_owner->working() ? 1 : 0);
     if (active_owner == nullptr)
     {
         return;
