Pool simulation: the working owner, and the claim by its revision

Cause: the simulation told who had loaded the state, not who had completed its takeover and starts tasks. It took the claim's epoch from the revision of the key's creation, which is right only while a claim is never overwritten. Change: working_owner and claim_holder; ended_done tells whether a task has ended as done on a worker that hasn't crashed since; owner() and the staleness tests compare the epoch with the item's revision, which is equal today.

No functional change

--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -335,7 +335,7 @@
         if (candidate.engine && candidate.engine->active_owner() != nullptr &&
             candidate.engine->active_owner()->loaded() &&
             store_.find("pool/claim") &&
-            store_.find("pool/claim")->create_revision ==
+            store_.find("pool/claim")->revision ==
                 candidate.engine->claimed().epoch())
         {
             return number;
@@ -344,6 +344,27 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> pool_simulation::working_owner() const
+{
+    auto const number = owner();
+    bool const works = number && instances_[*number].frozen_until <= now() &&
+                       instances_[*number].engine->active_owner()->working();
+    return works ? number : std::nullopt;
+}
+
+std::optional<std::size_t> pool_simulation::claim_holder() const
+{
+    for (std::size_t number = 0; number < instances_.size(); ++number)
+    {
+        auto const& candidate = instances_[number];
+        if (candidate.engine && candidate.engine->claimed().held())
+        {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
 void pool_simulation::set_clock_ahead(std::size_t instance, duration ahead)
 {
     instances_.at(instance).clock_ahead = ahead;
@@ -359,6 +380,11 @@
     return store_;
 }
 
+standins::pool::kv_state const& pool_simulation::store() const noexcept
+{
+    return store_;
+}
+
 standins::pool::worker_state& pool_simulation::worker(std::size_t number)
 {
     return *workers_[number];
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -105,10 +105,17 @@
     void freeze(std::size_t instance, duration length);
     void stop(std::size_t instance);
     std::optional<std::size_t> owner() const;
+    /// Returns the instance whose owner has loaded the state and completed its
+    /// takeover, so that it starts tasks.
+    std::optional<std::size_t> working_owner() const;
+    /// Returns an instance that considers itself the holder of the claim,
+    /// whether or not it has loaded the state.
+    std::optional<std::size_t> claim_holder() const;
     /// Returns the owner component of an instance that is the owner.
     core::pool::owner& owner_at(std::size_t instance);
 
     standins::pool::kv_state& store() noexcept;
+    standins::pool::kv_state const& store() const noexcept;
     standins::pool::worker_state& worker(std::size_t number);
     /// Restarts a worker with no state, under its present id.
     void restart_worker(std::size_t number);
@@ -127,6 +134,9 @@
     /// Returns the number of starts of the task on all workers.
     std::size_t starts_of(ports::task_name const& task) const;
     std::size_t worker_count() const noexcept;
+    /// Whether a run of the task has ended as done on a worker that has not
+    /// crashed since.
+    bool ended_done(ports::task_name const& task) const;
     /// Returns the number of workers that currently run `task`.
     std::size_t running_count(ports::task_name const& task) const;
 
@@ -246,6 +256,8 @@
         time_point until{};
     };
     std::vector<waiting_watch> watches_;
+    /// Tasks that have ended as done, with the worker.
+    std::map<ports::task_name, std::size_t> ended_done_;
     /// Tasks acknowledged as done, unless the lease had expired in between.
     std::set<ports::task_name> done_;
     std::map<ports::task_name, std::size_t>
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -76,6 +76,12 @@
     {
         ++crashes_[*culprit];
     }
+    // The worker has lost the ends that no owner has acknowledged.
+    std::erase_if(ended_done_,
+                  [this, number](auto const& end)
+                  {
+                      return end.second == number && !done_.contains(end.first);
+                  });
     auto info = workers_[number]->info();
     auto const old_id = info.id;
     info.id = returns_under_same_id_ ? old_id
@@ -137,6 +143,11 @@
     return found == starts_.end() ? 0 : found->second;
 }
 
+bool pool_simulation::ended_done(ports::task_name const& task) const
+{
+    return ended_done_.contains(task);
+}
+
 bool pool_simulation::is_up(ports::pool_order const& order) const
 {
     auto const number = std::stoul(order.worker.substr(1));
@@ -337,8 +348,13 @@
 void pool_simulation::observe_worker(std::size_t number)
 {
     workers_[number]->observe(
-        [this](standins::pool::worker_event const& event)
+        [this, number](standins::pool::worker_event const& event)
         {
+            if (event.kind == standins::pool::worker_event_kind::ended &&
+                event.end_result == ports::end_kind::done)
+            {
+                ended_done_[event.run.task] = number;
+            }
             if (event.kind != standins::pool::worker_event_kind::acknowledged)
             {
                 return;
--- a/tests/unit/pool/staleness_test.cpp
+++ b/tests/unit/pool/staleness_test.cpp
@@ -77,7 +77,7 @@
     pool_simulation simulation(instances);
     ASSERT_TRUE(run_until_owned(simulation));
     auto const owner = *simulation.owner();
-    auto const epoch = simulation.store().find("pool/claim")->create_revision;
+    auto const epoch = simulation.store().find("pool/claim")->revision;
     std::size_t watches = 0;
     simulation.store_fault =
         [owner, &watches](std::size_t instance, ports::kv_operation const& call)
@@ -89,7 +89,7 @@
     simulation.run(20s);
     EXPECT_GT(watches, 10U);
     ASSERT_EQ(simulation.owner(), owner);
-    EXPECT_EQ(simulation.store().find("pool/claim")->create_revision, epoch);
+    EXPECT_EQ(simulation.store().find("pool/claim")->revision, epoch);
 }
 
 // Guards against an owner that takes long to load the state and hands the claim
@@ -111,12 +111,12 @@
         {
             return simulation.store().find("pool/claim").has_value();
         }));
-    auto const epoch = simulation.store().find("pool/claim")->create_revision;
+    auto const epoch = simulation.store().find("pool/claim")->revision;
     simulation.run(10s);
     EXPECT_TRUE(lost);
     EXPECT_TRUE(simulation.owner().has_value());
     ASSERT_TRUE(simulation.store().find("pool/claim").has_value());
-    EXPECT_EQ(simulation.store().find("pool/claim")->create_revision, epoch);
+    EXPECT_EQ(simulation.store().find("pool/claim")->revision, epoch);
 }
 
 // Guards against a queue that grows while commits fail: each poll of a worker
