--- /dev/null
+++ b/tests/unit/pool/owner_changes_test.cpp
@@ -0,0 +1,299 @@
+#include "owner_changes.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace fuchsia::tests::unit::pool;
+namespace ports = fuchsia::ports;
+
+// Changes of the owner in a row, from one cause at a time, in a pool of large
+// and small instances. The checks are the users' rule on what must run (LOST)
+// and the invariants of the simulation.
+namespace
+{
+
+constexpr duration trouble_length = 30s;
+// Longer than the rule needs to be broken: 4 s calm, 6 s after the last run, 3
+// s without one.
+constexpr duration calm_length = 15s;
+// A submission has to be known and finished this long after the traffic.
+constexpr duration finish_time = 14s;
+
+constexpr duration usual_latency = 2ms;
+constexpr std::uint64_t start_orders = 16;
+// Longer than any test.
+constexpr duration never = 1h;
+
+struct troubled_instances
+{
+    trouble kind = trouble::late_takeover_writes;
+    bool all_large = false; ///< Or only one of them.
+};
+
+std::string name_of(troubled_instances const& troubled)
+{
+    return std::string(name_of(troubled.kind)) +
+           (troubled.all_large ? "_of_all_large" : "_of_one_large");
+}
+
+std::ostream& operator<<(std::ostream& out, troubled_instances const& troubled)
+{
+    return out << name_of(troubled);
+}
+
+std::vector<troubled_instances> all_cases()
+{
+    std::vector<troubled_instances> cases;
+    for (auto const kind : all_troubles())
+    {
+        cases.push_back({kind, false});
+        cases.push_back({kind, true});
+    }
+    return cases;
+}
+
+class pool_owner_changes : public testing::TestWithParam<troubled_instances>
+{
+protected:
+    // A small instance owns the pool when the large ones start, with trouble
+    // from the first moment.
+    void start_large_ones_with_trouble()
+    {
+        pool.start(pool.small_instances(), 100ms);
+        ASSERT_TRUE(pool.begin_work());
+        auto const large = pool.large_instances();
+        auto const troubled = GetParam().all_large
+                                  ? large
+                                  : std::vector<std::size_t>{large.front()};
+        pool.begin(GetParam().kind, troubled);
+        pool.start(large, 100ms);
+    }
+
+    changing_pool pool{{3, 6, 24}};
+};
+
+struct kills_in_series
+{
+    duration interval{};
+    std::optional<duration> restart_after; ///< Never, if empty.
+    /// A worker crashes with each owner and returns after this time, if any.
+    std::optional<duration> worker_returns_after;
+    duration store_latency = usual_latency;
+};
+
+// Returns the time from a kill to the last start that belongs to it.
+duration last_start_of(kills_in_series const& series)
+{
+    auto const returns = series.worker_returns_after.value_or(duration{});
+    return std::max(series.restart_after.value_or(duration{}),
+                    returns == never ? duration{} : returns);
+}
+
+std::string in_milliseconds(duration length)
+{
+    return std::to_string(fuchsia::core::common::to_milliseconds(length));
+}
+
+std::string name_of(kills_in_series const& series)
+{
+    auto name = "every_" + in_milliseconds(series.interval) + "_ms";
+    name += series.restart_after ? "_restarted" : "_for_good";
+    if (series.worker_returns_after)
+    {
+        name += *series.worker_returns_after == never
+                    ? "_and_workers_crash_for_good"
+                    : "_and_workers_return_under_another_id";
+    }
+    name += series.store_latency > usual_latency ? "_with_a_slow_store" : "";
+    return name;
+}
+
+std::ostream& operator<<(std::ostream& out, kills_in_series const& series)
+{
+    return out << name_of(series);
+}
+
+template<class Parameter>
+std::string name_of_case(testing::TestParamInfo<Parameter> const& info)
+{
+    return name_of(info.param);
+}
+
+std::vector<kills_in_series> all_series()
+{
+    std::vector<kills_in_series> result;
+    for (auto const interval : {1500ms, 3000ms, 6000ms})
+    {
+        for (auto const restart :
+             {std::optional<duration>(1s), std::optional<duration>()})
+        {
+            for (auto const worker : {std::optional<duration>(),
+                                      std::optional<duration>(3s),
+                                      std::optional<duration>(never)})
+            {
+                for (auto const latency : {usual_latency, duration(150ms)})
+                {
+                    result.push_back({interval, restart, worker, latency});
+                }
+            }
+        }
+    }
+    return result;
+}
+
+// Trouble with requests for the claim, which no other call suffers from.
+class pool_claim_requests : public pool_owner_changes
+{
+};
+
+class pool_owner_kills : public testing::TestWithParam<kills_in_series>
+{
+};
+
+// Returns all instances in an order drawn from `seed`; the first seed gives the
+// small ones first.
+std::vector<std::size_t> order_of(changing_pool const& pool, std::uint64_t seed)
+{
+    auto order = pool.small_instances();
+    auto const large = pool.large_instances();
+    order.insert(order.end(), large.begin(), large.end());
+    if (seed > 1)
+    {
+        std::mt19937_64 random(seed);
+        std::shuffle(order.begin(), order.end(), random);
+    }
+    return order;
+}
+
+} // namespace
+
+// Guards against owners that replace each other for good after trouble of large
+// instances, so that tasks find no working owner in calm time.
+TEST_P(pool_owner_changes, all_that_could_run_runs_in_the_calm_after_trouble)
+{
+    start_large_ones_with_trouble();
+    pool.run(trouble_length);
+    pool.end_all_troubles();
+    pool.calm_down();
+    pool.run(calm_length);
+    EXPECT_EQ(pool.unfinished_jobs(finish_time), "") << pool.report();
+    EXPECT_EQ(pool.violation(), "") << pool.report();
+}
+
+// Guards against trouble of large instances that keeps the pool from running
+// tasks, although small instances without trouble could own it all the while.
+TEST_P(pool_owner_changes, all_that_could_run_runs_during_trouble_of_large_ones)
+{
+    start_large_ones_with_trouble();
+    pool.calm_down();
+    pool.run(trouble_length);
+    RecordProperty("longest_ms",
+                   std::to_string(fuchsia::core::common::to_milliseconds(
+                       pool.longest_without_owner())));
+    EXPECT_EQ(pool.violation(), "") << pool.report();
+}
+
+// Guards against a request for the claim that takes it from a later owner than
+// the one that it was meant for, so that each of several requests costs the
+// pool a takeover (incident 42).
+TEST_P(pool_claim_requests, a_request_for_the_claim_moves_no_later_owner)
+{
+    start_large_ones_with_trouble();
+    pool.run(trouble_length);
+    pool.end_all_troubles();
+    pool.run(calm_length);
+    EXPECT_EQ(pool.large_owners_replaced(), 0U) << pool.report();
+}
+
+// Guards against takeovers that each wait anew for workers that died long ago,
+// so that no owner of a series begins to work in time (incident 42).
+TEST_P(pool_owner_kills, all_that_could_run_runs_in_the_calm_after_kills)
+{
+    auto const& series = GetParam();
+    changing_pool pool({4, 6, 24});
+    pool.start(pool.large_instances(), 100ms);
+    pool.start(pool.small_instances(), 100ms);
+    ASSERT_TRUE(pool.begin_work());
+    pool.simulation().set_store_latency(series.store_latency);
+    auto const kill = [&pool, &series]
+    {
+        pool.kill_holder(series.restart_after);
+        if (series.worker_returns_after)
+        {
+            pool.crash_next_worker(*series.worker_returns_after);
+        }
+    };
+    for (duration passed{}; passed < trouble_length; passed += series.interval)
+    {
+        // Half of the instances have to remain.
+        if (series.restart_after || passed < 4 * series.interval)
+        {
+            kill();
+        }
+        pool.run(series.interval);
+    }
+    kill();
+    pool.run(last_start_of(series));
+    pool.simulation().set_store_latency(usual_latency);
+    pool.calm_down();
+    pool.run(calm_length);
+    EXPECT_EQ(pool.unfinished_jobs(finish_time), "") << pool.report();
+    EXPECT_EQ(pool.violation(), "") << pool.report();
+}
+
+// Guards against a herd of instances that start at the same time and move the
+// claim among them instead of working.
+TEST(pool_start_at_once, all_that_could_run_runs_after_a_start_in_any_order)
+{
+    for (std::uint64_t seed = 1; seed <= start_orders; ++seed)
+    {
+        changing_pool pool({3, 6, 24});
+        pool.start(order_of(pool, seed), 10ms * (seed % 4));
+        pool.submit_lasting_jobs();
+        pool.calm_down();
+        pool.run(calm_length);
+        EXPECT_EQ(pool.violation(), "") << "seed " << seed << "\n"
+                                        << pool.report();
+    }
+}
+
+// As above, with tasks that run when all instances end at the same time.
+TEST(pool_start_at_once, all_that_could_run_runs_after_a_restart_in_any_order)
+{
+    for (std::uint64_t seed = 1; seed <= start_orders; ++seed)
+    {
+        changing_pool pool({3, 6, 24});
+        pool.start(pool.large_instances(), 100ms);
+        pool.start(pool.small_instances(), 100ms);
+        ASSERT_TRUE(pool.begin_work());
+        pool.kill_all();
+        pool.run(500ms * (seed % 8));
+        pool.start(order_of(pool, seed), 10ms * (seed % 4));
+        pool.calm_down();
+        pool.run(calm_length);
+        EXPECT_EQ(pool.unfinished_jobs(finish_time), "") << "seed " << seed;
+        EXPECT_EQ(pool.violation(), "") << "seed " << seed << "\n"
+                                        << pool.report();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    trouble,
+    pool_claim_requests,
+    testing::Values(troubled_instances{trouble::late_takeover_writes, false},
+                    troubled_instances{trouble::late_takeover_writes, true},
+                    troubled_instances{trouble::lost_takeover_answers, false},
+                    troubled_instances{trouble::lost_takeover_answers, true}),
+    name_of_case<troubled_instances>);
+
+INSTANTIATE_TEST_SUITE_P(trouble,
+                         pool_owner_changes,
+                         testing::ValuesIn(all_cases()),
+                         name_of_case<troubled_instances>);
+
+INSTANTIATE_TEST_SUITE_P(kills,
+                         pool_owner_kills,
+                         testing::ValuesIn(all_series()),
+                         name_of_case<kills_in_series>);
