--- a/tests/unit/pool/owner_changes.hpp
+++ b/tests/unit/pool/owner_changes.hpp
@@ -98,6 +98,9 @@
     /// Returns the number of times that a large owner that worked lost the
     /// claim without having been killed.
     std::size_t large_owners_replaced() const;
+    /// Returns the number of owners that lost the claim without having been
+    /// killed, whether or not they worked.
+    std::size_t owners_replaced() const;
     /// Returns the instance that works as the owner.
     std::optional<std::size_t> working_owner() const;
     /// Returns the figures and the last log lines about the owner.
@@ -122,6 +125,7 @@
                               ports::kv_operation const& call) const;
     fault_effect worker_effect(std::size_t instance) const;
     bool acts(trouble kind, std::size_t instance) const;
+    bool replaced_owner(logged_line const& line) const;
     void freeze_again();
     void restart_killed();
     void submit_due_job();
