--- a/tests/unit/pool/owner_changes.cpp
+++ b/tests/unit/pool/owner_changes.cpp
@@ -188,6 +188,7 @@
 
 void changing_pool::start(std::size_t instance)
 {
+    down_instances_.erase(instance);
     simulation_.start(instance);
 }
 
@@ -268,9 +269,11 @@
         return;
     }
     simulation_.kill(*holder);
+    down_instances_.insert(*holder);
     if (pause)
     {
         restarts_[*holder] = simulation_.now() + *pause;
+        impaired_until_ = std::max(impaired_until_, restarts_[*holder]);
     }
 }
 
@@ -279,6 +282,7 @@
     for (std::size_t number = 0; number < instance_count(shape_); ++number)
     {
         simulation_.kill(number);
+        down_instances_.insert(number);
     }
 }
 
@@ -288,17 +292,25 @@
     {
         simulation_.set_crash_recovery(down_time, false);
         simulation_.crash_worker(crashed_workers_++);
+        auto const returns_at = simulation_.now() + down_time;
+        impaired_until_ = down_time < never
+                              ? std::max(impaired_until_, returns_at)
+                              : impaired_until_;
     }
 }
 
-void changing_pool::calm_down()
+void changing_pool::end_impairments()
 {
-    calm_since_ = simulation_.now();
+    troubles_.clear();
+    if (impaired_until_ >= simulation_.now())
+    {
+        run(impaired_until_ - simulation_.now() + step);
+    }
 }
 
-void changing_pool::disturb()
+void changing_pool::calm_down()
 {
-    calm_since_.reset();
+    calm_since_ = simulation_.now();
 }
 
 void changing_pool::run(duration length)
@@ -497,6 +509,8 @@
     {
         simulation_.freeze(instance, freeze_length);
     }
+    impaired_until_ =
+        std::max(impaired_until_, simulation_.now() + freeze_length);
 }
 
 void changing_pool::restart_killed()
@@ -523,7 +537,16 @@
     submit("ends" + std::to_string(next_job_++), false, tasks_per_job);
 }
 
-// The last instance is a small one that no trouble acts on by default.
+std::size_t changing_pool::accepting_instance() const
+{
+    auto number = instance_count(shape_) - 1;
+    while (number > shape_.large && down_instances_.contains(number))
+    {
+        --number;
+    }
+    return number;
+}
+
 void changing_pool::submit(std::string const& id,
                            bool lasting,
                            std::uint32_t tasks)
@@ -539,7 +562,7 @@
     tracked.tasks = tasks;
     tracked.lasting = lasting;
     tracked.request =
-        simulation_.submit(instance_count(shape_) - 1, id, std::move(job));
+        simulation_.submit(accepting_instance(), id, std::move(job));
     jobs_.push_back(std::move(tracked));
 }
 
--- a/tests/unit/pool/owner_changes.hpp
+++ b/tests/unit/pool/owner_changes.hpp
@@ -15,6 +15,9 @@
 namespace fuchsia::tests::unit::pool
 {
 
+/// Time after which a crashed worker returns that never does in a test.
+constexpr duration never = 1h;
+
 /// Cause of changes of the owner, which acts on some instances.
 enum class trouble : std::uint8_t
 {
@@ -77,9 +80,11 @@
     /// `down_time` under another id.
     void crash_next_worker(duration down_time);
 
-    /// From now on, until `disturb`, the time counts as calm.
+    /// Ends all trouble and runs until no instance is frozen any more and all
+    /// instances and workers that return have started again.
+    void end_impairments();
+    /// From now on the time counts as calm.
     void calm_down();
-    void disturb();
     /// Runs on with jobs that end and the check of what runs.
     void run(duration length);
     /// Runs until all jobs that end are completed. Returns those that aren't
@@ -128,6 +133,8 @@
     bool replaced_owner(logged_line const& line) const;
     void freeze_again();
     void restart_killed();
+    /// Returns a small instance that is up, the last one if possible.
+    std::size_t accepting_instance() const;
     void submit_due_job();
     void submit(std::string const& id, bool lasting, std::uint32_t tasks);
     void observe_owner();
@@ -147,6 +154,8 @@
     time_point started_at_;
     std::map<trouble, std::set<std::size_t>> troubles_;
     std::map<std::size_t, time_point> restarts_;
+    std::set<std::size_t> down_instances_;
+    time_point impaired_until_{};
     std::size_t crashed_workers_ = 0;
     std::vector<tracked_job> jobs_;
     std::size_t next_job_ = 0;
--- a/tests/unit/pool/owner_changes_test.cpp
+++ b/tests/unit/pool/owner_changes_test.cpp
@@ -25,8 +25,6 @@
 // Long enough for the first large instance to take the claim, if it can.
 constexpr duration head_start = 6s;
 constexpr std::uint64_t start_orders = 16;
-// Longer than any test.
-constexpr duration never = 1h;
 
 struct troubled_instances
 {
@@ -87,14 +85,6 @@
     duration store_latency = usual_latency;
 };
 
-// Returns the time from a kill to the last start that belongs to it.
-duration last_start_of(kills_in_series const& series)
-{
-    auto const returns = series.worker_returns_after.value_or(duration{});
-    return std::max(series.restart_after.value_or(duration{}),
-                    returns == never ? duration{} : returns);
-}
-
 std::string in_milliseconds(duration length)
 {
     return std::to_string(fuchsia::core::common::to_milliseconds(length));
@@ -179,7 +169,7 @@
 {
     start_large_ones_with_trouble(head_start);
     pool.run(trouble_length);
-    pool.end_all_troubles();
+    pool.end_impairments();
     pool.calm_down();
     pool.run(calm_length);
     EXPECT_EQ(pool.unfinished_jobs(finish_time), "") << pool.report();
@@ -206,7 +196,7 @@
 {
     start_large_ones_with_trouble(100ms);
     pool.run(trouble_length);
-    pool.end_all_troubles();
+    pool.end_impairments();
     pool.run(calm_length);
     EXPECT_EQ(pool.large_owners_replaced(), 0U) << pool.report();
 }
@@ -239,7 +229,7 @@
         pool.run(series.interval);
     }
     kill();
-    pool.run(last_start_of(series));
+    pool.end_impairments();
     pool.simulation().set_store_latency(usual_latency);
     pool.calm_down();
     pool.run(calm_length);
