--- a/tests/unit/pool/owner_changes_test.cpp
+++ b/tests/unit/pool/owner_changes_test.cpp
@@ -57,13 +57,17 @@
 class pool_owner_changes : public testing::TestWithParam<troubled_instances>
 {
 protected:
-    // A small instance owns the pool when the large ones start, with trouble
-    // from the first moment. The second one starts `first_pause` after the
-    // first.
-    void start_large_ones_with_trouble(duration first_pause)
+    // A small instance owns the pool when the large ones start.
+    void start_small_ones()
     {
         pool.start(pool.small_instances(), 100ms);
         ASSERT_TRUE(pool.begin_work());
+    }
+
+    // The trouble begins before their start. The second one starts
+    // `first_pause` after the first.
+    void start_large_ones_with_trouble(duration first_pause)
+    {
         auto const large = pool.large_instances();
         auto const troubled = GetParam().all_large
                                   ? large
@@ -167,6 +171,7 @@
 // instances, so that tasks find no working owner in calm time.
 TEST_P(pool_owner_changes, all_that_could_run_runs_in_the_calm_after_trouble)
 {
+    start_small_ones();
     start_large_ones_with_trouble(head_start);
     pool.run(trouble_length);
     pool.end_impairments();
@@ -180,8 +185,9 @@
 // tasks, although small instances without trouble could own it all the while.
 TEST_P(pool_owner_changes, all_that_could_run_runs_during_trouble_of_large_ones)
 {
-    start_large_ones_with_trouble(head_start);
+    start_small_ones();
     pool.calm_down();
+    start_large_ones_with_trouble(head_start);
     pool.run(trouble_length);
     RecordProperty("longest_ms",
                    std::to_string(fuchsia::core::common::to_milliseconds(
@@ -189,11 +195,25 @@
     EXPECT_EQ(pool.violation(), "") << pool.report();
 }
 
+// As above, with a worker that has died before. Each takeover waits for it, and
+// none may be interrupted by the next again and again (incident 42).
+TEST_P(pool_owner_changes, all_that_could_run_runs_although_a_worker_is_dead)
+{
+    start_small_ones();
+    pool.crash_next_worker(never);
+    pool.run(1s);
+    pool.calm_down();
+    start_large_ones_with_trouble(head_start);
+    pool.run(trouble_length);
+    EXPECT_EQ(pool.violation(), "") << pool.report();
+}
+
 // Guards against a request for the claim that takes it from a later owner than
 // the one that it was meant for, so that each of several requests costs the
 // pool a takeover (incident 42).
 TEST_P(pool_claim_requests, a_request_for_the_claim_moves_no_later_owner)
 {
+    start_small_ones();
     start_large_ones_with_trouble(100ms);
     pool.run(trouble_length);
     pool.end_impairments();
--- a/tests/unit/pool/owner_changes_walk_test.cpp
+++ b/tests/unit/pool/owner_changes_walk_test.cpp
@@ -164,3 +164,14 @@
     RecordProperty("without_owner_ms_per_seed",
                    in_milliseconds(total / seeds()));
 }
+
+// Seeds that failed before: a takeover that waits for dead workers was
+// interrupted by a request for the claim, or began anew after each kill
+// (incident 42).
+TEST(pool_owner_changes_walk, all_that_could_run_runs_with_seeds_that_failed)
+{
+    for (std::uint64_t const seed : {25, 31, 59, 100, 126, 153, 175, 184})
+    {
+        EXPECT_EQ(owner_changes_walk(seed).run(), "") << "seed " << seed;
+    }
+}
