--- a/tests/unit/pool/owner_changes_test.cpp
+++ b/tests/unit/pool/owner_changes_test.cpp
@@ -282,6 +282,31 @@
     }
 }
 
+// Guards against a write of the claim, or a request for it, that takes effect
+// without an answer, before or after the lease of its writer has ended: the
+// writer neither knows that it holds the claim nor leaves it to others.
+TEST(pool_owner_requests, late_writes_of_the_claim_stop_no_work)
+{
+    for (auto const kind :
+         {trouble::late_takeover_writes, trouble::late_claim_writes})
+    {
+        for (duration delay = 100ms; delay <= 1900ms; delay += 200ms)
+        {
+            changing_pool pool({3, 6, 24});
+            pool.simulation().set_late_delay(delay);
+            pool.start(pool.small_instances(), 100ms);
+            ASSERT_TRUE(pool.begin_work());
+            pool.begin(kind, pool.large_instances());
+            pool.calm_down();
+            pool.start(pool.large_instances(), 100ms);
+            pool.run(trouble_length);
+            EXPECT_EQ(pool.violation(), "")
+                << name_of(kind) << " by " << in_milliseconds(delay) << " ms\n"
+                << pool.report();
+        }
+    }
+}
+
 // Guards against requests of several large instances that each move the claim,
 // and against a small instance that takes what a large one has asked for. Each
 // change of the owner interrupts new work (incident 42).
--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -276,6 +276,11 @@
     store_latency_ = one_way;
 }
 
+void pool_simulation::set_late_delay(duration delay)
+{
+    late_delay_ = delay;
+}
+
 void pool_simulation::set_final_state_retention(duration length)
 {
     final_state_retention_ = length;
@@ -555,7 +560,7 @@
     bool const answered = (effect == fault_effect::carried_out &&
                            call.timeout > one_way + store_latency_) ||
                           (effect == fault_effect::delayed &&
-                           call.timeout > late_delay + store_latency_);
+                           call.timeout > late_delay_ + store_latency_);
     if (!answered)
     {
         clock_.after(call.timeout,
@@ -570,7 +575,7 @@
     }
     bool const delayed = effect == fault_effect::executed_late ||
                          effect == fault_effect::delayed;
-    clock_.after(delayed ? late_delay : one_way,
+    clock_.after(delayed ? late_delay_ : one_way,
                  [this, number, incarnation, call, answered]
                  {
                      apply_store(number, incarnation, call, answered);
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -26,8 +26,8 @@
 
 /// Failed attempts of a task that end its job.
 constexpr std::uint32_t attempts_of_queue = 3;
-/// Time by which calls are executed or answered late.
-constexpr duration late_delay = 2s;
+/// Time by which calls are executed or answered late by default.
+constexpr duration default_late_delay = 2s;
 
 /// Effect of a fault on one call.
 enum class fault_effect : std::uint8_t
@@ -37,8 +37,9 @@
     refused,       ///< Not executed; the caller gets a refusal.
     request_lost,  ///< Not executed; the caller gets no answer.
     watch_stalled, ///< A watch is answered after its wait without changes.
-    executed_late, ///< Executed 2 s later; the caller gets no answer.
-    /// Executed and answered 2 s later, if the timeout of the call allows it.
+    executed_late, ///< Executed after the late delay, without an answer.
+    /// Executed and answered after the late delay, if the timeout of the call
+    /// allows it.
     delayed,
 };
 
@@ -98,6 +99,8 @@
     void set_commit_delay(std::size_t instance, duration delay);
     /// Sets the latency of the way to the store, and of the way back.
     void set_store_latency(duration one_way);
+    /// Sets the time by which calls are executed or answered late.
+    void set_late_delay(duration delay);
     void kill(std::size_t instance);
     void start(std::size_t instance);
     /// Pauses an instance. Messages that arrive during the pause are delivered
@@ -223,6 +226,7 @@
                                core::pool::pool_request request);
 
     duration store_latency_ = 2ms;
+    duration late_delay_ = default_late_delay;
     walks::virtual_clock clock_;
     standins::pool::kv_state store_;
     std::vector<std::unique_ptr<standins::pool::worker_state>> workers_;
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -202,7 +202,7 @@
     {
         return;
     }
-    clock_.after(effect == fault_effect::executed_late ? late_delay
+    clock_.after(effect == fault_effect::executed_late ? late_delay_
                                                        : worker_delay,
                  [this, number, incarnation, order, effect]
                  {
