--- a/tests/unit/pool/owner_changes_test.cpp
+++ b/tests/unit/pool/owner_changes_test.cpp
@@ -25,8 +25,6 @@
 // Long enough for the first large instance to take the claim, if it can.
 constexpr duration head_start = 6s;
 constexpr std::uint64_t start_orders = 16;
-// Longer than any test.
-constexpr duration never = 1h;
 
 struct troubled_instances
 {
@@ -59,13 +57,17 @@
 class pool_owner_changes : public testing::TestWithParam<troubled_instances>
 {
 protected:
-    // A small instance owns the pool when the large ones start, with trouble
-    // from the first moment. The second one starts `first_pause` after the
-    // first.
-    void start_large_ones_with_trouble(duration first_pause)
+    // A small instance owns the pool when the large ones start.
+    void start_small_ones()
     {
         pool.start(pool.small_instances(), 100ms);
         ASSERT_TRUE(pool.begin_work());
+    }
+
+    // The trouble begins before their start. The second one starts
+    // `first_pause` after the first.
+    void start_large_ones_with_trouble(duration first_pause)
+    {
         auto const large = pool.large_instances();
         auto const troubled = GetParam().all_large
                                   ? large
@@ -87,14 +89,6 @@
     duration store_latency = usual_latency;
 };
 
-// Returns the time from a kill to the last start that belongs to it.
-duration last_start_of(kills_in_series const& series)
-{
-    auto const returns = series.worker_returns_after.value_or(duration{});
-    return std::max(series.restart_after.value_or(duration{}),
-                    returns == never ? duration{} : returns);
-}
-
 std::string in_milliseconds(duration length)
 {
     return std::to_string(fuchsia::core::common::to_milliseconds(length));
@@ -177,9 +171,10 @@
 // instances, so that tasks find no working owner in calm time.
 TEST_P(pool_owner_changes, all_that_could_run_runs_in_the_calm_after_trouble)
 {
+    start_small_ones();
     start_large_ones_with_trouble(head_start);
     pool.run(trouble_length);
-    pool.end_all_troubles();
+    pool.end_impairments();
     pool.calm_down();
     pool.run(calm_length);
     EXPECT_EQ(pool.unfinished_jobs(finish_time), "") << pool.report();
@@ -190,8 +185,9 @@
 // tasks, although small instances without trouble could own it all the while.
 TEST_P(pool_owner_changes, all_that_could_run_runs_during_trouble_of_large_ones)
 {
-    start_large_ones_with_trouble(head_start);
+    start_small_ones();
     pool.calm_down();
+    start_large_ones_with_trouble(head_start);
     pool.run(trouble_length);
     RecordProperty("longest_ms",
                    std::to_string(fuchsia::core::common::to_milliseconds(
@@ -199,14 +195,28 @@
     EXPECT_EQ(pool.violation(), "") << pool.report();
 }
 
+// As above, with a worker that has died before. Each takeover waits for it, and
+// none may be interrupted by the next again and again (incident 42).
+TEST_P(pool_owner_changes, all_that_could_run_runs_although_a_worker_is_dead)
+{
+    start_small_ones();
+    pool.crash_next_worker(never);
+    pool.run(1s);
+    pool.calm_down();
+    start_large_ones_with_trouble(head_start);
+    pool.run(trouble_length);
+    EXPECT_EQ(pool.violation(), "") << pool.report();
+}
+
 // Guards against a request for the claim that takes it from a later owner than
 // the one that it was meant for, so that each of several requests costs the
 // pool a takeover (incident 42).
 TEST_P(pool_claim_requests, a_request_for_the_claim_moves_no_later_owner)
 {
+    start_small_ones();
     start_large_ones_with_trouble(100ms);
     pool.run(trouble_length);
-    pool.end_all_troubles();
+    pool.end_impairments();
     pool.run(calm_length);
     EXPECT_EQ(pool.large_owners_replaced(), 0U) << pool.report();
 }
@@ -239,7 +249,7 @@
         pool.run(series.interval);
     }
     kill();
-    pool.run(last_start_of(series));
+    pool.end_impairments();
     pool.simulation().set_store_latency(usual_latency);
     pool.calm_down();
     pool.run(calm_length);
@@ -272,6 +282,31 @@
     }
 }
 
+// Guards against a write of the claim, or a request for it, that takes effect
+// without an answer, before or after the lease of its writer has ended: the
+// writer neither knows that it holds the claim nor leaves it to others.
+TEST(pool_owner_requests, late_writes_of_the_claim_stop_no_work)
+{
+    for (auto const kind :
+         {trouble::late_takeover_writes, trouble::late_claim_writes})
+    {
+        for (duration delay = 100ms; delay <= 1900ms; delay += 200ms)
+        {
+            changing_pool pool({3, 6, 24});
+            pool.simulation().set_late_delay(delay);
+            pool.start(pool.small_instances(), 100ms);
+            ASSERT_TRUE(pool.begin_work());
+            pool.begin(kind, pool.large_instances());
+            pool.calm_down();
+            pool.start(pool.large_instances(), 100ms);
+            pool.run(trouble_length);
+            EXPECT_EQ(pool.violation(), "")
+                << name_of(kind) << " by " << in_milliseconds(delay) << " ms\n"
+                << pool.report();
+        }
+    }
+}
+
 // Guards against requests of several large instances that each move the claim,
 // and against a small instance that takes what a large one has asked for. Each
 // change of the owner interrupts new work (incident 42).
