Pool: an owner that no worker answers hands the claim over

What callers saw: nothing ran as long as the owner was cut off from the workers alone. Its claim was renewed, so nobody replaced it, and it waited for a majority for up to 60 s. Cause: only reads and watches of the store were grounds to hand over. Change: an owner hands over where no worker has answered for 2.8 s, or for 1.2 s since it loaded, while the store confirms its claim. Both are below the lease of a worker, so that a successor can still renew it. Evidence: ...during_trouble_of_large_ones/lost_orders_of_one_large failed before and passes; of the other tests of pool_* none changes.

--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -67,6 +67,7 @@
         return;
     }
     hand_over_if_watch_stalled(now);
+    hand_over_if_workers_silent(now);
     check_silent_workers(now);
     complete_takeover(now);
     poll_workers(now);
@@ -142,6 +143,21 @@
     }
 }
 
+// An owner that reaches no worker can't renew their leases, and all tasks end
+// with them. Another instance may still reach the workers.
+void owner::hand_over_if_workers_silent(common::time_point now)
+{
+    auto const since =
+        std::max({worker_answered_at_, load_advanced_at_, store_silent_at_});
+    bool const answered = worker_answered_at_ != common::time_point{};
+    auto const limit = answered ? settings_.silent_workers_timeout
+                                : settings_.first_answer_timeout;
+    if (!fleet_.all().empty() && now - since > limit)
+    {
+        claim_.hand_over(now, "no worker answers");
+    }
+}
+
 // A refusal arrives within milliseconds. Immediate retries in a loop would use
 // up the processor time and the calls that all other work needs.
 void owner::retry_later(common::time_point now,
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -89,6 +89,7 @@
     // owner.cpp: periodic work, and the watch for new jobs.
     void check_load_timeout(common::time_point now);
     void hand_over_if_watch_stalled(common::time_point now);
+    void hand_over_if_workers_silent(common::time_point now);
     /// Runs `action` at the first tick after `owner_settings::retry_pause`.
     void retry_later(common::time_point now,
                      std::function<void(common::time_point)> action);
@@ -552,6 +553,7 @@
     common::time_point backlog_current_at_{};
     /// Last time at which the claim's renewal was overdue.
     common::time_point store_silent_at_{};
+    common::time_point worker_answered_at_{}; ///< Last answer of any worker.
     /// Actions to retry with the time of the retry, the earliest first.
     std::deque<
         std::pair<common::time_point, std::function<void(common::time_point)>>>
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -35,6 +35,13 @@
     /// Time without an answered job watch after which an owner whose claim is
     /// still renewed hands it over. Long enough for one watch to get lost.
     common::duration stalled_watch_timeout = std::chrono::seconds(4);
+    /// Time without an answer of any worker after which an owner whose claim is
+    /// still renewed hands it over. Longer than the interval of polls of idle
+    /// workers, and shorter than the lease of a worker.
+    common::duration silent_workers_timeout = std::chrono::milliseconds(2800);
+    /// The same limit before the first answer. All workers are polled at once
+    /// then.
+    common::duration first_answer_timeout = std::chrono::milliseconds(1200);
     worker_list_settings list;
     /// Maximum age of the worker list for starting tasks while the store
     /// answers: a worker in an older list may be leaving.
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -116,6 +116,7 @@
         target->next_poll = now + settings_.full_pause;
         return;
     }
+    worker_answered_at_ = now;
     bool const was_silent = std::exchange(target->silent, false);
     target->silence_noted = false;
     target->silent_since_lapse = false;
