Pool: a claim whose answer was lost is found before its lease expires

What callers saw: nothing ran for as long as the store lost answers, although it carried out what it was asked. Cause: the write of the claim's key had 0.9 s for its answer and was followed by a pause of 0.1 s, which is the whole lease of 1 s. The instance found the claim to be its own only after it had lapsed, held it for nothing, and took it again. Change: the write has 0.4 s, and the key is read at once where the outcome is unclear. Evidence: pool_owner_requests.late_writes_of_the_claim_stop_no_work and ...during_trouble_of_large_ones/lost_claim_answers_of_all_large failed before and pass (the latter: 35 s without a working owner).

--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -254,7 +254,7 @@
     commit.puts.push_back({std::string(keys::claim), own_record_, lease});
     out_.store(life_,
                std::move(commit),
-               settings_.call_timeout,
+               settings_.write_timeout,
                [this](common::time_point at, kv_reply const& reply)
                {
                    on_key_written(at, reply);
@@ -269,9 +269,13 @@
         on_acquired(now, reply.revision);
         return;
     }
-    // Another instance was faster, or the outcome is unknown: the next read
-    // shows which.
     on_acquire_failed(now, "key", reply.status);
+    // The write may have taken effect, and its lease is not renewed until a
+    // read shows that.
+    if (reply.status == kv_status::unclear && !retired_)
+    {
+        read_claim();
+    }
 }
 
 void claim::on_acquire_failed(common::time_point now,
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -22,6 +22,9 @@
     common::duration renew_interval = std::chrono::milliseconds(250);
     /// Timeout of one call to the store.
     common::duration call_timeout = std::chrono::milliseconds(900);
+    /// Timeout of the write of the key. Short enough that after a lost answer
+    /// the claim is found to be this instance's own before its lease expires.
+    common::duration write_timeout = std::chrono::milliseconds(400);
     /// Maximum wait of a watch on a claim that another instance holds; the
     /// claim is read again after it.
     common::duration watch_wait = std::chrono::milliseconds(3000);
