Pool: a larger instance takes the claim itself, if it can work

Cause: a large instance asked the holder of the claim to give it up, under a key that named neither the claim nor the holder. The holder obeyed any such request and dropped the claim, free for all. Instances that had never seen a large holder, as all have after a restart, did not yield, so that one of 36 small ones was mostly faster than the asker. That one was asked in turn 5 s later, for ever. Requests that took effect late moved later owners, large ones too, and an owner could lose the claim by its own request. Each round was a takeover, and with a dead worker a takeover is longer (6.2 s) than a round (5 s). Change: the larger instance writes the claim's key itself under its own lease, on the condition that the key has the holder's revision. The claim is never free in between; who can't take it changes nothing; a late write has no effect. It does so only with a current configuration and after it has read a page of the state, and not while its successor would have to repeat what the holder waits for, which the holder's record of waiting jobs now tells. An instance that loses the claim within 30 s takes it from nobody for 5 s, doubled up to 80 s, and lets others go first where the claim is free. Without knowledge of any holder, an instance compares itself with a reference instance. The pages of the state prove that the claim is lost where they show another revision of its key.

--- a/src/core/pool/backlog.cpp
+++ b/src/core/pool/backlog.cpp
@@ -23,8 +23,11 @@
     {
         waiting[queue] = count;
     }
-    return json::serialize(json::object{{"heard", value.synced_revision},
-                                        {"waiting", std::move(waiting)}});
+    return json::serialize(
+        json::object{{"heard", value.synced_revision},
+                     {"waiting", std::move(waiting)},
+                     {"working", value.working_epoch},
+                     {"unreached", value.unreached_workers}});
 }
 
 std::optional<backlog> parse_backlog(std::string_view text,
@@ -39,6 +42,10 @@
     backlog result;
     result.synced_revision =
         static_cast<std::uint64_t>(in.integer("heard", 0, max_count));
+    result.working_epoch =
+        static_cast<std::uint64_t>(in.integer_or("working", 0, 0, max_count));
+    result.unreached_workers =
+        static_cast<std::uint64_t>(in.integer_or("unreached", 0, 0, max_count));
     auto const* const waiting = in.object("waiting");
     if (waiting == nullptr)
     {
--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -16,7 +16,7 @@
     : settings_(settings),
       own_record_(
           to_json(claim_holder{std::move(instance_name), settings.size})),
-      out_(out)
+      backoff_(settings.min_backoff), out_(out)
 {
 }
 
@@ -63,6 +63,7 @@
     }
     if (reply.status != kv_status::done || reply.items.empty())
     {
+        following_ = false;
         retry_later(now);
         return;
     }
@@ -70,31 +71,51 @@
     // This instance's own claim: the answer to the write was lost.
     if (item.value == own_record_ && lease_ != 0 && item.lease == lease_)
     {
-        on_acquired(now, item.create_revision);
+        on_acquired(now, item.revision);
         return;
     }
+    discard_unused_lease();
     watched_revision_ = reply.revision;
-    yielded_ = false;
     observe_holder(now, item);
-    watch_claim();
+    preempt_or_watch(now);
+}
+
+bool claim::is_fit(common::time_point now) const noexcept
+{
+    return ready_ && !retired_ && now >= unfit_until_;
 }
 
 // A small instance that schedules a large pool saturates its own link and
-// processor, so that its lease renewals are late. An instance that is clearly
-// smaller than an earlier holder therefore lets others acquire the claim first.
+// processor, so that its lease renewals are late. Before it has seen any
+// holder, an instance compares itself with an instance of size 1: others may
+// have started with it.
+bool claim::is_small() const noexcept
+{
+    auto const largest = largest_holder_size_ > 0 ? largest_holder_size_ : 1;
+    return settings_.size * settings_.size_ratio <= largest;
+}
+
+// Time for which this instance leaves a free claim to others. If none of them
+// takes it, any instance will do: nothing runs without an owner.
+common::duration claim::time_to_yield(common::time_point now) const noexcept
+{
+    if (!is_fit(now))
+    {
+        return 2 * settings_.yield_delay;
+    }
+    return is_small() ? settings_.yield_delay : common::duration{};
+}
+
 void claim::acquire_or_yield(common::time_point now)
 {
-    bool const small =
-        settings_.size * settings_.size_ratio <= largest_holder_size_;
-    if (!small || yielded_)
+    following_ = true;
+    free_since_ = free_since_.value_or(now);
+    if (now - *free_since_ >= time_to_yield(now))
     {
-        yielded_ = false;
-        request_lease(now);
+        request_lease(now, 0);
         return;
     }
-    yielded_ = true;
-    phase_ = phase::reading;
-    next_step_at_ = now + settings_.yield_delay;
+    retry_later(now);
 }
 
 std::optional<claim_holder> claim::read_holder(ports::kv_item const& item)
@@ -112,61 +133,169 @@
 
 void claim::observe_holder(common::time_point now, ports::kv_item const& item)
 {
+    bool const began = std::exchange(following_, true);
+    free_since_.reset();
+    if (item.revision == holder_.epoch)
+    {
+        return;
+    }
     auto const current_holder = read_holder(item);
+    holder_ = {
+        current_holder.value_or(claim_holder{}), item.revision, now, began};
     if (!current_holder)
     {
         return;
     }
     largest_holder_size_ = std::max(largest_holder_size_, current_holder->size);
-    if (item.revision != observed_epoch_)
+    out_.log(severity::info,
+             "claim_observed",
+             {{"holder", current_holder->instance},
+              {"its_size", std::to_string(current_holder->size)},
+              {"epoch", std::to_string(item.revision)}});
+}
+
+bool claim::may_preempt(common::time_point now) const noexcept
+{
+    return is_fit(now) &&
+           settings_.size >= holder_.who.size * settings_.size_ratio;
+}
+
+// The first instance to start acquires the claim, whatever its size, so a
+// larger one has to preempt it.
+void claim::preempt_or_watch(common::time_point now)
+{
+    if (may_preempt(now))
+    {
+        examine_holder();
+        return;
+    }
+    watch_claim();
+}
+
+void claim::examine_holder()
+{
+    call_pending_ = true;
+    phase_ = phase::reading;
+    out_.store(life_,
+               ports::kv_read{std::string(keys::backlog)},
+               settings_.call_timeout,
+               [this](common::time_point at, kv_reply const& reply)
+               {
+                   on_holder_examined(at, reply);
+               });
+}
+
+void claim::on_holder_examined(common::time_point now, kv_reply const& reply)
+{
+    call_pending_ = false;
+    if (phase_ != phase::reading)
     {
-        observed_epoch_ = item.revision;
-        out_.log(severity::info,
-                 "claim_observed",
-                 {{"holder", current_holder->instance},
-                  {"its_size", std::to_string(current_holder->size)},
-                  {"epoch", std::to_string(item.revision)}});
+        return;
     }
-    if (settings_.size >= current_holder->size * settings_.size_ratio)
+    bool const answered =
+        reply.status == kv_status::done || reply.status == kv_status::missing;
+    if (answered && should_preempt(now, backlog_in(reply)))
     {
-        request_handover(now, *current_holder);
+        try_state();
+        return;
     }
+    watch_claim();
 }
 
-// The first instance to start acquires the claim, whatever its size, so a
-// larger one has to request a handover. A request that is lost or unanswered is
-// repeated after a later read of the claim.
-void claim::request_handover(common::time_point now,
-                             claim_holder const& current_holder)
+// A missing or unreadable record is taken for one of an owner that has not
+// begun to work.
+backlog claim::backlog_in(kv_reply const& reply)
 {
-    if (now < next_handover_request_ || retired_)
+    if (reply.items.empty())
     {
-        return;
+        return {};
     }
-    next_handover_request_ = now + settings_.handover_request_interval;
-    out_.log(severity::info,
-             "claim_wanted",
-             {{"holder", current_holder.instance},
-              {"its_size", std::to_string(current_holder.size)},
-              {"our_size", std::to_string(settings_.size)}});
-    ports::kv_commit commit;
-    commit.puts.push_back({std::string(keys::handover), own_record_, 0});
+    common::failure reason;
+    auto record = parse_backlog(reply.items.front().value, reason);
+    if (!record)
+    {
+        out_.log(severity::error,
+                 "backlog_unreadable",
+                 {{"why", common::to_string(reason)}});
+    }
+    return record.value_or(backlog{});
+}
+
+// A holder is not preempted while its successor would have to repeat what it
+// has begun: the wait for workers that it does not reach.
+bool claim::should_preempt(common::time_point now, backlog const& record) const
+{
+    auto const age = now - holder_.since;
+    bool const is_new = holder_.from_begin && age < settings_.new_claim_age;
+    if (is_new)
+    {
+        return true;
+    }
+    if (record.working_epoch != holder_.epoch)
+    {
+        return age >= settings_.takeover_limit;
+    }
+    return age >= (record.unreached_workers == 0 ? settings_.observation_time
+                                                 : settings_.working_limit);
+}
+
+// Reads the first page of the state before the claim is taken: an instance that
+// can't read it could not work as the owner.
+void claim::try_state()
+{
+    call_pending_ = true;
     out_.store(life_,
-               std::move(commit),
+               ports::kv_range{std::string(keys::watched_prefix), {}},
                settings_.call_timeout,
-               [this](common::time_point, kv_reply const& reply)
+               [this](common::time_point at, kv_reply const& reply)
                {
-                   if (reply.status != kv_status::done)
-                   {
-                       out_.log(severity::info,
-                                "claim_request_failed",
-                                {{"status",
-                                  std::to_string(
-                                      static_cast<unsigned>(reply.status))}});
-                   }
+                   on_state_read(at, reply);
                });
 }
 
+void claim::on_state_read(common::time_point now, kv_reply const& reply)
+{
+    call_pending_ = false;
+    if (phase_ != phase::reading)
+    {
+        return;
+    }
+    if (reply.status != kv_status::done)
+    {
+        on_acquire_failed(now, "state", reply.status);
+        return;
+    }
+    preempt(now);
+}
+
+void claim::preempt(common::time_point now)
+{
+    if (retired_)
+    {
+        return;
+    }
+    out_.log(severity::info,
+             "claim_wanted",
+             {{"holder", holder_.who.instance},
+              {"its_size", std::to_string(holder_.who.size)},
+              {"our_size", std::to_string(settings_.size)}});
+    request_lease(now, holder_.epoch);
+}
+
+// An instance that can't keep the claim, whatever the cause, would otherwise
+// take it from a working holder again and again, and each time the pool would
+// wait for a takeover.
+void claim::back_off(common::time_point now)
+{
+    if (now - held_since_ >= settings_.stable_after)
+    {
+        backoff_ = settings_.min_backoff;
+        return;
+    }
+    unfit_until_ = now + backoff_;
+    backoff_ = std::min(2 * backoff_, settings_.max_backoff);
+}
+
 // The answer is ignored: without renewals the lease expires by itself.
 void claim::revoke_lease(std::uint64_t lease)
 {
@@ -176,6 +305,16 @@
                [](common::time_point, kv_reply const&) {});
 }
 
+// A lease of a write that had no effect, or may have one later, is ended, so
+// that the write can't hit a later holder.
+void claim::discard_unused_lease()
+{
+    if (lease_ != 0)
+    {
+        revoke_lease(std::exchange(lease_, 0));
+    }
+}
+
 void claim::hand_over(common::time_point now, std::string const& reason)
 {
     if (phase_ != phase::held)
@@ -183,24 +322,27 @@
         return;
     }
     auto const lease = lease_;
-    mark_lost(reason);
+    mark_lost(now, reason);
     next_step_at_ = now + settings_.handover_pause;
     revoke_lease(lease);
 }
 
 void claim::watch_claim()
 {
+    bool const smaller_holder =
+        settings_.size >= holder_.who.size * settings_.size_ratio;
+    auto const wait =
+        smaller_holder ? settings_.preemption_interval : settings_.watch_wait;
     phase_ = phase::watching;
     call_pending_ = true;
-    out_.store(life_,
-               ports::kv_watch{std::string(keys::claim),
-                               watched_revision_,
-                               settings_.watch_wait},
-               settings_.watch_wait + settings_.call_timeout,
-               [this](common::time_point at, kv_reply const& reply)
-               {
-                   on_watch(at, reply);
-               });
+    out_.store(
+        life_,
+        ports::kv_watch{std::string(keys::claim), watched_revision_, wait},
+        wait + settings_.call_timeout,
+        [this](common::time_point at, kv_reply const& reply)
+        {
+            on_watch(at, reply);
+        });
 }
 
 void claim::on_watch(common::time_point now, kv_reply const& reply)
@@ -212,6 +354,7 @@
     }
     if (reply.status != kv_status::done)
     {
+        following_ = false;
         retry_later(now);
         return;
     }
@@ -225,15 +368,16 @@
     read_claim();
 }
 
-void claim::request_lease(common::time_point now)
+void claim::request_lease(common::time_point now, std::uint64_t expected)
 {
+    discard_unused_lease();
     phase_ = phase::acquiring;
     call_pending_ = true;
     lease_requested_at_ = now;
     out_.store(life_,
                ports::kv_lease_grant{settings_.ttl},
                settings_.call_timeout,
-               [this](common::time_point at, kv_reply const& reply)
+               [this, expected](common::time_point at, kv_reply const& reply)
                {
                    call_pending_ = false;
                    if (retired_ || reply.status != kv_status::done)
@@ -241,16 +385,16 @@
                        on_acquire_failed(at, "lease", reply.status);
                        return;
                    }
-                   write_key(reply.lease);
+                   write_key(reply.lease, expected);
                });
 }
 
-void claim::write_key(std::uint64_t lease)
+void claim::write_key(std::uint64_t lease, std::uint64_t expected)
 {
     lease_ = lease;
     call_pending_ = true;
     ports::kv_commit commit;
-    commit.preconditions.push_back({std::string(keys::claim), 0});
+    commit.preconditions.push_back({std::string(keys::claim), expected});
     commit.puts.push_back({std::string(keys::claim), own_record_, lease});
     out_.store(life_,
                std::move(commit),
@@ -286,6 +430,12 @@
              "claim_not_taken",
              {{"call", std::string(call)},
               {"status", std::to_string(static_cast<unsigned>(status))}});
+    bool const other_was_faster = status == kv_status::conflict;
+    if (!other_was_faster)
+    {
+        unfit_until_ =
+            std::max(unfit_until_, now + settings_.preemption_interval);
+    }
     retry_later(now);
 }
 
@@ -297,6 +447,7 @@
     }
     phase_ = phase::held;
     epoch_ = epoch;
+    free_since_.reset();
     confirmed_at_ = lease_requested_at_;
     held_since_ = now;
     next_step_at_ = now;
@@ -319,25 +470,25 @@
              {"for_ms",
               std::to_string(common::to_milliseconds(now - confirmed_at_))}});
     }
-    out_.store(
-        life_,
-        ports::kv_lease_renew{lease_},
-        settings_.call_timeout,
-        [this, now, lease = lease_](common::time_point, kv_reply const& reply)
-        {
-            if (phase_ != phase::held || lease != lease_)
-            {
-                return;
-            }
-            if (reply.status == kv_status::done)
-            {
-                confirmed_at_ = std::max(confirmed_at_, now);
-            }
-            else if (reply.status == kv_status::missing)
-            {
-                mark_lost("the lease has ended");
-            }
-        });
+    out_.store(life_,
+               ports::kv_lease_renew{lease_},
+               settings_.call_timeout,
+               [this, now, lease = lease_](common::time_point at,
+                                           kv_reply const& reply)
+               {
+                   if (phase_ != phase::held || lease != lease_)
+                   {
+                       return;
+                   }
+                   if (reply.status == kv_status::done)
+                   {
+                       confirmed_at_ = std::max(confirmed_at_, now);
+                   }
+                   else if (reply.status == kv_status::missing)
+                   {
+                       mark_lost(at, "the lease has ended");
+                   }
+               });
 }
 
 void claim::release()
@@ -359,7 +510,7 @@
     retired_ = true;
 }
 
-void claim::mark_lost(std::string const& reason)
+void claim::mark_lost(common::time_point now, std::string const& reason)
 {
     if (phase_ != phase::held)
     {
@@ -368,8 +519,10 @@
     out_.log(severity::warning,
              "claim_lost",
              {{"epoch", std::to_string(epoch_)}, {"why", reason}});
+    back_off(now);
     phase_ = phase::reading;
     call_pending_ = false;
+    following_ = false;
     lease_ = 0;
     next_step_at_ = {};
 }
@@ -409,6 +562,11 @@
     return held_since_;
 }
 
+void claim::set_ready(bool ready) noexcept
+{
+    ready_ = ready;
+}
+
 // An item that is older than the claim belongs to an earlier claim.
 void claim::on_item(common::time_point now, ports::kv_item const& item)
 {
@@ -416,17 +574,9 @@
     {
         return;
     }
-    if (item.key == keys::claim)
-    {
-        mark_lost(item.erased ? "the key was deleted"
-                              : "the key was taken by another instance");
-        return;
-    }
-    auto const requester = item.erased ? std::nullopt : read_holder(item);
-    if (requester)
-    {
-        hand_over(now, "handover requested by " + requester->instance);
-    }
+    mark_lost(now,
+              item.erased ? "the key was deleted"
+                          : "the key was taken by another instance");
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pool/backlog.hpp"
 #include "core/pool/claim_holder.hpp"
 #include "core/pool/outbox.hpp"
 
@@ -36,22 +37,49 @@
     /// Minimum ratio of two sizes at which one instance counts as clearly
     /// larger. An instance that is smaller than the largest known holder by at
     /// least this factor lets others acquire a free claim first; one that is
-    /// larger than the current holder by at least this factor requests a
-    /// handover.
+    /// larger than the current holder by at least this factor preempts it.
     double size_ratio = 2;
-    /// Time for which a clearly smaller instance waits before it acquires a
-    /// free claim, so that others can acquire it first.
+    /// Time for which a clearly smaller instance leaves a free claim to others;
+    /// one that is not fit to be the owner does so twice as long.
     common::duration yield_delay = std::chrono::milliseconds(500);
-    /// Minimum time between two handover requests to a smaller holder.
-    common::duration handover_request_interval = std::chrono::seconds(5);
     /// Time for which an instance does not acquire the claim after it has
     /// handed the claim over.
     common::duration handover_pause = std::chrono::seconds(2);
+    /// Age of a claim up to which its holder has done nothing that a successor
+    /// would have to do again.
+    common::duration new_claim_age = std::chrono::seconds(1);
+    /// Time for which a holder is observed before it is preempted once its
+    /// takeover is complete: its record may not show yet that a worker has just
+    /// been lost, for which a successor would have to wait.
+    common::duration observation_time = std::chrono::seconds(2);
+    /// Age of a claim after which its holder is preempted even if its takeover
+    /// is not complete. Longer than a takeover that waits for the leases of
+    /// unreached workers.
+    common::duration takeover_limit = std::chrono::seconds(8);
+    /// The same limit for a holder that works while it does not reach some
+    /// workers, for which a successor would have to wait.
+    common::duration working_limit = std::chrono::seconds(30);
+    /// Interval at which an instance that may preempt a holder examines it.
+    common::duration preemption_interval = std::chrono::seconds(1);
+    /// An instance that loses the claim sooner than this after it acquired it
+    /// is not fit to be the owner for now.
+    common::duration stable_after = std::chrono::seconds(30);
+    /// Time for which such an instance preempts no holder and leaves a free
+    /// claim to others first. Doubles with each further loss, up to the
+    /// maximum.
+    common::duration min_backoff = std::chrono::seconds(5);
+    common::duration max_backoff = std::chrono::seconds(80);
 };
 
 /// The exclusive right to schedule, held as one key of the store under a lease.
-/// The revision at which the key was created is the epoch, which is the fencing
-/// token of every order; a later holder has a higher epoch.
+/// The revision at which the holder wrote the key is the epoch, which is the
+/// fencing token of every order; a later holder has a higher epoch.
+///
+/// An instance that is clearly larger than the holder preempts it: it writes
+/// the key under its own lease on the condition that the key still has the
+/// holder's revision. The claim is thus never free in between, an instance that
+/// can't take it leaves the holder alone, and a write that takes effect late
+/// can't hit a later holder.
 class claim
 {
 public:
@@ -63,12 +91,15 @@
     void release();
     /// Stops this instance from acquiring the claim; a held claim stays held.
     void retire() noexcept;
+    /// Sets whether this instance could schedule at once, because it has a
+    /// current configuration. Initially false.
+    void set_ready(bool ready) noexcept;
     /// Revokes the lease and leaves the claim to other instances for
     /// `handover_pause`.
     void hand_over(common::time_point now, std::string const& reason);
     /// Marks the claim as lost without a call to the store, for instance
     /// because a worker has reported a higher fencing token.
-    void mark_lost(std::string const& reason);
+    void mark_lost(common::time_point now, std::string const& reason);
 
     bool held() const noexcept;
     std::uint64_t epoch() const noexcept;
@@ -79,7 +110,7 @@
     common::time_point held_since() const noexcept;
 
     /// Processes an item of the store, from an event or a page, for the key of
-    /// the claim or of a handover request.
+    /// the claim.
     void on_item(common::time_point now, ports::kv_item const& item);
 
 private:
@@ -92,18 +123,42 @@
         released,  ///< This instance does not acquire the claim again.
     };
 
+    /// The holder of the claim as seen by this instance.
+    struct observed_holder
+    {
+        claim_holder who;
+        std::uint64_t epoch = 0; ///< 0: none has been seen.
+        common::time_point since{};
+        bool from_begin = false; ///< This instance saw the claim begin.
+    };
+
+    bool is_fit(common::time_point now) const noexcept;
+    bool is_small() const noexcept;
+    common::duration time_to_yield(common::time_point now) const noexcept;
     void acquire_or_yield(common::time_point now);
     std::optional<claim_holder> read_holder(ports::kv_item const& item);
     void revoke_lease(std::uint64_t lease);
+    void discard_unused_lease();
     void observe_holder(common::time_point now, ports::kv_item const& item);
-    void request_handover(common::time_point now,
-                          claim_holder const& current_holder);
+    void preempt_or_watch(common::time_point now);
+    bool may_preempt(common::time_point now) const noexcept;
+    void examine_holder();
+    void on_holder_examined(common::time_point now,
+                            ports::kv_reply const& reply);
+    backlog backlog_in(ports::kv_reply const& reply);
+    bool should_preempt(common::time_point now, backlog const& record) const;
+    void try_state();
+    void on_state_read(common::time_point now, ports::kv_reply const& reply);
+    void preempt(common::time_point now);
+    void back_off(common::time_point now);
     void read_claim();
     void on_claim_read(common::time_point now, ports::kv_reply const& reply);
     void watch_claim();
     void on_watch(common::time_point now, ports::kv_reply const& reply);
-    void request_lease(common::time_point now);
-    void write_key(std::uint64_t lease);
+    /// Acquires the claim if its key still has the revision `expected`; 0: if
+    /// the claim is free.
+    void request_lease(common::time_point now, std::uint64_t expected);
+    void write_key(std::uint64_t lease, std::uint64_t expected);
     void on_key_written(common::time_point now, ports::kv_reply const& reply);
     void on_acquire_failed(common::time_point now,
                            std::string_view call,
@@ -115,10 +170,14 @@
     claim_settings settings_;
     std::string own_record_; ///< Value of the key: a `claim_holder` as JSON.
     double largest_holder_size_ = 0; ///< Size of the largest known holder.
-    bool yielded_ = false;           ///< The free claim was left to others.
-    /// Epoch of the last holder that was logged.
-    std::uint64_t observed_epoch_ = 0;
-    common::time_point next_handover_request_{};
+    /// Time at which the claim was first seen free; empty while it is held.
+    std::optional<common::time_point> free_since_;
+    observed_holder holder_;
+    /// Every change of the claim since the last look is known.
+    bool following_ = false;
+    bool ready_ = false;
+    common::duration backoff_;         ///< Length of the next backoff.
+    common::time_point unfit_until_{}; ///< End of the present backoff.
     outbox& out_;
     lifetime_token life_ = std::make_shared<char>();
     phase phase_ = phase::reading;
--- a/src/core/pool/claim_holder.hpp
+++ b/src/core/pool/claim_holder.hpp
@@ -6,8 +6,7 @@
 #include <string>
 #include <string_view>
 
-// The record in the store that names the holder of the claim or the sender of a
-// handover request.
+// The record in the store that names the holder of the claim.
 namespace fuchsia::core::pool
 {
 
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -38,6 +38,8 @@
 {
     report_late_tick(now);
     operators_.tick(now);
+    claim_.set_ready(operators_.loaded() &&
+                     !request_handler_.configuration_is_old(now));
     claim_.tick(now);
     if (owner_)
     {
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -95,6 +95,18 @@
     return 2 * answered > polled;
 }
 
+std::size_t fleet::unreached() const noexcept
+{
+    return static_cast<std::size_t>(
+        std::count_if(workers_.begin(),
+                      workers_.end(),
+                      [](auto const& entry)
+                      {
+                          worker const& w = entry.second;
+                          return w.rostered && (!w.adopted || w.silent);
+                      }));
+}
+
 std::uint64_t fleet::lease_end(worker const& target,
                                common::time_point now) const noexcept
 {
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -144,6 +144,9 @@
     /// answered at or after `oldest`.
     bool quorum(common::time_point oldest) const noexcept;
 
+    /// Number of workers that a successor would poll and that do not answer.
+    std::size_t unreached() const noexcept;
+
     /// End, on the worker's clock, of a lease that begins now; 0 while the
     /// clock is unknown.
     std::uint64_t lease_end(worker const& target,
--- a/src/core/pool/keys.hpp
+++ b/src/core/pool/keys.hpp
@@ -13,9 +13,6 @@
 
 constexpr std::string_view watched_prefix = "pool/";
 constexpr std::string_view claim = "pool/claim";
-/// Request for a handover of the claim, written by an instance with more
-/// scheduling capacity than the holder.
-constexpr std::string_view handover = "pool/handover";
 /// Number of waiting jobs of each queue. The owner writes the key
 /// periodically below the prefix that it watches, so a watch that returns no
 /// event for a write has stalled.
--- a/src/core/pool/ledger.cpp
+++ b/src/core/pool/ledger.cpp
@@ -376,7 +376,7 @@
                 item.revision != claim_.condition().revision)
             {
                 claim_.mark_lost(
-                    "a commit found a different revision of the claim");
+                    now, "a commit found a different revision of the claim");
                 return;
             }
         }
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -304,7 +304,7 @@
 
 void owner::apply_item(common::time_point now, ports::kv_item const& item)
 {
-    if (item.key == keys::claim || item.key == keys::handover)
+    if (item.key == keys::claim)
     {
         claim_.on_item(now, item);
         return;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -241,7 +241,7 @@
     task* find_stopping_task(std::string const& id,
                              ports::pool_attempt const& attempt_id);
     /// Handles a worker's answer that it knows a higher fencing token.
-    void on_fenced(std::string const& worker_id);
+    void on_fenced(common::time_point now, std::string const& worker_id);
 
     // owner_crashes.cpp: tasks of workers that crashed or can't be reached.
     enum class loss_reason : std::uint8_t
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -301,7 +301,7 @@
 {
     if (reply.status == order_status::stale_fencing_token)
     {
-        on_fenced(id);
+        on_fenced(now, id);
         return;
     }
     auto const [run, t] = find_task(attempt_id.task);
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -150,13 +150,14 @@
     auto const items = std::exchange(job_items_, {});
     bool const claimed = std::any_of(items.begin(),
                                      items.end(),
-                                     [](ports::kv_item const& item)
+                                     [this](ports::kv_item const& item)
                                      {
-                                         return item.key == keys::claim;
+                                         return item.key == keys::claim &&
+                                                item.revision == claim_.epoch();
                                      });
     if (!claimed)
     {
-        claim_.mark_lost("its key is gone from the loaded pages");
+        claim_.mark_lost(now, "the loaded pages do not show it");
     }
     for (auto const& item : items)
     {
--- a/src/core/pool/owner_reports.cpp
+++ b/src/core/pool/owner_reports.cpp
@@ -38,7 +38,12 @@
 
 backlog owner::waiting_jobs() const
 {
-    return {synced_revision_, pending()};
+    backlog result;
+    result.synced_revision = synced_revision_;
+    result.waiting = pending();
+    result.working_epoch = takeover_complete_ ? claim_.epoch() : 0;
+    result.unreached_workers = fleet_.unreached();
+    return result;
 }
 
 common::time_point owner::synced_until() const noexcept
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -253,11 +253,11 @@
         [this,
          id = target.info.id,
          attempt_id = ports::pool_attempt{name, t.attempt}](
-            common::time_point, order_reply const& reply)
+            common::time_point at, order_reply const& reply)
         {
             if (reply.status == order_status::stale_fencing_token)
             {
-                on_fenced(id);
+                on_fenced(at, id);
             }
             else if (reply.status != order_status::done)
             {
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -92,7 +92,7 @@
     target->poll_pending = false;
     if (reply.status == order_status::stale_fencing_token)
     {
-        on_fenced(id);
+        on_fenced(now, id);
         return;
     }
     if (reply.status == order_status::not_attempted)
@@ -281,7 +281,7 @@
         {
             if (reply.status == order_status::stale_fencing_token)
             {
-                on_fenced(id);
+                on_fenced(at, id);
                 return;
             }
             auto* const t = find_stopping_task(id, attempt_id);
@@ -317,9 +317,9 @@
     return stopping ? t : nullptr;
 }
 
-void owner::on_fenced(std::string const& worker_id)
+void owner::on_fenced(common::time_point now, std::string const& worker_id)
 {
-    claim_.mark_lost("worker " + worker_id + " has seen a later owner");
+    claim_.mark_lost(now, "worker " + worker_id + " has seen a later owner");
 }
 
 } // namespace fuchsia::core::pool
