Pool tests: how long a successor waits for workers that do not answer

The simulated workers refuse orders that name another worker with their address, as real ones do with status 421; before, such orders got no answer.

No functional change

--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -185,8 +185,11 @@
                       std::uint64_t incarnation,
                       ports::pool_order const& order,
                       bool answered);
-    /// Whether the worker that the order names is up.
+    /// Whether a worker is up at the address that the order is sent to.
     bool is_up(ports::pool_order const& order) const;
+    /// Whether another worker than the one that the order names has its
+    /// address.
+    bool is_for_another(ports::pool_order const& order) const;
     void answer_later(std::size_t number,
                       std::uint64_t incarnation,
                       ports::pool_order const& order,
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -138,10 +138,14 @@
 }
 
 bool pool_simulation::is_up(ports::pool_order const& order) const
+{
+    return !crashed_workers_.contains(std::stoul(order.worker.substr(1)));
+}
+
+bool pool_simulation::is_for_another(ports::pool_order const& order) const
 {
     auto const number = std::stoul(order.worker.substr(1));
-    return !crashed_workers_.contains(number) &&
-           workers_[number]->info().id == order.worker;
+    return workers_[number]->info().id != order.worker;
 }
 
 void pool_simulation::answer_later(std::size_t number,
@@ -228,8 +232,9 @@
                                   : 0U;
     auto const runs_before = target.started_runs().size();
     bool const matches_incarnation =
-        order.incarnation == 0 ||
-        order.incarnation == target.info().incarnation;
+        !is_for_another(order) &&
+        (order.incarnation == 0 ||
+         order.incarnation == target.info().incarnation);
     ports::order_reply reply;
     reply.status = ports::order_status::wrong_incarnation;
     if (matches_incarnation)
