Pool: a successor doesn't wait for workers whose address another one has

Cause: a worker that crashed and came back under a new id stays in the roster; a poll that names it gets status 421 from the new one. That was taken for silence, so each takeover waited for it: 6.2 s, and once more than half of the roster had ended, 64 s. The majority also counted workers that the successor itself had added, which say nothing about an old owner, and waited for those that it had added and that then crashed. Change: the refusal proves that the named worker has ended. The takeover waits only for workers that the roster named when it was loaded, and takes its majority of those, without the ended ones. An owner that goes on without the store counts them as before. Status 421 from a worker that this owner has adopted is still treated as silence.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -82,6 +82,19 @@
     return settings_;
 }
 
+std::size_t fleet::answered(std::set<std::string> const& ids,
+                            common::time_point oldest) const
+{
+    auto const has_answered = [this, oldest](std::string const& id)
+    {
+        auto const found = workers_.find(id);
+        return found != workers_.end() && found->second.adopted &&
+               found->second.last_contact >= oldest;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(ids.begin(), ids.end(), has_answered));
+}
+
 bool fleet::quorum(common::time_point oldest) const noexcept
 {
     std::size_t polled = 0;
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -55,6 +55,9 @@
     /// It is in the stored roster, so that a successor will poll it and tasks
     /// may start here.
     bool rostered = false;
+    /// Another worker has answered at its address, so it has ended. Only set
+    /// for workers that have not answered this owner.
+    bool ended = false;
     std::uint64_t incarnation = 0; ///< Adopted incarnation; 0: none.
     /// Time of the first answer of this incarnation if it has replaced another
     /// one that this owner had adopted.
@@ -140,6 +143,9 @@
     std::map<std::string, worker> const& all() const noexcept;
     fleet_settings const& settings() const noexcept;
 
+    /// Number of the workers `ids` that have answered at or after `oldest`.
+    std::size_t answered(std::set<std::string> const& ids,
+                         common::time_point oldest) const;
     /// Whether more than half of the workers that a successor would poll have
     /// answered at or after `oldest`.
     bool quorum(common::time_point oldest) const noexcept;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -228,6 +228,7 @@
     void on_poll_reply(common::time_point now,
                        common::time_point sent_at,
                        std::string const& id,
+                       ports::endpoint const& polled_at,
                        ports::order_reply const& reply);
     void acknowledge_ends(common::time_point now, worker& target);
     void note_worker_failure(common::time_point now,
@@ -336,6 +337,7 @@
     void fail_exhausted_job(common::time_point now, job_run& run);
     void complete_takeover(common::time_point now);
     void end_unreported_attempts(common::time_point now, job_run& run);
+    void mark_ended(common::time_point now, worker& target);
     bool earlier_leases_ended(common::time_point now);
     bool may_belong_to_earlier_owner(job_run const& run, task const& t) const;
 
@@ -579,6 +581,10 @@
     bool takeover_complete_ = false;
     bool stopped_ = false;
     std::set<std::string> roster_; ///< Worker ids of the stored roster.
+    /// Worker ids that the stored roster had before the takeover, without those
+    /// of workers that have ended. An earlier owner may rely on the answers of
+    /// these workers, but not on those of workers that were added later.
+    std::set<std::string> inherited_;
     bool roster_write_pending_ = false;
     common::time_point next_rank_{};
     common::time_point next_rebalance_{};
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -235,6 +235,7 @@
                  for (auto const& w : parse_roster(text, reason))
                  {
                      roster_.insert(w.id);
+                     inherited_.insert(w.id);
                      fleet_.add_rostered(w);
                  }
                  if (reason.code != common::result_code::ok)
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // Takeover: a new owner determines which tasks earlier owners have started.
 namespace fuchsia::core::pool
@@ -25,6 +26,7 @@
 {
     bool const previously_adopted = target.adopted;
     target.adopted = true;
+    target.ended = false;
     target.adopted_at = now;
     target.incarnation = incarnation;
     target.durable_end = 0;
@@ -115,9 +117,9 @@
         return;
     }
     std::vector<std::string> missing;
-    for (auto const& [id, w] : fleet_.all())
+    for (auto const& id : inherited_)
     {
-        if (w.rostered && !w.adopted)
+        if (!fleet_.find(id)->adopted)
         {
             missing.push_back(id);
         }
@@ -182,6 +184,21 @@
     finish_if_over(run);
 }
 
+// Handles the proof that a worker of the stored roster has ended: the worker
+// that now has its address refuses the order. What it ran ended with it. It is
+// polled on, since a worker may start again under an earlier id.
+void owner::mark_ended(common::time_point now, worker& target)
+{
+    target.next_poll = now + settings_.idle_interval;
+    if (std::exchange(target.ended, true))
+    {
+        return;
+    }
+    inherited_.erase(target.info.id);
+    out_.log(severity::info, "worker_ended", {{"worker", target.info.id}});
+    complete_takeover(now);
+}
+
 // Returns whether the leases granted by earlier owners have expired on every
 // worker, even on those that this owner can't reach. Once more than half of the
 // workers have answered this owner, they know the new fencing token. An earlier
@@ -193,7 +210,8 @@
 bool owner::earlier_leases_ended(common::time_point now)
 {
     auto const& limits = fleet_.settings();
-    if (quorum_since_ == common::time_point{} && fleet_.quorum({}))
+    bool const quorum = 2 * fleet_.answered(inherited_, {}) > inherited_.size();
+    if (quorum_since_ == common::time_point{} && quorum)
     {
         quorum_since_ = now;
     }
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -72,16 +72,20 @@
                 0,
                 order,
                 wait + settings_.poll_grace},
-               [this, now, id = target.info.id](common::time_point at,
-                                                order_reply const& reply)
+               [this,
+                now,
+                id = target.info.id,
+                polled_at = target.info.remote_endpoint](
+                   common::time_point at, order_reply const& reply)
                {
-                   on_poll_reply(at, now, id, reply);
+                   on_poll_reply(at, now, id, polled_at, reply);
                });
 }
 
 void owner::on_poll_reply(common::time_point now,
                           common::time_point sent_at,
                           std::string const& id,
+                          ports::endpoint const& polled_at,
                           order_reply const& reply)
 {
     auto* const target = fleet_.find(id);
@@ -90,6 +94,12 @@
         return;
     }
     target->poll_pending = false;
+    if (reply.status == order_status::wrong_incarnation && !target->adopted &&
+        target->info.remote_endpoint == polled_at)
+    {
+        mark_ended(now, *target);
+        return;
+    }
     if (reply.status == order_status::stale_fencing_token)
     {
         on_fenced(id);
@@ -249,6 +259,7 @@
         lost_workers_.note_gone(now, *fleet_.find(id));
         fleet_.erase(id);
         roster_.erase(id);
+        inherited_.erase(id);
     }
     if (!removed.empty())
     {
