Pool: ended workers leave the stored roster during the takeover

Cause: a worker that never answered an owner left the roster only after that owner's takeover. Owners that were replaced before that handed on all rows of ended workers, and each successor had to find out again. Also, a removal that came while the roster was being written was not written until the next change. Change: a worker whose address another one has leaves the roster at once, and what changes during a write of the roster is written after it. Whether an owner may go on without the store is decided by the stored roster, and by both the old and the new one while a write is unclear: a successor may have read either. Before, a removed worker stopped counting before the store knew.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -95,19 +95,6 @@
         std::count_if(ids.begin(), ids.end(), has_answered));
 }
 
-bool fleet::quorum(common::time_point oldest) const noexcept
-{
-    std::size_t polled = 0;
-    std::size_t answered = 0;
-    for (auto const& [id, w] : workers_)
-    {
-        polled += w.rostered ? 1U : 0U;
-        answered +=
-            w.rostered && w.adopted && w.last_contact >= oldest ? 1U : 0U;
-    }
-    return 2 * answered > polled;
-}
-
 std::uint64_t fleet::lease_end(worker const& target,
                                common::time_point now) const noexcept
 {
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -146,9 +146,6 @@
     /// Number of the workers `ids` that have answered at or after `oldest`.
     std::size_t answered(std::set<std::string> const& ids,
                          common::time_point oldest) const;
-    /// Whether more than half of the workers that a successor would poll have
-    /// answered at or after `oldest`.
-    bool quorum(common::time_point oldest) const noexcept;
 
     /// End, on the worker's clock, of a lease that begins now; 0 while the
     /// clock is unknown.
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -204,7 +204,7 @@
     auto const unconfirmed = now - claim_.confirmed_at();
     bool const confirmed = unconfirmed < limits.unconfirmed_limit ||
                            (unconfirmed < limits.quorum_limit &&
-                            fleet_.quorum(now - limits.quorum_window));
+                            has_quorum(now - limits.quorum_window));
     return !stopped_ && claim_.held() && confirmed;
 }
 
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -155,8 +155,11 @@
     void apply_worker_list(common::time_point now,
                            worker_changes const& changes);
     bool state_is_current(common::time_point now) const;
-    void complete_roster();
-    void write_roster();
+    std::set<std::string> workers_to_store() const;
+    void update_roster();
+    void write_roster(std::set<std::string> const& ids);
+    void on_roster_written();
+    bool has_quorum(common::time_point oldest) const;
 
     // owner_reports.cpp: periodic reports to the store and the log.
     void write_backlog(common::time_point now);
@@ -585,7 +588,8 @@
     /// of workers that have ended. An earlier owner may rely on the answers of
     /// these workers, but not on those of workers that were added later.
     std::set<std::string> inherited_;
-    bool roster_write_pending_ = false;
+    /// Worker ids of the roster whose write is not known to have taken effect.
+    std::optional<std::set<std::string>> roster_being_written_;
     common::time_point next_rank_{};
     common::time_point next_rebalance_{};
     common::time_point next_load_log_{};
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -2,6 +2,7 @@
 #include "core/pool/owner.hpp"
 #include "core/pool/roster.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Follows the platform's list of workers and maintains the roster: the stored
@@ -25,7 +26,7 @@
     {
         settle_blame_at(now, info);
     }
-    complete_roster();
+    update_roster();
     if (loaded_)
     {
         tick(now);
@@ -48,48 +49,76 @@
     return list_.loaded() && (silent || fresh);
 }
 
-void owner::complete_roster()
+// Returns the ids of the workers that the stored roster should name.
+std::set<std::string> owner::workers_to_store() const
 {
-    bool missing = false;
+    std::set<std::string> ids;
     for (auto const& [id, w] : fleet_.all())
     {
-        missing = missing || !roster_.contains(id);
+        if (!w.ended)
+        {
+            ids.insert(id);
+        }
     }
-    if (missing)
+    return ids;
+}
+
+// Writes the roster if it should name other workers than it does. A worker that
+// was taken for ended and answers again is written again.
+void owner::update_roster()
+{
+    auto const ids = workers_to_store();
+    bool const all_rostered = std::all_of(ids.begin(),
+                                          ids.end(),
+                                          [this](std::string const& id)
+                                          {
+                                              return fleet_.find(id)->rostered;
+                                          });
+    if (ids != roster_ || !all_rostered)
     {
-        write_roster();
+        write_roster(ids);
     }
 }
 
 // Tasks may start on a worker only once the stored roster names it, so that a
-// successor will poll it.
-void owner::write_roster()
+// successor will poll it. What changes during a write is written after it.
+void owner::write_roster(std::set<std::string> const& ids)
 {
-    if (roster_write_pending_ || !loaded_)
+    if (roster_being_written_ || !loaded_)
     {
         return;
     }
-    roster_write_pending_ = true;
-    std::set<std::string> ids;
-    for (auto const& [id, w] : fleet_.all())
-    {
-        ids.insert(id);
-    }
+    roster_being_written_ = ids;
     ledger_.write(write_rank::result,
                   {{{std::string(keys::roster), to_json(fleet_), 0}},
                    {},
-                   [this, ids](common::time_point)
+                   [this](common::time_point)
                    {
-                       roster_write_pending_ = false;
-                       roster_ = ids;
-                       for (auto const& id : ids)
-                       {
-                           if (auto* const w = fleet_.find(id))
-                           {
-                               w->rostered = true;
-                           }
-                       }
+                       on_roster_written();
                    }});
 }
 
+void owner::on_roster_written()
+{
+    roster_ = *std::exchange(roster_being_written_, std::nullopt);
+    for (auto& [id, w] : fleet_.all())
+    {
+        w.rostered = roster_.contains(id) && !w.ended;
+    }
+    update_roster();
+}
+
+// Whether more than half of the workers that a successor would poll have
+// answered at or after `oldest`. While a write of the roster is not known to
+// have taken effect, the successor may read either one.
+bool owner::has_quorum(common::time_point oldest) const
+{
+    auto const majority = [this, oldest](std::set<std::string> const& ids)
+    {
+        return 2 * fleet_.answered(ids, oldest) > ids.size();
+    };
+    return majority(roster_) &&
+           (!roster_being_written_ || majority(*roster_being_written_));
+}
+
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -323,7 +323,7 @@
               {"roster", std::to_string(roster_.size())},
               {"took_ms",
                std::to_string(common::to_milliseconds(now - created_at_))}});
-    complete_roster();
+    update_roster();
     watch(now);
     tick(now);
 }
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -26,7 +26,6 @@
 {
     bool const previously_adopted = target.adopted;
     target.adopted = true;
-    target.ended = false;
     target.adopted_at = now;
     target.incarnation = incarnation;
     target.durable_end = 0;
@@ -34,6 +33,10 @@
     target.ends_being_written = 0;
     target.lease_until_ms = 0;
     target.failed_jobs.clear();
+    if (std::exchange(target.ended, false))
+    {
+        update_roster();
+    }
     if (previously_adopted)
     {
         target.restarted_at = now;
@@ -194,8 +197,10 @@
     {
         return;
     }
+    target.rostered = false;
     inherited_.erase(target.info.id);
     out_.log(severity::info, "worker_ended", {{"worker", target.info.id}});
+    update_roster();
     complete_takeover(now);
 }
 
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -248,7 +248,7 @@
                             !w.poll_pending && fleet_.lapsed(w, now);
         // A worker that this owner never reached may still run tasks of an
         // earlier owner.
-        if (absent && (w.adopted || takeover_complete_))
+        if (absent && (w.adopted || w.ended || takeover_complete_))
         {
             removed.push_back(id);
         }
@@ -258,12 +258,11 @@
         out_.log(severity::info, "worker_gone", {{"worker", id}});
         lost_workers_.note_gone(now, *fleet_.find(id));
         fleet_.erase(id);
-        roster_.erase(id);
         inherited_.erase(id);
     }
     if (!removed.empty())
     {
-        write_roster();
+        update_roster();
     }
 }
 
--- a/src/core/pool/roster.cpp
+++ b/src/core/pool/roster.cpp
@@ -15,6 +15,10 @@
     json::array rows;
     for (auto const& [id, entry] : workers.all())
     {
+        if (entry.ended)
+        {
+            continue;
+        }
         rows.push_back(json::array{id,
                                    entry.info.service,
                                    entry.info.remote_endpoint.address,
--- a/src/core/pool/roster.hpp
+++ b/src/core/pool/roster.hpp
@@ -10,8 +10,9 @@
 namespace fuchsia::core::pool
 {
 
-/// Serialises the roster: the workers that may run tasks. An owner that takes
-/// over polls each of them, even if the platform no longer lists it.
+/// Serialises the roster: the workers that may run tasks, without those that
+/// have ended. An owner that takes over polls each of them, even if the
+/// platform no longer lists it.
 std::string to_json(fleet& workers);
 /// Parses the roster. Rows that can't be parsed are skipped; `reason` names the
 /// first failure.
--- a/tests/unit/pool/takeover_wait_test.cpp
+++ b/tests/unit/pool/takeover_wait_test.cpp
@@ -1,3 +1,4 @@
+#include "core/pool/roster.hpp"
 #include "pool_simulation.hpp"
 
 #include <gtest/gtest.h>
@@ -141,6 +142,36 @@
     EXPECT_EQ(simulation.violation(), "");
 }
 
+// Guards against a successor that begins with workers that an earlier one,
+// whose takeover was never complete, knew to have ended.
+TEST(pool_takeover_wait, ended_workers_leave_the_roster_during_a_takeover)
+{
+    pool_simulation simulation(3, worker_count);
+    simulation.set_crash_recovery(short_down_time, false);
+    ASSERT_TRUE(run_until_owned(simulation));
+    simulation.run(1s);
+    auto const killed = kill_owner(simulation);
+    for (std::size_t number = 1; number < worker_count; ++number)
+    {
+        simulation.crash_worker(number);
+    }
+    simulation.worker_fault =
+        [](std::size_t, std::size_t worker, ports::pool_operation const&)
+    {
+        return worker == 0 ? fault_effect::request_lost
+                           : fault_effect::carried_out;
+    };
+    ASSERT_TRUE(run_until_replaced(simulation, killed));
+    simulation.run(1500ms);
+    auto const successor = *simulation.owner();
+    ASSERT_FALSE(simulation.owner_at(successor).working());
+    auto const stored = simulation.store().find("roster");
+    ASSERT_TRUE(stored.has_value());
+    fuchsia::core::common::failure reason;
+    EXPECT_EQ(fuchsia::core::pool::parse_roster(stored->value, reason).size(),
+              worker_count);
+}
+
 // Guards against a takeover that depends on workers that may never answer: a
 // few of them delay it by 7 s at most.
 TEST(pool_takeover_wait, unreachable_workers_delay_a_takeover_by_a_bounded_time)
