Pool: workers that were silent before don't keep a successor from its majority

Cause: a worker that is gone for good proves nothing, since its address doesn't answer. With more than half of the roster gone shortly before the owner, the successor had no majority and waited 64 s. Change: the roster names the workers that were silent for 1.3 s when it was written. An owner goes on without the store only with a majority of all workers and a majority of the others; a successor needs one of the two. A program of an older version ignores the new list: it is as cautious as before while it takes over, but less so than this one while it goes on without the store. What remains a wait: workers that neither answer nor are known to have ended delay a takeover by 6.2 s from the majority on (pool_takeover_wait.unreachable_workers_delay_a_takeover_by_a_bounded_time), and by 64 s where both majorities are lost with the owner (pool_takeover_wait.an_unreachable_majority_delays_a_takeover_by_64_s).

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -82,8 +82,8 @@
     return settings_;
 }
 
-std::size_t fleet::answered(std::set<std::string> const& ids,
-                            common::time_point oldest) const
+bool fleet::majority_answered(std::set<std::string> const& ids,
+                              common::time_point oldest) const
 {
     auto const has_answered = [this, oldest](std::string const& id)
     {
@@ -91,8 +91,9 @@
         return found != workers_.end() && found->second.adopted &&
                found->second.last_contact >= oldest;
     };
-    return static_cast<std::size_t>(
+    auto const answered = static_cast<std::size_t>(
         std::count_if(ids.begin(), ids.end(), has_answered));
+    return 2 * answered > ids.size();
 }
 
 std::uint64_t fleet::lease_end(worker const& target,
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -143,9 +143,10 @@
     std::map<std::string, worker> const& all() const noexcept;
     fleet_settings const& settings() const noexcept;
 
-    /// Number of the workers `ids` that have answered at or after `oldest`.
-    std::size_t answered(std::set<std::string> const& ids,
-                         common::time_point oldest) const;
+    /// Whether more than half of the workers `ids` have answered at or after
+    /// `oldest`.
+    bool majority_answered(std::set<std::string> const& ids,
+                           common::time_point oldest) const;
 
     /// End, on the worker's clock, of a lease that begins now; 0 while the
     /// clock is unknown.
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -69,6 +69,7 @@
     hand_over_if_watch_stalled(now);
     check_silent_workers(now);
     complete_takeover(now);
+    update_silent_workers(now);
     poll_workers(now);
     for (auto const& id : scheduled_jobs_)
     {
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -14,6 +14,7 @@
 #include "core/pool/platform_records.hpp"
 #include "core/pool/pool_view.hpp"
 #include "core/pool/rebalance.hpp"
+#include "core/pool/roster.hpp"
 #include "core/pool/short_job_reserve.hpp"
 #include "core/pool/worker_list.hpp"
 
@@ -155,9 +156,10 @@
     void apply_worker_list(common::time_point now,
                            worker_changes const& changes);
     bool state_is_current(common::time_point now) const;
-    std::set<std::string> workers_to_store() const;
+    roster_ids roster_to_store() const;
     void update_roster();
-    void write_roster(std::set<std::string> const& ids);
+    void update_silent_workers(common::time_point now);
+    void write_roster(roster_ids const& ids);
     void on_roster_written();
     bool has_quorum(common::time_point oldest) const;
 
@@ -341,6 +343,8 @@
     void complete_takeover(common::time_point now);
     void end_unreported_attempts(common::time_point now, job_run& run);
     void mark_ended(common::time_point now, worker& target);
+    void forget_inherited(std::string const& id);
+    bool successor_quorum() const;
     bool earlier_leases_ended(common::time_point now);
     bool may_belong_to_earlier_owner(job_run const& run, task const& t) const;
 
@@ -583,13 +587,14 @@
     /// All starts by earlier owners are known.
     bool takeover_complete_ = false;
     bool stopped_ = false;
-    std::set<std::string> roster_; ///< Worker ids of the stored roster.
-    /// Worker ids that the stored roster had before the takeover, without those
-    /// of workers that have ended. An earlier owner may rely on the answers of
-    /// these workers, but not on those of workers that were added later.
-    std::set<std::string> inherited_;
-    /// Worker ids of the roster whose write is not known to have taken effect.
-    std::optional<std::set<std::string>> roster_being_written_;
+    roster_ids roster_; ///< The stored roster.
+    /// The roster whose write is not known to have taken effect.
+    std::optional<roster_ids> roster_being_written_;
+    /// The roster as this owner found it, without workers that have ended. An
+    /// earlier owner may rely on the answers of these workers, but not on those
+    /// of workers that were added later.
+    roster_ids inherited_;
+    common::time_point next_roster_update_{};
     common::time_point next_rank_{};
     common::time_point next_rebalance_{};
     common::time_point next_load_log_{};
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -10,6 +10,14 @@
 namespace fuchsia::core::pool
 {
 
+namespace
+{
+
+constexpr common::duration roster_update_interval =
+    std::chrono::milliseconds(500);
+
+} // namespace
+
 void owner::apply_worker_list(common::time_point now,
                               worker_changes const& changes)
 {
@@ -49,27 +57,40 @@
     return list_.loaded() && (silent || fresh);
 }
 
-// Returns the ids of the workers that the stored roster should name.
-std::set<std::string> owner::workers_to_store() const
+// Returns what the stored roster should name. Until the takeover is complete an
+// earlier owner may still rely on the answers of those workers that were not
+// silent when it wrote the roster. Workers that are added meanwhile count as
+// silent, and only those that have answered this owner, which they then obey,
+// can become silent.
+roster_ids owner::roster_to_store() const
 {
-    std::set<std::string> ids;
+    roster_ids result;
     for (auto const& [id, w] : fleet_.all())
     {
-        if (!w.ended)
+        if (w.ended)
+        {
+            continue;
+        }
+        result.workers.insert(id);
+        bool const silent = w.adopted ? w.silence_noted : w.silent;
+        bool const counted =
+            roster_.workers.contains(id) && !roster_.silent.contains(id);
+        bool const silent_in_takeover = !counted || (w.adopted && silent);
+        if (takeover_complete_ ? silent : silent_in_takeover)
         {
-            ids.insert(id);
+            result.silent.insert(id);
         }
     }
-    return ids;
+    return result;
 }
 
-// Writes the roster if it should name other workers than it does. A worker that
-// was taken for ended and answers again is written again.
+// Writes the roster if it should differ from the stored one. A worker that was
+// taken for ended and answers again is written again.
 void owner::update_roster()
 {
-    auto const ids = workers_to_store();
-    bool const all_rostered = std::all_of(ids.begin(),
-                                          ids.end(),
+    auto const ids = roster_to_store();
+    bool const all_rostered = std::all_of(ids.workers.begin(),
+                                          ids.workers.end(),
                                           [this](std::string const& id)
                                           {
                                               return fleet_.find(id)->rostered;
@@ -80,9 +101,19 @@
     }
 }
 
+// Records which workers have fallen silent or answer again.
+void owner::update_silent_workers(common::time_point now)
+{
+    if (now >= next_roster_update_)
+    {
+        next_roster_update_ = now + roster_update_interval;
+        update_roster();
+    }
+}
+
 // Tasks may start on a worker only once the stored roster names it, so that a
 // successor will poll it. What changes during a write is written after it.
-void owner::write_roster(std::set<std::string> const& ids)
+void owner::write_roster(roster_ids const& ids)
 {
     if (roster_being_written_ || !loaded_)
     {
@@ -90,7 +121,7 @@
     }
     roster_being_written_ = ids;
     ledger_.write(write_rank::result,
-                  {{{std::string(keys::roster), to_json(fleet_), 0}},
+                  {{{std::string(keys::roster), to_json(fleet_, ids), 0}},
                    {},
                    [this](common::time_point)
                    {
@@ -103,22 +134,25 @@
     roster_ = *std::exchange(roster_being_written_, std::nullopt);
     for (auto& [id, w] : fleet_.all())
     {
-        w.rostered = roster_.contains(id) && !w.ended;
+        w.rostered = roster_.workers.contains(id) && !w.ended;
     }
     update_roster();
 }
 
 // Whether more than half of the workers that a successor would poll have
-// answered at or after `oldest`. While a write of the roster is not known to
-// have taken effect, the successor may read either one.
+// answered at or after `oldest`, and more than half of those that were not
+// silent when the roster was written: a successor relies on either majority.
+// While a write of the roster is not known to have taken effect, the successor
+// may read either roster.
 bool owner::has_quorum(common::time_point oldest) const
 {
-    auto const majority = [this, oldest](std::set<std::string> const& ids)
+    auto const majorities = [this, oldest](roster_ids const& ids)
     {
-        return 2 * fleet_.answered(ids, oldest) > ids.size();
+        return fleet_.majority_answered(ids.workers, oldest) &&
+               fleet_.majority_answered(ids.answering(), oldest);
     };
-    return majority(roster_) &&
-           (!roster_being_written_ || majority(*roster_being_written_));
+    return majorities(roster_) &&
+           (!roster_being_written_ || majorities(*roster_being_written_));
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -234,10 +234,11 @@
                  common::failure reason;
                  for (auto const& w : parse_roster(text, reason))
                  {
-                     roster_.insert(w.id);
-                     inherited_.insert(w.id);
+                     roster_.workers.insert(w.id);
                      fleet_.add_rostered(w);
                  }
+                 roster_.silent = parse_silent_workers(text);
+                 inherited_ = roster_;
                  if (reason.code != common::result_code::ok)
                  {
                      out_.log(severity::error,
@@ -320,7 +321,7 @@
              "state_loaded",
              {{"epoch", std::to_string(claim_.epoch())},
               {"jobs", std::to_string(jobs_.size())},
-              {"roster", std::to_string(roster_.size())},
+              {"roster", std::to_string(roster_.workers.size())},
               {"took_ms",
                std::to_string(common::to_milliseconds(now - created_at_))}});
     update_roster();
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -120,7 +120,7 @@
         return;
     }
     std::vector<std::string> missing;
-    for (auto const& id : inherited_)
+    for (auto const& id : inherited_.workers)
     {
         if (!fleet_.find(id)->adopted)
         {
@@ -132,6 +132,7 @@
         return;
     }
     takeover_complete_ = true;
+    update_roster();
     out_.push(ports::duration_sample{ports::duration_metric::takeover,
                                      now - claim_.held_since()});
     out_.log(
@@ -198,12 +199,27 @@
         return;
     }
     target.rostered = false;
-    inherited_.erase(target.info.id);
+    forget_inherited(target.info.id);
     out_.log(severity::info, "worker_ended", {{"worker", target.info.id}});
     update_roster();
     complete_takeover(now);
 }
 
+void owner::forget_inherited(std::string const& id)
+{
+    inherited_.workers.erase(id);
+    inherited_.silent.erase(id);
+}
+
+// Whether so many workers have answered this owner that no earlier owner still
+// has the majorities that it needs to go on without the store.
+bool owner::successor_quorum() const
+{
+    auto const answering = inherited_.answering();
+    return answering.empty() || fleet_.majority_answered(answering, {}) ||
+           fleet_.majority_answered(inherited_.workers, {});
+}
+
 // Returns whether the leases granted by earlier owners have expired on every
 // worker, even on those that this owner can't reach. Once more than half of the
 // workers have answered this owner, they know the new fencing token. An earlier
@@ -215,8 +231,7 @@
 bool owner::earlier_leases_ended(common::time_point now)
 {
     auto const& limits = fleet_.settings();
-    bool const quorum = 2 * fleet_.answered(inherited_, {}) > inherited_.size();
-    if (quorum_since_ == common::time_point{} && quorum)
+    if (quorum_since_ == common::time_point{} && successor_quorum())
     {
         quorum_since_ = now;
     }
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -258,7 +258,7 @@
         out_.log(severity::info, "worker_gone", {{"worker", id}});
         lost_workers_.note_gone(now, *fleet_.find(id));
         fleet_.erase(id);
-        inherited_.erase(id);
+        forget_inherited(id);
     }
     if (!removed.empty())
     {
--- a/src/core/pool/roster.cpp
+++ b/src/core/pool/roster.cpp
@@ -10,21 +10,33 @@
 
 namespace json = boost::json;
 
-std::string to_json(fleet& workers)
+std::set<std::string> roster_ids::answering() const
+{
+    auto result = workers;
+    for (auto const& id : silent)
+    {
+        result.erase(id);
+    }
+    return result;
+}
+
+std::string to_json(fleet& workers, roster_ids const& ids)
 {
     json::array rows;
-    for (auto const& [id, entry] : workers.all())
+    for (auto const& id : ids.workers)
     {
-        if (entry.ended)
-        {
-            continue;
-        }
+        auto const& info = workers.find(id)->info;
         rows.push_back(json::array{id,
-                                   entry.info.service,
-                                   entry.info.remote_endpoint.address,
-                                   entry.info.remote_endpoint.port});
+                                   info.service,
+                                   info.remote_endpoint.address,
+                                   info.remote_endpoint.port});
+    }
+    json::object result{{"workers", std::move(rows)}};
+    if (!ids.silent.empty())
+    {
+        result["silent"] = json::array(ids.silent.begin(), ids.silent.end());
     }
-    return json::serialize(json::object{{"workers", std::move(rows)}});
+    return json::serialize(result);
 }
 
 namespace
@@ -95,4 +107,23 @@
     return result;
 }
 
+std::set<std::string> parse_silent_workers(std::string_view text)
+{
+    common::failure reason;
+    auto const object = common::parse_json_object(text, "roster", reason);
+    auto const* const cells = object && object->contains("silent")
+                                  ? object->at("silent").if_array()
+                                  : nullptr;
+    std::set<std::string> result;
+    for (std::size_t index = 0; cells != nullptr && index < cells->size();
+         ++index)
+    {
+        if (auto const* const id = (*cells)[index].if_string())
+        {
+            result.emplace(*id);
+        }
+    }
+    return result;
+}
+
 } // namespace fuchsia::core::pool
--- a/tests/contract/inputs/record_inputs_test.cpp
+++ b/tests/contract/inputs/record_inputs_test.cpp
@@ -55,6 +55,17 @@
     EXPECT_EQ(malformed_list.code, result_code::wrong_type);
 }
 
+// A successor that takes fewer workers for silent than it was told waits
+// longer, but one that fails to read the roster would wait for none.
+TEST(record_inputs, malformed_silent_workers_of_the_roster_are_ignored)
+{
+    EXPECT_TRUE(core::pool::parse_silent_workers("").empty());
+    EXPECT_TRUE(core::pool::parse_silent_workers(R"({"silent":7})").empty());
+    std::set<std::string> const expected{"a"};
+    EXPECT_EQ(core::pool::parse_silent_workers(R"({"silent":[7,"a",[]]})"),
+              expected);
+}
+
 // A holder of infinite size would delay the claims of all other instances.
 TEST(record_inputs, claim_holder_with_an_invalid_size_is_rejected)
 {
--- a/tests/unit/pool/takeover_wait_test.cpp
+++ b/tests/unit/pool/takeover_wait_test.cpp
@@ -255,3 +255,31 @@
     simulation.run(30s);
     EXPECT_EQ(simulation.violation(), "");
 }
+
+// Guards against two owners at once: an old owner goes on without the store
+// while the only worker that answered it before still does.
+TEST(pool_takeover_wait, a_worker_that_only_the_old_owner_reaches_is_waited_for)
+{
+    pool_simulation simulation;
+    ASSERT_TRUE(run_until_owned(simulation));
+    auto const old_owner = *simulation.owner();
+    simulation.submit(other_than(old_owner), "a", simple_job(8, 20s));
+    simulation.run(500ms);
+    ASSERT_GT(simulation.worker(0).running(), 0U);
+    simulation.worker_fault = [old_owner](std::size_t instance,
+                                          std::size_t worker,
+                                          ports::pool_operation const&)
+    {
+        bool const passes = (worker == 0) == (instance == old_owner);
+        return passes ? fault_effect::carried_out : fault_effect::request_lost;
+    };
+    simulation.run(3s);
+    simulation.store_fault =
+        [old_owner](std::size_t instance, ports::kv_operation const&)
+    {
+        return instance == old_owner ? fault_effect::request_lost
+                                     : fault_effect::carried_out;
+    };
+    simulation.run(70s);
+    EXPECT_EQ(simulation.violation(), "");
+}
