Pool tests: majorities of a successor and of an old owner without the store

Cause: a_worker_that_only_the_old_owner_reaches_is_waited_for didn't test what it says: the old owner of that test stops by itself, and the test passed with a successor that waits for no majority. Change: two stricter tests in its place, in which the old owner could go on.

No functional change

--- a/tests/unit/pool/takeover_wait_test.cpp
+++ b/tests/unit/pool/takeover_wait_test.cpp
@@ -74,6 +74,17 @@
         2s);
 }
 
+// Drops all calls of instance `owner` to the store from now on.
+void disconnect_from_store(pool_simulation& simulation, std::size_t owner)
+{
+    simulation.store_fault =
+        [owner](std::size_t instance, ports::kv_operation const&)
+    {
+        return instance == owner ? fault_effect::request_lost
+                                 : fault_effect::carried_out;
+    };
+}
+
 } // namespace
 
 // Guards against a successor that waits a minute for workers that have crashed
@@ -239,12 +250,7 @@
         bool const passes = worker == 0 ? old : !old || crashed;
         return passes ? fault_effect::carried_out : fault_effect::request_lost;
     };
-    simulation.store_fault =
-        [old_owner](std::size_t instance, ports::kv_operation const&)
-    {
-        return instance == old_owner ? fault_effect::request_lost
-                                     : fault_effect::carried_out;
-    };
+    disconnect_from_store(simulation, old_owner);
     ASSERT_TRUE(run_until_replaced(simulation, old_owner));
     simulation.run(200ms);
     for (std::size_t number = 1; number < simulation.worker_count(); ++number)
@@ -256,9 +262,9 @@
     EXPECT_EQ(simulation.violation(), "");
 }
 
-// Guards against two owners at once: an old owner goes on without the store
-// while the only worker that answered it before still does.
-TEST(pool_takeover_wait, a_worker_that_only_the_old_owner_reaches_is_waited_for)
+// Guards against a successor that starts tasks again which an old owner, with
+// answers of most workers and without the store, keeps running.
+TEST(pool_takeover_wait, a_successor_with_few_workers_waits_for_the_old_owner)
 {
     pool_simulation simulation;
     ASSERT_TRUE(run_until_owned(simulation));
@@ -270,16 +276,40 @@
                                           std::size_t worker,
                                           ports::pool_operation const&)
     {
-        bool const passes = (worker == 0) == (instance == old_owner);
+        bool const passes = (worker < 3) == (instance == old_owner);
         return passes ? fault_effect::carried_out : fault_effect::request_lost;
     };
-    simulation.run(3s);
-    simulation.store_fault =
-        [old_owner](std::size_t instance, ports::kv_operation const&)
+    disconnect_from_store(simulation, old_owner);
+    simulation.run(18s);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
+// Guards against an old owner that goes on with most workers while its
+// successor has most of those that were not silent in the stored roster.
+TEST(pool_takeover_wait, an_old_owner_needs_workers_that_were_not_silent)
+{
+    pool_simulation simulation(3, 5);
+    ASSERT_TRUE(run_until_owned(simulation));
+    auto const old_owner = *simulation.owner();
+    simulation.submit(other_than(old_owner), "a", simple_job(36, 30s));
+    simulation.run(500ms);
+    ASSERT_GT(simulation.worker(2).running(), 0U);
+    bool replaced = false;
+    // Workers 3 and 4 are silent at first. Then the old owner reaches workers 2
+    // to 4, and its successor workers 0 and 1.
+    simulation.worker_fault =
+        [old_owner, &replaced](std::size_t instance,
+                               std::size_t worker,
+                               ports::pool_operation const&)
     {
-        return instance == old_owner ? fault_effect::request_lost
-                                     : fault_effect::carried_out;
+        bool const old = instance == old_owner;
+        bool const passes = !replaced ? worker < 3 : (worker >= 2) == old;
+        return passes ? fault_effect::carried_out : fault_effect::request_lost;
     };
-    simulation.run(70s);
+    simulation.run(3s);
+    replaced = true;
+    disconnect_from_store(simulation, old_owner);
+    simulation.run(20s);
     EXPECT_EQ(simulation.violation(), "");
+    EXPECT_TRUE(simulation.owner_at(*simulation.owner()).working());
 }
