--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -82,17 +82,18 @@
     return settings_;
 }
 
-bool fleet::quorum(common::time_point oldest) const noexcept
+bool fleet::majority_answered(std::set<std::string> const& ids,
+                              common::time_point oldest) const
 {
-    std::size_t polled = 0;
-    std::size_t answered = 0;
-    for (auto const& [id, w] : workers_)
+    auto const has_answered = [this, oldest](std::string const& id)
     {
-        polled += w.rostered ? 1U : 0U;
-        answered +=
-            w.rostered && w.adopted && w.last_contact >= oldest ? 1U : 0U;
-    }
-    return 2 * answered > polled;
+        auto const found = workers_.find(id);
+        return found != workers_.end() && found->second.adopted &&
+               found->second.last_contact >= oldest;
+    };
+    auto const answered = static_cast<std::size_t>(
+        std::count_if(ids.begin(), ids.end(), has_answered));
+    return 2 * answered > ids.size();
 }
 
 std::size_t fleet::unreached() const noexcept
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -55,6 +55,9 @@
     /// It is in the stored roster, so that a successor will poll it and tasks
     /// may start here.
     bool rostered = false;
+    /// Another worker has answered at its address, so it has ended. Only set
+    /// for workers that have not answered this owner.
+    bool ended = false;
     std::uint64_t incarnation = 0; ///< Adopted incarnation; 0: none.
     /// Time of the first answer of this incarnation if it has replaced another
     /// one that this owner had adopted.
@@ -140,9 +143,10 @@
     std::map<std::string, worker> const& all() const noexcept;
     fleet_settings const& settings() const noexcept;
 
-    /// Whether more than half of the workers that a successor would poll have
-    /// answered at or after `oldest`.
-    bool quorum(common::time_point oldest) const noexcept;
+    /// Whether more than half of the workers `ids` have answered at or after
+    /// `oldest`.
+    bool majority_answered(std::set<std::string> const& ids,
+                           common::time_point oldest) const;
 
     /// Number of workers that a successor would poll and that do not answer.
     std::size_t unreached() const noexcept;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -70,6 +70,7 @@
     hand_over_if_workers_silent(now);
     check_silent_workers(now);
     complete_takeover(now);
+    update_silent_workers(now);
     poll_workers(now);
     for (auto const& id : scheduled_jobs_)
     {
@@ -220,7 +221,7 @@
     auto const unconfirmed = now - claim_.confirmed_at();
     bool const confirmed = unconfirmed < limits.unconfirmed_limit ||
                            (unconfirmed < limits.quorum_limit &&
-                            fleet_.quorum(now - limits.quorum_window));
+                            has_quorum(now - limits.quorum_window));
     return !stopped_ && claim_.held() && confirmed;
 }
 
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -14,6 +14,7 @@
 #include "core/pool/platform_records.hpp"
 #include "core/pool/pool_view.hpp"
 #include "core/pool/rebalance.hpp"
+#include "core/pool/roster.hpp"
 #include "core/pool/short_job_reserve.hpp"
 #include "core/pool/worker_list.hpp"
 
@@ -156,8 +157,12 @@
     void apply_worker_list(common::time_point now,
                            worker_changes const& changes);
     bool state_is_current(common::time_point now) const;
-    void complete_roster();
-    void write_roster();
+    roster_ids roster_to_store() const;
+    void update_roster();
+    void update_silent_workers(common::time_point now);
+    void write_roster(roster_ids const& ids);
+    void on_roster_written();
+    bool has_quorum(common::time_point oldest) const;
 
     // owner_reports.cpp: periodic reports to the store and the log.
     void write_backlog(common::time_point now);
@@ -229,6 +234,7 @@
     void on_poll_reply(common::time_point now,
                        common::time_point sent_at,
                        std::string const& id,
+                       ports::endpoint const& polled_at,
                        ports::order_reply const& reply);
     void acknowledge_ends(common::time_point now, worker& target);
     void note_worker_failure(common::time_point now,
@@ -337,6 +343,9 @@
     void fail_exhausted_job(common::time_point now, job_run& run);
     void complete_takeover(common::time_point now);
     void end_unreported_attempts(common::time_point now, job_run& run);
+    void mark_ended(common::time_point now, worker& target);
+    void forget_inherited(std::string const& id);
+    bool successor_quorum() const;
     bool earlier_leases_ended(common::time_point now);
     bool may_belong_to_earlier_owner(job_run const& run, task const& t) const;
 
@@ -580,8 +589,14 @@
     /// All starts by earlier owners are known.
     bool takeover_complete_ = false;
     bool stopped_ = false;
-    std::set<std::string> roster_; ///< Worker ids of the stored roster.
-    bool roster_write_pending_ = false;
+    roster_ids roster_; ///< The stored roster.
+    /// The roster whose write is not known to have taken effect.
+    std::optional<roster_ids> roster_being_written_;
+    /// The roster as this owner found it, without workers that have ended. An
+    /// earlier owner may rely on the answers of these workers, but not on those
+    /// of workers that were added later.
+    roster_ids inherited_;
+    common::time_point next_roster_update_{};
     common::time_point next_rank_{};
     common::time_point next_rebalance_{};
     common::time_point next_load_log_{};
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -2,6 +2,7 @@
 #include "core/pool/owner.hpp"
 #include "core/pool/roster.hpp"
 
+#include <algorithm>
 #include <utility>
 
 // Follows the platform's list of workers and maintains the roster: the stored
@@ -9,6 +10,14 @@
 namespace fuchsia::core::pool
 {
 
+namespace
+{
+
+constexpr common::duration roster_update_interval =
+    std::chrono::milliseconds(500);
+
+} // namespace
+
 void owner::apply_worker_list(common::time_point now,
                               worker_changes const& changes)
 {
@@ -25,7 +34,7 @@
     {
         settle_blame_at(now, info);
     }
-    complete_roster();
+    update_roster();
     if (loaded_)
     {
         tick(now);
@@ -48,48 +57,102 @@
     return list_.loaded() && (silent || fresh);
 }
 
-void owner::complete_roster()
+// Returns what the stored roster should name. Until the takeover is complete an
+// earlier owner may still rely on the answers of those workers that were not
+// silent when it wrote the roster. Workers that are added meanwhile count as
+// silent, and only those that have answered this owner, which they then obey,
+// can become silent.
+roster_ids owner::roster_to_store() const
 {
-    bool missing = false;
+    roster_ids result;
     for (auto const& [id, w] : fleet_.all())
     {
-        missing = missing || !roster_.contains(id);
+        if (w.ended)
+        {
+            continue;
+        }
+        result.workers.insert(id);
+        bool const silent = w.adopted ? w.silence_noted : w.silent;
+        bool const counted =
+            roster_.workers.contains(id) && !roster_.silent.contains(id);
+        bool const silent_in_takeover = !counted || (w.adopted && silent);
+        if (takeover_complete_ ? silent : silent_in_takeover)
+        {
+            result.silent.insert(id);
+        }
     }
-    if (missing)
+    return result;
+}
+
+// Writes the roster if it should differ from the stored one. A worker that was
+// taken for ended and answers again is written again.
+void owner::update_roster()
+{
+    auto const ids = roster_to_store();
+    bool const all_rostered = std::all_of(ids.workers.begin(),
+                                          ids.workers.end(),
+                                          [this](std::string const& id)
+                                          {
+                                              return fleet_.find(id)->rostered;
+                                          });
+    if (ids != roster_ || !all_rostered)
     {
-        write_roster();
+        write_roster(ids);
     }
 }
 
-// Tasks may start on a worker only once the stored roster names it, so that a
-// successor will poll it.
-void owner::write_roster()
+// Records which workers have fallen silent or answer again.
+void owner::update_silent_workers(common::time_point now)
 {
-    if (roster_write_pending_ || !loaded_)
+    if (now >= next_roster_update_)
     {
-        return;
+        next_roster_update_ = now + roster_update_interval;
+        update_roster();
     }
-    roster_write_pending_ = true;
-    std::set<std::string> ids;
-    for (auto const& [id, w] : fleet_.all())
+}
+
+// Tasks may start on a worker only once the stored roster names it, so that a
+// successor will poll it. What changes during a write is written after it.
+void owner::write_roster(roster_ids const& ids)
+{
+    if (roster_being_written_ || !loaded_)
     {
-        ids.insert(id);
+        return;
     }
+    roster_being_written_ = ids;
     ledger_.write(write_rank::result,
-                  {{{std::string(keys::roster), to_json(fleet_), 0}},
+                  {{{std::string(keys::roster), to_json(fleet_, ids), 0}},
                    {},
-                   [this, ids](common::time_point)
+                   [this](common::time_point)
                    {
-                       roster_write_pending_ = false;
-                       roster_ = ids;
-                       for (auto const& id : ids)
-                       {
-                           if (auto* const w = fleet_.find(id))
-                           {
-                               w->rostered = true;
-                           }
-                       }
+                       on_roster_written();
                    }});
 }
 
+void owner::on_roster_written()
+{
+    roster_ = *std::exchange(roster_being_written_, std::nullopt);
+    for (auto& [id, w] : fleet_.all())
+    {
+        w.rostered = roster_.workers.contains(id) && !w.ended;
+    }
+    update_roster();
+}
+
+// Whether more than half of the workers that a successor would poll have
+// answered at or after `oldest`, and more than half of those that were not
+// silent when the roster was written: a successor relies on either majority.
+// While a write of the roster is not known to have taken effect, the successor
+// may read either roster.
+bool owner::has_quorum(common::time_point oldest) const
+{
+    auto const majorities = [this, oldest](roster_ids const& ids)
+    {
+        return fleet_.majority_answered(ids.workers, oldest) &&
+               fleet_.majority_answered(ids.answering(), oldest);
+    };
+    return majorities(roster_) &&
+           (!roster_being_written_ || majorities(*roster_being_written_));
+}
+
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // Takeover: a new owner determines which tasks earlier owners have started.
 namespace fuchsia::core::pool
@@ -32,6 +33,10 @@
     target.ends_being_written = 0;
     target.lease_until_ms = 0;
     target.failed_jobs.clear();
+    if (std::exchange(target.ended, false))
+    {
+        update_roster();
+    }
     if (previously_adopted)
     {
         target.restarted_at = now;
@@ -115,9 +120,9 @@
         return;
     }
     std::vector<std::string> missing;
-    for (auto const& [id, w] : fleet_.all())
+    for (auto const& id : inherited_.workers)
     {
-        if (w.rostered && !w.adopted)
+        if (!fleet_.find(id)->adopted)
         {
             missing.push_back(id);
         }
@@ -127,6 +132,7 @@
         return;
     }
     takeover_complete_ = true;
+    update_roster();
     out_.push(ports::duration_sample{ports::duration_metric::takeover,
                                      now - claim_.held_since()});
     out_.log(
@@ -182,6 +188,38 @@
     finish_if_over(run);
 }
 
+// Handles the proof that a worker of the stored roster has ended: the worker
+// that now has its address refuses the order. What it ran ended with it. It is
+// polled on, since a worker may start again under an earlier id.
+void owner::mark_ended(common::time_point now, worker& target)
+{
+    target.next_poll = now + settings_.idle_interval;
+    if (std::exchange(target.ended, true))
+    {
+        return;
+    }
+    target.rostered = false;
+    forget_inherited(target.info.id);
+    out_.log(severity::info, "worker_ended", {{"worker", target.info.id}});
+    update_roster();
+    complete_takeover(now);
+}
+
+void owner::forget_inherited(std::string const& id)
+{
+    inherited_.workers.erase(id);
+    inherited_.silent.erase(id);
+}
+
+// Whether so many workers have answered this owner that no earlier owner still
+// has the majorities that it needs to go on without the store.
+bool owner::successor_quorum() const
+{
+    auto const answering = inherited_.answering();
+    return answering.empty() || fleet_.majority_answered(answering, {}) ||
+           fleet_.majority_answered(inherited_.workers, {});
+}
+
 // Returns whether the leases granted by earlier owners have expired on every
 // worker, even on those that this owner can't reach. Once more than half of the
 // workers have answered this owner, they know the new fencing token. An earlier
@@ -193,7 +231,7 @@
 bool owner::earlier_leases_ended(common::time_point now)
 {
     auto const& limits = fleet_.settings();
-    if (quorum_since_ == common::time_point{} && fleet_.quorum({}))
+    if (quorum_since_ == common::time_point{} && successor_quorum())
     {
         quorum_since_ = now;
     }
