--- a/tests/unit/pool/capacity_test.cpp
+++ b/tests/unit/pool/capacity_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 // Workers whose capacity changes while they run. The workers of the simulation
 // start whatever they are told to, so what exceeds their capacity shows there.
 using namespace fuchsia::tests::unit::pool;
@@ -21,6 +23,26 @@
     return result;
 }
 
+bool accepted(pool_simulation const& simulation, std::uint64_t request)
+{
+    auto const answer = simulation.answer(request);
+    return answer && std::holds_alternative<ports::job_accepted>(*answer);
+}
+
+bool completes(pool_simulation& simulation,
+               std::string const& id,
+               duration timeout = 60s)
+{
+    return simulation.run_until(
+        [&simulation, &id]
+        {
+            auto const owner = simulation.owner();
+            return owner &&
+                   simulation.state(*owner, id) == job_state::completed;
+        },
+        timeout);
+}
+
 bool all_complete(pool_simulation& simulation,
                   std::string const& name,
                   std::size_t count,
@@ -28,16 +50,7 @@
 {
     for (std::size_t number = 0; number < count; ++number)
     {
-        bool const completed = simulation.run_until(
-            [&simulation, &name, number]
-            {
-                auto const owner = simulation.owner();
-                return owner && simulation.state(
-                                    *owner, name + std::to_string(number)) ==
-                                    job_state::completed;
-            },
-            timeout);
-        if (!completed)
+        if (!completes(simulation, name + std::to_string(number), timeout))
         {
             return false;
         }
@@ -149,6 +162,76 @@
     }
 }
 
+// Guards against starts beyond a capacity that has shrunk, and against jobs
+// that are lost, when a burst comes and owners are killed meanwhile; and
+// against workers that stay unused once they have grown again.
+TEST(pool_capacity, workers_shrink_during_a_burst_while_owners_are_replaced)
+{
+    constexpr std::size_t rounds = 40;
+    constexpr std::size_t shrunk_workers = 2;
+    constexpr std::size_t usual_jobs = 2;
+    constexpr std::size_t burst_jobs = 8;
+    // The second kill comes 4 s after the first.
+    for (std::size_t first_kill = 0; first_kill < rounds; first_kill += 3)
+    {
+        pool_simulation simulation(3, 8);
+        ASSERT_TRUE(run_until_owned(simulation));
+        submit_many(simulation, 1, "before", 12, simple_job(4, 3s));
+        simulation.run(300ms);
+        for (std::size_t number = 0; number < shrunk_workers; ++number)
+        {
+            simulation.set_capacity(number, cores(4400));
+        }
+        std::map<std::string, std::uint64_t> requests;
+        for (std::size_t round = 0; round < rounds; ++round)
+        {
+            auto const owner = simulation.owner();
+            if (owner && (round == first_kill || round == first_kill + 20))
+            {
+                simulation.kill(*owner);
+                simulation.start(*owner);
+            }
+            auto const jobs =
+                round >= 10 && round < 30 ? burst_jobs : usual_jobs;
+            for (std::size_t number = 0; number < jobs; ++number)
+            {
+                auto const id =
+                    "a" + std::to_string(round) + "-" + std::to_string(number);
+                requests[id] =
+                    simulation.submit(round % 3, id, simple_job(6, 900ms));
+            }
+            simulation.run(200ms);
+        }
+        auto const submitted = requests.size();
+        for (std::size_t number = 0; number < shrunk_workers; ++number)
+        {
+            simulation.set_capacity(number, full);
+        }
+        EXPECT_TRUE(simulation.run_until(
+            [&simulation]
+            {
+                return simulation.worker(0).running() == 8 &&
+                       simulation.worker(1).running() == 8;
+            },
+            6s))
+            << first_kill;
+        EXPECT_TRUE(all_complete(simulation, "before", 12));
+        // A kill loses no more than the submissions of its round.
+        std::erase_if(requests,
+                      [&simulation](auto const& entry)
+                      {
+                          return !accepted(simulation, entry.second);
+                      });
+        EXPECT_GE(requests.size(), submitted - 2 * burst_jobs);
+        for (auto const& [id, request] : requests)
+        {
+            EXPECT_TRUE(completes(simulation, id))
+                << id << ", owner killed in round " << first_kill;
+        }
+        EXPECT_EQ(simulation.violation(), "") << first_kill;
+    }
+}
+
 // Guards against a worker that is filled by its earlier incarnation's capacity
 // after it came back smaller.
 TEST(pool_capacity, a_worker_that_comes_back_smaller_is_filled_as_it_reports)
--- a/tests/unit/pool/crash_test.cpp
+++ b/tests/unit/pool/crash_test.cpp
@@ -90,6 +90,12 @@
     return 0;
 }
 
+bool accepted(pool_simulation const& simulation, std::uint64_t request)
+{
+    auto const answer = simulation.answer(request);
+    return answer && std::holds_alternative<ports::job_accepted>(*answer);
+}
+
 bool logged(pool_simulation const& simulation, std::string const& event)
 {
     return std::any_of(simulation.log().begin(),
@@ -309,6 +315,56 @@
     }
 }
 
+// Guards against tasks that exceed their budget of crashes, and against jobs
+// beside them that are lost, when the owner is killed between the crashes.
+TEST(pool_crashes, crashing_tasks_end_and_all_others_complete_at_a_takeover)
+{
+    constexpr std::size_t jobs = 40;
+    constexpr std::size_t crashing_every = 10;
+    for (std::size_t kill_before = 1; kill_before < jobs; kill_before += 3)
+    {
+        pool_simulation simulation(3, 24);
+        simulation.set_crash_recovery(4s, false);
+        ASSERT_TRUE(run_until_owned(simulation));
+        std::vector<std::uint64_t> requests;
+        for (std::size_t number = 0; number < jobs; ++number)
+        {
+            auto const owner = simulation.owner();
+            if (owner && number == kill_before)
+            {
+                simulation.kill(*owner);
+                simulation.start(*owner);
+            }
+            bool const crashes = number % crashing_every == 0;
+            requests.push_back(simulation.submit(
+                number % 3,
+                "a" + std::to_string(number),
+                crashes ? crashing_job(4, 1) : simple_job(4, 1500ms)));
+            simulation.run(400ms);
+        }
+        std::size_t not_accepted = 0;
+        for (std::size_t number = 0; number < jobs; ++number)
+        {
+            auto const name = "a" + std::to_string(number);
+            bool const crashes = number % crashing_every == 0;
+            if (!accepted(simulation, requests[number]))
+            {
+                ++not_accepted;
+                continue;
+            }
+            EXPECT_TRUE(
+                ends_as(simulation,
+                        name,
+                        crashes ? job_state::failed : job_state::completed))
+                << name << ", owner killed before a" << kill_before;
+            EXPECT_LE(simulation.crashes_by({name, 0, 0, 1}), most_crashes);
+        }
+        // The kill loses no more than one submission.
+        EXPECT_LE(not_accepted, 1U);
+        EXPECT_EQ(simulation.violation(), "") << kill_before;
+    }
+}
+
 // Guards against a first crash that is forgotten since its owner was killed
 // before the worker's lease was over.
 TEST(pool_crashes, a_crash_that_the_killed_owner_saw_as_silence_counts)
