--- a/tests/unit/soak/plan_test.cpp
+++ b/tests/unit/soak/plan_test.cpp
@@ -1,5 +1,6 @@
 #include "tools/soak/plan.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace fuchsia::tools::soak;
@@ -49,3 +50,27 @@
     }
     EXPECT_EQ(drawn_kinds, all_fault_kinds());
 }
+
+// With machines of one size, no instance would ever ask another one for the
+// claim, and the handover of the claim would never be tested.
+TEST(soak_plan, each_seed_has_a_few_large_machines_among_small_ones)
+{
+    plan_settings settings;
+    std::set<std::ptrdiff_t> counts;
+    for (settings.seed = 1; settings.seed <= 50; ++settings.seed)
+    {
+        auto const machines = make_plan(settings).machines;
+        EXPECT_EQ(machines.size(), settings.instances);
+        auto const large =
+            std::count_if(machines.begin(),
+                          machines.end(),
+                          [](machine_size const& machine)
+                          {
+                              return machine.cores == large_machine.cores;
+                          });
+        EXPECT_GE(large, 1);
+        EXPECT_LE(large, settings.instances / 4);
+        counts.insert(large);
+    }
+    EXPECT_GT(counts.size(), 1);
+}
--- a/tools/soak/instance_group.cpp
+++ b/tools/soak/instance_group.cpp
@@ -49,7 +49,7 @@
                                instance_group_settings settings,
                                observation_log& out)
     : io_(io), settings_(std::move(settings)), out_(out),
-      members_(settings_.count)
+      members_(settings_.machines.size())
 {
 }
 
@@ -221,6 +221,7 @@
 {
     auto const path = settings_.folder + "/" + name(number);
     bool const odd = members_[number].settings_changes % 2 != 0;
+    auto const& machine = settings_.machines[number];
     {
         std::ofstream out(path + ".new");
         out << "name = \"" << name(number) << "\"\ndata_centre = \"a\""
@@ -232,7 +233,9 @@
             << to_string(port_endpoint(number, metrics_port))
             << "\"\nstore = \""
             << to_string(port_endpoint(number, store_link_port))
-            << "\"\nlog_level = \"" << (odd ? "debug" : "info") << "\"\n"
+            << "\"\nlog_level = \"" << (odd ? "debug" : "info")
+            << "\"\n\n[machine]\ncores = " << machine.cores
+            << "\nlink_mbps = " << machine.link_mbps << '\n'
             << bounds;
     }
     std::rename((path + ".new").c_str(), (path + ".toml").c_str());
--- a/tools/soak/instance_group.hpp
+++ b/tools/soak/instance_group.hpp
@@ -4,6 +4,7 @@
 #include "ports/identity.hpp"
 #include "standins/links/relay.hpp"
 #include "tools/soak/observation_log.hpp"
+#include "tools/soak/plan.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -22,7 +23,8 @@
     std::string address; ///< Address of all ports of the group.
     std::uint16_t first_port = 0;
     ports::endpoint store;
-    std::uint32_t count = 0;
+    /// Machine of each instance, by its number.
+    std::vector<machine_size> machines;
 };
 
 /// Processes under test, each between two relays: one for its callers, one to
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -162,6 +162,22 @@
     }
 }
 
+// Most machines are small, and a few, wherever they are in the group, are
+// large. They are drawn on their own, so that the faults and jobs of a seed
+// stay as they are.
+std::vector<machine_size> draw_machines(plan_settings const& settings)
+{
+    constexpr std::uint32_t instances_per_large = 4;
+    std::vector<machine_size> result(settings.instances, small_machine);
+    random_source random(settings.seed + 8);
+    auto const most = std::max(settings.instances / instances_per_large, 1U);
+    for (auto left = 1 + random.below(most); left > 0; --left)
+    {
+        result[random.below(result.size())] = large_machine;
+    }
+    return result;
+}
+
 // In some jobs, makes the first task of each step crash the workers that start
 // it, at once or late.
 void draw_crashing_jobs(plan_settings const& settings,
@@ -302,6 +318,7 @@
     constexpr duration mean_gap = 240ms;
     constexpr std::uint32_t burst_percent = 30;
     plan result;
+    result.machines = draw_machines(settings);
     draw_faults(settings, result.faults);
     draw_operator_actions(settings, result.faults);
     draw_capacity_changes(settings, result.faults);
@@ -327,6 +344,12 @@
 std::string to_text(plan const& drawn)
 {
     std::ostringstream out;
+    std::uint32_t instance = 0;
+    for (auto const& machine : drawn.machines)
+    {
+        out << "machine " << instance++ << " cores " << machine.cores
+            << " link_mbps " << machine.link_mbps << '\n';
+    }
     for (auto const& entry : drawn.faults)
     {
         out << to_milliseconds(entry.at) << " fault " << name_of(entry.kind)
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -90,9 +90,21 @@
     std::set<fault_kind> kinds = all_fault_kinds();
 };
 
+/// Resources of the machine of an instance. The instances with the largest ones
+/// schedule.
+struct machine_size
+{
+    double cores = 0.069;
+    double link_mbps = 10;
+};
+
+constexpr machine_size small_machine{};
+constexpr machine_size large_machine{0.5, 200};
+
 struct plan
 {
-    std::vector<fault> faults; ///< Faults in order of time.
+    std::vector<machine_size> machines; ///< By number of the instance.
+    std::vector<fault> faults;          ///< Faults in order of time.
     std::vector<planned_job> jobs;
 };
 
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -124,7 +124,7 @@
                 address_,
                 first_instance_port,
                 {address_, store_port},
-                settings_.plan.instances};
+                plan_.machines};
     }
 
     fault_injector::relays worker_links()
