Soak: long-running jobs that are never cancelled

Cause: the soak cancelled each long-running job within 6 s of its acceptance, so none lived through a takeover, and none could be seen without a run. Change: two jobs from the first 0.5 s of the traffic on and up to two later ones last to the end of the run and are not cancelled at its end either; for them the run waits only until their state has been reported.

--- a/tests/unit/soak/plan_test.cpp
+++ b/tests/unit/soak/plan_test.cpp
@@ -74,3 +74,26 @@
     }
     EXPECT_GT(counts.size(), 1);
 }
+
+// If each long-running job was cancelled soon, none would live through a change
+// of owner, and a task that stays without a run would never be seen.
+TEST(soak_plan, each_seed_has_long_running_jobs_that_are_never_cancelled)
+{
+    plan_settings settings;
+    for (settings.seed = 1; settings.seed <= 50; ++settings.seed)
+    {
+        std::size_t from_the_begin = 0;
+        for (auto const& job : make_plan(settings).jobs)
+        {
+            if (!job.kept)
+            {
+                continue;
+            }
+            EXPECT_FALSE(job.cancel_after);
+            EXPECT_EQ(job.spec.find("crash"), std::string::npos);
+            EXPECT_TRUE(job.shape.steps.front().lasting);
+            from_the_begin += job.at <= std::chrono::seconds(1) ? 1 : 0;
+        }
+        EXPECT_GE(from_the_begin, 2);
+    }
+}
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -244,14 +244,19 @@
     return result;
 }
 
-planned_job draw_job(std::uint32_t number, duration at, random_source& random)
+std::string draw_id(std::uint32_t number, random_source& random)
 {
-    planned_job result;
-    result.at = at;
     std::array<char, 17> id{};
     std::snprintf(
         id.data(), id.size(), "%08x%08x", random.below(1U << 31U), number);
-    result.id = id.data();
+    return id.data();
+}
+
+planned_job draw_job(std::uint32_t number, duration at, random_source& random)
+{
+    planned_job result;
+    result.at = at;
+    result.id = draw_id(number, random);
     auto const kind = draw_kind(random);
     bool const lasting = kind == job_kind::lasting;
     result.shape = draw_shape(random, kind);
@@ -274,6 +279,33 @@
     return result;
 }
 
+// Some jobs last from the begin of the traffic to the end of the run, through
+// all faults, and a few more begin later. They are drawn on their own, so that
+// the other jobs of a seed stay as they are.
+void draw_kept_jobs(plan_settings const& settings,
+                    std::vector<planned_job>& jobs)
+{
+    constexpr std::uint32_t first_number = 0x10000;
+    constexpr duration latest_early = 500ms;
+    constexpr std::uint32_t early = 2;
+    constexpr std::uint32_t most_later = 2;
+    random_source random(settings.seed + 6);
+    auto const count = early + random.below(most_later + 1);
+    for (std::uint32_t number = 0; number < count; ++number)
+    {
+        planned_job job;
+        job.at = random.between(
+            0ms, number < early ? latest_early : settings.traffic / 2);
+        job.id = draw_id(first_number + number, random);
+        job.shape = draw_shape(random, job_kind::lasting);
+        job.spec = "work=500 lasts";
+        job.caller = random.below(caller_count);
+        job.instance = random.below(1000);
+        job.kept = true;
+        jobs.push_back(std::move(job));
+    }
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind) noexcept
@@ -338,6 +370,7 @@
         result.jobs.push_back(draw_job(++number, at, random));
     }
     draw_crashing_jobs(settings, result.jobs);
+    draw_kept_jobs(settings, result.jobs);
     return result;
 }
 
@@ -368,7 +401,7 @@
         {
             out << " cancel after " << to_milliseconds(*entry.cancel_after);
         }
-        out << '\n';
+        out << (entry.kept ? " kept\n" : "\n");
     }
     return out.str();
 }
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -79,6 +79,7 @@
     bool resubmitted = false; ///< Whether it is submitted again after its
                               ///< acceptance.
     std::optional<core::common::duration> cancel_after;
+    bool kept = false; ///< Not even cancelled at the end of the traffic.
 };
 
 struct plan_settings
--- a/tools/soak/traffic_generator.cpp
+++ b/tools/soak/traffic_generator.cpp
@@ -299,10 +299,12 @@
                      {
                          job.state = state;
                      }
-                     job.confirmed_over =
-                         job.confirmed_over ||
-                         (traffic_ended_at_ && is_over(state) &&
-                          requested_at >= *traffic_ended_at_);
+                     bool const as_expected =
+                         job.plan.kept ? outcome == call_outcome::done
+                                       : is_over(state);
+                     job.confirmed =
+                         job.confirmed || (traffic_ended_at_ && as_expected &&
+                                           requested_at >= *traffic_ended_at_);
                      out_.append(status_query_ended{job.plan.id,
                                                     instances_.name(at),
                                                     requested_at,
@@ -394,7 +396,7 @@
     for (auto* const job : accepted_)
     {
         bool const lasting = job->plan.shape.steps.front().lasting;
-        if (lasting && !std::exchange(job->cancelling, true))
+        if (lasting && !job->plan.kept && !std::exchange(job->cancelling, true))
         {
             cancel(*job, job->plan.instance);
         }
@@ -407,7 +409,7 @@
     ++query_round_;
     for (std::size_t number = 0; number < accepted_.size(); ++number)
     {
-        if (!accepted_[number]->confirmed_over)
+        if (!accepted_[number]->confirmed)
         {
             query_state(*accepted_[number], number + query_round_);
         }
@@ -423,7 +425,7 @@
 {
     for (auto const* const job : accepted_)
     {
-        if (!job->confirmed_over)
+        if (!job->confirmed)
         {
             return false;
         }
--- a/tools/soak/traffic_generator.hpp
+++ b/tools/soak/traffic_generator.hpp
@@ -38,10 +38,11 @@
                       std::uint64_t seed);
 
     void begin(std::vector<planned_job> const& jobs);
-    /// Stops submitting, cancels long-running jobs, and queries each accepted
-    /// job repeatedly until it is reported as over.
+    /// Stops submitting, cancels the long-running jobs that aren't kept, and
+    /// queries each accepted job repeatedly until it is reported as over, or
+    /// reported at all if it is a kept one.
     void end();
-    /// Returns whether each accepted job has been reported as over since `end`.
+    /// Returns whether each accepted job has been reported as `end` says.
     bool all_finished() const;
     /// Cancels all pending calls and timers.
     void stop();
@@ -55,8 +56,8 @@
         bool accepted = false;
         bool refused = true; ///< All tries so far ended as refused.
         bool cancelling = false;
-        bool confirmed_over = false; ///< Reported as over after the end of the
-                                     ///< traffic.
+        bool confirmed = false; ///< Reported, and as over unless it is kept,
+                                ///< after the end of the traffic.
         ports::job_state state = ports::job_state::queued;
     };
     using answer_handler =
