Soak: series of owner changes

Cause: the soak drew single kills, pauses, stops and store cuts, a third of them at the owner, and seldom one right after the other. Change: a new kind of fault, owner_change, comes in series of three to eight, 1 to 6 s apart, each a kill, stop, pause or store cut of the owner of that moment. Between two series are 12 to 18 s without one, so that `--fault-set owner_change` leaves time for the bounds that hold only in calm seconds. The faults of the other kinds of a seed stay as they are.

--- a/tests/unit/soak/plan_test.cpp
+++ b/tests/unit/soak/plan_test.cpp
@@ -97,3 +97,36 @@
         EXPECT_GE(from_the_begin, 2);
     }
 }
+
+// A single change of owner may leave its successor all the time that it needs.
+// Of several in a row, each has to begin anew with what the last one left.
+TEST(soak_plan, owners_change_several_times_in_a_row)
+{
+    using namespace std::chrono_literals;
+    plan_settings settings;
+    settings.traffic = 300s;
+    settings.kinds = {fault_kind::owner_change};
+    std::set<fault_kind> kinds;
+    std::size_t in_series = 0;
+    std::size_t series = 0;
+    std::optional<fuchsia::core::common::duration> last;
+    for (auto const& planned : make_plan(settings).faults)
+    {
+        EXPECT_TRUE(planned.at_owner);
+        kinds.insert(kind_of_owner_change(planned.variant));
+        auto const wait = planned.at - last.value_or(planned.at - 1s);
+        EXPECT_GE(wait, 1s);
+        if (wait > 6s)
+        {
+            EXPECT_GE(wait, 13s);
+            EXPECT_GE(in_series, 3);
+            EXPECT_LE(in_series, 8);
+            in_series = 0;
+            ++series;
+        }
+        ++in_series;
+        last = planned.at;
+    }
+    EXPECT_GE(series, 5);
+    EXPECT_EQ(kinds.size(), 4);
+}
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -83,6 +83,10 @@
 void fault_injector::apply(fault const& planned)
 {
     auto spec = planned;
+    if (spec.kind == fault_kind::owner_change)
+    {
+        spec.kind = kind_of_owner_change(spec.variant);
+    }
     if (spec.at_owner && spec.kind < fault_kind::worker_cut)
     {
         spec.target = owner().value_or(spec.target);
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -26,7 +26,7 @@
     duration longest;
 };
 
-constexpr std::array<kind_row, 27> kinds{{
+constexpr std::array<kind_row, 28> kinds{{
     {fault_kind::kill, "kill", true, 200ms, 2500ms},
     {fault_kind::stop, "stop", true, 200ms, 2500ms},
     {fault_kind::pause, "pause", true, 100ms, 6000ms},
@@ -37,6 +37,7 @@
     {fault_kind::caller_delay, "caller_delay", true, 500ms, 2500ms},
     {fault_kind::caller_cut, "caller_cut", true, 300ms, 2500ms},
     {fault_kind::caller_reset, "caller_reset", true, 0ms, 0ms},
+    {fault_kind::owner_change, "owner_change", true, 300ms, 4000ms},
     {fault_kind::worker_cut, "worker_cut", true, 300ms, 6000ms},
     {fault_kind::worker_reset, "worker_reset", true, 0ms, 0ms},
     {fault_kind::store_silent, "store_silent", true, 200ms, 5000ms},
@@ -97,7 +98,9 @@
     for (auto const& row : kinds)
     {
         if (row.suspends_limits == suspends_limits &&
-            row.kind != fault_kind::shrink && settings.kinds.contains(row.kind))
+            row.kind != fault_kind::shrink &&
+            row.kind != fault_kind::owner_change &&
+            settings.kinds.contains(row.kind))
         {
             result.push_back(row);
         }
@@ -178,6 +181,38 @@
     return result;
 }
 
+// Owners change several times, each before its successor has worked for long.
+// The time after a series suffices for the bounds that hold only in calm time,
+// unless there are other faults. The series are drawn on their own, so that the
+// other faults of a seed stay as they are.
+void draw_owner_changes(plan_settings const& settings, std::vector<fault>& out)
+{
+    constexpr std::uint32_t fewest = 3;
+    constexpr std::uint32_t most = 8;
+    constexpr duration longest_wait = 6s;
+    constexpr duration shortest_calm = 12s;
+    constexpr duration longest_calm = 18s;
+    if (!settings.kinds.contains(fault_kind::owner_change))
+    {
+        return;
+    }
+    random_source random(settings.seed + 7);
+    duration at = random.between(1s, longest_wait);
+    while (at < settings.traffic)
+    {
+        for (auto left = fewest + random.below(most - fewest + 1);
+             left > 0 && at < settings.traffic;
+             --left)
+        {
+            draw_fault(
+                at, {row_of(fault_kind::owner_change)}, settings, random, out);
+            out.back().at_owner = true;
+            at += random.between(1s, longest_wait);
+        }
+        at += random.between(shortest_calm, longest_calm);
+    }
+}
+
 // In some jobs, makes the first task of each step crash the workers that start
 // it, at once or late.
 void draw_crashing_jobs(plan_settings const& settings,
@@ -340,6 +375,15 @@
     return row_of(kind).suspends_limits;
 }
 
+fault_kind kind_of_owner_change(std::uint32_t variant) noexcept
+{
+    constexpr std::array<fault_kind, 4> result{fault_kind::kill,
+                                               fault_kind::stop,
+                                               fault_kind::pause,
+                                               fault_kind::store_cut};
+    return result[variant % result.size()];
+}
+
 std::string extra_queue(std::uint32_t number)
 {
     return "extra" + std::to_string(number);
@@ -354,6 +398,7 @@
     draw_faults(settings, result.faults);
     draw_operator_actions(settings, result.faults);
     draw_capacity_changes(settings, result.faults);
+    draw_owner_changes(settings, result.faults);
     std::stable_sort(result.faults.begin(),
                      result.faults.end(),
                      [](fault const& left, fault const& right)
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -28,7 +28,9 @@
     caller_delay,
     caller_cut,
     caller_reset,
-    worker_cut, ///< Cuts the link between all instances and one worker.
+    owner_change, ///< One of a series of kills, stops, pauses and store cuts,
+                  ///< each of the owner of that moment.
+    worker_cut,   ///< Cuts the link between all instances and one worker.
     worker_reset,
     store_silent,
     store_refusing,
@@ -53,6 +55,8 @@
 std::set<fault_kind> all_fault_kinds();
 /// Whether time limits are not checked while a fault of this kind is active.
 bool suspends_time_limits(fault_kind kind) noexcept;
+/// Kind of fault that a fault of the kind `owner_change` consists of.
+fault_kind kind_of_owner_change(std::uint32_t variant) noexcept;
 
 struct fault
 {
