Soak: a check of long-running tasks and of the working owner

Cause: the soak looked at long-running tasks only at the end of a run, and not at all at how long the pool had no owner that starts work. The new rule `owner`: no instance schedules with its takeover complete for longer than 7 s without a fault (the 4 s and the 3 s). It rests on takeover_settled and owner_ended in the instances' logs, because the gauge fuchsia_pool_working_owner is sampled each 5 s only. A run ends with 9 s without faults, in which both rules can be broken.

--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -24,6 +24,13 @@
     is_submission<Event> || std::is_same_v<Event, status_query_ended> ||
     std::is_same_v<Event, waiting_query_ended>;
 
+template<class Event>
+constexpr bool changes_room =
+    std::is_same_v<Event, run_ended> || std::is_same_v<Event, worker_crashed> ||
+    std::is_same_v<Event, capacity_set> ||
+    std::is_same_v<Event, worker_draining> ||
+    std::is_same_v<Event, data_centre_set>;
+
 } // namespace
 
 checker::checker(time_limits bounds) : history_(bounds)
@@ -33,6 +40,7 @@
 void checker::observe(observation const& observed)
 {
     check_answers_until(observed.at - history_.bounds.acknowledge);
+    check_work_until(observed.at);
     auto const visitor = [&](auto const& event)
     {
         using kind = std::decay_t<decltype(event)>;
@@ -40,6 +48,14 @@
         {
             recovery_.record(observed.at, event);
         }
+        if constexpr (changes_room<kind> || std::is_same_v<kind, submit_sent>)
+        {
+            lasting_.record(event);
+        }
+        if constexpr (std::is_same_v<kind, run_started>)
+        {
+            lasting_.record(history_, event);
+        }
         if constexpr (is_answer<kind>)
         {
             pending_answers_.push_back(observed);
@@ -57,6 +73,14 @@
         {
             history_.fault_intervals.set(observed.at, event);
         }
+        else if constexpr (std::is_same_v<kind, working_owner_seen>)
+        {
+            owner_.record(observed.at, event);
+        }
+        else if constexpr (std::is_same_v<kind, stop_begun>)
+        {
+            stopping_ = true;
+        }
         else if constexpr (std::is_same_v<kind, traffic_ended>)
         {
             history_.traffic_end = observed.at;
@@ -95,9 +119,19 @@
     }
 }
 
+void checker::check_work_until(time_point at)
+{
+    if (!stopping_)
+    {
+        lasting_.check_until(history_, at);
+        owner_.check_until(history_, at);
+    }
+}
+
 std::vector<violation> checker::finish(time_point now)
 {
     check_answers_until(time_point::max());
+    check_work_until(now);
     runs_.finish(history_, now);
     jobs_check::finish(history_, now);
     recovery_.finish(history_, now);
--- a/tools/soak/checker.hpp
+++ b/tools/soak/checker.hpp
@@ -2,8 +2,10 @@
 
 #include "tools/soak/configuration_check.hpp"
 #include "tools/soak/jobs_check.hpp"
+#include "tools/soak/lasting_check.hpp"
 #include "tools/soak/observation.hpp"
 #include "tools/soak/observed_history.hpp"
+#include "tools/soak/owner_check.hpp"
 #include "tools/soak/recovery_check.hpp"
 #include "tools/soak/runs_check.hpp"
 
@@ -38,11 +40,15 @@
 private:
     void check_answer(observation const& answer);
     void check_answers_until(core::common::time_point limit);
+    void check_work_until(core::common::time_point at);
 
     observed_history history_;
     runs_check runs_;
     configuration_check configurations_;
     recovery_check recovery_;
+    lasting_check lasting_;
+    owner_check owner_;
+    bool stopping_ = false; ///< The instances have been told to stop.
     std::deque<observation>
         pending_answers_; ///< Unchecked answers, oldest first.
 };
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -202,8 +202,27 @@
     out_.append(capacity_set{platform_.info(worker).id, millicores});
 }
 
+// A task may have crashed the worker, which then comes back by itself.
+void fault_injector::note_returned_workers()
+{
+    for (std::uint32_t worker = 0; worker < platform_.workers(); ++worker)
+    {
+        if (platform_.is_down(worker))
+        {
+            gone_workers_.insert(worker);
+        }
+        else if (gone_workers_.erase(worker) > 0)
+        {
+            out_.append(
+                capacity_set{platform_.info(worker).id,
+                             platform_.info(worker).capacity.millicores});
+        }
+    }
+}
+
 void fault_injector::advance(time_point now)
 {
+    note_returned_workers();
     for (std::size_t number = 0; number < instances_.size(); ++number)
     {
         auto const instance_index = static_cast<std::uint32_t>(number);
--- a/tools/soak/fault_injector.hpp
+++ b/tools/soak/fault_injector.hpp
@@ -63,6 +63,8 @@
     /// Latest active fault of `kind` on `target`, or null.
     fault const* latest_active(fault_kind kind, std::uint32_t target) const;
     bool restart(std::uint32_t instance);
+    /// Records the capacities of workers that have come back.
+    void note_returned_workers();
     void replace_worker(std::uint32_t worker, bool same_id);
     void change_configuration(std::uint32_t value);
     void put_configuration();
@@ -82,7 +84,8 @@
     std::set<std::uint32_t>
         busy_workers_; ///< Workers that are draining or down.
     std::set<std::uint32_t>
-        stopping_instances_; ///< Instances to be started again.
+        stopping_instances_;               ///< Instances to be started again.
+    std::set<std::uint32_t> gone_workers_; ///< Down when last looked at.
 };
 
 } // namespace fuchsia::tools::soak
--- a/tools/soak/fault_intervals.cpp
+++ b/tools/soak/fault_intervals.cpp
@@ -47,6 +47,11 @@
                         });
 }
 
+std::optional<time_point> fault_interval_log::fault_free_since() const
+{
+    return intervals_.empty() ? time_point::min() : intervals_.back().to;
+}
+
 bool fault_interval_log::has_fault_free_interval(time_point begin,
                                                  time_point end,
                                                  duration length) const
--- a/tools/soak/fault_intervals.hpp
+++ b/tools/soak/fault_intervals.hpp
@@ -34,6 +34,10 @@
     bool is_fault_free(core::common::time_point begin,
                        core::common::time_point end) const;
 
+    /// Returns the time since which no fault has been active, the least of all
+    /// times if there has been none. Empty while one is active.
+    std::optional<core::common::time_point> fault_free_since() const;
+
     /// Returns whether some interval longer than `length` between `begin` and
     /// `end` was free of faults and of recovery from them.
     bool has_fault_free_interval(core::common::time_point begin,
--- a/tools/soak/instance_group.cpp
+++ b/tools/soak/instance_group.cpp
@@ -90,6 +90,11 @@
     return "pool-" + std::to_string(number);
 }
 
+std::string instance_group::log_path(std::size_t number) const
+{
+    return settings_.folder + "/" + name(number) + ".log";
+}
+
 ports::endpoint instance_group::port_endpoint(std::size_t number,
                                               std::uint16_t port_role) const
 {
@@ -132,7 +137,7 @@
     instance.process = std::make_unique<adapters::runtime::child>(
         settings_.program,
         std::vector<std::string>{"--settings", base + ".toml"},
-        base + ".log");
+        log_path(number));
     ++instance.starts;
     instance.killed = false;
     instance.paused = false;
--- a/tools/soak/instance_group.hpp
+++ b/tools/soak/instance_group.hpp
@@ -40,6 +40,7 @@
     bool listen(core::common::failure& reason);
     std::size_t size() const noexcept;
     std::string name(std::size_t number) const;
+    std::string log_path(std::size_t number) const;
     ports::endpoint submissions(std::size_t number) const;
     ports::endpoint readiness(std::size_t number) const;
     /// Number of starts of the process of this instance.
--- a/tools/soak/main.cpp
+++ b/tools/soak/main.cpp
@@ -52,7 +52,7 @@
 
 std::string_view name_of(rule named_rule)
 {
-    constexpr std::array<std::string_view, 14> names{"lost",
+    constexpr std::array<std::string_view, 15> names{"lost",
                                                      "refused_ran",
                                                      "doubled",
                                                      "order",
@@ -65,7 +65,8 @@
                                                      "state",
                                                      "recovery",
                                                      "crashes",
-                                                     "capacity"};
+                                                     "capacity",
+                                                     "owner"};
     return names[static_cast<std::size_t>(named_rule)];
 }
 
--- a/tools/soak/observation.hpp
+++ b/tools/soak/observation.hpp
@@ -154,6 +154,14 @@
     bool present = false;
 };
 
+/// An instance began or ceased to schedule with its takeover complete, by what
+/// it says, or its process ended.
+struct working_owner_seen
+{
+    std::string instance;
+    bool working = false;
+};
+
 /// A fault begins or ends. Time limits are not checked while any fault is
 /// active and for `stable_window` after it.
 struct fault_state_set
@@ -168,6 +176,11 @@
 {
 };
 
+/// All instances are told to stop. From now on no work has to go on.
+struct stop_begun
+{
+};
+
 using event = std::variant<submit_sent,
                            submit_ended,
                            cancel_ended,
@@ -182,8 +195,10 @@
                            data_centre_set,
                            configuration_set,
                            queue_seen,
+                           working_owner_seen,
                            fault_state_set,
-                           traffic_ended>;
+                           traffic_ended,
+                           stop_begun>;
 
 struct observation
 {
@@ -211,10 +226,11 @@
     configuration,    ///< An answer is based on an outdated configuration.
     waiting_count,    ///< The reported number of waiting jobs is too low.
     reported_state,   ///< A reported state contradicts the observed runs.
-    recovery,     ///< Too few calls are served too long after the last fault.
-    crash_budget, ///< A task was started too often after it had crashed its
-                  ///< workers.
-    capacity,     ///< A start brought a worker over its capacity.
+    recovery,      ///< Too few calls are served too long after the last fault.
+    crash_budget,  ///< A task was started too often after it had crashed its
+                   ///< workers.
+    capacity,      ///< A start brought a worker over its capacity.
+    working_owner, ///< No instance scheduled for too long.
 };
 
 struct violation
@@ -240,6 +256,14 @@
     core::common::duration visible = std::chrono::milliseconds(3000);
     core::common::duration finish = std::chrono::seconds(14);
     core::common::duration recovery = std::chrono::seconds(12);
+    /// Maximum time that a long-running task is without a run, from `restart`
+    /// after its last one and with no fault from `calm_before` before it.
+    core::common::duration idle = std::chrono::seconds(3);
+    core::common::duration calm_before = std::chrono::seconds(4);
+    core::common::duration restart = std::chrono::seconds(6);
+    /// Maximum time without a working owner and without a fault: after it, work
+    /// would be idle for too long.
+    core::common::duration without_owner = calm_before + idle;
 };
 
 } // namespace fuchsia::tools::soak
--- a/tools/soak/observation_log.cpp
+++ b/tools/soak/observation_log.cpp
@@ -121,6 +121,11 @@
                (it.present ? " present" : " absent") +
                elapsed_text(it.requested_at);
     }
+    std::string operator()(working_owner_seen const& it) const
+    {
+        return it.instance + (it.working ? " works" : " doesn't work") +
+               " as the owner";
+    }
     std::string operator()(fault_state_set const& it) const
     {
         return "trouble " + it.name + (it.active ? " begins" : " ends");
@@ -129,6 +134,10 @@
     {
         return "traffic ended";
     }
+    std::string operator()(stop_begun const&) const
+    {
+        return "all are stopped";
+    }
 };
 
 } // namespace
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include "standins/common/process_address.hpp"
 #include "tools/soak/fault_injector.hpp"
 #include "tools/soak/instance_group.hpp"
+#include "tools/soak/owner_watch.hpp"
 
 #include <algorithm>
 #include <array>
@@ -26,6 +27,9 @@
 
 constexpr duration tick_interval = 20ms;
 constexpr duration start_limit = 20s;
+// Time without a fault at the end of a run, in which whatever still stands
+// still after the last fault exceeds the time limits of idle work.
+constexpr duration calm_at_end = time_limits{}.without_owner + 2s;
 // Twice the average demand of the jobs, so that jobs of a burst have to wait.
 constexpr std::uint32_t pool_millicores = 48'000;
 constexpr std::uint16_t store_port = 20'000;
@@ -57,7 +61,7 @@
                   worker_links(),
                   out_,
                   settings.stale_configuration),
-          probe_(io_, {}), ticker_(io_)
+          probe_(io_, {}), owners_(instances_, out_), ticker_(io_)
     {
     }
 
@@ -281,6 +285,7 @@
             faults_.apply(plan_.faults[next_fault_++]);
         }
         faults_.advance(now);
+        owners_.advance(now);
         if (in_phase() >= settings_.plan.traffic)
         {
             out_.append(traffic_ended{});
@@ -296,12 +301,14 @@
         constexpr duration answer_reserve = 2s;
         bool const healed = faults_.end_all();
         faults_.advance(now);
+        owners_.advance(now);
         if (!healed)
         {
             phase_began_at_ = now;
         }
         bool const late = in_phase() > time_limits{}.finish + answer_reserve;
-        if (late || (healed && traffic_.all_finished()))
+        bool const calm = in_phase() > calm_at_end;
+        if (late || (healed && calm && traffic_.all_finished()))
         {
             out_.append_comment(late ? "not all jobs are over"
                                      : "all jobs are over");
@@ -311,6 +318,7 @@
 
     void begin_stop()
     {
+        out_.append(stop_begun{});
         traffic_.stop();
         for (std::size_t number = 0; number < instances_.size(); ++number)
         {
@@ -346,6 +354,7 @@
     traffic_generator traffic_;
     fault_injector faults_;
     adapters::http::client probe_;
+    owner_watch owners_;
     adapters::runtime::timer ticker_;
     phase phase_ = phase::starting;
     time_point phase_began_at_{};
