Soak: a planted takeover that is never complete

Cause: nothing showed that the new checks find an owner that doesn't work. Change: `--plant unfinished_takeover` kills the owner after 2 s and lets no worker answer from then on, without recording that as a fault.

No functional change

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -113,6 +113,7 @@
                     planted_violation{"ended_twice", "doubled"},
                     planted_violation{"early_step", "order"},
                     planted_violation{"crash_again", "crashes", "12"},
+                    planted_violation{"unfinished_takeover", "owner", "4"},
                     planted_violation{
                         "hidden_shrink", "capacity", "16", "shrink"}),
     [](auto const& test)
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -123,6 +123,19 @@
     update_state(spec);
 }
 
+void fault_injector::plant_unfinished_takeover()
+{
+    for (std::size_t worker = 0; worker < platform_.workers(); ++worker)
+    {
+        platform_.worker_fault_gate(worker).set(fault_gate_mode::suspended);
+    }
+    fault kill;
+    kill.length = 1s;
+    kill.kind = fault_kind::kill;
+    kill.at_owner = true;
+    apply(kill);
+}
+
 void fault_injector::begin_fault(fault const& spec)
 {
     switch (spec.kind)
--- a/tools/soak/fault_injector.hpp
+++ b/tools/soak/fault_injector.hpp
@@ -35,6 +35,9 @@
     /// Writes the first configuration to the store.
     void begin();
     void apply(fault const& planned);
+    /// Kills the owner, and lets no worker answer from then on, without
+    /// recording the latter: no successor can complete its takeover.
+    void plant_unfinished_takeover();
     /// Ends the faults that are due at `now`, and restarts instances that
     /// exited without a fault.
     void advance(core::common::time_point now);
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -27,6 +27,7 @@
 
 constexpr duration tick_interval = 20ms;
 constexpr duration start_limit = 20s;
+constexpr duration planted_takeover_at = 2s;
 // Time without a fault at the end of a run, in which whatever still stands
 // still after the last fault exceeds the time limits of idle work.
 constexpr duration calm_at_end = time_limits{}.without_owner + 2s;
@@ -284,6 +285,12 @@
         {
             faults_.apply(plan_.faults[next_fault_++]);
         }
+        if (settings_.unfinished_takeover && !planted_ &&
+            in_phase() > planted_takeover_at)
+        {
+            planted_ = true;
+            faults_.plant_unfinished_takeover();
+        }
         faults_.advance(now);
         owners_.advance(now);
         if (in_phase() >= settings_.plan.traffic)
@@ -365,6 +372,7 @@
     bool probing_ = false;
     bool stopped_ = false;
     std::size_t next_fault_ = 0;
+    bool planted_ = false; ///< The unfinished takeover has begun.
     std::uint64_t runs_ = 0;
     std::vector<std::string> failures_;
 };
@@ -383,6 +391,7 @@
         {"hidden_shrink", planted_defect::hidden_shrink},
     }};
     out.stale_configuration = name == "stale_config";
+    out.unfinished_takeover = name == "unfinished_takeover";
     for (auto const& [defect_name, defect] : names)
     {
         if (defect_name == name)
@@ -391,7 +400,7 @@
             return true;
         }
     }
-    return out.stale_configuration;
+    return out.stale_configuration || out.unfinished_takeover;
 }
 
 std::optional<soak_result> run_soak(soak_settings const& settings,
--- a/tools/soak/soak.hpp
+++ b/tools/soak/soak.hpp
@@ -21,10 +21,12 @@
     std::string folder;  ///< Existing folder for settings files, logs and
                          ///< observations.
     /// Defect of the stand-ins that the checks must detect. The defect of the
-    /// operator is set by `stale_configuration`.
+    /// operator is set by `stale_configuration`, that of the owner by
+    /// `unfinished_takeover`.
     standins::pool::planted_defect planted =
         standins::pool::planted_defect::none;
     bool stale_configuration = false;
+    bool unfinished_takeover = false;
 };
 
 /// Sets the defect with this name; returns false if the name is unknown.
