Soak: wait at the end only for calm that is still missing

Cause: every run waited 9 s after the end of the traffic, also one whose faults suspend no time limit, so that the tests of the soak took 281 s one after the other. Change: the 9 s count from the end of the last fault that suspends time limits.

No functional change

--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -236,6 +236,7 @@
 void fault_injector::advance(time_point now)
 {
     note_returned_workers();
+    calm_since_ = calm_since_.value_or(now);
     for (std::size_t number = 0; number < instances_.size(); ++number)
     {
         auto const instance_index = static_cast<std::uint32_t>(number);
@@ -258,6 +259,7 @@
         if (suspends_time_limits(ending.spec.kind))
         {
             out_.append(fault_state_set{ending.name, false});
+            calm_since_ = now;
         }
     }
 }
@@ -446,6 +448,17 @@
     return active_.empty();
 }
 
+core::common::duration fault_injector::calm_for(time_point now) const
+{
+    auto const suspends = [](active_fault const& entry)
+    {
+        return suspends_time_limits(entry.spec.kind);
+    };
+    bool const calm =
+        calm_since_ && std::none_of(active_.begin(), active_.end(), suspends);
+    return calm ? now - *calm_since_ : core::common::duration{};
+}
+
 std::uint64_t fault_injector::applied() const noexcept
 {
     return applied_;
--- a/tools/soak/fault_injector.hpp
+++ b/tools/soak/fault_injector.hpp
@@ -44,6 +44,9 @@
     /// Ends all faults. Returns true once all stopped processes are running
     /// again.
     bool end_all();
+    /// Time for which no fault that suspends time limits has been active, from
+    /// the first call of `advance` on.
+    core::common::duration calm_for(core::common::time_point now) const;
     std::uint64_t applied() const noexcept;
 
 private:
@@ -82,6 +85,7 @@
     bool stale_configuration_;
     std::list<active_fault> active_;
     std::uint64_t applied_ = 0;
+    std::optional<core::common::time_point> calm_since_;
     std::uint64_t version_ = 1;
     std::set<std::uint32_t> extra_queues_;
     std::set<std::uint32_t>
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -314,7 +314,7 @@
             phase_began_at_ = now;
         }
         bool const late = in_phase() > time_limits{}.finish + answer_reserve;
-        bool const calm = in_phase() > calm_at_end;
+        bool const calm = faults_.calm_for(now) > calm_at_end;
         if (late || (healed && calm && traffic_.all_finished()))
         {
             out_.append_comment(late ? "not all jobs are over"
