Soak: no calm before the first start of the instances

Cause: the checks of long-running tasks and of the owner took the time before the first observation as calm. Change: calm begins with the first observation. The bounds stay as they are.

No functional change

--- a/tools/soak/checker.cpp
+++ b/tools/soak/checker.cpp
@@ -40,6 +40,7 @@
 void checker::observe(observation const& observed)
 {
     check_answers_until(observed.at - history_.bounds.acknowledge);
+    history_.fault_intervals.observe(observed.at);
     check_work_until(observed.at);
     auto const visitor = [&](auto const& event)
     {
--- a/tools/soak/fault_intervals.cpp
+++ b/tools/soak/fault_intervals.cpp
@@ -13,6 +13,11 @@
 {
 }
 
+void fault_interval_log::observe(time_point at)
+{
+    begun_at_ = begun_at_.value_or(at);
+}
+
 void fault_interval_log::set(time_point at, fault_state_set const& state)
 {
     bool const was_fault_free = active_.empty();
@@ -49,7 +54,7 @@
 
 std::optional<time_point> fault_interval_log::fault_free_since() const
 {
-    return intervals_.empty() ? time_point::min() : intervals_.back().to;
+    return intervals_.empty() ? begun_at_ : intervals_.back().to;
 }
 
 bool fault_interval_log::has_fault_free_interval(time_point begin,
--- a/tools/soak/fault_intervals.hpp
+++ b/tools/soak/fault_intervals.hpp
@@ -27,6 +27,9 @@
     /// the end of a fault.
     explicit fault_interval_log(core::common::duration recovery_time);
 
+    /// Records the time of an observation. The instances were started shortly
+    /// before the first one.
+    void observe(core::common::time_point at);
     void set(core::common::time_point at, fault_state_set const& state);
 
     /// Returns whether no fault was active from the recovery time before
@@ -34,8 +37,8 @@
     bool is_fault_free(core::common::time_point begin,
                        core::common::time_point end) const;
 
-    /// Returns the time since which no fault has been active, the least of all
-    /// times if there has been none. Empty while one is active.
+    /// Returns the time since which no fault has been active, that of the first
+    /// observation if there has been none. Empty while one is active.
     std::optional<core::common::time_point> fault_free_since() const;
 
     /// Returns whether some interval longer than `length` between `begin` and
@@ -48,6 +51,7 @@
 
 private:
     core::common::duration recovery_time_;
+    std::optional<core::common::time_point> begun_at_;
     std::set<std::string> active_;
     std::vector<fault_interval> intervals_;
 };
