--- a/tests/unit/soak/plan_test.cpp
+++ b/tests/unit/soak/plan_test.cpp
@@ -1,5 +1,6 @@
 #include "tools/soak/plan.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 using namespace fuchsia::tools::soak;
@@ -49,3 +50,83 @@
     }
     EXPECT_EQ(drawn_kinds, all_fault_kinds());
 }
+
+// With machines of one size, no instance would ever ask another one for the
+// claim, and the handover of the claim would never be tested.
+TEST(soak_plan, each_seed_has_a_few_large_machines_among_small_ones)
+{
+    plan_settings settings;
+    std::set<std::ptrdiff_t> counts;
+    for (settings.seed = 1; settings.seed <= 50; ++settings.seed)
+    {
+        auto const machines = make_plan(settings).machines;
+        EXPECT_EQ(machines.size(), settings.instances);
+        auto const large =
+            std::count_if(machines.begin(),
+                          machines.end(),
+                          [](machine_size const& machine)
+                          {
+                              return machine.cores == large_machine.cores;
+                          });
+        EXPECT_GE(large, 1);
+        EXPECT_LE(large, settings.instances / 4);
+        counts.insert(large);
+    }
+    EXPECT_GT(counts.size(), 1);
+}
+
+// If each long-running job was cancelled soon, none would live through a change
+// of owner, and a task that stays without a run would never be seen.
+TEST(soak_plan, each_seed_has_long_running_jobs_that_are_never_cancelled)
+{
+    plan_settings settings;
+    for (settings.seed = 1; settings.seed <= 50; ++settings.seed)
+    {
+        std::size_t from_the_begin = 0;
+        for (auto const& job : make_plan(settings).jobs)
+        {
+            if (!job.kept)
+            {
+                continue;
+            }
+            EXPECT_FALSE(job.cancel_after);
+            EXPECT_EQ(job.spec.find("crash"), std::string::npos);
+            EXPECT_TRUE(job.shape.steps.front().lasting);
+            from_the_begin += job.at <= std::chrono::seconds(1) ? 1 : 0;
+        }
+        EXPECT_GE(from_the_begin, 2);
+    }
+}
+
+// A single change of owner may leave its successor all the time that it needs.
+// Of several in a row, each has to begin anew with what the last one left.
+TEST(soak_plan, owners_change_several_times_in_a_row)
+{
+    using namespace std::chrono_literals;
+    plan_settings settings;
+    settings.traffic = 300s;
+    settings.kinds = {fault_kind::owner_change};
+    std::set<fault_kind> kinds;
+    std::size_t in_series = 0;
+    std::size_t series = 0;
+    std::optional<fuchsia::core::common::duration> last;
+    for (auto const& planned : make_plan(settings).faults)
+    {
+        EXPECT_TRUE(planned.at_owner);
+        kinds.insert(kind_of_owner_change(planned.variant));
+        auto const wait = planned.at - last.value_or(planned.at - 1s);
+        EXPECT_GE(wait, 1s);
+        if (wait > 6s)
+        {
+            EXPECT_GE(wait, 13s);
+            EXPECT_GE(in_series, 3);
+            EXPECT_LE(in_series, 8);
+            in_series = 0;
+            ++series;
+        }
+        ++in_series;
+        last = planned.at;
+    }
+    EXPECT_GE(series, 5);
+    EXPECT_EQ(kinds.size(), 4);
+}
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -83,6 +83,10 @@
 void fault_injector::apply(fault const& planned)
 {
     auto spec = planned;
+    if (spec.kind == fault_kind::owner_change)
+    {
+        spec.kind = kind_of_owner_change(spec.variant);
+    }
     if (spec.at_owner && spec.kind < fault_kind::worker_cut)
     {
         spec.target = owner().value_or(spec.target);
@@ -119,6 +123,19 @@
     update_state(spec);
 }
 
+void fault_injector::plant_unfinished_takeover()
+{
+    for (std::size_t worker = 0; worker < platform_.workers(); ++worker)
+    {
+        platform_.worker_fault_gate(worker).set(fault_gate_mode::suspended);
+    }
+    fault kill;
+    kill.length = 1s;
+    kill.kind = fault_kind::kill;
+    kill.at_owner = true;
+    apply(kill);
+}
+
 void fault_injector::begin_fault(fault const& spec)
 {
     switch (spec.kind)
@@ -198,8 +215,28 @@
     out_.append(capacity_set{platform_.info(worker).id, millicores});
 }
 
+// A task may have crashed the worker, which then comes back by itself.
+void fault_injector::note_returned_workers()
+{
+    for (std::uint32_t worker = 0; worker < platform_.workers(); ++worker)
+    {
+        if (platform_.is_down(worker))
+        {
+            gone_workers_.insert(worker);
+        }
+        else if (gone_workers_.erase(worker) > 0)
+        {
+            out_.append(
+                capacity_set{platform_.info(worker).id,
+                             platform_.info(worker).capacity.millicores});
+        }
+    }
+}
+
 void fault_injector::advance(time_point now)
 {
+    note_returned_workers();
+    calm_since_ = calm_since_.value_or(now);
     for (std::size_t number = 0; number < instances_.size(); ++number)
     {
         auto const instance_index = static_cast<std::uint32_t>(number);
@@ -222,6 +259,7 @@
         if (suspends_time_limits(ending.spec.kind))
         {
             out_.append(fault_state_set{ending.name, false});
+            calm_since_ = now;
         }
     }
 }
@@ -410,6 +448,17 @@
     return active_.empty();
 }
 
+core::common::duration fault_injector::calm_for(time_point now) const
+{
+    auto const suspends = [](active_fault const& entry)
+    {
+        return suspends_time_limits(entry.spec.kind);
+    };
+    bool const calm =
+        calm_since_ && std::none_of(active_.begin(), active_.end(), suspends);
+    return calm ? now - *calm_since_ : core::common::duration{};
+}
+
 std::uint64_t fault_injector::applied() const noexcept
 {
     return applied_;
--- a/tools/soak/fault_injector.hpp
+++ b/tools/soak/fault_injector.hpp
@@ -35,12 +35,18 @@
     /// Writes the first configuration to the store.
     void begin();
     void apply(fault const& planned);
+    /// Kills the owner, and lets no worker answer from then on, without
+    /// recording the latter: no successor can complete its takeover.
+    void plant_unfinished_takeover();
     /// Ends the faults that are due at `now`, and restarts instances that
     /// exited without a fault.
     void advance(core::common::time_point now);
     /// Ends all faults. Returns true once all stopped processes are running
     /// again.
     bool end_all();
+    /// Time for which no fault that suspends time limits has been active, from
+    /// the first call of `advance` on.
+    core::common::duration calm_for(core::common::time_point now) const;
     std::uint64_t applied() const noexcept;
 
 private:
@@ -63,6 +69,8 @@
     /// Latest active fault of `kind` on `target`, or null.
     fault const* latest_active(fault_kind kind, std::uint32_t target) const;
     bool restart(std::uint32_t instance);
+    /// Records the capacities of workers that have come back.
+    void note_returned_workers();
     void replace_worker(std::uint32_t worker, bool same_id);
     void change_configuration(std::uint32_t value);
     void put_configuration();
@@ -77,12 +85,14 @@
     bool stale_configuration_;
     std::list<active_fault> active_;
     std::uint64_t applied_ = 0;
+    std::optional<core::common::time_point> calm_since_;
     std::uint64_t version_ = 1;
     std::set<std::uint32_t> extra_queues_;
     std::set<std::uint32_t>
         busy_workers_; ///< Workers that are draining or down.
     std::set<std::uint32_t>
-        stopping_instances_; ///< Instances to be started again.
+        stopping_instances_;               ///< Instances to be started again.
+    std::set<std::uint32_t> gone_workers_; ///< Down when last looked at.
 };
 
 } // namespace fuchsia::tools::soak
--- a/tools/soak/instance_group.cpp
+++ b/tools/soak/instance_group.cpp
@@ -49,7 +49,7 @@
                                instance_group_settings settings,
                                observation_log& out)
     : io_(io), settings_(std::move(settings)), out_(out),
-      members_(settings_.count)
+      members_(settings_.machines.size())
 {
 }
 
@@ -90,6 +90,11 @@
     return "pool-" + std::to_string(number);
 }
 
+std::string instance_group::log_path(std::size_t number) const
+{
+    return settings_.folder + "/" + name(number) + ".log";
+}
+
 ports::endpoint instance_group::port_endpoint(std::size_t number,
                                               std::uint16_t port_role) const
 {
@@ -132,7 +137,7 @@
     instance.process = std::make_unique<adapters::runtime::child>(
         settings_.program,
         std::vector<std::string>{"--settings", base + ".toml"},
-        base + ".log");
+        log_path(number));
     ++instance.starts;
     instance.killed = false;
     instance.paused = false;
@@ -221,6 +226,7 @@
 {
     auto const path = settings_.folder + "/" + name(number);
     bool const odd = members_[number].settings_changes % 2 != 0;
+    auto const& machine = settings_.machines[number];
     {
         std::ofstream out(path + ".new");
         out << "name = \"" << name(number) << "\"\ndata_centre = \"a\""
@@ -232,7 +238,9 @@
             << to_string(port_endpoint(number, metrics_port))
             << "\"\nstore = \""
             << to_string(port_endpoint(number, store_link_port))
-            << "\"\nlog_level = \"" << (odd ? "debug" : "info") << "\"\n"
+            << "\"\nlog_level = \"" << (odd ? "debug" : "info")
+            << "\"\n\n[machine]\ncores = " << machine.cores
+            << "\nlink_mbps = " << machine.link_mbps << '\n'
             << bounds;
     }
     std::rename((path + ".new").c_str(), (path + ".toml").c_str());
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -26,7 +26,7 @@
     duration longest;
 };
 
-constexpr std::array<kind_row, 27> kinds{{
+constexpr std::array<kind_row, 28> kinds{{
     {fault_kind::kill, "kill", true, 200ms, 2500ms},
     {fault_kind::stop, "stop", true, 200ms, 2500ms},
     {fault_kind::pause, "pause", true, 100ms, 6000ms},
@@ -37,6 +37,7 @@
     {fault_kind::caller_delay, "caller_delay", true, 500ms, 2500ms},
     {fault_kind::caller_cut, "caller_cut", true, 300ms, 2500ms},
     {fault_kind::caller_reset, "caller_reset", true, 0ms, 0ms},
+    {fault_kind::owner_change, "owner_change", true, 300ms, 4000ms},
     {fault_kind::worker_cut, "worker_cut", true, 300ms, 6000ms},
     {fault_kind::worker_reset, "worker_reset", true, 0ms, 0ms},
     {fault_kind::store_silent, "store_silent", true, 200ms, 5000ms},
@@ -97,7 +98,9 @@
     for (auto const& row : kinds)
     {
         if (row.suspends_limits == suspends_limits &&
-            row.kind != fault_kind::shrink && settings.kinds.contains(row.kind))
+            row.kind != fault_kind::shrink &&
+            row.kind != fault_kind::owner_change &&
+            settings.kinds.contains(row.kind))
         {
             result.push_back(row);
         }
@@ -162,6 +165,54 @@
     }
 }
 
+// Most machines are small, and a few, wherever they are in the group, are
+// large. They are drawn on their own, so that the faults and jobs of a seed
+// stay as they are.
+std::vector<machine_size> draw_machines(plan_settings const& settings)
+{
+    constexpr std::uint32_t instances_per_large = 4;
+    std::vector<machine_size> result(settings.instances, small_machine);
+    random_source random(settings.seed + 8);
+    auto const most = std::max(settings.instances / instances_per_large, 1U);
+    for (auto left = 1 + random.below(most); left > 0; --left)
+    {
+        result[random.below(result.size())] = large_machine;
+    }
+    return result;
+}
+
+// Owners change several times, each before its successor has worked for long.
+// The time after a series suffices for the bounds that hold only in calm time,
+// unless there are other faults. The series are drawn on their own, so that the
+// other faults of a seed stay as they are.
+void draw_owner_changes(plan_settings const& settings, std::vector<fault>& out)
+{
+    constexpr std::uint32_t fewest = 3;
+    constexpr std::uint32_t most = 8;
+    constexpr duration longest_wait = 6s;
+    constexpr duration shortest_calm = 12s;
+    constexpr duration longest_calm = 18s;
+    if (!settings.kinds.contains(fault_kind::owner_change))
+    {
+        return;
+    }
+    random_source random(settings.seed + 7);
+    duration at = random.between(1s, longest_wait);
+    while (at < settings.traffic)
+    {
+        for (auto left = fewest + random.below(most - fewest + 1);
+             left > 0 && at < settings.traffic;
+             --left)
+        {
+            draw_fault(
+                at, {row_of(fault_kind::owner_change)}, settings, random, out);
+            out.back().at_owner = true;
+            at += random.between(1s, longest_wait);
+        }
+        at += random.between(shortest_calm, longest_calm);
+    }
+}
+
 // In some jobs, makes the first task of each step crash the workers that start
 // it, at once or late.
 void draw_crashing_jobs(plan_settings const& settings,
@@ -228,14 +279,19 @@
     return result;
 }
 
-planned_job draw_job(std::uint32_t number, duration at, random_source& random)
+std::string draw_id(std::uint32_t number, random_source& random)
 {
-    planned_job result;
-    result.at = at;
     std::array<char, 17> id{};
     std::snprintf(
         id.data(), id.size(), "%08x%08x", random.below(1U << 31U), number);
-    result.id = id.data();
+    return id.data();
+}
+
+planned_job draw_job(std::uint32_t number, duration at, random_source& random)
+{
+    planned_job result;
+    result.at = at;
+    result.id = draw_id(number, random);
     auto const kind = draw_kind(random);
     bool const lasting = kind == job_kind::lasting;
     result.shape = draw_shape(random, kind);
@@ -258,6 +314,33 @@
     return result;
 }
 
+// Some jobs last from the begin of the traffic to the end of the run, through
+// all faults, and a few more begin later. They are drawn on their own, so that
+// the other jobs of a seed stay as they are.
+void draw_kept_jobs(plan_settings const& settings,
+                    std::vector<planned_job>& jobs)
+{
+    constexpr std::uint32_t first_number = 0x10000;
+    constexpr duration latest_early = 500ms;
+    constexpr std::uint32_t early = 2;
+    constexpr std::uint32_t most_later = 2;
+    random_source random(settings.seed + 6);
+    auto const count = early + random.below(most_later + 1);
+    for (std::uint32_t number = 0; number < count; ++number)
+    {
+        planned_job job;
+        job.at = random.between(
+            0ms, number < early ? latest_early : settings.traffic / 2);
+        job.id = draw_id(first_number + number, random);
+        job.shape = draw_shape(random, job_kind::lasting);
+        job.spec = "work=500 lasts";
+        job.caller = random.below(caller_count);
+        job.instance = random.below(1000);
+        job.kept = true;
+        jobs.push_back(std::move(job));
+    }
+}
+
 } // namespace
 
 std::string_view name_of(fault_kind kind) noexcept
@@ -292,6 +375,15 @@
     return row_of(kind).suspends_limits;
 }
 
+fault_kind kind_of_owner_change(std::uint32_t variant) noexcept
+{
+    constexpr std::array<fault_kind, 4> result{fault_kind::kill,
+                                               fault_kind::stop,
+                                               fault_kind::pause,
+                                               fault_kind::store_cut};
+    return result[variant % result.size()];
+}
+
 std::string extra_queue(std::uint32_t number)
 {
     return "extra" + std::to_string(number);
@@ -302,9 +394,11 @@
     constexpr duration mean_gap = 240ms;
     constexpr std::uint32_t burst_percent = 30;
     plan result;
+    result.machines = draw_machines(settings);
     draw_faults(settings, result.faults);
     draw_operator_actions(settings, result.faults);
     draw_capacity_changes(settings, result.faults);
+    draw_owner_changes(settings, result.faults);
     std::stable_sort(result.faults.begin(),
                      result.faults.end(),
                      [](fault const& left, fault const& right)
@@ -321,12 +415,19 @@
         result.jobs.push_back(draw_job(++number, at, random));
     }
     draw_crashing_jobs(settings, result.jobs);
+    draw_kept_jobs(settings, result.jobs);
     return result;
 }
 
 std::string to_text(plan const& drawn)
 {
     std::ostringstream out;
+    std::uint32_t instance = 0;
+    for (auto const& machine : drawn.machines)
+    {
+        out << "machine " << instance++ << " cores " << machine.cores
+            << " link_mbps " << machine.link_mbps << '\n';
+    }
     for (auto const& entry : drawn.faults)
     {
         out << to_milliseconds(entry.at) << " fault " << name_of(entry.kind)
@@ -345,7 +446,7 @@
         {
             out << " cancel after " << to_milliseconds(*entry.cancel_after);
         }
-        out << '\n';
+        out << (entry.kept ? " kept\n" : "\n");
     }
     return out.str();
 }
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -4,6 +4,7 @@
 #include "standins/common/process_address.hpp"
 #include "tools/soak/fault_injector.hpp"
 #include "tools/soak/instance_group.hpp"
+#include "tools/soak/owner_watch.hpp"
 
 #include <algorithm>
 #include <array>
@@ -26,6 +27,10 @@
 
 constexpr duration tick_interval = 20ms;
 constexpr duration start_limit = 20s;
+constexpr duration planted_takeover_at = 2s;
+// Time without a fault at the end of a run, in which whatever still stands
+// still after the last fault exceeds the time limits of idle work.
+constexpr duration calm_at_end = time_limits{}.without_owner + 2s;
 // Twice the average demand of the jobs, so that jobs of a burst have to wait.
 constexpr std::uint32_t pool_millicores = 48'000;
 constexpr std::uint16_t store_port = 20'000;
@@ -57,7 +62,7 @@
                   worker_links(),
                   out_,
                   settings.stale_configuration),
-          probe_(io_, {}), ticker_(io_)
+          probe_(io_, {}), owners_(instances_, out_), ticker_(io_)
     {
     }
 
@@ -124,7 +129,7 @@
                 address_,
                 first_instance_port,
                 {address_, store_port},
-                settings_.plan.instances};
+                plan_.machines};
     }
 
     fault_injector::relays worker_links()
@@ -280,7 +285,14 @@
         {
             faults_.apply(plan_.faults[next_fault_++]);
         }
+        if (settings_.unfinished_takeover && !planted_ &&
+            in_phase() > planted_takeover_at)
+        {
+            planted_ = true;
+            faults_.plant_unfinished_takeover();
+        }
         faults_.advance(now);
+        owners_.advance(now);
         if (in_phase() >= settings_.plan.traffic)
         {
             out_.append(traffic_ended{});
@@ -296,12 +308,14 @@
         constexpr duration answer_reserve = 2s;
         bool const healed = faults_.end_all();
         faults_.advance(now);
+        owners_.advance(now);
         if (!healed)
         {
             phase_began_at_ = now;
         }
         bool const late = in_phase() > time_limits{}.finish + answer_reserve;
-        if (late || (healed && traffic_.all_finished()))
+        bool const calm = faults_.calm_for(now) > calm_at_end;
+        if (late || (healed && calm && traffic_.all_finished()))
         {
             out_.append_comment(late ? "not all jobs are over"
                                      : "all jobs are over");
@@ -311,6 +325,7 @@
 
     void begin_stop()
     {
+        out_.append(stop_begun{});
         traffic_.stop();
         for (std::size_t number = 0; number < instances_.size(); ++number)
         {
@@ -346,6 +361,7 @@
     traffic_generator traffic_;
     fault_injector faults_;
     adapters::http::client probe_;
+    owner_watch owners_;
     adapters::runtime::timer ticker_;
     phase phase_ = phase::starting;
     time_point phase_began_at_{};
@@ -356,6 +372,7 @@
     bool probing_ = false;
     bool stopped_ = false;
     std::size_t next_fault_ = 0;
+    bool planted_ = false; ///< The unfinished takeover has begun.
     std::uint64_t runs_ = 0;
     std::vector<std::string> failures_;
 };
@@ -374,6 +391,7 @@
         {"hidden_shrink", planted_defect::hidden_shrink},
     }};
     out.stale_configuration = name == "stale_config";
+    out.unfinished_takeover = name == "unfinished_takeover";
     for (auto const& [defect_name, defect] : names)
     {
         if (defect_name == name)
@@ -382,7 +400,7 @@
             return true;
         }
     }
-    return out.stale_configuration;
+    return out.stale_configuration || out.unfinished_takeover;
 }
 
 std::optional<soak_result> run_soak(soak_settings const& settings,
