--- a/tests/unit/pool/owner_changes_test.cpp
+++ b/tests/unit/pool/owner_changes_test.cpp
@@ -324,6 +324,26 @@
     }
 }
 
+// Guards against a new owner that loses the claim because two reads of the
+// state were lost, 1 s apart: it waits 5 s for the second answer, longer than
+// an owner may take to load, and the next takeover begins anew (incident 42).
+TEST(pool_owner_reads, two_lost_reads_of_the_state_cost_no_claim)
+{
+    changing_pool pool({3, 6, 24});
+    pool.start(pool.large_instances(), 100ms);
+    pool.start(pool.small_instances(), 100ms);
+    ASSERT_TRUE(pool.begin_work());
+    pool.begin(trouble::lost_state_reads, pool.large_instances());
+    pool.crash_next_worker(never);
+    pool.kill_holder(std::nullopt);
+    // The claim ends within 1 s, and the second read is lost 1 s after it.
+    pool.run(2800ms);
+    pool.end_impairments();
+    pool.calm_down();
+    pool.run(calm_length);
+    EXPECT_EQ(pool.violation(), "") << pool.report();
+}
+
 // Guards against a herd of instances that start at the same time and move the
 // claim among them instead of working.
 TEST(pool_start_at_once, all_that_could_run_runs_after_a_start_in_any_order)
