Pool: an owner repeats an unanswered read of the state more than once

What callers saw: nothing ran for 10 s after the last trouble of the store. Cause: a read of the state was sent twice, 1 s apart, and then not before the second call had timed out, 5 s later; at 6 s the owner gives the claim up, and its successor begins the takeover anew. Change: the read is sent again after 1, 3 and 7 s, as long as it is unanswered.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -123,6 +123,8 @@
         std::uint32_t pending_calls =
             0; ///< Number of calls without an answer yet.
         bool answered = false;
+        common::time_point resend_at{};
+        common::duration resend_after{}; ///< Time to the next resend.
     };
     void read_state(common::time_point now,
                     ports::kv_operation operation,
@@ -567,10 +569,7 @@
     std::deque<
         std::pair<common::time_point, std::function<void(common::time_point)>>>
         retries_;
-    /// Reads that are sent again if still unanswered, with the time of the
-    /// resending, the earliest first.
-    std::deque<std::pair<common::time_point, std::shared_ptr<state_read>>>
-        pending_resends_;
+    std::vector<std::shared_ptr<state_read>> unanswered_reads_;
     std::vector<ports::kv_item> progress_items_;
     std::vector<ports::kv_item> job_items_;
     /// Number of state parts that are still loading.
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -15,8 +15,9 @@
 using ports::severity;
 
 // Reads until there is an answer. A read that is unanswered for a while is sent
-// a second time, without giving up the first: usually the first call was lost,
-// but its page may be large and the link slow. The first answer is used.
+// again, without giving up the earlier calls: usually they were lost, but the
+// page may be large and the link slow. The first answer is used. Each time the
+// wait doubles, so that a slow link is not filled with repeated pages.
 void owner::read_state(common::time_point now,
                        ports::kv_operation operation,
                        reply_handler on_reply)
@@ -25,7 +26,9 @@
     read->operation = std::move(operation);
     read->on_reply = std::move(on_reply);
     send_read(read);
-    pending_resends_.emplace_back(now + settings_.read_resend_after, read);
+    read->resend_after = settings_.read_resend_after;
+    read->resend_at = now + read->resend_after;
+    unanswered_reads_.push_back(std::move(read));
 }
 
 void owner::send_read(std::shared_ptr<state_read> const& read)
@@ -67,12 +70,17 @@
 
 void owner::resend_reads(common::time_point now)
 {
-    while (!pending_resends_.empty() && pending_resends_.front().first <= now)
+    std::erase_if(unanswered_reads_,
+                  [](auto const& read)
+                  {
+                      return read->answered;
+                  });
+    for (auto const& read : unanswered_reads_)
     {
-        auto const read = std::move(pending_resends_.front().second);
-        pending_resends_.pop_front();
-        if (!read->answered && read->pending_calls > 0)
+        if (now >= read->resend_at && read->pending_calls > 0)
         {
+            read->resend_after *= 2;
+            read->resend_at = now + read->resend_after;
             send_read(read);
         }
     }
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -25,7 +25,8 @@
     /// Timeout of a page read. A page is up to 1 MB, which takes 0.8 s on an
     /// otherwise idle link of 10 Mbit/s.
     common::duration page_timeout = std::chrono::seconds(5);
-    /// Time after which an unanswered read of the state is sent a second time.
+    /// Time after which an unanswered read of the state is sent again; doubles
+    /// each time.
     /// While the owner waits for a lost call it gets no updates and renews
     /// nothing.
     common::duration read_resend_after = std::chrono::seconds(1);
