Pool: a preempted owner's lease ends before its successor sends an order

An owner takes the renewal of its lease as proof that it has no successor: it then needs no majority of workers, and may start tasks on a worker that has restarted and forgotten all fencing tokens. The write of the claim's key by a larger instance left that lease alive, so an owner that got no events and no answers to its commits went on for 4 s or more. Change: the larger instance ends the lease after it has written the key, and is the owner only once that was answered; without an answer in three attempts it ends its own lease and backs off. An owner without any worker doesn't count the time without answers.

--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -71,7 +71,7 @@
     // This instance's own claim: the answer to the write was lost.
     if (item.value == own_record_ && lease_ != 0 && item.lease == lease_)
     {
-        on_acquired(now, item.revision);
+        on_own_key(now, item.revision);
         return;
     }
     discard_unused_lease();
@@ -140,8 +140,11 @@
         return;
     }
     auto const current_holder = read_holder(item);
-    holder_ = {
-        current_holder.value_or(claim_holder{}), item.revision, now, began};
+    holder_ = {current_holder.value_or(claim_holder{}),
+               item.revision,
+               item.lease,
+               now,
+               began};
     if (!current_holder)
     {
         return;
@@ -280,6 +283,7 @@
               {"its_size", std::to_string(holder_.who.size)},
               {"our_size", std::to_string(settings_.size)}});
     request_lease(now, holder_.epoch);
+    preempted_lease_ = holder_.lease;
 }
 
 // An instance that can't keep the claim, whatever the cause, would otherwise
@@ -287,10 +291,9 @@
 // wait for a takeover.
 void claim::back_off(common::time_point now)
 {
-    if (now - held_since_ >= settings_.stable_after)
+    if (now - unfit_until_ >= settings_.stable_after)
     {
         backoff_ = settings_.min_backoff;
-        return;
     }
     unfit_until_ = now + backoff_;
     backoff_ = std::min(2 * backoff_, settings_.max_backoff);
@@ -371,6 +374,7 @@
 void claim::request_lease(common::time_point now, std::uint64_t expected)
 {
     discard_unused_lease();
+    preempted_lease_ = 0;
     phase_ = phase::acquiring;
     call_pending_ = true;
     lease_requested_at_ = now;
@@ -410,7 +414,7 @@
     call_pending_ = false;
     if (reply.status == kv_status::done)
     {
-        on_acquired(now, reply.revision);
+        on_own_key(now, reply.revision);
         return;
     }
     on_acquire_failed(now, "key", reply.status);
@@ -439,6 +443,56 @@
     retry_later(now);
 }
 
+void claim::on_own_key(common::time_point now, std::uint64_t epoch)
+{
+    constexpr std::uint32_t max_attempts = 3;
+    if (preempted_lease_ == 0)
+    {
+        on_acquired(now, epoch);
+        return;
+    }
+    end_preempted_lease(now, epoch, max_attempts);
+}
+
+// An owner takes a renewed lease as proof that it has no successor. While the
+// preempted holder could still renew its lease, it might start a task on a
+// worker that has restarted and forgotten this instance's fencing token. This
+// instance therefore sends no order before that lease has ended.
+void claim::end_preempted_lease(common::time_point now,
+                                std::uint64_t epoch,
+                                std::uint32_t attempts_left)
+{
+    phase_ = phase::acquiring;
+    if (attempts_left == 0 || retired_)
+    {
+        discard_unused_lease();
+        back_off(now);
+        on_acquire_failed(now, "end_lease", kv_status::unclear);
+        return;
+    }
+    call_pending_ = true;
+    out_.store(life_,
+               ports::kv_lease_renew{lease_},
+               settings_.call_timeout,
+               [](common::time_point, kv_reply const&) {});
+    out_.store(life_,
+               ports::kv_lease_revoke{preempted_lease_},
+               settings_.write_timeout,
+               [this, epoch, attempts_left](common::time_point at,
+                                            kv_reply const& reply)
+               {
+                   call_pending_ = false;
+                   bool const ended = reply.status == kv_status::done ||
+                                      reply.status == kv_status::missing;
+                   if (!ended)
+                   {
+                       end_preempted_lease(at, epoch, attempts_left - 1);
+                       return;
+                   }
+                   on_acquired(at, epoch);
+               });
+}
+
 void claim::on_acquired(common::time_point now, std::uint64_t epoch)
 {
     if (retired_)
@@ -519,7 +573,10 @@
     out_.log(severity::warning,
              "claim_lost",
              {{"epoch", std::to_string(epoch_)}, {"why", reason}});
-    back_off(now);
+    if (now - held_since_ < settings_.stable_after)
+    {
+        back_off(now);
+    }
     phase_ = phase::reading;
     call_pending_ = false;
     following_ = false;
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -77,9 +77,9 @@
 ///
 /// An instance that is clearly larger than the holder preempts it: it writes
 /// the key under its own lease on the condition that the key still has the
-/// holder's revision. The claim is thus never free in between, an instance that
-/// can't take it leaves the holder alone, and a write that takes effect late
-/// can't hit a later holder.
+/// holder's revision, and then ends the holder's lease. The claim is thus never
+/// free in between, an instance that can't write leaves the holder alone, and a
+/// write that takes effect late can't hit a later holder.
 class claim
 {
 public:
@@ -128,6 +128,7 @@
     {
         claim_holder who;
         std::uint64_t epoch = 0; ///< 0: none has been seen.
+        std::uint64_t lease = 0;
         common::time_point since{};
         bool from_begin = false; ///< This instance saw the claim begin.
     };
@@ -163,6 +164,10 @@
     void on_acquire_failed(common::time_point now,
                            std::string_view call,
                            ports::kv_status status);
+    void on_own_key(common::time_point now, std::uint64_t epoch);
+    void end_preempted_lease(common::time_point now,
+                             std::uint64_t epoch,
+                             std::uint32_t attempts_left);
     void on_acquired(common::time_point now, std::uint64_t epoch);
     void renew(common::time_point now);
     void retry_later(common::time_point now);
@@ -185,6 +190,8 @@
     /// A call to read, watch or acquire the claim is pending.
     bool call_pending_ = false;
     std::uint64_t lease_ = 0;
+    /// Lease of the holder that this instance is preempting; 0: none.
+    std::uint64_t preempted_lease_ = 0;
     std::uint64_t epoch_ = 0;
     /// Revision from which the next watch continues.
     std::uint64_t watched_revision_ = 0;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -148,12 +148,19 @@
 // with them. Another instance may still reach the workers.
 void owner::hand_over_if_workers_silent(common::time_point now)
 {
-    auto const since =
-        std::max({worker_answered_at_, load_advanced_at_, store_silent_at_});
+    if (fleet_.all().empty())
+    {
+        without_workers_at_ = now;
+        return;
+    }
+    auto const since = std::max({worker_answered_at_,
+                                 load_advanced_at_,
+                                 store_silent_at_,
+                                 without_workers_at_});
     bool const answered = worker_answered_at_ != common::time_point{};
     auto const limit = answered ? settings_.silent_workers_timeout
                                 : settings_.first_answer_timeout;
-    if (!fleet_.all().empty() && now - since > limit)
+    if (now - since > limit)
     {
         claim_.hand_over(now, "no worker answers");
     }
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -565,6 +565,7 @@
     /// Last time at which the claim's renewal was overdue.
     common::time_point store_silent_at_{};
     common::time_point worker_answered_at_{}; ///< Last answer of any worker.
+    common::time_point without_workers_at_{}; ///< Last time without any worker.
     /// Actions to retry with the time of the retry, the earliest first.
     std::deque<
         std::pair<common::time_point, std::function<void(common::time_point)>>>
--- a/tests/unit/pool/owner_choice_test.cpp
+++ b/tests/unit/pool/owner_choice_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace fuchsia::tests::unit::pool;
 namespace ports = fuchsia::ports;
 
@@ -77,6 +79,46 @@
     EXPECT_EQ(world.violation(), "");
 }
 
+// Failure: a preempted owner renews its lease on, which it takes as proof that
+// it has no successor, and sends orders beside the successor.
+TEST(pool_owner_choice, a_preempted_owner_that_hears_nothing_stops_at_once)
+{
+    pool_simulation world(2);
+    start_with(world, {small_factor});
+    world.kill(1);
+    ASSERT_TRUE(becomes_owner(world, 0, 5s));
+    world.run(3s);
+    world.store_fault =
+        [](std::size_t instance, ports::kv_operation const& call)
+    {
+        if (instance != 0)
+        {
+            return fault_effect::carried_out;
+        }
+        bool const commits = std::holds_alternative<ports::kv_commit>(call);
+        return watches_jobs(call) ? fault_effect::watch_stalled
+               : commits          ? fault_effect::request_lost
+                                  : fault_effect::carried_out;
+    };
+    world.worker_fault =
+        [](std::size_t instance, std::size_t, ports::pool_operation const&)
+    {
+        return instance == 0 ? fault_effect::request_lost
+                             : fault_effect::carried_out;
+    };
+    world.start(1);
+    ASSERT_TRUE(becomes_owner(world, 1, 6s));
+    world.run(300ms);
+    bool const stopped = std::any_of(world.log().begin(),
+                                     world.log().end(),
+                                     [](logged_line const& line)
+                                     {
+                                         return line.instance == 0 &&
+                                                line.what.event == "claim_lost";
+                                     });
+    EXPECT_TRUE(stopped);
+}
+
 // The large owner dies, and small instances see the free claim as soon as the
 // other large one does.
 TEST(pool_owner_choice, large_instance_takes_over_from_a_large_one)
