Pool: a smaller owner is preempted during its takeover, too

Change: a larger instance takes the claim at once from an owner whose takeover isn't complete, and after 8 s instead of 30 s from one that works and doesn't reach some workers. Since it takes the claim itself and backs off where it fails, no series of takeovers follows. What told new claims from old ones goes.

--- a/src/core/pool/claim.cpp
+++ b/src/core/pool/claim.cpp
@@ -63,7 +63,6 @@
     }
     if (reply.status != kv_status::done || reply.items.empty())
     {
-        following_ = false;
         retry_later(now);
         return;
     }
@@ -108,7 +107,6 @@
 
 void claim::acquire_or_yield(common::time_point now)
 {
-    following_ = true;
     free_since_ = free_since_.value_or(now);
     if (now - *free_since_ >= time_to_yield(now))
     {
@@ -133,7 +131,6 @@
 
 void claim::observe_holder(common::time_point now, ports::kv_item const& item)
 {
-    bool const began = std::exchange(following_, true);
     free_since_.reset();
     if (item.revision == holder_.epoch)
     {
@@ -143,8 +140,7 @@
     holder_ = {current_holder.value_or(claim_holder{}),
                item.revision,
                item.lease,
-               now,
-               began};
+               now};
     if (!current_holder)
     {
         return;
@@ -224,22 +220,19 @@
     return record.value_or(backlog{});
 }
 
-// A holder is not preempted while its successor would have to repeat what it
-// has begun: the wait for workers that it does not reach.
+// A holder whose takeover is not complete is preempted at once: a small
+// instance may never complete it. One that works is preempted when its
+// successor need not wait for workers that the holder doesn't reach, or after
+// some time.
 bool claim::should_preempt(common::time_point now, backlog const& record) const
 {
-    auto const age = now - holder_.since;
-    bool const is_new = holder_.from_begin && age < settings_.new_claim_age;
-    if (is_new)
-    {
-        return true;
-    }
     if (record.working_epoch != holder_.epoch)
     {
-        return age >= settings_.takeover_limit;
+        return true;
     }
+    auto const age = now - holder_.since;
     return age >= (record.unreached_workers == 0 ? settings_.observation_time
-                                                 : settings_.working_limit);
+                                                 : settings_.unreached_limit);
 }
 
 // Reads the first page of the state before the claim is taken: an instance that
@@ -357,7 +350,6 @@
     }
     if (reply.status != kv_status::done)
     {
-        following_ = false;
         retry_later(now);
         return;
     }
@@ -579,7 +571,6 @@
     }
     phase_ = phase::reading;
     call_pending_ = false;
-    following_ = false;
     lease_ = 0;
     next_step_at_ = {};
 }
--- a/src/core/pool/claim.hpp
+++ b/src/core/pool/claim.hpp
@@ -45,20 +45,12 @@
     /// Time for which an instance does not acquire the claim after it has
     /// handed the claim over.
     common::duration handover_pause = std::chrono::seconds(2);
-    /// Age of a claim up to which its holder has done nothing that a successor
-    /// would have to do again.
-    common::duration new_claim_age = std::chrono::seconds(1);
-    /// Time for which a holder is observed before it is preempted once its
-    /// takeover is complete: its record may not show yet that a worker has just
-    /// been lost, for which a successor would have to wait.
+    /// Time for which a working holder is observed before it is preempted: its
+    /// record may not show yet that a worker has just been lost, for which a
+    /// successor would have to wait.
     common::duration observation_time = std::chrono::seconds(2);
-    /// Age of a claim after which its holder is preempted even if its takeover
-    /// is not complete. Longer than a takeover that waits for the leases of
-    /// unreached workers.
-    common::duration takeover_limit = std::chrono::seconds(8);
-    /// The same limit for a holder that works while it does not reach some
-    /// workers, for which a successor would have to wait.
-    common::duration working_limit = std::chrono::seconds(30);
+    /// The same time where its record shows such workers.
+    common::duration unreached_limit = std::chrono::seconds(8);
     /// Interval at which an instance that may preempt a holder examines it.
     common::duration preemption_interval = std::chrono::seconds(1);
     /// An instance that loses the claim sooner than this after it acquired it
@@ -130,7 +122,6 @@
         std::uint64_t epoch = 0; ///< 0: none has been seen.
         std::uint64_t lease = 0;
         common::time_point since{};
-        bool from_begin = false; ///< This instance saw the claim begin.
     };
 
     bool is_fit(common::time_point now) const noexcept;
@@ -178,8 +169,6 @@
     /// Time at which the claim was first seen free; empty while it is held.
     std::optional<common::time_point> free_since_;
     observed_holder holder_;
-    /// Every change of the claim since the last look is known.
-    bool following_ = false;
     bool ready_ = false;
     common::duration backoff_;         ///< Length of the next backoff.
     common::time_point unfit_until_{}; ///< End of the present backoff.
