Test of a preempted owner: it reaches a worker of its own

Cause: the test passed without the fix that it guards. Its old owner reached no worker at all and handed the claim over for that reason. Change: the old owner reaches one worker, the new one the others. Result: it fails where the new owner doesn't end the lease, and passes with it.

No functional change

--- a/tests/unit/pool/owner_choice_test.cpp
+++ b/tests/unit/pool/owner_choice_test.cpp
@@ -100,11 +100,12 @@
                : commits          ? fault_effect::request_lost
                                   : fault_effect::carried_out;
     };
-    world.worker_fault =
-        [](std::size_t instance, std::size_t, ports::pool_operation const&)
+    world.worker_fault = [](std::size_t instance,
+                            std::size_t worker,
+                            ports::pool_operation const&)
     {
-        return instance == 0 ? fault_effect::request_lost
-                             : fault_effect::carried_out;
+        return (instance == 0) == (worker == 0) ? fault_effect::carried_out
+                                                : fault_effect::request_lost;
     };
     world.start(1);
     ASSERT_TRUE(becomes_owner(world, 1, 6s));
