--- a/review/standin-2/platform_standin.py
+++ b/review/standin-2/platform_standin.py
@@ -39,6 +39,7 @@
 HEARTBEAT_S = 1.5
 # A stop takes at most `stopTimeoutMs`, 200 ms.
 STOP_S = 0.15
+GANG_TIMEOUT_S = 3.0
 STORE_DELAY_S = 0.004
 MIN_TTL_MS = 1000
 HISTORY_S = 20
@@ -311,12 +312,30 @@
 
 
 class Run:
-    def __init__(self, attempt, work_s, saved):
-        self.attempt = attempt
-        self.work_s = work_s
-        self.begun = time.monotonic()
-        self.saved = saved
+    """One attempt of a task on an executor.
+
+    A member of a gang begins its work once all members are present.
+    """
+
+    def __init__(self, task, order):
+        spec = order["taskSpec"]
+        work = re.search(r"work=(\d+)", spec)
+        gang = re.search(r"gang=(\d+)", spec)
+        self.attempt = order["attempt"]
+        self.work_s = int(work.group(1)) / 1000 if work else None
+        self.size = task_size(spec)
+        self.saved = order.get("checkpoint", "")
+        self.came = time.monotonic()
+        self.begun = self.came
         self.stops_at = None
+        self.gang = None
+        self.members = int(gang.group(1)) if gang else 1
+        if gang:
+            self.gang = (task.rsplit(".", 1)[0], self.attempt)
+            self.begun = None
+
+    def worked_s(self):
+        return time.monotonic() - self.begun if self.begun else 0.0
 
 
 class Executor:
@@ -327,7 +346,7 @@
     """
 
     def __init__(self, record, store, name, address, service, capacity,
-                 labels, events):
+                 labels, events, gangs):
         self.record = record
         self.store = store
         self.name = name
@@ -336,6 +355,7 @@
         self.capacity = capacity
         self.labels = labels
         self.events = events
+        self.gangs = gangs
         self.server = None
         self.up = False
         self.seq = 0
@@ -352,6 +372,7 @@
         self.last_end = 0
         self.ended_changed = asyncio.Event()
         self.seq = 0
+        self.dark = False
         self.server = HttpServer(self.address, self.handle)
         await self.server.open()
         self.up = True
@@ -370,6 +391,11 @@
         event, self.ended_changed = self.ended_changed, asyncio.Event()
         event.set()
 
+    def go_dark(self):
+        """Loses power: what is sent to it from now on isn't read."""
+        self.dark = True
+        self.record.write(f"{self.name} goes dark")
+
     def clock_ms(self):
         return 1000 + int((time.monotonic() - self.born) * 1000)
 
@@ -391,7 +417,7 @@
         while True:
             await asyncio.sleep(0.01)
             now = time.monotonic()
-            if self.up:
+            if self.up and not self.dark:
                 silent_since = None
                 self.advance()
                 if now >= next_beat:
@@ -409,15 +435,20 @@
             self.events.append((self.record.now(), "lapse", self.name))
         self.lapsed = lapsed
         for task, run in list(self.running.items()):
-            if run.work_s is not None and now - run.begun >= run.work_s:
+            if run.work_s is not None and run.begun \
+                    and run.worked_s() >= run.work_s:
                 self.end(task, "done")
             elif run.stops_at is not None and now >= run.stops_at:
-                self.end(task, "stopped")
+                self.end(task, "broken" if run.gang else "stopped")
             elif lapsed:
                 self.end(task, "lapsed")
+            elif run.begun is None and now - run.came >= GANG_TIMEOUT_S:
+                self.end(task, "alone")
 
     def end(self, task, how):
         run = self.running.pop(task)
+        if run.gang and how != "done":
+            self.end_gang(run.gang)
         self.highest[task] = max(self.highest.get(task, 0), run.attempt)
         self.last_end += 1
         self.ended.append([self.last_end, task, run.attempt, how, run.saved])
@@ -437,7 +468,10 @@
                             born=self.born_ms)
 
     async def handle(self, method, target, headers, body):
-        if not self.up:
+        life = self.born
+        while self.dark and self.up and life == self.born:
+            await asyncio.sleep(0.01)
+        if not self.up or life != self.born:
             return None
         if method == "GET":
             return self.answer(200)
@@ -480,16 +514,27 @@
         if used["cpu"] > self.capacity["cpu"] \
                 or used["memMb"] > self.capacity["memMb"]:
             return self.answer(409, reason="room")
-        work = re.search(r"work=(\d+)", order["taskSpec"])
-        run = Run(attempt, int(work.group(1)) / 1000 if work else None,
-                  order.get("checkpoint", ""))
-        run.size = size
+        run = Run(task, order)
         self.running[task] = run
+        if run.gang:
+            self.join_gang(run)
         self.events.append((self.record.now(), "start", self.name, task,
                             attempt))
         self.record.write(f"{self.name} start {task}#{attempt}")
         return self.answer(200)
 
+    def join_gang(self, run):
+        members = self.gangs.setdefault(run.gang, [])
+        members.append(run)
+        if len(members) == run.members:
+            for member in members:
+                member.begun = time.monotonic()
+
+    def end_gang(self, gang):
+        """Breaks the gang of a member that has ended without being done."""
+        for member in self.gangs.get(gang, []):
+            member.stops_at = member.stops_at or time.monotonic()
+
     def stop(self, order):
         task, attempt = order["task"], order["attempt"]
         present = self.running.get(task)
@@ -501,6 +546,7 @@
         return self.answer(200)
 
     async def hold(self, order):
+        life = self.born
         seen = order.get("lastSeen", 0)
         taken = [row for row in self.ended if row[0] <= seen]
         for row in taken:
@@ -516,14 +562,13 @@
                 await asyncio.wait_for(self.ended_changed.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-            if not self.up:
+            if not self.up or life != self.born:
                 return None
         self.advance()
-        now = time.monotonic()
         rows = []
         for task, run in self.running.items():
             share = 1.0 if run.work_s is None else \
-                (now - run.begun) / max(run.work_s, 0.001)
+                run.worked_s() / max(run.work_s, 0.001)
             rows.append([task, run.attempt, run.saved,
                          min(int(100 * share), 100), run.size["cpu"]])
         return self.answer(200, running=rows,
@@ -536,10 +581,11 @@
     return {"cpu": int(found.group(1)), "memMb": int(found.group(2))}
 
 
-def spec_of(cpu, memory, work_ms=None):
+def spec_of(cpu, memory, work_ms=None, gang=0):
     """Returns a taskSpec that tells the executors what a task does."""
     work = "lasts" if work_ms is None else f"work={work_ms}"
-    return f"{work} cpu={cpu} mem={memory}"
+    members = f" gang={gang}" if gang else ""
+    return f"{work} cpu={cpu} mem={memory}{members}"
 
 
 def render(template, values):
@@ -642,6 +688,7 @@
         self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="fuchsia-review-")
         self.events = []
+        self.gangs = {}
         self.store = Store(self.record)
         # Loopback addresses of its own; the port of the metrics is fixed.
         self.network = "127.%d.%d" % (random.randint(10, 250),
@@ -660,7 +707,7 @@
         self.executors.append(Executor(
             self.record, self.store, f"i-{number:08x}",
             (f"{self.network}.{100 + number}", 8080), service, capacity,
-            labels, self.events))
+            labels, self.events, self.gangs))
         return self.executors[-1]
 
     def configure(self, routes, service="auction-desk"):
