Pool: ends of a new incarnation are not acknowledged by an earlier number

Callers saw a task start again after it had ended (TWICE by "a start after a run has ended `done`, if that end is taken note of"). Each poll repeated the number of the last acknowledged end, though the worker had long forgotten the ends up to it. A worker that had started again counts its ends from 1, so it forgot the end of a short task before it had ever listed it.

Now a poll names a number only until the worker has answered one that did, and only while every start has been answered by the adopted incarnation, or that has answered a poll since.

Not covered: a poll with a number that is under way while its worker starts again, takes a start that was sent later and ends the task, and that reaches the worker after that.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -89,10 +89,15 @@
 
     /// Sequence number up to which the worker's ended attempts are durable.
     std::uint64_t durable_end = 0;
+    /// Sequence number up to which the worker has been told so.
+    std::uint64_t acknowledged_end = 0;
     /// Highest sequence number of an ended attempt that was processed.
     std::uint64_t highest_end = 0;
     /// Number of ended attempts whose record is being written.
     std::uint64_t ends_being_written = 0;
+    std::uint32_t starts_pending = 0; ///< Starts that wait for their answer.
+    /// Time at which a start was last found to have got no answer.
+    common::time_point start_unclear_at{};
     bool poll_pending = false; ///< A poll is waiting for its answer.
     common::time_point next_poll{};
     common::time_point last_contact{}; ///< Time of the last answer to a poll.
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -232,11 +232,18 @@
     // owner_workers.cpp: polls of workers, and the handling of workers that do
     // not answer.
     void poll_workers(common::time_point now);
+    void poll_if_due(common::time_point now, worker& target);
     void poll_worker(common::time_point now, worker& target);
+    /// What the owner remembers of a poll until it is answered.
+    struct sent_poll
+    {
+        common::time_point sent_at{};
+        std::string worker;
+        ports::endpoint remote_endpoint;
+        std::uint64_t acknowledged_end = 0;
+    };
     void on_poll_reply(common::time_point now,
-                       common::time_point sent_at,
-                       std::string const& id,
-                       ports::endpoint const& polled_at,
+                       sent_poll const& poll,
                        ports::order_reply const& reply);
     void acknowledge_ends(common::time_point now, worker& target);
     void note_worker_failure(common::time_point now,
@@ -347,9 +354,14 @@
     void note_incarnation(common::time_point now,
                           worker& target,
                           std::uint64_t incarnation);
+    void note_start_reply(common::time_point now,
+                          worker& target,
+                          ports::order_reply const& reply);
     void adopt_incarnation(common::time_point now,
                            worker& target,
                            ports::order_reply const& first_reply);
+    bool must_await_starts(common::time_point now, worker const& target) const;
+    std::uint64_t end_to_acknowledge(worker const& target) const;
     task_names runs_of_earlier_incarnation(worker const& target,
                                            ports::order_reply const& reply);
 
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -280,6 +280,7 @@
         std::max(target.lease_until_ms, order.lease_until_ms);
     // An idle worker is polled rarely; with a task it is polled more often.
     target.next_poll = std::min(target.next_poll, now + settings_.full_pause);
+    ++target.starts_pending;
     out_.order(life_,
                {0,
                 target.info.id,
@@ -306,7 +307,7 @@
     auto* const target = fleet_.find(id);
     if (target != nullptr)
     {
-        note_incarnation(now, *target, reply.incarnation);
+        note_start_reply(now, *target, reply);
     }
     auto const [run, t] = find_task(attempt_id.task);
     bool const ours = t != nullptr && t->worker == id &&
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -12,6 +12,7 @@
 {
 
 using ports::order_reply;
+using ports::order_status;
 using ports::severity;
 
 // Handles the incarnation that a list entry or an answer to any order names. If
@@ -37,6 +38,23 @@
     target.next_poll = now;
 }
 
+// Handles what the answer to a start tells about the worker.
+void owner::note_start_reply(common::time_point now,
+                             worker& target,
+                             order_reply const& reply)
+{
+    --target.starts_pending;
+    if (reply.status == order_status::unclear)
+    {
+        target.start_unclear_at = now;
+    }
+    note_incarnation(now, target, reply.incarnation);
+    if (may_act(now))
+    {
+        poll_if_due(now, target);
+    }
+}
+
 // Adopts the incarnation that has answered a poll for the first time. Tasks of
 // an earlier incarnation no longer run.
 void owner::adopt_incarnation(common::time_point now,
@@ -48,6 +66,7 @@
     target.adopted_at = now;
     target.incarnation = first_reply.incarnation;
     target.durable_end = 0;
+    target.acknowledged_end = 0;
     target.highest_end = 0;
     target.ends_being_written = 0;
     target.lease_until_ms = 0;
@@ -72,6 +91,32 @@
     digest_.worker_adopted(now, target.info.id);
 }
 
+// Returns up to which of its ends the worker is told to forget; 0: none. The
+// ends of each incarnation are numbered from 1, so a new incarnation would
+// forget its own ends, and their tasks would start again. A poll therefore
+// names a number only once, and only while no end of another incarnation can
+// exist: every start has been answered, by the adopted incarnation, or it has
+// answered a poll since.
+std::uint64_t owner::end_to_acknowledge(worker const& target) const
+{
+    bool const all_starts_known =
+        target.starts_pending == 0 && !target.may_have_restarted() &&
+        target.start_unclear_at <= target.report_as_of;
+    bool const has_new = target.durable_end > target.acknowledged_end;
+    return has_new && all_starts_known ? target.durable_end : 0;
+}
+
+// Whether the next poll should wait for the answers to starts, which take a few
+// milliseconds, so that it can acknowledge ends. Without that the worker would
+// answer it at once with the same ends.
+bool owner::must_await_starts(common::time_point now,
+                              worker const& target) const
+{
+    return target.starts_pending > 0 &&
+           target.durable_end > target.acknowledged_end &&
+           now - target.last_contact < settings_.order_timeout;
+}
+
 // Returns the tasks of the worker without those whose present attempt the
 // incarnation that sent `reply` has confirmed or may still confirm: it lists
 // the attempt, it has answered the start, or that is still to be answered.
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -34,10 +34,16 @@
     }
     for (auto& [id, w] : fleet_.all())
     {
-        if (!w.poll_pending && now >= w.next_poll)
-        {
-            poll_worker(now, w);
-        }
+        poll_if_due(now, w);
+    }
+}
+
+void owner::poll_if_due(common::time_point now, worker& target)
+{
+    if (!target.poll_pending && now >= target.next_poll &&
+        !must_await_starts(now, target))
+    {
+        poll_worker(now, target);
     }
 }
 
@@ -45,7 +51,7 @@
 {
     ports::poll_order order;
     order.fencing_token = claim_.epoch();
-    order.acknowledged_end = target.durable_end;
+    order.acknowledged_end = end_to_acknowledge(target);
     bool const busy = !target.runs.empty();
     if (target.adopted)
     {
@@ -56,8 +62,10 @@
         target.lease_until_ms =
             std::max(target.lease_until_ms, order.lease_until_ms);
     }
-    bool const unwritten = target.highest_end > target.durable_end;
-    if (order.lease_until_ms > 0 && !unwritten)
+    bool const all_acknowledged =
+        target.highest_end ==
+        std::max(order.acknowledged_end, target.acknowledged_end);
+    if (order.lease_until_ms > 0 && all_acknowledged)
     {
         bool const guarded = target.serves() && target.best_effort_cores > 0;
         order.wait = guarded ? settings_.guarded_poll_wait
@@ -72,36 +80,35 @@
                 order,
                 wait + settings_.poll_grace},
                [this,
-                now,
-                id = target.info.id,
-                polled_at = target.info.remote_endpoint](
+                poll = sent_poll{now,
+                                 target.info.id,
+                                 target.info.remote_endpoint,
+                                 order.acknowledged_end}](
                    common::time_point at, order_reply const& reply)
                {
-                   on_poll_reply(at, now, id, polled_at, reply);
+                   on_poll_reply(at, poll, reply);
                });
 }
 
 void owner::on_poll_reply(common::time_point now,
-                          common::time_point sent_at,
-                          std::string const& id,
-                          ports::endpoint const& polled_at,
+                          sent_poll const& poll,
                           order_reply const& reply)
 {
-    auto* const target = fleet_.find(id);
+    auto* const target = fleet_.find(poll.worker);
     if (target == nullptr)
     {
         return;
     }
     target->poll_pending = false;
     if (reply.status == order_status::wrong_incarnation && !target->adopted &&
-        target->info.remote_endpoint == polled_at)
+        target->info.remote_endpoint == poll.remote_endpoint)
     {
         mark_ended(now, *target);
         return;
     }
     if (reply.status == order_status::stale_fencing_token)
     {
-        on_fenced(now, id);
+        on_fenced(now, poll.worker);
         return;
     }
     if (reply.status == order_status::not_attempted)
@@ -121,7 +128,7 @@
             target->may_have_crashed = false;
         }
         target->silent = true;
-        target->silent_since_lapse = fleet_.lapsed(*target, sent_at);
+        target->silent_since_lapse = fleet_.lapsed(*target, poll.sent_at);
         target->next_poll = now + settings_.full_pause;
         return;
     }
@@ -130,7 +137,7 @@
     target->silence_noted = false;
     target->silent_since_lapse = false;
     target->last_contact = now;
-    target->report_as_of = sent_at;
+    target->report_as_of = poll.sent_at;
     target->clock_ms = reply.clock_ms;
     target->clock_received_at = now;
     bool const first_report =
@@ -141,12 +148,17 @@
             target->adopted && !was_silent ? now : target->contact_lost_at;
         adopt_incarnation(now, *target, reply);
     }
+    else
+    {
+        target->acknowledged_end =
+            std::max(target->acknowledged_end, poll.acknowledged_end);
+    }
     if (was_silent || first_report)
     {
         settle_blame(now, *target);
     }
     target->view_known = false;
-    apply_rows(now, sent_at, *target, reply, first_report);
+    apply_rows(now, poll.sent_at, *target, reply, first_report);
     target->next_poll =
         target->runs.empty() ? now + settings_.idle_interval : now;
     if (target->highest_end > target->durable_end)
@@ -162,9 +174,9 @@
         complete_takeover(now);
     }
     protect_serving(now, *target);
-    if (now >= target->next_poll && may_act(now))
+    if (may_act(now))
     {
-        poll_worker(now, *target);
+        poll_if_due(now, *target);
     }
     save_all_progress();
     ledger_.tick(now);
--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -72,6 +72,61 @@
               earlier_tasks);
 }
 
+/// Applies `effect` to the next start that is sent to worker `restarted`.
+void fail_next_start(pool_simulation& simulation, fault_effect effect)
+{
+    simulation.worker_fault =
+        [effect, failed = false](std::size_t,
+                                 std::size_t worker,
+                                 ports::pool_operation const& order) mutable
+    {
+        bool const hit = !failed && worker == restarted &&
+                         std::holds_alternative<ports::start_order>(order);
+        failed = failed || hit;
+        return hit ? effect : fault_effect::carried_out;
+    };
+}
+
+/// Time from the submission of a job to a restart of its worker. Most starts
+/// are sent 1 to 30 ms after the submission.
+constexpr duration restart_offsets[] = {-1500ms,
+                                        -700ms,
+                                        -300ms,
+                                        -100ms,
+                                        -20ms,
+                                        -1ms,
+                                        0ms,
+                                        5ms,
+                                        10ms,
+                                        15ms,
+                                        20ms,
+                                        25ms,
+                                        30ms,
+                                        40ms,
+                                        60ms,
+                                        100ms,
+                                        200ms,
+                                        400ms,
+                                        700ms};
+
+/// Submits a job of each length and restarts the worker `offset` later, or
+/// earlier if that is negative.
+void submit_and_restart(pool_simulation& simulation, duration offset)
+{
+    if (offset < 0ms)
+    {
+        simulation.restart_worker(restarted);
+        simulation.run(-offset);
+    }
+    simulation.submit(0, "short", job_near_restarted(1, 5ms));
+    simulation.submit(0, "long", job_near_restarted(2, 1500ms));
+    if (offset >= 0ms)
+    {
+        simulation.run(offset);
+        simulation.restart_worker(restarted);
+    }
+}
+
 /// Returns the first log line of the event with `text` in it; empty if there
 /// is none.
 std::string line_with(pool_simulation const& simulation,
@@ -109,6 +164,79 @@
     }
 }
 
+// Guards against a poll that acknowledges ends of the earlier incarnation to
+// the new one, which forgets its own ends with these numbers: a task that has
+// ended there starts again.
+TEST(pool_restarted_worker, ends_of_the_new_incarnation_are_not_acknowledged)
+{
+    for (auto idle = 0ms; idle <= 1600ms; idle += 100ms)
+    {
+        pool_simulation simulation(2, 2);
+        use_first_incarnation(simulation);
+        simulation.run(idle);
+        simulation.restart_worker(restarted);
+        simulation.submit(0, "a", job_near_restarted(1, 5ms));
+        EXPECT_TRUE(completes(simulation, "a"));
+        EXPECT_EQ(simulation.violation(), "");
+        EXPECT_EQ(simulation.starts_of({"a", 0, 0, 0}), 1U) << idle.count();
+    }
+}
+
+// Guards against tasks that run twice, or are lost, when their worker restarts
+// at any step of the way of their start, whether or not the start is answered.
+TEST(pool_restarted_worker, restarts_at_each_step_of_a_start)
+{
+    for (auto const effect : {fault_effect::carried_out,
+                              fault_effect::answer_lost,
+                              fault_effect::request_lost,
+                              fault_effect::executed_late,
+                              fault_effect::delayed})
+    {
+        for (auto const offset : restart_offsets)
+        {
+            pool_simulation simulation(2, 2);
+            use_first_incarnation(simulation);
+            simulation.set_late_delay(effect == fault_effect::delayed ? 200ms
+                                                                      : 2s);
+            fail_next_start(simulation, effect);
+            submit_and_restart(simulation, offset);
+            bool const completed =
+                completes(simulation, "short") && completes(simulation, "long");
+            EXPECT_TRUE(completed && simulation.violation().empty())
+                << simulation.violation() << " effect "
+                << static_cast<int>(effect) << " offset "
+                << core::common::to_milliseconds(offset) << " ms";
+        }
+    }
+}
+
+// Guards against tasks that run twice when their worker restarts and a new
+// owner takes over at the same time.
+TEST(pool_restarted_worker, restarts_beside_an_owner_change)
+{
+    for (auto const kill_delay : {0ms, 5ms, 20ms, 50ms})
+    {
+        for (auto const offset : restart_offsets)
+        {
+            pool_simulation simulation(3, 2);
+            use_first_incarnation(simulation);
+            submit_and_restart(simulation, offset);
+            simulation.run(kill_delay);
+            if (auto const owner = simulation.owner())
+            {
+                simulation.kill(*owner);
+                simulation.start(*owner);
+            }
+            bool const completed =
+                completes(simulation, "short") && completes(simulation, "long");
+            EXPECT_TRUE(completed && simulation.violation().empty())
+                << simulation.violation() << " kill after "
+                << kill_delay.count() << " ms, offset "
+                << core::common::to_milliseconds(offset) << " ms";
+        }
+    }
+}
+
 // Guards against tasks of a worker that restarts which wait for its answer to
 // an order that is never answered.
 TEST(pool_restarted_worker, tasks_of_the_earlier_incarnation_start_again)
