Pool: a lease by the clock of an earlier incarnation is waited for

Callers would see a task run twice (TWICE) if a worker starts again under its id, takes an order that was meant for its earlier incarnation, and is then cut off. The order's lease is a time on a clock that was far ahead, and the new incarnation grants as much of it as it may (`maxHoldMs`, 6 to 10 s). The owner took the worker for lapsed after 3.5 s: adopting the new incarnation set the lease that may have reached it to 0, and before that the earlier clock was used.

Now the adoption keeps that lease, by the new clock and at most as long as a worker grants, if an order with a lease may have reached the new incarnation: the poll that it answered, a start that is pending, or an order that was answered by it or not at all since it can have started. Until the poll that looks for it is answered, the longest lease counts from the last sign of it, and that poll carries no lease. A refusal because another worker has the address (421) names that one's incarnation and is no sign of a restart; the crash tests showed that, as lost workers were waited for too long.

Not covered: a new incarnation that takes such an order, answers nothing at all and is cut off from the store too.

Tried and dropped: keeping every lease that was ever granted, up to the longest one. Workers that crash time and again were then waited for 10 s each.

--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -47,6 +47,7 @@
         bounds.duration_or("longest_hold_ms", 10s, 500ms, 600s);
     auto& lease = result.owner.workers.lease;
     lease = std::min(lease, longest_lease);
+    result.owner.workers.max_lease = longest_lease;
     auto const grace =
         std::chrono::seconds(bounds.integer_or("stop_limit_s", 6, 1, 600));
     result.stop_limit =
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -108,17 +108,33 @@
                       }));
 }
 
-std::uint64_t fleet::lease_end(worker const& target,
-                               common::time_point now) const noexcept
+std::uint64_t fleet::clock_at(worker const& target,
+                              common::time_point now) const noexcept
 {
-    if (target.clock_ms == 0)
-    {
-        return 0;
-    }
     auto const elapsed_ms =
         common::to_milliseconds(now - target.clock_received_at);
+    return target.clock_ms == 0
+               ? 0
+               : target.clock_ms + static_cast<std::uint64_t>(elapsed_ms);
+}
+
+std::uint64_t fleet::lease_end(worker const& target,
+                               common::time_point now) const noexcept
+{
+    auto const clock_ms = clock_at(target, now);
     auto const lease_ms = common::to_milliseconds(settings_.lease);
-    return target.clock_ms + static_cast<std::uint64_t>(elapsed_ms + lease_ms);
+    return clock_ms == 0 ? 0 : clock_ms + static_cast<std::uint64_t>(lease_ms);
+}
+
+void fleet::assume_lease(worker& target,
+                         std::uint64_t until_ms,
+                         common::time_point now) const noexcept
+{
+    auto const max_ms = common::to_milliseconds(settings_.max_lease);
+    auto const longest_ms =
+        clock_at(target, now) + static_cast<std::uint64_t>(max_ms);
+    target.lease_until_ms =
+        std::max(target.lease_until_ms, std::min(until_ms, longest_ms));
 }
 
 common::duration fleet::lease_left(worker const& target,
@@ -134,6 +150,15 @@
 
 bool fleet::lapsed(worker const& target, common::time_point now) const noexcept
 {
+    auto const max_lease = std::chrono::duration_cast<common::duration>(
+        settings_.max_lease * (1 + settings_.clock_drift));
+    bool const new_lease_may_hold =
+        target.may_have_restarted() &&
+        now - target.restart_suspected_at <= max_lease + settings_.lapse_slack;
+    if (new_lease_may_hold)
+    {
+        return false;
+    }
     auto const slack_ms = common::to_milliseconds(settings_.lapse_slack);
     auto const elapsed_ms = static_cast<double>(
         common::to_milliseconds(now - target.clock_received_at));
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -23,6 +23,8 @@
     /// contact to an owner. Must be longer than a failover takes. The tasks of
     /// a worker that no longer answers can't start elsewhere for this time.
     common::duration lease = std::chrono::milliseconds(3500);
+    /// Longest lease that a worker grants; it shortens a longer one.
+    common::duration max_lease = std::chrono::seconds(10);
     /// A worker that has not answered for this long gets no lease extension.
     /// Any unanswered call may have reached the worker, so with further
     /// extensions its lease would never be known to have expired.
@@ -96,6 +98,9 @@
     /// Number of ended attempts whose record is being written.
     std::uint64_t ends_being_written = 0;
     std::uint32_t starts_pending = 0; ///< Starts that wait for their answer.
+    /// Time at which an order with a lease was last answered by another
+    /// incarnation than the adopted one, or found to have got no answer.
+    common::time_point unconfirmed_lease_at{};
     /// Time at which a start was last found to have got no answer.
     common::time_point start_unclear_at{};
     bool poll_pending = false; ///< A poll is waiting for its answer.
@@ -181,14 +186,24 @@
     /// clock is unknown.
     std::uint64_t lease_end(worker const& target,
                             common::time_point now) const noexcept;
+    /// Records that a lease until `until_ms`, computed by the clock of another
+    /// incarnation, may have reached the worker by now.
+    void assume_lease(worker& target,
+                      std::uint64_t until_ms,
+                      common::time_point now) const noexcept;
     /// Remaining time of the longest lease that may have reached the worker.
     common::duration lease_left(worker const& target,
                                 common::time_point now) const noexcept;
     /// Whether every lease that was granted to the worker has expired on its
-    /// clock, even if that clock is as slow as `clock_drift` allows.
+    /// clock, even if that clock is as slow as `clock_drift` allows. If it may
+    /// have restarted, its new incarnation may hold the longest lease.
     bool lapsed(worker const& target, common::time_point now) const noexcept;
 
 private:
+    /// The worker's clock at `now`; 0 while it is unknown.
+    std::uint64_t clock_at(worker const& target,
+                           common::time_point now) const noexcept;
+
     fleet_settings settings_;
     std::map<std::string, worker> workers_;
 };
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -241,6 +241,7 @@
         std::string worker;
         ports::endpoint remote_endpoint;
         std::uint64_t acknowledged_end = 0;
+        std::uint64_t lease_until_ms = 0; ///< 0: no renewal.
     };
     void on_poll_reply(common::time_point now,
                        sent_poll const& poll,
@@ -354,12 +355,28 @@
     void note_incarnation(common::time_point now,
                           worker& target,
                           std::uint64_t incarnation);
+    void note_incarnation_of(common::time_point now,
+                             worker& target,
+                             ports::order_reply const& reply);
+    /// What the owner remembers of a start until it is answered.
+    struct sent_start
+    {
+        ports::pool_attempt attempt_id;
+        std::string worker;
+        std::uint64_t incarnation = 0;    ///< The one that was adopted then.
+        std::uint64_t lease_until_ms = 0; ///< By the clock of `incarnation`.
+    };
     void note_start_reply(common::time_point now,
                           worker& target,
+                          sent_start const& sent,
                           ports::order_reply const& reply);
     void adopt_incarnation(common::time_point now,
                            worker& target,
+                           sent_poll const& poll,
                            ports::order_reply const& first_reply);
+    static bool may_hold_earlier_lease(common::time_point now,
+                                       worker const& target,
+                                       sent_poll const& poll);
     bool must_await_starts(common::time_point now, worker const& target) const;
     std::uint64_t end_to_acknowledge(worker const& target) const;
     task_names runs_of_earlier_incarnation(worker const& target,
@@ -473,8 +490,7 @@
                ports::task_name const& name,
                worker& target);
     void on_start(common::time_point now,
-                  ports::pool_attempt const& attempt_id,
-                  std::string const& id,
+                  sent_start const& sent,
                   ports::order_reply const& reply);
 
     // owner_waiting.cpp: logs why steps wait.
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -287,18 +287,22 @@
                 target.info.remote_endpoint,
                 order,
                 settings_.order_timeout},
-               [this, attempt_id = order.attempt_id, id = target.info.id](
+               [this,
+                sent = sent_start{order.attempt_id,
+                                  target.info.id,
+                                  target.incarnation,
+                                  order.lease_until_ms}](
                    common::time_point at, order_reply const& reply)
                {
-                   on_start(at, attempt_id, id, reply);
+                   on_start(at, sent, reply);
                });
 }
 
 void owner::on_start(common::time_point now,
-                     ports::pool_attempt const& attempt_id,
-                     std::string const& id,
+                     sent_start const& sent,
                      order_reply const& reply)
 {
+    auto const& [attempt_id, id, incarnation, lease_until_ms] = sent;
     if (reply.status == order_status::stale_fencing_token)
     {
         on_fenced(now, id);
@@ -307,7 +311,7 @@
     auto* const target = fleet_.find(id);
     if (target != nullptr)
     {
-        note_start_reply(now, *target, reply);
+        note_start_reply(now, *target, sent, reply);
     }
     auto const [run, t] = find_task(attempt_id.task);
     bool const ours = t != nullptr && t->worker == id &&
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -38,17 +38,42 @@
     target.next_poll = now;
 }
 
+// Handles the incarnation that the answer to an order names. A refusal because
+// the order names another worker tells nothing about the named one.
+void owner::note_incarnation_of(common::time_point now,
+                                worker& target,
+                                order_reply const& reply)
+{
+    if (reply.status != order_status::wrong_incarnation)
+    {
+        note_incarnation(now, target, reply.incarnation);
+    }
+}
+
 // Handles what the answer to a start tells about the worker.
 void owner::note_start_reply(common::time_point now,
                              worker& target,
+                             sent_start const& sent,
                              order_reply const& reply)
 {
     --target.starts_pending;
+    note_incarnation_of(now, target, reply);
+    if (target.is_other_incarnation(reply.incarnation))
+    {
+        target.unconfirmed_lease_at = now;
+    }
     if (reply.status == order_status::unclear)
     {
         target.start_unclear_at = now;
+        target.unconfirmed_lease_at = now;
+        // It may have reached a new incarnation only now.
+        target.restart_suspected_at =
+            target.may_have_restarted() ? now : target.restart_suspected_at;
+    }
+    if (target.incarnation != sent.incarnation)
+    {
+        fleet_.assume_lease(target, sent.lease_until_ms, now);
     }
-    note_incarnation(now, target, reply.incarnation);
     if (may_act(now))
     {
         poll_if_due(now, target);
@@ -59,6 +84,7 @@
 // an earlier incarnation no longer run.
 void owner::adopt_incarnation(common::time_point now,
                               worker& target,
+                              sent_poll const& poll,
                               order_reply const& first_reply)
 {
     bool const previously_adopted = target.adopted;
@@ -69,7 +95,11 @@
     target.acknowledged_end = 0;
     target.highest_end = 0;
     target.ends_being_written = 0;
-    target.lease_until_ms = 0;
+    auto const earlier_lease_ms = std::exchange(target.lease_until_ms, 0);
+    if (may_hold_earlier_lease(now, target, poll))
+    {
+        fleet_.assume_lease(target, earlier_lease_ms, now);
+    }
     target.failed_jobs.clear();
     if (std::exchange(target.ended, false))
     {
@@ -117,6 +147,19 @@
            now - target.last_contact < settings_.order_timeout;
 }
 
+// Whether an order that was meant for an earlier incarnation may have granted
+// its lease to the one that has just answered `poll`. An order whose call ended
+// before the new incarnation started can't have reached it. The clock of an
+// incarnation starts with it, and so tells its greatest age.
+bool owner::may_hold_earlier_lease(common::time_point now,
+                                   worker const& target,
+                                   sent_poll const& poll)
+{
+    auto const max_age = std::chrono::milliseconds(target.clock_ms);
+    return poll.lease_until_ms > 0 || target.starts_pending > 0 ||
+           now - target.unconfirmed_lease_at <= max_age;
+}
+
 // Returns the tasks of the worker without those whose present attempt the
 // incarnation that sent `reply` has confirmed or may still confirm: it lists
 // the attempt, it has answered the start, or that is still to be answered.
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -261,7 +261,7 @@
             }
             if (auto* const w = fleet_.find(id))
             {
-                note_incarnation(at, *w, reply.incarnation);
+                note_incarnation_of(at, *w, reply);
             }
             if (reply.status != order_status::done)
             {
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -55,8 +55,10 @@
     bool const busy = !target.runs.empty();
     if (target.adopted)
     {
+        // A lease by the clock of an earlier incarnation may be far too long.
         bool const responsive =
-            now - target.last_contact < settings_.workers.renew_within;
+            now - target.last_contact < settings_.workers.renew_within &&
+            !target.may_have_restarted();
         order.lease_until_ms =
             busy && responsive ? fleet_.lease_end(target, now) : 0;
         target.lease_until_ms =
@@ -83,7 +85,8 @@
                 poll = sent_poll{now,
                                  target.info.id,
                                  target.info.remote_endpoint,
-                                 order.acknowledged_end}](
+                                 order.acknowledged_end,
+                                 order.lease_until_ms}](
                    common::time_point at, order_reply const& reply)
                {
                    on_poll_reply(at, poll, reply);
@@ -128,6 +131,10 @@
             target->may_have_crashed = false;
         }
         target->silent = true;
+        bool const may_have_renewed =
+            poll.lease_until_ms > 0 && reply.status != order_status::not_sent;
+        target->unconfirmed_lease_at =
+            may_have_renewed ? now : target->unconfirmed_lease_at;
         target->silent_since_lapse = fleet_.lapsed(*target, poll.sent_at);
         target->next_poll = now + settings_.full_pause;
         return;
@@ -146,7 +153,7 @@
     {
         target->contact_lost_at =
             target->adopted && !was_silent ? now : target->contact_lost_at;
-        adopt_incarnation(now, *target, reply);
+        adopt_incarnation(now, *target, poll, reply);
     }
     else
     {
@@ -319,7 +326,7 @@
     }
     if (auto* const target = fleet_.find(id))
     {
-        note_incarnation(now, *target, reply.incarnation);
+        note_incarnation_of(now, *target, reply);
     }
     auto* const t = find_stopping_task(id, attempt_id);
     if (t == nullptr)
--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -52,12 +52,14 @@
 
 bool runs_on_restarted(pool_simulation& simulation, std::string const& id)
 {
-    return simulation.run_until(
-        [&simulation, &id]
+    ports::task_name const task{id, 0, 0, 0};
+    simulation.run_until(
+        [&simulation, &task]
         {
-            return simulation.worker(restarted).runs({id, 0, 0, 0});
+            return simulation.running_count(task) > 0;
         },
         5s);
+    return simulation.worker(restarted).runs(task);
 }
 
 /// Runs until the first incarnation of the worker has acknowledged ends and
@@ -87,6 +89,17 @@
     };
 }
 
+/// Drops all orders to worker `restarted` from now on.
+void cut_off(pool_simulation& simulation)
+{
+    simulation.worker_fault =
+        [](std::size_t, std::size_t worker, ports::pool_operation const&)
+    {
+        return worker == restarted ? fault_effect::request_lost
+                                   : fault_effect::carried_out;
+    };
+}
+
 /// Time from the submission of a job to a restart of its worker. Most starts
 /// are sent 1 to 30 ms after the submission.
 constexpr duration restart_offsets[] = {-1500ms,
@@ -237,6 +250,59 @@
     }
 }
 
+// Guards against a lease that is computed by the clock of the earlier
+// incarnation, which is ahead: the new one holds the run for longer than the
+// owner believes if it is cut off right after the start.
+TEST(pool_restarted_worker, a_lease_by_the_earlier_clock_is_waited_for)
+{
+    std::size_t starts_before_notice = 0;
+    for (auto idle = 0ms; idle <= 1600ms; idle += 100ms)
+    {
+        pool_simulation simulation(2, 2);
+        use_first_incarnation(simulation);
+        // The clock of the first incarnation gets far ahead.
+        simulation.run(20s + idle);
+        simulation.restart_worker(restarted);
+        simulation.submit(0, "a", long_running_job_near_restarted());
+        if (!runs_on_restarted(simulation, "a"))
+        {
+            continue;
+        }
+        ++starts_before_notice;
+        simulation.run(3ms);
+        cut_off(simulation);
+        simulation.run(15s);
+        EXPECT_EQ(simulation.violation(), "") << idle.count();
+        EXPECT_EQ(simulation.running_count({"a", 0, 0, 0}), 1U)
+            << "it must run elsewhere once the longest lease is over";
+    }
+    EXPECT_GT(starts_before_notice, 0U);
+}
+
+// Guards against a lease that a poll meant for the earlier incarnation grants
+// to the new one, and that the owner forgets when it first hears of that.
+TEST(pool_restarted_worker, a_lease_granted_by_a_poll_is_waited_for)
+{
+    for (auto const delay : {0ms, 50ms, 100ms, 200ms, 400ms, 600ms, 800ms})
+    {
+        pool_simulation simulation(2, 2);
+        use_first_incarnation(simulation);
+        simulation.run(20s);
+        simulation.submit(0, "busy", long_running_job_near_restarted());
+        ASSERT_TRUE(runs_on_restarted(simulation, "busy"));
+        simulation.run(1s + delay);
+        simulation.restart_worker(restarted);
+        simulation.run(200ms);
+        simulation.submit(0, "a", long_running_job_near_restarted());
+        simulation.run(1500ms);
+        cut_off(simulation);
+        simulation.run(15s);
+        EXPECT_EQ(simulation.violation(), "") << delay.count();
+        EXPECT_EQ(simulation.running_count({"a", 0, 0, 0}), 1U);
+        EXPECT_EQ(simulation.running_count({"busy", 0, 0, 0}), 1U);
+    }
+}
+
 // Guards against tasks of a worker that restarts which wait for its answer to
 // an order that is never answered.
 TEST(pool_restarted_worker, tasks_of_the_earlier_incarnation_start_again)
