Pool: a ticket of an earlier incarnation is asked for anew

Callers saw a step that never ran (LOST): a ticket of the policy service is valid for one incarnation of its worker. A worker that started again between the request and the start refused it, and the owner dropped the ticket but kept the worker among those that the policy had been asked about, so it was never asked about again. If no other worker is allowed, the step waits for ever. The owner also took a ticket for one of the incarnation that it knew when the answer came, not when it asked.

Now a ticket counts for the incarnation that was known at the request, and a refused one stays as expired: workers that the policy has allowed before are asked about first.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -451,9 +451,11 @@
     std::vector<std::string> workers_for_policy_request(common::time_point now,
                                                         job_run& run,
                                                         ready_key const& key);
+    using incarnation_by_worker = std::map<std::string, std::uint64_t>;
     void on_policy_reply(common::time_point now,
                          common::time_point requested_at,
                          ready_key const& key,
+                         incarnation_by_worker const& incarnations,
                          ports::policy_reply const& reply);
 
     // owner_dispatch.cpp: scheduling order of ready tasks, and their start. The
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -355,9 +355,11 @@
     ++counters_.starts_refused;
     if (reply.status == order_status::no_ticket)
     {
+        // The policy has allowed the worker, so it is asked for another ticket.
         run->occurrences[attempt_id.task.occurrence]
             .steps[attempt_id.task.step]
-            .tickets.erase(id);
+            .tickets[id]
+            .until = {};
     }
     if (target != nullptr && reply.status != order_status::not_attempted)
     {
--- a/src/core/pool/owner_policy.cpp
+++ b/src/core/pool/owner_policy.cpp
@@ -59,17 +59,20 @@
     call.step = {key.job, key.occurrence, key.step, 0};
     call.workers = std::move(workers);
     call.timeout = expected_time + call_timeout_margin;
+    incarnation_by_worker incarnations;
     for (auto const& id : call.workers)
     {
         steps.policy_requested_for.insert(id);
+        incarnations[id] = fleet_.find(id)->incarnation;
     }
-    out_.request_policy(life_,
-                        std::move(call),
-                        [this, key, now](common::time_point at,
-                                         ports::policy_reply const& reply)
-                        {
-                            on_policy_reply(at, now, key, reply);
-                        });
+    out_.request_policy(
+        life_,
+        std::move(call),
+        [this, key, now, incarnations](common::time_point at,
+                                       ports::policy_reply const& reply)
+        {
+            on_policy_reply(at, now, key, incarnations, reply);
+        });
 }
 
 // Returns workers that can take a task of the step now but have no valid ticket
@@ -109,6 +112,7 @@
 void owner::on_policy_reply(common::time_point now,
                             common::time_point requested_at,
                             ready_key const& key,
+                            incarnation_by_worker const& incarnations,
                             ports::policy_reply const& reply)
 {
     policy_call_pending_ = false;
@@ -133,12 +137,12 @@
     }
     for (auto const& grant : reply.allowed)
     {
-        auto const* const w = fleet_.find(grant.worker);
-        if (w != nullptr)
+        // The worker may have restarted since the request.
+        auto const found = incarnations.find(grant.worker);
+        if (found != incarnations.end())
         {
-            steps.tickets[grant.worker] = {grant.ticket,
-                                           w->incarnation,
-                                           now + reply.valid - ticket_margin};
+            steps.tickets[grant.worker] = {
+                grant.ticket, found->second, now + reply.valid - ticket_margin};
         }
     }
     dispatch(now);
--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -321,3 +321,58 @@
         1500ms));
     EXPECT_NE(line_with(simulation, "task_lost", "worker restarted"), "");
 }
+
+// Guards against a step that never runs: its only allowed worker restarted
+// after the policy had issued the ticket, refused the start and was not asked
+// for again.
+TEST(pool_restarted_worker, a_ticket_of_the_earlier_incarnation_is_renewed)
+{
+    for (auto delay = 0ms; delay <= 600ms; delay += 20ms)
+    {
+        pool_simulation simulation(2, 2);
+        simulation.require_tickets();
+        ASSERT_TRUE(run_until_owned(simulation));
+        simulation.run(2s);
+        simulation.submit(0, "a", job_near_restarted(1, 1s));
+        simulation.run(delay);
+        simulation.restart_worker(restarted);
+        EXPECT_TRUE(completes(simulation, "a")) << delay.count();
+        EXPECT_EQ(simulation.violation(), "");
+    }
+}
+
+// Guards against tasks that start on a restarted worker by the capacity of the
+// earlier incarnation, whose entry is still in the list: the new one may be of
+// another kind.
+TEST(pool_restarted_worker, nothing_starts_by_the_earlier_entry)
+{
+    for (auto delay = 0ms; delay <= 1600ms; delay += 50ms)
+    {
+        pool_simulation simulation(2, 2);
+        use_first_incarnation(simulation);
+        simulation.run(delay);
+        // No watch tells the new entry for a while.
+        simulation.store_fault =
+            [until = simulation.now() + 2s,
+             &simulation](std::size_t, ports::kv_operation const& call)
+        {
+            auto const* const watch = std::get_if<ports::kv_watch>(&call);
+            bool const of_workers =
+                watch != nullptr && watch->prefix == "workers/";
+            return of_workers && simulation.now() < until
+                       ? fault_effect::request_lost
+                       : fault_effect::carried_out;
+        };
+        simulation.run(700ms);
+        simulation.restart_worker_as(restarted, {2000, 8000, 0});
+        simulation.run_until(
+            [&simulation]
+            {
+                return !line_with(simulation, "worker_restarted", "").empty();
+            },
+            5s);
+        simulation.submit(0, "a", job_near_restarted(8, 1s));
+        EXPECT_TRUE(completes(simulation, "a"));
+        EXPECT_EQ(simulation.violation(), "") << delay.count();
+    }
+}
