Pool: starts on a worker that left the fleet in between are not counted twice

A worker that leaves the fleet and comes back while a start is unanswered has a new count of pending starts; the answer would have taken it below 0, and its ends would never be acknowledged. A task whose start may still be carried out by the new incarnation is no longer logged and counted as lost before it is.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -283,6 +283,11 @@
                             worker& target,
                             task_names const& lost,
                             loss_reason reason);
+    void end_lost_attempt(common::time_point now,
+                          worker const& target,
+                          job_run& run,
+                          ports::task_name const& name,
+                          loss_reason reason);
     bool is_replaced(worker const& lost) const;
     bool has_uncleared_run(task_names const& names);
     blamed_tasks blamed_for_loss(worker const& target, task_names const& lost);
--- a/src/core/pool/owner_crashes.cpp
+++ b/src/core/pool/owner_crashes.cpp
@@ -47,8 +47,7 @@
     {
         remember_blame(now, target, blamed);
     }
-    auto const names = lost;
-    for (auto const& name : names)
+    for (auto const& name : lost)
     {
         auto const [run, t] = find_task(name);
         if (t == nullptr)
@@ -56,29 +55,39 @@
             target.runs.erase(name);
             continue;
         }
-        bool const may_still_start = restarted && t->start_unanswered;
-        ++counters_.tasks_lost;
-        log_task(severity::warning,
-                 "task_lost",
-                 {name, t->attempt},
-                 target.info.id,
-                 {{"why", std::string(name_in(loss_reasons, reason))},
-                  {"ran_ms",
-                   std::to_string(common::to_milliseconds(t->seen_running))}});
         t->crash_history.note_lost_run(t->seen_running);
         if (auto const found = blamed.find(name); found != blamed.end())
         {
             count_crash(*run, name, found->second, confirmed);
         }
+        bool const may_still_start = restarted && t->start_unanswered;
         if (!may_still_start)
         {
-            t->phase = task_phase::blocked;
-            task_over(now, *run, name);
+            end_lost_attempt(now, target, *run, name, reason);
         }
         fail_if_crash_limit_reached(now, *run, name);
     }
 }
 
+void owner::end_lost_attempt(common::time_point now,
+                             worker const& target,
+                             job_run& run,
+                             ports::task_name const& name,
+                             loss_reason reason)
+{
+    auto& t = run.at(name);
+    ++counters_.tasks_lost;
+    log_task(
+        severity::warning,
+        "task_lost",
+        {name, t.attempt},
+        target.info.id,
+        {{"why", std::string(name_in(loss_reasons, reason))},
+         {"ran_ms", std::to_string(common::to_milliseconds(t.seen_running))}});
+    t.phase = task_phase::blocked;
+    task_over(now, run, name);
+}
+
 // Whether another worker is listed at the address of the lost one, which is
 // then over.
 bool owner::is_replaced(worker const& lost) const
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -50,25 +50,29 @@
     }
 }
 
-// Handles what the answer to a start tells about the worker.
+// Handles what the answer to a start, or that there is none, tells about the
+// worker.
 void owner::note_start_reply(common::time_point now,
                              worker& target,
                              sent_start const& sent,
                              order_reply const& reply)
 {
-    --target.starts_pending;
+    // The worker may have left the fleet and come back since the start.
+    target.starts_pending -= target.starts_pending > 0 ? 1U : 0U;
     note_incarnation_of(now, target, reply);
-    if (target.is_other_incarnation(reply.incarnation))
+    bool const unclear = reply.status == order_status::unclear;
+    if (unclear)
     {
-        target.unconfirmed_lease_at = now;
+        target.start_unclear_at = now;
     }
-    if (reply.status == order_status::unclear)
+    if (unclear || target.may_have_restarted())
     {
-        target.start_unclear_at = now;
         target.unconfirmed_lease_at = now;
-        // It may have reached a new incarnation only now.
-        target.restart_suspected_at =
-            target.may_have_restarted() ? now : target.restart_suspected_at;
+    }
+    if (unclear && target.may_have_restarted())
+    {
+        // The start may have reached the new incarnation only now.
+        target.restart_suspected_at = now;
     }
     if (target.incarnation != sent.incarnation)
     {
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -261,7 +261,8 @@
                             now - w.last_contact > settings_.workers.lease;
         if (silent && w.silent_since_lapse)
         {
-            mark_attempts_lost(now, w, w.runs, loss_reason::silent);
+            auto const lost = w.runs;
+            mark_attempts_lost(now, w, lost, loss_reason::silent);
         }
         else if (silent && fleet_.lapsed(w, now))
         {
--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -148,7 +148,7 @@
 {
     for (auto const& line : simulation.log())
     {
-        auto const written = text_of(line);
+        auto written = text_of(line);
         if (line.what.event == event && written.find(text) != std::string::npos)
         {
             return written;
