Tests: one function reads the number of seeds of a walk

Seven tests had a copy of it. Which tasks ran on a worker that restarts is counted by the simulation, which two walks did for themselves.

No functional change.

--- a/tests/unit/pool/cancel_walk_test.cpp
+++ b/tests/unit/pool/cancel_walk_test.cpp
@@ -1,9 +1,10 @@
 #include "pool_simulation.hpp"
 
+#include "unit/walks/seed_count.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <set>
@@ -14,6 +15,7 @@
 // faults, no task of a job runs whose cancellation was acknowledged, and all
 // tasks of the other jobs run.
 using namespace fuchsia::tests::unit::pool;
+using fuchsia::tests::unit::walks::seed_count;
 namespace ports = fuchsia::ports;
 
 namespace
@@ -140,7 +142,7 @@
             simulation_.freeze(draw(instances), random_duration(4));
             return;
         case 9:
-            restart_worker(draw(workers));
+            simulation_.restart_worker(draw(workers));
             return;
         case 10:
             simulation_.store().expire_key("pool/claim");
@@ -201,28 +203,6 @@
         killed_.clear();
     }
 
-    void restart_worker(std::size_t number)
-    {
-        for (auto const& task : simulation_.worker(number).running_tasks())
-        {
-            ++restarts_[task];
-        }
-        simulation_.restart_worker(number);
-    }
-
-    // A task under which two workers have crashed may be given up, and its job
-    // ends as failed.
-    bool may_be_given_up(std::string const& id) const
-    {
-        return std::any_of(restarts_.begin(),
-                           restarts_.end(),
-                           [&id](auto const& entry)
-                           {
-                               return entry.first.job == id &&
-                                      entry.second >= 2;
-                           });
-    }
-
     // The store works for 3 s before any time limit applies. Its watches may
     // remain stalled.
     void run_without_faults()
@@ -328,7 +308,7 @@
         for (auto const& [id, job] : jobs_)
         {
             bool const must_run =
-                job.cancels.empty() && !may_be_given_up(id) &&
+                job.cancels.empty() && !simulation_.may_be_given_up(id) &&
                 any_answer_is<ports::job_accepted>(job.submits);
             bool const runs = job.long_running
                                   ? running_copies(id, job) == job.tasks
@@ -348,25 +328,15 @@
     pool_simulation simulation_{instances, workers};
     std::map<std::string, job_record> jobs_;
     std::set<std::size_t> killed_;
-    /// Number of workers that restarted while they ran the task.
-    std::map<ports::task_name, std::size_t> restarts_;
     std::string violation_;
 };
 
-// Returns the number of seeds. The environment variable FUCHSIA_WALKS sets it
-// for long manual runs.
-std::uint64_t seed_count()
-{
-    auto const* const requested = std::getenv("FUCHSIA_WALKS");
-    return requested == nullptr ? default_seeds : std::stoull(requested);
-}
-
 } // namespace
 
 // Failure: an acknowledged cancellation is lost, or affects another job.
 TEST(pool_cancel_walk, cancelled_jobs_are_stopped_and_all_others_run)
 {
-    for (std::uint64_t seed = 0; seed < seed_count(); ++seed)
+    for (std::uint64_t seed = 0; seed < seed_count(default_seeds); ++seed)
     {
         EXPECT_EQ(cancel_walk(seed).run(), "") << "seed " << seed;
     }
--- a/tests/unit/pool/crash_walk_test.cpp
+++ b/tests/unit/pool/crash_walk_test.cpp
@@ -1,8 +1,9 @@
 #include "pool_simulation.hpp"
 
+#include "unit/walks/seed_count.hpp"
+
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <random>
 #include <string>
 
@@ -13,6 +14,7 @@
 // budget has room twice.
 using namespace fuchsia::tests::unit::pool;
 using fuchsia::ports::job_state;
+using fuchsia::tests::unit::walks::seed_count;
 namespace core = fuchsia::core;
 namespace ports = fuchsia::ports;
 
@@ -172,22 +174,13 @@
     std::string violation_;
 };
 
-// Returns the number of seeds. The environment variable FUCHSIA_WALKS sets it
-// for a longer run by hand.
-std::uint64_t seeds()
-{
-    auto const* const requested = std::getenv("FUCHSIA_WALKS");
-    return requested != nullptr ? std::strtoull(requested, nullptr, 10)
-                                : default_seeds;
-}
-
 } // namespace
 
 // Guards against faults in combination that hide crashes from the count, or
 // that put blame on tasks that only ran beside.
 TEST(pool_crash_walk, crashing_tasks_are_given_up_and_all_others_complete)
 {
-    for (std::uint64_t seed = 1; seed <= seeds(); ++seed)
+    for (std::uint64_t seed = 1; seed <= seed_count(default_seeds); ++seed)
     {
         EXPECT_EQ(crash_walk(seed).run(), "") << "seed " << seed;
     }
--- a/tests/unit/pool/owner_changes_walk_test.cpp
+++ b/tests/unit/pool/owner_changes_walk_test.cpp
@@ -1,9 +1,10 @@
 #include "owner_changes.hpp"
 
+#include "unit/walks/seed_count.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <random>
 #include <string>
 
@@ -12,6 +13,7 @@
 // rule on what must run in calm time (LOST) and the invariants of the
 // simulation.
 using namespace fuchsia::tests::unit::pool;
+using fuchsia::tests::unit::walks::seed_count;
 
 namespace
 {
@@ -131,15 +133,6 @@
     int lost_instances_ = 0;
 };
 
-// Returns the number of seeds. The environment variable FUCHSIA_WALKS sets it
-// for a longer run by hand.
-std::uint64_t seeds()
-{
-    auto const* const requested = std::getenv("FUCHSIA_WALKS");
-    return requested != nullptr ? std::strtoull(requested, nullptr, 10)
-                                : default_seeds;
-}
-
 std::string in_milliseconds(duration length)
 {
     return std::to_string(fuchsia::core::common::to_milliseconds(length));
@@ -153,7 +146,7 @@
 {
     duration longest{};
     duration total{};
-    for (std::uint64_t seed = 1; seed <= seeds(); ++seed)
+    for (std::uint64_t seed = 1; seed <= seed_count(default_seeds); ++seed)
     {
         owner_changes_walk walk(seed);
         EXPECT_EQ(walk.run(), "") << "seed " << seed;
@@ -162,7 +155,7 @@
     }
     RecordProperty("longest_without_owner_ms", in_milliseconds(longest));
     RecordProperty("without_owner_ms_per_seed",
-                   in_milliseconds(total / seeds()));
+                   in_milliseconds(total / seed_count(default_seeds)));
 }
 
 // Seeds that failed before: a takeover that waits for dead workers was
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -120,6 +120,9 @@
     standins::pool::kv_state& store() noexcept;
     standins::pool::kv_state const& store() const noexcept;
     standins::pool::worker_state& worker(std::size_t number);
+    /// Whether two workers have restarted while they ran the same task of the
+    /// job, which may then be given up and end as failed.
+    bool may_be_given_up(std::string const& job_id) const;
     /// Restarts a worker with no state, under its present id.
     void restart_worker(std::size_t number);
     /// Restarts a worker, under its present id, with this capacity.
@@ -253,6 +256,8 @@
     duration crash_down_time_ = 3s;
     bool returns_under_same_id_ = false;
     std::map<ports::task_name, std::size_t> crashes_;
+    /// Number of workers that were restarted while they ran the task.
+    std::map<ports::task_name, std::size_t> restarts_;
     std::map<ports::task_name, std::size_t> starts_;
     /// Number of starts since the third crash, by task.
     std::map<ports::task_name, std::size_t> starts_after_crashes_;
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -57,6 +57,10 @@
     if (workers_[number] != nullptr)
     {
         info.id = workers_[number]->info().id;
+        for (auto const& task : workers_[number]->running_tasks())
+        {
+            ++restarts_[task];
+        }
     }
     // Worker clocks start at different times, and the clock of worker 0 is
     // slow.
@@ -67,6 +71,17 @@
     publish_worker(number);
 }
 
+bool pool_simulation::may_be_given_up(std::string const& job_id) const
+{
+    return std::any_of(restarts_.begin(),
+                       restarts_.end(),
+                       [&job_id](auto const& entry)
+                       {
+                           return entry.first.job == job_id &&
+                                  entry.second >= 2;
+                       });
+}
+
 void pool_simulation::publish_worker(std::size_t number)
 {
     auto const& info = workers_[number]->info();
--- a/tests/unit/pool/restarted_worker_walk_test.cpp
+++ b/tests/unit/pool/restarted_worker_walk_test.cpp
@@ -1,9 +1,10 @@
 #include "pool_simulation.hpp"
 
+#include "unit/walks/seed_count.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <optional>
 #include <random>
@@ -15,6 +16,7 @@
 // owners are killed. Then all is calm, and every job has to end.
 using namespace fuchsia::tests::unit::pool;
 using fuchsia::ports::job_state;
+using fuchsia::tests::unit::walks::seed_count;
 namespace core = fuchsia::core;
 namespace ports = fuchsia::ports;
 
@@ -81,7 +83,8 @@
         return accepted_jobs(
             [this](std::string const& id, std::optional<job_state> state)
             {
-                return state == job_state::failed && !may_be_given_up(id);
+                return state == job_state::failed &&
+                       !simulation_.may_be_given_up(id);
             });
     }
 
@@ -110,7 +113,7 @@
         case 3:
         case 4:
         case 5:
-            restart_worker(draw(workers));
+            simulation_.restart_worker(draw(workers));
             return;
         case 6:
             choose_faults();
@@ -158,28 +161,6 @@
         }
     }
 
-    void restart_worker(std::size_t number)
-    {
-        for (auto const& task : simulation_.worker(number).running_tasks())
-        {
-            ++restarts_[task];
-        }
-        simulation_.restart_worker(number);
-    }
-
-    // A task under which two workers have crashed may be given up, and its job
-    // ends as failed.
-    bool may_be_given_up(std::string const& id) const
-    {
-        return std::any_of(restarts_.begin(),
-                           restarts_.end(),
-                           [&id](auto const& entry)
-                           {
-                               return entry.first.job == id &&
-                                      entry.second >= 2;
-                           });
-    }
-
     template<class Condition>
     std::vector<std::string> accepted_jobs(Condition const& condition)
     {
@@ -200,25 +181,15 @@
     std::mt19937_64 random_;
     pool_simulation simulation_{instances, workers};
     std::map<std::string, std::uint64_t> requests_; ///< By id of the job.
-    /// Number of workers that restarted while they ran the task.
-    std::map<ports::task_name, std::size_t> restarts_;
 };
 
-// Returns the number of seeds. The environment variable FUCHSIA_WALKS sets it
-// for long manual runs.
-std::uint64_t seed_count()
-{
-    auto const* const requested = std::getenv("FUCHSIA_WALKS");
-    return requested == nullptr ? default_seeds : std::stoull(requested);
-}
-
 } // namespace
 
 // Guards against tasks that run twice or never when their workers restart, in
 // orders of events that no other test has thought of.
 TEST(pool_restarted_worker_walk, no_task_runs_twice_and_all_jobs_end)
 {
-    for (std::uint64_t seed = 0; seed < seed_count(); ++seed)
+    for (std::uint64_t seed = 0; seed < seed_count(default_seeds); ++seed)
     {
         restarted_worker_walk walk(seed);
         walk.run();
@@ -232,7 +203,7 @@
 // that did not run their tasks.
 TEST(pool_restarted_worker_walk, no_job_is_given_up_without_two_crashes)
 {
-    for (std::uint64_t seed = 0; seed < seed_count(); ++seed)
+    for (std::uint64_t seed = 0; seed < seed_count(default_seeds); ++seed)
     {
         restarted_worker_walk walk(seed);
         walk.run();
--- a/tests/unit/requests/entry_walk_test.cpp
+++ b/tests/unit/requests/entry_walk_test.cpp
@@ -1,6 +1,6 @@
 #include "entry_simulation.hpp"
+#include "unit/walks/seed_count.hpp"
 
-#include <cstdlib>
 #include <gtest/gtest.h>
 
 // Seeded random walks: three entries under load, with crashes, freezes, stops,
@@ -9,19 +9,13 @@
 // slots, every caller got exactly one answer, the right one and in time, every
 // "not run" was true, and no contract was exceeded.
 using namespace fuchsia::tests::unit::requests;
+using fuchsia::tests::unit::walks::seed_count;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-/// Returns the number of walks. FUCHSIA_WALKS overrides the number that CI
-/// runs.
-std::uint64_t walk_count()
-{
-    constexpr std::uint64_t walks_in_ci = 300;
-    auto const* text = std::getenv("FUCHSIA_WALKS");
-    return text == nullptr ? walks_in_ci : std::strtoull(text, nullptr, 10);
-}
+constexpr std::uint64_t walks_in_ci = 300;
 
 class walk
 {
@@ -196,7 +190,7 @@
 
 TEST(entry_walk, request_invariants_hold_at_every_step)
 {
-    std::uint64_t const count = walk_count();
+    std::uint64_t const count = seed_count(walks_in_ci);
     for (std::uint64_t seed = 1; seed <= count; ++seed)
     {
         ASSERT_EQ(walk(seed).run(), "") << "seed " << seed;
--- a/tests/unit/tasks/planner_walk_test.cpp
+++ b/tests/unit/tasks/planner_walk_test.cpp
@@ -1,10 +1,12 @@
 #include "planner_simulation.hpp"
+#include "unit/walks/seed_count.hpp"
 
 #include <cstdlib>
 #include <gtest/gtest.h>
 
 using namespace fuchsia;
 using namespace fuchsia::tests::unit::tasks;
+using fuchsia::tests::unit::walks::seed_count;
 using namespace std::chrono_literals;
 
 namespace
@@ -306,7 +308,7 @@
 TEST(planner_walks, preserve_all_guarantees_under_random_faults)
 {
     auto const first = number_from("FUCHSIA_FIRST_SEED", 1);
-    auto const count = number_from("FUCHSIA_WALKS", walks_in_ci);
+    auto const count = seed_count(walks_in_ci);
     for (std::uint64_t seed = first; seed < first + count; ++seed)
     {
         EXPECT_EQ(planner_walk(seed).run(), "") << "seed " << seed;
--- a/tests/unit/walks/walk_test.cpp
+++ b/tests/unit/walks/walk_test.cpp
@@ -1,8 +1,8 @@
+#include "unit/walks/seed_count.hpp"
 #include "walk.hpp"
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -14,14 +14,6 @@
 constexpr std::uint64_t shard_count = 8;
 constexpr std::uint64_t walks_in_ci = 2000;
 
-/// Number of walks of a run. FUCHSIA_WALKS sets a number that CI has no time
-/// for.
-std::uint64_t walk_count()
-{
-    char const* text = std::getenv("FUCHSIA_WALKS");
-    return text == nullptr ? walks_in_ci : std::strtoull(text, nullptr, 10);
-}
-
 /// Returns the first seed up to `last_seed` whose walk fails, or 0.
 std::uint64_t first_failing_seed(fuchsia::core::membership::safety_rules rules,
                                  std::uint64_t last_seed)
@@ -58,7 +50,7 @@
 {
     std::uint64_t walks_with_fencing = 0;
     std::uint64_t walks_with_witness_proof = 0;
-    std::uint64_t const walks = walk_count() / shard_count;
+    std::uint64_t const walks = seed_count(walks_in_ci) / shard_count;
     for (std::uint64_t walk = 0; walk < walks; ++walk)
     {
         walk_options options;
