Stand-in: a worker lists its ends 500 at a time

PROTOCOL.md: ends that were not acknowledged "are returned again (500 at a time)". The stand-in and the simulated workers listed all of them, so no test of ours could show what the pool does with a list that is cut off.

They now list the oldest 500, and the answer to a poll says whether its list of ends is as long as a worker makes it. The decoder counts invalid rows too: any of them may hide an end. Nothing reads the new field yet.

--- a/src/ports/pool_workers.hpp
+++ b/src/ports/pool_workers.hpp
@@ -155,6 +155,9 @@
     std::uint64_t incarnation = 0;
     std::vector<running_attempt> running;
     std::vector<ended_attempt> ended;
+    /// `ended` is as long as a worker makes it, so the worker may have further
+    /// ends that it lists once these are acknowledged.
+    bool ended_is_full = false;
 };
 
 } // namespace fuchsia::ports
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -244,7 +244,11 @@
                                  percent_of(run, now),
                                  measurement_of(run)});
     }
-    reply.ended = unacknowledged_ends_;
+    auto const listed = std::min(unacknowledged_ends_.size(), max_listed_ends);
+    reply.ended.assign(unacknowledged_ends_.begin(),
+                       unacknowledged_ends_.begin() +
+                           static_cast<std::ptrdiff_t>(listed));
+    reply.ended_is_full = listed == max_listed_ends;
 }
 
 // Returns the tail latency of a serving task in milliseconds, or the CPU use of
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -41,6 +41,9 @@
     std::optional<std::uint64_t> crash_index;
 };
 
+/// Number of ended attempts that a worker lists at a time, the oldest first.
+constexpr std::size_t max_listed_ends = 500;
+
 /// Longest lease that a worker grants.
 constexpr core::common::duration max_lease = std::chrono::seconds(10);
 
--- a/tests/contract/platform/codec_test.cpp
+++ b/tests/contract/platform/codec_test.cpp
@@ -189,6 +189,26 @@
     EXPECT_EQ(reason.code, result_code::wrong_type);
 }
 
+// Guards against a list of ends that is as long as a worker makes it and is
+// taken for all of its ends. An invalid row counts: it may hide an end.
+TEST(platform_codec, a_list_of_500_ends_is_full)
+{
+    for (std::size_t const rows : {499U, 500U, 501U})
+    {
+        std::string body = R"({"running":[],"ended":[[1,"?",1,"done",""])";
+        for (std::size_t number = 2; number <= rows; ++number)
+        {
+            body +=
+                ",[" + std::to_string(number) + R"(,"a.0.1.9",1,"done",""])";
+        }
+        failure reason;
+        auto const reply = platform::decode_order_reply(
+            ports::poll_order{}, 200, body + "]}", reason);
+        EXPECT_EQ(reply.ended.size(), rows - 1);
+        EXPECT_EQ(reply.ended_is_full, rows >= 500) << rows;
+    }
+}
+
 // Guards the HTTP status by which a client tells an accepted job from a refused
 // one and from one with an unknown outcome.
 TEST(platform_codec, answers_have_the_http_status_of_their_outcome)
