Pool: what a full list of ends leaves out is unknown, not lost

A worker lists its ends 500 at a time. The owner took a task that was neither running nor listed as ended for lost, although its end stood behind the 500th. A new owner counted a worker as adopted after one list, and the end with the greatest number of a list was acknowledged whatever the list had left out.

Now a task that a full list leaves out is unknown and keeps its place. Ends are acknowledged up to the first gap in their numbers (`end_cursor`). A takeover waits until the workers that answer have listed all of their ends, also beyond the longest wait for workers that don't answer. Failures of earlier owners count from each of these lists, and a task whose end is not listed yet is not blamed for a crash. `ends_unlisted` in the log tells when a worker's list is full.

--- /dev/null
+++ b/src/core/pool/end_cursor.cpp
@@ -0,0 +1,57 @@
+#include "core/pool/end_cursor.hpp"
+
+namespace fuchsia::core::pool
+{
+
+bool end_cursor::add(std::uint64_t sequence)
+{
+    return sequence > processed_ && beyond_gap_.insert(sequence).second;
+}
+
+// A report that is not full holds all ends, whatever their numbers. Of a full
+// one only those count as processed that follow each other without a gap: an
+// acknowledgement makes the worker forget all ends below it, also those that it
+// has not listed yet. Ends below the first one listed were acknowledged to an
+// earlier owner.
+void end_cursor::finish_report(bool full)
+{
+    has_unlisted_ = full;
+    caught_up_ = caught_up_ || !full;
+    if (!beyond_gap_.empty() && !started_)
+    {
+        processed_ = *beyond_gap_.begin() - 1;
+        started_ = true;
+    }
+    if (!beyond_gap_.empty() && !full)
+    {
+        processed_ = *beyond_gap_.rbegin();
+        beyond_gap_.clear();
+    }
+    while (!beyond_gap_.empty() && *beyond_gap_.begin() == processed_ + 1)
+    {
+        processed_ = *beyond_gap_.begin();
+        beyond_gap_.erase(beyond_gap_.begin());
+    }
+}
+
+std::uint64_t end_cursor::processed() const noexcept
+{
+    return processed_;
+}
+
+bool end_cursor::has_unlisted() const noexcept
+{
+    return has_unlisted_;
+}
+
+bool end_cursor::caught_up() const noexcept
+{
+    return caught_up_;
+}
+
+bool end_cursor::has_gap() const noexcept
+{
+    return !beyond_gap_.empty();
+}
+
+} // namespace fuchsia::core::pool
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -168,4 +168,16 @@
                                static_cast<double>(slack_ms);
 }
 
+// An earlier owner's lease was granted before the first answer to this one.
+bool fleet::may_list_earlier_ends(worker const& target,
+                                  common::time_point now) const noexcept
+{
+    auto const longest_lease = std::chrono::duration_cast<common::duration>(
+        settings_.lease * (1 + settings_.clock_drift) + settings_.lapse_slack);
+    bool const leases_over =
+        now - target.last_contact > longest_lease && lapsed(target, now);
+    bool const lost = target.silent && leases_over;
+    return target.adopted && !target.ends.caught_up() && !lost;
+}
+
 } // namespace fuchsia::core::pool
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/pool/colocation.hpp"
+#include "core/pool/end_cursor.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/worker_list.hpp"
 #include "core/pool/worker_speed.hpp"
@@ -93,8 +94,7 @@
     std::uint64_t durable_end = 0;
     /// Sequence number up to which the worker has been told so.
     std::uint64_t acknowledged_end = 0;
-    /// Highest sequence number of an ended attempt that was processed.
-    std::uint64_t highest_end = 0;
+    end_cursor ends; ///< Which of its ended attempts were processed.
     /// Number of ended attempts whose record is being written.
     std::uint64_t ends_being_written = 0;
     std::uint32_t starts_pending = 0; ///< Starts that wait for their answer.
@@ -198,6 +198,11 @@
     /// clock, even if that clock is as slow as `clock_drift` allows. If it may
     /// have restarted, its new incarnation may hold the longest lease.
     bool lapsed(worker const& target, common::time_point now) const noexcept;
+    /// Whether the worker may still list ends of tasks that ended before this
+    /// owner adopted it. A start of such a task would be its second one. Ends
+    /// no longer count once the worker has been silent for a lease.
+    bool may_list_earlier_ends(worker const& target,
+                               common::time_point now) const noexcept;
 
 private:
     /// The worker's clock at `now`; 0 while it is unknown.
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -59,6 +59,8 @@
     /// the worker does not list the task proves nothing until the worker has
     /// accepted a stop order.
     bool start_unanswered = false;
+    /// Its worker no longer runs it, but has not listed its end yet.
+    bool end_unlisted = false;
     bool ran_before =
         false; ///< The task is waiting after an attempt that is over.
     std::string checkpoint;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -319,8 +319,8 @@
     void apply_rows(common::time_point now,
                     common::time_point sent_at,
                     worker& target,
-                    ports::order_reply const& reply,
-                    bool first_report);
+                    ports::order_reply const& reply);
+    void log_full_report(worker const& target, ports::order_reply const& reply);
     /// Names of the tasks in a worker's report, sorted.
     using reported_names = std::vector<ports::task_name const*>;
     bool is_inconsistent(worker const& target, reported_names const& reported);
--- a/src/core/pool/owner_crashes.cpp
+++ b/src/core/pool/owner_crashes.cpp
@@ -22,10 +22,11 @@
 constexpr std::array<std::string_view, 2> loss_reasons{
     "worker restarted", "lease expired without an answer"};
 
-// Whether the present run is too young to clear its task of a crash.
+// Whether the present run is too young to clear its task of a crash. A run that
+// had ended before can't have caused one.
 bool is_uncleared(task const& t)
 {
-    return t.seen_running < t.crash_history.clearing_run();
+    return !t.end_unlisted && t.seen_running < t.crash_history.clearing_run();
 }
 
 } // namespace
@@ -141,7 +142,7 @@
             uncleared.push_back(name);
             suspects += t->crash_history.is_suspect() ? 1 : 0;
         }
-        if (t->seen_running < max_clearing_run)
+        if (!t->end_unlisted && t->seen_running < max_clearing_run)
         {
             young.push_back(name);
         }
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -243,6 +243,7 @@
     ++t.attempt;
     t.phase = task_phase::starting;
     t.start_unanswered = false;
+    t.end_unlisted = false;
     t.ran_before = false;
     t.percent = 0;
     t.speed_limit = 100;
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -97,7 +97,7 @@
     target.incarnation = first_reply.incarnation;
     target.durable_end = 0;
     target.acknowledged_end = 0;
-    target.highest_end = 0;
+    target.ends = {};
     target.ends_being_written = 0;
     auto const earlier_lease_ms = std::exchange(target.lease_until_ms, 0);
     if (may_hold_earlier_lease(now, target, poll))
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -81,8 +81,7 @@
 void owner::apply_rows(common::time_point now,
                        common::time_point sent_at,
                        worker& target,
-                       order_reply const& reply,
-                       bool first_report)
+                       order_reply const& reply)
 {
     reported_names reported;
     reported.reserve(reply.running.size() + reply.ended.size());
@@ -91,22 +90,24 @@
         reported.push_back(&row.attempt_id.task);
         apply_running(now, target, row);
     }
-    // Ends may come in any order. All above the previous highest are taken: an
-    // end that was skipped would be acknowledged with a later one and be lost.
-    auto const previous_highest = target.highest_end;
     for (auto const& row : reply.ended)
     {
         reported.push_back(&row.attempt_id.task);
-        if (row.sequence > previous_highest)
+        if (target.ends.add(row.sequence))
         {
-            target.highest_end = std::max(target.highest_end, row.sequence);
             apply_end(now, target, row);
-            if (first_report)
+            if (!target.ends.caught_up())
             {
                 count_inherited_failure(now, row);
             }
         }
     }
+    bool const had_unlisted = target.ends.has_unlisted();
+    target.ends.finish_report(reply.ended_is_full);
+    if (reply.ended_is_full && !had_unlisted)
+    {
+        log_full_report(target, reply);
+    }
     sort_names(reported);
     if (is_inconsistent(target, reported))
     {
@@ -114,6 +115,19 @@
     }
 }
 
+// Logs that the worker may have ends that it has not listed. `gap` tells that
+// it has left out one between two that it listed: it can't be acknowledged.
+void owner::log_full_report(worker const& target, order_reply const& reply)
+{
+    out_.log(severity::info,
+             "ends_unlisted",
+             {{"worker", target.info.id},
+              {"listed", std::to_string(reply.ended.size())},
+              {"processed", std::to_string(target.ends.processed())},
+              {"runs", std::to_string(target.runs.size())},
+              {"gap", target.ends.has_gap() ? "true" : "false"}});
+}
+
 // Whether the worker does not list a task that is placed on it, or has a task
 // whose start or stop is unanswered. This is rare.
 bool owner::is_inconsistent(worker const& target,
@@ -138,7 +152,9 @@
 }
 
 // A task that the worker had confirmed before the poll was sent, and that it no
-// longer lists, is lost. Stops that were not confirmed are sent again.
+// longer lists, is lost, unless its end may be among those that the worker has
+// not listed yet: then it occupies its capacity until that is listed. Stops
+// that were not confirmed are sent again.
 void owner::handle_unreported_tasks(common::time_point now,
                                     common::time_point sent_at,
                                     worker& target,
@@ -162,6 +178,11 @@
         {
             continue;
         }
+        if (target.ends.has_unlisted())
+        {
+            t->end_unlisted = true;
+            continue;
+        }
         ++counters_.tasks_lost;
         log_task(severity::warning,
                  "task_missing",
@@ -214,6 +235,7 @@
     auto& t = run.at(attempt_id.task);
     t.phase = task_phase::running;
     t.attempt = attempt_id.attempt;
+    t.end_unlisted = false;
     t.started = now;
     t.seen_running = {};
     t.progressed_at = now;
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -28,10 +28,10 @@
     return t.phase == task_phase::unresolved || blocked;
 }
 
-// Counts a failure that happened before this owner adopted the worker. A worker
-// reports such failures to each owner that adopts it, whether or not an earlier
-// owner has handled them. The failure counts even if the task already runs
-// again on another worker.
+// Counts a failure that may have happened before this owner adopted the worker.
+// A worker reports such failures to each owner that adopts it, whether or not
+// an earlier owner has handled them. The failure counts even if the task
+// already runs again on another worker.
 void owner::count_inherited_failure(common::time_point now,
                                     ports::ended_attempt const& row)
 {
@@ -80,7 +80,10 @@
 }
 
 // Completes the takeover once every worker that an earlier owner may have used
-// has either reported its tasks or can no longer run tasks of an earlier owner.
+// has either reported its tasks, to the last of their ends, or can no longer
+// run tasks of an earlier owner. A worker that answers is waited for until its
+// ends are read, which needs the store: a task whose end it has not listed yet
+// would start again.
 void owner::complete_takeover(common::time_point now)
 {
     if (takeover_complete_ || !loaded_ || !list_.loaded())
@@ -88,14 +91,19 @@
         return;
     }
     std::vector<std::string> missing;
+    bool has_unlisted_ends = false;
     for (auto const& id : inherited_.workers)
     {
-        if (!fleet_.find(id)->adopted)
+        auto const& w = *fleet_.find(id);
+        has_unlisted_ends =
+            has_unlisted_ends || fleet_.may_list_earlier_ends(w, now);
+        if (!w.adopted)
         {
             missing.push_back(id);
         }
     }
-    if (!missing.empty() && !earlier_leases_ended(now))
+    bool const must_wait = !missing.empty() && !earlier_leases_ended(now);
+    if (has_unlisted_ends || must_wait)
     {
         return;
     }
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -64,9 +64,12 @@
         target.lease_until_ms =
             std::max(target.lease_until_ms, order.lease_until_ms);
     }
+    // Without a wait the worker answers with ends that it lists again, or that
+    // it has not listed yet.
     bool const all_acknowledged =
-        target.highest_end ==
-        std::max(order.acknowledged_end, target.acknowledged_end);
+        !target.ends.has_unlisted() &&
+        target.ends.processed() ==
+            std::max(order.acknowledged_end, target.acknowledged_end);
     if (order.lease_until_ms > 0 && all_acknowledged)
     {
         bool const guarded = target.serves() && target.best_effort_cores > 0;
@@ -165,18 +168,23 @@
         settle_blame(now, *target);
     }
     target->view_known = false;
-    apply_rows(now, poll.sent_at, *target, reply, first_report);
+    bool const caught_up_before = target->ends.caught_up();
+    apply_rows(now, poll.sent_at, *target, reply);
     target->next_poll =
         target->runs.empty() ? now + settings_.idle_interval : now;
-    if (target->highest_end > target->durable_end)
+    if (target->ends.processed() > target->durable_end)
     {
         acknowledge_ends(now, *target);
     }
+    else if (target->ends.has_unlisted())
+    {
+        target->next_poll = now + settings_.guarded_poll_wait;
+    }
     if (first_report || target->may_have_restarted())
     {
         target->next_poll = now;
     }
-    if (first_report)
+    if (!caught_up_before)
     {
         complete_takeover(now);
     }
@@ -198,18 +206,18 @@
 void owner::acknowledge_ends(common::time_point now, worker& target)
 {
     target.next_poll = now + settings_.guarded_poll_wait;
-    if (target.ends_being_written == target.highest_end)
+    if (target.ends_being_written == target.ends.processed())
     {
         return;
     }
-    target.ends_being_written = target.highest_end;
+    target.ends_being_written = target.ends.processed();
     save_all_progress();
     ledger_.after_all(
         [this,
          id = target.info.id,
          now,
          incarnation = target.incarnation,
-         sequence = target.highest_end](common::time_point at)
+         sequence = target.ends.processed()](common::time_point at)
         {
             out_.push(ports::duration_sample{
                 ports::duration_metric::end_to_durable, at - now});
@@ -269,7 +277,8 @@
             w.next_poll = now;
         }
         bool const absent = !w.listed && list_.loaded() && w.runs.empty() &&
-                            !w.poll_pending && fleet_.lapsed(w, now);
+                            !w.poll_pending && fleet_.lapsed(w, now) &&
+                            !fleet_.may_list_earlier_ends(w, now);
         // A worker that this owner never reached may still run tasks of an
         // earlier owner.
         if (absent && (w.adopted || w.ended || takeover_complete_))
