--- a/tools/load/bench_pool.cpp
+++ b/tools/load/bench_pool.cpp
@@ -125,6 +125,17 @@
               {
                   return result.placement_rounds;
               });
+    print_row(out,
+              "milliseconds a round",
+              all_results,
+              3,
+              [](pool_bench_result const& result)
+              {
+                  constexpr double in_a_second = 1e3;
+                  return total_placement_s(result) * in_a_second /
+                         static_cast<double>(std::max<std::uint64_t>(
+                             result.placement_rounds, 1));
+              });
     print_row(out,
               "jobs finished",
               all_results,
--- a/tools/load/bench_pool.hpp
+++ b/tools/load/bench_pool.hpp
@@ -51,6 +51,10 @@
     std::uint32_t seconds = 8;  ///< Measured virtual time after the warm-up.
     std::uint64_t seed = 1;
     double load = 1; ///< Multiplier of the job arrival rate.
+    /// Steps that wait throughout at the head of the queue, since no worker can
+    /// take them, and the number of their different demands.
+    std::uint32_t hopeless_steps = 0;
+    std::uint32_t hopeless_demands = 1;
 };
 
 /// Decisions of one owner during the measured time, and their processor time.
--- a/tools/load/bench_pool_simulation.cpp
+++ b/tools/load/bench_pool_simulation.cpp
@@ -53,6 +53,10 @@
 constexpr std::uint64_t strain_ms = 30;
 constexpr double filling_starts = 1.4; ///< Starts per second and worker.
 
+// Hopeless steps repeat, so that they never become late and lose their rank.
+constexpr std::uint32_t hopeless_occurrences = 2;
+constexpr std::uint32_t hopeless_steps_per_job = 100;
+
 constexpr std::uint32_t short_width = 12;
 constexpr std::int64_t short_millicores = 3'000;
 constexpr std::uint64_t short_ms = 500;
@@ -181,6 +185,7 @@
     submit_serving(static_cast<std::uint32_t>(
         settings_.workers * worker_millicores * 2 / 3 / serving_millicores));
     loop_.run_until(loop_.now() + serving_warm_up);
+    submit_hopeless();
     submit_best_effort();
     submit_short();
     loop_.run_until(loop_.now() + filling_warm_up);
@@ -514,6 +519,31 @@
                 });
 }
 
+// Every other demand is a label that no worker has. The rest fits on an empty
+// worker, and none is empty.
+void bench_pool_simulation::submit_hopeless()
+{
+    auto const last = settings_.hopeless_steps / hopeless_occurrences;
+    core::pool::job new_job;
+    for (std::uint32_t number = 0; number < last; ++number)
+    {
+        auto const demand = std::to_string(number % settings_.hopeless_demands);
+        bool const lacks_label = number % 2 == 0;
+        auto step = make_step(1,
+                              lacks_label ? 1 : worker_millicores,
+                              short_ms,
+                              "hopeless-" + demand);
+        step.required_label = lacks_label ? "lost-" + demand : "";
+        new_job.steps.push_back(std::move(step));
+        if (new_job.steps.size() == hopeless_steps_per_job ||
+            number + 1 == last)
+        {
+            new_job.occurrences = hopeless_occurrences;
+            submit(short_queue, std::exchange(new_job, {}));
+        }
+    }
+}
+
 void bench_pool_simulation::submit_best_effort()
 {
     auto const image = loop_.random_below(filling_images);
--- a/tools/load/bench_pool_simulation.hpp
+++ b/tools/load/bench_pool_simulation.hpp
@@ -66,6 +66,7 @@
     void record_order(ports::pool_order const& order);
 
     void submit(std::string const& queue, core::pool::job new_job);
+    void submit_hopeless();
     void submit_serving(std::uint32_t remaining);
     void submit_best_effort();
     void submit_short();
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -63,6 +63,14 @@
         "bench-pool",
         "measures the processor time of an owner's decisions by pool size");
     command->add_option("--workers", sizes, "pool sizes in workers");
+    command->add_option("--hopeless",
+                        settings.hopeless_steps,
+                        "steps that wait because no worker can take them");
+    command
+        ->add_option("--demands",
+                     settings.hopeless_demands,
+                     "number of their different demands")
+        ->check(CLI::PositiveNumber);
     command->add_option(
         "--seconds", settings.seconds, "virtual time to measure");
     command->add_option("--seed", settings.seed, "seed of the arrivals");
