Pool: steps that no worker can take no longer hide those behind them

A dispatch round looked at the first 128 waiting steps and began at the front each time. Steps that can't be placed counted, and those of repeated jobs never lose their rank, so 128 of them stopped the queue behind them.

What counts is a search for workers. A step that is as demanding as one that has just failed costs none, as before but now also among gangs, nor does one that no listed worker could hold even if it were empty, by its label or its size (`fleet::may_hold`). A pass looks at 1,024 steps at most.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -5,6 +5,18 @@
 namespace fuchsia::core::pool
 {
 
+namespace
+{
+
+void raise_to(ports::resources& largest, ports::resources const& other)
+{
+    largest.millicores = std::max(largest.millicores, other.millicores);
+    largest.memory_mb = std::max(largest.memory_mb, other.memory_mb);
+    largest.accelerators = std::max(largest.accelerators, other.accelerators);
+}
+
+} // namespace
+
 std::int64_t worker::idle_cores() const noexcept
 {
     auto const non_serving = reserved.millicores - serving_cores;
@@ -44,6 +56,48 @@
         entry.info = info;
         entry.listed = true;
     }
+    largest_.clear();
+}
+
+void fleet::read_largest()
+{
+    for (auto const& [id, w] : workers_)
+    {
+        if (!w.listed)
+        {
+            continue;
+        }
+        auto& of_service = largest_[w.info.service];
+        raise_to(of_service[""], w.info.capacity);
+        for (auto const& label : w.info.labels)
+        {
+            raise_to(of_service[label], w.info.capacity);
+        }
+    }
+}
+
+bool fleet::may_hold(step const& requested, std::string const& service)
+{
+    if (largest_.empty())
+    {
+        read_largest();
+    }
+    auto const of_service = largest_.find(service);
+    if (of_service == largest_.end())
+    {
+        return false;
+    }
+    auto const largest = of_service->second.find(requested.required_label);
+    if (largest == of_service->second.end())
+    {
+        return false;
+    }
+    auto needed = requested.declared;
+    if (requested.best_effort)
+    {
+        needed.millicores = 0;
+    }
+    return largest->second.covers(needed);
 }
 
 void fleet::add_rostered(ports::pool_worker const& info)
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "core/pool/colocation.hpp"
 #include "core/pool/end_cursor.hpp"
+#include "core/pool/job.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/worker_list.hpp"
 #include "core/pool/worker_speed.hpp"
@@ -174,6 +175,11 @@
     std::map<std::string, worker> const& all() const noexcept;
     fleet_settings const& settings() const noexcept;
 
+    /// Whether a listed worker of the service has the label that the step
+    /// requires and, while it is empty, may have the capacity for one of its
+    /// tasks. If not, none can start until the list changes.
+    bool may_hold(step const& requested, std::string const& service);
+
     /// Whether more than half of the workers `ids` have answered at or after
     /// `oldest`.
     bool majority_answered(std::set<std::string> const& ids,
@@ -209,8 +215,16 @@
     std::uint64_t clock_at(worker const& target,
                            common::time_point now) const noexcept;
 
+    /// Greatest amount of each resource that one of several workers has, by
+    /// their label; the empty label stands for all of them.
+    using largest_by_label = std::map<std::string, ports::resources>;
+
+    void read_largest();
+
     fleet_settings settings_;
     std::map<std::string, worker> workers_;
+    /// By service; empty until it is needed after a change of the list.
+    std::map<std::string, largest_by_label> largest_;
 };
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -4,6 +4,7 @@
 #include "core/pool/capacity_index.hpp"
 #include "core/pool/claim.hpp"
 #include "core/pool/colocation.hpp"
+#include "core/pool/failed_placements.hpp"
 #include "core/pool/fleet.hpp"
 #include "core/pool/job_run.hpp"
 #include "core/pool/ledger.hpp"
@@ -482,6 +483,9 @@
     void rank_again(common::time_point now);
     void dispatch(common::time_point now);
     void dispatch_steps(common::time_point now);
+    std::optional<ready_key> dispatch_from(common::time_point now,
+                                           std::set<ready_key>::iterator next,
+                                           failed_placements& failed);
     void dispatch_if_requested(common::time_point now);
     bool dispatch_step(common::time_point now, ready_key const& key);
     /// Returns false if no worker was found for a task of the gang.
@@ -581,6 +585,9 @@
     /// when each is known.
     std::map<std::string, common::time_point> unmatched_cancels_;
     std::set<ready_key> ready_;
+    /// Where the next round goes on behind the steps that each round looks at.
+    std::optional<ready_key> resume_at_;
+    common::time_point next_resume_{}; ///< When it does so at the earliest.
     /// Usable workers by free capacity; set during a dispatch round only.
     std::optional<capacity_index> capacity_index_;
     std::set<std::string> unsaved_jobs_;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -23,29 +23,11 @@
 // than the due time of any job.
 constexpr std::int64_t long_running_order =
     std::numeric_limits<std::int64_t>::max() / 2;
-// Maximum number of waiting steps that one round examines, so that a long queue
-// costs no more than a short one.
-constexpr std::size_t max_steps_per_round = 128;
-
-struct placement_request
-{
-    step const* step_spec = nullptr;
-    std::string service;
-};
-
-// Whether `requested` needs at least as much as the request that has just found
-// no worker.
-bool at_least_as_demanding(placement_request const& failed,
-                           placement_request const& requested)
-{
-    return failed.service == requested.service &&
-           failed.step_spec->best_effort == requested.step_spec->best_effort &&
-           failed.step_spec->required_label ==
-               requested.step_spec->required_label &&
-           failed.step_spec->max_per_worker == 0 &&
-           failed.step_spec->image == requested.step_spec->image &&
-           requested.step_spec->declared.covers(failed.step_spec->declared);
-}
+// Maximum numbers of waiting steps for which one pass of a round looks for
+// workers, and that it looks at, so that a long queue costs no more than a
+// short one.
+constexpr std::size_t max_placements_per_pass = 128;
+constexpr std::size_t max_steps_per_pass = 1024;
 
 } // namespace
 
@@ -120,52 +102,70 @@
     capacity_index_.reset();
 }
 
+// A round looks at the first waiting steps in each case, and now and then goes
+// on where it last stopped: steps that no worker can take would otherwise hide
+// all behind them for as long as they wait.
 void owner::dispatch_steps(common::time_point now)
 {
-    std::vector<placement_request> failed;
-    std::size_t examined_steps = 0;
-    for (auto next = ready_.begin(); next != ready_.end();)
+    failed_placements failed;
+    auto const behind_first = dispatch_from(now, ready_.begin(), failed);
+    if (!behind_first || now < next_resume_)
+    {
+        return;
+    }
+    next_resume_ = now + settings_.dispatch_interval;
+    auto const resumed =
+        std::max(resume_at_.value_or(*behind_first), *behind_first);
+    resume_at_ = dispatch_from(now, ready_.lower_bound(resumed), failed);
+}
+
+// Places the tasks of waiting steps from `next` on. Returns the first step that
+// it leaves to a later pass; empty if there is none.
+std::optional<owner::ready_key>
+owner::dispatch_from(common::time_point now,
+                     std::set<ready_key>::iterator next,
+                     failed_placements& failed)
+{
+    std::size_t steps = 0;
+    std::size_t placements = 0;
+    while (next != ready_.end())
     {
         // The step may be erased from the set below.
         auto const key = *next++;
         auto* const run = find_job(key.job);
-        auto const* const step_spec =
-            run != nullptr ? &run->spec.steps[key.step] : nullptr;
-        if (step_spec == nullptr)
+        if (run == nullptr)
         {
             ready_.erase(key);
             continue;
         }
+        auto const& step_spec = run->spec.steps[key.step];
         // Long-running steps are not counted: they are cheap to examine, and
         // many of them may be waiting.
-        examined_steps += step_spec->long_running ? 0U : 1U;
-        if (examined_steps > max_steps_per_round)
+        bool const counted = !step_spec.long_running;
+        if (counted && (steps == max_steps_per_pass ||
+                        placements == max_placements_per_pass))
         {
-            return;
+            return key;
         }
-        placement_request const requested{step_spec, run->rules.service};
-        bool const would_fail =
-            step_spec->tail_target.count() == 0 &&
-            std::any_of(failed.begin(),
-                        failed.end(),
-                        [&requested](placement_request const& f)
-                        {
-                            return at_least_as_demanding(f, requested);
-                        });
-        if (would_fail)
+        steps += counted ? 1U : 0U;
+        auto const& service = run->rules.service;
+        bool const ruled_out = !fleet_.may_hold(step_spec, service) ||
+                               (step_spec.tail_target.count() == 0 &&
+                                failed.rule_out(step_spec, service));
+        if (ruled_out)
         {
             continue;
         }
-        // A gang that finds no workers says nothing about its tasks one by one,
-        // and a long-running task may be refused capacity that other tasks may
-        // use.
+        placements += counted ? 1U : 0U;
+        // A long-running task may be refused capacity that other tasks may use.
         bool const is_representative =
-            !step_spec->gang && !run->rules.policy && !step_spec->long_running;
+            !run->rules.policy && !step_spec.long_running;
         if (!dispatch_step(now, key) && is_representative)
         {
-            failed.push_back(requested);
+            failed.add(step_spec, service);
         }
     }
+    return std::nullopt;
 }
 
 // Returns false if a task of the step found no worker.
