Pool: policy calls that lead to nothing no longer take every step's turn

Callers would see steps of a queue with a policy wait for ever (LOST). The policy service takes one call of an instance at a time, and the first waiting step that needed one was asked about: again and again, if its calls were not answered or if workers refused its tickets.

A step whose call led to nothing now lets all others go first, for 1 s, and twice as long after each further one; a start ends that. While no other step needs a call, it is asked about as before. The next step is noted while a call is pending, so a step that only the second pass of a round sees gets its turn.

--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -105,7 +105,11 @@
     std::map<std::string, ticket>
         tickets; ///< By worker; expired tickets are kept.
     std::set<std::string>
-        policy_requested_for;     ///< Workers that a policy request has named.
+        policy_requested_for; ///< Workers that a policy request has named.
+    /// Time for which other steps are asked about first, since the last policy
+    /// requests led to no start, and its end.
+    common::duration policy_deferral{};
+    common::time_point policy_deferred_until{};
     std::uint32_t tasks_left = 0; ///< Tasks that are not done.
     bool open = false;            ///< Whether its tasks may start.
     std::uint16_t image = 0;      ///< Number of the image that its tasks run.
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -453,7 +453,10 @@
     bool has_ticket(common::time_point now,
                     step_run const& steps,
                     worker const& target) const;
+    void note_policy_step(common::time_point now, ready_key const& key);
+    void request_next_policy(common::time_point now, bool saw_others);
     void request_policy(common::time_point now, ready_key const& key);
+    static void defer_policy_request(common::time_point now, step_run& steps);
     std::vector<std::string> workers_for_policy_request(common::time_point now,
                                                         job_run& run,
                                                         ready_key const& key);
@@ -634,6 +637,16 @@
     bool loaded_ = false;
     /// A policy request has not been answered yet; no other one is sent before.
     bool policy_call_pending_ = false;
+    /// The step for which the next request is sent.
+    std::optional<ready_key> next_policy_step_;
+    struct deferred_step
+    {
+        ready_key key;
+        common::time_point until{};
+    };
+    /// Of the deferred steps that the present round has seen, the one whose
+    /// deferral ends first.
+    std::optional<deferred_step> deferred_policy_step_;
     /// A task has become ready, capacity has become free, or a policy request
     /// has ended, so a waiting task may now be placed.
     bool dispatch_requested_ = false;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -108,15 +108,17 @@
 void owner::dispatch_steps(common::time_point now)
 {
     failed_placements failed;
+    deferred_policy_step_.reset();
     auto const behind_first = dispatch_from(now, ready_.begin(), failed);
-    if (!behind_first || now < next_resume_)
+    bool const resumes = behind_first && now >= next_resume_;
+    if (resumes)
     {
-        return;
+        next_resume_ = now + settings_.dispatch_interval;
+        auto const resumed =
+            std::max(resume_at_.value_or(*behind_first), *behind_first);
+        resume_at_ = dispatch_from(now, ready_.lower_bound(resumed), failed);
     }
-    next_resume_ = now + settings_.dispatch_interval;
-    auto const resumed =
-        std::max(resume_at_.value_or(*behind_first), *behind_first);
-    resume_at_ = dispatch_from(now, ready_.lower_bound(resumed), failed);
+    request_next_policy(now, resumes || !behind_first);
 }
 
 // Places the tasks of waiting steps from `next` on. Returns the first step that
@@ -175,7 +177,7 @@
     auto& steps = run.occurrences[key.occurrence].steps[key.step];
     if (run.rules.policy)
     {
-        request_policy(now, key);
+        note_policy_step(now, key);
     }
     if (run.spec.steps[key.step].gang)
     {
@@ -332,6 +334,9 @@
         {
             t->worker_incarnation = reply.incarnation;
         }
+        run->occurrences[attempt_id.task.occurrence]
+            .steps[attempt_id.task.step]
+            .policy_deferral = {};
         return;
     }
     out_.log(severity::info,
@@ -357,10 +362,13 @@
     if (reply.status == order_status::no_ticket)
     {
         // The policy has allowed the worker, so it is asked for another ticket.
-        run->occurrences[attempt_id.task.occurrence]
-            .steps[attempt_id.task.step]
-            .tickets[id]
-            .until = {};
+        auto& steps = run->occurrences[attempt_id.task.occurrence]
+                          .steps[attempt_id.task.step];
+        steps.tickets[id].until = {};
+        if (now >= steps.policy_deferred_until)
+        {
+            defer_policy_request(now, steps);
+        }
     }
     if (target != nullptr && reply.status != order_status::not_attempted)
     {
--- a/src/core/pool/owner_policy.cpp
+++ b/src/core/pool/owner_policy.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t max_worker_limit = 30;
 // Time before the expiry of a ticket from which on the ticket is not used.
 constexpr common::duration ticket_margin = std::chrono::milliseconds(150);
+// Bounds of the time for which other steps go first after requests for a step
+// that led to nothing. It doubles with each, so that however many such steps
+// there are, they don't take up all calls.
+constexpr common::duration min_policy_deferral = std::chrono::seconds(1);
+constexpr common::duration max_policy_deferral = std::chrono::seconds(60);
 // Margin between the expected duration of a policy request and its timeout.
 constexpr common::duration call_timeout_margin =
     std::chrono::milliseconds(1500);
@@ -32,19 +37,60 @@
            now < found->second.until;
 }
 
-// Sends a policy request for the step unless another request is pending: the
-// service accepts one concurrent call from each instance. Steps are dispatched
-// in order, so the first one that needs a request sends it.
-void owner::request_policy(common::time_point now, ready_key const& key)
+// Notes that the step may be the next one that the policy service is asked
+// about: the service accepts one concurrent call from each instance. Steps are
+// dispatched in order, so the first one that needs a request comes first,
+// unless requests for it have led to nothing.
+void owner::note_policy_step(common::time_point now, ready_key const& key)
 {
     auto& run = *find_job(key.job);
-    if (policy_call_pending_ || !run.rules.policy)
+    auto const& steps = run.occurrences[key.occurrence].steps[key.step];
+    auto const until = steps.policy_deferred_until;
+    bool const deferred = now < until;
+    bool const comes_later =
+        next_policy_step_ || (deferred && deferred_policy_step_ &&
+                              deferred_policy_step_->until <= until);
+    if (comes_later || workers_for_policy_request(now, run, key).empty())
+    {
+        return;
+    }
+    if (deferred)
+    {
+        deferred_policy_step_ = {key, until};
+        return;
+    }
+    next_policy_step_ = key;
+}
+
+// Sends a request for the step that is next. A deferred one is next if the
+// round has not left out another.
+void owner::request_next_policy(common::time_point now, bool saw_others)
+{
+    if (policy_call_pending_)
     {
         return;
     }
+    if (next_policy_step_)
+    {
+        request_policy(now, *std::exchange(next_policy_step_, std::nullopt));
+    }
+    else if (deferred_policy_step_ && saw_others)
+    {
+        request_policy(now, deferred_policy_step_->key);
+    }
+}
+
+void owner::request_policy(common::time_point now, ready_key const& key)
+{
+    auto* const found = find_job(key.job);
+    if (found == nullptr || !found->rules.policy)
+    {
+        return;
+    }
+    auto& run = *found;
     auto& steps = run.occurrences[key.occurrence].steps[key.step];
     auto workers = workers_for_policy_request(now, run, key);
-    if (workers.empty())
+    if (steps.ready.empty() || workers.empty())
     {
         // Every worker has a valid ticket, was refused by the policy, or can't
         // take a task of the step now. The policy's answer for a worker does
@@ -75,6 +121,15 @@
         });
 }
 
+// Lets other steps go first after a request for this one has led to nothing.
+void owner::defer_policy_request(common::time_point now, step_run& steps)
+{
+    auto const doubled = 2 * steps.policy_deferral;
+    steps.policy_deferral =
+        std::clamp(doubled, min_policy_deferral, max_policy_deferral);
+    steps.policy_deferred_until = now + steps.policy_deferral;
+}
+
 // Returns workers that can take a task of the step now but have no valid ticket
 // for it: those that the policy has allowed before, or if there are none, those
 // that no pending or answered request has named.
@@ -123,6 +178,10 @@
         return;
     }
     auto& steps = run->occurrences[key.occurrence].steps[key.step];
+    if (!reply.answered || reply.allowed.empty())
+    {
+        defer_policy_request(now, steps);
+    }
     if (!reply.answered)
     {
         steps.policy_requested_for.clear();
--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -677,6 +677,10 @@
             reply.allowed.push_back({id, ticket_of(worker_number)});
         }
     }
+    if (policy_answer)
+    {
+        policy_answer(call, reply);
+    }
     clock_.after(
         300ms,
         [this, number, incarnation = instances_[number].incarnation, reply]
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -162,6 +162,10 @@
     /// the id of a call that was never sent.
     std::function<bool(ports::kv_reply&)> store_answer;
     std::function<bool(ports::order_reply&)> worker_answer;
+    /// Function that may modify an answer of the policy service. It may be
+    /// empty.
+    std::function<void(ports::policy_request const&, ports::policy_reply&)>
+        policy_answer;
 
     /// Enables a policy that allows tasks, by tickets, only on workers with an
     /// odd number. A ticket is valid for the incarnation of its worker at the
