Pool: work that no worker can take reserves no capacity

pool_hidden_steps.hopeless_steps_reserve_no_capacity failed before: 20 tasks of a lost label, and 14 long-running tasks that fit twice over don't all run. Rebalancing for hopeless work has no test.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -440,7 +440,7 @@
     short_job_reserve& short_job_reserve_of(std::string const& service);
     void observe_short_job_demand(common::time_point now);
     short_job_demand short_job_demand_of(common::time_point now,
-                                         job_run const& run) const;
+                                         job_run const& run);
     void note_capacity_of_unusable_workers(common::time_point now);
     /// Whether the task may start only on a worker with capacity for two such
     /// tasks.
--- a/src/core/pool/owner_rebalance.cpp
+++ b/src/core/pool/owner_rebalance.cpp
@@ -51,7 +51,8 @@
     {
         auto* const run = find_job(key.job);
         if (run == nullptr || !run->spec.steps[key.step].best_effort ||
-            now_ms > run->due_unix_ms)
+            now_ms > run->due_unix_ms ||
+            !fleet_.may_hold(run->spec.steps[key.step], run->rules.service))
         {
             continue;
         }
--- a/src/core/pool/owner_reserve.cpp
+++ b/src/core/pool/owner_reserve.cpp
@@ -44,9 +44,11 @@
     note_capacity_of_unusable_workers(now);
 }
 
-// Late jobs do not count: they may wait for the capacity that remains.
+// Late jobs do not count: they may wait for the capacity that remains. Nor do
+// tasks that no worker could hold: long-running tasks would wait beside the
+// capacity reserved for them.
 short_job_demand owner::short_job_demand_of(common::time_point now,
-                                            job_run const& run) const
+                                            job_run const& run)
 {
     short_job_demand demand;
     bool const on_time = out_.unix_ms(now) <= run.due_unix_ms;
@@ -60,10 +62,12 @@
             {
                 continue;
             }
+            bool const may_start =
+                on_time && fleet_.may_hold(step_spec, run.rules.service);
             for (auto const& t : occurrence.steps[step_index].tasks)
             {
                 bool const needs_cores =
-                    t.placed() || (on_time && t.phase == task_phase::ready);
+                    t.placed() || (may_start && t.phase == task_phase::ready);
                 demand.millicores +=
                     needs_cores ? step_spec.declared.millicores : 0;
                 demand.tasks += needs_cores ? 1 : 0;
--- a/tests/unit/pool/hidden_steps_test.cpp
+++ b/tests/unit/pool/hidden_steps_test.cpp
@@ -160,3 +160,32 @@
     }
     EXPECT_EQ(simulation.violation(), "");
 }
+
+// Guards against capacity that is kept free for work which no worker can take:
+// long-running tasks would wait beside it.
+TEST(pool_hidden_steps, hopeless_steps_reserve_no_capacity)
+{
+    pool_simulation simulation(3, workers);
+    ASSERT_TRUE(run_until_owned(simulation));
+    auto hopeless = hopeless_job(obstacle::label, 0);
+    hopeless.steps.front().declared.millicores = 8000;
+    hopeless.steps.front().estimate = 60s;
+    submit_many(simulation, *simulation.owner(), "hopeless", 20, hopeless);
+    simulation.run(5s);
+    auto lasting = simple_job(14, 0s);
+    lasting.spec = "lasts";
+    lasting.steps.front().declared.millicores = 2000;
+    lasting.steps.front().long_running = true;
+    submit_many(simulation, *simulation.owner(), "lasting", 1, lasting);
+    EXPECT_TRUE(simulation.run_until(
+        [&simulation]
+        {
+            std::size_t running = 0;
+            for (std::size_t number = 0; number < workers; ++number)
+            {
+                running += simulation.worker(number).running();
+            }
+            return running == 14;
+        },
+        3s));
+}
