Pool: the log tells why each kind of step waits, not only the first ones

The line `steps_wait` was written for the kinds of the first 512 waiting steps and for the first 12 kinds by name. The kinds behind them, which an operator needs most when work is hidden, never had a line: of 20 images one was named. Each look now goes on where the last one stopped, and kinds that were told a moment ago don't take a line from others.

pool_hidden_steps.the_log_tells_in_turn_why_each_kind_waits failed before (1 of 20).

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -515,7 +515,9 @@
         std::size_t tasks = 0;
         ready_key first;
     };
-    std::vector<waiting_kind> waiting_kinds();
+    /// Queue and image.
+    using kind_name = std::pair<std::string, std::string>;
+    std::map<kind_name, waiting_kind> waiting_kinds();
     void log_waiting(common::time_point now);
 
     // owner_placement.cpp: choice of the worker that a task starts on.
@@ -670,8 +672,8 @@
     common::time_point next_rebalance_{};
     common::time_point next_load_log_{};
     /// Time of the last log line about waiting steps, by queue and image.
-    std::map<std::pair<std::string, std::string>, common::time_point>
-        waiting_reported_at_;
+    std::map<kind_name, common::time_point> waiting_reported_at_;
+    ready_key log_from_; ///< Step from which they are examined next.
     common::time_point next_backlog_write_{};
     common::time_point next_estimates_write_{};
     bool estimates_write_pending_ = false;
--- a/src/core/pool/owner_waiting.cpp
+++ b/src/core/pool/owner_waiting.cpp
@@ -21,21 +21,23 @@
 
 } // namespace
 
-std::vector<owner::waiting_kind> owner::waiting_kinds()
+// Returns the kinds of the waiting steps, at most `max_examined_steps` of them.
+// Each call goes on where the last one stopped, so that the first steps do not
+// hide the kinds of those behind them.
+std::map<owner::kind_name, owner::waiting_kind> owner::waiting_kinds()
 {
-    std::map<std::pair<std::string, std::string>, waiting_kind> kinds;
-    std::size_t examined_steps = 0;
-    for (auto const& key : ready_)
+    std::map<kind_name, waiting_kind> kinds;
+    auto next = ready_.lower_bound(log_from_);
+    auto const examined = std::min(ready_.size(), max_examined_steps);
+    for (std::size_t count = 0; count < examined; ++count)
     {
+        next = next == ready_.end() ? ready_.begin() : next;
+        auto const& key = *next++;
         auto* const run = find_job(key.job);
         if (run == nullptr)
         {
             continue;
         }
-        if (++examined_steps > max_examined_steps)
-        {
-            break;
-        }
         auto const& steps = run->occurrences[key.occurrence].steps[key.step];
         auto const& image = run->spec.steps[key.step].image;
         auto& kind = kinds[{run->spec.queue, image}];
@@ -46,15 +48,8 @@
         ++kind.steps;
         kind.tasks += steps.ready.size();
     }
-    std::vector<waiting_kind> result;
-    for (auto const& [name, kind] : kinds)
-    {
-        if (kind.tasks > 0 && result.size() < max_lines)
-        {
-            result.push_back(kind);
-        }
-    }
-    return result;
+    log_from_ = next == ready_.end() ? ready_key{} : *next;
+    return kinds;
 }
 
 // Logs the obstacles of the first waiting task of each queue and image; it
@@ -66,8 +61,14 @@
                   {
                       return now - entry.second >= repeat_interval;
                   });
-    for (auto const& kind : waiting_kinds())
+    std::size_t lines = 0;
+    for (auto const& [name, kind] : waiting_kinds())
     {
+        if (kind.tasks == 0 || lines == max_lines ||
+            waiting_reported_at_.contains(name))
+        {
+            continue;
+        }
         auto const& key = kind.first;
         auto& run = *find_job(key.job);
         auto const& ready =
@@ -76,16 +77,13 @@
         {
             continue;
         }
-        auto const& image = run.spec.steps[key.step].image;
-        if (!waiting_reported_at_.insert({{run.spec.queue, image}, now}).second)
-        {
-            continue;
-        }
+        ++lines;
+        waiting_reported_at_[name] = now;
         auto const status = waiting_status(
             now, run, {key.job, key.occurrence, key.step, ready.back()});
         std::vector<ports::header> fields{
-            {"queue", run.spec.queue},
-            {"image", image},
+            {"queue", name.first},
+            {"image", name.second},
             {"steps", std::to_string(kind.steps)},
             {"tasks", std::to_string(kind.tasks)},
             {"possible", std::to_string(status.possible)},
--- a/tests/unit/pool/hidden_steps_test.cpp
+++ b/tests/unit/pool/hidden_steps_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -189,3 +190,32 @@
         },
         3s));
 }
+
+// Guards against a log that doesn't say why a step waits, since it names only
+// the reasons of the first steps and images.
+TEST(pool_hidden_steps, the_log_tells_in_turn_why_each_kind_waits)
+{
+    constexpr std::size_t kinds = 20;
+    pool_simulation simulation(3, workers);
+    ASSERT_TRUE(run_until_owned(simulation));
+    for (std::size_t number = 0; number < kinds; ++number)
+    {
+        submit_many(simulation,
+                    *simulation.owner(),
+                    "kind" + std::to_string(number) + "-",
+                    number == 0 ? 300 : 1,
+                    hopeless_job(obstacle::label, number));
+    }
+    simulation.run(10s);
+    std::set<std::string> images;
+    for (auto const& line : simulation.log())
+    {
+        auto const text = text_of(line);
+        auto const image = text.find("image=");
+        if (line.what.event == "steps_wait" && image != std::string::npos)
+        {
+            images.insert(text.substr(image, text.find(' ', image) - image));
+        }
+    }
+    EXPECT_EQ(images.size(), kinds);
+}
