Pool: a gang that wishes for one rack starts on several where none holds it

`sameRack` "means that the tasks take `remoteFactor` times as long when they run on more than one rack": a wish with a price. The owner tried each rack by itself and never all of them.

A gang now starts on several racks if none holds it: at once if no rack of the living workers could hold it without other work, otherwise after a wait for a rack of at most 1 s and half of its estimated time. Of the racks that hold it, that of its data comes first. How many members have room is counted for all racks in one pass over the workers, so a gang that fits nowhere costs no longer racks x members x workers in each round.

--- a/src/core/pool/failed_placements.cpp
+++ b/src/core/pool/failed_placements.cpp
@@ -18,8 +18,7 @@
         return failed.max_per_worker == 0;
     }
     return requested.gang && requested.count >= failed.count &&
-           requested.max_per_worker == failed.max_per_worker &&
-           (requested.same_rack || !failed.same_rack);
+           requested.max_per_worker == failed.max_per_worker;
 }
 
 // Whether `requested` needs at least as much as `failed`, for which no worker
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -115,6 +115,9 @@
     std::uint16_t image = 0;      ///< Number of the image that its tasks run.
     double isolated_headroom =
         0; ///< Headroom of its serving tasks without neighbours.
+    /// For a gang that wishes for one rack: since when it could have started on
+    /// several; zero: it could not yet.
+    common::time_point could_spread_since{};
     /// For a long-running step: whether a worker that can't be used now has
     /// capacity for two of its tasks.
     bool capacity_elsewhere = false;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -491,9 +491,13 @@
                                            failed_placements& failed);
     void dispatch_if_requested(common::time_point now);
     bool dispatch_step(common::time_point now, ready_key const& key);
-    /// Returns false if no worker was found for a task of the gang.
+    /// Returns false if no workers were found for all tasks of the gang.
     bool
     dispatch_gang(common::time_point now, ready_key const& key, job_run& run);
+    std::map<std::string, std::int64_t>
+    gang_room(common::time_point now, ready_key const& key, job_run& run);
+    bool
+    waits_for_rack(common::time_point now, ready_key const& key, job_run& run);
     bool place_gang(common::time_point now,
                     ready_key const& key,
                     job_run& run,
@@ -530,8 +534,15 @@
     capacity_index usable_workers(common::time_point now);
     /// Must be called for each task placed or removed within a dispatch round.
     void capacity_changed(worker const& target);
+    /// Returns the usable workers that may have the capacity for `tasks` tasks
+    /// of the step, in the order of the fleet, during a dispatch round.
+    std::vector<worker*> with_capacity(common::time_point now,
+                                       step const& step_spec,
+                                       std::int64_t tasks);
+    /// Name that stands for all racks.
+    static constexpr char const* any_rack = "";
     /// Returns the workers that can run the task, in the order of the fleet,
-    /// during a dispatch round; only those of `rack` unless it is empty.
+    /// during a dispatch round; only those of `rack` unless it is `any_rack`.
     std::vector<ranked_worker> rank(common::time_point now,
                                     job_run& run,
                                     ports::task_name const& name,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -205,13 +205,13 @@
         {
             if (!ranked)
             {
-                ranked = rank(now, run, name, "");
+                ranked = rank(now, run, name, any_rack);
             }
             target = best_of(*ranked);
         }
         else if (target == nullptr)
         {
-            target = best_of(rank(now, run, name, ""));
+            target = best_of(rank(now, run, name, any_rack));
         }
         if (target == nullptr)
         {
--- a/src/core/pool/owner_gangs.cpp
+++ b/src/core/pool/owner_gangs.cpp
@@ -1,8 +1,10 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
-#include <set>
+#include <limits>
+#include <map>
 #include <string>
+#include <vector>
 
 // Gang scheduling: all tasks of a gang run at the same time, or none does.
 namespace fuchsia::core::pool
@@ -11,13 +13,61 @@
 namespace
 {
 
-std::set<std::string> racks_of(fleet& workers)
+// Maximum time for which a gang that wishes for one rack waits for room on one
+// while it could start on several.
+constexpr common::duration max_rack_wait = std::chrono::seconds(1);
+
+std::int64_t times_covered(std::int64_t available, std::int64_t needed)
+{
+    return needed > 0 ? available / needed
+                      : std::numeric_limits<std::int64_t>::max();
+}
+
+// Returns how many tasks of the step fit into `free`, at most as many as may
+// run on one worker.
+std::int64_t tasks_in(ports::resources const& free, step const& step_spec)
+{
+    auto const& declared = step_spec.declared;
+    auto const limit = step_spec.max_per_worker > 0 ? step_spec.max_per_worker
+                                                    : step_spec.count;
+    return std::min({static_cast<std::int64_t>(limit),
+                     times_covered(free.millicores, declared.millicores),
+                     times_covered(free.memory_mb, declared.memory_mb),
+                     times_covered(free.accelerators, declared.accelerators)});
+}
+
+/// Number of tasks of a step for which there is room, by rack.
+using room_by_rack = std::map<std::string, std::int64_t>;
+
+std::int64_t total_of(room_by_rack const& room)
 {
-    std::set<std::string> racks;
-    for (auto const& [id, w] : workers.all())
+    std::int64_t total = 0;
+    for (auto const& [rack, tasks] : room)
     {
-        racks.insert(w.info.rack);
+        total += tasks;
     }
+    return total;
+}
+
+// Returns the racks with room for the whole gang, that of its data first. A
+// worker that names no rack shares one with no other.
+std::vector<std::string> racks_with_room(room_by_rack const& room,
+                                         step const& step_spec)
+{
+    std::vector<std::string> racks;
+    for (auto const& [rack, tasks] : room)
+    {
+        if (!rack.empty() && tasks >= step_spec.count)
+        {
+            racks.push_back(rack);
+        }
+    }
+    std::stable_partition(racks.begin(),
+                          racks.end(),
+                          [&step_spec](std::string const& rack)
+                          {
+                              return rack == step_spec.near_rack;
+                          });
     return racks;
 }
 
@@ -38,21 +88,80 @@
         // as a failed placement.
         return true;
     }
-    // The empty name stands for all racks.
-    std::set<std::string> racks{""};
-    if (run.spec.steps[key.step].same_rack)
+    auto const& step_spec = run.spec.steps[key.step];
+    auto const room = gang_room(now, key, run);
+    if (total_of(room) < step_spec.count)
     {
-        racks = racks_of(fleet_);
+        return false;
     }
-    for (auto const& rack : racks)
+    if (step_spec.same_rack)
     {
-        if (place_gang(now, key, run, rack))
+        for (auto const& rack : racks_with_room(room, step_spec))
+        {
+            if (place_gang(now, key, run, rack))
+            {
+                start_gang(now, key, run);
+                return true;
+            }
+        }
+        if (waits_for_rack(now, key, run))
         {
-            start_gang(now, key, run);
             return true;
         }
     }
-    return false;
+    if (!place_gang(now, key, run, any_rack))
+    {
+        return false;
+    }
+    start_gang(now, key, run);
+    return true;
+}
+
+// Returns for how many members there is room now.
+std::map<std::string, std::int64_t>
+owner::gang_room(common::time_point now, ready_key const& key, job_run& run)
+{
+    auto const& step_spec = run.spec.steps[key.step];
+    ports::task_name const first{key.job, key.occurrence, key.step, 0};
+    room_by_rack room;
+    for (auto* const w : with_capacity(now, step_spec, 1))
+    {
+        if (!obstacle_to_task(now, *w, run, first))
+        {
+            auto free = w->info.capacity;
+            free -= w->reserved;
+            free.millicores =
+                step_spec.best_effort ? w->idle_cores() : free.millicores;
+            room[w->info.rack] += tasks_in(free, step_spec);
+        }
+    }
+    return room;
+}
+
+// Whether a gang that can't have one rack now should wait for one. It takes
+// longer on several racks, but a wait longer than that would be worse. It
+// doesn't wait if no rack could hold it even without other work.
+bool owner::waits_for_rack(common::time_point now,
+                           ready_key const& key,
+                           job_run& run)
+{
+    auto const& step_spec = run.spec.steps[key.step];
+    auto& since =
+        run.occurrences[key.occurrence].steps[key.step].could_spread_since;
+    since = since == common::time_point{} ? now : since;
+    if (now - since >= std::min(max_rack_wait, step_spec.estimate / 2))
+    {
+        return false;
+    }
+    room_by_rack room;
+    for (auto const& [id, w] : fleet_.all())
+    {
+        if (!obstacle_to_step(now, w, run, step_spec))
+        {
+            room[w.info.rack] += tasks_in(w.info.capacity, step_spec);
+        }
+    }
+    return !racks_with_room(room, step_spec).empty();
 }
 
 bool owner::place_gang(common::time_point now,
@@ -97,6 +206,7 @@
         checkpoint = std::max(checkpoint, t.checkpoint);
     }
     steps.ready.clear();
+    steps.could_spread_since = {};
     ready_.erase(key);
     for (std::uint32_t index = 0; index < steps.tasks.size(); ++index)
     {
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -190,24 +190,28 @@
     }
 }
 
-std::vector<owner::ranked_worker> owner::rank(common::time_point now,
-                                              job_run& run,
-                                              ports::task_name const& name,
-                                              std::string const& rack)
+std::vector<worker*> owner::with_capacity(common::time_point now,
+                                          step const& step_spec,
+                                          std::int64_t tasks)
 {
     if (!capacity_index_)
     {
         capacity_index_ = usable_workers(now);
     }
+    auto const min_millicores = step_spec.declared.millicores * tasks;
+    return step_spec.best_effort ? capacity_index_->with_idle(min_millicores)
+                                 : capacity_index_->with_free(min_millicores);
+}
+
+std::vector<owner::ranked_worker> owner::rank(common::time_point now,
+                                              job_run& run,
+                                              ports::task_name const& name,
+                                              std::string const& rack)
+{
     auto const& step_spec = run.step_of(name);
     bool const leave_reserve = must_leave_reserve(run, name);
-    auto const min_millicores =
-        step_spec.declared.millicores * (leave_reserve ? 2 : 1);
-    auto const candidates = step_spec.best_effort
-                                ? capacity_index_->with_idle(min_millicores)
-                                : capacity_index_->with_free(min_millicores);
     std::vector<ranked_worker> result;
-    for (auto* const w : candidates)
+    for (auto* const w : with_capacity(now, step_spec, leave_reserve ? 2 : 1))
     {
         bool const other_rack = !rack.empty() && w->info.rack != rack;
         if (other_rack ||
--- a/tests/unit/pool/failed_placements_test.cpp
+++ b/tests/unit/pool/failed_placements_test.cpp
@@ -84,7 +84,7 @@
     EXPECT_TRUE(rules_out(make_step(1000), make_gang(2, 1000)));
     auto of_one_rack = make_gang(3, 1000);
     of_one_rack.same_rack = true;
-    EXPECT_FALSE(rules_out(of_one_rack, make_gang(3, 1000)));
+    EXPECT_TRUE(rules_out(of_one_rack, make_gang(3, 1000)));
     EXPECT_TRUE(rules_out(make_gang(3, 1000), of_one_rack));
 }
 
