Pool: a worker that skips numbers of ends does not stop a takeover

PROTOCOL.md says that the numbers of ends increase, not that none is skipped. With a gap in a full list the owner would never have read the worker to its last end, and a takeover would have waited for ever. A gap that stays for eight full reports in a row now counts as numbers that were never used.

--- a/src/core/pool/end_cursor.hpp
+++ b/src/core/pool/end_cursor.hpp
@@ -32,11 +32,17 @@
     bool has_gap() const noexcept;
 
 private:
+    /// Counts the ends between `processed_` and the next known one as
+    /// processed.
+    void skip_gap();
+    void pass_consecutive();
+
     std::uint64_t processed_ = 0;
     std::set<std::uint64_t> beyond_gap_; ///< Processed, above `processed_`.
     bool started_ = false;               ///< A report has listed an end.
     bool has_unlisted_ = false;
     bool caught_up_ = false;
+    std::uint32_t stalled_reports_ = 0; ///< In a row, stopped by the same gap.
 };
 
 } // namespace fuchsia::core::pool
--- a/tests/unit/pool/end_cursor_test.cpp
+++ b/tests/unit/pool/end_cursor_test.cpp
@@ -64,6 +64,21 @@
     EXPECT_FALSE(cursor.has_unlisted());
 }
 
+// Guards against a takeover that never ends since a worker skips numbers.
+TEST(pool_end_cursor, a_gap_that_stays_is_passed_in_the_end)
+{
+    end_cursor cursor;
+    report(cursor, {1, 2}, true);
+    for (int reports = 0; reports < 8; ++reports)
+    {
+        EXPECT_EQ(cursor.processed(), 2U);
+        report(cursor, {4, 5, 7}, true);
+    }
+    EXPECT_EQ(cursor.processed(), 5U);
+    report(cursor, {7, 8}, true);
+    EXPECT_EQ(cursor.processed(), 5U);
+}
+
 // Guards against a second count of an end that is listed again.
 TEST(pool_end_cursor, an_end_is_new_once)
 {
