Pool: a list without workers is not read again for each waiting step

What the listed workers can hold at most is read once after each change of the list. An empty result counted as not read yet, so that each waiting step would have gone through all workers while none is listed.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -56,34 +56,36 @@
         entry.info = info;
         entry.listed = true;
     }
-    largest_.clear();
+    largest_.reset();
 }
 
-void fleet::read_largest()
+std::map<std::string, fleet::largest_by_label> fleet::largest_by_service() const
 {
+    std::map<std::string, largest_by_label> result;
     for (auto const& [id, w] : workers_)
     {
         if (!w.listed)
         {
             continue;
         }
-        auto& of_service = largest_[w.info.service];
+        auto& of_service = result[w.info.service];
         raise_to(of_service[""], w.info.capacity);
         for (auto const& label : w.info.labels)
         {
             raise_to(of_service[label], w.info.capacity);
         }
     }
+    return result;
 }
 
 bool fleet::may_hold(step const& requested, std::string const& service)
 {
-    if (largest_.empty())
+    if (!largest_)
     {
-        read_largest();
+        largest_ = largest_by_service();
     }
-    auto const of_service = largest_.find(service);
-    if (of_service == largest_.end())
+    auto const of_service = largest_->find(service);
+    if (of_service == largest_->end())
     {
         return false;
     }
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -219,12 +219,12 @@
     /// their label; the empty label stands for all of them.
     using largest_by_label = std::map<std::string, ports::resources>;
 
-    void read_largest();
+    std::map<std::string, largest_by_label> largest_by_service() const;
 
     fleet_settings settings_;
     std::map<std::string, worker> workers_;
-    /// By service; empty until it is needed after a change of the list.
-    std::map<std::string, largest_by_label> largest_;
+    /// By service; set when it is needed after a change of the list.
+    std::optional<std::map<std::string, largest_by_label>> largest_;
 };
 
 } // namespace fuchsia::core::pool
