--- a/tests/unit/pool/busy_owner_test.cpp
+++ b/tests/unit/pool/busy_owner_test.cpp
@@ -45,16 +45,6 @@
     return simulation.worker_count();
 }
 
-std::size_t total_starts(pool_simulation& simulation)
-{
-    std::size_t count = 0;
-    for (std::size_t number = 0; number < simulation.worker_count(); ++number)
-    {
-        count += simulation.worker(number).started_runs().size();
-    }
-    return count;
-}
-
 // Starts job "a" of one task and returns the number of the worker that runs it.
 std::size_t start_one(pool_simulation& simulation, duration work)
 {
--- a/tests/unit/pool/capacity_test.cpp
+++ b/tests/unit/pool/capacity_test.cpp
@@ -58,16 +58,6 @@
     return true;
 }
 
-std::size_t running_tasks(pool_simulation& simulation)
-{
-    std::size_t count = 0;
-    for (std::size_t number = 0; number < simulation.worker_count(); ++number)
-    {
-        count += simulation.worker(number).running();
-    }
-    return count;
-}
-
 } // namespace
 
 // Guards against starts by a capacity that a worker no longer has: one that
--- a/tests/unit/pool/faults_test.cpp
+++ b/tests/unit/pool/faults_test.cpp
@@ -9,15 +9,6 @@
 namespace
 {
 
-void wait_for_owner(pool_simulation& simulation)
-{
-    simulation.run_until(
-        [&simulation]
-        {
-            return simulation.owner().has_value();
-        });
-}
-
 bool ends_as(pool_simulation& simulation,
              std::size_t queried,
              std::string const& id,
@@ -64,7 +55,7 @@
 TEST(pool_faults, a_lost_commit_answer_is_not_reported_as_refusal)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     fail_commits(simulation, 1, fault_effect::answer_lost);
     auto const first = simulation.submit(1, "a", simple_job(2, 100ms));
     EXPECT_TRUE(
@@ -80,7 +71,7 @@
 TEST(pool_faults, a_job_submitted_again_after_its_end_does_not_run_again)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.submit(1, "a", simple_job(2, 100ms));
     EXPECT_TRUE(ends_as(simulation, 0, "a", job_state::completed));
     auto const again = simulation.submit(2, "a", simple_job(2, 100ms));
@@ -95,7 +86,7 @@
 TEST(pool_faults, a_refused_job_never_runs)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     fail_commits(simulation, 1, fault_effect::refused);
     auto const request = simulation.submit(1, "a", simple_job(2, 100ms));
     EXPECT_TRUE(is_answered_with<ports::job_refused>(simulation, request));
@@ -110,7 +101,7 @@
     for (std::size_t target = 0; target < 4; ++target)
     {
         pool_simulation simulation;
-        wait_for_owner(simulation);
+        ASSERT_TRUE(run_until_owned(simulation));
         int hits = 0;
         simulation.worker_fault =
             [&hits, target](std::size_t,
@@ -136,7 +127,7 @@
 TEST(pool_faults, a_late_start_does_not_run_when_its_stop_was_lost)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     int late_starts = 0;
     auto const until = simulation.now() + 3s;
     simulation.worker_fault = [&late_starts, &simulation, until](
@@ -168,7 +159,7 @@
 TEST(pool_faults, tasks_of_a_silent_worker_wait_for_the_end_of_its_lease)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.submit(1, "a", simple_job(8, 6s));
     simulation.run(300ms);
     ASSERT_GT(simulation.worker(0).running(), 0U);
@@ -195,7 +186,7 @@
 TEST(pool_faults, a_worker_whose_answers_are_lost_gets_no_renewal)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.submit(1, "a", simple_job(8, 20s));
     simulation.run(300ms);
     simulation.worker_fault =
@@ -218,7 +209,7 @@
 TEST(pool_faults, tasks_of_a_restarted_worker_start_again)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.submit(1, "a", simple_job(8, 1s));
     simulation.run(300ms);
     simulation.restart_worker(1);
@@ -231,7 +222,7 @@
 TEST(pool_faults, accepted_jobs_continue_during_a_store_outage)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.submit(1, "a", chained_job(1s));
     simulation.run(300ms);
     simulation.store_fault = [](std::size_t, ports::kv_operation const&)
@@ -266,7 +257,7 @@
     for (auto const kill_after : {10ms, 150ms, 250ms, 350ms, 450ms})
     {
         pool_simulation simulation;
-        wait_for_owner(simulation);
+        ASSERT_TRUE(run_until_owned(simulation));
         auto job = simple_job(1, 100ms);
         job.spec += " fail";
         simulation.submit(1, "a", job);
@@ -296,7 +287,7 @@
 TEST(pool_faults, a_cancelled_job_runs_no_more_tasks)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     auto job = simple_job(6, 1s);
     job.steps.front().long_running = true;
     job.spec = "lasts";
@@ -317,7 +308,7 @@
 TEST(pool_faults, a_job_is_not_reported_unknown_while_the_store_is_silent)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     auto const first = simulation.query(1, "a");
     EXPECT_TRUE(is_answered_with<ports::job_not_found>(simulation, first));
     simulation.store_fault = [](std::size_t, ports::kv_operation const&)
@@ -335,7 +326,7 @@
     for (auto const ahead : {50ms, 600'000ms})
     {
         pool_simulation simulation;
-        wait_for_owner(simulation);
+        ASSERT_TRUE(run_until_owned(simulation));
         auto const submitter = (*simulation.owner() + 1) % 3;
         simulation.set_clock_ahead(submitter, ahead);
         simulation.run(100ms);
@@ -350,7 +341,7 @@
 TEST(pool_faults, a_job_accepted_by_a_clock_behind_is_not_late)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     auto const owner = *simulation.owner();
     auto const submitter = (owner + 1) % 3;
     simulation.set_clock_ahead(submitter, -600'000ms);
@@ -370,7 +361,7 @@
 TEST(pool_faults, stale_reads_give_no_wrong_job_state)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.submit(0, "early", simple_job(1, 200ms));
     ASSERT_TRUE(simulation.run_until(
         [&simulation]
@@ -401,7 +392,7 @@
 TEST(pool_faults, no_task_starts_in_a_data_centre_out_of_service)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.store().put("operators/out/even", "");
     simulation.run(100ms);
     simulation.submit(1, "a", simple_job(6, 200ms));
@@ -420,7 +411,7 @@
 TEST(pool_faults, a_configuration_change_lost_by_compaction_is_found)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.store().put("operators/out/even", "");
     simulation.store().compact();
     simulation.run(1500ms);
@@ -435,7 +426,7 @@
 TEST(pool_faults, a_stalled_watch_does_not_advance_its_revision)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.store_fault =
         [](std::size_t, ports::kv_operation const& operation)
     {
@@ -460,7 +451,7 @@
 TEST(pool_faults, a_late_commit_does_not_overwrite_newer_progress)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     auto const owner = *simulation.owner();
     int hits = 0;
     simulation.store_fault =
@@ -493,7 +484,7 @@
 TEST(pool_faults, steps_under_a_policy_start_with_its_tickets)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.require_tickets();
     simulation.run(100ms);
     auto job = simple_job(3, 200ms);
@@ -513,7 +504,7 @@
 TEST(pool_faults, requests_are_refused_at_once_during_a_known_store_outage)
 {
     pool_simulation simulation;
-    wait_for_owner(simulation);
+    ASSERT_TRUE(run_until_owned(simulation));
     simulation.store_fault =
         [](std::size_t instance, ports::kv_operation const&)
     {
--- a/tests/unit/pool/hidden_steps_test.cpp
+++ b/tests/unit/pool/hidden_steps_test.cpp
@@ -181,12 +181,7 @@
     EXPECT_TRUE(simulation.run_until(
         [&simulation]
         {
-            std::size_t running = 0;
-            for (std::size_t number = 0; number < workers; ++number)
-            {
-                running += simulation.worker(number).running();
-            }
-            return running == 14;
+            return running_tasks(simulation) == 14;
         },
         3s));
 }
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -299,6 +299,10 @@
 bool run_until_owned(pool_simulation& simulation);
 /// Returns the number of an instance other than `number`.
 std::size_t other_than(std::size_t number);
+/// Returns the number of tasks that run on all workers.
+std::size_t running_tasks(pool_simulation& simulation);
+/// Returns the number of starts on the present incarnations of all workers.
+std::size_t total_starts(pool_simulation& simulation);
 /// Submits `count` equal jobs with the ids `name`0 to `name`(`count` - 1).
 void submit_many(pool_simulation& simulation,
                  std::size_t instance,
--- a/tests/unit/pool/short_job_reserve_test.cpp
+++ b/tests/unit/pool/short_job_reserve_test.cpp
@@ -39,16 +39,6 @@
     }
 }
 
-std::size_t running_tasks(pool_simulation& world)
-{
-    std::size_t count = 0;
-    for (std::size_t index = 0; index < world.worker_count(); ++index)
-    {
-        count += world.worker(index).running();
-    }
-    return count;
-}
-
 // Lets short tasks use most of the pool, then submits long-running ones, of
 // which five can start: they may not wait while a worker has capacity for two
 // of them. Returns an instance that is not the owner.
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -38,16 +38,6 @@
     };
 }
 
-std::size_t total_starts(pool_simulation& simulation)
-{
-    std::size_t started = 0;
-    for (std::size_t number = 0; number < simulation.worker_count(); ++number)
-    {
-        started += simulation.worker(number).started_runs().size();
-    }
-    return started;
-}
-
 bool completes(pool_simulation& simulation,
                std::size_t queried,
                std::string const& id,
--- a/tests/unit/pool/unlisted_ends_test.cpp
+++ b/tests/unit/pool/unlisted_ends_test.cpp
@@ -29,26 +29,6 @@
     return result;
 }
 
-std::size_t running_tasks(pool_simulation& simulation)
-{
-    std::size_t result = 0;
-    for (std::size_t number = 0; number < workers; ++number)
-    {
-        result += simulation.worker(number).running();
-    }
-    return result;
-}
-
-std::size_t started_tasks(pool_simulation& simulation)
-{
-    std::size_t result = 0;
-    for (std::size_t number = 0; number < workers; ++number)
-    {
-        result += simulation.worker(number).started_runs().size();
-    }
-    return result;
-}
-
 // Starts more tasks on each worker than it lists ends at a time.
 void run_small_tasks(pool_simulation& simulation, job const& submitted)
 {
@@ -107,7 +87,7 @@
     refuse_commits(simulation, 5s);
     simulation.run(6s);
     EXPECT_TRUE(all_end_as(simulation, 0, job_state::completed));
-    EXPECT_EQ(started_tasks(simulation), all_tasks);
+    EXPECT_EQ(total_starts(simulation), all_tasks);
     EXPECT_EQ(simulation.violation(), "");
 }
 
@@ -118,7 +98,7 @@
     run_small_tasks(simulation, small_tasks(3s));
     simulation.run(3s);
     EXPECT_TRUE(all_end_as(simulation, 0, job_state::completed));
-    EXPECT_EQ(started_tasks(simulation), all_tasks);
+    EXPECT_EQ(total_starts(simulation), all_tasks);
     EXPECT_EQ(simulation.violation(), "");
 }
 
@@ -136,7 +116,7 @@
         simulation.kill(owner);
         EXPECT_TRUE(
             all_end_as(simulation, other_than(owner), job_state::completed));
-        EXPECT_EQ(started_tasks(simulation), all_tasks) << kill_after.count();
+        EXPECT_EQ(total_starts(simulation), all_tasks) << kill_after.count();
         EXPECT_EQ(simulation.violation(), "") << kill_after.count();
     }
 }
@@ -182,7 +162,7 @@
     simulation.run(13s);
     EXPECT_TRUE(
         all_end_as(simulation, other_than(owner), job_state::completed));
-    EXPECT_EQ(started_tasks(simulation), all_tasks);
+    EXPECT_EQ(total_starts(simulation), all_tasks);
     EXPECT_EQ(simulation.violation(), "");
 }
 
@@ -244,6 +224,6 @@
                    job_state::cancelled;
         }));
     simulation.run(3s);
-    EXPECT_EQ(started_tasks(simulation), all_tasks);
+    EXPECT_EQ(total_starts(simulation), all_tasks);
     EXPECT_EQ(simulation.violation(), "");
 }
