Pool: a pass over waiting steps counts those that are passed over again

Such steps count again; only steps that no listed worker could hold don't, up to 1,024 of them. The bound on the wait of a step, N / 128 tenths of a second, is the same.

--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -23,11 +23,11 @@
 // than the due time of any job.
 constexpr std::int64_t long_running_order =
     std::numeric_limits<std::int64_t>::max() / 2;
-// Maximum numbers of waiting steps for which one pass of a round looks for
-// workers, and that it looks at, so that a long queue costs no more than a
-// short one.
-constexpr std::size_t max_placements_per_pass = 128;
-constexpr std::size_t max_steps_per_pass = 1024;
+// Maximum numbers of waiting steps that one pass of a round examines, and that
+// it passes over since no listed worker could hold them, so that a long queue
+// costs no more than a short one.
+constexpr std::size_t max_examined_per_pass = 128;
+constexpr std::size_t max_passed_over_per_pass = 1024;
 
 } // namespace
 
@@ -128,8 +128,8 @@
                      std::set<ready_key>::iterator next,
                      failed_placements& failed)
 {
-    std::size_t steps = 0;
-    std::size_t placements = 0;
+    std::size_t examined = 0;
+    std::size_t passed_over = 0;
     while (next != ready_.end())
     {
         // The step may be erased from the set below.
@@ -144,21 +144,23 @@
         // Long-running steps are not counted: they are cheap to examine, and
         // many of them may be waiting.
         bool const counted = !step_spec.long_running;
-        if (counted && (steps == max_steps_per_pass ||
-                        placements == max_placements_per_pass))
+        if (counted && (examined == max_examined_per_pass ||
+                        passed_over == max_passed_over_per_pass))
         {
             return key;
         }
-        steps += counted ? 1U : 0U;
         auto const& service = run->rules.service;
-        bool const ruled_out = !fleet_.may_hold(step_spec, service) ||
-                               (step_spec.tail_target.count() == 0 &&
-                                failed.rule_out(step_spec, service));
-        if (ruled_out)
+        if (!fleet_.may_hold(step_spec, service))
+        {
+            passed_over += counted ? 1U : 0U;
+            continue;
+        }
+        examined += counted ? 1U : 0U;
+        if (step_spec.tail_target.count() == 0 &&
+            failed.rule_out(step_spec, service))
         {
             continue;
         }
-        placements += counted ? 1U : 0U;
         // A long-running task may be refused capacity that other tasks may use.
         bool const is_representative =
             !run->rules.policy && !step_spec.long_running;
