Pool: a round that starts many tasks makes no second pass

Suspected, not shown: after a mass loss the second pass doubles what one round starts, and polls wait for it.

A round whose first pass has started 32 tasks or more now makes none, but for one a second. The check of a takeover for unlisted ends looks at leases only for workers that aren't read to the end.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -228,12 +228,15 @@
 bool fleet::may_list_earlier_ends(worker const& target,
                                   common::time_point now) const noexcept
 {
+    if (!target.adopted || target.ends.caught_up())
+    {
+        return false;
+    }
     auto const longest_lease = std::chrono::duration_cast<common::duration>(
         settings_.lease * (1 + settings_.clock_drift) + settings_.lapse_slack);
     bool const leases_over =
         now - target.last_contact > longest_lease && lapsed(target, now);
-    bool const lost = target.silent && leases_over;
-    return target.adopted && !target.ends.caught_up() && !lost;
+    return !(target.silent && leases_over);
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -603,7 +603,7 @@
     std::set<ready_key> ready_;
     /// Where the next round goes on behind the steps that each round looks at.
     std::optional<ready_key> resume_at_;
-    common::time_point next_resume_{}; ///< When it does so at the earliest.
+    common::time_point last_resume_{}; ///< When a round last did so.
     /// Usable workers by free capacity; set during a dispatch round only.
     std::optional<capacity_index> capacity_index_;
     std::set<std::string> unsaved_jobs_;
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -28,6 +28,11 @@
 // costs no more than a short one.
 constexpr std::size_t max_examined_per_pass = 128;
 constexpr std::size_t max_passed_over_per_pass = 1024;
+// A round that has started so many tasks in its first pass makes no second one,
+// so that polls and leases are not delayed, but for the longest time between
+// two of them.
+constexpr std::uint64_t many_starts = 32;
+constexpr common::duration max_resume_interval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -109,11 +114,15 @@
 {
     failed_placements failed;
     deferred_policy_step_.reset();
+    auto const starts_before = counters_.starts;
     auto const behind_first = dispatch_from(now, ready_.begin(), failed);
-    bool const resumes = behind_first && now >= next_resume_;
+    bool const started_many = counters_.starts - starts_before >= many_starts;
+    auto const interval =
+        started_many ? max_resume_interval : settings_.dispatch_interval;
+    bool const resumes = behind_first && now >= last_resume_ + interval;
     if (resumes)
     {
-        next_resume_ = now + settings_.dispatch_interval;
+        last_resume_ = now;
         auto const resumed =
             std::max(resume_at_.value_or(*behind_first), *behind_first);
         resume_at_ = dispatch_from(now, ready_.lower_bound(resumed), failed);
