Pool: the log tells of long leases and of what a takeover starts again

lease_assumed names a worker that may hold a lease by the clock of an earlier incarnation; takeover_settled counts the tasks that no worker reported. With both, the log distinguishes the hypotheses of the tasks that ran twice: a long lease that the successor does not wait for, two owners, or progress that was missing.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -380,6 +380,9 @@
                            worker& target,
                            sent_poll const& poll,
                            ports::order_reply const& first_reply);
+    void assume_lease(common::time_point now,
+                      worker& target,
+                      std::uint64_t until_ms);
     static bool may_hold_earlier_lease(common::time_point now,
                                        worker const& target,
                                        sent_poll const& poll);
@@ -393,7 +396,7 @@
                                  ports::ended_attempt const& row);
     void fail_exhausted_job(common::time_point now, job_run& run);
     void complete_takeover(common::time_point now);
-    void end_unreported_attempts(common::time_point now, job_run& run);
+    std::size_t end_unreported_attempts(common::time_point now, job_run& run);
     void mark_ended(common::time_point now, worker& target);
     void forget_inherited(std::string const& id);
     bool successor_quorum() const;
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -76,7 +76,7 @@
     }
     if (target.incarnation != sent.incarnation)
     {
-        fleet_.assume_lease(target, sent.lease_until_ms, now);
+        assume_lease(now, target, sent.lease_until_ms);
     }
     if (may_act(now))
     {
@@ -84,6 +84,25 @@
     }
 }
 
+// Records that a lease until `until_ms`, by the clock of another incarnation,
+// may have reached the worker.
+void owner::assume_lease(common::time_point now,
+                         worker& target,
+                         std::uint64_t until_ms)
+{
+    auto const left_before = fleet_.lease_left(target, now);
+    fleet_.assume_lease(target, until_ms, now);
+    auto const left = fleet_.lease_left(target, now);
+    if (left > std::max(left_before, fleet_.settings().lease))
+    {
+        out_.log(severity::info,
+                 "lease_assumed",
+                 {{"worker", target.info.id},
+                  {"born", std::to_string(target.incarnation)},
+                  {"left_ms", std::to_string(common::to_milliseconds(left))}});
+    }
+}
+
 // Adopts the incarnation that has answered a poll for the first time. Tasks of
 // an earlier incarnation no longer run.
 void owner::adopt_incarnation(common::time_point now,
@@ -102,7 +121,7 @@
     auto const earlier_lease_ms = std::exchange(target.lease_until_ms, 0);
     if (may_hold_earlier_lease(now, target, poll))
     {
-        fleet_.assume_lease(target, earlier_lease_ms, now);
+        assume_lease(now, target, earlier_lease_ms);
     }
     target.failed_jobs.clear();
     if (std::exchange(target.ended, false))
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -111,29 +111,32 @@
     update_roster();
     out_.push(ports::duration_sample{ports::duration_metric::takeover,
                                      now - claim_.held_since()});
-    out_.log(
-        severity::info,
-        "takeover_settled",
-        {{"epoch", std::to_string(claim_.epoch())},
-         {"unreached", std::to_string(missing.size())},
-         {"missing", joined(missing, max_missing_named)},
-         {"after_ms",
-          std::to_string(common::to_milliseconds(now - claim_.held_since()))}});
     std::vector<std::string> ids;
     for (auto const& [id, run] : jobs_)
     {
         ids.push_back(id);
     }
+    std::size_t unreported = 0;
     for (auto const& id : ids)
     {
-        end_unreported_attempts(now, *find_job(id));
+        unreported += end_unreported_attempts(now, *find_job(id));
     }
+    out_.log(
+        severity::info,
+        "takeover_settled",
+        {{"epoch", std::to_string(claim_.epoch())},
+         {"unreached", std::to_string(missing.size())},
+         {"missing", joined(missing, max_missing_named)},
+         {"unreported", std::to_string(unreported)},
+         {"after_ms",
+          std::to_string(common::to_milliseconds(now - claim_.held_since()))}});
 }
 
 // Ends the attempts that an earlier owner may have started but that no worker
-// has reported: they do not run anywhere.
-void owner::end_unreported_attempts(common::time_point now, job_run& run)
+// has reported: they do not run anywhere. Returns the number of their tasks.
+std::size_t owner::end_unreported_attempts(common::time_point now, job_run& run)
 {
+    std::size_t count = 0;
     for (std::uint32_t k = 0; k < run.occurrences.size(); ++k)
     {
         auto& steps = run.occurrences[k].steps;
@@ -153,6 +156,7 @@
                     count_crash(run, name, crash_evidence::shared, false);
                 }
                 tasks[index].crash_history.worker.clear();
+                ++count;
                 task_over(now, run, name);
             }
         }
@@ -162,6 +166,7 @@
         fail_exhausted_job(now, run);
     }
     finish_if_over(run);
+    return count;
 }
 
 // Handles the proof that a worker of the stored roster has ended: the worker
