Stand-in: a superseded start extends the lease

The platform takes the end of a lease also from a start that it refuses as superseded; the simulated workers did not. The test failed before the change: 1 of 1 running tasks was gone 3 s later.

--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -173,15 +173,15 @@
     bool const superseded = present != running_.end() ||
                             (highest_ended != highest_ended_attempt_.end() &&
                              highest_ended->second >= order.attempt_id.attempt);
-    if (superseded)
-    {
-        return order_status::superseded;
-    }
-    if (order.lease_until_ms <= clock_ms(now))
+    if (!superseded && order.lease_until_ms <= clock_ms(now))
     {
         return order_status::lease_expired;
     }
     extend(now, order.lease_until_ms);
+    if (superseded)
+    {
+        return order_status::superseded;
+    }
     running_[task] = {order.attempt_id.attempt,
                       now,
                       parse_task_script(order.spec),
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -73,7 +73,8 @@
 /// One incarnation of a worker in memory: the highest fencing token, one lease
 /// for all running tasks, and the ends that are reported until they are
 /// acknowledged. Its clock starts at `clock_start_ms` and runs at `speed` times
-/// true time. A lease longer than `max_lease` is shortened to that.
+/// true time. A lease longer than `max_lease` is shortened to that. A start
+/// extends the lease even if it is refused as superseded.
 class worker_state
 {
 public:
--- a/tests/contract/standins/worker_state_test.cpp
+++ b/tests/contract/standins/worker_state_test.cpp
@@ -40,3 +40,23 @@
     EXPECT_EQ(rest.ended.front().sequence, max_listed_ends + 1);
     EXPECT_TRUE(poll(max_listed_ends + 1).ended.empty());
 }
+
+// Guards against a simulated worker that takes no lease from a start that it
+// refuses: no test could show a lease that the pool doesn't know of.
+TEST(worker_state, a_superseded_start_extends_the_lease)
+{
+    core::common::time_point const start{1s};
+    standins::pool::worker_state worker(ports::pool_worker{}, start, 1);
+    auto const clock_ms = worker.apply(start, ports::poll_order{}).clock_ms;
+    ports::start_order order;
+    order.attempt_id = {{"a", 0, 0, 0}, 1};
+    order.spec = "work=60000";
+    order.lease_until_ms = clock_ms + 1000;
+    ASSERT_EQ(worker.apply(start, order).status, ports::order_status::done);
+    order.attempt_id.attempt = 2;
+    order.lease_until_ms = clock_ms + 4000;
+    ASSERT_EQ(worker.apply(start, order).status,
+              ports::order_status::superseded);
+    EXPECT_EQ(worker.apply(start + 3s, ports::poll_order{}).running.size(), 1U);
+    EXPECT_TRUE(worker.apply(start + 5s, ports::poll_order{}).running.empty());
+}
