--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -1,105 +1,19 @@
-#include "pool_simulation.hpp"
+#include "restarted_worker.hpp"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <string>
 
 // A worker that starts again under its id runs nothing of before, and its
 // clock and the numbers of its ends start anew. What the owner sent to or read
 // from its earlier incarnation must not be applied to the new one.
 using namespace fuchsia::tests::unit::pool;
-using fuchsia::ports::job_state;
 namespace core = fuchsia::core;
 namespace ports = fuchsia::ports;
 
 namespace
 {
 
-// The worker that restarts; with two workers the only one of its rack.
-constexpr std::size_t restarted = 1;
-
-constexpr std::uint32_t earlier_tasks = 6;
-
-/// Returns a job that runs on worker `restarted` if that is usable.
-core::pool::job job_near_restarted(std::uint32_t count, duration work)
-{
-    auto result = simple_job(count, work);
-    for (auto& step : result.steps)
-    {
-        step.near_rack = "odd";
-    }
-    return result;
-}
-
-core::pool::job long_running_job_near_restarted()
-{
-    auto result = job_near_restarted(1, 1s);
-    result.spec = "lasts";
-    result.steps.front().long_running = true;
-    return result;
-}
-
-bool completes(pool_simulation& simulation, std::string const& id)
-{
-    return simulation.run_until(
-        [&simulation, &id]
-        {
-            return simulation.state(0, id) == job_state::completed;
-        },
-        20s);
-}
-
-bool runs_on_restarted(pool_simulation& simulation, std::string const& id)
-{
-    ports::task_name const task{id, 0, 0, 0};
-    simulation.run_until(
-        [&simulation, &task]
-        {
-            return simulation.running_count(task) > 0;
-        },
-        5s);
-    return simulation.worker(restarted).runs(task);
-}
-
-/// Runs until the first incarnation of the worker has acknowledged ends and
-/// runs nothing.
-void use_first_incarnation(pool_simulation& simulation)
-{
-    ASSERT_TRUE(run_until_owned(simulation));
-    simulation.submit(0, "earlier", job_near_restarted(earlier_tasks, 100ms));
-    ASSERT_TRUE(completes(simulation, "earlier"));
-    simulation.run(2s);
-    ASSERT_EQ(simulation.worker(restarted).acknowledged_ends().size(),
-              earlier_tasks);
-}
-
-/// Applies `effect` to the next start that is sent to worker `restarted`.
-void fail_next_start(pool_simulation& simulation, fault_effect effect)
-{
-    simulation.worker_fault =
-        [effect, failed = false](std::size_t,
-                                 std::size_t worker,
-                                 ports::pool_operation const& order) mutable
-    {
-        bool const hit = !failed && worker == restarted &&
-                         std::holds_alternative<ports::start_order>(order);
-        failed = failed || hit;
-        return hit ? effect : fault_effect::carried_out;
-    };
-}
-
-/// Drops all orders to worker `restarted` from now on.
-void cut_off(pool_simulation& simulation)
-{
-    simulation.worker_fault =
-        [](std::size_t, std::size_t worker, ports::pool_operation const&)
-    {
-        return worker == restarted ? fault_effect::request_lost
-                                   : fault_effect::carried_out;
-    };
-}
-
 /// Time from the submission of a job to a restart of its worker. Most starts
 /// are sent 1 to 30 ms after the submission.
 constexpr duration restart_offsets[] = {-1500ms,
@@ -140,23 +54,6 @@
     }
 }
 
-/// Returns the first log line of the event with `text` in it; empty if there
-/// is none.
-std::string line_with(pool_simulation const& simulation,
-                      std::string const& event,
-                      std::string const& text)
-{
-    for (auto const& line : simulation.log())
-    {
-        auto written = text_of(line);
-        if (line.what.event == event && written.find(text) != std::string::npos)
-        {
-            return written;
-        }
-    }
-    return "";
-}
-
 } // namespace
 
 // Guards against an idle worker that restarts before a poll notices, is given
