Pool: a successor knows which workers may hold the longest lease

Callers saw a task run on two workers at once. A worker that restarted under its id had been sent the end of a lease by the clock of its earlier incarnation. It shortens that to the longest lease (10 s) and keeps it for everything that runs there. The owner that saw the restart knew of it; when that owner was killed and the worker cut off, its successor waited for the usual lease (5.8 s in all) and started the tasks elsewhere.

The roster now names the incarnation by whose clock the owner computed each worker's leases, and marks the workers that may hold the longest one. A task starts on a new incarnation only once the roster that names it is durable. A successor counts an unreached worker as holding the longest lease if it is marked, or if the platform's list names another incarnation than the roster; its takeover then waits 12.4 s. A worker that it reaches and loses again is waited for alike. The next successor reads the same from the roster. A start costs no store write; a restart costs one or two writes of the roster.

Ruled out: two owners at once (the first was killed before the second claim, and its process came back as a follower); a missing progress record (the number of a run is not part of any wait).

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -191,6 +191,22 @@
         clock_at(target, now) + static_cast<std::uint64_t>(max_ms);
     target.lease_until_ms =
         std::max(target.lease_until_ms, std::min(until_ms, longest_ms));
+    target.long_lease_until = std::max(
+        target.long_lease_until, now + expiry_time(lease_left(target, now)));
+}
+
+bool fleet::may_hold_long_lease(worker const& target,
+                                common::time_point now) const noexcept
+{
+    return target.may_have_restarted() ||
+           target.long_lease_until > now + expiry_time(settings_.lease);
+}
+
+common::duration fleet::expiry_time(common::duration length) const noexcept
+{
+    return std::chrono::duration_cast<common::duration>(
+               length * (1 + settings_.clock_drift)) +
+           settings_.lapse_slack;
 }
 
 common::duration fleet::lease_left(worker const& target,
@@ -206,11 +222,9 @@
 
 bool fleet::lapsed(worker const& target, common::time_point now) const noexcept
 {
-    auto const max_lease = std::chrono::duration_cast<common::duration>(
-        settings_.max_lease * (1 + settings_.clock_drift));
     bool const new_lease_may_hold =
         target.may_have_restarted() &&
-        now - target.restart_suspected_at <= max_lease + settings_.lapse_slack;
+        now - target.restart_suspected_at <= expiry_time(settings_.max_lease);
     if (new_lease_may_hold)
     {
         return false;
@@ -232,10 +246,9 @@
     {
         return false;
     }
-    auto const longest_lease = std::chrono::duration_cast<common::duration>(
-        settings_.lease * (1 + settings_.clock_drift) + settings_.lapse_slack);
     bool const leases_over =
-        now - target.last_contact > longest_lease && lapsed(target, now);
+        now - target.last_contact > expiry_time(settings_.lease) &&
+        lapsed(target, now);
     return !(target.silent && leases_over);
 }
 
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -59,8 +59,9 @@
     bool listed = false;  ///< It is in the platform's list.
     bool adopted = false; ///< This incarnation has answered this owner.
     common::time_point adopted_at{}; ///< Time of its first answer.
-    /// It is in the stored roster, so that a successor will poll it and tasks
-    /// may start here.
+    /// It is in the stored roster, with its adopted incarnation if there is
+    /// one, so that a successor will poll it and knows how long its lease may
+    /// be. Only then may tasks start here.
     bool rostered = false;
     /// Another worker has answered at its address, so it has ended. Only set
     /// for workers that have not answered this owner.
@@ -90,6 +91,9 @@
     /// End, on the worker's clock, of the latest lease that may have reached
     /// it.
     std::uint64_t lease_until_ms = 0;
+    /// Time at which the latest lease by the clock of an earlier incarnation,
+    /// which may be longer than `fleet_settings::lease`, has expired.
+    common::time_point long_lease_until{};
 
     /// Sequence number up to which the worker's ended attempts are durable.
     std::uint64_t durable_end = 0;
@@ -197,6 +201,12 @@
     void assume_lease(worker& target,
                       std::uint64_t until_ms,
                       common::time_point now) const noexcept;
+    /// Whether the worker may hold a lease that goes on for longer than one
+    /// that begins now.
+    bool may_hold_long_lease(worker const& target,
+                             common::time_point now) const noexcept;
+    /// Time after which a lease of `length` has expired on any worker's clock.
+    common::duration expiry_time(common::duration length) const noexcept;
     /// Remaining time of the longest lease that may have reached the worker.
     common::duration lease_left(worker const& target,
                                 common::time_point now) const noexcept;
--- a/src/core/pool/owner.cpp
+++ b/src/core/pool/owner.cpp
@@ -70,7 +70,7 @@
     hand_over_if_workers_silent(now);
     check_silent_workers(now);
     complete_takeover(now);
-    update_silent_workers(now);
+    update_roster_if_due(now);
     poll_workers(now);
     for (auto const& id : scheduled_jobs_)
     {
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -160,11 +160,13 @@
     void apply_worker_list(common::time_point now,
                            worker_changes const& changes);
     bool state_is_current(common::time_point now) const;
-    roster_ids roster_to_store() const;
-    void update_roster();
-    void update_silent_workers(common::time_point now);
+    roster_ids roster_to_store(common::time_point now) const;
+    std::uint64_t incarnation_to_store(worker const& target) const;
+    bool rostered_as_it_is(worker const& target) const;
+    void update_roster(common::time_point now);
+    void update_roster_if_due(common::time_point now);
     void write_roster(roster_ids const& ids);
-    void on_roster_written();
+    void on_roster_written(common::time_point now);
     bool has_quorum(common::time_point oldest) const;
 
     // owner_reports.cpp: periodic reports to the store and the log.
@@ -400,7 +402,8 @@
     void mark_ended(common::time_point now, worker& target);
     void forget_inherited(std::string const& id);
     bool successor_quorum() const;
-    bool earlier_leases_ended(common::time_point now);
+    bool may_hold_inherited_long_lease(worker const& target) const;
+    bool earlier_leases_ended(common::time_point now, common::duration longest);
     bool may_belong_to_earlier_owner(job_run const& run, task const& t) const;
 
     // owner_sharing.cpp: keeps best-effort tasks from slowing down serving
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -38,7 +38,7 @@
     {
         note_incarnation(now, *fleet_.find(info.id), info.incarnation);
     }
-    update_roster();
+    update_roster(now);
     if (loaded_)
     {
         tick(now);
@@ -66,7 +66,7 @@
 // silent when it wrote the roster. Workers that are added meanwhile count as
 // silent, and only those that have answered this owner, which they then obey,
 // can become silent.
-roster_ids owner::roster_to_store() const
+roster_ids owner::roster_to_store(common::time_point now) const
 {
     roster_ids result;
     for (auto const& [id, w] : fleet_.all())
@@ -76,6 +76,15 @@
             continue;
         }
         result.workers.insert(id);
+        if (auto const incarnation = incarnation_to_store(w); incarnation != 0)
+        {
+            result.incarnations.emplace(id, incarnation);
+        }
+        if (w.adopted ? fleet_.may_hold_long_lease(w, now)
+                      : may_hold_inherited_long_lease(w))
+        {
+            result.long_leases.insert(id);
+        }
         bool const silent = w.adopted ? w.silence_noted : w.silent;
         bool const counted =
             roster_.workers.contains(id) && !roster_.silent.contains(id);
@@ -88,11 +97,33 @@
     return result;
 }
 
+// Returns the incarnation by whose clock leases of the worker were computed.
+// During a takeover that is the one which an earlier owner relied on, until the
+// worker answers.
+std::uint64_t owner::incarnation_to_store(worker const& target) const
+{
+    bool const inherited =
+        !takeover_complete_ && inherited_.workers.contains(target.info.id);
+    return target.adopted ? target.incarnation
+           : inherited    ? inherited_.incarnation_of(target.info.id)
+                          : target.info.incarnation;
+}
+
+// Whether the stored roster tells a successor what it has to know before a task
+// starts on the worker.
+bool owner::rostered_as_it_is(worker const& target) const
+{
+    auto const& id = target.info.id;
+    return !target.ended && roster_.workers.contains(id) &&
+           (!target.adopted ||
+            roster_.incarnation_of(id) == target.incarnation);
+}
+
 // Writes the roster if it should differ from the stored one. A worker that was
 // taken for ended and answers again is written again.
-void owner::update_roster()
+void owner::update_roster(common::time_point now)
 {
-    auto const ids = roster_to_store();
+    auto const ids = roster_to_store(now);
     bool const all_rostered = std::all_of(ids.workers.begin(),
                                           ids.workers.end(),
                                           [this](std::string const& id)
@@ -105,13 +136,13 @@
     }
 }
 
-// Records which workers have fallen silent or answer again.
-void owner::update_silent_workers(common::time_point now)
+// Records which workers have fallen silent, answer again or have restarted.
+void owner::update_roster_if_due(common::time_point now)
 {
     if (now >= next_roster_update_)
     {
         next_roster_update_ = now + roster_update_interval;
-        update_roster();
+        update_roster(now);
     }
 }
 
@@ -127,20 +158,20 @@
     ledger_.write(write_rank::result,
                   {{{std::string(keys::roster), to_json(fleet_, ids), 0}},
                    {},
-                   [this](common::time_point)
+                   [this](common::time_point at)
                    {
-                       on_roster_written();
+                       on_roster_written(at);
                    }});
 }
 
-void owner::on_roster_written()
+void owner::on_roster_written(common::time_point now)
 {
     roster_ = *std::exchange(roster_being_written_, std::nullopt);
     for (auto& [id, w] : fleet_.all())
     {
-        w.rostered = roster_.workers.contains(id) && !w.ended;
+        w.rostered = rostered_as_it_is(w);
     }
-    update_roster();
+    update_roster(now);
 }
 
 // Whether more than half of the workers that a successor would poll have
--- a/src/core/pool/owner_load.cpp
+++ b/src/core/pool/owner_load.cpp
@@ -244,9 +244,14 @@
                  for (auto const& w : parse_roster(text, reason))
                  {
                      roster_.workers.insert(w.id);
+                     if (w.incarnation != 0)
+                     {
+                         roster_.incarnations[w.id] = w.incarnation;
+                     }
                      fleet_.add_rostered(w);
                  }
                  roster_.silent = parse_silent_workers(text);
+                 roster_.long_leases = parse_long_leases(text);
                  inherited_ = roster_;
                  if (reason.code != common::result_code::ok)
                  {
@@ -333,7 +338,7 @@
               {"roster", std::to_string(roster_.workers.size())},
               {"took_ms",
                std::to_string(common::to_milliseconds(now - created_at_))}});
-    update_roster();
+    update_roster(now);
     watch(now);
     tick(now);
 }
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 // Workers that start again under their id. An order names its worker by id
@@ -36,6 +37,7 @@
     }
     target.restart_suspected_at = now;
     target.next_poll = now;
+    next_roster_update_ = now;
 }
 
 // Handles the incarnation that the answer to an order names. A refusal because
@@ -118,15 +120,22 @@
     target.acknowledged_end = 0;
     target.ends = {};
     target.ends_being_written = 0;
+    target.long_lease_until = {};
     auto const earlier_lease_ms = std::exchange(target.lease_until_ms, 0);
     if (may_hold_earlier_lease(now, target, poll))
     {
         assume_lease(now, target, earlier_lease_ms);
     }
+    if (!previously_adopted && may_hold_inherited_long_lease(target))
+    {
+        assume_lease(now, target, std::numeric_limits<std::uint64_t>::max());
+    }
     target.failed_jobs.clear();
+    target.rostered = rostered_as_it_is(target);
+    next_roster_update_ = target.rostered ? next_roster_update_ : now;
     if (std::exchange(target.ended, false))
     {
-        update_roster();
+        update_roster(now);
     }
     if (previously_adopted)
     {
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -91,6 +91,7 @@
         return;
     }
     std::vector<std::string> missing;
+    std::size_t long_leases = 0;
     bool has_unlisted_ends = false;
     for (auto const& id : inherited_.workers)
     {
@@ -100,15 +101,19 @@
         if (!w.adopted)
         {
             missing.push_back(id);
+            long_leases += may_hold_inherited_long_lease(w) ? 1U : 0U;
         }
     }
-    bool const must_wait = !missing.empty() && !earlier_leases_ended(now);
+    auto const& limits = fleet_.settings();
+    auto const longest = long_leases > 0 ? limits.max_lease : limits.lease;
+    bool const must_wait =
+        !missing.empty() && !earlier_leases_ended(now, longest);
     if (has_unlisted_ends || must_wait)
     {
         return;
     }
     takeover_complete_ = true;
-    update_roster();
+    update_roster(now);
     out_.push(ports::duration_sample{ports::duration_metric::takeover,
                                      now - claim_.held_since()});
     std::vector<std::string> ids;
@@ -127,6 +132,7 @@
         {{"epoch", std::to_string(claim_.epoch())},
          {"unreached", std::to_string(missing.size())},
          {"missing", joined(missing, max_missing_named)},
+         {"long_leases", std::to_string(long_leases)},
          {"unreported", std::to_string(unreported)},
          {"after_ms",
           std::to_string(common::to_milliseconds(now - claim_.held_since()))}});
@@ -182,7 +188,7 @@
     target.rostered = false;
     forget_inherited(target.info.id);
     out_.log(severity::info, "worker_ended", {{"worker", target.info.id}});
-    update_roster();
+    update_roster(now);
     complete_takeover(now);
 }
 
@@ -190,6 +196,26 @@
 {
     inherited_.workers.erase(id);
     inherited_.silent.erase(id);
+    inherited_.incarnations.erase(id);
+    inherited_.long_leases.erase(id);
+}
+
+// Whether the worker, which has not answered this owner yet, may hold the
+// longest lease from an earlier owner: the roster says so, or the worker is of
+// another incarnation than that by whose clock the earlier owner computed
+// leases.
+bool owner::may_hold_inherited_long_lease(worker const& target) const
+{
+    auto const& id = target.info.id;
+    if (takeover_complete_ || !inherited_.workers.contains(id))
+    {
+        return false;
+    }
+    auto const recorded = inherited_.incarnation_of(id);
+    auto const present =
+        target.adopted ? target.incarnation : target.info.incarnation;
+    bool const restarted = recorded != 0 && present != 0 && recorded != present;
+    return restarted || inherited_.long_leases.contains(id);
 }
 
 // Whether so many workers have answered this owner that no earlier owner still
@@ -201,29 +227,29 @@
            fleet_.majority_answered(inherited_.workers, {});
 }
 
-// Returns whether the leases granted by earlier owners have expired on every
-// worker, even on those that this owner can't reach. Once more than half of the
+// Returns whether the leases granted by earlier owners, none of them longer
+// than `longest`, have expired on every worker, even on those that this owner
+// can't reach. Once more than half of the
 // workers have answered this owner, they know the new fencing token. An earlier
 // owner can then renew leases for at most one quorum window, and the last one
 // expires one lease duration later. Without such a quorum, an earlier owner
 // stops `quorum_limit` after its last confirmed renewal, which was before this
 // owner acquired the claim. Also records the time at which the quorum was
 // reached.
-bool owner::earlier_leases_ended(common::time_point now)
+bool owner::earlier_leases_ended(common::time_point now,
+                                 common::duration longest)
 {
     auto const& limits = fleet_.settings();
     if (quorum_since_ == common::time_point{} && successor_quorum())
     {
         quorum_since_ = now;
     }
-    auto const lease = std::chrono::duration_cast<common::duration>(
-        limits.lease * (1 + limits.clock_drift));
+    auto const expiry = fleet_.expiry_time(longest);
     bool const quorum_wait_over =
         quorum_since_ != common::time_point{} &&
-        now - quorum_since_ > limits.quorum_window + lease + limits.lapse_slack;
+        now - quorum_since_ > limits.quorum_window + expiry;
     return quorum_wait_over ||
-           now - claim_.held_since() >
-               limits.quorum_limit + lease + limits.lapse_slack;
+           now - claim_.held_since() > limits.quorum_limit + expiry;
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -295,7 +295,7 @@
     }
     if (!removed.empty())
     {
-        update_roster();
+        update_roster(now);
     }
 }
 
--- a/src/core/pool/roster.cpp
+++ b/src/core/pool/roster.cpp
@@ -20,9 +20,18 @@
     return result;
 }
 
+std::uint64_t roster_ids::incarnation_of(std::string const& id) const
+{
+    auto const found = incarnations.find(id);
+    return found == incarnations.end() ? 0 : found->second;
+}
+
+// The incarnations stand in a list of their own, in the order of the rows, so
+// that an instance of an earlier version can read the rows.
 std::string to_json(fleet& workers, roster_ids const& ids)
 {
     json::array rows;
+    json::array incarnations;
     for (auto const& id : ids.workers)
     {
         auto const& info = workers.find(id)->info;
@@ -30,12 +39,19 @@
                                    info.service,
                                    info.remote_endpoint.address,
                                    info.remote_endpoint.port});
+        incarnations.emplace_back(ids.incarnation_of(id));
     }
-    json::object result{{"workers", std::move(rows)}};
+    json::object result{{"workers", std::move(rows)},
+                        {"incarnations", std::move(incarnations)}};
     if (!ids.silent.empty())
     {
         result["silent"] = json::array(ids.silent.begin(), ids.silent.end());
     }
+    if (!ids.long_leases.empty())
+    {
+        result["long_leases"] =
+            json::array(ids.long_leases.begin(), ids.long_leases.end());
+    }
     return json::serialize(result);
 }
 
@@ -73,6 +89,39 @@
     return result;
 }
 
+// Returns the incarnation of the row `index`; 0 if it can't be read or is
+// unknown, as in a record of an earlier version.
+std::uint64_t incarnation_at(json::object const& roster, std::size_t index)
+{
+    auto const* const found = roster.if_contains("incarnations");
+    auto const* const list = found != nullptr ? found->if_array() : nullptr;
+    auto const* const number = list != nullptr && index < list->size()
+                                   ? (*list)[index].if_int64()
+                                   : nullptr;
+    return number != nullptr && *number > 0
+               ? static_cast<std::uint64_t>(*number)
+               : 0;
+}
+
+// Returns the texts in the list `key`, without other elements.
+std::set<std::string> parse_ids(std::string_view text, std::string_view key)
+{
+    common::failure reason;
+    auto const object = common::parse_json_object(text, "roster", reason);
+    auto const* const cells =
+        object && object->contains(key) ? object->at(key).if_array() : nullptr;
+    std::set<std::string> result;
+    for (std::size_t index = 0; cells != nullptr && index < cells->size();
+         ++index)
+    {
+        if (auto const* const id = (*cells)[index].if_string())
+        {
+            result.emplace(*id);
+        }
+    }
+    return result;
+}
+
 } // namespace
 
 // Rows that can't be parsed are skipped, because they name no worker to poll.
@@ -92,6 +141,7 @@
     {
         if (auto parsed = parse_worker((*rows)[index]))
         {
+            parsed->incarnation = incarnation_at(*object, index);
             result.push_back(std::move(*parsed));
             continue;
         }
@@ -109,21 +159,12 @@
 
 std::set<std::string> parse_silent_workers(std::string_view text)
 {
-    common::failure reason;
-    auto const object = common::parse_json_object(text, "roster", reason);
-    auto const* const cells = object && object->contains("silent")
-                                  ? object->at("silent").if_array()
-                                  : nullptr;
-    std::set<std::string> result;
-    for (std::size_t index = 0; cells != nullptr && index < cells->size();
-         ++index)
-    {
-        if (auto const* const id = (*cells)[index].if_string())
-        {
-            result.emplace(*id);
-        }
-    }
-    return result;
+    return parse_ids(text, "silent");
+}
+
+std::set<std::string> parse_long_leases(std::string_view text)
+{
+    return parse_ids(text, "long_leases");
 }
 
 } // namespace fuchsia::core::pool
--- a/src/core/pool/roster.hpp
+++ b/src/core/pool/roster.hpp
@@ -3,6 +3,8 @@
 #include "core/common/result_code.hpp"
 #include "core/pool/fleet.hpp"
 
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -11,16 +13,24 @@
 namespace fuchsia::core::pool
 {
 
-/// Ids of the workers of the stored roster.
+/// What the stored roster tells about its workers, by their ids.
 struct roster_ids
 {
     std::set<std::string> workers;
     /// Those of `workers` that did not answer the owner when it wrote the
     /// roster.
     std::set<std::string> silent;
+    /// Incarnations by whose clocks the owner computed the leases of `workers`.
+    /// Workers of an unknown incarnation are left out.
+    std::map<std::string, std::uint64_t> incarnations;
+    /// Those of `workers` that may hold the longest lease, because an order
+    /// named the end of a lease by the clock of an earlier incarnation.
+    std::set<std::string> long_leases;
 
     /// Returns `workers` without `silent`.
     std::set<std::string> answering() const;
+    /// Returns the incarnation of a worker; 0 if it is unknown.
+    std::uint64_t incarnation_of(std::string const& id) const;
     bool operator==(roster_ids const&) const = default;
 };
 
@@ -34,5 +44,7 @@
 /// Parses the ids of the silent workers of the roster. Without a readable list
 /// there are none.
 std::set<std::string> parse_silent_workers(std::string_view text);
+/// Parses the ids of the workers that may hold the longest lease, likewise.
+std::set<std::string> parse_long_leases(std::string_view text);
 
 } // namespace fuchsia::core::pool
--- a/tests/contract/inputs/record_inputs_test.cpp
+++ b/tests/contract/inputs/record_inputs_test.cpp
@@ -66,6 +66,53 @@
               expected);
 }
 
+// Guards against a roster that loses what a successor has to know of restarted
+// workers.
+TEST(record_inputs, roster_keeps_incarnations_and_long_leases)
+{
+    core::pool::fleet workers({});
+    for (auto const* const id : {"a", "b"})
+    {
+        ports::pool_worker info;
+        info.id = id;
+        info.remote_endpoint = {"10.0.0.1", 80};
+        workers.add_rostered(info);
+    }
+    core::pool::roster_ids ids;
+    ids.workers = {"a", "b"};
+    ids.incarnations = {{"b", 1790454954831}};
+    ids.long_leases = {"b"};
+    auto const text = core::pool::to_json(workers, ids);
+    failure reason;
+    auto const rows = core::pool::parse_roster(text, reason);
+    ASSERT_EQ(rows.size(), 2U);
+    EXPECT_EQ(rows.front().incarnation, 0U);
+    EXPECT_EQ(rows.back().incarnation, 1790454954831U);
+    EXPECT_EQ(core::pool::parse_long_leases(text), ids.long_leases);
+    EXPECT_EQ(reason.code, result_code::ok);
+}
+
+// Guards against a roster of an earlier version, or with odd incarnations,
+// whose workers would not be polled.
+TEST(record_inputs, roster_without_readable_incarnations_keeps_its_workers)
+{
+    for (auto const* const incarnations : {"",
+                                           R"(,"incarnations":7)",
+                                           R"(,"incarnations":[])",
+                                           R"(,"incarnations":["x"])",
+                                           R"(,"incarnations":[-1])",
+                                           R"(,"incarnations":[1e999])"})
+    {
+        failure reason;
+        auto const rows =
+            core::pool::parse_roster(R"({"workers":[["a","s","10.0.0.1",80]])" +
+                                         std::string(incarnations) + "}",
+                                     reason);
+        ASSERT_EQ(rows.size(), 1U) << incarnations;
+        EXPECT_EQ(rows.front().incarnation, 0U) << incarnations;
+    }
+}
+
 // A holder of infinite size would delay the claims of all other instances.
 TEST(record_inputs, claim_holder_with_an_invalid_size_is_rejected)
 {
