Pool: nothing starts beside a run that the owner has stopped but not placed

A start could bring a worker over its capacity (LIMIT): what is being stopped still counts.

Cause: a successor takes the first end 'done' of a task that any worker lists, also that of an earlier attempt whose worker was cut off and whose lease has lapsed since. A later attempt of the task on another worker is then no longer placed anywhere. The successor orders its stop and in the same moment starts waiting work in its room; the run goes on until the stop is carried out. The same holds for any run that the owner finds but has not placed, as after a start that took effect late.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -334,6 +334,9 @@
     void apply_running(common::time_point now,
                        worker& target,
                        ports::running_attempt const& row);
+    void stop_unplaced_run(common::time_point now,
+                           worker& target,
+                           ports::pool_attempt const& attempt_id);
     void adopt_attempt(common::time_point now,
                        worker& target,
                        job_run& run,
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -85,11 +85,15 @@
 {
     reported_names reported;
     reported.reserve(reply.running.size() + reply.ended.size());
+    bool const had_unplaced_runs =
+        std::exchange(target.has_unplaced_runs, false);
     for (auto const& row : reply.running)
     {
         reported.push_back(&row.attempt_id.task);
         apply_running(now, target, row);
     }
+    dispatch_requested_ =
+        dispatch_requested_ || (had_unplaced_runs && !target.has_unplaced_runs);
     for (auto const& row : reply.ended)
     {
         reported.push_back(&row.attempt_id.task);
@@ -200,7 +204,7 @@
     auto const [run, t] = find_task(row.attempt_id.task);
     if (t == nullptr)
     {
-        order_stop(now, target.info.id, row.attempt_id);
+        stop_unplaced_run(now, target, row.attempt_id);
         return;
     }
     if (may_belong_to_earlier_owner(*run, *t))
@@ -211,8 +215,9 @@
                             t->attempt == row.attempt_id.attempt;
     if (!is_current)
     {
-        // A start that this owner gave up took effect late.
-        order_stop(now, target.info.id, row.attempt_id);
+        // A start that this owner gave up took effect late, or the task has
+        // ended elsewhere.
+        stop_unplaced_run(now, target, row.attempt_id);
         return;
     }
     t->worker_incarnation = target.incarnation;
@@ -226,6 +231,14 @@
     stop_if_stuck(now, target, *run, row.attempt_id);
 }
 
+void owner::stop_unplaced_run(common::time_point now,
+                              worker& target,
+                              ports::pool_attempt const& attempt_id)
+{
+    target.has_unplaced_runs = true;
+    order_stop(now, target.info.id, attempt_id);
+}
+
 // Adopts a run that an earlier owner started.
 void owner::adopt_attempt(common::time_point now,
                           worker& target,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -176,7 +176,8 @@
     {
         acknowledge_ends(now, *target);
     }
-    else if (target->ends.has_unlisted())
+    else if (target->ends.has_unlisted() ||
+             (target->runs.empty() && target->has_unplaced_runs))
     {
         target->next_poll = now + settings_.guarded_poll_wait;
     }
--- a/tests/unit/pool/owner_memory_test.cpp
+++ b/tests/unit/pool/owner_memory_test.cpp
@@ -664,3 +664,63 @@
             });
     }
 }
+
+// Guards against a start beyond the capacity of a worker that still runs a
+// later attempt of a task, of which another worker lists an earlier attempt as
+// done: the successor has the later one stopped, and it counts until its end.
+TEST(pool_owner_memory, a_later_attempt_of_a_task_that_is_done)
+{
+    pool_simulation simulation(3, 2);
+    ASSERT_TRUE(run_until_owned(simulation));
+    simulation.run(2s);
+    auto const owner = *simulation.owner();
+    auto const observer = other_than(owner);
+    bool cut = false;
+    bool stops_are_slow = false;
+    simulation.set_late_delay(1s);
+    simulation.worker_fault =
+        [&](std::size_t, std::size_t worker, ports::pool_operation const& order)
+    {
+        if (cut && worker == 0)
+        {
+            return fault_effect::request_lost;
+        }
+        return stops_are_slow && is_order<ports::stop_order>(order)
+                   ? fault_effect::executed_late
+                   : fault_effect::carried_out;
+    };
+    auto job = simple_job(1, 3s);
+    job.steps.front().declared = {8000, 100, 0};
+    job.steps.front().near_rack = "even";
+    simulation.submit(observer, "a", job);
+    ports::task_name const task{"a", 0, 0, 0};
+    ASSERT_TRUE(simulation.run_until(
+        [&]
+        {
+            return simulation.worker(0).runs(task);
+        }));
+    simulation.run(20ms);
+    cut = true;
+    ASSERT_TRUE(simulation.run_until(
+        [&]
+        {
+            return simulation.worker(1).runs(task);
+        }));
+    ASSERT_TRUE(simulation.ended_done(task));
+    auto waiting = simple_job(2, 1s);
+    waiting.steps.front().declared = {8000, 100, 0};
+    simulation.submit(observer, "b", waiting);
+    simulation.run(100ms);
+    simulation.kill(owner);
+    cut = false;
+    stops_are_slow = true;
+    for (auto const* const id : {"a", "b"})
+    {
+        EXPECT_TRUE(simulation.run_until(
+            [&]
+            {
+                return simulation.state(observer, id) == job_state::completed;
+            }));
+    }
+    EXPECT_EQ(simulation.violation(), "");
+}
