Tests: an owner that is killed while it moves serving tasks

The row of moves in the table of what an owner keeps for itself (AVAIL): the successor stops no other task of the step beside those that were on their way, though the work that they are moved for goes on, and all run again. It holds, since a successor moves no task within 10 s of having taken it over.

--- a/tests/unit/pool/rebalance_test.cpp
+++ b/tests/unit/pool/rebalance_test.cpp
@@ -403,6 +403,78 @@
     }
 }
 
+namespace
+{
+
+bool has_moved(pool_simulation const& world)
+{
+    return std::any_of(world.log().begin(),
+                       world.log().end(),
+                       [](logged_line const& line)
+                       {
+                           return line.what.event == "tasks_move";
+                       });
+}
+
+// Sends heavy work until serving tasks are moved, and stops in that instant.
+bool run_until_moved(spread_serving_pool& pool)
+{
+    for (int round = 0; round < 50; ++round)
+    {
+        pool.world.submit(
+            0, "work" + std::to_string(round), best_effort_job(5));
+        if (pool.world.run_until(
+                [&pool]
+                {
+                    return has_moved(pool.world);
+                },
+                500ms))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Failure: a successor forgets which tasks the killed owner was moving, and
+// stops others of their step beside them, or never starts those again.
+TEST(pool_rebalance, an_owner_killed_in_a_move_leaves_one_move)
+{
+    for (auto const offset : {0ms, 1ms, 2ms, 3ms, 5ms, 10ms, 50ms, 400ms})
+    {
+        spread_serving_pool pool;
+        ASSERT_TRUE(run_until_moved(pool));
+        pool.world.run(offset);
+        auto const killed = *pool.world.owner();
+        pool.world.kill(killed);
+        std::size_t stops = 0;
+        pool.world.worker_fault = [&stops](std::size_t,
+                                           std::size_t,
+                                           ports::pool_operation const& order)
+        {
+            auto const* const stop = std::get_if<ports::stop_order>(&order);
+            stops += stop != nullptr && stop->attempt_id.task.job == "serving"
+                         ? 1U
+                         : 0U;
+            return fault_effect::carried_out;
+        };
+        // The work that the successor could move tasks for goes on.
+        for (int round = 0; round < 18; ++round)
+        {
+            pool.world.submit(other_than(killed),
+                              "more" + std::to_string(round),
+                              best_effort_job(5));
+            pool.world.run(500ms);
+        }
+        EXPECT_EQ(stops, 0U) << "death after " << offset.count() << " ms";
+        EXPECT_EQ(pool.running_serving_tasks(), 4U)
+            << "death after " << offset.count() << " ms";
+        EXPECT_EQ(pool.world.violation(), "");
+    }
+}
+
 // Failure: the reservations of cancelled tasks are kept.
 TEST(pool_rebalance, cancelled_tasks_release_their_reservations)
 {
