--- a/tests/unit/pool/owner_memory_test.cpp
+++ b/tests/unit/pool/owner_memory_test.cpp
@@ -665,6 +665,43 @@
     }
 }
 
+// Guards against a task that runs twice, or is lost, since a successor died
+// during its takeover as well, while a worker can't be reached.
+TEST(pool_owner_memory, a_successor_that_dies_too)
+{
+    constexpr duration second_offsets[] = {20ms, 500ms, 4s, 5800ms};
+    for (auto const second : second_offsets)
+    {
+        for_each_lost_answer(
+            [second](death how)
+            {
+                how.cut = 2 * how.cut;
+                dying_owner dying;
+                dying.simulation.submit(
+                    dying.observer, "earlier", failing_job(1500ms, "fail"));
+                dying.simulation.run(1s);
+                dying.fail_orders(is_order<ports::start_order>, how.effect);
+                dying.simulation.submit(
+                    dying.observer, "a", chained_job(2500ms));
+                ASSERT_TRUE(dying.run_until_order_failed());
+                dying.die(how);
+                ASSERT_TRUE(run_until_owned(dying.simulation));
+                dying.simulation.run(second);
+                if (auto const successor = dying.simulation.claim_holder())
+                {
+                    dying.simulation.kill(*successor);
+                    dying.simulation.start(*successor);
+                }
+                EXPECT_TRUE(dying.ends_as("a", job_state::completed));
+                EXPECT_TRUE(dying.ends_as("earlier", job_state::failed));
+                EXPECT_FALSE(dying.started_too_early());
+                EXPECT_EQ(dying.simulation.violation(), "")
+                    << "second death after "
+                    << core::common::to_milliseconds(second) << " ms";
+            });
+    }
+}
+
 // Guards against a start beyond the capacity of a worker that still runs a
 // later attempt of a task, of which another worker lists an earlier attempt as
 // done: the successor has the later one stopped, and it counts until its end.
