Tests: blame for cuts that no owner lives to take back (red)

An owner takes the blame for a lost worker back when that answers again in the same incarnation; whom it blamed for what is in its memory alone. If it dies before that, the blame stands: after five cuts, each of which its owner did not outlive by more than some seconds, the job of a task that crashed nothing ends as failed (LOST).

The test fails with a death 4.5 s after each of six cuts: worker_lost blamed=1 five times, then job_crashes_workers crashes=5 and job_ended state=failed. With the same cuts and no death it completes.

--- a/tests/unit/pool/owner_memory_test.cpp
+++ b/tests/unit/pool/owner_memory_test.cpp
@@ -761,3 +761,58 @@
     }
     EXPECT_EQ(simulation.violation(), "");
 }
+
+// Guards against a job that is given up although its task has crashed nothing:
+// its workers were only cut off, and the owners that had blamed it for that
+// died before they could take the blame back.
+TEST(pool_owner_memory, blame_for_cuts)
+{
+    constexpr int cuts = 6;
+    for (auto const death_after : {0ms, 1500ms, 4500ms})
+    {
+        pool_simulation simulation(3, 8);
+        std::optional<std::size_t> cut_worker;
+        simulation.worker_fault = [&cut_worker](std::size_t,
+                                                std::size_t worker,
+                                                ports::pool_operation const&)
+        {
+            return worker == cut_worker ? fault_effect::request_lost
+                                        : fault_effect::carried_out;
+        };
+        ASSERT_TRUE(run_until_owned(simulation));
+        simulation.run(2s);
+        simulation.submit(0, "a", simple_job(1, 20s));
+        ports::task_name const task{"a", 0, 0, 0};
+        for (int cut = 0; cut < cuts; ++cut)
+        {
+            ASSERT_TRUE(simulation.run_until(
+                [&simulation, &task]
+                {
+                    return simulation.running_count(task) == 1;
+                }))
+                << "cut " << cut << ", death after " << death_after.count()
+                << " ms";
+            simulation.run(1s);
+            cut_worker = 0;
+            while (!simulation.worker(*cut_worker).runs(task))
+            {
+                ++*cut_worker;
+            }
+            simulation.run(death_after);
+            auto const owner = simulation.owner();
+            ASSERT_TRUE(owner.has_value());
+            simulation.kill(*owner);
+            simulation.start(*owner);
+            simulation.run(8s);
+            cut_worker.reset();
+        }
+        EXPECT_TRUE(simulation.run_until(
+            [&simulation]
+            {
+                return simulation.state(0, "a") == job_state::completed;
+            },
+            60s))
+            << "death after " << death_after.count() << " ms";
+        EXPECT_EQ(simulation.violation(), "");
+    }
+}
