Pool settings: memory and descriptors of the machine

The template of the platform passes `limits.memoryMb` and `limits.maxFds` on as `machine.memory_mb` and `machine.descriptors`. Both may be missing.

--- a/src/adapters/runtime/child.cpp
+++ b/src/adapters/runtime/child.cpp
@@ -57,6 +57,11 @@
 {
 }
 
+pid_t child::id() const noexcept
+{
+    return pid_;
+}
+
 child::~child()
 {
     if (pid_ > 0)
--- a/src/adapters/runtime/child.hpp
+++ b/src/adapters/runtime/child.hpp
@@ -27,6 +27,8 @@
     /// Sends a signal. Does nothing after the end of the child was observed,
     /// because the process id may have been reused.
     void signal(int signal_number) const;
+    /// Returns the process id, which is valid until the end was observed.
+    pid_t id() const noexcept;
     bool running();
     /// Returns the same value as `wait`; empty while the child runs.
     std::optional<int> status();
--- a/src/adapters/settings/pool_settings.cpp
+++ b/src/adapters/settings/pool_settings.cpp
@@ -134,12 +134,19 @@
 // and 1,000 starts per second.
 constexpr double reference_cores = 0.5;
 constexpr double reference_mbps = 200;
+constexpr double max_memory_mb = 1e7;
+constexpr double max_descriptors = 1e7;
 
-void read_machine(toml_table table, core::pool::claim_settings& result)
+void read_machine(toml_table table, pool_daemon_settings& result)
 {
+    result.machine_memory_mb = static_cast<std::uint64_t>(
+        table.number_or("memory_mb", 0, 0, max_memory_mb));
+    result.machine_descriptors = static_cast<std::uint32_t>(
+        table.number_or("descriptors", 0, 0, max_descriptors));
     auto const cores = table.number_or("cores", reference_cores, 0.001, 10'000);
     auto const link = table.number_or("link_mbps", reference_mbps, 0.1, 1e7);
-    result.size = std::min(cores / reference_cores, link / reference_mbps);
+    result.pool.claim.size =
+        std::min(cores / reference_cores, link / reference_mbps);
     table.reject_unknown_keys();
 }
 
@@ -169,7 +176,7 @@
     read_rebalance(root.table("regroup"), result.pool.owner.rebalance);
     read_short_job_reserve(root.table("guaranteed_room"),
                            result.pool.owner.short_job_reserve);
-    read_machine(root.table("machine"), result.pool.claim);
+    read_machine(root.table("machine"), result);
     read_bounds(root.table("bounds"), result.pool);
     root.reject_unknown_keys();
     if (!file->ok())
--- a/src/adapters/settings/pool_settings.hpp
+++ b/src/adapters/settings/pool_settings.hpp
@@ -5,6 +5,7 @@
 #include "ports/actions.hpp"
 #include "ports/identity.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,9 @@
     ports::endpoint store;
     std::optional<ports::endpoint> policy; ///< Policy service, if any.
     ports::severity log_level = ports::severity::info;
+    std::uint64_t machine_memory_mb = 0; ///< 0 if the settings don't say.
+    std::uint32_t machine_descriptors =
+        0; ///< Open descriptors of the process; 0 if the settings don't say.
     core::pool::pool_settings pool;
 };
 
