HTTP server: bound what stands between and behind chunks

Callers saw a process end for want of memory: trailer fields without end behind a chunked body. The cause: the read buffer of a connection had no maximum. The limits of header and body count neither trailer fields nor the line of a chunk's size, so trailers, chunk extensions and leading zeros of a size filled the buffer for as long as the client sent.

The buffer now holds at most `header_bytes`, which a header needs anyway. Beyond that the request is answered with 431 (1006, "chunk or trailer") and the connection is closed. A socket that is closed with unread input resets its connection and the client can lose the refusal, so for a second what it still sends is discarded.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -21,6 +21,10 @@
 using core::common::result_code;
 using tcp = asio::ip::tcp;
 
+/// Time for which the rest of a refused request is read.
+constexpr core::common::duration discard_time = std::chrono::seconds(1);
+constexpr std::size_t discard_bytes = 512;
+
 core::common::failure failure_of(beast::error_code error)
 {
     if (error == beast::http::error::body_limit)
@@ -31,6 +35,10 @@
     {
         return {result_code::headers_too_large, "header", ""};
     }
+    if (error == beast::http::error::buffer_overflow)
+    {
+        return {result_code::headers_too_large, "chunk or trailer", ""};
+    }
     return {result_code::malformed_http, "request", error.message()};
 }
 
@@ -100,7 +108,7 @@
 public:
     connection(tcp::socket socket, std::shared_ptr<listener> owner)
         : stream_(std::move(socket)), idle_timer_(stream_.get_executor()),
-          owner_(std::move(owner))
+          owner_(std::move(owner)), buffer_(owner_->limits_.header_bytes)
     {
         beast::error_code ignored;
         stream_.set_option(tcp::no_delay(true), ignored);
@@ -169,10 +177,7 @@
         {
             if (is_parse_error(error))
             {
-                draining_ = true;
-                response_pending_ = true;
-                ++owner_->pending_requests_;
-                write(failure_response(failure_of(error)));
+                refuse(failure_of(error));
                 return;
             }
             close();
@@ -183,6 +188,18 @@
         owner_->handle_(take_request(), make_responder());
     }
 
+    // Answers instead of the handler and closes the connection after that.
+    void refuse(core::common::failure const& reason)
+    {
+        parser_.reset();
+        buffer_.clear();
+        draining_ = true;
+        unread_input_ = true;
+        response_pending_ = true;
+        ++owner_->pending_requests_;
+        write(failure_response(reason));
+    }
+
     request take_request()
     {
         auto message = parser_->release();
@@ -241,6 +258,11 @@
         --owner_->pending_requests_;
         response_pending_ = false;
         writing_ = false;
+        if (!error && unread_input_)
+        {
+            close_after_input();
+            return;
+        }
         if (error || draining_ || !keep_alive_)
         {
             close();
@@ -249,6 +271,41 @@
         read();
     }
 
+    // Discards what the client still sends, for a short time: closing a socket
+    // with unread input resets the connection, and the client could lose the
+    // answer.
+    void close_after_input()
+    {
+        beast::error_code ignored;
+        stream_.shutdown(tcp::socket::shutdown_send, ignored);
+        idle_timer_.expires_after(discard_time);
+        idle_timer_.async_wait(
+            [weak = weak_from_this()](beast::error_code error)
+            {
+                auto const self = weak.lock();
+                if (!error && self)
+                {
+                    self->close();
+                }
+            });
+        discard_input();
+    }
+
+    void discard_input()
+    {
+        stream_.async_read_some(
+            buffer_.prepare(discard_bytes),
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                if (error)
+                {
+                    self->close();
+                    return;
+                }
+                self->discard_input();
+            });
+    }
+
     tcp::socket stream_;
     runtime::timer idle_timer_;
     std::shared_ptr<listener> owner_;
@@ -260,6 +317,7 @@
     std::uint64_t request_number_ = 0;
     bool keep_alive_ = true;
     bool draining_ = false;
+    bool unread_input_ = false; ///< Whether the request wasn't read to its end.
     bool response_pending_ = false;
     bool writing_ = false;
 };
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -15,7 +15,9 @@
 /// error, and its connection is closed.
 struct server_limits
 {
-    std::uint32_t header_bytes = 16 * 1024; ///< Maximum size of a header.
+    /// Maximum size of a header, and of what stands between or behind the
+    /// chunks of a body: a chunk's size with its extension, trailer fields.
+    std::uint32_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 1024 * 1024; ///< Maximum size of a body.
     std::uint32_t connections = 4096;       ///< Maximum number of connections.
     /// Maximum time to receive the next request, after which the connection is
