HTTP server: one budget of memory for all connections of a process

Many clients that each keep inside the limits of one request used up the memory of the machine: 120 bodies of 1 MB held open just before their end, 64,492 KB on a machine of 32,000. The cause: every limit was one of a connection, and nothing bounded their sum over the three servers of a pool.

`connection_budget`, one object a process, counts what each connection holds: the read buffer, header fields and body of a request until its answer, then the answer until it is sent. The server reads a request in parts to know this in time. Its size is an eighth of `machine.memory_mb`. When it is used up, the largest incomplete request gets a 503 (2008), or an answer of 16 KB and more that wasn't read for a second is given up; a request that is being handled and the answer to an accepted job never are. An idle connection no longer keeps its last answer and buffer.

A `connection_shed` line (one a second) and fuchsia_connections_shed_total tell when the budget acts.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -24,6 +24,10 @@
 /// Time for which the rest of a refused request is read.
 constexpr core::common::duration discard_time = std::chrono::seconds(1);
 constexpr std::size_t discard_bytes = 512;
+/// Memory of one header field beside its text.
+constexpr std::uint64_t field_bytes = 128;
+/// Size up to which an idle connection keeps its read buffer.
+constexpr std::size_t kept_buffer_bytes = 4096;
 
 core::common::failure failure_of(beast::error_code error)
 {
@@ -42,6 +46,14 @@
     return {result_code::malformed_http, "request", error.message()};
 }
 
+response out_of_memory()
+{
+    auto answer = failure_response(
+        {result_code::queue_full, "", "the memory for requests is used up"});
+    answer.headers.push_back({"Retry-After", "1"});
+    return answer;
+}
+
 // Returns whether the client sent malformed HTTP, as opposed to closing the
 // connection.
 bool is_parse_error(beast::error_code error)
@@ -58,8 +70,12 @@
 class server::listener : public std::enable_shared_from_this<server::listener>
 {
 public:
-    listener(asio::io_context& io, server_limits limits, request_handler handle)
-        : acceptor_(io), limits_(limits), handle_(std::move(handle))
+    listener(asio::io_context& io,
+             server_limits limits,
+             request_handler handle,
+             std::shared_ptr<connection_budget> budget)
+        : acceptor_(io), limits_(limits), handle_(std::move(handle)),
+          budget_(std::move(budget))
     {
     }
 
@@ -95,6 +111,7 @@
     runtime::acceptor acceptor_;
     server_limits limits_;
     request_handler handle_;
+    std::shared_ptr<connection_budget> budget_;
     std::list<std::weak_ptr<connection>> connections_;
     std::uint32_t open_connections_ = 0;
     std::uint32_t pending_requests_ = 0;
@@ -114,6 +131,11 @@
         stream_.set_option(tcp::no_delay(true), ignored);
         auto const peer = stream_.remote_endpoint(ignored);
         remote_address_ = peer.address().to_string();
+        member_ = owner_->budget_->add(remote_address_,
+                                       [this](shed_reason reason)
+                                       {
+                                           shed(reason);
+                                       });
         ++owner_->open_connections_;
     }
 
@@ -127,15 +149,9 @@
         parser_.emplace();
         parser_->header_limit(owner_->limits_.header_bytes);
         parser_->body_limit(owner_->limits_.body_bytes);
+        member_->enter(connection_phase::receiving);
         arm_idle();
-        beast::http::async_read(
-            stream_,
-            buffer_,
-            *parser_,
-            [self = shared_from_this()](beast::error_code error, std::size_t)
-            {
-                self->on_read(error);
-            });
+        read_some();
     }
 
     void drain()
@@ -170,6 +186,75 @@
             });
     }
 
+    // Reads in parts, so that the budget knows what the request holds.
+    void read_some()
+    {
+        beast::http::async_read_some(
+            stream_,
+            buffer_,
+            *parser_,
+            [self = shared_from_this()](beast::error_code error, std::size_t)
+            {
+                self->on_read_some(error);
+            });
+    }
+
+    void on_read_some(beast::error_code error)
+    {
+        if (!out_of_memory_ && !error)
+        {
+            out_of_memory_ = !member_->hold(held_bytes());
+        }
+        if (out_of_memory_)
+        {
+            idle_timer_.cancel();
+            refuse(out_of_memory());
+            return;
+        }
+        if (!error && !parser_->is_done())
+        {
+            read_some();
+            return;
+        }
+        on_read(error);
+    }
+
+    std::uint64_t held_bytes() const
+    {
+        auto const& message = parser_->get();
+        std::uint64_t result = buffer_.capacity() + message.body().capacity();
+        for (auto const& field : message)
+        {
+            result +=
+                field_bytes + field.name_string().size() + field.value().size();
+        }
+        return result;
+    }
+
+    // Gives up an incomplete request or an answer that isn't read.
+    void shed(shed_reason reason)
+    {
+        if (reason == shed_reason::memory && !response_pending_)
+        {
+            out_of_memory_ = true;
+            release_request();
+            beast::error_code ignored;
+            stream_.cancel(ignored);
+            return;
+        }
+        close();
+    }
+
+    // Frees what was read of a request. A read that is still open uses the
+    // parser, so that it stays.
+    void release_request()
+    {
+        auto& message = parser_->get();
+        message.clear();
+        message.body().clear();
+        message.body().shrink_to_fit();
+    }
+
     void on_read(beast::error_code error)
     {
         idle_timer_.cancel();
@@ -177,7 +262,7 @@
         {
             if (is_parse_error(error))
             {
-                refuse(failure_of(error));
+                refuse(failure_response(failure_of(error)));
                 return;
             }
             close();
@@ -185,11 +270,12 @@
         }
         response_pending_ = true;
         ++owner_->pending_requests_;
+        member_->enter(connection_phase::handling);
         owner_->handle_(take_request(), make_responder());
     }
 
     // Answers instead of the handler and closes the connection after that.
-    void refuse(core::common::failure const& reason)
+    void refuse(response answer)
     {
         parser_.reset();
         buffer_.clear();
@@ -197,7 +283,7 @@
         unread_input_ = true;
         response_pending_ = true;
         ++owner_->pending_requests_;
-        write(failure_response(reason));
+        write(std::move(answer));
     }
 
     request take_request()
@@ -244,6 +330,12 @@
         message_.keep_alive(keep_alive_ && !draining_);
         message_.body() = std::move(answer.body);
         message_.prepare_payload();
+        member_->enter(connection_phase::answering);
+        if (!member_->hold(message_.body().size()))
+        {
+            on_written(asio::error::no_buffer_space);
+            return;
+        }
         beast::http::async_write(
             stream_,
             message_,
@@ -258,6 +350,7 @@
         --owner_->pending_requests_;
         response_pending_ = false;
         writing_ = false;
+        release_memory();
         if (!error && unread_input_)
         {
             close_after_input();
@@ -271,6 +364,16 @@
         read();
     }
 
+    void release_memory()
+    {
+        message_ = {};
+        if (buffer_.size() == 0 && buffer_.capacity() > kept_buffer_bytes)
+        {
+            buffer_.shrink_to_fit();
+        }
+        member_->hold(buffer_.size());
+    }
+
     // Discards what the client still sends, for a short time: closing a socket
     // with unread input resets the connection, and the client could lose the
     // answer.
@@ -310,6 +413,7 @@
     runtime::timer idle_timer_;
     std::shared_ptr<listener> owner_;
     std::string remote_address_;
+    std::unique_ptr<connection_budget::member> member_;
     beast::flat_buffer buffer_;
     std::optional<beast::http::request_parser<beast::http::string_body>>
         parser_;
@@ -317,6 +421,7 @@
     std::uint64_t request_number_ = 0;
     bool keep_alive_ = true;
     bool draining_ = false;
+    bool out_of_memory_ = false; ///< Whether the request was given up.
     bool unread_input_ = false; ///< Whether the request wasn't read to its end.
     bool response_pending_ = false;
     bool writing_ = false;
@@ -369,8 +474,14 @@
 
 server::server(asio::io_context& io,
                server_limits limits,
-               request_handler handle)
-    : listener_(std::make_shared<listener>(io, limits, std::move(handle)))
+               request_handler handle,
+               std::shared_ptr<connection_budget> budget)
+    : listener_(std::make_shared<listener>(
+          io,
+          limits,
+          std::move(handle),
+          budget ? std::move(budget)
+                 : std::make_shared<connection_budget>(budget_limits())))
 {
 }
 
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/connection_budget.hpp"
 #include "adapters/http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -36,9 +37,12 @@
 class server
 {
 public:
+    /// Servers of one process share `budget`; without it, the server has one of
+    /// its own with the default limits.
     server(boost::asio::io_context& io,
            server_limits limits,
-           request_handler handle);
+           request_handler handle,
+           std::shared_ptr<connection_budget> budget = nullptr);
     ~server();
 
     /// Starts accepting connections and returns the bound address; port 0
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t request_ring_capacity = 2048;
 constexpr std::size_t remote_ring_capacity = 8192;
 constexpr std::uint32_t log_lines_per_second = 100;
+constexpr std::uint32_t caller_log_lines_per_second = 1;
 constexpr core::common::duration sample_interval = std::chrono::seconds(5);
 constexpr core::common::duration finish_poll_interval =
     std::chrono::milliseconds(10);
@@ -81,7 +82,7 @@
                          on_reply(reply);
                      }),
       ticker_(decisions_.io()), sampler_(decisions_.io()),
-      finisher_(callers_.io())
+      callers_log_(caller_log_lines_per_second), finisher_(callers_.io())
 {
     store_ = std::make_unique<platform::kv_client>(store_thread_.io(),
                                                    settings_.store,
@@ -107,13 +108,22 @@
         {
             replies_.try_push(remote_reply{std::move(reply)});
         });
+    budget_ = std::make_shared<http::connection_budget>(
+        http::limits_of_machine(settings_.machine_memory_mb),
+        [this](http::shed_reason reason,
+               std::string const& address,
+               std::uint64_t bytes)
+        {
+            on_shed(reason, address, bytes);
+        });
     submissions_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
         [this](http::request const& message, http::responder const& respond)
         {
             on_caller(message, respond);
-        });
+        },
+        budget_);
     readiness_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
@@ -123,14 +133,16 @@
                 message.target == settings_.readiness_path;
             bool const is_ready = path_matches && ready_;
             respond({static_cast<std::uint16_t>(is_ready ? 200 : 503), {}, ""});
-        });
+        },
+        budget_);
     exposition_ = std::make_unique<http::server>(
         callers_.io(),
         http::server_limits{},
         [this](http::request const& message, http::responder const& respond)
         {
             on_operator(message, respond);
-        });
+        },
+        budget_);
 }
 
 // Handlers of open calls use the rings and tables of this object, so the
@@ -270,6 +282,25 @@
     respond(std::move(answer.message));
 }
 
+// Runs on the callers' thread.
+void pool_program::on_shed(http::shed_reason reason,
+                           std::string const& address,
+                           std::uint64_t bytes)
+{
+    auto const name = std::string(http::name_of(reason));
+    metrics_
+        .counter("fuchsia_connections_shed_total",
+                 "connections or requests given up for the others' sake",
+                 {{"reason", name}})
+        .Increment();
+    callers_log_.write(clock::now(),
+                       {severity::warning,
+                        "connection_shed",
+                        {{"reason", name},
+                         {"address", address},
+                         {"bytes", std::to_string(bytes)}}});
+}
+
 void pool_program::tick()
 {
     auto const now = clock::now();
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -61,6 +61,9 @@
     void on_operator(adapters::http::request const& message,
                      adapters::http::responder const& respond);
     void respond(outgoing_answer& out);
+    void on_shed(adapters::http::shed_reason reason,
+                 std::string const& address,
+                 std::uint64_t bytes);
     void tick();
     void arm_tick();
     void perform();
@@ -109,6 +112,7 @@
     std::unique_ptr<platform::kv_client> store_;
     std::unique_ptr<platform::order_client> workers_;
     std::unique_ptr<platform::policy_client> policy_;
+    std::shared_ptr<adapters::http::connection_budget> budget_;
     std::unique_ptr<adapters::http::server> submissions_;
     std::unique_ptr<adapters::http::server> readiness_;
     std::unique_ptr<adapters::http::server> exposition_;
@@ -117,6 +121,7 @@
     bool performing_ = false;
 
     // State of the callers' thread.
+    adapters::logging::rate_limit callers_log_;
     std::uint64_t next_caller_ = 0;
     std::unordered_map<std::uint64_t, adapters::http::responder> waiting_;
     adapters::runtime::timer finisher_;
