HTTP server: connections of a process leave descriptors for its own calls

300 connections that sent nothing, or never read, took all 200 descriptors of the machine: the readiness check got no answer within a minute, and nothing was left for the store and the workers. The cause: each server had a limit of 4,096 connections, none had one below the descriptors of the process, and a connection that was there kept its place however little it used it.

The servers of a process now share a quarter of `machine.descriptors`, or of the process's own limit if that is less. A new connection beyond that takes the place of the one that has waited longest for a request: first of those that never sent one, then of the others, then of those whose answer wasn't read for a second. One whose request is being handled is never closed for this.

--- a/src/adapters/http/connection_budget.cpp
+++ b/src/adapters/http/connection_budget.cpp
@@ -1,7 +1,10 @@
 #include "adapters/http/connection_budget.hpp"
 
+#include <algorithm>
 #include <array>
+#include <limits>
 #include <optional>
+#include <sys/resource.h>
 #include <utility>
 
 namespace fuchsia::adapters::http
@@ -19,6 +22,10 @@
 /// The connections hold at most this part of the machine's memory: the rest is
 /// for the state of jobs and workers.
 constexpr std::uint64_t memory_divisor = 8;
+/// The connections take at most this part of the descriptors: the rest is for
+/// files and for the process's own calls to the store and the workers.
+constexpr std::uint64_t descriptor_divisor = 4;
+constexpr std::uint64_t max_connections = 4096;
 
 /// Size from which an answer may be given up for its memory. The answer to an
 /// accepted job is far smaller.
@@ -35,13 +42,31 @@
     answer_unread,
 };
 
+/// Returns the number of descriptors that this process may open.
+std::uint64_t process_descriptors()
+{
+    rlimit limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0
+               ? static_cast<std::uint64_t>(limit.rlim_cur)
+               : std::numeric_limits<std::uint64_t>::max();
+}
+
 } // namespace
 
-budget_limits limits_of_machine(std::uint64_t memory_mb)
+budget_limits limits_of_machine(std::uint64_t memory_mb,
+                                std::uint32_t descriptors)
 {
     budget_limits result;
     auto const known_mb = memory_mb > 0 ? memory_mb : small_machine_mb;
     result.bytes = known_mb * bytes_per_mb / memory_divisor;
+    auto known_descriptors = process_descriptors();
+    if (descriptors > 0)
+    {
+        known_descriptors =
+            std::min<std::uint64_t>(known_descriptors, descriptors);
+    }
+    result.connections = static_cast<std::uint32_t>(std::clamp<std::uint64_t>(
+        known_descriptors / descriptor_divisor, 1, max_connections));
     return result;
 }
 
--- a/src/adapters/http/connection_budget.hpp
+++ b/src/adapters/http/connection_budget.hpp
@@ -22,9 +22,12 @@
     std::uint32_t connections = 4096;
 };
 
-/// Returns the limits of a process on a machine with this memory, in MB; 0
-/// stands for an unknown size, which is taken as that of a small machine.
-budget_limits limits_of_machine(std::uint64_t memory_mb);
+/// Returns the limits of a process on a machine with this memory, in MB, and
+/// this number of descriptors. 0 stands for an unknown number: of the memory of
+/// a small machine, and of the descriptors that the process may open, which is
+/// an upper bound in any case.
+budget_limits limits_of_machine(std::uint64_t memory_mb,
+                                std::uint32_t descriptors);
 
 enum class connection_phase : std::uint8_t
 {
--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -107,6 +107,7 @@
     class connection;
 
     void accept();
+    bool has_room(tcp::socket const& socket) const;
 
     runtime::acceptor acceptor_;
     server_limits limits_;
@@ -432,7 +433,7 @@
     acceptor_.accept_next(
         [self = shared_from_this()](tcp::socket socket)
         {
-            if (self->open_connections_ < self->limits_.connections)
+            if (self->has_room(socket))
             {
                 auto const new_connection =
                     std::make_shared<connection>(std::move(socket), self);
@@ -448,6 +449,17 @@
         });
 }
 
+bool server::listener::has_room(tcp::socket const& socket) const
+{
+    if (open_connections_ >= limits_.connections)
+    {
+        return false;
+    }
+    beast::error_code ignored;
+    return budget_->make_room(
+        socket.remote_endpoint(ignored).address().to_string());
+}
+
 void server::listener::drain()
 {
     acceptor_.close();
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -109,7 +109,8 @@
             replies_.try_push(remote_reply{std::move(reply)});
         });
     budget_ = std::make_shared<http::connection_budget>(
-        http::limits_of_machine(settings_.machine_memory_mb),
+        http::limits_of_machine(settings_.machine_memory_mb,
+                                settings_.machine_descriptors),
         [this](http::shed_reason reason,
                std::string const& address,
                std::uint64_t bytes)
--- a/tests/contract/adapters/connection_budget_test.cpp
+++ b/tests/contract/adapters/connection_budget_test.cpp
@@ -121,4 +121,56 @@
     EXPECT_TRUE(shed.empty());
 }
 
+// Guards against idle connections that leave no room for a caller. Those that
+// have sent requests before are the last to go.
+TEST_F(connection_budget_test, connection_that_never_sent_a_request_makes_room)
+{
+    auto const served = add("served");
+    served->enter(connection_phase::handling);
+    served->enter(connection_phase::answering);
+    served->enter(connection_phase::receiving);
+    clock::advance(1ms);
+    auto const first = add("first");
+    clock::advance(1ms);
+    auto const second = add("second");
+    EXPECT_TRUE(budget.make_room("caller"));
+    EXPECT_EQ(shed.size(), 1U);
+    EXPECT_TRUE(shed.contains("first"));
+    auto const caller = add("caller");
+    EXPECT_TRUE(budget.make_room("next"));
+    EXPECT_TRUE(shed.contains("second"));
+    EXPECT_FALSE(shed.contains("served"));
+}
+
+// Guards against a connection whose request is being handled, or whose answer
+// was sent just now, that is closed for a new one.
+TEST_F(connection_budget_test, new_connection_is_refused_if_all_are_in_use)
+{
+    auto const handled = add("handled");
+    auto const answered = add("answered");
+    auto const other = add("other");
+    handled->enter(connection_phase::handling);
+    answered->enter(connection_phase::answering);
+    other->enter(connection_phase::handling);
+    EXPECT_FALSE(budget.make_room("caller"));
+    EXPECT_TRUE(shed.empty());
+    clock::advance(1s);
+    EXPECT_TRUE(budget.make_room("caller"));
+    EXPECT_EQ(shed.size(), 1U);
+    EXPECT_TRUE(shed.contains("answered"));
+}
+
+// Guards against limits that don't follow the machine.
+TEST(machine_limits,
+     connections_take_an_eighth_of_memory_and_a_quarter_of_descriptors)
+{
+    auto const small = limits_of_machine(32, 200);
+    EXPECT_EQ(small.bytes, 4U * 1024 * 1024);
+    EXPECT_EQ(small.connections, 50U);
+    auto const unknown = limits_of_machine(0, 0);
+    EXPECT_EQ(unknown.bytes, 20U * 1024 * 1024);
+    EXPECT_GE(unknown.connections, 1U);
+    EXPECT_LE(unknown.connections, 4096U);
+}
+
 } // namespace fuchsia::adapters::http
