HTTP server: a time limit for reading an answer

A client that sent a request and never read its answer kept its connection, and the answer's memory, for as long as it liked: the idle limit holds only while a request is awaited, and nothing limited the time to send an answer. Within a budget that is used up such a connection was closed after a second; in calm it never was, and a planned stop waited for it to the end of its allowance.

An answer must now be read within 30 s (`server_limits::write`, on the runtime's clock); then the connection is closed, with a `connection_shed` line of reason `unread`. A request that is being handled still has no limit here. The timers of a connection are one with a number, so that one that fires late can't close the next request's connection.

server_limits_test.unread_answer_is_given_up_after_the_write_limit fails with the limit set to 30 hours, in place of the code without one ("done() actual: false" after 20 s), and passes with it.

--- a/src/adapters/http/connection_budget.cpp
+++ b/src/adapters/http/connection_budget.cpp
@@ -15,7 +15,8 @@
 
 using core::common::clock;
 
-constexpr std::array<std::string_view, 2> reason_names{"memory", "connections"};
+constexpr std::array<std::string_view, 3> reason_names{
+    "memory", "connections", "unread"};
 
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 constexpr std::uint64_t small_machine_mb = 160;
@@ -114,6 +115,11 @@
     return true;
 }
 
+void connection_budget::member::report(shed_reason reason) const
+{
+    budget_.report(*place_, reason);
+}
+
 connection_budget::connection_budget(budget_limits limits, observer observe)
     : limits_(limits), observe_(std::move(observe))
 {
@@ -227,13 +233,18 @@
 }
 
 void connection_budget::shed(entry& victim, shed_reason reason)
+{
+    report(victim, reason);
+    set_bytes(victim, 0);
+    victim.shed(reason);
+}
+
+void connection_budget::report(entry const& subject, shed_reason reason) const
 {
     if (observe_)
     {
-        observe_(reason, victim.address, victim.bytes);
+        observe_(reason, subject.address, subject.bytes);
     }
-    set_bytes(victim, 0);
-    victim.shed(reason);
 }
 
 void connection_budget::set_bytes(entry& changed, std::uint64_t bytes)
--- a/src/adapters/http/connection_budget.hpp
+++ b/src/adapters/http/connection_budget.hpp
@@ -41,6 +41,7 @@
 {
     memory,
     connections,
+    unread, ///< The client didn't read its answer within the time for it.
 };
 
 /// Returns the name as written in logs and metrics.
@@ -64,7 +65,8 @@
     };
 
 public:
-    /// Called for each connection that is shed, or refused for want of room.
+    /// Called for each connection that is shed, refused for want of room, or
+    /// reported by its server.
     using observer = std::function<void(
         shed_reason, std::string const& address, std::uint64_t bytes)>;
 
@@ -82,6 +84,8 @@
         /// Sets the memory that the connection holds, and sheds others or this
         /// one if that is too much. Returns whether this one may go on.
         bool hold(std::uint64_t bytes);
+        /// Tells the observer that the server closes this connection.
+        void report(shed_reason reason) const;
 
     private:
         connection_budget& budget_;
@@ -103,6 +107,7 @@
     entry* least_needed();
     entry* largest();
     void shed(entry& victim, shed_reason reason);
+    void report(entry const& subject, shed_reason reason) const;
     void set_bytes(entry& changed, std::uint64_t bytes);
     void remove(std::list<entry>::iterator place);
 
--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -125,7 +125,7 @@
 {
 public:
     connection(tcp::socket socket, std::shared_ptr<listener> owner)
-        : stream_(std::move(socket)), idle_timer_(stream_.get_executor()),
+        : stream_(std::move(socket)), timer_(stream_.get_executor()),
           owner_(std::move(owner)), buffer_(owner_->limits_.header_bytes)
     {
         beast::error_code ignored;
@@ -151,7 +151,7 @@
         parser_->header_limit(owner_->limits_.header_bytes);
         parser_->body_limit(owner_->limits_.body_bytes);
         member_->enter(connection_phase::receiving);
-        arm_idle();
+        arm(owner_->limits_.idle);
         read_some();
     }
 
@@ -167,26 +167,44 @@
     void close()
     {
         beast::error_code ignored;
-        idle_timer_.cancel();
+        disarm();
         stream_.shutdown(tcp::socket::shutdown_both, ignored);
         stream_.close(ignored);
     }
 
 private:
-    void arm_idle()
+    // Closes the connection after `limit`, unless the timer is armed again or
+    // disarmed before.
+    void arm(core::common::duration limit)
     {
-        idle_timer_.expires_after(owner_->limits_.idle);
-        idle_timer_.async_wait(
-            [weak = weak_from_this()](beast::error_code error)
+        timer_.expires_after(limit);
+        timer_.async_wait(
+            [weak = weak_from_this(),
+             number = ++armed_](beast::error_code error)
             {
                 auto const self = weak.lock();
-                if (!error && self && !self->response_pending_)
+                if (!error && self && self->armed_ == number)
                 {
-                    self->close();
+                    self->on_timeout();
                 }
             });
     }
 
+    void on_timeout()
+    {
+        if (writing_)
+        {
+            member_->report(shed_reason::unread);
+        }
+        close();
+    }
+
+    void disarm()
+    {
+        ++armed_;
+        timer_.cancel();
+    }
+
     // Reads in parts, so that the budget knows what the request holds.
     void read_some()
     {
@@ -208,7 +226,7 @@
         }
         if (out_of_memory_)
         {
-            idle_timer_.cancel();
+            disarm();
             refuse(out_of_memory());
             return;
         }
@@ -258,7 +276,7 @@
 
     void on_read(beast::error_code error)
     {
-        idle_timer_.cancel();
+        disarm();
         if (error)
         {
             if (is_parse_error(error))
@@ -337,6 +355,7 @@
             on_written(asio::error::no_buffer_space);
             return;
         }
+        arm(owner_->limits_.write);
         beast::http::async_write(
             stream_,
             message_,
@@ -348,6 +367,7 @@
 
     void on_written(beast::error_code error)
     {
+        disarm();
         --owner_->pending_requests_;
         response_pending_ = false;
         writing_ = false;
@@ -382,16 +402,7 @@
     {
         beast::error_code ignored;
         stream_.shutdown(tcp::socket::shutdown_send, ignored);
-        idle_timer_.expires_after(discard_time);
-        idle_timer_.async_wait(
-            [weak = weak_from_this()](beast::error_code error)
-            {
-                auto const self = weak.lock();
-                if (!error && self)
-                {
-                    self->close();
-                }
-            });
+        arm(discard_time);
         discard_input();
     }
 
@@ -411,7 +422,7 @@
     }
 
     tcp::socket stream_;
-    runtime::timer idle_timer_;
+    runtime::timer timer_;
     std::shared_ptr<listener> owner_;
     std::string remote_address_;
     std::unique_ptr<connection_budget::member> member_;
@@ -420,6 +431,7 @@
         parser_;
     beast::http::response<beast::http::string_body> message_;
     std::uint64_t request_number_ = 0;
+    std::uint64_t armed_ = 0; ///< Number of the last call of `arm`.
     bool keep_alive_ = true;
     bool draining_ = false;
     bool out_of_memory_ = false; ///< Whether the request was given up.
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -24,6 +24,8 @@
     /// Maximum time to receive the next request, after which the connection is
     /// closed. The time that a request waits for its response does not count.
     core::common::duration idle = std::chrono::seconds(60);
+    /// Maximum time to send a response, after which the connection is closed.
+    core::common::duration write = std::chrono::seconds(30);
 };
 
 /// Sends the response to one request. It must be called once, on the
--- a/tests/contract/adapters/server_limits_test.cpp
+++ b/tests/contract/adapters/server_limits_test.cpp
@@ -49,7 +49,7 @@
             [this](request const& message, responder const& respond)
             {
                 bodies.push_back(message.body);
-                respond({200, {}, message.target});
+                respond({200, {}, answer.empty() ? message.target : answer});
             });
         core::common::failure reason;
         where = http_server->listen({"127.0.0.1", 0}, reason).value();
@@ -132,6 +132,7 @@
     ports::endpoint where;
     std::list<raw_client> clients;
     std::vector<std::string> bodies;
+    std::string answer; ///< Body of each answer; the target if it is empty.
 };
 
 std::string chunked(std::string const& rest)
@@ -253,4 +254,56 @@
     EXPECT_TRUE(bodies.empty());
 }
 
+// Guards against a client that never reads its answer and so keeps it, and its
+// connection, for ever.
+TEST_F(server_limits_test, unread_answer_is_given_up_after_the_write_limit)
+{
+    clock::pause();
+    answer = std::string(64 * 1024 * 1024, 'a');
+    start({});
+    auto& client = connect();
+    send(client, "GET / HTTP/1.1\r\n\r\n");
+    run_until(
+        [this]
+        {
+            return http_server->waiting() == 1;
+        });
+    io.run_for(1ms);
+    advance(29s);
+    EXPECT_EQ(http_server->waiting(), 1U);
+    advance(2s);
+    clock::resume();
+    run_until(
+        [this]
+        {
+            return http_server->waiting() == 0;
+        });
+}
+
+// Guards against an idle limit that ends while a request waits for its answer.
+TEST_F(server_limits_test, request_that_is_handled_has_no_time_limit)
+{
+    clock::pause();
+    responder respond;
+    http_server.emplace(io,
+                        server_limits(),
+                        [&respond](request const&, responder const& given)
+                        {
+                            respond = given;
+                        });
+    core::common::failure reason;
+    where = http_server->listen({"127.0.0.1", 0}, reason).value();
+    auto& client = exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    run_until(
+        [&respond]
+        {
+            return respond != nullptr;
+        });
+    advance(1h);
+    respond({200, {}, "late"});
+    run_until_closed(client);
+    clock::resume();
+    EXPECT_NE(client.received.find("late"), std::string::npos);
+}
+
 } // namespace fuchsia::adapters::http
