Entry and planner: connections leave descriptors for upstreams

The same cause as at the pool: 300 idle connections took all 200 descriptors of an entry, whose own bound of 4,096 connections knew nothing of the process's limit; new connections beyond that bound were refused for up to a minute while idle ones stayed.

The servers of these daemons now have a budget as the pool's have: `connections` under `[http]`, at most half of what the process may open, and `memory_mb` (128). The budget alone bounds connections now, so that a new one takes the place of an idle one there too. It logs and counts as the pool does.

The figures of a process that tests read moved to tests/process/process_usage.

--- a/src/adapters/daemon/daemon_runtime.cpp
+++ b/src/adapters/daemon/daemon_runtime.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t peer_ring_size = 8192;
 constexpr std::size_t list_ring_size = 16;
 constexpr std::uint32_t log_lines_per_second = 10;
+constexpr std::uint32_t http_log_lines_per_second = 1;
 
 platform::store_settings
 store_settings_of(settings::daemon_settings const& settings)
@@ -88,7 +89,8 @@
                          handlers_.on_peer(begin_event(), item);
                      }),
       tick_timer_(decisions_.io()), platform_sample_timer_(platform_.io()),
-      peer_sample_timer_(peers_.io()), finish_timer_(http_.io())
+      peer_sample_timer_(peers_.io()), finish_timer_(http_.io()),
+      http_log_(http_log_lines_per_second)
 {
     store_ = std::make_unique<platform::store_client>(
         platform_.io(),
@@ -128,7 +130,16 @@
         [this](http::request request, http::responder respond)
         {
             handle_http(std::move(request), std::move(respond));
-        });
+        },
+        std::make_shared<http::connection_budget>(
+            http::limits_of_process(options_.http_memory_mb,
+                                    options_.http.connections),
+            [this](http::shed_reason reason,
+                   std::string const& address,
+                   std::uint64_t bytes)
+            {
+                on_shed(reason, address, bytes);
+            }));
 }
 
 // The destructors of the clients and servers end all pending calls, and their
--- a/src/adapters/daemon/daemon_runtime.hpp
+++ b/src/adapters/daemon/daemon_runtime.hpp
@@ -57,6 +57,9 @@
     std::string service; ///< Catalog name of this program's own instances.
     bool with_upstreams = false; ///< Whether to poll the list of upstreams.
     http::server_limits http;
+    /// Memory of incomplete requests, requests without a response and responses
+    /// that aren't sent.
+    std::uint64_t http_memory_mb = 128;
     /// Maximum number of requests without a response yet; further ones are
     /// rejected.
     std::uint32_t max_waiting_requests = 4096;
@@ -143,6 +146,9 @@
     // daemon_runtime_callers.cpp: HTTP requests of callers.
     void handle_http(http::request request, http::responder respond);
     void respond(outgoing_answer& item);
+    void on_shed(http::shed_reason reason,
+                 std::string const& address,
+                 std::uint64_t bytes);
     void finish();
 
     // daemon_runtime_samples.cpp: metrics of the platform and peer threads.
@@ -187,6 +193,7 @@
     runtime::timer finish_timer_;
 
     // The members below belong to the HTTP thread.
+    logging::rate_limit http_log_;
     bool finishing_ = false;
     core::common::time_point finish_deadline_{};
     std::uint64_t next_request_ = 0;
--- a/src/adapters/daemon/daemon_runtime_callers.cpp
+++ b/src/adapters/daemon/daemon_runtime_callers.cpp
@@ -97,6 +97,25 @@
     respond(std::move(item.message));
 }
 
+// Runs on the HTTP thread.
+void daemon_runtime::on_shed(http::shed_reason reason,
+                             std::string const& address,
+                             std::uint64_t bytes)
+{
+    auto const name = std::string(http::name_of(reason));
+    metrics_
+        .counter("fuchsia_connections_shed_total",
+                 "connections or requests given up for the others' sake",
+                 {{"reason", name}})
+        .Increment();
+    http_log_.write(clock::now(),
+                    {ports::severity::warning,
+                     "connection_shed",
+                     {{"reason", name},
+                      {"address", address},
+                      {"bytes", std::to_string(bytes)}}});
+}
+
 // Stops the process when all responses have been written. The engine has
 // stopped already, but its last responses may still be in transit.
 void daemon_runtime::finish()
--- a/src/adapters/http/connection_budget.cpp
+++ b/src/adapters/http/connection_budget.cpp
@@ -71,6 +71,18 @@
     return result;
 }
 
+budget_limits limits_of_process(std::uint64_t memory_mb,
+                                std::uint32_t connections)
+{
+    // Each request that is handled may need a connection to an upstream.
+    auto const callers = process_descriptors() / 2;
+    budget_limits result;
+    result.bytes = memory_mb * bytes_per_mb;
+    result.connections = static_cast<std::uint32_t>(
+        std::clamp<std::uint64_t>(callers, 1, connections));
+    return result;
+}
+
 std::string_view name_of(shed_reason reason) noexcept
 {
     return reason_names[static_cast<std::size_t>(reason)];
--- a/src/adapters/http/connection_budget.hpp
+++ b/src/adapters/http/connection_budget.hpp
@@ -29,6 +29,11 @@
 budget_limits limits_of_machine(std::uint64_t memory_mb,
                                 std::uint32_t descriptors);
 
+/// Returns the limits of a process that may hold `memory_mb` and have
+/// `connections`, but at most half of the descriptors that it may open.
+budget_limits limits_of_process(std::uint64_t memory_mb,
+                                std::uint32_t connections);
+
 enum class connection_phase : std::uint8_t
 {
     receiving, ///< Waits for a request or for the rest of it.
--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -114,7 +114,6 @@
     request_handler handle_;
     std::shared_ptr<connection_budget> budget_;
     std::list<std::weak_ptr<connection>> connections_;
-    std::uint32_t open_connections_ = 0;
     std::uint32_t pending_requests_ = 0;
     bool keep_alive_ =
         true; ///< Whether connections stay open after a response.
@@ -137,12 +136,6 @@
                                        {
                                            shed(reason);
                                        });
-        ++owner_->open_connections_;
-    }
-
-    ~connection()
-    {
-        --owner_->open_connections_;
     }
 
     void read()
@@ -463,10 +456,6 @@
 
 bool server::listener::has_room(tcp::socket const& socket) const
 {
-    if (open_connections_ >= limits_.connections)
-    {
-        return false;
-    }
     beast::error_code ignored;
     return budget_->make_room(
         socket.remote_endpoint(ignored).address().to_string());
@@ -505,7 +494,8 @@
           limits,
           std::move(handle),
           budget ? std::move(budget)
-                 : std::make_shared<connection_budget>(budget_limits())))
+                 : std::make_shared<connection_budget>(
+                       budget_limits{.connections = limits.connections})))
 {
 }
 
--- a/src/adapters/http/server.hpp
+++ b/src/adapters/http/server.hpp
@@ -20,7 +20,8 @@
     /// chunks of a body: a chunk's size with its extension, trailer fields.
     std::uint32_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 1024 * 1024; ///< Maximum size of a body.
-    std::uint32_t connections = 4096;       ///< Maximum number of connections.
+    /// Maximum number of connections of a server with a budget of its own.
+    std::uint32_t connections = 4096;
     /// Maximum time to receive the next request, after which the connection is
     /// closed. The time that a request waits for its response does not count.
     core::common::duration idle = std::chrono::seconds(60);
--- a/src/adapters/settings/entry_settings.cpp
+++ b/src/adapters/settings/entry_settings.cpp
@@ -26,6 +26,11 @@
                          2 * megabyte));
     result.http.connections = static_cast<std::uint32_t>(
         table.integer_or("connections", result.http.connections, 1, 65'536));
+    result.http_memory_mb = static_cast<std::uint64_t>(
+        table.integer_or("memory_mb",
+                         static_cast<std::int64_t>(result.http_memory_mb),
+                         1,
+                         1'000'000));
     result.http.idle =
         table.duration_or("idle_ms", result.http.idle, 100ms, 1h);
     result.max_waiting_requests = static_cast<std::uint32_t>(table.integer_or(
--- a/src/adapters/settings/entry_settings.hpp
+++ b/src/adapters/settings/entry_settings.hpp
@@ -18,6 +18,7 @@
     daemon_settings daemon;
     core::requests::entry_settings engine;
     http::server_limits http;
+    std::uint64_t http_memory_mb = 128;
     std::uint32_t max_waiting_requests = 4096;
     http::client_settings upstreams;
 };
--- a/src/programs/entry/entry_program.cpp
+++ b/src/programs/entry/entry_program.cpp
@@ -28,6 +28,7 @@
     result.service = "fuchsia-entry";
     result.with_upstreams = true;
     result.http = options.http;
+    result.http_memory_mb = options.http_memory_mb;
     result.max_waiting_requests = options.max_waiting_requests;
     return result;
 }
--- a/tests/process/entry_deployment.cpp
+++ b/tests/process/entry_deployment.cpp
@@ -220,6 +220,11 @@
         folder_ / (name + ".log"));
 }
 
+std::uint16_t entry_deployment::port(std::size_t number) const
+{
+    return entry_ports_.at(number);
+}
+
 child& entry_deployment::entry(std::size_t number)
 {
     return *running_[number];
--- a/tests/process/entry_deployment.hpp
+++ b/tests/process/entry_deployment.hpp
@@ -36,6 +36,8 @@
 
     void start_entry(std::size_t number);
     child& entry(std::size_t number);
+    /// Port of an entry for callers.
+    std::uint16_t port(std::size_t number) const;
     bool ready(std::size_t number) const;
     /// Sends a bid through one entry. A complete response contains the load
     /// token.
--- a/tests/process/misbehaving_clients_test.cpp
+++ b/tests/process/misbehaving_clients_test.cpp
@@ -2,6 +2,7 @@
 #include "process/child.hpp"
 #include "process/crowd.hpp"
 #include "process/own_address.hpp"
+#include "process/process_usage.hpp"
 #include "process/wait_until.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -25,6 +26,8 @@
 using tests::process::child;
 using tests::process::client_script;
 using tests::process::crowd;
+using tests::process::largest_memory_kb;
+using tests::process::open_descriptors;
 using tests::process::wait_until;
 
 namespace
@@ -137,13 +140,13 @@
     {
         report();
         ASSERT_TRUE(pool_->running()) << log();
-        EXPECT_LE(open_descriptors(), max_open_descriptors);
+        EXPECT_LE(open_descriptors(pool_->id()), max_open_descriptors);
         EXPECT_TRUE(ready());
         EXPECT_TRUE(serves("00000000000000a2"));
         EXPECT_TRUE(operators_are_answered());
         ASSERT_TRUE(pool_->running()) << log();
-        EXPECT_LE(open_descriptors(), max_open_descriptors);
-        EXPECT_LE(largest_memory_kb(), machine_memory_mb * 1000);
+        EXPECT_LE(open_descriptors(pool_->id()), max_open_descriptors);
+        EXPECT_LE(largest_memory_kb(pool_->id()), machine_memory_mb * 1000);
         report();
         pool_->signal(SIGTERM);
         EXPECT_EQ(pool_->wait(), 0);
@@ -154,10 +157,11 @@
     void report()
     {
         RecordProperty("largest_memory_kb",
-                       std::to_string(largest_memory_kb()));
-        std::printf("largest memory %llu KB, %llu open descriptors\n",
-                    static_cast<unsigned long long>(largest_memory_kb()),
-                    static_cast<unsigned long long>(open_descriptors()));
+                       std::to_string(largest_memory_kb(pool_->id())));
+        std::printf(
+            "largest memory %llu KB, %llu open descriptors\n",
+            static_cast<unsigned long long>(largest_memory_kb(pool_->id())),
+            static_cast<unsigned long long>(open_descriptors(pool_->id())));
     }
 
     bool ready()
@@ -196,34 +200,6 @@
             });
     }
 
-    std::uint64_t largest_memory_kb() const
-    {
-        std::ifstream status("/proc/" + std::to_string(pool_->id()) +
-                             "/status");
-        std::string word;
-        while (status >> word && word != "VmHWM:")
-        {
-        }
-        std::uint64_t result = 0;
-        status >> result;
-        return result;
-    }
-
-    std::uint64_t open_descriptors() const
-    {
-        std::uint64_t result = 0;
-        std::error_code error;
-        for (std::filesystem::directory_iterator
-                 entry("/proc/" + std::to_string(pool_->id()) + "/fd", error),
-             end;
-             !error && entry != end;
-             entry.increment(error))
-        {
-            ++result;
-        }
-        return result;
-    }
-
     std::string log() const
     {
         std::ifstream file(path("pool.log"));
