Tests: input that a process hasn't read counts as its memory

The platform counts it. The crowds of misbehaving_clients are checked with it before the callers' requests; one more crowd sends 2 MB each behind answers that it never reads.

--- a/tests/process/misbehaving_clients_test.cpp
+++ b/tests/process/misbehaving_clients_test.cpp
@@ -140,6 +140,8 @@
     {
         report();
         ASSERT_TRUE(pool_->running()) << log();
+        EXPECT_LE(largest_memory_kb(pool_->id()) + unread_kb(),
+                  machine_memory_mb * 1000);
         EXPECT_LE(open_descriptors(pool_->id()), max_open_descriptors);
         EXPECT_TRUE(ready());
         EXPECT_TRUE(serves("00000000000000a2"));
@@ -158,10 +160,23 @@
     {
         RecordProperty("largest_memory_kb",
                        std::to_string(largest_memory_kb(pool_->id())));
-        std::printf(
-            "largest memory %llu KB, %llu open descriptors\n",
-            static_cast<unsigned long long>(largest_memory_kb(pool_->id())),
-            static_cast<unsigned long long>(open_descriptors(pool_->id())));
+        std::printf("largest memory %s KB, unread input %s KB, "
+                    "%s open descriptors\n",
+                    std::to_string(largest_memory_kb(pool_->id())).c_str(),
+                    std::to_string(unread_kb()).c_str(),
+                    std::to_string(open_descriptors(pool_->id())).c_str());
+    }
+
+    /// Returns what was received for the pool and not read, which the
+    /// platform counts as its memory.
+    std::uint64_t unread_kb() const
+    {
+        std::uint64_t result = 0;
+        for (auto const& server : {submissions_, readiness_, metrics_})
+        {
+            result += tests::process::unread_bytes(server) / 1000;
+        }
+        return result;
     }
 
     bool ready()
@@ -339,3 +354,16 @@
                  false});
     expect_pool_holds();
 }
+
+// Guards against input behind a request whose answer isn't read: the system
+// holds it for the process.
+TEST_F(misbehaving_clients, much_input_behind_answers_that_are_never_read)
+{
+    constexpr std::size_t parts = 40;
+    send_crowds(many_clients,
+                {"",
+                 repeated_to_part("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n"),
+                 parts,
+                 false});
+    expect_pool_holds();
+}
