HTTP client: a limit for what stands between and behind chunks

What others see: a server that answers a call with a chunked body and then trailer fields, a chunk extension or leading zeros of a chunk size without end makes the calling process keep all of it until the call times out. A call that is within its time limits keeps reading; nothing else bounded the memory.

Cause: the parser's limits cover the header and the body. It takes a line between two chunks, and the trailer fields together, in one piece, and asks for more bytes until the piece is complete; the buffer that collects them had no maximum size.

A body is taken out of the buffer as it arrives, so the buffer's size doesn't bound it. A full buffer ends the call as too_large, as the other two limits do.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/runtime/timer.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -69,7 +70,7 @@
     connection(std::shared_ptr<pool> owner, ports::endpoint remote_endpoint)
         : owner_(std::move(owner)),
           remote_endpoint_(std::move(remote_endpoint)), socket_(owner_->io_),
-          deadline_(owner_->io_)
+          deadline_(owner_->io_), buffer_(buffer_limit(owner_->settings_))
     {
     }
 
@@ -163,6 +164,22 @@
     }
 
 private:
+    // The parser bounds the header and the body. What stands between and behind
+    // the chunks of a body, such as extensions and trailer fields, is bounded
+    // by the buffer alone: the parser takes it in one piece.
+    static std::size_t buffer_limit(client_settings const& settings) noexcept
+    {
+        return std::max<std::size_t>(settings.header_bytes,
+                                     settings.read_bytes);
+    }
+
+    static bool is_over_limit(beast::error_code error)
+    {
+        return error == beast::http::error::body_limit ||
+               error == beast::http::error::header_limit ||
+               error == beast::http::error::buffer_overflow;
+    }
+
     void arm(core::common::duration after)
     {
         deadline_.expires_after(after);
@@ -333,10 +350,9 @@
         }
         if (error)
         {
-            bool const over_limit = error == beast::http::error::body_limit ||
-                                    error == beast::http::error::header_limit;
-            fail(over_limit && !timed_out_ ? exchange_status::too_large
-                                           : exchange_status::lost);
+            fail(is_over_limit(error) && !timed_out_
+                     ? exchange_status::too_large
+                     : exchange_status::lost);
             return;
         }
         last_response_ = ++owner_->event_counter_;
