Peer transport: a short limit for the first frame

What others see: whoever can connect to the peer port (the addresses of the allowed list) makes the process reserve and fill 4 MB with four bytes, before any token was seen, and 512 times over.

Cause: the length of a frame had one limit, 4 MB, whether or not the sender was known, and the memory is taken when the length arrives.

Change: until the first frame has identified the peer, a frame may have the size of the token and 4 KB. The first frame carries no message.

Evidence, before the change: long_first_frame_is_refused_by_its_length waits 20 s for the refusal of a length of 4 MB and fails (bounded_peer_test.cpp:71, done() false). Now it passes. The queue for a peer that never reads was bounded before; peer_that_never_reads_is_sent_a_bounded_queue passes before and after.

--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -32,6 +32,10 @@
 constexpr core::common::duration reconnect_delay =
     std::chrono::milliseconds(200);
 
+// Maximum size of the first frame of a connection without its token: two names
+// and the offsets of the format.
+constexpr std::size_t first_frame_overhead_bytes = 4096;
+
 bool matches(asio::ip::address const& address, std::string const& rule)
 {
     error_code error;
@@ -135,7 +139,7 @@
         {
             size |= static_cast<std::uint32_t>(length_[index]) << (8 * index);
         }
-        if (size == 0 || size > max_frame_bytes)
+        if (size == 0 || size > max_size())
         {
             refuse();
             return;
@@ -154,6 +158,15 @@
             });
     }
 
+    // The first frame identifies the peer. Until it has arrived, anyone may be
+    // at the other end, and gets no memory for a large frame.
+    std::size_t max_size() const noexcept
+    {
+        return authenticated_ ? max_frame_bytes
+                              : owner_->settings_.token.size() +
+                                    first_frame_overhead_bytes;
+    }
+
     void on_frame()
     {
         owner_->counts.bytes_received += body_.size() + length_size;
