Peer transport: a time limit for the first frame

What others see: connections that send nothing, or half a first frame, stay open for good. 512 of them use up the inbound connections, and then no member is heard any more: each new connection is refused. A machine that is cut off just after it has connected leaves such a connection, too.

Cause: an inbound connection had no time limit at all. A known peer may be silent for long, but a peer sends its first frame at once.

Change: a connection without a complete first frame is refused after 5 s (new setting first_frame_timeout of the transport; not in the settings files).

Evidence, with the transport of the commit before: in connections_without_a_first_frame_are_closed the connections aren't refused when the time is up, and no other member gets a message through in 20 s (bounded_peer_test.cpp:96, done() false, twice); known_peers_may_be_silent_and_send_long_frames fails at its silent stranger. Both pass now, with the clock paused.

--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -99,7 +99,8 @@
 {
 public:
     inbound(tcp::socket socket, std::shared_ptr<state> owner)
-        : socket_(std::move(socket)), owner_(std::move(owner))
+        : socket_(std::move(socket)), deadline_(owner->io_),
+          owner_(std::move(owner))
     {
         ++owner_->open_inbound_;
     }
@@ -109,29 +110,45 @@
         --owner_->open_inbound_;
     }
 
-    void read_length()
+    void start()
     {
-        asio::async_read(
-            socket_,
-            asio::buffer(length_),
-            [self = shared_from_this()](error_code error, std::size_t)
+        deadline_.expires_after(owner_->settings_.first_frame_timeout);
+        deadline_.async_wait(
+            [weak = weak_from_this()](error_code error)
             {
-                if (error || self->closed_)
+                auto const self = weak.lock();
+                if (!error && self && !self->authenticated_ && !self->closed_)
                 {
-                    return;
+                    self->refuse();
                 }
-                self->read_body();
             });
+        read_length();
     }
 
     void close()
     {
         closed_ = true;
         error_code ignored;
+        deadline_.cancel();
         socket_.close(ignored);
     }
 
 private:
+    void read_length()
+    {
+        asio::async_read(
+            socket_,
+            asio::buffer(length_),
+            [self = shared_from_this()](error_code error, std::size_t)
+            {
+                if (error || self->closed_)
+                {
+                    return;
+                }
+                self->read_body();
+            });
+    }
+
     void read_body()
     {
         std::uint32_t size = 0;
@@ -207,6 +224,10 @@
         authenticated_ =
             http::equal_in_constant_time(frame.token, owner_->settings_.token);
         peer_ = frame.from;
+        if (authenticated_)
+        {
+            deadline_.cancel();
+        }
         return authenticated_;
     }
 
@@ -217,6 +238,7 @@
     }
 
     tcp::socket socket_;
+    runtime::timer deadline_; ///< Ends the wait for the first frame.
     std::shared_ptr<state> owner_;
     std::array<std::uint8_t, length_size> length_{};
     std::vector<std::uint8_t> body_;
@@ -461,7 +483,7 @@
             return weak.expired();
         });
     inbound_.push_back(connection);
-    connection->read_length();
+    connection->start();
 }
 
 bool transport::state::is_allowed(asio::ip::address const& address) const
--- a/src/adapters/peer/transport.hpp
+++ b/src/adapters/peer/transport.hpp
@@ -26,6 +26,9 @@
     /// detects the loss of a message on the network.
     std::size_t queue_bytes = 8 * 1024 * 1024;
     std::uint32_t connections = 512; ///< Maximum number of inbound connections.
+    /// Time after which an inbound connection without a complete first frame is
+    /// refused. A peer sends that frame at once.
+    core::common::duration first_frame_timeout = std::chrono::seconds(5);
 };
 
 struct transport_counts
@@ -40,7 +43,7 @@
     /// handler did not accept.
     std::uint64_t dropped = 0;
     /// Inbound connections that were refused or were closed because of an
-    /// invalid frame.
+    /// invalid frame or for lack of a first frame.
     std::uint64_t refused = 0;
 };
 
--- a/tests/contract/adapters/bounded_peer_test.cpp
+++ b/tests/contract/adapters/bounded_peer_test.cpp
@@ -1,4 +1,5 @@
 #include "adapters/peer/transport.hpp"
+#include "adapters/runtime/timer.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,6 +14,7 @@
 using namespace std::chrono_literals;
 using adapters::peer::encode;
 using adapters::peer::transport;
+using core::common::clock;
 
 namespace
 {
@@ -24,10 +26,23 @@
 constexpr auto test_timeout = 20s;
 constexpr auto* valid_token = "a token of some length";
 constexpr std::uint32_t max_connections = 4;
+// The longest time that the transport waits for a first frame.
+constexpr auto first_frame_timeout = 5s;
 
 class peer_bounds : public testing::Test
 {
 protected:
+    // Only `clock::advance` lets a time limit pass.
+    peer_bounds()
+    {
+        clock::pause();
+    }
+
+    ~peer_bounds() override
+    {
+        clock::resume();
+    }
+
     void start(adapters::peer::transport_settings settings = {})
     {
         settings.self = self;
@@ -57,6 +72,15 @@
         asio::write(socket, asio::buffer(bytes));
     }
 
+    // Lets the time limit of a first frame pass. A new first timer makes the
+    // `io_context` look at the clock again.
+    void pass_time_limit()
+    {
+        clock::advance(first_frame_timeout);
+        wake.expires_at(clock::now() - first_frame_timeout);
+        wake.async_wait([](boost::system::error_code) {});
+    }
+
     std::vector<std::uint8_t> first_frame() const
     {
         return encode({{"raw", 7}, self, valid_token, std::nullopt});
@@ -97,6 +121,7 @@
 
     ports::member_identity const self{"self", 2};
     asio::io_context io;
+    adapters::runtime::timer wake{io};
     std::optional<transport> local;
     ports::endpoint local_endpoint;
     std::size_t received = 0;
@@ -119,6 +144,70 @@
     expect_sound_peer_served();
 }
 
+// Guards against connections without a sender that use up the number of inbound
+// connections.
+TEST_F(peer_bounds, connections_without_a_first_frame_are_closed)
+{
+    start();
+    auto half_frame = first_frame();
+    half_frame.resize(half_frame.size() / 2);
+    for (std::uint32_t count = 0; count < max_connections; ++count)
+    {
+        connect_raw(count % 2 == 0 ? half_frame : std::vector<std::uint8_t>{});
+    }
+    // One connection too many shows that the others were accepted.
+    connect_raw({});
+    run_until(
+        [&]
+        {
+            return local->counts().refused == 1;
+        });
+    pass_time_limit();
+    run_until(
+        [&]
+        {
+            return local->counts().refused == 1 + max_connections;
+        });
+    expect_sound_peer_served();
+}
+
+// Guards against a limit of the first frame that closes an idle connection of a
+// known peer, or that refuses its long frames.
+TEST_F(peer_bounds, known_peers_may_be_silent_and_send_long_frames)
+{
+    start();
+    auto const message = encode(
+        {{"raw", 7},
+         self,
+         "",
+         ports::config_offer{1, std::string(std::size_t{3} << 20U, 'd')}});
+    connect_raw(first_frame());
+    run_until(
+        [&]
+        {
+            return local->counts().bytes_received == first_frame().size();
+        });
+    connect_raw({});
+    run_until(
+        [&]
+        {
+            pass_time_limit();
+            return local->counts().refused == 1;
+        });
+    std::size_t written = 0;
+    asio::async_write(sockets.front(),
+                      asio::buffer(message),
+                      [&written](boost::system::error_code, std::size_t size)
+                      {
+                          written = size;
+                      });
+    run_until(
+        [&]
+        {
+            return written == message.size() && received == 1;
+        });
+}
+
 // Guards against a queue without a bound for a peer that never reads.
 TEST_F(peer_bounds, peer_that_never_reads_is_sent_a_bounded_queue)
 {
