Peer transport: messages to an invalid address are dropped

What others see: messages for a member whose record has no valid IP address are neither sent nor counted as dropped. Up to 8 MB of them stay in memory until the transport is reset.

Cause: the connection to such an address was closed but stayed in the table, and its queue took messages until it was full.

Change: an invalid address is handled as a failed connection attempt: messages are dropped and counted until the reconnect delay has passed.

Evidence, before: messages_to_an_invalid_address_are_dropped printed counts().dropped 0 instead of 10. Now it passes.

--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -268,19 +268,19 @@
 
     void start()
     {
+        push(encode({owner_->settings_.self,
+                     peer_,
+                     owner_->settings_.token,
+                     std::nullopt}));
         error_code error;
         auto const address =
             asio::ip::make_address(remote_endpoint_.address, error);
         if (error)
         {
-            close();
+            start_backoff();
             return;
         }
         arm(owner_->settings_.connect_timeout);
-        push(encode({owner_->settings_.self,
-                     peer_,
-                     owner_->settings_.token,
-                     std::nullopt}));
         socket_.async_connect({address, remote_endpoint_.port},
                               [self = shared_from_this()](error_code failed)
                               {
--- a/tests/contract/adapters/bounded_peer_test.cpp
+++ b/tests/contract/adapters/bounded_peer_test.cpp
@@ -235,3 +235,18 @@
     EXPECT_GT(accepted, 0U);
     expect_sound_peer_served();
 }
+
+// Guards against messages that are kept for an address that can't be used and
+// are neither sent nor counted as dropped.
+TEST_F(peer_bounds, messages_to_an_invalid_address_are_dropped)
+{
+    constexpr std::uint64_t message_count = 10;
+    start();
+    for (std::uint64_t count = 0; count < message_count; ++count)
+    {
+        local->send(
+            {{"other", 1}, {"no address", 1}, ports::config_request{1}});
+        io.poll();
+    }
+    EXPECT_EQ(local->counts().dropped, message_count);
+}
