HTTP client: an interim answer precedes the final one

What callers see: an upstream that sends 100 Continue or 103 Early Hints first has its interim answer passed on as the answer, without the body of the final one. 101 is passed on as well. If the final answer comes later, its connection is back in the pool by then, and the next call on it is given the answer to the call before: one caller gets what another asked for.

Cause: the client took the first message of the server as the answer, whatever its status.

Change: interim answers are discarded, up to header_bytes for one call; more end the call as too_large. 101 ends it as lost, because no call asks for it and what follows is no answer.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -86,6 +86,7 @@
         ended_ = false;
         timed_out_ = false;
         progress_ = 0;
+        interim_bytes_ = 0;
         parser_.reset();
         read_deadline_.reset();
         final_check_done_ = false;
@@ -173,6 +174,11 @@
                                      settings.read_bytes);
     }
 
+    static bool is_interim(unsigned status) noexcept
+    {
+        return status >= 100 && status < 200;
+    }
+
     static bool is_over_limit(beast::error_code error)
     {
         return error == beast::http::error::body_limit ||
@@ -332,17 +338,17 @@
         parser_.emplace();
         parser_->header_limit(owner_->settings_.header_bytes);
         parser_->body_limit(owner_->settings_.body_bytes);
-        beast::http::async_read(
-            socket_,
-            buffer_,
-            *parser_,
-            [self = shared_from_this()](beast::error_code error, std::size_t)
-            {
-                self->on_read(error);
-            });
+        beast::http::async_read(socket_,
+                                buffer_,
+                                *parser_,
+                                [self = shared_from_this()](
+                                    beast::error_code error, std::size_t size)
+                                {
+                                    self->on_read(error, size);
+                                });
     }
 
-    void on_read(beast::error_code error)
+    void on_read(beast::error_code error, std::size_t size)
     {
         if (ended_)
         {
@@ -350,9 +356,19 @@
         }
         if (error)
         {
-            fail(is_over_limit(error) && !timed_out_
-                     ? exchange_status::too_large
-                     : exchange_status::lost);
+            fail(is_over_limit(error) ? over_limit_status()
+                                      : exchange_status::lost);
+            return;
+        }
+        if (parser_->get().result() == beast::http::status::switching_protocols)
+        {
+            // No call asks for it, and what follows is no answer.
+            fail(exchange_status::lost);
+            return;
+        }
+        if (is_interim(parser_->get().result_int()))
+        {
+            skip_interim(size);
             return;
         }
         last_response_ = ++owner_->event_counter_;
@@ -370,6 +386,23 @@
             take_response(message));
     }
 
+    exchange_status over_limit_status() const noexcept
+    {
+        return timed_out_ ? exchange_status::lost : exchange_status::too_large;
+    }
+
+    // Discards an interim response of `size` bytes and waits for the final one.
+    void skip_interim(std::size_t size)
+    {
+        interim_bytes_ += size;
+        if (interim_bytes_ > owner_->settings_.header_bytes)
+        {
+            fail(over_limit_status());
+            return;
+        }
+        read();
+    }
+
     static response
     take_response(beast::http::response<beast::http::string_body>& message)
     {
@@ -415,6 +448,8 @@
     bool ended_ = true;
     bool timed_out_ = false;
     std::size_t progress_ = 0; ///< `progress()` at the last check.
+    std::size_t interim_bytes_ =
+        0; ///< Size of the interim responses of the current call.
     /// Time at which reading ends of a response that was still arriving at the
     /// timeout.
     std::optional<core::common::time_point> read_deadline_;
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -20,9 +20,9 @@
     core::common::duration drain_timeout = std::chrono::seconds(30);
     /// Time after which an idle connection is closed.
     core::common::duration idle_timeout = std::chrono::seconds(30);
-    /// Maximum size of a response header. The larger of this and `read_bytes`
-    /// also bounds what stands between two chunks of a body and the trailer
-    /// fields behind the last one.
+    /// Maximum size of a response header, and of all interim responses before
+    /// it together. The larger of this and `read_bytes` also bounds what stands
+    /// between two chunks of a body and the trailer fields behind the last one.
     std::uint32_t header_bytes = 16 * 1024;
     /// Maximum size of a response body.
     std::uint64_t body_bytes = 4 * 1024 * 1024;
--- a/tests/contract/adapters/bounded_answer_test.cpp
+++ b/tests/contract/adapters/bounded_answer_test.cpp
@@ -13,6 +13,8 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <utility>
+#include <vector>
 
 // Answers of a server that doesn't keep to HTTP, or to any size.
 using namespace fuchsia;
@@ -26,8 +28,8 @@
 using tcp = asio::ip::tcp;
 
 // Far longer than any test needs; reached only if a test hangs.
-constexpr auto test_timeout = 60s;
-constexpr auto call_timeout = 20s;
+constexpr auto test_timeout = 20s;
+constexpr auto call_timeout = 10s;
 
 constexpr std::uint64_t body_limit = 256 * 1024;
 constexpr std::size_t header_limit = 16 * 1024;
@@ -65,7 +67,18 @@
         accept();
     }
 
+    // Sends `bytes` on the first connection.
+    void send_on_first(std::string bytes)
+    {
+        auto& conn = connections_.front();
+        conn.block.clear();
+        conn.output = std::move(bytes);
+        write(conn);
+    }
+
     ports::endpoint remote_endpoint;
+    /// Whether requests on the first connection are answered by scripts only.
+    bool first_is_silent = false;
     std::size_t sent_bytes = 0;
     std::size_t connections = 0;
     std::size_t closed_connections = 0;
@@ -122,6 +135,11 @@
     void start_answer(connection& conn)
     {
         answer_script script{sound_answer, ""};
+        if (scripts_.empty() && first_is_silent &&
+            &conn == &connections_.front())
+        {
+            return;
+        }
         if (!scripts_.empty())
         {
             script = std::move(scripts_.front());
@@ -178,11 +196,13 @@
 {
 protected:
     void start(std::deque<answer_script> scripts,
-               adapters::http::client_settings settings = {})
+               adapters::http::client_settings settings = {},
+               std::uint32_t connections = 1)
     {
         // With one connection, the next call fails if the last one isn't
         // closed.
-        settings.connections_per_endpoint = 1;
+        settings.connections_per_endpoint = connections;
+        settings.idle_timeout = 1h;
         settings.body_bytes = body_limit;
         settings.header_bytes = header_limit;
         server = &servers.emplace_back(io, std::move(scripts));
@@ -192,6 +212,17 @@
     std::optional<call_end> call(std::string const& method = "GET")
     {
         std::optional<call_end> result;
+        send(result, method);
+        run_until(
+            [&result]
+            {
+                return result.has_value();
+            });
+        return result;
+    }
+
+    void send(std::optional<call_end>& result, std::string const& method)
+    {
         adapters::http::client_call request;
         request.remote_endpoint = server->remote_endpoint;
         request.message = {method, "/x", {}, "", {}};
@@ -202,12 +233,6 @@
             {
                 result = {status, std::move(answer)};
             });
-        run_until(
-            [&result]
-            {
-                return result.has_value();
-            });
-        return result;
     }
 
     void run_until(std::function<bool()> const& done)
@@ -288,6 +313,7 @@
         {"chunked_body", {chunked_head, chunk_of(4096)}},
         {"announced_chunk", {chunked_head + "fffffffff\r\n", "b"}},
         {"body_until_close", {ok + "\r\n", "b"}},
+        {"interim_answers", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
         {"garbage", {"", "x"}, lost},
         {"bytes_after_the_answer", {sound_answer, "b"}, answered},
     };
@@ -361,3 +387,62 @@
         EXPECT_EQ(server->connections, 1U);
     }
 }
+
+// Guards against an interim answer that is taken for the final one.
+TEST_F(answer_reader, interim_answers_precede_the_final_answer)
+{
+    start({{"HTTP/1.1 100 Continue\r\n\r\n"
+            "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+                sound_answer,
+            ""}});
+    for (std::size_t count = 0; count < 2; ++count)
+    {
+        auto const end = call();
+        ASSERT_TRUE(end);
+        EXPECT_EQ(end->status, exchange_status::answered);
+        EXPECT_EQ(end->answer.status, 200);
+        EXPECT_EQ(end->answer.body, "ok");
+        EXPECT_FALSE(end->answer.header("Link"));
+    }
+    EXPECT_EQ(server->connections, 1U);
+}
+
+// Guards against a caller who is given the answer to the call before: that call
+// had ended with its interim answer, and its connection was used again.
+TEST_F(answer_reader, answer_behind_an_interim_one_reaches_its_own_call)
+{
+    start({{"HTTP/1.1 100 Continue\r\n\r\n", ""}}, {}, 2);
+    server->first_is_silent = true;
+    std::optional<call_end> first;
+    send(first, "GET");
+    run_until(
+        [this]
+        {
+            return server->sent_bytes != 0;
+        });
+    // Enough for the client to read it; if not, the test can only pass.
+    io.run_for(100ms);
+    std::optional<call_end> second;
+    send(second, "GET");
+    io.run_for(100ms);
+    server->send_on_first("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+    run_until(
+        [&]
+        {
+            return first && second;
+        });
+    ASSERT_TRUE(first && second);
+    EXPECT_EQ(first->answer.body, "first");
+    EXPECT_EQ(second->answer.body, "ok");
+}
+
+// Guards against a switch of protocols that was never asked for: what follows
+// is no answer in HTTP.
+TEST_F(answer_reader, switch_of_protocols_loses_the_answer)
+{
+    start({{"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", ""}});
+    auto const end = call();
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->status, exchange_status::lost);
+    expect_closed_and_next_answered();
+}
