HTTP client: no body behind the answer to HEAD

What callers see: a HEAD request that the entry passes on is answered only after its time limit, with an unknown outcome, because the client waits for a body of the stated length. The slot at the upstream stays taken as long.

Cause: the parser wasn't told the method of the request.

Evidence, before the change: answer_to_head_has_no_body printed status timed_out (2) instead of answered (0), after 20 s. It passes now.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -338,6 +338,9 @@
         parser_.emplace();
         parser_->header_limit(owner_->settings_.header_bytes);
         parser_->body_limit(owner_->settings_.body_bytes);
+        // The header of an answer to HEAD may state a length, but no body
+        // follows.
+        parser_->skip(message_.method() == beast::http::verb::head);
         beast::http::async_read(socket_,
                                 buffer_,
                                 *parser_,
--- a/tests/contract/adapters/bounded_answer_test.cpp
+++ b/tests/contract/adapters/bounded_answer_test.cpp
@@ -446,3 +446,14 @@
     EXPECT_EQ(end->status, exchange_status::lost);
     expect_closed_and_next_answered();
 }
+
+// Guards against a wait for the body of an answer to HEAD. Its length is that
+// of the answer to GET.
+TEST_F(answer_reader, answer_to_head_has_no_body)
+{
+    start({{"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", ""}});
+    auto const end = call("HEAD");
+    ASSERT_TRUE(end);
+    EXPECT_EQ(end->status, exchange_status::answered);
+    EXPECT_EQ(end->answer.status, 200);
+}
