HTTP client: no reuse behind a 204 that announces a body

What callers see: an upstream that answers 204 with a length or with chunks, and sends the body a little later, may have that body read as the answer to the next call on the connection. Read from the code, not run: the next call has to be sent in the instant between.

Cause: the client takes such an answer as complete at the end of its header, and kept the connection.

Change: the connection is closed, unless the stated length is 0.

Evidence, before the change: answers_of_doubtful_length_end_their_connection waited 20 s for the close of the connection at each of the two answers (bounded_answer_test.cpp:223, done() false, twice). The other four rows of its table (a body behind a 204 at once; both lengths in either order; two lengths that differ) passed before. All pass now.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -375,9 +375,10 @@
             return;
         }
         last_response_ = ++owner_->event_counter_;
+        bool const may_be_followed = states_unread_body();
         auto message = parser_->release();
         auto const self = shared_from_this();
-        if (message.keep_alive() && buffer_.size() == 0)
+        if (message.keep_alive() && buffer_.size() == 0 && !may_be_followed)
         {
             owner_->put_back(self);
         }
@@ -389,6 +390,15 @@
             take_response(message));
     }
 
+    // Returns whether the answer has a status without a body, and a header that
+    // announces one all the same. It may follow on the connection.
+    bool states_unread_body() const
+    {
+        return parser_->get().result() == beast::http::status::no_content &&
+               (parser_->chunked() ||
+                parser_->content_length().value_or(0) != 0);
+    }
+
     exchange_status over_limit_status() const noexcept
     {
         return timed_out_ ? exchange_status::lost : exchange_status::too_large;
--- a/tests/contract/adapters/bounded_answer_test.cpp
+++ b/tests/contract/adapters/bounded_answer_test.cpp
@@ -457,3 +457,35 @@
     EXPECT_EQ(end->status, exchange_status::answered);
     EXPECT_EQ(end->answer.status, 200);
 }
+
+// Guards against a connection that is used again although a body may follow
+// where none belongs, or although the answer has two lengths. The bytes in
+// doubt would be read as the answer to the next call.
+TEST_F(answer_reader, answers_of_doubtful_length_end_their_connection)
+{
+    std::string const length = "Content-Length: 2\r\n";
+    std::string const chunked = "Transfer-Encoding: chunked\r\n";
+    std::vector<std::pair<std::string, exchange_status>> const answers{
+        {"HTTP/1.1 204 No Content\r\n" + length + "\r\n",
+         exchange_status::answered},
+        {"HTTP/1.1 204 No Content\r\n" + chunked + "\r\n",
+         exchange_status::answered},
+        {"HTTP/1.1 204 No Content\r\n\r\nok", exchange_status::answered},
+        {"HTTP/1.1 200 OK\r\n" + length + chunked + "\r\n0\r\n\r\n",
+         exchange_status::lost},
+        {"HTTP/1.1 200 OK\r\n" + chunked + length + "\r\n0\r\n\r\n",
+         exchange_status::lost},
+        {"HTTP/1.1 200 OK\r\n" + length + "Content-Length: 3\r\n\r\nok",
+         exchange_status::lost},
+    };
+    for (auto const& [answer, status] : answers)
+    {
+        SCOPED_TRACE(answer);
+        http_client.reset();
+        start({{answer, ""}});
+        auto const end = call();
+        ASSERT_TRUE(end);
+        EXPECT_EQ(end->status, status);
+        expect_closed_and_next_answered();
+    }
+}
