Peer transport: idle connections keep no large buffer

What others see: each connection of a peer keeps the memory of the largest frame that it ever received, up to 4 MB, for as long as it is open.

Cause: the buffer of the frame keeps its capacity.

Change: a buffer of more than 64 KB is given back after its frame.

No functional change

--- a/src/adapters/peer/transport.cpp
+++ b/src/adapters/peer/transport.cpp
@@ -36,6 +36,9 @@
 // and the offsets of the format.
 constexpr std::size_t first_frame_overhead_bytes = 4096;
 
+// Maximum size of the buffer that a connection keeps between two frames.
+constexpr std::size_t max_kept_bytes = 64 * 1024;
+
 bool matches(asio::ip::address const& address, std::string const& rule)
 {
     error_code error;
@@ -189,6 +192,10 @@
         owner_->counts.bytes_received += body_.size() + length_size;
         core::common::failure reason;
         auto frame = decode(body_, reason);
+        if (body_.capacity() > max_kept_bytes)
+        {
+            body_ = std::vector<std::uint8_t>();
+        }
         if (!frame || !accepts(*frame))
         {
             refuse();
--- a/tests/contract/adapters/bounded_peer_test.cpp
+++ b/tests/contract/adapters/bounded_peer_test.cpp
@@ -4,10 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <fstream>
 #include <functional>
 #include <gtest/gtest.h>
 #include <list>
 #include <optional>
+#include <unistd.h>
 
 // Peers that don't keep to the format, or that neither write nor read.
 using namespace fuchsia;
@@ -43,12 +45,13 @@
         clock::resume();
     }
 
-    void start(adapters::peer::transport_settings settings = {})
+    void start(std::uint32_t connections = max_connections)
     {
+        adapters::peer::transport_settings settings;
         settings.self = self;
         settings.token = valid_token;
         settings.allowed = {"127.0.0.0/8"};
-        settings.connections = max_connections;
+        settings.connections = connections;
         local.emplace(io,
                       std::move(settings),
                       [this](ports::peer_receive const&)
@@ -128,6 +131,15 @@
     std::list<tcp::socket> sockets;
 };
 
+// Returns the resident memory of this process.
+std::size_t resident_bytes()
+{
+    std::size_t total_pages = 0;
+    std::size_t resident_pages = 0;
+    std::ifstream("/proc/self/statm") >> total_pages >> resident_pages;
+    return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 } // namespace
 
 // Guards against memory that is taken for a frame whose sender is unknown: four
@@ -250,3 +262,36 @@
     }
     EXPECT_EQ(local->counts().dropped, message_count);
 }
+
+// Guards against idle connections that each keep the memory of the largest
+// frame that they ever received.
+TEST_F(peer_bounds, idle_connections_keep_no_memory_of_large_frames)
+{
+    constexpr std::uint32_t connections = 32;
+    constexpr std::size_t document_bytes = std::size_t{3} << 20U;
+    constexpr std::size_t max_kept_bytes = connections * document_bytes / 3;
+    start(connections);
+    auto bytes = first_frame();
+    auto const message =
+        encode({{"raw", 7},
+                self,
+                "",
+                ports::config_offer{1, std::string(document_bytes, 'd')}});
+    bytes.insert(bytes.end(), message.begin(), message.end());
+    auto const before = resident_bytes();
+    for (std::uint32_t count = 0; count < connections; ++count)
+    {
+        auto& socket = sockets.emplace_back(io);
+        socket.connect({asio::ip::make_address(local_endpoint.address),
+                        local_endpoint.port});
+        asio::async_write(socket,
+                          asio::buffer(bytes),
+                          [](boost::system::error_code, std::size_t) {});
+        run_until(
+            [&]
+            {
+                return received == count + 1;
+            });
+    }
+    EXPECT_LT(resident_bytes(), before + max_kept_bytes);
+}
