HTTP client: idle connections keep no request body

What others see: each idle connection keeps the body of its last request (up to the limit of callers' bodies, 1 MB by default) until its next call or its idle timeout, with up to 60 connections to each upstream.

Cause: the message that was written stayed in the connection until the next one.

Change: its body is freed once it is written.

No functional change

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -328,6 +328,8 @@
                     self->fail(exchange_status::lost);
                     return;
                 }
+                // An empty string that is assigned would keep the memory.
+                std::string().swap(self->message_.body());
                 self->read();
             });
     }
