--- a/tests/contract/adapters/bounded_peer_test.cpp
+++ b/tests/contract/adapters/bounded_peer_test.cpp
@@ -295,3 +295,25 @@
     }
     EXPECT_LT(resident_bytes(), before + max_kept_bytes);
 }
+
+// Guards against a limit of the length that holds for unknown peers alone.
+TEST_F(peer_bounds, known_peer_is_refused_by_a_length_above_the_limit)
+{
+    for (std::vector<std::uint8_t> const& length :
+         {std::vector<std::uint8_t>{0xff, 0xff, 0xff, 0xff},
+          std::vector<std::uint8_t>{1, 0, 0x40, 0},
+          std::vector<std::uint8_t>{0, 0, 0, 0}})
+    {
+        start();
+        auto bytes = first_frame();
+        bytes.insert(bytes.end(), length.begin(), length.end());
+        connect_raw(bytes);
+        run_until(
+            [&]
+            {
+                return local->counts().refused == 1;
+            });
+        EXPECT_EQ(local->counts().bytes_received, first_frame().size());
+        expect_sound_peer_served();
+    }
+}
