HTTP client: no reuse behind HEAD with a stated length

What callers see: nothing yet. Since the client expects no body behind HEAD, a server that sends one all the same may have it read as the answer to the next call, as with 204.

Change: the connection is closed if the answer to HEAD states a body. That costs such a call a new connection.

Evidence, before the change: the two new rows of answers_of_doubtful_length_end_their_connection waited 20 s each for the close of the connection (bounded_answer_test.cpp:246, done() false). They pass now.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -392,13 +392,15 @@
             take_response(message));
     }
 
-    // Returns whether the answer has a status without a body, and a header that
-    // announces one all the same. It may follow on the connection.
+    // Returns whether the answer is one without a body, and a header announces
+    // one all the same. It may follow on the connection.
     bool states_unread_body() const
     {
-        return parser_->get().result() == beast::http::status::no_content &&
-               (parser_->chunked() ||
-                parser_->content_length().value_or(0) != 0);
+        bool const has_no_body =
+            message_.method() == beast::http::verb::head ||
+            parser_->get().result() == beast::http::status::no_content;
+        return has_no_body && (parser_->chunked() ||
+                               parser_->content_length().value_or(0) != 0);
     }
 
     exchange_status over_limit_status() const noexcept
--- a/tests/contract/adapters/bounded_answer_test.cpp
+++ b/tests/contract/adapters/bounded_answer_test.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -465,25 +466,43 @@
 {
     std::string const length = "Content-Length: 2\r\n";
     std::string const chunked = "Transfer-Encoding: chunked\r\n";
-    std::vector<std::pair<std::string, exchange_status>> const answers{
-        {"HTTP/1.1 204 No Content\r\n" + length + "\r\n",
-         exchange_status::answered},
-        {"HTTP/1.1 204 No Content\r\n" + chunked + "\r\n",
-         exchange_status::answered},
-        {"HTTP/1.1 204 No Content\r\n\r\nok", exchange_status::answered},
-        {"HTTP/1.1 200 OK\r\n" + length + chunked + "\r\n0\r\n\r\n",
-         exchange_status::lost},
-        {"HTTP/1.1 200 OK\r\n" + chunked + length + "\r\n0\r\n\r\n",
-         exchange_status::lost},
-        {"HTTP/1.1 200 OK\r\n" + length + "Content-Length: 3\r\n\r\nok",
-         exchange_status::lost},
-    };
-    for (auto const& [answer, status] : answers)
+    // To HEAD, some servers send the body.
+    std::string const head = "HEAD";
+    std::string const get = "GET";
+    std::vector<std::tuple<std::string, std::string, exchange_status>> const
+        answers{
+            {head,
+             "HTTP/1.1 200 OK\r\n" + length + "\r\n",
+             exchange_status::answered},
+            {head,
+             "HTTP/1.1 200 OK\r\n" + chunked + "\r\n",
+             exchange_status::answered},
+            {get,
+             "HTTP/1.1 204 No Content\r\n" + length + "\r\n",
+             exchange_status::answered},
+            {get,
+             "HTTP/1.1 204 No Content\r\n" + chunked + "\r\n",
+             exchange_status::answered},
+            {get,
+             "HTTP/1.1 204 No Content\r\n\r\nok",
+             exchange_status::answered},
+            {get,
+             "HTTP/1.1 200 OK\r\n" + length + chunked + "\r\n0\r\n\r\n",
+             exchange_status::lost},
+            {get,
+             "HTTP/1.1 200 OK\r\n" + chunked + length + "\r\n0\r\n\r\n",
+             exchange_status::lost},
+            {get,
+             "HTTP/1.1 200 OK\r\n" + length + "Content-Length: 3\r\n\r\nok",
+             exchange_status::lost},
+        };
+    for (auto const& [method, answer, status] : answers)
     {
+        SCOPED_TRACE(method);
         SCOPED_TRACE(answer);
         http_client.reset();
         start({{answer, ""}});
-        auto const end = call();
+        auto const end = call(method);
         ASSERT_TRUE(end);
         EXPECT_EQ(end->status, status);
         expect_closed_and_next_answered();
