Platform: an entry with an address of no single machine names no worker

Cause: the decoder of workers' entries took any IP address with a port, so an entry with 0.0.0.0, [::], a multicast address or the broadcast address named a worker; calls to 0.0.0.0 go to the machine that sends them.

No decision about other entries changes.

No functional change

--- a/tests/contract/platform/odd_entries_test.cpp
+++ b/tests/contract/platform/odd_entries_test.cpp
@@ -138,7 +138,12 @@
                                 "nowhere:8080",
                                 ":8080",
                                 "[::1:8080",
-                                ""})
+                                "",
+                                "0.0.0.0:8080",
+                                "[::]:8080",
+                                "224.0.0.1:8080",
+                                "255.255.255.255:8080",
+                                "[ff02::1]:8080"})
     {
         add_row(rows, "address", "\"" + std::string(address) + "\"");
     }
