Platform: a key that isn't UTF-8 no longer hides the others of an answer

Cause: the store's answers are parsed as strict JSON, and one key of another writer with bytes that aren't UTF-8 made the whole answer unreadable. The list of workers was then never read, or no longer followed, as long as that key existed; the same for the operators' keys, so that no manifest came into force.

Change: strings of the store's answers may hold any bytes. Values are base64 and not concerned; all other inputs stay strict.

A key with a lone surrogate escape is still not readable: the parser of this version of Boost can't be told to take it.

--- a/src/core/common/json.cpp
+++ b/src/core/common/json.cpp
@@ -185,11 +185,14 @@
     return value;
 }
 
-std::optional<boost::json::object>
-parse_json_object(std::string_view text, std::string where, failure& reason)
+std::optional<boost::json::object> parse_json_object(std::string_view text,
+                                                     std::string where,
+                                                     failure& reason,
+                                                     json_bytes allowed_bytes)
 {
     boost::json::parse_options options;
     options.max_depth = max_json_depth;
+    options.allow_invalid_utf8 = allowed_bytes == json_bytes::any;
     boost::json::error_code error;
     // All values share one monotonic resource, since they are freed together.
     auto const block =
--- a/src/core/common/json.hpp
+++ b/src/core/common/json.hpp
@@ -63,10 +63,19 @@
     failure reason_;
 };
 
+enum class json_bytes
+{
+    utf8, ///< Strings that aren't UTF-8 are an error.
+    any,
+};
+
 /// Parses `text` as one JSON object with at most 32 levels of nesting.
 /// Otherwise returns an empty value and sets `reason`, with `where` as the
 /// place.
 std::optional<boost::json::object>
-parse_json_object(std::string_view text, std::string where, failure& reason);
+parse_json_object(std::string_view text,
+                  std::string where,
+                  failure& reason,
+                  json_bytes allowed_bytes = json_bytes::utf8);
 
 } // namespace fuchsia::core::common
--- a/tests/contract/platform/odd_entries_test.cpp
+++ b/tests/contract/platform/odd_entries_test.cpp
@@ -198,7 +198,9 @@
 
 void add_keys(std::vector<odd_entry>& rows)
 {
-    for (auto const& id : {std::string(1'000'000, 'k'), std::string("i\n1")})
+    for (auto const& id : {std::string(1'000'000, 'k'),
+                           std::string("\xff"),
+                           std::string("i\n1")})
     {
         rows.push_back(
             {"key " + id.substr(0, 40), worker_entry(id, good_worker())});
@@ -217,7 +219,7 @@
     return rows;
 }
 
-/// Writes a string of JSON.
+/// Writes a string of JSON; bytes that aren't UTF-8 stay as they are.
 std::string json_text(std::string_view text)
 {
     std::string result = "\"";
@@ -591,6 +593,7 @@
                      {"op/config/more", config_with("8", "")},
                      {"op/evacuate", ""},
                      {"op/evacuate/", "\xff"},
+                     {"op/evacuate/\xff", ""},
                      {"op/evacuate/" + std::string(1'000'000, 'z'), ""},
                      {"op/wave", nested(100'000)},
                      {"op/wave/1", R"({"at":1e999})"},
