Pool: an odd entry is logged once for each cause and key

Cause: every reading of an odd entry wrote a line. A writer that repeats its entry with each heartbeat, or a list that is read anew, wrote a line each time, which hides the other lines of an owner.

Change: the list of workers and the follower of operators' keys remember the last cause of each key, by code and place, and write a line when it changes. The value in the text doesn't count, since a counter that is out of range would change it each time.

Evidence: are_logged_once_for_each_cause_and_key failed before (a line for each of 99 readings, expected 1), and leave_the_manifest_in_force ("2, expected 1"); both hold now.

--- a/src/core/pool/operator_follower.cpp
+++ b/src/core/pool/operator_follower.cpp
@@ -210,11 +210,15 @@
     auto change = platform_records_.read_operator(item, reason);
     if (!change)
     {
-        out_.log(severity::error,
-                 "operator_entry_ignored",
-                 {{"key", item.key}, {"why", common::to_string(reason)}});
+        if (seen_failures_.is_new(item.key, reason))
+        {
+            out_.log(severity::error,
+                     "operator_entry_ignored",
+                     {{"key", item.key}, {"why", common::to_string(reason)}});
+        }
         return;
     }
+    seen_failures_.forget(item.key);
     if (auto* const config = std::get_if<configuration>(&*change))
     {
         config_key_ = item.key;
--- a/src/core/pool/operator_follower.hpp
+++ b/src/core/pool/operator_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/common/seen_failures.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/platform_records.hpp"
 #include "core/pool/revision_times.hpp"
@@ -81,7 +82,8 @@
     /// Data centres out of service, by the records being processed.
     std::set<std::string> pending_data_centres_out_;
     std::string config_key_; ///< Key of the last parsed configuration.
-    std::uint64_t config_revision_ = 0; ///< Revision of the last parsed one.
+    std::uint64_t config_revision_ = 0;   ///< Revision of the last parsed one.
+    common::seen_failures seen_failures_; ///< By the keys of entries.
     std::uint64_t watched_revision_ = 0;
     /// Revision of the store in an answer without events.
     struct idle_answer
--- a/src/core/pool/worker_list.cpp
+++ b/src/core/pool/worker_list.cpp
@@ -173,12 +173,7 @@
         changes.present.push_back(std::move(*parsed));
         return;
     }
-    if (!item.erased)
-    {
-        out_.log(severity::warning,
-                 "worker_entry_ignored",
-                 {{"key", item.key}, {"why", common::to_string(reason)}});
-    }
+    note_ignored(item, reason);
     std::erase_if(changes.present,
                   [&id](ports::pool_worker const& other)
                   {
@@ -187,4 +182,22 @@
     changes.removed.push_back(id);
 }
 
+// An entry may be written again with every heartbeat, so it is logged once for
+// each cause.
+void worker_list::note_ignored(ports::kv_item const& item,
+                               common::failure const& reason)
+{
+    if (item.erased)
+    {
+        seen_failures_.forget(item.key);
+        return;
+    }
+    if (seen_failures_.is_new(item.key, reason))
+    {
+        out_.log(severity::warning,
+                 "worker_entry_ignored",
+                 {{"key", item.key}, {"why", common::to_string(reason)}});
+    }
+}
+
 } // namespace fuchsia::core::pool
--- a/src/core/pool/worker_list.hpp
+++ b/src/core/pool/worker_list.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/common/seen_failures.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/platform_records.hpp"
 #include "core/pool/revision_times.hpp"
@@ -62,6 +63,8 @@
     void watch();
     void on_watch(common::time_point now, ports::kv_reply const& reply);
     void apply_item(ports::kv_item const& item, worker_changes& changes);
+    void note_ignored(ports::kv_item const& item,
+                      common::failure const& reason);
 
     worker_list_settings settings_;
     platform_records const& platform_records_;
@@ -83,6 +86,7 @@
     common::time_point current_as_of_{};
     revision_times times_;
     common::time_point next_call_at_{};
+    common::seen_failures seen_failures_; ///< By the keys of entries.
 };
 
 } // namespace fuchsia::core::pool
--- a/tests/contract/platform/odd_entries_test.cpp
+++ b/tests/contract/platform/odd_entries_test.cpp
@@ -563,6 +563,33 @@
           });
 }
 
+// Guards against a log line for each heartbeat of another writer, which hides
+// all other lines.
+TEST(odd_worker_entries, are_logged_once_for_each_cause_and_key)
+{
+    list_follower follower;
+    follower.answer({worker_entry("i-a", good_worker()),
+                     worker_entry(odd_id, worker_with("seq", "-1"))});
+    EXPECT_EQ(follower.ignored_lines(), 1U);
+    for (int seq = 2; seq < 100; ++seq)
+    {
+        // The wrong value differs each time; the cause is the same.
+        follower.change({worker_entry(
+            odd_id, worker_with("seq", "-" + std::to_string(seq)))});
+    }
+    EXPECT_EQ(follower.ignored_lines(), 1U);
+    follower.change({worker_entry(odd_id, worker_with("slots", "-1"))});
+    EXPECT_EQ(follower.ignored_lines(), 2U);
+    follower.change({worker_entry("i-other", worker_with("slots", "-1"))});
+    EXPECT_EQ(follower.ignored_lines(), 3U);
+    for (int beat = 0; beat < 100; ++beat)
+    {
+        follower.change({worker_entry(odd_id, worker_with("slots", "-1")),
+                         worker_entry("i-other", worker_with("slots", "-1"))});
+    }
+    EXPECT_EQ(follower.ignored_lines(), 3U);
+}
+
 // Guards against a manifest of another form that ends the process or replaces
 // the one in force.
 TEST(odd_operator_entries, leave_the_manifest_in_force)
@@ -577,6 +604,7 @@
         EXPECT_EQ(follower.state().config.version, 7U) << odd.substr(0, 200);
         EXPECT_EQ(follower.ignored_lines(), 1U) << odd.substr(0, 200);
         follower.answer({config(odd), {"op/evacuate/other", ""}});
+        EXPECT_EQ(follower.ignored_lines(), 1U) << odd.substr(0, 200);
         EXPECT_EQ(follower.state().data_centres_out.size(), 2U);
         follower.answer({config(config_with("10", ""))});
         EXPECT_EQ(follower.state().config.version, 10U) << odd.substr(0, 200);
