Adapters: one odd entry of a list no longer hides the others

Cause: entry and planner parse the catalog's lists, the workers and their reports as one JSON text. One entry that the parser refuses (nested deeper than 32, a number with an exponent too large, bytes that aren't UTF-8) made the whole list unreadable, and the lists of workers and reports were also dropped whole for one field of a wrong type or out of range. The process went on with its last list for as long as the entry stood, without a log line.

Change: an array is split at its brackets and strings alone, and each element is parsed by itself, with the same bounds as before. What can't be read is left out; the last cause of each list is logged when it changes (catalog_entry_ignored, worker_ignored). A list that is cut short or is no array is still refused whole.

Evidence: odd_listed_entries of_the_catalog, of_the_workers and of_the_reports failed before at their first row (33 levels: no list at all), and hold now, as do the cases of incomplete lists. The parsers now take the failure that tells what was left out; the robustness tests of the parsers pass it and check what they checked.

--- a/src/adapters/platform/catalog_client.cpp
+++ b/src/adapters/platform/catalog_client.cpp
@@ -1,5 +1,8 @@
 #include "adapters/platform/catalog_client.hpp"
 
+#include "adapters/logging/logger.hpp"
+#include "adapters/platform/listed_objects.hpp"
+
 #include <boost/json.hpp>
 #include <charconv>
 #include <utility>
@@ -31,27 +34,26 @@
     return count;
 }
 
-std::optional<ports::upstream_instance> read_upstream(json::value const& item)
+std::optional<ports::upstream_instance>
+read_upstream(json::object const& object, core::common::failure& reason)
 {
-    auto const* const object = item.if_object();
-    if (object == nullptr)
-    {
-        return std::nullopt;
-    }
     ports::upstream_instance result;
-    result.id = text_in(*object, "ServiceID");
-    result.data_centre = text_in(*object, "Datacenter");
-    result.remote_endpoint.address = text_in(*object, "ServiceAddress");
-    auto const* const port = object->if_contains("ServicePort");
+    result.id = text_in(object, "ServiceID");
+    result.data_centre = text_in(object, "Datacenter");
+    result.remote_endpoint.address = text_in(object, "ServiceAddress");
+    auto const* const port = object.if_contains("ServicePort");
     json::error_code error;
     result.remote_endpoint.port = port == nullptr
                                       ? std::uint16_t{0}
                                       : port->to_number<std::uint16_t>(error);
-    auto const* const meta = object->if_contains("ServiceMeta");
+    auto const* const meta = object.if_contains("ServiceMeta");
     if (meta == nullptr || !meta->is_object() || result.id.empty() ||
         result.remote_endpoint.address.empty() ||
         result.remote_endpoint.port == 0)
     {
+        reason = {core::common::result_code::wrong_type,
+                  "upstream",
+                  "an id, address, port and metadata are expected"};
         return std::nullopt;
     }
     auto const& fields = meta->as_object();
@@ -66,54 +68,25 @@
     return result;
 }
 
-std::optional<json::array> parse_list(std::string_view body)
+std::optional<std::string> read_name(json::object const& object,
+                                     core::common::failure&)
 {
-    json::error_code error;
-    auto value = json::parse(body, error);
-    if (error || !value.is_array())
-    {
-        return std::nullopt;
-    }
-    return std::move(value.as_array());
+    return text_in(object, "ServiceID");
 }
 
 } // namespace
 
 std::optional<std::vector<ports::upstream_instance>>
-parse_upstreams(std::string_view body)
+parse_upstreams(std::string_view body, core::common::failure& ignored)
 {
-    auto const list = parse_list(body);
-    if (!list)
-    {
-        return std::nullopt;
-    }
-    std::vector<ports::upstream_instance> result;
-    for (auto const& item : *list)
-    {
-        if (auto upstream = read_upstream(item))
-        {
-            result.push_back(std::move(*upstream));
-        }
-    }
-    return result;
+    return parse_objects<ports::upstream_instance>(
+        body, "upstream", read_upstream, ignored);
 }
 
-std::optional<std::vector<std::string>> parse_names(std::string_view body)
+std::optional<std::vector<std::string>>
+parse_names(std::string_view body, core::common::failure& ignored)
 {
-    auto const list = parse_list(body);
-    if (!list)
-    {
-        return std::nullopt;
-    }
-    std::vector<std::string> result;
-    for (auto const& item : *list)
-    {
-        if (auto const* const object = item.if_object())
-        {
-            result.push_back(text_in(*object, "ServiceID"));
-        }
-    }
-    return result;
+    return parse_objects<std::string>(body, "member", read_name, ignored);
 }
 
 catalog_client::catalog_client(boost::asio::io_context& io,
@@ -143,7 +116,9 @@
     fetch(member_service_,
           [this, requested_at](http::response const& answer)
           {
-              auto names = parse_names(answer.body);
+              core::common::failure ignored;
+              auto names = parse_names(answer.body, ignored);
+              log_ignored("members", ignored);
               if (!names)
               {
                   schedule_poll();
@@ -169,7 +144,10 @@
           [this, requested_at, list = std::move(list)](
               http::response const& answer) mutable
           {
-              if (auto upstreams = parse_upstreams(answer.body))
+              core::common::failure ignored;
+              auto upstreams = parse_upstreams(answer.body, ignored);
+              log_ignored("upstreams", ignored);
+              if (upstreams)
               {
                   list.upstreams = std::move(*upstreams);
                   list.received = requested_at;
@@ -179,6 +157,19 @@
           });
 }
 
+void catalog_client::log_ignored(std::string_view list,
+                                 core::common::failure const& ignored)
+{
+    if (ignored.code != core::common::result_code::ok &&
+        seen_failures_.is_new(list, ignored))
+    {
+        logging::write(ports::severity::warning,
+                       "catalog_entry_ignored",
+                       {{"list", std::string(list)},
+                        {"why", core::common::to_string(ignored)}});
+    }
+}
+
 void catalog_client::schedule_poll()
 {
     timer_.expires_after(interval_);
--- a/src/adapters/platform/catalog_client.hpp
+++ b/src/adapters/platform/catalog_client.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/client.hpp"
 #include "adapters/runtime/timer.hpp"
+#include "core/common/seen_failures.hpp"
 #include "ports/instances.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -14,14 +15,14 @@
 namespace fuchsia::adapters::platform
 {
 
-/// Parses the catalog's list of upstreams and skips malformed entries; empty if
-/// `body` is not a JSON array.
+/// Parses the catalog's list of upstreams and skips malformed entries, the last
+/// of which `ignored` tells; empty if `body` is not a JSON array.
 std::optional<std::vector<ports::upstream_instance>>
-parse_upstreams(std::string_view body);
+parse_upstreams(std::string_view body, core::common::failure& ignored);
 
-/// Parses the ids of a service's instances; empty if `body` is not a JSON
-/// array.
-std::optional<std::vector<std::string>> parse_names(std::string_view body);
+/// Parses the ids of a service's instances as `parse_upstreams` does.
+std::optional<std::vector<std::string>>
+parse_names(std::string_view body, core::common::failure& ignored);
 
 /// Polls the instance list of the platform's service catalog.
 class catalog_client
@@ -43,6 +44,8 @@
 private:
     void poll();
     void read_upstreams(ports::instance_list list);
+    void log_ignored(std::string_view list,
+                     core::common::failure const& ignored);
     void schedule_poll();
     void fetch(std::string const& service,
                std::function<void(http::response const&)> on_answer);
@@ -54,6 +57,7 @@
     handler on_list_;
     http::client client_;
     runtime::timer timer_;
+    core::common::seen_failures seen_failures_;
 };
 
 } // namespace fuchsia::adapters::platform
--- a/src/adapters/platform/worker_client.cpp
+++ b/src/adapters/platform/worker_client.cpp
@@ -1,5 +1,7 @@
 #include "adapters/platform/worker_client.hpp"
 
+#include "adapters/logging/logger.hpp"
+#include "adapters/platform/listed_objects.hpp"
 #include "core/common/json.hpp"
 
 #include <array>
@@ -72,16 +74,27 @@
     return result;
 }
 
+// Parses each object of the list in `body` with `read`, which records errors in
+// its reader, and leaves out those with an error.
 template<class T, class Read>
-std::optional<std::vector<T>> read_body(std::string_view body, Read read)
+std::optional<std::vector<T>> read_body(std::string_view body,
+                                        std::string const& where,
+                                        Read read,
+                                        core::common::failure& ignored)
 {
-    json::error_code error;
-    auto const value = json::parse(body, error);
-    if (error || !value.is_array())
+    auto const read_object = [&where, read](json::object const& object,
+                                            core::common::failure& reason)
     {
-        return std::nullopt;
-    }
-    return read_all<T>(value.as_array(), read);
+        json_reader reader(object, where);
+        std::optional<T> result = read(reader);
+        if (!reader.ok())
+        {
+            reason = reader.reason();
+            result.reset();
+        }
+        return result;
+    };
+    return parse_objects<T>(body, where, read_object, ignored);
 }
 
 ports::worker_instance read_worker(json_reader& reader)
@@ -235,15 +248,17 @@
 } // namespace
 
 std::optional<std::vector<ports::worker_instance>>
-parse_workers(std::string_view body)
+parse_workers(std::string_view body, core::common::failure& ignored)
 {
-    return read_body<ports::worker_instance>(body, read_worker);
+    return read_body<ports::worker_instance>(
+        body, "worker", read_worker, ignored);
 }
 
 std::optional<std::vector<ports::worker_report>>
-parse_reports(std::string_view body)
+parse_reports(std::string_view body, core::common::failure& ignored)
 {
-    return read_body<ports::worker_report>(body, read_report);
+    return read_body<ports::worker_report>(
+        body, "report", read_report, ignored);
 }
 
 worker_client::worker_client(boost::asio::io_context& io,
@@ -302,10 +317,12 @@
         std::move(call),
         [this](exchange_status status, http::response const& answer)
         {
+            core::common::failure ignored;
             auto workers =
                 status == exchange_status::answered
-                    ? parse_workers(answer.body)
+                    ? parse_workers(answer.body, ignored)
                     : std::optional<std::vector<ports::worker_instance>>();
+            log_ignored("workers", ignored);
             if (workers)
             {
                 handlers_.on_workers(
@@ -318,6 +335,19 @@
     }
 }
 
+void worker_client::log_ignored(std::string const& list,
+                                core::common::failure const& ignored)
+{
+    if (ignored.code != core::common::result_code::ok &&
+        seen_failures_.is_new(list, ignored))
+    {
+        logging::write(
+            ports::severity::warning,
+            "worker_ignored",
+            {{"list", list}, {"why", core::common::to_string(ignored)}});
+    }
+}
+
 void worker_client::poll_reports(std::string const& rack)
 {
     http::client_call call;
@@ -327,12 +357,14 @@
     call.timeout = call_timeout;
     client_.send(
         std::move(call),
-        [this](exchange_status status, http::response const& answer)
+        [this, rack](exchange_status status, http::response const& answer)
         {
+            core::common::failure ignored;
             auto reports =
                 status == exchange_status::answered
-                    ? parse_reports(answer.body)
+                    ? parse_reports(answer.body, ignored)
                     : std::optional<std::vector<ports::worker_report>>();
+            log_ignored("reports of " + rack, ignored);
             if (!reports)
             {
                 return;
--- a/src/adapters/platform/worker_client.hpp
+++ b/src/adapters/platform/worker_client.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/client.hpp"
 #include "adapters/runtime/timer.hpp"
+#include "core/common/seen_failures.hpp"
 #include "ports/workers.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -14,12 +15,13 @@
 namespace fuchsia::adapters::platform
 {
 
-/// Parses the list of workers; empty if any entry is malformed.
+/// Parses the list of workers and skips malformed entries, the last of which
+/// `ignored` tells; empty if `body` is not a JSON array.
 std::optional<std::vector<ports::worker_instance>>
-parse_workers(std::string_view body);
-/// Parses workers' reports; empty if any report is malformed.
+parse_workers(std::string_view body, core::common::failure& ignored);
+/// Parses workers' reports as `parse_workers` does the list.
 std::optional<std::vector<ports::worker_report>>
-parse_reports(std::string_view body);
+parse_reports(std::string_view body, core::common::failure& ignored);
 
 struct worker_handlers
 {
@@ -49,6 +51,8 @@
 private:
     void poll();
     void poll_reports(std::string const& rack);
+    void log_ignored(std::string const& list,
+                     core::common::failure const& ignored);
 
     ports::endpoint platform_endpoint_;
     core::common::duration interval_;
@@ -56,6 +60,7 @@
     http::client client_;
     runtime::timer timer_;
     std::vector<std::string> racks_;
+    core::common::seen_failures seen_failures_;
 };
 
 } // namespace fuchsia::adapters::platform
--- a/tests/contract/inputs/odd_listed_entries_test.cpp
+++ b/tests/contract/inputs/odd_listed_entries_test.cpp
@@ -1,3 +1,5 @@
+#include "adapters/platform/catalog_client.hpp"
+#include "adapters/platform/worker_client.hpp"
 #include "core/tasks/cell_state.hpp"
 #include "core/tasks/quota_document.hpp"
 #include "platform/order_codec.hpp"
@@ -45,8 +47,178 @@
             R"("\ud800")"};
 }
 
+/// Returns `text` with the value of `key` replaced, which must be its last
+/// member.
+std::string
+replaced(std::string text, std::string const& key, std::string const& value)
+{
+    auto const start = text.find("\"" + key + "\":") + key.size() + 3;
+    auto end = text.find_first_of(",}", start);
+    if (text[start] == '{')
+    {
+        end = text.find('}', start) + 1;
+    }
+    if (text[start] == '[')
+    {
+        end = text.find(']', start) + 1;
+    }
+    return text.replace(start, end - start, value);
+}
+
+std::string upstream(std::string const& id)
+{
+    return R"({"ServiceID":")" + id +
+           R"(","Datacenter":"a","ServiceAddress":"10.0.0.9","ServicePort":80,)"
+           R"("ServiceMeta":{"state":"live","slots":"4","connections":"9",)"
+           R"("slots_in_use":"1","report_age_ms":"5"}})";
+}
+
+std::string worker(std::string const& id)
+{
+    return R"({"id":")" + id +
+           R"(","rack":"r","data_centre":"a","millicores":1000,"memory_mb":64,)"
+           R"("accelerators":1,"state":"live"})";
+}
+
+std::string report(std::string const& id)
+{
+    return R"({"worker":")" + id +
+           R"(","sequence":3,"clock_ms":9,"attempts":[]})";
+}
+
+std::string beside_good(std::string const& odd,
+                        std::string (*make)(std::string const&))
+{
+    return "[" + make("first") + "," + odd + "," + make("last") + "]";
+}
+
 } // namespace
 
+// Guards against one odd entry of the catalog that hides all upstreams: the
+// entry then followed no list any more.
+TEST(odd_listed_entries, of_the_catalog_leave_the_other_upstreams)
+{
+    for (auto const* key : {"ServiceID",
+                            "Datacenter",
+                            "ServiceAddress",
+                            "ServicePort",
+                            "ServiceMeta",
+                            "slots",
+                            "report_age_ms"})
+    {
+        for (auto const& value : odd_values())
+        {
+            auto const body =
+                beside_good(replaced(upstream("odd"), key, value), upstream);
+            failure ignored;
+            auto const parsed =
+                adapters::platform::parse_upstreams(body, ignored);
+            ASSERT_TRUE(parsed) << key << " = " << value.substr(0, 40);
+            ASSERT_GE(parsed->size(), 2U) << key << value.substr(0, 40);
+            EXPECT_EQ(parsed->front().id, "first");
+            EXPECT_EQ(parsed->back().id, "last");
+            auto const names = adapters::platform::parse_names(body, ignored);
+            ASSERT_TRUE(names) << key << " = " << value.substr(0, 40);
+            EXPECT_EQ(names->front(), "first");
+            EXPECT_EQ(names->back(), "last");
+        }
+    }
+    for (auto const* port : {"0", "65536", "-1", "65616", "80.5", "\"80\""})
+    {
+        auto const body = beside_good(
+            replaced(upstream("odd"), "ServicePort", port), upstream);
+        failure ignored;
+        auto const parsed = adapters::platform::parse_upstreams(body, ignored);
+        ASSERT_TRUE(parsed) << port;
+        EXPECT_EQ(parsed->size(), 2U) << port;
+        EXPECT_NE(ignored.code, result_code::ok) << port;
+    }
+}
+
+// Guards against one odd entry that hides all workers of the platform: the
+// planner then followed no list any more.
+TEST(odd_listed_entries, of_the_workers_leave_the_others)
+{
+    for (auto const* key : {"id",
+                            "rack",
+                            "data_centre",
+                            "millicores",
+                            "memory_mb",
+                            "accelerators",
+                            "state"})
+    {
+        for (auto const& value : odd_values())
+        {
+            auto const body =
+                beside_good(replaced(worker("odd"), key, value), worker);
+            failure ignored;
+            auto const parsed =
+                adapters::platform::parse_workers(body, ignored);
+            EXPECT_NE(ignored.code, result_code::ok) << key;
+            ASSERT_TRUE(parsed) << key << " = " << value.substr(0, 40);
+            ASSERT_EQ(parsed->size(), 2U) << key << value.substr(0, 40);
+            EXPECT_EQ(parsed->front().id, "first");
+            EXPECT_EQ(parsed->back().id, "last");
+        }
+    }
+}
+
+// Guards against one odd report that hides those of all workers of its rack.
+TEST(odd_listed_entries, of_the_reports_leave_the_others)
+{
+    for (auto const* key : {"worker", "sequence", "clock_ms", "attempts"})
+    {
+        for (auto const& value : odd_values())
+        {
+            auto const body =
+                beside_good(replaced(report("odd"), key, value), report);
+            failure ignored;
+            auto const parsed =
+                adapters::platform::parse_reports(body, ignored);
+            EXPECT_NE(ignored.code, result_code::ok) << key;
+            ASSERT_TRUE(parsed) << key << " = " << value.substr(0, 40);
+            ASSERT_EQ(parsed->size(), 2U) << key << value.substr(0, 40);
+            EXPECT_EQ(parsed->front().worker, "first");
+            EXPECT_EQ(parsed->back().worker, "last");
+        }
+    }
+}
+
+// A list that is cut short or followed by other text must not count as whole.
+TEST(odd_listed_entries, of_an_incomplete_list_are_not_taken_for_a_whole_one)
+{
+    for (std::string const body : {"",
+                                   "null",
+                                   "{}",
+                                   "[",
+                                   "]",
+                                   "[{}",
+                                   "[{},",
+                                   "[{},]",
+                                   "[,]",
+                                   "[,{}]",
+                                   "[{}{}]",
+                                   "[{}]]",
+                                   "[{}] x",
+                                   "[\"]",
+                                   "[\"\\\"]"})
+    {
+        failure ignored;
+        EXPECT_FALSE(adapters::platform::parse_upstreams(body, ignored))
+            << body;
+        EXPECT_FALSE(adapters::platform::parse_names(body, ignored)) << body;
+        EXPECT_FALSE(adapters::platform::parse_workers(body, ignored)) << body;
+        EXPECT_FALSE(adapters::platform::parse_reports(body, ignored)) << body;
+    }
+    for (std::string const body : {"[]", " [ ] ", "\n[\t]\r\n"})
+    {
+        failure ignored;
+        auto const parsed = adapters::platform::parse_upstreams(body, ignored);
+        EXPECT_TRUE(parsed && parsed->empty()) << body;
+        EXPECT_EQ(ignored.code, result_code::ok) << body;
+    }
+}
+
 // Guards against an odd row in a policy's answer that hides the other workers.
 TEST(odd_listed_entries, of_a_policy_answer_leave_the_other_workers)
 {
--- a/tests/contract/inputs/record_parsers_test.cpp
+++ b/tests/contract/inputs/record_parsers_test.cpp
@@ -200,8 +200,9 @@
 
 std::string check_upstreams(std::string const& input)
 {
-    adapters::platform::parse_names(input);
-    auto const parsed = adapters::platform::parse_upstreams(input);
+    failure ignored;
+    adapters::platform::parse_names(input, ignored);
+    auto const parsed = adapters::platform::parse_upstreams(input, ignored);
     for (std::size_t index = 0; parsed && index < parsed->size(); ++index)
     {
         auto const& upstream = (*parsed)[index];
@@ -216,8 +217,9 @@
 
 std::string check_workers(std::string const& input)
 {
-    adapters::platform::parse_reports(input);
-    auto const parsed = adapters::platform::parse_workers(input);
+    failure ignored;
+    adapters::platform::parse_reports(input, ignored);
+    auto const parsed = adapters::platform::parse_workers(input, ignored);
     for (std::size_t index = 0; parsed && index < parsed->size(); ++index)
     {
         if ((*parsed)[index].capacity.millicores < 0)
--- a/tools/load/load_run.cpp
+++ b/tools/load/load_run.cpp
@@ -164,8 +164,9 @@
     }
     auto const answer =
         get(*experiment_.targets.platform, "/v1/catalog/service/upstream");
+    core::common::failure ignored; // The other upstreams are enough.
     auto const listed = adapters::platform::parse_upstreams(
-        answer ? answer->body : std::string());
+        answer ? answer->body : std::string(), ignored);
     std::vector<ports::endpoint> targets;
     for (auto const& upstream : listed.value_or(decltype(listed)::value_type()))
     {
--- a/tools/load/service_sampler.cpp
+++ b/tools/load/service_sampler.cpp
@@ -57,7 +57,9 @@
 
 void service_sampler::record_reports(adapters::http::response const& answer)
 {
-    auto const reports = adapters::platform::parse_reports(answer.body);
+    core::common::failure ignored; // A report that is missing is no sample.
+    auto const reports =
+        adapters::platform::parse_reports(answer.body, ignored);
     if (!reports)
     {
         return;
