Platform: a worker's clock that no duration holds is no answer

Cause: clockMs was taken up to 2^52, while the owner compares it as a duration in nanoseconds, which holds up to 9.2e12 ms; beyond, the conversion overflows (undefined behaviour), and the age of a worker that was just started again may come out below that of the calls sent to it.

That the overflow was met in a play is not shown; it was read in owner::may_hold_earlier_lease.

No functional change

--- a/tests/contract/inputs/odd_listed_entries_test.cpp
+++ b/tests/contract/inputs/odd_listed_entries_test.cpp
@@ -275,6 +275,33 @@
     }
 }
 
+// Guards against a clock that overflows once it is a duration in nanoseconds:
+// the worker then seems to be younger than the calls that it answers.
+TEST(odd_listed_entries, clock_of_a_worker_fits_a_duration)
+{
+    for (auto const* value : {"4503599627370496", "9223372036855"})
+    {
+        failure reason;
+        EXPECT_EQ(platform::decode_order_reply(ports::poll_order{},
+                                               200,
+                                               R"({"running":[],"ended":[],)"
+                                               R"("clockMs":)" +
+                                                   std::string(value) + "}",
+                                               reason)
+                      .status,
+                  ports::order_status::unclear)
+            << value;
+    }
+    failure reason;
+    EXPECT_EQ(platform::decode_order_reply(
+                  ports::poll_order{},
+                  200,
+                  R"({"running":[],"ended":[],"clockMs":1791417529292})",
+                  reason)
+                  .status,
+              ports::order_status::done);
+}
+
 // Guards against a record of the planner that ends each planner which reads it.
 TEST(odd_listed_entries, of_our_own_records_are_refused_with_a_reason)
 {
