Tests: an odd entry through the pool's engine, and through whole answers

The simulation of the pool now has entries that aren't in its own format read by the platform's parser, so that an odd entry passes through list, owner and takeover: beside the good workers and in the place of one, five heartbeats each, with a gang on all workers after the good entry is back, and with a new owner that reads the whole list.

No functional change

--- a/tests/contract/inputs/odd_listed_entries_test.cpp
+++ b/tests/contract/inputs/odd_listed_entries_test.cpp
@@ -228,13 +228,13 @@
                               value == "1.5" || value == "null" ||
                               value == "true" || value == "{}" ||
                               value == "[[7]]";
+        auto body = R"({"allowed":[["i-1","t"],)" + value;
+        body += R"(,["i-2","t"],["i-3",)";
+        body += value;
+        body += R"(]],"validMs":3000})";
         failure reason;
-        auto const answer = platform::decode_policy_reply(
-            {200,
-             {},
-             R"({"allowed":[["i-1","t"],)" + value + R"(,["i-2","t"],["i-3",)" +
-                 value + R"(]],"validMs":3000})"},
-            reason);
+        auto const answer =
+            platform::decode_policy_reply({200, {}, body}, reason);
         EXPECT_EQ(answer.answered || reason.code != result_code::ok, true);
         if (readable)
         {
--- a/tests/contract/inputs/store_inputs_test.cpp
+++ b/tests/contract/inputs/store_inputs_test.cpp
@@ -100,6 +100,48 @@
               "/v1/kv-watch?prefix=p%2B&after=3&waitMs=0");
 }
 
+// A response was unreadable as a whole, or an item was lost, if the value of
+// one item of another program could not be decoded.
+TEST(store_inputs, an_odd_value_leaves_the_other_items)
+{
+    for (auto const* odd : {R"("value":"***")",
+                            R"("value":"e30")",
+                            R"("value":7)",
+                            R"("value":null)",
+                            R"("value":[[[]]])",
+                            R"("value":"\u0000\ufffd")",
+                            R"("value":"","leaseId":1e999)",
+                            R"("value":"","created":-1,"leaseId":1.5)",
+                            R"("value":"","deleted":"no")",
+                            R"("other":18446744073709551616)"})
+    {
+        auto const items =
+            R"([{"key":"servers/a","value":"e30=","revision":7},)"
+            R"({"key":"servers/b","revision":8,)" +
+            std::string(odd) +
+            R"(},{"key":"servers/c","value":"e30=","revision":9}],)"
+            R"("hasMore":false,"atRevision":9})";
+        for (auto const& [operation, name] :
+             {std::pair<ports::kv_operation, std::string>(
+                  ports::kv_range{"servers/", ""}, "items"),
+              std::pair<ports::kv_operation, std::string>(
+                  ports::kv_watch{"servers/", 1, {}}, "events")})
+        {
+            failure reason;
+            auto body = "{\"" + name + "\":";
+            body += items;
+            auto const reply =
+                platform::decode_kv_reply(operation, {200, {}, body}, reason);
+            ASSERT_EQ(reply.status, ports::kv_status::done)
+                << odd << to_string(reason);
+            ASSERT_EQ(reply.items.size(), 3U) << odd;
+            EXPECT_EQ(reply.items.front().value, "{}") << odd;
+            EXPECT_EQ(reply.items.back().value, "{}") << odd;
+            EXPECT_FALSE(reply.items[1].erased) << odd;
+        }
+    }
+}
+
 // Incomplete responses to watches, reads, commits and lease grants were
 // accepted as complete, as those to range reads were.
 TEST(store_inputs, incomplete_response_is_unclear)
--- a/tests/contract/platform/odd_entries_test.cpp
+++ b/tests/contract/platform/odd_entries_test.cpp
@@ -455,7 +455,9 @@
         for (std::string const name :
              {"priority", "attempts", "targetDurationMs"})
         {
-            rows.push_back(config_with("9", ",\"" + name + "\":" + number));
+            auto member = ",\"" + name + "\":";
+            member += number;
+            rows.push_back(config_with("9", member));
         }
     }
     for (std::string const number : {"1e999", "-1", "9223372036854775808"})
--- a/tests/unit/pool/malformed_inputs_test.cpp
+++ b/tests/unit/pool/malformed_inputs_test.cpp
@@ -1,8 +1,10 @@
 #include "unit/pool/pool_simulation.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <random>
 #include <string>
+#include <vector>
 
 // Malformed input from submitters, the store and workers.
 namespace fuchsia::tests::unit::pool
@@ -23,8 +25,126 @@
     return answer && std::holds_alternative<Answer>(*answer);
 }
 
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string entry_with(std::string const& address, std::string const& seq)
+{
+    return R"({"service":"s","address":")" + address +
+           R"(","zone":"a","version":"v1","slots":8,"state":"ready",)"
+           R"("coldRemainingMs":0,"capacity":{"cpu":16000,"memMb":32768},)"
+           R"("labels":["k","r1-3"],"seq":)" +
+           seq + "}";
+}
+
+// Entries as another program may write them among those of the workers. The
+// simulation has the platform's parser read them.
+std::vector<std::string> odd_worker_entries()
+{
+    std::vector<std::string> result{nested(33),
+                                    nested(100'000),
+                                    "\xff",
+                                    entry_with("10.0.0.9:0", "1"),
+                                    entry_with("10.0.0.9:65536", "1"),
+                                    entry_with("nowhere", "1"),
+                                    entry_with("0.0.0.0:8080", "1")};
+    for (auto const& number : {"1e999",
+                               "9223372036854775808",
+                               "18446744073709551616",
+                               "-1",
+                               "1.5",
+                               "\"1\""})
+    {
+        result.push_back(entry_with("10.0.0.9:8080", number));
+    }
+    result.push_back(entry_with("10.0.0.9:8080", nested(1000)));
+    return result;
+}
+
+// Returns the number of lines that tell of an ignored entry.
+std::size_t ignored_lines(pool_simulation const& simulation)
+{
+    auto const& lines = simulation.log();
+    return static_cast<std::size_t>(
+        std::count_if(lines.begin(),
+                      lines.end(),
+                      [](logged_line const& line)
+                      {
+                          return line.what.event == "worker_entry_ignored";
+                      }));
+}
+
+bool completes(pool_simulation& simulation,
+               std::string const& id,
+               core::pool::job const& submitted_job)
+{
+    auto const submitter = other_than(*simulation.owner());
+    simulation.submit(submitter, id, submitted_job);
+    return simulation.run_until(
+        [&simulation, &id, submitter]
+        {
+            return simulation.state(submitter, id) ==
+                   ports::job_state::completed;
+        });
+}
+
 } // namespace
 
+// Guards against an owner that ends, or no longer follows the list of workers,
+// after another program has left an odd entry in it, and against a log line for
+// each time that the entry is written again.
+TEST(pool_malformed_inputs, odd_worker_entries_end_no_owner)
+{
+    pool_simulation simulation;
+    ASSERT_TRUE(run_until_owned(simulation));
+    auto const first_owner = simulation.owner();
+    auto const key = "workers/" + simulation.worker(0).info().id;
+    auto const good_entry = simulation.store().find(key)->value;
+    auto every_worker = simple_job(
+        static_cast<std::uint32_t>(simulation.worker_count()), 100ms);
+    every_worker.steps[0].gang = true;
+    every_worker.steps[0].max_per_worker = 1;
+    std::size_t number = 0;
+    for (auto const& odd : odd_worker_entries())
+    {
+        auto const id = "job" + std::to_string(number++);
+        auto const lines_before = ignored_lines(simulation);
+        for (int heartbeat = 0; heartbeat < 5; ++heartbeat)
+        {
+            simulation.store().put("workers/odd", odd);
+            simulation.store().put(key, odd);
+            simulation.run(500ms);
+        }
+        EXPECT_TRUE(completes(simulation, id + "a", simple_job(2, 100ms)))
+            << odd.substr(0, 200);
+        EXPECT_LE(ignored_lines(simulation), lines_before + 2)
+            << odd.substr(0, 200);
+        simulation.store().put(key, good_entry);
+        EXPECT_TRUE(completes(simulation, id + "b", every_worker))
+            << odd.substr(0, 200);
+    }
+    EXPECT_GT(ignored_lines(simulation), 0U);
+    EXPECT_EQ(simulation.owner(), first_owner);
+    // The next owner reads the whole list with an odd entry in it.
+    simulation.kill(*simulation.owner());
+    ASSERT_TRUE(simulation.run_until(
+        [&simulation]
+        {
+            return simulation.working_owner().has_value();
+        }));
+    auto const next_owner = *simulation.working_owner();
+    simulation.submit(next_owner, "last", every_worker);
+    EXPECT_TRUE(simulation.run_until(
+        [&simulation, next_owner]
+        {
+            return simulation.state(next_owner, "last") ==
+                   ports::job_state::completed;
+        }));
+    EXPECT_EQ(simulation.violation(), "");
+}
+
 // Guards against jobs that are accepted and never run: an id with a "/" would
 // write below another job's keys, and one with a "." would give its tasks names
 // that can't be parsed.
--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -1,5 +1,7 @@
 #include "pool_simulation.hpp"
 
+#include "platform/platform_records.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -29,10 +31,10 @@
         if (item.value.find_first_of("0123456789") != 0 ||
             item.value.find(' ') == std::string::npos)
         {
-            reason = {core::common::result_code::wrong_type,
-                      item.key,
-                      "malformed worker record"};
-            return std::nullopt;
+            // Entries of other programs are for the platform's parser.
+            auto entry = item;
+            entry.key = "servers/" + item.key.substr(item.key.find('/') + 1);
+            return platform::make_platform_records().read_worker(entry, reason);
         }
         auto const separator = item.value.find(' ');
         std::size_t length = 0;
