HTTP server: bound what the system receives for a connection

Bytes that were received and not yet read count as a process's memory on the platform. The receive buffer of a connection was the system's choice (131,072 bytes here, and more as it is read), also for connections that wait to be accepted, which no budget sees.

The listening sockets of HTTP servers now ask for 16 KB, of which the system makes 32.

--- a/src/adapters/http/server.cpp
+++ b/src/adapters/http/server.cpp
@@ -21,6 +21,9 @@
 using core::common::result_code;
 using tcp = asio::ip::tcp;
 
+/// Receive buffer of a connection, which counts as memory of the process; the
+/// system adds as much again.
+constexpr int receive_buffer_bytes = 16 * 1024;
 /// Time for which the rest of a refused request is read.
 constexpr core::common::duration discard_time = std::chrono::seconds(1);
 constexpr std::size_t discard_bytes = 512;
@@ -82,7 +85,8 @@
     std::optional<ports::endpoint> listen(ports::endpoint const& local_endpoint,
                                           core::common::failure& reason)
     {
-        auto bound = acceptor_.listen(local_endpoint, reason);
+        auto bound =
+            acceptor_.listen(local_endpoint, reason, receive_buffer_bytes);
         if (bound)
         {
             accept();
--- a/src/adapters/runtime/acceptor.cpp
+++ b/src/adapters/runtime/acceptor.cpp
@@ -25,7 +25,8 @@
 
 std::optional<ports::endpoint>
 acceptor::listen(ports::endpoint const& local_endpoint,
-                 core::common::failure& reason)
+                 core::common::failure& reason,
+                 std::optional<int> receive_buffer_bytes)
 {
     error_code error;
     auto const address = asio::ip::make_address(local_endpoint.address, error);
@@ -38,6 +39,13 @@
     {
         socket_.set_option(asio::socket_base::reuse_address(true), error);
     }
+    if (!error && receive_buffer_bytes)
+    {
+        error_code ignored;
+        socket_.set_option(
+            asio::socket_base::receive_buffer_size(*receive_buffer_bytes),
+            ignored);
+    }
     if (!error)
     {
         socket_.bind(endpoint, error);
--- a/src/adapters/runtime/acceptor.hpp
+++ b/src/adapters/runtime/acceptor.hpp
@@ -22,9 +22,12 @@
 
     /// Binds an IP address and port and returns the bound address; port 0
     /// selects a free port. If the address cannot be bound, the result is empty
-    /// and `reason` is set.
-    std::optional<ports::endpoint> listen(ports::endpoint const& local_endpoint,
-                                          core::common::failure& reason);
+    /// and `reason` is set. `receive_buffer_bytes` is asked of the system for
+    /// each connection, which chooses the size itself if it is empty.
+    std::optional<ports::endpoint>
+    listen(ports::endpoint const& local_endpoint,
+           core::common::failure& reason,
+           std::optional<int> receive_buffer_bytes = std::nullopt);
     /// Calls `handle` with the next connection, but not after `close`. `handle`
     /// must keep this object alive.
     void accept_next(handler handle);
--- a/tests/contract/adapters/server_limits_test.cpp
+++ b/tests/contract/adapters/server_limits_test.cpp
@@ -280,6 +280,28 @@
         });
 }
 
+// Guards against input that the system holds for connections that the process
+// hasn't read from or accepted: a thousand of them would fill a small machine.
+TEST_F(server_limits_test, input_that_is_not_read_is_bounded)
+{
+    constexpr std::size_t max_unread_bytes = 64 * 1024;
+    constexpr int send_buffer_bytes = 4 * 1024;
+    constexpr int attempts = 2000;
+    start({});
+    auto& client = connect();
+    client.socket.set_option(
+        boost::asio::socket_base::send_buffer_size(send_buffer_bytes));
+    client.socket.non_blocking(true);
+    std::string const input(4096, 'a');
+    std::size_t unread = 0;
+    for (int attempt = 0; attempt < attempts; ++attempt)
+    {
+        boost::system::error_code error;
+        unread += client.socket.write_some(boost::asio::buffer(input), error);
+    }
+    EXPECT_LE(unread, max_unread_bytes);
+}
+
 // Guards against an idle limit that ends while a request waits for its answer.
 TEST_F(server_limits_test, request_that_is_handled_has_no_time_limit)
 {
