Pool: heartbeats of a restarted worker no longer delay its tasks

A worker that restarted behind a cut, and still reaches the store, writes its entry with each heartbeat. Each time the owner noted the sign of the restart anew, and with it waited anew for the longest lease: the tasks of the earlier incarnation never ran again (LOST) as long as the cut lasted.

The time of the sign is now that of the first one that names the incarnation.

heartbeats_behind_a_cut_do_not_delay_its_tasks failed before: 0 runs in place of 1 after 18 s.

--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -28,13 +28,16 @@
     {
         return;
     }
-    if (!target.may_have_restarted())
+    if (target.may_have_restarted() &&
+        target.suspected_incarnation == incarnation)
     {
-        out_.log(severity::info,
-                 "worker_restart_suspected",
-                 {{"worker", target.info.id},
-                  {"born", std::to_string(incarnation)}});
+        return;
     }
+    out_.log(severity::info,
+             "worker_restart_suspected",
+             {{"worker", target.info.id},
+              {"born", std::to_string(incarnation)}});
+    target.suspected_incarnation = incarnation;
     target.restart_suspected_at = now;
     target.next_poll = now;
     next_roster_update_ = now;
--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -219,6 +219,27 @@
     EXPECT_NE(line_with(simulation, "task_lost", "worker restarted"), "");
 }
 
+// Guards against tasks that never run again: their worker restarted behind a
+// cut and goes on to write its entry, and each time the owner waited anew for
+// the longest lease.
+TEST(pool_restarted_worker, heartbeats_behind_a_cut_do_not_delay_its_tasks)
+{
+    pool_simulation simulation(2, 3);
+    use_first_incarnation(simulation);
+    simulation.submit(0, "a", long_running_job_near_restarted());
+    ASSERT_TRUE(runs_on_restarted(simulation, "a"));
+    cut_off(simulation);
+    simulation.restart_worker(restarted);
+    auto const entry = simulation.store().find("workers/w1")->value;
+    for (int heartbeat = 0; heartbeat < 12; ++heartbeat)
+    {
+        simulation.run(1500ms);
+        simulation.store().put("workers/w1", entry);
+    }
+    EXPECT_EQ(simulation.running_count({"a", 0, 0, 0}), 1U);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
 // Guards against a step that never runs: its only allowed worker restarted
 // after the policy had issued the ticket, refused the start and was not asked
 // for again.
