Pool: a worker that restarted does not count for an owner without the store

An owner that the store does not answer goes on while more than half of its workers answer it, since a successor raises the fencing token on as many. A worker that restarts after the successor has polled it has lost that token; it answered the old owner, which went on for up to 60 s and renewed the leases of workers that the successor does not reach, while the successor started their tasks elsewhere (TWICE).

Only incarnations that were adopted before the last confirmation of the claim count now, as for starts.

does_not_count_for_an_owner_without_the_store failed without the rule: "runs on several workers: l0.0.0 attempt 1 on w2".

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -139,12 +139,15 @@
 }
 
 bool fleet::majority_answered(std::set<std::string> const& ids,
-                              common::time_point oldest) const
+                              common::time_point oldest,
+                              common::time_point adopted_until) const
 {
-    auto const has_answered = [this, oldest](std::string const& id)
+    auto const has_answered =
+        [this, oldest, adopted_until](std::string const& id)
     {
         auto const found = workers_.find(id);
         return found != workers_.end() && found->second.adopted &&
+               found->second.adopted_at <= adopted_until &&
                found->second.last_contact >= oldest;
     };
     auto const answered = static_cast<std::size_t>(
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -189,9 +189,11 @@
     bool may_hold(step const& requested, std::string const& service);
 
     /// Whether more than half of the workers `ids` have answered at or after
-    /// `oldest`.
+    /// `oldest`, each in an incarnation that was adopted at or before
+    /// `adopted_until`.
     bool majority_answered(std::set<std::string> const& ids,
-                           common::time_point oldest) const;
+                           common::time_point oldest,
+                           common::time_point adopted_until) const;
 
     /// Number of workers that a successor would poll and that do not answer.
     std::size_t unreached() const noexcept;
--- a/src/core/pool/owner_list.cpp
+++ b/src/core/pool/owner_list.cpp
@@ -176,15 +176,18 @@
 
 // Whether more than half of the workers that a successor would poll have
 // answered at or after `oldest`, and more than half of those that were not
-// silent when the roster was written: a successor relies on either majority.
+// silent when the roster was written: a successor relies on either majority. An
+// incarnation that is newer than the last confirmation of the claim does not
+// count, since it has lost the fencing token that a successor may have raised.
 // While a write of the roster is not known to have taken effect, the successor
 // may read either roster.
 bool owner::has_quorum(common::time_point oldest) const
 {
-    auto const majorities = [this, oldest](roster_ids const& ids)
+    auto const confirmed_at = claim_.confirmed_at();
+    auto const majorities = [this, oldest, confirmed_at](roster_ids const& ids)
     {
-        return fleet_.majority_answered(ids.workers, oldest) &&
-               fleet_.majority_answered(ids.answering(), oldest);
+        return fleet_.majority_answered(ids.workers, oldest, confirmed_at) &&
+               fleet_.majority_answered(ids.answering(), oldest, confirmed_at);
     };
     return majorities(roster_) &&
            (!roster_being_written_ || majorities(*roster_being_written_));
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -223,8 +223,10 @@
 bool owner::successor_quorum() const
 {
     auto const answering = inherited_.answering();
-    return answering.empty() || fleet_.majority_answered(answering, {}) ||
-           fleet_.majority_answered(inherited_.workers, {});
+    constexpr auto at_any_time = common::time_point::max();
+    return answering.empty() ||
+           fleet_.majority_answered(answering, {}, at_any_time) ||
+           fleet_.majority_answered(inherited_.workers, {}, at_any_time);
 }
 
 // Returns whether the leases granted by earlier owners, none of them longer
--- a/tests/unit/pool/restarted_worker_test.cpp
+++ b/tests/unit/pool/restarted_worker_test.cpp
@@ -240,6 +240,65 @@
     EXPECT_EQ(simulation.violation(), "");
 }
 
+// Guards against an old owner that goes on without the store beside its
+// successor: it counts the answers of a worker that has lost the successor's
+// fencing token by a restart.
+TEST(pool_restarted_worker, does_not_count_for_an_owner_without_the_store)
+{
+    pool_simulation simulation(3, 3);
+    use_first_incarnation(simulation);
+    auto lasting = simple_job(1, 1s);
+    lasting.spec = "lasts";
+    lasting.steps.front().long_running = true;
+    submit_many(simulation, 0, "l", 6, lasting);
+    simulation.run(5s);
+    auto const old_owner = *simulation.claim_holder();
+    // No watch of the old owner may wait at the store, which would answer it
+    // with the new claim.
+    simulation.store_fault =
+        [old_owner](std::size_t instance, ports::kv_operation const& call)
+    {
+        bool const watch = std::holds_alternative<ports::kv_watch>(call);
+        return watch && instance == old_owner ? fault_effect::request_lost
+                                              : fault_effect::carried_out;
+    };
+    simulation.run(1100ms);
+    simulation.store_fault =
+        [old_owner](std::size_t instance, ports::kv_operation const&)
+    {
+        return instance == old_owner ? fault_effect::request_lost
+                                     : fault_effect::carried_out;
+    };
+    simulation.run(300ms);
+    // The successor never reaches worker 0, and the old owner never worker 2.
+    // Worker 1 is reached by the successor before its restart, and by the old
+    // owner after it.
+    bool has_restarted = false;
+    simulation.worker_fault =
+        [old_owner, &has_restarted](std::size_t instance,
+                                    std::size_t worker,
+                                    ports::pool_operation const&)
+    {
+        bool const old = instance == old_owner;
+        bool const passes =
+            worker == restarted ? old == has_restarted : old == (worker == 0);
+        return passes ? fault_effect::carried_out : fault_effect::request_lost;
+    };
+    ASSERT_TRUE(simulation.run_until(
+        [&simulation, old_owner]
+        {
+            auto const owner = simulation.owner();
+            return owner && *owner != old_owner &&
+                   !line_with(simulation, "state_loaded", "roster=3").empty();
+        },
+        10s));
+    simulation.run(50ms);
+    simulation.restart_worker(restarted);
+    has_restarted = true;
+    simulation.run(18s);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
 // Guards against a step that never runs: its only allowed worker restarted
 // after the policy had issued the ticket, refused the start and was not asked
 // for again.
