Adapters: an unreadable entry in the list of members leaves it incomplete

A member that the platform's list leaves out counts as terminated, which stands in for the consent of its witnesses. Since one odd entry no longer hides the others, a living member whose entry can't be read would have counted so, and two members might have acted for one partition. The list of members is again refused whole; upstreams, workers and reports are read around an odd entry.

--- a/src/adapters/platform/catalog_client.cpp
+++ b/src/adapters/platform/catalog_client.cpp
@@ -86,7 +86,10 @@
 std::optional<std::vector<std::string>>
 parse_names(std::string_view body, core::common::failure& ignored)
 {
-    return parse_objects<std::string>(body, "member", read_name, ignored);
+    ignored = {};
+    auto names = parse_objects<std::string>(body, "member", read_name, ignored);
+    bool const complete = ignored.code == core::common::result_code::ok;
+    return complete ? std::move(names) : std::nullopt;
 }
 
 catalog_client::catalog_client(boost::asio::io_context& io,
--- a/src/adapters/platform/catalog_client.hpp
+++ b/src/adapters/platform/catalog_client.hpp
@@ -20,7 +20,9 @@
 std::optional<std::vector<ports::upstream_instance>>
 parse_upstreams(std::string_view body, core::common::failure& ignored);
 
-/// Parses the ids of a service's instances as `parse_upstreams` does.
+/// Parses the ids of a service's instances. A member that is not listed counts
+/// as terminated, so the result is empty if an entry, which `ignored` tells,
+/// can't be read.
 std::optional<std::vector<std::string>>
 parse_names(std::string_view body, core::common::failure& ignored);
 
