--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -117,7 +117,7 @@
     /// Time of the last sign that another incarnation than the adopted one has
     /// started under this id.
     common::time_point restart_suspected_at{};
-    std::uint64_t suspected_incarnation = 0; ///< The one of that sign.
+    std::uint64_t suspected_incarnation = 0; ///< Incarnation in that sign.
     /// The last poll was not answered, so no task starts here.
     bool silent = false;
     /// Time of the last answer before the worker last fell silent, or of its
