Pool: a log line and metrics for serving tasks over their targets

No line told that a serving task was over its latency target for long, nor why. serving_over_target names how long by all reports and by unbroken ones, what the best-effort tasks there do, how many were placed meanwhile and how late reports came; two gauges give the sum and the longest time.

No functional change

--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -95,6 +95,20 @@
     return sum_by_image(best_effort, &best_effort_view::declared);
 }
 
+std::optional<double> lowest_headroom(worker_view const& view)
+{
+    std::optional<double> lowest;
+    for (auto const& serving_task : view.serving)
+    {
+        if (serving_task.measured)
+        {
+            lowest = std::min(lowest.value_or(serving_task.headroom),
+                              serving_task.headroom);
+        }
+    }
+    return lowest;
+}
+
 double
 colocation::headroom_loss(std::uint16_t image,
                           std::vector<neighbour_share> const& neighbours) const
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,7 @@
     double task_isolated_headroom =
         0; ///< Headroom of this task without neighbours, as expected at its
            ///< next reading.
+    bool measured = false; ///< `headroom` is from a report of its worker.
 };
 
 /// A best-effort task, with its shares of the worker's cores.
@@ -98,6 +100,10 @@
     std::vector<best_effort_view> best_effort;
 };
 
+/// Returns the lowest headroom that was measured of a serving task; empty if
+/// there is no measurement.
+std::optional<double> lowest_headroom(worker_view const& view);
+
 /// New speed limit of a task, in percent.
 struct speed_limit_change
 {
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -4,6 +4,7 @@
 #include "core/pool/end_cursor.hpp"
 #include "core/pool/job.hpp"
 #include "core/pool/outbox.hpp"
+#include "core/pool/target_miss.hpp"
 #include "core/pool/worker_list.hpp"
 #include "core/pool/worker_speed.hpp"
 #include "ports/pool_workers.hpp"
@@ -140,6 +141,7 @@
     std::vector<std::string> failed_jobs;
     /// Time since which a serving task here has been too slow.
     common::time_point over_since{};
+    target_miss miss;
     worker_view view;        ///< Cached view of the tasks that run together.
     bool view_known = false; ///< `view` is up to date.
 
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -430,6 +430,15 @@
     void speed_limit_failed(std::string const& id,
                             ports::pool_attempt const& attempt_id);
 
+    // owner_target_misses.cpp: serving tasks over their latency targets.
+    void follow_target_miss(common::time_point now,
+                            worker& target,
+                            worker_view const& view);
+    void log_target_miss(common::time_point now,
+                         worker const& target,
+                         worker_view const& view,
+                         double headroom);
+
     // owner_rebalance.cpp: moves serving tasks so that best-effort tasks find
     // capacity.
     void rebalance(common::time_point now);
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -125,6 +125,7 @@
     if (spec.best_effort)
     {
         target.best_effort_cores += spec.declared.millicores;
+        ++target.miss.placed;
         return;
     }
     target.reserved.millicores += spec.declared.millicores;
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -99,6 +99,10 @@
     std::uint64_t tasks_blamed = 0; ///< Runs blamed for a worker's crash.
     std::uint64_t speed_limit_changes = 0;
     std::uint64_t evicted = 0;
+    /// Time for which some serving task of a worker was over its latency target
+    /// beside best-effort tasks, summed over the workers.
+    common::duration over_target{};
+    common::duration longest_miss{}; ///< Longest such time on end.
     std::uint64_t rebalanced = 0; ///< Serving tasks moved.
     std::uint64_t rounds = 0;     ///< Dispatch rounds.
     std::uint64_t scored = 0;     ///< Workers scored for a task.
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -71,7 +71,8 @@
                  tail > 0 ? target / tail : steps.isolated_headroom,
                  steps.isolated_headroom,
                  colocation_.task_isolated_headroom(steps.isolated_headroom,
-                                                    t->reading)});
+                                                    t->reading),
+                 tail > 0});
         }
         if (step_spec.best_effort)
         {
@@ -193,11 +194,13 @@
     if (!w.serves())
     {
         w.over_since = {};
+        w.miss = {};
         return;
     }
     read_serving(now, w);
     // This is a copy, since setting a speed limit invalidates the view.
     auto const view = view_of(w);
+    follow_target_miss(now, w, view);
     for (auto const& change : colocation_.speed_limits(view, now, w.over_since))
     {
         set_speed_limit(now, w, change.name, change.percent);
--- /dev/null
+++ b/src/core/pool/target_miss.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/common/time.hpp"
+
+#include <cstdint>
+
+namespace fuchsia::core::pool
+{
+
+/// What the owner has seen of a worker while a serving task there was over its
+/// latency target. A single report at or slightly under the target does not end
+/// it, since the figures of a report are rough.
+struct target_miss
+{
+    /// Time of the first report over the target; zero: none.
+    common::time_point since{};
+    /// Time of the first of the latest reports that were all over the target;
+    /// zero: the last one was not.
+    common::time_point unbroken_since{};
+    common::time_point last_report{};
+    common::duration longest_gap{}; ///< Longest time between two reports.
+    std::uint32_t placed = 0; ///< Best-effort tasks placed here since then.
+    common::time_point next_log{};
+
+    bool active() const noexcept
+    {
+        return since != common::time_point{};
+    }
+    /// Records a report with the lowest headroom of the worker's serving tasks.
+    void update(common::time_point now, double lowest_headroom);
+    common::duration length(common::time_point now) const noexcept;
+    common::duration unbroken(common::time_point now) const noexcept;
+};
+
+} // namespace fuchsia::core::pool
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -154,6 +154,14 @@
     set("fuchsia_pool_paced",
         "Changes of a task's speed",
         counts.speed_limit_changes);
+    registry_
+        .gauge("fuchsia_pool_over_target_seconds",
+               "Time of workers with a serving task over its latency target")
+        .Set(seconds(counts.over_target));
+    registry_
+        .gauge("fuchsia_pool_longest_over_target_seconds",
+               "Longest time on end with a serving task over its target")
+        .Set(seconds(counts.longest_miss));
     set("fuchsia_pool_evicted",
         "Tasks moved away from serving ones",
         counts.evicted);
