Stand-in workers: load of users, pressure of neighbours, rough figures, speed limits

The simulated worker took speed limits without effect, and its tail latencies were a sum without load, error or delay: no test could show a serving task that best-effort tasks keep over its target. New words of a task's spec; the old ones mean the same.

--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -47,6 +48,40 @@
     return value;
 }
 
+// Returns the percentage after `name` in a task's spec as a share; empty if
+// there is none.
+std::optional<double> percent_in(std::string_view spec, std::string_view name)
+{
+    constexpr auto missing = std::numeric_limits<std::uint64_t>::max();
+    auto const percent = number_in(spec, name, missing);
+    return percent == missing
+               ? std::nullopt
+               : std::optional(static_cast<double>(percent) / 100);
+}
+
+std::optional<user_load> parse_users(std::string_view spec)
+{
+    auto const mean = percent_in(spec, "load=");
+    if (!mean)
+    {
+        return std::nullopt;
+    }
+    return user_load{
+        *mean,
+        percent_in(spec, "swing=").value_or(0),
+        std::chrono::milliseconds(number_in(spec, "swing_ms=", 0))};
+}
+
+std::uint64_t seed_of(ports::pool_attempt const& attempt)
+{
+    std::uint64_t seed = attempt.attempt;
+    for (auto const letter : attempt.task.job)
+    {
+        seed = seed * 31 + static_cast<unsigned char>(letter);
+    }
+    return seed * 31 + attempt.task.index;
+}
+
 } // namespace
 
 task_script parse_task_script(std::string_view spec)
@@ -58,6 +93,9 @@
     script.work_ms = number_in(spec, "work=", script.work_ms);
     script.tail_latency_ms = number_in(spec, "tail=", 0);
     script.neighbour_latency_ms = number_in(spec, "strain=", 0);
+    script.users = parse_users(spec);
+    script.measurement_error = percent_in(spec, "error=").value_or(0);
+    script.pressure = percent_in(spec, "press=");
     script.millicores = number_in(spec, "cores=", 0);
     script.crashes = spec.find("crash") != std::string_view::npos;
     script.crash_after_ms =
@@ -116,7 +154,7 @@
     if (auto const* const poll = std::get_if<ports::poll_order>(&order))
     {
         extend(now, poll->lease_until_ms);
-        report(now, *poll, reply);
+        report(*poll, reply);
     }
     else if (auto const* const start_call =
                  std::get_if<ports::start_order>(&order))
@@ -128,18 +166,25 @@
     {
         stop(*stop_call);
     }
+    else if (auto const* const limit_call =
+                 std::get_if<ports::speed_limit_order>(&order))
+    {
+        limit_speed(now, *limit_call);
+    }
     return reply;
 }
 
 void worker_state::advance(time_point now)
 {
+    work(now);
+    measure(now);
     std::vector<std::pair<ports::task_name, end_kind>> ends;
     bool const lease_expired = clock_ms(now) >= lease_until_ms_;
     for (auto const& [task, run] : running_)
     {
-        bool const done = !run.script.runs_until_stopped &&
-                          now - run.started_at >=
-                              std::chrono::milliseconds(run.script.work_ms);
+        bool const done =
+            !run.script.runs_until_stopped &&
+            run.worked >= std::chrono::milliseconds(run.script.work_ms);
         if (done)
         {
             bool const fails = run.script.fails &&
@@ -182,10 +227,17 @@
     {
         return order_status::superseded;
     }
-    running_[task] = {order.attempt_id.attempt,
-                      now,
-                      parse_task_script(order.spec),
-                      order.spec};
+    auto const script = parse_task_script(order.spec);
+    running_.erase(task);
+    running_.emplace(
+        task,
+        run{order.attempt_id.attempt,
+            now,
+            script,
+            order.spec,
+            {},
+            {},
+            {seed_of(order.attempt_id), script.measurement_error}});
     started_runs_.push_back(order.attempt_id);
     notify(worker_event_kind::started, order.attempt_id);
     return order_status::done;
@@ -204,21 +256,54 @@
     }
 }
 
-std::uint32_t worker_state::percent_of(run const& target, time_point now)
+void worker_state::limit_speed(time_point now,
+                               ports::speed_limit_order const& order)
+{
+    auto const present = running_.find(order.attempt_id.task);
+    if (present != running_.end() &&
+        present->second.attempt == order.attempt_id.attempt)
+    {
+        present->second.speed.limit(now, order.percent);
+    }
+}
+
+void worker_state::work(time_point now)
+{
+    auto const elapsed = now - worked_until_;
+    for (auto& [task, run] : running_)
+    {
+        run.worked += std::chrono::duration_cast<core::common::duration>(
+            std::min(elapsed, now - run.started_at) * run.speed.share());
+        run.speed.advance(now);
+    }
+    worked_until_ = now;
+}
+
+void worker_state::measure(time_point now)
+{
+    for (auto& [task, run] : running_)
+    {
+        run.measured.sample(now,
+                            run.script.users
+                                ? tail_latency_of(now, run)
+                                : static_cast<double>(run.script.millicores) *
+                                      run.speed.share());
+    }
+}
+
+std::uint32_t worker_state::percent_of(run const& target)
 {
     if (target.script.runs_until_stopped)
     {
         return 100;
     }
     auto const worked_ms =
-        static_cast<std::uint64_t>(to_milliseconds(now - target.started_at));
+        static_cast<std::uint64_t>(to_milliseconds(target.worked));
     return static_cast<std::uint32_t>(
         100 * worked_ms / std::max<std::uint64_t>(target.script.work_ms, 1));
 }
 
-void worker_state::report(time_point now,
-                          ports::poll_order const& order,
-                          order_reply& reply)
+void worker_state::report(ports::poll_order const& order, order_reply& reply)
 {
     auto const acknowledged = [&order](ports::ended_attempt const& end)
     {
@@ -239,10 +324,8 @@
     std::erase_if(unacknowledged_ends_, acknowledged);
     for (auto const& [task, run] : running_)
     {
-        reply.running.push_back({{task, run.attempt},
-                                 "",
-                                 percent_of(run, now),
-                                 measurement_of(run)});
+        reply.running.push_back(
+            {{task, run.attempt}, "", percent_of(run), measurement_of(run)});
     }
     auto const listed = std::min(unacknowledged_ends_.size(), max_listed_ends);
     reply.ended.assign(unacknowledged_ends_.begin(),
@@ -255,6 +338,10 @@
 // any other task in thousandths of a core.
 std::int64_t worker_state::measurement_of(run const& target) const
 {
+    if (target.script.users || target.script.pressure)
+    {
+        return std::llround(target.measured.value());
+    }
     if (target.script.tail_latency_ms == 0)
     {
         return static_cast<std::int64_t>(target.script.millicores);
@@ -267,6 +354,40 @@
     return static_cast<std::int64_t>(tail_latency_ms);
 }
 
+double worker_state::tail_latency_of(time_point now, run const& target) const
+{
+    auto const& script = target.script;
+    return static_cast<double>(script.tail_latency_ms) *
+           slowdown(load_at(*script.users, now), pressure());
+}
+
+// Returns the share of the capacity of serving tasks that the other tasks take
+// at their present speed.
+double worker_state::pressure() const
+{
+    double total = 0;
+    for (auto const& [task, run] : running_)
+    {
+        total += run.script.pressure.value_or(0) * run.speed.share() *
+                 static_cast<double>(run.script.millicores);
+    }
+    return total / static_cast<double>(info_.capacity.millicores);
+}
+
+double worker_state::tail_latency(time_point now,
+                                  ports::task_name const& task) const
+{
+    return tail_latency_of(now, running_.at(task));
+}
+
+double worker_state::isolated_tail_latency(time_point now,
+                                           ports::task_name const& task) const
+{
+    auto const& script = running_.at(task).script;
+    return static_cast<double>(script.tail_latency_ms) *
+           slowdown(load_at(*script.users, now), 0);
+}
+
 void worker_state::end(ports::task_name const& task, end_kind end_result)
 {
     auto const found = running_.find(task);
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ports/pool_workers.hpp"
+#include "standins/pool/interference.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -22,6 +23,13 @@
 /// when it runs alone;
 /// "strain=30" is what it adds to the tail latency of serving tasks on the same
 /// worker, in milliseconds;
+/// "load=45" makes it a serving task with users that load it to 45% on average:
+/// its tail latency grows with load and neighbours, and is measured roughly;
+/// "swing=25 swing_ms=9000" lets that load rise and fall by 25% of its capacity
+/// in this time; "error=10" is the largest error of its figures in percent;
+/// "press=80" is the share, in percent, of the capacity of such a task that
+/// this one takes if it uses all cores of the worker; its CPU use is measured
+/// roughly, too;
 /// "cores=1000" is its CPU use in thousandths of a core;
 /// "crash" makes the task crash each worker that starts it;
 /// "crash_after=10" is the time from the start to the crash, in milliseconds;
@@ -34,6 +42,9 @@
     bool runs_until_stopped = false;
     std::uint64_t tail_latency_ms = 0; ///< 0: not a serving task.
     std::uint64_t neighbour_latency_ms = 0;
+    std::optional<user_load> users; ///< Of a serving task with "load".
+    double measurement_error = 0;   ///< Largest relative error of its figures.
+    std::optional<double> pressure; ///< See "press", as a share.
     std::uint64_t millicores = 0;
     bool crashes = false;
     std::uint64_t crash_after_ms = 10;
@@ -74,7 +85,8 @@
 /// for all running tasks, and the ends that are reported until they are
 /// acknowledged. Its clock starts at `clock_start_ms` and runs at `speed` times
 /// true time. A lease longer than `max_lease` is shortened to that. A start
-/// extends the lease even if it is refused as superseded.
+/// extends the lease even if it is refused as superseded. Speed limits slow
+/// down a task's work and its effect on its neighbours.
 class worker_state
 {
 public:
@@ -101,6 +113,12 @@
     void drain() noexcept;
     /// Changes the capacity that the worker reports. What runs goes on.
     void set_capacity(ports::resources capacity) noexcept;
+    /// The tail latency of a serving task that runs here, in milliseconds, as
+    /// its users see it at `now`, with its neighbours and without them.
+    double tail_latency(core::common::time_point now,
+                        ports::task_name const& task) const;
+    double isolated_tail_latency(core::common::time_point now,
+                                 ports::task_name const& task) const;
     /// Returns the order of a run that crashes the worker by `now`, if there is
     /// one.
     std::optional<ports::start_order>
@@ -113,18 +131,26 @@
         core::common::time_point started_at{};
         task_script script;
         std::string spec;
+        core::common::duration worked{}; ///< Work done, at full speed.
+        task_speed speed;
+        rough_measurement measured;
     };
 
     std::uint64_t clock_ms(core::common::time_point now) const noexcept;
     ports::order_status start(core::common::time_point now,
                               ports::start_order const& order);
     void stop(ports::stop_order const& order);
-    static std::uint32_t percent_of(run const& target,
-                                    core::common::time_point now);
+    void limit_speed(core::common::time_point now,
+                     ports::speed_limit_order const& order);
+    /// Lets all tasks work until `now`.
+    void work(core::common::time_point now);
+    void measure(core::common::time_point now);
+    static std::uint32_t percent_of(run const& target);
     std::int64_t measurement_of(run const& target) const;
-    void report(core::common::time_point now,
-                ports::poll_order const& order,
-                ports::order_reply& reply);
+    double tail_latency_of(core::common::time_point now,
+                           run const& target) const;
+    double pressure() const;
+    void report(ports::poll_order const& order, ports::order_reply& reply);
     void end(ports::task_name const& task, ports::end_kind end_result);
     void extend(core::common::time_point now, std::uint64_t until_ms) noexcept;
 
@@ -142,6 +168,7 @@
     /// Sequence number of the last end before the lease was last found expired.
     std::uint64_t last_end_before_expiry_ = 0;
     std::map<ports::task_name, run> running_;
+    core::common::time_point worked_until_{};
     /// Highest ended or stopped attempt of each task; attempts up to this
     /// number are not started.
     std::map<ports::task_name, std::uint32_t> highest_ended_attempt_;
