Pool: best-effort tasks are throttled by what serving tasks measure

Cause: the owner acts on what it has learned of pairs, and on a measured miss only after 1.5 s of reports that were all over the target. Each figure is rough: one at the target started the wait anew and gave full speed back at once.

Change: the measured headroom limits the speed of all best-effort tasks of a worker. The first report over the target cuts it to the measured part of the headroom wanted, again each 0.6 s; a miss lasts until all reports of half a second are well under the target; 1.5 s after its begin everything pauses; the speed returns in quarters. This takes the place of over_since and of the stop in speed_limits.

--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -262,15 +262,11 @@
 }
 
 std::vector<speed_limit_change>
-colocation::speed_limits(worker_view const& view,
-                         common::time_point now,
-                         common::time_point& over_since) const
+colocation::speed_limits(worker_view const& view, double max_speed) const
 {
-    std::vector<double> speeds(view.best_effort.size(), 1.0);
-    bool over_target = false;
+    std::vector<double> speeds(view.best_effort.size(), max_speed);
     for (auto const& serving_task : view.serving)
     {
-        over_target = over_target || serving_task.headroom < 1;
         double const speed = speed_limit_for(serving_task, view.best_effort);
         for (std::size_t index = 0; index < speeds.size(); ++index)
         {
@@ -280,21 +276,11 @@
             }
         }
     }
-    if (!over_target)
-    {
-        over_since = {};
-    }
-    else if (over_since == common::time_point{})
-    {
-        over_since = now;
-    }
-    bool const stop_all =
-        over_target && now - over_since >= settings_.stop_after;
     std::vector<speed_limit_change> changes;
     for (std::size_t index = 0; index < speeds.size(); ++index)
     {
-        auto const percent = static_cast<std::uint32_t>(
-            std::lround(stop_all ? 0.0 : speeds[index] * 100));
+        auto const percent =
+            static_cast<std::uint32_t>(std::lround(speeds[index] * 100));
         auto const current_limit = view.best_effort[index].speed_limit;
         auto const change = percent > current_limit ? percent - current_limit
                                                     : current_limit - percent;
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -30,6 +30,13 @@
     /// Best-effort tasks are paused on a worker whose serving task has been
     /// over its target for this long, whatever has been learned.
     common::duration stop_after = std::chrono::milliseconds(1500);
+    /// Time until a report shows the whole effect of a speed limit: the order
+    /// comes into force after a tenth of a second, and a figure is a mean over
+    /// half a second.
+    common::duration settle_time = std::chrono::milliseconds(600);
+    /// Part of full speed by which the speed of best-effort tasks rises at a
+    /// time after a serving task was over its target.
+    double speed_growth = 0.25;
     /// A best-effort task that has been paused for this long is moved to
     /// another worker.
     common::duration evict_after = std::chrono::milliseconds(1500);
@@ -147,12 +154,9 @@
     void observe_isolated_headroom(std::uint16_t image, double headroom);
 
     /// Returns the changes of speed limits that leave every serving task its
-    /// headroom. `over_since` is the time since which a serving task of the
-    /// worker has been over its target, and is updated.
-    std::vector<speed_limit_change>
-    speed_limits(worker_view const& view,
-                 common::time_point now,
-                 common::time_point& over_since) const;
+    /// headroom. No task gets more than `max_speed`, a share of full speed.
+    std::vector<speed_limit_change> speed_limits(worker_view const& view,
+                                                 double max_speed) const;
     /// Returns the lowest headroom of the serving tasks that `image` disturbs
     /// if it additionally uses `share` of the worker.
     double expected_headroom(worker_view const& view,
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/pool/best_effort_throttle.hpp"
 #include "core/pool/colocation.hpp"
 #include "core/pool/end_cursor.hpp"
 #include "core/pool/job.hpp"
@@ -139,9 +140,8 @@
     worker_speed speed;
     /// Jobs with failed attempts here since the last successful attempt.
     std::vector<std::string> failed_jobs;
-    /// Time since which a serving task here has been too slow.
-    common::time_point over_since{};
     target_miss miss;
+    best_effort_throttle throttle;
     worker_view view;        ///< Cached view of the tasks that run together.
     bool view_known = false; ///< `view` is up to date.
 
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -103,9 +103,9 @@
     /// beside best-effort tasks, summed over the workers.
     common::duration over_target{};
     common::duration longest_miss{}; ///< Longest such time on end.
-    std::uint64_t rebalanced = 0; ///< Serving tasks moved.
-    std::uint64_t rounds = 0;     ///< Dispatch rounds.
-    std::uint64_t scored = 0;     ///< Workers scored for a task.
+    std::uint64_t rebalanced = 0;    ///< Serving tasks moved.
+    std::uint64_t rounds = 0;        ///< Dispatch rounds.
+    std::uint64_t scored = 0;        ///< Workers scored for a task.
     std::uint64_t jobs_finished = 0;
 };
 
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -193,15 +193,20 @@
     }
     if (!w.serves())
     {
-        w.over_since = {};
         w.miss = {};
+        w.throttle = {};
         return;
     }
     read_serving(now, w);
     // This is a copy, since setting a speed limit invalidates the view.
     auto const view = view_of(w);
     follow_target_miss(now, w, view);
-    for (auto const& change : colocation_.speed_limits(view, now, w.over_since))
+    if (auto const headroom = lowest_headroom(view))
+    {
+        w.throttle.update(now, *headroom, w.miss, settings_.colocation);
+    }
+    for (auto const& change :
+         colocation_.speed_limits(view, w.throttle.speed()))
     {
         set_speed_limit(now, w, change.name, change.percent);
     }
--- a/src/core/pool/target_miss.cpp
+++ b/src/core/pool/target_miss.cpp
@@ -12,6 +12,8 @@
 // Headroom that ends a miss. Rough figures of a task that is still over its
 // target reach 1 at times, but hardly this.
 constexpr double headroom_after_miss = 1.2;
+// Time that a figure covers.
+constexpr common::duration recovery_time = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -20,9 +22,14 @@
     auto const gap = now - std::exchange(last_report, now);
     if (lowest_headroom >= headroom_after_miss)
     {
-        since = {};
+        recovered_since =
+            recovered_since == common::time_point{} ? now : recovered_since;
+        since = now - recovered_since >= recovery_time ? common::time_point{}
+                                                       : since;
+        unbroken_since = {};
         return;
     }
+    recovered_since = {};
     bool const over = lowest_headroom < 1;
     if (!active())
     {
--- a/src/core/pool/target_miss.hpp
+++ b/src/core/pool/target_miss.hpp
@@ -8,8 +8,8 @@
 {
 
 /// What the owner has seen of a worker while a serving task there was over its
-/// latency target. A single report at or slightly under the target does not end
-/// it, since the figures of a report are rough.
+/// latency target. Only reports well under the target over a whole measuring
+/// window end it, since each figure is rough.
 struct target_miss
 {
     /// Time of the first report over the target; zero: none.
@@ -17,6 +17,9 @@
     /// Time of the first of the latest reports that were all over the target;
     /// zero: the last one was not.
     common::time_point unbroken_since{};
+    /// Time of the first of the latest reports that were all well under the
+    /// target; zero: the last one was not.
+    common::time_point recovered_since{};
     common::time_point last_report{};
     common::duration longest_gap{}; ///< Longest time between two reports.
     std::uint32_t placed = 0; ///< Best-effort tasks placed here since then.
--- a/tests/unit/pool/colocation_test.cpp
+++ b/tests/unit/pool/colocation_test.cpp
@@ -1,13 +1,13 @@
 #include "core/pool/colocation.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <gtest/gtest.h>
 #include <random>
 
 using namespace fuchsia::core::pool;
 using namespace std::chrono_literals;
 namespace ports = fuchsia::ports;
-using fuchsia::core::common::time_point;
 
 namespace
 {
@@ -16,6 +16,7 @@
 // neighbour takes per worker.
 constexpr double idle_headroom = 6;
 constexpr double heavy_weight = 8;
+constexpr double full_speed = 1;
 
 struct step_readings
 {
@@ -137,8 +138,7 @@
     view.serving.push_back(serving_without_deviation(image, 1.0, 2.8));
     view.best_effort.push_back(make_best_effort(heavy_image, 0.3, 0));
     view.best_effort.push_back(make_best_effort(light_image, 0.3, 1));
-    time_point over_since{};
-    auto const changes = model.speed_limits(view, time_point(1s), over_since);
+    auto const changes = model.speed_limits(view, full_speed);
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_EQ(changes.front().name.index, 0U);
     EXPECT_GT(changes.front().percent, 30U);
@@ -159,12 +159,11 @@
     EXPECT_NEAR(task_headroom, 3.3, 0.01);
     worker_view view;
     view.best_effort.push_back(make_best_effort(heavy_image, 0.3, 0));
-    time_point over_since{};
     view.serving.push_back(
         serving_without_deviation(image, 1.2, step_headroom));
-    EXPECT_TRUE(model.speed_limits(view, time_point(1s), over_since).empty());
+    EXPECT_TRUE(model.speed_limits(view, full_speed).empty());
     view.serving.front().task_isolated_headroom = task_headroom;
-    auto const changes = model.speed_limits(view, time_point(1s), over_since);
+    auto const changes = model.speed_limits(view, full_speed);
     ASSERT_EQ(changes.size(), 1U);
     EXPECT_LT(changes.front().percent, 85U);
 }
@@ -181,17 +180,18 @@
 
 // Failure: a task stays over its target, since no neighbour is known to disturb
 // it.
-TEST_F(learned_pairs, pauses_all_best_effort_tasks_after_a_time_over_the_target)
+TEST_F(learned_pairs, limits_all_best_effort_tasks_to_the_speed_of_the_throttle)
 {
     worker_view view;
     view.serving.push_back(serving_without_deviation(image, 0.5, 4));
     view.best_effort.push_back(make_best_effort(light_image, 0.3, 0));
-    time_point over_since{};
-    EXPECT_TRUE(model.speed_limits(view, time_point(10s), over_since).empty());
-    auto const changes =
-        model.speed_limits(view, time_point(11600ms), over_since);
-    ASSERT_EQ(changes.size(), 1U);
-    EXPECT_EQ(changes.front().percent, 0U);
+    EXPECT_TRUE(model.speed_limits(view, full_speed).empty());
+    for (double const speed : {0.4, 0.0})
+    {
+        auto const changes = model.speed_limits(view, speed);
+        ASSERT_EQ(changes.size(), 1U);
+        EXPECT_EQ(changes.front().percent, std::lround(speed * 100));
+    }
 }
 
 // Failure: a pair that was never observed is tried at peak load, or never.
