Pool: placement beside serving tasks follows what they measure

Cause: placement asked the estimates only, and left out pairs that count as harmless. Beside a task over its target best-effort work went on being placed, and one round placed as many harmless tasks as there were idle cores.

Change: nothing is placed beside serving tasks while a miss or a cut of speed lasts; tasks whose effect no report shows yet may together take as much as the measured headroom bears, each counted as a harmless pair may at most.

--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -1,5 +1,7 @@
 #include "core/pool/colocation.hpp"
 
+#include "core/pool/target_miss.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -109,6 +111,16 @@
     return lowest;
 }
 
+double unmeasured_share(worker_view const& view)
+{
+    double total = 0;
+    for (auto const& neighbour : view.best_effort)
+    {
+        total += neighbour.measured ? 0 : neighbour.declared;
+    }
+    return total;
+}
+
 double
 colocation::headroom_loss(std::uint16_t image,
                           std::vector<neighbour_share> const& neighbours) const
@@ -318,6 +330,20 @@
     return lowest;
 }
 
+// The estimates leave out pairs that count as harmless. Many tasks of them at
+// once still take a serving task over its target.
+bool colocation::slack_bears(worker_view const& view, double share) const
+{
+    auto const lowest = lowest_headroom(view);
+    if (!lowest)
+    {
+        return true;
+    }
+    double const loss =
+        settings_.harmless_weight * (unmeasured_share(view) + share);
+    return *lowest - loss >= recovered_headroom;
+}
+
 bool colocation::disturbs(std::uint16_t serving_image,
                           std::uint16_t neighbour_image) const
 {
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -98,6 +98,8 @@
     double declared = 0;
     double used = 0; ///< Share used according to the last reading.
     std::uint32_t speed_limit = 100;
+    /// The last report shows its whole effect on its neighbours.
+    bool measured = false;
 };
 
 /// Tasks that are colocated on one worker.
@@ -111,6 +113,10 @@
 /// there is no measurement.
 std::optional<double> lowest_headroom(worker_view const& view);
 
+/// Returns the cores that best-effort tasks have declared whose effect no
+/// report shows yet, as a share of the worker's.
+double unmeasured_share(worker_view const& view);
+
 /// New speed limit of a task, in percent.
 struct speed_limit_change
 {
@@ -162,6 +168,11 @@
     double expected_headroom(worker_view const& view,
                              std::uint16_t image,
                              double share) const;
+    /// Whether the measured headroom of the serving tasks bears another
+    /// best-effort task with this share of the worker, beside those whose
+    /// effect is not measured yet, if each takes as much as a harmless pair
+    /// may. True if nothing was measured.
+    bool slack_bears(worker_view const& view, double share) const;
     /// Whether `neighbour_image` disturbs `serving_image`. Every pair counts as
     /// disturbing until it has been observed.
     bool disturbs(std::uint16_t serving_image,
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -361,12 +361,19 @@
     {
         return obstacle::no_idle_core;
     }
+    if (!target.serves())
+    {
+        return std::nullopt;
+    }
     auto const share = share_of(step_spec.declared.millicores,
                                 target.info.capacity.millicores);
-    bool const disturbs =
-        target.serves() && colocation_.expected_headroom(view, image, share) <
-                               settings_.colocation.placement_headroom;
-    return disturbs ? std::optional(obstacle::disturbs) : std::nullopt;
+    bool const fits_beside_serving =
+        !target.miss.active() && target.throttle.speed() == 1 &&
+        colocation_.slack_bears(view, share) &&
+        colocation_.expected_headroom(view, image, share) >=
+            settings_.colocation.placement_headroom;
+    return fits_beside_serving ? std::nullopt
+                               : std::optional(obstacle::disturbs);
 }
 
 // Best-effort tasks are placed next to serving tasks that they do not disturb
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -16,6 +16,9 @@
 
 // Maximum age of the readings of the siblings that a reading is compared with.
 constexpr common::duration max_reading_age = std::chrono::milliseconds(1000);
+// Time after its start after which the figures of a report show the whole
+// effect of a task.
+constexpr common::duration min_measured_time = std::chrono::milliseconds(500);
 // Minimum number of readings to learn from. With fewer, the effect of a task's
 // neighbours can't be separated from the load of its users.
 constexpr std::size_t min_readings_to_learn = 3;
@@ -81,7 +84,9 @@
                  steps.image,
                  static_cast<double>(step_spec.declared.millicores) / cores,
                  static_cast<double>(t->level) / cores,
-                 t->speed_limit});
+                 t->speed_limit,
+                 t->phase != task_phase::starting &&
+                     t->reported_at - t->started >= min_measured_time});
         }
     }
     // Serving tasks that are being moved here must find their headroom on
--- a/src/core/pool/target_miss.cpp
+++ b/src/core/pool/target_miss.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// Headroom that ends a miss. Rough figures of a task that is still over its
-// target reach 1 at times, but hardly this.
-constexpr double headroom_after_miss = 1.2;
 // Time that a figure covers.
 constexpr common::duration recovery_time = std::chrono::milliseconds(500);
 
@@ -20,7 +17,7 @@
 void target_miss::update(common::time_point now, double lowest_headroom)
 {
     auto const gap = now - std::exchange(last_report, now);
-    if (lowest_headroom >= headroom_after_miss)
+    if (lowest_headroom >= recovered_headroom)
     {
         recovered_since =
             recovered_since == common::time_point{} ? now : recovered_since;
--- a/src/core/pool/target_miss.hpp
+++ b/src/core/pool/target_miss.hpp
@@ -7,6 +7,11 @@
 namespace fuchsia::core::pool
 {
 
+/// Headroom (latency target / tail latency) at which a serving task counts as
+/// well under its target. Rough figures of a task that is still over its target
+/// reach 1 at times, but hardly this.
+constexpr double recovered_headroom = 1.2;
+
 /// What the owner has seen of a worker while a serving task there was over its
 /// latency target. Only reports well under the target over a whole measuring
 /// window end it, since each figure is rough.
