Pool: a speed limit that may not be in force is ordered again

Cause: an order without an answer may be carried out seconds later, after newer ones. The owner took the newer one for in force and sent nothing more, so a task that counts as paused could work at full speed for good beside a serving task over its target.

Change: one order of a task's speed at a time; after one without an answer the limit is sent again each second; so it is where a worker reports that a paused task uses cores.

Test, failed before: a_pause_that_an_older_order_undoes_is_ordered_again (still at full speed 2 s after an older order of 100 was carried out; now paused again).

--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -68,9 +68,14 @@
     std::int64_t level = 0;
     std::uint32_t speed_limit =
         100; ///< Last speed limit sent to the worker, in percent.
-    common::time_point paused_at{}; ///< Time of the last speed limit order; the
-                                    ///< time of the pause while the limit is 0.
-    serving_reading reading;        ///< Last reading of a serving task.
+    /// Time of the last change of the speed limit; the time of the pause while
+    /// the limit is 0.
+    common::time_point paused_at{};
+    common::time_point speed_limit_sent_at{}; ///< Time of the last order of it.
+    bool speed_limit_unanswered = false; ///< That order waits for its answer.
+    /// An order got no answer. It may be carried out after newer ones.
+    bool speed_limit_unclear = false;
+    serving_reading reading; ///< Last reading of a serving task.
     common::time_point started{};
     /// Time for which its worker has reported the present attempt as running.
     common::duration seen_running{};
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -427,8 +427,16 @@
                          worker& target,
                          ports::task_name const& name,
                          std::uint32_t percent);
-    void speed_limit_failed(std::string const& id,
-                            ports::pool_attempt const& attempt_id);
+    void send_speed_limit(common::time_point now,
+                          worker& target,
+                          ports::task_name const& name,
+                          task& t);
+    void on_speed_limit_reply(std::string const& id,
+                              ports::pool_attempt const& attempt_id,
+                              ports::order_status status);
+    void repeat_speed_limits(common::time_point now,
+                             worker& target,
+                             std::vector<best_effort_view> const& best_effort);
 
     // owner_target_misses.cpp: serving tasks over their latency targets.
     void follow_target_miss(common::time_point now,
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -260,6 +260,8 @@
     t.ran_before = false;
     t.percent = 0;
     t.speed_limit = 100;
+    t.speed_limit_unanswered = false;
+    t.speed_limit_unclear = false;
     t.started = now;
     t.seen_running = {};
     t.progressed_at = now;
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -19,6 +19,11 @@
 // Time after its start after which the figures of a report show the whole
 // effect of a task.
 constexpr common::duration min_measured_time = std::chrono::milliseconds(500);
+// Time after which an order of a speed limit that may not be in force is sent
+// again. A figure shows a pause after 0.6 s.
+constexpr common::duration repeat_limit_after = std::chrono::seconds(1);
+// Part of its declared cores from which a paused task counts as working.
+constexpr double min_working_share = 0.1;
 // Minimum number of readings to learn from. With fewer, the effect of a task's
 // neighbours can't be separated from the load of its users.
 constexpr std::size_t min_readings_to_learn = 3;
@@ -215,6 +220,7 @@
     {
         set_speed_limit(now, w, change.name, change.percent);
     }
+    repeat_speed_limits(now, w, view.best_effort);
     evict_idle(now, w, view.best_effort);
 }
 
@@ -247,7 +253,8 @@
 {
     auto* const run = find_job(name.job);
     auto& t = run->at(name);
-    if (t.phase != task_phase::running)
+    // Two orders on their way at once might be carried out in either sequence.
+    if (t.phase != task_phase::running || t.speed_limit_unanswered)
     {
         return;
     }
@@ -255,46 +262,61 @@
     t.speed_limit = percent;
     t.paused_at = now;
     target.view_known = false;
-    out_.order(
-        life_,
-        {0,
-         target.info.id,
-         target.info.remote_endpoint,
-         ports::speed_limit_order{claim_.epoch(), {name, t.attempt}, percent},
-         settings_.order_timeout},
-        [this,
-         id = target.info.id,
-         attempt_id = ports::pool_attempt{name, t.attempt}](
-            common::time_point at, order_reply const& reply)
-        {
-            if (reply.status == order_status::stale_fencing_token)
-            {
-                on_fenced(at, id);
-                return;
-            }
-            if (auto* const w = fleet_.find(id))
-            {
-                note_incarnation_of(at, *w, reply);
-            }
-            if (reply.status != order_status::done)
-            {
-                speed_limit_failed(id, attempt_id);
-            }
-        });
+    send_speed_limit(now, target, name, t);
+}
+
+void owner::send_speed_limit(common::time_point now,
+                             worker& target,
+                             ports::task_name const& name,
+                             task& t)
+{
+    t.speed_limit_sent_at = now;
+    t.speed_limit_unanswered = true;
+    out_.order(life_,
+               {0,
+                target.info.id,
+                target.info.remote_endpoint,
+                ports::speed_limit_order{
+                    claim_.epoch(), {name, t.attempt}, t.speed_limit},
+                settings_.order_timeout},
+               [this,
+                id = target.info.id,
+                attempt_id = ports::pool_attempt{name, t.attempt}](
+                   common::time_point at, order_reply const& reply)
+               {
+                   if (reply.status == order_status::stale_fencing_token)
+                   {
+                       on_fenced(at, id);
+                       return;
+                   }
+                   if (auto* const w = fleet_.find(id))
+                   {
+                       note_incarnation_of(at, *w, reply);
+                   }
+                   on_speed_limit_reply(id, attempt_id, reply.status);
+               });
 }
 
 // If a failed order were taken as carried out, a task that should be paused
 // would go on next to a task that it slows down. The limit is set to a value
 // that differs from the wanted one, so that the next check of the worker sends
 // the order again.
-void owner::speed_limit_failed(std::string const& id,
-                               ports::pool_attempt const& attempt_id)
+void owner::on_speed_limit_reply(std::string const& id,
+                                 ports::pool_attempt const& attempt_id,
+                                 order_status status)
 {
     auto const [run, t] = find_task(attempt_id.task);
     if (t == nullptr || t->worker != id || t->attempt != attempt_id.attempt)
     {
         return;
     }
+    t->speed_limit_unanswered = false;
+    if (status == order_status::done)
+    {
+        return;
+    }
+    t->speed_limit_unclear =
+        t->speed_limit_unclear || status == order_status::unclear;
     t->speed_limit = t->speed_limit < 100 ? 100 : 0;
     if (auto* const w = fleet_.find(id))
     {
@@ -302,4 +324,28 @@
     }
 }
 
+// Sends limits again that may not be in force: an order without an answer may
+// be carried out seconds later, after newer ones, and a task that still works
+// while it counts as paused shows that this has happened.
+void owner::repeat_speed_limits(
+    common::time_point now,
+    worker& target,
+    std::vector<best_effort_view> const& best_effort)
+{
+    for (auto const& view : best_effort)
+    {
+        auto& t = find_job(view.name.job)->at(view.name);
+        bool const works_while_paused =
+            t.speed_limit == 0 && view.speed_limit == 0 &&
+            view.used >= min_working_share * view.declared;
+        bool const due = now - t.speed_limit_sent_at >= repeat_limit_after;
+        if (due && t.phase == task_phase::running &&
+            !t.speed_limit_unanswered &&
+            (works_while_paused || t.speed_limit_unclear))
+        {
+            send_speed_limit(now, target, view.name, t);
+        }
+    }
+}
+
 } // namespace fuchsia::core::pool
--- a/tests/unit/pool/serving_latency_test.cpp
+++ b/tests/unit/pool/serving_latency_test.cpp
@@ -19,7 +19,7 @@
 
 struct shared_worker
 {
-    explicit shared_worker(int load_percent)
+    explicit shared_worker(std::string const& users)
         : simulation(instances, 1), check(simulation, {{"serving", target}})
     {
         simulation.store().put("learned", learned_record());
@@ -30,8 +30,7 @@
         step.long_running = true;
         step.image = "serves";
         step.tail_target = target;
-        job.spec =
-            "lasts tail=20 cores=2000 load=" + std::to_string(load_percent);
+        job.spec = "lasts tail=20 cores=2000 " + users;
         simulation.submit(0, "serving", job);
         simulation.run(4s);
     }
@@ -62,6 +61,15 @@
                (simulation.worker(0).runs({"serving", 0, 0, 0}) ? 1U : 0U);
     }
 
+    /// Whether best-effort tasks work beside the serving task.
+    bool is_disturbed()
+    {
+        ports::task_name const task{"serving", 0, 0, 0};
+        auto const& state = simulation.worker(0);
+        return state.tail_latency(simulation.now(), task) >
+               state.isolated_tail_latency(simulation.now(), task) + 0.1;
+    }
+
     pool_simulation simulation;
     latency_target_check check;
 };
@@ -73,7 +81,7 @@
 TEST(pool_serving_latency, a_round_places_no_more_than_the_measured_slack_bears)
 {
     // The headroom is 2.
-    shared_worker worker(67);
+    shared_worker worker("load=67");
     worker.submit_light_work(8);
     worker.check.run(10s);
     EXPECT_GE(worker.running_light_tasks(), 2U);
@@ -85,8 +93,55 @@
 TEST(pool_serving_latency, nothing_is_placed_beside_a_task_over_its_target)
 {
     // The headroom is 0.7.
-    shared_worker worker(88);
+    shared_worker worker("load=88");
     worker.submit_light_work(8);
     worker.check.run(10s);
     EXPECT_EQ(worker.running_light_tasks(), 0U);
 }
+
+// Guards against a pause that the owner believes in and that isn't in force:
+// an older order of full speed, which got no answer, is carried out after it.
+TEST(pool_serving_latency, a_pause_that_an_older_order_undoes_is_ordered_again)
+{
+    // The load is low at 30 s and over the target from 44 to 56 s.
+    shared_worker worker("load=55 swing=35 swing_ms=40000");
+    std::uint64_t fencing_token = 0;
+    worker.simulation.worker_fault =
+        [&fencing_token](
+            std::size_t, std::size_t, ports::pool_operation const& call)
+    {
+        fencing_token = std::visit(
+            [](auto const& order)
+            {
+                return order.fencing_token;
+            },
+            call);
+        return fault_effect::carried_out;
+    };
+    worker.simulation.run(22s);
+    worker.submit_light_work(3);
+    worker.simulation.run(4s);
+    ASSERT_TRUE(worker.is_disturbed());
+    ASSERT_TRUE(worker.simulation.run_until(
+        [&worker]
+        {
+            return !worker.is_disturbed();
+        }));
+    ASSERT_GT(worker.running_light_tasks(), 0U);
+    worker.simulation.run(1s);
+    for (std::uint32_t index = 0; index < 3; ++index)
+    {
+        ports::speed_limit_order late;
+        late.fencing_token = fencing_token;
+        late.attempt_id = {{"light", 0, 0, index}, 1};
+        worker.simulation.worker(0).apply(worker.simulation.now(), late);
+    }
+    worker.simulation.run(200ms);
+    ASSERT_TRUE(worker.is_disturbed());
+    EXPECT_TRUE(worker.simulation.run_until(
+        [&worker]
+        {
+            return !worker.is_disturbed();
+        },
+        2s));
+}
