Pool: a successor counts a miss from before its first report

Cause: the time of a miss is kept by the owner alone. A successor can't know it.

Change: where the first report that a worker gives an owner has a serving task over its target, best-effort tasks are paused at once.

Test, failed before: a_successor_pauses_at_its_first_report_over_the_target.

--- a/src/core/pool/owner_target_misses.cpp
+++ b/src/core/pool/owner_target_misses.cpp
@@ -30,6 +30,12 @@
         return;
     }
     auto& miss = target.miss;
+    if (target.adopted_at == now && *headroom < 1)
+    {
+        // An earlier owner may have seen the miss for any time.
+        miss.since = now - settings_.colocation.stop_after;
+        miss.unbroken_since = now;
+    }
     auto const previous_report = miss.last_report;
     miss.update(now, *headroom);
     if (!miss.active())
--- a/tests/unit/pool/serving_latency_test.cpp
+++ b/tests/unit/pool/serving_latency_test.cpp
@@ -61,6 +61,14 @@
                (simulation.worker(0).runs({"serving", 0, 0, 0}) ? 1U : 0U);
     }
 
+    duration tail_latency()
+    {
+        auto const milliseconds = simulation.worker(0).tail_latency(
+            simulation.now(), {"serving", 0, 0, 0});
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(milliseconds));
+    }
+
     /// Whether best-effort tasks work beside the serving task.
     bool is_disturbed()
     {
@@ -145,3 +153,30 @@
         },
         2s));
 }
+
+// Guards against a successor that waits for the last resort as if a serving
+// task had come over its target with the successor's first report.
+TEST(pool_serving_latency,
+     a_successor_pauses_at_its_first_report_over_the_target)
+{
+    shared_worker worker("load=55 swing=35 swing_ms=40000");
+    worker.simulation.run(22s);
+    worker.submit_light_work(3);
+    ASSERT_TRUE(worker.simulation.run_until(
+        [&worker]
+        {
+            return worker.tail_latency() > target - 5ms;
+        }));
+    ASSERT_EQ(worker.running_light_tasks(), 3U);
+    worker.simulation.kill(*worker.simulation.owner());
+    ASSERT_TRUE(worker.simulation.run_until(
+        [&worker]
+        {
+            return worker.simulation.working_owner().has_value();
+        }));
+    ASSERT_TRUE(worker.is_disturbed());
+    ASSERT_GT(worker.tail_latency(), target + 10ms);
+    worker.simulation.run(300ms);
+    EXPECT_FALSE(worker.is_disturbed());
+    EXPECT_EQ(worker.running_light_tasks(), 3U);
+}
