--- a/src/core/pool/best_effort_throttle.cpp
+++ b/src/core/pool/best_effort_throttle.cpp
@@ -24,7 +24,7 @@
     }
     if (over)
     {
-        set(now, speed_ * lowest_headroom / settings.min_headroom);
+        set(now, speed_ * lowest_headroom / recovered_headroom);
     }
     else if (!miss.active() && speed_ < 1)
     {
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -111,16 +111,6 @@
     return lowest;
 }
 
-double unmeasured_share(worker_view const& view)
-{
-    double total = 0;
-    for (auto const& neighbour : view.best_effort)
-    {
-        total += neighbour.measured ? 0 : neighbour.declared;
-    }
-    return total;
-}
-
 double
 colocation::headroom_loss(std::uint16_t image,
                           std::vector<neighbour_share> const& neighbours) const
@@ -330,18 +320,36 @@
     return lowest;
 }
 
-// The estimates leave out pairs that count as harmless. Many tasks of them at
-// once still take a serving task over its target.
-bool colocation::slack_bears(worker_view const& view, double share) const
+double colocation::unmeasured_weight(std::uint16_t serving_image,
+                                     std::uint16_t neighbour_image) const
+{
+    return std::max(weight(serving_image, neighbour_image),
+                    settings_.min_unmeasured_weight);
+}
+
+// The expected headroom leaves out pairs that count as harmless. Many tasks of
+// them at once still take a serving task over its target.
+bool colocation::slack_bears(worker_view const& view,
+                             std::uint16_t image,
+                             double share) const
 {
-    auto const lowest = lowest_headroom(view);
-    if (!lowest)
+    for (auto const& serving_task : view.serving)
     {
-        return true;
+        double loss = unmeasured_weight(serving_task.image, image) * share;
+        for (auto const& neighbour : view.best_effort)
+        {
+            loss += neighbour.measured ? 0
+                                       : unmeasured_weight(serving_task.image,
+                                                           neighbour.image) *
+                                             neighbour.declared;
+        }
+        if (serving_task.measured &&
+            serving_task.headroom - loss < recovered_headroom)
+        {
+            return false;
+        }
     }
-    double const loss =
-        settings_.harmless_weight * (unmeasured_share(view) + share);
-    return *lowest - loss >= recovered_headroom;
+    return true;
 }
 
 bool colocation::disturbs(std::uint16_t serving_image,
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -36,7 +36,10 @@
     common::duration settle_time = std::chrono::milliseconds(600);
     /// Part of full speed by which the speed of best-effort tasks rises at a
     /// time after a serving task was over its target.
-    double speed_growth = 0.25;
+    double speed_growth = 0.5;
+    /// Minimum headroom that a task whose effect no report shows yet is taken
+    /// to take if it uses a whole worker, whatever has been learned of it.
+    double min_unmeasured_weight = 1;
     /// A best-effort task that has been paused for this long is moved to
     /// another worker.
     common::duration evict_after = std::chrono::milliseconds(1500);
@@ -113,10 +116,6 @@
 /// there is no measurement.
 std::optional<double> lowest_headroom(worker_view const& view);
 
-/// Returns the cores that best-effort tasks have declared whose effect no
-/// report shows yet, as a share of the worker's.
-double unmeasured_share(worker_view const& view);
-
 /// New speed limit of a task, in percent.
 struct speed_limit_change
 {
@@ -168,11 +167,12 @@
     double expected_headroom(worker_view const& view,
                              std::uint16_t image,
                              double share) const;
-    /// Whether the measured headroom of the serving tasks bears another
-    /// best-effort task with this share of the worker, beside those whose
-    /// effect is not measured yet, if each takes as much as a harmless pair
-    /// may. True if nothing was measured.
-    bool slack_bears(worker_view const& view, double share) const;
+    /// Whether the measured headroom of each serving task bears a task of
+    /// `image` with this share of the worker, beside the best-effort tasks
+    /// whose effect is not measured yet. True if nothing was measured.
+    bool slack_bears(worker_view const& view,
+                     std::uint16_t image,
+                     double share) const;
     /// Whether `neighbour_image` disturbs `serving_image`. Every pair counts as
     /// disturbing until it has been observed.
     bool disturbs(std::uint16_t serving_image,
@@ -197,6 +197,9 @@
     };
     double weight(std::uint16_t serving_image,
                   std::uint16_t neighbour_image) const;
+    /// The weight that counts until the effect of the neighbour is measured.
+    double unmeasured_weight(std::uint16_t serving_image,
+                             std::uint16_t neighbour_image) const;
     std::vector<double> const&
     deviations_from_mean(std::vector<serving_reading const*> const& readings);
     double
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -368,8 +368,7 @@
     auto const share = share_of(step_spec.declared.millicores,
                                 target.info.capacity.millicores);
     bool const fits_beside_serving =
-        !target.miss.active() && target.throttle.speed() == 1 &&
-        colocation_.slack_bears(view, share) &&
+        !target.miss.active() && colocation_.slack_bears(view, image, share) &&
         colocation_.expected_headroom(view, image, share) >=
             settings_.colocation.placement_headroom;
     return fits_beside_serving ? std::nullopt
