Stand-in workers: strain and CPU use of a task follow its speed

A paused task went on straining its neighbours, so that a serving task that only the throttle could help stayed over its target for good, and nothing was placed beside it: three tests of rebalancing failed for that since the throttle.

--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -338,20 +338,24 @@
 // any other task in thousandths of a core.
 std::int64_t worker_state::measurement_of(run const& target) const
 {
-    if (target.script.users || target.script.pressure)
+    auto const& script = target.script;
+    if (script.users || script.pressure)
     {
         return std::llround(target.measured.value());
     }
-    if (target.script.tail_latency_ms == 0)
+    if (script.tail_latency_ms == 0)
     {
-        return static_cast<std::int64_t>(target.script.millicores);
+        return std::llround(static_cast<double>(script.millicores) *
+                            target.speed.share());
     }
-    auto tail_latency_ms = target.script.tail_latency_ms;
+    auto tail_latency_ms = static_cast<double>(script.tail_latency_ms);
     for (auto const& [task, run] : running_)
     {
-        tail_latency_ms += run.script.neighbour_latency_ms;
+        tail_latency_ms +=
+            static_cast<double>(run.script.neighbour_latency_ms) *
+            run.speed.share();
     }
-    return static_cast<std::int64_t>(tail_latency_ms);
+    return std::llround(tail_latency_ms);
 }
 
 double worker_state::tail_latency_of(time_point now, run const& target) const
