Pool: a report without a measurement does not end a miss

Cause: a report in which no serving task has a figure yet ended the miss, so the wait for the last resort began anew. The log line of a successor's first report gave a senseless gap_ms, and the longest miss counted time in which all was paused.

Change: such a report leaves the miss as it is; only a worker without best-effort tasks forgets it, with its throttle.

Test, failed before: a_report_without_a_measurement_does_not_end_a_miss.

--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -210,6 +210,12 @@
     read_serving(now, w);
     // This is a copy, since setting a speed limit invalidates the view.
     auto const view = view_of(w);
+    if (view.best_effort.empty())
+    {
+        w.miss = {};
+        w.throttle = {};
+        return;
+    }
     follow_target_miss(now, w, view);
     if (auto const headroom = lowest_headroom(view))
     {
--- a/src/core/pool/owner_target_misses.cpp
+++ b/src/core/pool/owner_target_misses.cpp
@@ -24,9 +24,9 @@
                                worker_view const& view)
 {
     auto const headroom = lowest_headroom(view);
-    if (!headroom || view.best_effort.empty())
+    // A report without a measurement says nothing about a miss.
+    if (!headroom)
     {
-        target.miss = {};
         return;
     }
     auto& miss = target.miss;
@@ -35,6 +35,7 @@
         // An earlier owner may have seen the miss for any time.
         miss.since = now - settings_.colocation.stop_after;
         miss.unbroken_since = now;
+        miss.last_report = now;
     }
     auto const previous_report = miss.last_report;
     miss.update(now, *headroom);
@@ -46,7 +47,15 @@
     {
         counters_.over_target += now - previous_report;
     }
-    counters_.longest_miss = std::max(counters_.longest_miss, miss.length(now));
+    bool const some_work = std::any_of(view.best_effort.begin(),
+                                       view.best_effort.end(),
+                                       [](best_effort_view const& task)
+                                       {
+                                           return task.speed_limit > 0;
+                                       });
+    counters_.longest_miss =
+        std::max(counters_.longest_miss,
+                 some_work ? miss.length(now) : common::duration{});
     if (miss.length(now) >= min_logged_miss && now >= miss.next_log)
     {
         miss.next_log = now + miss_log_interval;
--- a/tests/unit/pool/serving_latency_test.cpp
+++ b/tests/unit/pool/serving_latency_test.cpp
@@ -180,3 +180,30 @@
     EXPECT_FALSE(worker.is_disturbed());
     EXPECT_EQ(worker.running_light_tasks(), 3U);
 }
+
+// Guards against a wait for the last resort that a report without a measurement
+// starts anew.
+TEST(pool_serving_latency, a_report_without_a_measurement_does_not_end_a_miss)
+{
+    shared_worker worker("load=55 swing=35 swing_ms=40000");
+    int reports = 0;
+    worker.simulation.worker_answer = [&reports](ports::order_reply& reply)
+    {
+        bool const lacks_it = ++reports % 10 == 0;
+        for (auto& row : reply.running)
+        {
+            row.measurement = lacks_it ? 0 : row.measurement;
+        }
+        return false;
+    };
+    worker.simulation.run(22s);
+    worker.submit_light_work(3);
+    ASSERT_TRUE(worker.simulation.run_until(
+        [&worker]
+        {
+            return worker.tail_latency() > target + 1ms;
+        }));
+    ASSERT_EQ(worker.running_light_tasks(), 3U);
+    worker.simulation.run(2500ms);
+    EXPECT_FALSE(worker.is_disturbed());
+}
