Pool: rounds of placing leave out workers that bear no more best-effort work

Cause: idle cores that placement may not use beside serving tasks stayed in the index of capacity, so each round examined hundreds of workers for each waiting step, and the owner ran out of processor time.

Change: the index counts what the measured headroom bears, nothing during a miss.

Test, failed before: workers_that_bear_no_more_are_not_examined_each_round (100 workers examined in 10 s, now none).

--- a/src/core/pool/capacity_index.cpp
+++ b/src/core/pool/capacity_index.cpp
@@ -97,7 +97,7 @@
     auto const& w = *workers_[index];
     if (w.view_known)
     {
-        idle_[index] = w.idle_cores();
+        idle_[index] = w.best_effort_room();
         return;
     }
     idle_[index] = unlimited;
--- a/src/core/pool/colocation.cpp
+++ b/src/core/pool/colocation.cpp
@@ -327,6 +327,22 @@
                     settings_.min_unmeasured_weight);
 }
 
+double colocation::bearable_share(worker_view const& view) const
+{
+    auto const lowest = lowest_headroom(view);
+    if (!lowest)
+    {
+        return 1;
+    }
+    double share =
+        (*lowest - recovered_headroom) / settings_.min_unmeasured_weight;
+    for (auto const& neighbour : view.best_effort)
+    {
+        share -= neighbour.measured ? 0 : neighbour.declared;
+    }
+    return std::clamp(share, 0.0, 1.0);
+}
+
 // The expected headroom leaves out pairs that count as harmless. Many tasks of
 // them at once still take a serving task over its target.
 bool colocation::slack_bears(worker_view const& view,
--- a/src/core/pool/colocation.hpp
+++ b/src/core/pool/colocation.hpp
@@ -110,6 +110,9 @@
 {
     std::vector<serving_view> serving;
     std::vector<best_effort_view> best_effort;
+    /// Upper bound of the share of the worker that the measured headroom bears
+    /// of further best-effort tasks of any image.
+    double bearable_share = 1;
 };
 
 /// Returns the lowest headroom that was measured of a serving task; empty if
@@ -167,6 +170,8 @@
     double expected_headroom(worker_view const& view,
                              std::uint16_t image,
                              double share) const;
+    /// Returns `worker_view::bearable_share` for the tasks of the view.
+    double bearable_share(worker_view const& view) const;
     /// Whether the measured headroom of each serving task bears a task of
     /// `image` with this share of the worker, beside the best-effort tasks
     /// whose effect is not measured yet. True if nothing was measured.
--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -24,6 +24,17 @@
            best_effort_cores;
 }
 
+std::int64_t worker::best_effort_room() const noexcept
+{
+    if (miss.active())
+    {
+        return 0;
+    }
+    auto const bearable =
+        view.bearable_share * static_cast<double>(info.capacity.millicores);
+    return std::min(idle_cores(), static_cast<std::int64_t>(bearable));
+}
+
 bool worker::has_capacity_for_two(
     ports::resources const& declared) const noexcept
 {
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -166,6 +166,9 @@
     bool has_capacity_for_two(ports::resources const& declared) const noexcept;
     /// Unused cores, in thousandths of a core, as of the last update of `view`.
     std::int64_t idle_cores() const noexcept;
+    /// The part of these that best-effort tasks may take by what the serving
+    /// tasks measure.
+    std::int64_t best_effort_room() const noexcept;
 };
 
 /// The set of all workers that may run tasks of this deployment.
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -109,6 +109,7 @@
                                     steps.isolated_headroom});
         }
     }
+    view.bearable_share = colocation_.bearable_share(view);
     return view;
 }
 
--- a/tests/unit/pool/serving_latency_test.cpp
+++ b/tests/unit/pool/serving_latency_test.cpp
@@ -207,3 +207,22 @@
     worker.simulation.run(2500ms);
     EXPECT_FALSE(worker.is_disturbed());
 }
+
+// Guards against rounds of placing that examine every worker with idle cores
+// for work that none of them bears, until the owner is out of processor time.
+TEST(pool_serving_latency,
+     workers_that_bear_no_more_are_not_examined_each_round)
+{
+    shared_worker worker("load=88");
+    worker.submit_light_work(8);
+    worker.simulation.run(1s);
+    auto const scored = [&worker]
+    {
+        return worker.simulation.owner_at(*worker.simulation.owner())
+            .counters()
+            .scored;
+    };
+    auto const before = scored();
+    worker.simulation.run(10s);
+    EXPECT_EQ(scored(), before);
+}
