--- a/tests/unit/pool/serving_latency_walk_test.cpp
+++ b/tests/unit/pool/serving_latency_walk_test.cpp
@@ -89,7 +89,7 @@
 
     void submit_best_effort()
     {
-        // Shares of a serving task's capacity: harmless, average and heavy.
+        // In percent: three images that count as harmless, and a heavy one.
         constexpr std::array<int, 4> pressures{20, 35, 45, 150};
         auto const image = draw(pressures.size());
         auto job = simple_job(1 + draw(12),
