--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -319,7 +319,7 @@
                          loss_reason reason,
                          blamed_tasks const& blamed);
 
-    // owner_rows.cpp: running and ended attempts that a worker reports.
+    // owner_rows.cpp: reports of workers, and the attempts that run there.
     void apply_rows(common::time_point now,
                     common::time_point sent_at,
                     worker& target,
@@ -350,6 +350,8 @@
                        worker& target,
                        job_run& run,
                        ports::pool_attempt const& attempt_id);
+
+    // owner_ends.cpp: ended attempts that a worker reports.
     void apply_end(common::time_point now,
                    worker& target,
                    ports::ended_attempt const& row);
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -1,14 +1,13 @@
 #include "core/pool/owner.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
-// Handles the running and ended attempts that workers report.
+// Handles the reports of workers: the attempts that run there, and those that
+// are missing.
 namespace fuchsia::core::pool
 {
 
-using ports::end_kind;
 using ports::order_reply;
 using ports::severity;
 
@@ -39,43 +38,6 @@
         sorted.begin(), sorted.end(), &name, less_by_name);
 }
 
-std::string_view name_of(end_kind kind)
-{
-    constexpr std::array<std::string_view, 6> names{
-        "done", "failed", "stopped", "lapsed", "broken", "alone"};
-    return names[static_cast<std::size_t>(kind)];
-}
-
-/// Failures of earlier attempts of a task, or of any member of its gang.
-struct earlier_failures
-{
-    bool failed = false;
-    std::string workers; ///< Those known to this owner: "w1,w2".
-};
-
-earlier_failures failed_before(job_run const& run, ports::task_name const& name)
-{
-    auto const& tasks = run.occurrences[name.occurrence].steps[name.step].tasks;
-    bool const gang = run.step_of(name).gang;
-    earlier_failures result;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index)
-    {
-        if (!gang && index != name.index)
-        {
-            continue;
-        }
-        auto const& t = tasks[index];
-        result.failed =
-            result.failed || !t.failures.empty() || !t.failed_on.empty();
-        for (auto const& worker : t.failed_on)
-        {
-            result.workers += result.workers.empty() ? "" : ",";
-            result.workers += worker;
-        }
-    }
-    return result;
-}
-
 } // namespace
 
 void owner::apply_rows(common::time_point now,
@@ -329,110 +291,4 @@
     order_stop(now, target.info.id, attempt_id);
 }
 
-void owner::apply_end(common::time_point now,
-                      worker& target,
-                      ports::ended_attempt const& row)
-{
-    auto const& name = row.attempt_id.task;
-    auto const [run, t] = find_task(name);
-    if (t == nullptr || t->phase == task_phase::done)
-    {
-        return;
-    }
-    bool const is_current = t->placed() && t->worker == target.info.id &&
-                            t->attempt == row.attempt_id.attempt;
-    bool const inherited = may_belong_to_earlier_owner(*run, *t);
-    // The end of a run that was counted as lost and was not restarted since.
-    bool const late = t->phase == task_phase::ready &&
-                      t->worker == target.info.id &&
-                      t->attempt == row.attempt_id.attempt;
-    if (!row.checkpoint.empty() && (is_current || inherited || late))
-    {
-        t->checkpoint = row.checkpoint;
-    }
-    if (inherited)
-    {
-        // Another worker may still run a later attempt of the task.
-        t->attempt = std::max(t->attempt, row.attempt_id.attempt);
-        run->started = true;
-    }
-    if (row.kind == end_kind::done && (is_current || inherited || late))
-    {
-        target.failed_jobs.clear();
-        task_done(now, *run, name);
-        return;
-    }
-    if (row.kind == end_kind::failed && (is_current || inherited))
-    {
-        apply_failure(now, target, *run, row.attempt_id, is_current);
-        return;
-    }
-    if (!is_current)
-    {
-        return;
-    }
-    if (row.kind != end_kind::stopped)
-    {
-        ++counters_.tasks_lost;
-        log_task(severity::warning,
-                 "task_ended",
-                 {name, row.attempt_id.attempt},
-                 target.info.id,
-                 {{"how", std::string(name_of(row.kind))}});
-    }
-    task_over(now, *run, name);
-}
-
-// A first failure is common and matters little, so it only goes into the
-// digest. Further ones lead to the failure of the job and are logged one by
-// one.
-void owner::log_failure(common::time_point now,
-                        worker const& target,
-                        job_run const& run,
-                        ports::pool_attempt const& attempt_id)
-{
-    digest_.task_failed(now, target.info.id);
-    auto const earlier = failed_before(run, attempt_id.task);
-    if (earlier.failed || run.rules.attempts <= 1)
-    {
-        log_task(severity::info,
-                 "task_failed",
-                 attempt_id,
-                 target.info.id,
-                 {{"failed_before_on", earlier.workers}});
-    }
-}
-
-// Workers report an end until it is acknowledged, so the failure may have been
-// counted already.
-void owner::apply_failure(common::time_point now,
-                          worker& target,
-                          job_run& run,
-                          ports::pool_attempt const& attempt_id,
-                          bool is_current)
-{
-    auto& t = run.at(attempt_id.task);
-    auto const& failures = t.failures;
-    bool const already_counted =
-        std::find(failures.begin(), failures.end(), attempt_id.attempt) !=
-        failures.end();
-    if (already_counted && is_current)
-    {
-        task_over(now, run, attempt_id.task);
-    }
-    if (already_counted)
-    {
-        return;
-    }
-    log_failure(now, target, run, attempt_id);
-    t.worker = target.info.id;
-    note_worker_failure(now, target, attempt_id.task.job);
-    if (is_current)
-    {
-        task_failed(now, run, attempt_id.task);
-        return;
-    }
-    count_failure(run, attempt_id.task, attempt_id.attempt);
-}
-
 } // namespace fuchsia::core::pool
