Stand-in workers: an end counts as acknowledged though the lease had expired

The users' rule (TWICE) forbids a start long after an end as done was taken note of, whatever became of the worker's lease. The simulation left out all ends that were acknowledged after an expiry, so that no walk could see such a start. It now tells them apart: a task must not start a second after such an acknowledgement, and a start between an end and an acknowledgement without an expiry counts too.

--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -123,11 +123,12 @@
 
 void worker_state::notify(worker_event_kind kind,
                           ports::pool_attempt const& attempt,
-                          end_kind end_result) const
+                          end_kind end_result,
+                          bool lease_expired) const
 {
     if (observer_)
     {
-        observer_({kind, attempt, end_result, fencing_token_});
+        observer_({kind, attempt, end_result, fencing_token_, lease_expired});
     }
 }
 
@@ -314,11 +315,10 @@
         if (acknowledged(end))
         {
             acknowledged_ends_.push_back(end);
-            if (end.sequence > last_end_before_expiry_)
-            {
-                notify(
-                    worker_event_kind::acknowledged, end.attempt_id, end.kind);
-            }
+            notify(worker_event_kind::acknowledged,
+                   end.attempt_id,
+                   end.kind,
+                   end.sequence <= last_end_before_expiry_);
         }
     }
     std::erase_if(unacknowledged_ends_, acknowledged);
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -64,8 +64,7 @@
 {
     started,
     ended,
-    /// The owner acknowledged that it has stored this end. Not reported if the
-    /// worker's lease expired between the end and the acknowledgement.
+    /// The owner acknowledged that it has stored this end.
     acknowledged,
     /// The run crashed the worker. The event comes from the server, which ends
     /// the worker with all its runs.
@@ -79,6 +78,9 @@
     ports::pool_attempt run;
     ports::end_kind end_result = ports::end_kind::done;
     std::uint64_t fence = 0;
+    /// Whether the worker's lease expired between the end and its
+    /// acknowledgement, so that the task may have started elsewhere before.
+    bool lease_expired = false;
 };
 
 /// One incarnation of a worker in memory: the highest fencing token, one lease
@@ -156,7 +158,8 @@
 
     void notify(worker_event_kind kind,
                 ports::pool_attempt const& attempt,
-                ports::end_kind end_result = ports::end_kind::done) const;
+                ports::end_kind end_result = ports::end_kind::done,
+                bool lease_expired = false) const;
 
     ports::pool_worker info_;
     std::function<void(worker_event const&)> observer_;
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -231,6 +231,7 @@
     void tick_all();
     void check_start(std::size_t worker_number,
                      ports::pool_attempt const& attempt);
+    bool is_known_as_done(ports::task_name const& task) const;
     void check_crash_budget(ports::task_name const& task,
                             std::string const& description);
     void check_capacity(std::size_t worker_number,
@@ -239,6 +240,8 @@
     void crash_by_tasks();
     /// Records the ends that the worker is told are durable.
     void observe_worker(std::size_t number);
+    void note_acknowledged_done(std::size_t worker_number,
+                                standins::pool::worker_event const& event);
     std::uint64_t send_request(std::size_t instance,
                                core::pool::pool_request request);
 
@@ -283,6 +286,12 @@
     std::map<ports::task_name, std::size_t> ended_done_;
     /// Tasks acknowledged as done, unless the lease had expired in between.
     std::set<ports::task_name> done_;
+    /// Tasks acknowledged as done after the lease had expired, with the time of
+    /// the first acknowledgement.
+    std::map<ports::task_name, time_point> done_after_expiry_;
+    /// Number of starts of a task at each end as done, by worker and run.
+    std::map<std::pair<std::size_t, ports::pool_attempt>, std::size_t>
+        starts_before_end_;
     std::map<ports::task_name, std::size_t>
         failed_; ///< Number of acknowledged failures by task.
     std::string violation_;
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t forbidden_start_after_crashes = 3;
 // Time for which an owner may rely on a capacity that has shrunk.
 constexpr duration capacity_grace = 3s + 1500ms;
+// Time after the acknowledgement of an end as done, after which its task must
+// not start whatever became of the lease.
+constexpr duration known_as_done_after = 1s;
 // Time for which the entry of a crashed worker stays in the list.
 constexpr duration entry_retention = 4500ms;
 
@@ -362,6 +365,11 @@
     {
         violation_ = "ran again after it was done: " + name;
     }
+    else if (is_known_as_done(attempt.task))
+    {
+        violation_ =
+            "ran again long after its end as done was acknowledged: " + name;
+    }
     else if (failed_[attempt.task] >= attempts_of_queue)
     {
         violation_ = "ran again after its last attempt: " + name;
@@ -370,6 +378,15 @@
     check_capacity(worker_number, name);
 }
 
+// Whether an end of the task as done was acknowledged so long ago that its
+// owner must know of it, whether or not the lease had expired before.
+bool pool_simulation::is_known_as_done(ports::task_name const& task) const
+{
+    auto const found = done_after_expiry_.find(task);
+    return found != done_after_expiry_.end() &&
+           now() - found->second > known_as_done_after;
+}
+
 void pool_simulation::check_crash_budget(ports::task_name const& task,
                                          std::string const& description)
 {
@@ -425,6 +442,8 @@
                 event.end_result == ports::end_kind::done)
             {
                 ended_done_[event.run.task] = number;
+                starts_before_end_[{number, event.run}] =
+                    starts_of(event.run.task);
             }
             if (event.kind != standins::pool::worker_event_kind::acknowledged)
             {
@@ -432,13 +451,36 @@
             }
             if (event.end_result == ports::end_kind::done)
             {
-                done_.insert(event.run.task);
+                note_acknowledged_done(number, event);
             }
-            else if (event.end_result == ports::end_kind::failed)
+            else if (event.end_result == ports::end_kind::failed &&
+                     !event.lease_expired)
             {
                 ++failed_[event.run.task];
             }
         });
 }
 
+// A task may start again after its end only if the lease of its worker expired
+// before that end was acknowledged, and not for long after that.
+void pool_simulation::note_acknowledged_done(
+    std::size_t worker_number, standins::pool::worker_event const& event)
+{
+    auto const& task = event.run.task;
+    if (event.lease_expired)
+    {
+        done_after_expiry_.emplace(task, now());
+        return;
+    }
+    done_.insert(task);
+    bool const started_since =
+        starts_of(task) > starts_before_end_[{worker_number, event.run}];
+    if (started_since && violation_.empty())
+    {
+        violation_ =
+            "ran again before its end as done was acknowledged: " + task.job +
+            "." + std::to_string(task.step) + "." + std::to_string(task.index);
+    }
+}
+
 } // namespace fuchsia::tests::unit::pool
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -165,8 +165,11 @@
             out_.append(run_ended{worker.id, event.run, event.end_result});
             break;
         case worker_event_kind::acknowledged:
-            out_.append(
-                end_acknowledged{worker.id, event.run, event.end_result});
+            if (!event.lease_expired)
+            {
+                out_.append(
+                    end_acknowledged{worker.id, event.run, event.end_result});
+            }
             break;
         case worker_event_kind::crashed_worker:
             out_.append(worker_crashed{worker.id, event.run.task});
