--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -1,6 +1,7 @@
 #include "core/pool/job_run.hpp"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
@@ -50,6 +51,18 @@
 
 } // namespace
 
+std::string_view name_of(task_phase phase) noexcept
+{
+    constexpr std::array<std::string_view, 7> names{"blocked",
+                                                    "unresolved",
+                                                    "ready",
+                                                    "starting",
+                                                    "running",
+                                                    "stopping",
+                                                    "done"};
+    return names[static_cast<std::size_t>(phase)];
+}
+
 task* job_run::find(ports::task_name const& name)
 {
     if (name.occurrence >= occurrences.size() ||
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // State of a job while its owner runs it.
@@ -29,6 +30,8 @@
     done,
 };
 
+std::string_view name_of(task_phase phase) noexcept;
+
 /// Cores that the neighbours of one image use, as a share of the worker's.
 struct neighbour_share
 {
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -352,7 +352,8 @@
                        ports::pool_attempt const& attempt_id);
 
     // owner_ends.cpp: ended attempts that a worker reports.
-    void apply_end(common::time_point now,
+    void note_unused_end(worker const& target, ports::ended_attempt const& row);
+    bool apply_end(common::time_point now,
                    worker& target,
                    ports::ended_attempt const& row);
     void log_failure(common::time_point now,
@@ -400,7 +401,7 @@
                                            ports::order_reply const& reply);
 
     // owner_takeover.cpp: tasks that earlier owners may have started.
-    void count_inherited_failure(common::time_point now,
+    bool count_inherited_failure(common::time_point now,
                                  ports::ended_attempt const& row);
     void fail_exhausted_job(common::time_point now, job_run& run);
     void complete_takeover(common::time_point now);
--- a/src/core/pool/owner_ends.cpp
+++ b/src/core/pool/owner_ends.cpp
@@ -52,7 +52,34 @@
 
 } // namespace
 
-void owner::apply_end(common::time_point now,
+// Counts the end of an attempt that changes nothing. A task that is not done
+// keeps its phase, so its end as done would be lost.
+void owner::note_unused_end(worker const& target,
+                            ports::ended_attempt const& row)
+{
+    auto const* const t = find_task(row.attempt_id.task).state;
+    if (row.kind != end_kind::done && row.kind != end_kind::failed)
+    {
+        return;
+    }
+    if (t == nullptr || t->phase == task_phase::done)
+    {
+        ++counters_.ends_known;
+        return;
+    }
+    ++counters_.ends_ignored;
+    log_task(severity::warning,
+             "end_ignored",
+             row.attempt_id,
+             target.info.id,
+             {{"how", std::string(name_of(row.kind))},
+              {"phase", std::string(name_of(t->phase))},
+              {"present_attempt", std::to_string(t->attempt)},
+              {"present_worker", t->worker}});
+}
+
+// Returns whether the end changed anything.
+bool owner::apply_end(common::time_point now,
                       worker& target,
                       ports::ended_attempt const& row)
 {
@@ -60,7 +87,7 @@
     auto const [run, t] = find_task(name);
     if (t == nullptr || t->phase == task_phase::done)
     {
-        return;
+        return false;
     }
     bool const is_current = t->placed() && t->worker == target.info.id &&
                             t->attempt == row.attempt_id.attempt;
@@ -83,16 +110,16 @@
     {
         target.failed_jobs.clear();
         task_done(now, *run, name);
-        return;
+        return true;
     }
     if (row.kind == end_kind::failed && (is_current || inherited))
     {
         apply_failure(now, target, *run, row.attempt_id, is_current);
-        return;
+        return true;
     }
     if (!is_current)
     {
-        return;
+        return false;
     }
     if (row.kind != end_kind::stopped)
     {
@@ -104,6 +131,7 @@
                  {{"how", std::string(name_of(row.kind))}});
     }
     task_over(now, *run, name);
+    return true;
 }
 
 // A first failure is common and matters little, so it only goes into the
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -61,10 +61,12 @@
         reported.push_back(&row.attempt_id.task);
         if (target.ends.add(row.sequence))
         {
-            apply_end(now, target, row);
-            if (!target.ends.caught_up())
+            bool const used = apply_end(now, target, row);
+            bool const counted =
+                !target.ends.caught_up() && count_inherited_failure(now, row);
+            if (!used && !counted)
             {
-                count_inherited_failure(now, row);
+                note_unused_end(target, row);
             }
         }
     }
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -31,19 +31,23 @@
 // Counts a failure that may have happened before this owner adopted the worker.
 // A worker reports such failures to each owner that adopts it, whether or not
 // an earlier owner has handled them. The failure counts even if the task
-// already runs again on another worker.
-void owner::count_inherited_failure(common::time_point now,
+// already runs again on another worker. Returns whether the end is such a
+// failure, counted now or before.
+bool owner::count_inherited_failure(common::time_point now,
                                     ports::ended_attempt const& row)
 {
     auto const& name = row.attempt_id.task;
     auto const [run, t] = find_task(name);
     if (t == nullptr || row.kind != end_kind::failed ||
-        t->phase == task_phase::done ||
-        std::find(t->failures.begin(),
+        t->phase == task_phase::done)
+    {
+        return false;
+    }
+    if (std::find(t->failures.begin(),
                   t->failures.end(),
                   row.attempt_id.attempt) != t->failures.end())
     {
-        return;
+        return true;
     }
     count_failure(*run, name, row.attempt_id.attempt);
     if (run->phase == job_phase::active &&
@@ -51,6 +55,7 @@
     {
         fail_exhausted_job(now, *run);
     }
+    return true;
 }
 
 // Fails a job whose attempts were used up by failures or crashes under earlier
