Pool: an end as done counts whichever attempt it is of

A successor that reached a worker only after its takeover was complete had made the worker's tasks ready again; the worker then listed their ends, which were of no attempt that this owner knew. They were ignored, counted as processed and acknowledged, so that the worker forgot them: from then on nobody could know that the tasks were done. In a full pool they started again much later.

An end as done now counts in every phase of a task, whoever started the attempt: the task is done. If another attempt is placed meanwhile, it is stopped, and occupies its capacity until it is over; the record in the store says done at once, before the end is acknowledged. The special cases for ends of earlier owners and of runs counted as lost are gone. Long-running tasks are never done. end_of_other_attempt names each such end.

--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -66,6 +66,8 @@
     bool end_unlisted = false;
     bool ran_before =
         false; ///< The task is waiting after an attempt that is over.
+    /// Another attempt has ended as done; the present one is being stopped.
+    bool done_by_other_attempt = false;
     std::string checkpoint;
     std::uint32_t percent = 0;
     std::int64_t level = 0;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -196,6 +196,12 @@
     void count_failure(job_run& run,
                        ports::task_name const& name,
                        std::uint32_t attempt);
+    void task_done_by_other(common::time_point now,
+                            job_run& run,
+                            ports::task_name const& name);
+    void mark_done_by_other(common::time_point now,
+                            job_run& run,
+                            ports::task_name const& name);
     void mark_done(job_run& run, ports::task_name const& name);
     void after_done(common::time_point now, job_run& run);
     void stop_attempt(common::time_point now,
@@ -353,9 +359,26 @@
 
     // owner_ends.cpp: ended attempts that a worker reports.
     void note_unused_end(worker const& target, ports::ended_attempt const& row);
+    void log_other_end(ports::severity level,
+                       char const* event,
+                       worker const& target,
+                       ports::pool_attempt const& attempt_id,
+                       std::vector<ports::header> extra_fields = {});
     bool apply_end(common::time_point now,
                    worker& target,
                    ports::ended_attempt const& row);
+    void apply_current_end(common::time_point now,
+                           worker& target,
+                           job_run& run,
+                           ports::ended_attempt const& row);
+    bool apply_other_done(common::time_point now,
+                          worker& target,
+                          job_run& run,
+                          ports::pool_attempt const& attempt_id);
+    bool apply_other_end(common::time_point now,
+                         worker& target,
+                         job_run& run,
+                         ports::ended_attempt const& row);
     void log_failure(common::time_point now,
                      worker const& target,
                      job_run const& run,
--- a/src/core/pool/owner_crashes.cpp
+++ b/src/core/pool/owner_crashes.cpp
@@ -57,7 +57,8 @@
             continue;
         }
         t->crash_history.note_lost_run(t->seen_running);
-        if (auto const found = blamed.find(name); found != blamed.end())
+        auto const found = blamed.find(name);
+        if (found != blamed.end() && !t->done_by_other_attempt)
         {
             count_crash(*run, name, found->second, confirmed);
         }
--- a/src/core/pool/owner_ends.cpp
+++ b/src/core/pool/owner_ends.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 // Handles the ended attempts that workers report.
 namespace fuchsia::core::pool
@@ -52,8 +53,7 @@
 
 } // namespace
 
-// Counts the end of an attempt that changes nothing. A task that is not done
-// keeps its phase, so its end as done would be lost.
+// Counts the end of an attempt that changes nothing.
 void owner::note_unused_end(worker const& target,
                             ports::ended_attempt const& row)
 {
@@ -62,20 +62,32 @@
     {
         return;
     }
-    if (t == nullptr || t->phase == task_phase::done)
+    if (t == nullptr || t->phase == task_phase::done ||
+        t->done_by_other_attempt)
     {
         ++counters_.ends_known;
         return;
     }
     ++counters_.ends_ignored;
-    log_task(severity::warning,
-             "end_ignored",
-             row.attempt_id,
-             target.info.id,
-             {{"how", std::string(name_of(row.kind))},
-              {"phase", std::string(name_of(t->phase))},
-              {"present_attempt", std::to_string(t->attempt)},
-              {"present_worker", t->worker}});
+    log_other_end(severity::warning,
+                  "end_ignored",
+                  target,
+                  row.attempt_id,
+                  {{"how", std::string(name_of(row.kind))}});
+}
+
+// Logs the end of another attempt than the present one.
+void owner::log_other_end(severity level,
+                          char const* event,
+                          worker const& target,
+                          ports::pool_attempt const& attempt_id,
+                          std::vector<ports::header> extra_fields)
+{
+    auto const& t = *find_task(attempt_id.task).state;
+    extra_fields.push_back({"phase", std::string(name_of(t.phase))});
+    extra_fields.push_back({"present_attempt", std::to_string(t.attempt)});
+    extra_fields.push_back({"present_worker", t.worker});
+    log_task(level, event, attempt_id, target.info.id, std::move(extra_fields));
 }
 
 // Returns whether the end changed anything.
@@ -91,46 +103,101 @@
     }
     bool const is_current = t->placed() && t->worker == target.info.id &&
                             t->attempt == row.attempt_id.attempt;
-    bool const inherited = may_belong_to_earlier_owner(*run, *t);
-    // The end of a run that was counted as lost and was not restarted since.
-    bool const late = t->phase == task_phase::ready &&
-                      t->worker == target.info.id &&
-                      t->attempt == row.attempt_id.attempt;
-    if (!row.checkpoint.empty() && (is_current || inherited || late))
-    {
-        t->checkpoint = row.checkpoint;
-    }
-    if (inherited)
-    {
-        // Another worker may still run a later attempt of the task.
-        t->attempt = std::max(t->attempt, row.attempt_id.attempt);
-        run->started = true;
-    }
-    if (row.kind == end_kind::done && (is_current || inherited || late))
+    if (is_current)
     {
-        target.failed_jobs.clear();
-        task_done(now, *run, name);
+        apply_current_end(now, target, *run, row);
         return true;
     }
-    if (row.kind == end_kind::failed && (is_current || inherited))
+    return row.kind == end_kind::done
+               ? apply_other_done(now, target, *run, row.attempt_id)
+               : apply_other_end(now, target, *run, row);
+}
+
+void owner::apply_current_end(common::time_point now,
+                              worker& target,
+                              job_run& run,
+                              ports::ended_attempt const& row)
+{
+    auto const& name = row.attempt_id.task;
+    auto& t = run.at(name);
+    t.checkpoint = row.checkpoint.empty() ? t.checkpoint : row.checkpoint;
+    if (row.kind == end_kind::done)
     {
-        apply_failure(now, target, *run, row.attempt_id, is_current);
-        return true;
+        target.failed_jobs.clear();
+        task_done(now, run, name);
+        return;
     }
-    if (!is_current)
+    if (row.kind == end_kind::failed && !t.done_by_other_attempt)
     {
-        return false;
+        apply_failure(now, target, run, row.attempt_id, true);
+        return;
     }
     if (row.kind != end_kind::stopped)
     {
         ++counters_.tasks_lost;
         log_task(severity::warning,
                  "task_ended",
-                 {name, row.attempt_id.attempt},
+                 row.attempt_id,
                  target.info.id,
                  {{"how", std::string(name_of(row.kind))}});
     }
-    task_over(now, *run, name);
+    task_over(now, run, name);
+}
+
+// Handles the end as done of an attempt that this owner did not start, or that
+// it has given up. The task is done whatever this owner takes it for: the
+// worker forgets the end once it is acknowledged, and nobody could learn of it
+// again. A long-running task is never done.
+bool owner::apply_other_done(common::time_point now,
+                             worker& target,
+                             job_run& run,
+                             ports::pool_attempt const& attempt_id)
+{
+    auto& t = run.at(attempt_id.task);
+    if (run.step_of(attempt_id.task).long_running || t.done_by_other_attempt)
+    {
+        return false;
+    }
+    if (!may_belong_to_earlier_owner(run, t))
+    {
+        log_other_end(
+            severity::info, "end_of_other_attempt", target, attempt_id);
+    }
+    t.attempt =
+        t.placed() ? t.attempt : std::max(t.attempt, attempt_id.attempt);
+    run.started = true;
+    target.failed_jobs.clear();
+    task_done_by_other(now, run, attempt_id.task);
+    return true;
+}
+
+// Handles any other end of such an attempt.
+bool owner::apply_other_end(common::time_point now,
+                            worker& target,
+                            job_run& run,
+                            ports::ended_attempt const& row)
+{
+    auto& t = run.at(row.attempt_id.task);
+    bool const inherited = may_belong_to_earlier_owner(run, t);
+    // The end of a run that was counted as lost and was not restarted since.
+    bool const late = t.phase == task_phase::ready &&
+                      t.worker == target.info.id &&
+                      t.attempt == row.attempt_id.attempt;
+    if (!row.checkpoint.empty() && (inherited || late))
+    {
+        t.checkpoint = row.checkpoint;
+    }
+    if (!inherited)
+    {
+        return false;
+    }
+    // Another worker may still run a later attempt of the task.
+    t.attempt = std::max(t.attempt, row.attempt_id.attempt);
+    run.started = true;
+    if (row.kind == end_kind::failed)
+    {
+        apply_failure(now, target, run, row.attempt_id, false);
+    }
     return true;
 }
 
--- a/src/core/pool/owner_jobs.cpp
+++ b/src/core/pool/owner_jobs.cpp
@@ -186,11 +186,6 @@
     {
         return;
     }
-    if (t.phase == task_phase::ready)
-    {
-        std::erase(run.occurrences[name.occurrence].steps[name.step].ready,
-                   name.index);
-    }
     if (run.step_of(name).gang)
     {
         gang_done(now, run, name);
@@ -200,6 +195,44 @@
     after_done(now, run);
 }
 
+// Handles the end as done of another attempt than the present one. Such an end
+// of one member stands for all members of a gang.
+void owner::task_done_by_other(common::time_point now,
+                               job_run& run,
+                               ports::task_name const& name)
+{
+    auto const count = run.step_of(name).count;
+    bool const gang = run.step_of(name).gang;
+    auto const first = gang ? 0U : name.index;
+    auto const end = gang ? count : name.index + 1;
+    for (auto index = first; index < end; ++index)
+    {
+        mark_done_by_other(
+            now, run, {name.job, name.occurrence, name.step, index});
+    }
+    after_done(now, run);
+}
+
+// The present attempt occupies its capacity until it is over.
+void owner::mark_done_by_other(common::time_point now,
+                               job_run& run,
+                               ports::task_name const& name)
+{
+    auto& t = run.at(name);
+    if (t.placed())
+    {
+        t.done_by_other_attempt = true;
+        mark_dirty(run);
+        stop_attempt(now, run, name);
+    }
+    else if (t.phase != task_phase::done)
+    {
+        std::erase(run.occurrences[name.occurrence].steps[name.step].ready,
+                   name.index);
+        mark_done(run, name);
+    }
+}
+
 void owner::mark_done(job_run& run, ports::task_name const& name)
 {
     auto& t = run.at(name);
@@ -262,13 +295,19 @@
 }
 
 // Handles a run that ended before the task was done: the next attempt may start
-// on any worker.
+// on any worker, unless another attempt has ended as done.
 void owner::task_over(common::time_point now,
                       job_run& run,
                       ports::task_name const& name)
 {
     remove_from_worker(run, name);
     auto& t = run.at(name);
+    if (t.done_by_other_attempt)
+    {
+        mark_done(run, name);
+        after_done(now, run);
+        return;
+    }
     t.percent = 0;
     t.speed_limit = 100;
     if (run.phase == job_phase::active)
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -39,7 +39,7 @@
     auto const& name = row.attempt_id.task;
     auto const [run, t] = find_task(name);
     if (t == nullptr || row.kind != end_kind::failed ||
-        t->phase == task_phase::done)
+        t->phase == task_phase::done || t->done_by_other_attempt)
     {
         return false;
     }
