Pool: a failure listed after its run was given up counts as an attempt

A worker that could not be reached listed that a run had failed after its owner had given the run up; the end was ignored and acknowledged, so that the task started more often than its queue allows. Such ends were counted only until the worker's first list was read.

--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -379,6 +379,8 @@
                          worker& target,
                          job_run& run,
                          ports::ended_attempt const& row);
+    bool count_other_failure(common::time_point now,
+                             ports::ended_attempt const& row);
     void log_failure(common::time_point now,
                      worker const& target,
                      job_run const& run,
@@ -424,8 +426,6 @@
                                            ports::order_reply const& reply);
 
     // owner_takeover.cpp: tasks that earlier owners may have started.
-    bool count_inherited_failure(common::time_point now,
-                                 ports::ended_attempt const& row);
     void fail_exhausted_job(common::time_point now, job_run& run);
     void complete_takeover(common::time_point now);
     std::size_t end_unreported_attempts(common::time_point now, job_run& run);
--- a/src/core/pool/owner_ends.cpp
+++ b/src/core/pool/owner_ends.cpp
@@ -201,6 +201,35 @@
     return true;
 }
 
+// Counts the failure of another attempt than the present one: of an earlier
+// owner, which may have handled it, or of one that this owner has given up. The
+// failure counts even if the task already runs again on another worker. Returns
+// whether the end is such a failure, counted now or before.
+bool owner::count_other_failure(common::time_point now,
+                                ports::ended_attempt const& row)
+{
+    auto const& name = row.attempt_id.task;
+    auto const [run, t] = find_task(name);
+    if (t == nullptr || row.kind != end_kind::failed ||
+        t->phase == task_phase::done || t->done_by_other_attempt)
+    {
+        return false;
+    }
+    if (std::find(t->failures.begin(),
+                  t->failures.end(),
+                  row.attempt_id.attempt) != t->failures.end())
+    {
+        return true;
+    }
+    count_failure(*run, name, row.attempt_id.attempt);
+    if (run->phase == job_phase::active &&
+        out_of_attempts(*run, name.occurrence, name.step))
+    {
+        fail_exhausted_job(now, *run);
+    }
+    return true;
+}
+
 // A first failure is common and matters little, so it only goes into the
 // digest. Further ones lead to the failure of the job and are logged one by
 // one.
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -62,8 +62,7 @@
         if (target.ends.add(row.sequence))
         {
             bool const used = apply_end(now, target, row);
-            bool const counted =
-                !target.ends.caught_up() && count_inherited_failure(now, row);
+            bool const counted = count_other_failure(now, row);
             if (!used && !counted)
             {
                 note_unused_end(target, row);
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -28,36 +28,6 @@
     return t.phase == task_phase::unresolved || blocked;
 }
 
-// Counts a failure that may have happened before this owner adopted the worker.
-// A worker reports such failures to each owner that adopts it, whether or not
-// an earlier owner has handled them. The failure counts even if the task
-// already runs again on another worker. Returns whether the end is such a
-// failure, counted now or before.
-bool owner::count_inherited_failure(common::time_point now,
-                                    ports::ended_attempt const& row)
-{
-    auto const& name = row.attempt_id.task;
-    auto const [run, t] = find_task(name);
-    if (t == nullptr || row.kind != end_kind::failed ||
-        t->phase == task_phase::done || t->done_by_other_attempt)
-    {
-        return false;
-    }
-    if (std::find(t->failures.begin(),
-                  t->failures.end(),
-                  row.attempt_id.attempt) != t->failures.end())
-    {
-        return true;
-    }
-    count_failure(*run, name, row.attempt_id.attempt);
-    if (run->phase == job_phase::active &&
-        out_of_attempts(*run, name.occurrence, name.step))
-    {
-        fail_exhausted_job(now, *run);
-    }
-    return true;
-}
-
 // Fails a job whose attempts were used up by failures or crashes under earlier
 // owners.
 void owner::fail_exhausted_job(common::time_point now, job_run& run)
