--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -37,6 +37,7 @@
     }
 
     void send(client_call call, handler handle);
+    client_connections connections() const;
     void close();
     /// Closes every connection without calling the handlers of pending calls.
     void close_without_handlers();
@@ -561,6 +562,20 @@
     }
 }
 
+client_connections client::pool::connections() const
+{
+    client_connections result;
+    for (auto const& [remote_endpoint, endpoint] : endpoints_)
+    {
+        auto const open = endpoint.all.size();
+        result.endpoints += open > 0 ? 1 : 0;
+        result.idle += endpoint.idle.size();
+        result.busy += open - endpoint.idle.size();
+        result.most = std::max(result.most, open);
+    }
+    return result;
+}
+
 void client::pool::close()
 {
     auto const endpoints = std::move(endpoints_);
@@ -604,6 +619,11 @@
     pool_->send(std::move(call), std::move(handle));
 }
 
+client_connections client::connections() const
+{
+    return pool_->connections();
+}
+
 void client::close()
 {
     pool_->close();
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -3,6 +3,7 @@
 #include "adapters/http/message.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -48,6 +49,15 @@
     core::common::duration late_read_limit = std::chrono::seconds(1);
 };
 
+/// The open connections of a client.
+struct client_connections
+{
+    std::size_t endpoints = 0; ///< Endpoints with a connection.
+    std::size_t idle = 0;
+    std::size_t busy = 0; ///< Connecting, or with a call.
+    std::size_t most = 0; ///< Largest number to one endpoint.
+};
+
 /// HTTP/1.1 client with a pool of persistent connections per endpoint and one
 /// request at a time on each connection. It sends every request at most once.
 ///
@@ -69,6 +79,8 @@
     /// `client_call::drain` is set.
     void send(client_call call, handler handle);
 
+    client_connections connections() const;
+
     /// Closes every connection; pending calls end as `lost` or `not_sent`.
     void close();
 
--- a/src/core/pool/engine.cpp
+++ b/src/core/pool/engine.cpp
@@ -158,6 +158,7 @@
                    std::to_string(
                        common::to_milliseconds(now - claim_.held_since()))}});
         owner_.reset();
+        out_.push(ports::release_workers{});
         claim_.tick(now);
     }
     bool const lacks_configuration =
--- a/src/ports/pool_actions.hpp
+++ b/src/ports/pool_actions.hpp
@@ -107,6 +107,12 @@
     core::common::duration elapsed{};
 };
 
+/// The instance no longer schedules and gives no further orders to workers
+/// until it does so again. The orders that it has given are still answered.
+struct release_workers
+{
+};
+
 using pool_action = std::variant<kv_call,
                                  pool_order,
                                  policy_request,
@@ -114,6 +120,7 @@
                                  log_event,
                                  duration_sample,
                                  readiness,
+                                 release_workers,
                                  stop_complete>;
 
 using pool_actions = std::vector<pool_action>;
--- a/src/programs/pool/pool_outside.cpp
+++ b/src/programs/pool/pool_outside.cpp
@@ -42,6 +42,10 @@
     {
         policy_->send(*policy);
     }
+    else if (std::holds_alternative<ports::release_workers>(call.operation))
+    {
+        workers_->release();
+    }
 }
 
 void pool_program::on_reply(remote_reply& reply)
--- a/src/programs/pool/pool_program.cpp
+++ b/src/programs/pool/pool_program.cpp
@@ -392,6 +392,11 @@
     {
         call.operation = std::move(*policy);
     }
+    else if (auto const* const release =
+                 std::get_if<ports::release_workers>(&action))
+    {
+        call.operation = *release;
+    }
     if (measurements_.open() > remote_ring_capacity || !calls_.try_push(call))
     {
         refuse(call.operation);
--- a/src/programs/pool/pool_program.hpp
+++ b/src/programs/pool/pool_program.hpp
@@ -44,8 +44,10 @@
         std::uint64_t caller = 0;
         adapters::http::response message;
     };
-    using remote_operation =
-        std::variant<std::monostate, ports::pool_order, ports::policy_request>;
+    using remote_operation = std::variant<std::monostate,
+                                          ports::pool_order,
+                                          ports::policy_request,
+                                          ports::release_workers>;
     struct remote_call
     {
         remote_operation operation;
--- a/tests/unit/pool/pool_simulation.cpp
+++ b/tests/unit/pool/pool_simulation.cpp
@@ -447,6 +447,11 @@
     return instances_[instance].stopped;
 }
 
+bool pool_simulation::uses_workers(std::size_t instance) const
+{
+    return instances_[instance].uses_workers;
+}
+
 std::vector<logged_line> const& pool_simulation::log() const noexcept
 {
     return log_;
@@ -498,8 +503,13 @@
         else if (auto const* const order =
                      std::get_if<ports::pool_order>(&action))
         {
+            instances_[number].uses_workers = true;
             call_worker(number, *order);
         }
+        else if (std::holds_alternative<ports::release_workers>(action))
+        {
+            instances_[number].uses_workers = false;
+        }
         else if (auto const* const policy_call =
                      std::get_if<ports::policy_request>(&action))
         {
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -177,6 +177,9 @@
     std::string const& violation() const noexcept;
     time_point now() const noexcept;
     bool stopped(std::size_t instance) const;
+    /// Whether the instance has given orders to workers and has not released
+    /// its connections to them since.
+    bool uses_workers(std::size_t instance) const;
     /// Returns the log lines of all instances in order of time.
     std::vector<logged_line> const& log() const noexcept;
 
@@ -189,6 +192,7 @@
         std::uint64_t last_incarnation = 0;
         time_point frozen_until{};
         bool stopped = false;
+        bool uses_workers = false;
         duration clock_ahead{};
         duration commit_delay{};
         double speed_factor = 1;
--- a/tests/unit/pool/takeover_test.cpp
+++ b/tests/unit/pool/takeover_test.cpp
@@ -210,6 +210,31 @@
     EXPECT_EQ(simulation.violation(), "");
 }
 
+// Guards against instances that schedule no more and use up the connections
+// that a worker accepts, so that the next owner can't reach it.
+TEST(pool_takeover, an_owner_that_lost_the_claim_releases_the_workers)
+{
+    pool_simulation simulation;
+    auto const another_works = [&simulation](std::optional<std::size_t> former)
+    {
+        return simulation.run_until(
+            [&simulation, former]
+            {
+                auto const working = simulation.working_owner();
+                return working && working != former;
+            },
+            30s);
+    };
+    ASSERT_TRUE(another_works({}));
+    auto const former = *simulation.working_owner();
+    ASSERT_TRUE(simulation.uses_workers(former));
+    disconnect_from_store(simulation, former);
+    ASSERT_TRUE(another_works(former));
+    EXPECT_FALSE(simulation.uses_workers(former));
+    EXPECT_TRUE(simulation.uses_workers(*simulation.working_owner()));
+    EXPECT_EQ(simulation.violation(), "");
+}
+
 // Guards against a planned stop after which no task starts until a lease has
 // expired.
 TEST(pool_takeover, a_planned_stop_hands_the_claim_over_within_200_ms)
