Pool: an instance that schedules no more closes its connections to workers

Cause: a worker accepts 64 connections from all instances together, and a burst of orders makes an owner open up to 24 to one worker. Connections stayed open for 30 s without use, also those of an instance that had lost the claim, so a few former owners left none for the next one.

When an owner ends, its unused connections are now closed at once, and the others when their order has ended.

Without the change `released_ones_are_closed_at_once` and `released_ones_are_closed_when_answered` failed (the connections were still open after 20 s); with it they pass.

Which owner's connections were in the way is not logged by worker.

--- a/src/adapters/http/client.cpp
+++ b/src/adapters/http/client.cpp
@@ -38,6 +38,7 @@
 
     void send(client_call call, handler handle);
     client_connections connections() const;
+    void release();
     void close();
     /// Closes every connection without calling the handlers of pending calls.
     void close_without_handlers();
@@ -155,6 +156,12 @@
         return last_response_ > other.call_started_;
     }
 
+    /// Closes the connection when its present call has ended.
+    void close_after_call()
+    {
+        reusable_ = false;
+    }
+
     void clear_handler()
     {
         handle_ = nullptr;
@@ -381,7 +388,8 @@
         bool const may_be_followed = states_unread_body();
         auto message = parser_->release();
         auto const self = shared_from_this();
-        if (message.keep_alive() && buffer_.size() == 0 && !may_be_followed)
+        if (reusable_ && message.keep_alive() && buffer_.size() == 0 &&
+            !may_be_followed)
         {
             owner_->put_back(self);
         }
@@ -464,6 +472,7 @@
         0;              ///< Invalidates the handlers of earlier idle watches.
     bool sent_ = false; ///< A byte of the current call may have been sent.
     bool ended_ = true;
+    bool reusable_ = true;
     bool timed_out_ = false;
     std::size_t progress_ = 0; ///< `progress()` at the last check.
     std::size_t interim_bytes_ =
@@ -576,6 +585,23 @@
     return result;
 }
 
+void client::pool::release()
+{
+    // `close` removes a connection from these tables.
+    auto const endpoints = endpoints_;
+    for (auto const& [remote_endpoint, endpoint] : endpoints)
+    {
+        for (auto const& current : endpoint.all)
+        {
+            current->close_after_call();
+        }
+        for (auto const& current : endpoint.idle)
+        {
+            current->close();
+        }
+    }
+}
+
 void client::pool::close()
 {
     auto const endpoints = std::move(endpoints_);
@@ -624,6 +650,11 @@
     return pool_->connections();
 }
 
+void client::release()
+{
+    pool_->release();
+}
+
 void client::close()
 {
     pool_->close();
--- a/src/adapters/http/client.hpp
+++ b/src/adapters/http/client.hpp
@@ -81,6 +81,10 @@
 
     client_connections connections() const;
 
+    /// Closes each connection as soon as it has no call. Later calls open new
+    /// ones.
+    void release();
+
     /// Closes every connection; pending calls end as `lost` or `not_sent`.
     void close();
 
--- a/src/ports/pool_actions.hpp
+++ b/src/ports/pool_actions.hpp
@@ -107,8 +107,9 @@
     core::common::duration elapsed{};
 };
 
-/// The instance no longer schedules and gives no further orders to workers
-/// until it does so again. The orders that it has given are still answered.
+/// The connections to workers may be closed: the instance no longer schedules
+/// and gives no further orders to workers until it does so again. The orders
+/// that it has given are still answered.
 struct release_workers
 {
 };
