Tests: walks draw each argument in a statement of its own

Cause: calls such as one_way_cut(random_slot(), random_slot(), random_duration(...)) draw several arguments. So the same seed was another walk there.

Change: every draw is a statement of its own, in the order of the last argument first.

No functional change

--- a/tests/unit/requests/entry_walk_test.cpp
+++ b/tests/unit/requests/entry_walk_test.cpp
@@ -86,7 +86,7 @@
                            : chance(300) ? get_request("q" + name)
                                          : bid_request("k" + name, 1);
             request.deadline = random_duration(2500);
-            simulation_.send(random_entry(), request, random_duration(20));
+            send_within(request, 20);
             if (!request.idempotency_key.empty())
             {
                 resend(request);
@@ -94,13 +94,22 @@
         }
     }
 
+    // Each draw is a statement of its own, because the compiler may evaluate
+    // the arguments of a call in any order.
+    void send_within(fuchsia::ports::caller_request const& request,
+                     std::uint64_t max_delay_ms)
+    {
+        duration const delay = random_duration(max_delay_ms);
+        simulation_.send(random_entry(), request, delay);
+    }
+
     // Sendings reach an entry within the bound less what is no noticed pause.
     void resend(fuchsia::ports::caller_request request)
     {
         while (chance(400))
         {
             ++request.attempt;
-            simulation_.send(random_entry(), request, random_duration(9000));
+            send_within(request, 9000);
         }
         if (chance(100))
         {
@@ -111,9 +120,7 @@
             auto const delay = random_duration(1900);
             simulation_.send(random_entry(), request, delay);
             request.attempt = 2;
-            simulation_.send(random_entry(),
-                             request,
-                             random_duration(1 + delay.count() / 1000));
+            send_within(request, 1 + delay.count() / 1000);
         }
     }
 
--- a/tests/unit/tasks/planner_walk_test.cpp
+++ b/tests/unit/tasks/planner_walk_test.cpp
@@ -1,8 +1,11 @@
 #include "planner_simulation.hpp"
 #include "unit/walks/seed_count.hpp"
 
+#include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <gtest/gtest.h>
+#include <vector>
 
 using namespace fuchsia;
 using namespace fuchsia::tests::unit::tasks;
@@ -15,13 +18,22 @@
 constexpr std::uint64_t walks_in_ci = 400;
 constexpr int steps_per_walk = 30;
 
+/// Order in which the arguments of an event are drawn. The two orders make two
+/// walks of each seed.
+enum class draw_order
+{
+    last_first,
+    first_first,
+};
+
 /// Random sequence of faults and of requests by operators and customers on
 /// three planners.
 class planner_walk
 {
 public:
-    explicit planner_walk(std::uint64_t seed)
-        : random_(seed), system_(options(seed))
+    explicit planner_walk(std::uint64_t seed,
+                          draw_order order = draw_order::last_first)
+        : random_(seed), order_(order), system_(options(seed))
     {
     }
 
@@ -95,8 +107,7 @@
             submit();
             break;
         case 4:
-            system_.request(
-                random_planner(), "DELETE", "/v1/jobs/" + random_job());
+            cancel();
             break;
         case 5:
             system_.kill(random_planner());
@@ -108,25 +119,19 @@
             freeze_or_wake();
             break;
         case 8:
-            system_.cut_store(random_planner(), random_() % 2 == 0);
+            cut_or_reconnect_store();
             break;
         case 9:
             system_.store.faults.down = random_() % 4 == 0;
             break;
         case 10:
-            system_.set_out_of_service("dc-" + std::to_string(random_() % 3),
-                                       random_() % 2 == 0);
+            change_data_centre();
             break;
         case 11:
-            system_.workers.cut(random_worker().info.id, random_() % 2 == 0);
+            cut_or_reconnect_worker();
             break;
         case 12:
-            system_.put_contract(
-                random_() % 2 == 0 ? "one" : "two",
-                {static_cast<std::int64_t>(4000 + random_() % 30000),
-                 100000,
-                 0},
-                600);
+            change_contract();
             break;
         default:
             set_random_faults();
@@ -152,20 +157,141 @@
         system_.link.faults.lose_permille = random_rate(100);
     }
 
+    // Each draw is a statement of its own, because the compiler may evaluate
+    // the arguments of a call in any order.
     void submit()
     {
         bool const service = random_() % 3 == 0;
         auto const id = "j" + std::to_string(++jobs_);
-        system_.request(
-            random_planner(),
-            "POST",
-            "/v1/jobs",
-            job_json(id,
-                     random_() % 2 == 0 ? "one" : "two",
-                     service ? "service" : "batch",
-                     static_cast<std::int64_t>(500 + random_() % 3000),
-                     1 + random_() % 4,
-                     1000 + random_() % 20000));
+        std::uint64_t work_ms = 0;
+        std::uint32_t tasks = 0;
+        std::int64_t millicores = 0;
+        std::string customer;
+        std::size_t planner = 0;
+        draw_all({[&]
+                  {
+                      planner = random_planner();
+                  },
+                  [&]
+                  {
+                      customer = random_customer();
+                  },
+                  [&]
+                  {
+                      millicores =
+                          static_cast<std::int64_t>(500 + random_() % 3000);
+                  },
+                  [&]
+                  {
+                      tasks = static_cast<std::uint32_t>(1 + random_() % 4);
+                  },
+                  [&]
+                  {
+                      work_ms = 1000 + random_() % 20000;
+                  }});
+        system_.request(planner,
+                        "POST",
+                        "/v1/jobs",
+                        job_json(id,
+                                 customer,
+                                 service ? "service" : "batch",
+                                 millicores,
+                                 tasks,
+                                 work_ms));
+    }
+
+    void cancel()
+    {
+        std::string job;
+        std::size_t planner = 0;
+        draw_all({[&]
+                  {
+                      planner = random_planner();
+                  },
+                  [&]
+                  {
+                      job = random_job();
+                  }});
+        system_.request(planner, "DELETE", "/v1/jobs/" + job);
+    }
+
+    void cut_or_reconnect_store()
+    {
+        std::size_t planner = 0;
+        bool is_cut = false;
+        draw_all({[&]
+                  {
+                      planner = random_planner();
+                  },
+                  [&]
+                  {
+                      is_cut = random_() % 2 == 0;
+                  }});
+        system_.cut_store(planner, is_cut);
+    }
+
+    void change_data_centre()
+    {
+        std::uint64_t number = 0;
+        bool out_of_service = false;
+        draw_all({[&]
+                  {
+                      number = random_() % 3;
+                  },
+                  [&]
+                  {
+                      out_of_service = random_() % 2 == 0;
+                  }});
+        system_.set_out_of_service("dc-" + std::to_string(number),
+                                   out_of_service);
+    }
+
+    void cut_or_reconnect_worker()
+    {
+        std::string worker;
+        bool is_cut = false;
+        draw_all({[&]
+                  {
+                      worker = random_worker().info.id;
+                  },
+                  [&]
+                  {
+                      is_cut = random_() % 2 == 0;
+                  }});
+        system_.workers.cut(worker, is_cut);
+    }
+
+    void change_contract()
+    {
+        std::string customer;
+        std::int64_t millicores = 0;
+        draw_all({[&]
+                  {
+                      customer = random_customer();
+                  },
+                  [&]
+                  {
+                      millicores =
+                          static_cast<std::int64_t>(4000 + random_() % 30000);
+                  }});
+        system_.put_contract(customer, {millicores, 100000, 0}, 600);
+    }
+
+    std::string random_customer()
+    {
+        return random_() % 2 == 0 ? "one" : "two";
+    }
+
+    void draw_all(std::vector<std::function<void()>> draws)
+    {
+        if (order_ == draw_order::last_first)
+        {
+            std::reverse(draws.begin(), draws.end());
+        }
+        for (auto const& draw : draws)
+        {
+            draw();
+        }
     }
 
     std::string random_job()
@@ -286,6 +412,7 @@
     }
 
     std::mt19937_64 random_;
+    draw_order order_;
     planner_simulation system_;
     std::uint64_t jobs_ = 0;
     std::map<std::size_t, bool> frozen_;
--- a/tests/unit/walks/walk.cpp
+++ b/tests/unit/walks/walk.cpp
@@ -105,6 +105,8 @@
             std::chrono::milliseconds(random_choice({500, 1000, 5000}));
     }
 
+    // Each draw is a statement of its own, because the compiler may evaluate
+    // the arguments of a call in any order.
     void inject_random_fault()
     {
         switch (random_() % 16)
@@ -115,21 +117,37 @@
         case 1:
         case 2:
         case 3:
-            cut_store_for(random_slot(), random_duration(500ms, 12s));
+        {
+            duration const length = random_duration(500ms, 12s);
+            cut_store_for(random_slot(), length);
             break;
+        }
         case 4:
-            one_way_cut(
-                random_slot(), random_slot(), random_duration(500ms, 12s));
+        {
+            duration const length = random_duration(500ms, 12s);
+            std::size_t const to = random_slot();
+            std::size_t const from = random_slot();
+            one_way_cut(from, to, length);
             break;
+        }
         case 5:
-            cut_some_peers(random_slot(), random_duration(500ms, 12s));
+        {
+            duration const length = random_duration(500ms, 12s);
+            cut_some_peers(random_slot(), length);
             break;
+        }
         case 6:
-            isolate(random_slot(), random_duration(500ms, 12s));
+        {
+            duration const length = random_duration(500ms, 12s);
+            isolate(random_slot(), length);
             break;
+        }
         case 7:
-            freeze(random_slot(), random_duration(200ms, 9s));
+        {
+            duration const length = random_duration(200ms, 9s);
+            freeze(random_slot(), length);
             break;
+        }
         case 8:
             system_.end(random_slot());
             break;
