Planner: a task that fits on no worker no longer takes the cell's demand

Trace: rack-2 has 2060 and 2493 millicores free on its two workers. Queued are j10/2 (3136, fits on no worker of any cell) and then j8/0 (2044, fits on both). compute_usage compared each queued task with the sum of the cell's free capacity, 4553: j10/2 was counted, 1417 were left, and j8/0 was not counted. So no quota was requested for j8's customer; place() found room for j8 but no grant, and such a task isn't moved either. j10 stays, as services hold the rest of the capacity: j8 waits for good.

Change: the demand counts a queued task if it fits on a worker beside those counted before it, by the same `placement::fits` as placement.

--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -59,6 +59,66 @@
                        });
 }
 
+void commit_to(placement::candidate& worker, job const& definition)
+{
+    worker.committed += definition.declared;
+    if (definition.kind == job_kind::batch)
+    {
+        worker.batch_millicores += definition.declared.millicores;
+    }
+}
+
+/// Room on the workers of a cell for its queued tasks.
+class queue_room
+{
+public:
+    queue_room(std::vector<placement::candidate> workers,
+               placement::placement_limits const& limits)
+        : workers_(std::move(workers)), limits_(limits)
+    {
+    }
+
+    /// Commits the task to the first worker that it fits on. Returns false if
+    /// there is none.
+    bool reserve(job const& definition)
+    {
+        // The room only shrinks, so that the workers are not searched for tasks
+        // that need at least as much as one that found no room.
+        if (unplaced_ != nullptr && needs_as_much(definition, *unplaced_))
+        {
+            return false;
+        }
+        placement::placement_task const task{
+            0, definition.kind == job_kind::service, definition.declared};
+        auto const found =
+            std::find_if(workers_.begin(),
+                         workers_.end(),
+                         [&](placement::candidate const& worker)
+                         {
+                             return placement::fits(worker, task, limits_);
+                         });
+        if (found == workers_.end())
+        {
+            unplaced_ = &definition;
+            return false;
+        }
+        commit_to(*found, definition);
+        return true;
+    }
+
+private:
+    static bool needs_as_much(job const& definition, job const& other)
+    {
+        return definition.declared.covers(other.declared) &&
+               (definition.kind == other.kind ||
+                definition.kind == job_kind::batch);
+    }
+
+    std::vector<placement::candidate> workers_;
+    placement::placement_limits limits_;
+    job const* unplaced_ = nullptr; ///< Last task that found no room.
+};
+
 std::uint32_t rank_of(job const& definition) noexcept
 {
     if (definition.urgent)
@@ -104,19 +164,15 @@
 }
 
 // Reports to the quota manager what each customer uses and could use in this
-// cell. The demand is limited to the cell's free capacity, so that no grant is
-// held for tasks that have to wait.
+// cell. The demand is limited to tasks that fit on the cell's workers, so that
+// no grant is held for tasks that have to wait, and no task that fits on none
+// of them keeps a later one from being granted.
 void cell_runner::compute_usage(cell_context& context)
 {
     for (auto& [customer, usage] : customer_usage_)
     {
         usage = {};
     }
-    ports::resources free;
-    for (auto const& id : context.workers.in_rack(cell_))
-    {
-        free += context.workers.find(id)->info.capacity;
-    }
     for (auto const& [key, run] : active_attempts_)
     {
         auto const& definition = run.part->definition;
@@ -126,18 +182,17 @@
         {
             add(usage.retained, definition);
         }
-        free -= definition.declared;
     }
+    queue_room room(committed_workers(context), context.settings.limits);
     bool const may_place = context.may_start && !handing_over_ &&
                            !data_centre_out_of_service(context);
     for (auto const& task : queue_)
     {
         auto const& definition = log_.state().jobs.at(task.key.job).definition;
-        if (!may_place || !free.covers(definition.declared))
+        if (!may_place || !room.reserve(definition))
         {
             continue;
         }
-        free -= definition.declared;
         auto& usage = customer_usage_[definition.customer];
         add(usage.queued, definition);
         if (!std::exchange(usage.has_queued, true))
@@ -154,6 +209,32 @@
     }
 }
 
+std::vector<placement::candidate>
+cell_runner::committed_workers(cell_context& context) const
+{
+    std::vector<placement::candidate> out;
+    std::map<std::string_view, std::size_t> index_by_worker;
+    for (auto const& id : context.workers.in_rack(cell_))
+    {
+        auto const* view = context.workers.find(id);
+        placement::candidate next;
+        next.worker = &view->info.id;
+        next.capacity = view->info.capacity;
+        next.memory_over_declared = view->memory_over_declared;
+        index_by_worker.emplace(view->info.id, out.size());
+        out.push_back(std::move(next));
+    }
+    for (auto const& [key, run] : active_attempts_)
+    {
+        auto const found = index_by_worker.find(run.worker);
+        if (found != index_by_worker.end())
+        {
+            commit_to(out[found->second], run.part->definition);
+        }
+    }
+    return out;
+}
+
 std::vector<placement::candidate>
 cell_runner::candidates(cell_context& context) const
 {
--- a/src/core/tasks/cell_runner.hpp
+++ b/src/core/tasks/cell_runner.hpp
@@ -177,6 +177,11 @@
                    task_key const& key,
                    std::vector<placement::candidate>& workers);
     bool quota_allows(cell_context& context, job const& definition);
+    /// All workers of the cell with what their attempts declared, without the
+    /// residents.
+    std::vector<placement::candidate>
+    committed_workers(cell_context& context) const;
+    /// The workers on which a task may be started now.
     std::vector<placement::candidate> candidates(cell_context& context) const;
     bool ramp_up_allows_start(cell_context& context) const;
     void evict_excess_attempts(cell_context& context,
--- a/tests/unit/tasks/planner_test.cpp
+++ b/tests/unit/tasks/planner_test.cpp
@@ -494,3 +494,20 @@
     EXPECT_TRUE(reaches("report", "finished", 60s));
     EXPECT_EQ(system.workers.starts, before);
 }
+
+// Guards against tasks that wait forever beside free room: a task that fits on
+// no worker, but into the sum of what they have left, took all of the cell's
+// demand for quota.
+TEST_F(planners, start_a_task_that_fits_behind_one_that_fits_on_no_worker)
+{
+    system.put_contract("farm", {64000, 256000, 0});
+    // Each of the six workers keeps 3000 millicores free.
+    submit(job_json("lasting", "estate", "service", 5000, 6, 0));
+    ASSERT_TRUE(reaches("lasting", "running", 30s));
+    system.run(10s);
+    std::string const in_one_cell = ",\"data_centre\":\"dc-0\"";
+    submit(job_json("large", "estate", "batch", 4000, 1, 1000, in_one_cell));
+    submit(job_json("small", "farm", "batch", 2500, 1, 1000, in_one_cell));
+    EXPECT_TRUE(reaches("small", "finished", 60s)) << system.state_of("small");
+    EXPECT_EQ(system.state_of("large"), "queued");
+}
