Soak: an end as done that is acknowledged after its lease forbids a start

The users' rule (TWICE) forbids a start over a second after an end as done was taken note of, whatever became of the lease.

The observation now carries the expiry, "after its lease" in the log. A start over 1 s after the first acknowledgement of any end as done of its task is reported as doubled. Acknowledgements without an expiry are checked as before, and one after an expiry still counts for nothing else. The narrowing to starts "by a machine in touch" is left out: no trace asked for it. No functional change

--- a/tests/unit/soak/checker_test.cpp
+++ b/tests/unit/soak/checker_test.cpp
@@ -368,6 +368,56 @@
     events.submit("a", lasting_job()).start(task("a")).end(task("a"));
     events.acknowledge(task("a")).start(task("a"), 2);
     EXPECT_EQ(events.broken_rules(), none);
+
+    scenario expired;
+    expired.submit("a", lasting_job()).start(task("a")).end(task("a"));
+    expired.acknowledge_after_lease(task("a")).at(9s).start(task("a"), 2);
+    EXPECT_EQ(expired.broken_rules(), none);
+}
+
+// Guards against an end that is acknowledged and not used: once it is, the task
+// must not start, even if it had been taken for lost before.
+TEST(soak_doubled, start_long_after_a_late_acknowledged_end_is_reported)
+{
+    scenario events;
+    events.submit("a", single_task_job()).start(task("a")).end(task("a"));
+    events.with_fault(0s, 9s).acknowledge_after_lease(task("a"));
+    events.at(10001ms).start(task("a"), 2, "w2");
+    EXPECT_EQ(events.broken_rules(), only(rule::duplicate_run));
+}
+
+// A later acknowledgement must not extend the time in which a start is allowed.
+TEST(soak_doubled, time_since_a_late_end_counts_from_its_first_acknowledgement)
+{
+    scenario events;
+    events.submit("a", single_task_job()).start(task("a")).end(task("a"));
+    events.start(task("a"), 2, "w2").end(task("a"), end_kind::done, 2, "w2");
+    events.with_fault(0s, 9s).acknowledge_after_lease(task("a"));
+    events.at(10s).acknowledge_after_lease(task("a"), end_kind::done, 2, "w2");
+    events.at(10500ms).start(task("a"), 3);
+    EXPECT_EQ(events.broken_rules(), only(rule::duplicate_run));
+}
+
+// Whoever started the task then may not have known of the end yet.
+TEST(soak_doubled, start_around_a_late_acknowledged_end_is_allowed)
+{
+    scenario events;
+    events.submit("a", single_task_job()).start(task("a")).end(task("a"));
+    events.with_fault(0s, 8s).start(task("a"), 2, "w2");
+    events.end(task("a"), end_kind::lease_expired, 2, "w2");
+    events.at(9s).acknowledge_after_lease(task("a"));
+    events.at(10s).start(task("a"), 3, "w3");
+    EXPECT_EQ(events.broken_rules(), none);
+}
+
+TEST(soak_doubled, start_after_a_late_acknowledged_failure_is_allowed)
+{
+    scenario events;
+    events.submit("a", single_task_job(2)).start(task("a"));
+    events.end(task("a"), end_kind::failed).with_fault(0s, 8s);
+    events.acknowledge_after_lease(task("a"), end_kind::failed);
+    events.at(12s).start(task("a"), 2, "w2");
+    EXPECT_EQ(events.broken_rules(), none);
 }
 
 // A step may start while a task that it depends on is still running.
--- a/tests/unit/soak/scenario.hpp
+++ b/tests/unit/soak/scenario.hpp
@@ -93,6 +93,16 @@
         return observe(end_acknowledged{worker, {task_id, attempt}, outcome});
     }
 
+    /// The acknowledgement of an end since which the worker's lease expired.
+    scenario& acknowledge_after_lease(ports::task_name const& task_id,
+                                      end_kind outcome = end_kind::done,
+                                      std::uint32_t attempt = 1,
+                                      std::string const& worker = "w1")
+    {
+        return observe(
+            end_acknowledged{worker, {task_id, attempt}, outcome, true});
+    }
+
     scenario& status(std::string const& job,
                      job_state state,
                      call_outcome outcome = call_outcome::done)
--- a/tools/soak/observation.hpp
+++ b/tools/soak/observation.hpp
@@ -99,14 +99,15 @@
     ports::end_kind outcome = ports::end_kind::done;
 };
 
-/// The worker was told that this end is durable outside the worker. Does not
-/// occur if its lease expired between the end and this event, because it was
-/// then treated as lost.
+/// The worker was told that this end is durable outside the worker.
 struct end_acknowledged
 {
     std::string worker;
     ports::pool_attempt run;
     ports::end_kind outcome = ports::end_kind::done;
+    /// Whether the worker's lease expired between the end and this event. The
+    /// end may then have been treated as lost before.
+    bool lease_expired = false;
 };
 
 /// All runs on the worker are gone, and no end of them will be listed.
@@ -213,7 +214,8 @@
     refused_job_ran, ///< A task started, though all submissions of its job
                      ///< were refused.
     duplicate_run,   ///< Two concurrent runs of a task, or a run after an end
-                     ///< was acknowledged as done.
+                     ///< was acknowledged as done, or too long after it if the
+                     ///< worker's lease had expired in between.
     step_order,      ///< A task started before the steps that it depends on
                      ///< were done.
     attempt_limit,   ///< A task started after its last attempt had failed.
@@ -254,6 +256,9 @@
     core::common::duration configuration = std::chrono::milliseconds(2000);
     core::common::duration rollback_slack = std::chrono::milliseconds(250);
     core::common::duration visible = std::chrono::milliseconds(3000);
+    /// Time from the acknowledgement of an end as done of any run after which
+    /// its task must not start.
+    core::common::duration start_after_done = std::chrono::milliseconds(1000);
     core::common::duration finish = std::chrono::seconds(14);
     core::common::duration recovery = std::chrono::seconds(12);
     /// Maximum time that a long-running task is without a run, from `restart`
--- a/tools/soak/observation_log.cpp
+++ b/tools/soak/observation_log.cpp
@@ -86,7 +86,8 @@
     std::string operator()(end_acknowledged const& it) const
     {
         return "noted " + text_of(it.run) + " on " + it.worker + ' ' +
-               text_of(it.outcome);
+               text_of(it.outcome) +
+               (it.lease_expired ? " after its lease" : "");
     }
     std::string operator()(worker_crashed const& it) const
     {
--- a/tools/soak/observed_history.hpp
+++ b/tools/soak/observed_history.hpp
@@ -24,13 +24,16 @@
     std::optional<core::common::time_point>
         ended_at;                           ///< Time of the end or the crash.
     std::optional<ports::end_kind> outcome; ///< Empty after a crash.
-    bool acknowledged = false;
+    bool acknowledged = false; ///< Not after an expiry of the lease.
     bool lost = false; ///< The worker crashed before the end was acknowledged.
 };
 
 struct task_history
 {
     std::vector<run_history> runs; ///< Runs in order of their start.
+    /// Time of the first acknowledgement of an end as done, whether or not the
+    /// worker's lease had expired since that end.
+    std::optional<core::common::time_point> done_noted_at;
     /// Times at which it crashed a worker, in order.
     std::vector<core::common::time_point> crashes;
     /// Starts since its third crash by instances in touch.
--- a/tools/soak/runs_check.cpp
+++ b/tools/soak/runs_check.cpp
@@ -72,6 +72,16 @@
                        name_of(task),
                        "started after an acknowledged end");
     }
+    else if (!is_lasting(history.jobs[task.job], task) &&
+             task_record.done_noted_at &&
+             at > *task_record.done_noted_at + history.bounds.start_after_done)
+    {
+        history.report(rule::duplicate_run,
+                       at,
+                       name_of(task),
+                       "started too long after an end as done was acknowledged "
+                       "that a lease had expired after");
+    }
 }
 
 void check_order(observed_history& history,
@@ -317,7 +327,16 @@
                         time_point at,
                         end_acknowledged const& end)
 {
-    auto& runs = task_of(history, end.run.task).runs;
+    task_history& record = task_of(history, end.run.task);
+    if (end.outcome == end_kind::done)
+    {
+        record.done_noted_at = record.done_noted_at.value_or(at);
+    }
+    if (end.lease_expired)
+    {
+        return; // The end may have been treated as lost before.
+    }
+    auto& runs = record.runs;
     auto const run =
         std::find_if(runs.begin(),
                      runs.end(),
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -165,11 +165,8 @@
             out_.append(run_ended{worker.id, event.run, event.end_result});
             break;
         case worker_event_kind::acknowledged:
-            if (!event.lease_expired)
-            {
-                out_.append(
-                    end_acknowledged{worker.id, event.run, event.end_result});
-            }
+            out_.append(end_acknowledged{
+                worker.id, event.run, event.end_result, event.lease_expired});
             break;
         case worker_event_kind::crashed_worker:
             out_.append(worker_crashed{worker.id, event.run.task});
