Soak: owners lost in outages of the store, late workers and a full pool

Three kinds are new: store_outage (all instances, .4 to .6 s), owner_loss (a kill of the owner in each outage, two to four in series) and long_worker_cut (a third of the workers, 6 to 20 s, both directions). A series comes with brief jobs of the less urgent queue that end around its begin, and with urgent ones that fill the pool. No functional change

--- a/tests/unit/soak/plan_test.cpp
+++ b/tests/unit/soak/plan_test.cpp
@@ -1,3 +1,4 @@
+#include "tools/soak/owner_loss_plan.hpp"
 #include "tools/soak/plan.hpp"
 
 #include <algorithm>
@@ -42,6 +43,7 @@
 {
     plan_settings settings;
     settings.traffic = std::chrono::seconds(2000);
+    settings.kinds = all_fault_kinds();
     std::set<fault_kind> drawn_kinds;
     for (auto const& planned : make_plan(settings).faults)
     {
@@ -98,6 +100,69 @@
     }
 }
 
+// If a seed meant other faults or jobs once losses of the owner are selected,
+// what it showed before could not be reproduced.
+TEST(soak_plan, losses_of_the_owner_leave_all_else_as_it_is)
+{
+    plan_settings settings;
+    auto const without = make_plan(settings);
+    settings.kinds = all_fault_kinds();
+    auto with = make_plan(settings);
+    std::erase_if(with.faults,
+                  [](fault const& planned)
+                  {
+                      return is_of_owner_losses(planned.kind);
+                  });
+    EXPECT_GT(with.jobs.size(), without.jobs.size());
+    with.jobs.resize(without.jobs.size());
+    EXPECT_EQ(to_text(with), to_text(without));
+}
+
+// Guards against a soak that is blind to ends that workers report late: owners
+// have to be lost in outages of the store, and workers be cut off from before
+// the first loss until a takeover may be complete.
+TEST(soak_plan, owners_are_lost_in_outages_while_workers_are_cut_off)
+{
+    using namespace std::chrono_literals;
+    using fuchsia::core::common::duration;
+    plan_settings settings;
+    settings.traffic = 300s;
+    settings.kinds = {fault_kind::store_outage,
+                      fault_kind::owner_loss,
+                      fault_kind::long_worker_cut};
+    std::optional<fault> outage;
+    duration cut_until{};
+    duration longest_cut{};
+    std::size_t losses = 0;
+    for (auto const& planned : make_plan(settings).faults)
+    {
+        if (planned.kind == fault_kind::store_outage)
+        {
+            EXPECT_GE(planned.length, 400ms);
+            EXPECT_LE(planned.length, 600ms);
+            EXPECT_GT(cut_until, planned.at);
+            outage = planned;
+        }
+        else if (planned.kind == fault_kind::long_worker_cut)
+        {
+            EXPECT_GE(planned.length, 6s);
+            EXPECT_LE(planned.length, 20s);
+            EXPECT_EQ(planned.variant, 0);
+            cut_until = std::max(cut_until, planned.at + planned.length);
+            longest_cut = std::max(longest_cut, planned.length);
+        }
+        else
+        {
+            ASSERT_TRUE(outage);
+            EXPECT_TRUE(planned.at_owner);
+            EXPECT_LT(planned.at, outage->at + outage->length);
+            ++losses;
+        }
+    }
+    EXPECT_GE(losses, 20);
+    EXPECT_GT(longest_cut, 15s);
+}
+
 // A single change of owner may leave its successor all the time that it needs.
 // Of several in a row, each has to begin anew with what the last one left.
 TEST(soak_plan, owners_change_several_times_in_a_row)
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -28,6 +28,22 @@
     return 10ms + std::chrono::milliseconds(spec.variant);
 }
 
+// Kind of fault that a fault of a series consists of, or else its own kind.
+fault_kind simple_kind_of(fault const& spec)
+{
+    switch (spec.kind)
+    {
+    case fault_kind::owner_change:
+        return kind_of_owner_change(spec.variant);
+    case fault_kind::owner_loss:
+        return fault_kind::kill;
+    case fault_kind::long_worker_cut:
+        return fault_kind::worker_cut;
+    default:
+        return spec.kind;
+    }
+}
+
 // Whether the process of the instance is stopped until the fault ends.
 bool stops_instance(fault_kind kind)
 {
@@ -83,11 +99,8 @@
 void fault_injector::apply(fault const& planned)
 {
     auto spec = planned;
-    if (spec.kind == fault_kind::owner_change)
-    {
-        spec.kind = kind_of_owner_change(spec.variant);
-    }
-    if (spec.at_owner && spec.kind < fault_kind::worker_cut)
+    spec.kind = simple_kind_of(spec);
+    if (spec.at_owner && !hits_worker(spec.kind))
     {
         spec.target = owner().value_or(spec.target);
     }
@@ -355,6 +368,28 @@
     }
 }
 
+cut_state fault_injector::cut_of(fault_kind kind, std::uint32_t target) const
+{
+    auto const* const found = latest_active(kind, target);
+    return found != nullptr
+               ? cut_directions[found->variant % cut_directions.size()]
+               : cut_state::none;
+}
+
+// An outage of the store for all instances outweighs a cut of one of them.
+void fault_injector::update_store_cut(std::uint32_t instance)
+{
+    bool const outage =
+        std::any_of(active_.begin(),
+                    active_.end(),
+                    [](active_fault const& entry)
+                    {
+                        return entry.spec.kind == fault_kind::store_outage;
+                    });
+    instances_.store_link(instance).set_cut(
+        outage ? cut_state::both : cut_of(fault_kind::store_cut, instance));
+}
+
 void fault_injector::update_links(fault const& spec)
 {
     auto const delay = [this, &spec]
@@ -364,10 +399,7 @@
     };
     auto const cut = [this, &spec]
     {
-        auto const* const found = latest_active(spec.kind, spec.target);
-        return found != nullptr
-                   ? cut_directions[found->variant % cut_directions.size()]
-                   : cut_state::none;
+        return cut_of(spec.kind, spec.target);
     };
     switch (spec.kind)
     {
@@ -375,7 +407,13 @@
         instances_.store_link(spec.target).set_delay(delay());
         break;
     case fault_kind::store_cut:
-        instances_.store_link(spec.target).set_cut(cut());
+        update_store_cut(spec.target);
+        break;
+    case fault_kind::store_outage:
+        for (std::uint32_t number = 0; number < instances_.size(); ++number)
+        {
+            update_store_cut(number);
+        }
         break;
     case fault_kind::caller_delay:
         instances_.caller_link(spec.target).set_delay(delay());
--- a/tools/soak/fault_injector.hpp
+++ b/tools/soak/fault_injector.hpp
@@ -65,6 +65,9 @@
     bool end_fault(fault const& spec);
     void update_state(fault const& spec);
     void update_links(fault const& spec);
+    standins::links::cut_state cut_of(fault_kind kind,
+                                      std::uint32_t target) const;
+    void update_store_cut(std::uint32_t instance);
     void update_gates(fault const& spec);
     /// Latest active fault of `kind` on `target`, or null.
     fault const* latest_active(fault_kind kind, std::uint32_t target) const;
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -1,10 +1,11 @@
 #include "tools/soak/plan.hpp"
 
+#include "tools/soak/job_id.hpp"
+#include "tools/soak/owner_loss_plan.hpp"
 #include "tools/soak/random_source.hpp"
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <sstream>
 
 namespace fuchsia::tools::soak
@@ -26,7 +27,7 @@
     duration longest;
 };
 
-constexpr std::array<kind_row, 28> kinds{{
+constexpr std::array<kind_row, 31> kinds{{
     {fault_kind::kill, "kill", true, 200ms, 2500ms},
     {fault_kind::stop, "stop", true, 200ms, 2500ms},
     {fault_kind::pause, "pause", true, 100ms, 6000ms},
@@ -55,6 +56,9 @@
     {fault_kind::configuration, "configuration", false, 0ms, 0ms},
     {fault_kind::evacuation, "evacuation", false, 2000ms, 8000ms},
     {fault_kind::shrink, "shrink", false, 3000ms, 9000ms},
+    {fault_kind::store_outage, "store_outage", true, 400ms, 600ms},
+    {fault_kind::owner_loss, "owner_loss", true, 1500ms, 4000ms},
+    {fault_kind::long_worker_cut, "long_worker_cut", true, 6000ms, 20000ms},
 }};
 
 kind_row const& row_of(fault_kind kind) noexcept
@@ -86,8 +90,8 @@
     result.target = random.below(1000);
     result.variant = random.below(1000);
     result.at_owner = random.true_with_percent(30);
-    result.target %= row.kind >= fault_kind::worker_cut ? settings.workers
-                                                        : settings.instances;
+    result.target %=
+        hits_worker(row.kind) ? settings.workers : settings.instances;
     out.push_back(result);
 }
 
@@ -100,7 +104,7 @@
         if (row.suspends_limits == suspends_limits &&
             row.kind != fault_kind::shrink &&
             row.kind != fault_kind::owner_change &&
-            settings.kinds.contains(row.kind))
+            !is_of_owner_losses(row.kind) && settings.kinds.contains(row.kind))
         {
             result.push_back(row);
         }
@@ -279,14 +283,6 @@
     return result;
 }
 
-std::string draw_id(std::uint32_t number, random_source& random)
-{
-    std::array<char, 17> id{};
-    std::snprintf(
-        id.data(), id.size(), "%08x%08x", random.below(1U << 31U), number);
-    return id.data();
-}
-
 planned_job draw_job(std::uint32_t number, duration at, random_source& random)
 {
     planned_job result;
@@ -370,6 +366,19 @@
     return result;
 }
 
+std::set<fault_kind> default_fault_kinds()
+{
+    auto result = all_fault_kinds();
+    std::erase_if(result, is_of_owner_losses);
+    return result;
+}
+
+bool hits_worker(fault_kind kind) noexcept
+{
+    return kind >= fault_kind::worker_cut && kind != fault_kind::store_outage &&
+           kind != fault_kind::owner_loss;
+}
+
 bool suspends_time_limits(fault_kind kind) noexcept
 {
     return row_of(kind).suspends_limits;
@@ -399,12 +408,6 @@
     draw_operator_actions(settings, result.faults);
     draw_capacity_changes(settings, result.faults);
     draw_owner_changes(settings, result.faults);
-    std::stable_sort(result.faults.begin(),
-                     result.faults.end(),
-                     [](fault const& left, fault const& right)
-                     {
-                         return left.at < right.at;
-                     });
     random_source random(settings.seed + 2);
     std::uint32_t number = 0;
     for (duration at{}; at < settings.traffic;
@@ -416,6 +419,13 @@
     }
     draw_crashing_jobs(settings, result.jobs);
     draw_kept_jobs(settings, result.jobs);
+    draw_owner_losses(settings, result);
+    std::stable_sort(result.faults.begin(),
+                     result.faults.end(),
+                     [](fault const& left, fault const& right)
+                     {
+                         return left.at < right.at;
+                     });
     return result;
 }
 
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -48,11 +48,20 @@
     evacuation,    ///< The operator evacuates a data centre and ends the
                    ///< evacuation.
     shrink, ///< The capacity of a worker shrinks, and grows again at the end.
+    store_outage, ///< Cuts the links between all instances and the store.
+    owner_loss, ///< One of a series of kills of the owner, each in an outage of
+                ///< the store.
+    long_worker_cut, ///< Cuts off a worker for longer than a takeover.
 };
 
 std::string_view name_of(fault_kind kind) noexcept;
 std::optional<fault_kind> fault_kind_from(std::string_view name) noexcept;
 std::set<fault_kind> all_fault_kinds();
+/// The kinds of a run for which none are selected: all but those of owner
+/// losses, which need a full pool.
+std::set<fault_kind> default_fault_kinds();
+/// Whether the target of the kind is the index of a worker.
+bool hits_worker(fault_kind kind) noexcept;
 /// Whether time limits are not checked while a fault of this kind is active.
 bool suspends_time_limits(fault_kind kind) noexcept;
 /// Kind of fault that a fault of the kind `owner_change` consists of.
@@ -92,7 +101,7 @@
     core::common::duration traffic = std::chrono::seconds(20);
     std::uint32_t instances = 9;
     std::uint32_t workers = 12;
-    std::set<fault_kind> kinds = all_fault_kinds();
+    std::set<fault_kind> kinds = default_fault_kinds();
 };
 
 /// Resources of the machine of an instance. The instances with the largest ones
