--- a/standins/pool/pool_server.cpp
+++ b/standins/pool/pool_server.cpp
@@ -28,6 +28,9 @@
     std::chrono::milliseconds(1500);
 // Starts of a task by which `rerun_after_crash` breaks its budget.
 constexpr std::uint32_t max_planted_reruns = 8;
+// Age from which `dropped_late_end` drops an end that was never listed; longer
+// than the lease that an owner grants.
+constexpr core::common::duration dropped_end_age = std::chrono::seconds(6);
 
 } // namespace
 
@@ -64,10 +67,12 @@
     worker.listed_until.reset();
     worker.down = false;
     worker.back_at.reset();
+    worker.unlisted_ends.clear();
     ++worker.incarnations;
     worker.state->observe(
         [this, index](worker_event const& event)
         {
+            note_end(index, event);
             if (observer_)
             {
                 observer_(info(index), event);
@@ -394,7 +399,8 @@
     auto& worker = *workers_[index].state;
     auto const starts_before = worker.started_runs().size();
     auto const ends_before = worker.acknowledged_ends().size();
-    auto const reply = worker.apply(now, order);
+    auto reply = worker.apply(now, order);
+    drop_late_ends(index, reply);
     count_violations(starts_before, worker);
     respond(encode(reply));
     bool const changed = worker.started_runs().size() > starts_before ||
@@ -405,6 +411,48 @@
     }
 }
 
+void pool_server::note_end(std::size_t index, worker_event const& event)
+{
+    if (planted_defect_ != planted_defect::dropped_late_end)
+    {
+        return;
+    }
+    auto& ends = workers_[index].unlisted_ends;
+    if (event.kind == worker_event_kind::ended)
+    {
+        ends[event.run] = clock::now();
+    }
+    else if (event.kind == worker_event_kind::acknowledged)
+    {
+        ends.erase(event.run);
+    }
+}
+
+// An end keeps the kind with which it was listed first.
+void pool_server::drop_late_ends(std::size_t index, ports::order_reply& reply)
+{
+    if (planted_defect_ != planted_defect::dropped_late_end)
+    {
+        return;
+    }
+    for (auto& row : reply.ended)
+    {
+        auto const noted = workers_[index].unlisted_ends.find(row.attempt_id);
+        if (noted == workers_[index].unlisted_ends.end() || !noted->second)
+        {
+            continue;
+        }
+        if (clock::now() - *noted->second < dropped_end_age)
+        {
+            noted->second.reset();
+        }
+        else if (row.kind == ports::end_kind::done)
+        {
+            row.kind = ports::end_kind::lease_expired;
+        }
+    }
+}
+
 void pool_server::violate_on_worker(std::size_t index,
                                     ports::pool_operation const& order)
 {
--- a/standins/pool/pool_server.hpp
+++ b/standins/pool/pool_server.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,6 +47,9 @@
     rerun_after_crash,    ///< A worker that a task has crashed starts the task
                           ///< again when it is back.
     hidden_shrink,        ///< A worker's entry hides that its capacity shrank.
+    dropped_late_end,     ///< A worker lists an end as done as lapsed if no
+                          ///< owner asked for it for longer than a lease, as if
+                          ///< the owner dropped it.
 };
 
 /// Stand-in for the users' platform in one process: the store and some workers,
@@ -98,6 +102,10 @@
         std::optional<core::common::time_point> back_at;
         /// Run that crashed the worker last, for `rerun_after_crash`.
         std::optional<ports::start_order> crashed_by;
+        /// Times of the ends that aren't acknowledged yet, for
+        /// `dropped_late_end`. Empty values: the end has been listed in time.
+        std::map<ports::pool_attempt, std::optional<core::common::time_point>>
+            unlisted_ends;
     };
 
     struct pending_watch
@@ -122,6 +130,8 @@
     void execute(std::size_t index,
                  ports::pool_operation const& order,
                  adapters::http::responder const& respond);
+    void note_end(std::size_t index, worker_event const& event);
+    void drop_late_ends(std::size_t index, ports::order_reply& reply);
     void violate_on_worker(std::size_t index,
                            ports::pool_operation const& order);
     void start_incarnation(std::size_t index, std::string const& id);
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -106,16 +106,20 @@
 INSTANTIATE_TEST_SUITE_P(
     planted,
     soak_planted_violation,
-    testing::Values(planted_violation{"two_places", "doubled"},
-                    planted_violation{"lost_job", "lost"},
-                    planted_violation{"forgotten_cancel", "cancelled"},
-                    planted_violation{"stale_config", "configuration"},
-                    planted_violation{"ended_twice", "doubled"},
-                    planted_violation{"early_step", "order"},
-                    planted_violation{"crash_again", "crashes", "12"},
-                    planted_violation{"unfinished_takeover", "owner", "4"},
-                    planted_violation{
-                        "hidden_shrink", "capacity", "16", "shrink"}),
+    testing::Values(
+        planted_violation{"two_places", "doubled"},
+        planted_violation{"lost_job", "lost"},
+        planted_violation{"forgotten_cancel", "cancelled"},
+        planted_violation{"stale_config", "configuration"},
+        planted_violation{"ended_twice", "doubled"},
+        planted_violation{"early_step", "order"},
+        planted_violation{"crash_again", "crashes", "12"},
+        planted_violation{"unfinished_takeover", "owner", "4"},
+        planted_violation{"hidden_shrink", "capacity", "16", "shrink"},
+        planted_violation{"dropped_end",
+                          "doubled",
+                          "30",
+                          "store_outage,owner_loss,long_worker_cut"}),
     [](auto const& test)
     {
         return std::string(test.param.name);
