--- a/tests/unit/pool/late_ends_test.cpp
+++ b/tests/unit/pool/late_ends_test.cpp
@@ -189,6 +189,13 @@
         }
     }
 
+    /// Lets the owner read the ends of one of the first workers.
+    void reach(std::size_t worker)
+    {
+        cut_.erase(worker);
+        simulation.run(reading_time);
+    }
+
     /// Lets the owner read the ends of the first workers, the last one first.
     void reach_first_workers()
     {
@@ -196,8 +203,7 @@
              worker != first_workers.rend();
              ++worker)
         {
-            cut_.erase(*worker);
-            simulation.run(reading_time);
+            reach(*worker);
         }
         if (std::exchange(present_, present_run::none) ==
             present_run::stop_unanswered)
@@ -207,6 +213,29 @@
         }
     }
 
+    /// Returns the other worker that runs a task of the job.
+    std::size_t other_worker_in_use()
+    {
+        auto const found =
+            std::find_if(other_workers.begin(),
+                         other_workers.end(),
+                         [this](std::size_t worker)
+                         {
+                             return simulation.worker(worker).running() > 0;
+                         });
+        return found == other_workers.end() ? worker_total : *found;
+    }
+
+    void cut(std::size_t worker)
+    {
+        cut_.insert(worker);
+    }
+
+    void lose_stops(bool lost)
+    {
+        stops_lost_ = lost;
+    }
+
     bool ends_as(job_state expected, duration timeout)
     {
         return simulation.run_until(
@@ -254,12 +283,12 @@
     fault_effect effect_on(std::size_t worker,
                            ports::pool_operation const& order)
     {
-        if (cut_.contains(worker))
+        bool const starts = std::holds_alternative<ports::start_order>(order);
+        bool const stops = std::holds_alternative<ports::stop_order>(order);
+        if (cut_.contains(worker) || (stops && stops_lost_))
         {
             return fault_effect::request_lost;
         }
-        bool const starts = std::holds_alternative<ports::start_order>(order);
-        bool const stops = std::holds_alternative<ports::stop_order>(order);
         starts_ordered_ += starts ? 1U : 0U;
         switch (present_)
         {
@@ -312,6 +341,7 @@
     std::set<std::size_t> cut_;
     std::optional<std::size_t> refused_instance_;
     present_run present_ = present_run::none;
+    bool stops_lost_ = false;
     std::size_t starts_ordered_ = 0;
 };
 
@@ -415,3 +445,77 @@
     EXPECT_EQ(starts(), attempts_of_queue);
     EXPECT_EQ(simulation.violation(), "");
 }
+
+// Guards against a failure that counts as the one of a later run with the same
+// number: a successor numbers the runs of a task from 1 again.
+TEST_F(pool_with_late_ends,
+       a_late_failure_of_an_earlier_owner_counts_as_an_attempt)
+{
+    auto failing = job_of(job_kind::single);
+    failing.spec += " fail";
+    run_unseen(failing, placed_by::earlier_owner);
+    start_elsewhere(present_run::running);
+    reach_first_workers();
+    EXPECT_TRUE(ends_as(job_state::failed, 20s));
+    EXPECT_EQ(starts(), attempts_of_queue);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
+// Guards against an end that its owner has read and acknowledged, and that its
+// successor does not know, since another run was being stopped then.
+TEST_F(pool_with_late_ends, an_end_read_beside_another_run_outlives_the_owner)
+{
+    run_unseen(job_of(job_kind::single), placed_by::present_owner);
+    start_elsewhere(present_run::running);
+    auto const worker = other_worker_in_use();
+    ASSERT_LT(worker, worker_total);
+    cut(worker);
+    reach_first_workers();
+    auto const starts_when_listed = starts();
+    auto const owner = *simulation.owner();
+    ASSERT_NE(owner, observer);
+    simulation.kill(owner);
+    EXPECT_TRUE(ends_as(job_state::completed, 30s));
+    reach(worker);
+    EXPECT_EQ(running(), 0U);
+    EXPECT_EQ(starts(), starts_when_listed);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
+// Guards against a task that starts in the room of a run that is still being
+// stopped, since its task was done by another run.
+TEST_F(pool_with_late_ends, the_room_of_a_run_that_is_stopped_is_not_free_yet)
+{
+    run_unseen(job_of(job_kind::single), placed_by::present_owner);
+    start_elsewhere(present_run::running);
+    auto const worker = other_worker_in_use();
+    ASSERT_LT(worker, worker_total);
+    for (auto const other : other_workers)
+    {
+        simulation.set_capacity(other,
+                                other == worker ? whole_worker : no_cores);
+    }
+    simulation.submit(observer, "b", job_of(job_kind::single));
+    simulation.run(50ms);
+    lose_stops(true);
+    reach_first_workers();
+    lose_stops(false);
+    EXPECT_TRUE(ends_as(job_state::completed, 20s));
+    simulation.run(6s);
+    EXPECT_EQ(simulation.state(observer, "b"), job_state::completed);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
+// Guards against a gang that starts again although the end of one of its
+// members was listed, which stands for all of them.
+TEST_F(pool_with_late_ends, the_end_of_one_member_stands_for_its_gang)
+{
+    run_unseen(job_of(job_kind::gang), placed_by::present_owner);
+    auto const starts_when_listed = starts();
+    reach(first_workers.back());
+    set_capacities(other_workers, whole_worker);
+    EXPECT_TRUE(ends_as(job_state::completed, 2s));
+    simulation.run(5s);
+    EXPECT_EQ(starts(), starts_when_listed);
+    EXPECT_EQ(simulation.violation(), "");
+}
