--- a/src/core/tasks/cell_placement.cpp
+++ b/src/core/tasks/cell_placement.cpp
@@ -59,6 +59,16 @@
                        });
 }
 
+// Returns the worker as a candidate on which nothing runs yet.
+placement::candidate candidate_of(worker_view const& view)
+{
+    placement::candidate result;
+    result.worker = &view.info.id;
+    result.capacity = view.info.capacity;
+    result.memory_over_declared = view.memory_over_declared;
+    return result;
+}
+
 void commit_to(placement::candidate& worker, job const& definition)
 {
     worker.committed += definition.declared;
@@ -217,12 +227,8 @@
     for (auto const& id : context.workers.in_rack(cell_))
     {
         auto const* view = context.workers.find(id);
-        placement::candidate next;
-        next.worker = &view->info.id;
-        next.capacity = view->info.capacity;
-        next.memory_over_declared = view->memory_over_declared;
         index_by_worker.emplace(view->info.id, out.size());
-        out.push_back(std::move(next));
+        out.push_back(candidate_of(*view));
     }
     for (auto const& [key, run] : active_attempts_)
     {
@@ -245,12 +251,8 @@
         auto const* view = context.workers.find(id);
         if (context.workers.may_start(context.now, *view))
         {
-            placement::candidate next;
-            next.worker = &view->info.id;
-            next.capacity = view->info.capacity;
-            next.memory_over_declared = view->memory_over_declared;
             index_by_worker.emplace(view->info.id, out.size());
-            out.push_back(std::move(next));
+            out.push_back(candidate_of(*view));
         }
     }
     for (auto const& [key, run] : active_attempts_)
@@ -263,8 +265,7 @@
         auto& target = out[found->second];
         auto const& definition = run.part->definition;
         bool const service = definition.kind == job_kind::service;
-        target.committed += definition.declared;
-        target.batch_millicores += service ? 0 : definition.declared.millicores;
+        commit_to(target, definition);
         target.residents.push_back(
             {context.interference_estimates.class_index(definition.task_class),
              service,
