--- a/tests/unit/pool/late_ends_walk_test.cpp
+++ b/tests/unit/pool/late_ends_walk_test.cpp
@@ -27,6 +27,7 @@
 {
 
 constexpr std::uint64_t default_seeds = 20;
+constexpr std::uint64_t seeds_of_unclear_commits = 6;
 constexpr std::size_t instances = 4;
 constexpr std::size_t workers = 6;
 constexpr int series_total = 4;
@@ -43,7 +44,8 @@
 class late_ends_walk
 {
 public:
-    explicit late_ends_walk(std::uint64_t seed)
+    /// `store_effect` is what becomes of calls while the store is cut off.
+    late_ends_walk(std::uint64_t seed, fault_effect store_effect)
         : random_(seed), simulation_(instances, workers)
     {
         simulation_.worker_fault = [this](std::size_t,
@@ -54,10 +56,10 @@
             return cut ? fault_effect::request_lost : fault_effect::carried_out;
         };
         simulation_.store_fault =
-            [this](std::size_t, ports::kv_operation const&)
+            [this, store_effect](std::size_t, ports::kv_operation const&)
         {
             bool const cut = simulation_.now() < store_cut_until_;
-            return cut ? fault_effect::request_lost : fault_effect::carried_out;
+            return cut ? store_effect : fault_effect::carried_out;
         };
     }
 
@@ -130,8 +132,9 @@
     // Returns a job of one or two steps, or a gang. Some fail at first.
     job draw_job()
     {
-        auto result = simple_job(static_cast<std::uint32_t>(1 + draw(6)),
-                                 milliseconds(100, 3000));
+        auto const tasks = static_cast<std::uint32_t>(1 + draw(6));
+        auto const work = milliseconds(100, 3000);
+        auto result = simple_job(tasks, work);
         result.steps.front().declared.millicores = 2000;
         auto const kind = draw(5);
         if (kind == 0)
@@ -256,6 +259,24 @@
 {
     for (std::uint64_t seed = 1; seed <= seed_count(default_seeds); ++seed)
     {
-        EXPECT_EQ(late_ends_walk(seed).run(), "") << "seed " << seed;
+        late_ends_walk walk(seed, fault_effect::request_lost);
+        EXPECT_EQ(walk.run(), "") << "seed " << seed;
+    }
+}
+
+// Guards against an end that is acknowledged although the commit that holds it
+// had no answer, or took effect late, while owners change in series.
+TEST(pool_late_ends_walk, no_task_starts_again_after_commits_without_an_answer)
+{
+    for (std::uint64_t seed = 1; seed <= seed_count(seeds_of_unclear_commits);
+         ++seed)
+    {
+        for (auto const effect :
+             {fault_effect::answer_lost, fault_effect::executed_late})
+        {
+            late_ends_walk walk(seed, effect);
+            EXPECT_EQ(walk.run(), "")
+                << "seed " << seed << " effect " << static_cast<int>(effect);
+        }
     }
 }
