Pool: ends of other attempts are handled in one place

A failure that was listed late counted without a log line, and was handled by two functions, one for tasks that an earlier owner may have started and one for all others, which looked the task up again for each row of each report. end_ignored could come for long-running tasks only, since every other end is used now.

One function handles each end of another attempt than the present one. It raises the number of the task's last attempt while none is placed, and a failure of the present attempt always counts: a worker's ends are applied once, so an equal number is one of another owner's run. The line and its counter are gone; ends_unused counts what is of no use.

--- a/src/core/pool/job_run.cpp
+++ b/src/core/pool/job_run.cpp
@@ -215,8 +215,7 @@
                     result.suspects.push_back(
                         {occurrence_index, step_index, index, t.crash_history});
                 }
-                bool const done =
-                    t.phase == task_phase::done || t.done_by_other_attempt;
+                bool const done = t.is_done();
                 auto const size = done ? 0 : written_size(t.checkpoint);
                 bool const kept = size > 0 && size <= bytes_left;
                 if (!done && !kept && t.failures.empty())
--- a/src/core/pool/job_run.hpp
+++ b/src/core/pool/job_run.hpp
@@ -91,6 +91,12 @@
     std::vector<std::string> failed_on; ///< Workers to avoid.
     crash_record crash_history;
 
+    /// Whether an attempt has ended as done.
+    bool is_done() const noexcept
+    {
+        return phase == task_phase::done || done_by_other_attempt;
+    }
+
     /// Whether the task occupies capacity on its worker.
     bool placed() const noexcept
     {
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -358,38 +358,29 @@
                        ports::pool_attempt const& attempt_id);
 
     // owner_ends.cpp: ended attempts that a worker reports.
-    void note_unused_end(worker const& target, ports::ended_attempt const& row);
-    void log_other_end(ports::severity level,
-                       char const* event,
-                       worker const& target,
-                       ports::pool_attempt const& attempt_id,
-                       std::vector<ports::header> extra_fields = {});
-    bool apply_end(common::time_point now,
+    void apply_end(common::time_point now,
                    worker& target,
                    ports::ended_attempt const& row);
     void apply_current_end(common::time_point now,
                            worker& target,
                            job_run& run,
                            ports::ended_attempt const& row);
-    bool apply_other_done(common::time_point now,
-                          worker& target,
-                          job_run& run,
-                          ports::pool_attempt const& attempt_id);
-    bool apply_other_end(common::time_point now,
+    void apply_other_end(common::time_point now,
                          worker& target,
                          job_run& run,
                          ports::ended_attempt const& row);
-    bool count_other_failure(common::time_point now,
-                             ports::ended_attempt const& row);
+    void apply_other_done(common::time_point now,
+                          worker& target,
+                          job_run& run,
+                          ports::pool_attempt const& attempt_id);
+    void apply_other_failure(common::time_point now,
+                             worker& target,
+                             job_run& run,
+                             ports::pool_attempt const& attempt_id);
     void log_failure(common::time_point now,
                      worker const& target,
                      job_run const& run,
                      ports::pool_attempt const& attempt_id);
-    void apply_failure(common::time_point now,
-                       worker& target,
-                       job_run& run,
-                       ports::pool_attempt const& attempt_id,
-                       bool is_current);
 
     // owner_restarts.cpp: workers that start again under their id.
     void note_incarnation(common::time_point now,
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -61,12 +61,7 @@
         reported.push_back(&row.attempt_id.task);
         if (target.ends.add(row.sequence))
         {
-            bool const used = apply_end(now, target, row);
-            bool const counted = count_other_failure(now, row);
-            if (!used && !counted)
-            {
-                note_unused_end(target, row);
-            }
+            apply_end(now, target, row);
         }
     }
     bool const had_unlisted = target.ends.has_unlisted();
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -97,10 +97,8 @@
     std::uint64_t tasks_failed = 0;
     std::uint64_t tasks_lost = 0;
     std::uint64_t tasks_blamed = 0; ///< Runs blamed for a worker's crash.
-    /// Ends as done or failed that workers listed and that changed nothing: of
-    /// tasks that were done or of jobs that are over, and of other tasks.
-    std::uint64_t ends_known = 0;
-    std::uint64_t ends_ignored = 0;
+    /// Listed ends of tasks that were done, or whose job is not known any more.
+    std::uint64_t ends_unused = 0;
     std::uint64_t speed_limit_changes = 0;
     std::uint64_t evicted = 0;
     /// Time for which some serving task of a worker was over its latency target
--- a/src/core/pool/owner_takeover.cpp
+++ b/src/core/pool/owner_takeover.cpp
@@ -28,8 +28,8 @@
     return t.phase == task_phase::unresolved || blocked;
 }
 
-// Fails a job whose attempts were used up by failures or crashes under earlier
-// owners.
+// Fails a job whose attempts were used up by failures or crashes that this
+// owner did not see when they happened.
 void owner::fail_exhausted_job(common::time_point now, job_run& run)
 {
     std::size_t failures = 0;
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -151,12 +151,9 @@
     set("fuchsia_pool_tasks_blamed",
         "Lost runs that may have crashed their worker",
         counts.tasks_blamed);
-    set("fuchsia_pool_ends_known",
+    set("fuchsia_pool_ends_unused",
         "Listed ends of tasks that were done or whose job was over",
-        counts.ends_known);
-    set("fuchsia_pool_ends_ignored",
-        "Listed ends that changed nothing about a task that is not done",
-        counts.ends_ignored);
+        counts.ends_unused);
     set("fuchsia_pool_paced",
         "Changes of a task's speed",
         counts.speed_limit_changes);
