--- a/tools/soak/owner_loss_plan.cpp
+++ b/tools/soak/owner_loss_plan.cpp
@@ -29,8 +29,8 @@
     {
         fault cut;
         cut.at = series_at + random.between(0ms, 500ms);
-        cut.length = random.between(6s, 20s);
         cut.kind = fault_kind::long_worker_cut;
+        cut.length = draw_length(cut.kind, random);
         cut.target = (first_worker + number) % settings.workers;
         out.push_back(cut);
     }
@@ -50,13 +50,13 @@
         at += random.between(500ms, 1500ms);
         fault outage;
         outage.at = at;
-        outage.length = random.between(400ms, 600ms);
         outage.kind = fault_kind::store_outage;
+        outage.length = draw_length(outage.kind, random);
         out.push_back(outage);
         fault loss;
         loss.at = at + random.between(0ms, 300ms);
-        loss.length = random.between(1500ms, 4s);
         loss.kind = fault_kind::owner_loss;
+        loss.length = draw_length(loss.kind, random);
         loss.at_owner = true;
         out.push_back(loss);
     }
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -86,7 +86,7 @@
     fault result;
     result.at = at;
     result.kind = row.kind;
-    result.length = random.between(row.shortest, row.longest);
+    result.length = draw_length(row.kind, random);
     result.target = random.below(1000);
     result.variant = random.below(1000);
     result.at_owner = random.true_with_percent(30);
@@ -379,6 +379,12 @@
            kind != fault_kind::owner_loss;
 }
 
+duration draw_length(fault_kind kind, random_source& random)
+{
+    auto const& row = row_of(kind);
+    return random.between(row.shortest, row.longest);
+}
+
 bool suspends_time_limits(fault_kind kind) noexcept
 {
     return row_of(kind).suspends_limits;
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -2,6 +2,7 @@
 
 #include "core/common/time.hpp"
 #include "tools/soak/observation.hpp"
+#include "tools/soak/random_source.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -64,6 +65,8 @@
 bool hits_worker(fault_kind kind) noexcept;
 /// Whether time limits are not checked while a fault of this kind is active.
 bool suspends_time_limits(fault_kind kind) noexcept;
+/// Draws the length of a fault of the kind.
+core::common::duration draw_length(fault_kind kind, random_source& random);
 /// Kind of fault that a fault of the kind `owner_change` consists of.
 fault_kind kind_of_owner_change(std::uint32_t variant) noexcept;
 
