--- a/review/standin-3/pool_standins.py
+++ b/review/standin-3/pool_standins.py
@@ -107,6 +107,16 @@
             self.writers.discard(writer)
             writer.close()
 
+    def fall_silent(self):
+        """Closes the port and leaves all channels open without an answer."""
+        if self.server:
+            self.server.close()
+            self.server = None
+
+        async def nothing(*_):
+            return None
+        self.handle = nothing
+
     def drop(self):
         """Closes the port and resets all channels."""
         if self.server:
@@ -443,8 +453,9 @@
         self.server.drop()
         self.store.remove("servers/" + self.id)
 
-    def crash(self):
-        """Ends this life: what it ran and knew is gone."""
+    def crash(self, dark=False):
+        """Ends this life: what it ran and knew is gone. If it goes dark, open
+        channels go silent; else they are reset."""
         self.record.add("executor_down", id=self.id, port=self.port,
                         ran=sorted(self.running))
         for task, run in self.running.items():
@@ -452,7 +463,10 @@
                             how="crashed")
         self.up = False
         self.running = {}
-        self.server.drop()
+        if dark:
+            self.server.fall_silent()
+        else:
+            self.server.drop()
         old = self.id
 
         async def forget():
