--- a/review/standin-3/pool_standins.py
+++ b/review/standin-3/pool_standins.py
@@ -516,7 +516,8 @@
         self.sequence += 1
         self.ended.append([self.sequence, task, run["run"], how, ""])
         self.highest[task] = max(self.highest.get(task, 0), run["run"])
-        self.record.add("end", task=task, run=run["run"], on=self.id, how=how)
+        self.record.add("end", task=task, run=run["run"], on=self.id,
+                        born=self.born, how=how)
         asyncio.create_task(self.wake())
 
     async def wake(self):
@@ -576,7 +577,7 @@
             return 409, self.said(reason="room")
         self.running[task] = {"run": run, "spec": spec, "done": 0.0}
         self.record.add("start", task=task, run=run, on=self.id,
-                        fence=order.get("fenceToken", 0))
+                        born=self.born, fence=order.get("fenceToken", 0))
         return 200, self.said()
 
     def run_stop(self, order):
@@ -592,7 +593,7 @@
         for end in self.ended:
             if end[0] <= order.get("lastSeen", 0):
                 self.record.add("noted", task=end[1], run=end[2], on=self.id,
-                                how=end[3])
+                                born=self.born, how=end[3])
         self.ended = [e for e in self.ended if e[0] > order.get("lastSeen", 0)]
         end = time.monotonic() + order.get("waitMs", 0) / 1000
         while not self.ended and time.monotonic() < end:
