--- a/review/standin-3/pool_standins.py
+++ b/review/standin-3/pool_standins.py
@@ -21,10 +21,25 @@
 HISTORY_S = 20
 
 
+# Ports that the system gives to no outgoing connection by itself, so that none
+# is taken between the choice and the use.
+PORTS = range(12000, 32000)
+_taken = set()
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    draw = random.SystemRandom()
+    while True:
+        port = draw.choice(PORTS)
+        if port in _taken:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _taken.add(port)
+        return port
 
 
 class Record:
