--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -134,9 +134,9 @@
 
     common::time_point avoid_until{}; ///< Suspected of making tasks fail.
     common::time_point full_until{};  ///< It has reported a lack of capacity.
-    /// Its last report lists runs that are not placed here. They are being
-    /// stopped and occupy capacity until they end.
-    bool has_unplaced_runs = false;
+    /// Runs in its last report that are not placed here. They are being stopped
+    /// and occupy capacity until they end.
+    std::set<ports::pool_attempt> unplaced_runs;
     worker_speed speed;
     /// Jobs with failed attempts here since the last successful attempt.
     std::vector<std::string> failed_jobs;
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -238,6 +238,8 @@
                   ports::pool_attempt const& attempt_id,
                   std::string const& worker_id,
                   std::vector<ports::header> extra_fields = {});
+    std::vector<ports::header>
+    other_attempt_fields(worker const& target, ports::task_name const& name);
 
     // owner_workers.cpp: polls of workers, and the handling of workers that do
     // not answer.
@@ -331,6 +333,8 @@
                     worker& target,
                     ports::order_reply const& reply);
     void log_full_report(worker const& target, ports::order_reply const& reply);
+    void log_unplaced_runs(worker const& target,
+                           std::set<ports::pool_attempt> const& known);
     /// Names of the tasks in a worker's report, sorted.
     using reported_names = std::vector<ports::task_name const*>;
     bool is_inconsistent(worker const& target, reported_names const& reported);
@@ -369,6 +373,8 @@
                          worker& target,
                          job_run& run,
                          ports::ended_attempt const& row);
+    void log_unused_end(worker const& target,
+                        ports::pool_attempt const& attempt_id);
     void apply_other_done(common::time_point now,
                           worker& target,
                           job_run& run,
@@ -394,6 +400,7 @@
     {
         ports::pool_attempt attempt_id;
         std::string worker;
+        std::uint64_t fencing_token = 0;
         std::uint64_t incarnation = 0;    ///< The one that was adopted then.
         std::uint64_t lease_until_ms = 0; ///< By the clock of `incarnation`.
     };
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -306,6 +306,7 @@
                [this,
                 sent = sent_start{order.attempt_id,
                                   target.info.id,
+                                  order.fencing_token,
                                   target.incarnation,
                                   order.lease_until_ms}](
                    common::time_point at, order_reply const& reply)
@@ -318,7 +319,8 @@
                      sent_start const& sent,
                      order_reply const& reply)
 {
-    auto const& [attempt_id, id, incarnation, lease_until_ms] = sent;
+    auto const& attempt_id = sent.attempt_id;
+    auto const& id = sent.worker;
     if (reply.status == order_status::stale_fencing_token)
     {
         on_fenced(now, id);
@@ -359,6 +361,8 @@
               {"task", std::to_string(attempt_id.task.index)},
               {"attempt", std::to_string(attempt_id.attempt)},
               {"worker", id},
+              {"born", std::to_string(sent.incarnation)},
+              {"fencing_token", std::to_string(sent.fencing_token)},
               {"status", std::to_string(static_cast<unsigned>(reply.status))}});
     if (reply.status == order_status::unclear)
     {
--- a/src/core/pool/owner_ends.cpp
+++ b/src/core/pool/owner_ends.cpp
@@ -67,6 +67,7 @@
     else if (t == nullptr || t->is_done())
     {
         ++counters_.ends_unused;
+        log_unused_end(target, row.attempt_id);
     }
     else
     {
@@ -147,6 +148,24 @@
     }
 }
 
+// Logs the end of a run that this owner didn't know of, of a task that was
+// done or a job that was over: the task ran once more. Ends that were there
+// before this owner reached the worker are not worth a line.
+void owner::log_unused_end(worker const& target,
+                           ports::pool_attempt const& attempt_id)
+{
+    auto const* const t = find_task(attempt_id.task).state;
+    bool const known = t != nullptr && t->attempt == attempt_id.attempt;
+    if (target.ends.caught_up() && !known)
+    {
+        log_task(severity::info,
+                 "end_of_other_attempt",
+                 attempt_id,
+                 target.info.id,
+                 other_attempt_fields(target, attempt_id.task));
+    }
+}
+
 // The task is done, whatever this owner takes it for.
 void owner::apply_other_done(common::time_point now,
                              worker& target,
@@ -160,9 +179,7 @@
                  "end_of_other_attempt",
                  attempt_id,
                  target.info.id,
-                 {{"phase", std::string(name_of(t.phase))},
-                  {"present_attempt", std::to_string(t.attempt)},
-                  {"present_worker", t.worker}});
+                 other_attempt_fields(target, attempt_id.task));
     }
     target.failed_jobs.clear();
     task_done_by_other(now, run, attempt_id.task);
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -92,7 +92,7 @@
     {
         return obstacle::suspected;
     }
-    if (now < target.full_until || target.has_unplaced_runs)
+    if (now < target.full_until || !target.unplaced_runs.empty())
     {
         return obstacle::reported_full;
     }
--- a/src/core/pool/owner_rows.cpp
+++ b/src/core/pool/owner_rows.cpp
@@ -47,15 +47,15 @@
 {
     reported_names reported;
     reported.reserve(reply.running.size() + reply.ended.size());
-    bool const had_unplaced_runs =
-        std::exchange(target.has_unplaced_runs, false);
+    auto const unplaced_before = std::exchange(target.unplaced_runs, {});
     for (auto const& row : reply.running)
     {
         reported.push_back(&row.attempt_id.task);
         apply_running(now, target, row);
     }
-    dispatch_requested_ =
-        dispatch_requested_ || (had_unplaced_runs && !target.has_unplaced_runs);
+    log_unplaced_runs(target, unplaced_before);
+    dispatch_requested_ = dispatch_requested_ || (!unplaced_before.empty() &&
+                                                  target.unplaced_runs.empty());
     for (auto const& row : reply.ended)
     {
         reported.push_back(&row.attempt_id.task);
@@ -193,10 +193,29 @@
                               worker& target,
                               ports::pool_attempt const& attempt_id)
 {
-    target.has_unplaced_runs = true;
+    target.unplaced_runs.insert(attempt_id);
     order_stop(now, target.info.id, attempt_id);
 }
 
+// Logs the runs of a report that are not placed there and that the report
+// before did not list: with the line of their start it tells which incarnation
+// an order was meant for, and which one carried it out.
+void owner::log_unplaced_runs(worker const& target,
+                              std::set<ports::pool_attempt> const& known)
+{
+    for (auto const& attempt_id : target.unplaced_runs)
+    {
+        if (!known.contains(attempt_id))
+        {
+            log_task(severity::info,
+                     "run_of_other_attempt",
+                     attempt_id,
+                     target.info.id,
+                     other_attempt_fields(target, attempt_id.task));
+        }
+    }
+}
+
 // Adopts a run that an earlier owner started.
 void owner::adopt_attempt(common::time_point now,
                           worker& target,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -26,6 +26,23 @@
     out_.log(level, event, std::move(fields));
 }
 
+// Returns the fields of a log line about an attempt that a worker lists, and
+// that is not the present one of its task.
+std::vector<ports::header>
+owner::other_attempt_fields(worker const& target, ports::task_name const& name)
+{
+    auto const* const t = find_task(name).state;
+    if (t == nullptr)
+    {
+        return {{"born", std::to_string(target.incarnation)},
+                {"phase", "unknown"}};
+    }
+    return {{"born", std::to_string(target.incarnation)},
+            {"phase", std::string(name_of(t->phase))},
+            {"present_attempt", std::to_string(t->attempt)},
+            {"present_worker", t->worker}};
+}
+
 void owner::poll_workers(common::time_point now)
 {
     if (!may_act(now))
@@ -177,7 +194,7 @@
         acknowledge_ends(now, *target);
     }
     else if (target->ends.has_unlisted() ||
-             (target->runs.empty() && target->has_unplaced_runs))
+             (target->runs.empty() && !target->unplaced_runs.empty()))
     {
         target->next_poll = now + settings_.guarded_poll_wait;
     }
--- a/standins/pool/worker_state.cpp
+++ b/standins/pool/worker_state.cpp
@@ -417,6 +417,11 @@
     return info_;
 }
 
+std::uint64_t worker_state::fencing_token() const noexcept
+{
+    return fencing_token_;
+}
+
 bool worker_state::runs(ports::task_name const& task) const
 {
     return running_.contains(task);
--- a/standins/pool/worker_state.hpp
+++ b/standins/pool/worker_state.hpp
@@ -105,6 +105,8 @@
     void advance(core::common::time_point now);
 
     ports::pool_worker const& info() const noexcept;
+    /// Highest fencing token of all orders; 0 before the first one.
+    std::uint64_t fencing_token() const noexcept;
     bool runs(ports::task_name const& task) const;
     std::size_t running() const noexcept;
     std::vector<ports::task_name> running_tasks() const;
