Pool: a start without an answer is cut off by a higher fencing token

Its start got no answer, the worker agreed to its stop, the task ran elsewhere, the worker restarted under its id, and the start was carried out 6 s late.

Cause: that an order is refused is remembered by one incarnation of a worker only: the stop by attempt number, and the fencing token, which was the epoch in every order of an owner. The new incarnation had heard the same token and carried the start out.

Change: the token of a worker's orders grows by one as soon as a start there gets no answer. Tokens are taken from the range between the epoch and the revision of the owner's last commit. Commits have the claim's key as a precondition, so a successor's epoch is above them, and no other write is needed. While no token is free, nothing starts there. A start that an order with a higher token has overtaken is refused, which is no lost claim: it did nothing, and its task is placed again at once.

The simulation dropped late starts that met another incarnation. It now drops them only if that incarnation has received no order at all yet, when nothing can tell them apart.

--- a/src/core/pool/fleet.cpp
+++ b/src/core/pool/fleet.cpp
@@ -63,7 +63,7 @@
     }
     for (auto const& info : changes.present)
     {
-        auto& entry = workers_[info.id];
+        auto& entry = find_or_add(info.id);
         entry.info = info;
         entry.listed = true;
     }
@@ -115,7 +115,7 @@
 
 void fleet::add_rostered(ports::pool_worker const& info)
 {
-    auto& entry = workers_[info.id];
+    auto& entry = find_or_add(info.id);
     if (entry.info.id.empty())
     {
         entry.info = info;
@@ -123,11 +123,33 @@
     entry.rostered = true;
 }
 
+worker& fleet::find_or_add(std::string const& id)
+{
+    auto const [entry, added] = workers_.try_emplace(id);
+    if (added)
+    {
+        entry->second.token = order_token(highest_removed_token_);
+    }
+    return entry->second;
+}
+
 void fleet::erase(std::string const& id)
 {
+    if (auto const* const removed = find(id))
+    {
+        highest_removed_token_ =
+            std::max(highest_removed_token_, removed->token.present());
+    }
     workers_.erase(id);
 }
 
+bool fleet::has_superseded(std::string const& id, std::uint64_t token) const
+{
+    auto const found = workers_.find(id);
+    return found == workers_.end() ? highest_removed_token_ > token
+                                   : found->second.token.is_above(token);
+}
+
 worker* fleet::find(std::string const& id)
 {
     auto const found = workers_.find(id);
--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -4,6 +4,7 @@
 #include "core/pool/colocation.hpp"
 #include "core/pool/end_cursor.hpp"
 #include "core/pool/job.hpp"
+#include "core/pool/order_token.hpp"
 #include "core/pool/outbox.hpp"
 #include "core/pool/target_miss.hpp"
 #include "core/pool/worker_list.hpp"
@@ -70,6 +71,7 @@
     /// for workers that have not answered this owner.
     bool ended = false;
     std::uint64_t incarnation = 0; ///< Adopted incarnation; 0: none.
+    order_token token;             ///< Fencing token of the orders to it.
     /// Time of the first answer of this incarnation if it has replaced another
     /// one that this owner had adopted.
     common::time_point restarted_at{};
@@ -185,6 +187,10 @@
     void erase(std::string const& id);
 
     worker* find(std::string const& id);
+    /// Whether an order with `token` to this worker was refused because the
+    /// worker has received a later one of this owner. A refusal of the latest
+    /// one shows that there is a later owner.
+    bool has_superseded(std::string const& id, std::uint64_t token) const;
     std::map<std::string, worker>& all() noexcept;
     std::map<std::string, worker> const& all() const noexcept;
     fleet_settings const& settings() const noexcept;
@@ -233,6 +239,8 @@
                                common::time_point now) const noexcept;
 
 private:
+    /// Returns the worker with this id, which is added if there is none.
+    worker& find_or_add(std::string const& id);
     /// The worker's clock at `now`; 0 while it is unknown.
     std::uint64_t clock_at(worker const& target,
                            common::time_point now) const noexcept;
@@ -245,6 +253,9 @@
 
     fleet_settings settings_;
     std::map<std::string, worker> workers_;
+    /// Highest token of the orders to workers that were removed. A worker that
+    /// is added again has to get a higher one.
+    std::uint64_t highest_removed_token_ = 0;
     /// By service; set when it is needed after a change of the list.
     std::optional<std::map<std::string, largest_by_label>> largest_;
 };
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -246,12 +246,20 @@
     void poll_workers(common::time_point now);
     void poll_if_due(common::time_point now, worker& target);
     void poll_worker(common::time_point now, worker& target);
+    /// What the owner remembers of a stop until it is answered.
+    struct sent_stop
+    {
+        ports::pool_attempt attempt_id;
+        std::string worker;
+        std::uint64_t fencing_token = 0;
+    };
     /// What the owner remembers of a poll until it is answered.
     struct sent_poll
     {
         common::time_point sent_at{};
         std::string worker;
         ports::endpoint remote_endpoint;
+        std::uint64_t fencing_token = 0;
         std::uint64_t acknowledged_end = 0;
         std::uint64_t lease_until_ms = 0; ///< 0: no renewal.
     };
@@ -267,13 +275,23 @@
                     std::string const& id,
                     ports::pool_attempt const& attempt_id);
     void on_stop(common::time_point now,
-                 ports::pool_attempt const& attempt_id,
-                 std::string const& id,
+                 sent_stop const& sent,
                  ports::order_reply const& reply);
     task* find_stopping_task(std::string const& id,
                              ports::pool_attempt const& attempt_id);
-    /// Handles a worker's answer that it knows a higher fencing token.
-    void on_fenced(common::time_point now, std::string const& worker_id);
+
+    // owner_tokens.cpp: fencing tokens of orders.
+    token_range allowed_tokens() const;
+    std::uint64_t next_token(worker& target);
+    void supersede_token(worker& target,
+                         std::uint64_t token,
+                         std::string_view reason);
+    /// Handles a worker's answer that it knows a higher fencing token. Returns
+    /// whether that token may be from this owner, which goes on then.
+    bool on_fenced(common::time_point now,
+                   std::string const& worker_id,
+                   std::string_view order,
+                   std::uint64_t token);
 
     // owner_crashes.cpp: tasks of workers that crashed or can't be reached.
     enum class loss_reason : std::uint8_t
--- a/src/core/pool/owner_dispatch.cpp
+++ b/src/core/pool/owner_dispatch.cpp
@@ -281,7 +281,7 @@
     }
     ++counters_.starts;
     ports::start_order order;
-    order.fencing_token = claim_.epoch();
+    order.fencing_token = next_token(target);
     order.attempt_id = {name, t.attempt};
     order.spec = run.spec.spec;
     order.lease_until_ms = fleet_.lease_end(target, now);
@@ -321,9 +321,9 @@
 {
     auto const& attempt_id = sent.attempt_id;
     auto const& id = sent.worker;
-    if (reply.status == order_status::stale_fencing_token)
+    if (reply.status == order_status::stale_fencing_token &&
+        !on_fenced(now, id, "start", sent.fencing_token))
     {
-        on_fenced(now, id);
         return;
     }
     auto* const target = fleet_.find(id);
@@ -387,7 +387,9 @@
             defer_policy_request(now, steps);
         }
     }
-    if (target != nullptr && reply.status != order_status::not_attempted)
+    bool const may_be_full = reply.status != order_status::not_attempted &&
+                             reply.status != order_status::stale_fencing_token;
+    if (target != nullptr && may_be_full)
     {
         target->full_until = now + settings_.full_pause;
     }
--- a/src/core/pool/owner_placement.cpp
+++ b/src/core/pool/owner_placement.cpp
@@ -76,7 +76,7 @@
                                                     worker const& target) const
 {
     if (!target.adopted || !target.rostered || target.may_have_restarted() ||
-        !claim_confirmed_since_restart(target))
+        target.token.is_outdated() || !claim_confirmed_since_restart(target))
     {
         return obstacle::unknown;
     }
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -93,6 +93,10 @@
     std::uint64_t starts = 0;
     std::uint64_t starts_refused = 0;
     std::uint64_t starts_unclear = 0;
+    /// Fencing tokens that were replaced for an order that may be late.
+    std::uint64_t tokens_superseded = 0;
+    /// Orders that were refused after one with a higher token.
+    std::uint64_t orders_overtaken = 0;
     std::uint64_t tasks_done = 0;
     std::uint64_t tasks_failed = 0;
     std::uint64_t tasks_lost = 0;
--- a/src/core/pool/owner_sharing.cpp
+++ b/src/core/pool/owner_sharing.cpp
@@ -279,29 +279,31 @@
 {
     t.speed_limit_sent_at = now;
     t.speed_limit_unanswered = true;
-    out_.order(life_,
-               {0,
-                target.info.id,
-                target.info.remote_endpoint,
-                ports::speed_limit_order{
-                    claim_.epoch(), {name, t.attempt}, t.speed_limit},
-                settings_.order_timeout},
-               [this,
-                id = target.info.id,
-                attempt_id = ports::pool_attempt{name, t.attempt}](
-                   common::time_point at, order_reply const& reply)
-               {
-                   if (reply.status == order_status::stale_fencing_token)
-                   {
-                       on_fenced(at, id);
-                       return;
-                   }
-                   if (auto* const w = fleet_.find(id))
-                   {
-                       note_incarnation_of(at, *w, reply);
-                   }
-                   on_speed_limit_reply(id, attempt_id, reply.status);
-               });
+    auto const token = next_token(target);
+    out_.order(
+        life_,
+        {0,
+         target.info.id,
+         target.info.remote_endpoint,
+         ports::speed_limit_order{token, {name, t.attempt}, t.speed_limit},
+         settings_.order_timeout},
+        [this,
+         token,
+         id = target.info.id,
+         attempt_id = ports::pool_attempt{name, t.attempt}](
+            common::time_point at, order_reply const& reply)
+        {
+            if (reply.status == order_status::stale_fencing_token &&
+                !on_fenced(at, id, "speed_limit", token))
+            {
+                return;
+            }
+            if (auto* const w = fleet_.find(id))
+            {
+                note_incarnation_of(at, *w, reply);
+            }
+            on_speed_limit_reply(id, attempt_id, reply.status);
+        });
 }
 
 // If a failed order were taken as carried out, a task that should be paused
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -67,7 +67,7 @@
 void owner::poll_worker(common::time_point now, worker& target)
 {
     ports::poll_order order;
-    order.fencing_token = claim_.epoch();
+    order.fencing_token = next_token(target);
     order.acknowledged_end = end_to_acknowledge(target);
     bool const busy = !target.runs.empty();
     if (target.adopted)
@@ -105,6 +105,7 @@
                 poll = sent_poll{now,
                                  target.info.id,
                                  target.info.remote_endpoint,
+                                 order.fencing_token,
                                  order.acknowledged_end,
                                  order.lease_until_ms}](
                    common::time_point at, order_reply const& reply)
@@ -131,7 +132,11 @@
     }
     if (reply.status == order_status::stale_fencing_token)
     {
-        on_fenced(now, poll.worker);
+        if (on_fenced(now, poll.worker, "poll", poll.fencing_token))
+        {
+            note_incarnation_of(now, *target, reply);
+            target->next_poll = now;
+        }
         return;
     }
     if (reply.status == order_status::not_attempted)
@@ -329,27 +334,29 @@
     {
         return;
     }
-    out_.order(
-        life_,
-        {0,
-         id,
-         target->info.remote_endpoint,
-         ports::stop_order{claim_.epoch(), attempt_id},
-         settings_.order_timeout},
-        [this, id, attempt_id](common::time_point at, order_reply const& reply)
-        {
-            on_stop(at, attempt_id, id, reply);
-        });
+    auto const token = next_token(*target);
+    out_.order(life_,
+               {0,
+                id,
+                target->info.remote_endpoint,
+                ports::stop_order{token, attempt_id},
+                settings_.order_timeout},
+               [this, sent = sent_stop{attempt_id, id, token}](
+                   common::time_point at, order_reply const& reply)
+               {
+                   on_stop(at, sent, reply);
+               });
 }
 
 void owner::on_stop(common::time_point now,
-                    ports::pool_attempt const& attempt_id,
-                    std::string const& id,
+                    sent_stop const& sent,
                     order_reply const& reply)
 {
-    if (reply.status == order_status::stale_fencing_token)
+    auto const& attempt_id = sent.attempt_id;
+    auto const& id = sent.worker;
+    if (reply.status == order_status::stale_fencing_token &&
+        !on_fenced(now, id, "stop", sent.fencing_token))
     {
-        on_fenced(now, id);
         return;
     }
     if (auto* const target = fleet_.find(id))
@@ -388,9 +395,4 @@
     return stopping ? t : nullptr;
 }
 
-void owner::on_fenced(common::time_point now, std::string const& worker_id)
-{
-    claim_.mark_lost(now, "worker " + worker_id + " has seen a later owner");
-}
-
 } // namespace fuchsia::core::pool
--- a/src/programs/pool/pool_metrics.cpp
+++ b/src/programs/pool/pool_metrics.cpp
@@ -143,6 +143,12 @@
     set("fuchsia_pool_starts_unclear",
         "Starts without an answer",
         counts.starts_unclear);
+    set("fuchsia_pool_tokens_superseded",
+        "Fencing tokens replaced for an order that may be late",
+        counts.tokens_superseded);
+    set("fuchsia_pool_orders_overtaken",
+        "Orders refused after one with a higher fencing token",
+        counts.orders_overtaken);
     set("fuchsia_pool_tasks_done", "Tasks done", counts.tasks_done);
     set("fuchsia_pool_tasks_failed", "Runs that failed", counts.tasks_failed);
     set("fuchsia_pool_tasks_lost",
--- a/tests/unit/pool/late_orders_test.cpp
+++ b/tests/unit/pool/late_orders_test.cpp
@@ -28,8 +28,75 @@
     target.apply(simulation.now(), order);
 }
 
+constexpr duration late_delay = 6s;
+/// Time from the submission of a job to the restart of its worker.
+constexpr duration restart_delays[] = {600ms, 1s, 2500ms, 4s};
+
+/// Crashes worker `restarted`, which comes back `down_time` later under its id.
+void restart_after(pool_simulation& simulation, duration down_time)
+{
+    simulation.set_crash_recovery(down_time, true);
+    simulation.crash_worker(restarted);
+    simulation.run(down_time);
+}
+
 } // namespace
 
+// Guards against a start without an answer that reaches the next incarnation of
+// its worker: the task, which is done, runs again.
+TEST(pool_late_orders, a_late_start_is_refused_by_the_next_incarnation)
+{
+    for (auto const delay : restart_delays)
+    {
+        for (auto const down_time : {10ms, 300ms, 1000ms})
+        {
+            pool_simulation simulation(2, 2);
+            use_first_incarnation(simulation);
+            simulation.set_late_delay(late_delay);
+            fail_next_start(simulation, fault_effect::executed_late);
+            simulation.submit(0, "a", job_near_restarted(4, 400ms));
+            simulation.run(delay);
+            restart_after(simulation, down_time);
+            EXPECT_TRUE(completes(simulation, "a"));
+            simulation.run(late_delay);
+            EXPECT_EQ(simulation.violation(), "")
+                << "restart after " << delay.count() << " ns, down for "
+                << down_time.count() << " ms";
+        }
+    }
+}
+
+// Guards against an owner that gives up its claim because a worker refuses a
+// start that was overtaken by an order with a higher token, and against a task
+// that waits for the answer of that start.
+TEST(pool_late_orders, an_overtaken_start_is_sent_again_at_once)
+{
+    pool_simulation simulation(2, 2);
+    use_first_incarnation(simulation);
+    auto const owner = simulation.owner();
+    // The start of b is on its way while that of a is found to have got no
+    // answer.
+    fail_next_start(simulation, fault_effect::request_lost);
+    simulation.order_delay = [](std::size_t, ports::pool_operation const& order)
+    {
+        auto const* const start = std::get_if<ports::start_order>(&order);
+        bool const of_b = start != nullptr &&
+                          start->attempt_id.task.job == "b" &&
+                          start->attempt_id.attempt == 1;
+        return of_b ? 250ms : 0ms;
+    };
+    simulation.submit(0, "a", job_near_restarted(1, 100ms));
+    simulation.run(200ms);
+    simulation.submit(0, "b", job_near_restarted(1, 100ms));
+    simulation.run(2s);
+    EXPECT_NE(line_with(simulation, "order_overtaken", "order=start"), "");
+    EXPECT_TRUE(completes(simulation, "a"));
+    EXPECT_TRUE(completes(simulation, "b"));
+    EXPECT_EQ(simulation.owner(), owner);
+    EXPECT_EQ(line_with(simulation, "claim_lost", ""), "");
+    EXPECT_EQ(simulation.violation(), "");
+}
+
 // Guards against a second run of a task that leaves no trace: neither the run
 // nor its end is of an attempt that the owner knows.
 TEST(pool_late_orders, a_run_of_another_attempt_is_logged)
--- a/tests/unit/pool/pool_simulation.hpp
+++ b/tests/unit/pool/pool_simulation.hpp
@@ -156,6 +156,10 @@
     std::function<fault_effect(
         std::size_t instance, std::size_t worker, ports::pool_operation const&)>
         worker_fault;
+    /// Function that returns the additional latency of an order on its way to a
+    /// worker. It may be empty.
+    std::function<duration(std::size_t worker, ports::pool_operation const&)>
+        order_delay;
 
     /// Functions that may modify answers on their way back. They may be empty.
     /// If they return true, the answer is delivered twice, and once more with
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -27,8 +27,14 @@
 bool ends_with_worker(ports::pool_order const& order)
 {
     auto const* const poll = std::get_if<ports::poll_order>(&order.operation);
-    return std::holds_alternative<ports::start_order>(order.operation) ||
-           (poll != nullptr && poll->acknowledged_end > 0);
+    return poll != nullptr && poll->acknowledged_end > 0;
+}
+
+// Whether nothing can tell the incarnation that the order was meant for an
+// earlier one: it has received no other order yet.
+bool is_first_order(standins::pool::worker_state const& target)
+{
+    return target.fencing_token() == 0;
 }
 
 } // namespace
@@ -256,22 +262,25 @@
     {
         return;
     }
-    bool const held_back =
-        effect == fault_effect::executed_late && ends_with_worker(order);
+    bool const late = effect == fault_effect::executed_late;
     auto const received_by = workers_[worker_number]->info().incarnation;
-    clock_.after(effect == fault_effect::executed_late ? late_delay_
-                                                       : worker_delay,
+    auto const extra_delay =
+        order_delay ? order_delay(worker_number, order.operation) : duration{};
+    clock_.after((late ? late_delay_ : worker_delay) + extra_delay,
                  [this,
                   number,
                   incarnation,
                   order,
                   effect,
-                  held_back,
+                  late,
                   worker_number,
                   received_by]
                  {
-                     auto const& info = workers_[worker_number]->info();
-                     if (held_back && info.incarnation != received_by)
+                     auto const& target = *workers_[worker_number];
+                     bool const for_earlier_incarnation =
+                         late && target.info().incarnation != received_by;
+                     if (for_earlier_incarnation &&
+                         (ends_with_worker(order) || is_first_order(target)))
                      {
                          return;
                      }
