Pool: polls without an answer acknowledge nothing to the next incarnation

Polls of a busy worker got no answer and were carried out 5 to 11 s later; the worker had restarted under its id meanwhile and counted its ends from 1 anew, so it forgot ends that nobody had read. The owner took their tasks for lost.

Cause: the same as of a late start. A number is named once only and while every start is answered, which helps against polls that are on their way for a moment; one that is seconds late met an incarnation with the same fencing token.

Change: a poll that names ends and gets no answer has the token replaced, and while no token is free, no end is acknowledged. The simulation lets late polls reach the next incarnation.

--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -171,7 +171,8 @@
         target.starts_pending == 0 && !target.may_have_restarted() &&
         target.start_unclear_at <= target.report_as_of;
     bool const has_new = target.durable_end > target.acknowledged_end;
-    return has_new && all_starts_known ? target.durable_end : 0;
+    bool const may_name_it = all_starts_known && !target.token.is_outdated();
+    return has_new && may_name_it ? target.durable_end : 0;
 }
 
 // Whether the next poll should wait for the answers to starts, which take a few
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -160,6 +160,11 @@
             poll.lease_until_ms > 0 && reply.status != order_status::not_sent;
         target->unconfirmed_lease_at =
             may_have_renewed ? now : target->unconfirmed_lease_at;
+        bool const acknowledges = poll.acknowledged_end > 0;
+        if (reply.status == order_status::unclear && acknowledges)
+        {
+            supersede_token(*target, poll.fencing_token, "poll");
+        }
         target->silent_since_lapse = fleet_.lapsed(*target, poll.sent_at);
         target->next_poll = now + settings_.full_pause;
         return;
--- a/tests/unit/pool/late_orders_test.cpp
+++ b/tests/unit/pool/late_orders_test.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
+#include <functional>
 #include <string>
+#include <vector>
 
 // Orders that get no answer and are carried out seconds later, by an
 // incarnation of the worker that they were not meant for.
@@ -40,6 +43,41 @@
     simulation.run(down_time);
 }
 
+using order_filter = std::function<bool(ports::pool_operation const&)>;
+
+/// Lets worker `restarted` carry out late the next `count` orders that match,
+/// without an answer.
+void hold_back(pool_simulation& simulation,
+               std::size_t count,
+               order_filter const& matches)
+{
+    simulation.worker_fault =
+        [matches, left = count](std::size_t,
+                                std::size_t worker,
+                                ports::pool_operation const& order) mutable
+    {
+        bool const hit = left > 0 && worker == restarted && matches(order);
+        left -= hit ? 1U : 0U;
+        return hit ? fault_effect::executed_late : fault_effect::carried_out;
+    };
+}
+
+/// Submits jobs of short tasks for this time and returns their ids.
+std::vector<std::string> submit_in_series(pool_simulation& simulation,
+                                          std::string const& prefix,
+                                          duration length)
+{
+    constexpr duration interval = 30ms;
+    std::vector<std::string> ids;
+    for (duration passed{}; passed < length; passed += interval)
+    {
+        ids.push_back(prefix + std::to_string(ids.size()));
+        simulation.submit(0, ids.back(), job_near_restarted(3, 5ms));
+        simulation.run(interval);
+    }
+    return ids;
+}
+
 } // namespace
 
 // Guards against a start without an answer that reaches the next incarnation of
@@ -66,6 +104,40 @@
     }
 }
 
+// Guards against polls without an answer that reach the next incarnation of
+// their worker and acknowledge its ends, which nobody has read: the tasks run
+// again.
+TEST(pool_late_orders,
+     late_polls_do_not_acknowledge_ends_of_the_next_incarnation)
+{
+    for (auto const delay : {3000ms, 3500ms, 4000ms, 4500ms})
+    {
+        pool_simulation simulation(2, 2);
+        use_first_incarnation(simulation);
+        // The first incarnation numbers more ends than the next one will have.
+        submit_in_series(simulation, "earlier", 6s);
+        simulation.set_late_delay(delay);
+        hold_back(simulation,
+                  8,
+                  [](ports::pool_operation const& order)
+                  {
+                      auto const* const poll =
+                          std::get_if<ports::poll_order>(&order);
+                      return poll != nullptr && poll->acknowledged_end > 0;
+                  });
+        submit_in_series(simulation, "held", 1500ms);
+        simulation.worker_fault = nullptr;
+        restart_after(simulation, 300ms);
+        auto const jobs = submit_in_series(simulation, "later", delay);
+        EXPECT_EQ(simulation.violation(), "") << delay.count() << " ms";
+        for (auto const& id : jobs)
+        {
+            EXPECT_TRUE(completes(simulation, id));
+            EXPECT_EQ(simulation.starts_of({id, 0, 0, 0}), 1U) << id;
+        }
+    }
+}
+
 // Guards against an owner that gives up its claim because a worker refuses a
 // start that was overtaken by an order with a higher token, and against a task
 // that waits for the answer of that start.
--- a/tests/unit/pool/pool_simulation_workers.cpp
+++ b/tests/unit/pool/pool_simulation_workers.cpp
@@ -21,15 +21,6 @@
 // Time for which the entry of a crashed worker stays in the list.
 constexpr duration entry_retention = 4500ms;
 
-// Whether an order that its worker has received and carries out late can't
-// outlive that incarnation: it knows nothing of before. Any other late order
-// is carried out by the next incarnation, which is harder for the pool.
-bool ends_with_worker(ports::pool_order const& order)
-{
-    auto const* const poll = std::get_if<ports::poll_order>(&order.operation);
-    return poll != nullptr && poll->acknowledged_end > 0;
-}
-
 // Whether nothing can tell the incarnation that the order was meant for an
 // earlier one: it has received no other order yet.
 bool is_first_order(standins::pool::worker_state const& target)
@@ -279,8 +270,7 @@
                      auto const& target = *workers_[worker_number];
                      bool const for_earlier_incarnation =
                          late && target.info().incarnation != received_by;
-                     if (for_earlier_incarnation &&
-                         (ends_with_worker(order) || is_first_order(target)))
+                     if (for_earlier_incarnation && is_first_order(target))
                      {
                          return;
                      }
