Pool: a late lease doesn't reach the next incarnation

Change: a poll with a lease that gets no answer has the token replaced, and so has each sign of another incarnation: no order that was meant for an earlier incarnation has an effect once the new one has received an order.

pool_late_orders.a_late_poll_grants_no_lease_to_the_next_incarnation fails with the commit before ("runs on several workers"), and passes now.

--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -38,6 +38,7 @@
         {{"worker", target.info.id}, {"born", std::to_string(incarnation)}});
     target.suspected_incarnation = incarnation;
     target.restart_suspected_at = now;
+    supersede_token(target, target.token.present(), "restart");
     target.next_poll = now;
     next_roster_update_ = now;
 }
@@ -116,6 +117,10 @@
                               order_reply const& first_reply)
 {
     bool const previously_adopted = target.adopted;
+    if (previously_adopted)
+    {
+        supersede_token(target, poll.fencing_token, "restart");
+    }
     target.adopted = true;
     target.adopted_at = now;
     target.incarnation = first_reply.incarnation;
@@ -188,8 +193,9 @@
 
 // Whether an order that was meant for an earlier incarnation may have granted
 // its lease to the one that has just answered `poll`. An order whose call ended
-// before the new incarnation started can't have reached it. The clock of an
-// incarnation starts with it, and so tells its greatest age.
+// before the new incarnation started has a lower token than `poll`, so it would
+// be refused now. The clock of an incarnation starts with it, and so tells its
+// greatest age.
 bool owner::may_hold_earlier_lease(common::time_point now,
                                    worker const& target,
                                    sent_poll const& poll)
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -160,8 +160,9 @@
             poll.lease_until_ms > 0 && reply.status != order_status::not_sent;
         target->unconfirmed_lease_at =
             may_have_renewed ? now : target->unconfirmed_lease_at;
-        bool const acknowledges = poll.acknowledged_end > 0;
-        if (reply.status == order_status::unclear && acknowledges)
+        bool const has_effect =
+            poll.acknowledged_end > 0 || poll.lease_until_ms > 0;
+        if (reply.status == order_status::unclear && has_effect)
         {
             supersede_token(*target, poll.fencing_token, "poll");
         }
--- a/tests/unit/pool/late_orders_test.cpp
+++ b/tests/unit/pool/late_orders_test.cpp
@@ -138,6 +138,39 @@
     }
 }
 
+// Guards against a poll without an answer that reaches the next incarnation of
+// its worker and grants it a lease by the clock of the earlier one: cut off
+// then, it runs its tasks on while they start elsewhere.
+TEST(pool_late_orders, a_late_poll_grants_no_lease_to_the_next_incarnation)
+{
+    pool_simulation simulation(2, 2);
+    use_first_incarnation(simulation);
+    // The clock of the first incarnation gets far ahead.
+    simulation.run(20s);
+    simulation.submit(0, "busy", long_running_job_near_restarted());
+    ASSERT_TRUE(runs_on_restarted(simulation, "busy"));
+    simulation.set_late_delay(late_delay);
+    hold_back(simulation,
+              1,
+              [](ports::pool_operation const& order)
+              {
+                  auto const* const poll =
+                      std::get_if<ports::poll_order>(&order);
+                  return poll != nullptr && poll->lease_until_ms > 0;
+              });
+    simulation.run(1500ms);
+    restart_after(simulation, 300ms);
+    simulation.run(2s);
+    simulation.submit(0, "a", long_running_job_near_restarted());
+    simulation.run(late_delay - 3500ms);
+    ASSERT_TRUE(simulation.worker(restarted).runs({"a", 0, 0, 0}));
+    cut_off(simulation);
+    simulation.run(15s);
+    EXPECT_EQ(simulation.violation(), "");
+    EXPECT_EQ(simulation.running_count({"busy", 0, 0, 0}), 1U);
+    EXPECT_EQ(simulation.running_count({"a", 0, 0, 0}), 1U);
+}
+
 // Guards against an owner that gives up its claim because a worker refuses a
 // start that was overtaken by an order with a higher token, and against a task
 // that waits for the answer of that start.
