Pool: an idle worker is polled more often while an order may be late

Between the first moment of an incarnation and its first order with the next token nothing tells a late order from a present one. For 15 s after an order without an answer it is polled every 0.25 s now.

pool_late_orders.a_restart_is_noticed_soon_while_an_order_may_be_late: without the change 5 of 9 restarts aren't met by an order within 0.3 s; all are now.

--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -111,6 +111,9 @@
     /// Time at which an order with a lease was last answered by another
     /// incarnation than the adopted one, or found to have got no answer.
     common::time_point unconfirmed_lease_at{};
+    /// Time at which its token was last superseded by an order without an
+    /// answer.
+    common::time_point order_unanswered_at{};
     /// Time at which a start was last found to have got no answer.
     common::time_point start_unclear_at{};
     bool poll_pending = false; ///< A poll is waiting for its answer.
--- a/src/core/pool/owner.hpp
+++ b/src/core/pool/owner.hpp
@@ -286,6 +286,12 @@
     void supersede_token(worker& target,
                          std::uint64_t token,
                          std::string_view reason);
+    void note_unanswered(common::time_point now,
+                         worker& target,
+                         std::uint64_t token,
+                         std::string_view order);
+    common::duration idle_interval_of(common::time_point now,
+                                      worker const& target) const;
     /// Handles a worker's answer that it knows a higher fencing token. Returns
     /// whether that token may be from this owner, which goes on then.
     bool on_fenced(common::time_point now,
--- a/src/core/pool/owner_restarts.cpp
+++ b/src/core/pool/owner_restarts.cpp
@@ -69,7 +69,7 @@
     if (unclear)
     {
         target.start_unclear_at = now;
-        supersede_token(target, sent.fencing_token, "start");
+        note_unanswered(now, target, sent.fencing_token, "start");
     }
     if (unclear || target.may_have_restarted())
     {
--- a/src/core/pool/owner_settings.hpp
+++ b/src/core/pool/owner_settings.hpp
@@ -58,6 +58,11 @@
     common::duration unguarded_poll_wait = std::chrono::milliseconds(700);
     /// Time between polls of an idle worker, which read its clock.
     common::duration idle_interval = std::chrono::milliseconds(1600);
+    /// Time for which an order without an answer may still be carried out.
+    common::duration late_order_limit = std::chrono::seconds(15);
+    /// Time between polls of an idle worker with such an order: until a new
+    /// incarnation has received the next token, it may carry the order out.
+    common::duration restart_watch_interval = std::chrono::milliseconds(250);
     /// Timeout of an order to a worker.
     common::duration order_timeout = std::chrono::milliseconds(350);
     /// Time by which the timeout of a poll exceeds the worker's long-poll wait.
--- a/src/core/pool/owner_tokens.cpp
+++ b/src/core/pool/owner_tokens.cpp
@@ -45,6 +45,26 @@
               {"next", std::to_string(next_token(target))}});
 }
 
+void owner::note_unanswered(common::time_point now,
+                            worker& target,
+                            std::uint64_t token,
+                            std::string_view order)
+{
+    target.order_unanswered_at = now;
+    supersede_token(target, token, order);
+}
+
+// A worker that restarts learns the next token from the next poll.
+common::duration owner::idle_interval_of(common::time_point now,
+                                         worker const& target) const
+{
+    bool const may_be_late =
+        target.order_unanswered_at != common::time_point{} &&
+        now - target.order_unanswered_at <= settings_.late_order_limit;
+    return may_be_late ? settings_.restart_watch_interval
+                       : settings_.idle_interval;
+}
+
 // The worker did nothing. An order that was overtaken by one with a higher
 // token of this owner is refused as well, and shows nothing about the claim.
 bool owner::on_fenced(common::time_point now,
--- a/src/core/pool/owner_workers.cpp
+++ b/src/core/pool/owner_workers.cpp
@@ -164,7 +164,7 @@
             poll.acknowledged_end > 0 || poll.lease_until_ms > 0;
         if (reply.status == order_status::unclear && has_effect)
         {
-            supersede_token(*target, poll.fencing_token, "poll");
+            note_unanswered(now, *target, poll.fencing_token, "poll");
         }
         target->silent_since_lapse = fleet_.lapsed(*target, poll.sent_at);
         target->next_poll = now + settings_.full_pause;
@@ -199,7 +199,7 @@
     bool const caught_up_before = target->ends.caught_up();
     apply_rows(now, poll.sent_at, *target, reply);
     target->next_poll =
-        target->runs.empty() ? now + settings_.idle_interval : now;
+        target->runs.empty() ? now + idle_interval_of(now, *target) : now;
     if (target->ends.processed() > target->durable_end)
     {
         acknowledge_ends(now, *target);
--- a/tests/unit/pool/late_orders_test.cpp
+++ b/tests/unit/pool/late_orders_test.cpp
@@ -171,6 +171,37 @@
     EXPECT_EQ(simulation.running_count({"a", 0, 0, 0}), 1U);
 }
 
+// Guards against an idle worker that restarts and is not polled for long: until
+// then it carries out orders that were meant for its earlier incarnation.
+TEST(pool_late_orders, a_restart_is_noticed_soon_while_an_order_may_be_late)
+{
+    for (auto idle = 0ms; idle <= 1600ms; idle += 200ms)
+    {
+        pool_simulation simulation(2, 2);
+        use_first_incarnation(simulation);
+        fail_next_start(simulation, fault_effect::request_lost);
+        simulation.submit(0, "a", job_near_restarted(1, 100ms));
+        ASSERT_TRUE(completes(simulation, "a"));
+        simulation.run(2s + idle);
+        // The list does not tell of the restart.
+        simulation.store_fault =
+            [](std::size_t, ports::kv_operation const& call)
+        {
+            bool const watch = std::holds_alternative<ports::kv_watch>(call);
+            return watch ? fault_effect::request_lost
+                         : fault_effect::carried_out;
+        };
+        simulation.restart_worker(restarted);
+        EXPECT_TRUE(simulation.run_until(
+            [&simulation]
+            {
+                return simulation.worker(restarted).fencing_token() != 0;
+            },
+            300ms))
+            << idle.count() << " ms";
+    }
+}
+
 // Guards against an owner that gives up its claim because a worker refuses a
 // start that was overtaken by an order with a higher token, and against a task
 // that waits for the answer of that start.
