Tests: the walk of restarted workers has orders that are 2 to 12 s late

All late orders were 2 s late there, and restarts took no time. In a second test of the walk orders are late by 2 to 12 s, and half of the restarted workers are down for up to 3 s. No functional change

--- a/tests/unit/pool/restarted_worker_walk_test.cpp
+++ b/tests/unit/pool/restarted_worker_walk_test.cpp
@@ -29,6 +29,8 @@
 constexpr int actions = 40;
 constexpr duration finish_time = 30s;
 constexpr duration longest_pause = 600ms; // Between two actions.
+constexpr duration longest_down_time = 3s;
+constexpr duration longest_late_delay = 12s;
 
 class restarted_worker_walk
 {
@@ -38,6 +40,14 @@
         simulation_.run(1s);
     }
 
+    /// Lets orders be carried out late by up to `longest_late_delay`, and some
+    /// workers be down for a while before they are back. What is drawn for it
+    /// leaves the other draws of a seed as they are.
+    void delay_orders_for_seconds(std::uint64_t seed)
+    {
+        late_draws_.emplace(seed);
+    }
+
     void run()
     {
         choose_faults();
@@ -113,7 +123,7 @@
         case 3:
         case 4:
         case 5:
-            simulation_.restart_worker(draw(workers));
+            restart(draw(workers));
             return;
         case 6:
             choose_faults();
@@ -123,6 +133,24 @@
         }
     }
 
+    duration late_duration(duration limit)
+    {
+        auto const limit_ms = core::common::to_milliseconds(limit);
+        return std::chrono::milliseconds((*late_draws_)() %
+                                         static_cast<std::uint64_t>(limit_ms));
+    }
+
+    void restart(std::size_t worker)
+    {
+        if (!late_draws_ || (*late_draws_)() % 2 == 0)
+        {
+            simulation_.restart_worker(worker);
+            return;
+        }
+        simulation_.set_crash_recovery(late_duration(longest_down_time), true);
+        simulation_.crash_worker(worker);
+    }
+
     // The tasks last for 1 ms to 2 s, and are fewer than the workers can run.
     void submit()
     {
@@ -137,6 +165,12 @@
 
     void choose_faults()
     {
+        if (late_draws_)
+        {
+            simulation_.set_late_delay(
+                default_late_delay +
+                late_duration(longest_late_delay - default_late_delay));
+        }
         auto const share = draw(2) == 0 ? 0 : draw(60);
         simulation_.worker_fault = [this, share](std::size_t,
                                                  std::size_t,
@@ -179,6 +213,8 @@
     }
 
     std::mt19937_64 random_;
+    /// Draws of late orders; empty if they are all late by the same time.
+    std::optional<std::mt19937_64> late_draws_;
     pool_simulation simulation_{instances, workers};
     std::map<std::string, std::uint64_t> requests_; ///< By id of the job.
 };
@@ -199,6 +235,21 @@
     }
 }
 
+// Guards against tasks that run twice because an order is carried out seconds
+// late, by an incarnation that started in between.
+TEST(pool_restarted_worker_walk, no_task_runs_twice_by_orders_of_seconds_ago)
+{
+    for (std::uint64_t seed = 0; seed < seed_count(default_seeds); ++seed)
+    {
+        restarted_worker_walk walk(seed);
+        walk.delay_orders_for_seconds(seed);
+        walk.run();
+        EXPECT_EQ(walk.violation(), "") << "seed " << seed;
+        EXPECT_EQ(walk.jobs_without_end(), std::vector<std::string>())
+            << "seed " << seed;
+    }
+}
+
 // Guards against jobs that are shown as failed because of restarts of workers
 // that did not run their tasks.
 TEST(pool_restarted_worker_walk, no_job_is_given_up_without_two_crashes)
