Soak: orders that are carried out seconds late, beside restarts

New kinds of fault, drawn only if named: late_orders (a worker never answers every second order and carries it out 2 to 12 s later, in whichever incarnation then has its id) and same_id_restart. The stand-in drops a late order only if it meets an incarnation that has received no order yet. The planted defect ignored_fence is a worker that obeys any token, as if the owner never replaced it. Jobs of such series are drawn in one place.

--- a/standins/pool/fault_gate.hpp
+++ b/standins/pool/fault_gate.hpp
@@ -18,6 +18,8 @@
                    ///< the delay, so that newer requests may overtake them.
     response_lost, ///< Requests are executed but never answered.
     suspended,     ///< Requests are executed once the gate opens again.
+    late,          ///< Every second request is never answered, and executed 2
+                   ///< to 12 s later, even if the gate was cleared since.
     unavailable,   ///< Requests are answered with 503 and not executed.
 };
 
@@ -28,14 +30,14 @@
     using operation = std::function<void(adapters::http::responder const&)>;
 
     /// Switches the mode. When the gate opens, the next `process_due` executes
-    /// all pending requests.
+    /// all pending requests but the late ones.
     void set(fault_gate_mode mode, core::common::duration delay = {});
     void handle(core::common::time_point now,
                 operation execute,
                 adapters::http::responder const& respond);
     /// Executes the pending requests that are due.
     void process_due(core::common::time_point now);
-    /// Drops all pending requests.
+    /// Drops all pending requests but the late ones.
     void clear();
 
 private:
@@ -44,11 +46,17 @@
         core::common::time_point due{};
         operation execute;
         adapters::http::responder respond;
+        bool late = false; ///< See `fault_gate_mode::late`.
     };
 
+    void handle_late(core::common::time_point now,
+                     operation execute,
+                     adapters::http::responder const& respond);
+
     fault_gate_mode mode_ = fault_gate_mode::open;
     core::common::duration delay_{};
     std::uint64_t delayed_mode_requests_ = 0;
+    std::uint64_t late_mode_requests_ = 0;
     std::list<pending_request> pending_;
 };
 
--- a/standins/pool/pool_server.cpp
+++ b/standins/pool/pool_server.cpp
@@ -32,6 +32,17 @@
 // than the lease that an owner grants.
 constexpr core::common::duration dropped_end_age = std::chrono::seconds(6);
 
+void raise_token(ports::pool_operation& order, std::uint64_t token)
+{
+    std::visit(
+        [token](auto& typed_order)
+        {
+            typed_order.fencing_token =
+                std::max(typed_order.fencing_token, token);
+        },
+        order);
+}
+
 } // namespace
 
 pool_server::pool_server(boost::asio::io_context& io,
@@ -381,22 +392,45 @@
     }
     workers_[index].gate.handle(
         clock::now(),
-        [this, index, order = *order](auto const& gated_respond)
+        [this, index, incarnation = info(index), order = *order](
+            auto const& gated_respond)
         {
-            execute(index, order, gated_respond);
+            execute_if_possible(index, incarnation, order, gated_respond);
         },
         respond);
 }
 
+// A late order reaches the next incarnation under the same id. Nothing can tell
+// it from a present one before that incarnation has received another order.
+void pool_server::execute_if_possible(std::size_t index,
+                                      ports::pool_worker const& incarnation,
+                                      ports::pool_operation const& order,
+                                      adapters::http::responder const& respond)
+{
+    auto const& present = info(index);
+    bool const restarted = present.incarnation != incarnation.incarnation;
+    bool const has_received_order = workers_[index].state->fencing_token() != 0;
+    bool const reached = !is_down(index) && present.id == incarnation.id &&
+                         (!restarted || has_received_order);
+    if (reached)
+    {
+        execute(index, order, respond);
+    }
+}
+
 // Advances all workers to `now` first, so that a run that has already ended on
 // another worker is not counted as an overlapping one.
 void pool_server::execute(std::size_t index,
-                          ports::pool_operation const& order,
+                          ports::pool_operation order,
                           adapters::http::responder const& respond)
 {
     auto const now = clock::now();
     advance(now);
     auto& worker = *workers_[index].state;
+    if (planted_defect_ == planted_defect::ignored_fence)
+    {
+        raise_token(order, worker.fencing_token());
+    }
     auto const starts_before = worker.started_runs().size();
     auto const ends_before = worker.acknowledged_ends().size();
     auto reply = worker.apply(now, order);
--- a/standins/pool/pool_server.hpp
+++ b/standins/pool/pool_server.hpp
@@ -50,6 +50,8 @@
     dropped_late_end,     ///< A worker lists an end as done as lapsed if no
                           ///< owner asked for it for longer than a lease, as if
                           ///< the owner dropped it.
+    ignored_fence, ///< Workers obey orders with any fencing token, as if the
+                   ///< owner never replaced the one of its orders.
 };
 
 /// Stand-in for the users' platform in one process: the store and some workers,
@@ -127,8 +129,13 @@
     void handle_worker_request(std::size_t index,
                                adapters::http::request const& request,
                                adapters::http::responder const& respond);
+    /// Executes an order that arrived when `incarnation` ran there.
+    void execute_if_possible(std::size_t index,
+                             ports::pool_worker const& incarnation,
+                             ports::pool_operation const& order,
+                             adapters::http::responder const& respond);
     void execute(std::size_t index,
-                 ports::pool_operation const& order,
+                 ports::pool_operation order,
                  adapters::http::responder const& respond);
     void note_end(std::size_t index, worker_event const& event);
     void drop_late_ends(std::size_t index, ports::order_reply& reply);
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -82,6 +82,22 @@
 
 INSTANTIATE_TEST_SUITE_P(short_runs, soak_seed, testing::Values(1, 2));
 
+// Guards against orders that are carried out by an incarnation of a worker for
+// which they were not meant.
+TEST(soak, late_orders_beside_restarts_violate_nothing)
+{
+    auto const result = run_soak("late-orders",
+                                 {"--seed",
+                                  "2",
+                                  "--seconds",
+                                  "18",
+                                  "--instances",
+                                  "3",
+                                  "--fault-set",
+                                  "late_orders,same_id_restart"});
+    EXPECT_EQ(result.status, 0) << result.violations << result.last_line;
+}
+
 // Guards against a check of the soak that never reports a violation.
 TEST_P(soak_planted_violation, violation_is_reported)
 {
@@ -119,7 +135,9 @@
         planted_violation{"dropped_end",
                           "doubled",
                           "30",
-                          "store_outage,owner_loss,long_worker_cut"}),
+                          "store_outage,owner_loss,long_worker_cut"},
+        planted_violation{
+            "ignored_fence", "doubled", "18", "late_orders,same_id_restart"}),
     [](auto const& test)
     {
         return std::string(test.param.name);
--- a/tests/unit/soak/plan_test.cpp
+++ b/tests/unit/soak/plan_test.cpp
@@ -1,11 +1,37 @@
-#include "tools/soak/owner_loss_plan.hpp"
 #include "tools/soak/plan.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <gtest/gtest.h>
+#include <map>
+#include <set>
 
 using namespace fuchsia::tools::soak;
 
+namespace
+{
+
+// Checks that a plan with these kinds has the faults of other kinds, and the
+// jobs, that it has without them, and some more jobs.
+void expect_all_else_unchanged_by(std::set<fault_kind> const& kinds)
+{
+    plan_settings settings;
+    auto const without = make_plan(settings);
+    settings.kinds.insert(kinds.begin(), kinds.end());
+    auto with = make_plan(settings);
+    std::erase_if(with.faults,
+                  [&kinds](fault const& planned)
+                  {
+                      return kinds.contains(planned.kind);
+                  });
+    EXPECT_GT(with.jobs.size(), without.jobs.size());
+    with.jobs.resize(without.jobs.size());
+    EXPECT_EQ(to_text(with), to_text(without));
+}
+
+} // namespace
+
 // If the plan depended on more than the seed, a failed run could not be
 // reproduced.
 TEST(soak_plan, one_seed_draws_one_plan)
@@ -100,22 +126,46 @@
     }
 }
 
-// If a seed meant other faults or jobs once losses of the owner are selected,
+// If a seed meant other faults or jobs once a series of its own is selected,
 // what it showed before could not be reproduced.
 TEST(soak_plan, losses_of_the_owner_leave_all_else_as_it_is)
 {
+    expect_all_else_unchanged_by({fault_kind::store_outage,
+                                  fault_kind::owner_loss,
+                                  fault_kind::long_worker_cut});
+}
+
+TEST(soak_plan, late_orders_leave_all_else_as_it_is)
+{
+    expect_all_else_unchanged_by(
+        {fault_kind::late_orders, fault_kind::same_id_restart});
+}
+
+// Guards against a soak that is blind to orders which reach a later incarnation
+// of their worker: the worker has to restart while such orders are on their
+// way, under its id.
+TEST(soak_plan, workers_restart_under_their_ids_while_orders_are_late)
+{
+    using namespace std::chrono_literals;
     plan_settings settings;
-    auto const without = make_plan(settings);
-    settings.kinds = all_fault_kinds();
-    auto with = make_plan(settings);
-    std::erase_if(with.faults,
-                  [](fault const& planned)
-                  {
-                      return is_of_owner_losses(planned.kind);
-                  });
-    EXPECT_GT(with.jobs.size(), without.jobs.size());
-    with.jobs.resize(without.jobs.size());
-    EXPECT_EQ(to_text(with), to_text(without));
+    settings.traffic = 300s;
+    settings.kinds = {fault_kind::late_orders, fault_kind::same_id_restart};
+    std::map<std::uint32_t, fault> late_at;
+    std::size_t restarts = 0;
+    for (auto const& planned : make_plan(settings).faults)
+    {
+        if (planned.kind == fault_kind::late_orders)
+        {
+            late_at[planned.target] = planned;
+            continue;
+        }
+        ASSERT_TRUE(late_at.contains(planned.target));
+        EXPECT_EQ(planned.variant % 2, 0U) << "it gets another id";
+        auto const& late = late_at[planned.target];
+        auto const back_at = planned.at + planned.length;
+        restarts += back_at < late.at + late.length + 8s ? 1U : 0U;
+    }
+    EXPECT_GT(restarts, 20U);
 }
 
 // Guards against a soak that is blind to ends that workers report late: owners
--- a/tools/soak/fault_injector.cpp
+++ b/tools/soak/fault_injector.cpp
@@ -39,6 +39,8 @@
         return fault_kind::kill;
     case fault_kind::long_worker_cut:
         return fault_kind::worker_cut;
+    case fault_kind::same_id_restart:
+        return fault_kind::crash;
     default:
         return spec.kind;
     }
@@ -438,7 +440,7 @@
         fault_gate_mode mode;
         bool worker;
     };
-    constexpr std::array<mode_row, 7> modes{{
+    constexpr std::array<mode_row, 8> modes{{
         {fault_kind::store_silent, fault_gate_mode::suspended, false},
         {fault_kind::store_refusing, fault_gate_mode::unavailable, false},
         {fault_kind::store_late, fault_gate_mode::delayed, false},
@@ -446,6 +448,7 @@
         {fault_kind::worker_late, fault_gate_mode::delayed, true},
         {fault_kind::worker_silent, fault_gate_mode::suspended, true},
         {fault_kind::worker_lossy, fault_gate_mode::response_lost, true},
+        {fault_kind::late_orders, fault_gate_mode::late, true},
     }};
     auto const row_of = [&modes](fault_kind kind)
     {
--- a/tools/soak/owner_loss_plan.cpp
+++ b/tools/soak/owner_loss_plan.cpp
@@ -2,6 +2,7 @@
 
 #include "tools/soak/job_id.hpp"
 #include "tools/soak/random_source.hpp"
+#include "tools/soak/series_job.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -62,24 +63,6 @@
     }
 }
 
-planned_job draw_job(std::uint32_t number,
-                     duration at,
-                     std::uint32_t work_ms,
-                     random_source& random)
-{
-    constexpr std::uint32_t tasks = 4;
-    planned_job result;
-    result.at = at;
-    result.id = draw_id(number, random);
-    result.shape.attempts = 3;
-    result.shape.steps.resize(1);
-    result.shape.steps.front().count = tasks;
-    result.spec = "work=" + std::to_string(work_ms);
-    result.caller = random.below(caller_count);
-    result.instance = random.below(1000);
-    return result;
-}
-
 // Tasks of the less urgent queue that end around the begin of a series.
 void draw_brief_jobs(duration series_at,
                      random_source& random,
@@ -93,7 +76,8 @@
         auto const at = series_at - random.between(0ms, lead);
         auto const drawn =
             first_number + static_cast<std::uint32_t>(out.size());
-        out.push_back(draw_job(drawn, at, 1000 + random.below(1500), random));
+        out.push_back(
+            draw_series_job(drawn, at, 1000 + random.below(1500), random));
         out.back().shape.queue = first_queue;
     }
 }
@@ -112,7 +96,8 @@
         auto const at = series_at + random.between(0ms, period);
         auto const drawn =
             first_number + static_cast<std::uint32_t>(out.size());
-        out.push_back(draw_job(drawn, at, 3000 + random.below(2000), random));
+        out.push_back(
+            draw_series_job(drawn, at, 3000 + random.below(2000), random));
         out.back().shape.queue = second_queue;
     }
 }
--- a/tools/soak/plan.cpp
+++ b/tools/soak/plan.cpp
@@ -1,6 +1,7 @@
 #include "tools/soak/plan.hpp"
 
 #include "tools/soak/job_id.hpp"
+#include "tools/soak/late_order_plan.hpp"
 #include "tools/soak/owner_loss_plan.hpp"
 #include "tools/soak/random_source.hpp"
 
@@ -27,7 +28,7 @@
     duration longest;
 };
 
-constexpr std::array<kind_row, 31> kinds{{
+constexpr std::array<kind_row, 33> kinds{{
     {fault_kind::kill, "kill", true, 200ms, 2500ms},
     {fault_kind::stop, "stop", true, 200ms, 2500ms},
     {fault_kind::pause, "pause", true, 100ms, 6000ms},
@@ -59,6 +60,8 @@
     {fault_kind::store_outage, "store_outage", true, 400ms, 600ms},
     {fault_kind::owner_loss, "owner_loss", true, 1500ms, 4000ms},
     {fault_kind::long_worker_cut, "long_worker_cut", true, 6000ms, 20000ms},
+    {fault_kind::late_orders, "late_orders", true, 2500ms, 6000ms},
+    {fault_kind::same_id_restart, "same_id_restart", true, 100ms, 1500ms},
 }};
 
 kind_row const& row_of(fault_kind kind) noexcept
@@ -104,7 +107,8 @@
         if (row.suspends_limits == suspends_limits &&
             row.kind != fault_kind::shrink &&
             row.kind != fault_kind::owner_change &&
-            !is_of_owner_losses(row.kind) && settings.kinds.contains(row.kind))
+            !is_of_owner_losses(row.kind) && !is_of_late_orders(row.kind) &&
+            settings.kinds.contains(row.kind))
         {
             result.push_back(row);
         }
@@ -370,6 +374,7 @@
 {
     auto result = all_fault_kinds();
     std::erase_if(result, is_of_owner_losses);
+    std::erase_if(result, is_of_late_orders);
     return result;
 }
 
@@ -426,6 +431,7 @@
     draw_crashing_jobs(settings, result.jobs);
     draw_kept_jobs(settings, result.jobs);
     draw_owner_losses(settings, result);
+    draw_late_orders(settings, result);
     std::stable_sort(result.faults.begin(),
                      result.faults.end(),
                      [](fault const& left, fault const& right)
--- a/tools/soak/plan.hpp
+++ b/tools/soak/plan.hpp
@@ -53,13 +53,16 @@
     owner_loss, ///< One of a series of kills of the owner, each in an outage of
                 ///< the store.
     long_worker_cut, ///< Cuts off a worker for longer than a takeover.
+    late_orders, ///< A worker answers half of its orders only, and carries out
+                 ///< the others seconds later.
+    same_id_restart, ///< A worker crashes and restarts under its id at the end.
 };
 
 std::string_view name_of(fault_kind kind) noexcept;
 std::optional<fault_kind> fault_kind_from(std::string_view name) noexcept;
 std::set<fault_kind> all_fault_kinds();
 /// The kinds of a run for which none are selected: all but those of owner
-/// losses, which need a full pool.
+/// losses and of late orders, which need jobs of their own.
 std::set<fault_kind> default_fault_kinds();
 /// Whether the target of the kind is the index of a worker.
 bool hits_worker(fault_kind kind) noexcept;
--- a/tools/soak/soak.cpp
+++ b/tools/soak/soak.cpp
@@ -381,7 +381,7 @@
 
 bool set_planted_defect(std::string_view name, soak_settings& out) noexcept
 {
-    constexpr std::array<std::pair<std::string_view, planted_defect>, 8> names{{
+    constexpr std::array<std::pair<std::string_view, planted_defect>, 9> names{{
         {"two_places", planted_defect::duplicate_placement},
         {"lost_job", planted_defect::lost_job},
         {"forgotten_cancel", planted_defect::lost_cancel},
@@ -390,6 +390,7 @@
         {"crash_again", planted_defect::rerun_after_crash},
         {"hidden_shrink", planted_defect::hidden_shrink},
         {"dropped_end", planted_defect::dropped_late_end},
+        {"ignored_fence", planted_defect::ignored_fence},
     }};
     out.stale_configuration = name == "stale_config";
     out.unfinished_takeover = name == "unfinished_takeover";
