--- a/tests/unit/pool/late_orders_test.cpp
+++ b/tests/unit/pool/late_orders_test.cpp
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 // Orders that get no answer and are carried out seconds later, by an
@@ -78,6 +80,70 @@
     return ids;
 }
 
+enum class order_kind : std::uint8_t
+{
+    start,
+    acknowledging_poll,
+    renewing_poll,
+    stop,
+};
+
+bool is_of_kind(ports::pool_operation const& order, order_kind kind)
+{
+    auto const* const poll = std::get_if<ports::poll_order>(&order);
+    switch (kind)
+    {
+    case order_kind::start:
+        return std::holds_alternative<ports::start_order>(order);
+    case order_kind::acknowledging_poll:
+        return poll != nullptr && poll->acknowledged_end > 0;
+    case order_kind::renewing_poll:
+        return poll != nullptr && poll->lease_until_ms > 0;
+    case order_kind::stop:
+        return std::holds_alternative<ports::stop_order>(order);
+    }
+    return false;
+}
+
+/// Loses the stops that are sent to worker `restarted`, unless they are late.
+void lose_stops(pool_simulation& simulation)
+{
+    simulation.worker_fault =
+        [other = simulation.worker_fault](std::size_t instance,
+                                          std::size_t worker,
+                                          ports::pool_operation const& order)
+    {
+        auto const effect = other(instance, worker, order);
+        bool const stop = std::holds_alternative<ports::stop_order>(order);
+        bool const lost =
+            stop && worker == restarted && effect == fault_effect::carried_out;
+        return lost ? fault_effect::request_lost : effect;
+    };
+}
+
+enum class takeover_time : std::uint8_t
+{
+    never,
+    before_restart,
+    after_restart,
+};
+
+void replace_owner(pool_simulation& simulation)
+{
+    auto const owner = simulation.claim_holder();
+    ASSERT_TRUE(owner);
+    simulation.kill(*owner);
+    simulation.run(300ms);
+    simulation.start(*owner);
+    simulation.run(700ms); // It accepts jobs again.
+}
+
+class pool_late_order_of_kind
+    : public testing::TestWithParam<
+          std::tuple<order_kind, int, takeover_time, bool>>
+{
+};
+
 } // namespace
 
 // Guards against a start without an answer that reaches the next incarnation of
@@ -251,3 +317,67 @@
     simulation.run(3s);
     EXPECT_NE(line_with(simulation, "end_of_other_attempt", "attempt=3"), "");
 }
+
+// Guards against an order of any kind that is carried out seconds late: by the
+// same incarnation of its worker, the next one or the one after, under the same
+// owner or its successor, and whether or not stops get through meanwhile.
+TEST_P(pool_late_order_of_kind, breaks_nothing)
+{
+    auto const& [kind, restarts, takeover, stops_lost] = GetParam();
+    pool_simulation simulation(3, 2);
+    use_first_incarnation(simulation);
+    simulation.submit(0, "lasts", long_running_job_near_restarted());
+    simulation.submit(0, "cancelled", long_running_job_near_restarted());
+    submit_in_series(simulation, "earlier", 1s);
+    simulation.set_late_delay(late_delay);
+    hold_back(simulation,
+              4,
+              [kind = kind](ports::pool_operation const& order)
+              {
+                  return is_of_kind(order, kind);
+              });
+    if (stops_lost)
+    {
+        lose_stops(simulation);
+    }
+    simulation.cancel(0, "cancelled");
+    auto jobs = submit_in_series(simulation, "held", 900ms);
+    if (takeover == takeover_time::before_restart)
+    {
+        replace_owner(simulation);
+    }
+    for (int restart = 0; restart < restarts; ++restart)
+    {
+        restart_after(simulation, 300ms);
+        simulation.run(500ms);
+    }
+    if (takeover == takeover_time::after_restart)
+    {
+        replace_owner(simulation);
+    }
+    simulation.worker_fault = nullptr;
+    auto const later_jobs = submit_in_series(simulation, "later", late_delay);
+    jobs.insert(jobs.end(), later_jobs.begin(), later_jobs.end());
+    cut_off(simulation);
+    simulation.run(8s);
+    EXPECT_EQ(simulation.violation(), "");
+    for (auto const& id : jobs)
+    {
+        EXPECT_TRUE(completes(simulation, id)) << id;
+    }
+    EXPECT_EQ(simulation.running_count({"lasts", 0, 0, 0}), 1U);
+    EXPECT_EQ(simulation.running_count({"cancelled", 0, 0, 0}), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds,
+    pool_late_order_of_kind,
+    testing::Combine(testing::Values(order_kind::start,
+                                     order_kind::acknowledging_poll,
+                                     order_kind::renewing_poll,
+                                     order_kind::stop),
+                     testing::Values(0, 1, 2),
+                     testing::Values(takeover_time::never,
+                                     takeover_time::before_restart,
+                                     takeover_time::after_restart),
+                     testing::Bool()));
