--- a/src/core/pool/fleet.hpp
+++ b/src/core/pool/fleet.hpp
@@ -111,8 +111,8 @@
     /// Time at which an order with a lease was last answered by another
     /// incarnation than the adopted one, or found to have got no answer.
     common::time_point unconfirmed_lease_at{};
-    /// Time at which its token was last superseded by an order without an
-    /// answer.
+    /// Time at which an order that may be carried out late was last found to
+    /// have got no answer.
     common::time_point order_unanswered_at{};
     /// Time at which a start was last found to have got no answer.
     common::time_point start_unclear_at{};
@@ -190,9 +190,8 @@
     void erase(std::string const& id);
 
     worker* find(std::string const& id);
-    /// Whether an order with `token` to this worker was refused because the
-    /// worker has received a later one of this owner. A refusal of the latest
-    /// one shows that there is a later owner.
+    /// Whether this owner may have sent the worker a higher token than `token`.
+    /// If not, a refusal of `token` shows that there is a later owner.
     bool has_superseded(std::string const& id, std::uint64_t token) const;
     std::map<std::string, worker>& all() noexcept;
     std::map<std::string, worker> const& all() const noexcept;
